--- /dev/null
+++ b/gaproute/__init__.py
@@ -0,0 +1,1 @@
+"""gaproute: a router before workers that keep only some of many functions loaded."""
--- /dev/null
+++ b/gaproute/benchlink/wire.py
@@ -0,0 +1,128 @@
+"""Reads the lines of the simulator's wire into the module's types. Wire names stop here."""
+import json
+
+from gaproute import interface as face
+
+MICRO, MILLI = 1_000, 1_000_000
+
+EFFECTS = {"free": face.Effect.PURE, "guarded": face.Effect.RECEIPTED, "single_shot": face.Effect.EFFECTFUL}
+STATES = {"active": face.State.ACTIVE, "leaving": face.State.DRAINING, "left": face.State.GONE}
+RESULTS = {"0": face.Result.OK, "1": face.Result.ERROR, "2": face.Result.FULL, "3": face.Result.TIMEOUT,
+           "4": face.Result.CONNECT_FAILED, "5": face.Result.RESET, "6": face.Result.RECALLED,
+           "7": face.Result.MOOT, "8": face.Result.MISS}
+FIELDS = {"SYNC": 2, "OVER_TO_YOU": 0, "FOR": 1, "OPEN_INSTANCE": 2, "CRASH_NOW": 0, "LIST": 2, "M": 7, "TARGETS": 3,
+          "CALL": 10, "ACCEPTED": 4, "REPLY": 8, "GONE": 1, "ALARM": 1, "HEALTH_RESULT": 4, "PEER_DATA": 2,
+          "STANDS": 5}
+TEXT_LAST = {"OPEN_INSTANCE": 1, "ALARM": 0}
+OMITTABLE_LIST_NAME = "LIST"
+
+
+class WireFault(ValueError):
+    """A line that breaks the wire format."""
+
+
+def split(line):
+    """Name and fields of one line; the last field of some lines is text to the line's end."""
+    name, _, rest = line.partition(" ")
+    if name not in FIELDS:
+        raise WireFault(f"unknown message {name!r}")
+    fields = rest.split(" ", TEXT_LAST[name]) if name in TEXT_LAST else rest.split(" ") if rest else []
+    if len(fields) != FIELDS[name]:
+        raise WireFault(f"{name} has {len(fields)} values, {FIELDS[name]} expected")
+    return name, fields
+
+
+def nanos(text):
+    """Milliseconds on the wire, counted there in microseconds, as whole nanoseconds; absent is None."""
+    return None if text == "-" else round(float(text) * 1000) * MICRO
+
+
+def millis(span):
+    """Whole nanoseconds as the wire's milliseconds, rounded up to its microseconds."""
+    return f"{-(-span // MICRO) / 1000:.3f}"
+
+
+def whole(text, absent=0):
+    return absent if text == "-" else int(text)
+
+
+def flag(text):
+    if text not in ("0", "1", "-"):
+        raise WireFault(f"{text!r} is no bool")
+    return text == "1"
+
+
+def report(text, memory_known=True):
+    if text in ("-", ""):
+        return None
+    pairs = dict(pair.split(":", 1) for pair in text.split(","))
+
+    def figure(name):
+        return float(pairs[name]) if pairs.get(name, "-") != "-" else None
+
+    return face.Report(figure("busy_reqs"), figure("pending"), figure("cpu_share"), figure("x0") if memory_known else None)
+
+
+def listed(fields):
+    state = fields[4]
+    if state not in STATES:
+        raise WireFault(f"unknown state {state!r}")
+    born = nanos(fields[6])
+    return face.Listed(fields[0], whole(fields[1]), whole(fields[2 + 1]), STATES[state],
+                       1.0 if fields[5] == "-" else float(fields[5]), born or None)
+
+
+def task(fields):
+    lanes = whole(fields[6], 1)
+    return face.Task(fields[0], whole(fields[1]), nanos(fields[2]) or 0, fields[4], max(1, lanes), nanos(fields[7]),
+                     whole(fields[9]))
+
+
+def outcome(fields, counts, memory_known=True):
+    result = RESULTS.get(fields[3])
+    if result is None:
+        return None
+    remark = whole(fields[6])
+    told = counts and result in (face.Result.OK, face.Result.FULL)
+    note = remark & 7
+    return face.Outcome(fields[0], whole(fields[1]), fields[2], result, nanos(fields[4]) or 0, flag(fields[5]),
+                        face.Found(note if note <= 4 else 0), remark >> 3 if told else None,
+                        report(fields[7], memory_known))
+
+
+def terms(text):
+    """The start-up object as the module's terms; unknown keys are passed over."""
+    try:
+        told = json.loads(text)
+    except ValueError as fault:
+        raise WireFault(f"start-up object: {fault}") from fault
+    info, limits, rules = (told.get(key) or {} for key in ("family_info", "limits", "rules"))
+    tracks = tuple(
+        face.Track(EFFECTS[lane["effect"]], face.Group(lane.get("group") or "all"), span(lane, "dedup_window"),
+                   span(lane, "aim"), span(lane, "deadline"), float(lane.get("worth") or 1.0))
+        for lane in told.get("lanes") or ())
+    source = (told.get("report") or {}).get("source")
+    return face.Terms(
+        tracks=tracks,
+        tenant_shares=tuple(float(tenant.get("share") or 0.0) for tenant in told.get("tenants") or ()),
+        over_share_value=float(told.get("over_share_worth", 1.0)),
+        keep_alive=span(info, "idle_life"),
+        orders_allowed=bool(info.get("placement_calls")),
+        order_free=float(info.get("loads_anyway") or 0),
+        order_share=float(info.get("load_part") or 0),
+        order_window=span(info, "loads_within"),
+        counts_alike=bool(info.get("counts_alike")),
+        notes_warmth=bool(info.get("warm_notes")),
+        probes_allowed=bool(limits.get("probes")),
+        reports_by_probe=source == "pull",
+        recall_allowed=bool(limits.get("cancel")),
+        twins_allowed=bool(limits.get("may_duplicate")),
+        relay_limit=int(limits.get("send_cap") or 1),
+        advice_limit=span(limits, "max_retry_after") if limits.get("retry_after") else 0,
+        cold_share=float(rules.get("cold_from") or 0),
+        cold_time=span(rules, "cold"),
+        must_ask_list=told.get("membership_mode") == "on_request")
+
+
+def span(table, key):
+    return round(float(table.get(key) or 0) * 1000) * MICRO
--- /dev/null
+++ b/gaproute/policy.py
@@ -0,0 +1,513 @@
+"""Every decision of gaproute.
+
+A caller makes one `Gateway` for each gateway and drives its generators: `serve`, one for each task, reads from
+acceptance to the one final answer; `housekeep` probes and tidies. They yield wishes and are resumed with what came of
+them; lists, probe answers and order answers come in through methods. All types are in `gaproute/interface.py`, the
+ordinary path and each exception to it in `docs/design.md`. The clock is the one handed in, in nanoseconds.
+"""
+from collections import deque
+from hashlib import blake2b
+from statistics import median
+
+from gaproute.interface import (Decline, Effect, Found, Group, Listen, Order, Probe, Recall, Relay, Result, Scrap,
+                                State, Wait)
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+
+WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
+QUEUE = 2.0            # points lost for each full set of lanes queued, the scale on which the others are set
+MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
+PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
+PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
+FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
+SHUN = 30.0            # points lost by a suspect: more than any queue worth waiting in, yet it ranks suspects
+SHUNNED = 1 / 3        # of the fleet at most: when more look ill the cause is elsewhere and work must flow
+KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
+RECENT = 5 * SECOND    # samples older than this are no evidence: a suspect is tried again after it
+PATIENCE = 4           # usual answer times before a relay counts as overdue
+LOAD_PATIENCE = 2      # usual load times more where a load is expected
+FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
+PACE_LIMIT = 20.0      # times slower than its peers at most: beyond it, no queue differs
+REPORT_LIFE = 2 * SECOND   # reports older than this say nothing of now
+PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
+PAUSE = 40 * MILLI     # between looks while a task waits for a worker to become usable
+ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
+SHED = 0.7             # of the shortest contract time: expected wait beyond which least earnings are declined
+SHED_FLOOR = 4         # tasks in hand per worker below which nothing is declined
+FLOWS = 64             # answers over which this gateway's pace of answers is taken
+STAY_AWAY = 1.0        # of the contract time: advice to a declined client
+
+
+class Chance:
+    """A linear congruential generator; its low bits are weak, so only the high half is used."""
+
+    def __init__(self, seed):
+        self.state = seed & (2**64 - 1)
+        self.below(2)
+
+    def below(self, n):
+        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
+        return (self.state >> 32) * n >> 32
+
+
+class Worker:
+    """What this gateway knows of one worker."""
+
+    def __init__(self, row):
+        self.id = row.worker
+        self.restart(row)
+
+    def restart(self, row):
+        self.started = row.started
+        self.wiped = -1          # copies recorded before this time are lost
+        self.out = {}            # (task, relay): (sent, due)
+        self.heard = -1          # when anything was last heard from it
+        self.results = deque(maxlen=KEPT)   # (time, whether good)
+        self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
+        self.report, self.reported = None, -REPORT_LIFE
+        self.credit = 0.0        # relays that a cold worker may still be sent
+        self.full_until = -1     # it turned a task away; nothing more until then
+        self.renew(row)
+
+    def renew(self, row):
+        self.zone, self.cell, self.capacity = row.zone, row.cell, max(row.capacity, 1e-3)
+        self.active = row.state is State.ACTIVE
+
+
+class Function:
+    """What this gateway knows of one function."""
+
+    def __init__(self, lanes):
+        self.lanes = lanes
+        self.seen = {}           # worker: last own send or answer there
+        self.times = deque(maxlen=KEPT)     # answer times where a copy stood
+        self.alike = {}          # worker: (time, tasks of this function that it held)
+        self.ordered = False     # an order is open
+        self.ranks, self.ranked_for = {}, -1
+        self.used = 0
+
+
+class Trail:
+    """What the relays of one task prove so far."""
+
+    def __init__(self):
+        self.out = {}            # relay: (worker, sent)
+        self.first = None        # (worker, sent) of the first relay that may have run or may yet
+        self.failed = []         # workers that failed it
+        self.relays = 0
+
+    def settle(self, relay, result):
+        worker, sent = self.out.pop(relay)
+        if result in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
+            if self.first == (worker, sent):   # proven not to have run: it binds the task no longer
+                self.first = min(self.out.values(), key=lambda o: o[1], default=None)
+        elif self.first is None or sent < self.first[1]:
+            self.first = (worker, sent)
+        if result is not Result.MISS:
+            self.failed.append(worker)
+
+
+class Gateway:
+    def __init__(self, seed, terms, now):
+        self.chance = Chance(seed)
+        self.tracks = terms.tracks
+        self.keep_alive = max(terms.keep_alive, 1)
+        self.copies_by_order = terms.orders_allowed
+        self.ration = (terms.order_free, terms.order_share, terms.order_window)
+        self.can_recall, self.can_twin = terms.recall_allowed, terms.twins_allowed
+        self.relay_limit = terms.relay_limit
+        self.advice_limit = terms.advice_limit
+        self.cold_share, self.cold_time = terms.cold_share, terms.cold_time
+        self.probing = terms.probes_allowed and terms.reports_by_probe
+        self.asks_list = terms.must_ask_list
+        self.tenant_shares, self.over_share_value = terms.tenant_shares, terms.over_share_value
+        self.top_earnings = max((track.earnings for track in terms.tracks), default=1.0)
+        self.shortest = min((track.contract_time for track in terms.tracks), default=SECOND)
+        self.workers = {}
+        self.functions = {}
+        self.list_version = 0
+        self.hands = {}          # (task, relay): (worker, function, sent, whether thought warm)
+        self.orders = deque()    # times of orders within the ration's window
+        self.taken = deque()     # times of tasks taken within the ration's window
+        self.answers = deque(maxlen=FLOWS)  # times of answers
+        self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
+        self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
+
+    # What the caller tells
+
+    def listed(self, now, rows, complete):
+        for row in rows:
+            worker = self.workers.get(row.worker)
+            if worker is None:
+                worker = self.workers[row.worker] = Worker(row)
+            elif row.started is not None and row.started != worker.started:
+                out = worker.out
+                worker.restart(row)
+                worker.out, worker.wiped = out, now
+            else:
+                worker.renew(row)
+        if complete:
+            named = {row.worker for row in rows}
+            for worker in self.workers.values():
+                worker.active = worker.active and worker.id in named
+        self.list_version += 1
+
+    def list_refused(self, now):
+        self.asks_list = True
+
+    def probed(self, now, worker_id, good, report):
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return
+        if report is not None:
+            worker.report, worker.reported = report, now
+        if not good:
+            worker.results.append((now, False))
+
+    def stood(self, now, worker_id, name, result, copies):
+        function, worker = self.functions.get(name), self.workers.get(worker_id)
+        if function is None or worker is None:
+            return
+        function.ordered = False
+        if result is Result.OK:
+            function.seen[worker_id] = now
+
+    def heard(self, now, outcome):
+        """Book one relay's outcome, whether or not its task is still held."""
+        hand = self.hands.pop((outcome.task, outcome.relay), None)
+        worker = self.workers.get(outcome.worker)
+        if hand is None or worker is None:
+            return
+        _, name, sent, warm = hand
+        worker.out.pop((outcome.task, outcome.relay), None)
+        function = self.function(name, 1)
+        if outcome.report is not None:
+            worker.report, worker.reported = outcome.report, now
+        if outcome.alike is not None:
+            function.alike[worker.id] = (now, outcome.alike)
+        if outcome.result is Result.MOOT:
+            return
+        if outcome.result is Result.OK:
+            worker.heard = now
+            worker.results.append((now, True))
+            worker.full_until = now
+            self.answers.append(now)
+            if self.power(worker, now) >= 1:
+                self.spread_credit(now)
+            if sent >= worker.wiped:
+                function.seen[worker.id] = now
+            if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
+                if function.times:
+                    worker.paces.append((now, outcome.took / max(1, median(function.times))))
+                function.times.append(outcome.took)
+            else:
+                self.loads.append(outcome.took)
+            return
+        # Any failure counts, so that neither quick refusals nor quick errors make a worker look idle.
+        if outcome.result is not Result.RECALLED or now - sent > PATIENCE * self.usual(function):
+            worker.results.append((now, False))
+        if outcome.result in (Result.ERROR, Result.FULL, Result.MISS):
+            worker.heard = now
+        if outcome.result is Result.FULL:
+            worker.full_until = now + self.usual(function)   # a lane frees about then, or an answer says so before
+        if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
+            function.seen.pop(worker.id, None)
+        if outcome.result in (Result.RESET, Result.CONNECT_FAILED):
+            worker.wiped = now   # a process that broke off comes back empty, often before the list says so
+
+    # Measures
+
+    def function(self, name, lanes):
+        function = self.functions.get(name)
+        if function is None:
+            function = self.functions[name] = Function(lanes)
+        return function
+
+    def usual(self, function):
+        if function.times:
+            return median(function.times)
+        return self.shortest * FIRST_GUESS
+
+    def load_usual(self, told):
+        if told:
+            return told
+        return median(self.loads) if self.loads else self.shortest
+
+    def warmth(self, function, worker, now):
+        last = function.seen.get(worker.id)
+        if last is None or last < worker.wiped:
+            return 0.0
+        return max(0.0, 1.0 - ((now - last) / self.keep_alive) ** FADE)
+
+    def power(self, worker, now):
+        """Share of its capacity that a worker has at least, by the told cold share."""
+        if worker.started is None or self.cold_time <= 0:
+            return 1.0
+        return min(1.0, self.cold_share + (1 - self.cold_share) * (now - worker.started) / self.cold_time)
+
+    def pace(self, worker, now):
+        recent = [pace for at, pace in worker.paces if now - at < RECENT]
+        return min(PACE_LIMIT, max(1.0, median(recent))) if len(recent) > 2 else 1.0
+
+    def queued(self, worker, lanes, now):
+        """Tasks at the worker: its own report and what was sent since, else this gateway's tasks in flight."""
+        report = worker.report
+        if report is None or now - worker.reported > REPORT_LIFE:
+            return len(worker.out)
+        since = sum(sent > worker.reported for sent, _ in worker.out.values())
+        if report.in_hand is not None:
+            return report.in_hand + since
+        if report.waiting is not None:       # tells nothing of tasks at work: own ones stand for them
+            return report.waiting + len(worker.out)
+        if report.cpu_busy is not None:
+            return max(report.cpu_busy * lanes + since, len(worker.out))
+        return len(worker.out)
+
+    def suspicion(self, worker, now):
+        """0 for none. Guards against workers that hang, fall silent, fail fast or refuse: each would look idle."""
+        overdue = sum(now > due and sent >= worker.heard for sent, due in worker.out.values())
+        recent = [good for at, good in worker.results if now - at < RECENT]
+        bad = overdue + recent.count(False)
+        if overdue or bad > 1:
+            share = bad / (overdue + len(recent))
+            if share > 0.4:
+                return share + min(overdue, KEPT) / KEPT
+        last = [good for _, good in worker.results][-2:]
+        if worker.out and last == [False, False]:
+            return 0.5           # on trial: one relay out at a time until one is answered
+        return 0.0
+
+    def shunned(self, now):
+        doubts = sorted(((self.suspicion(worker, now), worker.id) for worker in self.workers.values()
+                         if worker.active), reverse=True)
+        return {name: doubt for doubt, name in doubts[:max(1, int(len(doubts) * SHUNNED))] if doubt > 0}
+
+    def ranks(self, name, function):
+        """Order in which a stable hash puts the workers for a function: the same at every gateway and restart."""
+        if function.ranked_for != self.list_version:
+            order = sorted((blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
+                           for worker in self.workers.values() if worker.active)
+            function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
+            function.ranked_for = self.list_version
+        return function.ranks
+
+    # The choice
+
+    def allowed(self, worker, track, trail, now):
+        """The rules on further relays, strictly by track; a relay still out may have run."""
+        if not worker.active:
+            return False
+        if trail.out and not self.can_twin:
+            return False
+        if trail.first is None or track.effect is Effect.PURE:
+            return True
+        if track.effect is Effect.EFFECTFUL:
+            return False
+        first, sent = trail.first
+        same = {Group.ALL: True, Group.ZONE: worker.zone == first.zone,
+                Group.CELL: worker.cell == first.cell}[track.group]
+        return same and now < sent + track.repeat_window
+
+    def choose(self, now, task, trail):
+        track, function = self.tracks[task.track], self.function(task.function, task.lanes)
+        able = [worker for worker in self.workers.values() if self.allowed(worker, track, trail, now)]
+        # A cold worker gets no more than its credit (see `sent`): it must not be pushed over.
+        able = [worker for worker in able if self.power(worker, now) >= 1 or worker.credit >= 1]
+        # One that turned a task away just now gets none for a moment: refusals come fast and would make it look idle,
+        # and a task sent round full workers only adds to what they refuse.
+        able = [worker for worker in able if now >= worker.full_until]
+        holding = {worker.id for worker, _ in trail.out.values()}
+        able = [worker for worker in able if worker.id not in holding]
+        able = [worker for worker in able if worker not in trail.failed] or able
+        if not able or trail.relays >= self.relay_limit:
+            return None
+        shunned, ranks = self.shunned(now), self.ranks(task.function, function)
+        memories = [worker.report.memory_busy for worker in self.workers.values()
+                    if worker.report is not None and worker.report.memory_busy is not None]
+        usual_memory = sum(memories) / len(memories) if memories else 0.0
+        capacity = sum(worker.capacity for worker in able) / len(able)
+        best, ties = None, []
+        for worker in able:
+            memory = worker.report.memory_busy if worker.report is not None else None
+            lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / self.pace(worker, now)
+            score = (WARMTH * self.warmth(function, worker, now)
+                     - QUEUE * (self.queued(worker, task.lanes, now) + 1) / lanes
+                     - MEMORY * (usual_memory if memory is None else memory)
+                     + PRIOR * PRIOR_FALL ** ranks.get(worker.id, len(ranks))
+                     - SHUN * shunned.get(worker.id, 0.0))
+            if best is None or score > best:
+                best, ties = score, [worker]
+            elif score == best:
+                ties.append(worker)
+        return ties[self.chance.below(len(ties))]
+
+    def sent(self, now, task, relay, worker, trail):
+        function = self.function(task.function, task.lanes)
+        warm = self.warmth(function, worker, now) > 0
+        due = now + PATIENCE * self.usual(function)
+        if not warm:
+            due += LOAD_PATIENCE * self.load_usual(task.load_time)
+        elif worker.id in function.seen and not function.times:
+            due += self.load_usual(task.load_time)
+        worker.out[task.id, relay] = (now, due)
+        self.hands[task.id, relay] = (worker.id, task.function, now, warm)
+        trail.out[relay] = (worker, now)
+        trail.relays += 1
+        if trail.first is None:
+            trail.first = (worker, now)
+        function.seen[worker.id] = now
+        if self.power(worker, now) < 1:
+            worker.credit -= 1
+        return due
+
+    def spread_credit(self, now):
+        """Each answer of a warm worker earns every cold one a part of a relay: its share of the mean per warm peer.
+
+        Counted in answers, not in time or sends, it holds for bursts, for storms of refusals and for a gateway that
+        has just started. Half the fleet stands for the warm peers when fewer are warm, as those carry more each.
+        """
+        fleet = [worker for worker in self.workers.values() if worker.active]
+        cold = [worker for worker in fleet if self.power(worker, now) < 1]
+        for worker in cold:
+            share = self.power(worker, now)
+            worker.credit = min(1 + share, worker.credit + share / max(len(fleet) - len(cold), len(fleet) / 2))
+
+    def may_order(self, now, function):
+        """The load ration, counted exactly at the order; one open order for a function."""
+        if function.ordered or not self.copies_by_order:
+            return False
+        free, share, window = self.ration
+        if window <= 0:
+            return True
+        while self.orders and self.orders[0] < now - window:
+            self.orders.popleft()
+        while self.taken and self.taken[0] <= now - window:
+            self.taken.popleft()
+        return len(self.orders) + 1 <= free + share * len(self.taken)
+
+    def ordered(self, now, function):
+        function.ordered = True
+        if self.ration[2] > 0:
+            self.orders.append(now)
+
+    def crowded(self, now, task, track):
+        """Whether to decline at once: the wait to expect, tasks in hand over the pace of answers, is too long."""
+        if len(self.answers) < FLOWS // 2:
+            return False
+        shunned = self.shunned(now)
+        in_hand = sum(len(worker.out) for worker in self.workers.values() if worker.id not in shunned)
+        if in_hand < SHED_FLOOR * len(self.workers):
+            return False
+        flow = len(self.answers) / max(now - self.answers[0], 1)
+        value = track.earnings / self.top_earnings
+        if task.tenant < len(self.tenant_shares) and \
+                self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
+            value *= self.over_share_value
+        return in_hand / flow > SHED * self.shortest * (0.5 + 0.5 * value)
+
+    def advice(self, track):
+        return min(self.advice_limit, int(STAY_AWAY * track.contract_time))
+
+    # The generators
+
+    def serve(self, now, task):
+        """One task, from acceptance to its one final answer."""
+        track, trail = self.tracks[task.track], Trail()
+        end = now + task.time_left - ANSWER_BY
+        function = self.function(task.function, task.lanes)
+        function.lanes, function.used = task.lanes, now
+        if self.ration[2] > 0:
+            self.taken.append(now)
+        self.tenants.append(task.tenant)
+        if all(self.power(worker, now) < 1 for worker in self.workers.values() if worker.active):
+            self.spread_credit(now)
+        if self.crowded(now, task, track):
+            yield Decline(self.advice(track))
+            return
+        give_up = now + track.contract_time
+        look = now               # when to look for a worker again
+        while now < end:
+            if now >= look and (worker := self.choose(now, task, trail)) is not None:
+                relay = yield Relay(worker.id)
+                look = self.sent(now, task, relay, worker, trail)
+            elif not trail.out:
+                if now >= give_up or trail.relays >= self.relay_limit or not any(
+                        self.allowed(worker, track, trail, now) for worker in self.workers.values()):
+                    break
+                look = now + PAUSE
+            else:
+                look = max(look, now + self.usual(function))
+            now, outcome = yield Wait(min(look, end))
+            if outcome is None:
+                if trail.out and now < end:
+                    look, recall = self.overdue(now, trail, track, function)
+                    for relay in recall:
+                        yield Recall(relay)
+                continue
+            if outcome.result is Result.BEGUN:
+                while not outcome.ended:     # a begun stream has no deadline; nothing else may be started
+                    now, outcome = yield Wait(now + SECOND)
+                return
+            if outcome.relay in trail.out:
+                held, _ = trail.out[outcome.relay]
+                trail.settle(outcome.relay, outcome.result)
+                if outcome.result is Result.OK:
+                    yield from self.more_copies(now, task, function, held, outcome)
+            if outcome.ended:
+                for relay in trail.out if self.can_recall else ():
+                    yield Recall(relay)
+                return
+            look = now
+            if outcome.result is Result.MISS and held.active and self.may_order(now, function):
+                self.ordered(now, function)
+                yield Order(held.id, task.function, 1)
+                function.seen[held.id] = now
+                look = now + outcome.took    # the order is there once a round trip has passed
+        for relay in trail.out if self.can_recall else ():
+            yield Recall(relay)
+        if trail.first is None or track.effect is Effect.PURE:
+            yield Decline(self.advice(track))
+        else:
+            yield Scrap()
+
+    def overdue(self, now, trail, track, function):
+        """When to look for another worker, and which relays to recall first.
+
+        A relay that is out too long at a suspect gets a second copy, or is recalled where two may not be out; a
+        task that is only slow keeps its place, since work done twice costs.
+        """
+        shunned = self.shunned(now)
+        later = now + max(PAUSE, self.usual(function))
+        if track.effect is Effect.EFFECTFUL or any(worker.id not in shunned for worker, _ in trail.out.values()):
+            return later, ()
+        if self.can_twin:
+            return now, ()
+        return later, tuple(trail.out) if self.can_recall else ()
+
+    def more_copies(self, now, task, function, worker, outcome):
+        """Order one more copy where tasks of the function outnumber the lanes of those that stand.
+
+        Serves hot functions where only orders add copies; where workers add them themselves it finds them standing.
+        """
+        if outcome.alike is None or outcome.alike < task.lanes or not worker.active:
+            return
+        copies = min(16, outcome.alike // task.lanes + 1)
+        if self.may_order(now, function):
+            self.ordered(now, function)
+            yield Order(worker.id, task.function, copies)
+
+    def housekeep(self, now):
+        """Ask for the list where it must be asked for, probe where reports come no other way, and forget."""
+        turn = 0
+        while True:
+            if self.asks_list:
+                self.asks_list = False
+                yield Listen()
+            names = [worker.id for worker in self.workers.values() if worker.active]
+            if self.probing and names:
+                turn += 1
+                yield Probe(names[turn % len(names)])
+            for name in [name for name, function in self.functions.items()
+                         if now - function.used > 4 * self.keep_alive and not function.ordered]:
+                del self.functions[name]
+            now, _ = yield Wait(now + PROBE_EVERY // max(1, len(names)))
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,198 @@
+import pytest
+from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, Drive, gateway, row, task
+
+from gaproute import interface as face
+from gaproute.interface import Result
+from gaproute.policy import FADE, MEMORY, PRIOR, QUEUE, WARMTH, Function, Trail
+
+MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
+NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
+
+
+def trail_with(made, result, sent=0, still_out=False):
+    trail = Trail()
+    trail.out[0] = (made.workers["a"], sent)
+    trail.first = trail.out[0]
+    trail.relays = 1
+    if not still_out:
+        trail.settle(0, result)
+    return trail
+
+
+@pytest.mark.parametrize("age", [0, 4 * SECOND, 7.5 * SECOND])
+def test_warm_with_a_free_lane_beats_cold_idle_at_any_memory_gap(age):
+    made = gateway()
+    warm, cold = made.workers["a"], made.workers["b"]
+    function = made.function("f", 4)
+    function.ranks, function.ranked_for = {"b": 0, "c": 1, "a": 2}, made.list_version
+    function.seen["a"] = 0
+    now = int(age)
+    for number in range(3):
+        warm.out["x", number] = (now, now + SECOND)
+    warm.report = face.Report(memory_busy=1.0)
+    cold.report = face.Report(memory_busy=0.0)
+    assert made.choose(now, task(), Trail()) is warm
+
+
+def test_warmth_is_nought_at_the_end_of_the_keep_alive():
+    made, function = gateway(), Function(4)
+    function.seen["a"] = 0
+    assert made.warmth(function, made.workers["a"], 0) == 1
+    assert made.warmth(function, made.workers["a"], made.keep_alive) == 0
+
+
+@pytest.mark.parametrize("track", [0, 1, 2])
+@pytest.mark.parametrize("result", NEVER_RAN)
+def test_a_proof_that_nothing_ran_frees_every_track(track, result):
+    made = gateway(row("a"), row("b", cell=1))
+    assert made.allowed(made.workers["b"], made.tracks[track], trail_with(made, result), SECOND)
+
+
+@pytest.mark.parametrize("result", MAY_HAVE_RUN)
+@pytest.mark.parametrize("group, other, now, lawful", [
+    (face.Group.ALL, "far", 1, True), (face.Group.ALL, "far", 2 * SECOND, False),
+    (face.Group.ZONE, "near", 1, True), (face.Group.ZONE, "far", 1, False),
+    (face.Group.CELL, "same", 1, True), (face.Group.CELL, "near", 1, False),
+    (face.Group.CELL, "same", 2 * SECOND, False)])
+def test_receipted_goes_again_only_in_its_group_and_window(result, group, other, now, lawful):
+    made = gateway(row("a"), row("same"), row("near", cell=1), row("far", zone=1, cell=2))
+    track = RECEIPTED._replace(group=group)
+    for still_out in (True, False):
+        assert made.allowed(made.workers[other], track, trail_with(made, result, 0, still_out), now) is lawful
+
+
+@pytest.mark.parametrize("result", MAY_HAVE_RUN)
+def test_effectful_never_goes_again_nor_is_declined_once_it_may_have_run(result):
+    made = gateway()
+    drive = Drive(made, task(track=2))
+    drive.hears(MILLI, result)
+    assert drive.ended and drive.wishes == [face.Scrap()] and len(drive.sent) == 1
+
+
+def test_effectful_never_goes_again_while_a_relay_is_out():
+    made = gateway()
+    assert not made.allowed(made.workers["b"], EFFECTFUL, trail_with(made, None, still_out=True), 1)
+
+
+def test_first_possible_run_is_the_earliest_relay_not_disproved():
+    made = gateway()
+    trail = trail_with(made, Result.FULL, 0, still_out=True)
+    trail.out[1] = (made.workers["b"], 5)
+    trail.settle(0, Result.FULL)
+    assert trail.first == (made.workers["b"], 5)
+
+
+def test_no_second_relay_out_where_forbidden():
+    made = gateway(twins_allowed=False)
+    assert not made.allowed(made.workers["b"], PURE, trail_with(made, None, still_out=True), 1)
+
+
+def test_final_answer_before_the_time_is_up_and_nothing_after():
+    made = gateway(row("a"))
+    drive = Drive(made, task(time_left=SECOND))
+    while not drive.ended:
+        drive.late(drive.wishes[-1].until)
+    assert drive.wishes[-1] == face.Decline(SECOND)
+    drive = Drive(made, task("u", track=2, time_left=0))
+    assert drive.ended and not drive.sent
+
+
+def test_departed_and_delivered_tasks_send_nothing_more():
+    made = gateway()
+    drive = Drive(made, task())
+    drive.hears(MILLI, Result.OK)
+    assert drive.ended and drive.wishes == []
+    drive = Drive(made, task("u"))
+    drive.go((MILLI, face.Outcome("u", -1, "", Result.DEPARTED, 0, True, face.Found.UNTOLD, None, None)))
+    assert drive.ended and drive.wishes == [face.Recall(0)]
+
+
+@pytest.mark.parametrize("change", [[row("a", state=face.State.DRAINING)], [row("a", state=face.State.GONE)]])
+def test_drains_stop_tasks_and_orders_at_once(change):
+    made = gateway(row("a"))
+    drive = Drive(made, task())
+    made.listed(1, change, False)
+    assert not any(isinstance(wish, (face.Relay, face.Order)) for wish in drive.hears(2, Result.MISS))
+    assert Drive(made, task("u"), 3).sent == []
+
+
+def test_a_worker_missing_from_a_whole_list_is_gone():
+    made = gateway()
+    made.listed(1, [row("a")], True)
+    assert [worker.id for worker in made.workers.values() if worker.active] == ["a"]
+
+
+def test_cold_workers_get_their_share_of_the_mean_per_warm_peer():
+    made = gateway(row("a"), row("b"), row("cold", started=0))
+    made.keep_alive = 1   # no warmth: load decides, and it favours the idle cold worker
+    sent = []
+    for number in range(200):
+        drive = Drive(made, task(str(number), str(number)), 10 * number)
+        sent += drive.sent
+        drive.hears(10 * number + 5, Result.OK)
+    assert 0 < sent.count("cold") <= 2 + 0.21 * 200 / 2
+
+
+def test_a_fresh_gateway_does_not_burst_on_cold_workers():
+    made = gateway(row("a"), row("cold", started=0))
+    sent = [worker for number in range(8) for worker in Drive(made, task(str(number), str(number)), 1).sent]
+    assert sent.count("cold") <= 2
+
+
+def test_load_ration_at_its_edge_and_as_the_window_slides():
+    made = gateway()
+    made.taken.extend([SECOND] * 10)
+    for number in range(4):
+        assert made.may_order(SECOND, Function(4))
+        made.ordered(SECOND, Function(4))
+    assert not made.may_order(SECOND, Function(4))
+    made.taken.extend([2 * SECOND] * 9)
+    assert not made.may_order(6 * SECOND, Function(4))   # the first orders count to the window's very edge
+    assert made.may_order(6 * SECOND + 1, Function(4))
+
+
+def test_one_open_order_for_a_function():
+    made = gateway(order_window=0)
+    function = made.function("f", 4)
+    made.ordered(0, function)
+    assert not made.may_order(0, function)
+    made.stood(1, "a", "f", Result.OK, 1)
+    assert made.may_order(1, function)
+
+
+def test_a_miss_orders_one_copy_there_and_returns():
+    made = gateway()
+    drive = Drive(made, task())
+    first = drive.sent[0]
+    assert face.Order(first, "f", 1) in drive.hears(MILLI, Result.MISS, took=MILLI)
+    drive.late(2 * MILLI)
+    assert drive.sent == [first, first]
+
+
+@pytest.mark.parametrize("result", [Result.ERROR, Result.FULL, Result.CONNECT_FAILED, Result.RESET, Result.TIMEOUT])
+def test_failing_workers_are_shunned_then_tried_again(result):
+    made = gateway()
+    for number in range(2):
+        made.workers["a"].results.append((0, False))
+    assert "a" in made.shunned(1)
+    assert "a" not in made.shunned(10 * SECOND)
+
+
+def test_a_silent_worker_is_shunned_and_the_task_goes_elsewhere():
+    made = gateway()
+    drive = Drive(made, task())
+    silent = drive.sent[0]
+    drive.late(drive.wishes[-1].until + 1)
+    assert silent in made.shunned(10 * SECOND) and len(set(drive.sent)) == 2
+
+
+def test_when_most_look_ill_most_are_still_used():
+    made = gateway(*map(row, "abcdef"))
+    for worker in made.workers.values():
+        worker.results.extend([(0, False)] * 4)
+    assert len(made.shunned(1)) == 2
+
+
+@pytest.mark.parametrize("power", [FADE])
+def test_load_terms_leave_room_for_spilling(power):
+    assert WARMTH * (1 - 0.75 ** power) > QUEUE * 0.75 + MEMORY + PRIOR
