--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -427,16 +427,18 @@
         give_up = now + track.contract_time
         look = now               # when to look for a worker again
         while now < end:
-            if now >= look and (worker := self.choose(now, task, trail)) is not None:
-                relay = yield Relay(worker.id)
-                look = self.sent(now, task, relay, worker, trail)
-            elif not trail.out:
-                if now >= give_up or trail.relays >= self.relay_limit or not any(
+            if now >= look:
+                worker = self.choose(now, task, trail)
+                if worker is not None:
+                    relay = yield Relay(worker.id)
+                    look = self.sent(now, task, relay, worker, trail)
+                elif trail.out:
+                    look = now + self.usual(function)
+                elif now >= give_up or trail.relays >= self.relay_limit or not any(
                         self.allowed(worker, track, trail, now) for worker in self.workers.values()):
                     break
-                look = now + PAUSE
-            else:
-                look = max(look, now + self.usual(function))
+                else:
+                    look = now + PAUSE
             now, outcome = yield Wait(min(look, end))
             if outcome is None:
                 if trail.out and now < end:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -124,15 +124,22 @@
 
 def test_cold_workers_get_their_share_of_the_mean_per_warm_peer():
     made = gateway(row("a"), row("b"), row("cold", started=0))
-    made.keep_alive = 1   # no warmth: load decides, and it favours the idle cold worker
+    made.function("f", 4).seen["cold"] = 0   # its copy there is wanted by every task
     sent = []
     for number in range(200):
-        drive = Drive(made, task(str(number), str(number)), 10 * number)
+        drive = Drive(made, task(str(number)), 10 * number)
         sent += drive.sent
         drive.hears(10 * number + 5, Result.OK)
     assert 0 < sent.count("cold") <= 2 + 0.21 * 200 / 2
 
 
+def test_refusals_earn_a_cold_worker_nothing_and_give_the_full_worker_rest():
+    made = gateway(row("a"), row("cold", started=0))
+    drive = Drive(made, task())
+    drive.hears(1, Result.FULL)
+    assert drive.sent == ["a"] and made.workers["cold"].credit == 0
+
+
 def test_a_fresh_gateway_does_not_burst_on_cold_workers():
     made = gateway(row("a"), row("cold", started=0))
     sent = [worker for number in range(8) for worker in Drive(made, task(str(number), str(number)), 1).sent]
