--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -15,7 +15,7 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
-QUEUE = 2.0            # points lost for each full set of lanes queued, the scale on which the others are set
+QUEUE = 0.5            # points lost for each full set of lanes queued, the scale on which the others are set
 MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
 PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
@@ -32,8 +32,8 @@
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 PAUSE = 40 * MILLI     # between looks while a task waits for a worker to become usable
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 0.7             # of the shortest contract time: expected wait beyond which least earnings are declined
-SHED_FLOOR = 4         # tasks in hand per worker below which nothing is declined
+SHED = 1.0             # of the shortest contract time: expected wait beyond which least earnings are declined
+SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
 
@@ -80,6 +80,7 @@
     def __init__(self, lanes):
         self.lanes = lanes
         self.seen = {}           # worker: last own send or answer there
+        self.stands = {}         # worker: last answer, which shows that a copy stood
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
         self.alike = {}          # worker: (time, tasks of this function that it held)
         self.ordered = False     # an order is open
@@ -126,7 +127,7 @@
         self.workers = {}
         self.functions = {}
         self.list_version = 0
-        self.hands = {}          # (task, relay): (worker, function, sent, whether thought warm)
+        self.hands = {}          # (task, relay): (worker, function, sent, whether a copy is known to stand)
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
         self.answers = deque(maxlen=FLOWS)  # times of answers
@@ -191,11 +192,12 @@
             worker.heard = now
             worker.results.append((now, True))
             worker.full_until = now
-            self.answers.append(now)
+            if warm:
+                self.answers.append(now)
             if self.power(worker, now) >= 1:
                 self.spread_credit(now)
             if sent >= worker.wiped:
-                function.seen[worker.id] = now
+                function.seen[worker.id] = function.stands[worker.id] = now
             if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
                 if function.times:
                     worker.paces.append((now, outcome.took / max(1, median(function.times))))
@@ -212,6 +214,7 @@
             worker.full_until = now + self.usual(function)   # a lane frees about then, or an answer says so before
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
             function.seen.pop(worker.id, None)
+            function.stands.pop(worker.id, None)
         if outcome.result in (Result.RESET, Result.CONNECT_FAILED):
             worker.wiped = now   # a process that broke off comes back empty, often before the list says so
 
@@ -343,12 +346,10 @@
 
     def sent(self, now, task, relay, worker, trail):
         function = self.function(task.function, task.lanes)
-        warm = self.warmth(function, worker, now) > 0
+        warm = self.warmth(function, worker, now) > 0 and function.stands.get(worker.id, -1) >= worker.wiped
         due = now + PATIENCE * self.usual(function)
         if not warm:
             due += LOAD_PATIENCE * self.load_usual(task.load_time)
-        elif worker.id in function.seen and not function.times:
-            due += self.load_usual(task.load_time)
         worker.out[task.id, relay] = (now, due)
         self.hands[task.id, relay] = (worker.id, task.function, now, warm)
         trail.out[relay] = (worker, now)
@@ -391,12 +392,15 @@
             self.orders.append(now)
 
     def crowded(self, now, task, track):
-        """Whether to decline at once: the wait to expect, tasks in hand over the pace of answers, is too long."""
+        """Whether to decline at once: the wait to expect, tasks in hand over the pace of answers, is too long.
+
+        Only relays to standing copies count on both sides: waits for loads are no sign of too much work.
+        """
         if len(self.answers) < FLOWS // 2:
             return False
         shunned = self.shunned(now)
-        in_hand = sum(len(worker.out) for worker in self.workers.values() if worker.id not in shunned)
-        if in_hand < SHED_FLOOR * len(self.workers):
+        in_hand = sum(warm and worker not in shunned for worker, _, _, warm in self.hands.values())
+        if in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
         value = track.earnings / self.top_earnings
