--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -15,7 +15,7 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
-QUEUE = 0.5            # points lost for each full set of lanes queued, the scale on which the others are set
+QUEUE = 1.0            # points lost for each full set of lanes queued, the scale on which the others are set
 MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
 PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
@@ -32,7 +32,7 @@
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 PAUSE = 40 * MILLI     # between looks while a task waits for a worker to become usable
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.0             # of the shortest contract time: expected wait beyond which least earnings are declined
+SHED = 1.0             # of the contract time: expected wait beyond which a task is declined; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
@@ -407,7 +407,7 @@
         if task.tenant < len(self.tenant_shares) and \
                 self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
             value *= self.over_share_value
-        return in_hand / flow > SHED * self.shortest * (0.5 + 0.5 * value)
+        return in_hand / flow > SHED * track.contract_time * (0.5 + 0.5 * value)
 
     def advice(self, track):
         return min(self.advice_limit, int(STAY_AWAY * track.contract_time))
