--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -15,7 +15,7 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
-QUEUE = 1.0            # points lost for each full set of lanes queued, the scale on which the others are set
+QUEUE = 0.5            # points lost for each full set of lanes queued, the scale on which the others are set
 MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
 PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
@@ -27,7 +27,7 @@
 PATIENCE = 4           # usual answer times before a relay counts as overdue
 LOAD_PATIENCE = 2      # usual load times more where a load is expected
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
-PACE_LIMIT = 20.0      # times slower than its peers at most: beyond it, no queue differs
+SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
 REPORT_LIFE = 2 * SECOND   # reports older than this say nothing of now
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 PAUSE = 40 * MILLI     # between looks while a task waits for a worker to become usable
@@ -249,8 +249,13 @@
         return min(1.0, self.cold_share + (1 - self.cold_share) * (now - worker.started) / self.cold_time)
 
     def pace(self, worker, now):
+        """How many times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
+
+        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others, idle. It
+        harms where one worker holds the heaviest variants of a function's work; the samples age, so it is retried.
+        """
         recent = [pace for at, pace in worker.paces if now - at < RECENT]
-        return min(PACE_LIMIT, max(1.0, median(recent))) if len(recent) > 2 else 1.0
+        return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
 
     def queued(self, worker, lanes, now):
         """Tasks at the worker: its own report and what was sent since, else this gateway's tasks in flight."""
@@ -332,8 +337,9 @@
         best, ties = None, []
         for worker in able:
             memory = worker.report.memory_busy if worker.report is not None else None
-            lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / self.pace(worker, now)
-            score = (WARMTH * self.warmth(function, worker, now)
+            pace = self.pace(worker, now)
+            lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / pace
+            score = (WARMTH * self.warmth(function, worker, now) / pace
                      - QUEUE * (self.queued(worker, task.lanes, now) + 1) / lanes
                      - MEMORY * (usual_memory if memory is None else memory)
                      + PRIOR * PRIOR_FALL ** ranks.get(worker.id, len(ranks))
@@ -398,8 +404,8 @@
         """
         if len(self.answers) < FLOWS // 2:
             return False
-        shunned = self.shunned(now)
-        in_hand = sum(warm and worker not in shunned for worker, _, _, warm in self.hands.values())
+        ill = self.shunned(now).keys() | {worker.id for worker in self.workers.values() if self.pace(worker, now) > 1}
+        in_hand = sum(warm and worker not in ill for worker, _, _, warm in self.hands.values())
         if in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
