--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -339,10 +339,11 @@
             memory = worker.report.memory_busy if worker.report is not None else None
             pace = self.pace(worker, now)
             lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / pace
-            score = (WARMTH * self.warmth(function, worker, now) / pace
+            warmth = self.warmth(function, worker, now) / pace
+            score = (WARMTH * warmth
                      - QUEUE * (self.queued(worker, task.lanes, now) + 1) / lanes
                      - MEMORY * (usual_memory if memory is None else memory)
-                     + PRIOR * PRIOR_FALL ** ranks.get(worker.id, len(ranks))
+                     + PRIOR * (1 - warmth) * PRIOR_FALL ** ranks.get(worker.id, len(ranks))
                      - SHUN * shunned.get(worker.id, 0.0))
             if best is None or score > best:
                 best, ties = score, [worker]
