Decline at once when half the fleet refused a task within an answer time

Should also cover a fleet short of memory or connections; harms if half the fleet refuses for a cause of its own while the rest has room.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -34,6 +34,7 @@
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.0             # of the contract time: expected wait beyond which a task is declined; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
+FULL_FLEET = 1 / 2     # of the workers refused a task within an answer time: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
 
@@ -403,6 +404,9 @@
 
         Only relays to standing copies count on both sides: waits for loads are no sign of too much work.
         """
+        fleet = [worker for worker in self.workers.values() if worker.active]
+        if sum(now < worker.full_until for worker in fleet) > FULL_FLEET * len(fleet):
+            return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
         ill = self.shunned(now).keys() | {worker.id for worker in self.workers.values() if self.pace(worker, now) > 1}
@@ -471,6 +475,8 @@
                     yield Recall(relay)
                 return
             look = now
+            if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
+                break            # one refusal in a full fleet is proof enough; the client is told at once
             if outcome.result is Result.MISS and held.active and self.may_order(now, function):
                 self.ordered(now, function)
                 yield Order(held.id, task.function, 1)
