--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -206,8 +206,9 @@
             else:
                 self.loads.append(outcome.took)
             return
-        # Any failure counts, so that neither quick refusals nor quick errors make a worker look idle.
-        if outcome.result is not Result.RECALLED or now - sent > PATIENCE * self.usual(function):
+        # Failures count so that quick errors do not make a worker look idle; a refusal has its own rest, and a
+        # recall counts only where the worker was silent all the while.
+        if outcome.result is not Result.FULL and (outcome.result is not Result.RECALLED or sent >= worker.heard):
             worker.results.append((now, False))
         if outcome.result in (Result.ERROR, Result.FULL, Result.MISS):
             worker.heard = now
@@ -492,12 +493,11 @@
     def overdue(self, now, trail, track, function):
         """When to look for another worker, and which relays to recall first.
 
-        A relay that is out too long at a suspect gets a second copy, or is recalled where two may not be out; a
-        task that is only slow keeps its place, since work done twice costs.
+        A relay out too long at a worker silent since it was sent gets a second copy, or is recalled where two may
+        not be out; elsewhere it keeps its place: in a jam all are overdue, and work or loads begun anew feed it.
         """
-        shunned = self.shunned(now)
         later = now + max(PAUSE, self.usual(function))
-        if track.effect is Effect.EFFECTFUL or any(worker.id not in shunned for worker, _ in trail.out.values()):
+        if track.effect is Effect.EFFECTFUL or any(sent < worker.heard for worker, sent in trail.out.values()):
             return later, ()
         if self.can_twin:
             return now, ()
