Tasks wait out a full worker's rest; silence needs two overdue relays or a second patience

Now only the refused task moves on. Harms where a worker that refuses for good holds the only warm copies: each rest one task moves on.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -61,7 +61,7 @@
     def restart(self, row):
         self.started = row.started
         self.wiped = -1          # copies recorded before this time are lost
-        self.out = {}            # (task, relay): (sent, due)
+        self.out = {}            # (task, relay): (sent, due, overdue beyond doubt)
         self.heard = -1          # when anything was last heard from it
         self.results = deque(maxlen=KEPT)   # (time, whether good)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
@@ -192,7 +192,7 @@
         if outcome.result is Result.OK:
             worker.heard = now
             worker.results.append((now, True))
-            worker.full_until = now
+            worker.full_until = -1
             if warm:
                 self.answers.append(now)
             if self.power(worker, now) >= 1:
@@ -264,7 +264,7 @@
         report = worker.report
         if report is None or now - worker.reported > REPORT_LIFE:
             return len(worker.out)
-        since = sum(sent > worker.reported for sent, _ in worker.out.values())
+        since = sum(sent > worker.reported for sent, _, _ in worker.out.values())
         if report.in_hand is not None:
             return report.in_hand + since
         if report.waiting is not None:       # tells nothing of tasks at work: own ones stand for them
@@ -273,14 +273,22 @@
             return max(report.cpu_busy * lanes + since, len(worker.out))
         return len(worker.out)
 
+    def silent(self, worker, now):
+        """Relays out too long with nothing heard since: two, or one for twice the patience.
+
+        One slow task at an idle worker proves little; a worker that hangs, vanished or is cut off soon holds two.
+        """
+        held = [last for sent, due, last in worker.out.values() if now > due and sent >= worker.heard]
+        return len(held) if len(held) > 1 or any(now > last for last in held) else 0
+
     def suspicion(self, worker, now):
-        """0 for none. Guards against workers that hang, fall silent, fail fast or refuse: each would look idle."""
-        overdue = sum(now > due and sent >= worker.heard for sent, due in worker.out.values())
+        """0 for none. Guards against workers that hang, fall silent or fail fast: each would look idle."""
+        overdue = self.silent(worker, now)
         recent = [good for at, good in worker.results if now - at < RECENT]
         bad = overdue + recent.count(False)
         if overdue or bad > 1:
             share = bad / (overdue + len(recent))
-            if share > 0.4:
+            if overdue or share > 0.4:
                 return share + min(overdue, KEPT) / KEPT
         last = [good for _, good in worker.results][-2:]
         if worker.out and last == [False, False]:
@@ -323,9 +331,6 @@
         able = [worker for worker in self.workers.values() if self.allowed(worker, track, trail, now)]
         # A cold worker gets no more than its credit (see `sent`): it must not be pushed over.
         able = [worker for worker in able if self.power(worker, now) >= 1 or worker.credit >= 1]
-        # One that turned a task away just now gets none for a moment: refusals come fast and would make it look idle,
-        # and a task sent round full workers only adds to what they refuse.
-        able = [worker for worker in able if now >= worker.full_until]
         holding = {worker.id for worker, _ in trail.out.values()}
         able = [worker for worker in able if worker.id not in holding]
         able = [worker for worker in able if worker not in trail.failed] or able
@@ -351,7 +356,10 @@
                 best, ties = score, [worker]
             elif score == best:
                 ties.append(worker)
-        return ties[self.chance.below(len(ties))]
+        # One that turned a task away just now gets none for a moment: refusals come fast and would make it look idle,
+        # and tasks sent round full workers, or to load elsewhere, feed the jam. What was refused itself moves on.
+        worker = ties[self.chance.below(len(ties))]
+        return worker if now >= worker.full_until else None
 
     def sent(self, now, task, relay, worker, trail):
         function = self.function(task.function, task.lanes)
@@ -359,7 +367,7 @@
         due = now + PATIENCE * self.usual(function)
         if not warm:
             due += LOAD_PATIENCE * self.load_usual(task.load_time)
-        worker.out[task.id, relay] = (now, due)
+        worker.out[task.id, relay] = (now, due, due + PATIENCE * self.usual(function))
         self.hands[task.id, relay] = (worker.id, task.function, now, warm)
         trail.out[relay] = (worker, now)
         trail.relays += 1
@@ -497,7 +505,8 @@
         not be out; elsewhere it keeps its place: in a jam all are overdue, and work or loads begun anew feed it.
         """
         later = now + max(PAUSE, self.usual(function))
-        if track.effect is Effect.EFFECTFUL or any(sent < worker.heard for worker, sent in trail.out.values()):
+        if track.effect is Effect.EFFECTFUL or not all(
+                sent >= worker.heard and self.silent(worker, now) for worker, sent in trail.out.values()):
             return later, ()
         if self.can_twin:
             return now, ()
