--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -15,7 +15,9 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
-QUEUE = 0.5            # points lost for each full set of lanes queued, the scale on which the others are set
+QUEUE = 0.5            # points lost for each full set of lanes queued, where a load would be for one task alone
+QUEUE_HOT = 2.0        # the same for a hot function: few queued lanes repay one more copy
+HOT = 30               # own tasks of a function in a keep-alive from which it is hot: they share a load's cost
 MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
 PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
@@ -83,7 +85,7 @@
         self.seen = {}           # worker: last own send or answer there
         self.stands = {}         # worker: last answer, which shows that a copy stood
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
-        self.alike = {}          # worker: (time, tasks of this function that it held)
+        self.calls = deque(maxlen=KEPT)     # times of the last tasks
         self.ordered = False     # an order is open
         self.ranks, self.ranked_for = {}, -1
         self.used = 0
@@ -185,8 +187,6 @@
         function = self.function(name, 1)
         if outcome.report is not None:
             worker.report, worker.reported = outcome.report, now
-        if outcome.alike is not None:
-            function.alike[worker.id] = (now, outcome.alike)
         if outcome.result is Result.MOOT:
             return
         if outcome.result is Result.OK:
@@ -233,6 +233,15 @@
             return median(function.times)
         return self.shortest * FIRST_GUESS
 
+    def heat(self, function, now):
+        """0 to 1: how many tasks would share one more copy, from the pace of the function's last calls here.
+
+        A hot function spills early, which spreads it; a rare one waits for its copy, as loads for it jam the store.
+        """
+        if len(function.calls) < KEPT:
+            return 0.0
+        return min(1.0, KEPT * self.keep_alive / max(1, now - function.calls[0]) / HOT)
+
     def load_usual(self, told):
         if told:
             return told
@@ -341,6 +350,7 @@
                     if worker.report is not None and worker.report.memory_busy is not None]
         usual_memory = sum(memories) / len(memories) if memories else 0.0
         capacity = sum(worker.capacity for worker in able) / len(able)
+        queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * self.heat(function, now)
         best, ties = None, []
         for worker in able:
             memory = worker.report.memory_busy if worker.report is not None else None
@@ -348,7 +358,7 @@
             lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / pace
             warmth = self.warmth(function, worker, now) / pace
             score = (WARMTH * warmth
-                     - QUEUE * (self.queued(worker, task.lanes, now) + 1) / lanes
+                     - queue_weight * (self.queued(worker, task.lanes, now) + 1) / lanes
                      - MEMORY * (usual_memory if memory is None else memory)
                      + PRIOR * (1 - warmth) * PRIOR_FALL ** ranks.get(worker.id, len(ranks))
                      - SHUN * shunned.get(worker.id, 0.0))
@@ -440,6 +450,7 @@
         end = now + task.time_left - ANSWER_BY
         function = self.function(task.function, task.lanes)
         function.lanes, function.used = task.lanes, now
+        function.calls.append(now)
         if self.ration[2] > 0:
             self.taken.append(now)
         self.tenants.append(task.tenant)
