--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -17,7 +17,7 @@
 WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load would be for one task alone
 QUEUE_HOT = 2.0        # the same for a hot function: few queued lanes repay one more copy
-HOT = 30               # own tasks of a function in a keep-alive from which it is hot: they share a load's cost
+HOT = 80               # own tasks of a function in a keep-alive from which it is hot: they share a load's cost
 MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
 PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
@@ -32,7 +32,8 @@
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
 REPORT_LIFE = 2 * SECOND   # reports older than this say nothing of now
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
-PAUSE = 40 * MILLI     # between looks while a task waits for a worker to become usable
+PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
+LOOK = 20 * MILLI      # between judgements of all workers: far less than any sign of illness takes
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.0             # of the contract time: expected wait beyond which a task is declined; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
@@ -130,6 +131,7 @@
         self.workers = {}
         self.functions = {}
         self.list_version = 0
+        self.looked, self.suspects, self.slowness = -LOOK, {}, {}
         self.hands = {}          # (task, relay): (worker, function, sent, whether a copy is known to stand)
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
@@ -305,9 +307,15 @@
         return 0.0
 
     def shunned(self, now):
+        """The suspects to shun and, in `slowness`, every worker's pace; looked at anew after LOOK, to spare the CPU."""
+        if now - self.looked < LOOK:
+            return self.suspects
+        self.looked = now
+        self.slowness = {worker.id: self.pace(worker, now) for worker in self.workers.values()}
         doubts = sorted(((self.suspicion(worker, now), worker.id) for worker in self.workers.values()
                          if worker.active), reverse=True)
-        return {name: doubt for doubt, name in doubts[:max(1, int(len(doubts) * SHUNNED))] if doubt > 0}
+        self.suspects = {name: doubt for doubt, name in doubts[:max(1, int(len(doubts) * SHUNNED))] if doubt > 0}
+        return self.suspects
 
     def ranks(self, name, function):
         """Order in which a stable hash puts the workers for a function: the same at every gateway and restart."""
@@ -354,7 +362,7 @@
         best, ties = None, []
         for worker in able:
             memory = worker.report.memory_busy if worker.report is not None else None
-            pace = self.pace(worker, now)
+            pace = self.slowness.get(worker.id, 1.0)
             lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / pace
             warmth = self.warmth(function, worker, now) / pace
             score = (WARMTH * warmth
@@ -428,7 +436,7 @@
             return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
-        ill = self.shunned(now).keys() | {worker.id for worker in self.workers.values() if self.pace(worker, now) > 1}
+        ill = self.shunned(now).keys() | {name for name, pace in self.slowness.items() if pace > 1}
         in_hand = sum(warm and worker not in ill for worker, _, _, warm in self.hands.values())
         if in_hand < SHED_FLOOR:
             return False
