--- a/gaproute/benchlink/__main__.py
+++ b/gaproute/benchlink/__main__.py
@@ -1,4 +1,5 @@
 """The adapter's loop: one reply for each batch, nothing else on standard output."""
+
 import sys
 import traceback
 
@@ -15,7 +16,7 @@
         self.make = make
         self.instances = {}
         self.lists = {}
-        self.filling = None      # list number and rows still to come
+        self.filling = None  # list number and rows still to come
         self.now = 0
         self.number = "0"
         self.current = None
@@ -74,9 +75,21 @@
                 if (outcome := wire.outcome(fields, instance.counts)) is not None:
                     instance.outcome(now, outcome)
             case "ACCEPTED":
-                instance.resume(fields[0], now, face.Outcome(fields[0], int(fields[3]), fields[1], face.Result.BEGUN,
-                                                             wire.nanos(fields[2]) or 0, False, face.Found.UNTOLD,
-                                                             None, None))
+                instance.resume(
+                    fields[0],
+                    now,
+                    face.Outcome(
+                        fields[0],
+                        int(fields[3]),
+                        fields[1],
+                        face.Result.BEGUN,
+                        wire.nanos(fields[2]) or 0,
+                        False,
+                        face.Found.UNTOLD,
+                        None,
+                        None,
+                    ),
+                )
             case "GONE":
                 instance.departed(now, fields[0])
             case "ALARM":
--- a/gaproute/benchlink/drive.py
+++ b/gaproute/benchlink/drive.py
@@ -1,4 +1,5 @@
 """Drives one gateway's generators by the wire's events and collects the actions to be written."""
+
 from gaproute import interface as face
 from gaproute.benchlink import wire
 
@@ -9,9 +10,9 @@
     def __init__(self, make, seed, terms, now):
         self.gateway = make(seed, terms, now)
         self.counts = terms.counts_alike
-        self.tasks = {}        # task id: its generator
-        self.relays = {}       # task id: relays started so far
-        self.waits = {}        # generator's key: number of its current wait
+        self.tasks = {}  # task id: its generator
+        self.relays = {}  # task id: relays started so far
+        self.waits = {}  # generator's key: number of its current wait
         self.alarms = 0
         self.lines = []
         self.keeper = None
@@ -39,8 +40,11 @@
 
     def departed(self, now, task_id):
         if task_id in self.tasks:
-            self.resume(task_id, now, face.Outcome(task_id, -1, "", face.Result.DEPARTED, 0, True, face.Found.UNTOLD,
-                                                   None, None))
+            self.resume(
+                task_id,
+                now,
+                face.Outcome(task_id, -1, "", face.Result.DEPARTED, 0, True, face.Found.UNTOLD, None, None),
+            )
             self.forget(task_id)
 
     def alarm(self, now, tag):
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -1,25 +1,26 @@
 """Every decision of gaproute.
 
-A caller makes one `Gateway` for each gateway and drives its generators: `serve`, one for each task, reads from
-acceptance to the one final answer; `housekeep` probes and tidies. They yield wishes and are resumed with what came of
-them; lists, probe answers and order answers come in through methods. All types are in `gaproute/interface.py`, the
-ordinary path and each exception to it in `docs/design.md`. The clock is the one handed in, in nanoseconds.
+A caller makes one `Gateway` for each gateway and drives its generators: `serve`, one for each task, reads
+from acceptance to the one final answer; `housekeep` probes and tidies. They yield wishes and are resumed with
+what came of them; lists, probe answers and order answers come in through methods. All types are in
+`gaproute/interface.py`, the ordinary path and each exception to it in `docs/design.md`. The clock is the one
+handed in, in nanoseconds.
 """
 from collections import deque
 from hashlib import blake2b
 from statistics import median
 
-from gaproute.interface import (Decline, Effect, Found, Group, Listen, Order, Probe, Recall, Relay, Result, Scrap,
-                                State, Wait)
+from gaproute.interface import (Decline, Effect, Found, Group, Listen, Order, Probe, Recall, Relay, Result,
+                                Scrap, State, Wait)
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-WARMTH = 6.0           # points for a fresh copy: warm outweighs one full set of lanes, all memory and the prior
-QUEUE = 0.5            # points lost for each full set of lanes queued, where a load would be for one task alone
+WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
+QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 QUEUE_HOT = 2.0        # the same for a hot function: few queued lanes repay one more copy
-HOT = 80               # own tasks of a function in a keep-alive from which it is hot: they share a load's cost
-MEMORY = 1.0           # points between an empty and a full memory: decides among cold workers, never against a copy
-PRIOR = 1.0            # points for the stable hash's first choice: half a set of lanes, so that load can overrule it
+HOT = 80               # own tasks of a function in a keep-alive from which it is hot: all share a load
+MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
+PRIOR = 1.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 30.0            # points lost by a suspect: more than any queue worth waiting in, yet it ranks suspects
@@ -35,7 +36,7 @@
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 20 * MILLI      # between judgements of all workers: far less than any sign of illness takes
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.0             # of the contract time: expected wait beyond which a task is declined; half for no earnings
+SHED = 1.0             # of the contract time: expected wait at which a task is declined; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the workers refused a task within an answer time: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
@@ -208,14 +209,15 @@
             else:
                 self.loads.append(outcome.took)
             return
-        # Failures count so that quick errors do not make a worker look idle; a refusal has its own rest, and a
-        # recall counts only where the worker was silent all the while.
-        if outcome.result is not Result.FULL and (outcome.result is not Result.RECALLED or sent >= worker.heard):
+        # Failures count so that quick errors do not make a worker look idle; a refusal has its own rest,
+        # and a recall counts only where the worker was silent all the while.
+        if outcome.result is not Result.FULL and (
+                outcome.result is not Result.RECALLED or sent >= worker.heard):
             worker.results.append((now, False))
         if outcome.result in (Result.ERROR, Result.FULL, Result.MISS):
             worker.heard = now
         if outcome.result is Result.FULL:
-            worker.full_until = now + self.usual(function)   # a lane frees about then, or an answer says so before
+            worker.full_until = now + self.usual(function)   # a lane frees about then
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
             function.seen.pop(worker.id, None)
             function.stands.pop(worker.id, None)
@@ -238,7 +240,8 @@
     def heat(self, function, now):
         """0 to 1: how many tasks would share one more copy, from the pace of the function's last calls here.
 
-        A hot function spills early, which spreads it; a rare one waits for its copy, as loads for it jam the store.
+        A hot function spills early, which spreads it; a rare one waits for its copy, as loads for it jam
+        the store.
         """
         if len(function.calls) < KEPT:
             return 0.0
@@ -262,16 +265,17 @@
         return min(1.0, self.cold_share + (1 - self.cold_share) * (now - worker.started) / self.cold_time)
 
     def pace(self, worker, now):
-        """How many times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
+        """Times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
 
-        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others, idle. It
-        harms where one worker holds the heaviest variants of a function's work; the samples age, so it is retried.
+        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others,
+        idle. It harms where one worker holds the heaviest variants of a function's work; the samples age,
+        so it is retried.
         """
         recent = [pace for at, pace in worker.paces if now - at < RECENT]
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
 
     def queued(self, worker, lanes, now):
-        """Tasks at the worker: its own report and what was sent since, else this gateway's tasks in flight."""
+        """Tasks at the worker: its report and what was sent since, else own tasks in flight."""
         report = worker.report
         if report is None or now - worker.reported > REPORT_LIFE:
             return len(worker.out)
@@ -287,7 +291,8 @@
     def silent(self, worker, now):
         """Relays out too long with nothing heard since: two, or one for twice the patience.
 
-        One slow task at an idle worker proves little; a worker that hangs, vanished or is cut off soon holds two.
+        One slow task at an idle worker proves little; a worker that hangs, vanished or is cut off soon
+        holds two.
         """
         held = [last for sent, due, last in worker.out.values() if now > due and sent >= worker.heard]
         return len(held) if len(held) > 1 or any(now > last for last in held) else 0
@@ -307,18 +312,19 @@
         return 0.0
 
     def shunned(self, now):
-        """The suspects to shun and, in `slowness`, every worker's pace; looked at anew after LOOK, to spare the CPU."""
+        """The suspects to shun and, in `slowness`, all workers' pace; kept for LOOK, to spare CPU."""
         if now - self.looked < LOOK:
             return self.suspects
         self.looked = now
         self.slowness = {worker.id: self.pace(worker, now) for worker in self.workers.values()}
         doubts = sorted(((self.suspicion(worker, now), worker.id) for worker in self.workers.values()
                          if worker.active), reverse=True)
-        self.suspects = {name: doubt for doubt, name in doubts[:max(1, int(len(doubts) * SHUNNED))] if doubt > 0}
+        most = max(1, int(len(doubts) * SHUNNED))
+        self.suspects = {name: doubt for doubt, name in doubts[:most] if doubt > 0}
         return self.suspects
 
     def ranks(self, name, function):
-        """Order in which a stable hash puts the workers for a function: the same at every gateway and restart."""
+        """A stable hash's order of the workers for a function: the same at every gateway and restart."""
         if function.ranked_for != self.list_version:
             order = sorted((blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
                            for worker in self.workers.values() if worker.active)
@@ -374,8 +380,9 @@
                 best, ties = score, [worker]
             elif score == best:
                 ties.append(worker)
-        # One that turned a task away just now gets none for a moment: refusals come fast and would make it look idle,
-        # and tasks sent round full workers, or to load elsewhere, feed the jam. What was refused itself moves on.
+        # One that turned a task away just now gets none for a moment: refusals come fast and would make
+        # it look idle, and tasks sent round full workers, or to load elsewhere, feed the jam. What was
+        # refused itself moves on.
         worker = ties[self.chance.below(len(ties))]
         return worker if now >= worker.full_until else None
 
@@ -397,16 +404,18 @@
         return due
 
     def spread_credit(self, now):
-        """Each answer of a warm worker earns every cold one a part of a relay: its share of the mean per warm peer.
+        """Each answer of a warm worker earns every cold one its share of the mean per warm peer.
 
-        Counted in answers, not in time or sends, it holds for bursts, for storms of refusals and for a gateway that
-        has just started. Half the fleet stands for the warm peers when fewer are warm, as those carry more each.
+        Counted in answers, not in time or sends, it holds for bursts, for storms of refusals and for a
+        gateway that has just started. Half the fleet stands for the warm peers when fewer are warm, as
+        those carry more each.
         """
         fleet = [worker for worker in self.workers.values() if worker.active]
         cold = [worker for worker in fleet if self.power(worker, now) < 1]
         for worker in cold:
             share = self.power(worker, now)
-            worker.credit = min(1 + share, worker.credit + share / max(len(fleet) - len(cold), len(fleet) / 2))
+            earned = share / max(len(fleet) - len(cold), len(fleet) / 2)
+            worker.credit = min(1 + share, worker.credit + earned)
 
     def may_order(self, now, function):
         """The load ration, counted exactly at the order; one open order for a function."""
@@ -427,7 +436,7 @@
             self.orders.append(now)
 
     def crowded(self, now, task, track):
-        """Whether to decline at once: the wait to expect, tasks in hand over the pace of answers, is too long.
+        """Whether to decline at once: tasks in hand over the pace of answers promise too long a wait.
 
         Only relays to standing copies count on both sides: waits for loads are no sign of too much work.
         """
@@ -520,8 +529,9 @@
     def overdue(self, now, trail, track, function):
         """When to look for another worker, and which relays to recall first.
 
-        A relay out too long at a worker silent since it was sent gets a second copy, or is recalled where two may
-        not be out; elsewhere it keeps its place: in a jam all are overdue, and work or loads begun anew feed it.
+        A relay out too long at a worker silent since it was sent gets a second copy, or is recalled where
+        two may not be out; elsewhere it keeps its place: in a jam all are overdue, and work or loads
+        begun anew feed it.
         """
         later = now + max(PAUSE, self.usual(function))
         if track.effect is Effect.EFFECTFUL or not all(
@@ -534,7 +544,8 @@
     def more_copies(self, now, task, function, worker, outcome):
         """Order one more copy where tasks of the function outnumber the lanes of those that stand.
 
-        Serves hot functions where only orders add copies; where workers add them themselves it finds them standing.
+        Serves hot functions where only orders add copies; where workers add them themselves it finds them
+        standing.
         """
         if outcome.alike is None or outcome.alike < task.lanes or not worker.active:
             return
