--- a/gaproute/benchlink/__main__.py
+++ b/gaproute/benchlink/__main__.py
@@ -54,7 +54,7 @@
         number, now = self.current, self.now
         try:
             if name == "OPEN_INSTANCE":
-                self.instances[number] = Instance(self.make, int(fields[0]), wire.terms(fields[1]), now)
+                self.instances[number] = Instance(self.make, wire.whole(fields[0]), wire.terms(fields[1]), now)
             elif name == "CRASH_NOW":
                 self.instances.pop(number, None)
             elif (instance := self.instances.get(number)) is not None:
@@ -80,7 +80,7 @@
                     now,
                     face.Outcome(
                         fields[0],
-                        int(fields[3]),
+                        wire.whole(fields[3]),
                         fields[1],
                         face.Result.BEGUN,
                         wire.nanos(fields[2]) or 0,
--- a/gaproute/benchlink/drive.py
+++ b/gaproute/benchlink/drive.py
@@ -49,7 +49,7 @@
 
     def alarm(self, now, tag):
         key, _, number = tag.rpartition("|")
-        if self.waits.get(key) == int(number):
+        if self.waits.get(key) == number:
             self.resume(key, now, None)
 
     def forget(self, key):
@@ -69,7 +69,7 @@
             match wish:
                 case face.Wait(until):
                     self.alarms += 1
-                    self.waits[key] = self.alarms
+                    self.waits[key] = str(self.alarms)
                     write(f"WAKE_AT {wire.millis(max(0, until - now))} {key}|{self.alarms}")
                     return
                 case face.Relay(worker):
--- a/gaproute/benchlink/wire.py
+++ b/gaproute/benchlink/wire.py
@@ -1,6 +1,7 @@
 """Reads the lines of the simulator's wire into the module's types. Wire names stop here."""
 
 import json
+from functools import wraps
 
 from gaproute import interface as face
 
@@ -38,13 +39,25 @@
     "STANDS": 5,
 }
 TEXT_LAST = {"OPEN_INSTANCE": 1, "ALARM": 0}
-OMITTABLE_LIST_NAME = "LIST"
 
 
 class WireFault(ValueError):
     """A line that breaks the wire format."""
 
 
+def reader(function):
+    """A value that cannot be read breaks the wire format; it is no fault of the decision module."""
+
+    @wraps(function)
+    def read(*values):
+        try:
+            return function(*values)
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as fault:
+            raise fault if isinstance(fault, WireFault) else WireFault(f"{function.__name__}: {fault}") from fault
+
+    return read
+
+
 def split(line):
     """Name and fields of one line; the last field of some lines is text to the line's end."""
     name, _, rest = line.partition(" ")
@@ -56,6 +69,7 @@
     return name, fields
 
 
+@reader
 def nanos(text):
     """Milliseconds on the wire, counted there in microseconds, as whole nanoseconds; absent is None."""
     return None if text == "-" else round(float(text) * 1000) * MICRO
@@ -66,6 +80,7 @@
     return f"{-(-span // MICRO) / 1000:.3f}"
 
 
+@reader
 def whole(text, absent=0):
     return absent if text == "-" else int(text)
 
@@ -76,6 +91,7 @@
     return text == "1"
 
 
+@reader
 def report(text, memory_known=True):
     if text in ("-", ""):
         return None
@@ -89,6 +105,7 @@
     )
 
 
+@reader
 def listed(fields):
     state = fields[4]
     if state not in STATES:
@@ -104,6 +121,7 @@
     )
 
 
+@reader
 def task(fields):
     lanes = whole(fields[6], 1)
     return face.Task(
@@ -117,6 +135,7 @@
     )
 
 
+@reader
 def outcome(fields, counts, memory_known=True):
     result = RESULTS.get(fields[3])
     if result is None:
@@ -137,6 +156,7 @@
     )
 
 
+@reader
 def terms(text):
     """The start-up object as the module's terms; unknown keys are passed over."""
     try:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -44,6 +44,13 @@
     assert code == 2 and said == "" and capsys.readouterr().err.count("\n") == 1
 
 
+@pytest.mark.parametrize("line", [CALL.replace("900.0", "soon"), "REPLY r1 x h 0 1 0 0 -", "REPLY r1 0 h 0 1 0 0 x0",
+                                  'OPEN_INSTANCE 1 {"lanes": [{"effect": "odd"}]}'])
+def test_a_value_that_cannot_be_read_stops_the_adapter_too(line):
+    code, said = play(f"SYNC 1 1\nFOR 1\n{OPEN}\n{LIST}\n{line}\nOVER_TO_YOU\n")
+    assert code == 2 and said == ""
+
+
 def test_an_exception_in_the_module_is_told_with_type_message_and_place():
     hub = link.Hub(make=lambda *_: 1 / 0)
     said = [hub.line(line) for line in ("SYNC 1 1", "FOR 3", OPEN, "OVER_TO_YOU")][-1]
