--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -67,6 +67,7 @@
         self.wiped = -1          # copies recorded before this time are lost
         self.out = {}            # (task, relay): (sent, due, overdue beyond doubt)
         self.heard = -1          # when anything was last heard from it
+        self.passed = -1         # when its latest-sent answered relay was sent
         self.results = deque(maxlen=KEPT)   # (time, whether good)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.report, self.reported = None, -REPORT_LIFE
@@ -194,6 +195,7 @@
             return
         if outcome.result is Result.OK:
             worker.heard = now
+            worker.passed = max(worker.passed, sent)
             worker.results.append((now, True))
             worker.full_until = -1
             if warm:
@@ -438,7 +440,9 @@
     def crowded(self, now, task, track):
         """Whether to decline at once: tasks in hand over the pace of answers promise too long a wait.
 
-        Only relays to standing copies count on both sides: waits for loads are no sign of too much work.
+        Only relays to standing copies count on both sides: waits for loads are no sign of too much work. Nor
+        are relays that later ones to the same worker have overtaken: lost answers and heavy tasks, which would
+        otherwise read as a jam.
         """
         fleet = [worker for worker in self.workers.values() if worker.active]
         if sum(now < worker.full_until for worker in fleet) > FULL_FLEET * len(fleet):
@@ -446,7 +450,8 @@
         if len(self.answers) < FLOWS // 2:
             return False
         ill = self.shunned(now).keys() | {name for name, pace in self.slowness.items() if pace > 1}
-        in_hand = sum(warm and worker not in ill for worker, _, _, warm in self.hands.values())
+        in_hand = sum(warm and worker not in ill and sent >= self.workers[worker].passed
+                      for worker, _, sent, warm in self.hands.values())
         if in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -233,3 +233,12 @@
     for worker in made.workers.values():
         worker.full_until = SECOND
     assert Drive(made, task()).wishes == [face.Decline(SECOND)]
+
+
+def test_overtaken_relays_are_no_sign_of_too_much_work():
+    made = gateway()
+    made.answers.extend(range(0, 640 * MILLI, 10 * MILLI))
+    made.hands = {(str(n), 0): ("a", "f", n, True) for n in range(200)}
+    assert made.crowded(SECOND, task(), PURE)
+    made.workers["a"].passed = 200
+    assert not made.crowded(SECOND, task(), PURE)
