--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -33,6 +33,7 @@
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
 REPORT_LIFE = 2 * SECOND   # reports older than this say nothing of now
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
+TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 20 * MILLI      # between judgements of all workers: far less than any sign of illness takes
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
@@ -71,6 +72,7 @@
         self.results = deque(maxlen=KEPT)   # (time, whether good)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.report, self.reported = None, -REPORT_LIFE
+        self.warm_at = -1        # from when it can do all of its work
         self.credit = 0.0        # relays that a cold worker may still be sent
         self.full_until = -1     # it turned a task away; nothing more until then
         self.renew(row)
@@ -130,7 +132,7 @@
         self.tenant_shares, self.over_share_value = terms.tenant_shares, terms.over_share_value
         self.top_earnings = max((track.earnings for track in terms.tracks), default=1.0)
         self.shortest = min((track.contract_time for track in terms.tracks), default=SECOND)
-        self.workers = {}
+        self.workers, self.fleet = {}, []   # all that were ever listed; the active ones
         self.functions = {}
         self.list_version = 0
         self.looked, self.suspects, self.slowness = -LOOK, {}, {}
@@ -158,6 +160,9 @@
             named = {row.worker for row in rows}
             for worker in self.workers.values():
                 worker.active = worker.active and worker.id in named
+        for worker in self.workers.values():
+            worker.warm_at = -1 if worker.started is None else worker.started + self.cold_time
+        self.fleet = [worker for worker in self.workers.values() if worker.active]
         self.list_version += 1
 
     def list_refused(self, now):
@@ -262,7 +267,7 @@
 
     def power(self, worker, now):
         """Share of its capacity that a worker has at least, by the told cold share."""
-        if worker.started is None or self.cold_time <= 0:
+        if now >= worker.warm_at:
             return 1.0
         return min(1.0, self.cold_share + (1 - self.cold_share) * (now - worker.started) / self.cold_time)
 
@@ -318,10 +323,10 @@
         if now - self.looked < LOOK:
             return self.suspects
         self.looked = now
-        self.slowness = {worker.id: self.pace(worker, now) for worker in self.workers.values()}
-        doubts = sorted(((self.suspicion(worker, now), worker.id) for worker in self.workers.values()
-                         if worker.active), reverse=True)
-        most = max(1, int(len(doubts) * SHUNNED))
+        self.slowness = {worker.id: self.pace(worker, now) for worker in self.fleet if worker.paces}
+        doubts = sorted(((self.suspicion(worker, now), worker.id) for worker in self.fleet
+                         if worker.out or worker.results), reverse=True)
+        most = max(1, int(len(self.fleet) * SHUNNED))
         self.suspects = {name: doubt for doubt, name in doubts[:most] if doubt > 0}
         return self.suspects
 
@@ -329,7 +334,7 @@
         """A stable hash's order of the workers for a function: the same at every gateway and restart."""
         if function.ranked_for != self.list_version:
             order = sorted((blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
-                           for worker in self.workers.values() if worker.active)
+                           for worker in self.fleet)
             function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
             function.ranked_for = self.list_version
         return function.ranks
@@ -353,31 +358,36 @@
 
     def choose(self, now, task, trail):
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        able = [worker for worker in self.workers.values() if self.allowed(worker, track, trail, now)]
-        # A cold worker gets no more than its credit (see `sent`): it must not be pushed over.
-        able = [worker for worker in able if self.power(worker, now) >= 1 or worker.credit >= 1]
+        if trail.relays >= self.relay_limit:
+            return None
         holding = {worker.id for worker, _ in trail.out.values()}
-        able = [worker for worker in able if worker.id not in holding]
-        able = [worker for worker in able if worker not in trail.failed] or able
-        if not able or trail.relays >= self.relay_limit:
+        # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
+        able = [worker for worker in self.fleet if worker.id not in holding and
+                (now >= worker.warm_at or worker.credit >= 1) and self.allowed(worker, track, trail, now)]
+        if trail.failed:
+            able = [worker for worker in able if worker not in trail.failed] or able
+        if not able:
             return None
         shunned, ranks = self.shunned(now), self.ranks(task.function, function)
-        memories = [worker.report.memory_busy for worker in self.workers.values()
+        memories = [worker.report.memory_busy for worker in self.fleet
                     if worker.report is not None and worker.report.memory_busy is not None]
         usual_memory = sum(memories) / len(memories) if memories else 0.0
-        capacity = sum(worker.capacity for worker in able) / len(able)
+        lanes = task.lanes * len(able) / sum([worker.capacity for worker in able])
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * self.heat(function, now)
         best, ties = None, []
         for worker in able:
+            name = worker.id
             memory = worker.report.memory_busy if worker.report is not None else None
-            pace = self.slowness.get(worker.id, 1.0)
-            lanes = task.lanes * worker.capacity / capacity * self.power(worker, now) / pace
-            warmth = self.warmth(function, worker, now) / pace
+            pace = self.slowness.get(name, 1.0)
+            strength = worker.capacity / pace
+            if now < worker.warm_at:
+                strength *= self.power(worker, now)
+            warmth = self.warmth(function, worker, now) / pace if name in function.seen else 0.0
             score = (WARMTH * warmth
-                     - queue_weight * (self.queued(worker, task.lanes, now) + 1) / lanes
+                     - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if memory is None else memory)
-                     + PRIOR * (1 - warmth) * PRIOR_FALL ** ranks.get(worker.id, len(ranks))
-                     - SHUN * shunned.get(worker.id, 0.0))
+                     + PRIOR * (1 - warmth) * PRIOR_FALL ** ranks.get(name, len(ranks))
+                     - SHUN * shunned.get(name, 0.0))
             if best is None or score > best:
                 best, ties = score, [worker]
             elif score == best:
@@ -412,8 +422,7 @@
         gateway that has just started. Half the fleet stands for the warm peers when fewer are warm, as
         those carry more each.
         """
-        fleet = [worker for worker in self.workers.values() if worker.active]
-        cold = [worker for worker in fleet if self.power(worker, now) < 1]
+        fleet, cold = self.fleet, [worker for worker in self.fleet if now < worker.warm_at]
         for worker in cold:
             share = self.power(worker, now)
             earned = share / max(len(fleet) - len(cold), len(fleet) / 2)
@@ -444,8 +453,7 @@
         are relays that later ones to the same worker have overtaken: lost answers and heavy tasks, which would
         otherwise read as a jam.
         """
-        fleet = [worker for worker in self.workers.values() if worker.active]
-        if sum(now < worker.full_until for worker in fleet) > FULL_FLEET * len(fleet):
+        if sum([now < worker.full_until for worker in self.fleet]) > FULL_FLEET * len(self.fleet):
             return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
@@ -476,7 +484,7 @@
         if self.ration[2] > 0:
             self.taken.append(now)
         self.tenants.append(task.tenant)
-        if all(self.power(worker, now) < 1 for worker in self.workers.values() if worker.active):
+        if all(self.power(worker, now) < 1 for worker in self.fleet):
             self.spread_credit(now)
         if self.crowded(now, task, track):
             yield Decline(self.advice(track))
@@ -492,7 +500,7 @@
                 elif trail.out:
                     look = now + self.usual(function)
                 elif now >= give_up or trail.relays >= self.relay_limit or not any(
-                        self.allowed(worker, track, trail, now) for worker in self.workers.values()):
+                        self.allowed(worker, track, trail, now) for worker in self.fleet):
                     break
                 else:
                     look = now + PAUSE
@@ -566,11 +574,11 @@
             if self.asks_list:
                 self.asks_list = False
                 yield Listen()
-            names = [worker.id for worker in self.workers.values() if worker.active]
+            names = [worker.id for worker in self.fleet]
             if self.probing and names:
                 turn += 1
                 yield Probe(names[turn % len(names)])
             for name in [name for name, function in self.functions.items()
                          if now - function.used > 4 * self.keep_alive and not function.ordered]:
                 del self.functions[name]
-            now, _ = yield Wait(now + PROBE_EVERY // max(1, len(names)))
+            now, _ = yield Wait(now + (PROBE_EVERY // max(1, len(names)) if self.probing else TIDY))
