Functions spread over as many workers as their share of this gateway's tasks fills

Replaces the count of own calls. Harms where a gateway's own mix is unlike the fleet's: its functions are then held by more workers than they fill.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -18,9 +18,10 @@
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 QUEUE_HOT = 2.0        # the same for a hot function: few queued lanes repay one more copy
-HOT = 80               # own tasks of a function in a keep-alive from which it is hot: all share a load
+MIX = 128              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
 PRIOR = 1.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
+PRIOR_HOT = 2.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 30.0            # points lost by a suspect: more than any queue worth waiting in, yet it ranks suspects
@@ -90,7 +91,6 @@
         self.seen = {}           # worker: last own send or answer there
         self.stands = {}         # worker: last answer, which shows that a copy stood
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
-        self.calls = deque(maxlen=KEPT)     # times of the last tasks
         self.ordered = False     # an order is open
         self.ranks, self.ranked_for = {}, -1
         self.used = 0
@@ -142,6 +142,7 @@
         self.answers = deque(maxlen=FLOWS)  # times of answers
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
+        self.mix = deque(maxlen=MIX)        # functions of the last tasks
 
     # What the caller tells
 
@@ -244,15 +245,14 @@
             return median(function.times)
         return self.shortest * FIRST_GUESS
 
-    def heat(self, function, now):
-        """0 to 1: how many tasks would share one more copy, from the pace of the function's last calls here.
+    def breadth(self, name):
+        """How many workers a function could fill: its share of this gateway's last tasks, times the fleet.
 
-        A hot function spills early, which spreads it; a rare one waits for its copy, as loads for it jam
-        the store.
+        Needs no number of own calls, so it is right at gateways that see a few tasks a second. From one
+        worker on the function is hot: it spills early, and that many first choices of the hash count alike,
+        so that gateways spread it; a rare one waits for its copy, as loads for it jam the store.
         """
-        if len(function.calls) < KEPT:
-            return 0.0
-        return min(1.0, KEPT * self.keep_alive / max(1, now - function.calls[0]) / HOT)
+        return self.mix.count(name) / max(len(self.mix), MIX // 4) * len(self.fleet)
 
     def load_usual(self, told):
         if told:
@@ -373,7 +373,10 @@
                     if worker.report is not None and worker.report.memory_busy is not None]
         usual_memory = sum(memories) / len(memories) if memories else 0.0
         lanes = task.lanes * len(able) / sum([worker.capacity for worker in able])
-        queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * self.heat(function, now)
+        breadth = self.breadth(task.function)
+        heat, width = min(1.0, breadth), max(1, int(breadth))
+        queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
+        prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
         best, ties = None, []
         for worker in able:
             name = worker.id
@@ -386,7 +389,7 @@
             score = (WARMTH * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if memory is None else memory)
-                     + PRIOR * (1 - warmth) * PRIOR_FALL ** ranks.get(name, len(ranks))
+                     + prior * (1 - warmth) * PRIOR_FALL ** (ranks.get(name, len(ranks)) // width)
                      - SHUN * shunned.get(name, 0.0))
             if best is None or score > best:
                 best, ties = score, [worker]
@@ -480,7 +483,7 @@
         end = now + task.time_left - ANSWER_BY
         function = self.function(task.function, task.lanes)
         function.lanes, function.used = task.lanes, now
-        function.calls.append(now)
+        self.mix.append(task.function)
         if self.ration[2] > 0:
             self.taken.append(now)
         self.tenants.append(task.tenant)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,7 +3,7 @@
 
 from gaproute import interface as face
 from gaproute.interface import Result
-from gaproute.policy import FADE, MEMORY, PRIOR, QUEUE, QUEUE_HOT, WARMTH, Function, Trail
+from gaproute.policy import FADE, MEMORY, PRIOR, PRIOR_HOT, QUEUE, QUEUE_HOT, WARMTH, Function, Trail
 
 MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
@@ -212,9 +212,10 @@
     assert len(made.shunned(1)) == 2
 
 
-@pytest.mark.parametrize("weight", [QUEUE, QUEUE_HOT])
-def test_weights_keep_warm_with_a_free_lane_ahead_for_three_quarters_of_the_keep_alive(weight):
-    assert WARMTH * (1 - 0.75**FADE) > weight * 0.75 + MEMORY + PRIOR * 0.75**FADE
+@pytest.mark.parametrize("weight, prior", [(QUEUE, PRIOR), (QUEUE_HOT, PRIOR_HOT)])
+def test_weights_keep_warm_with_a_free_lane_ahead_for_three_quarters_of_the_keep_alive(weight, prior):
+    warmth = 1 - 0.75**FADE
+    assert WARMTH * warmth + prior * (1 - warmth) > weight * 0.75 + MEMORY + prior
 
 
 def test_hot_functions_spill_where_rare_ones_wait():
@@ -222,12 +223,22 @@
     function = made.function("f", 4)
     function.seen["a"] = 10 * SECOND
     made.workers["a"].out = {("x", n): (10 * SECOND, 20 * SECOND, 20 * SECOND) for n in range(14)}
-    function.calls.extend(range(0, 10 * SECOND, SECOND))
+    made.mix.extend(["f"] * 2 + ["g"] * 126)
     assert made.choose(10 * SECOND, task(), Trail()).id == "a"
-    function.calls.extend(10 * SECOND - n for n in range(8, 0, -1))
+    made.mix.extend(["f"] * 64)
     assert made.choose(10 * SECOND, task(), Trail()).id == "b"
 
 
+def test_a_function_spreads_over_as_many_workers_as_its_share_fills():
+    made = gateway(*map(row, "abcdefgh"))
+    made.mix.extend(["f", "g"] * 64)
+    assert made.breadth("f") == 4
+    ranks = made.ranks("f", made.function("f", 4))
+    picks = {ranks[made.choose(0, task(), Trail()).id] for _ in range(99)}
+    assert picks == {0, 1, 2, 3}
+    
+
+
 def test_a_full_fleet_declines_at_once():
     made = gateway()
     for worker in made.workers.values():
