Doubt by worker and track; lost relays replaced while their contract time can be met

Cause: a worker heard from counted as sound, so one unanswered track and lost answers went unnoticed until the hard limit. Harms where work is so uneven that heavy tasks are overtaken: those run twice, within one for ten answers.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -14,6 +14,7 @@
                                 Scrap, State, Wait)
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
+LONG = 1 << 62           # a time that never comes
 
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
@@ -24,11 +25,15 @@
 PRIOR_HOT = 2.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
-SHUN = 30.0            # points lost by a suspect: more than any queue worth waiting in, yet it ranks suspects
-SHUNNED = 1 / 3        # of the fleet at most: when more look ill the cause is elsewhere and work must flow
+SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
+SUSPECT = 0.4          # share of bad results up to which nothing is doubted: chance and lost answers strike all
+BELIEF = 1.0           # good samples granted to each worker: one failure alone halves its worth, no more
 KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
 RECENT = 5 * SECOND    # samples older than this are no evidence: a suspect is tried again after it
 PATIENCE = 4           # usual answer times before a relay counts as overdue
+OVERTAKEN = 2          # later relays to the worker answered before an overdue one counts as lost: work varies
+AGAIN = 0.1            # relays replaced while they may yet be answered, for each answer: a jam earns none
+AGAIN_MOST = 8         # such replacements saved up: the first seconds of a trouble at a busy gateway
 LOAD_PATIENCE = 2      # usual load times more where a load is expected
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
@@ -43,6 +48,7 @@
 FULL_FLEET = 1 / 2     # of the workers refused a task within an answer time: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
+FAILURES = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
 
 
 class Chance:
@@ -67,12 +73,16 @@
     def restart(self, row):
         self.started = row.started
         self.wiped = -1          # copies recorded before this time are lost
-        self.out = {}            # (task, relay): (sent, due, overdue beyond doubt)
-        self.heard = -1          # when anything was last heard from it
-        self.passed = -1         # when its latest-sent answered relay was sent
-        self.results = deque(maxlen=KEPT)   # (time, whether good)
+        self.out = {}            # (task, relay): when sent
+        self.heard = {}          # track: when an answer last came
+        self.passed = deque(maxlen=KEPT)    # (track, when sent) of its last answered relays
+        self.late = set()        # relays overdue with nothing of their track heard since
+        self.results = deque(maxlen=KEPT)   # (time, track, whether good)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
+        self.bad = 0             # of the results
+        self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
         self.report, self.reported = None, -REPORT_LIFE
+        self.tally, self.tally_until = None, 0   # see `tally`
         self.warm_at = -1        # from when it can do all of its work
         self.credit = 0.0        # relays that a cold worker may still be sent
         self.full_until = -1     # it turned a task away; nothing more until then
@@ -135,8 +145,10 @@
         self.workers, self.fleet = {}, []   # all that were ever listed; the active ones
         self.functions = {}
         self.list_version = 0
-        self.looked, self.suspects, self.slowness = -LOOK, {}, {}
-        self.hands = {}          # (task, relay): (worker, function, sent, whether a copy is known to stand)
+        self.looked, self.doubts = -LOOK, {}    # see `doubt`
+        self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
+        self.missed = set()      # relays booked as unanswered
+        self.again = AGAIN_MOST  # replacements that may yet be sent
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
         self.answers = deque(maxlen=FLOWS)  # times of answers
@@ -174,9 +186,9 @@
         if worker is None:
             return
         if report is not None:
-            worker.report, worker.reported = report, now
+            worker.report, worker.reported, worker.tally = report, now, None
         if not good:
-            worker.results.append((now, False))
+            self.book(worker, now, None, False)
 
     def stood(self, now, worker_id, name, result, copies):
         function, worker = self.functions.get(name), self.workers.get(worker_id)
@@ -192,17 +204,21 @@
         worker = self.workers.get(outcome.worker)
         if hand is None or worker is None:
             return
-        _, name, sent, warm = hand
+        _, name, track, sent, warm = hand
         worker.out.pop((outcome.task, outcome.relay), None)
+        booked = (outcome.task, outcome.relay) in self.missed
+        self.missed.discard((outcome.task, outcome.relay))
+        worker.late.discard((outcome.task, outcome.relay))
         function = self.function(name, 1)
+        worker.tally = None
         if outcome.report is not None:
             worker.report, worker.reported = outcome.report, now
-        if outcome.result is Result.MOOT:
-            return
+        if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
+            worker.heard[track] = now
         if outcome.result is Result.OK:
-            worker.heard = now
-            worker.passed = max(worker.passed, sent)
-            worker.results.append((now, True))
+            self.book(worker, now, track, True)
+            self.again = min(AGAIN_MOST, self.again + AGAIN)
+            worker.passed.append((track, sent))
             worker.full_until = -1
             if warm:
                 self.answers.append(now)
@@ -213,17 +229,12 @@
             if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
                 if function.times:
                     worker.paces.append((now, outcome.took / max(1, median(function.times))))
+                    worker.slow, worker.slow_until = self.pace(worker, now), now + RECENT
                 function.times.append(outcome.took)
             else:
                 self.loads.append(outcome.took)
-            return
-        # Failures count so that quick errors do not make a worker look idle; a refusal has its own rest,
-        # and a recall counts only where the worker was silent all the while.
-        if outcome.result is not Result.FULL and (
-                outcome.result is not Result.RECALLED or sent >= worker.heard):
-            worker.results.append((now, False))
-        if outcome.result in (Result.ERROR, Result.FULL, Result.MISS):
-            worker.heard = now
+        elif outcome.result in FAILURES and not booked:
+            self.book(worker, now, track, False)   # so that quick failures do not make a worker look idle
         if outcome.result is Result.FULL:
             worker.full_until = now + self.usual(function)   # a lane frees about then
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
@@ -232,6 +243,10 @@
         if outcome.result in (Result.RESET, Result.CONNECT_FAILED):
             worker.wiped = now   # a process that broke off comes back empty, often before the list says so
 
+    def book(self, worker, now, track, good):
+        worker.results.append((now, track, good))
+        worker.bad = sum([not result for _, _, result in worker.results])
+
     # Measures
 
     def function(self, name, lanes):
@@ -282,53 +297,51 @@
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
 
     def queued(self, worker, lanes, now):
-        """Tasks at the worker: its report and what was sent since, else own tasks in flight."""
-        report = worker.report
-        if report is None or now - worker.reported > REPORT_LIFE:
-            return len(worker.out)
-        since = sum(sent > worker.reported for sent, _, _ in worker.out.values())
-        if report.in_hand is not None:
-            return report.in_hand + since
-        if report.waiting is not None:       # tells nothing of tasks at work: own ones stand for them
-            return report.waiting + len(worker.out)
-        if report.cpu_busy is not None:
-            return max(report.cpu_busy * lanes + since, len(worker.out))
-        return len(worker.out)
-
-    def silent(self, worker, now):
-        """Relays out too long with nothing heard since: two, or one for twice the patience.
-
-        One slow task at an idle worker proves little; a worker that hangs, vanished or is cut off soon
-        holds two.
+        """Tasks at the worker: its report and what was sent since, else own tasks in flight.
+
+        The parts are kept until something happens there, to spare CPU in a large fleet.
+        """
+        if worker.tally is None or now > worker.tally_until:
+            report, told, share, own = worker.report, 0, 0.0, len(worker.out)
+            end = worker.reported + REPORT_LIFE
+            if report is not None and now <= end:
+                since = sum([sent > worker.reported for sent in worker.out.values()])
+                if report.in_hand is not None:
+                    told, own = report.in_hand + since, 0
+                elif report.waiting is not None:     # tells nothing of tasks at work: own ones stand for them
+                    told = report.waiting + own
+                elif report.cpu_busy is not None:
+                    told, share = since, report.cpu_busy
+            worker.tally = told, share, own
+            worker.tally_until = end if now <= end else LONG
+        told, share, own = worker.tally
+        return max(told + share * lanes, own)
+
+    def overtaken(self, worker, track, sent, times):
+        """Whether so many later relays of its track were answered there: its answer is lost, or its work heavy."""
+        return sum([of == track and at > sent for of, at in worker.passed]) >= times
+
+    def doubt(self, worker, track, now):
+        """0 to 1: how likely the worker fails the track, by its last results of that track, else of any.
+
+        Guards against workers that hang, fall silent or fail fast, each of which would look idle, and against
+        those that do so to one track only.
         """
-        held = [last for sent, due, last in worker.out.values() if now > due and sent >= worker.heard]
-        return len(held) if len(held) > 1 or any(now > last for last in held) else 0
-
-    def suspicion(self, worker, now):
-        """0 for none. Guards against workers that hang, fall silent or fail fast: each would look idle."""
-        overdue = self.silent(worker, now)
-        recent = [good for at, good in worker.results if now - at < RECENT]
-        bad = overdue + recent.count(False)
-        if overdue or bad > 1:
-            share = bad / (overdue + len(recent))
-            if overdue or share > 0.4:
-                return share + min(overdue, KEPT) / KEPT
-        last = [good for _, good in worker.results][-2:]
-        if worker.out and last == [False, False]:
-            return 0.5           # on trial: one relay out at a time until one is answered
-        return 0.0
-
-    def shunned(self, now):
-        """The suspects to shun and, in `slowness`, all workers' pace; kept for LOOK, to spare CPU."""
-        if now - self.looked < LOOK:
-            return self.suspects
-        self.looked = now
-        self.slowness = {worker.id: self.pace(worker, now) for worker in self.fleet if worker.paces}
-        doubts = sorted(((self.suspicion(worker, now), worker.id) for worker in self.fleet
-                         if worker.out or worker.results), reverse=True)
-        most = max(1, int(len(self.fleet) * SHUNNED))
-        self.suspects = {name: doubt for doubt, name in doubts[:most] if doubt > 0}
-        return self.suspects
+        if not worker.bad:
+            return 0.0
+        if now - self.looked >= LOOK:        # judgements are kept for LOOK, to spare CPU
+            self.looked, self.doubts = now, {}
+        doubt = self.doubts.get((worker.id, track))
+        if doubt is None:
+            recent = [(of, good) for at, of, good in worker.results if now - at < RECENT]
+            recent = [good for of, good in recent if of == track] or [good for _, good in recent]
+            doubt = recent.count(False) / (len(recent) + BELIEF)
+            doubt = doubt if doubt > SUSPECT else 0.0
+            last = [good for _, _, good in worker.results][-2:]
+            if worker.out and last == [False, False]:
+                doubt = max(doubt, 0.5)      # on trial: one relay out at a time until one is answered
+            self.doubts[worker.id, track] = doubt
+        return doubt
 
     def ranks(self, name, function):
         """A stable hash's order of the workers for a function: the same at every gateway and restart."""
@@ -342,11 +355,11 @@
     # The choice
 
     def allowed(self, worker, track, trail, now):
+        """No task to a draining or gone worker, no second relay out where that is forbidden, and lawful."""
+        return worker.active and (self.can_twin or not trail.out) and self.lawful(worker, track, trail, now)
+
+    def lawful(self, worker, track, trail, now):
         """The rules on further relays, strictly by track; a relay still out may have run."""
-        if not worker.active:
-            return False
-        if trail.out and not self.can_twin:
-            return False
         if trail.first is None or track.effect is Effect.PURE:
             return True
         if track.effect is Effect.EFFECTFUL:
@@ -368,7 +381,7 @@
             able = [worker for worker in able if worker not in trail.failed] or able
         if not able:
             return None
-        shunned, ranks = self.shunned(now), self.ranks(task.function, function)
+        ranks, seen = self.ranks(task.function, function), function.seen
         memories = [worker.report.memory_busy for worker in self.fleet
                     if worker.report is not None and worker.report.memory_busy is not None]
         usual_memory = sum(memories) / len(memories) if memories else 0.0
@@ -377,20 +390,22 @@
         heat, width = min(1.0, breadth), max(1, int(breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
+        priors = [prior * PRIOR_FALL ** (rank // width) for rank in range(len(ranks))]
         best, ties = None, []
         for worker in able:
             name = worker.id
             memory = worker.report.memory_busy if worker.report is not None else None
-            pace = self.slowness.get(name, 1.0)
+            pace = worker.slow if now < worker.slow_until else 1.0
             strength = worker.capacity / pace
             if now < worker.warm_at:
                 strength *= self.power(worker, now)
-            warmth = self.warmth(function, worker, now) / pace if name in function.seen else 0.0
+            warmth = self.warmth(function, worker, now) / pace if name in seen else 0.0
             score = (WARMTH * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if memory is None else memory)
-                     + prior * (1 - warmth) * PRIOR_FALL ** (ranks.get(name, len(ranks)) // width)
-                     - SHUN * shunned.get(name, 0.0))
+                     + priors[ranks[name]] * (1 - warmth))
+            if worker.bad:
+                score -= SHUN * self.doubt(worker, task.track, now)
             if best is None or score > best:
                 best, ties = score, [worker]
             elif score == best:
@@ -404,11 +419,13 @@
     def sent(self, now, task, relay, worker, trail):
         function = self.function(task.function, task.lanes)
         warm = self.warmth(function, worker, now) > 0 and function.stands.get(worker.id, -1) >= worker.wiped
-        due = now + PATIENCE * self.usual(function)
+        usual = self.usual(function)
+        contract = self.tracks[task.track].contract_time
+        due = now + min(PATIENCE * usual, max(2 * usual, contract - 2 * usual))
         if not warm:
             due += LOAD_PATIENCE * self.load_usual(task.load_time)
-        worker.out[task.id, relay] = (now, due, due + PATIENCE * self.usual(function))
-        self.hands[task.id, relay] = (worker.id, task.function, now, warm)
+        worker.out[task.id, relay], worker.tally = now, None
+        self.hands[task.id, relay] = (worker.id, task.function, task.track, now, warm)
         trail.out[relay] = (worker, now)
         trail.relays += 1
         if trail.first is None:
@@ -453,16 +470,17 @@
         """Whether to decline at once: tasks in hand over the pace of answers promise too long a wait.
 
         Only relays to standing copies count on both sides: waits for loads are no sign of too much work. Nor
-        are relays that later ones to the same worker have overtaken: lost answers and heavy tasks, which would
-        otherwise read as a jam.
+        are overtaken relays: lost answers and heavy tasks, which would otherwise read as a jam.
         """
         if sum([now < worker.full_until for worker in self.fleet]) > FULL_FLEET * len(self.fleet):
             return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
-        ill = self.shunned(now).keys() | {name for name, pace in self.slowness.items() if pace > 1}
-        in_hand = sum(warm and worker not in ill and sent >= self.workers[worker].passed
-                      for worker, _, sent, warm in self.hands.values())
+        in_hand = 0
+        for name, _, of, sent, warm in self.hands.values():
+            worker = self.workers[name]
+            in_hand += (warm and not self.overtaken(worker, of, sent, 1) and
+                        (worker.slow <= 1 or now >= worker.slow_until) and self.doubt(worker, of, now) < 0.5)
         if in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
@@ -487,7 +505,7 @@
         if self.ration[2] > 0:
             self.taken.append(now)
         self.tenants.append(task.tenant)
-        if all(self.power(worker, now) < 1 for worker in self.fleet):
+        if all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
         if self.crowded(now, task, track):
             yield Decline(self.advice(track))
@@ -510,7 +528,7 @@
             now, outcome = yield Wait(min(look, end))
             if outcome is None:
                 if trail.out and now < end:
-                    look, recall = self.overdue(now, trail, track, function)
+                    look, recall = self.overdue(now, task, trail, function, give_up - self.usual(function))
                     for relay in recall:
                         yield Recall(relay)
                 continue
@@ -542,17 +560,36 @@
         else:
             yield Scrap()
 
-    def overdue(self, now, trail, track, function):
+    def overdue(self, now, task, trail, function, give_up):
         """When to look for another worker, and which relays to recall first.
 
-        A relay out too long at a worker silent since it was sent gets a second copy, or is recalled where
-        two may not be out; elsewhere it keeps its place: in a jam all are overdue, and work or loads
-        begun anew feed it.
+        An overdue relay that was overtaken is lost; so is one whose worker answered nothing of its track since,
+        if two such are out there or it is twice overdue, and then it counts against the worker at once. A lost one gets a second copy, or is recalled where two may not be out. Others keep their
+        place: in a jam all are overdue, and work or loads begun anew feed it; so answers earn the copies, and
+        none is sent that would be late: it would waste more than late answers earn.
         """
         later = now + max(PAUSE, self.usual(function))
-        if track.effect is Effect.EFFECTFUL or not all(
-                sent >= worker.heard and self.silent(worker, now) for worker, sent in trail.out.values()):
+        track, held = self.tracks[task.track], [worker for worker, _ in trail.out.values()] + trail.failed
+        lost = 0
+        for relay, (worker, sent) in trail.out.items():
+            key = (task.id, relay)
+            if worker.heard.get(task.track, -1) < sent:
+                again = key in worker.late
+                worker.late.add(key)
+                if again or len(worker.late) > 1:
+                    lost += 1
+                    if key not in self.missed:
+                        self.missed.add(key)
+                        self.book(worker, now, task.track, False)
+            elif self.overtaken(worker, task.track, sent, OVERTAKEN):
+                lost += 1
+        if lost < len(trail.out):
+            return now + PATIENCE * self.usual(function), ()
+        if now > give_up or self.again < 1 or trail.relays >= self.relay_limit or not any(
+                worker.active and worker not in held and self.lawful(worker, track, trail, now)
+                and self.doubt(worker, task.track, now) < 0.5 for worker in self.fleet):
             return later, ()
+        self.again -= 1
         if self.can_twin:
             return now, ()
         return later, tuple(trail.out) if self.can_recall else ()
@@ -577,11 +614,10 @@
             if self.asks_list:
                 self.asks_list = False
                 yield Listen()
-            names = [worker.id for worker in self.fleet]
-            if self.probing and names:
+            if self.probing and self.fleet:
                 turn += 1
-                yield Probe(names[turn % len(names)])
+                yield Probe(self.fleet[turn % len(self.fleet)].id)
             for name in [name for name, function in self.functions.items()
                          if now - function.used > 4 * self.keep_alive and not function.ordered]:
                 del self.functions[name]
-            now, _ = yield Wait(now + (PROBE_EVERY // max(1, len(names)) if self.probing else TIDY))
+            now, _ = yield Wait(now + (PROBE_EVERY // max(1, len(self.fleet)) if self.probing else TIDY))
