--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -318,7 +318,7 @@
         return max(told + share * lanes, own)
 
     def overtaken(self, worker, track, sent, times):
-        """Whether so many later relays of its track were answered there: its answer is lost, or its work heavy."""
+        """Whether so many later relays of the track were answered there: lost, or heavy work."""
         return sum([of == track and at > sent for of, at in worker.passed]) >= times
 
     def doubt(self, worker, track, now):
@@ -564,9 +564,10 @@
         """When to look for another worker, and which relays to recall first.
 
         An overdue relay that was overtaken is lost; so is one whose worker answered nothing of its track since,
-        if two such are out there or it is twice overdue, and then it counts against the worker at once. A lost one gets a second copy, or is recalled where two may not be out. Others keep their
-        place: in a jam all are overdue, and work or loads begun anew feed it; so answers earn the copies, and
-        none is sent that would be late: it would waste more than late answers earn.
+        if two such are out there or it is twice overdue, and then it counts against the worker at once. A lost
+        one gets a second copy, or is recalled where two may not be out. Others keep their place: in a jam all
+        are overdue, and work begun anew feeds it; so answers earn the copies, and none is sent that would be
+        late.
         """
         later = now + max(PAUSE, self.usual(function))
         track, held = self.tracks[task.track], [worker for worker, _ in trail.out.values()] + trail.failed
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -3,8 +3,8 @@
 
 from gaproute import interface as face
 from gaproute.interface import Result
-from gaproute.policy import (AGAIN_MOST, FADE, LOOK, MEMORY, PRIOR, PRIOR_HOT, QUEUE, QUEUE_HOT, WARMTH, Function,
-                             Trail)
+from gaproute.policy import (AGAIN_MOST, FADE, LOOK, MEMORY, PRIOR, PRIOR_HOT, QUEUE, QUEUE_HOT, WARMTH,
+                             Function, Trail)
 
 MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
