--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -41,7 +41,7 @@
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
-LOOK = 20 * MILLI      # between judgements of all workers: far less than any sign of illness takes
+LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than any sign of illness takes
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.0             # of the contract time: expected wait at which a task is declined; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
@@ -145,7 +145,8 @@
         self.workers, self.fleet = {}, []   # all that were ever listed; the active ones
         self.functions = {}
         self.list_version = 0
-        self.looked, self.doubts = -LOOK, {}    # see `doubt`
+        self.looked, self.doubts = -LOOK, {}     # see `doubt`
+        self.counted, self.in_hand = -LOOK, 0    # see `crowded`
         self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
         self.missed = set()      # relays booked as unanswered
         self.again = AGAIN_MOST  # replacements that may yet be sent
@@ -476,19 +477,20 @@
             return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
-        in_hand = 0
-        for name, _, of, sent, warm in self.hands.values():
-            worker = self.workers[name]
-            in_hand += (warm and not self.overtaken(worker, of, sent, 1) and
-                        (worker.slow <= 1 or now >= worker.slow_until) and self.doubt(worker, of, now) < 0.5)
-        if in_hand < SHED_FLOOR:
+        if now - self.counted >= LOOK:
+            self.counted, self.in_hand = now, 0
+            for name, _, of, sent, warm in self.hands.values():
+                worker = self.workers[name]
+                self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until) and
+                                 not self.overtaken(worker, of, sent, 1) and self.doubt(worker, of, now) < 0.5)
+        if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
         value = track.earnings / self.top_earnings
         if task.tenant < len(self.tenant_shares) and \
                 self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
             value *= self.over_share_value
-        return in_hand / flow > SHED * track.contract_time * (0.5 + 0.5 * value)
+        return self.in_hand / flow > SHED * track.contract_time * (0.5 + 0.5 * value)
 
     def advice(self, track):
         return min(self.advice_limit, int(STAY_AWAY * track.contract_time))
