--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -81,7 +81,7 @@
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.bad = 0             # of the results
         self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
-        self.report, self.reported = None, -REPORT_LIFE
+        self.report, self.reported, self.memory = None, -REPORT_LIFE, None
         self.tally, self.tally_until = None, 0   # see `tally`
         self.warm_at = -1        # from when it can do all of its work
         self.credit = 0.0        # relays that a cold worker may still be sent
@@ -103,7 +103,7 @@
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
         self.ordered = False     # an order is open
         self.ranks, self.ranked_for = {}, -1
-        self.used = 0
+        self.used, self.rests_until = 0, -1
 
 
 class Trail:
@@ -134,11 +134,9 @@
         self.copies_by_order = terms.orders_allowed
         self.ration = (terms.order_free, terms.order_share, terms.order_window)
         self.can_recall, self.can_twin = terms.recall_allowed, terms.twins_allowed
-        self.relay_limit = terms.relay_limit
-        self.advice_limit = terms.advice_limit
+        self.relay_limit, self.advice_limit = terms.relay_limit, terms.advice_limit
         self.cold_share, self.cold_time = terms.cold_share, terms.cold_time
-        self.probing = terms.probes_allowed and terms.reports_by_probe
-        self.asks_list = terms.must_ask_list
+        self.probing, self.asks_list = terms.probes_allowed and terms.reports_by_probe, terms.must_ask_list
         self.tenant_shares, self.over_share_value = terms.tenant_shares, terms.over_share_value
         self.top_earnings = max((track.earnings for track in terms.tracks), default=1.0)
         self.shortest = min((track.contract_time for track in terms.tracks), default=SECOND)
@@ -186,8 +184,7 @@
         worker = self.workers.get(worker_id)
         if worker is None:
             return
-        if report is not None:
-            worker.report, worker.reported, worker.tally = report, now, None
+        self.note(worker, now, report)
         if not good:
             self.book(worker, now, None, False)
 
@@ -211,9 +208,7 @@
         self.missed.discard((outcome.task, outcome.relay))
         worker.late.discard((outcome.task, outcome.relay))
         function = self.function(name, 1)
-        worker.tally = None
-        if outcome.report is not None:
-            worker.report, worker.reported = outcome.report, now
+        self.note(worker, now, outcome.report)
         if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
             worker.heard[track] = now
         if outcome.result is Result.OK:
@@ -244,6 +239,11 @@
         if outcome.result in (Result.RESET, Result.CONNECT_FAILED):
             worker.wiped = now   # a process that broke off comes back empty, often before the list says so
 
+    def note(self, worker, now, report):
+        worker.tally = None
+        if report is not None:
+            worker.report, worker.reported, worker.memory = report, now, report.memory_busy
+
     def book(self, worker, now, track, good):
         worker.results.append((now, track, good))
         worker.bad = sum([not result for _, _, result in worker.results])
@@ -264,9 +264,9 @@
     def breadth(self, name):
         """How many workers a function could fill: its share of this gateway's last tasks, times the fleet.
 
-        Needs no number of own calls, so it is right at gateways that see a few tasks a second. From one
-        worker on the function is hot: it spills early, and that many first choices of the hash count alike,
-        so that gateways spread it; a rare one waits for its copy, as loads for it jam the store.
+        Needs no number of own calls, so it is right at gateways that see few tasks. From one worker on the
+        function is hot: it spills early, and that many first choices of the hash count alike, so that gateways
+        spread it; a rare one waits for its copy, as loads for it jam the store.
         """
         return self.mix.count(name) / max(len(self.mix), MIX // 4) * len(self.fleet)
 
@@ -290,9 +290,8 @@
     def pace(self, worker, now):
         """Times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
 
-        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others,
-        idle. It harms where one worker holds the heaviest variants of a function's work; the samples age,
-        so it is retried.
+        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others, idle.
+        It harms where one worker holds a function's heaviest work; samples age, so it is retried.
         """
         recent = [pace for at, pace in worker.paces if now - at < RECENT]
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
@@ -372,7 +371,7 @@
 
     def choose(self, now, task, trail):
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        if trail.relays >= self.relay_limit:
+        if trail.relays >= self.relay_limit or now < function.rests_until and not trail.failed:
             return None
         holding = {worker.id for worker, _ in trail.out.values()}
         # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
@@ -383,8 +382,7 @@
         if not able:
             return None
         ranks, seen = self.ranks(task.function, function), function.seen
-        memories = [worker.report.memory_busy for worker in self.fleet
-                    if worker.report is not None and worker.report.memory_busy is not None]
+        memories = [worker.memory for worker in self.fleet if worker.memory is not None]
         usual_memory = sum(memories) / len(memories) if memories else 0.0
         lanes = task.lanes * len(able) / sum([worker.capacity for worker in able])
         breadth = self.breadth(task.function)
@@ -395,7 +393,6 @@
         best, ties = None, []
         for worker in able:
             name = worker.id
-            memory = worker.report.memory_busy if worker.report is not None else None
             pace = worker.slow if now < worker.slow_until else 1.0
             strength = worker.capacity / pace
             if now < worker.warm_at:
@@ -403,7 +400,7 @@
             warmth = self.warmth(function, worker, now) / pace if name in seen else 0.0
             score = (WARMTH * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
-                     - MEMORY * (usual_memory if memory is None else memory)
+                     - MEMORY * (usual_memory if worker.memory is None else worker.memory)
                      + priors[ranks[name]] * (1 - warmth))
             if worker.bad:
                 score -= SHUN * self.doubt(worker, task.track, now)
@@ -411,10 +408,10 @@
                 best, ties = score, [worker]
             elif score == best:
                 ties.append(worker)
-        # One that turned a task away just now gets none for a moment: refusals come fast and would make
-        # it look idle, and tasks sent round full workers, or to load elsewhere, feed the jam. What was
-        # refused itself moves on.
+        # One that turned a task away just now gets none for a moment: refusals come fast and would make it look
+        # idle, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused moves on.
         worker = ties[self.chance.below(len(ties))]
+        function.rests_until = worker.full_until
         return worker if now >= worker.full_until else None
 
     def sent(self, now, task, relay, worker, trail):
@@ -439,15 +436,14 @@
     def spread_credit(self, now):
         """Each answer of a warm worker earns every cold one its share of the mean per warm peer.
 
-        Counted in answers, not in time or sends, it holds for bursts, for storms of refusals and for a
-        gateway that has just started. Half the fleet stands for the warm peers when fewer are warm, as
-        those carry more each.
+        Counted in answers, not in time or sends, it holds for bursts, storms of refusals and fresh gateways.
+        Half the fleet stands for the warm peers when fewer are warm, as those carry more each.
         """
-        fleet, cold = self.fleet, [worker for worker in self.fleet if now < worker.warm_at]
+        cold = [worker for worker in self.fleet if now < worker.warm_at]
+        peers = max(len(self.fleet) - len(cold), len(self.fleet) / 2)
         for worker in cold:
             share = self.power(worker, now)
-            earned = share / max(len(fleet) - len(cold), len(fleet) / 2)
-            worker.credit = min(1 + share, worker.credit + earned)
+            worker.credit = min(1 + share, worker.credit + share / peers)
 
     def may_order(self, now, function):
         """The load ration, counted exactly at the order; one open order for a function."""
@@ -600,8 +596,7 @@
     def more_copies(self, now, task, function, worker, outcome):
         """Order one more copy where tasks of the function outnumber the lanes of those that stand.
 
-        Serves hot functions where only orders add copies; where workers add them themselves it finds them
-        standing.
+        Serves hot functions where only orders add copies; elsewhere it finds them standing.
         """
         if outcome.alike is None or outcome.alike < task.lanes or not worker.active:
             return
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -30,8 +30,8 @@
     now = int(age)
     for number in range(3):
         warm.out["x", number] = now
-    warm.report = face.Report(memory_busy=1.0)
-    cold.report = face.Report(memory_busy=0.0)
+    made.note(warm, now, face.Report(memory_busy=1.0))
+    made.note(cold, now, face.Report(memory_busy=0.0))
     assert made.choose(now, task(), Trail()) is warm
 
 
