Hot functions spread over 2.5 times the workers they could fill

Cause: the workers that a hot function filled had the rest of the functions besides. Harms where memory is short: more copies stand.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -18,6 +18,7 @@
 
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
+WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 QUEUE_HOT = 2.0        # the same for a hot function: few queued lanes repay one more copy
 MIX = 128              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
@@ -386,7 +387,7 @@
         usual_memory = sum(memories) / len(memories) if memories else 0.0
         lanes = task.lanes * len(able) / sum([worker.capacity for worker in able])
         breadth = self.breadth(task.function)
-        heat, width = min(1.0, breadth), max(1, int(breadth))
+        heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
         priors = [prior * PRIOR_FALL ** (rank // width) for rank in range(len(ranks))]
