--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -476,10 +476,10 @@
             return False
         if now - self.counted >= LOOK:
             self.counted, self.in_hand = now, 0
-            for name, _, of, sent, warm in self.hands.values():
+            for key, (name, _, of, sent, warm) in self.hands.items():
                 worker = self.workers[name]
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until) and
-                                 not self.overtaken(worker, of, sent, 1) and self.doubt(worker, of, now) < 0.5)
+                                 key not in worker.late and not self.overtaken(worker, of, sent, 1) and self.doubt(worker, of, now) < 0.5)
         if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
