--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -524,9 +524,12 @@
                     break
                 else:
                     look = now + PAUSE
-            now, outcome = yield Wait(min(look, end))
+            now, outcome = yield Wait(min(look, end, give_up if now < give_up else end))
             if outcome is None:
-                if trail.out and now < end:
+                # Late work holds up the rest of a crowded fleet and earns little: it makes room where it may.
+                if now >= give_up and track.effect is Effect.PURE and trail.out and self.crowded(now, task, track):
+                    break
+                if trail.out and look <= now < end:
                     look, recall = self.overdue(now, task, trail, function, give_up - self.usual(function))
                     for relay in recall:
                         yield Recall(relay)
