--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -27,7 +27,7 @@
 PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
-SUSPECT = 0.4          # share of bad results up to which nothing is doubted: chance and lost answers strike all
+SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
 BELIEF = 1.0           # good samples granted to each worker: one failure alone halves its worth, no more
 KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
 RECENT = 5 * SECOND    # samples older than this are no evidence: a suspect is tried again after it
@@ -42,7 +42,7 @@
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
-LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than any sign of illness takes
+LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.0             # of the contract time: expected wait at which a task is declined; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
@@ -77,7 +77,7 @@
         self.out = {}            # (task, relay): when sent
         self.heard = {}          # track: when an answer last came
         self.passed = deque(maxlen=KEPT)    # (track, when sent) of its last answered relays
-        self.late = set()        # relays overdue with nothing of their track heard since
+        self.late = {}           # (task, relay) overdue with nothing of its track heard since: whether booked
         self.results = deque(maxlen=KEPT)   # (time, track, whether good)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.bad = 0             # of the results
@@ -147,7 +147,6 @@
         self.looked, self.doubts = -LOOK, {}     # see `doubt`
         self.counted, self.in_hand = -LOOK, 0    # see `crowded`
         self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
-        self.missed = set()      # relays booked as unanswered
         self.again = AGAIN_MOST  # replacements that may yet be sent
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
@@ -205,9 +204,7 @@
             return
         _, name, track, sent, warm = hand
         worker.out.pop((outcome.task, outcome.relay), None)
-        booked = (outcome.task, outcome.relay) in self.missed
-        self.missed.discard((outcome.task, outcome.relay))
-        worker.late.discard((outcome.task, outcome.relay))
+        booked = worker.late.pop((outcome.task, outcome.relay), False)
         function = self.function(name, 1)
         self.note(worker, now, outcome.report)
         if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
@@ -266,8 +263,8 @@
         """How many workers a function could fill: its share of this gateway's last tasks, times the fleet.
 
         Needs no number of own calls, so it is right at gateways that see few tasks. From one worker on the
-        function is hot: it spills early, and that many first choices of the hash count alike, so that gateways
-        spread it; a rare one waits for its copy, as loads for it jam the store.
+        function is hot: it spills early, and WIDE times as many first choices of the hash count alike, so
+        that gateways spread it; a rare one waits for its copy, as loads for it jam the store.
         """
         return self.mix.count(name) / max(len(self.mix), MIX // 4) * len(self.fleet)
 
@@ -291,8 +288,8 @@
     def pace(self, worker, now):
         """Times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
 
-        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others, idle.
-        It harms where one worker holds a function's heaviest work; samples age, so it is retried.
+        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others,
+        idle. It harms where one worker holds a function's heaviest work; samples age, so it is retried.
         """
         recent = [pace for at, pace in worker.paces if now - at < RECENT]
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
@@ -409,8 +406,9 @@
                 best, ties = score, [worker]
             elif score == best:
                 ties.append(worker)
-        # One that turned a task away just now gets none for a moment: refusals come fast and would make it look
-        # idle, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused moves on.
+        # One that turned a task away just now gets none for a moment: refusals come fast and look like
+        # idleness, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused
+        # moves on.
         worker = ties[self.chance.below(len(ties))]
         function.rests_until = worker.full_until
         return worker if now >= worker.full_until else None
@@ -478,8 +476,9 @@
             self.counted, self.in_hand = now, 0
             for key, (name, _, of, sent, warm) in self.hands.items():
                 worker = self.workers[name]
-                self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until) and
-                                 key not in worker.late and not self.overtaken(worker, of, sent, 1) and self.doubt(worker, of, now) < 0.5)
+                self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
+                                 and key not in worker.late and not self.overtaken(worker, of, sent, 1)
+                                 and self.doubt(worker, of, now) < 0.5)
         if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
@@ -527,7 +526,8 @@
             now, outcome = yield Wait(min(look, end, give_up if now < give_up else end))
             if outcome is None:
                 # Late work holds up the rest of a crowded fleet and earns little: it makes room where it may.
-                if now >= give_up and track.effect is Effect.PURE and trail.out and self.crowded(now, task, track):
+                if trail.out and now >= give_up and track.effect is Effect.PURE \
+                        and self.crowded(now, task, track):
                     break
                 if trail.out and look <= now < end:
                     look, recall = self.overdue(now, task, trail, function, give_up - self.usual(function))
@@ -565,11 +565,11 @@
     def overdue(self, now, task, trail, function, give_up):
         """When to look for another worker, and which relays to recall first.
 
-        An overdue relay that was overtaken is lost; so is one whose worker answered nothing of its track since,
-        if two such are out there or it is twice overdue, and then it counts against the worker at once. A lost
-        one gets a second copy, or is recalled where two may not be out. Others keep their place: in a jam all
-        are overdue, and work begun anew feeds it; so answers earn the copies, and none is sent that would be
-        late.
+        An overdue relay that was overtaken is lost; so is one whose worker answered nothing of its track
+        since, if two such are out there or it is twice overdue, and then it counts against the worker at
+        once. A lost one gets a second copy, or is recalled where two may not be out. Others keep their place:
+        in a jam all are overdue, and work begun anew feeds it; so answers earn the copies, and none is sent
+        that would be late.
         """
         later = now + max(PAUSE, self.usual(function))
         track, held = self.tracks[task.track], [worker for worker, _ in trail.out.values()] + trail.failed
@@ -577,12 +577,11 @@
         for relay, (worker, sent) in trail.out.items():
             key = (task.id, relay)
             if worker.heard.get(task.track, -1) < sent:
-                again = key in worker.late
-                worker.late.add(key)
+                again, booked = key in worker.late, worker.late.setdefault(key, False)
                 if again or len(worker.late) > 1:
                     lost += 1
-                    if key not in self.missed:
-                        self.missed.add(key)
+                    if not booked:
+                        worker.late[key] = True
                         self.book(worker, now, task.track, False)
             elif self.overtaken(worker, task.track, sent, OVERTAKEN):
                 lost += 1
