--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -28,13 +28,11 @@
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
+ERRED = 0.4            # of an unanswered relay's weight, an error's: it comes fast, and others succeed
 BELIEF = 1.0           # good samples granted to each worker: one failure alone halves its worth, no more
 KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
 RECENT = 5 * SECOND    # samples older than this are no evidence: a suspect is tried again after it
 PATIENCE = 4           # usual answer times before a relay counts as overdue
-OVERTAKEN = 2          # later relays to the worker answered before an overdue one counts as lost: work varies
-AGAIN = 0.1            # relays replaced while they may yet be answered, for each answer: a jam earns none
-AGAIN_MOST = 8         # such replacements saved up: the first seconds of a trouble at a busy gateway
 LOAD_PATIENCE = 2      # usual load times more where a load is expected
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
@@ -78,7 +76,7 @@
         self.heard = {}          # track: when an answer last came
         self.passed = deque(maxlen=KEPT)    # (track, when sent) of its last answered relays
         self.late = {}           # (task, relay) overdue with nothing of its track heard since: whether booked
-        self.results = deque(maxlen=KEPT)   # (time, track, whether good)
+        self.results = deque(maxlen=KEPT)   # (time, track, harm: 0 if good, 1 if unanswered)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.bad = 0             # of the results
         self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
@@ -147,7 +145,6 @@
         self.looked, self.doubts = -LOOK, {}     # see `doubt`
         self.counted, self.in_hand = -LOOK, 0    # see `crowded`
         self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
-        self.again = AGAIN_MOST  # replacements that may yet be sent
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
         self.answers = deque(maxlen=FLOWS)  # times of answers
@@ -186,7 +183,7 @@
             return
         self.note(worker, now, report)
         if not good:
-            self.book(worker, now, None, False)
+            self.book(worker, now, None, 1.0)
 
     def stood(self, now, worker_id, name, result, copies):
         function, worker = self.functions.get(name), self.workers.get(worker_id)
@@ -210,8 +207,7 @@
         if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
             worker.heard[track] = now
         if outcome.result is Result.OK:
-            self.book(worker, now, track, True)
-            self.again = min(AGAIN_MOST, self.again + AGAIN)
+            self.book(worker, now, track, 0.0)
             worker.passed.append((track, sent))
             worker.full_until = -1
             if warm:
@@ -228,7 +224,8 @@
             else:
                 self.loads.append(outcome.took)
         elif outcome.result in FAILURES and not booked:
-            self.book(worker, now, track, False)   # so that quick failures do not make a worker look idle
+            # So that quick failures do not make a worker look idle.
+            self.book(worker, now, track, ERRED if outcome.result is Result.ERROR else 1.0)
         if outcome.result is Result.FULL:
             worker.full_until = now + self.usual(function)   # a lane frees about then
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
@@ -242,9 +239,9 @@
         if report is not None:
             worker.report, worker.reported, worker.memory = report, now, report.memory_busy
 
-    def book(self, worker, now, track, good):
-        worker.results.append((now, track, good))
-        worker.bad = sum([not result for _, _, result in worker.results])
+    def book(self, worker, now, track, harm):
+        worker.results.append((now, track, harm))
+        worker.bad = sum([harm > 0 for _, _, harm in worker.results])
 
     # Measures
 
@@ -315,9 +312,9 @@
         told, share, own = worker.tally
         return max(told + share * lanes, own)
 
-    def overtaken(self, worker, track, sent, times):
-        """Whether so many later relays of the track were answered there: lost, or heavy work."""
-        return sum([of == track and at > sent for of, at in worker.passed]) >= times
+    def overtaken(self, worker, track, sent):
+        """Whether a later relay of the track was answered there: lost, or heavy work."""
+        return any([of == track and at > sent for of, at in worker.passed])
 
     def doubt(self, worker, track, now):
         """0 to 1: how likely the worker fails the track, by its last results of that track, else of any.
@@ -331,12 +328,12 @@
             self.looked, self.doubts = now, {}
         doubt = self.doubts.get((worker.id, track))
         if doubt is None:
-            recent = [(of, good) for at, of, good in worker.results if now - at < RECENT]
-            recent = [good for of, good in recent if of == track] or [good for _, good in recent]
-            doubt = recent.count(False) / (len(recent) + BELIEF)
-            doubt = doubt if doubt > SUSPECT else 0.0
-            last = [good for _, _, good in worker.results][-2:]
-            if worker.out and last == [False, False]:
+            recent = [(of, harm) for at, of, harm in worker.results if now - at < RECENT]
+            recent = [harm for of, harm in recent if of == track] or [harm for _, harm in recent]
+            known = len(recent) + BELIEF
+            doubt = sum(recent) / known if sum([harm > 0 for harm in recent]) > SUSPECT * known else 0.0
+            last = [harm for _, _, harm in worker.results][-2:]
+            if worker.out and len(last) == 2 and min(last) > 0:
                 doubt = max(doubt, 0.5)      # on trial: one relay out at a time until one is answered
             self.doubts[worker.id, track] = doubt
         return doubt
@@ -353,11 +350,9 @@
     # The choice
 
     def allowed(self, worker, track, trail, now):
-        """No task to a draining or gone worker, no second relay out where that is forbidden, and lawful."""
-        return worker.active and (self.can_twin or not trail.out) and self.lawful(worker, track, trail, now)
-
-    def lawful(self, worker, track, trail, now):
         """The rules on further relays, strictly by track; a relay still out may have run."""
+        if not worker.active or trail.out and not self.can_twin:
+            return False
         if trail.first is None or track.effect is Effect.PURE:
             return True
         if track.effect is Effect.EFFECTFUL:
@@ -477,7 +472,7 @@
             for key, (name, _, of, sent, warm) in self.hands.items():
                 worker = self.workers[name]
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
-                                 and key not in worker.late and not self.overtaken(worker, of, sent, 1)
+                                 and key not in worker.late and not self.overtaken(worker, of, sent)
                                  and self.doubt(worker, of, now) < 0.5)
         if self.in_hand < SHED_FLOOR:
             return False
@@ -530,9 +525,7 @@
                         and self.crowded(now, task, track):
                     break
                 if trail.out and look <= now < end:
-                    look, recall = self.overdue(now, task, trail, function, give_up - self.usual(function))
-                    for relay in recall:
-                        yield Recall(relay)
+                    look = self.overdue(now, task, trail, function)
                 continue
             if outcome.result is Result.BEGUN:
                 while not outcome.ended:     # a begun stream has no deadline; nothing else may be started
@@ -562,39 +555,21 @@
         else:
             yield Scrap()
 
-    def overdue(self, now, task, trail, function, give_up):
-        """When to look for another worker, and which relays to recall first.
+    def overdue(self, now, task, trail, function):
+        """Hold overdue relays in silence against their workers at once; when to look again.
 
-        An overdue relay that was overtaken is lost; so is one whose worker answered nothing of its track
-        since, if two such are out there or it is twice overdue, and then it counts against the worker at
-        once. A lost one gets a second copy, or is recalled where two may not be out. Others keep their place:
-        in a jam all are overdue, and work begun anew feeds it; so answers earn the copies, and none is sent
-        that would be late.
+        Silence is nothing of the track heard since: so it shows workers that hang, vanish or are cut off, and
+        one track unanswered while others go well. It needs two such relays or one for twice the patience, as
+        one slow task proves little. The task keeps its place: what goes out again is late and twice the work.
         """
-        later = now + max(PAUSE, self.usual(function))
-        track, held = self.tracks[task.track], [worker for worker, _ in trail.out.values()] + trail.failed
-        lost = 0
         for relay, (worker, sent) in trail.out.items():
-            key = (task.id, relay)
             if worker.heard.get(task.track, -1) < sent:
-                again, booked = key in worker.late, worker.late.setdefault(key, False)
-                if again or len(worker.late) > 1:
-                    lost += 1
-                    if not booked:
-                        worker.late[key] = True
-                        self.book(worker, now, task.track, False)
-            elif self.overtaken(worker, task.track, sent, OVERTAKEN):
-                lost += 1
-        if lost < len(trail.out):
-            return now + PATIENCE * self.usual(function), ()
-        if now > give_up or self.again < 1 or trail.relays >= self.relay_limit or not any(
-                worker.active and worker not in held and self.lawful(worker, track, trail, now)
-                and self.doubt(worker, task.track, now) < 0.5 for worker in self.fleet):
-            return later, ()
-        self.again -= 1
-        if self.can_twin:
-            return now, ()
-        return later, tuple(trail.out) if self.can_recall else ()
+                again = (task.id, relay) in worker.late
+                booked = worker.late.setdefault((task.id, relay), False)
+                if not booked and (again or len(worker.late) > 1):
+                    worker.late[task.id, relay] = True
+                    self.book(worker, now, task.track, 1.0)
+        return now + PATIENCE * self.usual(function)
 
     def more_copies(self, now, task, function, worker, outcome):
         """Order one more copy where tasks of the function outnumber the lanes of those that stand.
