Declines by the shortest contract time of the deployment, least earnings first

Should also cover any mix of hurried and patient tracks; harms where the shortest track is a sliver of the traffic.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -42,7 +42,7 @@
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.0             # of the contract time: expected wait at which a task is declined; half for no earnings
+SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the workers refused a task within an answer time: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
@@ -462,6 +462,8 @@
 
         Only relays to standing copies count on both sides: waits for loads are no sign of too much work. Nor
         are overtaken relays: lost answers and heavy tasks, which would otherwise read as a jam.
+        All tracks share the queues, so the shortest contract time sets how long they may get, and what earns
+        least goes first.
         """
         if sum([now < worker.full_until for worker in self.fleet]) > FULL_FLEET * len(self.fleet):
             return True          # most refuse: to go round the rest would only spread it
@@ -481,7 +483,7 @@
         if task.tenant < len(self.tenant_shares) and \
                 self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
             value *= self.over_share_value
-        return self.in_hand / flow > SHED * track.contract_time * (0.5 + 0.5 * value)
+        return self.in_hand / flow > SHED * self.shortest * (0.5 + 0.5 * value)
 
     def advice(self, track):
         return min(self.advice_limit, int(STAY_AWAY * track.contract_time))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -302,6 +302,17 @@
     assert {ranks[made.choose(0, task(function="rare"), Trail()).id] for _ in range(9)} == {0}
 
 
+def test_the_shortest_contract_time_sets_the_queue_and_least_earnings_go_first():
+    short = PURE._replace(contract_time=SECOND // 2, earnings=3.0)
+    made = gateway()
+    made.shortest, made.top_earnings = short.contract_time, 3.0
+    made.answers.extend(range(0, 640 * MILLI, 10 * MILLI))
+    made.hands = {(str(n), 0): ("a", "f", 0, n, True) for n in range(45)}
+    assert made.crowded(640 * MILLI, task(), PURE) and not made.crowded(640 * MILLI, task(), short)
+    made.hands = {(str(n), 0): ("a", "f", 0, n, True) for n in range(70)}
+    assert made.crowded(SECOND, task(), short)
+
+
 def test_a_full_fleet_declines_at_once():
     made = gateway()
     for worker in made.workers.values():
