Most of the last outcomes refused within 2 s stands for a full fleet

Cause: gateways that see few tasks never saw half the fleet refuse at once and sent each task round full workers. Refusals age, so a gateway with nothing out tries again. Harms where one hot function alone is refused most at a gateway of few functions.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -36,7 +36,7 @@
 LOAD_PATIENCE = 2      # usual load times more where a load is expected
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
-REPORT_LIFE = 2 * SECOND   # reports older than this say nothing of now
+REPORT_LIFE = 2 * SECOND   # reports and refusals older than this say nothing of now
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
@@ -44,7 +44,7 @@
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
-FULL_FLEET = 1 / 2     # of the workers refused a task within an answer time: the fleet is full
+FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 CREDIT_LIFE = SECOND   # over which unspent credit fades: about the time in which a cold worker falls over
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
@@ -151,6 +151,7 @@
         self.answers = deque(maxlen=FLOWS)  # times of answers
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
+        self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
 
     # What the caller tells
@@ -207,6 +208,7 @@
         self.note(worker, now, outcome.report)
         if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
             worker.heard[track] = now
+        self.refusals.append((now, outcome.result is Result.FULL))
         if outcome.result is Result.OK:
             self.book(worker, now, track, 0.0)
             worker.passed.append((track, sent))
@@ -471,7 +473,7 @@
         All tracks share the queues, so the shortest contract time sets how long they may get, and what earns
         least goes first.
         """
-        if sum([now < worker.full_until for worker in self.fleet]) > FULL_FLEET * len(self.fleet):
+        if sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT:
             return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,9 +2,9 @@
 from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, Drive, gateway, row, task
 
 from gaproute import interface as face
+from gaproute import policy
 from gaproute.interface import Result
-from gaproute.policy import (FADE, LOOK, MEMORY, PRIOR, PRIOR_HOT, QUEUE, QUEUE_HOT, WARMTH, WIDE,
-                             Function, Trail)
+from gaproute.policy import FADE, LOOK, REPORT_LIFE, WIDE, Function, Trail
 
 MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
@@ -265,8 +265,7 @@
 def test_late_pure_tasks_make_room_where_the_fleet_is_crowded(track, ended):
     made = gateway()
     drive = Drive(made, task(track=track))
-    for worker in made.workers.values():
-        worker.full_until = 9 * SECOND
+    made.refusals.extend([(SECOND, True)] * 5)
     drive.late(SECOND)
     assert drive.ended is ended and (drive.wishes == [face.Recall(0), face.Decline(SECOND)]) is ended
 
@@ -293,16 +292,15 @@
 def test_late_pure_tasks_make_room_where_the_fleet_is_crowded(track, ended):
     made = gateway()
     drive = Drive(made, task(track=track))
-    for worker in made.workers.values():
-        worker.full_until = 9 * SECOND
+    made.refusals.extend([(SECOND, True)] * 5)
     drive.late(SECOND)
     assert drive.ended is ended and (drive.wishes == [face.Recall(0), face.Decline(SECOND)]) is ended
 
 
-@pytest.mark.parametrize("weight, prior", [(QUEUE, PRIOR), (QUEUE_HOT, PRIOR_HOT)])
+@pytest.mark.parametrize("weight, prior", [(policy.QUEUE, policy.PRIOR), (policy.QUEUE_HOT, policy.PRIOR_HOT)])
 def test_weights_keep_warm_with_a_free_lane_ahead_for_three_quarters_of_the_keep_alive(weight, prior):
     warmth = 1 - 0.75**FADE
-    assert WARMTH * warmth + prior * (1 - warmth) > weight * 0.75 + MEMORY + prior
+    assert policy.WARMTH * warmth + prior * (1 - warmth) > weight * 0.75 + policy.MEMORY + prior
 
 
 def test_hot_functions_spill_where_rare_ones_wait():
@@ -339,9 +337,11 @@
 
 def test_a_full_fleet_declines_at_once():
     made = gateway()
-    for worker in made.workers.values():
-        worker.full_until = SECOND
+    made.refusals.extend([(0, True)] * 5 + [(0, False)] * 3)
     assert Drive(made, task()).wishes == [face.Decline(SECOND)]
+    assert Drive(made, task("u"), REPORT_LIFE).sent    # nothing may come any more: refusals age
+    made.refusals.append((1, False))
+    assert Drive(made, task("v"), 1).sent
 
 
 def test_overtaken_relays_are_no_sign_of_too_much_work():
