--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -297,7 +297,9 @@
     assert drive.ended is ended and (drive.wishes == [face.Recall(0), face.Decline(SECOND)]) is ended
 
 
-@pytest.mark.parametrize("weight, prior", [(policy.QUEUE, policy.PRIOR), (policy.QUEUE_HOT, policy.PRIOR_HOT)])
+@pytest.mark.parametrize(
+    "weight, prior", [(policy.QUEUE, policy.PRIOR), (policy.QUEUE_HOT, policy.PRIOR_HOT)]
+)
 def test_weights_keep_warm_with_a_free_lane_ahead_for_three_quarters_of_the_keep_alive(weight, prior):
     warmth = 1 - 0.75**FADE
     assert policy.WARMTH * warmth + prior * (1 - warmth) > weight * 0.75 + policy.MEMORY + prior
