Adapter: outcomes of a batch are booked before its timers wake tasks

Cause: a gateway that resumes after a stall finds timers before the answers that came meanwhile and held answered relays against their workers. Timers of a killed instance are dropped with it.

--- a/gaproute/benchlink/__main__.py
+++ b/gaproute/benchlink/__main__.py
@@ -21,6 +21,7 @@
         self.number = "0"
         self.current = None
         self.failed = {}
+        self.alarms = []  # (instance number, tag) of this batch: woken last, when all that came in is booked
 
     def line(self, text):
         """Handle one line; the reply's lines when it closes a batch, else None."""
@@ -32,6 +33,8 @@
                 self.now, self.number, self.current = wire.nanos(fields[0]), fields[1], None
             case "OVER_TO_YOU":
                 return self.reply()
+            case "ALARM" if self.current is not None:
+                self.alarms.append((self.current, fields))
             case "FOR":
                 self.current = int(fields[0])
             case "LIST":
@@ -57,6 +60,7 @@
                 self.instances[number] = Instance(self.make, wire.whole(fields[0]), wire.terms(fields[1]), now)
             elif name == "CRASH_NOW":
                 self.instances.pop(number, None)
+                self.alarms = [alarm for alarm in self.alarms if alarm[0] != number]
             elif (instance := self.instances.get(number)) is not None:
                 self.tell(instance, name, fields, now)
         except wire.WireFault:
@@ -108,6 +112,9 @@
                 gateway.stood(now, fields[0], fields[1], wire.RESULTS.get(fields[2]), wire.whole(fields[4]))
 
     def reply(self):
+        for self.current, fields in self.alarms:
+            self.event("ALARM", fields)
+        self.alarms = []
         lines = []
         for number, instance in self.instances.items():
             if instance.lines:
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from gaproute import interface as face
 from gaproute.benchlink import __main__ as link
 
 OPEN = (
@@ -57,3 +58,38 @@
     assert said[0] == "SOURCE 3" and said[1].startswith(
         "INTERNAL_ERROR ZeroDivisionError: division by zero at "
     )
+
+
+class Recorder:
+    """A decision module that notes what it is told, in order."""
+
+    def __init__(self, *_):
+        self.told = []
+
+    def serve(self, now, task):
+        yield face.Relay("h")
+        while True:
+            _, outcome = yield face.Wait(now + 1)
+            self.told.append("wait over" if outcome is None else "outcome seen")
+
+    def heard(self, now, outcome):
+        self.told.append("booked")
+
+
+def test_after_a_stall_what_came_in_is_booked_before_any_wait_is_over():
+    hub = link.Hub(make=Recorder)
+    other = CALL.replace("r1", "r2")
+    late = "ALARM r2|2\nREPLY r1 0 h 0 7.5 1 0 -"
+    for line in f"SYNC 1 1\nFOR 3\n{OPEN}\n{CALL}\n{other}\nOVER_TO_YOU\nSYNC 2000 2\nFOR 3\n{late}".split("\n"):
+        hub.line(line)
+    hub.line("OVER_TO_YOU")
+    assert hub.instances[3].gateway.told == ["booked", "outcome seen", "wait over"]
+
+
+def test_timers_of_an_instance_that_was_killed_do_not_wake_its_successor():
+    hub = link.Hub(make=Recorder)
+    for line in f"SYNC 1 1\nFOR 3\n{OPEN}\n{CALL}\nOVER_TO_YOU\nSYNC 9 2\nFOR 3\nALARM r1|1\nCRASH_NOW".split("\n"):
+        hub.line(line)
+    for line in f"{OPEN}\n{CALL}\nOVER_TO_YOU".split("\n"):
+        hub.line(line)
+    assert hub.instances[3].gateway.told == []
