--- /dev/null
+++ b/gaproute/appliance/gateway.py
@@ -0,0 +1,155 @@
+"""One gateway as a process: its parts wired, started and stopped. Decides nothing."""
+import secrets
+import signal
+
+import msgspec
+
+from gaproute.core.core import Core
+from gaproute.discovery import FileWatch, Listing
+from gaproute.fronts.kserve import Front
+from gaproute.hosts import Hosts
+from gaproute.hosts.fleet import Reach
+from gaproute.http1 import Server
+from gaproute.interface import State
+from gaproute.loop import Loop
+from gaproute.loop.streams import address
+from gaproute.pooling import Pooling
+from gaproute.record import Record
+from gaproute.record.record import logger
+
+MILLI = 1_000_000
+LAST_WORDS = 200 * MILLI     # after the last final answer, for its bytes to leave
+
+
+class Appliance:
+    def __init__(self, charter, loop=None, seed=None, log=None):
+        self.charter = charter
+        self.loop = loop = loop or Loop()
+        self.log = log or logger(level=charter.log_level).bind(gateway=charter.name)
+        loop.on_error = lambda error: self.log.error("error", error=repr(error), exc_info=error)
+        seed = secrets.randbits(64) if seed is None else seed
+        run = f"{charter.name}-{secrets.token_hex(3)}"     # task ids stay apart over restarts
+        self.record = Record(self.log, [line.name for line in charter.tracks])
+        reach = charter.reach
+        self.hosts = Hosts(loop, Pooling(), Reach(reach.connect, reach.probe, reach.order, reach.connections,
+                                                  reach.answer), charter.name)
+        gateway = charter.decisions(seed, charter.terms, loop.now())
+        self.core = Core(loop, gateway, charter.terms, self.hosts, self.record, run)
+        self.listing = Listing(loop)
+        self.rows = {}
+        self.stopping = False
+        self.fronts, self.watch, self.started = [], None, loop.now()
+
+    def start(self):
+        """Errors: OSError where an address cannot be listened on; nothing listens then."""
+        try:
+            for kind, where in self.charter.listens:
+                if kind == "kserve":
+                    self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready))
+                else:
+                    self.fronts.append(Operator(self.loop, address(where), self))
+        except OSError as fault:
+            for front in self.fronts:
+                front.close()
+            raise OSError(fault.errno, f"{where}: {fault.strerror}") from fault
+        source = self.charter.hosts_file
+        if source is None:
+            self.listed(self.charter.hosts)
+        else:
+            self.watch = FileWatch(self.loop, source.path, source.look, self.listed, self.list_refused)
+        self.log.info("started", listens=[front.address for front in self.fronts], hosts=len(self.rows))
+
+    def listed(self, lines):
+        """A whole host list. The host connections come first: the module may wish for a new host at once."""
+        rows = self.listing.rows(lines)
+        before, self.rows = self.rows, {row.listed.worker: row for row in rows}
+        self.hosts.listed(rows, True)
+        self.core.listed([row.listed for row in rows], True)
+        for name in before.keys() | self.rows.keys():
+            old, new = (table.get(name) for table in (before, self.rows))
+            if old != new:
+                self.record.event("info", "host", name=name, state=new.listed.state.value if new else "gone")
+
+    def list_refused(self, mistakes):
+        for mistake in mistakes:
+            self.record.event("error", "host list refused", mistake=str(mistake))
+
+    def ready(self):
+        return not self.stopping and any(row.listed.state is State.ACTIVE for row in self.rows.values())
+
+    # Stop
+
+    def stop(self):
+        """Takes nothing new, lets what is held come to its final answer, then ends the loop."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.log.info("stopping", held=len(self.core.held))
+        for front in self.fronts:
+            front.stop()
+        if self.watch is not None:
+            self.watch.close()
+        self.core.emptied = self._emptied
+        self.loop.after(self.charter.longest + LAST_WORDS, self.loop.stop)
+        if not self.core.held:
+            self._emptied()
+
+    def _emptied(self):
+        self.loop.after(LAST_WORDS, self.loop.stop)
+
+    def run(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.on_signal(number, self.stop)
+        if self.watch is not None:
+            self.loop.on_signal(signal.SIGHUP, self.watch.read)
+        self.loop.run()
+        self.close()
+        self.log.info("stopped", held=len(self.core.held))
+
+    def close(self):
+        for front in self.fronts:
+            front.close()
+        if self.watch is not None:
+            self.watch.close()
+        self.hosts.close()
+
+    # For operators
+
+    def status(self):
+        counts = self.record.table()
+        return {"name": self.charter.name, "stopping": self.stopping, "ready": self.ready(),
+                "up_ms": (self.loop.now() - self.started) // MILLI, "held": len(self.core.held),
+                "late_turns": self.loop.late_turns, "counts": counts,
+                "connections": {"opened": self.hosts.opened, "reused": self.hosts.reused,
+                                "raced": self.hosts.raced}}
+
+    def host_table(self):
+        relays = self.record.table().get("relay", {})
+        told = []
+        for name, row in sorted(self.rows.items()):
+            host = self.hosts.hosts.get(name)
+            told.append({"name": name, "address": row.where, "state": row.listed.state.value,
+                         "capacity": row.listed.capacity, "connections": len(host.open) if host else 0,
+                         "relays": relays.get(name, {})})
+        return told
+
+
+class Operator:
+    """What the command line reads, over HTTP: `/status`, `/hosts`, `/events`."""
+
+    def __init__(self, loop, where, appliance):
+        self.tables = {b"/status": appliance.status, b"/hosts": appliance.host_table,
+                       b"/events": lambda: [{"what": what, **told} for what, told in appliance.record.events]}
+        self.server = Server(loop, where, self.handle)
+        self.address = self.server.address
+
+    def handle(self, request):
+        table = self.tables.get(request.target)
+        body = msgspec.json.encode(table() if table else {"error": "the paths are /status, /hosts and /events"})
+        self.server.answer(request, 200 if table else 404, ((b"Content-Type", b"application/json"),), body)
+
+    def stop(self):
+        """Stays to be asked while the last tasks end; `close` ends it."""
+
+    def close(self):
+        self.server.close()
--- /dev/null
+++ b/gaproute/cli/main.py
@@ -0,0 +1,118 @@
+"""`gaproute serve|check|status|hosts|trial|standin`. Exit codes: 0 well, 1 the thing asked about is not well
+(a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it could not be done."""
+import json
+import socket
+import sys
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from gaproute.conf import Mistakes, read_charter, read_hosts
+from gaproute.loop.streams import address
+
+
+def charter_of(file):
+    try:
+        charter = read_charter(file)
+        if charter.hosts_file is not None:
+            read_hosts(charter.hosts_file.path)
+        return charter
+    except Mistakes as wrong:
+        for mistake in wrong.mistakes:
+            click.echo(str(mistake), err=True)
+        click.echo(f"{len(wrong.mistakes)} mistake{'s' * (len(wrong.mistakes) != 1)}; nothing of it is used",
+                   err=True)
+        sys.exit(2)
+
+
+@click.group()
+@click.version_option("0.2.0")
+def main():
+    """A gateway that runs calls on workers which load functions or models on demand."""
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--seed", type=int, help="Seed of the decisions' chance; drawn at start where not given.")
+def serve(file, seed):
+    """Run one gateway by the configuration FILE until SIGTERM."""
+    from gaproute.appliance import Appliance
+    appliance = Appliance(charter_of(file), seed=seed)
+    try:
+        appliance.start()
+    except OSError as fault:
+        click.echo(f"cannot listen: {fault}", err=True)
+        sys.exit(3)
+    appliance.run()
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def check(file):
+    """Check the configuration FILE and the host list that it names; every mistake in one go."""
+    charter = charter_of(file)
+    click.echo(f"{file}: well: {len(charter.tracks)} tracks, {len(charter.models)} models, "
+               f"{len(charter.hosts) or 'listed'} hosts")
+
+
+def ask(where, path):
+    """One question to a gateway's operator address; exits 3 where nobody answers."""
+    family, target = address(where)
+    try:
+        with socket.socket(family, socket.SOCK_STREAM) as sock:
+            sock.settimeout(5)
+            sock.connect(target)
+            sock.sendall(b"GET %s HTTP/1.1\r\nHost: operator\r\nConnection: close\r\n\r\n" % path)
+            with sock.makefile("rb") as answer:
+                head, _, body = answer.read().partition(b"\r\n\r\n")
+        if not head.startswith(b"HTTP/1.1 200"):
+            raise OSError(head.partition(b"\r\n")[0].decode() or "no answer")
+        return json.loads(body)
+    except (OSError, ValueError) as fault:
+        click.echo(f"no gateway answers at {where}: {fault}", err=True)
+        sys.exit(3)
+
+
+at_option = click.option("--at", "where", required=True, help="Its `listen operator` address.")
+json_option = click.option("--json", "plain", is_flag=True, help="As JSON.")
+
+
+@main.command()
+@at_option
+@json_option
+def status(where, plain):
+    """What a running gateway holds and has answered. Exits 1 where it is not ready."""
+    told = ask(where, b"/status")
+    if plain:
+        click.echo(json.dumps(told))
+    else:
+        state = "stopping" if told["stopping"] else "ready" if told["ready"] else "not ready: no active host"
+        click.echo(f"{told['name']}: {state}, up {told['up_ms'] / 1000:.0f} s, {told['held']} tasks held")
+        table = Table()
+        counts = told["counts"]
+        for column in ("track", "taken", "delivered", "declined", "scrapped", "left"):
+            table.add_column(column, justify="left" if column == "track" else "right")
+        for track in sorted(counts.get("taken", {})):
+            table.add_row(track, *(str(counts.get(what, {}).get(track, 0))
+                                   for what in ("taken", "delivered", "declined", "scrapped", "left")))
+        Console().print(table)
+    sys.exit(0 if told["ready"] else 1)
+
+
+@main.command()
+@at_option
+@json_option
+def hosts(where, plain):
+    """The hosts that a running gateway knows."""
+    told = ask(where, b"/hosts")
+    if plain:
+        click.echo(json.dumps(told))
+        return
+    table = Table()
+    for column in ("host", "address", "state", "capacity", "connections", "relays by outcome"):
+        table.add_column(column)
+    for host in told:
+        table.add_row(host["name"], host["address"], host["state"], f"{host['capacity']:g}",
+                      str(host["connections"]), ", ".join(f"{name} {n}" for name, n in host["relays"].items()))
+    Console().print(table)
--- /dev/null
+++ b/gaproute/core/core.py
@@ -0,0 +1,207 @@
+"""The core of a running gateway: tasks from any front, wishes to the hosts, exactly one final answer for each.
+
+What a front gives is a `Call`; what it gets, once, is a `Final`. What the hosts give for each relay, once, is a
+`Heard`. Neither side knows of the other.
+"""
+from typing import NamedTuple
+
+from gaproute import interface as face
+from gaproute.call import Answer, Ending, Final
+from gaproute.core.drive import Driver
+
+
+class Heard(NamedTuple):
+    """What came of one relay, in the module's terms."""
+    result: face.Result
+    answer: Answer | None              # with Result.OK
+    found: face.Found = face.Found.UNTOLD
+    alike: int | None = None
+    report: face.Report | None = None
+
+
+class Held:
+    """A task in hand: until its final answer is given and the last of its relays is accounted for."""
+
+    __slots__ = ("id", "call", "track", "finish", "taken", "out", "relays", "end")
+
+    def __init__(self, name, call, track, finish, taken):
+        self.id, self.call, self.track, self.finish, self.taken = name, call, track, finish, taken
+        self.out = {}                  # relay: (worker, when sent, what takes it back)
+        self.relays = 0
+        self.end = None                # timer at the client's limit
+
+
+class Core(Driver):
+    """`hosts` gives `relay(worker, call, effect, task, done)`, `order(worker, function, copies, done)` and
+    `probe(worker, done)`; the first returns a call that takes the relay back."""
+
+    def __init__(self, loop, gateway, terms, hosts, record, name):
+        super().__init__(gateway)
+        self.loop, self.hosts, self.record, self.name = loop, hosts, record, name
+        self.tracks = terms.tracks
+        self.held = {}                 # task id: Held
+        self.timers = {}               # key: timer of its wait
+        self.count = 0
+        self.emptied = None            # call() when the last task held is accounted for
+
+    # From the fronts
+
+    def take(self, call, track, tenant, lanes, load_time, taken, time_left, finish):
+        """A task; `finish(final)` once, never from within. `taken` is when its first byte came.
+
+        Returns the gateway's id for it.
+        """
+        self.count += 1
+        now = self.loop.now()
+        key = f"{self.name}-{self.count:x}"
+        held = self.held[key] = Held(key, call, track, finish, taken)
+        left = max(0, taken + time_left - now)
+        held.end = self.loop.at(now + left, self._time_up, key)
+        self.record.taken(track)
+        try:
+            super().take(now, face.Task(key, tenant, left, call.function, lanes, load_time, track))
+        except Exception as error:
+            self._broken(key, error)
+        return key
+
+    def client_left(self, key):
+        """Nobody waits for the answer any more; nothing further is sent for the task."""
+        held = self.held.get(key)
+        if held is not None and held.finish is not None:
+            held.finish = None
+            self.record.left(held.track)
+            self._guarded(key, self.departed, self.loop.now(), key)
+            self._settle(held)
+
+    # From the hosts
+
+    def _came(self, key, number, heard):
+        held, now = self.held[key], self.loop.now()
+        worker, sent, _ = held.out.pop(number)
+        if heard.result is face.Result.OK and held.finish is not None:
+            self._final(held, Ending.DELIVERED, heard.answer, 0, "")
+        self.record.outcome(worker, held.track, heard.result, now - sent)
+        outcome = face.Outcome(key, number, worker, heard.result, now - sent, held.finish is None, heard.found,
+                               heard.alike, heard.report)
+        self._guarded(key, self.outcome, now, outcome)
+        self._settle(held)
+
+    def _stood(self, worker, function, result, copies):
+        self.gateway.stood(self.loop.now(), worker, function, result, copies)
+
+    def _probed(self, worker, good, report):
+        self.gateway.probed(self.loop.now(), worker, good, report)
+
+    # From the host list
+
+    def listed(self, rows, complete):
+        now = self.loop.now()
+        self.gateway.listed(now, rows, complete)
+        self.begin_housekeeping(now)
+
+    # Wishes
+
+    def wait(self, key, until, now):
+        self.unwait(key)
+        self.timers[key] = self.loop.at(until, self._woken, key)
+
+    def unwait(self, key):
+        timer = self.timers.pop(key, None)
+        if timer is not None:
+            timer.cancel()
+
+    def _woken(self, key):
+        self.timers.pop(key, None)
+        self._guarded(key, self.late, key, self.loop.now())
+
+    def relay(self, key, number, worker, now):
+        held = self.held[key]
+        held.relays += 1
+        take_back = self.hosts.relay(worker, held.call, self.tracks[held.track].effect, key,
+                                     lambda heard: self._came(key, number, heard))
+        held.out[number] = (worker, now, take_back)
+
+    def recall(self, key, number):
+        held = self.held.get(key)
+        if held is not None and number in held.out:
+            held.out[number][2]()
+            self.loop.soon(self._taken_back, key, number, face.Result.RECALLED)
+
+    def _taken_back(self, key, number, result):
+        if key in self.held and number in self.held[key].out:
+            self._came(key, number, Heard(result, None))
+
+    def order(self, worker, function, copies):
+        self.record.ordered(worker, function, copies)
+        self.hosts.order(worker, function, copies,
+                         lambda result, stand: self._stood(worker, function, result, stand))
+
+    def probe(self, worker):
+        self.hosts.probe(worker, lambda good, report: self._probed(worker, good, report))
+
+    def listen(self):
+        """The host list of a running gateway comes unasked."""
+
+    def decline(self, key, stay_away):
+        self._final(self.held[key], Ending.DECLINED, None, stay_away, "declined: it is safe to try again")
+
+    def scrap(self, key):
+        self._final(self.held[key], Ending.SCRAPPED, None, 0, "scrapped: it may have run, or may yet")
+
+    # One final answer
+
+    def _final(self, held, ending, answer, stay_away, reason):
+        """Guards the one final answer: a second one of the decision module's reaches nobody."""
+        finish, held.finish = held.finish, None
+        if finish is None:
+            self.record.fault("a second final answer was wished", held.id)
+            return
+        self.record.ended(held.track, ending, self.loop.now() - held.taken)
+        self.loop.soon(finish, Final(ending, answer, stay_away, held.id, held.relays, reason))
+
+    def _time_up(self, key):
+        """The client's limit: relays still out have timed out, and a task still unanswered is scrapped.
+
+        Guards against a decision module that is late; harms none that is in time.
+        """
+        held = self.held[key]
+        for number in list(held.out):
+            held.out[number][2]()
+            self._taken_back(key, number, face.Result.TIMEOUT)
+        if held.finish is not None:
+            self.record.fault("no final answer by the client's limit", key)
+            self.forget(key)
+            self._final(held, Ending.SCRAPPED, None, 0, "scrapped: the time was up")
+        self._settle(held)
+
+    def _settle(self, held):
+        """Forgets a task that is answered and has no relay out."""
+        if held.finish is None and not held.out and held.id not in self.tasks \
+                and self.held.pop(held.id, None) is not None:
+            held.end.cancel()
+            if not self.held and self.emptied is not None:
+                self.loop.soon(self.emptied)
+
+    def forget(self, key):
+        super().forget(key)
+        held = self.held.get(key)
+        if held is not None:
+            self._settle(held)
+
+    def _guarded(self, key, call, *args):
+        """An error in one task's decisions ends that task alone."""
+        try:
+            call(*args)
+        except Exception as error:
+            self._broken(key, error)
+
+    def _broken(self, key, error):
+        self.loop.failed(error)
+        self.record.fault(f"the decision module failed: {error!r}", key)
+        if key == "":
+            self.keeper = None         # begun anew with the next list
+            return
+        held = self.held.get(key)
+        if held is not None and held.finish is not None:
+            self._final(held, Ending.SCRAPPED, None, 0, "scrapped: an error in the gateway")
+        self.forget(key)
--- /dev/null
+++ b/gaproute/discovery/listing.py
@@ -0,0 +1,73 @@
+"""Host lines as what the module and the host connections are told; and the file of them, watched for changes."""
+import os
+import time
+
+from gaproute.conf import Mistakes, read_hosts
+from gaproute.hosts import Row
+from gaproute.interface import Listed, State
+
+STATES = {state.value: state for state in State}
+
+
+class Listing:
+    """Turns host lines into rows. Zones and racks are numbered in the order in which they are first named.
+
+    Start times come by the wall clock and leave by the loop's. Each is converted once, so that a wall clock
+    that is set does not look like a restart.
+    """
+
+    def __init__(self, loop, wall=time.time_ns):
+        self.loop, self.wall = loop, wall
+        self.zones, self.racks, self.starts = {}, {}, {}
+
+    def rows(self, lines):
+        return [self.row(line) for line in lines]
+
+    def row(self, line):
+        zone = self.zones.setdefault(line.zone, len(self.zones))
+        rack = self.racks.setdefault(line.rack, len(self.racks))
+        listed = Listed(line.name, zone, rack, STATES[line.state], line.capacity, self.started(line))
+        return Row(listed, line.where)
+
+    def started(self, line):
+        if line.started is None:
+            self.starts.pop(line.name, None)
+            return None
+        known = self.starts.get(line.name)
+        if known is None or known[0] != line.started:
+            age = max(0, self.wall() - line.started)     # a start in the future is one just now
+            known = self.starts[line.name] = (line.started, self.loop.now() - age)
+        return known[1]
+
+
+class FileWatch:
+    """Looks at a file of host lines; `told(lines)` at once when it has changed. A wrong or missing file is
+    refused whole, `refused(mistakes)` is called once for it, and the list last told stays."""
+
+    def __init__(self, loop, path, look, told, refused):
+        self.loop, self.path, self.look_every = loop, path, look
+        self.told, self.refused = told, refused
+        self.mark = None
+        self.look()
+
+    def look(self):
+        self.timer = self.loop.after(self.look_every, self.look)
+        try:
+            state = os.stat(self.path)
+            mark = (state.st_mtime_ns, state.st_ino, state.st_size)
+        except OSError as fault:
+            mark = fault.errno
+        if mark != self.mark:
+            self.mark = mark
+            self.read()
+
+    def read(self):
+        try:
+            lines = read_hosts(self.path)
+        except Mistakes as wrong:
+            self.refused(wrong.mistakes)
+            return
+        self.told(lines)
+
+    def close(self):
+        self.timer.cancel()
--- /dev/null
+++ b/gaproute/hosts/fleet.py
@@ -0,0 +1,236 @@
+"""The hosts as sockets: kept connections, relays, orders and probes. What it sees it reports; it chooses nothing.
+
+Which kept connection is trusted is `gaproute.pooling`'s decision, what an end proves `proof`'s table.
+"""
+from typing import NamedTuple
+
+from gaproute.call import Answer
+from gaproute.core.core import Heard
+from gaproute.hosts import kserve, orca, proof
+from gaproute.http1 import Exchange
+from gaproute.interface import Effect, Listed, Result, State
+from gaproute.loop.streams import address
+
+SECOND = 1_000_000_000
+PASSED = (b"content-type", b"inference-header-content-length", b"content-encoding")
+
+
+class Row(NamedTuple):
+    """A host of the list: what the module is told of it, and where it answers."""
+    listed: Listed
+    where: str
+
+
+class Reach(NamedTuple):
+    """How hosts are reached."""
+    connect_time: int = 250_000_000
+    probe_time: int = 250_000_000
+    order_time: int = 10 * SECOND
+    connections: int = 256             # to one host; a relay beyond them is not sent and counts as full
+    answer_limit: int = 64 << 20       # bytes of one answer
+    head_limit: int = 65536
+
+
+class Host:
+    __slots__ = ("name", "where", "text", "idle", "open", "unsent", "active")
+
+    def __init__(self, name, where):
+        self.name, self.active = name, True
+        self.idle, self.open = [], set()    # links at rest, the longest first; all links
+        self.unsent = {}                    # exchanges of which no byte has been handed over, as keys
+        self.move(where)
+
+    def move(self, where):
+        self.text, self.where = where.encode(), address(where)
+
+
+class Hosts:
+    def __init__(self, loop, pooling, reach=Reach(), gateway="gaproute"):
+        self.loop, self.pooling, self.reach, self.gateway = loop, pooling, reach, gateway.encode()
+        self.hosts = {}
+        self.opened = self.reused = self.raced = 0
+        self.sweep()
+
+    def listed(self, rows, complete):
+        """The host list. From now on nothing more goes to hosts that drain or are gone, also what waits to be
+        handed over; what they hold runs on."""
+        for row in rows:
+            host = self.hosts.get(row.listed.worker)
+            if host is None:
+                host = self.hosts[row.listed.worker] = Host(row.listed.worker, row.where)
+            elif row.where.encode() != host.text:
+                self.rest(host)
+                host.move(row.where)
+            host.active = row.listed.state is State.ACTIVE
+        if complete:
+            named = {row.listed.worker for row in rows}
+            for host in self.hosts.values():
+                host.active = host.active and host.name in named
+        for host in list(self.hosts.values()):
+            if host.active:
+                continue
+            self.rest(host)
+            for exchange in list(host.unsent):
+                exchange.abandon("the host drains or is gone")
+            host.unsent.clear()
+            if complete and not host.open and host.name not in named:
+                del self.hosts[host.name]
+                self.pooling.gone(host.name)
+
+    def rest(self, host):
+        for link in host.idle:
+            link.drop()
+            host.open.discard(link)
+        host.idle = []
+
+    # Connections
+
+    def exchange(self, host, data, effect, done):
+        """One request on a connection that may be trusted with it, else on a new one; None: too many stand.
+
+        `done(answer, undelivered)`, never at once.
+        """
+        now = self.loop.now()
+        link = self.kept(host, effect, now)
+
+        def came(answer, undelivered):
+            host.unsent.pop(exchange, None)
+            used = exchange.link
+            if used is not None:
+                if used.open:
+                    used.on_idle_end = lambda link: self.idle_ended(host, link)
+                    host.idle.append(used)
+                else:
+                    host.open.discard(used)
+            if undelivered is not None and undelivered.handed and link is not None \
+                    and self.loop.now() - exchange.started < SECOND:
+                self.raced += 1        # perhaps closed by the host just as it was used
+            done(answer, undelivered)
+
+        exchange = Exchange(self.loop, data, came)
+        if link is not None:
+            self.reused += 1
+            return exchange.on(link)
+        if len(host.open) >= self.reach.connections:
+            return None
+        self.opened += 1
+
+        def linked(link):
+            host.unsent.pop(exchange, None)
+            host.open.add(link)
+
+        host.unsent[exchange] = None
+        return exchange.open(host.where, self.reach.connect_time, self.reach.head_limit, self.reach.answer_limit,
+                             linked)
+
+    def kept(self, host, effect, now):
+        """The kept connection that rested least, where it may be used and shows no sign of an end."""
+        while host.idle:
+            link = host.idle[-1]
+            rested = now - link.used
+            if rested > self.pooling.safe_rest(now, host.name, effect, link.told_idle):
+                return None
+            host.idle.pop()
+            link.on_idle_end = None
+            if link.stream.quiet():
+                return link
+            link.drop()
+            host.open.discard(link)
+            self.pooling.closed(now, host.name, rested)
+        return None
+
+    def idle_ended(self, host, link):
+        if link in host.idle:
+            host.idle.remove(link)
+        host.open.discard(link)
+        self.pooling.closed(self.loop.now(), host.name, self.loop.now() - link.used)
+
+    def sweep(self):
+        """Connections that rested too long for any task are closed from this side, before the host does."""
+        now = self.loop.now()
+        for host in self.hosts.values():
+            keep = []
+            for link in host.idle:
+                if now - link.used <= self.pooling.safe_rest(now, host.name, Effect.PURE, link.told_idle):
+                    keep.append(link)
+                else:
+                    link.drop()
+                    host.open.discard(link)
+            host.idle = keep
+        self.sweeper = self.loop.after(SECOND, self.sweep)
+
+    def give_up(self, host, exchange):
+        exchange.drop()
+        host.unsent.pop(exchange, None)
+        if exchange.link is not None:
+            host.open.discard(exchange.link)
+
+    # What the core wishes
+
+    def relay(self, worker, call, effect, task, done):
+        """One relay; `done(heard)` once, never at once. Returns a call that takes it back."""
+        host = self.hosts[worker]
+
+        def came(answer, undelivered):
+            if answer is None:
+                done(Heard(proof.of_failure(undelivered.handed), None))
+                return
+            report, found, alike = orca.read(answer.headers)
+            result, told = proof.of_answer(answer.status), None
+            if result is Result.OK:
+                fields = tuple((name, answer.headers[name]) for name in PASSED if name in answer.headers)
+                told = Answer(answer.status, fields, answer.body)
+            done(Heard(result, told, found, alike, report))
+
+        exchange = self.exchange(host, kserve.infer(call, task, host.text), effect, came)
+        if exchange is None:
+            over = []
+            self.loop.soon(lambda: over or done(Heard(Result.FULL, None)))
+            return lambda: over.append(True)
+        return lambda: self.give_up(host, exchange)
+
+    def order(self, worker, function, copies, done):
+        """A load order; `done(result, copies that stand)` once, never at once."""
+        host = self.hosts[worker]
+
+        def came(answer, undelivered):
+            if timer is not None:
+                timer.cancel()
+            if answer is None:
+                done(proof.of_failure(undelivered.handed), 0)
+            elif answer.status == 200:
+                done(Result.OK, kserve.standing(answer.body))
+            else:
+                done(Result.FULL if answer.status in (404, 409, 429) else Result.ERROR, 0)
+
+        timer = None
+        exchange = self.exchange(host, kserve.load(function, copies, host.text, self.gateway), Effect.PURE, came)
+        if exchange is None:
+            self.loop.soon(done, Result.FULL, 0)
+            return
+        timer = self.loop.after(self.reach.order_time, lambda: (self.give_up(host, exchange),
+                                                                done(Result.TIMEOUT, 0)))
+
+    def probe(self, worker, done):
+        """Readiness and load; `done(good, report)` once, never at once."""
+        host = self.hosts[worker]
+
+        def came(answer, undelivered):
+            if timer is not None:
+                timer.cancel()
+            good = answer is not None and answer.status == 200
+            done(good, orca.read(answer.headers)[0] if good else None)
+
+        timer = None
+        exchange = self.exchange(host, kserve.ready(host.text), Effect.PURE, came)
+        if exchange is None:
+            return
+        timer = self.loop.after(self.reach.probe_time, lambda: (self.give_up(host, exchange), done(False, None)))
+
+    def close(self):
+        self.sweeper.cancel()
+        for host in self.hosts.values():
+            for link in list(host.open):
+                link.drop()
+            host.open.clear()
+            host.idle = []
--- /dev/null
+++ b/gaproute/hosts/proof.py
@@ -0,0 +1,31 @@
+"""What each end of a relay proves. Rule 2 rests on this table; it stands here and nowhere else.
+
+| what was seen | result | proves |
+| --- | --- | --- |
+| no connection: refused, no route, time-out | CONNECT_FAILED | never ran |
+| not one byte of the request accepted by the kernel | CONNECT_FAILED | never ran |
+| full answer 429 | FULL | never ran |
+| full answer 404: no such model, or not ready | MISS | never ran |
+| full answer 2xx | OK | ran |
+| full answer 4xx, others but 408 and 425: what the client sent is at fault | OK, passed on | ran |
+| full answer 5xx, 408, 425, 3xx | ERROR | may have run |
+| any byte handed over, then reset, close, half an answer, nonsense | RESET | may have run |
+"""
+from gaproute.interface import Result
+
+UNCLEAR = (408, 425)     # time-out at the host, too early: neither says what became of the task
+
+
+def of_answer(status):
+    if status == 429:
+        return Result.FULL
+    if status == 404:
+        return Result.MISS
+    if 200 <= status < 300 or 400 <= status < 500 and status not in UNCLEAR:
+        return Result.OK
+    return Result.ERROR
+
+
+def of_failure(handed):
+    """No full answer came; `handed` is whether the kernel took any byte of the request."""
+    return Result.RESET if handed else Result.CONNECT_FAILED
--- /dev/null
+++ b/gaproute/http1/server.py
@@ -0,0 +1,200 @@
+"""The server side of HTTP/1.1: whole requests in, answers out in the order of the requests.
+
+A client that closes its side has left: HTTP/1.1 cannot tell a half-closed client from a gone one before
+bytes are written to it, and a task that nobody waits for must end at once. What is answered then is still
+written, so that one that only closed half gets a clear answer.
+"""
+from typing import NamedTuple
+
+from gaproute.http1.message import Fault, Reader
+from gaproute.loop import Listener, Stream
+
+SECOND = 1_000_000_000
+REASONS = {100: "Continue", 200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found",
+           405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+           414: "URI Too Long", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 501: "Not Implemented", 502: "Bad Gateway", 503: "Service Unavailable",
+           504: "Gateway Timeout"}
+
+
+class Limits(NamedTuple):
+    """What one client may take up."""
+    head: int = 32768
+    body: int = 16 << 20
+    pipelined: int = 16                # requests of one connection held at once; more are left unread
+    read_time: int = 20 * SECOND       # for one request to come in whole
+    idle_time: int = 75 * SECOND       # between requests
+    connections: int = 10_000
+
+
+def render(status, headers, body, close):
+    """An answer's bytes; `headers` are (name, value) pairs of bytes."""
+    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Other").encode())]
+    lines += [b"%s: %s\r\n" % pair for pair in headers]
+    lines.append(b"Content-Length: %d\r\n%s\r\n" % (len(body), b"Connection: close\r\n" if close else b""))
+    return b"".join(lines) + body
+
+
+class Server:
+    """Listens on one address. `handle(request)` for each whole request, to be answered once by `answer`."""
+
+    def __init__(self, loop, where, handle, limits=Limits(), explain=None):
+        self.loop, self.handle, self.limits = loop, handle, limits
+        self.explain = explain or (lambda fault: ((), fault.text.encode() + b"\n"))   # headers, body of a refusal
+        self.links = set()
+        self.stopping = False
+        self.turned_away = self.faults = 0
+        self.listener = Listener(loop, where, self._accepted)
+        self.address = self.listener.address
+
+    def _accepted(self, sock):
+        if len(self.links) >= self.limits.connections:
+            self.turned_away += 1
+            sock.close()
+            return
+        self.links.add(ServerLink(self, sock))
+
+    def answer(self, request, status, headers, body):
+        """The one answer to a request; what comes after the client left for good is dropped."""
+        request.link.answer(request, status, headers, body)
+
+    def stop(self):
+        """Accepts no more; kept connections close after the answers they are owed."""
+        self.stopping = True
+        self.listener.close()
+        for link in list(self.links):
+            link.stop()
+
+    def close(self):
+        self.stop()
+        for link in list(self.links):
+            link.stream.abort()
+            link.gone()
+
+
+class ServerLink:
+    __slots__ = ("server", "stream", "reader", "queue", "timer", "closing", "ended")
+
+    def __init__(self, server, sock):
+        self.server = server
+        self.reader = Reader(True, server.loop.clock, server.limits.head, server.limits.body)
+        self.queue = []          # [request, rendered answer or None], in the order of the requests
+        self.closing = self.ended = False
+        self.stream = Stream(server.loop, sock, self._bytes, self._end)
+        self.stream.on_half = self._half
+        self.timer = server.loop.after(server.limits.idle_time, self._overtime)
+
+    def _bytes(self, data):
+        if self.closing:
+            return
+        try:
+            requests = self.reader.feed(data)
+        except Fault as fault:
+            self._refuse(fault)
+            return
+        for request in requests:
+            self._take(request)
+        if self.reader.wants_continue:
+            self.reader.wants_continue = False
+            if not self.queue:      # one that pipelines behind an answer still owed waits for it anyway
+                self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        if self.stream.open:
+            self._time()
+            if len(self.queue) >= self.server.limits.pipelined:
+                self.stream.pause()
+
+    def _time(self):
+        """One timer: for the request that is coming in, else for idleness; none while an answer is owed."""
+        self.timer.cancel()
+        limits = self.server.limits
+        if self.reader.midway:
+            left = self.reader.message.arrived + limits.read_time - self.server.loop.now() \
+                if self.reader.message else limits.read_time
+            self.timer = self.server.loop.after(max(0, left), self._overtime)
+        elif not self.queue and not self.closing:
+            self.timer = self.server.loop.after(limits.idle_time, self._overtime)
+
+    def _overtime(self):
+        if self.reader.midway and not self.queue:
+            self._refuse(Fault(408, "the request did not come in whole in time"))
+        elif self.reader.midway:
+            self.closing = True      # the answers still owed go out first
+        elif not self.queue:
+            self._shut()
+
+    def _refuse(self, fault):
+        """Answers what cannot be read and closes; what was whole before it is answered first."""
+        self.server.faults += 1
+        for request in self.reader.done:
+            self._take(request)
+        self.reader.done = []
+        headers, body = self.server.explain(fault)
+        self.closing = True
+        self.queue.append([None, render(fault.status, headers, body, True)])
+        self._write()
+
+    def _take(self, request):
+        request.link = self
+        if self.closing:
+            return
+        if not request.keep_alive:
+            self.closing = True
+        self.queue.append([request, None])
+        self.server.handle(request)
+
+    def answer(self, request, status, headers, body):
+        for place, entry in enumerate(self.queue):
+            if entry[0] is request:
+                break
+        else:
+            return
+        if entry[1] is not None:
+            raise RuntimeError("a second answer to one request")
+        request.left = None
+        last = self.closing and place == len(self.queue) - 1 or self.server.stopping or self.ended
+        entry[1] = render(status, headers, body, last)
+        self._write()
+
+    def _write(self):
+        wrote = False
+        while self.queue and self.queue[0][1] is not None:
+            wrote = True
+            self.stream.write(self.queue.pop(0)[1])
+        if not self.queue and (self.closing or self.ended or self.server.stopping):
+            self._shut()
+        elif wrote and self.stream.open:
+            if not self.stream.reading and len(self.queue) < self.server.limits.pipelined // 2 + 1:
+                self.stream.resume()
+            self._time()
+
+    def stop(self):
+        if not self.queue and not self.reader.midway:
+            self._shut()
+
+    def _half(self):
+        """The client closed its side: the tasks it waits for end now, with answers for one half closed."""
+        self.ended = True
+        self._leave()
+        if not self.queue:
+            self._shut()
+
+    def _end(self, error):
+        self.ended = True
+        self._leave()
+        self.gone()
+
+    def _leave(self):
+        self.timer.cancel()
+        for request, answer in list(self.queue):
+            if answer is None and request.left is not None:
+                left, request.left = request.left, None
+                left()
+
+    def _shut(self):
+        self.timer.cancel()
+        self.stream.close()
+        self.server.links.discard(self)
+
+    def gone(self):
+        self.timer.cancel()
+        self.server.links.discard(self)
--- /dev/null
+++ b/gaproute/loop/loop.py
@@ -0,0 +1,262 @@
+"""The loop: readiness by epoll, timers in a heap, generators as coroutines. Times are int nanoseconds.
+
+One turn hands over everything that is readable, then what was asked for `soon`, then the timers that are due.
+A turn that finds itself late (the process was stopped, or the machine stalled) looks for bytes again until
+none are left before any timer fires: what came in meanwhile is booked before anything is judged overdue.
+"""
+import heapq
+import os
+import select
+import signal
+import time
+import traceback
+from collections import deque
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+LATE = 50 * MILLI      # a turn this late was stopped, not busy: a busy one lasts some milliseconds
+LOOKS = 8              # looks for bytes in a late turn: a flood must not keep timers from firing for ever
+IDLE = SECOND          # longest wait in one poll: a clock that jumps is noticed within it
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+GONE = select.EPOLLHUP | select.EPOLLERR
+
+
+class Promise:
+    """A value that comes later. A coroutine that yields it is resumed with the value, or the error raised."""
+
+    __slots__ = ("ready", "value", "error", "waiters")
+
+    def __init__(self):
+        self.ready, self.value, self.error, self.waiters = False, None, None, []
+
+    def set(self, value=None):
+        self._settle(value, None)
+
+    def fail(self, error):
+        self._settle(None, error)
+
+    def _settle(self, value, error):
+        if self.ready:
+            return
+        self.ready, self.value, self.error = True, value, error
+        waiters, self.waiters = self.waiters, []
+        for waiter in waiters:
+            waiter(self)
+
+    def then(self, call):
+        """`call(promise)` once it is settled, at once if it is."""
+        if self.ready:
+            call(self)
+        else:
+            self.waiters.append(call)
+
+
+class Timer:
+    __slots__ = ("when", "call", "args", "loop")
+
+    def __init__(self, loop, when, call, args):
+        self.loop, self.when, self.call, self.args = loop, when, call, args
+
+    def cancel(self):
+        if self.call is not None:
+            self.call = self.args = None
+            self.loop.dead += 1
+
+
+class Routine:
+    """A generator driven by the loop: it yields promises and ends by returning."""
+
+    __slots__ = ("loop", "generator", "done")
+
+    def __init__(self, loop, generator):
+        self.loop, self.generator, self.done = loop, generator, Promise()
+
+    def cancel(self):
+        """Closes the generator, so that its `finally` parts run; `done` is settled with None."""
+        if not self.done.ready:
+            self.generator.close()
+            self.done.set()
+
+    def step(self, promise=None):
+        while not self.done.ready:
+            try:
+                if promise is not None and promise.error is not None:
+                    waited = self.generator.throw(promise.error)
+                else:
+                    waited = self.generator.send(None if promise is None else promise.value)
+            except StopIteration as end:
+                self.done.set(end.value)
+                return
+            except Exception as error:
+                if not self.done.waiters:
+                    self.loop.failed(error)
+                self.done.fail(error)
+                return
+            if not waited.ready:
+                waited.waiters.append(self.step)
+                return
+            promise = waited
+
+
+class Stepped:
+    """A clock for tests: it stands still while there is work and leaps over every wait without one."""
+
+    def __init__(self, now=0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+    def poll(self, epoll, span):
+        ready = epoll.poll(0)
+        if not ready:
+            self.now += max(0, span)
+        return ready
+
+
+class Loop:
+    def __init__(self, clock=time.monotonic_ns):
+        self.clock = clock
+        self.poll = getattr(clock, "poll", None) or (lambda epoll, span: epoll.poll(max(0, span) / SECOND))
+        self.epoll = select.epoll()
+        self.watched = {}        # descriptor: call(events)
+        self.timers, self.dead, self.count = [], 0, 0
+        self.queue = deque()
+        self.running = False
+        self.turns = self.late_turns = 0
+        self.errors = []         # the last few errors that escaped a callback
+        self.on_error = None     # call(error), where somebody wants to log them
+        self.signals = {}
+
+    # Time
+
+    def now(self):
+        return self.clock()
+
+    def at(self, when, call, *args):
+        timer = Timer(self, when, call, args)
+        self.count += 1
+        heapq.heappush(self.timers, (when, self.count, timer))
+        if self.dead > 1024 and self.dead * 2 > len(self.timers):
+            self.timers = [entry for entry in self.timers if entry[2].call is not None]
+            heapq.heapify(self.timers)
+            self.dead = 0
+        return timer
+
+    def after(self, span, call, *args):
+        return self.at(self.clock() + span, call, *args)
+
+    def soon(self, call, *args):
+        self.queue.append((call, args))
+
+    def sleep(self, span):
+        promise = Promise()
+        self.after(span, promise.set)
+        return promise
+
+    def spawn(self, generator):
+        routine = Routine(self, generator)
+        self.soon(routine.step)
+        return routine
+
+    # Descriptors
+
+    def watch(self, fd, events, call):
+        self.watched[fd] = call
+        self.epoll.register(fd, events)
+
+    def rewatch(self, fd, events):
+        self.epoll.modify(fd, events)
+
+    def unwatch(self, fd):
+        if self.watched.pop(fd, None) is not None:
+            self.epoll.unregister(fd)
+
+    def on_signal(self, number, call):
+        """`call()` in a turn of the loop, never inside the handler; through a wake-up descriptor."""
+        if not self.signals:
+            reader, writer = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+            signal.set_wakeup_fd(writer, warn_on_full_buffer=False)
+            self.watch(reader, READ, lambda events: self._signalled(reader))
+        self.signals[number] = call
+        signal.signal(number, lambda *_: None)
+
+    def _signalled(self, reader):
+        try:
+            numbers = os.read(reader, 512)
+        except BlockingIOError:
+            return
+        for number in dict.fromkeys(numbers):
+            if number in self.signals:
+                self.signals[number]()
+
+    # Turns
+
+    def failed(self, error):
+        self.errors = self.errors[-7:] + [error]
+        if self.on_error is not None:
+            self.on_error(error)
+        else:
+            traceback.print_exception(error)
+
+    def guard(self, call, *args):
+        """An error in one callback must not take the others' work with it."""
+        try:
+            call(*args)
+        except Exception as error:
+            self.failed(error)
+
+    def turn(self):
+        """One turn; waits no longer than until the next timer."""
+        self.turns += 1
+        while self.timers and self.timers[0][2].call is None:
+            heapq.heappop(self.timers)
+            self.dead -= 1
+        due = self.timers[0][0] - self.clock() if self.timers else IDLE
+        self._bytes(0 if self.queue else min(max(0, due), IDLE))
+        now = self.clock()
+        if self.timers and now - self.timers[0][0] > LATE:
+            self.late_turns += 1
+            for _ in range(LOOKS):
+                if not self._bytes(0):
+                    break
+        now = self.clock()
+        while self.timers and self.timers[0][0] <= now:
+            timer = heapq.heappop(self.timers)[2]
+            if timer.call is None:
+                self.dead -= 1
+                continue
+            call, args = timer.call, timer.args
+            timer.call = timer.args = None
+            self.guard(call, *args)
+        self._queued()
+
+    def _bytes(self, span):
+        ready = self.poll(self.epoll, span)
+        for fd, events in ready:
+            call = self.watched.get(fd)    # an earlier callback of this turn may have closed it
+            if call is not None:
+                self.guard(call, events)
+        self._queued()
+        return ready
+
+    def _queued(self):
+        for _ in range(len(self.queue)):
+            call, args = self.queue.popleft()
+            self.guard(call, *args)
+
+    def run(self, until=None):
+        """Turns until `stop`, or until the promise `until` is settled, whose value is returned."""
+        self.running = True
+        while self.running and not (until is not None and until.ready):
+            self.turn()
+        if until is not None and until.ready:
+            if until.error is not None:
+                raise until.error
+            return until.value
+        return None
+
+    def stop(self):
+        self.running = False
+
+    def close(self):
+        self.epoll.close()
--- /dev/null
+++ b/gaproute/loop/streams.py
@@ -0,0 +1,309 @@
+"""Byte streams over TCP (IPv4, IPv6) and Unix sockets, and what accepts and opens them."""
+import errno
+import os
+import socket
+import stat
+import struct
+
+from gaproute.loop.loop import GONE, MILLI, READ, WRITE
+
+CHUNK = 65536            # bytes read in one call: a large socket buffer in few calls, small next to a body
+HIGH = 1 << 20           # bytes waiting to be written above which the writer is told to hold back
+ACCEPTS = 32             # connections accepted in one turn, so that tasks in flight get their share of it
+NO_FD_PAUSE = 100 * MILLI    # accepting rests this long when descriptors run out, rather than spin
+SHORT_OF_FDS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+def address(text):
+    """`127.0.0.1:80`, `[::1]:80`, `unix:/path` as (family, sockaddr). Errors: ValueError."""
+    if text.startswith("unix:"):
+        if len(text) < 6 or len(text) > 5 + 107:
+            raise ValueError("a Unix socket path has 1 to 107 characters")
+        return socket.AF_UNIX, text[5:]
+    host, _, port = text.rpartition(":")
+    if not port.isdigit() or not 0 <= int(port) <= 65535 or not host:
+        raise ValueError("an address is HOST:PORT, [IPV6]:PORT or unix:PATH")
+    if host.startswith("[") and host.endswith("]"):
+        socket.inet_pton(socket.AF_INET6, host[1:-1])
+        return socket.AF_INET6, (host[1:-1], int(port))
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError as fault:
+        raise ValueError(f"{host!r} is no IPv4 address") from fault
+    return socket.AF_INET, (host, int(port))
+
+
+class Stream:
+    """A connected socket. `on_bytes(data)`, `on_end(error or None)` once; writes are buffered.
+
+    With `on_half` set, the other side's end of sending calls it instead of ending the stream: writing goes on.
+
+    `handed` counts the bytes that the kernel accepted: what a failure proves rests on it.
+    """
+
+    __slots__ = ("loop", "sock", "fd", "on_bytes", "on_end", "on_room", "on_half", "out", "waiting", "handed", "closing",
+                 "reading", "mask", "open")
+
+    def __init__(self, loop, sock, on_bytes, on_end):
+        self.loop, self.sock, self.fd = loop, sock, sock.fileno()
+        self.on_bytes, self.on_end, self.on_room = on_bytes, on_end, None
+        self.on_half = None
+        self.out, self.waiting, self.handed = [], 0, 0
+        self.closing, self.reading, self.open = False, True, True
+        self.mask = READ
+        loop.watch(self.fd, READ, self._ready)
+
+    def _ready(self, events):
+        if events & WRITE:
+            self._flush()
+        if self.open and events & (READ | GONE):
+            if not self.reading and events & GONE:
+                self._finish(ConnectionResetError(errno.ECONNRESET, "closed by the other side"))
+            elif self.reading:
+                self._read()
+
+    def _read(self):
+        try:
+            data = self.sock.recv(CHUNK)
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as fault:
+            self._finish(fault)
+            return
+        if data:
+            self.on_bytes(data)
+        elif self.on_half is not None:
+            self.pause()
+            self.on_half()
+        else:
+            self._finish(None)
+
+    def write(self, data):
+        """Queue bytes; what the kernel takes at once goes at once. Returns whether there is room for more."""
+        if not self.open or self.closing:
+            return False
+        if self.out:
+            self.out.append(data)
+            self.waiting += len(data)
+        else:
+            sent = self._send(data)
+            if sent is not None and sent < len(data):
+                self.out.append(memoryview(data)[sent:])
+                self.waiting += len(data) - sent
+                self._watch()
+        return self.waiting < HIGH
+
+    def _send(self, data):
+        try:
+            sent = self.sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            return 0
+        except OSError as fault:
+            self.loop.soon(self._finish, fault)
+            return None
+        self.handed += sent
+        return sent
+
+    def _flush(self):
+        while self.out:
+            sent = self._send(self.out[0])
+            if sent is None:
+                return
+            self.waiting -= sent
+            if sent < len(self.out[0]):
+                self.out[0] = memoryview(self.out[0])[sent:]
+                return
+            self.out.pop(0)
+        if self.closing:
+            self._shut()
+            return
+        self._watch()
+        if self.on_room is not None:
+            self.on_room()
+
+    def _watch(self):
+        mask = (READ if self.reading else 0) | (WRITE if self.out else 0)
+        if self.open and mask != self.mask:
+            self.mask = mask
+            self.loop.rewatch(self.fd, mask)
+
+    def pause(self):
+        self.reading = False
+        self._watch()
+
+    def resume(self):
+        self.reading = True
+        self._watch()
+
+    def quiet(self):
+        """Whether nothing lies unread and the other side has not closed: one system call."""
+        try:
+            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            pass
+        return False
+
+    def close(self):
+        """Closes once all that was written has been handed over; no further callbacks."""
+        self.on_bytes, self.on_end, self.on_half = _nothing, _nothing, None
+        if self.open and self.out:
+            self.closing = True
+            self._watch()
+        else:
+            self._shut()
+
+    def abort(self):
+        """Closes at once with a reset; no further callbacks."""
+        self.on_end = _nothing
+        if self.open:
+            try:
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            except OSError:
+                pass
+            self._shut()
+
+    def _finish(self, error):
+        if self.open:
+            self._shut()
+            self.on_end(error)
+
+    def _shut(self):
+        if self.open:
+            self.open = False
+            self.out, self.waiting = [], 0
+            self.loop.unwatch(self.fd)
+            self.sock.close()
+
+
+def _nothing(*_):
+    pass
+
+
+def _tuned(sock):
+    sock.setblocking(False)
+    if sock.family != socket.AF_UNIX:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def connect(loop, where, within, done):
+    """Opens a connection to `where` (see `address`); `done(socket or None, error or None)` once, never at once.
+
+    Returns a call that gives up; after it `done` is not called.
+    """
+    family, target = where
+    try:
+        sock = _tuned(socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC))
+    except OSError as fault:
+        loop.soon(done, None, fault)
+        return _nothing
+    code = sock.connect_ex(target)
+    over = []
+
+    def settle(error):
+        if over:
+            return
+        over.append(True)
+        loop.unwatch(sock.fileno())
+        timer.cancel()
+        if error is None:
+            done(sock, None)
+        else:
+            sock.close()
+            done(None, error)
+
+    def ready(events):
+        fault = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        settle(OSError(fault, os.strerror(fault)) if fault else None)
+
+    def give_up():
+        if not over:
+            over.append(True)
+            loop.unwatch(sock.fileno())
+            timer.cancel()
+            sock.close()
+
+    timer = loop.after(within, settle, TimeoutError("connect timed out"))
+    if code == 0:
+        loop.soon(settle, None)
+    elif code == errno.EINPROGRESS:
+        loop.watch(sock.fileno(), WRITE, ready)
+    else:     # a Unix socket whose backlog is full says EAGAIN: it is refused like any other
+        loop.soon(settle, OSError(code, os.strerror(code)))
+    return give_up
+
+
+class Listener:
+    """Accepts on one address; `on_socket(sock)` for each connection. Rests when descriptors run out."""
+
+    def __init__(self, loop, where, on_socket, backlog=1024):
+        self.loop, self.on_socket, self.rests = loop, on_socket, 0
+        family, target = where
+        self.sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        self.path = target if family == socket.AF_UNIX else None
+        if self.path is None:
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if family == socket.AF_INET6:
+                self.sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        else:
+            _clear_stale(target)
+        try:
+            self.sock.bind(target)
+        except OSError:
+            self.sock.close()
+            raise
+        self.sock.listen(backlog)
+        self.sock.setblocking(False)
+        loop.watch(self.sock.fileno(), READ, self._ready)
+
+    @property
+    def address(self):
+        """Where it listens, as text, with the port that the kernel picked."""
+        if self.path is not None:
+            return f"unix:{self.path}"
+        host, port = self.sock.getsockname()[:2]
+        return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+    def _ready(self, events):
+        for _ in range(ACCEPTS):
+            try:
+                sock, _ = self.sock.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                if fault.errno in SHORT_OF_FDS:
+                    self.rests += 1
+                    self.loop.unwatch(self.sock.fileno())
+                    self.loop.after(NO_FD_PAUSE, self._again)
+                    return
+                raise
+            self.on_socket(_tuned(sock))
+
+    def _again(self):
+        if self.sock.fileno() >= 0:
+            self.loop.watch(self.sock.fileno(), READ, self._ready)
+
+    def close(self):
+        if self.sock.fileno() >= 0:
+            self.loop.unwatch(self.sock.fileno())
+            self.sock.close()
+            if self.path is not None:
+                try:
+                    os.unlink(self.path)
+                except FileNotFoundError:
+                    pass
+
+
+def _clear_stale(path):
+    """A socket file that nobody listens on is removed; a live one is never stolen (bind then fails)."""
+    try:
+        if not stat.S_ISSOCK(os.stat(path).st_mode):
+            return
+        with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as trial:
+            trial.connect(path)
+    except ConnectionRefusedError:
+        os.unlink(path)
+    except FileNotFoundError:
+        pass
--- /dev/null
+++ b/gaproute/record/record.py
@@ -0,0 +1,59 @@
+"""Counts and the last events of one gateway, and its log. Logs are structlog's, a line of JSON each."""
+import sys
+from collections import Counter, deque
+
+import structlog
+
+LAST = 256               # events kept for an operator's look
+TIMES = 512              # last answer times kept for each track
+
+
+def logger(stream=None, level="info"):
+    """A logger that writes lines of JSON to `stream` (standard error)."""
+    levels = {"debug": 10, "info": 20, "warning": 30, "error": 40}
+    return structlog.wrap_logger(
+        structlog.WriteLogger(stream or sys.stderr),
+        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
+                    structlog.processors.JSONRenderer()],
+        wrapper_class=structlog.make_filtering_bound_logger(levels[level]))
+
+
+class Record:
+    def __init__(self, log, tracks):
+        self.log, self.tracks = log, tracks       # names of the tracks, in their order
+        self.counts = Counter()                   # (what, track name or worker, ...): how often
+        self.times = [deque(maxlen=TIMES) for _ in tracks]    # ns from first byte to final answer
+        self.events = deque(maxlen=LAST)
+
+    def event(self, level, what, **told):
+        self.events.append((what, told))
+        getattr(self.log, level)(what, **told)
+
+    def taken(self, track):
+        self.counts["taken", self.tracks[track]] += 1
+
+    def left(self, track):
+        self.counts["left", self.tracks[track]] += 1
+
+    def ended(self, track, ending, took):
+        self.counts[ending.value, self.tracks[track]] += 1
+        self.times[track].append(took)
+
+    def outcome(self, worker, track, result, took):
+        self.counts["relay", worker, result.value] += 1
+
+    def ordered(self, worker, function, copies):
+        self.counts["order", worker] += 1
+
+    def fault(self, text, key):
+        self.event("error", "fault", text=text, task=key)
+
+    def table(self):
+        """The counts as nested plain data: {what: {subject: count or {detail: count}}}."""
+        told = {}
+        for (what, *path), count in sorted(self.counts.items()):
+            place = told.setdefault(what, {})
+            for part in path[:-1]:
+                place = place.setdefault(part, {})
+            place[path[-1]] = count
+        return told
