--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -116,3 +116,33 @@
         table.add_row(host["name"], host["address"], host["state"], f"{host['capacity']:g}",
                       str(host["connections"]), ", ".join(f"{name} {n}" for name, n in host["relays"].items()))
     Console().print(table)
+
+
+@main.command()
+@click.argument("script", default="bad-day")
+@click.option("--seed", default=1, help="Seed of the day's chance.")
+@click.option("--decisions", default="gaproute.policy:Gateway", help="The gateways' decisions, MODULE:CLASS.")
+@click.option("--out", type=click.Path(file_okay=False), help="Folder for taps, logs and result.json.")
+@json_option
+def trial(script, seed, decisions, out, plain):
+    """Play the scripted day SCRIPT (a name that comes with the program, or a file) on loopback and judge it."""
+    import tempfile
+    from pathlib import Path
+
+    from gaproute.trial.run import Trial
+    from gaproute.trial.script import read_script
+    from gaproute.trial.tables import show
+    try:
+        told = read_script(script)
+    except Mistakes as wrong:
+        click.echo(str(wrong), err=True)
+        sys.exit(2)
+    out = out or tempfile.mkdtemp(prefix="gaproute-trial-")
+    result = Trial(told, out, seed, decisions, None if plain else click.echo).run()
+    Path(out, "result.json").write_text(json.dumps(result.plain(), indent=1))
+    if plain:
+        click.echo(json.dumps(result.plain()))
+    else:
+        show(result, Console(width=80))
+        click.echo(f"taps, logs and result.json: {out}")
+    sys.exit(0 if result.well else 1)
--- a/gaproute/conf/lines.py
+++ b/gaproute/conf/lines.py
@@ -113,7 +113,8 @@
     given = dict(zip(places, words))
     rest = words[len(places):]
     wrong = []
-    names = {name.replace("_", "-"): name for name in kind.model_fields if name not in places and name != "line"}
+    names = {field.alias or name.replace("_", "-"): field.alias or name
+             for name, field in kind.model_fields.items() if name not in places and name != "line"}
     for place in range(0, len(rest), 2):
         key = rest[place]
         if key not in names:
--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -48,10 +48,14 @@
         self.loop, self.path, self.look_every = loop, path, look
         self.told, self.refused = told, refused
         self.mark = None
+        loop.on_late.append(self.look)     # after a stop the list is read before the tasks that came meanwhile
+        self.again()
+
+    def again(self):
+        self.timer = self.loop.after(self.look_every, self.again)
         self.look()
 
     def look(self):
-        self.timer = self.loop.after(self.look_every, self.look)
         try:
             state = os.stat(self.path)
             mark = (state.st_mtime_ns, state.st_ino, state.st_size)
@@ -71,3 +75,5 @@
 
     def close(self):
         self.timer.cancel()
+        if self.look in self.loop.on_late:
+            self.loop.on_late.remove(self.look)
--- a/gaproute/http1/client.py
+++ b/gaproute/http1/client.py
@@ -14,7 +14,7 @@
 class Link:
     """A kept connection to one server. Idle ones notice when the other side closes."""
 
-    __slots__ = ("loop", "stream", "reader", "exchange", "mark", "used", "on_idle_end", "served", "told_idle")
+    __slots__ = ("loop", "stream", "reader", "exchange", "mark", "used", "on_idle_end", "served", "told_idle", "stray")
 
     def __init__(self, loop, sock, head_limit, body_limit):
         self.loop = loop
@@ -22,7 +22,7 @@
         self.stream = Stream(loop, sock, self._bytes, self._end)
         self.exchange, self.mark, self.used = None, 0, loop.now()
         self.on_idle_end = None
-        self.served = 0
+        self.served, self.stray = 0, False     # stray: an answer came that nobody asked for
         self.told_idle = None      # how long the server said it keeps an idle connection, ns
 
     @property
@@ -51,6 +51,7 @@
                 return
             exchange, self.exchange = self.exchange, None
             if exchange is None:
+                self.stray = True
                 self._fail("an answer that nobody asked for")
                 return
             self.used = self.loop.now()
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -77,7 +77,9 @@
 
     def __init__(self, server, sock):
         self.server = server
-        self.reader = Reader(True, server.loop.clock, server.limits.head, server.limits.body)
+        # After a stop of the process, requests count from when they may have come, not from when they are read.
+        loop = server.loop
+        self.reader = Reader(True, lambda: loop.now() - loop.behind, server.limits.head, server.limits.body)
         self.queue = []          # [request, rendered answer or None], in the order of the requests
         self.closing = self.ended = False
         self.stream = Stream(server.loop, sock, self._bytes, self._end)
@@ -135,8 +137,8 @@
 
     def _take(self, request):
         request.link = self
-        if self.closing:
-            return
+        if self.closing or self.server.loop.behind and self.stream.ended():
+            return           # one that came and left while this process stood still is not taken
         if not request.keep_alive:
             self.closing = True
         self.queue.append([request, None])
--- /dev/null
+++ b/gaproute/judge/rules.py
@@ -0,0 +1,205 @@
+"""Judges a day by its taps: what hosts and clients saw on their sockets, and what was told to whom and when.
+
+Events are dicts with `at` (ns on the machine's one monotonic clock) and `what`; `gaproute.standins` writes
+them. The gateway's own word is not heard: tasks are known by the id in their KServe body.
+"""
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+from typing import NamedTuple
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+TRANSIT = 60 * MILLI     # between a gateway's send and the host's read of it, on a machine that is busy
+NEVER_RAN = (429, 404)
+
+
+class Broken(NamedTuple):
+    rule: int
+    at: int
+    text: str
+
+
+class Facts(NamedTuple):
+    """What the day was played by."""
+    effects: dict            # track: "pure", "receipted" or "effectful"
+    groups: dict             # track: "all", "zone" or "rack"
+    windows: dict            # track: how long a group remembers, ns
+    places: dict             # host: (zone, rack)
+    drain_grace: int = 500 * MILLI
+    order_free: float = 6
+    order_share: float = 0.3
+    order_window: int = 10 * SECOND
+
+
+class Day:
+    """The taps by subject."""
+
+    def __init__(self, hosts, clients, run):
+        self.hosts = hosts                     # {host: [its runs' events]}, each run begins with "up"
+        self.clients, self.run = clients, run
+        self.ends = {}                         # task: its last event at the client
+        for event in clients:
+            if event["what"] in ("answer", "overdue", "left", "broken"):
+                self.ends.setdefault(event["id"], []).append(event)
+        self.arrivals = defaultdict(list)      # task: [(at, host, event)]
+        said = defaultdict(list)
+        for host, runs in hosts.items():
+            for events in runs:
+                for event in events:
+                    if event["what"] == "task":
+                        self.arrivals[event["id"]].append((event["at"], host, event))
+                    elif event["what"] == "said":
+                        said[event["id"], host].append((event["at"], event["status"]))
+        self.said = said
+        for arrivals in self.arrivals.values():
+            arrivals.sort(key=lambda arrival: arrival[0])
+        # Spans in which a gateway did not run: killed or stopped.
+        self.stops = defaultdict(list)
+        since = {}
+        for event in sorted(run, key=lambda event: event["at"]):
+            if event["what"] in ("killed", "stopped"):
+                since[event["gateway"]] = event["at"]
+            elif event["what"] in ("started", "continued") and event["gateway"] in since:
+                self.stops[event["gateway"]].append((since.pop(event["gateway"]), event["at"]))
+        for gateway, at in since.items():
+            self.stops[gateway].append((at, 1 << 62))
+
+    def ran(self, task, at, host):
+        """Whether this arrival may have run: the host did not say, in full, that it never did."""
+        later = [status for said, status in self.said[task, host] if said >= at]
+        return not later or later[0] not in NEVER_RAN
+
+    def stopped_within(self, gateway, begin, end):
+        return any(start <= end and stop + SECOND >= begin for start, stop in self.stops[gateway])
+
+
+def judge(facts, hosts, clients, run):
+    """[Broken] of a day. `hosts`: {name: [[events of a run], ...]}; `clients`, `run`: [events]."""
+    day = Day(hosts, clients, run)
+    found = []
+    for rule in (one_answer, effects, drains, cold, rations):
+        found += rule(facts, day)
+    return sorted(found, key=lambda broken: (broken.rule, broken.at))
+
+
+def one_answer(facts, day):
+    """Rule 1. A gateway that was killed or stood still meanwhile is excused, as it could not answer."""
+    for event in day.clients:
+        if event["what"] == "stray":
+            yield Broken(1, event["at"], f"gateway {event['gateway']} sent an answer that nobody asked for")
+    for task, ends in day.ends.items():
+        if len(ends) > 1:
+            yield Broken(1, ends[1]["at"], f"task {task}: {len(ends)} ends")
+        end = ends[0]
+        excused = day.stopped_within(end["gateway"], end["asked"], end["at"])
+        if end["what"] == "overdue" and not excused:
+            yield Broken(1, end["at"], f"task {task} ({end['track']}): no answer within its "
+                                       f"{end['patience'] // MILLI} ms")
+        if end["what"] == "broken" and not excused:
+            yield Broken(1, end["at"], f"task {task}: the connection ended without an answer: {end['text']}")
+        if end["what"] == "answer" and not end["outcome"] and end["status"] >= 500:
+            yield Broken(1, end["at"], f"task {task}: status {end['status']} names no outcome")
+        for at, host, _ in day.arrivals.get(task, ()):
+            if at > end["at"] + TRANSIT and not excused:
+                yield Broken(1, at, f"task {task}: sent to {host} {(at - end['at']) // MILLI} ms after its end")
+
+
+def effects(facts, day):
+    """Rule 2, by what the hosts said of each arrival."""
+    for task, arrivals in day.arrivals.items():
+        track = arrivals[0][2]["track"]
+        effect = facts.effects[track]
+        if effect == "pure":
+            continue
+        first = None               # the first arrival that may have run
+        for at, host, event in arrivals:
+            if first is not None:
+                if effect == "effectful":
+                    yield Broken(2, at, f"effectful task {task}: sent to {host}, may have run at {first[1]}")
+                else:
+                    if at > first[0] + facts.windows[track] + TRANSIT:
+                        yield Broken(2, at, f"receipted task {task}: sent again after its window")
+                    place = {"all": 0, "zone": 1, "rack": 2}[facts.groups[track]]
+                    if place and facts.places[host][place - 1] != facts.places[first[1]][place - 1]:
+                        yield Broken(2, at, f"receipted task {task}: sent to {host}, outside {first[1]}'s group")
+                    if event["mark"] != first[2]["mark"]:
+                        yield Broken(2, at, f"receipted task {task}: its mark changed between relays")
+            elif day.ran(task, at, host):
+                first = (at, host, event)
+        end = day.ends.get(task, [None])[0]
+        declined = end is not None and end["what"] == "answer" and end["outcome"] == "declined"
+        if declined and first is not None and not (effect == "receipted" and facts.groups[track] == "all"):
+            yield Broken(2, end["at"], f"{effect} task {task}: declined, may have run at {first[1]}")
+
+
+def drains(facts, day):
+    """Rule 3. `told` events: {host, state}; the grace runs from the first telling."""
+    told = defaultdict(list)
+    for event in day.run:
+        if event["what"] == "told":
+            told[event["host"]].append((event["at"], event["state"]))
+    for host, changes in told.items():
+        changes.sort()
+        spans = []
+        for place, (at, state) in enumerate(changes):
+            if state != "active" and (place == 0 or changes[place - 1][1] == "active"):
+                back = [later for later, next_state in changes[place:] if next_state == "active"]
+                spans.append((at + facts.drain_grace + TRANSIT, back[0] if back else 1 << 62))
+        for events in day.hosts.get(host, ()):
+            for event in events:
+                sends = event["what"] == "task" or event["what"] == "order" and event["count"] > 0
+                if sends and any(begin < event["at"] < end for begin, end in spans):
+                    yield Broken(3, event["at"], f"{event['what']} to {host}, told draining or gone before")
+
+
+def cold(facts, day):
+    """Rule 4: the work sent to a cold host within any window stays under multiple x capacity x window."""
+    for host, runs in day.hosts.items():
+        for events in runs:
+            up = next((event for event in events if event["what"] == "up"), None)
+            if up is None or up["warm"]:
+                continue
+            arrivals = [event for event in events if event["what"] == "task"]
+            begin, total = 0, 0
+            for event in arrivals:
+                age = event["at"] - up["at"]
+                if age >= up["cold_time"]:
+                    break
+                total += event["work"]
+                while arrivals[begin]["at"] <= event["at"] - up["tip"]:
+                    total -= arrivals[begin]["work"]
+                    begin += 1
+                share = up["cold_share"] + (1 - up["cold_share"]) * age / up["cold_time"]
+                able = up["cores"] * up["speed"] * share * up["tip"]
+                if total > up["fall_multiple"] * able:
+                    yield Broken(4, event["at"], f"cold {host}: {total / able:.1f} times what it can do")
+                    break
+
+
+def rations(facts, day):
+    """Rule 5, for each gateway since its last start; counted where the orders arrive."""
+    if facts.order_window <= 0:
+        return
+    orders, taken, starts = defaultdict(list), defaultdict(list), defaultdict(list)
+    for host, runs in day.hosts.items():
+        for events in runs:
+            for event in events:
+                if event["what"] == "order" and event["count"] > 0:
+                    orders[event["gateway"]].append(event["at"])
+    names = {event["gateway"]: event.get("name", str(event["gateway"])) for event in day.run
+             if event["what"] == "started"}
+    for event in day.run:
+        if event["what"] == "started":
+            starts[names[event["gateway"]]].append(event["at"])
+    for ends in day.ends.values():
+        taken[names.get(ends[0]["gateway"], str(ends[0]["gateway"]))].append(ends[0]["asked"])
+    for gateway, times in orders.items():
+        times.sort()
+        asked = sorted(taken[gateway])
+        for at in times:
+            since = max([at - facts.order_window] + [start for start in starts[gateway] if start <= at])
+            ordered = bisect_right(times, at) - bisect_right(times, since)
+            allowed = facts.order_free + facts.order_share * (
+                bisect_right(asked, at) - bisect_left(asked, since - TRANSIT))
+            if ordered > allowed:
+                yield Broken(5, at, f"gateway {gateway}: {ordered} load orders, {allowed:.1f} allowed")
+                break
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -123,6 +123,8 @@
         self.queue = deque()
         self.running = False
         self.turns = self.late_turns = 0
+        self.behind = 0          # in a late turn: how long ago what is read now may have come
+        self.on_late = []        # calls made first in a late turn: other news that waits to be read
         self.errors = []         # the last few errors that escaped a callback
         self.on_error = None     # call(error), where somebody wants to log them
         self.signals = {}
@@ -212,13 +214,19 @@
             heapq.heappop(self.timers)
             self.dead -= 1
         due = self.timers[0][0] - self.clock() if self.timers else IDLE
-        self._bytes(0 if self.queue else min(max(0, due), IDLE))
-        now = self.clock()
-        if self.timers and now - self.timers[0][0] > LATE:
+        ready = self.poll(self.epoll, 0 if self.queue else min(max(0, due), IDLE))
+        late = self.clock() - self.timers[0][0] if self.timers else 0
+        self.behind = late if late > LATE else 0
+        if self.behind:
             self.late_turns += 1
-            for _ in range(LOOKS):
-                if not self._bytes(0):
-                    break
+            for call in self.on_late:
+                self.guard(call)
+        self._bytes(ready)
+        looks = LOOKS if self.behind else 0
+        while looks and (ready := self.poll(self.epoll, 0)):
+            looks -= 1
+            self._bytes(ready)
+        self.behind = 0
         now = self.clock()
         while self.timers and self.timers[0][0] <= now:
             timer = heapq.heappop(self.timers)[2]
@@ -230,14 +238,12 @@
             self.guard(call, *args)
         self._queued()
 
-    def _bytes(self, span):
-        ready = self.poll(self.epoll, span)
+    def _bytes(self, ready):
         for fd, events in ready:
             call = self.watched.get(fd)    # an earlier callback of this turn may have closed it
             if call is not None:
                 self.guard(call, events)
         self._queued()
-        return ready
 
     def _queued(self):
         for _ in range(len(self.queue)):
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -145,6 +145,15 @@
             pass
         return False
 
+    def ended(self):
+        """Whether the other side has closed behind the bytes read so far: one system call."""
+        try:
+            return not self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+
     def close(self):
         """Closes once all that was written has been handed over; no further callbacks."""
         self.on_bytes, self.on_end, self.on_half = _nothing, _nothing, None
--- a/gaproute/standins/host.py
+++ b/gaproute/standins/host.py
@@ -7,7 +7,8 @@
 Troubles come as lines of JSON on standard input: {"trouble": NAME, "share": 0..1, "factor": x, "track": T,
 "on": true or false}. Names: hang (takes work, answers nothing), lost (does the work, its answer never comes), fail
 (quick errors), slow (`factor` times), refuse (429), cut (closes in the middle of the answer), reset (closes
-kept connections as tasks come), shut (closes idle connections at once). `die` ends the process with resets.
+kept connections as tasks come), shut (closes idle connections at once), heavy (a share of tasks costs `factor`
+times the work).
 """
 import random
 from collections import Counter
@@ -17,6 +18,7 @@
 import msgspec
 
 from gaproute.http1 import Exchange, Limits, Server, render
+from gaproute.loop import Promise
 from gaproute.loop.streams import address
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
@@ -80,6 +82,10 @@
         self.arrived = []          # (time, work) of the last `tip`, while cold
         self.counts = Counter()
         limits = Limits(pipelined=4, idle_time=make.idle_close)
+        if warm:       # a host that ran before holds what it was asked for lately
+            for name in self.random.sample(sorted(models), min(len(models), make.copies - 2)):
+                self.copies[name] = Copies()
+                self.copies[name].stand, self.copies[name].idle_since = 1, loop.now()
         self.server = Server(loop, where, self.handle, limits)
         self.address = self.server.address
         tap.note("up", host=make.name, cores=make.cores, speed=make.speed, warm=warm, cold_share=make.cold_share,
@@ -146,6 +152,9 @@
         mark = request.headers.get(b"gaproute-task", b"").decode("latin-1")
         amount = self.random.gammavariate(4, model.work / 4)
         copies = self.copies.setdefault(model.name, Copies())
+        heavy = self.troubles.get("heavy")
+        if heavy and heavy.get("track", model.track) == model.track and self.random.random() < heavy.get("share", 0.02):
+            amount *= heavy.get("factor", 10)
         alike = copies.busy + len(copies.waiting)
         self.tap.note("task", id=name, mark=mark, track=model.track, work=model.work, link=id(request.link))
         self.counts["tasks"] += 1
@@ -235,7 +244,6 @@
 
     def loading(self, model):
         """Fetch, then start; a fetch that is turned away is tried again a little later."""
-        from gaproute.loop import Promise
         for _ in range(8):
             came = Promise()
             data = b"GET /models/%s HTTP/1.1\r\nHost: store\r\nConnection: close\r\n\r\n" % model.name.encode()
@@ -245,6 +253,9 @@
             if answer is not None and answer.status == 200:
                 break
             yield self.loop.sleep(round(self.random.uniform(0.1, 0.4) * SECOND))
+        else:
+            self.load_failed(model)
+            return
         yield self.loop.sleep(round(model.start / self.make.speed))
         copies = self.copies[model.name]
         self.loads -= 1
@@ -257,6 +268,20 @@
         self.begin_loads()
         self.plan()
 
+    def load_failed(self, model):
+        """The store turned the fetch away again and again: what waits for this load alone fails."""
+        copies = self.copies[model.name]
+        self.loads -= 1
+        copies.loading -= 1
+        self.tap.note("load failed", model=model.name)
+        if not copies.stand + copies.loading:
+            waiting, copies.waiting = copies.waiting, []
+            for work in waiting:
+                work.request.left = None
+                work.found = 4
+                self.say(work.request, 500, "the load failed", work.id, self.report(work))
+        self.begin_loads()
+
     def fill(self, model, copies):
         while copies.waiting and copies.busy < copies.stand * model.lanes:
             copies.busy += 1
@@ -356,10 +381,7 @@
         self.tap.note("trouble", **{"name": name, "on": told.get("on", True)})
         self.tap.flush()
         self.advance()
-        if name == "die":
-            self.server.close()
-            self.loop.stop()
-        elif told.get("on", True):
+        if told.get("on", True):
             self.troubles[name] = told
         else:
             self.troubles.pop(name, None)
--- /dev/null
+++ b/gaproute/trial/script.py
@@ -0,0 +1,128 @@
+"""Scripts of days: lines in the configuration's manner. What the gateways are told stands in their own words.
+
+`day`, `kind`, `traffic`, `store`, `host-life` and `trouble` are the script's; `track`, `copies`, `relays`, `reports`,
+`cold`, `advice` and `clients` go to the gateways' configuration as they stand.
+"""
+from importlib import resources
+from pathlib import Path
+from typing import ClassVar, Literal
+
+from pydantic import Field
+
+from gaproute.conf.charter import WORDS, Name
+from gaproute.conf.lines import Directive, Mistake, Mistakes, Span, read_lines
+
+AT_HOSTS = ("hang", "lost", "fail", "slow", "refuse", "cut", "reset", "shut", "heavy")
+AT_PROCESSES = ("vanish", "crash", "preempt", "deploy", "gateway-kill", "gateway-stall")
+AT_CLIENTS = ("burst", "hot")
+GATEWAY_WORDS = ("track", "copies", "relays", "reports", "cold", "advice", "clients")
+
+
+class DayLine(Directive):
+    example: ClassVar = "day length 40s rate 120 hosts 9 gateways 3 models 24 halls 3"
+    once: ClassVar = True
+    length: Span = 40_000_000_000
+    rate: float = Field(100, gt=0)
+    hosts: int = Field(9, ge=1, le=200)
+    gateways: int = Field(3, ge=1, le=50)
+    models: int = Field(24, ge=1)
+    halls: int = Field(3, ge=1)
+    racks: int = Field(4, ge=1)
+    retries: int = Field(1, ge=0, le=5)
+    impatient: float = Field(0.01, ge=0, le=1)
+    zipf: float = 1.1
+    list_delay: Span = 1_000_000_000      # from what happens to a host until the list tells, drains apart
+
+
+class KindLine(Directive):
+    places: ClassVar = ("name",)
+    example: ClassVar = "kind fast-4 share 0.55 cores 4 speed 1.5 copies 16"
+    name: Name
+    share: float = Field(1.0, gt=0)
+    cores: float = 4
+    speed: float = 1.0
+    copies: int = 16
+
+
+class TrafficLine(Directive):
+    places: ClassVar = ("track",)
+    example: ClassVar = "traffic fault-check share 0.46 work 200ms lanes 4 start 400ms"
+    track: str
+    share: float = 1.0
+    work: Span = 150_000_000
+    lanes: int = 4
+    start: Span = 400_000_000
+
+
+class StoreLine(Directive):
+    example: ClassVar = "store pace 12 limit 30 thrash 0.2"
+    once: ClassVar = True
+    pace: float = 12
+    limit: int = 30
+    thrash: float = Field(0.2, ge=0, lt=1)
+
+
+class HostLife(Directive):
+    example: ClassVar = "host-life keep 10s cold-share 0.17 cold-time 18s fall 2.5 tip 1500ms idle-close 60s"
+    once: ClassVar = True
+    keep: Span = 10_000_000_000
+    cold_share: float = 0.17
+    cold_time: Span = 18_000_000_000
+    fall: float = 2.5
+    tip: Span = 1_500_000_000
+    idle_close: Span = 60_000_000_000
+
+
+class TroubleLine(Directive):
+    places: ClassVar = ("name",)
+    example: ClassVar = "trouble hang at 5s for 8s hosts 2 share 0.9 track fault-check"
+    name: Literal[AT_HOSTS + AT_PROCESSES + AT_CLIENTS + ("list-late",)]
+    at: Span
+    lasts: Span = Field(0, alias="for")
+    hosts: int = 1
+    share: float = Field(1.0, ge=0, le=1)
+    factor: float = 4.0
+    track: str | None = None
+    back: Span = 2_000_000_000       # until what was taken away is back
+    batch: int = 1                   # hosts at a time, in a deploy
+    gateway: int = 0
+
+
+SCRIPT_WORDS = {"day": DayLine, "kind": KindLine, "traffic": TrafficLine, "store": StoreLine,
+                "host-life": HostLife, "trouble": TroubleLine}
+
+
+class Script:
+    def __init__(self, text, found):
+        def all_of(word):
+            return [directive for name, directive in found if name == word]
+
+        def one(word):
+            return next(iter(all_of(word)), None) or SCRIPT_WORDS[word]()
+
+        self.day, self.store, self.life = one("day"), one("store"), one("host-life")
+        self.kinds = all_of("kind") or [KindLine(name="std")]
+        self.traffic, self.tracks, self.troubles = all_of("traffic"), all_of("track"), all_of("trouble")
+        self.copies = next(iter(all_of("copies")), None) or WORDS["copies"]()
+        lines = text.splitlines()
+        self.gateway_lines = [lines[directive.line - 1] for word, directive in found if word in GATEWAY_WORDS]
+
+
+def read_script(name):
+    """A script by the name of one that comes with the program, or by its path. Errors: `Mistakes`."""
+    path = resources.files("gaproute.trial") / "scripts" / f"{name}.script"
+    file = path if path.is_file() else Path(name)
+    try:
+        text = file.read_text()
+    except OSError as fault:
+        raise Mistakes([Mistake(str(name), 0, f"no such script: {fault}", "name bad-day or a file")]) from None
+    words = SCRIPT_WORDS | {word: WORDS[word] for word in GATEWAY_WORDS}
+    found, mistakes, _ = read_lines(str(name), text, words)
+    tracks = [line.name for word, line in found if word == "track"]
+    if not tracks:
+        mistakes.append(Mistake(str(name), 0, "no track line", f"right would be: {WORDS['track'].example}"))
+    mistakes += [Mistake(str(name), line.line, f"no track {line.track!r}", f"the tracks here: {', '.join(tracks)}")
+                 for word, line in found if word == "traffic" and line.track not in tracks]
+    if mistakes:
+        raise Mistakes(sorted(mistakes, key=lambda mistake: mistake.line))
+    return Script(text, found)
