--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -97,11 +97,13 @@
     def _emptied(self):
         self.loop.after(LAST_WORDS, self.loop.stop)
 
-    def run(self):
+    def heed_signals(self):
+        """SIGTERM and SIGINT stop, SIGHUP reads the host list again. Before `start`, so that none is missed."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.on_signal(number, self.stop)
-        if self.watch is not None:
-            self.loop.on_signal(signal.SIGHUP, self.watch.read)
+        self.loop.on_signal(signal.SIGHUP, lambda: self.watch and self.watch.read())
+
+    def run(self):
         self.loop.run()
         self.close()
         self.log.info("stopped", held=len(self.core.held))
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -40,6 +40,7 @@
     """Run one gateway by the configuration FILE until SIGTERM."""
     from gaproute.appliance import Appliance
     appliance = Appliance(charter_of(file), seed=seed)
+    appliance.heed_signals()
     try:
         appliance.start()
     except OSError as fault:
@@ -149,3 +150,21 @@
         show(result, Console(width=80))
         click.echo(f"taps, logs and result.json: {out}")
     sys.exit(0 if result.well else 1)
+
+
+@main.command("day-script")
+@click.argument("day", type=click.File())
+@click.option("--hosts", default=9)
+@click.option("--gateways", default=3)
+@click.option("--scale", default=1.0, help="Shortens all times.")
+def day_script(day, hosts, gateways, scale):
+    """Print a trial script with the troubles of a bench's DAY file (JSON)."""
+    from gaproute.trial.daybook import script_of
+    try:
+        text, left_out = script_of(json.load(day), hosts, gateways, scale)
+    except (ValueError, KeyError, TypeError) as fault:
+        click.echo(f"{day.name}: no day file: {fault!r}", err=True)
+        sys.exit(2)
+    click.echo(text, nl=False)
+    for kind in left_out:
+        click.echo(f"left out: {kind} has no counterpart on sockets", err=True)
--- /dev/null
+++ b/tests/test_trials.py
@@ -0,0 +1,118 @@
+"""Days played by processes: the honest module keeps the rules, a module that breaks one is caught at it; a
+gateway killed, stopped and asked to end; a bench day's troubles as a script."""
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from gaproute.standins.rogues import ROGUES
+from gaproute.trial.daybook import script_of
+from gaproute.trial.script import read_script
+
+RULES = {0: "gaproute.policy:Gateway"} | {rule: f"gaproute.standins.rogues:{rogue.__name__}"
+                                         for rule, rogue in ROGUES.items()}
+
+
+@pytest.fixture(scope="module")
+def days(tmp_path_factory):
+    """{rule: (exit code, result)} of one short day for each decision module, three at a time."""
+    def play(rule):
+        out = tmp_path_factory.mktemp(f"rule{rule}")
+        played = subprocess.run([sys.executable, "-m", "gaproute", "trial", "rogue", "--json", "--decisions",
+                                 RULES[rule], "--out", str(out)], capture_output=True, timeout=90)
+        assert played.stdout, played.stderr.decode()
+        return played.returncode, json.loads(played.stdout)
+
+    with ThreadPoolExecutor(3) as pool:
+        return dict(zip(RULES, pool.map(play, RULES)))
+
+
+def test_the_module_keeps_the_rules_on_a_day_that_tempts_to_each(days):
+    code, result = days[0]
+    assert result["broken"] == [] and code == 0
+    assert result["relays"] > 200 and result["outcomes"]["repair-order"]["scrapped"] > 0
+
+
+@pytest.mark.parametrize("rule", sorted(ROGUES))
+def test_a_module_that_breaks_a_rule_is_caught_at_it(days, rule):
+    code, result = days[rule]
+    assert code == 1 and rule in {broken["rule"] for broken in result["broken"]}
+
+
+CONFIG = """
+name g
+listen kserve 127.0.0.1:{port}
+listen operator unix:{folder}/op
+track a pure contract 1s limit 2s
+model m track a
+host h 127.0.0.1:9
+"""
+
+
+def started(folder, port=0):
+    """A gateway as a process, and the address that it listens on."""
+    file, log = folder / "g.conf", folder / "g.log"
+    file.write_text(CONFIG.format(port=port, folder=folder))
+    with open(log, "wb") as errors:
+        process = subprocess.Popen([sys.executable, "-m", "gaproute", "serve", str(file)], stderr=errors)
+    end = time.monotonic() + 20
+    while time.monotonic() < end and process.poll() is None:
+        for line in log.read_bytes().split(b"\n")[:-1]:
+            if json.loads(line)["event"] == "started":
+                return process, json.loads(line)["listens"][0]
+        time.sleep(0.01)
+    raise AssertionError(log.read_text())
+
+
+def command(*words):
+    return subprocess.run([sys.executable, "-m", "gaproute", *map(str, words)], capture_output=True, text=True)
+
+
+def test_the_console_starts_asks_and_stops_a_gateway_and_its_exit_codes_are_kept(tmp_path):
+    process, where = started(tmp_path)
+    told = command("status", "--at", f"unix:{tmp_path}/op", "--json")
+    assert told.returncode == 0 and json.loads(told.stdout)["ready"]
+    assert "h" in command("hosts", "--at", f"unix:{tmp_path}/op").stdout
+    second = command("serve", tmp_path / "g.conf")
+    assert second.returncode == 3 and "cannot listen" in second.stderr     # a live socket is not stolen
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0 and not os.path.exists(tmp_path / "op")
+    assert command("status", "--at", f"unix:{tmp_path}/op").returncode == 3
+    (tmp_path / "bad.conf").write_text("track x\n")
+    bad = command("check", tmp_path / "bad.conf")
+    assert bad.returncode == 2 and "bad.conf:1" in bad.stderr
+    assert command("check", tmp_path / "g.conf").returncode == 0 and command("nonsense").returncode == 2
+
+
+def test_a_killed_gateway_starts_again_at_its_address(tmp_path):
+    process, where = started(tmp_path)
+    process.kill()
+    process.wait()
+    again, there = started(tmp_path, port=where.rpartition(":")[2])
+    assert there == where
+    again.send_signal(signal.SIGTERM)
+    assert again.wait(10) == 0
+
+
+DAY = {"v": 1, "length": 44_000_000, "servers": [{}] * 24, "balancers": [{}] * 4, "troubles": [
+    {"kind": "slow", "at": 11_000_000, "len": 17_000_000, "size": 3.6, "extra": 0, "on": [21, 3], "which": 0},
+    {"kind": "answer_lost", "at": 2_000_000, "len": 5_000_000, "size": 0.3, "extra": 0, "on": list(range(12)),
+     "which": 0},
+    {"kind": "preempt", "at": 1_000_000, "len": 1_500_000, "size": 1.2, "extra": 4.0, "on": [1, 2], "which": 0},
+    {"kind": "balancer_stall", "at": 0, "len": 20_000_000, "size": 1500, "extra": 3, "on": [0], "which": 0},
+    {"kind": "unheard_of", "at": 0, "len": 1, "size": 1, "extra": 0, "on": [], "which": 0}]}
+
+
+def test_a_bench_days_troubles_become_a_script(tmp_path):
+    text, left_out = script_of(DAY, hosts=8, gateways=2, scale=0.5)
+    file = tmp_path / "day.script"
+    file.write_text(text)
+    script = read_script(str(file))
+    made = {(line.name, line.at // 1_000_000, line.hosts) for line in script.troubles}
+    assert ("slow", 5500, 1) in made and ("lost", 1000, 4) in made and ("preempt", 500, 1) in made
+    assert left_out == ["unheard_of"] and script.day.hosts == 8
+    assert sum(line.name == "gateway-stall" for line in script.troubles) > 1
