--- a/benchmarks/bad_day.py
+++ b/benchmarks/bad_day.py
@@ -42,12 +42,17 @@
     rows = []
     for way in WAYS:
         runs = [results[way, seed] for seed in seeds]
-        rows.append({"decisions": way, "service": " ".join(f"{run['service']:.3f}" for run in runs),
-                     "median": f"{median(run['service'] for run in runs):.3f}",
-                     "worst 5 s": f"{min(min(w for w in run['windows'] if w is not None) for run in runs):.3f}",
-                     "store fetches": round(median(run["fetches"] for run in runs)),
-                     "relays": round(median(run["relays"] for run in runs)),
-                     "rules broken": sum(len(run["broken"]) for run in runs)})
+        rows.append(
+            {
+                "decisions": way,
+                "service": " ".join(f"{run['service']:.3f}" for run in runs),
+                "median": f"{median(run['service'] for run in runs):.3f}",
+                "worst 5 s": f"{min(min(w for w in run['windows'] if w is not None) for run in runs):.3f}",
+                "store fetches": round(median(run["fetches"] for run in runs)),
+                "relays": round(median(run["relays"] for run in runs)),
+                "rules broken": sum(len(run["broken"]) for run in runs),
+            }
+        )
     head = list(rows[0])
     lines = ["| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
     lines += ["| " + " | ".join(str(row[key]) for key in head) + " |" for row in rows]
--- a/benchmarks/kept_connections.py
+++ b/benchmarks/kept_connections.py
@@ -1,10 +1,11 @@
-"""How often a host closes a kept connection just as a task goes out on it, for each way to choose connections.
+"""How often a host closes a kept connection just as a task goes out on it, for each way to choose
+connections.
 
     python benchmarks/kept_connections.py [--seconds 20] [--hosts 60] [--out docs/measured]
 
-The hosts are healthy listeners of one process that close a connection after 1 s at rest. To each goes an effectful
-task every 1 s, give or take 4 ms: the worst spacing there is. Each task that ends in a reset would be scrapped.
-The last row's host says `Keep-Alive: timeout=1`, as many do.
+The hosts are healthy listeners of one process that close a connection after 1 s at rest. To each goes an
+effectful task every 1 s, give or take 4 ms: the worst spacing there is. Each task that ends in a reset would
+be scrapped. The last row's host says `Keep-Alive: timeout=1`, as many do.
 """
 import argparse
 import json
--- a/benchmarks/parsers.py
+++ b/benchmarks/parsers.py
@@ -14,9 +14,13 @@
 
 from gaproute.http1 import Reader
 
-BODY = json.dumps({"id": "x", "inputs": [{"name": "in", "shape": [1], "datatype": "BYTES", "data": ["x" * 200]}]})
-DATA = (f"POST /v2/models/lamp/infer HTTP/1.1\r\nHost: gateway:8080\r\nUser-Agent: python\r\n"
-        f"Content-Type: application/json\r\nAccept: */*\r\nContent-Length: {len(BODY)}\r\n\r\n{BODY}").encode()
+BODY = json.dumps(
+    {"id": "x", "inputs": [{"name": "in", "shape": [1], "datatype": "BYTES", "data": ["x" * 200]}]}
+)
+DATA = (
+    f"POST /v2/models/lamp/infer HTTP/1.1\r\nHost: gateway:8080\r\nUser-Agent: python\r\n"
+    f"Content-Type: application/json\r\nAccept: */*\r\nContent-Length: {len(BODY)}\r\n\r\n{BODY}"
+).encode()
 
 
 def with_httptools(parts, count):
@@ -33,7 +37,9 @@
         body = b""
         for part in parts:
             link.receive_data(part)
-            while (event := link.next_event()) is not h11.NEED_DATA and not isinstance(event, h11.EndOfMessage):
+            while (event := link.next_event()) is not h11.NEED_DATA and not isinstance(
+                event, h11.EndOfMessage
+            ):
                 if isinstance(event, h11.Data):
                     body += event.data
         assert body == BODY.encode()
--- a/gaproute/http1/client.py
+++ b/gaproute/http1/client.py
@@ -146,7 +146,8 @@
     def settle(self, answer, undelivered):
         if not self.over:
             self.over = True
-            done, self.done = self.done, None     # a closure that holds this exchange: no cycle is left behind
+            # a closure that holds this exchange: no cycle is left behind
+            done, self.done = self.done, None
             done(answer, undelivered)
 
     def abandon(self, text):
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -134,7 +134,8 @@
 
     def _time(self):
         """When the request that is coming in, the client that takes no bytes or the idle connection is at its
-        end; none while an answer is owed. One timer, moved only when it fires: it is nearly always moved before.
+        end; none while an answer is owed. One timer, moved only when it fires: it is nearly always moved
+        before.
         """
         limits, reader = self.server.limits, self.reader
         if reader.midway:
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -15,8 +15,9 @@
 from gaproute.trial.script import read_script
 from helpers import SECOND
 
-RULES = {-1: "gaproute.policy:Gateway", 0: "gaproute.policy:Gateway"} | {rule: f"gaproute.standins.rogues:{rogue.__name__}"
-                                         for rule, rogue in ROGUES.items()}
+RULES = {-1: "gaproute.policy:Gateway", 0: "gaproute.policy:Gateway"} | {
+    rule: f"gaproute.standins.rogues:{rogue.__name__}" for rule, rogue in ROGUES.items()
+}
 
 
 @pytest.fixture(scope="module")
@@ -113,7 +114,8 @@
 def test_what_came_while_a_gateway_stood_still_is_booked_before_anything_is_overdue(rig, tmp_path):
     made = rig(hosts=2)
     for host in made.hosts:
-        host.command({"trouble": "slow", "factor": 60})      # 0.3 s a task: answered while the gateway is stopped
+        # 0.3 s a task: answered while the gateway is stopped
+        host.command({"trouble": "slow", "factor": 60})
     lines = [f"host {host.make.name} {host.address} capacity 4" for host in made.hosts]
     config = CONFIG.replace("host h 127.0.0.1:9", "\n".join(lines)).replace("limit 2s", "limit 8s")
     process, where = started(tmp_path, text=config.replace("model m", "model lamp"))
