A starting gateway asks its peers what stands where: facts, trust, exchange, first slice

Need: a restarted gateway knows nothing of what is loaded where and relearns by probing and loading.

Change: gaproute/lore.py decides (facts by a total order, tombstones, ages instead of times, refusals counted by reason, a hint never fresher than a third of the keep-alive and spread by chance, a giver's budget of CPU); gaproute/peers/ asks and answers in protobuf over HTTP in chunks, several peers at once, a slow or silent one dropped; Gateway.hint books warmth that gives way to anything seen by oneself. Off unless peer lines are set.

Measured: properties of the merge by hypothesis; two gateways on sockets: the second finds the copy with no load.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -13,6 +13,8 @@
 from gaproute.interface import State
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
+from gaproute.peers import Giver, Learner
+from gaproute.policy import Chance
 from gaproute.pooling import Pooling
 from gaproute.record import Record
 from gaproute.record.record import logger
@@ -38,7 +40,9 @@
         self.listing = Listing(loop)
         self.rows = {}
         self.stopping = False
+        self.seed = seed
         self.fronts, self.watch, self.started = [], None, loop.now()
+        self.giver = self.learner = None
 
     def start(self):
         """Errors: OSError where an address cannot be listened on; nothing listens then."""
@@ -46,6 +50,9 @@
             for kind, where in self.charter.listens:
                 if kind == "kserve":
                     self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready))
+                elif kind == "peers":
+                    self.giver = Giver(self.loop, address(where), self.core.gateway, self.lives)
+                    self.fronts.append(self.giver)
                 else:
                     self.fronts.append(Operator(self.loop, address(where), self))
         except OSError as fault:
@@ -57,6 +64,10 @@
             self.listed(self.charter.hosts)
         else:
             self.watch = FileWatch(self.loop, source.path, source.look, self.listed, self.list_refused)
+        if self.charter.peers:
+            self.learner = Learner(self.loop, self.charter.peers, self.core.gateway.hint, self.lives,
+                                   self.charter.terms.keep_alive, Chance(self.seed + 1), self.record,
+                                   self.charter.name)
         self.log.info("started", listens=[front.address for front in self.fronts], hosts=len(self.rows))
 
     def listed(self, lines):
@@ -65,7 +76,10 @@
         before, self.rows = self.rows, {row.listed.worker: row for row in rows}
         self.hosts.listed(rows, True)
         self.core.listed([row.listed for row in rows], True)
-        for name in before.keys() | self.rows.keys():
+        if self.giver is not None:
+            self.giver.listed(self.rows)
+            self.giver.left(before.keys() - self.rows.keys())
+        for name in sorted(before.keys() | self.rows.keys()):
             old, new = (table.get(name) for table in (before, self.rows))
             if old != new:
                 self.record.event("info", "host", name=name, state=new.listed.state.value if new else "gone")
@@ -74,6 +88,11 @@
         for mistake in mistakes:
             self.record.event("error", "host list refused", mistake=str(mistake))
 
+    def lives(self):
+        """{active host: start of its life by the list, ns since 1970; 0: none told}."""
+        return {name: (self.listing.starts.get(name) or (0,))[0] for name, row in self.rows.items()
+                if row.listed.state is State.ACTIVE}
+
     def ready(self):
         return not self.stopping and any(row.listed.state is State.ACTIVE for row in self.rows.values())
 
@@ -114,6 +133,8 @@
             front.close()
         if self.watch is not None:
             self.watch.close()
+        if self.learner is not None:
+            self.learner.close()
         self.hosts.close()
 
     # For operators
@@ -124,7 +145,11 @@
                 "up_ms": (self.loop.now() - self.started) // MILLI, "held": len(self.core.held),
                 "late_turns": self.loop.late_turns, "counts": counts,
                 "connections": {"opened": self.hosts.opened, "reused": self.hosts.reused,
-                                "raced": self.hosts.raced}}
+                                "raced": self.hosts.raced},
+                "learnt": self.learner and {"peers": self.learner.state, "booked": self.learner.booked,
+                                            "refused": dict(self.learner.lore.refused)},
+                "telling": self.giver and {"facts": self.giver.told, "put_off": self.giver.put_off,
+                                           "cpu_ms": self.giver.spent / MILLI}}
 
     def host_table(self):
         relays = self.record.table().get("relay", {})
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -48,7 +48,7 @@
 class Listen(Directive):
     places: ClassVar = ("kind", "where")
     example: ClassVar = "listen kserve 127.0.0.1:8080"
-    kind: Literal["kserve", "operator"]
+    kind: Literal["kserve", "operator", "peers"]
     where: Address
 
 
@@ -110,6 +110,13 @@
     share: float = Field(gt=0, le=1)
 
 
+class PeerLine(Directive):
+    places: ClassVar = ("name", "where")
+    example: ClassVar = "peer gate-2 127.0.0.1:8090"
+    name: Name
+    where: Address
+
+
 class Copies(Directive):
     example: ClassVar = "copies keep 10s orders yes free 6 share 0.3 window 10s"
     once: ClassVar = True
@@ -205,6 +212,7 @@
     "track": TrackLine,
     "model": ModelLine,
     "tenant": TenantLine,
+    "peer": PeerLine,
     "copies": Copies,
     "relays": Relays,
     "reports": Reports,
@@ -238,6 +246,7 @@
         self.tracks = all_of("track")
         self.models = {line.name: line for line in all_of("model")}
         self.tenants = {line.name: place for place, line in enumerate(all_of("tenant"))}
+        self.peers = all_of("peer")
         self.clients, self.reach = one("clients"), one("reach")
         self.log_level, self.decisions = one("log").level, one("decisions").load()
         self.longest = max(line.limit for line in self.tracks)
@@ -310,7 +319,7 @@
 def _twice(file, found):
     first, mistakes = {}, []
     for word, line in found:
-        if word in ("host", "track", "model", "tenant"):
+        if word in ("host", "track", "model", "tenant", "peer"):
             if (word, line.name) in first:
                 mistakes.append(Mistake(file, line.line, f"{word} {line.name} stands a second time",
                                         f"keep line {first[word, line.name]} or this"))
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -204,6 +204,25 @@
         if result is Result.OK:
             function.seen[worker_id] = now
 
+    def hint(self, worker_id, name, lanes, seen):
+        """Another gateway saw a copy stand there: evidence that fades alike and gives way to any of one's
+        own.
+
+        It raises warmth alone: no credit is given and nothing ordered for it.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is None or not worker.active or seen <= worker.wiped:
+            return False
+        function = self.function(name, lanes)
+        function.used = max(function.used, seen)
+        return function.seen.setdefault(worker_id, seen) == seen
+
+    def known(self):
+        """Copies that this gateway itself saw stand: (worker, function, lanes, when), the latest use each."""
+        return [(worker, name, function.lanes, seen) for name, function in self.functions.items()
+                for worker, seen in function.stands.items()
+                if self.workers[worker].active and seen >= self.workers[worker].wiped]
+
     def heard(self, now, outcome):
         """Book one relay's outcome, whether or not its task is still held."""
         hand = self.hands.pop((outcome.task, outcome.relay), None)
--- a/gaproute/standins/host.py
+++ b/gaproute/standins/host.py
@@ -53,7 +53,7 @@
 
 class Work:
     """A task that has come."""
-    __slots__ = ("request", "model", "left", "found", "alike", "fate", "id")
+    __slots__ = ("request", "model", "left", "found", "alike", "fate", "id", "mark")
 
     def __init__(self, request, model, left, alike, name):
         self.request, self.model, self.left, self.alike, self.id = request, model, left, alike, name
@@ -192,7 +192,7 @@
             request.link.gone()
             return
         work = Work(request, model, amount, alike, name)
-        work.fate = fate
+        work.fate, work.mark = fate, mark
         if fate == "hang":
             return
         request.left = lambda: self.left(work)
@@ -369,7 +369,7 @@
         self.fill(work.model, copies)
         self.counts["done"] += 1
         work.request.left = None
-        self.tap.note("ran", id=work.id)
+        self.tap.note("ran", id=work.id, found=work.found, mark=work.mark)
         if work.fate == "lost":
             return
         body = msgspec.json.encode({"model_name": work.model.name, "id": work.id, "outputs": [
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -140,11 +140,14 @@
         first = number not in self.addresses
         where = self.addresses.get(number, "127.0.0.1:0")
         file, log = self.out / f"{name}.conf", self.out / f"{name}.log"
+        peers = [f"listen peers unix:{self.out}/{name}.peers"] * self.script.day.peers
+        peers += [f"peer g{other} unix:{self.out}/g{other}.peers" for other in range(self.script.day.gateways)
+                  if other != number and self.script.day.peers]
         models = "\n".join(f"model {model['name']} track {model['track']} lanes {model['lanes']}"
                            for model in self.models)
         file.write_text("\n".join([f"name {name}", f"listen kserve {where}", f"decisions {self.decisions}",
                                    f"hosts-file {self.out / 'hosts.list'} look 50ms",
-                                   *self.script.gateway_lines, models, ""]))
+                                   *self.script.gateway_lines, *peers, models, ""]))
         before = log.stat().st_size if log.exists() else 0
         process = Process([sys.executable, "-m", "gaproute", "serve", str(file), "--seed",
                            str(self.seed * 100 + number)], None, log, tells=False)
--- a/gaproute/trial/script.py
+++ b/gaproute/trial/script.py
@@ -10,7 +10,7 @@
 from pydantic import Field
 
 from gaproute.conf.charter import WORDS, Name
-from gaproute.conf.lines import Directive, Mistake, Mistakes, Span, read_lines
+from gaproute.conf.lines import Directive, Mistake, Mistakes, Span, Yes, read_lines
 
 AT_HOSTS = ("hang", "lost", "fail", "slow", "refuse", "cut", "reset", "shut", "heavy")
 AT_PROCESSES = ("vanish", "crash", "preempt", "deploy", "gateway-kill", "gateway-stall")
@@ -31,6 +31,7 @@
     retries: int = Field(1, ge=0, le=5)
     impatient: float = Field(0.01, ge=0, le=1)
     zipf: float = 1.1
+    peers: Yes = False                    # gateways tell one another what they know
     list_delay: Span = 1_000_000_000      # from what happens to a host until the list tells, drains apart
 
 
