Trials listen apart from where they connect from; an operator sees what is known

Suspected, not proved: a killed process starts again at its port, and in between an outgoing connection of another may hold that port.

Change: hosts and gateways of trials listen on 127.0.0.2, while all connect from 127.0.0.1, so that no connection can take their ports. gaproute knows tells the copies that a gateway believes to stand, with age and by what.

--- a/benchmarks/rows.py
+++ b/benchmarks/rows.py
@@ -15,5 +15,7 @@
     folder = Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
     (folder / f"{name}.md").write_text(table(rows))
-    (folder / f"{name}.json").write_text(json.dumps({"at": time.strftime("%Y-%m-%d"), "rows": rows, **more}, indent=1))
+    (folder / f"{name}.json").write_text(
+        json.dumps({"at": time.strftime("%Y-%m-%d"), "rows": rows, **more}, indent=1)
+    )
     return folder
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -161,12 +161,22 @@
                          "relays": relays.get(name, {})})
         return told
 
+    def knowledge(self):
+        """Copies that are believed to stand, the latest use first. `answered`: an answer showed it; else a
+        task was sent there or a peer told of it."""
+        now, functions = self.loop.now(), self.core.gateway.functions
+        told = [{"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
+                 "answered": worker in function.stands}
+                for name, function in functions.items() for worker, seen in function.seen.items()]
+        return sorted(told, key=lambda each: each["age_ms"])
+
 
 class Operator:
-    """What the command line reads, over HTTP: `/status`, `/hosts`, `/events`."""
+    """What the command line reads, over HTTP: `/status`, `/hosts`, `/knows`, `/events`."""
 
     def __init__(self, loop, where, appliance):
         self.tables = {b"/status": appliance.status, b"/hosts": appliance.host_table,
+                       b"/knows": appliance.knowledge,
                        b"/events": lambda: [{"what": what, **told} for what, told in appliance.record.events]}
         self.server = Server(loop, where, self.handle)
         self.address = self.server.address
@@ -174,7 +184,7 @@
     def handle(self, request):
         table = self.tables.get(request.target)
         body = msgspec.json.encode(
-            table() if table else {"error": "the paths are /status, /hosts and /events"}
+            table() if table else {"error": "the paths are /status, /hosts, /knows and /events"}
         )
         self.server.answer(request, 200 if table else 404, ((b"Content-Type", b"application/json"),), body)
 
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -129,6 +129,24 @@
     Console().print(table)
 
 
+@main.command()
+@at_option
+@json_option
+def knows(where, plain):
+    """The copies that a running gateway believes to stand, the latest use first."""
+    told = ask(where, b"/knows")
+    if plain:
+        click.echo(json.dumps(told))
+        return
+    table = Table()
+    for column in ("host", "function", "last use", "known by"):
+        table.add_column(column)
+    for each in told:
+        table.add_row(each["worker"], each["function"], f"{each['age_ms'] / 1000:.1f} s ago",
+                      "an answer" if each["answered"] else "a task sent, or a peer")
+    Console().print(table)
+
+
 @main.command()
 @click.argument("script", default="bad-day")
 @click.option("--seed", default=1, help="Seed of the day's chance.")
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -19,6 +19,8 @@
 from gaproute.trial.script import AT_CLIENTS, AT_HOSTS
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
+# not 127.0.0.1, from which all connect: a port of a killed process stays free for it
+ANYWHERE = "127.0.0.2:0"
 READY_TIME = 20 * SECOND     # for a process to come up, on a crowded machine
 SETTLE = 700 * MILLI         # between all being up and the first task
 
@@ -60,7 +62,7 @@
 
     def __init__(self, name, number, kind, zone, rack):
         self.name, self.number, self.kind, self.zone, self.rack = name, number, kind, zone, rack
-        self.where, self.state, self.started = "127.0.0.1:0", "active", None
+        self.where, self.state, self.started = ANYWHERE, "active", None
         self.process, self.runs, self.busy = None, 0, False
 
     def line(self):
@@ -138,7 +140,7 @@
     def start_gateway(self, number):
         name = f"g{number}"
         first = number not in self.addresses
-        where = self.addresses.get(number, "127.0.0.1:0")
+        where = self.addresses.get(number, ANYWHERE)
         file, log = self.out / f"{name}.conf", self.out / f"{name}.log"
         peers = [f"listen peers unix:{self.out}/{name}.peers"] * self.script.day.peers
         peers += [f"peer g{other} unix:{self.out}/g{other}.peers" for other in range(self.script.day.gateways)
@@ -283,7 +285,7 @@
     def play(self):
         script, day = self.script, self.script.day
         store = self.standin("store", "store", {
-            "listen": "127.0.0.1:0", "pace": script.store.pace, "limit": script.store.limit,
+            "listen": ANYWHERE, "pace": script.store.pace, "limit": script.store.limit,
             "thrash": script.store.thrash, "tap": str(self.out / "store.tap")})
         self.store_at = yield self.started(store)
         waits = [self.loop.spawn(self.start_host(self.new_seat(), True)) for _ in range(day.hosts)]
--- a/gaproute/trial/tables.py
+++ b/gaproute/trial/tables.py
@@ -12,7 +12,9 @@
 
 
 def show(result, console):
-    table = Table(title="tasks by track and end, at the clients' sockets", box=box.SIMPLE, pad_edge=False)
+    table = Table(
+        title="tasks by track and end, at the clients' sockets", box=box.SIMPLE, pad_edge=False, padding=0
+    )
     names = ("delivered", "declined", "scrapped", "left", "broken", "overdue")
     for column in ("track", *names, "service"):
         table.add_column(column, justify="left" if column == "track" else "right")
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -164,6 +164,16 @@
     assert not second.core.gateway.orders
 
 
+def test_an_operator_sees_what_is_known_and_by_what(beside):
+    made, start = beside
+    second = start()
+    made.until(lambda: second.learner.booked)
+    (own,), (hinted,) = made.gate.knowledge(), second.knowledge()
+    assert own["answered"] and not hinted["answered"]
+    assert (own["worker"], own["function"]) == (hinted["worker"], hinted["function"])
+    assert hinted["age_ms"] >= 3500 > own["age_ms"]
+
+
 def test_news_of_a_host_that_is_gone_from_the_list_is_void(beside):
     made, start = beside
     rows = made.list.read_text().splitlines()
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -56,7 +56,7 @@
 
 CONFIG = """
 name g
-listen kserve 127.0.0.1:{port}
+listen kserve 127.0.0.2:{port}
 listen operator unix:{folder}/op
 track a pure contract 1s limit 2s
 model m track a
