--- a/gaproute/http1/message.py
+++ b/gaproute/http1/message.py
@@ -30,13 +30,13 @@
 class Request:
     """One request as it came. Header names are lower case; a name that came twice is joined by a comma."""
 
-    __slots__ = ("method", "target", "headers", "body", "arrived", "keep_alive", "link", "place", "left")
+    __slots__ = ("method", "target", "headers", "body", "arrived", "keep_alive", "link", "left")
 
     def __init__(self, arrived):
         self.arrived = arrived       # when its first byte came, by the loop's clock
         self.method, self.target, self.headers, self.body = b"", b"", {}, b""
         self.keep_alive = True
-        self.link = self.place = None
+        self.link = None
         self.left = None             # call() when the client leaves before the answer
 
 
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -17,7 +17,7 @@
 
 
 class Giver:
-    """`gateway` tells what it knows; `rows()` gives the host list's rows by worker, `gone` who left it."""
+    """`gateway` tells what it knows; `lives()` is {active host: start of its life by the list}."""
 
     def __init__(self, loop, where, gateway, lives):
         self.loop, self.gateway, self.lives = loop, gateway, lives
