--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from gaproute.appliance.keeping import Keeper
+from gaproute.conf import read_peers
 from gaproute.core.core import Core
 from gaproute.discovery import FileWatch, Listing
 from gaproute.fronts.kserve import Front
@@ -13,7 +15,9 @@
 from gaproute.interface import State
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
-from gaproute.peers import Giver, Learner
+from gaproute.ledger import Memory, NoMemory
+from gaproute.lore import FACTS, Fact, Lore, Roll
+from gaproute.peers import Giver, Gossip, Learner
 from gaproute.policy import Chance
 from gaproute.pooling import Pooling
 from gaproute.record import Record
@@ -42,7 +46,10 @@
         self.stopping = False
         self.seed = seed
         self.fronts, self.watch, self.started = [], None, loop.now()
-        self.giver = self.learner = None
+        self.giver = self.learner = self.gossip = self.keeper = self.peer_watch = None
+        self.roll, self.lore = Roll(), Lore()
+        self.track_names = [line.name for line in charter.tracks]
+        self.chance = Chance(seed + 1)
 
     def start(self):
         """Errors: OSError where an address cannot be listened on; nothing listens then."""
@@ -51,12 +58,15 @@
                 if kind == "kserve":
                     self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready))
                 elif kind == "peers":
-                    self.giver = Giver(self.loop, address(where), self.core.gateway, self.lives)
+                    self.giver = Giver(self.loop, address(where), self.core.gateway, self.roll,
+                                       self.track_names)
                     self.fronts.append(self.giver)
+                    self.gossip = Gossip(self.loop, self.charter.name, self.giver.address,
+                                         Chance(self.seed + 2), self.record)
                 else:
                     self.fronts.append(Operator(self.loop, address(where), self))
         except OSError as fault:
-            for front in self.fronts:
+            for front in [*self.fronts, *([self.gossip] if self.gossip else [])]:
                 front.close()
             raise OSError(fault.errno, f"{where}: {fault.strerror}") from fault
         source = self.charter.hosts_file
@@ -64,10 +74,14 @@
             self.listed(self.charter.hosts)
         else:
             self.watch = FileWatch(self.loop, source.path, source.look, self.listed, self.list_refused)
-        if self.charter.peers:
-            self.learner = Learner(self.loop, self.charter.peers, self.core.gateway.hint, self.lives,
-                                   self.charter.terms.keep_alive, Chance(self.seed + 1), self.record,
-                                   self.charter.name)
+        self.remember()
+        if self.charter.peers or self.charter.peers_file:
+            self.learner = Learner(self.loop, (), self.lore, self.follow, self.whole, self.record)
+            self.peers_listed(self.charter.peers)
+        if self.charter.peers_file:
+            told = self.charter.peers_file
+            self.peer_watch = FileWatch(self.loop, told.path, told.look, self.peers_listed,
+                                        self.peers_refused, read_peers)
         self.log.info("started", listens=[front.address for front in self.fronts], hosts=len(self.rows))
 
     def listed(self, lines):
@@ -76,9 +90,9 @@
         before, self.rows = self.rows, {row.listed.worker: row for row in rows}
         self.hosts.listed(rows, True)
         self.core.listed([row.listed for row in rows], True)
-        if self.giver is not None:
-            self.giver.listed(self.rows)
-            self.giver.left(before.keys() - self.rows.keys())
+        self.roll.listed(self.loop.now(), {
+            name: (row.listed.state.value, (self.listing.starts.get(name) or (0,))[0])
+            for name, row in self.rows.items()})
         for name in sorted(before.keys() | self.rows.keys()):
             old, new = (table.get(name) for table in (before, self.rows))
             if old != new:
@@ -88,10 +102,47 @@
         for mistake in mistakes:
             self.record.event("error", "host list refused", mistake=str(mistake))
 
-    def lives(self):
-        """{active host: start of its life by the list, ns since 1970; 0: none told}."""
-        return {name: (self.listing.starts.get(name) or (0,))[0] for name, row in self.rows.items()
-                if row.listed.state is State.ACTIVE}
+    # What others and a past life tell
+
+    def remember(self):
+        """Opens the memory on disk where there is one, and follows what it tells of the past life."""
+        if self.charter.memory is None:
+            return
+        memory = Memory(self.charter.memory, lambda text: self.record.event("warning", "memory", text=text))
+        try:
+            memory.open()
+        except NoMemory as fault:
+            self.record.event("warning", "no memory", text=str(fault))
+            return
+        now = self.loop.now()
+        for subject, value, age in memory.read(FACTS):
+            at = self.lore.observed(now, age)
+            if at is not None:
+                self.lore.tell(subject, Fact(at, "past life", 0, value))
+        booked = self.follow(self.lore.facts)
+        self.whole()
+        self.record.event("info", "remembered", facts=len(self.lore.facts), booked=booked,
+                          refused=dict(self.lore.refused))
+        self.keeper = Keeper(self.loop, memory, self.core.gateway, self.roll, self.track_names)
+
+    def follow(self, subjects):
+        tracks = {name: place for place, name in enumerate(self.track_names)}
+        return self.lore.follow(self.core.gateway, self.loop.now(), self.roll.lives(), tracks,
+                                self.charter.terms.keep_alive, self.chance, subjects)
+
+    def whole(self):
+        """All that one source tells has come: the mix is known now."""
+        self.core.gateway.hint_mix(self.lore.mix())
+
+    def peers_listed(self, peers):
+        others = [peer for peer in peers if peer.name != self.charter.name]
+        if self.gossip is not None:
+            self.gossip.listed(others)
+        self.learner.listed(others)
+
+    def peers_refused(self, mistakes):
+        for mistake in mistakes:
+            self.record.event("error", "peer list refused", mistake=str(mistake))
 
     def ready(self):
         return not self.stopping and any(row.listed.state is State.ACTIVE for row in self.rows.values())
@@ -106,8 +157,11 @@
         self.log.info("stopping", held=len(self.core.held))
         for front in self.fronts:
             front.stop()
-        if self.watch is not None:
-            self.watch.close()
+        if self.gossip is not None:
+            self.gossip.stop()
+        for watch in (self.watch, self.peer_watch):
+            if watch is not None:
+                watch.close()
         self.core.emptied = self._emptied
         self.loop.after(self.charter.longest + LAST_WORDS, self.loop.stop)
         if not self.core.held:
@@ -131,10 +185,9 @@
     def close(self):
         for front in self.fronts:
             front.close()
-        if self.watch is not None:
-            self.watch.close()
-        if self.learner is not None:
-            self.learner.close()
+        for part in (self.watch, self.peer_watch, self.learner, self.gossip, self.keeper):
+            if part is not None:
+                part.close()
         self.hosts.close()
 
     # For operators
@@ -146,10 +199,17 @@
                 "late_turns": self.loop.late_turns, "counts": counts,
                 "connections": {"opened": self.hosts.opened, "reused": self.hosts.reused,
                                 "raced": self.hosts.raced},
-                "learnt": self.learner and {"peers": self.learner.state, "booked": self.learner.booked,
-                                            "refused": dict(self.learner.lore.refused)},
+                "gateways": self.gossip.members.up() if self.gossip else None,
+                "learnt": {"facts": len(self.lore.facts), "refused": dict(self.lore.refused),
+                           "peers": self.learner.state if self.learner else {},
+                           "booked": self.learner.booked if self.learner else 0,
+                           "luck": list(self.core.gateway.luck)},
                 "telling": self.giver and {"facts": self.giver.told, "put_off": self.giver.put_off,
-                                           "cpu_ms": self.giver.spent / MILLI}}
+                                           "cpu_ms": self.giver.spent / MILLI},
+                "memory": self.keeper and {"written": self.keeper.memory.written,
+                                           "failed": self.keeper.memory.failed,
+                                           "cpu_ms": self.keeper.spent / MILLI,
+                                           "longest_ms": self.keeper.longest / MILLI}}
 
     def host_table(self):
         relays = self.record.table().get("relay", {})
@@ -162,21 +222,30 @@
         return told
 
     def knowledge(self):
-        """Copies that are believed to stand, the latest use first. `answered`: an answer showed it; else a
-        task was sent there or a peer told of it."""
-        now, functions = self.loop.now(), self.core.gateway.functions
-        told = [{"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
-                 "answered": worker in function.stands}
-                for name, function in functions.items() for worker, seen in function.seen.items()]
+        """Copies that are believed to stand, the latest use first, with what speaks for each: an answer, a
+        task sent there, or who told of it."""
+        now, functions, told = self.loop.now(), self.core.gateway.functions, []
+        for name, function in functions.items():
+            for worker, seen in function.seen.items():
+                fact = self.lore.facts.get(("warm", worker, name)) if worker in function.hinted else None
+                told.append({"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
+                             "by": "an answer" if worker in function.stands else
+                             fact.origin if fact else "a task sent"})
         return sorted(told, key=lambda each: each["age_ms"])
 
+    def peer_table(self):
+        """The gateways that are known: membership's view, and what each told at the start."""
+        learnt = self.learner.state if self.learner else {}
+        rows = self.gossip.table() if self.gossip else [{"name": name, "state": None} for name in learnt]
+        return [row | {"learnt": learnt.get(row["name"])} for row in rows]
+
 
 class Operator:
-    """What the command line reads, over HTTP: `/status`, `/hosts`, `/knows`, `/events`."""
+    """What the command line reads, over HTTP: `/status`, `/hosts`, `/knows`, `/peers`, `/events`."""
 
     def __init__(self, loop, where, appliance):
         self.tables = {b"/status": appliance.status, b"/hosts": appliance.host_table,
-                       b"/knows": appliance.knowledge,
+                       b"/knows": appliance.knowledge, b"/peers": appliance.peer_table,
                        b"/events": lambda: [{"what": what, **told} for what, told in appliance.record.events]}
         self.server = Server(loop, where, self.handle)
         self.address = self.server.address
@@ -184,7 +253,7 @@
     def handle(self, request):
         table = self.tables.get(request.target)
         body = msgspec.json.encode(
-            table() if table else {"error": "the paths are /status, /hosts, /knows and /events"}
+            table() if table else {"error": "the paths are /status, /hosts, /knows, /peers and /events"}
         )
         self.server.answer(request, 200 if table else 404, ((b"Content-Type", b"application/json"),), body)
 
--- /dev/null
+++ b/gaproute/appliance/keeping.py
@@ -0,0 +1,51 @@
+"""Writes what this gateway saw to its memory on disk, in the background, a slice at a time."""
+import time
+
+from gaproute.lore import KEEP_EVERY, KEEP_WHOLE, OLDEST, SLICE, Purse, own
+
+MOST = 256               # facts in one transaction: about a millisecond
+
+
+class Keeper:
+    """Every KEEP_EVERY what changed is written, and now and then the whole, so that slow figures come too."""
+
+    def __init__(self, loop, memory, gateway, roll, tracks):
+        self.loop, self.memory, self.gateway, self.roll, self.tracks = loop, memory, gateway, roll, tracks
+        self.purse = Purse(loop.now())
+        self.rounds, self.mark = 0, -1
+        self.spent = self.longest = 0
+        self.routine = loop.spawn(self._keep())
+
+    def _keep(self):
+        while True:
+            yield self.loop.sleep(KEEP_EVERY)
+            begun = self.loop.now()
+            since = -1 if self.rounds % KEEP_WHOLE == 0 else self.mark
+            facts = own(self.gateway, self.roll, self.tracks, begun, since)
+            while not self.slice(facts):
+                yield self.loop.sleep(self.purse.wait() if self.purse.left <= 0 else SLICE)
+            if self.rounds % KEEP_WHOLE == 0:
+                self.memory.forget(OLDEST)
+            self.mark, self.rounds = begun, self.rounds + 1
+
+    def slice(self, facts):
+        """Writes some of the facts; whether those were the last."""
+        if not self.purse.may(self.loop.now()):
+            return False
+        begun, some, ended = time.thread_time_ns(), [], True
+        for fact in facts:
+            some.append(fact)
+            if len(some) >= MOST or time.thread_time_ns() - begun > SLICE / 2:
+                ended = False
+                break
+        self.memory.write(some)
+        spent = time.thread_time_ns() - begun
+        self.spent, self.longest = self.spent + spent, max(self.longest, spent)
+        self.purse.spend(spent)
+        return ended
+
+    def close(self):
+        """What is still unwritten goes in one last slice."""
+        self.routine.cancel()
+        self.memory.write(list(own(self.gateway, self.roll, self.tracks, self.loop.now(), self.mark))[:MOST])
+        self.memory.close()
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -1,4 +1,4 @@
-"""`gaproute serve|check|status|hosts|trial|standin`. Exit codes: 0 well, 1 the thing asked about is not well
+"""`gaproute serve|check|status|hosts|knows|peers|trial|day-script`. Exit codes: 0 well, 1 the thing asked about is not well
 (a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it could not be done."""
 import gc
 import json
@@ -9,7 +9,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from gaproute.conf import Mistakes, read_charter, read_hosts
+from gaproute.conf import Mistakes, read_charter, read_hosts, read_peers
 from gaproute.loop.streams import address
 
 
@@ -18,6 +18,8 @@
         charter = read_charter(file)
         if charter.hosts_file is not None:
             read_hosts(charter.hosts_file.path)
+        if charter.peers_file is not None:
+            read_peers(charter.peers_file.path)
         return charter
     except Mistakes as wrong:
         for mistake in wrong.mistakes:
@@ -143,7 +145,28 @@
         table.add_column(column)
     for each in told:
         table.add_row(each["worker"], each["function"], f"{each['age_ms'] / 1000:.1f} s ago",
-                      "an answer" if each["answered"] else "a task sent, or a peer")
+                      each["by"])
+    Console().print(table)
+
+
+@main.command()
+@at_option
+@json_option
+def peers(where, plain):
+    """The other gateways that a running one knows: who is up, and what each told at the start."""
+    told = ask(where, b"/peers")
+    if plain:
+        click.echo(json.dumps(told))
+        return
+    table = Table()
+    for column in ("gateway", "address", "state", "for", "last heard", "told at the start"):
+        table.add_column(column)
+    for each in told:
+        heard = each.get("heard_ms")
+        table.add_row(each["name"], each.get("where", ""), each["state"] or "",
+                      f"{each['since_ms'] / 1000:.0f} s" if "since_ms" in each else "",
+                      f"{heard / 1000:.1f} s ago" if heard is not None else "never",
+                      each["learnt"] or "not asked")
     Console().print(table)
 
 
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -117,6 +117,21 @@
     where: Address
 
 
+class PeersFile(Directive):
+    places: ClassVar = ("path",)
+    example: ClassVar = "peers-file peers.list look 1s"
+    once: ClassVar = True
+    path: str
+    look: Span = Field(1_000_000_000, ge=1_000_000, le=60_000_000_000)
+
+
+class MemoryLine(Directive):
+    places: ClassVar = ("path",)
+    example: ClassVar = "memory /var/lib/gaproute/gate-1.memory"
+    once: ClassVar = True
+    path: str
+
+
 class Copies(Directive):
     example: ClassVar = "copies keep 10s orders yes free 6 share 0.3 window 10s"
     once: ClassVar = True
@@ -205,6 +220,7 @@
 
 
 HOST_WORDS = {"host": HostLine}
+PEER_WORDS = {"peer": PeerLine}
 WORDS = HOST_WORDS | {
     "name": Word,
     "listen": Listen,
@@ -213,6 +229,8 @@
     "model": ModelLine,
     "tenant": TenantLine,
     "peer": PeerLine,
+    "peers-file": PeersFile,
+    "memory": MemoryLine,
     "copies": Copies,
     "relays": Relays,
     "reports": Reports,
@@ -247,6 +265,8 @@
         self.models = {line.name: line for line in all_of("model")}
         self.tenants = {line.name: place for place, line in enumerate(all_of("tenant"))}
         self.peers = all_of("peer")
+        self.peers_file = next(iter(all_of("peers-file")), None)
+        self.memory = next((line.path for line in all_of("memory")), None)
         self.clients, self.reach = one("clients"), one("reach")
         self.log_level, self.decisions = one("log").level, one("decisions").load()
         self.longest = max(line.limit for line in self.tracks)
@@ -301,9 +321,18 @@
 
 def read_hosts(file, text=None):
     """The `host` lines of a host list. Errors: `Mistakes`."""
+    return _read_list(file, text, "host", HOST_WORDS)
+
+
+def read_peers(file, text=None):
+    """The `peer` lines of a list of gateways. Errors: `Mistakes`."""
+    return _read_list(file, text, "peer", PEER_WORDS)
+
+
+def _read_list(file, text, word, words):
     file = str(file)
-    found, mistakes, _ = read_lines(file, _text(file) if text is None else text, HOST_WORDS)
-    mistakes += _twice(file, [("host", line) for _, line in found])
+    found, mistakes, _ = read_lines(file, _text(file) if text is None else text, words)
+    mistakes += _twice(file, [(word, line) for _, line in found])
     if mistakes:
         raise Mistakes(mistakes)
     return [line for _, line in found]
@@ -347,6 +376,12 @@
         mistakes.append(
             Mistake(file, line.line, "hosts stand here and in a hosts-file", "keep one of the two")
         )
+    if {"peer", "peers-file"} <= words.keys():
+        line = next(line for word, line in found if word == "peer")
+        mistakes.append(Mistake(file, line.line, "peers stand here and in a peers-file", "keep one of the two"))
+    if "peers-file" in words and "name" not in words:
+        mistakes.append(Mistake(file, 0, "a peers-file without a name line: which peer is this gateway?",
+                                f"right would be: {Word.example}"))
     for word, line in found:
         if word == "model" and line.track not in tracks:
             mistakes.append(Mistake(file, line.line, f"model {line.name}: no track {line.track!r}",
--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -42,12 +42,12 @@
 
 
 class FileWatch:
-    """Looks at a file of host lines; `told(lines)` at once when it has changed. A wrong or missing file is
+    """Looks at a file of lines; `told(lines)` at once when it has changed. A wrong or missing file is
     refused whole, `refused(mistakes)` is called once for it, and the list last told stays."""
 
-    def __init__(self, loop, path, look, told, refused):
+    def __init__(self, loop, path, look, told, refused, reader=read_hosts):
         self.loop, self.path, self.look_every = loop, path, look
-        self.told, self.refused = told, refused
+        self.told, self.refused, self.reader = told, refused, reader
         self.mark = None
         # after a stop the list is read before the tasks that came meanwhile
         loop.on_late.append(self.look)
@@ -69,7 +69,7 @@
 
     def read(self):
         try:
-            lines = read_hosts(self.path)
+            lines = self.reader(self.path)
         except Mistakes as wrong:
             self.refused(wrong.mistakes)
             return
--- a/gaproute/lore.py
+++ b/gaproute/lore.py
@@ -1,51 +1,90 @@
-"""What other gateways tell of copies seen and hosts gone, and how far it is trusted: decisions only, no I/O.
+"""What is told of the fleet by other gateways and by a past life, and how far it is trusted: decisions only.
 
-A fact has a subject, the time of the observation on this gateway's clock, and who observed it. Only what a
-gateway saw itself is told on, so no fact travels twice and none that a host's end has made void comes back by
-a third. `Lore` holds facts from many givers; merging is taking the greater of two by one total order, so it
-is commutative, associative and idempotent. What is gone is remembered as a tombstone and never as an absence.
+A fact has a subject, a value, the time of the observation on this gateway's clock, who observed it, and over
+how many hops it came: 0 for this gateway's own past life, 1 for a peer's own eyes. Only what a gateway saw
+itself is told on, so no fact travels further and none that a host's end has made void comes back by a third.
+`Lore` holds facts from many givers; merging takes the greater of two by one total order, so it is commutative,
+associative and idempotent. A host that is gone is remembered as such (a tombstone), never as an absence.
+
+Subjects are tuples: ("warm", worker, function), ("listed", worker), ("doubt", worker, track), ("pace",
+worker), ("usual", function), ("load",), ("share", function). `KINDS` has their values.
 
 The host list of this gateway beats all of it, and whatever it saw itself beats every hint: see `Lore.hints`
-and `Gateway.hint`. Nothing here orders a load, marks a host as active or lifts a limit of the rules.
+and the hints of `Gateway`. Nothing here orders a load, marks a host as active or lifts a limit of the rules.
 """
 from collections import Counter
 from typing import NamedTuple
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-# facts older than this are refused: no copy is kept so long, and no clock is so right
-OLDEST = 300 * SECOND
+OLDEST = 300 * SECOND    # facts older than this are refused: no copy is kept so long, no clock is so right
 FACTS = 50_000           # facts held: 300 hosts with 160 functions each; beyond it new subjects are refused
 NAME = 256               # characters of a name: what is longer was never a host or a model
-# of the keep-alive: age that a hint has at least, whatever is told, since the giver's
-FRESHEST = 0.35
+FRESHEST = 0.35          # of the keep-alive: age that a hint has at least, whatever is told, since the giver's
 #                          word is weaker than one's own eyes; the fade leaves it 0.985 of its warmth
-# of the keep-alive: further age by chance, so that gateways that learn the same at the
-SPREAD = 0.35
-#                          same moment rank the warm hosts differently and do not all send to one
+SPREAD = 0.35            # of the keep-alive: further age by chance, so that gateways that learn the same at
+#                          one moment rank the warm hosts differently and do not all send to one
+COPIES = 2               # copies of a function believed at least: the freshest; every further one that is
+#                          believed is one more kept standing, which a busy store pays for
+WIDE = 2.5               # copies believed for each worker that a function could fill, as the module spreads it
+SLOWEST = 8.0            # times slower than usual that a host is believed to be at most
 SHARE = 0.01             # of a giver's core that telling may take
 BURST = 10 * MILLI       # of CPU that telling may take at once: a dozen chunks, less than one slow turn
-
-
-class Warm(NamedTuple):
-    """A giver saw a copy of the function stand at the worker."""
+SLICE = MILLI            # of CPU that one answer may take: a task in the same turn waits no longer for it
+CHUNK, CHUNK_BYTES = 256, 16_384   # facts, and bytes of names, in one answer
+CHUNKS = 1024            # answers that one giver is heard for at most: it cannot hold a learner for ever
+ANSWER = 1 << 20         # bytes of one answer at most
+ANSWER_TIME = 500 * MILLI    # for one answer; a peer that is slower is dropped
+LEARN_TIME = 5 * SECOND  # from the start on: later, own traffic tells more than any peer
+CHANGES = 250 * MILLI    # between asks for what changed: a tenth of the time in which a busy copy is reused
+TRIES, TRY_AGAIN = 8, 500 * MILLI    # for a peer that is not there yet: both sides may have been restarted
+ASKED = 4                # peers asked at once: further ones tell mostly the same
+MIXED = 128              # names that stand for the mix told: half of what the module keeps of its own
+KEEP_EVERY = 500 * MILLI    # between writes to the memory on disk: what a kill loses is half a second
+KEEP_WHOLE = 10          # of them one is of the whole, for the figures that have no time of their own
+GONE_KEPT = 256          # hosts remembered as gone
+
+
+class Fact(NamedTuple):
     at: int                  # observed, by this gateway's clock, ns
     origin: str              # who observed it
-    lanes: int
-    started: int             # start of the worker's life by the giver's list, ns since 1970; 0: none told
+    hops: int
+    value: tuple
+
+
+def _warm(lanes, started):
+    return None if 1 <= lanes <= 1024 and started >= 0 else "lanes" if started >= 0 else "start"
+
+
+def _listed(state, started):
+    return "state" if state not in ("active", "draining", "gone") else "start" if started < 0 else None
+
+
+def _time(took):
+    return None if 0 < took <= OLDEST else "time"
 
 
-class Gone(NamedTuple):
-    """A giver was told that the worker is gone."""
-    at: int
-    origin: str
+def _part(part):
+    return None if 0 < part <= 1 else "share"
+
+
+# kind: (names in its subject, what is wrong with a value or None)
+KINDS = {
+    "warm": (2, _warm),          # (lanes, start of the worker's life by the giver's list, ns since 1970; 0: none)
+    "listed": (1, _listed),      # (state by the giver's list, start)
+    "doubt": (2, _part),         # (weight of the last bad result, 0 to 1)
+    "pace": (1, lambda slow: None if 1 <= slow < float("inf") else "pace"),    # (times slower than usual)
+    "usual": (1, _time),         # (answer time where a copy stands, ns)
+    "load": (0, _time),          # (answer time where a load is waited for, ns)
+    "share": (1, _part),         # (of the giver's last tasks)
+}
 
 
 class Lore:
     def __init__(self):
-        self.warm = {}           # (worker, function): Warm
-        self.gone = {}           # worker: Gone
-        self.refused = Counter()     # reason: facts refused
+        self.facts = {}              # subject: Fact
+        self.copies = {}             # function: workers that somebody saw it warm at, in the order of coming
+        self.refused = Counter()     # reason: facts refused, or not followed
 
     def observed(self, asked, age):
         """The earliest time that a fact of that age can be of, by the clock at which it was asked for; None:
@@ -56,64 +95,149 @@
             return None
         return asked - age
 
-    def tell_warm(self, worker, function, fact):
-        if not 1 <= fact.lanes <= 1024:
-            self.refused["lanes"] += 1
-        elif fact.started < 0:
-            self.refused["start"] += 1
-        else:
-            self._add(self.warm, (worker, function), fact, len(worker) + len(function) <= NAME and function)
-
-    def tell_gone(self, worker, fact):
-        self._add(self.gone, worker, fact, len(worker) <= NAME)
-
-    def _add(self, table, subject, fact, well_named):
-        known = table.get(subject)
-        if not well_named or not subject:
-            self.refused["name"] += 1
-        elif known is not None:
-            table[subject] = max(known, fact)
-        elif len(self.warm) + len(self.gone) >= FACTS:
-            self.refused["too many"] += 1
-        else:
-            table[subject] = fact
+    def tell(self, subject, fact):
+        """Takes a fact where it is newer than what is held; what cannot be is refused and counted."""
+        kind, *names = subject
+        count, wrong = KINDS.get(kind, (None, None))
+        reason = "kind" if count is None else "name" if len(names) != count or not all(
+            0 < len(name) <= NAME for name in names) else wrong(*fact.value)
+        known = self.facts.get(subject)
+        if reason is None and known is None and len(self.facts) >= FACTS:
+            reason = "too many"
+        if reason is not None:
+            self.refused[reason] += 1
+            return
+        if known is None and kind == "warm":
+            self.copies.setdefault(names[1], []).append(names[0])
+        self.facts[subject] = fact if known is None else max(known, fact)
 
     def merge(self, other):
         self.refused.update(other.refused)
-        for (worker, function), fact in other.warm.items():
-            self.tell_warm(worker, function, fact)
-        for worker, fact in other.gone.items():
-            self.tell_gone(worker, fact)
-
-    def hints(self, now, lives, keep_alive, chance, subjects=None):
-        """What may be believed: [(worker, function, lanes, time of the copy's last use)], by subject.
-
-        `lives`: {worker: start of its life by this gateway's list (ns since 1970, 0: none told)} of the
-        active hosts. A hint is void where the list does not name the host, where the host has begun another
-        life, where anybody was told later that it is gone, and where a copy would have been unloaded since.
-        `subjects`: the (worker, function) pairs to look at; all where left out.
+        for subject, fact in other.facts.items():
+            self.tell(subject, fact)
+
+    def share(self, function):
+        fact = self.facts.get(("share", function))
+        return fact.value[0] if fact else 0.0
+
+    def void(self, worker, fact, started, lives):
+        """Why a fact of a worker is not to be followed, or None. `lives`: {active worker: start of its life by
+        this gateway's list, ns since 1970, 0: none told}; `started`: the start by the giver's, None where the
+        kind has none."""
+        listed = self.facts.get(("listed", worker))
+        if worker not in lives:
+            return "not listed"
+        if started is not None and lives[worker] != started:
+            return "another life"
+        if listed and listed.value[0] != "active" and listed.at >= fact.at:
+            return "gone since"
+        return None
+
+    def hints(self, now, lives, keep_alive, chance, functions=None):
+        """Copies that may be believed: [(worker, function, lanes, time of the last use)].
+
+        Of each function only the freshest, as many as its share of the work could fill and COPIES at least.
+        `functions`: those to look at; all where left out.
         """
         found = []
-        for worker, function in sorted(self.warm if subjects is None else self.warm.keys() & subjects.keys()):
-            fact = self.warm[worker, function]
-            if worker not in lives:
-                self.refused["not listed"] += 1
-            elif lives[worker] != fact.started:
-                self.refused["another life"] += 1
-            elif worker in self.gone and self.gone[worker].at >= fact.at:
-                self.refused["gone since"] += 1
-            else:
+        for function in sorted(self.copies if functions is None else self.copies.keys() & set(functions)):
+            usable = []
+            for worker in sorted(self.copies[function]):
+                fact = self.facts["warm", worker, function]
+                reason = self.void(worker, fact, fact.value[1], lives)
                 floor = FRESHEST + SPREAD * chance.below(1000) / 1000
                 seen = min(fact.at, now - int(floor * keep_alive))
-                if now - seen < keep_alive:
-                    found.append((worker, function, fact.lanes, seen))
+                if reason is None and now - seen >= keep_alive:
+                    reason = "faded"
+                if reason is None:
+                    usable.append((fact.at, worker, fact.value[0], seen))
                 else:
-                    self.refused["faded"] += 1
+                    self.refused[reason] += 1
+            usable.sort(key=lambda copy: (-copy[0], copy[1]))
+            most = max(COPIES, round(WIDE * self.share(function) * len(lives)))
+            found += [(worker, function, lanes, seen) for _, worker, lanes, seen in usable[:most]]
         return found
 
+    def follow(self, gateway, now, lives, tracks, keep_alive, chance, subjects):
+        """Hands the gateway what may be believed of the subjects that came; how many hints it took.
+
+        `tracks`: {name: place in the terms}.
+        """
+        took = sum([gateway.hint(*hint) for hint in self.hints(
+            now, lives, keep_alive, chance, [subject[2] for subject in subjects if subject[0] == "warm"])])
+        for subject in subjects:
+            kind, *names = subject
+            fact = self.facts.get(subject)
+            if fact is None or kind in ("warm", "listed", "share"):
+                continue
+            value = fact.value[0]
+            if kind == "usual":
+                took += gateway.hint_usual(names[0], value)
+            elif kind == "load":
+                took += gateway.hint_usual(None, value)
+            elif reason := self.void(names[0], fact, None, lives):
+                self.refused[reason] += 1
+            elif kind == "pace":
+                took += gateway.hint_pace(names[0], min(value, SLOWEST), fact.at)
+            elif names[1] in tracks:
+                took += gateway.hint_doubt(names[0], tracks[names[1]], value, fact.at)
+            else:
+                self.refused["track"] += 1
+        return took
+
+    def mix(self, size=MIXED):
+        """`size` names that stand for the mix of functions told, "" for those not told, evenly mixed."""
+        shares = sorted((name, fact.value[0]) for (kind, *rest), fact in self.facts.items() if kind == "share"
+                        for name in rest)
+        total = max(1.0, sum(share for _, share in shares))
+        names, reached = [], 0.0
+        for name, share in shares:
+            reached += share / total * size
+            names += [name] * (round(reached) - len(names))
+        names += [""] * (size - len(names))
+        # A stride that shares no factor with a power of two: no function's tasks stand together.
+        return [names[place * 37 % size] for place in range(size)]
+
+
+class Roll:
+    """What a gateway's own host list told of each host, and when; hosts that left it are gone."""
+
+    def __init__(self):
+        self.told = {}           # worker: (state, start, when that was first told)
+
+    def listed(self, now, rows):
+        """`rows`: {worker: (state, start of its life, ns since 1970, 0: none told)}, the whole list."""
+        for name, row in rows.items():
+            if self.told.get(name, ())[:2] != row:
+                self.told.pop(name, None)
+                self.told[name] = (*row, now)
+        for name in [name for name, told in self.told.items() if name not in rows and told[0] != "gone"]:
+            started = self.told.pop(name)[1]
+            self.told[name] = ("gone", started, now)
+        gone = [name for name, told in self.told.items() if told[0] == "gone" and name not in rows]
+        for name in gone[:-GONE_KEPT]:
+            del self.told[name]
+
+    def lives(self):
+        return {name: started for name, (state, started, _) in self.told.items() if state == "active"}
+
+
+def own(gateway, roll, tracks, now, since=-1):
+    """What a gateway saw itself since then, one by one: (subject, value, when). `tracks`: their names."""
+    for name, (state, started, at) in list(roll.told.items()):
+        if at > since:
+            yield ("listed", name), (state, started), at
+    for kind, names, value, at in gateway.known(now, since):
+        if kind == "warm":
+            told = roll.told.get(names[0])
+            value = (*value, told[1] if told else 0)
+        elif kind == "doubt":
+            names = (names[0], tracks[names[1]])
+        yield (kind, *names), value, at
+
 
 class Purse:
-    """How much CPU a giver may spend on telling: a share of the time that passes, a small burst at most."""
+    """How much CPU telling may take: a share of the time that passes, a small burst at most."""
 
     def __init__(self, now):
         self.left, self.at = BURST, now
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -1,48 +1,35 @@
-"""The giving side: answers `POST /lore` with a chunk of what this gateway saw itself, within a budget of
-CPU."""
+"""The giving side: answers `POST /lore` with a chunk of what this gateway saw itself, within a budget of CPU
+and bytes.
+
+A snapshot is read on from where the last answer stopped, function by function, so that no answer takes longer
+than its slice however much is known. What changed since is asked for by the mark of the snapshot's answer.
+"""
+import secrets
 import time
 
 from google.protobuf.message import DecodeError
 
 from gaproute.http1 import Limits, Server
-from gaproute.interface import State
-from gaproute.lore import Purse
-from gaproute.peers.lore_pb2 import Ask, Told
+from gaproute.lore import CHUNK, CHUNK_BYTES, SLICE, Purse, own
+from gaproute.peers import wire
+from gaproute.peers.lore_pb2 import Told
 
-VERSION = 1
-CHUNK = 256              # facts in one answer at most: about 20 kB, well under a millisecond of CPU
-SNAPSHOTS = 16           # learners served at a time; an older one that comes back begins anew
-GONE_KEPT = 256          # hosts remembered as gone
+READINGS = 16            # learners served at a time; an older one that comes back begins anew
 MILLI = 1_000_000
 
 
 class Giver:
-    """`gateway` tells what it knows; `lives()` is {active host: start of its life by the list}."""
+    """`gateway` tells what it knows, `roll` what its host list told; `tracks`: their names."""
 
-    def __init__(self, loop, where, gateway, lives):
-        self.loop, self.gateway, self.lives = loop, gateway, lives
+    def __init__(self, loop, where, gateway, roll, tracks):
+        self.loop, self.gateway, self.roll, self.tracks = loop, gateway, roll, tracks
         self.purse = Purse(loop.now())
-        self.gone = {}               # worker: when this gateway was told
-        self.snapshots, self.count = {}, 0     # cursor: facts still to be told
+        self.life = secrets.randbits(63) | 1       # the clock's marks are this process's alone
+        self.readings, self.count = {}, 0          # cursor: (mark, facts still to be told)
         self.told = self.put_off = self.spent = 0
         self.server = Server(loop, where, self.handle, Limits(body=4096, pipelined=1, connections=64))
         self.address = self.server.address
 
-    def listed(self, rows):
-        """The host list changed: who is gone from it is told on, who is back no longer."""
-        now = self.loop.now()
-        for name, row in rows.items():
-            if row.listed.state is State.ACTIVE:
-                self.gone.pop(name, None)
-            else:
-                self.gone.setdefault(name, now)
-        while len(self.gone) > GONE_KEPT:
-            del self.gone[next(iter(self.gone))]
-
-    def left(self, names):
-        for name in names:
-            self.gone.setdefault(name, self.loop.now())
-
     def handle(self, request):
         now = self.loop.now()
         if request.target != b"/lore" or request.method != b"POST":
@@ -55,38 +42,36 @@
             return
         begun = time.thread_time_ns()
         try:
-            ask = Ask.FromString(request.body)
+            ask = wire.read_ask(request.body)
         except DecodeError:
             self.server.answer(request, 400, (), b"not an Ask\n")
             return
         self.server.answer(request, 200, ((b"Content-Type", b"application/x-protobuf"),),
-                           self.chunk(now, ask).SerializeToString())
+                           self.chunk(now, ask, begun).SerializeToString())
         spent = time.thread_time_ns() - begun
         self.spent += spent
         self.purse.spend(spent)
 
-    def chunk(self, now, ask):
-        told = Told(version=VERSION)
-        if ask.cursor == 0:
-            # the latest first: most is in them
-            facts = sorted(self.gateway.known(), key=lambda fact: -fact[3])
-            self.count += 1
-            number = self.count
-            for worker, at in self.gone.items():
-                told.gone.add(worker=worker, age_us=(now - at) // 1000)
-        else:
+    def chunk(self, now, ask, begun):
+        told = Told(version=wire.VERSION, life=self.life)
+        if ask.cursor:
             number = ask.cursor
-            facts = self.snapshots.pop(number, [])
-        most = min(CHUNK, ask.most or CHUNK)
-        for worker, function, lanes, seen in facts[:most]:
-            told.warm.add(worker=worker, function=function, lanes=lanes, age_us=(now - seen) // 1000,
-                          started_ns=self.lives().get(worker, 0))
-        self.told += len(told.warm)
-        if len(facts) > most:
-            self.snapshots[number] = facts[most:]
-            told.next = number
-            while len(self.snapshots) > SNAPSHOTS:
-                del self.snapshots[next(iter(self.snapshots))]
+            told.mark, facts = self.readings.pop(number, (now, iter(())))
+        else:
+            self.count += 1
+            number, told.mark = self.count, now
+            since = ask.mark if ask.life == self.life else -1
+            facts = own(self.gateway, self.roll, self.tracks, now, since)
+        most, size = min(CHUNK, ask.most or CHUNK), 0
+        for count, (subject, value, at) in enumerate(facts, 1):
+            size += wire.add(told, subject, value, now - at)
+            self.told += 1
+            if count >= most or size > CHUNK_BYTES or time.thread_time_ns() - begun > SLICE:
+                self.readings[number] = told.mark, facts
+                told.next = number
+                while len(self.readings) > READINGS:
+                    del self.readings[next(iter(self.readings))]
+                break
         return told
 
     def stop(self):
--- /dev/null
+++ b/gaproute/peers/gossip.py
@@ -0,0 +1,93 @@
+"""Membership on datagrams: beside the address at which a gateway tells what it knows, by the same address for
+UDP, by the path with `.words` added for Unix sockets."""
+from google.protobuf.message import DecodeError
+
+from gaproute.loop.datagrams import Datagrams
+from gaproute.membership import STATES, Members, News, Word
+from gaproute.peers import word_pb2
+
+VERSION = 1
+KINDS = ("", "ping", "ack", "ask")
+
+
+def encode(word):
+    made = word_pb2.Word(version=VERSION, kind=KINDS.index(word.kind), number=word.number, target=word.target)
+    for message, news in [(made.sender, word.sender), *((made.news.add(), news) for news in word.news)]:
+        message.name, message.where, message.state, message.incarnation = news
+    return made.SerializeToString()
+
+
+def decode(data):
+    """The Word, or None where it is none that is understood."""
+    try:
+        told = word_pb2.Word.FromString(data)
+    except DecodeError:
+        return None
+    if abs(told.version - VERSION) > 1 or not 0 < told.kind < len(KINDS):
+        return None
+    news = [News(each.name, each.where, each.state, each.incarnation) for each in (told.sender, *told.news)]
+    return Word(KINDS[told.kind], told.number, news[0], told.target, tuple(news[1:]))
+
+
+def at(where):
+    return where + ".words" if where.startswith("unix:") else where
+
+
+class Gossip:
+    def __init__(self, loop, name, where, chance, record):
+        self.loop, self.record = loop, record
+        self.members = Members(name, where, chance, loop.now())
+        self.datagrams = Datagrams(loop, at(where), self._heard)
+        self.sent = self.bytes = self.strange = 0
+        self.seen = {}               # name: state last told to the log
+        self._again()
+
+    def listed(self, peers):
+        self.members.listed(self.loop.now(), {peer.name: peer.where for peer in peers})
+        self._note()
+
+    def _again(self):
+        self.timer = self.loop.at(self.members.due, self._tick)
+
+    def _tick(self):
+        self._send(self.members.tick(self.loop.now()))
+        self._note()
+        self._again()
+
+    def _heard(self, data):
+        word = decode(data)
+        if word is None:
+            self.strange += 1
+            return
+        self._send(self.members.hear(self.loop.now(), word))
+        self._note()
+
+    def _send(self, words):
+        for where, word in words:
+            data = encode(word)
+            self.sent += 1
+            self.bytes += len(data)
+            self.datagrams.send(data, at(where))
+
+    def _note(self):
+        for name, member in self.members.members.items():
+            if self.seen.get(name) != member.state:
+                self.seen[name] = member.state
+                self.record.event("info", "gateway", name=name, state=STATES[member.state],
+                                  incarnation=member.incarnation)
+        for name in [name for name in self.seen if name not in self.members.members]:
+            del self.seen[name]
+
+    def table(self):
+        now = self.loop.now()
+        return [{"name": member.name, "where": member.where, "state": STATES[member.state],
+                 "incarnation": member.incarnation, "since_ms": (now - member.since) // 1_000_000,
+                 "heard_ms": None if member.heard is None else (now - member.heard) // 1_000_000,
+                 "configured": member.fixed} for _, member in sorted(self.members.members.items())]
+
+    def stop(self):
+        self._send(self.members.leave())
+
+    def close(self):
+        self.timer.cancel()
+        self.datagrams.close()
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -48,6 +48,7 @@
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 NIL = 1e-9             # points below which two sums of the same terms may differ by rounding alone
 CREDIT_LIFE = SECOND   # over which unspent credit fades: about the time in which a cold worker falls over
+MISLED = 0.4             # of KEPT hints followed: wrong ones beyond which none is believed any more
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
 FAILURES = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
 
@@ -102,6 +103,7 @@
         self.lanes = lanes
         self.seen = {}           # worker: last own send or answer there
         self.stands = {}         # worker: last answer, which shows that a copy stood
+        self.hinted = set()      # workers that a hint alone speaks for, until an answer shows if it was right
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
         self.ordered = False     # an order is open
         self.ranks, self.order, self.ranked_for = {}, [], -1    # worker: its rank; the workers by rank
@@ -157,6 +159,7 @@
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
+        self.luck = deque(maxlen=KEPT)      # whether the last hints that were followed were right
 
     # What the caller tells
 
@@ -204,24 +207,92 @@
         if result is Result.OK:
             function.seen[worker_id] = now
 
-    def hint(self, worker_id, name, lanes, seen):
-        """Another gateway saw a copy stand there: evidence that fades alike and gives way to any of one's
-        own.
+    # What other gateways or a past life tell: evidence that fades alike and gives way to any of one's own. It
+    # gives no credit, orders nothing and lifts no limit.
 
-        It raises warmth alone: no credit is given and nothing ordered for it.
-        """
+    def hint(self, worker_id, name, lanes, seen):
+        """A copy was seen to stand there. Not believed any more once hints have misled too often."""
         worker = self.workers.get(worker_id)
-        if worker is None or not worker.active or seen <= worker.wiped:
+        misled = self.luck.count(False) > MISLED * KEPT
+        if misled or worker is None or not worker.active or seen <= worker.wiped:
             return False
         function = self.function(name, lanes)
-        function.used = max(function.used, seen)
-        return function.seen.setdefault(worker_id, seen) == seen
+        function.used, held = max(function.used, seen), function.seen.get(worker_id)
+        if held is not None and (worker_id not in function.hinted or held >= seen):
+            return False
+        function.seen[worker_id] = seen
+        function.hinted.add(worker_id)
+        return True
+
+    def hint_doubt(self, worker_id, track, harm, seen):
+        """Relays of the track failed there: as one quick failure, where nothing is known."""
+        worker = self.workers.get(worker_id)
+        told = worker is not None and worker.active and not worker.results and seen > worker.wiped
+        if told:
+            self.book(worker, seen, track, ERRED * harm)
+        return told
+
+    def hint_pace(self, worker_id, slow, seen):
+        """It answered so many times slower than usual."""
+        worker = self.workers.get(worker_id)
+        told = worker is not None and worker.active and not worker.paces and seen > worker.wiped
+        if told:
+            worker.slow, worker.slow_until = slow, seen + RECENT
+        return told
+
+    def hint_usual(self, name, took):
+        """A function's usual answer time; of loads where `name` is None."""
+        times = self.loads if name is None else self.functions[name].times if name in self.functions else None
+        if times is None or times:
+            return False
+        times.append(took)
+        return True
 
-    def known(self):
-        """Copies that this gateway itself saw stand: (worker, function, lanes, when), the latest use each."""
-        return [(worker, name, function.lanes, seen) for name, function in self.functions.items()
-                for worker, seen in function.stands.items()
-                if self.workers[worker].active and seen >= self.workers[worker].wiped]
+    def hint_mix(self, names):
+        """Functions of tasks that others served last; own tasks push them out."""
+        if len(self.mix) < MIX // 2:
+            self.mix.extendleft(names[:MIX // 2])
+
+    def verify(self, function, worker_id, found):
+        """An answer shows whether a hint was right; all that are left go once too many were wrong."""
+        if worker_id not in function.hinted:
+            return
+        function.hinted.discard(worker_id)
+        if found is not Found.UNTOLD:
+            self.luck.append(found is Found.WARM)
+            if self.luck.count(False) > MISLED * KEPT:
+                for each in self.functions.values():
+                    for name in each.hinted:
+                        each.seen.pop(name, None)
+                    each.hinted.clear()
+
+    def known(self, now, since=-1):
+        """What this gateway itself saw since then, one by one: (kind, names, value, when).
+
+        Of workers first, then of functions, the latest used first. It may be read over many turns, with
+        lists and tasks coming in between.
+        """
+        for worker in list(self.workers.values()):
+            bad = {track: (at, harm) for at, track, harm in worker.results
+                   if harm > 0 and track is not None and now - at < RECENT}
+            for track, (at, harm) in bad.items() if worker.active else ():
+                if at > since:
+                    yield "doubt", (worker.id, track), (harm,), at
+            if worker.active and worker.slow > 1 and now < worker.slow_until > since + RECENT:
+                yield "pace", (worker.id,), (worker.slow,), worker.slow_until - RECENT
+        if self.loads and since < 0:
+            yield "load", (), (int(median(self.loads)),), now
+        for name in sorted(self.functions, key=lambda name: -self.functions[name].used):
+            function = self.functions.get(name)
+            if function is None:
+                continue
+            for worker, seen in list(function.stands.items()):
+                if seen > since and self.workers[worker].active and seen >= self.workers[worker].wiped:
+                    yield "warm", (worker, name), (function.lanes,), seen
+            if function.used > since and function.times:
+                yield "usual", (name,), (int(median(function.times)),), function.used
+            if since < 0 and name in self.mix:
+                yield "share", (name,), (self.mix.count(name) / max(len(self.mix), MIX // 4),), now
 
     def heard(self, now, outcome):
         """Book one relay's outcome, whether or not its task is still held."""
@@ -247,6 +318,7 @@
                 self.spread_credit(now)
             if sent >= worker.wiped:
                 function.seen[worker.id] = function.stands[worker.id] = now
+            self.verify(function, worker.id, outcome.found)
             if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
                 if function.times:
                     worker.paces.append((now, outcome.took / max(1, median(function.times))))
@@ -260,6 +332,7 @@
         if outcome.result is Result.FULL:
             worker.full_until = now + self.usual(function)   # a lane frees about then
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
+            self.verify(function, worker.id, Found.LOAD_FAILED)
             function.seen.pop(worker.id, None)
             function.stands.pop(worker.id, None)
         if outcome.result in (Result.RESET, Result.CONNECT_FAILED):
--- /dev/null
+++ b/gaproute/standins/liars.py
@@ -0,0 +1,27 @@
+"""Gateways that serve as the product does and tell others wrong things on purpose: a share of the copies that
+they tell of stand at other hosts than told."""
+from gaproute.policy import Gateway
+
+
+class Liar(Gateway):
+    SHARE = 1.0
+
+    def known(self, now, since=-1):
+        active = [worker.id for worker in self.fleet]
+        for kind, names, value, at in super().known(now, since):
+            if kind == "warm" and len(active) > 1 and self.chance.below(1000) < 1000 * self.SHARE:
+                others = [name for name in active if name != names[0]]
+                names = (others[self.chance.below(len(others))], names[1])
+            yield kind, names, value, at
+
+
+class LiesNow(Liar):
+    SHARE = 0.2
+
+
+class LiesHalf(Liar):
+    SHARE = 0.5
+
+
+class LiesAlways(Liar):
+    SHARE = 1.0
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -145,6 +145,7 @@
         peers = [f"listen peers unix:{self.out}/{name}.peers"] * self.script.day.peers
         peers += [f"peer g{other} unix:{self.out}/g{other}.peers" for other in range(self.script.day.gateways)
                   if other != number and self.script.day.peers]
+        peers += [f"memory {self.out}/{name}.memory"] * self.script.day.memory
         models = "\n".join(f"model {model['name']} track {model['track']} lanes {model['lanes']}"
                            for model in self.models)
         file.write_text("\n".join([f"name {name}", f"listen kserve {where}", f"decisions {self.decisions}",
--- a/gaproute/trial/script.py
+++ b/gaproute/trial/script.py
@@ -32,6 +32,7 @@
     impatient: float = Field(0.01, ge=0, le=1)
     zipf: float = 1.1
     peers: Yes = False                    # gateways tell one another what they know
+    memory: Yes = False                   # gateways keep what they learnt on disk
     list_delay: Span = 1_000_000_000      # from what happens to a host until the list tells, drains apart
 
 
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,243 @@
+"""Who is up: claims as a lattice, and whole fleets of gateways on a clock and a network of the test's own."""
+import heapq
+
+import pytest
+from gaproute.membership import (ALIVE, BYTES, DEAD, ERRANDS, HIGHEST, LEFT, MEMBERS, PERIOD, ROOM, SUSPECT,
+                                 Members, News, Word)
+from gaproute.peers.gossip import decode, encode
+from gaproute.policy import Chance
+from hypothesis import given
+from hypothesis import strategies as st
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+LINK = 5 * MILLI
+
+
+class Net:
+    """`size` gateways, each named the others'; messages take LINK. `lost(sender, to)` says what is lost."""
+
+    def __init__(self, size, seed=1, known=None):
+        self.now, self.count, self.events, self.sizes = 0, 0, [], []
+        self.lost = lambda sender, to: False
+        self.down = set()
+        self.nodes, self.stopped = {}, set()
+        for number in range(size):
+            self.start(f"g{number}", seed * 100 + number, {f"g{other}": f"g{other}" for other in
+                                                           (range(size) if known is None else known)})
+
+    def start(self, name, seed, peers):
+        node = self.nodes[name] = Members(name, name, Chance(seed), self.now)
+        node.listed(self.now, peers)
+        self.down.discard(name)
+        self.push(node.due, "tick", name, node)
+
+    def push(self, when, what, name, told):
+        self.count += 1
+        heapq.heappush(self.events, (when, self.count, what, name, told))
+
+    def send(self, sender, words):
+        for to, word in words:
+            self.sizes.append(len(encode(word)))
+            if not self.lost(sender, to):
+                self.push(self.now + LINK, "hear", to, word)
+
+    def run(self, span):
+        end = self.now + span
+        while self.events and self.events[0][0] <= end:
+            self.now, _, what, name, told = heapq.heappop(self.events)
+            node = self.nodes.get(name)
+            if name in self.down or node is None or what == "tick" and told is not node:
+                continue
+            if name in self.stopped:
+                self.push(self.now + 10 * MILLI, what, name, told)
+            elif what == "hear":
+                self.send(name, node.hear(self.now, told))
+            else:
+                self.send(name, node.tick(self.now))
+                self.push(max(node.due, self.now + MILLI), "tick", name, node)
+        self.now = end
+
+    def views(self, of):
+        """The states in which the others hold it."""
+        return {node.members[of].state for name, node in self.nodes.items()
+                if name not in self.down and name != of and of in node.members}
+
+
+def members(*names, now=0):
+    made = Members("me", "me", Chance(1), now)
+    made.listed(now, {name: name for name in names})
+    return made
+
+
+news = st.builds(News, st.sampled_from("ab"), st.just("w"), st.integers(0, 3), st.integers(0, 3))
+
+
+@given(st.lists(news, max_size=8).flatmap(lambda told: st.tuples(st.just(told), st.permutations(told))))
+def test_claims_may_come_in_any_order_and_twice(orders):
+    told, other = orders
+    one, two = members("a", "b"), members("a", "b")
+    for claim in told:
+        one.claim(1, claim)
+    for claim in [*other, *told]:
+        two.claim(2, claim)
+    assert {name: member.news[2:] for name, member in one.members.items()} == {
+        name: member.news[2:] for name, member in two.members.items()}
+
+
+@pytest.mark.parametrize("size", [2, 3, 8, 40])
+def test_a_gateway_that_dies_is_dead_to_all_and_no_other_is(size):
+    net = Net(size)
+    net.run(3 * SECOND)
+    net.down.add("g1")
+    net.run((size + 3 * 6 + 12) * SECOND)
+    assert net.views("g1") == {DEAD}
+    assert all(net.views(name) == {ALIVE} for name in net.nodes if name != "g1" and size > 2)
+    assert net.nodes["g0"].up() == size - 1
+    assert max(net.sizes) <= BYTES
+
+
+def test_lost_messages_make_suspects_that_refute_and_none_dead():
+    net = Net(8, seed=3)
+    chance = Chance(5)
+    net.lost = lambda sender, to: chance.below(100) < 25
+    net.run(120 * SECOND)
+    assert sum(node.suspicions for node in net.nodes.values()) > 0
+    assert sum(node.refutations for node in net.nodes.values()) > 0
+    net.lost = lambda sender, to: False
+    net.run(20 * SECOND)
+    assert all(net.views(name) == {ALIVE} for name in net.nodes)
+
+
+def test_one_bad_path_between_two_makes_no_suspect_as_others_probe_for_them():
+    net = Net(5)
+    net.lost = lambda sender, to: {sender, to} == {"g0", "g1"}
+    net.run(60 * SECOND)
+    assert sum(node.suspicions for node in net.nodes.values()) == 0
+
+
+def test_without_helpers_that_path_makes_suspects():
+    net = Net(5)
+    net.lost = lambda sender, to: {sender, to} == {"g0", "g1"}
+    for node in net.nodes.values():
+        node._through_others = lambda node=node: setattr(node, "asked", True) or []
+    net.run(60 * SECOND)
+    assert sum(node.suspicions for node in net.nodes.values()) > 0
+
+
+def test_a_partition_is_seen_on_both_sides_and_heals():
+    net = Net(6)
+    half = {"g0", "g1", "g2"}
+    net.lost = lambda sender, to: (sender in half) != (to in half)
+    net.run(60 * SECOND)
+    assert {net.nodes["g0"].members[name].state for name in ("g3", "g4", "g5")} == {DEAD}
+    assert net.nodes["g0"].up() == net.nodes["g5"].up() == 3
+    net.lost = lambda sender, to: False
+    net.run(40 * SECOND)
+    assert all(net.views(name) == {ALIVE} for name in net.nodes) and net.nodes["g0"].up() == 6
+
+
+def test_a_gateway_that_restarts_refutes_what_is_held_of_its_past_life():
+    net = Net(4)
+    net.run(3 * SECOND)
+    net.down.add("g2")
+    net.run(40 * SECOND)
+    assert net.views("g2") == {DEAD}
+    net.start("g2", 9, {f"g{number}": f"g{number}" for number in range(4)})
+    net.run(15 * SECOND)
+    assert net.views("g2") == {ALIVE} and net.nodes["g2"].incarnation > 1
+
+
+def test_a_gateway_that_was_stopped_judges_nobody_by_that_time():
+    net = Net(5)
+    net.run(5 * SECOND)
+    net.stopped.add("g0")
+    net.run(40 * SECOND)
+    assert net.views("g0") == {DEAD}
+    net.stopped.clear()
+    net.run(20 * SECOND)
+    assert net.nodes["g0"].suspicions == 0
+    assert all(net.views(name) == {ALIVE} for name in net.nodes)
+
+
+def test_a_newcomer_that_knows_one_gateway_is_known_to_all_and_knows_all():
+    net = Net(10)
+    net.run(5 * SECOND)
+    net.start("new", 77, {"g4": "g4"})
+    net.run(15 * SECOND)
+    assert net.views("new") == {ALIVE} and net.nodes["new"].up() == 11
+
+
+def test_one_that_leaves_is_held_as_left_at_once_and_can_come_back():
+    net = Net(4)
+    net.run(3 * SECOND)
+    net.send("g3", net.nodes["g3"].leave())
+    net.down.add("g3")
+    net.run(5 * SECOND)
+    assert net.views("g3") == {LEFT} and net.nodes["g0"].up() == 3
+    net.start("g3", 5, {"g0": "g0"})
+    net.run(20 * SECOND)
+    assert net.views("g3") == {ALIVE}
+
+
+def test_a_dead_one_that_nobody_configured_is_forgotten_and_a_configured_one_kept():
+    made = members("kept")
+    for name in ("kept", "stray"):
+        made.claim(0, News(name, "w", ALIVE, 1))
+        made.claim(0, News(name, "w", DEAD, 1))
+    now = 0
+    while now < 700 * SECOND:
+        now = max(made.due, now + 1)
+        made.tick(now)
+    assert set(made.members) == {"kept"}
+
+
+def test_nobody_dead_is_learnt_of_and_strangers_are_bounded():
+    made = members("a")
+    made.claim(0, News("ghost", "w", DEAD, 5))
+    assert "ghost" not in made.members
+    for number in range(2 * MEMBERS):
+        made.claim(0, News(f"n{number}", "w", ALIVE, 1))
+    assert len(made.members) == MEMBERS and made.refused == MEMBERS + 1
+
+
+@pytest.mark.parametrize("sender", [
+    News("", "w", ALIVE, 1), News("x" * 300, "w", ALIVE, 1), News("a", "", ALIVE, 1), News("a", "w", 9, 1),
+    News("a", "w", ALIVE, HIGHEST + 1), News("a", "w", DEAD, 1), News("me", "w", ALIVE, 1)])
+def test_a_message_whose_sender_cannot_be_is_refused(sender):
+    made = members("a")
+    assert made.hear(1, Word("ping", 1, sender)) == [] and made.refused == 1
+    assert made.members["a"].heard is None
+
+
+def test_a_lie_about_this_gateway_is_refuted_and_an_absurd_one_refused():
+    made = members("a")
+    made.claim(0, News("me", "me", DEAD, 7))
+    assert made.incarnation == 8
+    made.claim(0, News("me", "me", DEAD, HIGHEST + 1))
+    assert made.incarnation == 8 and made.refused == 1
+
+
+def test_probes_for_others_are_bounded():
+    made = members("a", "b")
+    for number in range(2 * ERRANDS):
+        made.hear(0, Word("ask", number, News("a", "a", ALIVE, 1), "b"))
+    assert len(made.errands) == ERRANDS
+
+
+def test_a_message_holds_what_its_receiver_must_refute_and_no_more_than_fits():
+    made = members("a")
+    for number in range(200):
+        made.claim(0, News(f"gateway-with-a-long-name-{number}", "w" * 60, ALIVE, 1))
+    made.claim(0, News("a", "a", SUSPECT, 3))
+    (_, word), = made.hear(1, Word("ping", 4, News("a", "a", ALIVE, 1)))
+    assert word.news[0] == News("a", "a", SUSPECT, 3) and word.number == 4
+    assert 3 < len(word.news) < BYTES / ROOM and len(encode(word)) <= BYTES
+
+
+def test_words_come_back_as_they_were_and_nonsense_as_nothing():
+    word = Word("ask", 3, News("a", "unix:/x", ALIVE, 2), "b", (News("b", "1.2.3.4:5", SUSPECT, 9),))
+    assert decode(encode(word)) == word
+    assert decode(b"\xff\xff") is None and decode(b"") is None
+    future = bytearray(encode(word))
+    future[1] = 9                    # its version
+    assert decode(bytes(future)) is None
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,326 @@
+"""Gateways beside each other on sockets: what they tell, who is up, lists of them, versions one apart."""
+import json
+import socket
+
+import pytest
+from gaproute.appliance import Appliance
+from gaproute.conf import Mistakes, read_charter, read_peers
+from gaproute.loop import Loop
+from gaproute.loop.datagrams import Datagrams
+from gaproute.loop.streams import address
+from gaproute.lore import CHUNK, SLICE, Lore, Roll
+from gaproute.peers import Giver, wire
+from gaproute.peers.lore_pb2 import Ask, Told
+from gaproute.record.record import logger
+from helpers import CHARTER, MILLI, SECOND, gateway, row
+from test_gateway import scripted_host
+
+
+@pytest.fixture
+def fleet(rig):
+    """A gateway on the rig's loop, and a call that starts further ones with lines of their own."""
+    made, started = rig(hosts=3, told="listen peers 127.0.0.1:0"), []
+
+    def start(name, *lines, listen=True):
+        text = f"{CHARTER.replace('name g', f'name {name}')}hosts-file {made.list} look 5ms\n"
+        text += "\n".join(["listen peers 127.0.0.1:0"] * listen + list(lines)) + "\n"
+        other = Appliance(read_charter(name, text), made.loop, 9, logger(open("/dev/null", "w")))
+        other.start()
+        started.append(other)
+        return other
+
+    yield made, start
+    for other in started:
+        other.close()
+
+
+def where(appliance):
+    return appliance.giver.address
+
+
+def front(appliance):
+    return address(appliance.fronts[0].address)
+
+
+def test_gateways_find_each_other_and_one_that_leaves_is_known_to_have(fleet):
+    made, start = fleet
+    second = start("second", f"peer g {where(made.gate)}")
+    third = start("third", f"peer second {where(second)}")
+    made.until(lambda: [each.gossip.members.up() for each in (made.gate, second, third)] == [3, 3, 3])
+    third.gossip.stop()
+    made.until(lambda: made.gate.gossip.members.up() == 2)
+    states = {row["name"]: row["state"] for row in made.gate.peer_table()}
+    assert states == {"second": "alive", "third": "left"}
+    assert made.gate.status()["gateways"] == 2
+
+
+def test_what_changes_after_the_snapshot_comes_as_well(fleet):
+    made, start = fleet
+    second = start("second", f"peer g {where(made.gate)}")
+    made.until(lambda: second.learner.state["g"].startswith("told"))
+    assert "lamp" not in second.core.gateway.functions
+    assert made.wait(made.ask("lamp", "w1")).status == 200
+    made.until(lambda: "lamp" in second.core.gateway.functions)
+    assert second.core.gateway.functions["lamp"].hinted
+
+
+def test_a_peer_that_comes_up_late_is_asked_again(fleet):
+    made, start = fleet
+    for number in range(2):
+        assert made.wait(made.ask("lamp", f"w{number}")).status == 200
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        late = "127.0.0.1:%d" % taken.getsockname()[1]
+    second = start("second", f"peer late {late}")
+    made.rest(100 * MILLI)
+    assert second.learner.state["late"] == "asked"
+    giver = Giver(made.loop, address(late), made.gate.core.gateway, made.gate.roll, made.gate.track_names)
+    made.until(lambda: second.learner.state["late"].startswith("told"))
+    giver.close()
+    assert second.learner.booked
+
+
+def test_a_list_of_gateways_is_watched_and_names_this_one_without_harm(fleet):
+    made, start = fleet
+    peers = made.folder / "peers.list"
+    peers.write_text("peer second 127.0.0.1:9\n")
+    second = start("second", f"peers-file {peers} look 5ms")
+    assert second.gossip.members.members == {} and second.learner.state == {}
+    fresh = made.folder / "fresh"
+    fresh.write_text(f"peer second 127.0.0.1:9\npeer g {where(made.gate)}\n")
+    fresh.replace(peers)
+    made.until(lambda: second.learner.state.get("g", "").startswith("told"))
+    fresh.write_text("peer g nowhere\n")
+    fresh.replace(peers)
+    made.until(lambda: any(what == "peer list refused" for what, _ in second.record.events))
+    assert second.gossip.members.members["g"].fixed
+
+
+def test_both_sides_started_at_once_learn_from_each_other_what_came_since(fleet):
+    made, start = fleet
+    ports = []
+    for _ in range(2):
+        with socket.socket() as taken:
+            taken.bind(("127.0.0.1", 0))
+            ports.append("127.0.0.1:%d" % taken.getsockname()[1])
+    one = start("one", f"listen peers {ports[0]}", f"peer two {ports[1]}", listen=False)
+    two = start("two", f"listen peers {ports[1]}", f"peer one {ports[0]}", listen=False)
+    made.at = front(one)
+    assert made.wait(made.ask("lamp", "w1")).status == 200
+    made.until(lambda: "lamp" in two.core.gateway.functions and two.core.gateway.functions["lamp"].hinted)
+    loads = len(made.seen("loaded"))
+    made.at = front(two)
+    assert made.wait(made.ask("lamp", "w2")).status == 200
+    assert len(made.seen("loaded")) == loads
+
+
+def test_a_giver_that_dies_in_the_middle_leaves_what_came(fleet):
+    made, start = fleet
+    told = Told(version=2, next=5, life=1, mark=1)
+    told.warm.add(worker="h1", function="lamp", lanes=4, age_us=1000)
+    body = told.SerializeToString()
+    asks = []
+
+    def act(stream, data):
+        asks.append(data)
+        if len(asks) > 1:
+            stream.close()
+        else:
+            stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    listener = scripted_host(made.loop, act)
+    second = start("second", f"peer half {listener.address}")
+    made.until(lambda: second.learner.state["half"] == "dropped after 1 facts")
+    listener.close()
+    assert second.core.gateway.functions["lamp"].hinted == {"h1"}
+
+
+def test_a_host_gone_between_two_chunks_gets_nothing(fleet):
+    made, start = fleet
+    first, second_told = Told(version=2, next=5, life=1, mark=1), Told(version=2, life=1, mark=1)
+    first.warm.add(worker="h1", function="lamp", lanes=4, age_us=2000)
+    second_told.warm.add(worker="h1", function="crew", lanes=4, age_us=2000)
+    second_told.gone.add(worker="h1", age_us=10)
+    bodies = [first.SerializeToString(), second_told.SerializeToString()]
+    held = []
+
+    def act(stream, data):
+        if len(bodies) == 1 and not held:
+            held.append(stream)      # the second chunk is held back until the list has changed
+        elif bodies:
+            body = bodies.pop(0)
+            stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+    listener = scripted_host(made.loop, act)
+    other = start("second", f"peer half {listener.address}")
+    made.until(lambda: held)
+    rows = made.list.read_text().splitlines()
+    made.relist(*[row for row in rows if not row.startswith("host h1 ")])
+    made.until(lambda: "h1" not in other.rows)
+    body = bodies.pop(0)
+    held[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+    made.until(lambda: other.lore.refused["not listed"])
+    made.at = front(other)
+    for model in ("lamp", "crew"):
+        assert made.wait(made.ask(model, f"t-{model}")).status == 200
+    listener.close()
+    assert not [event for event in made.taps[1].events if event["what"] == "task"]
+    assert len(made.seen("task")) == 2
+
+
+def test_a_third_gateway_that_still_believes_in_a_host_does_not_bring_it_back(fleet):
+    made, start = fleet
+    assert made.wait(made.ask("lamp", "w1")).status == 200
+    (worker,) = made.gate.core.gateway.functions["lamp"].stands
+    second = start("second", f"peer g {where(made.gate)}")
+    made.until(lambda: second.learner.booked)
+    third = start("third", f"peer second {where(second)}")
+    made.until(lambda: third.learner.state["second"].startswith("told"))
+    assert "lamp" not in third.core.gateway.functions, "a hint was told on"
+    rows = made.list.read_text().splitlines()
+    made.relist(*[row for row in rows if not row.startswith(f"host {worker} ")])
+    made.until(lambda: all(worker not in each.rows for each in (made.gate, second, third)))
+    fourth = start("fourth", f"peer g {where(made.gate)}", f"peer second {where(second)}")
+    made.until(lambda: all(state.startswith("told") for state in fourth.learner.state.values()))
+    assert worker not in fourth.core.gateway.workers
+    assert fourth.lore.facts["listed", worker].value[0] == "gone"
+
+
+def test_a_host_back_with_a_new_start_does_not_inherit_its_old_copies(fleet):
+    made, start = fleet
+    rows = made.list.read_text().splitlines()
+    made.relist(*[f"{row} started 1000" for row in rows])
+    made.until(lambda: all(row.listed.started is not None for row in made.gate.rows.values()))
+    assert made.wait(made.ask("lamp", "w1")).status == 200
+    second = start("second")
+    made.relist(*[f"{row} started 2000" for row in rows])
+    made.until(lambda: second.roll.lives()["h0"] == 2000 * SECOND)
+    made.gate.watch.close()          # the giver's own list is late
+    told = Told(version=2)
+    told.warm.add(worker="h0", function="lamp", lanes=4, started_ns=1000 * SECOND)
+    lore = Lore()
+    wire.put(told, made.loop.now(), "g", lore)
+    second.lore.merge(lore)
+    assert second.follow(lore.facts) == 0 and second.lore.refused == {"another life": 1}
+
+
+def test_versions_one_apart_understand_each_other():
+    older = Told(version=1)
+    older.warm.add(worker="x", function="f", lanes=4, age_us=5)
+    lore = Lore()
+    wire.put(wire.read_told(older.SerializeToString()), SECOND, "g", lore)
+    assert list(lore.facts) == [("warm", "x", "f")]
+    newer = Told(version=3)
+    newer.warm.add(worker="x", function="f", lanes=4, age_us=5)
+    data = newer.SerializeToString() + b"\xfa\x01\x03abc"       # field 31, which nobody knows
+    wire.put(wire.read_told(data), SECOND, "g", lore)
+    assert lore.refused == {} and wire.read_told(Told(version=4).SerializeToString()) is None
+
+
+def test_a_list_of_gateways_that_is_wrong_is_refused_whole():
+    with pytest.raises(Mistakes) as wrong:
+        read_peers("peers", "peer a 127.0.0.1:1\npeer a 127.0.0.1:2\nhost b 127.0.0.1:3\n")
+    assert len(wrong.value.mistakes) == 2
+
+
+@pytest.mark.parametrize("lines, text", [
+    ("peer a 127.0.0.1:1\npeers-file x", "peers stand here and in a peers-file"),
+    ("peers-file x", "which peer is this gateway"),
+])
+def test_lines_about_peers_that_do_not_fit_are_refused(lines, text):
+    charter = CHARTER.replace("name g\n", "") if "which" in text else CHARTER
+    with pytest.raises(Mistakes, match=text):
+        read_charter("c", f"{charter}host a 127.0.0.1:1\n{lines}\n")
+
+
+# What telling costs
+
+def asked(giver, **told):
+    answers = []
+    giver.server.answer = lambda request, status, headers, body: answers.append((status, body))
+    request = type("Request", (), {"target": b"/lore", "method": b"POST",
+                                   "body": Ask(version=2, **told).SerializeToString()})
+    giver.handle(request)
+    (status, body), = answers
+    return Told.FromString(body) if status == 200 else None
+
+
+@pytest.fixture
+def giver():
+    loop = Loop()
+    made = gateway(*[row(f"w{number}") for number in range(50)])
+    for name in range(60):
+        function = made.function(f"f{name}", 4)
+        function.stands = {f"w{number}": SECOND + name for number in range(50)}
+    giver = Giver(loop, address("127.0.0.1:0"), made, Roll(), ("t",))
+    yield giver
+    giver.close()
+    loop.close()
+
+
+def test_a_snapshot_comes_in_chunks_that_take_no_more_than_a_slice(giver):
+    facts, cursor, chunks = set(), 0, 0
+    while cursor or not chunks:
+        giver.purse.left = SLICE
+        told = asked(giver, cursor=cursor)
+        assert len(told.warm) <= CHUNK
+        facts |= {(each.worker, each.function) for each in told.warm}
+        cursor, chunks = told.next, chunks + 1
+    assert len(facts) == 3000 and chunks >= 12 and not giver.readings
+
+
+def test_a_snapshot_goes_on_while_functions_and_hosts_come_and_go(giver):
+    first = asked(giver)
+    giver.gateway.functions.clear()
+    giver.gateway.listed(2 * SECOND, [row("w0")], True)
+    giver.purse.left = SLICE
+    assert not asked(giver, cursor=first.next).next
+
+
+def test_a_mark_of_another_life_brings_the_whole(giver):
+    told = asked(giver, life=giver.life ^ 1, mark=1 << 62)
+    assert told.warm and told.life == giver.life
+    giver.purse.left = SLICE
+    assert not asked(giver, life=giver.life, mark=1 << 62).warm
+
+
+def test_readings_in_hand_are_bounded(giver):
+    for _ in range(40):
+        giver.purse.left = SLICE
+        asked(giver)
+    assert len(giver.readings) == 16
+
+
+# Datagrams
+
+@pytest.mark.parametrize("kind", ["udp", "unix"])
+def test_datagrams_come_whole_and_what_nobody_takes_is_counted(kind, tmp_path):
+    loop, heard = Loop(), []
+    if kind == "udp":
+        with socket.socket(type=socket.SOCK_DGRAM) as taken:
+            taken.bind(("127.0.0.1", 0))
+            place = "127.0.0.1:%d" % taken.getsockname()[1]
+        ends = [Datagrams(loop, "127.0.0.1:0", heard.append), Datagrams(loop, place, heard.append)]
+    else:
+        place = f"unix:{tmp_path}/a"
+        ends = [Datagrams(loop, f"unix:{tmp_path}/b", heard.append), Datagrams(loop, place, heard.append)]
+    ends[0].send(b"one", place)
+    ends[0].send(b"two", place)
+    ends[0].send(b"x", "unix:/nowhere/at/all" if kind == "unix" else f"unix:{tmp_path}/a")
+    while len(heard) < 2:
+        loop.turn()
+    assert heard == [b"one", b"two"] and ends[0].lost == 1
+    for end in ends:
+        end.close()
+    again = Datagrams(loop, place, heard.append)       # the place is free again
+    again.close()
+    loop.close()
+
+
+def test_an_operator_sees_the_peers(fleet):
+    made, start = fleet
+    second = start("second", f"peer g {where(made.gate)}", "listen operator 127.0.0.1:0")
+    made.until(lambda: second.peer_table()[0]["learnt"] != "asked")
+    made.at = address(next(each.address for each in second.fronts if type(each).__name__ == "Operator"))
+    (told,) = json.loads(made.wait(made.get("/peers")).body)
+    assert told["name"] == "g" and told["state"] == "alive" and told["learnt"].startswith("told")
