Writing and telling are metered by a meter handed in, so their tests stand still

One run in about ten failed: a test compared real CPU time with a purse. Keeper and Giver take the meter that counts CPU; their tests step it.

--- a/gaproute/appliance/keeping.py
+++ b/gaproute/appliance/keeping.py
@@ -9,7 +9,8 @@
 class Keeper:
     """Every KEEP_EVERY what changed is written, and now and then the whole, so that slow figures come too."""
 
-    def __init__(self, loop, memory, gateway, roll, tracks):
+    def __init__(self, loop, memory, gateway, roll, tracks, meter=time.thread_time_ns):
+        self.meter = meter
         self.loop, self.memory, self.gateway, self.roll, self.tracks = loop, memory, gateway, roll, tracks
         self.purse = Purse(loop.now())
         self.rounds, self.mark = 0, -1
@@ -32,14 +33,14 @@
         """Writes some of the facts; whether those were the last."""
         if not self.purse.may(self.loop.now()):
             return False
-        begun, some, ended = time.thread_time_ns(), [], True
+        begun, some, ended = self.meter(), [], True
         for fact in facts:
             some.append(fact)
-            if len(some) >= MOST or time.thread_time_ns() - begun > SLICE / 2:
+            if len(some) >= MOST or self.meter() - begun > SLICE / 2:
                 ended = False
                 break
         self.memory.write(some)
-        spent = time.thread_time_ns() - begun
+        spent = self.meter() - begun
         self.spent, self.longest = self.spent + spent, max(self.longest, spent)
         self.purse.spend(spent)
         return ended
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -1,5 +1,6 @@
-"""`gaproute serve|check|status|hosts|knows|peers|trial|day-script`. Exit codes: 0 well, 1 the thing asked about is not well
-(a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it could not be done."""
+"""`gaproute serve|check|status|hosts|knows|peers|trial|day-script`. Exit codes: 0 well, 1 the thing asked
+about is not well (a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it could
+not be done."""
 import gc
 import json
 import socket
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -378,7 +378,9 @@
         )
     if {"peer", "peers-file"} <= words.keys():
         line = next(line for word, line in found if word == "peer")
-        mistakes.append(Mistake(file, line.line, "peers stand here and in a peers-file", "keep one of the two"))
+        mistakes.append(
+            Mistake(file, line.line, "peers stand here and in a peers-file", "keep one of the two")
+        )
     if "peers-file" in words and "name" not in words:
         mistakes.append(Mistake(file, 0, "a peers-file without a name line: which peer is this gateway?",
                                 f"right would be: {Word.example}"))
--- a/gaproute/loop/datagrams.py
+++ b/gaproute/loop/datagrams.py
@@ -1,4 +1,5 @@
-"""Datagrams over UDP (IPv4, IPv6) and Unix sockets. A message that finds no room or nobody is lost, as ever."""
+"""Datagrams over UDP (IPv4, IPv6) and Unix sockets. A message that finds no room or nobody is lost, as
+ever."""
 import errno
 import os
 import socket
--- a/gaproute/lore.py
+++ b/gaproute/lore.py
@@ -3,8 +3,9 @@
 A fact has a subject, a value, the time of the observation on this gateway's clock, who observed it, and over
 how many hops it came: 0 for this gateway's own past life, 1 for a peer's own eyes. Only what a gateway saw
 itself is told on, so no fact travels further and none that a host's end has made void comes back by a third.
-`Lore` holds facts from many givers; merging takes the greater of two by one total order, so it is commutative,
-associative and idempotent. A host that is gone is remembered as such (a tombstone), never as an absence.
+`Lore` holds facts from many givers; merging takes the greater of two by one total order, so it is
+commutative, associative and idempotent. A host that is gone is remembered as such (a tombstone), never as an
+absence.
 
 Subjects are tuples: ("warm", worker, function), ("listed", worker), ("doubt", worker, track), ("pace",
 worker), ("usual", function), ("load",), ("share", function). `KINDS` has their values.
@@ -20,13 +21,13 @@
 OLDEST = 300 * SECOND    # facts older than this are refused: no copy is kept so long, no clock is so right
 FACTS = 50_000           # facts held: 300 hosts with 160 functions each; beyond it new subjects are refused
 NAME = 256               # characters of a name: what is longer was never a host or a model
-FRESHEST = 0.35          # of the keep-alive: age that a hint has at least, whatever is told, since the giver's
-#                          word is weaker than one's own eyes; the fade leaves it 0.985 of its warmth
+FRESHEST = 0.35          # of the keep-alive: age that a hint has at least, whatever is told: a giver's word
+#                          is weaker than one's own eyes; the fade leaves it 0.985 of its warmth
 SPREAD = 0.35            # of the keep-alive: further age by chance, so that gateways that learn the same at
 #                          one moment rank the warm hosts differently and do not all send to one
 COPIES = 2               # copies of a function believed at least: the freshest; every further one that is
 #                          believed is one more kept standing, which a busy store pays for
-WIDE = 2.5               # copies believed for each worker that a function could fill, as the module spreads it
+WIDE = 2.5               # copies believed for each worker that a function could fill, as the module spreads
 SLOWEST = 8.0            # times slower than usual that a host is believed to be at most
 SHARE = 0.01             # of a giver's core that telling may take
 BURST = 10 * MILLI       # of CPU that telling may take at once: a dozen chunks, less than one slow turn
@@ -70,7 +71,7 @@
 
 # kind: (names in its subject, what is wrong with a value or None)
 KINDS = {
-    "warm": (2, _warm),          # (lanes, start of the worker's life by the giver's list, ns since 1970; 0: none)
+    "warm": (2, _warm),          # (lanes, start of the worker's life by the giver's list as below)
     "listed": (1, _listed),      # (state by the giver's list, start)
     "doubt": (2, _part),         # (weight of the last bad result, 0 to 1)
     "pace": (1, lambda slow: None if 1 <= slow < float("inf") else "pace"),    # (times slower than usual)
@@ -121,9 +122,9 @@
         return fact.value[0] if fact else 0.0
 
     def void(self, worker, fact, started, lives):
-        """Why a fact of a worker is not to be followed, or None. `lives`: {active worker: start of its life by
-        this gateway's list, ns since 1970, 0: none told}; `started`: the start by the giver's, None where the
-        kind has none."""
+        """Why a fact of a worker is not to be followed, or None. `lives`: {active worker: start of its life
+        by this gateway's list, ns since 1970, 0: none told}; `started`: the start by the giver's, None where
+        the kind has none."""
         listed = self.facts.get(("listed", worker))
         if worker not in lives:
             return "not listed"
--- a/gaproute/membership.py
+++ b/gaproute/membership.py
@@ -1,9 +1,9 @@
 """Which gateways are up: decisions only, no sockets, the clock and the chance handed in.
 
 After SWIM (Das, Gupta, Motivala 2002): each period one other is probed, directly and then through others; who
-does not answer is suspected, and dead once the suspicion has lasted. A suspect that lives refutes with a higher
-incarnation. News rides on the probes. Two departures: what room is left in a message carries entries in turn,
-so that a newcomer and a healed partition learn the whole without a special exchange; and a gateway that was
+does not answer is suspected, and dead once the suspicion has lasted. A suspect that lives refutes with a
+higher incarnation. News rides on the probes. Two departures: what room is left in a message carries entries
+in turn, so that a newcomer and a healed partition learn the whole without a special exchange; and a gateway that was
 itself held up judges nobody by that time.
 
 One order decides between two claims of a member: (incarnation, state). So merging is taking the greater, and
@@ -21,7 +21,7 @@
 TOLD = 3                 # times that each piece of news is sent for every power of two of the members
 BYTES = 1200             # of one message: fits an unfragmented datagram everywhere
 ROOM = 48                # bytes that one entry takes beside its names, at most
-REVIVE = 5               # every so many periods a dead one is probed instead: a partition that healed is found
+REVIVE = 5               # every so many periods a dead one is probed instead: finds a partition that healed
 FORGET = 600 * SECOND    # after it a dead one that nobody configured is no more spoken of
 MEMBERS = 256            # known at most; beyond it strangers are refused
 ERRANDS = 64             # probes for others in hand at most
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -21,7 +21,8 @@
 class Giver:
     """`gateway` tells what it knows, `roll` what its host list told; `tracks`: their names."""
 
-    def __init__(self, loop, where, gateway, roll, tracks):
+    def __init__(self, loop, where, gateway, roll, tracks, meter=time.thread_time_ns):
+        self.meter = meter           # CPU spent so far, ns
         self.loop, self.gateway, self.roll, self.tracks = loop, gateway, roll, tracks
         self.purse = Purse(loop.now())
         self.life = secrets.randbits(63) | 1       # the clock's marks are this process's alone
@@ -40,7 +41,7 @@
             wait = b"%d" % -(-self.purse.wait() // MILLI)
             self.server.answer(request, 503, ((b"Gaproute-Retry-After-Ms", wait),), b"")
             return
-        begun = time.thread_time_ns()
+        begun = self.meter()
         try:
             ask = wire.read_ask(request.body)
         except DecodeError:
@@ -48,7 +49,7 @@
             return
         self.server.answer(request, 200, ((b"Content-Type", b"application/x-protobuf"),),
                            self.chunk(now, ask, begun).SerializeToString())
-        spent = time.thread_time_ns() - begun
+        spent = self.meter() - begun
         self.spent += spent
         self.purse.spend(spent)
 
@@ -66,7 +67,7 @@
         for count, (subject, value, at) in enumerate(facts, 1):
             size += wire.add(told, subject, value, now - at)
             self.told += 1
-            if count >= most or size > CHUNK_BYTES or time.thread_time_ns() - begun > SLICE:
+            if count >= most or size > CHUNK_BYTES or self.meter() - begun > SLICE:
                 self.readings[number] = told.mark, facts
                 told.next = number
                 while len(self.readings) > READINGS:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,8 @@
 import pytest
-from helpers import Rig
+from gaproute.appliance import Appliance
+from gaproute.conf import read_charter
+from gaproute.record.record import logger
+from helpers import CHARTER, Rig
 from hypothesis import settings
 
 settings.register_profile("steady", derandomize=True, deadline=None)    # the same verdict every time
@@ -18,3 +21,21 @@
     yield make
     for each in made:
         each.close()
+
+
+@pytest.fixture
+def fleet(rig):
+    """A gateway on the rig's loop, and a call that starts further ones with lines of their own."""
+    made, started = rig(hosts=3, told="listen peers 127.0.0.1:0"), []
+
+    def start(name, *lines, listen=True):
+        text = f"{CHARTER.replace('name g', f'name {name}')}hosts-file {made.list} look 5ms\n"
+        text += "\n".join(["listen peers 127.0.0.1:0"] * listen + list(lines)) + "\n"
+        other = Appliance(read_charter(name, text), made.loop, 9, logger(open("/dev/null", "w")))
+        other.start()
+        started.append(other)
+        return other
+
+    yield made, start
+    for other in started:
+        other.close()
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -110,7 +110,8 @@
     (("warm", "x", "f"), (0, 0), "lanes"), (("warm", "x", "f"), (1 << 30, 0), "lanes"),
     (("warm", "x", "f"), (1, -5), "start"), (("listed", "x"), ("well", 0), "state"),
     (("doubt", "x", "t"), (float("nan"),), "share"), (("doubt", "x", "t"), (-1.0,), "share"),
-    (("pace", "x"), (float("inf"),), "pace"), (("usual", "f"), (-1,), "time"), (("rumour", "x"), (1,), "kind"),
+    (("pace", "x"), (float("inf"),), "pace"), (("usual", "f"), (-1,), "time"),
+    (("rumour", "x"), (1,), "kind"),
 ])
 def test_a_fact_that_cannot_be_is_refused_with_one_counted_reason(names, value, reason):
     made = lore((names, Fact(1, "a", 1, value)))
@@ -249,8 +250,9 @@
 
 def test_following_leaves_out_hosts_not_listed_and_tracks_not_known():
     made = gateway(row("a"))
-    told = lore((("doubt", "z", "check"), Fact(1, "g", 1, (1.0,))), (("doubt", "a", "no"), Fact(1, "g", 1, (1.0,))),
-                (("doubt", "a", "check"), Fact(1, "g", 1, (1.0,))), (("pace", "a"), Fact(1, "g", 1, (99.0,))))
+    told = lore(*[(names, Fact(1, "g", 1, (value,))) for names, value in (
+        (("doubt", "z", "check"), 1.0), (("doubt", "a", "no"), 1.0), (("doubt", "a", "check"), 1.0),
+        (("pace", "a"), 99.0))])
     assert told.follow(made, 2, {"a": 0}, {"check": 0}, KEEP, Chance(1), told.facts) == 2
     assert told.refused == {"not listed": 1, "track": 1} and made.workers["a"].slow == SLOWEST
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,7 @@
 import heapq
 
 import pytest
-from gaproute.membership import (ALIVE, BYTES, DEAD, ERRANDS, HIGHEST, LEFT, MEMBERS, PERIOD, ROOM, SUSPECT,
+from gaproute.membership import (ALIVE, BYTES, DEAD, ERRANDS, HIGHEST, LEFT, MEMBERS, ROOM, SUSPECT,
                                  Members, News, Word)
 from gaproute.peers.gossip import decode, encode
 from gaproute.policy import Chance
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,12 +1,23 @@
-"""The memory of a past life on disk: what it gives back, how old, and what it does with a file that is no good."""
+"""The memory of a past life on disk: what it gives back, how old, and what it does with a file that is no
+good."""
+import itertools
+
 import pytest
+from gaproute.appliance.keeping import MOST, Keeper
 from gaproute.ledger import Memory, NoMemory
-from helpers import MILLI, SECOND
-from test_peers import fleet, front    # noqa: F401 (a fixture)
+from gaproute.loop import Loop
+from gaproute.loop.loop import Stepped
+from gaproute.loop.streams import address
+from gaproute.lore import SLICE, Roll
+from helpers import MILLI, SECOND, gateway
 
 WARM = ("warm", "x", "f")
 
 
+def front(appliance):
+    return address(appliance.fronts[0].address)
+
+
 class Clocks:
     def __init__(self, now=100 * SECOND, wall=10**18):
         self.now, self.wall = now, wall
@@ -18,8 +29,9 @@
 
     def make(clocks=None, boot="b1", path=tmp_path / "m"):
         clocks = clocks or Clocks()
-        made = Memory(path, lambda text: made.texts.append(text), lambda: clocks.now, lambda: clocks.wall, boot)
-        made.texts = []
+        texts = []
+        made = Memory(path, texts.append, lambda: clocks.now, lambda: clocks.wall, boot)
+        made.texts = texts
         made.open()
         opened.append(made)
         return made
@@ -85,7 +97,8 @@
 def test_a_torn_row_is_left_out_and_counted(memory):
     written(memory, (WARM, (4, 0), 99 * SECOND), (("load",), (5,), 95 * SECOND))
     made = memory()
-    made.base.execute("UPDATE facts SET data = ? WHERE subject = (SELECT subject FROM facts LIMIT 1)", (b"\x94",))
+    made.base.execute("UPDATE facts SET data = ? WHERE subject = (SELECT subject FROM facts LIMIT 1)",
+                      (b"\x94",))
     assert len(made.read(9)) == 1 and made.torn == 1 and "torn" in made.texts[0]
 
 
@@ -105,7 +118,7 @@
     assert made.failed == 2 and len(made.texts) == 1
 
 
-def test_a_gateway_alone_learns_from_its_own_past_life(fleet, tmp_path):    # noqa: F811
+def test_a_gateway_alone_learns_from_its_own_past_life(fleet, tmp_path):
     made, start = fleet
     line = f"memory {tmp_path / 'g.memory'}"
     first = start("alone", line, listen=False)
@@ -121,7 +134,7 @@
     assert second.core.gateway.loads or second.core.gateway.functions["lamp"].times
 
 
-def test_a_gateway_without_a_place_for_its_memory_serves_all_the_same(fleet):    # noqa: F811
+def test_a_gateway_without_a_place_for_its_memory_serves_all_the_same(fleet):
     made, start = fleet
     alone = start("alone", "memory /nowhere/at/all", listen=False)
     made.at = front(alone)
@@ -129,10 +142,32 @@
     assert any(what == "no memory" for what, _ in alone.record.events)
 
 
-def test_writing_takes_no_more_than_its_share(fleet, tmp_path):    # noqa: F811
-    made, start = fleet
-    alone = start("alone", f"memory {tmp_path / 'g.memory'}", listen=False)
-    alone.keeper.purse.left = -5 * MILLI
-    assert alone.keeper.slice(iter([(WARM, (4, 0), 1)])) is False and alone.keeper.memory.written == 0
-    made.until(lambda: alone.keeper.purse.may(made.loop.now()))
-    assert alone.keeper.slice(iter([(WARM, (4, 0), 1)])) and alone.keeper.memory.written >= 1
+@pytest.fixture
+def keeper(memory):
+    """A keeper whose clock and CPU stand still: `spends` is what each reading of the meter adds."""
+    loop = Loop(Stepped())
+    made = Keeper(loop, memory(), gateway(), Roll(), ("t",), lambda: next(made.ticks))
+    made.ticks = itertools.repeat(0)
+    yield made
+    made.close()
+    loop.close()
+
+
+def facts(count):
+    return iter([(("warm", "x", f"f{number}"), (4, 0), SECOND) for number in range(count)])
+
+
+def test_writing_takes_no_more_than_its_share(keeper):
+    keeper.purse.left = -5 * MILLI
+    assert keeper.slice(facts(1)) is False and keeper.memory.written == 0
+    keeper.purse.left = 5 * MILLI
+    assert keeper.slice(facts(1)) and keeper.memory.written == 1
+
+
+def test_a_slice_ends_at_its_time_or_its_count_and_the_rest_comes_next(keeper):
+    keeper.ticks = itertools.count(0, SLICE // 20)
+    told = facts(30)
+    assert not keeper.slice(told) and keeper.memory.written == 11
+    keeper.ticks = itertools.repeat(0)
+    assert keeper.slice(told) and keeper.memory.written == 30
+    assert not keeper.slice(facts(2 * MOST)) and keeper.memory.written == 30 + MOST
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,6 @@
 import socket
 
 import pytest
-from gaproute.appliance import Appliance
 from gaproute.conf import Mistakes, read_charter, read_peers
 from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
@@ -11,29 +10,10 @@
 from gaproute.lore import CHUNK, SLICE, Lore, Roll
 from gaproute.peers import Giver, wire
 from gaproute.peers.lore_pb2 import Ask, Told
-from gaproute.record.record import logger
 from helpers import CHARTER, MILLI, SECOND, gateway, row
 from test_gateway import scripted_host
 
 
-@pytest.fixture
-def fleet(rig):
-    """A gateway on the rig's loop, and a call that starts further ones with lines of their own."""
-    made, started = rig(hosts=3, told="listen peers 127.0.0.1:0"), []
-
-    def start(name, *lines, listen=True):
-        text = f"{CHARTER.replace('name g', f'name {name}')}hosts-file {made.list} look 5ms\n"
-        text += "\n".join(["listen peers 127.0.0.1:0"] * listen + list(lines)) + "\n"
-        other = Appliance(read_charter(name, text), made.loop, 9, logger(open("/dev/null", "w")))
-        other.start()
-        started.append(other)
-        return other
-
-    yield made, start
-    for other in started:
-        other.close()
-
-
 def where(appliance):
     return appliance.giver.address
 
