--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -133,14 +133,14 @@
 
 
 class Gate:
-    def __init__(self, where, decisions, folder):
+    def __init__(self, where, decisions, folder, *more):
         lines = [
             f"listen kserve 127.0.0.1:0\ndecisions {decisions}\nreports answer",
             "track a pure contract 1200ms limit 5s\nrelays limit 4",
             "copies keep 10s orders yes free 6 share 0.3",
         ]
         lines += [f"model m{number} track a lanes 4" for number in range(MODELS)]
-        lines += [f"host h{place} {each}" for place, each in enumerate(where)]
+        lines += [f"host h{place} {each}" for place, each in enumerate(where)] + list(more)
         file = Path(folder, decisions.replace(":", "-") + ".conf")
         file.write_text("\n".join(lines) + "\n")
         environment = os.environ | {"PYTHONPATH": f"{Path(__file__).parent}:{Path(__file__).parent.parent}"}
--- a/gaproute/appliance/keeping.py
+++ b/gaproute/appliance/keeping.py
@@ -24,14 +24,15 @@
             since = -1 if self.rounds % KEEP_WHOLE == 0 else self.mark
             facts = own(self.gateway, self.roll, self.tracks, begun, since)
             while not self.slice(facts):
-                yield self.loop.sleep(self.purse.wait() if self.purse.left <= 0 else SLICE)
+                yield self.loop.sleep(self.purse.wait(self.loop.now()))
             if self.rounds % KEEP_WHOLE == 0:
                 self.memory.forget(OLDEST)
             self.mark, self.rounds = begun, self.rounds + 1
 
     def slice(self, facts):
         """Writes some of the facts; whether those were the last."""
-        if not self.purse.may(self.loop.now()):
+        now = self.loop.now()
+        if not self.purse.may(now):
             return False
         begun, some, ended = self.meter(), [], True
         for fact in facts:
@@ -42,7 +43,7 @@
         self.memory.write(some)
         spent = self.meter() - begun
         self.spent, self.longest = self.spent + spent, max(self.longest, spent)
-        self.purse.spend(spent)
+        self.purse.spend(now, spent)
         return ended
 
     def close(self):
--- a/gaproute/lore.py
+++ b/gaproute/lore.py
@@ -32,6 +32,7 @@
 SHARE = 0.01             # of a giver's core that telling may take
 BURST = 10 * MILLI       # of CPU that telling may take at once: a dozen chunks, less than one slow turn
 SLICE = MILLI            # of CPU that one answer may take: a task in the same turn waits no longer for it
+REST = 5 * MILLI         # between two slices: several turns of a busy loop
 CHUNK, CHUNK_BYTES = 256, 16_384   # facts, and bytes of names, in one answer
 CHUNKS = 1024            # answers that one giver is heard for at most: it cannot hold a learner for ever
 ANSWER = 1 << 20         # bytes of one answer at most
@@ -238,18 +239,23 @@
 
 
 class Purse:
-    """How much CPU telling may take: a share of the time that passes, a small burst at most."""
+    """How much CPU telling may take: a share of the time that passes, a small burst at most, and never two
+    slices on end, so that a task waits for one of them at most."""
 
     def __init__(self, now):
-        self.left, self.at = BURST, now
+        self.left, self.at, self.again, self.turn = BURST, now, now, now
 
     def may(self, now):
         self.left, self.at = min(BURST, self.left + SHARE * (now - self.at)), now
-        return self.left > 0
+        return self.left > 0 and now >= self.again
 
-    def spend(self, span):
+    def spend(self, now, span):
         self.left -= span
-
-    def wait(self):
-        """Until it may be asked again, ns."""
-        return max(MILLI, round((MILLI - self.left) / SHARE))
+        self.again = now + REST
+
+    def wait(self, now):
+        """Until one that is put off should ask again, ns: each after the one before, so that many that wait
+        do not all come at once and cost more by asking than by being told."""
+        ready = max(self.again, now + round(max(0, -self.left) / SHARE))
+        self.turn = max(ready, self.turn + (REST if self.left > 0 else round(SLICE / SHARE)))
+        return max(MILLI, self.turn - now)
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -10,12 +10,22 @@
 from google.protobuf.message import DecodeError
 
 from gaproute.http1 import Limits, Server
-from gaproute.lore import CHUNK, CHUNK_BYTES, SLICE, Purse, own
+from gaproute.lore import CHUNK, CHUNK_BYTES, MILLI, SLICE, Purse, own
 from gaproute.peers import wire
 from gaproute.peers.lore_pb2 import Told
 
-READINGS = 16            # learners served at a time; an older one that comes back begins anew
-MILLI = 1_000_000
+READINGS = 16            # readings held for learners; whoever comes back for an older one begins anew
+HELD = 4 << 20           # bytes of told chunks held for them
+SHARED = 250 * MILLI     # after it began, a snapshot is still told to others that begin: after a roll many do
+PLACE = 1 << 20          # a cursor is the reading's number times this, plus the chunk's
+
+
+class Reading:
+    """What one snapshot or one ask for changes tells, read as far as it was asked for."""
+
+    def __init__(self, begun, whole, facts):
+        self.begun, self.whole, self.facts = begun, whole, facts
+        self.chunks, self.size, self.ended = [], 0, False      # chunks: (when built, bytes)
 
 
 class Giver:
@@ -26,7 +36,7 @@
         self.loop, self.gateway, self.roll, self.tracks = loop, gateway, roll, tracks
         self.purse = Purse(loop.now())
         self.life = secrets.randbits(63) | 1       # the clock's marks are this process's alone
-        self.readings, self.count = {}, 0          # cursor: (mark, facts still to be told)
+        self.readings, self.count = {}, 0          # number: Reading
         self.told = self.put_off = self.spent = 0
         self.server = Server(loop, where, self.handle, Limits(body=4096, pipelined=1, connections=64))
         self.address = self.server.address
@@ -38,7 +48,7 @@
             return
         if not self.purse.may(now):
             self.put_off += 1
-            wait = b"%d" % -(-self.purse.wait() // MILLI)
+            wait = b"%d" % -(-self.purse.wait(now) // MILLI)
             self.server.answer(request, 503, ((b"Gaproute-Retry-After-Ms", wait),), b"")
             return
         begun = self.meter()
@@ -48,32 +58,52 @@
             self.server.answer(request, 400, (), b"not an Ask\n")
             return
         self.server.answer(request, 200, ((b"Content-Type", b"application/x-protobuf"),),
-                           self.chunk(now, ask, begun).SerializeToString())
+                           self.answer(now, ask, begun))
         spent = self.meter() - begun
         self.spent += spent
-        self.purse.spend(spent)
+        self.purse.spend(now, spent)
 
-    def chunk(self, now, ask, begun):
-        told = Told(version=wire.VERSION, life=self.life)
-        if ask.cursor:
-            number = ask.cursor
-            told.mark, facts = self.readings.pop(number, (now, iter(())))
-        else:
-            self.count += 1
-            number, told.mark = self.count, now
-            since = ask.mark if ask.life == self.life else -1
-            facts = own(self.gateway, self.roll, self.tracks, now, since)
-        most, size = min(CHUNK, ask.most or CHUNK), 0
-        for count, (subject, value, at) in enumerate(facts, 1):
+    def answer(self, now, ask, begun):
+        """Bytes of a Told: a chunk as it was built, with what the asker must know beside it."""
+        number, place = divmod(ask.cursor, PLACE)
+        reading = self.readings.get(number)
+        if reading is None or place > len(reading.chunks) or place == len(reading.chunks) and reading.ended:
+            number, place = self.reading(now, ask.mark if ask.life == self.life else -1), 0
+            reading = self.readings[number]
+        if place == len(reading.chunks):
+            self.build(now, reading, begun)
+        built, data = reading.chunks[place]
+        more = not reading.ended or place + 1 < len(reading.chunks)
+        # Serialized messages that follow one another are one message: the chunk need not be built again.
+        return data + Told(next=number * PLACE + place + 1 if more else 0,
+                           held_us=(now - built) // 1000).SerializeToString()
+
+    def reading(self, now, since):
+        """The number of a reading of what came since then; of one begun just now where all is asked for."""
+        for number, reading in self.readings.items():
+            if since < 0 and reading.whole and now - reading.begun <= SHARED:
+                return number
+        self.count += 1
+        self.readings[self.count] = Reading(now, since < 0, own(self.gateway, self.roll, self.tracks, now,
+                                                                since))
+        while len(self.readings) > READINGS or sum(each.size for each in self.readings.values()) > HELD:
+            if len(self.readings) == 1:
+                break
+            del self.readings[next(iter(self.readings))]
+        return self.count
+
+    def build(self, now, reading, begun):
+        told, size = Told(version=wire.VERSION, life=self.life, mark=reading.begun), 0
+        for count, (subject, value, at) in enumerate(reading.facts, 1):
             size += wire.add(told, subject, value, now - at)
             self.told += 1
-            if count >= most or size > CHUNK_BYTES or self.meter() - begun > SLICE:
-                self.readings[number] = told.mark, facts
-                told.next = number
-                while len(self.readings) > READINGS:
-                    del self.readings[next(iter(self.readings))]
+            if count >= CHUNK or size > CHUNK_BYTES or self.meter() - begun > SLICE:
                 break
-        return told
+        else:
+            reading.ended = True
+        data = told.SerializeToString()
+        reading.chunks.append((now, data))
+        reading.size += len(data)
 
     def stop(self):
         """Goes on telling while the last tasks end; `close` ends it."""
--- a/gaproute/peers/wire.py
+++ b/gaproute/peers/wire.py
@@ -50,7 +50,7 @@
 def put(told, asked, origin, lore):
     """Tells the lore every fact of the message, observed by the giver `origin`."""
     def tell(subject, value, age_us):
-        at = lore.observed(asked, age_us * 1000)
+        at = lore.observed(asked, (age_us + told.held_us) * 1000)
         if at is not None:
             lore.tell(subject, Fact(at, origin, 1, value))
 
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -108,6 +108,7 @@
         self.ordered = False     # an order is open
         self.ranks, self.order, self.ranked_for = {}, [], -1    # worker: its rank; the workers by rank
         self.used, self.rests_until = 0, -1
+        self.answered = -1       # when a copy of it was last seen anywhere
 
 
 class Trail:
@@ -284,13 +285,13 @@
             yield "load", (), (int(median(self.loads)),), now
         for name in sorted(self.functions, key=lambda name: -self.functions[name].used):
             function = self.functions.get(name)
-            if function is None:
+            if function is None or function.answered <= since:
                 continue
             for worker, seen in list(function.stands.items()):
                 if seen > since and self.workers[worker].active and seen >= self.workers[worker].wiped:
                     yield "warm", (worker, name), (function.lanes,), seen
-            if function.used > since and function.times:
-                yield "usual", (name,), (int(median(function.times)),), function.used
+            if function.times:
+                yield "usual", (name,), (int(median(function.times)),), function.answered
             if since < 0 and name in self.mix:
                 yield "share", (name,), (self.mix.count(name) / max(len(self.mix), MIX // 4),), now
 
@@ -317,7 +318,7 @@
             if self.power(worker, now) >= 1:
                 self.spread_credit(now)
             if sent >= worker.wiped:
-                function.seen[worker.id] = function.stands[worker.id] = now
+                function.seen[worker.id] = function.stands[worker.id] = function.answered = now
             self.verify(function, worker.id, outcome.found)
             if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
                 if function.times:
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -5,7 +5,7 @@
 from gaproute.appliance import Appliance
 from gaproute.conf import read_charter
 from gaproute.interface import Found, Result, State
-from gaproute.lore import (BURST, FACTS, GONE_KEPT, OLDEST, SHARE, SLOWEST, Fact, Lore, Purse, Roll, own)
+from gaproute.lore import (BURST, FACTS, GONE_KEPT, OLDEST, REST, SHARE, SLOWEST, Fact, Lore, Purse, Roll, own)
 from gaproute.peers.lore_pb2 import Told
 from gaproute.policy import Chance
 from gaproute.record.record import logger
@@ -155,8 +155,23 @@
 def test_telling_takes_a_share_of_the_time_and_a_small_burst():
     purse = Purse(0)
     assert purse.may(0)
-    purse.spend(BURST + MILLI)
-    assert not purse.may(0) and not purse.may(round(0.9 * MILLI / SHARE)) and purse.may(purse.wait() + SECOND)
+    purse.spend(0, BURST + MILLI)
+    assert not purse.may(0) and not purse.may(round(0.9 * MILLI / SHARE)) and purse.may(purse.wait(0) + MILLI)
+
+
+def test_two_slices_are_never_told_on_end():
+    purse = Purse(0)
+    purse.spend(0, MILLI)
+    assert not purse.may(REST - 1) and purse.may(REST)
+
+
+def test_those_put_off_come_again_one_after_the_other():
+    purse = Purse(0)
+    purse.spend(0, MILLI)
+    assert [purse.wait(0) for _ in range(3)] == [REST, 2 * REST, 3 * REST]
+    purse.spend(0, 2 * BURST)
+    waits = [purse.wait(0) for _ in range(3)]
+    assert waits[0] > 1000 * MILLI and waits[2] - waits[1] == waits[1] - waits[0] == 100 * MILLI
 
 
 # What the decision module makes of a hint
@@ -230,7 +245,7 @@
     made = gateway()
     made.hint("a", "f", 4, 5 * SECOND)
     assert [fact for fact in made.known(8 * SECOND) if fact[0] == "warm"] == []
-    made.functions["f"].stands["b"] = 7 * SECOND
+    made.functions["f"].stands["b"] = made.functions["f"].answered = 7 * SECOND
     assert list(made.known(8 * SECOND)) == [("warm", ("b", "f"), (4,), 7 * SECOND)]
     assert list(made.known(8 * SECOND, 7 * SECOND)) == []
 
@@ -334,7 +349,7 @@
 
 def test_a_giver_out_of_budget_puts_off_and_still_tells(beside):
     made, start = beside
-    made.gate.giver.purse.spend(11 * MILLI)
+    made.gate.giver.purse.spend(made.loop.now(), 11 * MILLI)
     second = start()
     made.until(lambda: second.learner.state["g"].startswith("told"))
     assert made.gate.giver.put_off >= 1 and second.learner.booked >= 1
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -8,7 +8,7 @@
 from gaproute.loop import Loop
 from gaproute.loop.loop import Stepped
 from gaproute.loop.streams import address
-from gaproute.lore import SLICE, Roll
+from gaproute.lore import REST, SLICE, Roll
 from helpers import MILLI, SECOND, gateway
 
 WARM = ("warm", "x", "f")
@@ -169,5 +169,8 @@
     told = facts(30)
     assert not keeper.slice(told) and keeper.memory.written == 11
     keeper.ticks = itertools.repeat(0)
+    assert not keeper.slice(told) and keeper.memory.written == 11      # too soon after the last
+    keeper.loop.clock.now += REST
     assert keeper.slice(told) and keeper.memory.written == 30
+    keeper.loop.clock.now += REST
     assert not keeper.slice(facts(2 * MOST)) and keeper.memory.written == 30 + MOST
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,7 +7,7 @@
 from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
 from gaproute.loop.streams import address
-from gaproute.lore import CHUNK, SLICE, Lore, Roll
+from gaproute.lore import CHUNK, Lore, Purse, Roll
 from gaproute.peers import Giver, wire
 from gaproute.peers.lore_pb2 import Ask, Told
 from helpers import CHARTER, MILLI, SECOND, gateway, row
@@ -163,7 +163,7 @@
     fourth = start("fourth", f"peer g {where(made.gate)}", f"peer second {where(second)}")
     made.until(lambda: all(state.startswith("told") for state in fourth.learner.state.values()))
     assert worker not in fourth.core.gateway.workers
-    assert fourth.lore.facts["listed", worker].value[0] == "gone"
+    made.until(lambda: fourth.lore.facts["listed", worker].value[0] == "gone")
 
 
 def test_a_host_back_with_a_new_start_does_not_inherit_its_old_copies(fleet):
@@ -231,7 +231,8 @@
     made = gateway(*[row(f"w{number}") for number in range(50)])
     for name in range(60):
         function = made.function(f"f{name}", 4)
-        function.stands = {f"w{number}": SECOND + name for number in range(50)}
+        function.answered = loop.now() - name * MILLI
+        function.stands = {f"w{number}": function.answered for number in range(50)}
     giver = Giver(loop, address("127.0.0.1:0"), made, Roll(), ("t",))
     yield giver
     giver.close()
@@ -241,34 +242,59 @@
 def test_a_snapshot_comes_in_chunks_that_take_no_more_than_a_slice(giver):
     facts, cursor, chunks = set(), 0, 0
     while cursor or not chunks:
-        giver.purse.left = SLICE
+        giver.purse = Purse(giver.loop.now())
         told = asked(giver, cursor=cursor)
         assert len(told.warm) <= CHUNK
         facts |= {(each.worker, each.function) for each in told.warm}
         cursor, chunks = told.next, chunks + 1
-    assert len(facts) == 3000 and chunks >= 12 and not giver.readings
+    assert len(facts) == 3000 and chunks >= 12
+
+
+def test_learners_that_begin_at_one_moment_share_a_reading_and_its_ages_grow(giver):
+    first, second = asked(giver), None
+    told = giver.told
+    giver.purse = Purse(giver.loop.now())
+    giver.readings[1].chunks[0] = (giver.loop.now() - 100 * MILLI, giver.readings[1].chunks[0][1])
+    second = asked(giver)
+    assert giver.told == told and second.next == first.next and len(giver.readings) == 1
+    assert [each.worker for each in second.warm] == [each.worker for each in first.warm]
+    assert second.held_us >= 100_000 > first.held_us
+    lore = Lore()
+    wire.put(second, 10 * SECOND, "g", lore)
+    assert {fact.at for fact in lore.facts.values()} == {
+        10 * SECOND - (each.age_us + second.held_us) * 1000 for each in second.warm}
+
+
+def test_who_comes_back_for_a_reading_that_is_no_more_begins_anew(giver):
+    told = asked(giver, cursor=77 << 20)
+    assert told.warm and told.next >> 20 == 1
 
 
 def test_a_snapshot_goes_on_while_functions_and_hosts_come_and_go(giver):
     first = asked(giver)
     giver.gateway.functions.clear()
     giver.gateway.listed(2 * SECOND, [row("w0")], True)
-    giver.purse.left = SLICE
+    giver.purse = Purse(giver.loop.now())
     assert not asked(giver, cursor=first.next).next
 
 
 def test_a_mark_of_another_life_brings_the_whole(giver):
     told = asked(giver, life=giver.life ^ 1, mark=1 << 62)
     assert told.warm and told.life == giver.life
-    giver.purse.left = SLICE
+    giver.purse = Purse(giver.loop.now())
     assert not asked(giver, life=giver.life, mark=1 << 62).warm
 
 
 def test_readings_in_hand_are_bounded(giver):
-    for _ in range(40):
-        giver.purse.left = SLICE
-        asked(giver)
+    for number in range(40):
+        giver.purse = Purse(giver.loop.now())
+        asked(giver, life=giver.life, mark=number + 1)
     assert len(giver.readings) == 16
+    for reading in giver.readings.values():
+        reading.size = 3 << 20
+    giver.purse = Purse(giver.loop.now())
+    asked(giver, life=giver.life, mark=41)
+    assert len(giver.readings) == 2
 
 
 # Datagrams
