--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -1,5 +1,7 @@
 """What peers tell: the algebra of facts, trust, the budget, and two gateways on sockets."""
 import json
+import random
+from collections import Counter
 
 import pytest
 from gaproute.appliance import Appliance
@@ -272,6 +274,32 @@
     assert told.refused == {"not listed": 1, "track": 1} and made.workers["a"].slow == SLOWEST
 
 
+@pytest.mark.parametrize("share", [0.02, 0.3])
+def test_ten_gateways_that_learn_the_same_at_one_moment_do_not_all_send_to_one_host(share):
+    hosts = [f"h{number}" for number in range(10)]
+    told = lore(*[warm(name, at=59 * SECOND) for name in hosts[:6]],
+                (("share", "f"), Fact(59 * SECOND, "g", 1, (share,))))
+    sent = Counter()
+    seeds = random.Random(1)
+    for _ in range(10):
+        made = gateway(*map(row, hosts))
+        lives = dict.fromkeys(hosts, 0)
+        told.follow(made, 60 * SECOND, lives, {}, KEEP, Chance(seeds.getrandbits(64)), told.facts)
+        sent[made.serve(60 * SECOND, task()).send(None).worker] += 1
+    assert max(sent.values()) <= 7 and len(sent) >= (2 if share < 0.1 else 4)
+    assert sent.keys() <= set(hosts[:6])
+
+
+def test_a_hint_sends_nothing_to_a_cold_host_beyond_its_credit():
+    hosts = [row(f"h{number}") for number in range(5)] + [row("cold", started=59 * SECOND)]
+    told = lore(warm("cold", at=60 * SECOND, started=5))
+    for seed in range(10):
+        made = gateway(*hosts)
+        assert told.follow(made, 60 * SECOND, {"cold": 5}, {}, KEEP, Chance(seed), told.facts) == 1
+        sent = [made.serve(60 * SECOND, task(f"t{number}")).send(None).worker for number in range(20)]
+        assert "cold" not in sent and made.workers["cold"].credit == 0
+
+
 # Two gateways
 
 @pytest.fixture
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -15,19 +15,23 @@
 from gaproute.trial.script import read_script
 from helpers import SECOND
 
-RULES = {-1: "gaproute.policy:Gateway", 0: "gaproute.policy:Gateway"} | {
+RULES = {-3: "gaproute.standins.liars:LiesAlways", -2: "gaproute.policy:Gateway",
+         -1: "gaproute.policy:Gateway", 0: "gaproute.policy:Gateway"} | {
     rule: f"gaproute.standins.rogues:{rogue.__name__}" for rule, rogue in ROGUES.items()
 }
 
+SCRIPTS = {-1: "short-day", -2: "telling-day", -3: "telling-day"}
+
 
 @pytest.fixture(scope="module")
 def days(tmp_path_factory):
     """{rule: (exit code, result)} of one short day for each decision module, three at a time; rule -1: a day
-    on which processes are struck."""
+    on which processes are struck; -2: one on which they learn from each other and from disk meanwhile; -3: the
+    same with all that is told of copies wrong."""
     def play(rule):
         out = tmp_path_factory.mktemp(f"rule{rule}")
         played = subprocess.run([sys.executable, "-m", "gaproute", "trial",
-                                 "rogue" if rule >= 0 else "short-day", "--json", "--decisions",
+                                 SCRIPTS.get(rule, "rogue"), "--json", "--decisions",
                                  RULES[rule], "--out", str(out)], capture_output=True, timeout=90)
         assert played.stdout, played.stderr.decode()
         return played.returncode, json.loads(played.stdout)
@@ -48,6 +52,13 @@
     assert result["service"] > 0.5      # far below what is usual: it only tells a day that was not played
 
 
+@pytest.mark.parametrize("day", [-2, -3])
+def test_the_rules_hold_while_restarting_gateways_learn_even_where_all_that_is_told_is_wrong(days, day):
+    code, result = days[day]
+    assert result["broken"] == [] and code == 0 and result["fell_over"] == 0
+    assert result["service"] > 0.5
+
+
 @pytest.mark.parametrize("rule", sorted(ROGUES))
 def test_a_module_that_breaks_a_rule_is_caught_at_it(days, rule):
     code, result = days[rule]
