--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -1,4 +1,5 @@
-"""What a restarted gateway gains by what it is told: the same day without, by peers, by its own disk, by both.
+"""What a restarted gateway gains by what it is told: the same day without, by peers, by its own disk, by
+both.
 
     python benchmarks/learning.py [--seeds 1,2,3] [--hosts 20] [--at-once 2] [--out docs/measured]
     python benchmarks/learning.py --wrong         peers that tell wrong copies: none, 20, 50 and 100% of them
@@ -27,7 +28,7 @@
 SECOND = 1_000_000_000
 KILL = 24               # by then the store is calm: copies stand where the gateways want them
 SCRIPT = """
-day length {length}s rate {rate} hosts {hosts} gateways 4 models {models} retries 0 peers {peers} memory {memory} impatient 0
+day length {length}s rate {rate} hosts {hosts} gateways 4 models {models} retries 0 impatient 0 {told}
 kind std share 1 cores 4 speed 1 copies 10
 track fault-check pure contract 1200ms limit 5s earnings 3
 track repair-order effectful contract 600ms limit 4s earnings 3
@@ -53,10 +54,11 @@
     troubles = "\n".join(f"trouble gateway-kill at {KILL + 2 * place}s back 500ms gateway {place}"
                          for place in range(struck))
     peers, memory = ("yes" if each else "no" for each in MODES[mode])
+    how = f"peers {peers} memory {memory}"
     with tempfile.TemporaryDirectory(prefix="gl-") as folder:
         script, out = Path(folder, "day.script"), Path(folder, "o")
         script.write_text(SCRIPT.format(length=KILL + 30, rate=8 * hosts, hosts=hosts, models=3 * hosts,
-                                        troubles=troubles, peers=peers, memory=memory))
+                                        troubles=troubles, told=how))
         run = subprocess.run(
             [sys.executable, "-m", "gaproute", "trial", str(script), "--seed", str(seed),
              "--decisions", decisions, "--json", "--out", str(out)],
@@ -139,7 +141,8 @@
               for wrong in LIARS)]
     else:
         days = [({"restarted": f"{struck} of 4", "told by": mode}, (told.hosts, mode, struck, LIARS["0%"]))
-                for struck, mode in itertools.product(map(int, told.struck.split(",")), told.modes.split(","))]
+                for struck, mode in itertools.product(map(int, told.struck.split(",")),
+                                                      told.modes.split(","))]
 
     def one(work):
         (_, (hosts, mode, struck, decisions)), seed = work
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -2,10 +2,10 @@
 
     python benchmarks/membership.py [--sizes 4,16,64,200] [--out docs/measured]
 
-Gateways on a simulated clock and network (gaproute/standins/net.py), the decisions being the product's own. For
-each size and share of lost messages: one minute of calm, then one gateway dies; seconds until the first and the
-last of the others hold it dead; messages and bytes a second and gateway; suspicions and deaths that were wrong
-in the minute, of all gateways together.
+Gateways on a simulated clock and network (gaproute/standins/net.py), the decisions being the product's own.
+For each size and share of lost messages: one minute of calm, then one gateway dies; seconds until the first
+and the last of the others hold it dead; messages and bytes a second and gateway; suspicions and deaths that
+were wrong in the minute, of all gateways together.
 """
 import argparse
 import sys
--- a/benchmarks/telling.py
+++ b/benchmarks/telling.py
@@ -1,4 +1,5 @@
-"""What telling ten learners costs a busy giver: CPU, and the latency of its tasks, in windows with and without.
+"""What telling ten learners costs a busy giver: CPU, and the latency of its tasks, in windows with and
+without.
 
     python benchmarks/telling.py [--hosts 60] [--pairs 6] [--seconds 4] [--out docs/measured]
 
--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -1,17 +1,19 @@
-"""Who comes in at the door and who must leave: decisions only, no sockets, the clock and the chance handed in.
+"""Who comes in at the door and who must leave: decisions only, no sockets, the clock and the chance handed
+in.
 
-Connections of clients wait in three lines: those that speak and spoke before (known), those that speak for the
-first time (fresh), and those that ask to be accepted (arriving). Work in hand comes before all three; what is
-left of each turn is shared here.
+Connections of clients wait in three lines: those that speak and spoke before (known), those that speak for
+the first time (fresh), and those that ask to be accepted (arriving). Work in hand comes before all three;
+what is left of each turn is shared here.
 """
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-DOOR_TIME = 3 * MILLI    # of each turn at most for what waits at the door: tasks in hand wait no longer for it
+DOOR_TIME = 3 * MILLI    # of each turn at most for what waits at the door: tasks in hand wait no longer
 KNOWN_SHARE = 3          # of each 4 turns at the door go to the known while others wait: after a power cut the
-#                          district that comes back is fresh, and those that stayed must not queue behind it
-FRESH_MOST = 512         # fresh ones that wait before no more are accepted: the kernel's queue holds the rest,
-#                          and what is accepted is served within a second
-SPARE = 2 * SECOND       # idle for less, none is closed for another's sake: newcomers must not close each other
+#                          district that comes back is fresh; those that stayed must not queue behind it
+FRESH_MOST = 512         # fresh ones that wait before no more are accepted: the kernel's queue holds the
+#                          rest, and what is accepted is served within a second
+SPARE = 2 * SECOND       # idle for less, none is closed for another's sake: newcomers must not close
+#                          each other
 SAMPLE = 64              # of the idle longest, among which the least valuable is picked
 FULL = 0.95              # of the connections allowed from which on answers say that the connection closes
 JITTER = 0.1             # of the idle time, added by chance: what came at one moment must not close at one
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -175,8 +175,8 @@
 
     def _time(self):
         """When the request that is coming in or the client that takes no bytes is at its end, or the quiet
-        connection is parked; none while an answer is owed. One timer, moved only when it fires: it is nearly always moved
-        before.
+        connection is parked; none while an answer is owed. One timer, moved only when it fires: it is nearly
+        always moved before.
         """
         limits, reader = self.server.limits, self.reader
         if reader.midway:
--- a/gaproute/lobby/calendar.py
+++ b/gaproute/lobby/calendar.py
@@ -1,7 +1,8 @@
-"""Times of very many things that nearly always move before they come: slots of 10 ms, found by a heap of slots.
+"""Times of very many things that nearly always move before they come: slots of 10 ms, found by a heap of
+slots.
 
-Picked by `benchmarks/timers.py` against a heap of timers and a hierarchical wheel. An entry is moved lazily: it
-stays in its slot, and whoever takes it there puts it in again where it is not yet due.
+Picked by `benchmarks/timers.py` against a heap of timers and a hierarchical wheel. An entry is moved lazily:
+it stays in its slot, and whoever takes it there puts it in again where it is not yet due.
 """
 import heapq
 
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -1,11 +1,11 @@
 """The lot: a parked connection is a descriptor and a few numbers in arrays.
 
 Parked descriptors are watched by an epoll of their own inside the loop's, each until its first event. So a
-district that speaks at once is one event to the loop: tasks in hand and their timers go first, and what waits is
-served by the door's decisions in what time they leave. A request counts from when it was seen to wait.
+district that speaks at once is one event to the loop: tasks in hand and their timers go first, and what waits
+is served by the door's decisions in what time they leave. A request counts from when it was seen to wait.
 
-An entry of the arrays belongs to the descriptor's present life alone: what is queued or due under its number is
-looked at only where the state says so.
+An entry of the arrays belongs to the descriptor's present life alone: what is queued or due under its number
+is looked at only where the state says so.
 """
 import os
 import resource
--- a/gaproute/membership.py
+++ b/gaproute/membership.py
@@ -3,8 +3,8 @@
 After SWIM (Das, Gupta, Motivala 2002): each period one other is probed, directly and then through others; who
 does not answer is suspected, and dead once the suspicion has lasted. A suspect that lives refutes with a
 higher incarnation. News rides on the probes. Two departures: what room is left in a message carries entries
-in turn, so that a newcomer and a healed partition learn the whole without a special exchange; and a gateway that was
-itself held up judges nobody by that time.
+in turn, so that a newcomer and a healed partition learn the whole without a special exchange; and a gateway
+that was itself held up judges nobody by that time.
 
 One order decides between two claims of a member: (incarnation, state). So merging is taking the greater, and
 claims may come in any order, twice, or late. Nothing that the rules rest on uses any of this.
--- a/gaproute/standins/net.py
+++ b/gaproute/standins/net.py
@@ -1,4 +1,5 @@
-"""Gateways that probe each other, on a clock and a network that stand for real ones: no sockets, no waiting."""
+"""Gateways that probe each other, on a clock and a network that stand for real ones: no sockets, no
+waiting."""
 import heapq
 
 from gaproute.membership import Members
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -1,4 +1,5 @@
-"""Connections between their requests: who comes in, who waits, who must leave, and the arrays they stand in."""
+"""Connections between their requests: who comes in, who waits, who must leave, and the arrays they stand
+in."""
 import os
 import resource
 import socket
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -7,7 +7,8 @@
 from gaproute.appliance import Appliance
 from gaproute.conf import read_charter
 from gaproute.interface import Found, Result, State
-from gaproute.lore import (BURST, FACTS, GONE_KEPT, OLDEST, REST, SHARE, SLOWEST, Fact, Lore, Purse, Roll, own)
+from gaproute.lore import (BURST, FACTS, GONE_KEPT, OLDEST, REST, SHARE, SLOWEST, Fact, Lore, Purse, Roll,
+                           own)
 from gaproute.peers.lore_pb2 import Told
 from gaproute.policy import Chance
 from gaproute.record.record import logger
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -26,8 +26,8 @@
 @pytest.fixture(scope="module")
 def days(tmp_path_factory):
     """{rule: (exit code, result)} of one short day for each decision module, three at a time; rule -1: a day
-    on which processes are struck; -2: one on which they learn from each other and from disk meanwhile; -3: the
-    same with all that is told of copies wrong."""
+    on which processes are struck; -2: one on which they learn from each other and from disk meanwhile; -3:
+    the same with all that is told of copies wrong."""
     def play(rule):
         out = tmp_path_factory.mktemp(f"rule{rule}")
         played = subprocess.run([sys.executable, "-m", "gaproute", "trial",
