--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -202,6 +202,61 @@
     sys.exit(0 if result.well else 1)
 
 
+@main.command()
+@click.argument("script", type=click.Path(dir_okay=False))
+@click.option("--seed", default=1, help="Seed of the load's chance.")
+@click.option("--out", type=click.Path(dir_okay=False), help="File for the result.")
+@json_option
+def load(script, seed, out, plain):
+    """Play the load SCRIPT (docs/load.md) against its targets. Exits 1 where a task did not end well."""
+    from gaproute.load import Crowd, read_load
+    from gaproute.load.results import write_result
+    from gaproute.loop import Loop
+    try:
+        told = read_load(script)
+    except Mistakes as wrong:
+        click.echo(str(wrong), err=True)
+        sys.exit(2)
+    loop = Loop()
+    crowd = Crowd(loop, told, seed, None if plain else lambda text: click.echo(text, err=True))
+    loop.run(until=loop.spawn(crowd.play()).done)
+    if out:
+        write_result(out, told, seed, crowd.tallies, crowd.counts)
+    rows = [{"traffic": name, **tally.figures(), "not well": {end: count for end, count in tally.ends.items()
+                                                              if end != "delivered"}}
+            for name, tally in crowd.tallies.items()]
+    if plain:
+        click.echo(json.dumps({"traffic": rows, "counts": dict(crowd.counts)}))
+    else:
+        show_load(rows)
+        click.echo(", ".join(f"{what}: {count}" for what, count in sorted(crowd.counts.items())))
+    sys.exit(0 if all(not row["not well"] for row in rows) else 1)
+
+
+@main.command("load-report")
+@click.argument("results", nargs=-1, required=True, type=click.Path(dir_okay=False))
+@json_option
+def load_report(results, plain):
+    """The results of one or more loads side by side."""
+    from gaproute.load import compare
+    try:
+        rows = compare(results)
+    except (OSError, ValueError) as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(2)
+    click.echo(json.dumps(rows)) if plain else show_load(rows)
+
+
+def show_load(rows):
+    table = Table()
+    for column in rows[0] if rows else ():
+        table.add_column(column)
+    for row in rows:
+        table.add_row(*(", ".join(f"{key} {n}" for key, n in value.items()) if isinstance(value, dict) else
+                        f"{value:g}" if isinstance(value, float) else str(value) for value in row.values()))
+    Console().print(table)
+
+
 @main.command("day-script")
 @click.argument("day", type=click.File())
 @click.option("--hosts", default=9)
--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -18,7 +18,7 @@
 FULL = 0.95              # of the connections allowed from which on answers say that the connection closes
 JITTER = 0.1             # of the idle time, added by chance: what came at one moment must not close at one
 RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
-HOSTS_SHARE = 0.25       # of all descriptors at least kept for connections to hosts
+HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
 TAKE, DISPLACE, TURN_AWAY = "take", "displace", "turn away"
 KNOWN, FRESH, ARRIVING = "known", "fresh", "arriving"
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -10,6 +10,7 @@
 CHUNK = 65536            # bytes read in one call: a large socket buffer in few calls, small next to a body
 HIGH = 1 << 20           # bytes waiting to be written above which the writer is told to hold back
 ACCEPTS = 32             # connections accepted in one turn, so that tasks in flight get their share of it
+BIND_ADDRESS_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT of Linux, which the socket module does not name
 LINGER = 30_000 * MILLI    # for the last bytes to be taken after a close; then the connection is reset
 NO_FD_PAUSE = 100 * MILLI    # accepting rests this long when descriptors run out, rather than spin
 SHORT_OF_FDS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -220,15 +221,19 @@
     return sock
 
 
-def connect(loop, where, within, done):
+def connect(loop, where, within, done, source=None):
     """Opens a connection to `where` (see `address`); `done(socket or None, error or None)` once, never at
-    once.
+    once. `source`: the own address that it is to come from, any port.
 
     Returns a call that gives up; after it `done` is not called.
     """
     family, target = where
     try:
         sock = _tuned(socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC))
+        if source is not None:
+            # The port is picked at the connect: one may serve for several servers, and none is used up here.
+            sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
+            sock.bind((source, 0))
     except OSError as fault:
         loop.soon(done, None, fault)
         return _nothing
