Several gateways under one parent: one accept queue, restarts apart, rolls that lose nothing

The parent opens the clients' addresses and hands the sockets to its children, so that one that stands still or ends keeps no client in a queue of its own; a child's death is seen by its pidfd and answered by restarts.py (apart, doubling, back at once for one that lived well); SIGHUP rolls a checked configuration through them, a new one serving before the old one is asked to end. Shown with processes: all tasks answered during a roll and with a child stopped or killed; a wrong configuration changes nothing; children end with their parent. 10 tests.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -2,10 +2,11 @@
 
     python benchmarks/connections.py [--sizes 1000,5000,10000,19000] [--out docs/measured]
 
-In the same run, the server as it is (idle connections parked) and a plain one: a generator, a stream, a reader and
-a timer for each connection. Both answer at once, without decisions behind them. For each size: memory of the
-process over connections held; CPU while all are silent, and while 0.1% and 1% of them speak each second, with the
-time to the answer; then how late the idle ends of all come while 1% goes on speaking (idle time 8 s, spread 10%).
+In the same run, the server as it is (idle connections parked) and a plain one: a generator, a stream, a
+reader and a timer for each connection. Both answer at once, without decisions behind them. For each size:
+memory of the process over connections held; CPU while all are silent, and while 0.1% and 1% of them speak
+each second, with the time to the answer; then how late the idle ends of all come while 1% goes on speaking
+(idle time 8 s, spread 10%).
 """
 import argparse
 import gc
@@ -63,8 +64,8 @@
 class Parked:
     def __init__(self, loop, where):
         self.loop, self.late = loop, []
-        self.server = Server(loop, where, self.handle, Limits(idle_time=IDLE, connections=10**6), counted=True)
-        self.address = self.server.address
+        self.server = Server(loop, where, self.handle, Limits(idle_time=IDLE, connections=10**6),
+        counted=True) self.address = self.server.address
         drop = self.server.lot._drop
 
         def timed(fd):
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -1,4 +1,5 @@
 """One gateway as a process: its parts wired, started and stopped. Decides nothing."""
+import os
 import secrets
 import signal
 
@@ -18,6 +19,7 @@
 from gaproute.lobby import Lot
 from gaproute.lobby.lot import descriptors
 from gaproute.loop import Loop
+from gaproute.loop.loop import READ
 from gaproute.loop.streams import address
 from gaproute.lore import FACTS, Fact, Lore, Roll
 from gaproute.peers import Giver, Gossip, Learner
@@ -31,8 +33,9 @@
 
 
 class Appliance:
-    def __init__(self, charter, loop=None, seed=None, log=None):
-        self.charter = charter
+    def __init__(self, charter, loop=None, seed=None, log=None, inherited=()):
+        """`inherited`: {address as configured: listening socket that a parent opened}."""
+        self.charter, self.inherited = charter, dict(inherited)
         self.loop = loop = loop or Loop()
         self.log = log or logger(level=charter.log_level).bind(gateway=charter.name)
         loop.on_error = lambda error: self.log.error("error", error=repr(error), exc_info=error)
@@ -62,7 +65,8 @@
         try:
             for kind, where in self.charter.listens:
                 if kind == "kserve":
-                    self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready))
+                    self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready,
+                                             self.inherited.get(where)))
                 elif kind == "peers":
                     self.giver = Giver(self.loop, address(where), self.core.gateway, self.roll,
                                        self.track_names)
@@ -184,6 +188,12 @@
             self.loop.on_signal(number, self.stop)
         self.loop.on_signal(signal.SIGHUP, lambda: self.watch and self.watch.read())
 
+    def under(self, life, ready):
+        """Stands under a parent: says that it serves on the descriptor `ready`, stops when `life` ends."""
+        self.loop.watch(life, READ, lambda events: (self.loop.unwatch(life), self.stop()))
+        os.write(ready, b"ready")
+        os.close(ready)
+
     def run(self):
         self.loop.run()
         self.close()
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -39,20 +39,39 @@
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--seed", type=int, help="Seed of the decisions' chance; drawn at start where not given.")
-def serve(file, seed):
-    """Run one gateway by the configuration FILE until SIGTERM."""
-    from gaproute.appliance import Appliance
-    appliance = Appliance(charter_of(file), seed=seed)
-    appliance.heed_signals()
+@click.option("--processes", type=click.IntRange(1, 64), help="So many gateways behind the same addresses.")
+@click.option("--seat", type=(int, int), hidden=True)
+@click.option("--inherited", multiple=True, hidden=True)
+@click.option("--life", type=int, hidden=True)
+@click.option("--ready", type=int, hidden=True)
+def serve(file, seed, processes, seat, inherited, life, ready):
+    """Run a gateway by the configuration FILE until SIGTERM; with --processes several, under one parent that
+    starts a dead one again and, at SIGHUP, rolls a new configuration through them."""
+    charter = charter_of(file)
+    if processes is not None:
+        from gaproute.appliance.parent import Parent
+        runs = Parent(file, charter, processes, seed)
+    else:
+        from gaproute.appliance import Appliance
+        sockets = {}
+        for each in inherited:
+            fd, _, where = each.partition("=")
+            sockets[where] = socket.socket(fileno=int(fd))
+        if seat is not None:
+            charter.seat(*seat)
+        runs = Appliance(charter, seed=seed, inherited=sockets)
+        runs.heed_signals()
     try:
-        appliance.start()
+        runs.start()
     except OSError as fault:
         click.echo(f"cannot listen: {fault}", err=True)
         sys.exit(3)
+    if life is not None:
+        runs.under(life, ready)
     gc.collect()
     gc.freeze()      # what stands for good is not looked through again and again: pauses of 20 ms and more
     gc.set_threshold(10_000, 50, 100)    # a task leaves no cycles behind
-    appliance.run()
+    runs.run()
 
 
 @main.command()
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -304,6 +304,28 @@
             must_ask_list=False,
         )
 
+    def seat(self, number, count):
+        """Makes this the charter of one of `count` processes: a name, and addresses but the clients', of its
+        own; the others are its peers where it tells others at all."""
+        base = self.name
+        self.name = f"{base}-{number}"
+        peers = [where for kind, where in self.listens if kind == "peers"]
+        self.listens = [(kind, where if kind == "kserve" else _seated(where, number))
+                        for kind, where in self.listens]
+        if self.memory is not None:
+            self.memory = f"{self.memory}.{number}"
+        if peers and not self.peers_file:
+            self.peers = self.peers + [PeerLine(name=f"{base}-{other}", where=_seated(peers[0], other))
+                                       for other in range(count + 1) if other != number]
+
+
+def _seated(where, seat):
+    """The address of a seat beside others of the same configuration: the path or the port counted on."""
+    if where.startswith("unix:"):
+        return f"{where}.{seat}"
+    host, _, port = where.rpartition(":")
+    return f"{host}:{int(port) + seat if int(port) else 0}"
+
 
 def read_charter(file, text=None):
     """The charter of a file. Errors: `Mistakes` with all that is wrong; nothing of a wrong file is used."""
--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -8,8 +8,8 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 DOOR_TIME = 3 * MILLI    # of each turn at most for what waits at the door: tasks in hand wait no longer
-KNOWN_SHARE = 3          # of each 4 turns at the door go to the known while others wait: after a power cut the
-#                          district that comes back is fresh; those that stayed must not queue behind it
+KNOWN_SHARE = 3          # of each 4 turns at the door go to the known while others wait: after a power cut
+#                          the district that comes back is fresh; those that stayed must not wait behind
 FRESH_MOST = 512         # fresh ones that wait before no more are accepted: the kernel's queue holds the
 #                          rest, and what is accepted is served within a second
 SPARE = 2 * SECOND       # idle for less, none is closed for another's sake: newcomers must not close
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -51,7 +51,7 @@
     """One listening address. `core` takes the tasks; `models`, `tenants` and `tracks` are the
     configuration's."""
 
-    def __init__(self, loop, where, core, charter, ready):
+    def __init__(self, loop, where, core, charter, ready, inherited=None):
         self.loop, self.core, self.ready = loop, core, ready
         self.version = VERSION
         self.name = charter.name
@@ -62,7 +62,7 @@
         limits = Limits(clients.head, clients.body, clients.pipelined, clients.read, clients.idle,
                         clients.connections, JITTER)
         self.server = Server(loop, where, self.handle, limits,
-                             lambda fault: ((JSON,), error(fault.text)), counted=True)
+                             lambda fault: ((JSON,), error(fault.text)), counted=True, inherited=inherited)
         self.address = self.server.address
 
     def handle(self, request):
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -57,7 +57,8 @@
 class Server:
     """Listens on one address. `handle(request)` for each whole request, to be answered once by `answer`."""
 
-    def __init__(self, loop, where, handle, limits=Limits(), explain=None, counted=False):
+    def __init__(self, loop, where, handle, limits=Limits(), explain=None, counted=False,
+                 inherited=None):
         self.loop, self.handle, self.limits, self.counted = loop, handle, limits, counted
         # headers, body of a refusal
         self.explain = explain or (lambda fault: ((), fault.text.encode() + b"\n"))
@@ -68,7 +69,7 @@
         self.family = where[0]
         self.lot = Lot.of(loop)
         self.number = self.lot.open(self)
-        self.listener = Listener(loop, where, None, on_ready=self._ready)
+        self.listener = Listener(loop, where, None, on_ready=self._ready, inherited=inherited)
         self.address = self.listener.address
 
     @property
--- a/gaproute/load/crowd.py
+++ b/gaproute/load/crowd.py
@@ -1,4 +1,5 @@
-"""Plays a load on the loop: a crowd of connections, each a stream and, while it waits for an answer, a reader.
+"""Plays a load on the loop: a crowd of connections, each a stream and, while it waits for an answer, a
+reader.
 
 Latency counts from when a task was meant to start, not from when a connection was free for it: a stall of the
 other side is not hidden by the waiting of this one.
--- a/gaproute/load/script.py
+++ b/gaproute/load/script.py
@@ -60,7 +60,7 @@
     example: ClassVar = "storm at 10s share 0.5 back 1s"
     at: Span
     share: float = Field(0.5, gt=0, le=1)        # of the connections held: they are reset
-    back: Span = 1_000_000_000                   # in which all are opened again, each with one task of its traffic
+    back: Span = 1_000_000_000                   # in which all are opened again, each with one task
 
 
 WORDS = {"target": Target, "length": Length, "hold": Hold, "traffic": Traffic, "slow": Slow, "storm": Storm}
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -273,37 +273,45 @@
     return give_up
 
 
+def listening(where, backlog=4096):
+    """A socket that listens. Errors: OSError."""
+    family, target = where
+    sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+    try:
+        if family != socket.AF_UNIX:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if family == socket.AF_INET6:
+                sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
+        else:
+            _clear_stale(target)
+        sock.bind(target)
+        sock.listen(backlog)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
 class Listener:
     """Accepts on one address; `on_socket(sock)` for each connection. Rests when descriptors run out.
 
+    `inherited`: a listening socket that another process opened and goes on owning.
     With `on_ready` in its place, that is called while connections wait, and `accept` takes them.
     """
 
-    def __init__(self, loop, where, on_socket, backlog=4096, on_ready=None):
+    def __init__(self, loop, where, on_socket, backlog=4096, on_ready=None, inherited=None):
         self.loop, self.on_socket, self.on_ready, self.rests = loop, on_socket, on_ready, 0
         family, target = where
-        self.sock = socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
-        self.path = target if family == socket.AF_UNIX else None
-        if self.path is None:
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            if family == socket.AF_INET6:
-                self.sock.setsockopt(socket.IPPROTO_IPV6, socket.IPV6_V6ONLY, 1)
-        else:
-            _clear_stale(target)
-        try:
-            self.sock.bind(target)
-        except OSError:
-            self.sock.close()
-            raise
-        self.sock.listen(backlog)
+        self.path = target if family == socket.AF_UNIX and inherited is None else None
+        self.sock = listening(where, backlog) if inherited is None else inherited
         self.sock.setblocking(False)
         loop.watch(self.sock.fileno(), READ, self._ready)
 
     @property
     def address(self):
         """Where it listens, as text, with the port that the kernel picked."""
-        if self.path is not None:
-            return f"unix:{self.path}"
+        if self.sock.family == socket.AF_UNIX:
+            return f"unix:{self.sock.getsockname()}"
         host, port = self.sock.getsockname()[:2]
         return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
 
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -104,8 +104,9 @@
 
 
 @pytest.mark.parametrize("line, text", [
-    ("traffic a rate 1 think 1s path /x", "either a rate or a time to think"), ("traffic a path /x", "either"),
-    ("hold none", "hold"), ("storm share 2 at 1s", "share"), ("trafic a rate 1 path /x", "did you mean traffic"),
+    ("traffic a rate 1 think 1s path /x", "either a rate or a time to think"), ("hold none", "hold"),
+    ("traffic a path /x", "either"), ("storm share 2 at 1s", "share"),
+    ("trafic a rate 1 path /x", "did you mean traffic"),
     ("traffic a rate 1 path /x\ntraffic a rate 2 path /x", "second time")])
 def test_a_wrong_script_is_refused_with_line_and_cure(line, text):
     with pytest.raises(Mistakes, match=text):
--- /dev/null
+++ b/tests/test_parent.py
@@ -0,0 +1,175 @@
+"""Several gateways under one parent: deaths, restarts without a storm, rolls that lose nothing, ends."""
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from gaproute.conf import read_charter
+from gaproute.loop.streams import address
+from gaproute.policy import Chance
+from gaproute.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
+from helpers import CHARTER, SECOND
+
+# The decisions
+
+
+def test_one_that_lived_well_comes_back_soon_and_one_that_dies_at_once_ever_later():
+    made, now, waits = Restarts(Chance(1)), 0, []
+    for _ in range(12):
+        when = made.died(now, 0, SECOND)
+        waits.append(when - now)
+        now = when
+    assert waits[:6] == sorted(waits[:6]) and waits[0] >= 2 * FIRST and waits[-1] <= MOST * (1 + SPREAD)
+    assert made.died(now, 0, WELL) - now <= max(APART, FIRST * (1 + SPREAD))
+
+
+def test_many_that_die_at_one_moment_are_started_apart():
+    made = Restarts(Chance(1))
+    starts = sorted(made.died(0, seat, WELL) for seat in range(8))
+    assert all(later - earlier >= APART for earlier, later in zip(starts, starts[1:]))
+
+
+def test_a_seat_has_a_name_and_addresses_of_its_own_and_the_others_as_peers():
+    text = f"{CHARTER}listen peers 127.0.0.1:8090\nlisten operator unix:/x/op\nmemory /x/m\nhost a 127.0.0.1:1"
+    made = read_charter("c", text)
+    made.seat(1, 2)
+    assert made.name == "g-1" and made.memory == "/x/m.1"
+    assert made.listens == [("kserve", "127.0.0.1:0"), ("peers", "127.0.0.1:8091"), ("operator", "unix:/x/op.1")]
+    assert {peer.name: peer.where for peer in made.peers} == {"g-0": "127.0.0.1:8090", "g-2": "127.0.0.1:8092"}
+
+
+# Processes
+
+class Fleet:
+    def __init__(self, folder, rig, count=2, told=""):
+        self.file, self.log = folder / "g.conf", folder / "g.log"
+        hosts = "\n".join(f"host {host.make.name} {host.address} capacity 4" for host in rig.hosts)
+        self.text = f"{CHARTER}{hosts}\nlisten operator unix:{folder}/op\n{told}"
+        self.file.write_text(self.text)
+        self.rig, self.folder, self.count = rig, folder, count
+        self.errors = open(self.log, "wb")
+        self.process = subprocess.Popen([sys.executable, "-m", "gaproute", "serve", str(self.file),
+                                         "--processes", str(count)], stderr=self.errors)
+        self.until(lambda: self.events("started", count))
+        where = self.events("parent started")[0]["listens"][0]
+        self.rig.at = address(where)
+
+    def events(self, name, least=0):
+        lines = [json.loads(line) for line in self.log.read_bytes().split(b"\n")[:-1] if line.startswith(b"{")]
+        found = [line for line in lines if line["event"] == name]
+        return found if len(found) >= least else []
+
+    def until(self, condition, within=30):
+        self.rig.until(condition, within)
+
+    def children(self):
+        return [int(pid) for pid in Path(f"/proc/{self.process.pid}/task/{self.process.pid}/children")
+                .read_text().split()]
+
+    def ask(self, name):
+        return self.rig.ask("lamp", name)
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+            self.until(lambda: self.process.poll() is not None)
+        self.errors.close()
+
+
+@pytest.fixture
+def fleet(rig, tmp_path):
+    made = []
+
+    def start(*args, **told):
+        made.append(Fleet(tmp_path, rig(hosts=2), *args, **told))
+        return made[-1]
+
+    yield start
+    for each in made:
+        each.end()
+
+
+def test_all_answer_at_one_address_and_end_together(fleet):
+    made = fleet(3)
+    assert all(made.rig.wait(made.ask(f"t{number}")).status == 200 for number in range(12))
+    children = made.children()
+    assert len(children) == 3
+    names = {line["gateway"] for line in made.events("started")}
+    assert names == {"g-0", "g-1", "g-2"}
+    made.process.send_signal(signal.SIGTERM)
+    made.until(lambda: made.process.poll() is not None)
+    assert made.process.returncode == 0 and len(made.events("stopped")) == 3
+    assert not any(os.path.exists(f"/proc/{pid}") for pid in children)
+
+
+def test_one_that_is_killed_is_started_again_while_the_others_serve(fleet):
+    made = fleet()
+    os.kill(made.children()[0], signal.SIGKILL)
+    answers = [made.ask(f"t{number}") for number in range(6)]
+    assert sum(made.rig.wait(answer).status == 200 for answer in answers) == 6
+    made.until(lambda: made.events("started", 3))
+    assert len(made.children()) == 2 and made.events("child died")[0]["code"] == -signal.SIGKILL
+
+
+def test_one_that_stands_still_keeps_no_new_client_waiting(fleet):
+    made = fleet()
+    still = made.children()[0]
+    os.kill(still, signal.SIGSTOP)
+    try:
+        asked = time.monotonic()
+        for number in range(8):
+            assert made.rig.wait(made.ask(f"t{number}"), 5).status == 200
+        assert time.monotonic() - asked < 5
+    finally:
+        os.kill(still, signal.SIGCONT)
+
+
+def test_a_reload_rolls_through_all_and_no_task_is_lost(fleet):
+    made = fleet()
+    before = set(made.children())
+    made.file.write_text(made.text.replace("model dim", "model moon track check lanes 4\nmodel dim"))
+    made.process.send_signal(signal.SIGHUP)
+    ends, number = [], 0
+    while not made.events("rolled"):
+        ends.append(made.rig.wait(made.ask(f"t{number}")))
+        number += 1
+        assert number < 20_000
+    assert number > 5 and {answer and answer.status for answer in ends} == {200}
+    assert len(made.children()) == 2 and not before & set(made.children())
+    for again in range(6):
+        assert made.rig.wait(made.rig.get("/v2/models/moon")).status == 200
+
+
+def test_a_wrong_configuration_changes_nothing(fleet):
+    made = fleet()
+    before = made.children()
+    made.file.write_text("nonsense\n")
+    made.process.send_signal(signal.SIGHUP)
+    made.until(lambda: made.events("configuration refused"))
+    assert made.children() == before and made.rig.wait(made.ask("t")).status == 200
+
+
+def test_a_configuration_that_checks_but_does_not_start_ends_the_roll(fleet):
+    made = fleet()
+    before = set(made.children())
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        made.file.write_text(made.text + f"listen peers 127.0.0.1:{port - 2}\n")    # the third seat's is taken
+        made.process.send_signal(signal.SIGHUP)
+        made.until(lambda: made.events("roll given up: the new configuration does not start"))
+    assert set(made.children()) == before and made.rig.wait(made.ask("t")).status == 200
+
+
+def test_children_end_when_their_parent_is_killed(fleet):
+    made = fleet()
+    children = made.children()
+    made.process.kill()
+    made.process.wait()
+    made.until(lambda: not any(os.path.exists(f"/proc/{pid}/fd/0") for pid in children))
