--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -64,8 +64,9 @@
 class Parked:
     def __init__(self, loop, where):
         self.loop, self.late = loop, []
-        self.server = Server(loop, where, self.handle, Limits(idle_time=IDLE, connections=10**6),
-        counted=True) self.address = self.server.address
+        limits = Limits(idle_time=IDLE, connections=10**6)
+        self.server = Server(loop, where, self.handle, limits, counted=True)
+        self.address = self.server.address
         drop = self.server.lot._drop
 
         def timed(fd):
--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -1,9 +1,10 @@
 """One parent, several gateways behind the same addresses: started, watched, started again, rolled one by one.
 
-The parent opens the clients' listening sockets and hands them to each child, so that all accept from one queue.
-Considered: SO_REUSEPORT, a queue for each. A child that stands still would then keep its share of the new clients,
-and one that ends would reset those in its queue; with one queue the others take them. `benchmarks/processes.py`
-has both. Each child is a gateway of its own: its own decisions, counts, ration, operator and peers addresses.
+The parent opens the clients' listening sockets and hands them to each child, so that all accept from one
+queue. Considered: SO_REUSEPORT, a queue for each. A child that stands still would then keep its share of the
+new clients, and one that ends would reset those in its queue; with one queue the others take them.
+`benchmarks/processes.py` has both. Each child is a gateway of its own: its own decisions, counts, ration,
+operator and peers addresses.
 """
 import os
 import signal
--- a/gaproute/restarts.py
+++ b/gaproute/restarts.py
@@ -1,7 +1,8 @@
-"""When a process that died is started again: decisions only, no processes, the clock and the chance handed in.
+"""When a process that died is started again: decisions only, no processes, the clock and the chance handed
+in.
 
-A process that dies at once must not be started in a loop that eats the machine, and one fault that ends all of
-them must not start all of them at one moment; one that served well and died comes back at once.
+A process that dies at once must not be started in a loop that eats the machine, and one fault that ends all
+of them must not start all of them at one moment; one that served well and died comes back at once.
 """
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -35,12 +35,15 @@
 
 
 def test_a_seat_has_a_name_and_addresses_of_its_own_and_the_others_as_peers():
-    text = f"{CHARTER}listen peers 127.0.0.1:8090\nlisten operator unix:/x/op\nmemory /x/m\nhost a 127.0.0.1:1"
+    text = (f"{CHARTER}listen peers 127.0.0.1:8090\nlisten operator unix:/x/op\nmemory /x/m\n"
+            "host a 127.0.0.1:1")
     made = read_charter("c", text)
     made.seat(1, 2)
     assert made.name == "g-1" and made.memory == "/x/m.1"
-    assert made.listens == [("kserve", "127.0.0.1:0"), ("peers", "127.0.0.1:8091"), ("operator", "unix:/x/op.1")]
-    assert {peer.name: peer.where for peer in made.peers} == {"g-0": "127.0.0.1:8090", "g-2": "127.0.0.1:8092"}
+    assert made.listens == [("kserve", "127.0.0.1:0"), ("peers", "127.0.0.1:8091"),
+                            ("operator", "unix:/x/op.1")]
+    assert [(peer.name, peer.where) for peer in made.peers] == [
+        ("g-0", "127.0.0.1:8090"), ("g-2", "127.0.0.1:8092")]
 
 
 # Processes
@@ -60,7 +63,8 @@
         self.rig.at = address(where)
 
     def events(self, name, least=0):
-        lines = [json.loads(line) for line in self.log.read_bytes().split(b"\n")[:-1] if line.startswith(b"{")]
+        lines = [json.loads(line) for line in self.log.read_bytes().split(b"\n")[:-1]
+                 if line.startswith(b"{")]
         found = [line for line in lines if line["event"] == name]
         return found if len(found) >= least else []
 
@@ -161,7 +165,8 @@
         taken.bind(("127.0.0.1", 0))
         taken.listen()
         port = taken.getsockname()[1]
-        made.file.write_text(made.text + f"listen peers 127.0.0.1:{port - 2}\n")    # the third seat's is taken
+        # The third seat's address is taken.
+        made.file.write_text(made.text + f"listen peers 127.0.0.1:{port - 2}\n")
         made.process.send_signal(signal.SIGHUP)
         made.until(lambda: made.events("roll given up: the new configuration does not start"))
     assert set(made.children()) == before and made.rig.wait(made.ask("t")).status == 200
