Hints away from the hash go on trial, one first, until they mislead

A wrong hint costs a load that the stable hash would have spared, while most right ones point where the hash leads anyway. So a hint that agrees with the hash is believed at once; of the others one function is tried at a time, twice as many with each that proves right, none once wrong ones outweigh right ones by one to four. Also unfinished requests together are bounded, the slowest ends first.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -226,7 +226,7 @@
                 "learnt": {"facts": len(self.lore.facts), "refused": dict(self.lore.refused),
                            "peers": self.learner.state if self.learner else {},
                            "booked": self.learner.booked if self.learner else 0,
-                           "luck": list(self.core.gateway.luck)},
+                           "right": self.core.gateway.right, "wrong": self.core.gateway.wrong},
                 "telling": self.giver and {"facts": self.giver.told, "put_off": self.giver.put_off,
                                            "cpu_ms": self.giver.spent / MILLI},
                 "memory": self.keeper and {"written": self.keeper.memory.written,
@@ -246,14 +246,15 @@
 
     def knowledge(self):
         """Copies that are believed to stand, the latest use first, with what speaks for each: an answer, a
-        task sent there, or who told of it."""
+        task sent there, or who told of it; `tried`: whether that was followed yet."""
         now, functions, told = self.loop.now(), self.core.gateway.functions, []
         for name, function in functions.items():
-            for worker, seen in function.seen.items():
-                fact = self.lore.facts.get(("warm", worker, name)) if worker in function.hinted else None
-                told.append({"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
-                             "by": "an answer" if worker in function.stands else
-                             fact.origin if fact else "a task sent"})
+            for tried, table in ((True, function.seen), (False, function.told)):
+                for worker, seen in table.items():
+                    fact = self.lore.facts.get(("warm", worker, name))
+                    told.append({"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
+                                 "tried": tried, "by": "an answer" if worker in function.stands else
+                                 fact.origin if fact else "a task sent"})
         return sorted(told, key=lambda each: each["age_ms"])
 
     def peer_table(self):
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -165,7 +165,7 @@
         table.add_column(column)
     for each in told:
         table.add_row(each["worker"], each["function"], f"{each['age_ms'] / 1000:.1f} s ago",
-                      each["by"])
+                      each["by"] if each["tried"] else f"{each['by']}, not yet tried")
     Console().print(table)
 
 
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -44,6 +44,7 @@
     idle_time: int = 75 * SECOND       # between requests
     connections: int = 10_000
     spread: float = 0.0                # of the idle time, added by chance
+    buffered: int = 256 << 20          # bytes of all requests that have not come in whole
 
 
 def render(status, headers, body, close):
@@ -63,7 +64,7 @@
         # headers, body of a refusal
         self.explain = explain or (lambda fault: ((), fault.text.encode() + b"\n"))
         self.links = set()
-        self.parked = 0
+        self.parked = self.buffered = 0
         self.stopping = False
         self.turned_away = self.faults = 0
         self.family = where[0]
@@ -105,6 +106,16 @@
         self.links.add(link)
         link.bytes(data)
 
+    def lighten(self):
+        """More is held of unfinished requests than may be: the one that has been coming in longest ends.
+
+        Guards against thousands that each send slowly; it harms one honest slow sender before its time.
+        """
+        longest = min((link for link in self.links if link.weight),
+                      key=lambda link: link.reader.message.arrived, default=None)
+        if longest is not None:
+            longest.shed()
+
     def lost(self):
         """A parked connection was closed."""
         self.parked -= 1
@@ -132,10 +143,11 @@
     """A connection at work, from its first byte until it has been quiet for a while."""
 
     __slots__ = ("server", "stream", "reader", "queue", "timer", "due", "closing", "ended", "place", "tasks",
-                 "idle_end")
+                 "idle_end", "weight")
 
     def __init__(self, server, sock, place, tasks):
         self.server, self.place, self.tasks, self.idle_end = server, place, tasks, None
+        self.weight = 0          # bytes held of a request that has not come in whole
         # After a stop of the process, requests count from when they may have come, not from when they are
         # read.
         loop = server.loop
@@ -156,6 +168,7 @@
             return
         for request in requests:
             self._take(request)
+        self._weigh(self.reader.size if self.reader.midway else 0)
         if self.reader.wants_continue:
             self.reader.wants_continue = False
             if not self.queue:      # one that pipelines behind an answer still owed waits for it anyway
@@ -165,6 +178,13 @@
             if self._crowded():
                 self.stream.pause()
 
+    def _weigh(self, weight):
+        server = self.server
+        server.buffered += weight - self.weight
+        self.weight = weight
+        if server.buffered > server.limits.buffered:
+            server.lighten()
+
     def _crowded(self):
         """Whether nothing more is read: enough is in hand, or the client does not take its answers."""
         return len(self.queue) >= self.server.limits.pipelined or self.stream.waiting >= HIGH
@@ -224,6 +244,10 @@
         server.parked += 1
         server.lot.park(self.stream.release(), server.number, self.idle_end, self.place, self.tasks, True)
 
+    def shed(self):
+        self._weigh(0)
+        self._refuse(Fault(408, "too much is coming in, and this request takes longest"))
+
     def _refuse(self, fault):
         """Answers what cannot be read and closes; what was whole before it is answered first."""
         self.server.faults += 1
@@ -309,5 +333,6 @@
 
     def _lose(self):
         if self in self.server.links:
+            self._weigh(0)
             self.server.links.discard(self)
             self.server.lot.leave(self.place, self.server.counted)
--- a/gaproute/lore.py
+++ b/gaproute/lore.py
@@ -25,8 +25,8 @@
 #                          is weaker than one's own eyes; the fade leaves it 0.985 of its warmth
 SPREAD = 0.35            # of the keep-alive: further age by chance, so that gateways that learn the same at
 #                          one moment rank the warm hosts differently and do not all send to one
-COPIES = 2               # copies of a function believed at least: the freshest; every further one that is
-#                          believed is one more kept standing, which a busy store pays for
+COPIES = 4               # copies of a function handed on at least, the freshest: the module's hash picks
+#                          among them, and givers that err mostly err differently
 WIDE = 2.5               # copies believed for each worker that a function could fill, as the module spreads
 SLOWEST = 8.0            # times slower than usual that a host is believed to be at most
 SHARE = 0.01             # of a giver's core that telling may take
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -48,7 +48,8 @@
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 NIL = 1e-9             # points below which two sums of the same terms may differ by rounding alone
 CREDIT_LIFE = SECOND   # over which unspent credit fades: about the time in which a cold worker falls over
-MISLED = 0.4             # of KEPT hints followed: wrong ones beyond which none is believed any more
+MISLED = 4               # right hints that outweigh a wrong one: a load too many against loads spared
+TRIALS = 32              # hints on trial at a time at most
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
 FAILURES = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
 
@@ -103,7 +104,7 @@
         self.lanes = lanes
         self.seen = {}           # worker: last own send or answer there
         self.stands = {}         # worker: last answer, which shows that a copy stood
-        self.hinted = set()      # workers that a hint alone speaks for, until an answer shows if it was right
+        self.told = {}           # worker: when others saw a copy there; not yet considered
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
         self.ordered = False     # an order is open
         self.ranks, self.order, self.ranked_for = {}, [], -1    # worker: its rank; the workers by rank
@@ -160,7 +161,8 @@
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
-        self.luck = deque(maxlen=KEPT)      # whether the last hints that were followed were right
+        self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
+        self.window, self.right, self.wrong = 1, 0, 0    # trials at a time; hints that proved right, wrong
 
     # What the caller tells
 
@@ -212,19 +214,43 @@
     # gives no credit, orders nothing and lifts no limit.
 
     def hint(self, worker_id, name, lanes, seen):
-        """A copy was seen to stand there. Not believed any more once hints have misled too often."""
+        """A copy was seen to stand there. It is considered when a task of the function comes."""
         worker = self.workers.get(worker_id)
-        misled = self.luck.count(False) > MISLED * KEPT
-        if misled or worker is None or not worker.active or seen <= worker.wiped:
+        if worker is None or not worker.active or seen <= worker.wiped:
             return False
         function = self.function(name, lanes)
-        function.used, held = max(function.used, seen), function.seen.get(worker_id)
-        if held is not None and (worker_id not in function.hinted or held >= seen):
+        function.used = max(function.used, seen)
+        if function.stands or function.told.get(worker_id, -1) >= seen:
             return False
-        function.seen[worker_id] = seen
-        function.hinted.add(worker_id)
+        function.told[worker_id] = seen
         return True
 
+    def consider(self, now, name, function):
+        """Follow what was told of a function's copies, where nothing was seen oneself.
+
+        Where the stable hash would send it anyway, a hint is believed at once: if it is wrong, nothing is
+        lost. Elsewhere a wrong one costs a load that the hash would have spared. So of those one of the
+        hash's next is put to the trial, one function at first, twice as many with each that proves right,
+        until more prove wrong than a few among many right.
+        """
+        ranks, told, function.told = self.ranks(name, function), function.told, {}
+        if function.stands:
+            return
+        width = max(1, int(WIDE * self.breadth(name)))
+        order = sorted([worker for worker in told if worker in ranks], key=ranks.get)
+        near = [worker for worker in order if ranks[worker] < width]
+        self.trials = {key: at for key, at in self.trials.items() if now - at < RECENT}
+        for worker in near:
+            function.seen.setdefault(worker, told[worker])
+        rest = order[len(near):len(near) + 2]
+        if rest and MISLED * self.wrong < self.right + MISLED:
+            worker = rest[self.chance.below(len(rest))]    # so that not all gateways try the same
+            if len(self.trials) < self.window:
+                self.trials[name, worker] = now
+                function.seen.setdefault(worker, told[worker])
+            elif not near:
+                function.told = told         # its turn comes with a later task
+
     def hint_doubt(self, worker_id, track, harm, seen):
         """Relays of the track failed there: as one quick failure, where nothing is known."""
         worker = self.workers.get(worker_id)
@@ -254,18 +280,14 @@
         if len(self.mix) < MIX // 2:
             self.mix.extendleft(names[:MIX // 2])
 
-    def verify(self, function, worker_id, found):
-        """An answer shows whether a hint was right; all that are left go once too many were wrong."""
-        if worker_id not in function.hinted:
+    def verify(self, name, worker_id, found):
+        """An outcome shows whether a hint on trial was right."""
+        if self.trials.pop((name, worker_id), None) is None or found is Found.UNTOLD:
             return
-        function.hinted.discard(worker_id)
-        if found is not Found.UNTOLD:
-            self.luck.append(found is Found.WARM)
-            if self.luck.count(False) > MISLED * KEPT:
-                for each in self.functions.values():
-                    for name in each.hinted:
-                        each.seen.pop(name, None)
-                    each.hinted.clear()
+        if found is Found.WARM:
+            self.right, self.window = self.right + 1, min(TRIALS, 2 * self.window)
+        else:
+            self.wrong += 1
 
     def known(self, now, since=-1):
         """What this gateway itself saw since then, one by one: (kind, names, value, when).
@@ -319,7 +341,7 @@
                 self.spread_credit(now)
             if sent >= worker.wiped:
                 function.seen[worker.id] = function.stands[worker.id] = function.answered = now
-            self.verify(function, worker.id, outcome.found)
+            self.verify(name, worker.id, outcome.found)
             if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
                 if function.times:
                     worker.paces.append((now, outcome.took / max(1, median(function.times))))
@@ -333,7 +355,7 @@
         if outcome.result is Result.FULL:
             worker.full_until = now + self.usual(function)   # a lane frees about then
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
-            self.verify(function, worker.id, Found.LOAD_FAILED)
+            self.verify(name, worker.id, Found.LOAD_FAILED)
             function.seen.pop(worker.id, None)
             function.stands.pop(worker.id, None)
         if outcome.result in (Result.RESET, Result.CONNECT_FAILED):
@@ -638,6 +660,8 @@
         end = now + task.time_left - ANSWER_BY
         function = self.function(task.function, task.lanes)
         function.lanes, function.used = task.lanes, now
+        if function.told:
+            self.consider(now, task.function, function)
         self.mix.append(task.function)
         if self.ration[2] > 0:
             self.taken.append(now)
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -366,6 +366,23 @@
     assert b"200" in made.ask(waiting)
 
 
+def test_unfinished_requests_together_are_bounded_and_the_slowest_ends_first(house):
+    made = house(Limits(idle_time=60 * SECOND, buffered=5000))
+    slow, other, quick = made.client(), made.client(), made.client()
+    for client in (slow, other):
+        client.sendall(b"POST / HTTP/1.1\r\nHost: g\r\nContent-Length: 4000\r\n\r\n" + b"x" * 2000)
+        before = made.server.buffered
+        made.turns(lambda: made.server.buffered > before)
+    quick.sendall(b"POST / HTTP/1.1\r\nHost: g\r\nContent-Length: 2000\r\n\r\n" + b"x" * 1500)
+    made.turns(lambda: made.server.faults == 1)
+    assert b"408" in slow.recv(4096) and made.server.buffered <= 5000
+    for client, rest in ((quick, 500), (other, 2000)):
+        client.sendall(b"x" * rest)
+        made.turns(lambda: made.asked)
+        assert b"200" in client.recv(4096) and made.asked.pop()
+    made.turns(lambda: made.server.buffered == 0)
+
+
 def test_a_stop_closes_what_is_parked_and_accepts_no_more(house):
     made = house()
     client = made.client()
