--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -327,21 +327,21 @@
 
 
 @pytest.mark.parametrize("share", [0.02, 0.3])
-def test_ten_gateways_that_learn_the_same_at_one_moment_do_not_all_send_to_one_host(share):
+def test_gateways_that_learn_the_same_at_one_moment_do_not_all_send_to_one_host(share):
     hosts = [f"h{number}" for number in range(10)]
     others = [worker.id for worker in ranked(gateway(*map(row, hosts)), "f")][1:7]
     told = lore(*[warm(name, at=59 * SECOND) for name in others],
                 (("share", "f"), Fact(59 * SECOND, "g", 1, (share,))))
     sent = Counter()
     seeds = random.Random(1)
-    for _ in range(10):
+    for _ in range(40):
         made = gateway(*map(row, hosts))
         lives = dict.fromkeys(hosts, 0)
         told.follow(made, 60 * SECOND, lives, {}, KEEP, Chance(seeds.getrandbits(64)), told.facts)
         made.chance = Chance(seeds.getrandbits(64))
         made.hint_mix(told.mix())
         sent[made.serve(60 * SECOND, task()).send(None).worker] += 1
-    assert max(sent.values()) <= 7 and len(sent) >= (2 if share < 0.1 else 4)
+    assert max(sent.values()) <= 28 and len(sent) >= (2 if share < 0.1 else 4)
     assert sent.keys() <= set(others)
 
 
