What was sent before a stop is answered: arrivals are accepted and waiting ones served first

A stop closed parked connections whose bytes lay unread and reset those in the accept queue. A test shows both.

--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -70,6 +70,7 @@
         self.family = where[0]
         self.lot = Lot.of(loop)
         self.number = self.lot.open(self)
+        self.shared = inherited is not None      # others accept from the same queue
         self.listener = Listener(loop, where, None, on_ready=self._ready, inherited=inherited)
         self.address = self.listener.address
 
@@ -125,7 +126,11 @@
         request.link.answer(request, status, headers, body)
 
     def stop(self):
-        """Accepts no more; kept connections close after the answers they are owed."""
+        """Accepts no more; kept connections close after the answers they are owed. What has been sent
+        already is still answered, and its connection closed then."""
+        if not self.stopping and not self.shared:
+            while (came := self.listener.accept()) is not None:
+                self.admits(*came)           # else the kernel resets them
         self.stopping = True
         self.listener.close()
         self.lot.close(self.number)
@@ -134,6 +139,7 @@
 
     def close(self):
         self.stop()
+        self.lot.close(self.number, True)
         for link in list(self.links):
             link.stream.abort()
             link.gone()
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -18,6 +18,7 @@
 from gaproute.policy import Chance
 
 CHUNK = 65536            # bytes read from one that wakes
+LOBBY = 4096             # events looked at when an owner closes
 EXPIRES = 256            # idle ends looked at in one turn: after a stop they must not all fall into one
 WAITED = 5_000_000       # ns of waiting at the door that count: less is within any turn
 ONCE = EPOLLIN | EPOLLONESHOT
@@ -216,11 +217,13 @@
         self.leave(self.place[fd], owner.counted)
         owner.lost()
 
-    def close(self, owner):
-        """Closes all that the owner has parked."""
+    def close(self, owner, all_of_them=False):
+        """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`."""
+        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())
+        self.loop.waiting = True
         for listener in [listener for listener, whose in self.arriving.items()
                          if whose is self.owners[owner]]:
             del self.arriving[listener]
         for fd, state in enumerate(self.state):
-            if state != NONE and self.owner[fd] == owner:
+            if self.owner[fd] == owner and (state == PARKED or state == QUEUED and all_of_them):
                 self._drop(fd)
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -393,6 +393,21 @@
         made.client()
 
 
+def test_what_was_sent_before_a_stop_is_answered_and_its_connection_closed(house):
+    made = house()
+    parked = made.client()
+    made.turns(lambda: made.lot.parked == 1)
+    arriving = made.client()                  # not yet accepted
+    for client in (parked, arriving):
+        client.sendall(HEAD)
+    made.server.stop()
+    made.turns(lambda: len(made.asked) == 2)
+    for client in (parked, arriving):
+        answer = client.recv(4096)
+        assert b"200" in answer and b"Connection: close" in answer and client.recv(1) == b""
+    assert made.lot.held == 0
+
+
 def test_a_client_that_resets_while_it_waits_at_the_door_harms_nobody(house):
     made = house()
     gone, stays = made.client(), made.client()
