--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -228,21 +228,20 @@
     def consider(self, now, name, function):
         """Follow what was told of a function's copies, where nothing was seen oneself.
 
-        Where the stable hash would send it anyway, a hint is believed at once: if it is wrong, nothing is
-        lost. Elsewhere a wrong one costs a load that the hash would have spared. So of those one of the
-        hash's next is put to the trial, one function at first, twice as many with each that proves right,
-        until more prove wrong than a few among many right.
+        Of the stable hash's first choice a hint is believed at once: if it is wrong, nothing is lost.
+        Elsewhere a wrong one costs a load that the hash would have spared. So of those one of the hash's next
+        is put to the trial, one function at first, twice as many with each that proves right, until more
+        prove wrong than a few among many right.
         """
         ranks, told, function.told = self.ranks(name, function), function.told, {}
         if function.stands:
             return
-        width = max(1, int(WIDE * self.breadth(name)))
         order = sorted([worker for worker in told if worker in ranks], key=ranks.get)
-        near = [worker for worker in order if ranks[worker] < width]
+        near = order[:1] if order and ranks[order[0]] == 0 else []
         self.trials = {key: at for key, at in self.trials.items() if now - at < RECENT}
         for worker in near:
             function.seen.setdefault(worker, told[worker])
-        rest = order[len(near):len(near) + 2]
+        rest = order[len(near):len(near) + max(2, int(WIDE * self.breadth(name)))]
         if rest and MISLED * self.wrong < self.right + MISLED:
             worker = rest[self.chance.below(len(rest))]    # so that not all gateways try the same
             if len(self.trials) < self.window:
