--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -5,6 +5,7 @@
 written, so that one that only closed half gets a clear answer.
 """
 import socket
+from collections import deque
 from typing import NamedTuple
 
 from gaproute.http1.message import Fault, Reader
@@ -14,6 +15,7 @@
 
 SECOND = 1_000_000_000
 QUIET = SECOND           # after its last answer until a connection is parked: a busy one stays as it is
+SWEEP = SECOND // 4      # between looks for quiet ones: one wake-up for all of them, not one each
 REASONS = {
     100: "Continue",
     200: "OK",
@@ -65,6 +67,7 @@
         self.explain = explain or (lambda fault: ((), fault.text.encode() + b"\n"))
         self.links = set()
         self.parked = self.buffered = 0
+        self.resting, self.sweep = deque(), None     # (when, link) that may be parked then
         self.stopping = False
         self.turned_away = self.faults = 0
         self.family = where[0]
@@ -107,6 +110,20 @@
         self.links.add(link)
         link.bytes(data)
 
+    def rest(self, link):
+        self.resting.append((link.due, link))
+        if self.sweep is None:
+            self.sweep = self.loop.after(SWEEP, self._sweep)
+
+    def _sweep(self):
+        """Parks those that have been quiet since they came into the line."""
+        now = self.loop.now()
+        while self.resting and self.resting[0][0] <= now:
+            due, link = self.resting.popleft()
+            if link.resting and link.due == due:
+                link.park()
+        self.sweep = self.loop.after(SWEEP, self._sweep) if self.resting else None
+
     def lighten(self):
         """More is held of unfinished requests than may be: the one that has been coming in longest ends.
 
@@ -140,6 +157,8 @@
     def close(self):
         self.stop()
         self.lot.close(self.number, True)
+        if self.sweep is not None:
+            self.sweep.cancel()
         for link in list(self.links):
             link.stream.abort()
             link.gone()
@@ -149,10 +168,11 @@
     """A connection at work, from its first byte until it has been quiet for a while."""
 
     __slots__ = ("server", "stream", "reader", "queue", "timer", "due", "closing", "ended", "place", "tasks",
-                 "idle_end", "weight")
+                 "idle_end", "weight", "resting")
 
     def __init__(self, server, sock, place, tasks):
         self.server, self.place, self.tasks, self.idle_end = server, place, tasks, None
+        self.resting = False     # in the server's line of those that may soon be parked
         self.weight = 0          # bytes held of a request that has not come in whole
         # After a stop of the process, requests count from when they may have come, not from when they are
         # read.
@@ -212,10 +232,16 @@
             self.due = self.server.loop.now() + limits.read_time
         elif not self.queue and not self.closing:
             now = self.server.loop.now()
+            if limits.idle_time > 2 * QUIET:
+                if not self.resting or now + QUIET - self.due > SWEEP:
+                    self.idle_end, self.due, self.resting = self.server.idle_end(now), now + QUIET, True
+                    self.server.rest(self)
+                return
             self.idle_end = self.server.idle_end(now)
             self.due = min(now + QUIET, self.idle_end)
         else:
             self.due = None
+        self.resting = False
         if self.due is not None and (self.timer is None or self.timer.when > self.due):
             self._arm()
 
@@ -226,7 +252,7 @@
 
     def _overtime(self):
         self.timer = None
-        if self.due is None:
+        if self.due is None or self.resting:
             return
         if self.due > self.server.loop.now():
             self._arm()
@@ -234,13 +260,13 @@
             self.stream.abort()
             self._end(None)
         elif not self.reader.midway:
-            self._park()
+            self.park()
         elif self.queue:
             self.closing = True      # the answers still owed go out first
         else:
             self._refuse(Fault(408, "the request did not come in whole in time"))
 
-    def _park(self):
+    def park(self):
         server = self.server
         if server.loop.now() >= self.idle_end or not self.stream.open or server.stopping:
             self._shut()
@@ -323,7 +349,7 @@
                 left()
 
     def _untime(self):
-        self.due = None
+        self.due, self.resting = None, False
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -228,27 +228,22 @@
     def consider(self, now, name, function):
         """Follow what was told of a function's copies, where nothing was seen oneself.
 
-        Of the stable hash's first choice a hint is believed at once: if it is wrong, nothing is lost.
-        Elsewhere a wrong one costs a load that the hash would have spared. So of those one of the hash's next
-        is put to the trial, one function at first, twice as many with each that proves right, until more
-        prove wrong than a few among many right.
+        A wrong hint costs a load that the stable hash would have spared, so hints go on trial: one function
+        at first, twice as many with each that proves right, until more prove wrong than a few among many
+        right. The hash's first choice is tried where it was told, else one of its next.
         """
         ranks, told, function.told = self.ranks(name, function), function.told, {}
-        if function.stands:
-            return
         order = sorted([worker for worker in told if worker in ranks], key=ranks.get)
-        near = order[:1] if order and ranks[order[0]] == 0 else []
+        if function.stands or not order or MISLED * self.wrong >= self.right + MISLED:
+            return
         self.trials = {key: at for key, at in self.trials.items() if now - at < RECENT}
-        for worker in near:
-            function.seen.setdefault(worker, told[worker])
-        rest = order[len(near):len(near) + max(2, int(WIDE * self.breadth(name)))]
-        if rest and MISLED * self.wrong < self.right + MISLED:
-            worker = rest[self.chance.below(len(rest))]    # so that not all gateways try the same
-            if len(self.trials) < self.window:
-                self.trials[name, worker] = now
-                function.seen.setdefault(worker, told[worker])
-            elif not near:
-                function.told = told         # its turn comes with a later task
+        if len(self.trials) >= self.window:
+            function.told = told             # its turn comes with a later task
+            return
+        some = 1 if ranks[order[0]] == 0 else max(2, int(WIDE * self.breadth(name)))
+        worker = order[self.chance.below(min(some, len(order)))]     # not all gateways try the same
+        self.trials[name, worker] = now
+        function.seen.setdefault(worker, told[worker])
 
     def hint_doubt(self, worker_id, track, harm, seen):
         """Relays of the track failed there: as one quick failure, where nothing is known."""
