--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -50,6 +50,7 @@
 CREDIT_LIFE = SECOND   # over which unspent credit fades: about the time in which a cold worker falls over
 MISLED = 4               # right hints that outweigh a wrong one: a load too many against loads spared
 TRIALS = 32              # hints on trial at a time at most
+PROVEN = 8               # trials at a time from which on the mix told is taken: three hints proved right
 STAY_AWAY = 1.0        # of the contract time: advice to a declined client
 FAILURES = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
 
@@ -163,6 +164,7 @@
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
         self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
         self.window, self.right, self.wrong = 1, 0, 0    # trials at a time; hints that proved right, wrong
+        self.told_mix = None
 
     # What the caller tells
 
@@ -270,9 +272,9 @@
         return True
 
     def hint_mix(self, names):
-        """Functions of tasks that others served last; own tasks push them out."""
-        if len(self.mix) < MIX // 2:
-            self.mix.extendleft(names[:MIX // 2])
+        """Functions of tasks that others served last. Taken once hints have proved right: a mix spreads the
+        hot functions over hosts of which only hints can tell whether copies stand there."""
+        self.told_mix = names[:MIX // 2]
 
     def verify(self, name, worker_id, found):
         """An outcome shows whether a hint on trial was right."""
@@ -280,6 +282,9 @@
             return
         if found is Found.WARM:
             self.right, self.window = self.right + 1, min(TRIALS, 2 * self.window)
+            if self.told_mix and self.window >= PROVEN and len(self.mix) < MIX // 2:
+                self.mix.extendleft(self.told_mix)     # own tasks push them out
+                self.told_mix = None
         else:
             self.wrong += 1
 
