--- a/benchmarks/charts.py
+++ b/benchmarks/charts.py
@@ -11,7 +11,7 @@
 # table: (what a group of bars is, what a bar in it is, figures drawn)
 BARS = {
     "learning": ("restarted", "told by", ("2 s", "fetches in 30 s")),
-    "learning-60": ("restarted", "told by", ("2 s", "fetches in 30 s")),
+    "learning-untried": ("restarted", "told by", ("2 s", "fetches in 30 s")),
     "learning-wrong": ("restarted", "told", ("2 s", "fetches in 30 s")),
     "connections": ("connections", "form", ("bytes each", "% of a core at 0.1%", "% of a core at 1.0%",
                                             "us a task at 1.0%")),
