--- a/benchmarks/charts.py
+++ b/benchmarks/charts.py
@@ -1,4 +1,5 @@
-"""Draws the kept tables: `python benchmarks/charts.py [--folder docs/measured]`; a PNG beside each known table."""
+"""Draws the kept tables: `python benchmarks/charts.py [--folder docs/measured]`; a PNG beside each known
+table."""
 import argparse
 import json
 from pathlib import Path
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,11 +1,12 @@
-"""Several processes behind one address: a queue of connections for each (SO_REUSEPORT) or one for all (inherited).
+"""Several processes behind one address: a queue of connections for each (SO_REUSEPORT) or one for all
+(inherited).
 
     python benchmarks/processes.py [--runs 3] [--out docs/measured]
 
-Four servers that answer at once. Clients come at 300 a second for 6 s, each with a connection and a task of its
-own. From second 1 one process stands still for 1.5 s; from second 3 on two are replaced, one after the other: a new
-one is started first, then the old one closes its listening socket and ends. Counted: tasks that failed, that took
-over 100 ms and over 1 s.
+Four servers that answer at once. Clients come at 300 a second for 6 s, each with a connection and a task of
+its own. From second 1 one process stands still for 1.5 s; from second 3 on two are replaced, one after the
+other: a new one is started first, then the old one closes its listening socket and ends. Counted: tasks that
+failed, that took over 100 ms and over 1 s.
 """
 import argparse
 import os
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -2,10 +2,10 @@
 
     python benchmarks/storm.py [--connections 2000,6000,10000] [--runs 3] [--out docs/measured]
 
-One gateway with the module, ten hosts that answer at once, connections held by the load tool. Quiet clients that
-stayed go on with repair orders (effectful) at 50 a second. Measured for 5 s without and with a storm at the start:
-their time to the answer, what became of the storm's tasks and when the last ended; once with the door as it is,
-once with all that waits in one line, in the order of coming, accepts first.
+One gateway with the module, ten hosts that answer at once, connections held by the load tool. Quiet clients
+that stayed go on with repair orders (effectful) at 50 a second. Measured for 5 s without and with a storm at
+the start: their time to the answer, what became of the storm's tasks and when the last ended; once with the
+door as it is, once with all that waits in one line, in the order of coming, accepts first.
 """
 import argparse
 import json
@@ -64,8 +64,8 @@
         where=where, count=count, over=max(1, count // 3000), storm="storm at 50ms share 0.5 back 1s" * storm,
         orders=",".join(f"/v2/models/o{n}/infer" for n in range(20)),
         checks=",".join(f"/v2/models/c{n}/infer" for n in range(60))))
-    subprocess.run([sys.executable, "-m", "gaproute", "load", str(script), "--seed", str(seed), "--out", str(out),
-                    "--json"], capture_output=True, cwd=HERE.parent.parent)
+    subprocess.run([sys.executable, "-m", "gaproute", "load", str(script), "--seed", str(seed), "--out",
+                    str(out), "--json"], capture_output=True, cwd=HERE.parent.parent)
     return read_result(out)
 
 
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -1,11 +1,12 @@
-"""Ends of very many idle connections: a heap of timers, a hierarchical wheel, and the calendar, one beside the other.
+"""Ends of very many idle connections: a heap of timers, a hierarchical wheel, and the calendar, one beside
+the other.
 
     python benchmarks/timers.py [--counts 1000,20000,100000] [--out docs/measured]
 
-Each holds so many idle ends of 75 s, spread by 10%. Over 20 s in steps of 10 ms, 1% of them move each second (a
-connection spoke). Measured: CPU of the moves and of the steps, memory for each, the longest step; then a stop of 100 s
-after which all are due: how much one turn does. In the heap a move cancels and pushes; in the wheel it takes the entry
-out of its list of slots; in the calendar it only notes the new time.
+Each holds so many idle ends of 75 s, spread by 10%. Over 20 s in steps of 10 ms, 1% of them move each second
+(a connection spoke). Measured: CPU of the moves and of the steps, memory for each, the longest step; then a
+stop of 100 s after which all are due: how much one turn does. In the heap a move cancels and pushes; in the
+wheel it takes the entry out of its list of slots; in the calendar it only notes the new time.
 """
 import argparse
 import heapq
@@ -53,7 +54,8 @@
 
 
 class Wheel:
-    """Three wheels of 256 slots of 10 ms, 2.56 s and 655 s; a slot is a dict, so that an entry can leave it."""
+    """Three wheels of 256 slots of 10 ms, 2.56 s and 655 s; a slot is a dict, so that an entry can leave
+    it."""
 
     def __init__(self, count):
         self.slots = [[{} for _ in range(256)] for _ in range(3)]
@@ -140,7 +142,8 @@
     fired = made.step(now)
     return {"bytes each": round(memory), "us a move": round(moves / moved / 1000, 2),
             "us a step": round(steps / (SPAN // STEP) / 1000, 2), "longest step, us": round(longest / 1000),
-            "first turn after a stop, us": round((time.perf_counter_ns() - begun) / 1000), "fired in it": fired}
+            "first turn after a stop, us": round((time.perf_counter_ns() - begun) / 1000),
+            "fired in it": fired}
 
 
 def main():
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -101,6 +101,24 @@
         sys.exit(3)
 
 
+def show_table(columns, rows):
+    table = Table()
+    for column in columns:
+        table.add_column(column)
+    for row in rows:
+        table.add_row(*row)
+    Console().print(table)
+
+
+def listing(where, path, plain, columns, cells):
+    """What the operator address tells at the path: as JSON, or a row of `cells(each)` for each."""
+    told = ask(where, path)
+    if plain:
+        click.echo(json.dumps(told))
+    else:
+        show_table(columns, map(cells, told))
+
+
 at_option = click.option("--at", "where", required=True, help="Its `listen operator` address.")
 json_option = click.option("--json", "plain", is_flag=True, help="As JSON.")
 
@@ -132,23 +150,11 @@
 @json_option
 def hosts(where, plain):
     """The hosts that a running gateway knows."""
-    told = ask(where, b"/hosts")
-    if plain:
-        click.echo(json.dumps(told))
-        return
-    table = Table()
-    for column in ("host", "address", "state", "capacity", "connections", "relays by outcome"):
-        table.add_column(column)
-    for host in told:
-        table.add_row(
-            host["name"],
-            host["address"],
-            host["state"],
-            f"{host['capacity']:g}",
-            str(host["connections"]),
-            ", ".join(f"{name} {n}" for name, n in host["relays"].items()),
-        )
-    Console().print(table)
+    listing(where, b"/hosts", plain,
+            ("host", "address", "state", "capacity", "connections", "relays by outcome"),
+            lambda host: (host["name"], host["address"], host["state"], f"{host['capacity']:g}",
+                          str(host["connections"]),
+                          ", ".join(f"{name} {n}" for name, n in host["relays"].items())))
 
 
 @main.command()
@@ -156,17 +162,9 @@
 @json_option
 def knows(where, plain):
     """The copies that a running gateway believes to stand, the latest use first."""
-    told = ask(where, b"/knows")
-    if plain:
-        click.echo(json.dumps(told))
-        return
-    table = Table()
-    for column in ("host", "function", "last use", "known by"):
-        table.add_column(column)
-    for each in told:
-        table.add_row(each["worker"], each["function"], f"{each['age_ms'] / 1000:.1f} s ago",
-                      each["by"] if each["tried"] else f"{each['by']}, not yet tried")
-    Console().print(table)
+    listing(where, b"/knows", plain, ("host", "function", "last use", "known by"),
+            lambda copy: (copy["worker"], copy["function"], f"{copy['age_ms'] / 1000:.1f} s ago",
+                          copy["by"] if copy["tried"] else f"{copy['by']}, not yet tried"))
 
 
 @main.command()
@@ -174,20 +172,15 @@
 @json_option
 def peers(where, plain):
     """The other gateways that a running one knows: who is up, and what each told at the start."""
-    told = ask(where, b"/peers")
-    if plain:
-        click.echo(json.dumps(told))
-        return
-    table = Table()
-    for column in ("gateway", "address", "state", "for", "last heard", "told at the start"):
-        table.add_column(column)
-    for each in told:
-        heard = each.get("heard_ms")
-        table.add_row(each["name"], each.get("where", ""), each["state"] or "",
-                      f"{each['since_ms'] / 1000:.0f} s" if "since_ms" in each else "",
-                      f"{heard / 1000:.1f} s ago" if heard is not None else "never",
-                      each["learnt"] or "not asked")
-    Console().print(table)
+    def cells(peer):
+        heard = peer.get("heard_ms")
+        return (peer["name"], peer.get("where", ""), peer["state"] or "",
+                f"{peer['since_ms'] / 1000:.0f} s" if "since_ms" in peer else "",
+                f"{heard / 1000:.1f} s ago" if heard is not None else "never",
+                peer["learnt"] or "not asked")
+
+    listing(where, b"/peers", plain,
+            ("gateway", "address", "state", "for", "last heard", "told at the start"), cells)
 
 
 @main.command()
@@ -267,13 +260,12 @@
 
 
 def show_load(rows):
-    table = Table()
-    for column in rows[0] if rows else ():
-        table.add_column(column)
-    for row in rows:
-        table.add_row(*(", ".join(f"{key} {n}" for key, n in value.items()) if isinstance(value, dict) else
-                        f"{value:g}" if isinstance(value, float) else str(value) for value in row.values()))
-    Console().print(table)
+    def cell(value):
+        if isinstance(value, dict):
+            return ", ".join(f"{key} {n}" for key, n in value.items())
+        return f"{value:g}" if isinstance(value, float) else str(value)
+
+    show_table(rows[0] if rows else (), (map(cell, row.values()) for row in rows))
 
 
 @main.command("day-script")
--- a/gaproute/load/crowd.py
+++ b/gaproute/load/crowd.py
@@ -72,14 +72,17 @@
         self.lose("broken")
 
     def lose(self, outcome="broken"):
-        """Ends the connection; what it still owes ends so."""
+        """Ends the connection, to be opened again; what it still owes ends so."""
+        self.drop(outcome)
+        self.crowd.lost(self)
+
+    def drop(self, outcome):
         owed, self.owed, self.reader = self.owed or (), None, None
         stream, self.stream = self.stream, None
         if stream is not None:
             stream.abort()
         for meant in owed:
             self.crowd.over(self, meant, outcome)
-        self.crowd.lost(self)
 
 
 class Crowd:
@@ -280,11 +283,7 @@
     def _storm(self, line):
         held = [member for member in self.members if member.stream is not None]
         for member in self.chance.sample(held, round(line.share * len(held))):
-            stream, member.stream = member.stream, None
-            owed, member.owed, member.reader = member.owed or (), None, None
-            stream.abort()
-            for meant in owed:
-                self.over(member, meant, "given up")
+            member.drop("given up")
             self._out(member)
             member.storm = member.traffic is not None
             self.loop.after(self.chance.randrange(max(1, line.back)), self.open, member)
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -15,10 +15,10 @@
 
 from gaproute.door import ARRIVING, DISPLACE, KNOWN, SAMPLE, TURN_AWAY, Door
 from gaproute.lobby.calendar import Calendar
+from gaproute.loop.loop import LOBBY
 from gaproute.policy import Chance
 
 CHUNK = 65536            # bytes read from one that wakes
-LOBBY = 4096             # events looked at when an owner closes
 EXPIRES = 256            # idle ends looked at in one turn: after a stop they must not all fall into one
 WAITED = 5_000_000       # ns of waiting at the door that count: less is within any turn
 ONCE = EPOLLIN | EPOLLONESHOT
@@ -38,7 +38,7 @@
         self.state, self.owner = array("b"), array("h")
         self.due, self.since, self.slot = array("q"), array("q"), array("q")
         self.tasks, self.place = array("H"), array("i")
-        self.owners = []                     # place: owner, or None where it is closed
+        self.owners = []                     # by number
         self.known, self.fresh = deque(), deque()      # (descriptor, when seen)
         self.arriving = {}                   # listener: its owner
         self.calendar, self.timer = Calendar(), None
@@ -127,14 +127,19 @@
         self.state[fd], self.owner[fd], self.due[fd] = PARKED, owner, due
         self.since[fd], self.tasks[fd], self.place[fd] = self.loop.now(), min(tasks, 65535), place
         self.parked += 1
-        if not self.slot[fd] or self.slot[fd] > self.calendar.slot(due):
-            self.slot[fd] = self.calendar.add(fd, due)
-            self._arm()
+        self._enter(fd)
         if listed:
             self.loop.lobby.modify(fd, ONCE)
         else:
             self.loop.lobby.register(fd, ONCE)
 
+    def _enter(self, fd):
+        """Into the calendar, where no entry of the descriptor comes up by its end."""
+        due = self.due[fd]
+        if not self.slot[fd] or self.slot[fd] > self.calendar.slot(due):
+            self.slot[fd] = self.calendar.add(fd, due)
+            self._arm()
+
     def _arm(self):
         due = self.calendar.next()
         if due is not None and (self.timer is None or self.timer.call is None or self.timer.when > due):
@@ -189,9 +194,7 @@
         except BlockingIOError:              # nothing there after all: it waits on
             self.state[fd] = PARKED
             self.loop.lobby.modify(fd, ONCE)
-            if not self.slot[fd]:
-                self.slot[fd] = self.calendar.add(fd, self.due[fd])
-                self._arm()
+            self._enter(fd)
             return
         except OSError:
             data = b""
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -4,15 +4,12 @@
 from collections import Counter
 
 import pytest
-from gaproute.appliance import Appliance
-from gaproute.conf import read_charter
 from gaproute.interface import Found, Outcome, Result, State
 from gaproute.lore import (BURST, FACTS, GONE_KEPT, OLDEST, REST, SHARE, SLOWEST, Fact, Lore, Purse, Roll,
                            own)
 from gaproute.peers.lore_pb2 import Told
 from gaproute.policy import Chance
-from gaproute.record.record import logger
-from helpers import CHARTER, MILLI, SECOND, Drive, gateway, row, task
+from helpers import MILLI, SECOND, Drive, gateway, row, task
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -366,24 +363,13 @@
 # Two gateways
 
 @pytest.fixture
-def beside(rig):
+def beside(fleet):
     """A busy gateway that tells, and a call that starts another beside it; both on one loop."""
-    made = rig(hosts=3, told="listen peers 127.0.0.1:0")
+    made, begin = fleet
     for number in range(6):
         assert made.wait(made.ask("lamp", f"w{number}")).status == 200
-    started = []
-
-    def start(where=None):
-        where = where or made.gate.fronts[1].address
-        text = f"{CHARTER.replace('name g', 'name second')}hosts-file {made.list} look 5ms\npeer g {where}\n"
-        second = Appliance(read_charter("second", text), made.loop, 9, logger(open("/dev/null", "w")))
-        second.start()
-        started.append(second)
-        return second
-
-    yield made, start
-    for second in started:
-        second.close()
+    return made, lambda where=None: begin("second", f"peer g {where or made.gate.fronts[1].address}",
+                                          listen=False)
 
 
 def test_a_gateway_started_beside_a_busy_one_finds_the_copy_at_once(beside):
