--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -19,6 +19,7 @@
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
+ROOM = 4               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
@@ -507,7 +508,7 @@
         if able is not self.fleet:
             capacity = sum([worker.capacity for worker in able])
         ranks, usual_memory = self.ranks(task.function, function), None
-        lanes = task.lanes * len(able) / capacity
+        lanes = max(task.lanes, ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
