The prior weighs twice and falls slower, six tasks a worker: spills keep to the hash's order

Blame: PRIOR_FALL 0.6 left nothing of the order past the third choice, so known queues scattered spills.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -19,13 +19,13 @@
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
-ROOM = 4               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
+ROOM = 6               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
-PRIOR = 1.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
-PRIOR_HOT = 2.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
-PRIOR_FALL = 0.6       # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
+PRIOR = 2.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
+PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
+PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
@@ -88,7 +88,7 @@
         self.bad = 0             # of the results
         self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
         self.report, self.reported, self.memory = None, -REPORT_LIFE, None
-        self.tally, self.tally_until = None, 0   # see `queued`
+        self.tally, self.tally_until = None, 0   # see `tally`
         self.warm_at = -1        # from when it can do all of its work
         self.credit, self.credited = 0.0, 0      # chance of a relay to it while cold; when last raised
         self.full_until = -1     # it turned a task away; nothing more until then
@@ -162,8 +162,6 @@
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
-        self.busy = deque(maxlen=FLOWS)     # (time, load over capacity) of the last reports
-        self.usual_busy, self.busied = 0.0, -LOOK    # see `usual_load`
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
         self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
         self.right = self.wrong = 0         # hints that proved so
@@ -368,9 +366,6 @@
         worker.tally = None
         if report is not None:
             worker.report, worker.reported, worker.memory = report, now, report.memory_busy
-            told = report.waiting if report.in_hand is None else report.in_hand
-            if told is not None:
-                self.busy.append((now, told / worker.capacity))
 
     def book(self, worker, now, track, harm):
         worker.results.append((now, track, harm))
@@ -440,22 +435,11 @@
                     told = report.waiting + own
                 elif report.cpu_busy is not None:
                     told, share = since, report.cpu_busy
-            else:
-                told = self.usual_load(now) * worker.capacity + own
-                end = now + LOOK
             worker.tally = told, share, own
-            worker.tally_until = end
+            worker.tally_until = end if now <= end else LONG
         told, share, own = worker.tally
         return max(told + share * lanes, own)
 
-    def usual_load(self, now):
-        """Median load of workers over their capacity by the last reports: it stands for one that told nothing
-        lately. Where gateways are many each meets a worker seldom, and the unknown would all look idle."""
-        if now - self.busied >= LOOK:
-            recent = [load for at, load in self.busy if now - at < RECENT]
-            self.usual_busy, self.busied = median(recent) if recent else 0.0, now
-        return self.usual_busy
-
     def overtaken(self, worker, track, sent):
         """Whether a later relay of the track was answered there: lost, or heavy work."""
         return any([of == track and at > sent for of, at in worker.passed])
