--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -18,7 +18,7 @@
 
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
-WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
+WIDE = 1.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 ROOM = 6               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
