--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -18,7 +18,7 @@
 
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
-WIDE = 1.5             # workers for each that a hot function could fill: others' tasks need the rest of each
+WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 ROOM = 6               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
@@ -108,7 +108,8 @@
         self.stands = {}         # worker: last answer, which shows that a copy stood
         self.told = {}           # worker: when others saw a copy there; not yet considered
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
-        self.ordered = False     # an order is open
+        self.ordered = None      # the worker with an open order
+        self.held = {}           # tasks that wait for it
         self.ranks, self.order, self.ranked_for = {}, [], -1    # worker: its rank; the workers by rank
         self.used, self.rests_until = 0, -1
         self.answered = -1       # when a copy of it was last seen anywhere
@@ -206,12 +207,17 @@
             self.book(worker, now, None, 1.0)
 
     def stood(self, now, worker_id, name, result, copies):
+        """What came of an order. Returns the tasks that waited for it: they are to be resumed."""
         function, worker = self.functions.get(name), self.workers.get(worker_id)
         if function is None or worker is None:
-            return
-        function.ordered = False
+            return ()
+        function.ordered, held = None, list(function.held)
+        function.held.clear()
         if result is Result.OK:
-            function.seen[worker_id] = now
+            function.seen[worker_id] = function.stands[worker_id] = now
+        elif result is Result.FULL:
+            worker.full_until = now + self.usual(function)
+        return held
 
     # What other gateways or a past life tell: evidence that fades alike and gives way to any of one's own. It
     # gives no credit, orders nothing and lifts no limit.
@@ -491,7 +497,8 @@
                 Group.CELL: worker.cell == first.cell}[track.group]
         return same and now < sent + track.repeat_window
 
-    def choose(self, now, task, trail):
+    def choose(self, now, task, trail, standing=False):
+        """The worker for a task; with `standing` one believed to hold a copy, and not in doubt."""
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
         if trail.relays >= self.relay_limit or now < function.rests_until and not trail.failed:
             return None
@@ -517,6 +524,8 @@
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
+            if standing and (warmth <= 0 or worker.id in doubts):
+                continue
             if best is not None and most - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
             pace = worker.slow if now < worker.slow_until else 1.0
@@ -539,13 +548,15 @@
                 ties.append(worker)
         if len(ties) > 1:
             ties.sort(key=lambda worker: worker.place)
+        if not ties:
+            return None
         # One that turned a task away just now gets none for a moment: refusals come fast and look like
         # idleness, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused
         # moves on.
         worker = ties[self.chance.below(len(ties))]
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
-            return self.choose(now, task, trail)
+            return self.choose(now, task, trail, standing)
         function.rests_until = worker.full_until
         return worker if now >= worker.full_until else None
 
@@ -617,8 +628,8 @@
             self.taken.popleft()
         return len(self.orders) + 1 <= free + share * len(self.taken)
 
-    def ordered(self, now, function):
-        function.ordered = True
+    def ordered(self, now, function, worker):
+        function.ordered = worker.id
         if self.ration[2] > 0:
             self.orders.append(now)
 
@@ -677,9 +688,18 @@
         while now < end:
             if now >= look:
                 worker = self.choose(now, task, trail)
+                if worker is not None and self.warmth(function, worker, now) <= 0 and not self.ration[2]:
+                    # A load takes many times an answer: the task leaves no slot of the worker's idle over it.
+                    if self.may_order(now, function):
+                        self.ordered(now, function, worker)
+                        yield Order(worker.id, task.function, 1)
+                    worker = self.choose(now, task, trail, True)
                 if worker is not None:
                     relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
+                elif function.ordered is not None:
+                    function.held[task.id] = None
+                    look = end
                 elif trail.out:
                     look = now + self.usual(function)
                 elif now >= give_up or trail.relays >= self.relay_limit or not any(
@@ -689,6 +709,9 @@
                     look = now + PAUSE
             now, outcome = yield Wait(min(look, end, give_up if now < give_up else end))
             if outcome is None:
+                function.held.pop(task.id, None)
+                if look == end and not trail.out:
+                    look = now       # the order it waited for is settled
                 # Late work holds up the rest of a crowded fleet and earns little: it makes room where it may.
                 if trail.out and now >= give_up and track.effect is Effect.PURE \
                         and self.crowded(now, task, track):
@@ -713,7 +736,7 @@
             if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
                 break            # one refusal in a full fleet is proof enough; the client is told at once
             if outcome.result is Result.MISS and held.active and self.may_order(now, function):
-                self.ordered(now, function)
+                self.ordered(now, function, held)
                 yield Order(held.id, task.function, 1)
                 function.seen[held.id] = now
                 look = now + outcome.took    # the order is there once a round trip has passed
@@ -749,7 +772,7 @@
             return
         copies = min(16, outcome.alike // task.lanes + 1)
         if self.may_order(now, function):
-            self.ordered(now, function)
+            self.ordered(now, function, worker)
             yield Order(worker.id, task.function, copies)
 
     def housekeep(self, now):
