--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -163,6 +163,8 @@
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
+        self.busy = deque(maxlen=FLOWS)     # (time, load over capacity) of the last reports
+        self.usual_busy, self.busied = 0.0, -LOOK    # see `usual_load`
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
         self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
         self.right = self.wrong = 0         # hints that proved so
@@ -372,6 +374,9 @@
         worker.tally = None
         if report is not None:
             worker.report, worker.reported, worker.memory = report, now, report.memory_busy
+            told = report.waiting if report.in_hand is None else report.in_hand
+            if told is not None:
+                self.busy.append((now, told / worker.capacity))
 
     def book(self, worker, now, track, harm):
         worker.results.append((now, track, harm))
@@ -446,6 +451,15 @@
         told, share, own = worker.tally
         return max(told + share * lanes, own)
 
+    def usual_load(self, now):
+        """Median load of workers over their capacity by the last reports: the least that a worker without a
+        copy counts with. Gateways see others of them idle; going by that they would not agree where to spill,
+        and unknown ones would draw spills in a jam, when loads are the last thing that helps."""
+        if now - self.busied >= LOOK:
+            recent = [load for at, load in self.busy if now - at < RECENT]
+            self.usual_busy, self.busied = median(recent) if recent else 0.0, now
+        return self.usual_busy
+
     def overtaken(self, worker, track, sent):
         """Whether a later relay of the track was answered there: lost, or heavy work."""
         return any([of == track and at > sent for of, at in worker.passed])
@@ -514,7 +528,7 @@
             return None
         if able is not self.fleet:
             capacity = sum([worker.capacity for worker in able])
-        ranks, usual_memory = self.ranks(task.function, function), None
+        ranks, usual_memory, usual_load = self.ranks(task.function, function), None, self.usual_load(now)
         lanes = max(task.lanes, ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
@@ -536,8 +550,11 @@
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth /= pace
+            queued = self.queued(worker, task.lanes, now)
+            if warmth <= 0:
+                queued = max(queued, usual_load * worker.capacity)
             score = (WARMTH * warmth
-                     - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
+                     - queue_weight * (queued + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
                      + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth))
             if worker.bad:
