Orders first only where no copy is believed anywhere: tried

A load that is ordered goes on when nobody waits any more, one that a task began is left out: orders keep the store busy.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -108,7 +108,8 @@
         self.stands = {}         # worker: last answer, which shows that a copy stood
         self.told = {}           # worker: when others saw a copy there; not yet considered
         self.times = deque(maxlen=KEPT)     # answer times where a copy stood
-        self.ordered = False     # an order is open
+        self.ordered = None      # the worker with an open order
+        self.held = {}           # tasks that wait for it
         self.ranks, self.order, self.ranked_for = {}, [], -1    # worker: its rank; the workers by rank
         self.used, self.rests_until = 0, -1
         self.answered = -1       # when a copy of it was last seen anywhere
@@ -162,8 +163,6 @@
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
-        self.busy = deque(maxlen=FLOWS)     # (time, load over capacity) of the last reports
-        self.usual_busy, self.busied = 0.0, -LOOK    # see `usual_load`
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
         self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
         self.right = self.wrong = 0         # hints that proved so
@@ -208,13 +207,17 @@
             self.book(worker, now, None, 1.0)
 
     def stood(self, now, worker_id, name, result, copies):
+        """What came of an order. Returns the tasks that waited for it: they are to be resumed."""
         function, worker = self.functions.get(name), self.workers.get(worker_id)
         if function is None or worker is None:
             return ()
-        function.ordered = False
+        function.ordered, held = None, list(function.held)
+        function.held.clear()
         if result is Result.OK:
-            function.seen[worker_id] = now
-        return ()
+            function.seen[worker_id] = function.stands[worker_id] = now
+        elif result is Result.FULL:
+            worker.full_until = now + self.usual(function)
+        return held
 
     # What other gateways or a past life tell: evidence that fades alike and gives way to any of one's own. It
     # gives no credit, orders nothing and lifts no limit.
@@ -369,9 +372,6 @@
         worker.tally = None
         if report is not None:
             worker.report, worker.reported, worker.memory = report, now, report.memory_busy
-            told = report.waiting if report.in_hand is None else report.in_hand
-            if told is not None:
-                self.busy.append((now, told / worker.capacity))
 
     def book(self, worker, now, track, harm):
         worker.results.append((now, track, harm))
@@ -446,15 +446,6 @@
         told, share, own = worker.tally
         return max(told + share * lanes, own)
 
-    def usual_load(self, now):
-        """Median load of workers over their capacity by the last reports: the least that a worker without a
-        copy counts with. Gateways see others of them idle; going by that they would not agree where to spill,
-        and unknown ones would draw spills in a jam, when loads are the last thing that helps."""
-        if now - self.busied >= LOOK:
-            recent = [load for at, load in self.busy if now - at < RECENT]
-            self.usual_busy, self.busied = median(recent) if recent else 0.0, now
-        return self.usual_busy
-
     def overtaken(self, worker, track, sent):
         """Whether a later relay of the track was answered there: lost, or heavy work."""
         return any([of == track and at > sent for of, at in worker.passed])
@@ -506,7 +497,8 @@
                 Group.CELL: worker.cell == first.cell}[track.group]
         return same and now < sent + track.repeat_window
 
-    def choose(self, now, task, trail):
+    def choose(self, now, task, trail, standing=False):
+        """The worker for a task; with `standing` one believed to hold a copy, and not in doubt."""
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
         if trail.relays >= self.relay_limit or now < function.rests_until and not trail.failed:
             return None
@@ -522,7 +514,7 @@
             return None
         if able is not self.fleet:
             capacity = sum([worker.capacity for worker in able])
-        ranks, usual_memory, usual_load = self.ranks(task.function, function), None, self.usual_load(now)
+        ranks, usual_memory = self.ranks(task.function, function), None
         lanes = max(task.lanes, ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
@@ -532,6 +524,8 @@
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
+            if standing and (warmth <= 0 or worker.id in doubts):
+                continue
             if best is not None and most - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
             pace = worker.slow if now < worker.slow_until else 1.0
@@ -542,11 +536,8 @@
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth /= pace
-            queued = self.queued(worker, task.lanes, now)
-            if warmth <= 0:
-                queued = max(queued, usual_load * worker.capacity)
             score = (WARMTH * warmth
-                     - queue_weight * (queued + 1) / (lanes * strength)
+                     - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
                      + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth))
             if worker.bad:
@@ -557,13 +548,15 @@
                 ties.append(worker)
         if len(ties) > 1:
             ties.sort(key=lambda worker: worker.place)
+        if not ties:
+            return None
         # One that turned a task away just now gets none for a moment: refusals come fast and look like
         # idleness, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused
         # moves on.
         worker = ties[self.chance.below(len(ties))]
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
-            return self.choose(now, task, trail)
+            return self.choose(now, task, trail, standing)
         function.rests_until = worker.full_until
         return worker if now >= worker.full_until else None
 
@@ -635,8 +628,8 @@
             self.taken.popleft()
         return len(self.orders) + 1 <= free + share * len(self.taken)
 
-    def ordered(self, now, function):
-        function.ordered = True
+    def ordered(self, now, function, worker):
+        function.ordered = worker.id
         if self.ration[2] > 0:
             self.orders.append(now)
 
@@ -695,9 +688,19 @@
         while now < end:
             if now >= look:
                 worker = self.choose(now, task, trail)
+                if worker is not None and not self.ration[2] and not any(
+                        [self.warmth(function, self.workers[name], now) > 0 for name in function.seen]):
+                    # A load takes many times an answer: the task leaves no slot of the worker's idle over it.
+                    if self.may_order(now, function):
+                        self.ordered(now, function, worker)
+                        yield Order(worker.id, task.function, 1)
+                    worker = self.choose(now, task, trail, True)
                 if worker is not None:
                     relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
+                elif function.ordered is not None:
+                    function.held[task.id] = None
+                    look = end
                 elif trail.out:
                     look = now + self.usual(function)
                 elif now >= give_up or trail.relays >= self.relay_limit or not any(
@@ -707,6 +710,9 @@
                     look = now + PAUSE
             now, outcome = yield Wait(min(look, end, give_up if now < give_up else end))
             if outcome is None:
+                function.held.pop(task.id, None)
+                if look == end and not trail.out:
+                    look = now       # the order it waited for is settled
                 # Late work holds up the rest of a crowded fleet and earns little: it makes room where it may.
                 if trail.out and now >= give_up and track.effect is Effect.PURE \
                         and self.crowded(now, task, track):
@@ -731,7 +737,7 @@
             if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
                 break            # one refusal in a full fleet is proof enough; the client is told at once
             if outcome.result is Result.MISS and held.active and self.may_order(now, function):
-                self.ordered(now, function)
+                self.ordered(now, function, held)
                 yield Order(held.id, task.function, 1)
                 function.seen[held.id] = now
                 look = now + outcome.took    # the order is there once a round trip has passed
@@ -767,7 +773,7 @@
             return
         copies = min(16, outcome.alike // task.lanes + 1)
         if self.may_order(now, function):
-            self.ordered(now, function)
+            self.ordered(now, function, worker)
             yield Order(worker.id, task.function, copies)
 
     def housekeep(self, now):
