--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -38,6 +38,7 @@
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
 REPORT_LIFE = 2 * SECOND   # reports and refusals older than this say nothing of now
+LOAD_LIFE = 8 * SECOND  # reported queues older than this are forgotten: crowds by the hash last for many seconds
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
@@ -426,7 +427,7 @@
         """
         if worker.tally is None or now > worker.tally_until:
             report, told, share, own = worker.report, 0, 0.0, len(worker.out)
-            end = worker.reported + REPORT_LIFE
+            end = worker.reported + LOAD_LIFE
             if report is not None and now <= end:
                 since = sum([sent > worker.reported for sent in worker.out.values()])
                 if report.in_hand is not None:
