A copy is worth more while loads take longer than the contract time

Blame: a load was taken to cost the same at any store pace; in a jam it takes 2 to 3.5 s and spills feed it.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -17,6 +17,7 @@
 LONG = 1 << 62           # a time that never comes
 
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
+STRAIN = 2.5           # times WARMTH that a copy is worth at most, as loads take longer than the contract time
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 ROOM = 6               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
@@ -514,6 +515,7 @@
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
+        worth = WARMTH * min(STRAIN, max(1.0, (median(self.loads) if self.loads else 0) / self.shortest))
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
@@ -528,7 +530,7 @@
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth /= pace
-            score = (WARMTH * warmth
+            score = (worth * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
                      + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth))
