--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -161,6 +161,7 @@
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
         self.answers = deque(maxlen=FLOWS)  # times of answers
+        self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
@@ -336,6 +337,9 @@
         self.refusals.append((now, outcome.result is Result.FULL))
         if outcome.result is Result.OK:
             self.book(worker, now, track, 0.0)
+            queued = self.queued(worker, 1, now) / worker.capacity
+            if queued * self.capacity >= ROOM * len(self.fleet):
+                self.drains.append(outcome.took / queued)
             worker.passed.append((track, sent))
             worker.full_until = -1
             if warm:
@@ -647,11 +651,22 @@
         if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
+        return self.in_hand / flow > self.bearable(task, track)
+
+    def bearable(self, task, track):
+        """The longest expected wait for which a task is taken: half of it where it earns nothing."""
         value = track.earnings / self.top_earnings
         if task.tenant < len(self.tenant_shares) and \
                 self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
             value *= self.over_share_value
-        return self.in_hand / flow > SHED * self.shortest * (0.5 + 0.5 * value)
+        return SHED * self.shortest * (0.5 + 0.5 * value)
+
+    def too_late(self, now, task, track, worker):
+        """Whether the queue at the best worker promises too long a wait: its load, times what a unit of load
+        took lately where there were queues. It bounds queues where a gateway sees too few tasks for a pace of
+        its own. Harms where one worker's queue is of light work."""
+        return len(self.drains) >= KEPT and median(self.drains) * self.queued(worker, task.lanes, now) \
+            / worker.capacity > self.bearable(task, track)
 
     def advice(self, track):
         return min(self.advice_limit, int(STAY_AWAY * track.contract_time))
@@ -680,6 +695,8 @@
         while now < end:
             if now >= look:
                 worker = self.choose(now, task, trail)
+                if worker is not None and not trail.relays and self.too_late(now, task, track, worker):
+                    break
                 if worker is not None:
                     relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
