--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -714,6 +714,8 @@
                     yield Recall(relay)
                 return
             look = now
+            if outcome.result is Result.TIMEOUT and now >= give_up:
+                break
             if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
                 break            # one refusal in a full fleet is proof enough; the client is told at once
             if outcome.result is Result.MISS and held.active and self.may_order(now, function):
