--- a/gaproute/benchlink/drive.py
+++ b/gaproute/benchlink/drive.py
@@ -28,8 +28,8 @@
         self.waits[key] = str(self.alarms)
         self.lines.append(f"WAKE_AT {wire.millis(max(0, until - now))} {key}|{self.alarms}")
 
-    def relay(self, key, number, worker, now, within):
-        self.lines.append(f"ATTEMPT {key} {worker} {wire.millis(within) if within else 0}")
+    def relay(self, key, number, worker, now):
+        self.lines.append(f"ATTEMPT {key} {worker} 0")
 
     def recall(self, key, number):
         self.lines.append(f"RECALL {key} {number}")
--- a/gaproute/core/drive.py
+++ b/gaproute/core/drive.py
@@ -7,7 +7,7 @@
     """One gateway: its decision module and the tasks it holds. Whoever carries out wishes derives from it.
 
     A derived class gives `wait(key, until, now)`, which may overwrite an earlier wait of the key and calls
-    `late` when the time has come, and `relay(key, number, worker, now, within)`, `recall(key, number)`,
+    `late` when the time has come, and `relay(key, number, worker, now)`, `recall(key, number)`,
     `order(worker, function, copies)`, `probe(worker)`, `listen()`, `decline(key, stay_away)` and
     `scrap(key)`. The housekeeper's key is "".
     """
@@ -70,10 +70,10 @@
                 case face.Wait(until):
                     self.wait(key, until, now)
                     return
-                case face.Relay(worker, within):
+                case face.Relay(worker):
                     value = self.relays[key]
                     self.relays[key] += 1
-                    self.relay(key, value, worker, now, within)
+                    self.relay(key, value, worker, now)
                 case face.Recall(relay):
                     self.recall(key, relay)
                 case face.Order(worker, function, copies):
--- a/gaproute/interface.py
+++ b/gaproute/interface.py
@@ -134,7 +134,6 @@
 
 class Relay(NamedTuple):
     worker: str
-    within: int = 0            # its time-out: the host need not begin it later; 0: the client's time
 
 
 class Wait(NamedTuple):
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -32,6 +32,7 @@
 SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
 ERRED = 0.4            # of an unanswered relay's weight, an error's: it comes fast, and others succeed
 BELIEF = 1.0           # good samples granted to each worker: one failure alone halves its worth, no more
+ZONE_SILENT = 2        # workers of a zone with overdue relays, none heard since: one alone may have slow work
 KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
 RECENT = 5 * SECOND    # samples older than this are no evidence: a suspect is tried again after it
 PATIENCE = 4           # usual answer times before a relay counts as overdue
@@ -156,6 +157,7 @@
         self.functions = {}
         self.list_version = 0
         self.looked, self.doubts = -LOOK, {}     # see `doubt`
+        self.zone_heard, self.silent = {}, {}    # zone: last sign of life; until when it is taken for silent
         self.counted, self.in_hand = -LOOK, 0    # see `crowded`
         self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
         self.orders = deque()    # times of orders within the ration's window
@@ -332,7 +334,8 @@
         function = self.function(name, 1)
         self.note(worker, now, outcome.report)
         if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
-            worker.heard[track] = now
+            worker.heard[track] = self.zone_heard[worker.zone] = now
+            self.silent.pop(worker.zone, None)
         self.refusals.append((now, outcome.result is Result.FULL))
         if outcome.result is Result.OK:
             self.book(worker, now, track, 0.0)
@@ -352,8 +355,7 @@
                 function.times.append(outcome.took)
             else:
                 self.loads.append(outcome.took)
-        elif outcome.result in FAILURES and not booked and (
-                outcome.result is not Result.TIMEOUT or worker.heard.get(track, -1) < sent):
+        elif outcome.result in FAILURES and not booked:
             # So that quick failures do not make a worker look idle.
             self.book(worker, now, track, ERRED if outcome.result is Result.ERROR else 1.0)
         if outcome.result is Result.FULL:
@@ -518,6 +520,9 @@
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
         worth = WARMTH * min(STRAIN, max(1.0, (median(self.loads) if self.loads else 0) / self.shortest))
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
+        for zone, until in self.silent.items():
+            if now < until:
+                doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
@@ -535,8 +540,7 @@
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
                      + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth))
-            if worker.bad:
-                score -= SHUN * doubts[worker.id]
+            score -= SHUN * doubts.get(worker.id, 0.0)
             if best is None or score > best:
                 best, ties = score, [worker]
             elif score == best:
@@ -682,7 +686,7 @@
             if now >= look:
                 worker = self.choose(now, task, trail)
                 if worker is not None:
-                    relay = yield Relay(worker.id, max(0, give_up - now) if track.effect is Effect.PURE else 0)
+                    relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
                 elif trail.out:
                     look = now + self.usual(function)
@@ -714,8 +718,6 @@
                     yield Recall(relay)
                 return
             look = now
-            if outcome.result is Result.TIMEOUT and now >= give_up:
-                break
             if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
                 break            # one refusal in a full fleet is proof enough; the client is told at once
             if outcome.result is Result.MISS and held.active and self.may_order(now, function):
@@ -744,8 +746,25 @@
                 if not booked and (again or len(worker.late) > 1):
                     worker.late[task.id, relay] = True
                     self.book(worker, now, task.track, 1.0)
+        self.hear_zones(now)
         return now + PATIENCE * self.usual(function)
 
+    def hear_zones(self, now):
+        """Zones of which nothing is heard though relays to several of their workers are overdue.
+
+        Guards against a whole zone cut off: found out worker by worker, each gateway would lose a task at
+        every one of them. Harms a zone of few workers that all have long work; it is tried again in a while.
+        """
+        late = {}
+        for key in [key for worker in self.fleet if worker.late for key in worker.late]:
+            name, _, _, sent, _ = self.hands[key]
+            zone = self.workers[name].zone
+            if sent > self.zone_heard.get(zone, -1):
+                late.setdefault(zone, set()).add(name)
+        for zone, names in late.items():
+            if len(names) >= ZONE_SILENT and len({worker.zone for worker in self.fleet}) > 1:
+                self.silent[zone] = now + RECENT
+
     def more_copies(self, now, task, function, worker, outcome):
         """Order one more copy where tasks of the function outnumber the lanes of those that stand.
 
