--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -508,6 +508,8 @@
                     (now >= worker.warm_at or worker.credit > 0) and self.allowed(worker, track, trail, now)]
         if trail.failed:
             able = [worker for worker in able if worker not in trail.failed] or able
+            # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
+            able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
         if not able:
             return None
         if able is not self.fleet:
@@ -521,7 +523,7 @@
         worth = WARMTH * min(STRAIN, max(1.0, (median(self.loads) if self.loads else 0) / self.shortest))
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
         for zone, until in self.silent.items():
-            if now < until:
+            if now < until or trail.failed:
                 doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
@@ -591,6 +593,8 @@
         trail.relays += 1
         if trail.first is None:
             trail.first = (worker, now)
+        if worker.zone in self.silent:
+            self.silent[worker.zone] = now + RECENT      # on trial: one relay at a time until it is heard
         function.seen[worker.id] = now
         worker.credit = max(0.0, worker.credit - 1)
         return due
