--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -26,6 +26,7 @@
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
 PRIOR = 2.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
 PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
+NEAR = 1.0             # points for a worker of the own zone, for hot functions: they stand in all zones
 PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
@@ -144,6 +145,7 @@
         self.keep_alive = max(terms.keep_alive, 1)
         self.copies_by_order = terms.orders_allowed
         self.ration = (terms.order_free, terms.order_share, terms.order_window)
+        self.zone = terms.zone
         self.can_recall, self.can_twin = terms.recall_allowed, terms.twins_allowed
         self.relay_limit, self.advice_limit = terms.relay_limit, terms.advice_limit
         self.cold_share, self.cold_time = terms.cold_share, terms.cold_time
@@ -520,6 +522,7 @@
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
+        near = NEAR * heat
         worth = WARMTH * min(STRAIN, max(1.0, (median(self.loads) if self.loads else 0) / self.shortest))
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
         for zone, until in self.silent.items():
@@ -528,7 +531,7 @@
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
-            if best is not None and most - queue_weight / (lanes * self.strongest) < best - NIL:
+            if best is not None and most + near - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
             pace = worker.slow if now < worker.slow_until else 1.0
             strength = worker.capacity / pace
@@ -541,7 +544,8 @@
             score = (worth * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
-                     + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth))
+                     + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth)
+                     + near * (worker.zone == self.zone))
             score -= SHUN * doubts.get(worker.id, 0.0)
             if best is None or score > best:
                 best, ties = score, [worker]
