--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -26,7 +26,7 @@
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
 PRIOR = 2.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
 PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
-NEAR = 1.0             # points for a worker of the own zone, for hot functions: they stand in all zones
+NEAR = 1.0             # points for a copy in the own zone, for hot functions: they stand in several
 PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
@@ -531,7 +531,7 @@
         best, ties = None, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
-            if best is not None and most + near - queue_weight / (lanes * self.strongest) < best - NIL:
+            if best is not None and most - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
             pace = worker.slow if now < worker.slow_until else 1.0
             strength = worker.capacity / pace
@@ -545,7 +545,7 @@
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
                      + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth)
-                     + near * (worker.zone == self.zone))
+                     + near * warmth * (worker.zone == self.zone))
             score -= SHUN * doubts.get(worker.id, 0.0)
             if best is None or score > best:
                 best, ties = score, [worker]
