--- a/gaproute/benchlink/wire.py
+++ b/gaproute/benchlink/wire.py
@@ -198,7 +198,6 @@
         cold_share=float(rules.get("cold_from") or 0),
         cold_time=span(rules, "cold"),
         must_ask_list=told.get("membership_mode") == "on_request",
-        zone=None if told.get("az") is None else int(told["az"]),
     )
 
 
--- a/gaproute/interface.py
+++ b/gaproute/interface.py
@@ -98,7 +98,6 @@
     cold_share: float          # a worker that starts can do at least this share,
     cold_time: int             # and all of it after this time
     must_ask_list: bool
-    zone: int | None = None    # the gateway's own; None: not told
 
 
 class Listed(NamedTuple):
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -20,13 +20,12 @@
 STRAIN = 2.5           # times WARMTH that a copy is worth at most, as loads take longer than the contract time
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
-ROOM = 6               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
+ROOM = 4               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
 PRIOR = 2.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
 PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
-NEAR = 1.0             # points for a copy in the own zone, for hot functions: they stand in several
 PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
@@ -145,7 +144,6 @@
         self.keep_alive = max(terms.keep_alive, 1)
         self.copies_by_order = terms.orders_allowed
         self.ration = (terms.order_free, terms.order_share, terms.order_window)
-        self.zone = terms.zone
         self.can_recall, self.can_twin = terms.recall_allowed, terms.twins_allowed
         self.relay_limit, self.advice_limit = terms.relay_limit, terms.advice_limit
         self.cold_share, self.cold_time = terms.cold_share, terms.cold_time
@@ -522,7 +520,6 @@
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
-        near = NEAR * heat
         worth = WARMTH * min(STRAIN, max(1.0, (median(self.loads) if self.loads else 0) / self.shortest))
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
         for zone, until in self.silent.items():
@@ -544,8 +541,7 @@
             score = (worth * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
-                     + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth)
-                     + near * warmth * (worker.zone == self.zone))
+                     + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth))
             score -= SHUN * doubts.get(worker.id, 0.0)
             if best is None or score > best:
                 best, ties = score, [worker]
