--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -17,7 +17,6 @@
 LONG = 1 << 62           # a time that never comes
 
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
-STRAIN = 2.5           # times WARMTH that a copy is worth at most, as loads take longer than the contract time
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 ROOM = 9               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
@@ -520,7 +519,7 @@
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
-        worth = WARMTH * min(STRAIN, max(1.0, (median(self.loads) if self.loads else 0) / self.shortest))
+        worth = WARMTH * max(1.0, (median(self.loads) if self.loads else 0) / self.shortest)
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
         for zone, until in self.silent.items():
             if now < until or trail.failed:
