--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -46,6 +46,7 @@
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
+SHED_SLOPE = 2         # power of the bearable over the expected wait that is taken on: half of it, a quarter
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
@@ -162,9 +163,12 @@
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
         self.answers = deque(maxlen=FLOWS)  # times of answers
+        self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
+        self.busy = deque(maxlen=FLOWS)     # (time, load over capacity) of the last reports
+        self.usual_busy, self.busied = 0.0, -LOOK    # see `usual_load`
         self.mix = deque(maxlen=MIX)        # functions of the last tasks
         self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
         self.right = self.wrong = 0         # hints that proved so
@@ -352,6 +356,9 @@
                     worker.paces.append((now, outcome.took / max(1, median(function.times))))
                     worker.slow, worker.slow_until = self.pace(worker, now), now + RECENT
                 function.times.append(outcome.took)
+                queued = self.queued(worker, 1, now)
+                if queued >= ROOM:
+                    self.drains.append(outcome.took * worker.capacity / queued)
             else:
                 self.loads.append(outcome.took)
         elif outcome.result in FAILURES and not booked:
@@ -370,6 +377,9 @@
         worker.tally = None
         if report is not None:
             worker.report, worker.reported, worker.memory = report, now, report.memory_busy
+            told = report.waiting if report.in_hand is None else report.in_hand
+            if told is not None:
+                self.busy.append((now, told / worker.capacity))
 
     def book(self, worker, now, track, harm):
         worker.results.append((now, track, harm))
@@ -444,6 +454,14 @@
         told, share, own = worker.tally
         return max(told + share * lanes, own)
 
+    def usual_load(self, now):
+        """Median load of workers over their capacity by the last reports; it stands for one that told nothing
+        lately."""
+        if now - self.busied >= LOOK:
+            recent = [load for at, load in self.busy if now - at < LOAD_LIFE]
+            self.usual_busy, self.busied = median(recent) if recent else 0.0, now
+        return self.usual_busy
+
     def overtaken(self, worker, track, sent):
         """Whether a later relay of the track was answered there: lost, or heavy work."""
         return any([of == track and at > sent for of, at in worker.passed])
@@ -655,11 +673,31 @@
         if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
+        return self.in_hand / flow > self.bearable(task, track)
+
+    def bearable(self, task, track):
+        """The longest expected wait for which a task is taken: half of it where it earns nothing."""
         value = track.earnings / self.top_earnings
         if task.tenant < len(self.tenant_shares) and \
                 self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
             value *= self.over_share_value
-        return self.in_hand / flow > SHED * self.shortest * (0.5 + 0.5 * value)
+        return SHED * self.shortest * (0.5 + 0.5 * value)
+
+    def shed(self, now, task, track, worker):
+        """Whether to decline because the best worker promises too long a wait, by chance: the longer the
+        likelier. Its load, times what a unit of load took lately where there were queues, and what a load
+        takes beyond the contract time if it has no copy. It bounds queues where a gateway sees too few tasks
+        for a pace of its own; by chance, so that it goes on learning."""
+        load, excess = self.queued(worker, task.lanes, now), 0
+        if worker.reported < now - LOAD_LIFE:
+            load = max(load, self.usual_load(now) * worker.capacity)
+        if self.loads and self.warmth(self.functions[task.function], worker, now) <= 0:
+            excess = max(0, median(self.loads) - self.shortest)
+        wait = excess
+        if len(self.drains) >= KEPT:
+            wait += median(self.drains) * load / worker.capacity
+        bearable = self.bearable(task, track)
+        return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
         return min(self.advice_limit, int(STAY_AWAY * track.contract_time))
@@ -688,6 +726,8 @@
         while now < end:
             if now >= look:
                 worker = self.choose(now, task, trail)
+                if worker is not None and not trail.relays and self.shed(now, task, track, worker):
+                    break
                 if worker is not None:
                     relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
