--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -696,7 +696,7 @@
         wait = excess
         if len(self.drains) >= KEPT:
             wait += median(self.drains) * load / worker.capacity
-        bearable = self.bearable(task, track)
+        bearable = self.bearable(task, track) / 2
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
