Chance declines from a third of the bearable queue wait

Blame: crowded() needs eight tasks in hand and a pace of answers; a gateway with four tasks a second has neither, and queues at hosts reach 42.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -688,15 +688,13 @@
         likelier. Its load, times what a unit of load took lately where there were queues, and what a load
         takes beyond the contract time if it has no copy. It bounds queues where a gateway sees too few tasks
         for a pace of its own; by chance, so that it goes on learning."""
-        load, excess = self.queued(worker, task.lanes, now), 0
+        load = self.queued(worker, task.lanes, now)
         if worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now) * worker.capacity)
-        if self.loads and self.warmth(self.functions[task.function], worker, now) <= 0:
-            excess = max(0, median(self.loads) - self.shortest)
-        wait = excess
-        if len(self.drains) >= KEPT:
-            wait += median(self.drains) * load / worker.capacity
-        bearable = self.bearable(task, track) / 2
+        if len(self.drains) < KEPT:
+            return False
+        wait = median(self.drains) * load / worker.capacity
+        bearable = self.bearable(task, track) / 3
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
