--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -46,7 +46,7 @@
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
-SHED_SLOPE = 2         # power of the bearable over the expected wait that is taken on: half of it, a quarter
+SHED_SLOPE = 3         # power of the bearable over the expected wait that is taken on: half of it, a quarter
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
@@ -694,7 +694,7 @@
         if len(self.drains) < KEPT:
             return False
         wait = median(self.drains) * load / worker.capacity
-        bearable = self.bearable(task, track) / 3
+        bearable = self.bearable(task, track) / 2
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
