--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -37,10 +37,9 @@
 PATIENCE = 4           # usual answer times before a relay counts as overdue
 LOAD_PATIENCE = 2      # usual load times more where a load is expected
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
-LANE_WAIT = 3.0        # times the usual answer time that tells of a wait for a lane, where nothing else does
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
 REPORT_LIFE = 2 * SECOND   # reports and refusals older than this say nothing of now
-LOAD_LIFE = 8 * SECOND  # reported queues older than this are forgotten: crowds by the hash last for many seconds
+LOAD_LIFE = 16 * SECOND  # reported queues older than this are forgotten: crowds by the hash last for many seconds
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
@@ -812,12 +811,9 @@
 
         Serves hot functions where only orders add copies; elsewhere it finds them standing.
         """
-        alike = outcome.alike
-        if alike is None and outcome.found is Found.WARM and outcome.took > LANE_WAIT * self.usual(function):
-            alike = task.lanes     # not told: an answer that took this long waited for a lane
-        if alike is None or alike < task.lanes or not worker.active:
+        if outcome.alike is None or outcome.alike < task.lanes or not worker.active:
             return
-        copies = min(16, alike // task.lanes + 1)
+        copies = min(16, outcome.alike // task.lanes + 1)
         if self.may_order(now, function):
             self.ordered(now, function)
             yield Order(worker.id, task.function, copies)
