--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -47,7 +47,6 @@
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
 SHED_SLOPE = 3         # power of the bearable over the expected wait that is taken on: half of it, a quarter
-SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 NIL = 1e-9             # points below which two sums of the same terms may differ by rounding alone
@@ -158,11 +157,9 @@
         self.list_version = 0
         self.looked, self.doubts = -LOOK, {}     # see `doubt`
         self.zone_heard, self.silent = {}, {}    # zone: last sign of life; until when it is taken for silent
-        self.counted, self.in_hand = -LOOK, 0    # see `crowded`
         self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
-        self.answers = deque(maxlen=FLOWS)  # times of answers
         self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
@@ -344,8 +341,6 @@
             self.book(worker, now, track, 0.0)
             worker.passed.append((track, sent))
             worker.full_until = -1
-            if warm:
-                self.answers.append(now)
             if self.power(worker, now) >= 1:
                 self.spread_credit(now)
             if sent >= worker.wiped:
@@ -651,29 +646,18 @@
         if self.ration[2] > 0:
             self.orders.append(now)
 
+    def jammed(self, now):
+        """Whether most refuse: to go round the rest would only spread it."""
+        return sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT
+
     def crowded(self, now, task, track):
-        """Whether to decline at once: tasks in hand over the pace of answers promise too long a wait.
+        """Whether work in hand must make room: most refuse, or the usual queue promises too long a wait."""
+        return self.jammed(now) or self.expected(self.usual_load(now)) > self.bearable(task, track)
 
-        Only relays to standing copies count on both sides: waits for loads are no sign of too much work. Nor
-        are overtaken relays: lost answers and heavy tasks, which would otherwise read as a jam.
-        All tracks share the queues, so the shortest contract time sets how long they may get, and what earns
-        least goes first.
-        """
-        if sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT:
-            return True          # most refuse: to go round the rest would only spread it
-        if len(self.answers) < FLOWS // 2:
-            return False
-        if now - self.counted >= LOOK:
-            self.counted, self.in_hand = now, 0
-            for key, (name, _, of, sent, warm) in self.hands.items():
-                worker = self.workers[name]
-                self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
-                                 and key not in worker.late and not self.overtaken(worker, of, sent)
-                                 and self.doubt(worker, of, now) < 0.5)
-        if self.in_hand < SHED_FLOOR:
-            return False
-        flow = len(self.answers) / max(now - self.answers[0], 1)
-        return self.in_hand / flow > self.bearable(task, track)
+    def expected(self, load):
+        """The wait behind so much load over a worker's capacity, by what a unit of it took lately where there
+        were queues: a gateway that sees few tasks knows no pace of its own."""
+        return median(self.drains) * load if len(self.drains) >= KEPT else 0
 
     def bearable(self, task, track):
         """The longest expected wait for which a task is taken: half of it where it earns nothing."""
@@ -684,17 +668,12 @@
         return SHED * self.shortest * (0.5 + 0.5 * value)
 
     def shed(self, now, task, track, worker):
-        """Whether to decline because the best worker promises too long a wait, by chance: the longer the
-        likelier. Its load, times what a unit of load took lately where there were queues, and what a load
-        takes beyond the contract time if it has no copy. It bounds queues where a gateway sees too few tasks
-        for a pace of its own; by chance, so that it goes on learning."""
-        load = self.queued(worker, task.lanes, now)
+        """Whether to decline since the queue at the best worker promises a wait: the longer the likelier. By
+        chance, so that the gateway goes on learning. Harms where one worker's queue is of light work."""
+        load = self.queued(worker, task.lanes, now) / worker.capacity
         if worker.reported < now - LOAD_LIFE:
-            load = max(load, self.usual_load(now) * worker.capacity)
-        if len(self.drains) < KEPT:
-            return False
-        wait = median(self.drains) * load / worker.capacity
-        bearable = self.bearable(task, track) / 2
+            load = max(load, self.usual_load(now))
+        wait, bearable = self.expected(load), self.bearable(task, track) / 2
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
@@ -716,7 +695,7 @@
         self.tenants.append(task.tenant)
         if now < self.all_warm_at and all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
-        if self.crowded(now, task, track):
+        if self.jammed(now):
             yield Decline(self.advice(track))
             return
         give_up = now + track.contract_time
