--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -45,7 +45,7 @@
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
+SHED = 0.6             # of the shortest contract time: expected wait to decline at; half for no earnings
 SHED_SLOPE = 3         # power of the bearable over the expected wait that is taken on: half of it, a quarter
 FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
@@ -673,7 +673,7 @@
         load = self.queued(worker, task.lanes, now) / worker.capacity
         if worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
-        wait, bearable = self.expected(load), self.bearable(task, track) / 2
+        wait, bearable = self.expected(load), self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
