--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -19,7 +19,7 @@
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
-ROOM = 9               # tasks at work on a usual worker, whatever the lanes of one copy: other functions' run too
+ROOM = 9               # tasks that a usual worker takes on, whatever the lanes of one copy: others' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
@@ -39,14 +39,16 @@
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
 REPORT_LIFE = 2 * SECOND   # reports and refusals older than this say nothing of now
-LOAD_LIFE = 8 * SECOND  # reported queues older than this are forgotten: crowds by the hash last for many seconds
+LOAD_LIFE = 8 * SECOND     # reported queues older than this are forgotten: crowds by the hash last as long
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 0.6             # of the shortest contract time: expected wait to decline at; half for no earnings
-SHED_SLOPE = 3         # power of the bearable over the expected wait that is taken on: half of it, a quarter
+SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
+SHED_QUEUE = 0.5       # of it, the wait in a worker's queue: answers that come have waited least
+SHED_SLOPE = 3         # power of bearable over expected wait: at twice the bearable one in eight is taken
+SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
 FLOWS = 64             # answers over which this gateway's pace of answers is taken
 NIL = 1e-9             # points below which two sums of the same terms may differ by rounding alone
@@ -157,9 +159,11 @@
         self.list_version = 0
         self.looked, self.doubts = -LOOK, {}     # see `doubt`
         self.zone_heard, self.silent = {}, {}    # zone: last sign of life; until when it is taken for silent
+        self.counted, self.in_hand = -LOOK, 0    # see `crowded`
         self.hands = {}          # (task, relay): (worker, function, track, sent, whether a copy stands)
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
+        self.answers = deque(maxlen=FLOWS)  # times of answers
         self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
@@ -341,6 +345,8 @@
             self.book(worker, now, track, 0.0)
             worker.passed.append((track, sent))
             worker.full_until = -1
+            if warm:
+                self.answers.append(now)
             if self.power(worker, now) >= 1:
                 self.spread_credit(now)
             if sent >= worker.wiped:
@@ -422,17 +428,15 @@
     def pace(self, worker, now):
         """Times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
 
-        It divides what a copy there is worth and the lanes: a crawling worker looks warm and, to others,
-        idle. It harms where one worker holds a function's heaviest work; samples age, so it is retried.
-        """
+        It divides what a copy there is worth and the lanes: a crawling worker looks warm and idle. It harms
+        where one worker holds a function's heaviest work; samples age, so it is retried."""
         recent = [pace for at, pace in worker.paces if now - at < RECENT]
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
 
     def queued(self, worker, lanes, now):
         """Tasks at the worker: its report and what was sent since, else own tasks in flight.
 
-        The parts are kept until something happens there, to spare CPU in a large fleet.
-        """
+        The parts are kept until something happens there, to spare CPU in a large fleet."""
         if worker.tally is None or now > worker.tally_until:
             report, told, share, own = worker.report, 0, 0.0, len(worker.out)
             end = worker.reported + LOAD_LIFE
@@ -450,8 +454,7 @@
         return max(told + share * lanes, own)
 
     def usual_load(self, now):
-        """Median load of workers over their capacity by the last reports; it stands for one that told nothing
-        lately."""
+        """Median load over capacity by the last reports: it stands for a worker that told nothing lately."""
         if now - self.busied >= LOOK:
             recent = [load for at, load in self.busy if now - at < LOAD_LIFE]
             self.usual_busy, self.busied = median(recent) if recent else 0.0, now
@@ -464,9 +467,7 @@
     def doubt(self, worker, track, now):
         """0 to 1: how likely the worker fails the track, by its last results of that track, else of any.
 
-        Guards against workers that hang, fall silent or fail fast, each of which would look idle, and against
-        those that do so to one track only.
-        """
+        Guards against workers that hang, fall silent or fail fast, perhaps one track only: they look idle."""
         if not worker.bad:
             return 0.0
         if now - self.looked >= LOOK:        # judgements are kept for LOOK, to spare CPU
@@ -614,10 +615,9 @@
     def spread_credit(self, now):
         """Each answer of a warm worker earns every cold one its share of the mean per warm peer.
 
-        Counted in answers, not in time or sends, it holds for bursts, storms of refusals and fresh gateways.
-        Half the fleet stands for the warm peers when fewer are warm, as those carry more each. What is
-        unspent fades, so that hundreds of gateways save up no burst between them, and is spent by chance (see
-        `choose`), so that those that see few tasks use the cold ones as well.
+        Counted in answers it holds for bursts, storms of refusals and fresh gateways. Half the fleet stands
+        for the warm peers when fewer are warm, as those carry more each. What is unspent fades, so that many
+        gateways save up no burst, and is spent by chance, so that those with few tasks use cold ones too.
         """
         if now >= self.all_warm_at:
             return
@@ -646,18 +646,28 @@
         if self.ration[2] > 0:
             self.orders.append(now)
 
-    def jammed(self, now):
-        """Whether most refuse: to go round the rest would only spread it."""
-        return sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT
-
     def crowded(self, now, task, track):
-        """Whether work in hand must make room: most refuse, or the usual queue promises too long a wait."""
-        return self.jammed(now) or self.expected(self.usual_load(now)) > self.bearable(task, track)
+        """Whether to decline at once: tasks in hand over the pace of answers promise too long a wait.
 
-    def expected(self, load):
-        """The wait behind so much load over a worker's capacity, by what a unit of it took lately where there
-        were queues: a gateway that sees few tasks knows no pace of its own."""
-        return median(self.drains) * load if len(self.drains) >= KEPT else 0
+        Only relays to standing copies count on both sides: waits for loads are no sign of too much work, nor
+        are overtaken relays: lost answers and heavy tasks. All tracks share the queues, so the shortest
+        contract time sets how long they may get, and what earns least goes first.
+        """
+        if sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT:
+            return True          # most refuse: to go round the rest would only spread it
+        if len(self.answers) < FLOWS // 2:
+            return False
+        if now - self.counted >= LOOK:
+            self.counted, self.in_hand = now, 0
+            for key, (name, _, of, sent, warm) in self.hands.items():
+                worker = self.workers[name]
+                self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
+                                 and key not in worker.late and not self.overtaken(worker, of, sent)
+                                 and self.doubt(worker, of, now) < 0.5)
+        if self.in_hand < SHED_FLOOR:
+            return False
+        flow = len(self.answers) / max(now - self.answers[0], 1)
+        return self.in_hand / flow > self.bearable(task, track)
 
     def bearable(self, task, track):
         """The longest expected wait for which a task is taken: half of it where it earns nothing."""
@@ -668,12 +678,15 @@
         return SHED * self.shortest * (0.5 + 0.5 * value)
 
     def shed(self, now, task, track, worker):
-        """Whether to decline since the queue at the best worker promises a wait: the longer the likelier. By
-        chance, so that the gateway goes on learning. Harms where one worker's queue is of light work."""
+        """Whether to decline since the queue at the best worker promises a wait: the longer the likelier, by
+        chance, so that one goes on learning. The wait is its load, else the usual one, times what a unit of
+        load took lately. It serves where a gateway sees too few tasks for a pace of its own; harms where one
+        worker's queue is of light work."""
         load = self.queued(worker, task.lanes, now) / worker.capacity
         if worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
-        wait, bearable = self.expected(load), self.bearable(task, track)
+        wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
+        bearable = SHED_QUEUE * self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
@@ -695,7 +708,7 @@
         self.tenants.append(task.tenant)
         if now < self.all_warm_at and all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
-        if self.jammed(now):
+        if self.crowded(now, task, track):
             yield Decline(self.advice(track))
             return
         give_up = now + track.contract_time
@@ -755,9 +768,9 @@
     def overdue(self, now, task, trail, function):
         """Hold overdue relays in silence against their workers at once; when to look again.
 
-        Silence is nothing of the track heard since: so it shows workers that hang, vanish or are cut off, and
-        one track unanswered while others go well. It needs two such relays or one for twice the patience, as
-        one slow task proves little. The task keeps its place: what goes out again is late and twice the work.
+        Silence, nothing of the track heard since, shows workers that hang, vanish or are cut off, and one
+        track unanswered alone. It needs two such relays or one for twice the patience, as one slow task
+        proves little. The task keeps its place: what goes out again is late and twice the work.
         """
         for relay, (worker, sent) in trail.out.items():
             if worker.heard.get(task.track, -1) < sent:
@@ -773,23 +786,17 @@
         """Zones of which nothing is heard though relays to several of their workers are overdue.
 
         Guards against a whole zone cut off: found out worker by worker, each gateway would lose a task at
-        every one of them. Harms a zone of few workers that all have long work; it is tried again in a while.
-        """
+        every one. Harms a zone of few workers that all have long work; it is tried again in a while."""
         late = {}
-        for key in [key for worker in self.fleet if worker.late for key in worker.late]:
-            name, _, _, sent, _ = self.hands[key]
-            zone = self.workers[name].zone
-            if sent > self.zone_heard.get(zone, -1):
-                late.setdefault(zone, set()).add(name)
-        for zone, names in late.items():
-            if len(names) >= ZONE_SILENT and len({worker.zone for worker in self.fleet}) > 1:
-                self.silent[zone] = now + RECENT
+        for worker in self.fleet:
+            heard = self.zone_heard.get(worker.zone, -1)
+            if any([self.hands[key][3] > heard for key in worker.late]):
+                late[worker.zone] = late.get(worker.zone, 0) + 1
+        self.silent.update({zone: now + RECENT for zone, count in late.items() if count >= ZONE_SILENT})
 
     def more_copies(self, now, task, function, worker, outcome):
-        """Order one more copy where tasks of the function outnumber the lanes of those that stand.
-
-        Serves hot functions where only orders add copies; elsewhere it finds them standing.
-        """
+        """Order one more copy where tasks of the function outnumber the lanes of those that stand: serves hot
+        functions where only orders add copies; elsewhere it finds them standing."""
         if outcome.alike is None or outcome.alike < task.lanes or not worker.active:
             return
         copies = min(16, outcome.alike // task.lanes + 1)
