gaproute migrate: a configuration rewritten for another shape of deployment

Directives 'reports ... probes' and 'sizes' with defaults that leave old files' terms as they are; tests on loopback with the project's stand-ins, and tests of what the module stopped taking for granted.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -47,7 +47,7 @@
                                                   reach.answer), charter.name)
         gateway = charter.decisions(seed, charter.terms, loop.now())
         self.core = Core(loop, gateway, charter.terms, self.hosts, self.record, run)
-        self.listing = Listing(loop)
+        self.listing = Listing(loop, sizes=charter.sizes_told)
         self.rows = {}
         self.stopping = False
         self.seed = seed
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -154,9 +154,16 @@
 
 class Reports(Directive):
     places: ClassVar = ("source",)
-    example: ClassVar = "reports probe"
+    example: ClassVar = "reports answer probes no"
     once: ClassVar = True
     source: Literal["probe", "answer"] = "answer"
+    probes: Yes = True
+
+    @model_validator(mode="after")
+    def fits(self):
+        if self.source == "probe" and not self.probes:
+            raise ValueError("hosts whose load is told by probes alone cannot go without probes")
+        return self
 
 
 class Cold(Directive):
@@ -166,6 +173,13 @@
     time: Span = 15_000_000_000
 
 
+class Sizes(Directive):
+    places: ClassVar = ("told",)
+    example: ClassVar = "sizes no"
+    once: ClassVar = True
+    told: Yes = True
+
+
 class Advice(Directive):
     example: ClassVar = "advice limit 1s"
     once: ClassVar = True
@@ -236,6 +250,7 @@
     "relays": Relays,
     "reports": Reports,
     "cold": Cold,
+    "sizes": Sizes,
     "advice": Advice,
     "over-share": OverShare,
     "clients": Clients,
@@ -271,7 +286,8 @@
         self.clients, self.reach = one("clients"), one("reach")
         self.log_level, self.decisions = one("log").level, one("decisions").load()
         self.longest = max(line.limit for line in self.tracks)
-        copies, relays, cold, source = one("copies"), one("relays"), one("cold"), one("reports").source
+        copies, relays, cold, reports = one("copies"), one("relays"), one("cold"), one("reports")
+        self.sizes_told = one("sizes").told
         self.terms = face.Terms(
             tracks=tuple(
                 face.Track(
@@ -293,8 +309,8 @@
             order_window=copies.window,
             counts_alike=copies.alike,
             notes_warmth=copies.notes,
-            probes_allowed=True,
-            reports_by_probe=source == "probe",
+            probes_allowed=reports.probes,
+            reports_by_probe=reports.source == "probe",
             recall_allowed=relays.recall,
             twins_allowed=relays.twins,
             relay_limit=relays.limit,
@@ -331,7 +347,7 @@
     """The charter of a file. Errors: `Mistakes` with all that is wrong; nothing of a wrong file is used."""
     file = str(file)
     if text is None:
-        text = _text(file)
+        text = read_text(file)
     found, mistakes, words = read_lines(file, text, WORDS)
     mistakes += _across(file, found, words)
     if not mistakes:
@@ -354,14 +370,15 @@
 
 def _read_list(file, text, word, words):
     file = str(file)
-    found, mistakes, _ = read_lines(file, _text(file) if text is None else text, words)
+    found, mistakes, _ = read_lines(file, read_text(file) if text is None else text, words)
     mistakes += _twice(file, [(word, line) for _, line in found])
     if mistakes:
         raise Mistakes(mistakes)
     return [line for _, line in found]
 
 
-def _text(file):
+def read_text(file):
+    """The text of a file. Errors: `Mistakes`."""
     try:
         return Path(file).read_text()
     except (OSError, UnicodeDecodeError) as fault:
--- /dev/null
+++ b/gaproute/conf/moving.py
@@ -0,0 +1,130 @@
+"""A configuration of one shape of deployment rewritten for another: what `gaproute migrate` does.
+
+The old file is kept line by line, with its comments. What the new deployment states stands in a file of the
+same syntax, the shape: its lines win keyword by keyword, and tracks and tenants that it names are all there
+are, each as stated there. What cannot be carried over is told with its line and why; the result is checked like any configuration.
+"""
+import shlex
+from typing import NamedTuple
+
+from gaproute.conf.charter import WORDS, read_charter
+from gaproute.conf.lines import Mistake, Mistakes, read_lines
+
+# What a deployment states; everything else is the operator's own and stays as it is.
+STATED = ("track", "tenant", "copies", "relays", "reports", "cold", "advice", "over-share", "sizes")
+NAMED = ("track", "tenant")
+
+
+class Left(NamedTuple):
+    """A line, or a part of one, that the new shape has no place for."""
+    file: str
+    line: int
+    text: str
+    why: str
+
+    def __str__(self):
+        return f"{self.file}:{self.line}: left behind: {self.text}; {self.why}"
+
+
+def read_shape(file, text):
+    """{word: {name or "": (places, keywords)}} as the shape states them. Errors: `Mistakes`."""
+    found, mistakes, _ = read_lines(file, text, WORDS)
+    for word, line in found:
+        if word not in STATED:
+            mistakes.append(Mistake(file, line.line, f"{word} is no statement of a deployment",
+                                    f"a shape holds {', '.join(STATED)}; the rest stays in the old file"))
+    if not found and not mistakes:
+        mistakes.append(Mistake(file, 0, "states nothing", "name what the new deployment states"))
+    shape = {}
+    for words in _lines(text) if not mistakes else ():
+        if words:
+            places, keywords = _parts(words)
+            key = places[0] if words[0] in NAMED else ""
+            if key in shape.setdefault(words[0], {}):
+                mistakes.append(Mistake(file, 0, f"{words[0]} {key} stands a second time", "keep one"))
+            shape[words[0]][key] = (places, keywords)
+    if mistakes:
+        raise Mistakes(sorted(mistakes, key=lambda mistake: mistake.line))
+    return shape
+
+
+def move(old_file, old_text, shape_file, shape_text, new_file):
+    """(the new file's text, [Left]). Errors: `Mistakes` of the old file, of the shape, or of what they give."""
+    wrong = []
+    for read, args in ((read_charter, (old_file, old_text)), (read_shape, (shape_file, shape_text))):
+        try:
+            shape = read(*args)
+        except Mistakes as mistakes:
+            wrong += mistakes.mistakes
+    if wrong:
+        raise Mistakes(wrong)
+    lines, left, used = [], [], set()
+    tracks_left = set()
+    no_sizes = shape.get("sizes", {}).get("", (("",),))[0][0] == "no"
+    no_probes = shape.get("reports", {}).get("", ((), {}))[1].get("probes") == "no"
+    for number, (raw, words) in enumerate(zip(old_text.splitlines(), _lines(old_text)), 1):
+        def leave(what, why):
+            left.append(Left(old_file, number, what, why))
+        if not words:
+            lines.append(raw)
+            continue
+        word, (places, keywords) = words[0], _parts(words)
+        key = places[0] if word in NAMED else ""
+        before = dict(keywords)
+        if word in shape and key not in shape[word]:
+            leave(" ".join(words), f"the new deployment has no {word} {key}")
+            tracks_left |= {key} if word == "track" else set()
+            continue
+        if word in shape:
+            used.add((word, key))
+            places, stated = shape[word][key]
+            keywords = stated if word in NAMED else keywords | stated     # a track is stated whole
+        if word == "model" and keywords.get("track") not in shape.get("track", {keywords.get("track")}):
+            leave(" ".join(words), f"the new deployment has no track {keywords.get('track')}")
+            continue
+        if word == "host" and no_sizes and keywords.pop("capacity", None) is not None:
+            leave(f"host {places[0]} capacity {before['capacity']}", "no sizes of hosts are told there")
+        if word == "hosts-file" and no_sizes:
+            leave(f"capacities in {places[0]}", "no sizes of hosts are told there: they count as 1")
+        if word == "reach" and no_probes and keywords.pop("probe", None) is not None:
+            leave(f"reach probe {before['probe']}", "no probes are allowed there")
+        if word in shape or keywords != before:
+            raw = _line(word, places, keywords) + _comment(raw, words)
+        lines.append(raw)
+    rest = [_line(word, *parts) for word, named in shape.items() for key, parts in named.items()
+            if (word, key) not in used]
+    if rest:
+        lines += ["", "# stated by the new deployment"] + rest
+    text = "\n".join(lines) + "\n"
+    read_charter(new_file, text)
+    return text, left
+
+
+def _lines(text):
+    """The words of each line."""
+    return [shlex.split(raw, comments=True) for raw in text.splitlines()]
+
+
+def _parts(words):
+    """The words by place and {keyword: value} of a checked line."""
+    count = len(WORDS[words[0]].places)
+    places, rest = tuple(words[1:count + 1]), words[count + 1:]
+    return places, dict(zip(rest[::2], rest[1::2]))
+
+
+def _comment(raw, words):
+    """The comment that ends a line, with the space before it."""
+    for place, letter in enumerate(raw):
+        try:
+            if letter == "#" and shlex.split(raw[:place]) == words:
+                return "  " + raw[place:]
+        except ValueError:
+            pass                       # within quotes
+    return ""
+
+
+def _line(word, places, keywords):
+    words = [word, *places]
+    for keyword, value in keywords.items():
+        words += [keyword, value]
+    return " ".join(shlex.quote(each) for each in words)
--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -17,8 +17,8 @@
     that is set does not look like a restart.
     """
 
-    def __init__(self, loop, wall=time.time_ns):
-        self.loop, self.wall = loop, wall
+    def __init__(self, loop, wall=time.time_ns, sizes=True):
+        self.loop, self.wall, self.sizes = loop, wall, sizes
         self.zones, self.racks, self.starts = {}, {}, {}
 
     def rows(self, lines):
@@ -27,7 +27,8 @@
     def row(self, line):
         zone = self.zones.setdefault(line.zone, len(self.zones))
         rack = self.racks.setdefault(line.rack, len(self.racks))
-        listed = Listed(line.name, zone, rack, STATES[line.state], line.capacity, self.started(line))
+        capacity = line.capacity if self.sizes else 1.0
+        listed = Listed(line.name, zone, rack, STATES[line.state], capacity, self.started(line))
         return Row(listed, line.where)
 
     def started(self, line):
--- /dev/null
+++ b/tests/test_migrate.py
@@ -0,0 +1,145 @@
+"""A configuration moved to another shape of deployment, and a gateway on loopback that runs by the result."""
+import os
+
+import pytest
+from click.testing import CliRunner
+from gaproute.cli.main import main
+from gaproute.conf import Mistakes, move, read_charter
+from helpers import CHARTER, MILLI, SECOND
+
+OLD = """# our box
+name g1
+listen kserve 127.0.0.1:0
+track a pure contract 1200ms limit 5s earnings 3
+track b receipted group rack remembers 2500ms contract 800ms limit 2.5s
+model m track a lanes 4 load 1200ms
+model n track b
+tenant kati share 0.45
+host h1 127.0.0.1:1 zone z rack r capacity 4
+copies keep 10s free 6   # as the hosts are set
+reach connect 250ms probe 100ms
+"""
+SHAPE = """track a pure contract 1s limit 3s
+relays limit 6
+reports answer probes no
+copies keep 8s window 0s alike no notes no
+sizes no
+"""
+
+
+def moved(old=OLD, shape=SHAPE):
+    return move("old", old, "shape", shape, "new")
+
+
+def mistakes(old, shape):
+    with pytest.raises(Mistakes) as wrong:
+        moved(old, shape)
+    return [str(each) for each in wrong.value.mistakes]
+
+
+def test_what_the_shape_states_wins_and_the_rest_stays_word_for_word():
+    text, _ = moved()
+    assert text.splitlines()[:3] == OLD.splitlines()[:3]
+    assert "copies keep 8s free 6 window 0s alike no notes no  # as the hosts are set" in text
+    charter = read_charter("new", text)
+    assert not charter.terms.probes_allowed and charter.terms.relay_limit == 6 and not charter.sizes_told
+    assert charter.terms.keep_alive == 8 * SECOND and charter.terms.order_window == 0
+    assert [track.contract_time for track in charter.terms.tracks] == [SECOND]
+    assert charter.terms.tracks[0].earnings == 1.0      # a track is stated whole
+
+
+def test_each_line_left_behind_is_told_with_its_number_and_why():
+    _, left = moved()
+    assert [(each.line, each.text.split()[0], each.why) for each in left] == [
+        (5, "track", "the new deployment has no track b"),
+        (7, "model", "the new deployment has no track b"),
+        (9, "host", "no sizes of hosts are told there"),
+        (11, "reach", "no probes are allowed there"),
+    ]
+
+
+def test_a_shape_that_states_nothing_new_changes_no_terms():
+    text, left = moved(shape="relays limit 4\n")
+    assert not left and read_charter("new", text).terms == read_charter("old", OLD).terms
+
+
+def test_an_old_file_makes_the_terms_it_made_before():
+    terms = read_charter("old", OLD).terms
+    assert terms.probes_allowed and not terms.reports_by_probe and read_charter("old", OLD).sizes_told
+
+
+def test_mistakes_of_both_files_are_told_together_with_line_and_cure():
+    told = mistakes(OLD + "modle x\n", "sizes perhaps\nlisten kserve 127.0.0.1:2\n")
+    assert any("old:12" in each and "did you mean model" in each for each in told)
+    assert any("shape:1" in each and "neither yes nor no" in each for each in told)
+    assert any("shape:2" in each and "no statement of a deployment" in each for each in told)
+
+
+def test_a_shape_that_leaves_nothing_to_serve_is_refused():
+    assert any("no model line" in each for each in mistakes(OLD, "track c pure contract 1s limit 2s\n"))
+
+
+def test_an_empty_shape_and_unclosed_quotes_are_refused():
+    assert "states nothing" in mistakes(OLD, "# nothing\n")[0]
+    assert "close the quote" in mistakes(OLD, 'track "a\n')[0]
+
+
+def run(tmp_path, *options, old=OLD, shape=SHAPE):
+    (tmp_path / "old").write_text(old)
+    (tmp_path / "shape").write_text(shape)
+    files = [str(tmp_path / name) for name in ("old", "new")]
+    return CliRunner().invoke(main, ["migrate", *files, "--shape", str(tmp_path / "shape"), *options])
+
+
+def test_the_command_writes_a_file_that_check_accepts_and_says_what_it_left(tmp_path):
+    done = run(tmp_path)
+    assert done.exit_code == 1 and "4 left behind" in done.output
+    assert CliRunner().invoke(main, ["check", str(tmp_path / "new")]).exit_code == 0
+    assert run(tmp_path, "--replace", shape="relays limit 6\n").exit_code == 0
+    assert sorted(os.listdir(tmp_path)) == ["new", "old", "shape"]
+
+
+def test_a_dry_run_prints_the_result_and_writes_nothing(tmp_path):
+    done = run(tmp_path, "--dry-run")
+    assert done.exit_code == 1 and "reports answer probes no" in done.output
+    assert sorted(os.listdir(tmp_path)) == ["old", "shape"]
+
+
+def test_a_file_that_stands_is_not_written_over(tmp_path):
+    (tmp_path / "new").write_text("mine")
+    assert run(tmp_path).exit_code == 2 and (tmp_path / "new").read_text() == "mine"
+    assert run(tmp_path, shape="nonsense\n").exit_code == 2
+    assert sorted(os.listdir(tmp_path)) == ["new", "old", "shape"]
+
+
+def probes(made):
+    """A list that each probe of a host is noted in."""
+    seen = []
+    for host in made.hosts:
+        def handle(request, through=host.server.handle):
+            seen.extend([request.target] * (b"health" in request.target))
+            through(request)
+        host.server.handle = handle
+    return seen
+
+
+def test_a_gateway_on_a_moved_configuration_serves_and_never_probes(rig):
+    charter, _ = move("old", CHARTER + "hosts-file none.list\n", "shape",
+                      "reports answer probes no\nsizes no\nrelays limit 2 twins no\n", "new")
+    made = rig(charter=charter.replace("hosts-file none.list\n", ""))
+    seen = probes(made)
+    assert made.wait(made.ask()).headers[b"gaproute-outcome"] == b"delivered"
+    made.rest(800 * MILLI)
+    assert not seen and [worker.capacity for worker in made.gate.core.gateway.fleet] == [1.0, 1.0]
+
+
+def test_the_same_hosts_are_probed_where_reports_come_by_probe(rig):
+    made = rig(told="reports probe\n")
+    seen = probes(made)
+    made.until(lambda: seen)
+    assert [worker.capacity for worker in made.gate.core.gateway.fleet] == [4.0, 4.0]
+
+
+def test_hosts_that_tell_by_probe_alone_cannot_forbid_them():
+    with pytest.raises(Mistakes, match="cannot go without probes"):
+        read_charter("f", OLD + "reports probe probes no\n")
