--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -23,9 +23,9 @@
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
-PRIOR = 2.8            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
-PRIOR_HOT = 4.0        # the same for a hot function, kept loaded by others: warm with a free lane still wins
-PRIOR_FALL = 0.90      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
+PRIOR = 2.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
+PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
+PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
@@ -45,7 +45,7 @@
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
+SHED = 1.2             # of the shortest contract time: expected wait to decline at; a quarter for no earnings
 SHED_QUEUE = 0.5       # of it, the wait in a worker's queue: answers that come have waited least
 SHED_SLOPE = 3         # power of bearable over expected wait: at twice the bearable one in eight is taken
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
@@ -670,12 +670,12 @@
         return self.in_hand / flow > self.bearable(task, track)
 
     def bearable(self, task, track):
-        """The longest expected wait for which a task is taken: half of it where it earns nothing."""
+        """The longest expected wait for which a task is taken: a quarter of it where it earns nothing."""
         value = track.earnings / self.top_earnings
         if task.tenant < len(self.tenant_shares) and \
                 self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
             value *= self.over_share_value
-        return SHED * self.shortest * (0.5 + 0.5 * value)
+        return SHED * self.shortest * (0.25 + 0.75 * value)
 
     def shed(self, now, task, track, worker):
         """Whether to decline since the queue at the best worker promises a wait: the longer the likelier, by
@@ -683,7 +683,7 @@
         load took lately. It serves where a gateway sees too few tasks for a pace of its own; harms where one
         worker's queue is of light work."""
         load = self.queued(worker, task.lanes, now) / worker.capacity
-        if worker.reported < now - LOAD_LIFE:
+        if worker.report is None or worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
         wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
