--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -150,6 +150,7 @@
         self.cold_share, self.cold_time = terms.cold_share, terms.cold_time
         self.probing, self.asks_list = terms.probes_allowed and terms.reports_by_probe, terms.must_ask_list
         self.tenant_shares, self.over_share_value = terms.tenant_shares, terms.over_share_value
+        self.tenant_rates = terms.tenant_rates
         self.top_earnings = max((track.earnings for track in terms.tracks), default=1.0)
         self.shortest = min((track.contract_time for track in terms.tracks), default=SECOND)
         self.workers, self.fleet = {}, []   # all that were ever listed; the active ones
@@ -166,7 +167,7 @@
         self.answers = deque(maxlen=FLOWS)  # times of answers
         self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
-        self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
+        self.tenants = deque(maxlen=FLOWS)  # (time, tenant) of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
         self.busy = deque(maxlen=FLOWS)     # (time, load over capacity) of the last reports
         self.usual_busy, self.busied = 0.0, -LOOK    # see `usual_load`
@@ -667,14 +668,16 @@
         if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
-        return self.in_hand / flow > self.bearable(task, track)
+        return self.in_hand / flow > self.bearable(now, task, track)
 
-    def bearable(self, task, track):
+    def bearable(self, now, task, track):
         """The longest expected wait for which a task is taken: a quarter of it where it earns nothing."""
         value = track.earnings / self.top_earnings
-        if task.tenant < len(self.tenant_shares) and \
-                self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
-            value *= self.over_share_value
+        if task.tenant < len(self.tenant_shares):
+            sent, span = sum([tenant == task.tenant for _, tenant in self.tenants]), now - self.tenants[0][0]
+            rate = self.tenant_rates[task.tenant] if self.tenant_rates else 0
+            if sent > self.tenant_shares[task.tenant] * len(self.tenants) and sent > rate * span / SECOND:
+                value *= self.over_share_value
         return SHED * self.shortest * (0.25 + 0.75 * value)
 
     def shed(self, now, task, track, worker):
@@ -686,7 +689,7 @@
         if worker.report is None or worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
         wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
-        bearable = SHED_QUEUE * self.bearable(task, track)
+        bearable = SHED_QUEUE * self.bearable(now, task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
@@ -705,7 +708,7 @@
         self.mix.append(task.function)
         if self.ration[2] > 0:
             self.taken.append(now)
-        self.tenants.append(task.tenant)
+        self.tenants.append((now, task.tenant))
         if now < self.all_warm_at and all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
         if self.crowded(now, task, track):
