--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -45,7 +45,7 @@
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.2             # of the shortest contract time: expected wait to decline at; a quarter for no earnings
+SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
 SHED_QUEUE = 0.5       # of it, the wait in a worker's queue: answers that come have waited least
 SHED_SLOPE = 3         # power of bearable over expected wait: at twice the bearable one in eight is taken
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
@@ -671,14 +671,14 @@
         return self.in_hand / flow > self.bearable(now, task, track)
 
     def bearable(self, now, task, track):
-        """The longest expected wait for which a task is taken: a quarter of it where it earns nothing."""
+        """The longest expected wait for which a task is taken: half of it where it earns nothing."""
         value = track.earnings / self.top_earnings
         if task.tenant < len(self.tenant_shares):
             sent, span = sum([tenant == task.tenant for _, tenant in self.tenants]), now - self.tenants[0][0]
             rate = self.tenant_rates[task.tenant] if self.tenant_rates else 0
             if sent > self.tenant_shares[task.tenant] * len(self.tenants) and sent > rate * span / SECOND:
                 value *= self.over_share_value
-        return SHED * self.shortest * (0.25 + 0.75 * value)
+        return SHED * self.shortest * (0.5 + 0.5 * value)
 
     def shed(self, now, task, track, worker):
         """Whether to decline since the queue at the best worker promises a wait: the longer the likelier, by
