--- a/gaproute/benchlink/wire.py
+++ b/gaproute/benchlink/wire.py
@@ -198,15 +198,8 @@
         cold_share=float(rules.get("cold_from") or 0),
         cold_time=span(rules, "cold"),
         must_ask_list=told.get("membership_mode") == "on_request",
-        tenant_rates=rates(told.get("tenants") or (), told.get("balancers")),
     )
 
 
-def rates(tenants, gateways):
-    """What each tenant may send through one gateway within its share, where that is told of all of them."""
-    quotas = [tenant.get("quota_per_s") for tenant in tenants]
-    return tuple(float(quota) / gateways for quota in quotas) if gateways and None not in quotas else ()
-
-
 def span(table, key):
     return round(float(table.get(key) or 0) * 1000) * MICRO
--- a/gaproute/interface.py
+++ b/gaproute/interface.py
@@ -98,7 +98,6 @@
     cold_share: float          # a worker that starts can do at least this share,
     cold_time: int             # and all of it after this time
     must_ask_list: bool
-    tenant_rates: tuple[float, ...] = ()   # tasks a second at one gateway within a tenant's share; (): not told
 
 
 class Listed(NamedTuple):
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -150,7 +150,6 @@
         self.cold_share, self.cold_time = terms.cold_share, terms.cold_time
         self.probing, self.asks_list = terms.probes_allowed and terms.reports_by_probe, terms.must_ask_list
         self.tenant_shares, self.over_share_value = terms.tenant_shares, terms.over_share_value
-        self.tenant_rates = terms.tenant_rates
         self.top_earnings = max((track.earnings for track in terms.tracks), default=1.0)
         self.shortest = min((track.contract_time for track in terms.tracks), default=SECOND)
         self.workers, self.fleet = {}, []   # all that were ever listed; the active ones
@@ -167,7 +166,7 @@
         self.answers = deque(maxlen=FLOWS)  # times of answers
         self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
-        self.tenants = deque(maxlen=FLOWS)  # (time, tenant) of the last tasks
+        self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
         self.busy = deque(maxlen=FLOWS)     # (time, load over capacity) of the last reports
         self.usual_busy, self.busied = 0.0, -LOOK    # see `usual_load`
@@ -512,8 +511,9 @@
 
     def choose(self, now, task, trail):
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        if trail.relays >= self.relay_limit or now < function.rests_until and not trail.failed:
+        if trail.relays >= self.relay_limit:
             return None
+        resting = now < function.rests_until and not trail.failed
         # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
         able, capacity = self.fleet, self.capacity
         if trail.first is not None or trail.out or now < self.all_warm_at:
@@ -524,6 +524,9 @@
             able = [worker for worker in able if worker not in trail.failed] or able
             # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
             able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
+        if resting:
+            able = [worker for worker in able
+                    if now >= worker.full_until and self.warmth(function, worker, now) > 0]
         if not able:
             return None
         if able is not self.fleet:
@@ -570,7 +573,9 @@
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
             return self.choose(now, task, trail)
-        function.rests_until = worker.full_until
+        if now < worker.full_until and not resting and not trail.failed:
+            function.rests_until = worker.full_until
+            return self.choose(now, task, trail)
         return worker if now >= worker.full_until else None
 
     def contenders(self, now, function, able, prior, width):
@@ -668,16 +673,14 @@
         if self.in_hand < SHED_FLOOR:
             return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
-        return self.in_hand / flow > self.bearable(now, task, track)
+        return self.in_hand / flow > self.bearable(task, track)
 
-    def bearable(self, now, task, track):
+    def bearable(self, task, track):
         """The longest expected wait for which a task is taken: half of it where it earns nothing."""
         value = track.earnings / self.top_earnings
-        if task.tenant < len(self.tenant_shares):
-            sent, span = sum([tenant == task.tenant for _, tenant in self.tenants]), now - self.tenants[0][0]
-            rate = self.tenant_rates[task.tenant] if self.tenant_rates else 0
-            if sent > self.tenant_shares[task.tenant] * len(self.tenants) and sent > rate * span / SECOND:
-                value *= self.over_share_value
+        if task.tenant < len(self.tenant_shares) and \
+                self.tenants.count(task.tenant) > self.tenant_shares[task.tenant] * len(self.tenants):
+            value *= self.over_share_value
         return SHED * self.shortest * (0.5 + 0.5 * value)
 
     def shed(self, now, task, track, worker):
@@ -689,7 +692,7 @@
         if worker.report is None or worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
         wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
-        bearable = SHED_QUEUE * self.bearable(now, task, track)
+        bearable = SHED_QUEUE * self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
     def advice(self, track):
@@ -708,7 +711,7 @@
         self.mix.append(task.function)
         if self.ration[2] > 0:
             self.taken.append(now)
-        self.tenants.append((now, task.tenant))
+        self.tenants.append(task.tenant)
         if now < self.all_warm_at and all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
         if self.crowded(now, task, track):
