--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -85,7 +85,6 @@
         self.wiped = -1          # copies recorded before this time are lost
         self.out = {}            # (task, relay): when sent
         self.heard = {}          # track: when an answer last came
-        self.passed = deque(maxlen=KEPT)    # (track, when sent) of its last answered relays
         self.late = {}           # (task, relay) overdue with nothing of its track heard since: whether booked
         self.results = deque(maxlen=KEPT)   # (time, track, harm: 0 if good, 1 if unanswered)
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
@@ -343,7 +342,6 @@
         self.refusals.append((now, outcome.result is Result.FULL))
         if outcome.result is Result.OK:
             self.book(worker, now, track, 0.0)
-            worker.passed.append((track, sent))
             worker.full_until = -1
             if warm:
                 self.answers.append(now)
@@ -460,10 +458,6 @@
             self.usual_busy, self.busied = median(recent) if recent else 0.0, now
         return self.usual_busy
 
-    def overtaken(self, worker, track, sent):
-        """Whether a later relay of the track was answered there: lost, or heavy work."""
-        return any([of == track and at > sent for of, at in worker.passed])
-
     def doubt(self, worker, track, now):
         """0 to 1: how likely the worker fails the track, by its last results of that track, else of any.
 
@@ -511,9 +505,8 @@
 
     def choose(self, now, task, trail):
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        if trail.relays >= self.relay_limit:
+        if trail.relays >= self.relay_limit or now < function.rests_until and not trail.failed:
             return None
-        resting = now < function.rests_until and not trail.failed
         # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
         able, capacity = self.fleet, self.capacity
         if trail.first is not None or trail.out or now < self.all_warm_at:
@@ -524,9 +517,6 @@
             able = [worker for worker in able if worker not in trail.failed] or able
             # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
             able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
-        if resting:
-            able = [worker for worker in able
-                    if now >= worker.full_until and self.warmth(function, worker, now) > 0]
         if not able:
             return None
         if able is not self.fleet:
@@ -573,9 +563,7 @@
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
             return self.choose(now, task, trail)
-        if now < worker.full_until and not resting and not trail.failed:
-            function.rests_until = worker.full_until
-            return self.choose(now, task, trail)
+        function.rests_until = worker.full_until
         return worker if now >= worker.full_until else None
 
     def contenders(self, now, function, able, prior, width):
@@ -655,9 +643,9 @@
     def crowded(self, now, task, track):
         """Whether to decline at once: tasks in hand over the pace of answers promise too long a wait.
 
-        Only relays to standing copies count on both sides: waits for loads are no sign of too much work, nor
-        are overtaken relays: lost answers and heavy tasks. All tracks share the queues, so the shortest
-        contract time sets how long they may get, and what earns least goes first.
+        Only relays to standing copies count on both sides: waits for loads are no sign of too much work. All
+        tracks share the queues, so the shortest contract time sets how long they may get, and what earns
+        least goes first.
         """
         if sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT:
             return True          # most refuse: to go round the rest would only spread it
@@ -668,7 +656,7 @@
             for key, (name, _, of, sent, warm) in self.hands.items():
                 worker = self.workers[name]
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
-                                 and key not in worker.late and not self.overtaken(worker, of, sent)
+                                 and key not in worker.late
                                  and self.doubt(worker, of, now) < 0.5)
         if self.in_hand < SHED_FLOOR:
             return False
