--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -108,6 +108,8 @@
         click.echo(text, nl=False)
     else:
         try:
+            if os.path.exists(new) and any(os.path.samefile(new, file) for file in (old, shape)):
+                raise FileExistsError      # also with --replace: the way back needs the old file
             write_whole(new, text, replace)
         except FileExistsError:
             click.echo(f"{new}: stands already; name another file or say --replace; nothing is written", err=True)
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -112,6 +112,21 @@
     assert sorted(os.listdir(tmp_path)) == ["new", "old", "shape"]
 
 
+def test_the_old_file_is_never_written_over(tmp_path):
+    (tmp_path / "new").symlink_to(tmp_path / "old")
+    assert run(tmp_path, "--replace").exit_code == 2 and (tmp_path / "old").read_text() == OLD
+
+
+@pytest.mark.parametrize("old", [b"\xff\xfe", b"track\x00"])
+def test_an_old_file_that_is_no_text_is_refused_without_a_traceback(tmp_path, old):
+    run(tmp_path)
+    (tmp_path / "old").write_bytes(old)
+    files = [str(tmp_path / name) for name in ("old", "other")]
+    done = CliRunner().invoke(main, ["migrate", *files, "--shape", str(tmp_path / "shape")])
+    assert done.exit_code == 2 and isinstance(done.exception, SystemExit) and "old:" in done.output
+    assert not (tmp_path / "other").exists()
+
+
 def probes(made):
     """A list that each probe of a host is noted in."""
     seen = []
