--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -653,7 +653,7 @@
             return False
         if now - self.counted >= LOOK:
             self.counted, self.in_hand = now, 0
-            for key, (name, _, of, sent, warm) in self.hands.items():
+            for key, (name, _, of, _, warm) in self.hands.items():
                 worker = self.workers[name]
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
                                  and key not in worker.late
@@ -677,7 +677,7 @@
         load took lately. It serves where a gateway sees too few tasks for a pace of its own; harms where one
         worker's queue is of light work."""
         load = self.queued(worker, task.lanes, now) / worker.capacity
-        if worker.report is None or worker.reported < now - LOAD_LIFE:
+        if self.warmth(self.functions[task.function], worker, now) <= 0:
             load = max(load, self.usual_load(now))
         wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
@@ -711,7 +711,11 @@
             if now >= look:
                 worker = self.choose(now, task, trail)
                 if worker is not None and not trail.relays and self.shed(now, task, track, worker):
-                    break
+                    # A crowd at one worker is no crowded fleet: the next best takes it, if any is better off.
+                    trail.failed.append(worker)
+                    worker = self.choose(now, task, trail)
+                    if worker is None or self.shed(now, task, track, worker):
+                        break
                 if worker is not None:
                     relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
