--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -8,6 +8,7 @@
 """
 from collections import deque
 from hashlib import blake2b
+from math import log
 from statistics import median
 
 from gaproute.interface import (Decline, Effect, Found, Group, Listen, Order, Probe, Recall, Relay, Result,
@@ -479,10 +480,11 @@
         return doubt
 
     def ranks(self, name, function):
-        """A stable hash's order of the workers for a function: the same at every gateway and restart."""
+        """A stable hash's order of the workers for a function: the same at every gateway and restart. Each is
+        first as often as its capacity says, else weak ones would get as many functions as strong ones."""
         if function.ranked_for != self.list_version:
-            order = sorted((blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
-                           for worker in self.fleet)
+            order = sorted((-log((int.from_bytes(blake2b(f"{name} {worker.id}".encode(), digest_size=6).digest())
+                                  + 1) / 2**48) / worker.capacity, worker.id) for worker in self.fleet)
             function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
             function.order = [self.workers[worker] for _, worker in order]
             function.ranked_for = self.list_version
@@ -677,7 +679,7 @@
         load took lately. It serves where a gateway sees too few tasks for a pace of its own; harms where one
         worker's queue is of light work."""
         load = self.queued(worker, task.lanes, now) / worker.capacity
-        if self.warmth(self.functions[task.function], worker, now) <= 0:
+        if worker.report is None or worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
         wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
@@ -711,11 +713,7 @@
             if now >= look:
                 worker = self.choose(now, task, trail)
                 if worker is not None and not trail.relays and self.shed(now, task, track, worker):
-                    # A crowd at one worker is no crowded fleet: the next best takes it, if any is better off.
-                    trail.failed.append(worker)
-                    worker = self.choose(now, task, trail)
-                    if worker is None or self.shed(now, task, track, worker):
-                        break
+                    break
                 if worker is not None:
                     relay = yield Relay(worker.id)
                     look = self.sent(now, task, relay, worker, trail)
