--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -8,7 +8,6 @@
 """
 from collections import deque
 from hashlib import blake2b
-from math import log
 from statistics import median
 
 from gaproute.interface import (Decline, Effect, Found, Group, Listen, Order, Probe, Recall, Relay, Result,
@@ -20,7 +19,7 @@
 WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
 QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
-ROOM = 9               # tasks that a usual worker takes on, whatever the lanes of one copy: others' run too
+ROOM = 13              # tasks that a usual worker takes on, whatever the lanes of one copy: others' run too
 QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
@@ -480,11 +479,10 @@
         return doubt
 
     def ranks(self, name, function):
-        """A stable hash's order of the workers for a function: the same at every gateway and restart. Each is
-        first as often as its capacity says, else weak ones would get as many functions as strong ones."""
+        """A stable hash's order of the workers for a function: the same at every gateway and restart."""
         if function.ranked_for != self.list_version:
-            order = sorted((-log((int.from_bytes(blake2b(f"{name} {worker.id}".encode(), digest_size=6).digest())
-                                  + 1) / 2**48) / worker.capacity, worker.id) for worker in self.fleet)
+            order = sorted((blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
+                           for worker in self.fleet)
             function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
             function.order = [self.workers[worker] for _, worker in order]
             function.ranked_for = self.list_version
@@ -655,7 +653,7 @@
             return False
         if now - self.counted >= LOOK:
             self.counted, self.in_hand = now, 0
-            for key, (name, _, of, _, warm) in self.hands.items():
+            for key, (name, _, of, sent, warm) in self.hands.items():
                 worker = self.workers[name]
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
                                  and key not in worker.late
