--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -16,16 +16,16 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LONG = 1 << 62           # a time that never comes
 
-WARMTH = 6.0           # points for a fresh copy: it outweighs one full set of lanes, all memory and the prior
-QUEUE = 0.5            # points lost for each full set of lanes queued, where a load serves one task alone
-WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
+WARMTH = 6.0           # points for a fresh copy: it outweighs a free place, all memory and the prior
 ROOM = 9               # tasks that a usual worker takes on, whatever the lanes of one copy: others' run too
-QUEUE_HOT = 1.6        # the same for a hot function: few queued lanes repay one more copy
+QUEUE = 0.5            # points lost for each ROOM of tasks queued, where a load serves one task alone
+QUEUE_HOT = 1.6        # the same for a hot function: a shorter queue repays one more copy
+WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 MIX = 256              # own last tasks from which a function's share of the work is taken
 MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
-PRIOR = 2.0            # points for the stable hash's first choice: two sets of lanes, so load can overrule it
+PRIOR = 2.0            # points for the stable hash's first choice: a third of a copy's, which is kept
 PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
-PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on the order of spilling too
+PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on where to spill, ten deep
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
@@ -38,7 +38,7 @@
 LOAD_PATIENCE = 2      # usual load times more where a load is expected
 FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
 SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
-REPORT_LIFE = 2 * SECOND   # reports and refusals older than this say nothing of now
+REFUSAL_LIFE = 2 * SECOND  # refusals older than this say nothing of now
 LOAD_LIFE = 8 * SECOND     # reported queues older than this are forgotten: crowds by the hash last as long
 PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
 TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
@@ -90,7 +90,7 @@
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.bad = 0             # of the results
         self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
-        self.report, self.reported, self.memory = None, -REPORT_LIFE, None
+        self.report, self.reported, self.memory = None, -LOAD_LIFE, None
         self.tally, self.tally_until = None, 0   # see `tally`
         self.warm_at = -1        # from when it can do all of its work
         self.credit, self.credited = 0.0, 0      # chance of a relay to it while cold; when last raised
@@ -647,13 +647,13 @@
         tracks share the queues, so the shortest contract time sets how long they may get, and what earns
         least goes first.
         """
-        if sum([full and now - at < REPORT_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT:
+        if sum([full and now - at < REFUSAL_LIFE for at, full in self.refusals]) > FULL_FLEET * KEPT:
             return True          # most refuse: to go round the rest would only spread it
         if len(self.answers) < FLOWS // 2:
             return False
         if now - self.counted >= LOOK:
             self.counted, self.in_hand = now, 0
-            for key, (name, _, of, sent, warm) in self.hands.items():
+            for key, (name, _, of, _, warm) in self.hands.items():
                 worker = self.workers[name]
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
                                  and key not in worker.late
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -4,7 +4,7 @@
 from gaproute import interface as face
 from gaproute import policy
 from gaproute.interface import Result
-from gaproute.policy import FADE, LOOK, REPORT_LIFE, WIDE, Function, Trail
+from gaproute.policy import FADE, LOOK, REFUSAL_LIFE, WIDE, Function, Trail
 
 MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
@@ -323,6 +323,6 @@
     made = gateway()
     made.refusals.extend([(0, True)] * 5 + [(0, False)] * 3)
     assert Drive(made, task()).wishes == [face.Decline(SECOND)]
-    assert Drive(made, task("u"), REPORT_LIFE).sent    # nothing may come any more: refusals age
+    assert Drive(made, task("u"), REFUSAL_LIFE).sent    # nothing may come any more: refusals age
     made.refusals.append((1, False))
     assert Drive(made, task("v"), 1).sent
