--- a/gaproute/conf/moving.py
+++ b/gaproute/conf/moving.py
@@ -50,18 +50,20 @@
 
 def move(old_file, old_text, shape_file, shape_text, new_file):
     """(the new file's text, [Left]). Errors: `Mistakes` of the old file, of the shape, or of what they give."""
-    wrong = []
-    for read, args in ((read_charter, (old_file, old_text)), (read_shape, (shape_file, shape_text))):
-        try:
-            shape = read(*args)
-        except Mistakes as mistakes:
-            wrong += mistakes.mistakes
+    wrong, shape = [], {}
+    try:
+        read_charter(old_file, old_text)
+    except Mistakes as mistakes:
+        wrong += mistakes.mistakes
+    try:
+        shape = read_shape(shape_file, shape_text)
+    except Mistakes as mistakes:
+        wrong += mistakes.mistakes
     if wrong:
         raise Mistakes(wrong)
     lines, left, used = [], [], set()
-    tracks_left = set()
-    no_sizes = shape.get("sizes", {}).get("", (("",),))[0][0] == "no"
-    no_probes = shape.get("reports", {}).get("", ((), {}))[1].get("probes") == "no"
+    no_sizes = "sizes" in shape and shape["sizes"][""][0] == ("no",)
+    no_probes = "reports" in shape and shape["reports"][""][1].get("probes") == "no"
     for number, (raw, words) in enumerate(zip(old_text.splitlines(), _lines(old_text)), 1):
         def leave(what, why):
             left.append(Left(old_file, number, what, why))
@@ -73,7 +75,6 @@
         before = dict(keywords)
         if word in shape and key not in shape[word]:
             leave(" ".join(words), f"the new deployment has no {word} {key}")
-            tracks_left |= {key} if word == "track" else set()
             continue
         if word in shape:
             used.add((word, key))
