--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -1,18 +1,16 @@
-"""`gaproute serve|check|migrate|status|hosts|knows|peers|trial|day-script`. Exit codes: 0 well, 1 the thing asked
-about is not well (a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it could
-not be done."""
+"""`gaproute serve|check|migrate|status|hosts|knows|peers|trial|day-script`. Exit codes: 0 well, 1 the thing
+asked about is not well (a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it
+could not be done."""
 import gc
 import json
-import os
 import socket
 import sys
-import tempfile
 
 import click
 from rich.console import Console
 from rich.table import Table
 
-from gaproute.conf import Mistakes, move, read_charter, read_hosts, read_peers, read_text
+from gaproute.conf import Mistakes, move, read_charter, read_hosts, read_peers, read_text, write_whole
 from gaproute.loop.streams import address
 
 
@@ -97,8 +95,9 @@
 @click.option("--dry-run", is_flag=True, help="Print the result; write nothing.")
 @click.option("--replace", is_flag=True, help="Write NEW even where such a file stands.")
 def migrate(old, new, shape, dry_run, replace):
-    """Write NEW, the counterpart of the configuration OLD for a deployment of another shape, and tell each line
-    that could not be carried over. Exits 0 with all carried over, 1 with lines left behind, 2 refused."""
+    """Write NEW, the counterpart of the configuration OLD for a deployment of another shape, and tell each
+    line that could not be carried over. Exits 0 with all carried over, 1 with lines left behind, 2 where it
+    is refused."""
     try:
         texts = [read_text(file) for file in (old, shape)]
         text, left = move(old, texts[0], shape, texts[1], new)
@@ -108,40 +107,22 @@
         click.echo(text, nl=False)
     else:
         try:
-            if os.path.exists(new) and any(os.path.samefile(new, file) for file in (old, shape)):
-                raise FileExistsError      # also with --replace: the way back needs the old file
-            write_whole(new, text, replace)
+            write_whole(new, text, replace, kept=(old, shape))
         except FileExistsError:
-            click.echo(f"{new}: stands already; name another file or say --replace; nothing is written", err=True)
+            click.echo(f"{new}: stands already; name another file or say --replace; nothing is written",
+                       err=True)
             sys.exit(2)
         except OSError as fault:
-            click.echo(f"{new}: {fault.strerror}; name a file that can be written; nothing is written", err=True)
+            click.echo(f"{new}: {fault.strerror}; name a file that can be written; nothing is written",
+                       err=True)
             sys.exit(2)
     for each in left:
         click.echo(str(each), err=True)
-    click.echo(f"{len(left)} left behind; {'nothing is written' if dry_run else f'written: {new}'}", err=True)
+    done = "nothing is written" if dry_run else f"written: {new}"
+    click.echo(f"{len(left)} left behind; {done}", err=True)
     sys.exit(1 if left else 0)
 
 
-def write_whole(path, text, replace):
-    """The file whole or not at all: written beside it, then put in its place."""
-    folder = os.path.dirname(os.path.abspath(path))
-    fd, beside = tempfile.mkstemp(dir=folder, prefix=".migrate-")
-    try:
-        with os.fdopen(fd, "w") as file:
-            file.write(text)
-            file.flush()
-            os.fsync(file.fileno())
-        os.chmod(beside, 0o644)
-        if replace:
-            os.replace(beside, path)
-        else:
-            os.link(beside, path)      # fails where the file stands, also if it came meanwhile
-    finally:
-        if os.path.exists(beside):
-            os.unlink(beside)
-
-
 def ask(where, path):
     """One question to a gateway's operator address; exits 3 where nobody answers."""
     family, target = address(where)
@@ -251,6 +232,7 @@
 def trial(script, seed, decisions, out, plain):
     """Play the scripted day SCRIPT (a name that comes with the program, or a file) on loopback and judge
     it."""
+    import tempfile
     from pathlib import Path
 
     from gaproute.trial.run import Trial
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -371,7 +371,7 @@
 def _read_list(file, text, word, words):
     file = str(file)
     found, mistakes, _ = read_lines(file, read_text(file) if text is None else text, words)
-    mistakes += _twice(file, [(word, line) for _, line in found])
+    mistakes += twice(file, [(word, line) for _, line in found])
     if mistakes:
         raise Mistakes(mistakes)
     return [line for _, line in found]
@@ -385,7 +385,8 @@
         raise Mistakes([Mistake(file, 0, f"cannot be read: {fault}", "name a readable text file")]) from None
 
 
-def _twice(file, found):
+def twice(file, found):
+    """Mistakes for names that stand a second time."""
     first, mistakes = {}, []
     for word, line in found:
         if word in ("host", "track", "model", "tenant", "peer"):
@@ -398,7 +399,7 @@
 
 def _across(file, found, words):
     """What only shows between lines."""
-    mistakes = _twice(file, found)
+    mistakes = twice(file, found)
     tracks = [line.name for word, line in found if word == "track"]
     for word, cure in (
         ("listen", Listen.example),
--- a/gaproute/conf/moving.py
+++ b/gaproute/conf/moving.py
@@ -2,12 +2,15 @@
 
 The old file is kept line by line, with its comments. What the new deployment states stands in a file of the
 same syntax, the shape: its lines win keyword by keyword, and tracks and tenants that it names are all there
-are, each as stated there. What cannot be carried over is told with its line and why; the result is checked like any configuration.
+are, each as stated there. What cannot be carried over is told with its line and why; the result is checked
+like any configuration.
 """
+import os
 import shlex
+import tempfile
 from typing import NamedTuple
 
-from gaproute.conf.charter import WORDS, read_charter
+from gaproute.conf.charter import WORDS, read_charter, twice
 from gaproute.conf.lines import Mistake, Mistakes, read_lines
 
 # What a deployment states; everything else is the operator's own and stays as it is.
@@ -29,27 +32,24 @@
 def read_shape(file, text):
     """{word: {name or "": (places, keywords)}} as the shape states them. Errors: `Mistakes`."""
     found, mistakes, _ = read_lines(file, text, WORDS)
+    mistakes += twice(file, found)
     for word, line in found:
         if word not in STATED:
             mistakes.append(Mistake(file, line.line, f"{word} is no statement of a deployment",
                                     f"a shape holds {', '.join(STATED)}; the rest stays in the old file"))
     if not found and not mistakes:
         mistakes.append(Mistake(file, 0, "states nothing", "name what the new deployment states"))
-    shape = {}
-    for words in _lines(text) if not mistakes else ():
-        if words:
-            places, keywords = _parts(words)
-            key = places[0] if words[0] in NAMED else ""
-            if key in shape.setdefault(words[0], {}):
-                mistakes.append(Mistake(file, 0, f"{words[0]} {key} stands a second time", "keep one"))
-            shape[words[0]][key] = (places, keywords)
     if mistakes:
         raise Mistakes(sorted(mistakes, key=lambda mistake: mistake.line))
+    shape = {}
+    for words in filter(None, _lines(text)):
+        places, keywords = _parts(words)
+        shape.setdefault(words[0], {})[places[0] if words[0] in NAMED else ""] = (places, keywords)
     return shape
 
 
 def move(old_file, old_text, shape_file, shape_text, new_file):
-    """(the new file's text, [Left]). Errors: `Mistakes` of the old file, of the shape, or of what they give."""
+    """(the new file's text, [Left]). Errors: `Mistakes` of the old file, the shape, or what they give."""
     wrong, shape = [], {}
     try:
         read_charter(old_file, old_text)
@@ -62,11 +62,13 @@
     if wrong:
         raise Mistakes(wrong)
     lines, left, used = [], [], set()
+
+    def leave(what, why):
+        left.append(Left(old_file, number, what, why))
+
     no_sizes = "sizes" in shape and shape["sizes"][""][0] == ("no",)
     no_probes = "reports" in shape and shape["reports"][""][1].get("probes") == "no"
     for number, (raw, words) in enumerate(zip(old_text.splitlines(), _lines(old_text)), 1):
-        def leave(what, why):
-            left.append(Left(old_file, number, what, why))
         if not words:
             lines.append(raw)
             continue
@@ -80,8 +82,8 @@
             used.add((word, key))
             places, stated = shape[word][key]
             keywords = stated if word in NAMED else keywords | stated     # a track is stated whole
-        if word == "model" and keywords.get("track") not in shape.get("track", {keywords.get("track")}):
-            leave(" ".join(words), f"the new deployment has no track {keywords.get('track')}")
+        if word == "model" and "track" in shape and keywords["track"] not in shape["track"]:
+            leave(" ".join(words), f"the new deployment has no track {keywords['track']}")
             continue
         if word == "host" and no_sizes and keywords.pop("capacity", None) is not None:
             leave(f"host {places[0]} capacity {before['capacity']}", "no sizes of hosts are told there")
@@ -129,3 +131,25 @@
     for keyword, value in keywords.items():
         words += [keyword, value]
     return " ".join(shlex.quote(each) for each in words)
+
+
+def write_whole(path, text, replace, kept):
+    """The file whole or not at all: written beside it, then put in its place. One that stands is written over
+    where `replace` says so, never one of the `kept`: the way back needs them. Errors: `OSError`."""
+    if os.path.exists(path) and any(os.path.samefile(path, file) for file in kept):
+        raise FileExistsError
+    folder = os.path.dirname(os.path.abspath(path))
+    fd, beside = tempfile.mkstemp(dir=folder, prefix=".migrate-")
+    try:
+        with os.fdopen(fd, "w") as file:
+            file.write(text)
+            file.flush()
+            os.fsync(file.fileno())
+        os.chmod(beside, 0o644)
+        if replace:
+            os.replace(beside, path)
+        else:
+            os.link(beside, path)      # fails where the file stands, also if it came meanwhile
+    finally:
+        if os.path.exists(beside):
+            os.unlink(beside)
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -527,7 +527,7 @@
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
         queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
         prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
-        worth = WARMTH * max(1.0, (median(self.loads) if self.loads else 0) / self.shortest)
+        worth = WARMTH * max(1.0, self.load_usual(None) / self.shortest)
         doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
         for zone, until in self.silent.items():
             if now < until or trail.failed:
