--- a/benchmarks/kept_connections.py
+++ b/benchmarks/kept_connections.py
@@ -17,7 +17,8 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from gaproute.call import Call
-from gaproute.hosts import Hosts, Row
+from gaproute.hosts.fleet import Hosts
+from gaproute.hosts.rows import Row
 from gaproute.http1 import Limits, Server
 from gaproute.interface import Effect, Listed, Result, State
 from gaproute.loop import Loop, Promise
@@ -75,7 +76,7 @@
         yield loop.sleep(round(chance.random() * SECOND))
         while loop.now() < end:
             came = Promise()
-            hosts.relay(worker, call, effect, "t", came.set)
+            hosts.relay(worker, call, effect, "t", 0, came.set)
             heard = yield came
             results[heard.result] = results.get(heard.result, 0) + 1
             yield loop.sleep(SECOND + round(chance.uniform(-4, 4) * MILLI))
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -8,11 +8,10 @@
 from gaproute.appliance.keeping import Keeper
 from gaproute.conf import read_peers
 from gaproute.core.core import Core
-from gaproute.discovery import FileWatch, Listing
+from gaproute.discovery.listing import FileWatch, Listing
 from gaproute.door import Door
 from gaproute.fronts.kserve import Front
-from gaproute.hosts import Hosts
-from gaproute.hosts.fleet import Reach
+from gaproute.hosts.fleet import Hosts, Reach
 from gaproute.http1 import Server
 from gaproute.interface import State
 from gaproute.ledger import Memory, NoMemory
@@ -25,8 +24,8 @@
 from gaproute.peers import Giver, Gossip, Learner
 from gaproute.policy import Chance
 from gaproute.pooling import Pooling
-from gaproute.record import Record
-from gaproute.record.record import logger
+from gaproute.record.logs import logger
+from gaproute.record.record import Record
 
 MILLI = 1_000_000
 LAST_WORDS = 200 * MILLI     # after the last final answer, for its bytes to leave
--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -17,7 +17,7 @@
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address, listening
 from gaproute.policy import Chance
-from gaproute.record.record import logger
+from gaproute.record.logs import logger
 from gaproute.restarts import Restarts
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
--- a/gaproute/benchlink/wire.py
+++ b/gaproute/benchlink/wire.py
@@ -4,10 +4,10 @@
 from functools import wraps
 
 from gaproute import interface as face
+from gaproute import terms as start
 
 MICRO, MILLI = 1_000, 1_000_000
 
-EFFECTS = {"free": face.Effect.PURE, "guarded": face.Effect.RECEIPTED, "single_shot": face.Effect.EFFECTFUL}
 STATES = {"active": face.State.ACTIVE, "leaving": face.State.DRAINING, "left": face.State.GONE}
 RESULTS = {
     "0": face.Result.OK,
@@ -160,46 +160,5 @@
 
 @reader
 def terms(text):
-    """The start-up object as the module's terms; unknown keys are passed over."""
-    try:
-        told = json.loads(text)
-    except ValueError as fault:
-        raise WireFault(f"start-up object: {fault}") from fault
-    info, limits, rules = (told.get(key) or {} for key in ("family_info", "limits", "rules"))
-    tracks = tuple(
-        face.Track(
-            EFFECTS[lane["effect"]],
-            face.Group(lane.get("group") or "all"),
-            span(lane, "dedup_window"),
-            span(lane, "aim"),
-            span(lane, "deadline"),
-            float(lane.get("worth") or 1.0),
-        )
-        for lane in told.get("lanes") or ()
-    )
-    source = (told.get("report") or {}).get("source")
-    return face.Terms(
-        tracks=tracks,
-        tenant_shares=tuple(float(tenant.get("share") or 0.0) for tenant in told.get("tenants") or ()),
-        over_share_value=float(told.get("over_share_worth", 1.0)),
-        keep_alive=span(info, "idle_life"),
-        orders_allowed=bool(info.get("placement_calls")),
-        order_free=float(info.get("loads_anyway") or 0),
-        order_share=float(info.get("load_part") or 0),
-        order_window=span(info, "loads_within"),
-        counts_alike=bool(info.get("counts_alike")),
-        notes_warmth=bool(info.get("warm_notes")),
-        probes_allowed=bool(limits.get("probes")),
-        reports_by_probe=source == "pull",
-        recall_allowed=bool(limits.get("cancel")),
-        twins_allowed=bool(limits.get("may_duplicate")),
-        relay_limit=int(limits.get("send_cap") or 1),
-        advice_limit=span(limits, "max_retry_after") if limits.get("retry_after") else 0,
-        cold_share=float(rules.get("cold_from") or 0),
-        cold_time=span(rules, "cold"),
-        must_ask_list=told.get("membership_mode") == "on_request",
-    )
-
-
-def span(table, key):
-    return round(float(table.get(key) or 0) * 1000) * MICRO
+    """The start-up object as the module's terms."""
+    return start.terms(json.loads(text))
--- a/gaproute/call.py
+++ b/gaproute/call.py
@@ -9,6 +9,8 @@
     version: str                            # "" where the client named none
     fields: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    mark: str = ""                          # the client's own id of the task, where hosts are to see it
+    track: str = ""                         # the track's name, where hosts are told it
 
     @property
     def function(self):
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -33,7 +33,7 @@
 
 
 class Core(Driver):
-    """`hosts` gives `relay(worker, call, effect, task, done)`, `order(worker, function, copies, done)` and
+    """`hosts` gives `relay(worker, call, effect, task, limit, done)`, `order(worker, function, copies, done)` and
     `probe(worker, done)`; the first returns a call that takes the relay back."""
 
     def __init__(self, loop, gateway, terms, hosts, record, name):
@@ -128,7 +128,7 @@
     def relay(self, key, number, worker, now):
         held = self.held[key]
         held.relays += 1
-        take_back = self.hosts.relay(worker, held.call, self.tracks[held.track].effect, key,
+        take_back = self.hosts.relay(worker, held.call, self.tracks[held.track].effect, key, held.limit,
                                      lambda heard: self._came(key, number, heard))
         held.out[number] = (worker, now, take_back)
 
--- /dev/null
+++ b/gaproute/discovery/changelog/events.py
@@ -0,0 +1,137 @@
+"""Server-sent events out of an HTTP answer, and host lists out of events; never touches a socket."""
+import time
+
+import httptools
+import msgspec
+
+from gaproute.hosts.rows import Row
+from gaproute.interface import Listed, State
+from gaproute.loop.streams import address
+
+EVENT = 4 << 20          # bytes of one event: a host takes some 200
+MILLI = 1_000_000
+STATES = {"Ready": State.ACTIVE, "Terminating": State.DRAINING, "Gone": State.GONE}
+
+
+class Broken(Exception):
+    """What came is no log: ask again."""
+
+
+class Member(msgspec.Struct):
+    id: str
+    host_port: str
+    phase: str
+    locality: str | int = ""
+    cell: int | str = 0
+    size: float | None = 1.0
+    up_since_ms: int | float | None = 0
+
+
+class Fleet(msgspec.Struct):
+    members: list[Member]
+    complete: bool = False
+    revision: int | str | None = None
+
+
+class Event(msgspec.Struct):
+    seq: int
+    fleet: Fleet
+
+
+class Known(msgspec.Struct):
+    seq: int = 0
+    results: list[Event] = []
+
+
+_event = msgspec.json.Decoder(Event).decode
+
+
+class Reader:
+    """Feed bytes of the answer; take the events that became whole. A comment is a sign of life alone."""
+
+    def __init__(self):
+        self.parser = httptools.HttpResponseParser(self)
+        self.rest, self.data, self.size = b"", [], 0
+        self.events = []
+
+    def on_body(self, body):
+        *whole, self.rest = (self.rest + body).split(b"\n")
+        self.size += len(body)
+        if self.size > EVENT:
+            raise Broken("an event is too long")
+        for line in whole:
+            line = line.removesuffix(b"\r")
+            if line:
+                name, _, value = line.partition(b":")
+                if name == b"data":
+                    self.data.append(value.removeprefix(b" "))
+                continue
+            if self.data:
+                try:
+                    self.events.append(_event(b"\n".join(self.data)))
+                except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+                    raise Broken(f"an event cannot be read: {fault}") from None
+            self.data = []
+            self.size = len(self.rest)
+
+    def feed(self, data):
+        """Errors: Broken; what was whole before it stays in `events`."""
+        try:
+            self.parser.feed_data(data)
+            if self.parser.get_status_code() not in (0, 200):
+                raise Broken(f"status {self.parser.get_status_code()}")
+        except httptools.HttpParserError as fault:
+            cause = fault.__context__
+            raise Broken(str(cause if isinstance(cause, Broken) else fault)) from None
+        events, self.events = self.events, []
+        return events
+
+
+class Lister:
+    """Members as rows. Zones and cells that are not numbers are numbered as they are first named.
+
+    Start times come by the wall clock and leave by the loop's; each is converted once, so that a wall clock
+    that is set does not look like a restart.
+    """
+
+    def __init__(self, loop, zones, wall=time.time_ns):
+        self.loop, self.wall = loop, wall
+        self.zones = {name: number for number, name in enumerate(zones)}
+        self.cells, self.starts, self.refused = {}, {}, 0
+
+    def rows(self, fleet):
+        rows = []
+        for member in fleet.members:
+            try:
+                address(member.host_port)
+                rows.append(self.row(member))
+            except (ValueError, KeyError, OverflowError):
+                self.refused += 1
+        return rows
+
+    def row(self, member):
+        zone = self.zones.setdefault(member.locality, len(self.zones))
+        cell = member.cell if isinstance(member.cell, int) \
+            else self.cells.setdefault(member.cell, len(self.cells))
+        state = STATES[member.phase]
+        size = member.size if member.size is not None and member.size > 0 else 1.0
+        started = self.started(member.id, int(member.up_since_ms or 0))
+        if state is State.GONE:
+            self.starts.pop(member.id, None)
+        return Row(Listed(member.id, zone, cell, state, size, started), member.host_port)
+
+    def started(self, name, told):
+        if told <= 0:
+            self.starts.pop(name, None)
+            return None
+        known = self.starts.get(name)
+        if known is None or known[0] != told:
+            age = max(0, self.wall() - told * MILLI)     # a start in the future is one just now
+            known = self.starts[name] = (told, self.loop.now() - age)
+        return known[1]
+
+
+def known(told):
+    """(number of the last event, events) of the start. Errors: msgspec.ValidationError."""
+    told = msgspec.convert(told, Known)
+    return max([told.seq] + [event.seq for event in told.results]), told.results
--- /dev/null
+++ b/gaproute/discovery/changelog/follow.py
@@ -0,0 +1,89 @@
+"""Follows the log: one connection, asked again from the last number whenever it breaks or falls silent."""
+from gaproute.discovery.changelog.events import Broken, Reader
+from gaproute.loop import Stream, connect
+from gaproute.loop.streams import address
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+SILENCE = 2 * SECOND     # two of its comments missing: what it has to tell counts as told after 4 s
+CONNECT = 500 * MILLI    # for a connection: many round trips, and several tries within that time
+FIRST = 20 * MILLI       # before it is asked again; doubled with each try that told nothing
+LONGEST = 500 * MILLI    # between tries: told or not, its news counts as told soon after
+
+
+class Follower:
+    """`told(event)` for each new event, in order."""
+
+    def __init__(self, loop, where, last, told, chance):
+        self.loop, self.told, self.last, self.chance = loop, told, last, chance
+        self.where = self.text = None
+        self.stream = self.connecting = self.timer = self.reader = None
+        self.pause, self.heard, self.asked, self.gap = FIRST, loop.now(), 0, None
+        self.move(where)
+
+    def move(self, where):
+        """From now on the log is at that address; its numbers go on."""
+        if where != self.text:
+            self.text, self.where = where, address(where)
+            self.pause = FIRST
+            self.ask()
+
+    def ask(self):
+        self.cut()
+        self.asked += 1
+        self.connecting = connect(self.loop, self.where, CONNECT, self.connected)
+
+    def connected(self, sock, error):
+        self.connecting = None
+        if error is not None:
+            self.again()
+            return
+        self.reader = Reader()
+        self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again())
+        self.stream.write(b"GET /changes HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
+                          b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last))
+        self.timer = self.loop.after(SILENCE, self.quiet)
+
+    def bytes(self, data):
+        self.heard = self.loop.now()
+        self.pause = FIRST
+        try:
+            events = self.reader.feed(data)
+        except Broken:
+            events, self.reader.events = self.reader.events, []
+            self.again()
+        for event in events:
+            if event.seq <= self.last:
+                continue                 # written twice
+            if event.seq > self.last + 1 and not event.fleet.complete and self.gap != self.last:
+                self.gap = self.last     # something is missing: asked for once
+                self.again()
+                return
+            self.last = event.seq
+            self.told(event)
+
+    def quiet(self):
+        left = self.heard + SILENCE - self.loop.now()
+        if left <= 0:
+            self.again()
+        else:
+            self.timer = self.loop.after(left, self.quiet)
+
+    def again(self):
+        """Asks once more in a moment, spread by chance so that gateways do not all ask at once."""
+        self.cut()
+        wait = self.pause // 2 + self.pause * self.chance.below(1024) // 2048
+        self.pause = min(2 * self.pause, LONGEST)
+        self.timer = self.loop.after(wait, self.ask)
+
+    def cut(self):
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        if self.connecting is not None:
+            self.connecting()
+            self.connecting = None
+        if self.stream is not None:
+            self.stream.abort()
+            self.stream = None
+
+    close = cut
--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -4,7 +4,7 @@
 import time
 
 from gaproute.conf import Mistakes, read_hosts
-from gaproute.hosts import Row
+from gaproute.hosts.rows import Row
 from gaproute.interface import Listed, State
 
 STATES = {state.value: state for state in State}
--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -20,10 +20,17 @@
 RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
 HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
+WAY_BACK = 12 * MILLI    # of a client's time kept for the final answer: a turn of a busy loop and the way
+
 TAKE, DISPLACE, TURN_AWAY = "take", "displace", "turn away"
 KNOWN, FRESH, ARRIVING = "known", "fresh", "arriving"
 
 
+def way_back():
+    """How much of a client's time is kept for its final answer to leave and arrive."""
+    return WAY_BACK
+
+
 class Door:
     """`most`: connections of clients that the operator allows; `descriptors`: the process's limit."""
 
--- /dev/null
+++ b/gaproute/fronts/jsonrpc/messages.py
@@ -0,0 +1,210 @@
+"""JSON-RPC messages in and out; never touches a socket. The protocol's words stand here and nowhere else."""
+import binascii
+import math
+import re
+
+import msgspec
+
+HEAD = 512               # bytes of a message's head: its one field takes 30
+BODY = 48 * 1024         # bytes of a message: a body of 16 KiB in base64 takes 22, and the rest little
+ARG = 16 * 1024          # bytes of a task's body
+MEMORY, LOAD, LANES = 1e9, 1e9, 1024     # MB, ms, tasks a copy: figures beyond them mean nothing
+UNREADABLE, NO_REQUEST, NO_METHOD, NO_PARAMS, FAILED, REFUSED = -32700, -32600, -32601, -32602, -32000, -32008
+
+_ID = re.compile("[0-9a-f]{16}").fullmatch
+_LENGTH = re.compile(rb"content-length:[ \t]*([0-9]{1,9})[ \t]*", re.I).fullmatch
+_FIELD = re.compile(rb"[!-9;-~]+:[ -~\t]*").fullmatch
+
+
+class Fault(Exception):
+    """What came breaks the protocol. `number` is the request it is to be told under, or None."""
+
+    def __init__(self, code, text, number=None):
+        super().__init__(text)
+        self.code, self.text, self.number = code, text, number
+
+
+class Envelope(msgspec.Struct):
+    method: str
+    id: msgspec.Raw = msgspec.Raw()
+    params: msgspec.Raw = msgspec.Raw()
+    jsonrpc: str = ""
+
+
+class Params(msgspec.Struct):
+    i: str
+    d: int | float
+    o: str
+    arg: str = ""
+    extras: str = ""
+
+
+class Request(msgspec.Struct):
+    """A task as it was asked for, checked."""
+    number: int
+    method: str
+    mark: str
+    wait: int                # ns
+    function: str
+    lanes: int
+    load_time: int | None    # ns
+    body: bytes              # base64, as it came
+
+
+_envelope = msgspec.json.Decoder(Envelope).decode
+_params = msgspec.json.Decoder(Params).decode
+_any = msgspec.json.Decoder().decode
+
+
+class Reader:
+    """Bytes in, whole bodies out. Holds no more than one message; a longer one is a fault at its head."""
+
+    def __init__(self):
+        self.buffer, self.length = bytearray(), None
+
+    @property
+    def midway(self):
+        return bool(self.buffer) or self.length is not None
+
+    def feed(self, data):
+        """The bodies that the bytes completed; those before a fault are in its `bodies`."""
+        self.buffer += data
+        bodies = []
+        try:
+            while self._next(bodies):
+                pass
+        except Fault as fault:
+            fault.bodies = bodies
+            raise
+        return bodies
+
+    def _next(self, bodies):
+        if self.length is None:
+            end = self.buffer.find(b"\r\n\r\n", 0, HEAD + 4)
+            if end < 0:
+                if len(self.buffer) > HEAD:
+                    raise Fault(UNREADABLE, "the head is too long")
+                return False
+            self.length = self._length(bytes(self.buffer[:end]))
+            del self.buffer[:end + 4]
+        if len(self.buffer) < self.length:
+            return False
+        bodies.append(bytes(self.buffer[:self.length]))
+        del self.buffer[:self.length]
+        self.length = None
+        return bool(self.buffer)
+
+    def _length(self, head):
+        lengths = []
+        for line in head.split(b"\r\n"):
+            if not _FIELD(line):
+                raise Fault(UNREADABLE, "a head is lines of NAME: VALUE")
+            if line[:15].lower() == b"content-length:":
+                told = _LENGTH(line)
+                if told is None:
+                    raise Fault(UNREADABLE, "Content-Length is a whole number")
+                lengths.append(int(told[1]))
+        if len(lengths) != 1:
+            raise Fault(UNREADABLE, "a head has one Content-Length")
+        if not 0 < lengths[0] <= BODY:
+            raise Fault(UNREADABLE, f"a message has 1 to {BODY} bytes")
+        return lengths[0]
+
+
+def envelope(body):
+    """(number or None, method, params) of a body. Errors: Fault."""
+    try:
+        told = _envelope(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+        try:
+            _any(body)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+            raise Fault(UNREADABLE, "the message is no JSON") from None
+        raise Fault(NO_REQUEST, f"the message is no request: {fault}") from None
+    number = None
+    if told.id and bytes(told.id) != b"null":
+        text = bytes(told.id)
+        if not text.isdigit() or len(text) > 18 or int(text) < 1:
+            raise Fault(NO_REQUEST, "an id is a whole number from 1 up")
+        number = int(text)
+    if told.jsonrpc != "2.0":
+        raise Fault(NO_REQUEST, "jsonrpc is 2.0", number)
+    return number, told.method, told.params
+
+
+def request(number, method, params, longest):
+    """A task's request; `longest`: ns that a client of the track waits at most. Errors: Fault."""
+    def check(holds, text):
+        if not holds:
+            raise Fault(NO_PARAMS, text, number)
+
+    try:
+        told = _params(params)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+        raise Fault(NO_PARAMS, f"params: {fault}", number) from None
+    check(_ID(told.i), "i is 16 hex digits")
+    check(_ID(told.o), "o is 16 hex digits")
+    check(math.isfinite(told.d) and 0 < told.d * 1_000_000 <= longest + 1_000_000,
+          f"d is 1 to {longest // 1_000_000} ms")
+    figures = extras(told.extras)
+    check(figures is not None, "extras is NAME:FIGURE;NAME:FIGURE")
+    lanes, load, memory = figures.get("lanes", 1), figures.get("load_ms"), figures.get("memory_mb", 1)
+    check(lanes == int(lanes) and 1 <= lanes <= LANES, f"lanes is a whole number from 1 to {LANES}")
+    check(load is None or 0 <= load <= LOAD, "load_ms is out of range")
+    check(0 <= memory <= MEMORY, "memory_mb is out of range")
+    try:
+        body = told.arg.encode("ascii")
+        size = len(binascii.a2b_base64(body, strict_mode=True))
+    except (UnicodeEncodeError, binascii.Error):
+        raise Fault(NO_PARAMS, "arg is base64", number) from None
+    check(size <= ARG, f"arg has at most {ARG} bytes")
+    return Request(number, method, told.i, int(told.d * 1_000_000), told.o, int(lanes),
+                   None if load is None else int(load * 1_000_000), body)
+
+
+def extras(text):
+    """The further figures by name; None where they are not to be read."""
+    figures = {}
+    for pair in text.split(";") if text else ():
+        name, colon, value = pair.partition(":")
+        try:
+            figures[name] = float(value)
+        except ValueError:
+            return None
+        if not colon or not math.isfinite(figures[name]):
+            return None
+    return figures
+
+
+def withdrawn(params):
+    """The number, or else the mark, that an abort names; None where it names none."""
+    try:
+        told = _any(params)
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+        return None
+    if not isinstance(told, dict):
+        return None
+    named = told.get("id", told.get("i"))
+    return named if isinstance(named, (int, str)) and not isinstance(named, bool) else None
+
+
+# Answers
+
+def framed(body):
+    return b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+def result(number, body):
+    return framed(b'{"jsonrpc":"2.0","id":%d,"result":{"arg":"%b"}}' % (number, body))
+
+
+def pong(number, up):
+    return framed(b'{"jsonrpc":"2.0","id":%d,"result":{"up":%b}}' % (number, b"true" if up else b"false"))
+
+
+def error(number, code, text, stay_away=0):
+    """`stay_away`: ns, told with a refusal."""
+    told = {"code": code, "message": text}
+    if stay_away:
+        told["data"] = {"w": -(-stay_away // 1_000_000)}
+    return framed(msgspec.json.encode({"jsonrpc": "2.0", "id": number, "error": told}))
--- a/gaproute/hosts/fleet.py
+++ b/gaproute/hosts/fleet.py
@@ -9,19 +9,13 @@
 from gaproute.core.core import Heard
 from gaproute.hosts import kserve, orca, proof
 from gaproute.http1 import Exchange
-from gaproute.interface import Effect, Listed, Result, State
+from gaproute.interface import Effect, Result, State
 from gaproute.loop.streams import address
 
 SECOND = 1_000_000_000
 PASSED = (b"content-type", b"inference-header-content-length", b"content-encoding")
 
 
-class Row(NamedTuple):
-    """A host of the list: what the module is told of it, and where it answers."""
-    listed: Listed
-    where: str
-
-
 class Reach(NamedTuple):
     """How hosts are reached."""
     connect_time: int = 250_000_000
@@ -169,7 +163,7 @@
 
     # What the core wishes
 
-    def relay(self, worker, call, effect, task, done):
+    def relay(self, worker, call, effect, task, limit, done):
         """One relay; `done(heard)` once, never at once. Returns a call that takes it back."""
         host = self.hosts[worker]
 
--- /dev/null
+++ b/gaproute/hosts/jsonlines/__init__.py
@@ -0,0 +1,1 @@
+"""Hosts that take commands as lines of JSON, many on one connection."""
--- /dev/null
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -0,0 +1,299 @@
+"""The hosts as sockets that carry lines: connections, relays, orders and probes. What it sees it reports.
+
+Which connection a request goes out on is `gaproute.pooling`'s decision, what an end proves `proof`'s table.
+"""
+from gaproute.core.core import Heard
+from gaproute.hosts import proof
+from gaproute.hosts.jsonlines import lines
+from gaproute.interface import Effect, Result, State
+from gaproute.loop import Stream, connect
+from gaproute.loop.streams import address
+
+SECOND = 1_000_000_000
+
+
+class Asked:
+    """One request on a connection. `done(reply or None, what its failure proves or None)` once, never at
+    once."""
+
+    __slots__ = ("id", "data", "done", "effect", "sent", "start")
+
+    def __init__(self, name, data, done, effect, now):
+        self.id, self.data, self.done, self.effect, self.sent = name, data, done, effect, now
+        self.start = None                # bytes written on its connection before it; None: none of it yet
+
+
+class Link:
+    """A connection to one host, from the moment it is opened; requests wait on it until it stands."""
+
+    def __init__(self, host):
+        self.host, self.hosts = host, host.hosts
+        loop = self.hosts.loop
+        self.open, self.done_with = {}, set()    # id: Asked; ids given up that may still be answered
+        self.reader, self.stream = lines.Reader(), None
+        self.written = 0
+        self.opened = self.used = self.heard = loop.now()
+        self.trusted = True
+        self.stop_connecting = connect(loop, host.where, self.hosts.connect_time, self.connected)
+
+    def connected(self, sock, error):
+        if error is not None:
+            self.fail(error)
+            return
+        self.stop_connecting = None
+        self.stream = Stream(self.hosts.loop, sock, self.bytes, self.fail)
+        for asked in list(self.open.values()):
+            self.write(asked)
+
+    def ask(self, asked):
+        self.open[asked.id] = asked
+        if self.stream is not None:
+            self.write(asked)
+
+    def write(self, asked):
+        asked.start = self.written
+        self.written += len(asked.data)
+        self.stream.write(asked.data)
+        asked.data = None
+
+    def handed(self, asked):
+        return asked.start is not None and self.stream.handed > asked.start
+
+    def bytes(self, data):
+        self.heard = self.hosts.loop.now()
+        spoilt = None
+        try:
+            replies = self.reader.feed(data)
+        except lines.Spoilt as fault:
+            spoilt, replies = fault, fault.args[1]
+        for reply in replies:
+            asked = self.open.pop(str(reply.req), None)
+            if asked is None:
+                self.hosts.strays += 1
+                continue
+            self.used = self.heard
+            asked.done(reply, None)
+        if spoilt is not None:
+            self.hosts.spoilt += 1
+            self.fail(spoilt)
+        elif not self.trusted and not self.open:
+            self.drop()
+
+    def fail(self, error):
+        """The connection is at its end: each request on it has failed, by how far it got."""
+        ended = [(asked, self.ended_as(asked, error)) for asked in self.open.values()]
+        if not ended and error is None and self.trusted:
+            self.hosts.pooling.closed(self.hosts.loop.now(), self.host.name,
+                                      self.hosts.loop.now() - self.used)
+        self.open = {}
+        self.drop()
+        for asked, result in ended:
+            asked.done(None, result)
+
+    def ended_as(self, asked, error):
+        result = proof.of_failure(self.handed(asked))
+        return Result.ERROR if result is Result.RESET and isinstance(error, lines.Spoilt) else result
+
+    def give_up(self, asked):
+        """The request is no longer wanted: it is halted, or its connection ends where that was silent."""
+        if self.open.get(asked.id) is not asked:
+            return
+        del self.open[asked.id]
+        if asked.start is None:
+            if not self.open:
+                self.drop()
+            return
+        self.done_with.add(asked.id)
+        if self.hosts.pooling.silent(self.hosts.loop.now(), max(asked.sent, self.heard)):
+            self.trusted = False
+        if not self.open and (not self.trusted or self.stream.waiting):
+            self.drop()
+        else:
+            self.used = self.hosts.loop.now()
+            self.stream.write(data := lines.halt(asked.id))
+            self.written += len(data)
+
+    def drop(self):
+        """Ends the connection; nothing is called."""
+        self.host.links.discard(self)
+        self.trusted = False
+        if self.stop_connecting is not None:
+            self.stop_connecting()
+            self.stop_connecting = None
+        if self.stream is not None:
+            self.stream.abort()
+        self.host.forget()
+
+
+class Host:
+    def __init__(self, hosts, row):
+        self.hosts, self.name, self.where = hosts, row.listed.worker, address(row.where)
+        self.text = row.where
+        self.links = {}                  # as an ordered set
+        self.active = self.listed = True
+
+    def forget(self):
+        if not self.listed and not self.links:
+            self.hosts.hosts.pop(self.name, None)
+            self.hosts.pooling.gone(self.name)
+
+
+class Links(dict):
+    """An ordered set: what is chosen among them must not hang on addresses in memory."""
+
+    def add(self, link):
+        self[link] = None
+
+    def discard(self, link):
+        self.pop(link, None)
+
+
+class Hosts:
+    def __init__(self, loop, pooling, site, room):
+        """`room`: connections to all hosts together."""
+        self.loop, self.pooling, self.room = loop, pooling, room
+        self.connect_time = site.connect_time or 250_000_000
+        self.probe_time = self.connect_time
+        self.order_time = site.order_time or 10 * SECOND
+        self.shared, self.counts = site.shared, site.counts_alike
+        self.hosts, self.tags = {}, 0
+        self.opened = self.reused = self.doubled = self.spoilt = self.strays = self.unread = 0
+        self.sweep()
+
+    def listed(self, rows, complete):
+        """From now on nothing more goes to hosts that drain or are gone; what they hold runs on."""
+        for row in rows:
+            host = self.hosts.get(row.listed.worker)
+            if host is None:
+                host = self.hosts[row.listed.worker] = Host(self, row)
+                host.links = Links()
+            elif host.text != row.where:
+                host.text, host.where = row.where, address(row.where)
+                self.rest(host)
+            host.active = row.listed.state is State.ACTIVE
+            host.listed = row.listed.state is not State.GONE
+        if complete:
+            named = {row.listed.worker for row in rows}
+            for host in self.hosts.values():
+                if host.name not in named:
+                    host.active = host.listed = False
+        for host in list(self.hosts.values()):
+            if not host.active:
+                self.rest(host)
+                host.forget()
+
+    def rest(self, host):
+        """What waits to be handed over never goes out; idle connections end."""
+        for link in list(host.links):
+            if link.stream is None or link.stream.waiting or not link.open:
+                self.loop.soon(link.fail, OSError("the host drains or is gone"))
+
+    # Connections
+
+    def links(self):
+        return sum(len(host.links) for host in self.hosts.values())
+
+    def ask(self, host, name, data, effect, done):
+        """A request on the connection that pooling picks; None where there is none."""
+        now = self.loop.now()
+        link = self.pooling.pick(now, host.name, effect, host.links, name, self.shared)
+        while link is not None and not link.open and effect is not Effect.PURE and not link.stream.quiet():
+            link.drop()          # it shows an end or a word not asked for: a pure task may go again
+            link = self.pooling.pick(now, host.name, effect, host.links, name, self.shared)
+        if link is None or link.open and self.make_room():
+            link, self.opened = Link(host), self.opened + 1
+            host.links.add(link)
+        elif link.open:
+            self.doubled += 1
+        else:
+            self.reused += 1
+        asked = Asked(name, data, done, effect, now)
+        link.ask(asked)
+        return link, asked
+
+    def make_room(self):
+        """Whether one more connection fits; an idle one of any host, the longest at rest, ends for it."""
+        if self.links() < self.room:
+            return True
+        idle = [link for host in self.hosts.values() for link in host.links if not link.open]
+        if idle:
+            min(idle, key=lambda link: link.used).drop()
+        return bool(idle)
+
+    def sweep(self):
+        """Connections that rested too long for any task are closed from this side, before the host does."""
+        now = self.loop.now()
+        for host in list(self.hosts.values()):
+            for link in list(host.links):
+                if not link.open and now - link.used > self.pooling.safe_rest(now, host.name, Effect.PURE,
+                                                                             None):
+                    link.drop()
+        self.sweeper = self.loop.after(SECOND, self.sweep)
+
+    def tag(self):
+        self.tags += 1
+        return f"g{self.tags}"
+
+    # What the core wishes
+
+    def relay(self, worker, call, effect, task, limit, done):
+        """One relay; `done(heard)` once, never at once. Returns a call that takes it back."""
+        host = self.hosts.get(worker)
+        if host is None or not host.active:
+            return self.never(done, Result.CONNECT_FAILED)
+
+        def came(reply, failure):
+            said = Heard(failure, None) if reply is None else lines.heard(reply, self.counts)
+            if said is None:
+                self.unread += 1
+                said = Heard(Result.ERROR, None)
+            done(said)
+
+        link, asked = self.ask(host, call.mark, lines.relay(call, limit - self.loop.now()), effect, came)
+        return lambda: link.give_up(asked)
+
+    def never(self, done, result):
+        over = []
+        self.loop.soon(lambda: over or done(Heard(result, None)))
+        return lambda: over.append(True)
+
+    def order(self, worker, function, copies, done):
+        """A load order; `done(result, copies that stand)` once, never at once."""
+        def read(reply, failure):
+            return (failure, 0) if reply is None else lines.stands(reply) or (Result.ERROR, 0)
+
+        tag = self.tag()
+        self.tagged(worker, tag, lines.order(tag, function, copies), self.order_time, read, done,
+                    (Result.CONNECT_FAILED, 0), (Result.TIMEOUT, 0))
+
+    def probe(self, worker, done):
+        """Readiness and load; `done(good, report)` once, never at once."""
+        def read(reply, failure):
+            return (reply is not None and lines.health(reply)) or (False, None)
+
+        tag = self.tag()
+        self.tagged(worker, tag, lines.probe(tag), self.probe_time, read, done, (False, None), (False, None))
+
+    def tagged(self, worker, tag, data, within, read, done, unsent, late):
+        host = self.hosts.get(worker)
+        if host is None or not host.active:
+            self.loop.soon(done, *unsent)
+            return
+
+        def came(reply, failure):
+            timer.cancel()
+            done(*read(reply, failure))
+
+        def overtime():
+            link.give_up(asked)
+            done(*late)
+
+        link, asked = self.ask(host, tag, data, Effect.PURE, came)
+        timer = self.loop.after(within, overtime)
+
+    def close(self):
+        self.sweeper.cancel()
+        for host in list(self.hosts.values()):
+            for link in list(host.links):
+                link.open = {}
+                link.drop()
--- /dev/null
+++ b/gaproute/node/__main__.py
@@ -0,0 +1,30 @@
+"""`python -m gaproute.node`: one gateway of the platform, as the environment says. Exit codes: 0 stopped, 2
+the environment or the configuration cannot be used, 3 the address cannot be listened on."""
+import gc
+import sys
+
+from gaproute.node.charter import Refused, environment, read
+from gaproute.node.process import Process
+
+
+def main():
+    try:
+        name, listen, path = environment()
+        process = Process(path, read(path), name, listen)
+    except Refused as fault:
+        print(fault, file=sys.stderr)
+        return 2
+    process.heed_signals()
+    try:
+        process.start()
+    except OSError as fault:
+        print(f"cannot listen on {process.listen}: {fault.strerror}", file=sys.stderr)
+        return 3
+    gc.collect()
+    gc.freeze()      # what stands for good is not looked through again and again
+    process.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/gaproute/node/process.py
@@ -0,0 +1,137 @@
+"""One gateway of the platform: its parts wired, started, told anew and stopped. Decides nothing."""
+import os
+import signal
+import traceback
+
+from gaproute.core.core import Core
+from gaproute.discovery.changelog import events
+from gaproute.discovery.changelog.follow import Follower
+from gaproute.door import Door, way_back
+from gaproute.fronts.jsonrpc.front import Front
+from gaproute.hosts.jsonlines.fleet import Hosts
+from gaproute.lobby import Lot
+from gaproute.lobby.lot import descriptors
+from gaproute.loop import Loop
+from gaproute.loop.streams import address
+from gaproute.node import charter as charters
+from gaproute.node.log import Log
+from gaproute.policy import Chance, Gateway
+from gaproute.pooling import Pooling, share_out
+from gaproute.record.record import Record
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+STATUS = 5 * SECOND          # between lines of status: a few of them in the shortest day
+STILL_COMING = 800 * MILLI   # after SIGTERM, in which clients still come: 0.6 s, and a turn or two
+LAST_WORDS = 50 * MILLI      # after the last final answer, for its bytes to leave
+
+
+class Process:
+    def __init__(self, path, told, name=None, listen=None, loop=None, log=None):
+        self.path = path
+        self.charter, self.terms, self.site = told
+        self.name, self.listen = name or self.charter.name, listen or self.charter.listen
+        self.loop = loop = loop or Loop()
+        self.log = log or Log()
+        loop.on_error = lambda error: self.log.error("error", error=repr(error), trace="".join(
+            traceback.format_exception(error))[-2000:])
+        seed = int(self.charter.seed, 16)
+        self.record = Record(self.log, self.site.tracks)
+        sockets = min(self.charter.limits.sockets, descriptors())
+        clients, to_hosts = share_out(sockets)
+        self.hosts = Hosts(loop, Pooling(), self.site, to_hosts)
+        self.core = Core(loop, Gateway(seed, self.terms, loop.now()), self.terms, self.hosts, self.record,
+                         self.name)
+        Lot.of(loop).door = Door(clients, clients, sockets, Chance(seed + 3))
+        self.lister = events.Lister(loop, self.site.zones)
+        self.seed, self.sockets = seed, sockets
+        self.front = self.follower = None
+        self.stopping = False
+
+    def start(self):
+        """Errors: OSError where the address cannot be listened on."""
+        self.front = Front(self.loop, address(self.listen), self.core, self.site.tracks, self.terms.tracks,
+                           self.ready, way_back())
+        last, known = events.known(self.charter.known)
+        for event in known:
+            self.told(event)
+        self.follower = Follower(self.loop, self.charter.changelog, last, self.told, Chance(self.seed + 1))
+        self.log.info("started", name=self.name, listen=self.front.address, hosts=len(self.hosts.hosts),
+                      sockets=self.sockets, clients=Lot.of(self.loop).door.most, to_hosts=self.hosts.room,
+                      limits=self.charter.limits, reported=self.site.reported)
+        self.status()
+
+    def told(self, event):
+        rows = self.lister.rows(event.fleet)
+        complete = event.fleet.complete
+        self.hosts.listed(rows, complete)
+        self.core.listed([row.listed for row in rows], complete)
+        self.log.info("list", seq=event.seq, complete=complete,
+                      rows=[[row.listed.worker, row.where, row.listed.state.value] for row in rows[:64]])
+
+    def ready(self):
+        return not self.stopping and any(host.active for host in self.hosts.hosts.values())
+
+    # Signals
+
+    def heed_signals(self):
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.on_signal(number, self.stop)
+        self.loop.on_signal(signal.SIGHUP, self.reload)
+
+    def reload(self):
+        """The file anew: the log's address may have moved. A file that cannot be used changes nothing."""
+        try:
+            charter, _, _ = charters.read(self.path)
+        except charters.Refused as fault:
+            self.log.error("configuration refused", text=str(fault))
+            return
+        self.log.info("configuration", changelog=charter.changelog)
+        self.charter = charter
+        if self.follower is not None:
+            self.follower.move(charter.changelog)
+
+    def stop(self):
+        """Goes on serving while clients still come, then takes nothing new, ends what is held and leaves."""
+        if not self.stopping:
+            self.stopping = True
+            self.log.info("stopping", held=len(self.core.held))
+            self.loop.after(STILL_COMING, self.shut)
+
+    def shut(self):
+        self.front.stop()
+        self.core.emptied = self.leave
+        if not self.core.held:
+            self.leave()
+
+    def leave(self):
+        self.loop.after(LAST_WORDS, self.loop.stop)
+
+    def run(self):
+        self.loop.run()
+        self.status()
+        self.log.info("stopped", held=len(self.core.held))
+        for part in (self.front, self.follower, self.hosts):
+            part.close()
+
+    # For whoever reads the log
+
+    def status(self):
+        hosts, front, gateway = self.hosts, self.front, self.core.gateway
+        held = {name: [len(host.links), sum(len(link.open) for link in host.links)]
+                for name, host in hosts.hosts.items()}
+        believed = {worker.id: [round(gateway.queued(worker, 1, self.loop.now()), 1), round(worker.slow, 1),
+                                len(worker.out)] for worker in gateway.fleet}
+        self.log.info("status", held=len(self.core.held), counts=self.record.table(), links=held,
+                      believed=believed, clients=Lot.of(self.loop).held, parked=front.parked,
+                      faults=front.faults, turned_away=front.turned_away, opened=hosts.opened,
+                      reused=hosts.reused, doubled=hosts.doubled, spoilt=hosts.spoilt, strays=hosts.strays,
+                      late_turns=self.loop.late_turns, descriptors=len(os.listdir("/proc/self/fd")),
+                      memory_mb=memory(), cpu_s=round(sum(os.times()[:2]), 2),
+                      log_seq=self.follower.last if self.follower else 0,
+                      log_silent_ms=(self.loop.now() - self.follower.heard) // MILLI if self.follower else 0)
+        self.loop.after(STATUS, self.status)
+
+
+def memory():
+    with open("/proc/self/statm") as file:
+        return round(int(file.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 2**20, 1)
--- a/gaproute/pooling.py
+++ b/gaproute/pooling.py
@@ -18,9 +18,21 @@
 LONGEST = 20 * SECOND    # rest after which none is used: most servers close between 5 and 75 s
 SHARE = 0.5              # of the shortest rest after which this host closed one, or said that it would
 SEEN = 8                 # closings remembered for each host
+SILENCE = SECOND         # nothing heard on a connection for so long when a request on it is given up: answers
+#                          take a few tenths, loads longer; a false one costs a handshake
 FORGET = 300 * SECOND    # a closing seen so long ago says nothing: the host may have been set up anew
 
 
+CLIENTS_SHARE = 0.4      # of the descriptors for clients' connections: clients take at most a third
+OWN = 24                 # descriptors for the log, the epolls, the listener, signals and a few to spare
+
+
+def share_out(descriptors):
+    """(connections of clients, connections to hosts) that the descriptors allow."""
+    clients = int(CLIENTS_SHARE * descriptors)
+    return clients, descriptors - clients - OWN
+
+
 class Pooling:
     def __init__(self):
         self.closings = {}       # worker: (time, how long the connection had rested)
@@ -40,3 +52,28 @@
             seen.append(told)
         longest = LONGEST if effect is Effect.PURE else CALM
         return min(longest, int(min(seen) * SHARE)) if seen else longest
+
+    # Connections that carry several requests at once
+
+    def silent(self, now, since):
+        """Whether a request given up was met by a silence that says that its connection is dead."""
+        return now - since > SILENCE
+
+    def pick(self, now, worker, effect, links, name, most):
+        """The connection for a request of that id, or None for a new one; one with requests open is only a
+        second choice, for where no new one can be had.
+
+        One relay a connection as long as they last: a spoilt answer or a reset ends all that is on it. Never
+        one that has carried the id before: a late answer to that would be taken for this one's.
+        """
+        free, shared = None, None
+        for link in links:
+            if not link.trusted or name in link.open or name in link.done_with:
+                continue
+            if not link.open:
+                if (free is None or link.used > free.used) and \
+                        now - link.used <= self.safe_rest(now, worker, effect, None):
+                    free = link
+            elif len(link.open) < most and (shared is None or len(link.open) < len(shared.open)):
+                shared = link
+        return free or shared
--- a/gaproute/record/record.py
+++ b/gaproute/record/record.py
@@ -1,23 +1,10 @@
-"""Counts and the last events of one gateway, and its log. Logs are structlog's, a line of JSON each."""
-import sys
+"""Counts and the last events of one gateway."""
 from collections import Counter, deque
 
-import structlog
-
 LAST = 256               # events kept for an operator's look
 TIMES = 512              # last answer times kept for each track
 
 
-def logger(stream=None, level="info"):
-    """A logger that writes lines of JSON to `stream` (standard error)."""
-    levels = {"debug": 10, "info": 20, "warning": 30, "error": 40}
-    return structlog.wrap_logger(
-        structlog.WriteLogger(stream or sys.stderr),
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso", utc=True),
-                    structlog.processors.JSONRenderer()],
-        wrapper_class=structlog.make_filtering_bound_logger(levels[level]))
-
-
 class Record:
     def __init__(self, log, tracks):
         self.log, self.tracks = log, tracks       # names of the tracks, in their order
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,7 @@
 import pytest
 from gaproute.appliance import Appliance
 from gaproute.conf import read_charter
-from gaproute.record.record import logger
+from gaproute.record.logs import logger
 from helpers import CHARTER, Rig
 from hypothesis import settings
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,7 @@
 from gaproute.loop import Loop, Promise
 from gaproute.loop.streams import address
 from gaproute.policy import MILLI, SECOND, Gateway
-from gaproute.record.record import logger
+from gaproute.record.logs import logger
 from gaproute.standins.host import Host, Make, Model
 from gaproute.standins.store import Store
 from gaproute.standins.tap import Tap
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,7 +4,7 @@
 from gaproute.call import Answer, Call, Ending
 from gaproute.core.core import Core, Heard
 from gaproute.loop import Loop, Stepped
-from gaproute.record import Record
+from gaproute.record.record import Record
 from helpers import TERMS
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
@@ -31,7 +31,7 @@
     def __init__(self):
         self.sent, self.taken_back = [], []
 
-    def relay(self, worker, call, effect, task, done):
+    def relay(self, worker, call, effect, task, limit, done):
         self.sent.append(done)
         return lambda: self.taken_back.append(worker)
 
