--- /dev/null
+++ b/tests/test_changelog.py
@@ -0,0 +1,156 @@
+"""The log of changes: events out of bytes, and the one connection that follows it."""
+import json
+
+import msgspec
+import pytest
+from gaproute.discovery.changelog import events
+from gaproute.discovery.changelog import follow as following
+from gaproute.discovery.changelog.follow import Follower
+from gaproute.interface import State
+from gaproute.loop import Loop
+from gaproute.policy import Chance
+from gaproute.standins.platform import ChangeLog, event, sse
+from hypothesis import given
+from hypothesis import strategies as st
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+ONE = event(1, ("s-1", "127.0.0.1:5", "Ready"), complete=True)
+TWO = event(2, ("s-1", "127.0.0.1:5", "Terminating"))
+
+
+@pytest.mark.parametrize("cut", range(1, 90, 11))
+@pytest.mark.parametrize("chunked", [True, False])
+def test_events_are_read_however_the_bytes_are_split(cut, chunked):
+    parts = [b": alive\n\n", sse(ONE), b": alive\n\n", sse(TWO).replace(b"\n", b"\r\n")]
+    data = HEAD + b"\r\n" + b"".join(parts)
+    if chunked:
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(
+            b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    reader = events.Reader()
+    got = [each.seq for at in range(0, len(data), cut) for each in reader.feed(data[at:at + cut])]
+    assert got == [1, 2]
+
+
+def test_half_an_event_is_no_event():
+    reader = events.Reader()
+    assert [each.seq for each in reader.feed(HEAD + b"\r\n" + sse(ONE) + sse(TWO)[:-1])] == [1]
+
+
+@pytest.mark.parametrize("data", [b"HTTP/1.1 503 No\r\n\r\n", b"noise\r\n\r\n",
+                                  HEAD + b"\r\ndata: {\n\n", HEAD + b"\r\ndata: {\"seq\":\"x\"}\n\n"])
+def test_what_is_no_log_is_broken(data):
+    with pytest.raises(events.Broken):
+        events.Reader().feed(data)
+
+
+@given(st.lists(st.binary(max_size=80), max_size=10))
+def test_arbitrary_bytes_raise_nothing_else(pieces):
+    reader = events.Reader()
+    try:
+        reader.feed(HEAD + b"\r\n")
+        for piece in pieces:
+            reader.feed(piece)
+    except events.Broken:
+        pass
+
+
+def test_members_become_rows_in_the_modules_terms():
+    loop = Loop(lambda: 50 * SECOND)
+    lister = events.Lister(loop, ["hall-b", "hall-a"], lambda: 1_000 * SECOND)
+    told = msgspec.convert(event(1, ("s-1", "127.0.0.1:5", "Ready"), ("s-2", "nowhere", "Ready"),
+                                 ("s-3", "127.0.0.1:6", "Odd")), events.Event)
+    told.fleet.members[0].up_since_ms = 990_000
+    row, = lister.rows(told.fleet)
+    assert (row.listed.worker, row.listed.zone, row.listed.cell, row.where) == ("s-1", 1, 2, "127.0.0.1:5")
+    assert (row.listed.state, row.listed.capacity, row.listed.started) == (State.ACTIVE, 4.0, 40 * SECOND)
+    assert lister.refused == 2
+    loop.close()
+
+
+class Followed:
+    def __init__(self, script, last=0):
+        self.loop, self.told = Loop(), []
+        self.log = ChangeLog(self.loop, script)
+        self.follower = Follower(self.loop, self.log.address, last, lambda each: self.told.append(each.seq),
+                                 Chance(1))
+
+    def until(self, condition):
+        end = self.loop.now() + 5 * SECOND
+        while not condition():
+            assert self.loop.now() < end, "waited too long"
+            self.loop.after(MILLI, lambda: None)
+            self.loop.turn()
+
+
+@pytest.fixture
+def follow():
+    made = []
+
+    def start(*args, **told):
+        made.append(Followed(*args, **told))
+        return made[-1]
+
+    yield start
+    for each in made:
+        each.follower.close()
+        each.log.close()
+        each.loop.close()
+
+
+def test_it_asks_from_the_last_number_and_passes_over_what_is_written_twice(follow):
+    made = follow(lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE), last=1)
+    made.until(lambda: made.told)
+    assert made.log.came == [1] and made.told == [2]
+
+
+def test_a_break_in_an_event_is_asked_again_and_nothing_is_lost(follow):
+    made = follow(lambda last: sse(TWO)[:40] if len(made.log.came) == 1 else sse(TWO), last=1)
+    made.until(lambda: made.log.streams and made.log.came)
+    made.log.streams[0].abort()
+    made.until(lambda: made.told)
+    assert made.told == [2] and made.log.came == [1, 1]
+
+
+def test_an_unreadable_event_is_asked_again(follow):
+    made = follow(lambda last: b"data: {broken\n\n" if len(made.log.came) == 1 else sse(TWO), last=1)
+    made.until(lambda: made.told)
+    assert made.told == [2] and made.log.came == [1, 1]
+
+
+def test_a_gap_is_asked_for_once_and_then_taken_as_it_is(follow):
+    three = event(3, ("s-1", "127.0.0.1:5", "Gone"))
+    made = follow(lambda last: sse(three), last=1)
+    made.until(lambda: made.told)
+    assert made.told == [3] and made.log.came == [1, 1]
+
+
+def test_silence_beyond_the_comments_pace_is_asked_again(follow, monkeypatch):
+    monkeypatch.setattr(following, "SILENCE", 30 * MILLI)
+    made = follow(lambda last: b"" if len(made.log.came) == 1 else sse(ONE))
+    made.until(lambda: made.told)
+    assert made.log.came == [0, 0]
+
+
+def test_another_address_is_followed_from_the_last_number(follow):
+    made = follow(lambda last: sse(ONE) if last == 0 else b"")
+    made.until(lambda: made.told)
+    other = ChangeLog(made.loop, lambda last: sse(TWO))
+    made.follower.move(other.address)
+    made.follower.move(other.address)
+    made.until(lambda: made.told == [1, 2])
+    assert other.came == [1]
+    other.close()
+
+
+def test_a_log_that_is_down_is_asked_less_and_less_often(follow):
+    made = follow(lambda last: b"")
+    made.log.close()
+    made.until(lambda: made.follower.asked >= 4)
+    assert made.follower.pause >= 8 * following.FIRST and made.follower.pause <= following.LONGEST
+
+
+def test_known_events_come_first():
+    last, told = events.known(json.loads(json.dumps({"seq": 3, "results": [ONE, TWO]})))
+    assert last == 3 and [each.seq for each in told] == [1, 2]
+    assert events.known({}) == (0, [])
--- /dev/null
+++ b/tests/test_jsonlines.py
@@ -0,0 +1,245 @@
+"""Lines to and from hosts, and the connections that carry them."""
+import json
+from types import SimpleNamespace
+
+import pytest
+from gaproute.call import Call
+from gaproute.hosts.jsonlines import lines
+from gaproute.hosts.jsonlines.fleet import Hosts
+from gaproute.hosts.rows import Row
+from gaproute.interface import Effect, Found, Result, State
+from gaproute.loop import Loop
+from gaproute.pooling import Pooling
+from gaproute.standins.platform import LineHost
+from helpers import row
+from hypothesis import given
+from hypothesis import strategies as st
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+SITE = SimpleNamespace(connect_time=250 * MILLI, order_time=SECOND, shared=100, counts_alike=True)
+CALL = Call("7f3a9c21e0b4d655", "", (), b"Ym9keQ==", "9b1f03aa5c7e2d41", "fault-check")
+
+
+def reply(**told):
+    return lines.Reader().feed(json.dumps({"type": "served", "req": "a"} | told).encode() + b"\n")[0]
+
+
+@pytest.mark.parametrize("cut", range(1, 50, 7))
+def test_lines_are_read_however_the_bytes_are_split(cut):
+    data = b'{"type":"served","req":"a"}\n{"type":"green","req":7}\n'
+    reader = lines.Reader()
+    got = [each for at in range(0, len(data), cut) for each in reader.feed(data[at:at + cut])]
+    assert [(each.type, each.req) for each in got] == [("served", "a"), ("green", 7)]
+
+
+@pytest.mark.parametrize("data", [b"noise\n", b"[1]\n", b'{"type":"served"}\n', b"\n", b"\xff\xfe\n",
+                                  b"x" * (lines.LINE + 1), b"[" * 5000 + b"\n"])
+def test_a_spoilt_or_endless_line_ends_the_connection_and_what_came_before_counts(data):
+    with pytest.raises(lines.Spoilt) as wrong:
+        lines.Reader().feed(b'{"type":"red","req":"a"}\n' + data)
+    assert [each.type for each in wrong.value.args[1]] == ["red"]
+
+
+@given(st.lists(st.binary(max_size=100), max_size=20))
+def test_arbitrary_bytes_raise_nothing_else(pieces):
+    reader = lines.Reader(300)
+    try:
+        for piece in pieces:
+            for each in reader.feed(piece):
+                lines.heard(each, True), lines.health(each), lines.stands(each)
+            assert reader.held <= 300
+    except lines.Spoilt:
+        pass
+
+
+@pytest.mark.parametrize("kind, result", [("served", Result.OK), ("not_here", Result.MISS),
+                                          ("overload", Result.FULL), ("crashed", Result.ERROR),
+                                          ("nobody", Result.MOOT)])
+def test_what_an_answer_proves(kind, result):
+    assert lines.heard(reply(type=kind), True).result is result
+
+
+def test_notes_crowds_and_loads_reach_the_module_in_its_terms():
+    heard = lines.heard(reply(meta={"tell": "j", "queue_fn": 3, "meter": "util:0.61;x0:0.2"}, data=""), True)
+    assert (heard.found, heard.alike) == (Found.AWAITED_LOAD, 3)
+    assert (heard.report.cpu_busy, heard.report.memory_busy, heard.report.in_hand) == (0.61, 0.2, None)
+    assert lines.heard(reply(), True).alike == 0 and lines.heard(reply(), False).alike is None
+    assert lines.load({"meter": "util:lots;inflight:7"}).in_hand == 7 and lines.load({"meter": "x"}) is None
+
+
+def test_a_body_that_is_no_base64_ran_and_is_not_passed_on():
+    assert lines.heard(reply(data="%%%"), True) == (Result.ERROR, None, Found.UNTOLD, None, None)
+
+
+# On sockets
+
+class Bench:
+    def __init__(self, answer=None, room=8):
+        self.loop = Loop()
+        self.host = LineHost(self.loop, answer)
+        self.hosts = Hosts(self.loop, Pooling(), SITE, room)
+        self.list(State.ACTIVE)
+        self.heard = []
+
+    def list(self, state):
+        self.hosts.listed([Row(row("h", state=state), self.host.address)], True)
+
+    def relay(self, effect=Effect.PURE, mark=CALL.mark, left=SECOND):
+        return self.hosts.relay("h", CALL._replace(mark=mark), effect, "t", self.loop.now() + left,
+                                self.heard.append)
+
+    def until(self, condition):
+        end = self.loop.now() + 5 * SECOND
+        while not condition():
+            assert self.loop.now() < end, "waited too long"
+            self.loop.after(MILLI, lambda: None)
+            self.loop.turn()
+
+    def results(self, count):
+        self.until(lambda: len(self.heard) >= count)
+        return [heard.result for heard in self.heard]
+
+    def close(self):
+        self.hosts.close()
+        self.host.close()
+        self.loop.close()
+
+
+@pytest.fixture
+def bench():
+    made = []
+
+    def make(*args, **told):
+        made.append(Bench(*args, **told))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+def test_a_relay_passes_id_class_function_and_body_unchanged(bench):
+    made = bench()
+    made.relay()
+    assert made.results(1) == [Result.OK] and made.heard[0].answer.body == CALL.body
+    sent = made.host.came[0]
+    assert (sent["req"], sent["data"]) == (CALL.mark, "Ym9keQ==")
+    assert sent["meta"]["cls"] == "fault-check" and sent["meta"]["item"] == CALL.model
+    assert 900 <= sent["meta"]["limit"] <= 1000
+
+
+def test_each_relay_has_a_connection_of_its_own_while_there_is_room_then_they_share(bench):
+    made = bench(answer=lambda stream, command: None, room=2)
+    for number in range(4):
+        made.relay(mark=f"{number:016x}")
+    made.until(lambda: len(made.host.came) == 4)
+    assert len(made.host.streams) == 2 and made.hosts.doubled == 2
+
+
+def test_a_second_relay_of_a_task_never_shares_a_connection_with_the_first(bench):
+    made = bench(answer=lambda stream, command: None, room=1)
+    made.relay()
+    made.relay()
+    made.until(lambda: len(made.host.came) == 2)
+    assert len(made.host.streams) == 2
+
+
+def test_a_late_answer_to_a_halted_relay_is_passed_over(bench):
+    made, late = bench(answer=lambda stream, command: late.append((stream, command))), []
+    take_back = made.relay()
+    made.until(lambda: late)
+    take_back()
+    made.until(lambda: len(late) == 2)
+    assert late[1][1] == {"type": "halt", "req": CALL.mark}
+    made.relay()                                  # the same id: on another connection
+    made.until(lambda: len(late) == 3)
+    assert late[2][0] is not late[0][0]
+    made.host.say(late[0][0], late[0][1], "served", data="b2xk")
+    made.host.say(late[2][0], late[2][1], "served", data="bmV3")
+    assert made.results(1) == [Result.OK] and made.heard[0].answer.body == b"bmV3"
+    made.until(lambda: made.hosts.strays == 1)
+
+
+def test_a_copy_or_a_stranger_before_an_answer_harms_nothing(bench):
+    def answer(stream, command):
+        made.host.say(stream, {"req": "ffffffffffffffff"}, "served", data="eA==")
+        made.host.serve(stream, command)
+        made.host.serve(stream, command)
+    made = bench(answer=answer)
+    made.relay()
+    assert made.results(1) == [Result.OK] and made.heard[0].answer.body == CALL.body
+    made.until(lambda: made.hosts.strays == 2)
+    made.relay(mark="1" * 16)
+    assert made.results(2) == [Result.OK, Result.OK] and len(made.host.streams) == 1
+
+
+def test_spoilt_lines_and_resets_may_have_run_and_a_refused_connection_never_ran(bench):
+    made = bench(answer=lambda stream, command: stream.write(b"noise\n"))
+    made.relay()
+    assert made.results(1) == [Result.ERROR]
+    made.host.answer = lambda stream, command: stream.abort()
+    made.relay()
+    assert made.results(2)[1] is Result.RESET
+    made.host.close()
+    made.relay()
+    assert made.results(3)[2] is Result.CONNECT_FAILED
+
+
+def test_nothing_more_goes_to_a_host_that_drains_and_what_it_holds_runs_on(bench):
+    held = []
+    made = bench(answer=lambda stream, command: held.append((stream, command)))
+    made.relay()
+    made.until(lambda: held)
+    made.relay(mark="1" * 16)                     # its connection is still being opened
+    made.list(State.DRAINING)
+    made.relay(mark="2" * 16)
+    made.results(2)
+    made.host.serve(*held[0])
+    assert sorted(result.value for result in made.results(3)) == ["connect failed", "connect failed", "ok"]
+    assert [command["req"] for _, command in held] == [CALL.mark]
+
+
+def test_a_gone_host_is_forgotten_with_its_connections_and_another_may_have_its_address(bench):
+    made = bench()
+    made.relay()
+    made.results(1)
+    made.hosts.listed([Row(row("h2"), made.host.address)], True)
+    made.until(lambda: "h" not in made.hosts.hosts)
+    made.hosts.relay("h2", CALL, Effect.PURE, "t", made.loop.now() + SECOND, made.heard.append)
+    assert made.results(2) == [Result.OK, Result.OK]
+
+
+def test_a_connection_that_was_silent_when_a_relay_was_given_up_is_not_used_again(bench):
+    made = bench(answer=lambda stream, command: None)
+    made.hosts.pooling.silent = lambda now, since: True
+    take_back = made.relay()
+    made.until(lambda: made.host.came)
+    take_back()
+    assert not made.hosts.links()
+
+
+def test_an_effectful_relay_leaves_a_kept_connection_that_shows_a_word_not_asked_for(bench):
+    made = bench()
+    made.relay()
+    made.results(1)
+    made.host.streams[0].sock.send(b"x")          # unread: this loop has had no turn
+    made.relay(Effect.EFFECTFUL, "1" * 16)
+    assert made.results(2) == [Result.OK, Result.OK] and len(made.host.streams) == 2
+
+
+def test_orders_and_probes_under_tags_of_their_own(bench):
+    made, said = bench(), []
+    made.hosts.order("h", CALL.model, 2, lambda *told: said.append(told))
+    made.hosts.probe("h", lambda *told: said.append(told))
+    made.until(lambda: len(said) == 2)
+    assert (Result.OK, 2) in said and any(good is True and report.cpu_busy == 0.25
+                                          for good, report in said if good is True)
+    assert len({command["req"] for command in made.host.came}) == 2
+
+
+def test_a_lost_order_ends_once_as_timed_out(bench):
+    made, said = bench(answer=lambda stream, command: None), []
+    made.hosts.order_time = 20 * MILLI
+    made.hosts.order("h", CALL.model, 2, lambda *told: said.append(told))
+    made.until(lambda: said)
+    assert said == [(Result.TIMEOUT, 0)]
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,107 @@
+"""JSON-RPC messages of clients: bytes in, requests or faults out."""
+import json
+
+import pytest
+from gaproute.fronts.jsonrpc import messages
+from gaproute.fronts.jsonrpc.messages import Fault
+from hypothesis import given
+from hypothesis import strategies as st
+
+GOOD = {"i": "9b1f03aa5c7e2d41", "d": 1500, "o": "7f3a9c21e0b4d655", "arg": "Ym9keQ==",
+        "extras": "memory_mb:512;lanes:2;load_ms:640"}
+
+
+def asked(**told):
+    return messages.request(7, "fault-check", json.dumps(GOOD | told).encode(), 5_000_000_000)
+
+
+@pytest.mark.parametrize("cut", range(1, 60, 7))
+def test_messages_are_read_however_the_bytes_are_split(cut):
+    data = messages.framed(b'{"a":1}') + messages.framed(b"[2]")
+    reader = messages.Reader()
+    bodies = [body for at in range(0, len(data), cut) for body in reader.feed(data[at:at + cut])]
+    assert bodies == [b'{"a":1}', b"[2]"] and not reader.midway
+
+
+@pytest.mark.parametrize("head", [
+    b"Content-Length: -1", b"Content-Length: 0", b"Content-Length: 60000000", b"Content-Length: 4e1",
+    b"Content-Length: 4\r\nContent-Length: 4", b"X: y", b"\x00\xff", b"GET / HTTP/1.1", b"x" * 600,
+    b"Content-Length: 99999999999999999999",
+])
+def test_an_unreadable_head_is_a_fault_at_once(head):
+    with pytest.raises(Fault) as wrong:
+        messages.Reader().feed(head + b"\r\n\r\nbody")
+    assert wrong.value.code == messages.UNREADABLE
+
+
+def test_whole_messages_before_a_fault_are_not_lost():
+    with pytest.raises(Fault) as wrong:
+        messages.Reader().feed(messages.framed(b"{}") + b"Content-Length: -1\r\n\r\n")
+    assert wrong.value.bodies == [b"{}"]
+
+
+def test_a_request_is_read_in_the_modules_units():
+    request = asked()
+    assert (request.wait, request.lanes, request.load_time) == (1_500_000_000, 2, 640_000_000)
+    assert request.body == b"Ym9keQ==" and request.function == GOOD["o"]
+
+
+@pytest.mark.parametrize("told", [
+    {"i": "XYZ"}, {"i": 5}, {"i": "9B1F03AA5C7E2D41"}, {"o": ""}, {"o": "7f3a9c21e0b4d655\n"}, {"d": 0},
+    {"d": -3}, {"d": 1e300}, {"d": "1500"}, {"d": True}, {"d": 9000}, {"arg": "no base64!"}, {"arg": "Ym9"},
+    {"arg": "A" * 24000}, {"extras": "lanes:0"}, {"extras": "lanes:many"}, {"extras": "lanes:nan"},
+    {"extras": "lanes:1.5"}, {"extras": "lanes"}, {"extras": "load_ms:-1"}, {"extras": "memory_mb:1e12"},
+    {"extras": 5},
+])
+def test_figures_that_cannot_be_are_refused_by_name(told):
+    with pytest.raises(Fault) as wrong:
+        asked(**told)
+    assert wrong.value.code == messages.NO_PARAMS and wrong.value.number == 7
+
+
+@pytest.mark.parametrize("body, code", [
+    (b"{", messages.UNREADABLE), (b"\xff", messages.UNREADABLE), (b"[1]", messages.NO_REQUEST),
+    (b"[" * 9000, messages.UNREADABLE), (b'{"jsonrpc":"2.0","id":1}', messages.NO_REQUEST),
+    (b'{"jsonrpc":"1.0","id":1,"method":"x"}', messages.NO_REQUEST),
+    (b'{"jsonrpc":"2.0","id":0,"method":"x"}', messages.NO_REQUEST),
+    (b'{"jsonrpc":"2.0","id":"7","method":"x"}', messages.NO_REQUEST),
+    (b'{"jsonrpc":"2.0","id":true,"method":"x"}', messages.NO_REQUEST),
+    (b'{"jsonrpc":"2.0","id":1.5,"method":"x"}', messages.NO_REQUEST),
+])
+def test_what_is_no_request_is_told_so(body, code):
+    with pytest.raises(Fault) as wrong:
+        messages.envelope(body)
+    assert wrong.value.code == code
+
+
+def test_an_abort_names_a_number_or_a_mark():
+    assert messages.withdrawn(b'{"id":7}') == 7 and messages.withdrawn(b'{"i":"ab"}') == "ab"
+    assert messages.withdrawn(b"[7]") is None and messages.withdrawn(b'{"id":true}') is None
+    assert messages.withdrawn(b"") is None
+
+
+def test_a_refusal_tells_when_to_come_back():
+    head, _, body = messages.error(7, messages.REFUSED, "no", 200_400_000).partition(b"\r\n\r\n")
+    assert json.loads(body)["error"]["data"] == {"w": 201} and head == b"Content-Length: %d" % len(body)
+
+
+@given(st.lists(st.binary(max_size=200), max_size=20))
+def test_arbitrary_bytes_raise_nothing_but_faults_and_are_bounded(pieces):
+    reader = messages.Reader()
+    for piece in pieces:
+        try:
+            for body in reader.feed(piece):
+                messages.envelope(body)
+        except Fault:
+            return
+        assert len(reader.buffer) <= messages.BODY + messages.HEAD + 200
+
+
+@given(st.binary(max_size=300))
+def test_arbitrary_bodies_raise_nothing_but_faults(body):
+    for read in (messages.envelope, lambda data: messages.request(1, "m", data, 10**9)):
+        try:
+            read(body)
+        except Fault:
+            pass
+    messages.withdrawn(body)
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,325 @@
+"""The platform's gateway whole, on loopback: clients, hosts and the log are stand-ins."""
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+from gaproute.benchlink import wire
+from gaproute.fronts.jsonrpc import front as fronts
+from gaproute.fronts.jsonrpc import messages
+from gaproute.loop import Loop
+from gaproute.node import charter as charters
+from gaproute.node.log import Log
+from gaproute.node.process import Process
+from gaproute.standins.platform import ChangeLog, Client, LineHost, arg, event, sse
+from gaproute.terms import site, terms
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+SETTINGS = {
+    "lanes": [{"name": "fault-check", "effect": "free", "aim": 500.0, "deadline": 3000.0, "worth": 3.0},
+              {"name": "repair-order", "effect": "single_shot", "aim": 500.0, "deadline": 3000.0}],
+    "limits": {"cancel": True, "probes": True, "send_cap": 6, "retry_after": True, "max_retry_after": 1000.0,
+               "conn_idle": 15000.0, "connect_timeout": 250.0, "multiplex": 100, "may_duplicate": True},
+    "family_info": {"counts_alike": True, "idle_life": 9800.0, "warm_notes": True, "placement_calls": True,
+                    "loads_anyway": 6, "load_part": 0.3, "loads_within": 10000.0, "order_limit": 10000.0},
+    "report": {"names": ["cpu_share", "x0"], "source": "pull"},
+    "rules": {"cold": 18000.0, "cold_from": 0.17}, "zones": ["hall-a"], "membership_mode": "pushed",
+}
+
+
+def test_the_start_object_is_read_alike_for_the_wire_and_for_the_node():
+    assert wire.terms(json.dumps(SETTINGS)) == terms(SETTINGS)
+    told = site(SETTINGS)
+    assert (told.tracks, told.shared, told.idle_time) == (("fault-check", "repair-order"), 100, 15 * SECOND)
+
+
+class Gate:
+    def __init__(self, folder, answer=None, sockets=256, hosts=1):
+        self.loop = Loop()
+        self.hosts = [LineHost(self.loop, answer) for _ in range(hosts)]
+        self.log = ChangeLog(self.loop)
+        self.lines = []
+        self.path = folder / "config.json"
+        self.told = {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "changelog": self.log.address,
+                     "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets}, "settings": SETTINGS,
+                     "known": {"seq": 1, "results": [event(1, *[
+                         (f"s-{place}", host.address, "Ready") for place, host in enumerate(self.hosts)],
+                         complete=True)]}}
+        self.write()
+        log = Log(-1)
+        log.line = lambda level, what, told: self.lines.append((what, told))
+        self.process = Process(str(self.path), charters.read(str(self.path)), loop=self.loop, log=log)
+        self.process.start()
+        self.where = self.process.front.address
+        self.clients = []
+
+    def write(self):
+        self.path.write_text(json.dumps(self.told))
+
+    def client(self):
+        self.clients.append(Client(self.loop, self.where))
+        return self.clients[-1]
+
+    def until(self, condition, within=5):
+        end = self.loop.now() + within * SECOND
+        while not condition():
+            assert self.loop.now() < end, "waited too long"
+            self.loop.after(MILLI, lambda: None)
+            self.loop.turn()
+
+    def came(self):
+        return sum(len(host.seen("go")) for host in self.hosts)
+
+    def close(self):
+        for part in (self.process.front, self.process.follower, self.process.hosts, *self.hosts, self.log):
+            part.close()
+        for client in self.clients:
+            if client.stream is not None:
+                client.stream.abort()
+        self.loop.close()
+
+
+@pytest.fixture
+def gate(tmp_path):
+    made = []
+
+    def make(*args, **told):
+        made.append(Gate(tmp_path, *args, **told))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.close()
+
+
+def nothing(stream, command):
+    """A host that takes and says nothing."""
+
+
+def test_a_task_goes_through_and_its_body_comes_back_unchanged(gate):
+    made = gate()
+    client = made.client()
+    client.ask(1)
+    client.ask(2, "repair-order")
+    made.until(lambda: len(client.answers) == 2)
+    assert {each["id"]: each["result"]["arg"] for each in client.answers} == \
+        {1: arg(b"body 1"), 2: arg(b"body 2")}
+
+
+def test_ping_says_up_and_no_more_once_it_stops(gate):
+    made = gate()
+    client = made.client()
+    client.message({"jsonrpc": "2.0", "id": 1, "method": "ping"})
+    made.until(lambda: client.answers)
+    made.process.stop()
+    client.message({"jsonrpc": "2.0", "id": 2, "method": "ping"})
+    made.until(lambda: len(client.answers) == 2)
+    assert [each["result"]["up"] for each in client.answers] == [True, False]
+
+
+@pytest.mark.parametrize("told, code", [
+    ({"method": "no-such-class"}, messages.NO_METHOD), ({"d": -1}, messages.NO_PARAMS),
+    ({"extras": "lanes:x"}, messages.NO_PARAMS), ({"i": "short"}, messages.NO_PARAMS),
+])
+def test_bad_input_gets_an_error_and_reaches_no_host(gate, told, code):
+    made = gate()
+    client = made.client()
+    client.ask(1, **told)
+    client.ask(2)
+    made.until(lambda: len(client.answers) == 2)
+    assert client.answers[0]["error"]["code"] == code and "result" in client.answers[1]
+    assert made.came() == 1 and not made.hosts[0].seen("stage")
+
+
+@pytest.mark.parametrize("data", [b"\x00\xffnoise\r\n\r\n", b"Content-Length: 60000000\r\n\r\n" + b"x" * 70000,
+                                  b"Content-Length: -5\r\n\r\n", b"x" * 2000,
+                                  b"Content-Length: 1\r\n\r\n{"])
+def test_what_cannot_be_read_gets_an_error_and_a_close(gate, data):
+    made = gate()
+    client = made.client()
+    client.send(data)
+    made.until(lambda: client.ended)
+    assert not client.answers or client.answers[0]["error"]["code"] == messages.UNREADABLE
+    assert not made.process.front.links
+
+
+def test_a_second_request_under_an_open_id_or_number_is_an_error_and_the_first_unharmed(gate):
+    held = []
+    made = gate(lambda stream, command: held.append((stream, command)))
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: made.came())
+    client.ask(2, i=f"{1:016x}", arg=arg(b"another"))
+    client.ask(1, i=f"{9:016x}")
+    made.until(lambda: len(client.answers) == 2)
+    assert [(each["id"], each["error"]["code"]) for each in client.answers] == \
+        [(2, messages.NO_PARAMS), (None, messages.NO_REQUEST)]
+    for stream, command in held:
+        made.hosts[0].serve(stream, command)
+    made.until(lambda: len(client.answers) == 3)
+    assert client.answers[2]["result"]["arg"] == arg(b"body 1") and made.came() == 1
+
+
+def test_a_33rd_open_request_is_turned_away(gate):
+    made = gate(nothing)
+    client = made.client()
+    for number in range(1, 34):
+        client.ask(number)
+    made.until(lambda: client.answers)
+    assert [(each["id"], each["error"]["code"]) for each in client.answers] == [(33, messages.REFUSED)]
+
+
+def test_an_abort_halts_the_relay_and_nothing_is_answered(gate):
+    made = gate(nothing)
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: made.came())
+    client.message({"jsonrpc": "2.0", "method": "abort", "params": {"id": 1}})
+    made.until(lambda: made.hosts[0].seen("halt"))
+    made.until(lambda: not made.process.core.held)
+    assert client.answers == [] and not made.process.front.marks
+
+
+def test_a_client_that_goes_takes_its_requests_with_it(gate):
+    made = gate(nothing)
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: made.came())
+    client.stream.abort()
+    made.until(lambda: not made.process.core.held)
+    assert not made.process.front.marks and not made.process.front.links
+
+
+def test_a_connection_that_sends_nothing_or_half_a_message_is_closed(gate, monkeypatch):
+    monkeypatch.setattr(fronts, "FIRST_WORD", 30 * MILLI)
+    monkeypatch.setattr(fronts, "PROGRESS", 30 * MILLI)
+    monkeypatch.setattr(fronts, "SWEEP", 10 * MILLI)
+    made = gate()
+    silent, half = made.client(), made.client()
+    half.send(b"Content-Length: 50\r\n\r\nhalf")
+    made.until(lambda: silent.ended and half.ended)
+    assert made.process.core.held == {}
+
+
+def test_resting_connections_make_room_and_those_at_work_stay(gate, monkeypatch):
+    monkeypatch.setattr(fronts, "QUIET", 0)
+    monkeypatch.setattr(fronts, "SWEEP", 5 * MILLI)
+    monkeypatch.setattr("gaproute.door.SPARE", 0)
+    made = gate(sockets=40)
+    most = made.process.front.lot.door.most
+    first = [made.client() for _ in range(most)]
+    for place, client in enumerate(first):
+        client.ask(1, i=f"{place:016x}")
+    made.until(lambda: all(client.answers for client in first))
+    made.until(lambda: made.process.front.parked == most)
+    late = made.client()
+    late.ask(1, i="f" * 16)
+    made.until(lambda: late.answers)
+    assert "result" in late.answers[0] and sum(client.ended for client in first) == 1
+
+
+def test_a_new_file_moves_the_log_and_a_bad_one_changes_nothing(gate):
+    made = gate()
+    made.until(lambda: made.log.came)
+    other = ChangeLog(made.loop, lambda last: sse(event(2, ("s-0", made.hosts[0].address, "Terminating"))))
+    made.path.write_text("{")
+    made.process.reload()
+    assert made.lines[-1][0] == "configuration refused"
+    made.told["changelog"] = other.address
+    made.write()
+    made.process.reload()
+    made.process.reload()
+    made.until(lambda: not made.process.hosts.hosts["s-0"].active)
+    assert other.came == [1] and made.process.follower.last == 2
+    other.close()
+
+
+def test_a_stop_serves_on_for_a_while_then_ends_what_it_holds(gate, monkeypatch):
+    monkeypatch.setattr("gaproute.node.process.STILL_COMING", 60 * MILLI)
+    held = []
+    made = gate(lambda stream, command: held.append((stream, command)))
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: held)
+    made.process.stop()
+    late = made.client()
+    late.ask(2)
+    made.until(lambda: len(held) == 2)
+    made.until(lambda: made.process.front.stopping)
+    made.loop.running = True
+    for each in held:
+        made.hosts[0].serve(*each)
+    made.until(lambda: not made.loop.running)
+    assert "result" in client.answers[0] and "result" in late.answers[0]
+
+
+def test_the_log_drops_what_comes_too_fast_and_says_how_much():
+    reader, writer = os.pipe()
+    clock = [10.0]
+    log = Log(writer, lambda: clock[0])
+    for number in range(250):
+        log.info("x", number=number)
+    clock[0] = 11.0
+    log.info("y")
+    os.close(writer)
+    with os.fdopen(reader) as file:
+        lines = [json.loads(line) for line in file]
+    assert len(lines) == 201 and lines[-1]["left_out"] == 50
+
+
+# As a process
+
+def start(path, **environment):
+    return subprocess.Popen([sys.executable, "-m", "gaproute.node"], stderr=subprocess.PIPE,
+                            env=os.environ | {"EDGE_CONFIG": str(path)} | environment)
+
+
+@pytest.mark.parametrize("change, named", [
+    ({"listen": "nowhere"}, "listen"), ({"changelog": 5}, "changelog"), ({"seed": "xyz"}, "seed"),
+    ({"settings": {"lanes": [{"effect": "odd"}]}}, "settings"), ({"known": {"seq": "x"}}, "known"),
+    ({"settings": {}}, "settings"),
+])
+def test_a_wrong_configuration_is_refused_by_the_field(gate, change, named):
+    made = gate()
+    made.told.update(change)
+    made.write()
+    with pytest.raises(charters.Refused, match=named):
+        charters.read(str(made.path))
+
+
+def test_a_process_starts_from_its_environment_and_leaves_on_sigterm(gate):
+    made = gate()
+    process = start(made.path, EDGE_NAME="n7", EDGE_LISTEN="127.0.0.1:0")
+    lines = [json.loads(process.stderr.readline()) for _ in range(2)]
+    assert lines[-1]["event"] == "started" and lines[-1]["name"] == "n7"
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(10) == 0
+    process.stderr.close()
+
+
+def test_a_missing_configuration_exits_2_with_one_line(tmp_path):
+    process = start(tmp_path / "none")
+    _, said = process.communicate(timeout=10)
+    assert process.returncode == 2 and said.count(b"\n") == 1 and b"EDGE_CONFIG" in said
+
+
+def test_the_process_loads_nothing_of_what_it_does_not_use():
+    shut_out = {"pydantic", "rich", "click", "google.protobuf", "structlog", "asyncio", "xxhash",
+                "gaproute.cli", "gaproute.conf", "gaproute.peers", "gaproute.ledger", "gaproute.appliance",
+                "gaproute.load", "gaproute.fronts.kserve", "gaproute.http1", "gaproute.benchlink"}
+    code = "import sys, gaproute.node.__main__; print(*sys.modules)"
+    loaded = set(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True,
+                                check=True).stdout.split())
+    assert not loaded & shut_out
+
+
+def test_the_clock_of_the_deadline_runs_from_the_last_byte(gate):
+    made = gate(nothing)
+    client = made.client()
+    began = time.monotonic()
+    client.ask(1, d=200)
+    made.until(lambda: client.answers)
+    assert "error" in client.answers[0] and 0.1 < time.monotonic() - began < 0.25
