A queue's pace from the last 5 s only; an effectful task's error weighs whole

And one gateway declined 553 tasks while answers took 66 ms: its pace of queues was that of its first seconds, as samples never aged (shed).

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -29,7 +29,7 @@
 FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
-ERRED = 0.4            # of an unanswered relay's weight, an error's: it comes fast, and others succeed
+ERRED = 0.4            # of an unanswered relay's weight, an error's of a pure task: others then succeed
 BELIEF = 1.0           # good samples granted to each worker: one failure alone halves its worth, no more
 ZONE_SILENT = 2        # workers of a zone with overdue relays, none heard since: one alone may have slow work
 KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
@@ -163,7 +163,7 @@
         self.orders = deque()    # times of orders within the ration's window
         self.taken = deque()     # times of tasks taken within the ration's window
         self.answers = deque(maxlen=FLOWS)  # times of answers
-        self.drains = deque(maxlen=FLOWS)   # answer times over the load of workers with a queue
+        self.drains = deque(maxlen=FLOWS)   # (time, answer time over the load) of workers with a queue
         self.loads = deque(maxlen=KEPT)     # answer times where a load was waited for
         self.tenants = deque(maxlen=FLOWS)  # tenants of the last tasks
         self.refusals = deque(maxlen=KEPT)  # (time, whether a refusal) of the last outcomes
@@ -357,12 +357,13 @@
                 function.times.append(outcome.took)
                 queued = self.queued(worker, 1, now)
                 if queued >= ROOM:
-                    self.drains.append(outcome.took * worker.capacity / queued)
+                    self.drains.append((now, outcome.took * worker.capacity / queued))
             else:
                 self.loads.append(outcome.took)
         elif outcome.result in FAILURES and not booked:
             # So that quick failures do not make a worker look idle.
-            self.book(worker, now, track, ERRED if outcome.result is Result.ERROR else 1.0)
+            again = outcome.result is Result.ERROR and self.tracks[track].effect is Effect.PURE
+            self.book(worker, now, track, ERRED if again else 1.0)
         if outcome.result is Result.FULL:
             worker.full_until = now + self.usual(function)   # a lane frees about then
         if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
@@ -679,7 +680,8 @@
         load = self.queued(worker, task.lanes, now) / worker.capacity
         if worker.report is None or worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
-        wait = median(self.drains) * load if len(self.drains) >= KEPT else 0
+        drains = [drain for at, drain in self.drains if now - at < RECENT]
+        wait = median(drains) * load if len(drains) >= KEPT else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -117,7 +117,7 @@
 
 
 def queues(made, count):
-    made.drains.extend([100 * MILLI] * KEPT)
+    made.drains.extend([(0, 100 * MILLI)] * KEPT)
     for name in ("a", "b", "c"):
         crowd(made, name, count, SECOND)
 
