Short queues and slow workers no longer shed tasks; two contract times in hand are bearable

Ruled out: full workers, the hard limit. Now a queue under ROOM promises no wait, and workers slower than usual set no pace (heard, shed). Declines by tasks in hand fired at 248 ms of expected wait with answers at 90 ms; SHED 2.0 (1.2), SHED_QUEUE 0.3 (0.5) keeps the queues' bound.

--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -45,8 +45,8 @@
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
-SHED = 1.2             # of the shortest contract time: expected wait to decline at; half for no earnings
-SHED_QUEUE = 0.5       # of it, the wait in a worker's queue: answers that come have waited least
+SHED = 2.0             # of the shortest contract time: expected wait to decline at; half for no earnings
+SHED_QUEUE = 0.3       # of it, the wait in a worker's queue: answers that come have waited least
 SHED_SLOPE = 3         # power of bearable over expected wait: at twice the bearable one in eight is taken
 SHED_FLOOR = 8         # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2     # of the last outcomes here are refusals: the fleet is full
@@ -356,7 +356,7 @@
                     worker.slow, worker.slow_until = self.pace(worker, now), now + RECENT
                 function.times.append(outcome.took)
                 queued = self.queued(worker, 1, now)
-                if queued >= ROOM:
+                if queued >= ROOM and worker.slow <= 1:
                     self.drains.append((now, outcome.took * worker.capacity / queued))
             else:
                 self.loads.append(outcome.took)
@@ -681,7 +681,7 @@
         if worker.report is None or worker.reported < now - LOAD_LIFE:
             load = max(load, self.usual_load(now))
         drains = [drain for at, drain in self.drains if now - at < RECENT]
-        wait = median(drains) * load if len(drains) >= KEPT else 0
+        wait = median(drains) * load if len(drains) >= KEPT and load * worker.capacity >= ROOM else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
 
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -3,7 +3,7 @@
 from gaproute import interface as face
 from gaproute import policy
 from gaproute.interface import Result
-from gaproute.policy import KEPT, RECENT, Trail
+from gaproute.policy import KEPT, RECENT, ROOM, Trail
 from helpers import MILLI, SECOND, Drive, gateway, row, task
 
 
@@ -145,3 +145,38 @@
     queues(made, 400)
     drive.hears(SECOND // 2, Result.ERROR)
     assert len(drive.sent) == 2
+
+
+def test_the_pace_of_queues_is_forgotten_when_no_queue_has_told_it_lately():
+    made = gateway()
+    queues(made, 12)
+    late = SECOND + RECENT
+    for name in ("a", "b", "c"):
+        crowd(made, name, 12, late)
+    assert not any(Drive(made, task(f"t{number}"), late).ended for number in range(20))
+
+
+def test_a_queue_shorter_than_a_worker_runs_at_once_promises_no_wait():
+    made = gateway()
+    made.drains.extend([(0, 2 * SECOND)] * KEPT)
+    crowd(made, "a", ROOM - 1, SECOND)
+    assert not any(made.shed(SECOND, task(), made.tracks[0], made.workers["a"]) for _ in range(20))
+
+
+def test_a_slow_worker_sets_no_pace_for_the_others_queues():
+    made = gateway()
+    made.function("f", 4).times.extend([100 * MILLI] * KEPT)
+    for slow in (0, 1):
+        worker = made.workers["ab"[slow]]
+        worker.paces.extend([(SECOND, 9.0 if slow else 1.0)] * 4)
+        crowd(made, worker.id, 12, SECOND)
+        heard(made, worker.id, SECOND, 0, took=900 * MILLI if slow else 100 * MILLI)
+        assert len(made.drains) == 1
+
+
+def test_an_error_of_a_task_that_may_not_run_again_weighs_whole():
+    made = gateway()
+    for name, track, weight in (("a", 0, 0.4), ("b", 2, 1.0)):
+        made.hands["t", 0] = (name, "f", track, 0, True)
+        made.heard(SECOND, face.Outcome("t", 0, name, Result.ERROR, MILLI, False, face.Found.UNTOLD, None, None))
+        assert made.workers[name].results[-1] == (SECOND, track, weight)
