--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -38,7 +38,7 @@
         self.reader, self.stream = lines.Reader(), None
         self.written = 0
         self.opened = self.used = self.heard = loop.now()
-        self.trusted = True
+        self.trusted, self.served = True, 0
         self.stop_connecting = connect(loop, host.where, self.hosts.connect_time, self.connected)
 
     def connected(self, sock, error):
@@ -76,17 +76,22 @@
             if asked is None:
                 self.hosts.strays += 1
                 continue
-            self.used = self.heard
+            self.used, self.served = self.heard, self.served + 1
             asked.end(reply, None)
         if spoilt is not None:
             self.hosts.spoilt += 1
             self.fail(spoilt)
-        elif not self.trusted and not self.open:
+        elif not self.open and not (
+                self.trusted and self.hosts.pooling.keeps(self.heard, self.host.name, Effect.PURE)):
             self.drop()
 
     def fail(self, error):
         """The connection is at its end: each request on it has failed, by how far it got."""
-        ended = [(asked, self.ended_as(asked, error)) for asked in self.open.values()]
+        now, ended = self.hosts.loop.now(), []
+        for asked in self.open.values():
+            ended.append((asked, self.ended_as(asked, error)))
+            if self.served and self.heard < asked.sent and not isinstance(error, lines.Spoilt):
+                self.hosts.pooling.ended(now, self.host.name, asked.sent - self.used, now - asked.sent)
         self.open = {}
         self.drop()
         for asked, result in ended:
@@ -138,6 +143,7 @@
     def forget(self):
         if not self.listed and not self.links:
             if self.hosts.hosts.pop(self.name, None) is not None:
+                self.hosts.pooling.gone(self.name)
                 self.hosts.forgotten(self.name)
 
 
--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -86,7 +86,7 @@
         self.out = {}            # (task, relay): when sent
         self.heard = {}          # track: when an answer last came
         self.late = {}           # (task, relay) overdue with nothing of its track heard since: whether booked
-        self.results = deque(maxlen=KEPT)   # (time, track, harm: 0 if good, 1 if unanswered)
+        self.results = []        # (time, track, harm: 0 if good, 1 if unanswered), the last of each track
         self.paces = deque(maxlen=KEPT)     # (time, answer time over the function's usual)
         self.bad = 0             # of the results
         self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
@@ -370,8 +370,8 @@
             self.verify(name, worker.id, Found.LOAD_FAILED)
             function.seen.pop(worker.id, None)
             function.stands.pop(worker.id, None)
-        if outcome.result is Result.RESET:
-            worker.wiped = now   # a process that broke off comes back empty, often before the list says so
+        if outcome.result is Result.RESET and not worker.out:
+            worker.wiped = now   # a process that broke off, with all its relays, comes back empty
 
     def note(self, worker, now, report):
         worker.tally = None
@@ -382,6 +382,9 @@
                 self.busy.append((now, told / worker.capacity))
 
     def book(self, worker, now, track, harm):
+        alike = [result for result in worker.results if result[1] == track]
+        if len(alike) >= KEPT:   # of its own track alone: many good answers of others prove nothing for it
+            worker.results.remove(alike[0])
         worker.results.append((now, track, harm))
         worker.bad = sum([harm > 0 for _, _, harm in worker.results])
 
--- a/gaproute/pooling.py
+++ b/gaproute/pooling.py
@@ -20,6 +20,10 @@
 SEEN = 8                 # closings remembered for each host
 SILENCE = SECOND         # nothing heard on a connection for so long when a request on it is given up: answers
 #                          take a few tenths, loads longer; a false one costs a handshake
+AT_USE = 50 * MILLI      # within it after a request was sent, unanswered, a connection ended since it was stale:
+#                          a process that dies at work ends all of them at any time
+STALE_LIFE = 10 * SECOND # such an end says nothing after it: kept connections are tried again
+STALE_MOST = 1           # of the last SEEN kept ones at a host: above it, pure tasks too take new connections
 FORGET = 300 * SECOND    # a closing seen so long ago says nothing: the host may have been set up anew
 
 
@@ -36,6 +40,7 @@
 class Pooling:
     def __init__(self):
         self.closings = {}       # worker: (time, how long the connection had rested)
+        self.stale = {}          # worker: when kept connections ended at their next use
 
     def closed(self, now, worker, rested):
         """The host closed a connection that had rested so long."""
@@ -43,6 +48,22 @@
 
     def gone(self, worker):
         self.closings.pop(worker, None)
+        self.stale.pop(worker, None)
+
+    def ended(self, now, worker, rested, since):
+        """A kept connection ended under a request that nothing had answered, so long after it was sent."""
+        if rested >= 0 and since < AT_USE:
+            self.stale.setdefault(worker, deque(maxlen=SEEN)).append(now)
+
+    def keeps(self, now, worker, effect):
+        """Whether kept connections to that worker may be used at all.
+
+        Guards against hosts, and what stands before them, that end a kept connection at its next use: a pure
+        task loses a round trip there and an effectful one all. Harms, by a handshake a task, where a few died
+        by chance.
+        """
+        stale = sum([now - at < STALE_LIFE for at in self.stale.get(worker, ())])
+        return stale <= (STALE_MOST if effect is Effect.PURE else 0)
 
     def safe_rest(self, now, worker, effect, told):
         """How long a connection may have rested to be used; `told` is what the host says it keeps one, or
@@ -67,6 +88,8 @@
         one that has carried the id before: a late answer to that would be taken for this one's.
         """
         free, shared = None, None
+        if not self.keeps(now, worker, effect):
+            told = 0
         for link in links:
             if not link.trusted or name in link.open or name in link.done_with:
                 continue
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -258,3 +258,32 @@
     made.relay(mark="b" * 16)
     made.results(5)
     assert made.hosts.opened == 4 and made.hosts.reused == 1
+
+
+def test_hosts_that_end_kept_connections_at_their_next_use_get_new_ones_for_a_while(bench):
+    def answer(stream, command):
+        if stream in used:
+            stream.abort()
+        else:
+            used.append(stream)
+            made.host.serve(stream, command)
+    used, made = [], bench(answer=answer)
+    for number in range(4):                       # the first is served, the next ends a kept connection
+        made.relay(mark=f"{number:016x}")
+        made.results(number + 1)
+    made.relay(Effect.EFFECTFUL, "e" * 16)
+    results = made.results(5)
+    assert results.count(Result.RESET) == 2 and results[4] is Result.OK
+    made.relay(mark="f" * 16)
+    assert made.results(6)[5] is Result.OK
+
+
+def test_kept_connections_are_tried_again_after_a_while_and_one_end_matters_to_effectful_tasks_alone():
+    pooling = Pooling()
+    pooling.ended(0, "h", 100 * MILLI, MILLI)
+    assert pooling.keeps(SECOND, "h", Effect.PURE) and not pooling.keeps(SECOND, "h", Effect.EFFECTFUL)
+    pooling.ended(0, "h", 100 * MILLI, MILLI)
+    assert not pooling.keeps(SECOND, "h", Effect.PURE) and pooling.keeps(SECOND, "other", Effect.PURE)
+    assert pooling.keeps(11 * SECOND, "h", Effect.EFFECTFUL)
+    pooling.ended(0, "i", 100 * MILLI, SECOND)    # at work for a while: not for its rest
+    assert pooling.keeps(SECOND, "i", Effect.EFFECTFUL)
