--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -20,6 +20,7 @@
 RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
 HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
+RESTED = 300 * MILLI     # the same where clients send what crosses a close once more: they rested a second before
 WAY_BACK = 12 * MILLI    # of a client's time kept for the final answer: a turn of a busy loop and the way
 
 TAKE, DISPLACE, TURN_AWAY = "take", "displace", "turn away"
@@ -34,7 +35,9 @@
 class Door:
     """`most`: connections of clients that the operator allows; `descriptors`: the process's limit."""
 
-    def __init__(self, most, per_address, descriptors, chance):
+    def __init__(self, most, per_address, descriptors, chance, spare=SPARE):
+        """`spare`: rest from which a parked connection may make room; less where clients ask again."""
+        self.spare = spare
         self.reserve = RESERVE + int(HOSTS_SHARE * descriptors)
         self.most = max(1, min(most, descriptors - self.reserve))
         self.per_address, self.chance = per_address, chance
@@ -65,7 +68,7 @@
 
         The least valuable: the fewest tasks, then the longest idle.
         """
-        spare = [(tasks, since, fd) for fd, since, tasks in idle if now - since >= SPARE]
+        spare = [(tasks, since, fd) for fd, since, tasks in idle if now - since >= self.spare]
         return min(spare)[2] if spare else None
 
     def says_close(self, held):
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -6,7 +6,7 @@
 from gaproute.core.core import Core
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog.follow import Follower
-from gaproute.door import Door, way_back
+from gaproute.door import RESTED, Door, way_back
 from gaproute.fronts.jsonrpc.front import Front
 from gaproute.hosts.jsonlines.fleet import Hosts
 from gaproute.lobby import Lot
@@ -42,7 +42,7 @@
         self.hosts.forgotten = self.record.forget
         self.core = Core(loop, Gateway(seed, self.terms, loop.now()), self.terms, self.hosts, self.record,
                          self.name)
-        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3))
+        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3), RESTED)
         self.lister = events.Lister(loop, self.site.zones)
         self.seed, self.sockets = seed, sockets
         self.front = self.follower = None
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -207,8 +207,8 @@
 def test_resting_connections_make_room_and_those_at_work_stay(gate, monkeypatch):
     monkeypatch.setattr(fronts, "QUIET", 0)
     monkeypatch.setattr(fronts, "SWEEP", 5 * MILLI)
-    monkeypatch.setattr("gaproute.door.SPARE", 0)
     made = gate(sockets=90)
+    made.process.front.lot.door.spare = 0
     most = made.process.front.lot.door.most
     first = [made.client() for _ in range(most)]
     for place, client in enumerate(first):
