A full house looks at every parked connection; arrivals wait in the kernel's queue

Cause: connections of one request each were at work for a second after their answer and could make room only 2 s later (QUIET, SPARE); and the sample of those nearest their end held the same few descriptors, used again and again (_displace).

--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -20,7 +20,9 @@
 RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
 HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
-RESTED = 300 * MILLI     # the same where clients send what crosses a close once more: they rested a second before
+RESTED = 100 * MILLI     # the same where clients send once more what crosses a close: the house must hold those at
+#                          work, and one that rests makes room for a request that is there
+HOLD = 10 * MILLI        # until a full house looks again for one that rests: a tenth of the rest that it asks for
 WAY_BACK = 12 * MILLI    # of a client's time kept for the final answer: a turn of a busy loop and the way
 
 TAKE, DISPLACE, TURN_AWAY = "take", "displace", "turn away"
@@ -35,9 +37,10 @@
 class Door:
     """`most`: connections of clients that the operator allows; `descriptors`: the process's limit."""
 
-    def __init__(self, most, per_address, descriptors, chance, spare=SPARE):
-        """`spare`: rest from which a parked connection may make room; less where clients ask again."""
-        self.spare = spare
+    def __init__(self, most, per_address, descriptors, chance, spare=SPARE, patient=False):
+        """`spare`: rest from which a parked connection may make room; less where clients ask again.
+        `patient`: arrivals at a full house wait in the kernel's queue, where no rested one makes room."""
+        self.spare, self.patient = spare, patient
         self.reserve = RESERVE + int(HOSTS_SHARE * descriptors)
         self.most = max(1, min(most, descriptors - self.reserve))
         self.per_address, self.chance = per_address, chance
--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -20,8 +20,9 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 OPEN = 32                # requests of one connection at a time, by the protocol
-QUIET = SECOND           # without a request until a connection is parked: a busy one stays as it is
-SWEEP = SECOND // 4      # between looks for quiet, slow and deaf ones: one wake-up for all of them
+QUIET = 100 * MILLI      # without a request until a connection is parked: only parked ones can make room, and
+#                          hundreds come in a second where clients open one for each request
+SWEEP = 100 * MILLI      # between looks for quiet, slow and deaf ones: one wake-up for all of them
 FIRST_WORD = 2 * SECOND  # for a new connection to send something: a useless one is to be closed within 3 s
 PROGRESS = 2 * SECOND    # for a message to come in whole, or for a client to take an answer
 IDLE = 30 * SECOND       # between requests: clients close theirs after 4 s
@@ -137,7 +138,10 @@
     # Stop
 
     def stop(self):
-        """Accepts no more; connections close once nothing is open on them."""
+        """Accepts no more; connections close once nothing is open on them. What waits in the kernel's queue is
+        taken in first, as it would be reset, and what it asks is declined."""
+        while not self.stopping and (came := self.listener.accept()) is not None:
+            self.admits(*came)
         self.stopping = True
         self.listener.close()
         self.lot.close(self.number)
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -13,7 +13,7 @@
 from collections import deque
 from select import EPOLLIN, EPOLLONESHOT
 
-from gaproute.door import ARRIVING, DISPLACE, KNOWN, SAMPLE, TURN_AWAY, Door
+from gaproute.door import ARRIVING, DISPLACE, HOLD, KNOWN, SAMPLE, TURN_AWAY, Door
 from gaproute.lobby.calendar import Calendar
 from gaproute.loop.loop import LOBBY
 from gaproute.policy import Chance
@@ -65,6 +65,9 @@
     def _accept(self):
         listener, owner = next(iter(self.arriving.items()))
         del self.arriving[listener]
+        if self.door.patient and owner.counted and self.held >= self.door.most and self._victim() is None:
+            listener.rest(HOLD)
+            return
         came = listener.accept()
         if came is None:
             return
@@ -106,11 +109,16 @@
             self.names[place] = None
             self.free.append(place)
 
+    def _victim(self):
+        """Of a small house every parked one is looked at; of a large one those whose end is next."""
+        some = range(len(self.state)) if self.parked <= 4 * SAMPLE else self.calendar.first(4 * SAMPLE)
+        idle = [(fd, self.since[fd], self.tasks[fd]) for fd in some
+                if self.state[fd] == PARKED and self.owners[self.owner[fd]].counted]
+        idle = idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
+        return self.door.victim(self.loop.now(), idle)
+
     def _displace(self):
-        now = self.loop.now()
-        idle = [(fd, self.since[fd], self.tasks[fd]) for fd in self.calendar.first(4 * SAMPLE)
-                if self.state[fd] == PARKED and self.owners[self.owner[fd]].counted][:SAMPLE]
-        fd = self.door.victim(now, idle)
+        fd = self._victim()
         if fd is None:
             return False
         self.displaced += 1
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -337,14 +337,19 @@
         except OSError as fault:
             if fault.errno not in SHORT_OF_FDS:
                 raise
-            self.rests += 1
-            self.loop.unwatch(self.sock.fileno())
-            self.loop.after(NO_FD_PAUSE, self._again)
+            self.rest(NO_FD_PAUSE)
             return None
 
+    def rest(self, span):
+        """Accepts nothing for a while; what comes waits in the kernel."""
+        self.rests += 1
+        self.loop.unwatch(self.sock.fileno())
+        self.loop.after(span, self._again)
+
     def _again(self):
-        if self.sock.fileno() >= 0:
-            self.loop.watch(self.sock.fileno(), READ, self._ready)
+        fd = self.sock.fileno()
+        if fd >= 0 and fd not in self.loop.watched:
+            self.loop.watch(fd, READ, self._ready)
 
     def close(self):
         if self.sock.fileno() >= 0:
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -42,7 +42,8 @@
         self.hosts.forgotten = self.record.forget
         self.core = Core(loop, Gateway(seed, self.terms, loop.now()), self.terms, self.hosts, self.record,
                          self.name)
-        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3), RESTED)
+        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3), RESTED,
+                                 patient=True)
         self.lister = events.Lister(loop, self.site.zones)
         self.seed, self.sockets = seed, sockets
         self.front = self.follower = None
--- a/gaproute/pooling.py
+++ b/gaproute/pooling.py
@@ -27,7 +27,8 @@
 FORGET = 300 * SECOND    # a closing seen so long ago says nothing: the host may have been set up anew
 
 
-CLIENTS_SHARE = 0.4      # of the descriptors for clients' connections: clients take at most a third
+CLIENTS_SHARE = 0.5      # of the descriptors for clients' connections: they hold a third, and open others while
+#                          the last ones have not ended; hosts were seen to need a quarter at most
 OWN = 24                 # descriptors for the log, the epolls, the listener, signals and a few to spare
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -221,6 +221,36 @@
     assert "result" in late.answers[0] and sum(client.ended for client in first) == 1
 
 
+def test_a_house_full_of_connections_of_one_request_each_turns_none_away(gate):
+    made = gate(sockets=90)
+    most = made.process.front.lot.door.most
+    clients = []
+    for place in range(3 * most):                 # as fast as resting ones may make room
+        clients.append(made.client())
+        clients[-1].ask(1, i=f"{place:016x}")
+        made.until(lambda: clients[-1].answers)
+        end = made.loop.now() + 400 * MILLI // most
+        made.until(lambda: made.loop.now() >= end)
+    assert made.process.front.turned_away == 0 and made.process.front.lot.displaced >= most
+
+
+def test_at_a_full_house_at_work_arrivals_wait_and_are_served_when_one_leaves(gate):
+    held = []
+    made = gate(lambda stream, command: command["type"] == "go" and held.append((stream, command)), sockets=90)
+    most = made.process.front.lot.door.most
+    clients = []
+    for place in range(most + 5):
+        clients.append(made.client())
+        clients[-1].ask(1, i=f"{place:016x}")
+        made.until(lambda: len(held) == min(place + 1, most))
+    made.until(lambda: made.process.front.listener.rests)
+    made.hosts[0].answer = made.hosts[0].serve
+    for each in held:
+        made.hosts[0].serve(*each)
+    made.until(lambda: all(client.answers for client in clients))
+    assert made.process.front.turned_away == 0
+
+
 def test_a_new_file_moves_the_log_and_a_bad_one_changes_nothing(gate):
     made = gate()
     made.until(lambda: made.log.came)
