--- a/gaproute/policy.py
+++ b/gaproute/policy.py
@@ -206,19 +206,17 @@
 
     def probed(self, now, worker_id, good, report):
         worker = self.workers.get(worker_id)
-        if worker is None:
-            return
-        self.note(worker, now, report)
-        if not good:
-            self.book(worker, now, None, 1.0)
+        if worker is not None:
+            self.note(worker, now, report)
+            if not good:
+                self.book(worker, now, None, 1.0)
 
     def stood(self, now, worker_id, name, result, copies):
-        function, worker = self.functions.get(name), self.workers.get(worker_id)
-        if function is None or worker is None:
-            return
-        function.ordered = False
-        if result is Result.OK:
-            function.seen[worker_id] = now
+        function = self.functions.get(name)
+        if function is not None and worker_id in self.workers:
+            function.ordered = False
+            if result is Result.OK:
+                function.seen[worker_id] = now
 
     # What other gateways or a past life tell: evidence that fades alike and gives way to any of one's own. It
     # gives no credit, orders nothing and lifts no limit.
@@ -509,8 +507,9 @@
 
     def choose(self, now, task, trail):
         track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        if trail.relays >= self.relay_limit or now < function.rests_until and not trail.failed:
+        if trail.relays >= self.relay_limit:
             return None
+        resting = now < function.rests_until and not trail.failed
         # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
         able, capacity = self.fleet, self.capacity
         if trail.first is not None or trail.out or now < self.all_warm_at:
@@ -521,6 +520,8 @@
             able = [worker for worker in able if worker not in trail.failed] or able
             # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
             able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
+        if resting:
+            able = [each for each in able if now >= each.full_until and self.warmth(function, each, now) > 0]
         if not able:
             return None
         if able is not self.fleet:
@@ -567,7 +568,9 @@
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
             return self.choose(now, task, trail)
-        function.rests_until = worker.full_until
+        if now < worker.full_until and not resting and not trail.failed:
+            function.rests_until = worker.full_until
+            return self.choose(now, task, trail)
         return worker if now >= worker.full_until else None
 
     def contenders(self, now, function, able, prior, width):
@@ -662,10 +665,8 @@
                 self.in_hand += (warm and (worker.slow <= 1 or now >= worker.slow_until)
                                  and key not in worker.late
                                  and self.doubt(worker, of, now) < 0.5)
-        if self.in_hand < SHED_FLOOR:
-            return False
         flow = len(self.answers) / max(now - self.answers[0], 1)
-        return self.in_hand / flow > self.bearable(task, track)
+        return self.in_hand >= SHED_FLOOR and self.in_hand / flow > self.bearable(task, track)
 
     def bearable(self, task, track):
         """The longest expected wait for which a task is taken: half of it where it earns nothing."""
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -180,3 +180,14 @@
         made.hands["t", 0] = (name, "f", track, 0, True)
         made.heard(SECOND, face.Outcome("t", 0, name, Result.ERROR, MILLI, False, face.Found.UNTOLD, None, None))
         assert made.workers[name].results[-1] == (SECOND, track, weight)
+
+
+def test_while_the_best_worker_rests_another_standing_copy_is_used_and_none_is_loaded():
+    made = gateway()
+    function = ranked(made, "a", "b", "c")
+    function.seen.update(a=SECOND, b=0)
+    made.workers["a"].full_until = 2 * SECOND
+    assert made.choose(SECOND, task(), Trail()).id == "b" and function.rests_until == 2 * SECOND
+    made.workers["b"].full_until = 2 * SECOND
+    assert made.choose(SECOND, task(), Trail()) is None
+    assert made.choose(2 * SECOND, task(), Trail()).id == "a"
