--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -27,7 +27,6 @@
 PROGRESS = 2 * SECOND    # for a message to come in whole, or for a client to take an answer
 IDLE = 30 * SECOND       # between requests: clients close theirs after 4 s
 FAULTS = 64              # of one connection, until it is closed: each takes work from the others
-BURST = 64 * 1024        # bytes of one connection read and not yet looked at
 
 
 class Front:
--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -133,11 +133,21 @@
         self.host.forget()
 
 
+class Links(dict):
+    """An ordered set: what is chosen among them must not hang on addresses in memory."""
+
+    def add(self, link):
+        self[link] = None
+
+    def discard(self, link):
+        self.pop(link, None)
+
+
 class Host:
     def __init__(self, hosts, row):
         self.hosts, self.name, self.where = hosts, row.listed.worker, address(row.where)
         self.text = row.where
-        self.links = {}                  # as an ordered set
+        self.links = Links()
         self.active = self.listed = True
 
     def forget(self):
@@ -147,16 +157,6 @@
                 self.hosts.forgotten(self.name)
 
 
-class Links(dict):
-    """An ordered set: what is chosen among them must not hang on addresses in memory."""
-
-    def add(self, link):
-        self[link] = None
-
-    def discard(self, link):
-        self.pop(link, None)
-
-
 class Hosts:
     def __init__(self, loop, pooling, site, room):
         """`room`: connections to all hosts together."""
@@ -179,7 +179,6 @@
             host = self.hosts.get(row.listed.worker)
             if host is None:
                 host = self.hosts[row.listed.worker] = Host(self, row)
-                host.links = Links()
             elif host.text != row.where:
                 host.text, host.where = row.where, address(row.where)
                 self.rest(host)
@@ -207,7 +206,7 @@
         return sum(len(host.links) for host in self.hosts.values())
 
     def ask(self, host, name, data, effect, done):
-        """A request on the connection that pooling picks; None where there is none."""
+        """A request on the connection that pooling picks, else on a new one, else on one it shares."""
         now = self.loop.now()
         link = self.pooling.pick(now, host.name, effect, host.links, name, self.shared,
                                  self.idle_time)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -161,3 +161,11 @@
     made.loop.after(15 * MILLI, lambda: made.hosts.sent[0](Heard(face.Result.FULL, None)))
     turns(made, 100 * MILLI)
     assert times == [(10 * MILLI, None), (15 * MILLI, face.Result.FULL), (25 * MILLI, None)]
+
+
+def test_a_gone_workers_counts_are_forgotten():
+    made = Record(None, ["check"])
+    made.outcome("a", 0, face.Result.RESET, 1)
+    made.outcome("b", 0, face.Result.OK, 1)
+    made.forget("a")
+    assert made.table() == {"relay": {"b": {"ok": 1}}}
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -191,3 +191,27 @@
     made.workers["b"].full_until = 2 * SECOND
     assert made.choose(SECOND, task(), Trail()) is None
     assert made.choose(2 * SECOND, task(), Trail()).id == "a"
+
+
+def test_a_broken_relay_voids_the_belief_in_copies_only_as_the_last_out():
+    made = gateway()
+    function = ranked(made, "a", "b", "c")
+    function.seen["a"] = 0
+    worker = made.workers["a"]
+    worker.out = {("other", 0): 0}
+    heard(made, "a", SECOND, 0, Result.RESET)
+    assert made.warmth(function, worker, SECOND) > 0
+    worker.out = {}
+    heard(made, "a", SECOND, 1, Result.RESET, of="u")
+    assert made.warmth(function, worker, SECOND) == 0
+
+
+def test_good_answers_of_other_tracks_do_not_push_out_a_tracks_failures():
+    made = gateway()
+    worker = made.workers["a"]
+    for _ in range(2):
+        made.book(worker, SECOND, 2, 1.0)
+    for _ in range(3 * KEPT):
+        made.book(worker, SECOND, 0, 0.0)
+    assert made.doubt(worker, 2, SECOND) > 0.5 and made.doubt(worker, 0, SECOND) == 0
+    assert len(worker.results) == 2 + KEPT
