--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -33,8 +33,8 @@
 
 
 class Core(Driver):
-    """`hosts` gives `relay(worker, call, effect, task, limit, done)`, `order(worker, function, copies, done)` and
-    `probe(worker, done)`; the first returns a call that takes the relay back."""
+    """`hosts` gives `relay(worker, call, effect, task, limit, done)`, `order(worker, function, copies, done)`
+    and `probe(worker, done)`; the first returns a call that takes the relay back."""
 
     def __init__(self, loop, gateway, terms, hosts, record, name):
         super().__init__(gateway)
--- a/gaproute/door.py
+++ b/gaproute/door.py
@@ -20,9 +20,9 @@
 RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
 HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
-RESTED = 100 * MILLI     # the same where clients send once more what crosses a close: the house must hold those at
-#                          work, and one that rests makes room for a request that is there
-HOLD = 10 * MILLI        # until a full house looks again for one that rests: a tenth of the rest that it asks for
+RESTED = 100 * MILLI     # the same where clients send once more what crosses a close: the house must hold
+#                          those at work, and one that rests makes room for a request that is there
+HOLD = 10 * MILLI        # until a full house looks again for one that rests: a tenth of the rest asked for
 WAY_BACK = 12 * MILLI    # of a client's time kept for the final answer: a turn of a busy loop and the way
 
 TAKE, DISPLACE, TURN_AWAY = "take", "displace", "turn away"
--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -137,8 +137,8 @@
     # Stop
 
     def stop(self):
-        """Accepts no more; connections close once nothing is open on them. What waits in the kernel's queue is
-        taken in first, as it would be reset, and what it asks is declined."""
+        """Accepts no more; connections close once nothing is open on them. What waits in the kernel's queue
+        is taken in first, as it would be reset, and what it asks is declined."""
         while not self.stopping and (came := self.listener.accept()) is not None:
             self.admits(*came)
         self.stopping = True
--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -165,8 +165,8 @@
         self.connect_time = site.connect_time or 250_000_000
         self.probe_time = self.connect_time
         self.order_time = site.order_time or 10 * SECOND
-        # The settings tell when hosts close an idle connection. Those that end sooner are reset by chance, which
-        # says nothing of the next: learning from them opened one for nearly every relay.
+        # The settings tell when hosts close an idle connection. Those that end sooner are reset by chance,
+        # which says nothing of the next: learning from them opened one for nearly every relay.
         self.idle_time = site.idle_time or None
         self.shared, self.counts = site.shared, site.counts_alike
         self.hosts, self.tags = {}, 0
--- a/gaproute/pooling.py
+++ b/gaproute/pooling.py
@@ -20,15 +20,15 @@
 SEEN = 8                 # closings remembered for each host
 SILENCE = SECOND         # nothing heard on a connection for so long when a request on it is given up: answers
 #                          take a few tenths, loads longer; a false one costs a handshake
-AT_USE = 50 * MILLI      # within it after a request was sent, unanswered, a connection ended since it was stale:
+AT_USE = 50 * MILLI      # within it after a request was sent, unanswered, a connection ended as it was stale:
 #                          a process that dies at work ends all of them at any time
 STALE_LIFE = 10 * SECOND # such an end says nothing after it: kept connections are tried again
 STALE_MOST = 1           # of the last SEEN kept ones at a host: above it, pure tasks too take new connections
 FORGET = 300 * SECOND    # a closing seen so long ago says nothing: the host may have been set up anew
 
 
-CLIENTS_SHARE = 0.5      # of the descriptors for clients' connections: they hold a third, and open others while
-#                          the last ones have not ended; hosts were seen to need a quarter at most
+CLIENTS_SHARE = 0.5      # of the descriptors for clients' connections: they hold a third, and open others
+#                          while the last ones have not ended; hosts were seen to need a quarter at most
 OWN = 24                 # descriptors for the log, the epolls, the listener, signals and a few to spare
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -134,7 +134,8 @@
     assert made.came() == 1 and not made.hosts[0].seen("stage")
 
 
-@pytest.mark.parametrize("data", [b"\x00\xffnoise\r\n\r\n", b"Content-Length: 60000000\r\n\r\n" + b"x" * 70000,
+@pytest.mark.parametrize("data", [b"\x00\xffnoise\r\n\r\n",
+                                  b"Content-Length: 60000000\r\n\r\n" + b"x" * 70000,
                                   b"Content-Length: -5\r\n\r\n", b"x" * 2000,
                                   b"Content-Length: 1\r\n\r\n{"])
 def test_what_cannot_be_read_gets_an_error_and_a_close(gate, data):
@@ -236,7 +237,8 @@
 
 def test_at_a_full_house_at_work_arrivals_wait_and_are_served_when_one_leaves(gate):
     held = []
-    made = gate(lambda stream, command: command["type"] == "go" and held.append((stream, command)), sockets=90)
+    made = gate(lambda stream, command: command["type"] == "go" and held.append((stream, command)),
+                sockets=90)
     most = made.process.front.lot.door.most
     clients = []
     for place in range(most + 5):
