--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -109,6 +109,15 @@
         return self.go((now, None))
 
 
+def turn_until(loop, condition, within=5):
+    """Turns of the loop until the condition holds."""
+    end = loop.now() + within * SECOND
+    while not condition():
+        assert loop.now() < end, "waited too long"
+        loop.after(MILLI, lambda: None)
+        loop.turn()
+
+
 # A gateway, stand-in hosts and a store on one loop, on loopback sockets
 
 CHARTER = """
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -10,6 +10,7 @@
 from gaproute.loop import Loop
 from gaproute.policy import Chance
 from gaproute.standins.platform import ChangeLog, event, sse
+from helpers import turn_until
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -76,11 +77,7 @@
                                  Chance(1))
 
     def until(self, condition):
-        end = self.loop.now() + 5 * SECOND
-        while not condition():
-            assert self.loop.now() < end, "waited too long"
-            self.loop.after(MILLI, lambda: None)
-            self.loop.turn()
+        turn_until(self.loop, condition)
 
 
 @pytest.fixture
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -11,7 +11,7 @@
 from gaproute.loop import Loop
 from gaproute.pooling import Pooling
 from gaproute.standins.platform import LineHost
-from helpers import row
+from helpers import row, turn_until
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -90,11 +90,7 @@
                                 self.heard.append)
 
     def until(self, condition):
-        end = self.loop.now() + 5 * SECOND
-        while not condition():
-            assert self.loop.now() < end, "waited too long"
-            self.loop.after(MILLI, lambda: None)
-            self.loop.turn()
+        turn_until(self.loop, condition)
 
     def results(self, count):
         self.until(lambda: len(self.heard) >= count)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -16,6 +16,7 @@
 from gaproute.node.process import Process
 from gaproute.standins.platform import ChangeLog, Client, LineHost, arg, event, sse
 from gaproute.terms import site, terms
+from helpers import turn_until
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SETTINGS = {
@@ -63,12 +64,8 @@
         self.clients.append(Client(self.loop, self.where))
         return self.clients[-1]
 
-    def until(self, condition, within=5):
-        end = self.loop.now() + within * SECOND
-        while not condition():
-            assert self.loop.now() < end, "waited too long"
-            self.loop.after(MILLI, lambda: None)
-            self.loop.turn()
+    def until(self, condition):
+        turn_until(self.loop, condition)
 
     def came(self):
         return sum(len(host.seen("go")) for host in self.hosts)
