Fields that nothing read are gone, and a second close of the same connection

Found on reading the change over: a request kept its effect and a connection when it was opened, unread; a fault of the reader closed twice.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -190,8 +190,7 @@
             if self.closing or not self.stream.open:
                 return
         if fault is not None:
-            self.refuse(fault)
-            self.shut()
+            self.refuse(fault)       # what a reader finds wrong is unreadable: that closes
         elif self.stream.waiting >= HIGH:
             self.stream.pause()
 
--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -16,10 +16,10 @@
     """One request on a connection. `done(reply or None, what its failure proves or None)` once, never at
     once."""
 
-    __slots__ = ("id", "data", "done", "effect", "sent", "start")
+    __slots__ = ("id", "data", "done", "sent", "start")
 
-    def __init__(self, name, data, done, effect, now):
-        self.id, self.data, self.done, self.effect, self.sent = name, data, done, effect, now
+    def __init__(self, name, data, done, now):
+        self.id, self.data, self.done, self.sent = name, data, done, now
         self.start = None                # bytes written on its connection before it; None: none of it yet
 
     def end(self, reply, failure):
@@ -37,7 +37,7 @@
         self.open, self.done_with = {}, set()    # id: Asked; ids given up that may still be answered
         self.reader, self.stream = lines.Reader(), None
         self.written = 0
-        self.opened = self.used = self.heard = loop.now()
+        self.used = self.heard = loop.now()
         self.trusted, self.served = True, 0
         self.stop_connecting = connect(loop, host.where, self.hosts.connect_time, self.connected)
 
@@ -221,7 +221,7 @@
             self.doubled += 1
         else:
             self.reused += 1
-        asked = Asked(name, data, done, effect, now)
+        asked = Asked(name, data, done, now)
         link.ask(asked)
         return link, asked
 
