--- a/benchmarks/bad_day.py
+++ b/benchmarks/bad_day.py
@@ -14,7 +14,7 @@
 
 from rows import table, write
 
-WAYS = {"module": "gaproute.policy:Gateway", "least queue": "gaproute.standins.baselines:LeastQueue",
+WAYS = {"module": "gaproute.decisions.route:Gateway", "least queue": "gaproute.standins.baselines:LeastQueue",
         "random choice": "gaproute.standins.baselines:RandomChoice"}
 
 
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -12,7 +12,8 @@
 
 from gaproute import interface as face
 from gaproute.core.drive import Driver
-from gaproute.policy import Chance, Gateway
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.route import Gateway
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 FUNCTIONS = 400
--- a/benchmarks/kept_connections.py
+++ b/benchmarks/kept_connections.py
@@ -16,15 +16,16 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from gaproute.call import Call
+from rows import write
+
+from gaproute.decisions.links.pooling import LONGEST, Pooling
 from gaproute.hosts.fleet import Hosts
 from gaproute.hosts.rows import Row
 from gaproute.http1 import Limits, Server
 from gaproute.interface import Effect, Listed, Result, State
+from gaproute.interface.call import Call
 from gaproute.loop import Loop, Promise
 from gaproute.loop.streams import address
-from gaproute.pooling import LONGEST, Pooling
-from rows import write
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -22,9 +22,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from gaproute.standins.tap import read
 from rows import write
 
+from gaproute.standins.tap import read
+
 SECOND = 1_000_000_000
 KILL = 24               # by then the store is calm: copies stand where the gateways want them
 SCRIPT = """
@@ -46,7 +47,7 @@
 
 AFTER = 30 * SECOND     # from the first kill, in which fetches are counted
 MODES = {"nothing": (False, False), "disk": (False, True), "peers": (True, False), "both": (True, True)}
-LIARS = {"0%": "gaproute.policy:Gateway", "20%": "gaproute.standins.liars:LiesNow",
+LIARS = {"0%": "gaproute.decisions.route:Gateway", "20%": "gaproute.standins.liars:LiesNow",
          "50%": "gaproute.standins.liars:LiesHalf", "100%": "gaproute.standins.liars:LiesAlways"}
 
 
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -14,10 +14,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
+from gaproute.decisions.chance import Chance
 from gaproute.membership import DEAD
-from gaproute.policy import Chance
 from gaproute.standins.net import Net
-from rows import write
 
 SECOND = 1_000_000_000
 CALM = 60                # s
--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -3,64 +3,52 @@
 
     python benchmarks/module.py [--against GIT_REVISION] [--hosts 10,60,300] [--tasks 20000] [--profile]
 
-With --against, the module of that revision is measured in turn with the present one, in one process.
+With --against, the decisions of that revision are measured in turn with the present ones, each run in a
+process of its own.
 """
 import argparse
 import cProfile
+import importlib
 import pstats
 import subprocess
 import sys
+import tarfile
+import tempfile
 import time
-import types
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
-sys.path.insert(0, str(ROOT))
-
-from gaproute import interface as face
-from gaproute import policy
-
 MILLI, SECOND = 1_000_000, 1_000_000_000
 MODELS = 300
 LAG = 40                 # tasks in flight
-TRACKS = (face.Track(face.Effect.PURE, face.Group.ALL, 0, SECOND, 4 * SECOND, 1.0),)
-TERMS = face.Terms(
-    TRACKS,
-    (),
-    1.0,
-    10 * SECOND,
-    True,
-    6,
-    0.3,
-    10 * SECOND,
-    True,
-    True,
-    True,
-    False,
-    True,
-    True,
-    4,
-    SECOND,
-    0.2,
-    10 * SECOND,
-    False,
-)
+PLACES = (("gaproute.decisions.route", "gaproute.decisions.chance"), ("gaproute.policy", "gaproute.policy"))
+TOLD = {"tenant_shares": (), "over_share_value": 1.0, "keep_alive": 10 * SECOND, "orders_allowed": True,
+        "order_free": 6, "order_share": 0.3, "order_window": 10 * SECOND, "counts_alike": True,
+        "notes_warmth": True, "probes_allowed": True, "reports_by_probe": False, "reported": (),
+        "probe_price": 0.0, "peer_price": 0.0, "peers_allowed": False, "gateways": 1, "recall_allowed": True,
+        "twins_allowed": True, "relay_limit": 4, "advice_limit": SECOND, "cold_share": 0.2,
+        "cold_time": 10 * SECOND, "must_ask_list": False, "zone": -1, "crossing_price": 0.0}
 
 
-def module(revision):
-    made = types.ModuleType(f"policy_{revision}")
-    source = subprocess.run(["git", "show", f"{revision}:gaproute/policy.py"], cwd=ROOT, capture_output=True,
-                            check=True).stdout
-    exec(compile(source, f"{revision}:policy.py", "exec"), made.__dict__)
-    return made
+def decisions():
+    """(Gateway, Chance) from where this revision keeps them."""
+    for route, chance in PLACES:
+        try:
+            return importlib.import_module(route).Gateway, importlib.import_module(chance).Chance
+        except ModuleNotFoundError:
+            pass
+    raise SystemExit("no decisions found in this revision")
 
 
-def play(made, hosts, tasks):
+def play(hosts, tasks):
     """Seconds of CPU for each task."""
-    gateway = made.Gateway(7, TERMS, 0)
+    face = importlib.import_module("gaproute.interface")
+    made, dice = decisions()
+    tracks = (face.Track(face.Effect.PURE, face.Group.ALL, 0, SECOND, 4 * SECOND, 1.0),)
+    terms = face.Terms(tracks=tracks, **{name: TOLD[name] for name in face.Terms._fields if name != "tracks"})
+    gateway, chance = made(7, terms, 0), dice(3)
     gateway.listed(0, [face.Listed(f"h{number}", number % 3, number % 5, face.State.ACTIVE, 4.0, None)
                        for number in range(hosts)], True)
-    chance = made.Chance(3)
     weights = [int(1e6 / (rank + 1)) for rank in range(MODELS)]
     ladder, total = [], 0
     for weight in weights:
@@ -100,27 +88,51 @@
     return (time.process_time() - begun) / tasks
 
 
+def apart(root, hosts, tasks):
+    """One play in a process of its own, by the decisions of that tree."""
+    told = subprocess.run([sys.executable, __file__, "--once", root, "--hosts", str(hosts), "--tasks",
+                           str(tasks)], capture_output=True, check=True, text=True)
+    return float(told.stdout)
+
+
+def unpacked(revision, folder):
+    """The package as of that revision."""
+    whole = folder / "tree.tar"
+    subprocess.run(["git", "archive", "-o", whole, revision, "gaproute"], cwd=ROOT, check=True)
+    with tarfile.open(whole) as tree:
+        tree.extractall(folder, filter="data")
+    return str(folder)
+
+
 def main():
     arguments = argparse.ArgumentParser()
     arguments.add_argument("--against")
     arguments.add_argument("--hosts", default="10,60,300")
     arguments.add_argument("--tasks", type=int, default=20000)
     arguments.add_argument("--profile", action="store_true")
+    arguments.add_argument("--once", help=argparse.SUPPRESS)
     told = arguments.parse_args()
-    modules = {"now": policy} | ({told.against: module(told.against)} if told.against else {})
-    for hosts in map(int, told.hosts.split(",")):
-        if told.profile:
-            profile = cProfile.Profile()
-            profile.runcall(play, policy, hosts, told.tasks)
-            pstats.Stats(profile).sort_stats("tottime").print_stats(18)
-            continue
-        runs = {name: [] for name in modules}
-        for _ in range(3):
-            for name, made in modules.items():
-                runs[name].append(play(made, hosts, told.tasks))
-        print(f"{hosts} hosts: " + ", ".join(f"{name} {sorted(times)[1] * 1e3:.3f} ms a task (of "
-                                             f"{min(times) * 1e3:.3f} to {max(times) * 1e3:.3f})"
-                                             for name, times in runs.items()))
+    sys.path.insert(0, told.once or str(ROOT))
+    if told.once:
+        print(play(int(told.hosts), told.tasks))
+        return
+    with tempfile.TemporaryDirectory() as folder:
+        trees = {"now": str(ROOT)}
+        if told.against:
+            trees[told.against] = unpacked(told.against, Path(folder))
+        for hosts in map(int, told.hosts.split(",")):
+            if told.profile:
+                profile = cProfile.Profile()
+                profile.runcall(play, hosts, told.tasks)
+                pstats.Stats(profile).sort_stats("tottime").print_stats(18)
+                continue
+            runs = {name: [] for name in trees}
+            for _ in range(3):
+                for name, root in trees.items():
+                    runs[name].append(apart(root, hosts, told.tasks))
+            print(f"{hosts} hosts: " + ", ".join(f"{name} {sorted(times)[1] * 1e3:.3f} ms a task (of "
+                                                 f"{min(times) * 1e3:.3f} to {max(times) * 1e3:.3f})"
+                                                 for name, times in runs.items()))
 
 
 if __name__ == "__main__":
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -18,12 +18,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
+from gaproute.decisions.route import Gateway
 from gaproute.http1 import Exchange, Link, Server
 from gaproute.interface import Relay, Wait
 from gaproute.loop import Loop, connect
 from gaproute.loop.streams import address
-from gaproute.policy import Gateway
-from rows import write
 
 SECOND = 1_000_000_000
 MODELS = 300
@@ -177,7 +178,7 @@
         where = json.loads(sink.stdout.readline())
         with tempfile.TemporaryDirectory() as folder:
             made = {name: Gate(where, decisions, folder) for name, decisions in (
-                ("module", "gaproute.policy:Gateway"), ("next in turn", "relay:NextInTurn"))}
+                ("module", "gaproute.decisions.route:Gateway"), ("next in turn", "relay:NextInTurn"))}
             for gate in made.values():
                 gate.measure(2)                  # warms up: connections, tables
             fast = {name: [] for name in made}
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -18,10 +18,11 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from gaproute.load import read_result
 from relay import cpu
 from rows import write
 
+from gaproute.load import read_result
+
 HERE = Path(__file__)
 CONFIG = """
 name g
@@ -43,7 +44,7 @@
 
 def serve(file, form):
     if form == "one line":
-        from gaproute.door import ARRIVING, FRESH, Door
+        from gaproute.decisions.door.door import ARRIVING, FRESH, Door
         from gaproute.lobby import Lot
 
         def look(lot, events, seen):
--- a/benchmarks/telling.py
+++ b/benchmarks/telling.py
@@ -16,11 +16,12 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from relay import Gate
+from rows import write
+
 from gaproute.conf import read_peers
 from gaproute.loop import Loop
 from gaproute.peers import Learner
-from relay import Gate
-from rows import write
 
 SECOND = 1_000_000_000
 LEARNERS = 10
@@ -73,7 +74,7 @@
     hosts = json.loads(sink.stdout.readline())
     windows = {False: [], True: []}
     with tempfile.TemporaryDirectory() as folder:
-        gate = Gate(hosts, "gaproute.policy:Gateway", folder, f"listen peers unix:{folder}/p",
+        gate = Gate(hosts, "gaproute.decisions.route:Gateway", folder, f"listen peers unix:{folder}/p",
                     f"listen operator unix:{folder}/o")
         gate.where = gate.where[:1]
         rate = sorted(gate.measure(2)["rate"] for _ in range(3))[1] / 2
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -8,8 +8,13 @@
 from gaproute.appliance.keeping import Keeper
 from gaproute.conf import read_peers
 from gaproute.core.core import Core
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.door.door import Door
+from gaproute.decisions.links.pooling import Pooling
+from gaproute.decisions.told.facts import Fact
+from gaproute.decisions.told.lore import FACTS, Lore
+from gaproute.decisions.told.roll import Roll
 from gaproute.discovery.listing import FileWatch, Listing
-from gaproute.door import Door
 from gaproute.fronts.kserve import Front
 from gaproute.hosts.fleet import Hosts, Reach
 from gaproute.http1 import Server
@@ -20,10 +25,7 @@
 from gaproute.loop import Loop
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address
-from gaproute.lore import FACTS, Fact, Lore, Roll
 from gaproute.peers import Giver, Gossip, Learner
-from gaproute.policy import Chance
-from gaproute.pooling import Pooling
 from gaproute.record.logs import logger
 from gaproute.record.record import Record
 
--- a/gaproute/appliance/keeping.py
+++ b/gaproute/appliance/keeping.py
@@ -1,7 +1,10 @@
 """Writes what this gateway saw to its memory on disk, in the background, a slice at a time."""
 import time
 
-from gaproute.lore import KEEP_EVERY, KEEP_WHOLE, OLDEST, SLICE, Purse, own
+from gaproute.decisions.told.asking import KEEP_EVERY, KEEP_WHOLE
+from gaproute.decisions.told.facts import OLDEST
+from gaproute.decisions.told.purse import SLICE, Purse
+from gaproute.decisions.told.roll import own
 
 MOST = 256               # facts in one transaction: about a millisecond
 
--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -13,12 +13,12 @@
 import sys
 
 from gaproute.conf import Mistakes, read_charter
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.door.restarts import Restarts
 from gaproute.loop import Loop, Promise
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address, listening
-from gaproute.policy import Chance
 from gaproute.record.logs import logger
-from gaproute.restarts import Restarts
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 READY_TIME = 30 * SECOND     # for a child to start, on a crowded machine
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -226,7 +226,8 @@
 @main.command()
 @click.argument("script", default="bad-day")
 @click.option("--seed", default=1, help="Seed of the day's chance.")
-@click.option("--decisions", default="gaproute.policy:Gateway", help="The gateways' decisions, MODULE:CLASS.")
+@click.option("--decisions", default="gaproute.decisions.route:Gateway",
+              help="The gateways' decisions, MODULE:CLASS.")
 @click.option("--out", type=click.Path(file_okay=False), help="Folder for taps, logs and result.json.")
 @json_option
 def trial(script, seed, decisions, out, plain):
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -8,8 +8,8 @@
 from typing import NamedTuple
 
 from gaproute import interface as face
-from gaproute.call import Answer, Ending, Final
 from gaproute.core.drive import Driver
+from gaproute.interface.call import Answer, Ending, Final
 
 MILLI = 1_000_000
 
--- a/gaproute/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -1,4 +1,4 @@
-"""What a gateway knows of workers, functions and the relays of one task; `gaproute.policy` judges it."""
+"""What a gateway knows of workers, functions and the relays of one task; the rooms beside it judge it."""
 from collections import deque
 
 from gaproute.interface import Result, State
@@ -9,23 +9,14 @@
 WIDE = 2.5             # workers for each that a hot function could fill: others' tasks need the rest of each
 MIX = 256              # own last tasks from which a function's share of the work is taken
 ERRED = 0.4            # of an unanswered relay's weight, an error's of a pure task: others then succeed
+LOOK = 40 * MILLI      # between judgements of workers and tasks in hand: far less than signs of illness take
+FLOWS = 64             # answers over which this gateway's pace of answers is taken
+ROOM = 9               # tasks that a usual worker takes on, whatever the lanes of one copy: others' run too
 RECENT = 5 * SECOND    # samples older than this are no evidence: a suspect is tried again after it
 KEPT = 8               # samples kept of each thing measured: a median that two odd ones do not move
 LOAD_LIFE = 8 * SECOND     # reported queues older than this are forgotten: crowds by the hash last as long
 
 
-class Chance:
-    """A linear congruential generator; its low bits are weak, so only the high half is used."""
-
-    def __init__(self, seed):
-        self.state = seed & (2**64 - 1)
-        self.below(2)
-
-    def below(self, n):
-        self.state = (self.state * 6364136223846793005 + 1442695040888963407) & (2**64 - 1)
-        return (self.state >> 32) * n >> 32
-
-
 class Worker:
     """What this gateway knows of one worker."""
 
--- /dev/null
+++ b/gaproute/decisions/route/booked.py
@@ -0,0 +1,139 @@
+"""What is booked: of relays sent, outcomes, silence, reports and orders."""
+from statistics import median
+
+from gaproute.decisions.route.beliefs import ERRED, RECENT, ROOM
+from gaproute.decisions.route.wait import Waits
+from gaproute.interface import Effect, Found, Result
+
+ZONE_SILENT = 2        # workers of a zone with overdue relays, none heard since: one alone may have slow work
+PATIENCE = 4           # usual answer times before a relay counts as overdue
+LOAD_PATIENCE = 2      # usual load times more where a load is expected
+FAILURES = (Result.ERROR, Result.TIMEOUT, Result.CONNECT_FAILED, Result.RESET)
+
+
+class Booked(Waits):
+    def probed(self, now, worker_id, good, report):
+        """Returns what all other gateways are to be told of it, or None."""
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            self.note(worker, now, report)
+            if not good:
+                self.book(worker, now, None, 1.0)
+        return self.sharing.tell(worker_id, report) if good else None
+
+    def told(self, now, words):
+        """Another gateway told of a worker's load."""
+        if (heard := self.sharing.words.read(words)) is not None:
+            self.note(self.workers[heard[0]], now, heard[1])
+
+    def stood(self, now, worker_id, name, result, copies):
+        function = self.functions.get(name)
+        if function is not None and function.ordered:
+            function.ordered = False
+            self.ration.ended(now, result is Result.OK, (now - function.since) / self.load_usual(None))
+            if result is Result.OK and worker_id in self.workers:
+                function.seen[worker_id] = now
+
+    def sent(self, now, task, relay, worker, trail):
+        function = self.function(task.function, task.lanes)
+        warm = self.warmth(function, worker, now) > 0 and function.stands.get(worker.id, -1) >= worker.wiped
+        usual = self.usual(function)
+        contract = self.tracks[task.track].contract_time
+        due = now + min(PATIENCE * usual, max(2 * usual, contract - 2 * usual))
+        if not warm:
+            due += LOAD_PATIENCE * self.load_usual(task.load_time)
+        worker.out[task.id, relay], worker.tally = now, None
+        self.hands[task.id, relay] = (worker.id, task.function, task.track, now, warm)
+        trail.out[relay] = (worker, now)
+        trail.relays += 1
+        if trail.first is None:
+            trail.first = (worker, now)
+        if worker.zone in self.silent:
+            self.silent[worker.zone] = now + RECENT      # on trial: one relay at a time until it is heard
+        function.seen[worker.id] = now
+        worker.credit = max(0.0, worker.credit - 1)
+        return due
+
+    def heard(self, now, outcome):
+        """Book one relay's outcome, whether or not its task is still held."""
+        hand = self.hands.pop((outcome.task, outcome.relay), None)
+        worker = self.workers.get(outcome.worker)
+        if hand is None or worker is None:
+            return
+        _, name, track, sent, warm = hand
+        worker.out.pop((outcome.task, outcome.relay), None)
+        booked = worker.late.pop((outcome.task, outcome.relay), False)
+        function = self.function(name, 1)
+        self.note(worker, now, outcome.report)
+        if outcome.result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS):
+            worker.heard[track] = self.zone_heard[worker.zone] = now
+            self.silent.pop(worker.zone, None)
+        self.refusals.append((now, outcome.result is Result.FULL))
+        if outcome.result is Result.OK:
+            self.book(worker, now, track, 0.0)
+            worker.full_until = -1
+            if warm:
+                self.answers.append(now)
+            if self.power(worker, now) >= 1:
+                self.spread_credit(now)
+            if sent >= worker.wiped:
+                function.seen[worker.id] = function.stands[worker.id] = function.answered = now
+            self.verify(name, worker.id, outcome.found)
+            if outcome.found is Found.WARM or outcome.found is Found.UNTOLD and warm:
+                if function.times:
+                    worker.paces.append((now, outcome.took / max(1, median(function.times))))
+                    worker.slow, worker.slow_until = self.pace(worker, now), now + RECENT
+                function.times.append(outcome.took)
+                queued = self.queued(worker, 1, now)
+                if queued >= ROOM and worker.slow <= 1:
+                    self.drains.append((now, outcome.took * worker.capacity / queued))
+            else:
+                self.loads.append(outcome.took)
+        elif outcome.result in FAILURES and not booked:
+            again = outcome.result is Result.ERROR and self.tracks[track].effect is Effect.PURE
+            self.book(worker, now, track, ERRED if again else 1.0)
+        if outcome.result is Result.FULL:
+            worker.full_until = now + self.usual(function)   # a lane frees about then
+        if outcome.result is Result.MISS or outcome.found is Found.LOAD_FAILED:
+            self.verify(name, worker.id, Found.LOAD_FAILED)
+            function.seen.pop(worker.id, None)
+            function.stands.pop(worker.id, None)
+        if outcome.result is Result.RESET and not worker.out:
+            worker.wiped = now   # a process that broke off, with all its relays, comes back empty
+
+    def note(self, worker, now, report):
+        worker.tally = None
+        if report is not None:
+            worker.report, worker.reported, worker.memory = report, now, report.memory_busy
+            told = report.waiting if report.in_hand is None else report.in_hand
+            if told is not None:
+                self.busy.append((now, told / worker.capacity))
+
+    def overdue(self, now, task, trail, function):
+        """Hold overdue relays in silence against their workers at once; when to look again.
+
+        Silence, nothing of the track heard since, shows workers that hang, vanish or are cut off, and one
+        track unanswered alone. It needs two such relays or one for twice the patience, as one slow task
+        proves little. The task keeps its place: what goes out again is late and twice the work.
+        """
+        for relay, (worker, sent) in trail.out.items():
+            if worker.heard.get(task.track, -1) < sent:
+                again = (task.id, relay) in worker.late
+                booked = worker.late.setdefault((task.id, relay), False)
+                if not booked and (again or len(worker.late) > 1):
+                    worker.late[task.id, relay] = True
+                    self.book(worker, now, task.track, 1.0)
+        self.hear_zones(now)
+        return now + PATIENCE * self.usual(function)
+
+    def hear_zones(self, now):
+        """Zones of which nothing is heard though relays to several of their workers are overdue.
+
+        Guards against a whole zone cut off: found out worker by worker, each gateway would lose a task at
+        every one. Harms a zone of few workers that all have long work; it is tried again in a while."""
+        late = {}
+        for worker in self.fleet:
+            heard = self.zone_heard.get(worker.zone, -1)
+            if any([self.hands[key][3] > heard for key in worker.late]):
+                late[worker.zone] = late.get(worker.zone, 0) + 1
+        self.silent.update({zone: now + RECENT for zone, count in late.items() if count >= ZONE_SILENT})
--- a/gaproute/hints.py
+++ b/gaproute/decisions/route/hints.py
@@ -1,12 +1,13 @@
 """What other gateways or a past life tell, as the module takes it and tells of its own: decisions only.
 
 Evidence that fades alike and gives way to any of one's own. It gives no credit, orders nothing and lifts no
-limit. Only a gateway that is told of others' copies (`gaproute.lore`) comes here; elsewhere nothing is on
-trial.
+limit. Only a gateway that is told of others' copies (`gaproute.decisions.told.lore`) comes here; elsewhere
+nothing is on trial.
 """
 from statistics import median
 
-from gaproute.beliefs import ERRED, MIX, RECENT, WIDE
+from gaproute.decisions.route.beliefs import ERRED, MIX, RECENT, WIDE
+from gaproute.decisions.route.measures import Measures
 from gaproute.interface import Found
 
 MISLED = 2               # wrong hints after which none is followed: one may be a copy that has just gone
@@ -14,10 +15,11 @@
 PROVEN = 8               # right hints, and none wrong, before the mix told is taken
 
 
-class Hints:
-    """The part of `gaproute.policy.Gateway` that hears and tells."""
+class Hints(Measures):
+    """The part of the gateway that hears and tells."""
 
-    def __init__(self):
+    def __init__(self, seed, terms, now):
+        super().__init__(seed, terms, now)
         self.trials = {}         # (function, worker): when a hint was first followed; not yet known if right
         self.right, self.wrong, self.told_mix = 0, 0, None      # hints that proved so; see `hint_mix`
 
--- /dev/null
+++ b/gaproute/decisions/route/measures.py
@@ -0,0 +1,107 @@
+"""Measures of workers and functions, by which the rooms above judge."""
+from hashlib import blake2b
+from statistics import median
+
+from gaproute.decisions.route.beliefs import LOAD_LIFE, LONG, LOOK, MIX, RECENT, WIDE
+from gaproute.decisions.route.known import Known
+
+FADE = 4               # power of age over keep-alive: warmth stays above two thirds for three quarters of it
+SUSPECT = 0.4          # share of bad results below which none is doubted: chance and lost answers strike all
+BELIEF = 1.0           # good samples granted to each worker: one failure alone halves its worth, no more
+FIRST_GUESS = 0.25     # of the contract time: usual answer time before any was seen
+SLOW = 1.5             # times slower than usual before it counts: kinds of machine and work differ by as much
+
+
+class Measures(Known):
+    def usual(self, function):
+        return median(function.times) if function.times else self.shortest * FIRST_GUESS
+
+    def breadth(self, name):
+        """How many workers a function could fill: its share of this gateway's last tasks, times the fleet.
+
+        Needs no number of own calls, so it is right at gateways that see few tasks. From one worker on the
+        function is hot: it spills early, and WIDE times as many first choices of the hash count alike, so
+        that gateways spread it; a rare one waits for its copy, as loads for it jam the store.
+        """
+        return self.mix.count(name) / max(len(self.mix), MIX // 4) * len(self.fleet)
+
+    def load_usual(self, told):
+        return told or (median(self.loads) if self.loads else self.shortest)
+
+    def warmth(self, function, worker, now):
+        last = function.seen.get(worker.id)
+        if last is None or last < worker.wiped:
+            return 0.0
+        return max(0.0, 1.0 - ((now - last) / self.keep_alive) ** FADE)
+
+    def power(self, worker, now):
+        """Share of its capacity that a worker has at least, by the told cold share."""
+        if now >= worker.warm_at:
+            return 1.0
+        share, age = self.terms.cold_share, (now - worker.started) / self.terms.cold_time
+        return min(1.0, share + (1 - share) * age)
+
+    def pace(self, worker, now):
+        """Times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
+
+        It divides what a copy there is worth and the lanes: a crawling worker looks warm and idle. It harms
+        where one worker holds a function's heaviest work; samples age, so it is retried."""
+        recent = [pace for at, pace in worker.paces if now - at < RECENT]
+        return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
+
+    def queued(self, worker, lanes, now):
+        """Tasks at the worker: its report and what was sent since, else own tasks in flight.
+
+        The parts are kept until something happens there, to spare CPU in a large fleet."""
+        if worker.tally is None or now > worker.tally_until:
+            report, told, share, own = worker.report, 0, 0.0, len(worker.out)
+            end = worker.reported + LOAD_LIFE
+            if report is not None and now <= end:
+                since = sum([sent > worker.reported for sent in worker.out.values()])
+                if report.in_hand is not None:
+                    told, own = report.in_hand + since, 0
+                elif report.waiting is not None:     # tells nothing of tasks at work: own ones stand for them
+                    told = report.waiting + own
+                elif report.cpu_busy is not None:
+                    told, share = since, report.cpu_busy
+            worker.tally = told, share, own
+            worker.tally_until = end if now <= end else LONG
+        told, share, own = worker.tally
+        return max(told + share * lanes, own)
+
+    def usual_load(self, now):
+        """Median load over capacity by the last reports: it stands for a worker that told nothing lately."""
+        if now - self.busied >= LOOK:
+            recent = [load for at, load in self.busy if now - at < LOAD_LIFE]
+            self.usual_busy, self.busied = median(recent) if recent else 0.0, now
+        return self.usual_busy
+
+    def doubt(self, worker, track, now):
+        """0 to 1: how likely the worker fails the track, by its last results of that track, else of any.
+
+        Guards against workers that hang, fall silent or fail fast, perhaps one track only: they look idle."""
+        if not worker.bad:
+            return 0.0
+        if now - self.looked >= LOOK:        # judgements are kept for LOOK, to spare CPU
+            self.looked, self.doubts = now, {}
+        doubt = self.doubts.get((worker.id, track))
+        if doubt is None:
+            recent = [(of, harm) for at, of, harm in worker.results if now - at < RECENT]
+            recent = [harm for of, harm in recent if of == track] or [harm for _, harm in recent]
+            known = len(recent) + BELIEF
+            doubt = sum(recent) / known if sum([harm > 0 for harm in recent]) > SUSPECT * known else 0.0
+            last = [harm for _, _, harm in worker.results][-2:]
+            if worker.out and len(last) == 2 and min(last) > 0:
+                doubt = max(doubt, 0.5)      # on trial: one relay out at a time until one is answered
+            self.doubts[worker.id, track] = doubt
+        return doubt
+
+    def ranks(self, name, function):
+        """A stable hash's order of the workers for a function: the same at every gateway and restart."""
+        if function.ranked_for != self.list_version:
+            order = sorted((blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
+                           for worker in self.fleet)
+            function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
+            function.order = [self.workers[worker] for _, worker in order]
+            function.ranked_for = self.list_version
+        return function.ranks
--- /dev/null
+++ b/gaproute/decisions/route/score.py
@@ -0,0 +1,104 @@
+"""The choice of a worker: the highest score wins."""
+from gaproute.decisions.route.allowed import Allowed
+from gaproute.decisions.route.beliefs import LONG, ROOM, SECOND, WIDE
+
+WARMTH = 6.0           # points for a fresh copy: it outweighs a free place, all memory and the prior
+QUEUE = 0.5            # points lost for each ROOM of tasks queued, where a load serves one task alone
+QUEUE_HOT = 1.6        # the same for a hot function: a shorter queue repays one more copy
+MEMORY = 1.0           # points between an empty and a full memory: among cold ones, not against copies
+PRIOR = 2.0            # points for the stable hash's first choice: a third of a copy's, which is kept
+PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
+PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on where to spill, ten deep
+SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
+NIL = 1e-9             # points below which two sums of the same terms may differ by rounding alone
+
+
+class Score(Allowed):
+    def choose(self, now, task, trail):
+        track, function = self.tracks[task.track], self.function(task.function, task.lanes)
+        if trail.relays >= self.terms.relay_limit:
+            return None
+        resting = now < function.rests_until and not trail.failed
+        # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
+        able, capacity = self.fleet, self.capacity
+        if trail.first is not None or trail.out or now < self.all_warm_at:
+            holding = {worker.id for worker, _ in trail.out.values()}
+            able = [worker for worker in self.fleet if worker.id not in holding and
+                    (now >= worker.warm_at or worker.credit > 0) and self.allowed(worker, track, trail, now)]
+        if trail.failed:
+            able = [worker for worker in able if worker not in trail.failed] or able
+            # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
+            able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
+        if resting:
+            able = [each for each in able if now >= each.full_until and self.warmth(function, each, now) > 0]
+        if not able:
+            return None
+        if able is not self.fleet:
+            capacity = sum([worker.capacity for worker in able])
+        ranks, usual_memory = self.ranks(task.function, function), None
+        lanes = max(task.lanes, ROOM) * len(able) / capacity
+        breadth = self.breadth(task.function)
+        heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
+        queue_weight = QUEUE + (QUEUE_HOT - QUEUE) * heat
+        prior = PRIOR + (PRIOR_HOT - PRIOR) * heat
+        worth = WARMTH * max(1.0, self.load_usual(None) / self.shortest)
+        doubts = {worker.id: self.doubt(worker, task.track, now) for worker in able if worker.bad}
+        for zone, until in self.silent.items():
+            if now < until or trail.failed:
+                doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
+        best, ties = None, []
+        for worker, warmth, most in self.contenders(now, function, able, prior, width):
+            # The order is such that none after this one can score more than `most` and an empty queue allow.
+            if best is not None and most + self.near - queue_weight / (lanes * self.strongest) < best - NIL:
+                break
+            pace = worker.slow if now < worker.slow_until else 1.0
+            strength = worker.capacity / pace
+            if now < worker.warm_at:
+                strength *= self.power(worker, now)
+            if worker.memory is None and usual_memory is None:
+                memories = [worker.memory for worker in self.fleet if worker.memory is not None]
+                usual_memory = sum(memories) / len(memories) if memories else 0.0
+            warmth /= pace
+            score = (worth * warmth
+                     - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
+                     - MEMORY * (usual_memory if worker.memory is None else worker.memory)
+                     + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth)
+                     + (self.near if worker.zone == self.zone else 0.0))
+            score -= SHUN * doubts.get(worker.id, 0.0)
+            if best is None or score > best:
+                best, ties = score, [worker]
+            elif score == best:
+                ties.append(worker)
+        if len(ties) > 1:
+            ties.sort(key=lambda worker: worker.place)
+        # One that turned a task away just now gets none for a moment: refusals come fast and look like
+        # idleness, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused
+        # moves on.
+        worker = ties[self.chance.below(len(ties))]
+        if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
+            worker.credit = 0.0
+            return self.choose(now, task, trail)
+        if now < worker.full_until and not resting and not trail.failed:
+            function.rests_until = worker.full_until
+            return self.choose(now, task, trail)
+        return worker if now >= worker.full_until else None
+
+    def contenders(self, now, function, able, prior, width):
+        """The able workers as (worker, warmth, most): those believed warm, then the others by rank.
+
+        `most` is a bound on the score of this one and all that follow, but for the cost of a queue: no warm
+        one is told it, and of the others the prior is all that they can have. It spares scoring those that
+        cannot win, which in a large fleet are nearly all; the choice stays as if all were scored.
+        """
+        every, warm = able is self.fleet, set()
+        members = None if every else {worker.id for worker in able}
+        for name in function.seen:
+            worker = self.workers[name]
+            if worker.active if every else name in members:
+                warmth = self.warmth(function, worker, now)
+                if warmth > 0:
+                    warm.add(name)
+                    yield worker, warmth, LONG
+        for rank, worker in enumerate(function.order):
+            if worker.id not in warm and (every or worker.id in members):
+                yield worker, 0.0, prior * PRIOR_FALL ** (rank // width)
--- a/gaproute/sharing.py
+++ b/gaproute/decisions/route/sharing.py
@@ -5,7 +5,7 @@
 others. A report tells only of load: whoever hears none goes by its own probes and tasks as before. It gives
 no credit, orders nothing and lifts no limit.
 """
-from gaproute.words import Words
+from gaproute.decisions.told.words import Words
 
 WORTH = 0.006            # of the result: what probes and reports told may cost together
 SAVED = 4                # probes that tasks may save up: after a rest no burst, at a steady pace no gap
--- /dev/null
+++ b/gaproute/decisions/route/tidy.py
@@ -0,0 +1,25 @@
+"""The whole gateway: a task's path, and beside it the list, the probes and what is forgotten."""
+from gaproute.decisions.route.beliefs import MILLI, SECOND
+from gaproute.decisions.route.task import PAUSE, Serving
+from gaproute.interface import Listen, Probe, Wait
+
+PROBE_EVERY = 700 * MILLI  # between probes of one worker where reports come by probe only
+TIDY = SECOND          # between looks for functions to forget: waking costs CPU, and they weigh little
+
+
+class Gateway(Serving):
+    def housekeep(self, now):
+        """Ask for the list where it must be asked for, probe where reports come no other way, and forget."""
+        tidied = now
+        while True:
+            if self.asks_list:
+                self.asks_list = False
+                yield Listen()
+            if self.probing and (worker := self.sharing.pick(now, self.fleet, PROBE_EVERY, self.chance)):
+                yield Probe(worker.id)
+            if now - tidied >= TIDY:
+                tidied = now
+                self.functions = {name: function for name, function in self.functions.items()
+                                  if function.ordered or now - function.used <= 4 * self.keep_alive}
+            rest = PROBE_EVERY // max(1, len(self.fleet)) if self.sharing.may() else PAUSE
+            now, _ = yield Wait(now + (rest if self.probing else TIDY))
--- a/gaproute/lore.py
+++ b/gaproute/decisions/told/lore.py
@@ -14,11 +14,9 @@
 and the hints of `Gateway`. Nothing here orders a load, marks a host as active or lifts a limit of the rules.
 """
 from collections import Counter
-from typing import NamedTuple
 
-MILLI, SECOND = 1_000_000, 1_000_000_000
+from gaproute.decisions.told.facts import KINDS, OLDEST, Fact
 
-OLDEST = 300 * SECOND    # facts older than this are refused: no copy is kept so long, no clock is so right
 FACTS = 50_000           # facts held: 300 hosts with 160 functions each; beyond it new subjects are refused
 NAME = 256               # characters of a name: what is longer was never a host or a model
 FRESHEST = 0.35          # of the keep-alive: age that a hint has at least, whatever is told: a giver's word
@@ -29,57 +27,7 @@
 #                          among them, and givers that err mostly err differently
 WIDE = 2.5               # copies believed for each worker that a function could fill, as the module spreads
 SLOWEST = 8.0            # times slower than usual that a host is believed to be at most
-SHARE = 0.01             # of a giver's core that telling may take
-BURST = 10 * MILLI       # of CPU that telling may take at once: a dozen chunks, less than one slow turn
-SLICE = MILLI            # of CPU that one answer may take: a task in the same turn waits no longer for it
-REST = 5 * MILLI         # between two slices: several turns of a busy loop
-CHUNK, CHUNK_BYTES = 256, 16_384   # facts, and bytes of names, in one answer
-CHUNKS = 1024            # answers that one giver is heard for at most: it cannot hold a learner for ever
-ANSWER = 1 << 20         # bytes of one answer at most
-ANSWER_TIME = 500 * MILLI    # for one answer; a peer that is slower is dropped
-LEARN_TIME = 5 * SECOND  # from the start on: later, own traffic tells more than any peer
-CHANGES = 250 * MILLI    # between asks for what changed: a tenth of the time in which a busy copy is reused
-TRIES, TRY_AGAIN = 8, 500 * MILLI    # for a peer that is not there yet: both sides may have been restarted
-ASKED = 4                # peers asked at once: further ones tell mostly the same
 MIXED = 128              # names that stand for the mix told: half of what the module keeps of its own
-KEEP_EVERY = 500 * MILLI    # between writes to the memory on disk: what a kill loses is half a second
-KEEP_WHOLE = 10          # of them one is of the whole, for the figures that have no time of their own
-GONE_KEPT = 256          # hosts remembered as gone
-
-
-class Fact(NamedTuple):
-    at: int                  # observed, by this gateway's clock, ns
-    origin: str              # who observed it
-    hops: int
-    value: tuple
-
-
-def _warm(lanes, started):
-    return None if 1 <= lanes <= 1024 and started >= 0 else "lanes" if started >= 0 else "start"
-
-
-def _listed(state, started):
-    return "state" if state not in ("active", "draining", "gone") else "start" if started < 0 else None
-
-
-def _time(took):
-    return None if 0 < took <= OLDEST else "time"
-
-
-def _part(part):
-    return None if 0 < part <= 1 else "share"
-
-
-# kind: (names in its subject, what is wrong with a value or None)
-KINDS = {
-    "warm": (2, _warm),          # (lanes, start of the worker's life by the giver's list as below)
-    "listed": (1, _listed),      # (state by the giver's list, start)
-    "doubt": (2, _part),         # (weight of the last bad result, 0 to 1)
-    "pace": (1, lambda slow: None if 1 <= slow < float("inf") else "pace"),    # (times slower than usual)
-    "usual": (1, _time),         # (answer time where a copy stands, ns)
-    "load": (0, _time),          # (answer time where a load is waited for, ns)
-    "share": (1, _part),         # (of the giver's last tasks)
-}
 
 
 class Lore:
@@ -199,63 +147,3 @@
         names += [""] * (size - len(names))
         # A stride that shares no factor with a power of two: no function's tasks stand together.
         return [names[place * 37 % size] for place in range(size)]
-
-
-class Roll:
-    """What a gateway's own host list told of each host, and when; hosts that left it are gone."""
-
-    def __init__(self):
-        self.told = {}           # worker: (state, start, when that was first told)
-
-    def listed(self, now, rows):
-        """`rows`: {worker: (state, start of its life, ns since 1970, 0: none told)}, the whole list."""
-        for name, row in rows.items():
-            if self.told.get(name, ())[:2] != row:
-                self.told.pop(name, None)
-                self.told[name] = (*row, now)
-        for name in [name for name, told in self.told.items() if name not in rows and told[0] != "gone"]:
-            started = self.told.pop(name)[1]
-            self.told[name] = ("gone", started, now)
-        gone = [name for name, told in self.told.items() if told[0] == "gone" and name not in rows]
-        for name in gone[:-GONE_KEPT]:
-            del self.told[name]
-
-    def lives(self):
-        return {name: started for name, (state, started, _) in self.told.items() if state == "active"}
-
-
-def own(gateway, roll, tracks, now, since=-1):
-    """What a gateway saw itself since then, one by one: (subject, value, when). `tracks`: their names."""
-    for name, (state, started, at) in list(roll.told.items()):
-        if at > since:
-            yield ("listed", name), (state, started), at
-    for kind, names, value, at in gateway.known(now, since):
-        if kind == "warm":
-            told = roll.told.get(names[0])
-            value = (*value, told[1] if told else 0)
-        elif kind == "doubt":
-            names = (names[0], tracks[names[1]])
-        yield (kind, *names), value, at
-
-
-class Purse:
-    """How much CPU telling may take: a share of the time that passes, a small burst at most, and never two
-    slices on end, so that a task waits for one of them at most."""
-
-    def __init__(self, now):
-        self.left, self.at, self.again, self.turn = BURST, now, now, now
-
-    def may(self, now):
-        self.left, self.at = min(BURST, self.left + SHARE * (now - self.at)), now
-        return self.left > 0 and now >= self.again
-
-    def spend(self, now, span):
-        self.left -= span
-        self.again = now + REST
-
-    def wait(self, now):
-        """Until one that is put off should ask again, ns: each after the one before, so that many that wait
-        do not all come at once and cost more by asking than by being told."""
-        ready = max(self.again, now + round(max(0, -self.left) / SHARE))
-        self.turn = max(ready, self.turn + (REST if self.left > 0 else round(SLICE / SHARE)))
-        return max(MILLI, self.turn - now)
--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -11,9 +11,9 @@
 """
 import socket
 
-from gaproute.call import Call, Ending
 from gaproute.fronts.jsonrpc import messages
 from gaproute.fronts.jsonrpc.messages import Fault
+from gaproute.interface.call import Call, Ending
 from gaproute.lobby import Lot
 from gaproute.loop import Listener, Stream
 from gaproute.loop.streams import HIGH
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -16,9 +16,9 @@
 
 import msgspec
 
-from gaproute.call import Call, Ending
-from gaproute.door import JITTER
+from gaproute.decisions.door.door import JITTER
 from gaproute.http1 import Limits, Server
+from gaproute.interface.call import Call, Ending
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 VERSION = "0.2.0"
--- a/gaproute/hosts/fleet.py
+++ b/gaproute/hosts/fleet.py
@@ -1,15 +1,15 @@
 """The hosts as sockets: kept connections, relays, orders and probes. What it sees it reports; it chooses
 nothing.
 
-Which kept connection is trusted is `gaproute.pooling`'s decision, what an end proves `proof`'s table.
+Which kept connection is trusted is `decisions.links.pooling`'s choice, what an end proves `proof`'s table.
 """
 from typing import NamedTuple
 
-from gaproute.call import Answer
 from gaproute.core.core import Heard
 from gaproute.hosts import kserve, orca, proof
 from gaproute.http1 import Exchange
 from gaproute.interface import Effect, Result, State
+from gaproute.interface.call import Answer
 from gaproute.loop.streams import address
 
 SECOND = 1_000_000_000
--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -1,6 +1,7 @@
 """The hosts as sockets that carry lines: connections, relays, orders and probes. What it sees it reports.
 
-Which connection a request goes out on is `gaproute.pooling`'s decision, what an end proves `proof`'s table.
+Which connection a request goes out on is `decisions.links.pooling`'s choice, what an end proves `proof`'s
+table.
 """
 from gaproute.core.core import Heard
 from gaproute.hosts import proof
--- a/gaproute/hosts/jsonlines/lines.py
+++ b/gaproute/hosts/jsonlines/lines.py
@@ -8,9 +8,9 @@
 
 import msgspec
 
-from gaproute.call import Answer
 from gaproute.core.core import Heard
 from gaproute.interface import Found, Result
+from gaproute.interface.call import Answer
 from gaproute.terms import report
 
 LINE = 128 * 1024        # bytes of one answer: a body of 16 KiB in base64 takes 22, and hosts add little
--- /dev/null
+++ b/gaproute/interface/wishes.py
@@ -0,0 +1,37 @@
+"""What the generators yield."""
+from typing import NamedTuple
+
+
+class Relay(NamedTuple):
+    worker: str
+
+
+class Wait(NamedTuple):
+    until: int
+
+
+class Recall(NamedTuple):
+    relay: int
+
+
+class Order(NamedTuple):
+    worker: str
+    function: str
+    copies: int
+
+
+class Probe(NamedTuple):
+    worker: str
+
+
+class Listen(NamedTuple):
+    """Ask for the list and its changes."""
+
+
+class Decline(NamedTuple):
+    stay_away: int             # advice to the client; 0: none
+    why: str = ""              # a word for whoever follows the task
+
+
+class Scrap(NamedTuple):
+    pass
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -13,10 +13,10 @@
 from collections import deque
 from select import EPOLLIN, EPOLLONESHOT
 
-from gaproute.door import ARRIVING, DISPLACE, HOLD, KNOWN, SAMPLE, TURN_AWAY, Door
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.door.door import ARRIVING, DISPLACE, HOLD, KNOWN, SAMPLE, TURN_AWAY, Door
 from gaproute.lobby.calendar import Calendar
 from gaproute.loop.loop import LOBBY
-from gaproute.policy import Chance
 
 CHUNK = 65536            # bytes read from one that wakes
 EXPIRES = 256            # idle ends looked at in one turn: after a stop they must not all fall into one
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -13,7 +13,7 @@
 import traceback
 from collections import deque
 
-from gaproute.door import DOOR_TIME
+from gaproute.decisions.door.door import DOOR_TIME
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LATE = 50 * MILLI      # a turn this late was stopped, not busy: a busy one lasts some milliseconds
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -4,9 +4,12 @@
 import traceback
 
 from gaproute.core.core import Core
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.door.door import RESTED, Door, way_back
+from gaproute.decisions.links.pooling import Pooling, share_out
+from gaproute.decisions.route import Gateway
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog.follow import Follower
-from gaproute.door import RESTED, Door, way_back
 from gaproute.fronts.jsonrpc.front import Front
 from gaproute.hosts.jsonlines.fleet import Hosts
 from gaproute.lobby import Lot
@@ -16,8 +19,6 @@
 from gaproute.loop.streams import address
 from gaproute.node import charter as charters
 from gaproute.node.log import Log
-from gaproute.policy import Chance, Gateway
-from gaproute.pooling import Pooling, share_out
 from gaproute.record.record import FOLLOWED, Record
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -9,8 +9,10 @@
 
 from google.protobuf.message import DecodeError
 
+from gaproute.decisions.told.asking import CHUNK, CHUNK_BYTES
+from gaproute.decisions.told.purse import MILLI, SLICE, Purse
+from gaproute.decisions.told.roll import own
 from gaproute.http1 import Limits, Server
-from gaproute.lore import CHUNK, CHUNK_BYTES, MILLI, SLICE, Purse, own
 from gaproute.peers import wire
 from gaproute.peers.lore_pb2 import Told
 
--- a/gaproute/peers/learner.py
+++ b/gaproute/peers/learner.py
@@ -4,10 +4,12 @@
 What has come from a peer that dies or stalls in the middle stays usable. Answers are booked as they come, so
 that the first chunk, which holds what was used last, helps while the rest is on its way.
 """
+from gaproute.decisions.told.asking import (ANSWER, ANSWER_TIME, ASKED, CHANGES, CHUNKS, LEARN_TIME, TRIES,
+                                            TRY_AGAIN)
+from gaproute.decisions.told.lore import Lore
 from gaproute.http1 import Exchange
 from gaproute.loop import Promise
 from gaproute.loop.streams import address
-from gaproute.lore import (ANSWER, ANSWER_TIME, ASKED, CHANGES, CHUNKS, LEARN_TIME, TRIES, TRY_AGAIN, Lore)
 from gaproute.peers import wire
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
--- a/gaproute/peers/wire.py
+++ b/gaproute/peers/wire.py
@@ -3,7 +3,8 @@
 
 from google.protobuf.message import DecodeError
 
-from gaproute.lore import ANSWER, Fact
+from gaproute.decisions.told.asking import ANSWER
+from gaproute.decisions.told.facts import Fact
 from gaproute.peers.lore_pb2 import Ask, Told
 
 VERSION = 2
--- a/gaproute/standins/baselines.py
+++ b/gaproute/standins/baselines.py
@@ -1,6 +1,6 @@
 """Choices to measure beside the module's own: the same rules, tasks and guards, another way to pick a
 host."""
-from gaproute.policy import Gateway
+from gaproute.decisions.route import Gateway
 
 
 class Plain(Gateway):
--- a/gaproute/standins/rogues.py
+++ b/gaproute/standins/rogues.py
@@ -1,6 +1,7 @@
 """Decision modules that break one rule each on purpose: the judge that does not catch them is no judge."""
+from gaproute.decisions.route import Gateway
+from gaproute.decisions.route.beliefs import MILLI
 from gaproute.interface import Decline, Order, Relay, State, Wait
-from gaproute.policy import MILLI, Gateway
 
 
 class SendsAfterTheEnd(Gateway):
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -72,7 +72,7 @@
 
 
 class Trial:
-    def __init__(self, script, out, seed=1, decisions="gaproute.policy:Gateway", talk=None):
+    def __init__(self, script, out, seed=1, decisions="gaproute.decisions.route:Gateway", talk=None):
         self.script, self.out, self.seed, self.decisions = script, Path(out), seed, decisions
         self.talk = talk or (lambda text: None)
         self.out.mkdir(parents=True, exist_ok=True)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -9,10 +9,11 @@
 from gaproute import interface as face
 from gaproute.appliance import Appliance
 from gaproute.conf import read_charter
+from gaproute.decisions.route import Gateway
+from gaproute.decisions.route.beliefs import MILLI, SECOND
 from gaproute.http1 import Exchange
 from gaproute.loop import Loop, Promise
 from gaproute.loop.streams import address
-from gaproute.policy import MILLI, SECOND, Gateway
 from gaproute.record.logs import logger
 from gaproute.standins.host import Host, Make, Model
 from gaproute.standins.store import Store
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -3,16 +3,17 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
 from gaproute.discovery.changelog.follow import Follower
 from gaproute.interface import State
 from gaproute.loop import Loop
-from gaproute.policy import Chance
 from gaproute.standins.platform import ChangeLog, event, sse
 from helpers import makers, turn_until
-from hypothesis import given
-from hypothesis import strategies as st
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,8 +1,9 @@
 """The core with scripted decisions and scripted hosts, on a clock that stands still."""
 import pytest
+
 from gaproute import interface as face
-from gaproute.call import Answer, Call, Ending
 from gaproute.core.core import Core, Heard
+from gaproute.interface.call import Answer, Call, Ending
 from gaproute.loop import Loop, Stepped
 from gaproute.record.record import Record
 from helpers import TERMS
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -3,17 +3,18 @@
 from types import SimpleNamespace
 
 import pytest
-from gaproute.call import Call
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaproute.decisions.links.pooling import Pooling
 from gaproute.hosts.jsonlines import lines
 from gaproute.hosts.jsonlines.fleet import Hosts
 from gaproute.hosts.rows import Row
 from gaproute.interface import Effect, Found, Result, State
+from gaproute.interface.call import Call
 from gaproute.loop import Loop
-from gaproute.pooling import Pooling
 from gaproute.standins.platform import LineHost
 from helpers import makers, row, turn_until
-from hypothesis import given
-from hypothesis import strategies as st
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SITE = SimpleNamespace(idle_time=15 * SECOND, connect_time=250 * MILLI, order_time=SECOND, shared=100,
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -6,18 +6,19 @@
 import time
 
 import pytest
-from gaproute.door import (ARRIVING, DISPLACE, FRESH, FRESH_MOST, HOSTS_SHARE, JITTER, KNOWN, RESERVE, SPARE,
-                           TAKE, TURN_AWAY, Door)
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.door.door import (ARRIVING, DISPLACE, FRESH, FRESH_MOST, HOSTS_SHARE, JITTER, KNOWN,
+                                          RESERVE, SPARE, TAKE, TURN_AWAY, Door)
 from gaproute.http1 import Limits, Server
 from gaproute.lobby import Calendar, Lot
 from gaproute.lobby.calendar import WIDTH
 from gaproute.lobby.lot import EXPIRES
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
-from gaproute.policy import Chance
 from helpers import makers
-from hypothesis import given
-from hypothesis import strategies as st
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"GET / HTTP/1.1\r\nHost: g\r\n\r\n"
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -4,14 +4,17 @@
 from collections import Counter
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.told.facts import OLDEST, Fact
+from gaproute.decisions.told.lore import FACTS, SLOWEST, Lore
+from gaproute.decisions.told.purse import BURST, REST, SHARE, Purse
+from gaproute.decisions.told.roll import GONE_KEPT, Roll, own
 from gaproute.interface import Found, Outcome, Result, State
-from gaproute.lore import (BURST, FACTS, GONE_KEPT, OLDEST, REST, SHARE, SLOWEST, Fact, Lore, Purse, Roll,
-                           own)
 from gaproute.peers.lore_pb2 import Told
-from gaproute.policy import Chance
 from helpers import MILLI, SECOND, Drive, gateway, row, task
-from hypothesis import given
-from hypothesis import strategies as st
 
 NOW = 1000 * SECOND
 KEEP = 10 * SECOND
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -3,12 +3,14 @@
 import itertools
 
 import pytest
+
 from gaproute.appliance.keeping import MOST, Keeper
+from gaproute.decisions.told.purse import REST, SLICE
+from gaproute.decisions.told.roll import Roll
 from gaproute.ledger import Memory, NoMemory
 from gaproute.loop import Loop
 from gaproute.loop.loop import Stepped
 from gaproute.loop.streams import address
-from gaproute.lore import REST, SLICE, Roll
 from helpers import MILLI, SECOND, gateway
 
 WARM = ("warm", "x", "f")
@@ -62,7 +64,7 @@
     assert memory(Clocks(SECOND, 10**18 + 60 * SECOND), "b2").read(9)[0][2] == 61 * SECOND
 
 def test_a_fact_of_the_future_is_refused_by_the_lore(memory):
-    from gaproute.lore import Lore
+    from gaproute.decisions.told.lore import Lore
     written(memory)
     (_, _, age), = memory(Clocks(SECOND, 10**18 - 60 * SECOND), "b2").read(9)
     assert age < 0 and Lore().observed(0, age) is None
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -9,10 +9,11 @@
 from pathlib import Path
 
 import pytest
+
 from gaproute.conf import read_charter
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.door.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
 from gaproute.loop.streams import address
-from gaproute.policy import Chance
-from gaproute.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
 from helpers import CHARTER, SECOND
 
 # The decisions
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,15 +3,19 @@
 import socket
 
 import pytest
+from test_gateway import scripted_host
+
 from gaproute.conf import Mistakes, read_charter, read_peers
+from gaproute.decisions.told.asking import CHUNK
+from gaproute.decisions.told.lore import Lore
+from gaproute.decisions.told.purse import Purse
+from gaproute.decisions.told.roll import Roll
 from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
 from gaproute.loop.streams import address
-from gaproute.lore import CHUNK, Lore, Purse, Roll
 from gaproute.peers import Giver, wire
 from gaproute.peers.lore_pb2 import Ask, Told
 from helpers import CHARTER, MILLI, SECOND, gateway, row
-from test_gateway import scripted_host
 
 
 def where(appliance):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,10 +1,12 @@
 import pytest
-from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, Drive, gateway, row, task
 
 from gaproute import interface as face
-from gaproute import policy
+from gaproute.decisions.route.beliefs import LOOK, ROOM, WIDE, Function, Trail
+from gaproute.decisions.route.measures import FADE
+from gaproute.decisions.route.score import MEMORY, PRIOR, PRIOR_HOT, QUEUE, QUEUE_HOT, WARMTH
+from gaproute.decisions.route.wait import REFUSAL_LIFE
 from gaproute.interface import Result
-from gaproute.policy import FADE, LOOK, REFUSAL_LIFE, WIDE, Function, Trail
+from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, Drive, gateway, row, task
 
 MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
@@ -268,11 +270,11 @@
 
 
 @pytest.mark.parametrize(
-    "weight, prior", [(policy.QUEUE, policy.PRIOR), (policy.QUEUE_HOT, policy.PRIOR_HOT)]
+    "weight, prior", [(QUEUE, PRIOR), (QUEUE_HOT, PRIOR_HOT)]
 )
 def test_weights_keep_warm_with_a_free_lane_ahead_for_three_quarters_of_the_keep_alive(weight, prior):
     warmth = 1 - 0.75**FADE
-    assert policy.WARMTH * warmth + prior * (1 - warmth) > weight * 3 / policy.ROOM + policy.MEMORY + prior
+    assert WARMTH * warmth + prior * (1 - warmth) > weight * 3 / ROOM + MEMORY + prior
 
 
 def test_hot_functions_spill_where_rare_ones_wait():
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -1,9 +1,9 @@
 """What the module stopped taking for granted when deployments of another shape came (docs/assumptions.md)."""
 import pytest
+
 from gaproute import interface as face
-from gaproute import policy
+from gaproute.decisions.route.beliefs import KEPT, LOAD_LIFE, RECENT, ROOM, Trail
 from gaproute.interface import Result
-from gaproute.policy import KEPT, RECENT, ROOM, Trail
 from helpers import MILLI, SECOND, Drive, gateway, row, task
 
 
@@ -47,7 +47,7 @@
     assert made.choose(MILLI, single(), Trail()).id == "a"
 
 
-@pytest.mark.parametrize("age, counts", [(policy.LOAD_LIFE, True), (policy.LOAD_LIFE + 1, False)])
+@pytest.mark.parametrize("age, counts", [(LOAD_LIFE, True), (LOAD_LIFE + 1, False)])
 def test_a_reported_queue_counts_for_as_long_as_crowds_last(age, counts):
     made = gateway()
     crowd(made, "a", 50)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,15 +1,17 @@
 """Loads that gateways tell each other, and what probes may cost."""
 import pytest
-from gaproute import words as wording
-from gaproute.interface import Report, Result
-from gaproute.policy import PROBE_EVERY, Chance, Gateway
-from gaproute.sharing import SAVED, WORTH
-from gaproute.words import mark
-from helpers import TERMS, SECOND, Drive, gateway, row, task
 from hypothesis import given
 from hypothesis import strategies as st
 
 from gaproute import interface as face
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.route import Gateway
+from gaproute.decisions.route.sharing import SAVED, WORTH
+from gaproute.decisions.route.tidy import PROBE_EVERY
+from gaproute.decisions.told import words as wording
+from gaproute.decisions.told.words import mark
+from gaproute.interface import Report, Result
+from helpers import SECOND, TERMS, Drive, gateway, row, task
 
 TOLD = {"probes_allowed": True, "reports_by_probe": True, "probe_price": 0.025, "peer_price": 0.01,
         "peers_allowed": True, "gateways": 200, "reported": ("cpu_busy", "memory_busy")}
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -9,14 +9,15 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+
 from gaproute.loop.streams import address
 from gaproute.standins.rogues import ROGUES
 from gaproute.trial.daybook import script_of
 from gaproute.trial.script import read_script
 from helpers import SECOND
 
-RULES = {-3: "gaproute.standins.liars:LiesAlways", -2: "gaproute.policy:Gateway",
-         -1: "gaproute.policy:Gateway", 0: "gaproute.policy:Gateway"} | {
+RULES = {-3: "gaproute.standins.liars:LiesAlways", -2: "gaproute.decisions.route:Gateway",
+         -1: "gaproute.decisions.route:Gateway", 0: "gaproute.decisions.route:Gateway"} | {
     rule: f"gaproute.standins.rogues:{rogue.__name__}" for rule, rogue in ROGUES.items()
 }
 
