Stand-in host split: a model without protocol or sockets, the KServe server on top

One file of 417 lines held both, so that no other protocol could stand on the same model. Now standins/host/: facts, copies (loads and room), machine (cores, lanes, cold power, troubles), fetch, kserve.

--- /dev/null
+++ b/gaproute/standins/host/kserve.py
@@ -0,0 +1,116 @@
+"""A stand-in model host on KServe v2 REST, the repository extension and ORCA reports.
+
+Of troubles it knows one more than `machine`: shut (closes connections once they have been answered on).
+"""
+from urllib.parse import unquote
+
+import msgspec
+
+from gaproute.http1 import Limits, Server, render
+from gaproute.standins.host import machine
+from gaproute.standins.host.fetch import fetcher
+from gaproute.standins.host.machine import Machine
+
+STATUS = {machine.FULL: 429, machine.ERROR: 500, machine.NO_LOAD: 500, machine.DONE: 200}
+TYPE = ((b"Content-Type", b"application/json"),)
+
+
+class Host:
+    def __init__(self, loop, where, make, models, store, seed, tap, warm=False):
+        self.loop, self.make, self.models, self.tap = loop, make, models, tap
+        self.machine = Machine(loop, make, models, fetcher(loop, store), seed, tap, warm)
+        self.command = self.machine.command
+        self.server = Server(loop, where, self.handle, Limits(pipelined=4, idle_time=make.idle_close))
+        self.address = self.server.address
+        self.machine.fell = self.server.close
+        self.machine.start()
+
+    def handle(self, request):
+        if self.machine.down:
+            cut_off(request)
+            return
+        parts = [unquote(part) for part in request.target.decode("latin-1").split("/")[1:]]
+        match parts:
+            case ["v2", "health", _]:
+                self.server.answer(request, 200, self.report(None), b'{"ready":true}')
+            case ["v2", "models", name, *_, "infer"] if name in self.models:
+                self.infer(request, self.models[name])
+            case ["v2", "repository", "models", name, "load"] if name in self.models:
+                self.order(request, name)
+            case ["v2", "repository", "models", name, "unload"] if name in self.models:
+                self.machine.shelf.unload_idle(name)
+                self.server.answer(request, 200, (), b"{}")
+            case ["v2", "repository", "index"]:
+                index = [
+                    {"name": name, "state": "READY", "reason": ""}
+                    for name, copies in self.machine.shelf.copies.items()
+                    if copies.stand
+                ]
+                self.server.answer(request, 200, (), msgspec.json.encode(index))
+            case _:
+                self.server.answer(request, 404, (), b'{"error":"unknown model or path"}')
+
+    def report(self, work):
+        waiting, in_hand, cores, memory = self.machine.figures()
+        named = {"queue": waiting, "in_hand": in_hand}
+        if work is not None:
+            named |= {"copy": work.found, "alike": work.alike}
+        told = {"cpu_utilization": cores, "mem_utilization": memory, "named_metrics": named}
+        return ((b"endpoint-load-metrics", b"JSON " + msgspec.json.encode(told)),)
+
+    # Tasks
+
+    def infer(self, request, model):
+        length = request.headers.get(b"inference-header-content-length")
+        try:
+            told = msgspec.json.decode(request.body if length is None else request.body[:int(length)])
+            name = str(told.get("id", "")) if isinstance(told, dict) else ""
+        except (msgspec.DecodeError, ValueError):
+            name = request.headers.get(b"x-request-id", b"").decode("latin-1")
+        mark = request.headers.get(b"gaproute-task", b"").decode("latin-1")
+        work = self.machine.take(name, mark, model, id(request.link),
+                                 lambda work, end: self.answer(request, work, end))
+        if work is not None:
+            request.left = lambda: self.machine.left(work)
+
+    def answer(self, request, work, end):
+        request.left = None
+        if end == machine.RESET:
+            cut_off(request)
+            return
+        headers, body = (), msgspec.json.encode({"error": end})
+        if end == machine.NO_LOAD:
+            headers = self.report(work)
+        elif end in (machine.DONE, machine.CUT):
+            body = msgspec.json.encode({"model_name": work.model.name, "id": work.id, "outputs": [
+                {"name": "at", "shape": [1], "datatype": "BYTES", "data": [self.make.name]}]})
+            headers = TYPE + self.report(work)
+        if end == machine.CUT:
+            whole = render(200, headers, body, False)
+            request.link.stream.write(whole[:len(whole) // 2])
+            request.link._shut()
+            return
+        self.tap.note("said", id=work.id, status=STATUS[end])
+        self.server.answer(request, STATUS[end], headers, body)
+        if "shut" in self.machine.troubles:
+            self.loop.soon(request.link._shut)
+
+    def order(self, request, name):
+        try:
+            told = msgspec.json.decode(request.body or b"{}")
+            count = int(told.get("parameters", {}).get("copies", 1))
+        except (msgspec.DecodeError, ValueError, AttributeError, TypeError):
+            self.server.answer(request, 400, (), b'{"error":"parameters.copies is a number"}')
+            return
+        gateway = request.headers.get(b"gaproute-gateway", b"").decode("latin-1")
+        stands = self.machine.order(name, count, gateway, id(request.link))
+        if stands is None:
+            self.server.answer(request, 409, (), b'{"error":"no room"}')
+            return
+        stands.then(lambda stands: self.server.answer(
+            request, 200, (), msgspec.json.encode({"copies": stands.value})))
+
+
+def cut_off(request):
+    request.link.stream.abort()
+    request.link.gone()
