--- /dev/null
+++ b/tests/test_standins_clients.py
@@ -0,0 +1,157 @@
+"""Stand-in clients of the platform on one loop, before gateways that the test plays."""
+import base64
+import json
+
+import pytest
+from gaproute.loop.streams import address
+from gaproute.standins.platform.clients import Clients, Habits, Kind
+from gaproute.standins.platform.parties import Party
+from helpers import makers
+from test_standins_platform import MILLI, MODEL, SECOND, Bench
+
+
+@pytest.fixture
+def bench():
+    for make in makers(Bench):
+        yield make()
+
+
+class Gate(Party):
+    """A gateway that answers as the test says."""
+
+    def __init__(self, loop, answer):
+        super().__init__(loop)
+        self.answer, self.up = answer, True
+
+    def bytes(self, stream, buffer, data):
+        buffer += data
+        while b"\r\n\r\n" in buffer:
+            head, _, rest = bytes(buffer).partition(b"\r\n\r\n")
+            size = int(head.split(b":")[1])
+            told, buffer[:] = json.loads(rest[:size]), rest[size:]
+            if told["method"] == "ping":
+                self.say(stream, told, {"result": {"up": self.up}})
+            else:
+                self.came.append(told)
+                self.answer(self, stream, told)
+
+    def say(self, stream, told, answer):
+        body = json.dumps({"jsonrpc": "2.0", "id": told["id"]} | answer).encode()
+        stream.write(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
+
+
+def served(gate, stream, told):
+    name = f"h {told['params']['i']}"
+    gate.say(stream, told, {"result": {"arg": arg_of(name)}})
+
+
+def arg_of(text):
+    return base64.b64encode(text.encode()).decode()
+
+
+def day(bench, answers, length=200 * MILLI, limit=SECOND, **habits):
+    gates = [Gate(bench.loop, answer) for answer in answers]
+    bench.closing += [gate.close for gate in gates]
+    habits = Habits(**{"rate": 200.0, "impatient": 0.0} | habits)
+    made = Clients(bench.loop, [gate.address for gate in gates], [MODEL], [Kind("p", 1.0, limit)], habits, 7,
+                   bench.tap, length, bench.said.append)
+    return made, gates
+
+
+def test_clients_share_their_traffic_by_weight_and_each_id_is_new(bench):
+    made, gates = day(bench, [served, served], weights=(1.0, 0.0))
+    bench.until(lambda: bench.seen("done"))
+    names = [told["params"]["i"] for told in gates[0].came]
+    assert len(names) > 10 and len(set(names)) == len(names) and not gates[1].came
+    assert {event["outcome"] for event in bench.seen("answer")} == {"delivered"} and not bench.seen("stray")
+    assert gates[0].came[0]["params"]["extras"] == "memory_mb:512;lanes:2;load_ms:10"
+
+
+def test_a_refusal_is_asked_again_under_a_new_id_after_its_time(bench):
+    def declined_first(gate, stream, told):
+        if len(gate.came) > 1:
+            served(gate, stream, told)
+        else:
+            gate.say(stream, told, {"error": {"code": -32008, "message": "full", "data": {"w": 40}}})
+
+    made, _ = day(bench, [declined_first], length=1)
+    bench.until(lambda: bench.seen("done"))
+    first, second = bench.seen("answer")
+    assert (first["outcome"], second["outcome"]) == ("declined", "delivered")
+    assert first["id"] == second["first"] != second["id"] and second["asked"] - first["at"] >= 40 * MILLI
+
+
+def test_what_gateways_do_wrong_is_written_down(bench):
+    def twice(gate, stream, told):
+        served(gate, stream, told)
+        served(gate, stream, told)
+
+    def of_nobody(gate, stream, told):
+        gate.say(stream, told, {"result": {"arg": arg_of("h other")}})
+
+    for answer in (twice, of_nobody):
+        before = len(bench.seen("done"))
+        day(bench, [answer], length=1)
+        bench.until(lambda before=before: len(bench.seen("done")) > before)
+        bench.rest(10 * MILLI)
+    assert ["an answer under" in event["text"] or "no host made" in event["text"]
+            for event in bench.seen("stray")] == [True, True]
+
+
+def test_a_client_gives_up_at_its_limit_and_says_so(bench):
+    aborted = []
+
+    def mute(gate, stream, told):
+        if told["method"] == "abort":
+            aborted.append(told["params"]["id"])
+
+    made, gates = day(bench, [mute], length=1, limit=60 * MILLI)
+    bench.until(lambda: bench.seen("overdue") and aborted)
+    assert aborted == [gates[0].came[0]["id"]]
+
+
+def test_a_dead_gateway_is_left_out_and_taken_in_again(bench, monkeypatch):
+    monkeypatch.setattr("gaproute.standins.platform.places.NOTICE", (0.05, 0.06))
+    made, gates = day(bench, [served, served], length=900 * MILLI)
+    bench.until(lambda: made.until)
+    gates[1].close()
+    bench.until(lambda: bench.seen("out", gateway=1))
+    assert bench.seen("refused")
+    gates.append(Gate(bench.loop, served))
+    bench.closing.append(gates[2].close)
+    made.places.places[1].where = address(gates[2].address)      # the same place, another port
+    bench.until(lambda: len(bench.seen("in", gateway=1)) == 2 and gates[2].came)
+    assert {event["outcome"] for event in bench.seen("answer")} == {"delivered"}
+
+
+def test_a_gateway_to_be_restarted_gets_nothing_more_after_a_while(bench):
+    made, gates = day(bench, [served, served], length=1100 * MILLI)
+    bench.until(lambda: made.until)
+    gates[1].up = False
+    made.command({"do": "leaving", "gateway": 1})
+    began = bench.loop.now()
+    bench.until(lambda: bench.seen("out", gateway=1))
+    assert 400 * MILLI <= bench.loop.now() - began < 700 * MILLI
+    asked = len(gates[1].came)
+    bench.until(lambda: bench.seen("done"))
+    assert len(gates[1].came) == asked > 0 and len(bench.seen("in", gateway=1)) == 1
+
+
+def test_a_request_that_crosses_a_close_is_sent_once_more(bench):
+    def closes_first(gate, stream, told):
+        if len(gate.came) == 1:
+            stream.abort()
+        else:
+            served(gate, stream, told)
+
+    _, gates = day(bench, [closes_first], length=1)
+    bench.until(lambda: bench.seen("done"))
+    first, second = gates[0].came
+    assert len(bench.seen("answer")) == 1 and first["params"]["i"] == second["params"]["i"]
+
+    def closes_always(gate, stream, told):
+        stream.abort()
+
+    _, gates = day(bench, [closes_always], length=1)
+    bench.until(lambda: len(bench.seen("done")) == 2)
+    assert len(gates[0].came) == 2 and len(bench.seen("broken")) == 1
--- /dev/null
+++ b/tests/test_standins_log.py
@@ -0,0 +1,91 @@
+"""The stand-in change log on one loop, read by the gateway's own follower."""
+import pytest
+from gaproute.discovery.changelog.follow import Follower
+from gaproute.policy import Chance
+from gaproute.standins.platform.listing import Listing, member
+from gaproute.standins.platform.log import Log
+from helpers import makers
+from test_standins_platform import ANY, MILLI, Bench
+
+
+@pytest.fixture
+def bench():
+    for make in makers(Bench):
+        yield make()
+
+
+def follow(bench, where, last):
+    told = []
+    follower = Follower(bench.loop, where, last, told.append, Chance(1))
+    bench.closing.append(follower.close)
+    return follower, told
+
+
+def changelog(bench, ways):
+    made, listing = Log(bench.loop, [ANY] * ways, bench.tap, bench.said.append), Listing()
+    bench.closing += [way.listener.close for way in made.ways] + [way.cut for way in made.ways]
+    made.command(listing.change(member("h", "127.0.0.1:9")))
+    return made, listing
+
+
+def drain(made, listing):
+    made.command(listing.change(member("h", "127.0.0.1:9", "draining")))
+
+
+def test_each_gateway_is_told_and_one_that_is_held_back_counts_as_told_once_it_is(bench):
+    made, listing = changelog(bench, 2)
+    told = [follow(bench, where, 1)[1] for where in bench.said[0]["addresses"]]
+    bench.until(lambda: len(bench.seen("asked")) == 2)
+    made.command({"trouble": "hold", "gateways": [1]})
+    drain(made, listing)
+    bench.until(lambda: told[0])
+    assert not told[1] and [event["gateway"] for event in bench.seen("told", state="draining")] == [0]
+    made.command({"trouble": "hold", "on": False, "gateways": [1]})
+    bench.until(lambda: told[1])
+    assert [event["gateway"] for event in bench.seen("told", state="draining")] == [0, 1]
+    assert told[1][0].fleet.members[0].phase == "Terminating"
+
+
+def test_late_news_counts_when_it_goes_out(bench):
+    made, listing = changelog(bench, 1)
+    _, told = follow(bench, bench.said[0]["address"], 1)
+    bench.until(lambda: bench.seen("asked"))
+    made.command({"trouble": "late", "by": 60 * MILLI})
+    began = bench.loop.now()
+    drain(made, listing)
+    bench.until(lambda: told)
+    assert bench.seen("told", state="draining")[0]["at"] - began >= 60 * MILLI
+
+
+@pytest.mark.parametrize("trouble", ["silent", "off", "elsewhere"])
+def test_on_a_dead_way_news_counts_as_told_after_the_platforms_4_s(bench, trouble, monkeypatch):
+    monkeypatch.setattr("gaproute.standins.platform.log.COUNTS", 150 * MILLI)
+    made, listing = changelog(bench, 1)
+    made.command({"trouble": trouble})
+    drain(made, listing)
+    for _ in range(3):
+        made.ways[0].look()
+    assert not bench.seen("told", state="draining")
+    bench.rest(160 * MILLI)
+    made.ways[0].look()
+    assert len(bench.seen("told", state="draining")) == 1
+
+
+def test_a_log_that_has_moved_is_followed_from_the_last_number(bench):
+    made, listing = changelog(bench, 1)
+    follower, told = follow(bench, bench.said[0]["address"], 1)
+    bench.until(lambda: bench.seen("asked"))
+    made.command({"do": "move"})
+    drain(made, listing)
+    assert bench.said[-1]["address"] != bench.said[0]["address"]
+    follower.move(bench.said[-1]["address"])
+    bench.until(lambda: told)
+    assert [event.seq for event in told] == [2] and bench.seen("asked")[-1]["last"] == 1
+
+
+def test_the_whole_list_at_any_time_leaves_out_what_has_gone():
+    listing = Listing()
+    listing.change(member("a", ANY), member("b", ANY))
+    listing.change(member("a", ANY, "gone"))
+    known = listing.known()
+    assert known["seq"] == 2 and [each["id"] for each in known["results"][0]["fleet"]["members"]] == ["b"]
