Membership moves to gaproute/shared/membership, in three modules

What: news.py (types), telling.py (what a message carries), members.py (probes, claims). No change of behaviour. Tested: tests/test_membership.py and test_peers.py as they are but for imports.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -14,8 +14,8 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from gaproute.membership import DEAD
 from gaproute.policy import Chance
+from gaproute.shared.membership import DEAD
 from gaproute.standins.net import Net
 from rows import write
 
--- a/gaproute/peers/gossip.py
+++ b/gaproute/peers/gossip.py
@@ -3,8 +3,8 @@
 from google.protobuf.message import DecodeError
 
 from gaproute.loop.datagrams import Datagrams
-from gaproute.membership import STATES, Members, News, Word
 from gaproute.peers import word_pb2
+from gaproute.shared.membership import STATES, Members, News, Word
 
 VERSION = 1
 KINDS = ("", "ping", "ack", "ask")
--- a/gaproute/membership.py
+++ b/gaproute/shared/membership/members.py
@@ -10,7 +10,9 @@
 claims may come in any order, twice, or late. Nothing that the rules rest on uses any of this.
 """
 from math import ceil, log2
-from typing import NamedTuple
+
+from gaproute.shared.membership.news import ALIVE, DEAD, LEFT, SUSPECT, Member, News, sound
+from gaproute.shared.membership.telling import message
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
@@ -18,46 +20,10 @@
 DIRECT = 300 * MILLI     # for the answer to a direct probe: many round trips, and a few late turns
 HELPERS = 3              # asked to probe for us: one lossy path of our own must not make a suspect
 SUSPECTED = 3            # periods, times the power of two of the members, until a suspect is dead
-TOLD = 3                 # times that each piece of news is sent for every power of two of the members
-BYTES = 1200             # of one message: fits an unfragmented datagram everywhere
-ROOM = 48                # bytes that one entry takes beside its names, at most
 REVIVE = 5               # every so many periods a dead one is probed instead: finds a partition that healed
 FORGET = 600 * SECOND    # after it a dead one that nobody configured is no more spoken of
 MEMBERS = 256            # known at most; beyond it strangers are refused
 ERRANDS = 64             # probes for others in hand at most
-HIGHEST = 1 << 48        # incarnations above it are refused: nobody is suspected so often
-NAME = 256               # characters of a name or an address
-ALIVE, SUSPECT, DEAD, LEFT = range(4)
-STATES = ("alive", "suspect", "dead", "left")
-
-
-class News(NamedTuple):
-    name: str
-    where: str
-    state: int
-    incarnation: int
-
-
-class Word(NamedTuple):
-    """One message. `ping` asks for an `ack` of the number; `ask` wants `target` probed for the sender."""
-    kind: str
-    number: int
-    sender: News
-    target: str = ""
-    news: tuple = ()
-
-
-class Member:
-    def __init__(self, news, now, fixed):
-        self.name, self.where, self.state, self.incarnation = news
-        self.since = now         # in this state
-        self.heard = None        # when it last answered or asked
-        self.fixed = fixed       # named by the configuration
-        self.told = 0            # times sent since it last changed
-
-    @property
-    def news(self):
-        return News(self.name, self.where, self.state, self.incarnation)
 
 
 class Members:
@@ -103,7 +69,7 @@
 
     def hear(self, now, word):
         name = word.sender.name
-        if name == self.name or not self._sound(word.sender) or word.sender.state not in (ALIVE, LEFT):
+        if name == self.name or not sound(word.sender) or word.sender.state not in (ALIVE, LEFT):
             self.refused += 1
             return []
         for news in (word.sender, *word.news):
@@ -133,13 +99,9 @@
             return []
         return [self._word(self.members[client], "ack", number, target)]
 
-    def _sound(self, news):
-        return 0 < len(news.name) <= NAME and 0 < len(news.where) <= NAME and 0 <= news.state <= LEFT \
-            and 0 <= news.incarnation <= HIGHEST
-
     def claim(self, now, news):
         """Takes a claim where it beats what is held; refutes one that says this gateway is not alive."""
-        if not self._sound(news):
+        if not sound(news):
             self.refused += 1
             return
         if news.name == self.name:
@@ -227,23 +189,4 @@
         return words
 
     def _word(self, to, kind, number, target=""):
-        """A message with as much news as it holds: what `to` must refute, what is new, then entries in
-        turn."""
-        me = News(self.name, self.where, ALIVE, self.incarnation)
-        left = BYTES - ROOM - len(self.name) - len(self.where) - len(target)
-        fresh = sorted((member for member in self.members.values() if member.told < self.scale(TOLD)),
-                       key=lambda member: (member.told, member.name))
-        names = list(self.members)
-        turn = self.turn % len(names) if names else 0
-        chosen = {}
-        for member in ([to] if to.state != ALIVE else []) + fresh + [
-                self.members[name] for name in names[turn:] + names[:turn]]:
-            size = ROOM + len(member.name) + len(member.where)
-            if member.name not in chosen:
-                if left < size:
-                    break
-                left -= size
-                chosen[member.name] = member.news
-                member.told += 1
-                self.turn += 1
-        return to.where, Word(kind, number, me, target, tuple(chosen.values()))
+        return message(self, to, kind, number, target)
--- a/gaproute/standins/net.py
+++ b/gaproute/standins/net.py
@@ -2,9 +2,9 @@
 waiting."""
 import heapq
 
-from gaproute.membership import Members
 from gaproute.peers.gossip import encode
 from gaproute.policy import Chance
+from gaproute.shared.membership import Members
 
 MILLI = 1_000_000
 LINK = 5 * MILLI         # that a message takes
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,9 +1,11 @@
 """Who is up: claims as a lattice, and whole fleets of gateways on a clock and a network of the test's own."""
 import pytest
-from gaproute.membership import (ALIVE, BYTES, DEAD, ERRANDS, HIGHEST, LEFT, MEMBERS, ROOM, SUSPECT,
-                                 Members, News, Word)
 from gaproute.peers.gossip import decode, encode
 from gaproute.policy import Chance
+from gaproute.shared.membership import ALIVE, DEAD, LEFT, SUSPECT, Members, News, Word
+from gaproute.shared.membership.members import ERRANDS, MEMBERS
+from gaproute.shared.membership.news import HIGHEST
+from gaproute.shared.membership.telling import BYTES, ROOM
 from gaproute.standins.net import Net
 from hypothesis import given
 from hypothesis import strategies as st
