Membership of up to 4,096 gateways: nothing walks all of them, newcomers pull the list

What: lists by state and a queue of news by how often told; a failed probe tried twice more within its period; a newcomer, and who finds one back that it held dead, asks one member for all chunk by chunk; incarnations begin at the wall clock's seconds, a past life's is outbid, claims with another address merge in any order; messages fill up to 320 bytes, not 1,200, where there is no news; named checks beside the code.

--- a/gaproute/peers/gossip.py
+++ b/gaproute/peers/gossip.py
@@ -1,13 +1,17 @@
 """Membership on datagrams: beside the address at which a gateway tells what it knows, by the same address for
 UDP, by the path with `.words` added for Unix sockets."""
+import time
+
 from google.protobuf.message import DecodeError
 
 from gaproute.loop.datagrams import Datagrams
 from gaproute.peers import word_pb2
 from gaproute.shared.membership import STATES, Members, News, Word
 
+SECOND = 1_000_000_000
 VERSION = 1
-KINDS = ("", "ping", "ack", "ask")
+KINDS = ("", "ping", "ack", "ask", "pull", "part")    # versions that lack the last two pass them over
+MOST = 2000              # datagrams read in a second: 20 times what 1,000 gateways send; a flood costs no more
 
 
 def encode(word):
@@ -36,10 +40,11 @@
 class Gossip:
     def __init__(self, loop, name, where, chance, record):
         self.loop, self.record = loop, record
-        self.members = Members(name, where, chance, loop.now())
+        self.members = Members(name, where, chance, loop.now(), int(time.time()))
         self.datagrams = Datagrams(loop, at(where), self._heard)
-        self.sent = self.bytes = self.strange = 0
-        self.seen = {}               # name: state last told to the log
+        self.sent = self.bytes = self.strange = self.flood = 0
+        self.read, self.second = 0, 0       # datagrams read in this second
+        self.timer = None
         self._again()
 
     def listed(self, peers):
@@ -47,20 +52,33 @@
         self._note()
 
     def _again(self):
-        self.timer = self.loop.at(self.members.due, self._tick)
+        due = self.members.due
+        if self.timer is None or self.timer.call is None or self.timer.when != due:
+            if self.timer is not None:
+                self.timer.cancel()
+            self.timer = self.loop.at(due, self._tick)
 
     def _tick(self):
+        self.timer = None
         self._send(self.members.tick(self.loop.now()))
         self._note()
         self._again()
 
     def _heard(self, data):
+        now = self.loop.now()
+        if now - self.second >= SECOND:
+            self.read, self.second = 0, now
+        self.read += 1
+        if self.read > MOST:
+            self.flood += 1
+            return
         word = decode(data)
         if word is None:
             self.strange += 1
             return
-        self._send(self.members.hear(self.loop.now(), word))
+        self._send(self.members.hear(now, word))
         self._note()
+        self._again()
 
     def _send(self, words):
         for where, word in words:
@@ -70,24 +88,24 @@
             self.datagrams.send(data, at(where))
 
     def _note(self):
-        for name, member in self.members.members.items():
-            if self.seen.get(name) != member.state:
-                self.seen[name] = member.state
+        for name in self.members.table.changed:
+            member = self.members.members.get(name)
+            if member is not None:
                 self.record.event("info", "gateway", name=name, state=STATES[member.state],
                                   incarnation=member.incarnation)
-        for name in [name for name in self.seen if name not in self.members.members]:
-            del self.seen[name]
+        self.members.table.changed.clear()
 
     def table(self):
-        now = self.loop.now()
+        now = self.loop.now() - self.members.held
         return [{"name": member.name, "where": member.where, "state": STATES[member.state],
                  "incarnation": member.incarnation, "since_ms": (now - member.since) // 1_000_000,
-                 "heard_ms": None if member.heard is None else (now - member.heard) // 1_000_000,
+                 "heard_ms": None if member.heard is None else (self.loop.now() - member.heard) // 1_000_000,
                  "configured": member.fixed} for _, member in sorted(self.members.members.items())]
 
     def stop(self):
         self._send(self.members.leave())
 
     def close(self):
-        self.timer.cancel()
+        if self.timer is not None:
+            self.timer.cancel()
         self.datagrams.close()
--- a/gaproute/shared/membership/members.py
+++ b/gaproute/shared/membership/members.py
@@ -2,148 +2,160 @@
 
 After SWIM (Das, Gupta, Motivala 2002): each period one other is probed, directly and then through others; who
 does not answer is suspected, and dead once the suspicion has lasted. A suspect that lives refutes with a
-higher incarnation. News rides on the probes. Two departures: what room is left in a message carries entries
-in turn, so that a newcomer and a healed partition learn the whole without a special exchange; and a gateway
-that was itself held up judges nobody by that time.
-
-One order decides between two claims of a member: (incarnation, state). So merging is taking the greater, and
-claims may come in any order, twice, or late. Nothing that the rules rest on uses any of this.
+higher incarnation. News rides on the probes. Departures: a probe is tried again, directly and through others,
+twice within its period, as at a fifth of the messages lost a thousand members would make more suspects than
+news can carry; a message with little news carries some entries in turn; a newcomer asks one member for all
+it holds, and so does who finds one back that it held dead (`pulling`); and a gateway that was itself held up
+judges nobody by that time.
+
+Nothing walks all members but a new round and a new list: a period costs the same whatever their number.
+Nothing that the rules rest on uses any of this.
 """
-from math import ceil, log2
-
-from gaproute.shared.membership.news import ALIVE, DEAD, LEFT, SUSPECT, Member, News, sound
-from gaproute.shared.membership.telling import message
+from gaproute.shared.membership.news import ALIVE, DEAD, LEFT, SUSPECT, News, Word, sound
+from gaproute.shared.membership.pulling import Pulling
+from gaproute.shared.membership.table import Table
+from gaproute.shared.membership.telling import Teller
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 PERIOD = SECOND          # between probes: n gateways cost each 2 small messages a period whatever n is
-DIRECT = 300 * MILLI     # for the answer to a direct probe: many round trips, and a few late turns
+DIRECT = 300 * MILLI     # for the answer to a probe: many round trips, and a few late turns
+STAGES = 2               # times that a probe is tried again, each DIRECT after the last
 HELPERS = 3              # asked to probe for us: one lossy path of our own must not make a suspect
 SUSPECTED = 3            # periods, times the power of two of the members, until a suspect is dead
 REVIVE = 5               # every so many periods a dead one is probed instead: finds a partition that healed
 FORGET = 600 * SECOND    # after it a dead one that nobody configured is no more spoken of
-MEMBERS = 256            # known at most; beyond it strangers are refused
 ERRANDS = 64             # probes for others in hand at most
 
 
 class Members:
-    """`tick` at the time `due`, `hear` with each message; both return [(address, Word)] to be sent."""
+    """`tick` at the time `due`, `hear` with each message; both return [(address, Word)] to be sent.
+    `incarnation`: should be above that of any past life (seconds since 1970 serve); where it is not, the
+    first answers tell."""
 
-    def __init__(self, name, where, chance, now):
+    def __init__(self, name, where, chance, now, incarnation=1):
         self.name, self.where, self.chance = name, where, chance
-        self.incarnation = 1
-        self.members = {}        # name: Member, this gateway not among them
+        self.incarnation = incarnation
+        self.table, self.teller, self.pulling = Table(), Teller(name, where), Pulling()
+        self.members = self.table.members
         self.round = []          # names still to be probed in this round
-        self.number = self.periods = self.turn = 0
+        self.waiting = set()     # the same, to look them up
+        self.number = self.periods = 0
         self.probe = None        # (number, name) not yet answered
-        self.asked = False       # others were asked to probe it as well
+        self.stage = 0           # how often it was tried again
         self.errands = {}        # number: (where, number there, name) of probes for others
         self.period = now + PERIOD
-        self.refused = 0         # messages or claims that cannot be
+        self.held = 0            # ns that this gateway was held up: they count for no suspicion
         self.suspicions = self.refutations = 0
 
     @property
     def due(self):
-        return self.period - PERIOD + DIRECT if self.probe and not self.asked else self.period
+        when = self.period
+        if self.probe and self.stage < STAGES:
+            when += DIRECT * (self.stage + 1) - PERIOD
+        return when if self.pulling.due is None else min(when, self.pulling.due)
+
+    @property
+    def refused(self):
+        return self.table.refused
 
     def listed(self, now, peers):
-        """`peers`: {name: address} as configured now; the only ones that are never forgotten."""
-        for name, where in peers.items():
-            if name == self.name:
-                continue
-            member = self.members.get(name)
-            if member is None:
-                member = self.members[name] = Member(News(name, where, ALIVE, 0), now, True)
-            member.where, member.fixed = where, True
-        for name, member in self.members.items():
-            member.fixed = name in peers
+        self.table.listed(now - self.held, self.name, peers)
 
     def up(self):
         """How many gateways share the fleet, this one among them: suspects count, as most suspicions err."""
-        return 1 + sum(member.state in (ALIVE, SUSPECT) for member in self.members.values())
-
-    def scale(self, times):
-        return times * max(1, ceil(log2(len(self.members) + 1)))
+        return 1 + self.table.up()
 
     # What comes
 
     def hear(self, now, word):
-        name = word.sender.name
-        if name == self.name or not sound(word.sender) or word.sender.state not in (ALIVE, LEFT):
-            self.refused += 1
+        sender = word.sender
+        if sender.name == self.name or not sound(sender) or sender.state not in (ALIVE, LEFT):
+            self.table.refused += 1
             return []
-        for news in (word.sender, *word.news):
+        known = self.members.get(sender.name)
+        was_dead = known is not None and known.state >= DEAD
+        for news in (sender, *word.news):
             self.claim(now, news)
-        member = self.members.get(name)
+        member = self.members.get(sender.name)
         if member is None:
             return []            # too many are known
         member.heard = now
+        if was_dead and member.state == ALIVE:
+            self.pulling.called = True
+        # One that came back with an older word of itself, elsewhere, must learn what is held of it.
+        stale = sender.incarnation < member.incarnation
+        where = sender.where if stale and not member.fixed else member.where
         if word.kind == "ping":
-            return [self._word(member, "ack", word.number, word.target)]
+            _, answer = self._word(member, "ack", word.number, word.target, stale)
+            return [(where, answer)]
+        if word.kind == "pull":
+            return [(where, self.teller.part(self.table, self.incarnation, word.number))] \
+                if self.pulling.give() else []
+        if word.kind == "part":
+            return [self._pull(member)] if self.pulling.came(now, member.name, word.number) else []
         if word.kind == "ask":
             target = self.members.get(word.target)
-            if target is None:
-                return []
-            self.number += 1
-            self.errands[self.number] = (member.name, word.number, target.name)
-            while len(self.errands) > ERRANDS:
-                del self.errands[next(iter(self.errands))]
-            return [self._word(target, "ping", self.number)]
+            return [] if target is None else [self._errand(member, word.number, target)]
+        return self._answered(now, member, word)
+
+    def _errand(self, client, number, target):
+        self.number += 1
+        self.errands[self.number] = (client.name, number, target.name)
+        while len(self.errands) > ERRANDS:
+            del self.errands[next(iter(self.errands))]
+        return self._word(target, "ping", self.number)
+
+    def _answered(self, now, member, word):
+        name, words = member.name, []
         if self.probe == (word.number, name) or self.probe == (word.number, word.target):
             self.probe = None
-        errand = self.errands.pop(word.number, None)
-        if errand is None:
-            return []
-        client, number, target = errand
-        if name != target or client not in self.members:
-            return []
-        return [self._word(self.members[client], "ack", number, target)]
+        if member.state == ALIVE and self.pulling.wants(now):
+            self.pulling.begin(now, name)
+            words.append(self._pull(member))
+        client, number, target = self.errands.pop(word.number, (None, 0, ""))
+        if name == target and client in self.members:
+            words.append(self._word(self.members[client], "ack", number, target))
+        return words
 
     def claim(self, now, news):
-        """Takes a claim where it beats what is held; refutes one that says this gateway is not alive."""
-        if not sound(news):
-            self.refused += 1
-            return
-        if news.name == self.name:
-            if (news.incarnation, news.state) > (self.incarnation, ALIVE):
-                self.refutations += news.state != ALIVE
-                self.incarnation = news.incarnation + (news.state != ALIVE)
-            return
-        member = self.members.get(news.name)
-        if member is None:
-            if len(self.members) >= MEMBERS:
-                self.refused += 1
-            elif news.state < DEAD:
-                self.members[news.name] = Member(news, now, False)
-        elif (news.incarnation, news.state) > (member.incarnation, member.state):
-            if news.state != member.state:
-                member.since = now
-            member.state, member.incarnation, member.told = news.state, news.incarnation, 0
-            if not member.fixed:
-                member.where = news.where
+        """Takes a claim where it beats what is held; outbids one of this gateway that is of a past life or
+        says that it is not alive."""
+        if news.name != self.name or not sound(news):
+            self.table.claim(now - self.held, news)
+        elif (news.incarnation, news.state) > (self.incarnation, ALIVE):
+            self.refutations += news.state != ALIVE
+            self.incarnation = news.incarnation + 1
 
     # What time brings
 
     def tick(self, now):
         """Called at `due` or later."""
         if now - self.due > PERIOD:      # held up: answers may lie unread, and no suspect had a chance
-            for member in self.members.values():
-                member.since += now - self.due
-            self.probe, self.period = None, now + PERIOD
+            self.held += now - self.due
+            self.probe, self.period, self.pulling.asked = None, now + PERIOD, now
             return []
         if now < self.due:
             return []
-        if now < self.period:
-            return self._through_others()
+        words = []
+        if self.pulling.late(now) and self.pulling.of in self.members:
+            words.append(self._pull(self.members[self.pulling.of]))
+        if now >= self.period:
+            return words + self._probe(now)
+        if self.probe and self.stage < STAGES and now >= self.period - PERIOD + DIRECT * (self.stage + 1):
+            words += self._through_others()
+        return words
+
+    def _probe(self, now):
         if self.probe is not None:
             self._suspect(now, self.members.get(self.probe[1]))
-        for member in list(self.members.values()):
-            if member.state == SUSPECT and now - member.since >= self.scale(SUSPECTED) * PERIOD:
-                self.claim(now, member.news._replace(state=DEAD))
-            elif member.state >= DEAD and now - member.since > FORGET and not member.fixed:
-                del self.members[member.name]
-        self.period, self.asked, self.probe = now + PERIOD, False, None
+        lived = now - self.held
+        for member in self.table.overdue(lived, self.table.scale(SUSPECTED) * PERIOD):
+            self.claim(now, member.news._replace(state=DEAD))
+        self.table.forget(lived, FORGET)
+        self.period, self.stage, self.probe = now + PERIOD, 0, None
         self.periods += 1
+        self.pulling.given = 0
         target = self._next()
         if target is None:
             return []
@@ -157,36 +169,53 @@
             self.claim(now, member.news._replace(state=SUSPECT))
 
     def _through_others(self):
-        self.asked = True
+        """The probe again, and by others."""
+        self.stage += 1
         number, name = self.probe
-        others = [member for member in self.members.values() if member.state == ALIVE and member.name != name]
-        words = []
-        for _ in range(min(HELPERS, len(others))):
-            helper = others.pop(self.chance.below(len(others)))
-            words.append(self._word(helper, "ask", number, name))
-        return words
+        if name not in self.members:
+            return []
+        helpers = self.table.alive.some(self.chance, HELPERS, name)
+        return [self._word(self.members[name], "ping", number)] + [
+            self._word(self.members[helper], "ask", number, name) for helper in helpers]
 
     def _next(self):
-        """Whom to probe: the living in rounds, each round in another order; now and then one that is dead."""
-        dead = [member for member in self.members.values() if member.state >= DEAD]
-        living = [name for name, member in self.members.items() if member.state < DEAD]
-        if dead and (self.periods % REVIVE == 0 or not living):
-            return dead[self.chance.below(len(dead))]
-        self.round = [name for name in self.round if name in self.members and self.members[name].state < DEAD]
-        if not self.round:
-            while living:
-                self.round.append(living.pop(self.chance.below(len(living))))
-        return self.members[self.round.pop()] if self.round else None
+        """Whom to probe: the living in rounds, each round in another order, newcomers somewhere in this one;
+        now and then one that is dead."""
+        table = self.table
+        for name in table.joined:
+            if name not in self.waiting:
+                self.waiting.add(name)
+                self.round.append(name)
+                other = self.chance.below(len(self.round))
+                self.round[-1], self.round[other] = self.round[other], self.round[-1]
+        table.joined.clear()
+        if table.dead and (self.periods % REVIVE == 0 or not table.up()):
+            return self.members[table.dead.pick(self.chance)]
+        for _ in range(2):
+            while self.round:
+                name = self.round.pop()
+                self.waiting.discard(name)
+                if name in self.members and name not in table.dead:
+                    return self.members[name]
+            self.round = [*table.alive.names, *table.suspects]
+            self.waiting = set(self.round)
+            for place in range(len(self.round) - 1, 0, -1):
+                other = self.chance.below(place + 1)
+                self.round[place], self.round[other] = self.round[other], self.round[place]
+        return None
 
     def leave(self):
         """Words that tell a few that this gateway goes of its own will."""
-        living = [member for member in self.members.values() if member.state == ALIVE]
         words = []
-        for _ in range(min(HELPERS, len(living))):
-            member = living.pop(self.chance.below(len(living)))
-            where, word = self._word(member, "ack", 0)
+        for name in self.table.alive.some(self.chance, HELPERS):
+            where, word = self._word(self.members[name], "ack", 0)
             words.append((where, word._replace(sender=word.sender._replace(state=LEFT))))
         return words
 
-    def _word(self, to, kind, number, target=""):
-        return message(self, to, kind, number, target)
+    def _pull(self, member):
+        me = News(self.name, self.where, ALIVE, self.incarnation)
+        return member.where, Word("pull", self.pulling.place, me)
+
+    def _word(self, to, kind, number, target="", stale=False):
+        first = to if to.state != ALIVE or stale else None
+        return to.where, self.teller.message(self.table, self.incarnation, kind, number, target, first)
--- a/gaproute/shared/membership/telling.py
+++ b/gaproute/shared/membership/telling.py
@@ -1,29 +1,89 @@
-"""Which news one message carries."""
-from gaproute.shared.membership.news import ALIVE, News, Word
+"""Which news one message carries: the least told first, then a few entries in turn."""
+from gaproute.shared.membership.news import ALIVE, News, Word, size
 
 TOLD = 3                 # times that each piece of news is sent for every power of two of the members
 BYTES = 1200             # of one message: fits an unfragmented datagram everywhere
-ROOM = 48                # bytes that one entry takes beside its names, at most
-
-
-def message(members, to, kind, number, target=""):
-    """A message with as much news as it holds: what `to` must refute, what is new, then entries in
-    turn."""
-    me = News(members.name, members.where, ALIVE, members.incarnation)
-    left = BYTES - ROOM - len(members.name) - len(members.where) - len(target)
-    fresh = sorted((member for member in members.members.values() if member.told < members.scale(TOLD)),
-                   key=lambda member: (member.told, member.name))
-    names = list(members.members)
-    turn = members.turn % len(names) if names else 0
-    chosen = {}
-    for member in ([to] if to.state != ALIVE else []) + fresh + [
-            members.members[name] for name in names[turn:] + names[:turn]]:
-        size = ROOM + len(member.name) + len(member.where)
-        if member.name not in chosen:
-            if left < size:
+HEAD = 32                # of them beside the sender's names, the target and the entries, at most
+FILL = 320               # bytes up to which a message that holds less news is filled with entries in turn: what
+#                          was lost or held back is mended without being asked for; more of it costs bytes only
+ASKED = 400              # bytes of an `ask`: three go out at once where a path is lossy
+
+
+class Queue:
+    """Names by how often their news was told; after so many times they leave it."""
+
+    def __init__(self):
+        self.rows, self.place = [{}], {}     # rows[k]: names told k times, the oldest first
+
+    def __len__(self):
+        return len(self.place)
+
+    def __iter__(self):
+        for row in self.rows:
+            yield from row
+
+    def put(self, name):
+        self.drop(name)
+        self.place[name] = 0
+        self.rows[0][name] = None
+
+    def drop(self, name):
+        place = self.place.pop(name, None)
+        if place is not None:
+            del self.rows[place][name]
+
+    def told(self, name, most):
+        place = self.place.get(name)
+        if place is None:
+            return
+        self.drop(name)
+        if place + 1 < most:
+            while len(self.rows) <= place + 1:
+                self.rows.append({})
+            self.place[name] = place + 1
+            self.rows[place + 1][name] = None
+
+
+class Teller:
+    def __init__(self, name, where):
+        self.name, self.where, self.turn = name, where, 0
+
+    def message(self, table, incarnation, kind, number, target="", first=None):
+        """A message with as much news as it holds: `first`, what its receiver must refute, then what is new,
+        then entries in turn."""
+        me = News(self.name, self.where, ALIVE, incarnation)
+        left = (ASKED if kind == "ask" else BYTES) - HEAD - size(me) - len(target.encode())
+        chosen = {} if first is None else {first.name: first.news}
+        left -= sum(size(news) for news in chosen.values())
+        for name in table.fresh:
+            member = table.members[name]
+            left -= size(member)
+            if left < 0:
+                break
+            chosen[name] = member.news
+        most = table.scale(TOLD)
+        for name in chosen:
+            table.fresh.told(name, most)
+        left -= BYTES - FILL
+        names = table.every.names
+        for _ in range(min(len(names), FILL // 20)):
+            member = table.members[names[self.turn % len(names)]]
+            left -= size(member)
+            if left < 0:
+                break
+            chosen.setdefault(member.name, member.news)
+            self.turn = (self.turn + 1) % len(names)
+        return Word(kind, number, me, target, tuple(chosen.values()))
+
+    def part(self, table, incarnation, place):
+        """A chunk of all that is held, from that place on."""
+        me = News(self.name, self.where, ALIVE, incarnation)
+        left, news, names, place = BYTES - HEAD - size(me), [], table.every.names, max(0, place)
+        while place < len(names):
+            member = table.members[names[place]]
+            left -= size(member)
+            if left < 0:
                 break
-            left -= size
-            chosen[member.name] = member.news
-            member.told += 1
-            members.turn += 1
-    return to.where, Word(kind, number, me, target, tuple(chosen.values()))
+            news.append(member.news)
+            place += 1
+        return Word("part", place if place < len(names) else 0, me, "", tuple(news))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -3,9 +3,11 @@
 from gaproute.peers.gossip import decode, encode
 from gaproute.policy import Chance
 from gaproute.shared.membership import ALIVE, DEAD, LEFT, SUSPECT, Members, News, Word
-from gaproute.shared.membership.members import ERRANDS, MEMBERS
-from gaproute.shared.membership.news import HIGHEST
-from gaproute.shared.membership.telling import BYTES, ROOM
+from gaproute.shared.membership.invariants import check
+from gaproute.shared.membership.members import ERRANDS
+from gaproute.shared.membership.news import HIGHEST, ROOM
+from gaproute.shared.membership.table import MEMBERS
+from gaproute.shared.membership.telling import BYTES
 from gaproute.standins.net import Net
 from hypothesis import given
 from hypothesis import strategies as st
@@ -191,3 +193,99 @@
     future = bytearray(encode(word))
     future[1] = 9                    # its version
     assert decode(bytes(future)) is None
+
+
+@given(st.lists(st.builds(News, st.sampled_from("ab"), st.sampled_from("vw"), st.integers(0, 3),
+                          st.integers(0, 3)), max_size=8).flatmap(
+    lambda told: st.tuples(st.just(told), st.permutations(told))))
+def test_claims_of_members_nobody_configured_end_in_one_address_in_any_order(orders):
+    one, two = members(), members()
+    alive = [News(name, "u", ALIVE, 0) for name in "ab"]     # nobody dead is learnt of, so both are known first
+    for claims, made in zip(orders, (one, two)):
+        for claim in [*alive, *claims]:
+            made.claim(1, claim)
+    assert {name: member.news for name, member in one.members.items()} == {
+        name: member.news for name, member in two.members.items()}
+    assert check(one, True) == check(two, True) == []
+
+
+def test_a_newcomer_that_knows_one_of_three_hundred_knows_all_within_seconds():
+    net = Net(300)
+    net.run(SECOND)
+    net.start("new", 77, {"g4": "g4"})
+    net.run(4 * SECOND)
+    assert len(net.nodes["new"].members) == 300 and net.nodes["new"].pulling.whole == 1
+    assert max(net.sizes) <= BYTES
+
+
+def test_lost_chunks_are_asked_for_again():
+    net, chance = Net(150), Chance(3)
+    net.lost = lambda sender, to: "new" in (sender, to) and chance.below(10) < 3
+    net.start("new", 77, {"g4": "g4"})
+    net.run(25 * SECOND)
+    assert len(net.nodes["new"].members) == 150
+
+
+def test_chunks_are_given_at_a_bounded_rate():
+    made = members("a")
+    asked = [made.hear(1, Word("pull", 0, News("a", "a", ALIVE, 1))) for _ in range(200)]
+    assert sum(map(len, asked)) == 64
+
+
+def test_one_back_at_another_address_with_an_older_word_of_itself_is_answered_there_and_outbids():
+    made = Members("me", "me", Chance(1), 0)
+    made.claim(0, News("a", "old", ALIVE, 9))
+    back = Members("a", "new", Chance(2), 0)
+    back.listed(0, {"me": "me"})
+    (where, word), = made.hear(1, back.tick(SECOND)[0][1])
+    assert where == "new" and made.members["a"].where == "old"
+    back.hear(2, word)
+    assert back.incarnation == 10
+    made.hear(3, Word("ping", 5, News("a", "new", ALIVE, back.incarnation)))
+    assert made.members["a"].where == "new"
+
+
+def test_halves_that_held_each_other_dead_hold_all_alive_soon_after_healing():
+    net = Net(60)
+    half = {f"g{number}" for number in range(30)}
+    net.lost = lambda sender, to: (sender in half) != (to in half)
+    net.run(90 * SECOND)
+    assert all(node.up() == 30 for node in net.nodes.values())
+    net.lost = lambda sender, to: False
+    net.run(40 * SECOND)
+    assert all(len(node.table.alive) == 59 and check(node, True) == [] for node in net.nodes.values())
+
+
+def test_seven_tenths_back_with_an_empty_memory_are_alive_to_all():
+    net = Net(40)
+    net.run(5 * SECOND)
+    killed = [f"g{number}" for number in range(28)]
+    net.down.update(killed)
+    net.run(60 * SECOND)
+    for name in killed:
+        net.start(name, 7 + len(name), {f"g{number}": f"g{number}" for number in range(40)})
+    net.run(40 * SECOND)
+    assert all(len(node.table.alive) == 39 for node in net.nodes.values())
+
+
+@given(st.lists(st.tuples(st.sampled_from(("ping", "ack", "ask", "pull", "part", "tick", "list")), st.builds(
+    News, st.sampled_from(("a", "b", "c", "me", "")), st.sampled_from("vw"), st.integers(-1, 5),
+    st.integers(-1, 9)), st.integers(0, 9), st.lists(st.sampled_from("abc"))), max_size=40))
+def test_whatever_comes_the_lists_agree(steps):
+    made, now = members("a"), 0
+    for kind, sender, number, names in steps:
+        now += SECOND // 3
+        if kind == "tick":
+            made.tick(now)
+        elif kind == "list":
+            made.listed(now, {name: name for name in names})
+        else:
+            made.hear(now, Word(kind, number, sender, "".join(names[:1]), (sender,)))
+        assert check(made, True) == []
+
+
+def test_a_breach_is_told():
+    made = members("a")
+    made.members["a"].state = DEAD
+    made.errands = {number: ("a", 1, "a") for number in range(ERRANDS + 1)}
+    assert len(check(made, True)) == 2
