The weak word: demand, tasks in hand, room and warm copies, told to all and fading

Cause: each gateway sees little of the fleet; even load, rollouts and maintenance need what all see. What: gaproute/shared/weak: each tells its own pages to all in shuffled rounds by a budget of 3,000 bytes a second; of each teller and page the newest version by (incarnation, counter) holds; ages, tombstones of tellers and hosts, sums scaled by the tellers heard, a teller's page clipped at 16 times the lower median; a budget of words by sender before anything is decoded; named checks beside it. gaproute/peers/weak: strict bytes on the membership's datagrams as a kind that older versions pass over; off unless 'weak-word yes'. A failed pull of the members' list begins anew with another at once.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -1,18 +1,20 @@
 """Membership at scale, simulated: how soon a dead gateway is known to all, what it costs, how often it errs.
 
-    python benchmarks/membership.py [--sizes 10,60,230,1000] [--seeds 1,2,3] [--out docs/measured]
+    python benchmarks/membership.py [--sizes 10,60,230,1000] [--seeds 1,2,3,4,5] [--out docs/measured]
 
 Gateways on a simulated clock and network (gaproute/standins/net.py), the decisions and the bytes being the
-product's own. For each size and share of lost messages, each seed once: a minute of calm, then one gateway dies
-(seconds until the first and the last of the others hold it dead), then a newcomer that knows one gateway
-(seconds until it knows all; until all know it). Without loss also: two halves cut off for two minutes (seconds
-from healing until all hold all alive; `heal, s`) and seven tenths killed, and started a minute later all at
-once with an empty memory (seconds until all hold all alive; `roll, s`). CPU: of the whole play by the process's clock, with the simulation's own cost, a gateway. Figures
-are the median of the seeds, and after it the least and the most where they differ.
+product's own. For each size and share of lost messages, each seed once: a minute of calm, then one gateway
+dies (seconds until the first and the last of the others hold it dead), then a newcomer that knows one gateway
+(seconds until it knows all; until all know it). Without loss also: two halves cut off for two minutes
+(seconds from healing until all hold all alive; `heal, s`), and seven tenths killed, and a minute later all
+started at once with an empty memory (seconds until all hold all alive; `roll, s`). CPU a gateway: of the
+process in the calm minute, the simulation's own cost in it. Figures are the median of the seeds, in brackets
+the least and the most.
 """
 import argparse
 import sys
 import time
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from statistics import median
 
@@ -105,6 +107,12 @@
                                                  for member in node.members.values()))
 
 
+def play(size, loss, seed):
+    """All of one seed; dear parts where nothing is lost alone."""
+    return calm_and_death(size, loss, seed) | {"heal, s": None if loss else heal(size, seed),
+                                               "roll, s": None if loss else roll(size, seed)}
+
+
 def told_of(runs, name):
     found = sorted(run[name] for run in runs if run[name] is not None)
     if not found:
@@ -118,20 +126,20 @@
 def main():
     arguments = argparse.ArgumentParser()
     arguments.add_argument("--sizes", default="10,60,230,1000")
-    arguments.add_argument("--seeds", default="1,2,3")
+    arguments.add_argument("--seeds", default="1,2,3,4,5")
+    arguments.add_argument("--jobs", type=int, default=4)
     arguments.add_argument("--out", default="docs/measured")
     told = arguments.parse_args()
-    seeds, rows = [int(seed) for seed in told.seeds.split(",")], []
-    for size in map(int, told.sizes.split(",")):
-        for loss in (0.0, 0.05, 0.2):
-            runs = [calm_and_death(size, loss, seed) for seed in seeds]
-            for run, seed in zip(runs, seeds):
-                run |= {"heal, s": None if loss else heal(size, seed), "roll, s": None if loss else roll(size, seed)}
+    seeds = [int(seed) for seed in told.seeds.split(",")]
+    cases = [(size, loss) for size in map(int, told.sizes.split(",")) for loss in (0.0, 0.05, 0.2)]
+    rows = []
+    with ProcessPoolExecutor(told.jobs) as pool:
+        plays = {(*case, seed): pool.submit(play, *case, seed) for case in reversed(cases) for seed in seeds}
+        for size, loss in cases:
+            runs = [plays[size, loss, seed].result() for seed in seeds]
             row = {"gateways": size, "lost": f"{loss:.0%}"} | {name: told_of(runs, name) for name in runs[0]}
-            if loss:
-                row |= {"heal, s": "-", "roll, s": "-"}
-            rows.append(row)
-            print(row, flush=True)
+            rows.append(row | ({"heal, s": "-", "roll, s": "-"} if loss else {}))
+            print(rows[-1], flush=True)
     write(told.out, "membership", rows, plays=len(seeds))
 
 
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -22,6 +22,7 @@
 from gaproute.loop.streams import address
 from gaproute.lore import FACTS, Fact, Lore, Roll
 from gaproute.peers import Giver, Gossip, Learner
+from gaproute.peers.weak import Carrier
 from gaproute.policy import Chance
 from gaproute.pooling import Pooling
 from gaproute.record.logs import logger
@@ -54,7 +55,7 @@
         self.lot = Lot.of(loop)
         clients = charter.clients
         self.lot.door = Door(clients.connections, clients.per_address, descriptors(), Chance(seed + 3))
-        self.giver = self.learner = self.gossip = self.keeper = self.peer_watch = None
+        self.giver = self.learner = self.gossip = self.keeper = self.peer_watch = self.weak = None
         self.roll, self.lore = Roll(), Lore()
         self.track_names = [line.name for line in charter.tracks]
         self.chance = Chance(seed + 1)
@@ -72,6 +73,10 @@
                     self.fronts.append(self.giver)
                     self.gossip = Gossip(self.loop, self.charter.name, self.giver.address,
                                          Chance(self.seed + 2), self.record)
+                    if self.charter.weak_word:
+                        self.weak = Carrier(self.loop, self.charter.name, self.gossip, self.core.gateway,
+                                            Chance(self.seed + 4))
+                        self.core.arrived = self.weak.arrived
                 else:
                     self.fronts.append(Operator(self.loop, address(where), self))
         except OSError as fault:
@@ -103,6 +108,8 @@
         self.roll.listed(self.loop.now(), {
             name: (row.listed.state.value, (self.listing.starts.get(name) or (0,))[0])
             for name, row in self.rows.items()})
+        if self.weak is not None:
+            self.weak.listed({name: told[1] for name, told in self.roll.told.items() if name in self.rows})
         for name in sorted(before.keys() | self.rows.keys()):
             old, new = (table.get(name) for table in (before, self.rows))
             if old != new:
@@ -203,7 +210,7 @@
     def close(self):
         for front in self.fronts:
             front.close()
-        for part in (self.watch, self.peer_watch, self.learner, self.gossip, self.keeper):
+        for part in (self.watch, self.peer_watch, self.learner, self.weak, self.gossip, self.keeper):
             if part is not None:
                 part.close()
         self.hosts.close()
@@ -222,6 +229,7 @@
                 "connections": {"opened": self.hosts.opened, "reused": self.hosts.reused,
                                 "raced": self.hosts.raced},
                 "gateways": self.gossip.members.up() if self.gossip else None,
+                "weak_word": self.weak and self.weak.weak.status(self.loop.now()),
                 "learnt": {"facts": len(self.lore.facts), "refused": dict(self.lore.refused),
                            "peers": self.learner.state if self.learner else {},
                            "booked": self.learner.booked if self.learner else 0,
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -216,6 +216,13 @@
     answer: Size = Field(64 << 20, ge=1024)
 
 
+class WeakWord(Directive):
+    places: ClassVar = ("told",)
+    example: ClassVar = "weak-word yes"
+    once: ClassVar = True
+    told: Yes = False
+
+
 class Log(Directive):
     places: ClassVar = ("level",)
     example: ClassVar = "log info"
@@ -255,6 +262,7 @@
     "over-share": OverShare,
     "clients": Clients,
     "reach": ReachLine,
+    "weak-word": WeakWord,
     "log": Log,
     "decisions": Decisions,
 }
@@ -287,7 +295,7 @@
         self.log_level, self.decisions = one("log").level, one("decisions").load()
         self.longest = max(line.limit for line in self.tracks)
         copies, relays, cold, reports = one("copies"), one("relays"), one("cold"), one("reports")
-        self.sizes_told = one("sizes").told
+        self.sizes_told, self.weak_word = one("sizes").told, one("weak-word").told
         self.terms = face.Terms(
             tracks=tuple(
                 face.Track(
@@ -433,6 +441,10 @@
         mistakes.append(Mistake(file, 0, "a peers-file without a name line: which peer is this gateway?",
                                 f"right would be: {Word.example}"))
     for word, line in found:
+        if word == "weak-word" and line.told and not any(other == "listen" and listen.kind == "peers"
+                                                         for other, listen in found):
+            mistakes.append(Mistake(file, line.line, "weak-word yes without a listen peers line",
+                                    "right would be: listen peers 127.0.0.1:8090"))
         if word == "model" and line.track not in tracks:
             mistakes.append(Mistake(file, line.line, f"model {line.name}: no track {line.track!r}",
                                     f"the tracks here: {', '.join(tracks) or 'none'}"))
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -48,6 +48,7 @@
         self.timers = {}               # key: timer of its wait
         self.count = 0
         self.tell = lambda words: None      # tells all other gateways, where there is a way
+        self.arrived = None            # call(now, function, track) of each task, where demand is told
         self.emptied = None            # call() when the last task held is accounted for
 
     # From the fronts
@@ -65,6 +66,8 @@
         held.limit = now + left
         held.end = self.loop.at(held.limit, self._time_up, key)
         self.record.taken(track)
+        if self.arrived is not None:
+            self.arrived(now, call.function, track)
         if self.record.follows(call.mark):
             held.step = partial(self.record.step, call.mark)
             held.step("taken", task=key, track=call.track, function=call.function, left_ms=left // MILLI)
--- a/gaproute/peers/gossip.py
+++ b/gaproute/peers/gossip.py
@@ -10,8 +10,10 @@
 
 SECOND = 1_000_000_000
 VERSION = 1
-KINDS = ("", "ping", "ack", "ask", "pull", "part")    # versions that lack the last two pass them over
-MOST = 2000              # datagrams read in a second: 20 times what 1,000 gateways send; a flood costs no more
+KINDS = ("", "ping", "ack", "ask", "pull", "part")     # a version that lacks one passes it over
+CARRIED = {"weak": 6}    # other parts' words by the same datagrams: the number of their kind
+MOST = 2000              # datagrams read in a second: 20 times what comes at 1,000 gateways. In a flood it
+#                          harms, as words of others are passed over with it
 
 
 def encode(word):
@@ -23,11 +25,20 @@
 
 def decode(data):
     """The Word, or None where it is none that is understood."""
+    told = _read(data)
+    return _word(told) if told is not None else None
+
+
+def _read(data):
     try:
         told = word_pb2.Word.FromString(data)
     except DecodeError:
         return None
-    if abs(told.version - VERSION) > 1 or not 0 < told.kind < len(KINDS):
+    return told if abs(told.version - VERSION) <= 1 else None
+
+
+def _word(told):
+    if not 0 < told.kind < len(KINDS):
         return None
     news = [News(each.name, each.where, each.state, each.incarnation) for each in (told.sender, *told.news)]
     return Word(KINDS[told.kind], told.number, news[0], told.target, tuple(news[1:]))
@@ -40,10 +51,11 @@
 class Gossip:
     def __init__(self, loop, name, where, chance, record):
         self.loop, self.record = loop, record
-        self.members = Members(name, where, chance, loop.now(), int(time.time()))
+        self.members = Members(name, where, chance, loop.now(), time.time_ns() // 1_000_000)
         self.datagrams = Datagrams(loop, at(where), self._heard)
         self.sent = self.bytes = self.strange = self.flood = 0
         self.read, self.second = 0, 0       # datagrams read in this second
+        self.carried = {}                   # number of a kind: who takes it
         self.timer = None
         self._again()
 
@@ -72,7 +84,11 @@
         if self.read > MOST:
             self.flood += 1
             return
-        word = decode(data)
+        told = _read(data)
+        if told is not None and told.kind in self.carried:
+            self.carried[told.kind](told.sender.name, told.weak)
+            return
+        word = _word(told) if told is not None else None
         if word is None:
             self.strange += 1
             return
@@ -87,6 +103,19 @@
             self.bytes += len(data)
             self.datagrams.send(data, at(where))
 
+    def carry(self, kind, heard):
+        """`heard(sender's name, data)` for each word of that kind; see CARRIED."""
+        self.carried[CARRIED[kind]] = heard
+
+    def post(self, where, kind, data):
+        """Sends another part's word; its sender is told by name alone."""
+        made = word_pb2.Word(version=VERSION, kind=CARRIED[kind], weak=data)
+        made.sender.name = self.members.name
+        data = made.SerializeToString()
+        self.sent += 1
+        self.bytes += len(data)
+        self.datagrams.send(data, at(where))
+
     def _note(self):
         for name in self.members.table.changed:
             member = self.members.members.get(name)
--- /dev/null
+++ b/gaproute/peers/weak/carrier.py
@@ -0,0 +1,64 @@
+"""The weak word carried by the membership's datagrams. Who is up is taken from there, once a second at most;
+what this gateway sees is looked up from its decisions at a pace, so that no task's path grows longer."""
+from gaproute.peers.weak.wire import decode, encode
+from gaproute.shared.weak import Weak
+
+SECOND = 1_000_000_000
+LOOK = SECOND // 2       # between two looks at tasks in hand and copies: as often as one peer is told at most
+LISTED = SECOND          # between two takes of the list of members: a storm of news must not be one of lists
+
+
+class Carrier:
+    """`gateway`: the decisions' state, whose `workers` hold tasks in hand and whose `known` tells copies."""
+
+    def __init__(self, loop, name, gossip, gateway, chance):
+        self.loop, self.gossip, self.gateway = loop, gossip, gateway
+        now = loop.now()
+        self.weak = Weak(name, gossip.members.incarnation, chance, now)
+        self.hands = {}          # host: tasks in hand as told last
+        self.looked, self.listed_at, self.mark = now - LOOK, now - LISTED, now
+        gossip.carry("weak", self._heard)
+        self.timer = loop.at(now, self._tick)
+
+    def arrived(self, now, function, track):
+        self.weak.saw_arrival(now, function, track)
+
+    def listed(self, hosts):
+        """{host: its start} as listed now."""
+        self.weak.listed(self.loop.now(), hosts)
+
+    def _tick(self):
+        now = self.loop.now()
+        members = self.gossip.members
+        if now - self.listed_at >= LISTED:
+            self.listed_at = now
+            self.weak.renew(members.incarnation)
+            self.weak.peers(now, [*members.table.alive.names, *members.table.suspects])
+        if now - self.looked >= LOOK:
+            self.looked = now
+            self._look(now)
+        for name, word in self.weak.tick(now):
+            member = members.members.get(name)
+            if member is not None:
+                self.gossip.post(member.where, "weak", encode(word))
+        self.timer = self.loop.at(self.weak.due, self._tick)
+
+    def _look(self, now):
+        for name, worker in self.gateway.workers.items():
+            tasks = len(worker.out)
+            if tasks != self.hands.get(name, 0):
+                self.hands[name] = tasks
+                self.weak.saw_hands(now, name, tasks)
+        for name in [name for name in self.hands if name not in self.gateway.workers]:
+            del self.hands[name]
+            self.weak.saw_hands(now, name, 0)
+        for kind, names, _, at in self.gateway.known(now, self.mark):
+            if kind == "warm":
+                self.weak.saw_warm(at, *names[:2])
+        self.mark = now
+
+    def _heard(self, sender, data):
+        self.weak.hear(self.loop.now(), sender, lambda: decode(data))
+
+    def close(self):
+        self.timer.cancel()
--- a/gaproute/shared/membership/members.py
+++ b/gaproute/shared/membership/members.py
@@ -30,8 +30,8 @@
 
 class Members:
     """`tick` at the time `due`, `hear` with each message; both return [(address, Word)] to be sent.
-    `incarnation`: should be above that of any past life (seconds since 1970 serve); where it is not, the
-    first answers tell."""
+    `incarnation`: should be above that of any past life (ms since 1970 serve); where it is not, the first
+    answers tell."""
 
     def __init__(self, name, where, chance, now, incarnation=1):
         self.name, self.where, self.chance = name, where, chance
--- a/gaproute/shared/membership/news.py
+++ b/gaproute/shared/membership/news.py
@@ -1,7 +1,7 @@
 """What is said of one gateway, a message of such words, and what is held of one member."""
 from typing import NamedTuple
 
-HIGHEST = 1 << 48        # incarnations above it are refused: they begin at seconds since 1970 at most
+HIGHEST = 1 << 48        # incarnations above it are refused: they begin at ms since 1970, at most
 NAME = 256               # characters of a name or an address
 ROOM = 20                # bytes that one entry takes in a message beside its names, at most
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
--- a/gaproute/shared/membership/pulling.py
+++ b/gaproute/shared/membership/pulling.py
@@ -3,7 +3,7 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 WAIT = 300 * MILLI       # for a chunk, then it is asked for again
-TRIES = 5                # for one chunk, then another member is asked
+TRIES = 6                # for one chunk, then another member is asked at once
 EVERY = 300 * SECOND     # between two pulls where nothing calls for one: mends what news has missed
 AGAIN = 20 * SECOND      # between the beginnings of two at least: one healing brings back hundreds
 PARTS = 64               # chunks given in a period at most: 80 kB a second; who asks more waits
@@ -44,7 +44,7 @@
             return False
         self.tries, self.asked = self.tries + 1, now
         if self.tries >= TRIES:
-            self.of, self.called = None, True
+            self.of, self.called, self.begun = None, True, NEVER
         return self.of is not None
 
     def give(self):
--- a/gaproute/shared/membership/telling.py
+++ b/gaproute/shared/membership/telling.py
@@ -4,8 +4,8 @@
 TOLD = 3                 # times that each piece of news is sent for every power of two of the members
 BYTES = 1200             # of one message: fits an unfragmented datagram everywhere
 HEAD = 32                # of them beside the sender's names, the target and the entries, at most
-FILL = 320               # bytes up to which a message that holds less news is filled with entries in turn: what
-#                          was lost or held back is mended without being asked for; more of it costs bytes only
+FILL = 320               # bytes up to which a message with less news is filled with entries in turn: what was
+#                          lost or held back is mended unasked; more of it costs bytes only
 ASKED = 400              # bytes of an `ask`: three go out at once where a path is lossy
 
 
--- /dev/null
+++ b/gaproute/shared/weak/told.py
@@ -0,0 +1,63 @@
+"""Whom to tell, when and what: each peer in rounds, by a budget of bytes that does not grow with the fleet.
+
+A word holds the tasks in hand, which change fast, and at a slower pace one other page in turn. In a large
+fleet a round takes longer, and a reader holds a sample of the tellers by which it scales.
+"""
+from gaproute.shared.weak.facts import DEMAND, HANDS, ROOM, SECOND, SLOTS, WARM, Word, size
+
+RATE = 3_000             # bytes a second, headers included: under 4 kB with bursts and membership's beside it
+EACH = SECOND // 2       # between two words to one peer at least: small fleets need not spend the budget
+SLOW = SECOND // 4       # between two pages other than the tasks in hand
+TURN = (DEMAND, WARM, DEMAND, WARM, ROOM, WARM, DEMAND, WARM)
+
+
+class Told:
+    def __init__(self, chance, now):
+        self.chance = chance
+        self.peers = {}          # name: place in the list below
+        self.names = []
+        self.round, self.longest = [], 0     # names still to be told in this round, and how many it had
+        self.next, self.slow = now, now
+        self.turn = self.slot = 0
+        self.sent = self.bytes = 0
+
+    def listed(self, names):
+        self.names = list(names)
+        self.peers = dict.fromkeys(self.names)
+
+    def tick(self, now, own, incarnation):
+        """[(peer, Word)]; `next` is the time of the next call."""
+        if now < self.next:
+            return []
+        name = self._peer()
+        if name is None:
+            self.next = now + EACH
+            return []
+        pages = [own.page(now, HANDS)]
+        if now >= self.slow:
+            self.slow = now + SLOW
+            kind = TURN[self.turn % len(TURN)]
+            self.turn += 1
+            if kind == WARM:
+                self.slot = (self.slot + 1) % SLOTS[WARM]
+            page = own.page(now, kind, self.slot if kind == WARM else 0)
+            if page.entries or page.rest:
+                pages.append(page)
+        word = Word(incarnation, tuple(pages))
+        spent = size(word)
+        self.sent += 1
+        self.bytes += spent
+        self.next = now + max(EACH // len(self.names), spent * SECOND // RATE)
+        return [(name, word)]
+
+    def _peer(self):
+        for _ in range(2):
+            while self.round:
+                name = self.round.pop()
+                if name in self.peers:
+                    return name
+            self.round, self.longest = list(self.names), len(self.names)
+            for place in range(len(self.round) - 1, 0, -1):
+                other = self.chance.below(place + 1)
+                self.round[place], self.round[other] = self.round[other], self.round[place]
+        return None
