Imports and pages of the merged parts follow the rooms

Cause: membership, weak word and the platform's stand-ins were written beside the split of the decisions. Change: names of modules alone.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -20,16 +20,13 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
+from gaproute.decisions.chance import Chance
 from gaproute.peers.gossip import decode, encode
-from gaproute.policy import Chance
 from gaproute.shared.membership import ALIVE, DEAD, LEFT
 from gaproute.shared.membership.invariants import check
 from gaproute.standins.net import LINK, Net
-from rows import write
-
-from gaproute.decisions.chance import Chance
-from gaproute.membership import DEAD
-from gaproute.standins.net import Net
 
 SECOND = 1_000_000_000
 CALM = 60                # s
--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -29,13 +29,14 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
+from gaproute.decisions.chance import Chance
 from gaproute.peers import word_pb2
 from gaproute.peers.weak import decode, encode
-from gaproute.policy import Chance
 from gaproute.shared.weak import Page, Weak
 from gaproute.shared.weak.facts import HANDS
 from gaproute.shared.weak.invariants import check, own_alone
-from rows import write
 
 SECOND = 1_000_000_000
 STEP = SECOND // 4       # in which tasks come
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -27,8 +27,6 @@
 from gaproute.loop.streams import address
 from gaproute.peers import Giver, Gossip, Learner
 from gaproute.peers.weak import Carrier
-from gaproute.policy import Chance
-from gaproute.pooling import Pooling
 from gaproute.record.logs import logger
 from gaproute.record.record import Record
 
--- a/gaproute/standins/net.py
+++ b/gaproute/standins/net.py
@@ -2,8 +2,8 @@
 waiting."""
 import heapq
 
+from gaproute.decisions.chance import Chance
 from gaproute.peers.gossip import encode
-from gaproute.policy import Chance
 from gaproute.shared.membership import Members
 
 MILLI = 1_000_000
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,7 +1,10 @@
 """Who is up: claims as a lattice, and whole fleets of gateways on a clock and a network of the test's own."""
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gaproute.decisions.chance import Chance
 from gaproute.peers.gossip import decode, encode
-from gaproute.policy import Chance
 from gaproute.shared.membership import ALIVE, DEAD, LEFT, SUSPECT, Members, News, Word
 from gaproute.shared.membership.invariants import check
 from gaproute.shared.membership.members import ERRANDS
@@ -9,14 +12,6 @@
 from gaproute.shared.membership.table import MEMBERS
 from gaproute.shared.membership.telling import BYTES
 from gaproute.standins.net import Net
-from hypothesis import given
-from hypothesis import strategies as st
-
-from gaproute.decisions.chance import Chance
-from gaproute.membership import (ALIVE, BYTES, DEAD, ERRANDS, HIGHEST, LEFT, MEMBERS, ROOM, SUSPECT, Members,
-                                 News, Word)
-from gaproute.peers.gossip import decode, encode
-from gaproute.standins.net import Net
 
 SECOND = 1_000_000_000
 
--- a/tests/test_standins_log.py
+++ b/tests/test_standins_log.py
@@ -1,11 +1,12 @@
 """The stand-in change log on one loop, read by the gateway's own follower."""
 import pytest
+from test_standins_platform import ANY, MILLI, Bench
+
+from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog.follow import Follower
-from gaproute.policy import Chance
 from gaproute.standins.platform.listing import Listing, member
 from gaproute.standins.platform.log import Log
 from helpers import makers
-from test_standins_platform import ANY, MILLI, Bench
 
 
 @pytest.fixture
--- a/tests/test_weak_word.py
+++ b/tests/test_weak_word.py
@@ -2,9 +2,10 @@
 import random
 
 import pytest
-from gaproute.policy import Chance
+
+from gaproute.decisions.chance import Chance
 from gaproute.shared.weak import Page, Weak, Word
-from gaproute.shared.weak.facts import (DEMAND, HANDS, HIGHEST, LIFE, MOST, ROOM, SECOND, SLOTS, WARM, key)
+from gaproute.shared.weak.facts import DEMAND, HANDS, HIGHEST, LIFE, MOST, ROOM, SECOND, SLOTS, WARM, key
 from gaproute.shared.weak.invariants import Ages, check, own_alone
 from gaproute.shared.weak.told import RATE
 from gaproute.shared.weak.weak import BURST
