Stand-in hosts and change log check what must hold of themselves

A host that ran more tasks than lanes, or a log that counted what it had not written, would judge gateways wrongly. Named checks beside both, looked at with each tick, a breach on the tap. Hosts of one process are also tested to die and start again with a tap of their own.

--- a/gaproute/standins/host/copies.py
+++ b/gaproute/standins/host/copies.py
@@ -32,7 +32,7 @@
 
     def warm_up(self, names):
         """A host that ran before holds what it was asked for lately."""
-        for name in self.random.sample(names, min(len(names), self.make.copies - 2)):
+        for name in self.random.sample(names, max(0, min(len(names), self.make.copies - 2))):
             copies = self.of(name)
             copies.stand, copies.idle_since = 1, self.loop.now()
 
--- a/gaproute/standins/host/machine.py
+++ b/gaproute/standins/host/machine.py
@@ -12,12 +12,14 @@
 import random
 from collections import Counter
 
+from gaproute.standins.host import invariants
 from gaproute.standins.host.copies import Shelf
 from gaproute.standins.host.facts import AWAITED_LOAD, BEGAN_LOAD, FAILED, MILLI, WARM, Work
 
 # How a task ends: `Work.answer(work, end)`
 FULL, ERROR, RESET, DONE, CUT, NO_LOAD = "full", "error", "reset", "done", "cut", "the load failed"
 FATES = ("hang", "refuse", "fail", "reset", "lost", "cut")   # troubles of a single task, in order
+TOLD = ("cores", "speed", "cold_share", "cold_time", "fall_multiple", "tip")      # at its start, to the judge
 SHAPE = 4                # of the gamma distribution of work: a spread of half the mean
 ROUNDING = 10_000        # ns: work that is done but for this is done, so that timers never spin
 TICK = 50 * MILLI        # between looks at idle copies and writes of the tap
@@ -45,18 +47,8 @@
             self.shelf.warm_up(sorted(models))
 
     def start(self):
-        make = self.make
-        self.tap.note(
-            "up",
-            host=make.name,
-            cores=make.cores,
-            speed=make.speed,
-            warm=self.warm,
-            cold_share=make.cold_share,
-            cold_time=make.cold_time,
-            fall_multiple=make.fall_multiple,
-            tip=make.tip,
-        )
+        told = {name: getattr(self.make, name) for name in TOLD}
+        self.tap.note("up", host=self.make.name, warm=self.warm, **told)
         self.tick()
 
     def stop(self):
@@ -239,6 +231,8 @@
     def tick(self):
         if not self.stopped:
             self.shelf.let_go(self.loop.now())
+            for check, text in invariants.breaches(self):
+                self.tap.note("breach", check=check, text=text)
             self.tap.flush()
             self.loop.after(TICK, self.tick)
 
--- a/gaproute/standins/platform/log.py
+++ b/gaproute/standins/platform/log.py
@@ -15,6 +15,7 @@
 
 from gaproute.loop import Listener, Stream
 from gaproute.loop.streams import address
+from gaproute.standins.platform import invariants
 from gaproute.standins.platform.listing import STATES
 
 SECOND = 1_000_000_000
@@ -160,6 +161,8 @@
     def look(self):
         for way in self.ways:
             way.look()
+        for check, text in invariants.breaches(self):
+            self.tap.note("breach", check=check, text=text)
         self.loop.after(COMMENT, self.look)
 
     def command(self, told):
--- a/tests/test_standins_model.py
+++ b/tests/test_standins_model.py
@@ -1,7 +1,9 @@
 """The model of a stand-in host, without sockets, on a clock that leaps."""
+import random
+
 import pytest
 from gaproute.loop import Loop, Promise, Stepped
-from gaproute.standins.host import Make, Model, machine
+from gaproute.standins.host import Make, Model, invariants, machine
 from gaproute.standins.host.machine import Machine
 from helpers import ListTap
 
@@ -152,3 +154,36 @@
     seen = len(made.tap.events)
     made.rest(SECOND)
     assert not made.ends and stands.value is None and len(made.tap.events) == seen
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_load_and_no_trouble_breaks_what_must_hold(bench, seed):
+    chance = random.Random(seed)
+    made = bench({"copies": chance.choice([1, 3, 6]), "queue": 5, "loads": chance.choice([1, 4]),
+                  "keep": SECOND, "cold_time": 0}, warm=seed % 2 == 0)
+    works = []
+    for step in range(800):
+        made.fetched = chance.random() < 0.7
+        match chance.randrange(12):
+            case 0:
+                made.machine.order(chance.choice("abc"), chance.randrange(4), "g", 1)
+            case 1:
+                made.machine.command({"trouble": chance.choice([*machine.FATES, "slow", "heavy"]),
+                                      "share": 0.3, "factor": 3, "on": chance.random() < 0.5})
+            case 2 if works:
+                made.machine.left(works.pop(chance.randrange(len(works))))
+            case 3:
+                made.machine.shelf.unload_idle(chance.choice("abc"))
+            case _:
+                works += filter(None, [made.take(f"t{step}", chance.choice("aaabc"))])
+        assert invariants.breaches(made.machine) == []
+        made.rest(round(chance.expovariate(1) * 8 * MILLI))
+    assert len(made.ends) == len({name for name, *_ in made.ends}) > 200
+
+
+def test_a_breach_is_named_and_noted(bench):
+    made = bench()
+    made.machine.shelf.copies["a"].busy = 9
+    made.machine.shelf.loads = -1
+    made.rest(60 * MILLI)
+    assert {event["check"] for event in made.seen("breach")} == {"lanes", "tasks_at_work", "loads"}
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -8,7 +8,9 @@
 from gaproute.standins.host import Make, Model
 from gaproute.standins.platform import charter
 from gaproute.standins.platform.host import PlatformHost
+from gaproute.standins.platform.hosts import Hosts
 from gaproute.standins.platform.listing import Listing, member
+from gaproute.standins.tap import read
 from helpers import ListTap, makers, turn_until
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
@@ -135,6 +137,28 @@
     bench.until(lambda: bench.came[-1] == "ended")
 
 
+def test_hosts_of_one_process_die_and_start_again_at_their_address_with_a_new_tap(bench, tmp_path):
+    said = bench.said
+    made = Hosts(bench.loop, {"models": [MODEL._asdict()], "taps": str(tmp_path), "hosts": [
+        {"listen": ANY, "warm": True, "make": {"name": name}} for name in "ab"]}, said.append)
+    bench.closing.append(lambda: [host.crash() for host in made.hosts.values()])
+    say = bench.line(made.hosts["b"])
+    made.command({"hosts": ["b"], "trouble": "fail"})
+    say(go("t1"))
+    bench.until(lambda: bench.came)
+    made.command({"host": "b", "do": "crash"})
+    made.command({"host": "b", "do": "start"})
+    bench.line(made.hosts["b"])(go("t2"))
+    bench.until(lambda: len(bench.came) == 3)
+    assert said[1] == {"host": "b", "address": said[0]["addresses"]["b"]}
+    first, end, second = bench.came
+    assert (first["type"], end, second["type"]) == ("crashed", "ended", "served")
+    made.flush()
+    taps = [read(tmp_path / f"host-b.{run}.tap") for run in (1, 2)]
+    assert [(tap[0]["what"], tap[0]["warm"]) for tap in taps] == [("up", True), ("up", False)]
+    assert not made.hosts["a"].machine.troubles and len(read(tmp_path / "host-a.1.tap")) == 1
+
+
 # What a gateway is told
 
 def test_the_file_that_is_made_is_one_that_a_gateway_takes(tmp_path):
