A node's status line tells of hosts in use: no growth with the list

Change: links of hosts that have any, beliefs of hosts with a relay out or slow. The test fails without it: 1,000 idle hosts, at most one named.

--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -139,9 +139,9 @@
     def status(self):
         hosts, front, gateway = self.hosts, self.front, self.core.gateway
         held = {name: [len(host.links), sum(len(link.open) for link in host.links)]
-                for name, host in hosts.hosts.items()}
+                for name, host in hosts.hosts.items() if host.links}
         believed = {worker.id: [round(gateway.queued(worker, 1, self.loop.now()), 1), round(worker.slow, 1),
-                                len(worker.out)] for worker in gateway.fleet}
+                                len(worker.out)] for worker in gateway.fleet if worker.out or worker.slow > 1}
         self.log.info("status", held=len(self.core.held), counts=self.record.table(), links=held,
                       believed=believed, clients=Lot.of(self.loop).held, parked=front.parked,
                       faults=front.faults, turned_away=front.turned_away, opened=hosts.opened,
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -190,6 +190,17 @@
     assert not made.process.front.marks and not made.process.front.links
 
 
+def test_a_status_line_tells_of_hosts_in_use_and_does_not_grow_with_the_list(gate):
+    made = gate()
+    made.process.told(events.known({"seq": 2, "results": [event(2, *[
+        (f"far-{number}", "127.0.0.1:9", "Ready") for number in range(1000)], complete=True)]})[1][0])
+    made.lines.clear()
+    made.process.status()
+    told = dict(made.lines)["status"]
+    assert len(made.process.hosts.hosts) >= 1000
+    assert len(told["believed"]) + len(told["links"]) <= 1
+
+
 def test_a_connection_that_sends_nothing_or_half_a_message_is_closed(gate, monkeypatch):
     monkeypatch.setattr(fronts, "FIRST_WORD", 30 * MILLI)
     monkeypatch.setattr(fronts, "PROGRESS", 30 * MILLI)
