--- a/gaproute/standins/platform/charter.py
+++ b/gaproute/standins/platform/charter.py
@@ -22,7 +22,10 @@
 
 def settings(tracks, gateways=1, zones=("hall-a",), keep=10 * SECOND, cold_share=0.2,
              cold_time=15 * SECOND, idle_close=60 * SECOND, **told):
-    """The settings object; times and shares as hosts are made by default (`Make`). `told`: whole entries in place of these, or objects whose fields are set."""
+    """The settings object; times and shares as hosts are made by default (`Make`).
+
+    `told`: whole entries in place of these, or objects whose fields are set.
+    """
     def ms(span):
         return span / MILLI
 
