--- /dev/null
+++ b/gaproute/ledger/votes.py
@@ -0,0 +1,155 @@
+"""What a keeper voted, on disk: a file that is appended to, with a checksum for each record.
+
+Not SQLite, though ledger/memory.py uses it and `synchronous = FULL` would sync as well: SQLite has checksums in its
+write-ahead log only, and a frame there that went bad ends the log without a word, so that votes committed after it
+are forgotten in silence and the keeper votes a second time; its pages have none at all. Here each record has one, a
+bad one that was once synced is told from a tail torn by the crash (ledger/records.py), and a keeper's log is small
+and read once. What no file can tell: that the last batch, synced, went bad since, or that an older copy of the whole
+file was put back.
+
+Whose file it is stands in its first record, which is the keeper's to write and to compare (its name, and the number
+that its memory was given); a file of another gateway is then set aside by `aside`.
+
+Errors: OSError. After one of `append` or `sync` all but `replace` and `aside` are refused until it is opened anew:
+after a failed fsync the kernel may hold as clean what never came to the disk, and a replacement writes all anew.
+"""
+import errno
+import fcntl
+import os
+import time
+from pathlib import Path
+
+from gaproute.ledger.records import Bad, packed, parsed, whole
+from gaproute.shared.keepers import Lost
+
+ONLY_OWNER = 0o600
+
+
+class Votes:
+    """`open` before use. `told(text)` says what an operator should know. `torn`: tails cut off."""
+
+    def __init__(self, path, told=print, wall=time.time_ns):
+        self.path, self.told, self.wall = Path(path), told, wall
+        self.file = self.lock = self.failed = None
+        self.number = self.first = self.torn = 0
+
+    def open(self):
+        """Errors: OSError: the folder cannot be written, or another process holds the file."""
+        try:
+            self.lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, ONLY_OWNER)
+            fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            Path(f"{self.path}.new").unlink(missing_ok=True)      # a replacement that was not finished
+        except OSError:
+            self.close()
+            raise
+        return self
+
+    def read(self):
+        """The records, as they were appended; Lost(why) where one in the middle is not what was written. A torn
+        tail is cut off. To be called once, before all else. Errors: OSError."""
+        with _Noted(self):
+            self._forget()
+            try:
+                data = self.path.read_bytes()
+            except FileNotFoundError:
+                data = b""
+            try:
+                records, good, last = parsed(data)
+            except Bad as fault:
+                return Lost(str(fault))
+            self.file = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, ONLY_OWNER)
+            if good < len(data):
+                self.torn += 1
+                self.told(f"{self.path}: a torn tail of {len(data) - good} bytes cut off after {len(records)} records")
+                os.ftruncate(self.file, good)
+            os.fsync(self.file)              # what was read may be in memory only, where a process died before
+            self._folder()
+            self.number = self.first = last + 1
+            return records
+
+    def append(self, record):
+        """Stands for good only when `sync` has come back."""
+        self._usable()
+        with _Noted(self):
+            _all(self.file, packed(self.number, self.first, bytes(record)))
+            self.number += 1
+
+    def sync(self):
+        self._usable()
+        with _Noted(self):
+            os.fsync(self.file)
+            self.first = self.number
+
+    def replace(self, records):
+        """All that stands there by `records`, at once and for good: written beside, synced, put in its place."""
+        with _Noted(self):
+            new = f"{self.path}.new"
+            file = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, ONLY_OWNER)
+            try:
+                _all(file, whole(map(bytes, records)))
+                os.fsync(file)
+                os.rename(new, self.path)
+                self._folder()
+            except BaseException:
+                os.close(file)
+                raise
+            self._forget()
+            self.file = file
+            self.number = self.first = len(records) + 1          # the seal is one
+        self.failed = None
+
+    def aside(self, why):
+        """Keeps what is there under another name for the operator; then there is nothing."""
+        with _Noted(self):
+            self._forget()
+            aside = f"{self.path}.broken-{self.wall()}"
+            os.rename(self.path, aside)
+            self._folder()
+        self.told(f"{self.path}: {why}; set aside as {aside}; this keeper begins without a memory")
+
+    def _folder(self):
+        folder = os.open(self.path.parent, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
+
+    def _usable(self):
+        if self.failed is not None or self.file is None:
+            why = self.failed or "not read yet"
+            raise OSError(getattr(why, "errno", errno.EBADF), f"{self.path}: not used since: {why}")
+
+    def _forget(self):
+        if self.file is not None:
+            os.close(self.file)
+        self.file, self.number, self.first = None, 0, 0
+
+    def close(self):
+        self._forget()
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
+
+
+class _Noted:
+    """Keeps the first failure, after which nothing is appended any more; says it once."""
+
+    def __init__(self, votes):
+        self.votes = votes
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, kind, fault, trace):
+        votes = self.votes
+        if isinstance(fault, OSError):
+            if votes.failed is None:
+                votes.told(f"{votes.path}: {fault}; this keeper neither votes nor grants until it is written anew")
+            votes.failed = fault
+
+
+def _all(file, data):
+    """A short write, as on a disk that is just full, is tried on until the error comes."""
+    view = memoryview(data)
+    while view:
+        view = view[os.write(file, view):]
--- /dev/null
+++ b/tests/test_votes.py
@@ -0,0 +1,190 @@
+"""A keeper's votes on disk: what is synced is there again, what went bad is never taken for a whole memory."""
+import errno
+import os
+
+import pytest
+from gaproute.driver import Chance, Disk
+from gaproute.ledger import Votes
+from gaproute.ledger import votes as module
+from gaproute.ledger.records import Bad, packed, parsed, whole
+from gaproute.shared.keepers import Lost
+from gaproute.shared.keepers.store import Store
+
+
+@pytest.fixture
+def votes(tmp_path):
+    opened = []
+
+    def make():
+        texts = []
+        one = Votes(tmp_path / "votes", texts.append, lambda: 17)
+        one.texts = texts
+        opened.append(one)
+        return one.open()
+
+    yield make
+    for one in opened:
+        one.close()
+
+
+def filled(votes, *batches):
+    one = votes()
+    assert one.read() == []
+    for batch in batches:
+        for record in batch:
+            one.append(record)
+        one.sync()
+    one.close()
+    return one.path
+
+
+def again(votes):
+    one = votes()
+    records = one.read()
+    one.close()
+    return records
+
+
+def test_there_again_in_order(votes):
+    filled(votes, [b"a", b""], [b"c" * 5000])
+    two = votes()
+    assert two.read() == [b"a", b"", b"c" * 5000]
+    two.replace([b"x", b"y"])
+    two.append(b"z")
+    two.sync()
+    two.close()
+    assert again(votes) == [b"x", b"y", b"z"]
+
+
+def flipped(data, at):
+    return data[:at] + bytes([data[at] ^ 0x41]) + data[at + 1:]
+
+
+def test_any_cut_gives_a_prefix_that_can_be_gone_on_from(votes):
+    path = filled(votes, [b"one"], [b"two", b"three"])
+    written = path.read_bytes()
+    seen = {tuple(parsed(written[:length])[0]) for length in range(len(written))}
+    assert seen == {(), (b"one",), (b"one", b"two")}
+    path.write_bytes(written[:-3])
+    one = votes()
+    assert one.read() == [b"one", b"two"] and "torn tail" in one.texts[0] and one.torn == 1
+    one.append(b"more")
+    one.sync()
+    one.close()
+    assert again(votes) == [b"one", b"two", b"more"]
+
+
+def test_any_bad_byte_before_the_last_batch_is_lost_and_never_a_part(votes):
+    path = filled(votes, [b"one", b"two"], [b"three"])
+    written = path.read_bytes()
+    for at in range(len(written) - len(packed(0, 0, b"three"))):
+        with pytest.raises(Bad):
+            parsed(flipped(written, at))
+    path.write_bytes(flipped(written, 40))
+    one = votes()
+    assert isinstance(one.read(), Lost)
+    with pytest.raises(OSError, match="not read yet"):
+        one.append(b"x")
+    one.aside("a bad record")
+    assert "set aside as" in one.texts[0] and not path.exists() and path.with_name("votes.broken-17").exists()
+    one.replace([b"new"])
+    one.close()
+    assert again(votes) == [b"new"]
+
+
+def test_a_replacement_was_whole_so_any_bad_byte_of_its_records_is_lost():
+    written = whole([b"one", b"two"])
+    for at in range(len(written) - len(packed(0, 0, b""))):
+        with pytest.raises(Bad):
+            parsed(flipped(written, at))
+    assert parsed(written[:-1])[0] == parsed(written)[0] == [b"one", b"two"]
+
+
+def test_a_batch_torn_out_of_order_is_a_torn_tail(votes):
+    """The kernel may write the page of a later record and lose that of an earlier one, of what was not synced."""
+    path = filled(votes, [b"one"], [b"two", b"three"])
+    whole = path.read_bytes()
+    at = whole.index(b"two")
+    path.write_bytes(whole[:at] + b"\0\0\0" + whole[at + 3:])
+    one = votes()
+    assert one.read() == [b"one"] and one.torn == 1 and "torn tail" in one.texts[0]
+
+
+def test_held_by_another(votes):
+    votes()
+    with pytest.raises(BlockingIOError):
+        votes()
+
+
+@pytest.mark.parametrize("call", ["write", "fsync"])
+def test_after_a_failure_nothing_is_appended_until_all_is_written_anew(votes, monkeypatch, call):
+    filled(votes, [b"one"])
+    one = votes()
+    one.read()
+
+    def full(*_):
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(module.os, call, full)
+        with pytest.raises(OSError) as told:
+            one.append(b"two")
+            one.sync()
+        with pytest.raises(OSError):
+            one.replace([b"one", b"two"])
+    assert told.value.errno == errno.ENOSPC and len(one.texts) == 1 and "neither votes" in one.texts[0]
+    for refused in (one.sync, lambda: one.append(b"x")):
+        with pytest.raises(OSError, match="not used since"):
+            refused()
+    one.replace([b"one", b"two"])
+    one.append(b"three")
+    one.sync()
+    one.close()
+    assert again(votes) == [b"one", b"two", b"three"]
+
+
+def test_a_replacement_that_fails_leaves_the_old(votes, monkeypatch):
+    filled(votes, [b"one"])
+    one = votes()
+    one.read()
+    with monkeypatch.context() as patch:
+        patch.setattr(module.os, "rename", lambda *_: (_ for _ in ()).throw(OSError(errno.EROFS, "read-only")))
+        with pytest.raises(OSError):
+            one.replace([b"other"])
+    one.close()
+    assert again(votes) == [b"one"]
+
+
+def test_a_full_device_is_told(votes):
+    one = votes()
+    one.read()
+    full = os.open("/dev/full", os.O_WRONLY)
+    os.dup2(full, one.file)
+    os.close(full)
+    with pytest.raises(OSError) as told:
+        one.append(b"x")
+    assert told.value.errno == errno.ENOSPC
+
+
+def test_a_folder_that_is_not_there(tmp_path):
+    with pytest.raises(OSError):
+        Votes(tmp_path / "none" / "votes").open()
+
+
+def test_a_keepers_memory_from_this_file_and_none_from_anothers(votes):
+    one = votes()
+    store = Store("k1", one, Chance(1))
+    store.vote(3, "k2", 5)
+    assert store.sync()
+    one.close()
+    two = votes()
+    back = Store("k1", two, Chance(2))
+    assert (back.term, back.voted, back.life) == (3, ("k2", 5), store.life)
+    two.close()
+    other = Store("k9", votes(), Chance(3))
+    assert other.term == 0 and other.life not in (0, store.life) and "another gateway" in other.lost
+
+
+def test_the_simulated_disk_has_the_same_face():
+    for name in ("read", "append", "sync", "replace", "aside"):
+        assert callable(getattr(Disk(), name)) and callable(getattr(Votes("x"), name))
