--- a/gaproute/shared/keepers/__init__.py
+++ b/gaproute/shared/keepers/__init__.py
@@ -25,6 +25,7 @@
     disk.aside(why)           keeps what cannot be used under another name for the operator; then it is empty
 An unsynced tail may be cut by a crash at any record. A record that was synced and cannot be read: Lost.
 """
+from gaproute.shared.keepers.keeper import Keeper
 from gaproute.shared.keepers.records import Lost
 
-__all__ = ["Lost"]
+__all__ = ["Keeper", "Lost"]
--- /dev/null
+++ b/gaproute/shared/keepers/members.py
@@ -0,0 +1,30 @@
+"""The next step of the members towards the configuration: one joins or one leaves, never both (Raft's
+single-server changes: any majority before and any after share a keeper)."""
+from gaproute.shared.keepers.messages import KEEPERS, Member
+
+
+def next_roll(members, named, lives, matches, commit):
+    """The members after the next step, or None where there is none to take.
+
+    `lives`: name: life of those heard lately; `matches`: name: (life, entries it has); `commit`: what a newcomer
+    must have, so that the majority that it enlarges can go on at once.
+    """
+    for member in members:               # a member that came back with another disk: the old one is no more
+        if member.name in lives and lives[member.name] != member.life:
+            return _without(members, member, lives)
+    known = {member.name for member in members}
+    for name in named:
+        life, match = matches.get(name, (0, 0))
+        if name not in known and life and lives.get(name) == life and match >= commit and len(members) < KEEPERS:
+            return tuple(sorted((*members, Member(name, life)), key=lambda member: member.name))
+    for member in members:
+        if member.name not in named:
+            return _without(members, member, lives)
+    return None
+
+
+def _without(members, gone, lives):
+    """None where those that would be left could not agree on it: then it would stop all."""
+    left = tuple(member for member in members if member != gone)
+    answer = sum(lives.get(member.name) == member.life for member in left)
+    return left if 2 * answer > len(left) else None
--- a/gaproute/shared/permits/__init__.py
+++ b/gaproute/shared/permits/__init__.py
@@ -10,3 +10,7 @@
         wish.may(now)                         whether the permit holds by the holder's own clock
         wish.fence, .state ("asked", "held", "refused", "given", "over"), .why, .end
 """
+from gaproute.shared.permits.holder import Holder, Wish
+from gaproute.shared.permits.machine import Permits
+
+__all__ = ["Holder", "Permits", "Wish"]
