Keepers and holders under all faults in the driver, judged by true time and by what was told

What must hold: the keepers' own invariants, one holder at one true moment, fencing numbers that grow, nothing told before it is on disk, no second vote or leader of a term seen in the words themselves, a leader some time after the faults.

--- /dev/null
+++ b/gaproute/driver/keepchecks.py
@@ -0,0 +1,88 @@
+"""What must hold of keepers and holders that only one who sees all of them, and true time, can tell."""
+from gaproute.driver.plan import MEMORY
+from gaproute.shared.keepers.invariants import History, check_all
+from gaproute.shared.keepers.messages import Append, Install, Vote
+
+
+class Told:
+    """For `Checks.sent`: what was told rests on what is on disk, and is not told otherwise later. It sees the words
+    themselves, so that a keeper which forgot in a crash what it had told is found."""
+
+    def __init__(self, play):
+        self.keepers = set(play.keepers)     # asked for membership only
+        self.votes, self.leaders = {}, {}
+
+    def __call__(self, world, seat, to, message):
+        if seat.name not in self.keepers:
+            return
+        if seat.disk.pending:
+            yield f"on disk before it is told: {seat.name} told {message} with {len(seat.disk.pending)} records unsynced"
+        if isinstance(message, Vote) and message.given and not message.pre:
+            was = self.votes.setdefault((seat.name, message.life, message.term), to)
+            if was != to:
+                yield f"one vote a term: {seat.name} gave {message.term} to {was} and {to}"
+        elif isinstance(message, (Append, Install)):
+            was = self.leaders.setdefault(message.term, (seat.name, message.life))
+            if was != (seat.name, message.life):
+                yield f"one leader a term: {was[0]} and {seat.name} in {message.term}"
+
+
+class Held:
+    """True time: what all holders may do at one moment, each by its own clock, is never more than there is; and who
+    comes later has the greater fencing number. Of a pool, the most that it was ever said to hold; names have one.
+    Looked at when a holder has acted: in between a permit can only end."""
+
+    def __init__(self, holders, pools):
+        self.holders = dict.fromkeys(holders)
+        self.most = {name: max(sizes) for name, sizes in pools.items()}
+        self.fences = {}                     # name: the greatest that was held
+
+    def __call__(self, world, seat):
+        if seat.name not in self.holders:
+            return
+        spent = {}
+        for name in self.holders:
+            other = world.seats[name]
+            if other.actor is None or not other.actor.wishes:
+                continue
+            own = other.clock.own(world.now)
+            for wish in other.actor.wishes:
+                if wish.may(own):
+                    spent[wish.resource] = spent.get(wish.resource, 0) + wish.amount
+                    if wish.resource not in self.most:
+                        was = self.fences.get(wish.resource, 0)
+                        if wish.fence < was:
+                            yield f"fencing numbers grow: {name} holds {wish.resource} by {wish.fence} after {was}"
+                        self.fences[wish.resource] = wish.fence
+        for resource, amount in spent.items():
+            if amount > self.most.get(resource, 1):
+                yield f"one holder at one true moment: {amount} of {resource} held"
+
+
+def agreed(play):
+    """All that the keepers' own invariants say."""
+    history = History()
+
+    def check(world):
+        keepers = [world.seats[name].actor for name in play.keepers]
+        holders = [world.seats[name] for name in play.holders]
+        return check_all([keeper for keeper in keepers if keeper is not None],
+                         [(seat.actor, seat.clock.own(world.now)) for seat in holders if seat.actor is not None],
+                         history)
+    return check
+
+
+def came_right(play):
+    """Some time after the last fault there is one leader, and what it says is agreed on; unless so many disks were
+    lost that nobody can know what was agreed."""
+    def check(world):
+        lost = {fault.who[0] for fault in world.plan.faults if fault.kind in MEMORY}
+        if 2 * len(lost) >= len(play.named) or not world.plan.settle:
+            return
+        up = [seat.actor for seat in world.places if seat.name in play.keepers]
+        leaders = [keeper for keeper in up if keeper is not None and keeper.leading]
+        if not leaders:
+            yield f"a leader after the faults: none, {[(keeper.role, keeper.term, keeper.mute) for keeper in up]}"
+        elif max(keeper.commit for keeper in leaders) < max(keeper.lead.first for keeper in leaders):
+            yield "a leader after the faults: nothing is agreed on"
+    return check
--- /dev/null
+++ b/gaproute/driver/keepers.py
@@ -0,0 +1,122 @@
+"""Keepers and holders of permits under all faults: what is played, and what must hold at each step.
+
+A run has 3 or 5 keepers named, one more that may take another's place, and holders that take, keep up and give
+back permits on a few names and pools that they all want. Half of the runs lose disks.
+"""
+from gaproute.driver.chance import Chance
+from gaproute.driver.checks import Breach, Checks
+from gaproute.driver.keepchecks import Held, Told, agreed, came_right
+from gaproute.driver.load import Load
+from gaproute.driver.plan import draw
+from gaproute.driver.world import World
+from gaproute.shared.keepers import Keeper
+from gaproute.shared.keepers import keeper as module
+from gaproute.shared.permits import Holder, Permits
+from gaproute.shared.permits.commands import BOUND
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+SPAN = 2 * SECOND        # of a permit, and the longest: a run sees many of them end
+END = 16 * SECOND        # of the faults: a dozen elections
+SETTLE = 12 * SECOND     # after them: a disk that failed is tried again within 5 s, a lost one is taken in again
+EVERY = 20 * MILLI       # between requests
+KEEP = 12                # entries held before a snapshot, for the run to see many (the program: 1,024)
+RATE = BOUND * 1_000     # millionths: clocks go wrong up to what is promised
+NAMES = ("r1", "r2", "r3", "p1", "p2")
+POOLS = {"p1": (3, 4), "p2": (4, 6)}      # name: sizes that are told
+DEEP = 12                # steps between the dear checks
+
+
+class Play:
+    """One run: `world.run()`. `forgotten`: all keepers may lose their disks, and begin anew without what was agreed;
+    then that holds only which no memory is needed for."""
+
+    def __init__(self, plan, keepers=3, holders=3, rate=RATE, changes=True, every=DEEP, forgotten=False):
+        self.plan, chance = plan, Chance(plan.seed, "play")
+        self.named = [f"k{number}" for number in range(1, keepers + 1)]
+        self.spare = f"k{keepers + 1}"
+        self.keepers = [*self.named, self.spare]
+        self.holders = [f"h{number}" for number in range(1, holders + 1)]
+        self.told = {}                       # actor: the names it goes by; others have yet to hear
+        self.changes = changes and chance.below(3) == 0
+        makes = {name: self.keeper for name in self.keepers} | {name: self.holder for name in self.holders}
+        asks = [(12, self.take), (5, self.give), (2, self.size)] + [(1, self.change)] * self.changes
+        rates = {name: chance.of((-rate, 0, rate)) for name in makes}
+        held, told = Held(self.holders, POOLS), Told(self)
+        if forgotten:
+            checks = Checks(touched=[held])
+        else:
+            checks = Checks([held], [told], [agreed(self)], [came_right(self)], every)
+        self.world = World(plan, makes, checks, Load(asks, EVERY, Chance(plan.seed, "load")), rates)
+
+    def keeper(self, name, disk, chance, now):
+        self.told[name] = tuple(self.named)
+        base = 1 + self.world.now // MILLI
+        return Keeper(name, self.named, disk, chance, now, Permits(True, SPAN), base)
+
+    def holder(self, name, disk, chance, now):
+        self.told[name] = tuple(self.named)
+        return Holder(name, self.named, chance, now)
+
+    def take(self, world, chance):
+        resource, amount = chance.of(NAMES), 1
+        if resource in POOLS:
+            amount = chance.between(1, 3)
+        span = SPAN // chance.of((1, 1, 2, 4))
+
+        def ask(actor, now):
+            if len(actor.wishes) < 4:
+                actor.take(now, resource, span, amount)
+        world.ask(chance.of(self.holders), ask)
+
+    def give(self, world, chance):
+        place = chance.below(4)
+
+        def ask(actor, now):
+            if place < len(actor.wishes):
+                actor.give(now, actor.wishes[place])
+        world.ask(chance.of(self.holders), ask)
+
+    def size(self, world, chance):
+        resource = chance.of(list(POOLS))
+        amount = chance.of(POOLS[resource])
+        world.ask(chance.of(self.holders), lambda actor, now: actor.size(now, resource, amount))
+
+    def change(self, world, chance):
+        """One name of the configuration by another, once all have the one before; each hears it when it may."""
+        behind = [name for name, names in self.told.items() if names != tuple(self.named)]
+        if behind:
+            self.tell(world, chance.of(behind))
+        elif world.seats[self.named[0]].actor is not None and any(
+                seat.actor is not None and seat.name in self.keepers and seat.actor.commit > 1
+                for seat in world.places) and chance.below(6) == 0:
+            left = chance.of(self.named)
+            self.named = sorted([name for name in self.named if name != left] + [self.spare])
+            self.spare = left
+
+    def tell(self, world, name):
+        if world.ask(name, lambda actor, now: actor.named(now, self.named)):
+            self.told[name] = tuple(self.named)
+
+
+def plan(seed, keepers=3, holders=3, end=END, settle=SETTLE, forgotten=False):
+    """Disks are lost in half of the runs: of a minority in a half of these, of all but one in the other."""
+    chance = Chance(seed, "disks")
+    lost = (0, 0, (keepers - 1) // 2, keepers - 1)[chance.below(4)]
+    first = chance.below(keepers)
+    wiped = range(keepers) if forgotten else sorted((first + step) % keepers for step in range(lost))
+    size = keepers + 1 + holders
+    return draw(seed, size, end, ["crash", "wipe", "spoil", "cut", "part", "pause", "pace"] if forgotten else None,
+                wiped=wiped, beyond=RATE, settle=settle, faulty=[*range(size), *range(keepers)])
+
+
+def play(plan, **told):
+    """(World, Breach or None)."""
+    made, before = Play(plan, **told), module.KEEP
+    module.KEEP = KEEP
+    try:
+        made.world.run()
+    except Breach as breach:
+        return made.world, breach
+    finally:
+        module.KEEP = before
+    return made.world, None
--- a/gaproute/driver/world.py
+++ b/gaproute/driver/world.py
@@ -95,7 +95,7 @@
                 if (after := self.load.next(self.now)) <= self.plan.end:
                     self.push(after, ASK, None, None, None)
         self.now = until
-        self.checks.all(self)
+        self.checks.all(self, last=True)
         return self
 
     def call(self, seat, what, *told):
@@ -109,8 +109,9 @@
                 self.push(self.now + AGAIN, START, seat, None, None)
             return
         except Exception as fault:
-            raise Breach("raised", f"{seat.name}: {fault!r}\n{traceback.format_exc()}", self) from fault
+            raise self.raised(seat, fault) from fault
         for to, message in out or ():
+            self.checks.sends(self, seat, to, message)
             self.send(seat, to, message)
         self.scheduled(seat)
         self.checks.acted(self, seat)
@@ -160,7 +161,7 @@
             self.push(self.now + AGAIN, START, seat, None, None)
             return
         except Exception as fault:
-            raise Breach("raised", f"{seat.name}: {fault!r}\n{traceback.format_exc()}", self) from fault
+            raise self.raised(seat, fault) from fault
         self.scheduled(seat)
         self.checks.acted(self, seat)
 
@@ -172,6 +173,9 @@
         if seat.chance.below(2):             # the machine as well: its clock begins anew
             seat.clock.restarted(self.now, seat.chance.below(SHOWN))
 
+    def raised(self, seat, fault):
+        return Breach(f"raised: {fault!r} at {seat.name}\n{traceback.format_exc()}", self)
+
     def up(self):
         return [seat for seat in self.places if seat.actor is not None]
 
--- a/tests/test_driver_world.py
+++ b/tests/test_driver_world.py
@@ -47,9 +47,8 @@
     def ask(world, chance):
         world.ask(chance.of(world.places).name, Register.write, world.step)
 
-    grows = Grows(lambda actor: actor.number)
-    world = World(plan, makes(kind), Checks([("never less", grows)]), Load([(1, ask)], 50 * MILLI,
-                                                                          Chance(plan.seed, "load")))
+    checks = Checks([Grows("never less", lambda actor: actor.number)])
+    world = World(plan, makes(kind), checks, Load([(1, ask)], 50 * MILLI, Chance(plan.seed, "load")))
     try:
         world.run()
     except Breach as breach:
