--- a/gaproute/shared/keepers/__init__.py
+++ b/gaproute/shared/keepers/__init__.py
@@ -10,19 +10,20 @@
     keeper.tick(now)                  -> [(to, message)]      `to`: a name
     keeper.hear(now, sender, message) -> [(to, message)]      messages are those of `messages.py`
     keeper.named(now, keepers)        the configuration changed: members follow it, one at a time
-    keeper.leading, .term, .log, .commit, .applied, .machine, .members, .life, .mute, .refused (reason: count)
-    invariants.check_one(keeper), check_all(keepers, holders, history) -> list of breaches as text
+    keeper.leading, .term, .log, .commit, .applied, .machine, .members, .life, .mute, .refused (reason:
+    count) invariants.check_one(keeper), check_all(keepers, holders, history) -> list of breaches as text
 
 Nothing is told before it is on disk: `tick` and `hear` sync first and return nothing where that fails; the
 keeper is then `mute` (why, as text) until writing all anew succeeds, tried every few seconds.
 
-A crash: drop the Keeper, make a new one with the same disk. The disk's face (OSError from any of them: full,
-read-only, torn; the keeper falls silent):
+A crash: drop the Keeper, make a new one with the same disk. The disk's face (OSError from any of them:
+full, read-only, torn; the keeper falls silent):
     disk.read() -> list of records (bytes) as appended, or Lost(why)     empty list: a new disk
     disk.append(record)       may be lost by a crash until
     disk.sync()               has returned
-    disk.replace(records)     all records replaced at once and synced; a crash leaves the old or the new ones
-    disk.aside(why)           keeps what cannot be used under another name for the operator; then it is empty
+    disk.replace(records)     all records replaced at once and synced; a crash leaves the old or the new
+    ones disk.aside(why)           keeps what cannot be used under another name for the operator; then it
+    is empty
 An unsynced tail may be cut by a crash at any record. A record that was synced and cannot be read: Lost.
 """
 from gaproute.shared.keepers.keeper import Keeper
--- a/gaproute/shared/keepers/election.py
+++ b/gaproute/shared/keepers/election.py
@@ -1,6 +1,8 @@
-"""Elections: who asks, who gives (Raft 5.2, 5.4.1; pre-vote and the leader's protection: dissertation 9.6, 4.2.3).
+"""Elections: who asks, who gives (Raft 5.2, 5.4.1; pre-vote and the leader's protection: dissertation 9.6,
+4.2.3).
 
-A vote is given once a term, to a log that knows at least what the own does, and is on disk before it is told.
+A vote is given once a term, to a log that knows at least what the own does, and is on disk before it is
+told.
 """
 from gaproute.shared.keepers.messages import NOTHING, Ask, Vote
 from gaproute.shared.keepers.spans import ELECTION
@@ -13,7 +15,8 @@
 
 
 def ask_first(keeper, now, out):
-    """Would a majority vote? Only then is the term raised: one that was cut off disturbs nobody when it is back."""
+    """Would a majority vote? Only then is the term raised: one that was cut off disturbs nobody when it is
+    back."""
     keeper.role, keeper.leader = "asking", ""
     keeper.votes = {keeper.name: keeper.life}
     _ask(keeper, out, keeper.term + 1, True)
--- a/gaproute/shared/keepers/founding.py
+++ b/gaproute/shared/keepers/founding.py
@@ -1,9 +1,9 @@
 """How the first log comes to be without anybody's memory being taken for granted.
 
-Only the first by name of the configured keepers founds, and only when every other one has said, in answer to
-this very life, that it never voted and never took an entry. So a keeper that lost its disk founds nothing while
-any other remembers anything; and while the founder is the one that lost it, no leader of an older log can have
-been elected, as that takes another's vote, and a vote ends being blank.
+Only the first by name of the configured keepers founds, and only when every other one has said, in answer
+to this very life, that it never voted and never took an entry. So a keeper that lost its disk founds
+nothing while any other remembers anything; and while the founder is the one that lost it, no leader of an
+older log can have been elected, as that takes another's vote, and a vote ends being blank.
 """
 import msgspec
 
--- a/gaproute/shared/keepers/keeper.py
+++ b/gaproute/shared/keepers/keeper.py
@@ -3,8 +3,8 @@
 
 from gaproute.shared.keepers import election, following, founding, leading, requests
 from gaproute.shared.keepers.invariants import KEPT, check_one
-from gaproute.shared.keepers.messages import (COMMAND, KEEPERS, MEMBERS, Ack, Append, Ask, Hello, Install, Member,
-                                              Request, Vote)
+from gaproute.shared.keepers.messages import (COMMAND, KEEPERS, MEMBERS, Ack, Append, Ask, Hello, Install,
+                                              Member, Request, Vote)
 from gaproute.shared.keepers.sessions import Sessions
 from gaproute.shared.keepers.spans import DISK_AGAIN, ELECTION
 from gaproute.shared.keepers.store import Store
@@ -143,7 +143,8 @@
         return []
 
     def _told(self, now, out):
-        """Syncs, then draws what rests on it: a won election, commits, answers. [] where the disk failed."""
+        """Syncs, then draws what rests on it: a won election, commits, answers. [] where the disk
+        failed."""
         while self.store.sync():
             if self.role in (ASKING, CANDIDATE) and self.most(self.votes):
                 election.won(self, now, out)     # writes: has to be synced in its turn
--- a/gaproute/shared/keepers/leading.py
+++ b/gaproute/shared/keepers/leading.py
@@ -1,5 +1,5 @@
-"""The leader's side: entries to all, commits by majority (Raft 5.3, 5.4.2), and stepping down when a majority is
-not heard any more (dissertation 6.2), so that holders are sent elsewhere."""
+"""The leader's side: entries to all, commits by majority (Raft 5.3, 5.4.2), and stepping down when a
+majority is not heard any more (dissertation 6.2), so that holders are sent elsewhere."""
 import msgspec
 
 from gaproute.shared.keepers.members import next_roll
@@ -75,8 +75,8 @@
 
 
 def _change(keeper, now):
-    """One step of the members towards the configuration, once the last one is agreed on and so is an entry of
-    the own term (the flaw of single-server changes that Ongaro published in 2015)."""
+    """One step of the members towards the configuration, once the last one is agreed on and so is an entry
+    of the own term (the flaw of single-server changes that Ongaro published in 2015)."""
     lead = keeper.lead
     if keeper.log.rolls[-1][0] > keeper.commit or keeper.commit < lead.first or now - lead.changed < CHANGE:
         return
--- a/gaproute/shared/keepers/log.py
+++ b/gaproute/shared/keepers/log.py
@@ -9,7 +9,8 @@
 
 
 class Log:
-    """Entries `base` + 1 to `last`; indexes begin at 1. `rolls`: [(index, members)], the last one in force."""
+    """Entries `base` + 1 to `last`; indexes begin at 1. `rolls`: [(index, members)], the last one in
+    force."""
 
     def __init__(self, base=0, term=0, members=()):
         self.base, self.base_term, self.entries = base, term, []
--- a/gaproute/shared/keepers/members.py
+++ b/gaproute/shared/keepers/members.py
@@ -6,8 +6,8 @@
 def next_roll(members, named, lives, matches, commit):
     """The members after the next step, or None where there is none to take.
 
-    `lives`: name: life of those heard lately; `matches`: name: (life, entries it has); `commit`: what a newcomer
-    must have, so that the majority that it enlarges can go on at once.
+    `lives`: name: life of those heard lately; `matches`: name: (life, entries it has); `commit`: what a
+    newcomer must have, so that the majority that it enlarges can go on at once.
     """
     for member in members:               # a member that came back with another disk: the old one is no more
         if member.name in lives and lives[member.name] != member.life:
@@ -15,7 +15,8 @@
     known = {member.name for member in members}
     for name in named:
         life, match = matches.get(name, (0, 0))
-        if name not in known and life and lives.get(name) == life and match >= commit and len(members) < KEEPERS:
+        ready = life and lives.get(name) == life and match >= commit
+        if ready and name not in known and len(members) < KEEPERS:
             return tuple(sorted((*members, Member(name, life)), key=lambda member: member.name))
     for member in members:
         if member.name not in named:
--- a/gaproute/shared/keepers/messages.py
+++ b/gaproute/shared/keepers/messages.py
@@ -1,8 +1,8 @@
-"""What keepers say to one another and to holders. Every message is an immutable value; all numbers are bounded
-here, so that a decoder refuses what no keeper could have said.
+"""What keepers say to one another and to holders. Every message is an immutable value; all numbers are
+bounded here, so that a decoder refuses what no keeper could have said.
 
-`life` is the sender's: the number that its disk got when it was empty. A keeper is (name, life); one that lost
-its disk is another keeper, whose votes and acks nobody takes for the old one's.
+`life` is the sender's: the number that its disk got when it was empty. A keeper is (name, life); one that
+lost its disk is another keeper, whose votes and acks nobody takes for the old one's.
 """
 from typing import Annotated
 
@@ -34,8 +34,8 @@
 
 
 class Roll(Told):
-    """The body of an entry of kind MEMBERS: who the members are from here on. `base`: where the founder wants
-    fencing numbers to begin (0: no wish)."""
+    """The body of an entry of kind MEMBERS: who the members are from here on. `base`: where the founder
+    wants fencing numbers to begin (0: no wish)."""
     members: Members
     base: Count = 0
 
@@ -50,15 +50,16 @@
 
 
 class Hello(Told, tag=1):
-    """From a keeper with an empty memory that may found; the answer echoes the asker's life, so that it is from
-    after that life began. `blank`: never voted, never took an entry."""
+    """From a keeper with an empty memory that may found; the answer echoes the asker's life, so that it is
+    from after that life began. `blank`: never voted, never took an entry."""
     life: Count
     echo: Count
     blank: bool
 
 
 class Ask(Told, tag=2):
-    """RequestVote. `index`, `last`: of the last entry and its term. `pre`: only whether it would be given."""
+    """RequestVote. `index`, `last`: of the last entry and its term. `pre`: only whether it would be
+    given."""
     term: Count
     life: Count
     index: Count
@@ -102,7 +103,8 @@
 
 
 class Request(Told, tag=7):
-    """From a holder. Session 0 opens one (the body is empty). A nonce is used for one command of a session."""
+    """From a holder. Session 0 opens one (the body is empty). A nonce is used for one command of a
+    session."""
     session: Count
     nonce: Count
     body: Body
--- a/gaproute/shared/keepers/sessions.py
+++ b/gaproute/shared/keepers/sessions.py
@@ -1,7 +1,7 @@
 """Exactly once (Ongaro's dissertation, 6.3): for each session the last nonce and what it was answered.
 
-The table is part of what is agreed, so every keeper knows after any change of leader what was done already. A
-command of a session that the table has lost is refused: it may have been done.
+The table is part of what is agreed, so every keeper knows after any change of leader what was done
+already. A command of a session that the table has lost is refused: it may have been done.
 """
 import msgspec
 
--- a/gaproute/shared/keepers/store.py
+++ b/gaproute/shared/keepers/store.py
@@ -1,8 +1,9 @@
-"""What a keeper must not forget: life, term, vote, log, snapshot; in memory and, record by record, on its disk.
+"""What a keeper must not forget: life, term, vote, log, snapshot; in memory and, record by record, on its
+disk.
 
-Memory goes ahead of the disk until `sync` says that they agree; nothing may be told before. After an error the
-disk is not written to any more until `rewrite` has put all of memory there anew: what lies there may end in the
-middle of a record, and a record behind a gap would be read as if nothing were missing.
+Memory goes ahead of the disk until `sync` says that they agree; nothing may be told before. After an error
+the disk is not written to any more until `rewrite` has put all of memory there anew: what lies there may
+end in the middle of a record, and a record behind a gap would be read as if nothing were missing.
 """
 from gaproute.shared.keepers.log import Log
 from gaproute.shared.keepers.messages import HIGHEST
@@ -107,8 +108,8 @@
         self.rewrite()
 
     def install(self, index, last, members, state):
-        """A snapshot of the leader's. Entries behind it stay where they follow from it: the leader may count on
-        them already."""
+        """A snapshot of the leader's. Entries behind it stay where they follow from it: the leader may
+        count on them already."""
         if self.log.term(index) == last:
             self.log.cut(index)
         else:
--- a/gaproute/shared/permits/__init__.py
+++ b/gaproute/shared/permits/__init__.py
@@ -1,7 +1,8 @@
 """Permits: what keepers agree on, and the holder's side, sans-I/O.
 
-    Permits(quiet=True, longest=LONGEST)      the machine of a keeper; `quiet`: a founded log grants nothing for
-                                              the longest span (all disks may have been lost); the same at all
+    Permits(quiet=True, longest=LONGEST)      the machine of a keeper; `quiet`: a founded log grants
+                                              nothing for the longest span (all disks may have been
+                                              lost); the same at all keepers
     Holder(name, keepers, chance, now)        the side that wants permits
         .due, .tick(now), .hear(now, sender, message) -> [(to, message)]; as a keeper's
         .take(now, resource, span, amount=1)  -> Wish; `span` ns; kept up by renewals until given back
--- a/gaproute/shared/permits/clocks.py
+++ b/gaproute/shared/permits/clocks.py
@@ -1,5 +1,5 @@
-"""When permits end by the leader's own clock. Only a leader has one; it begins anew with each leader, so that no
-time is ever carried from one clock to another."""
+"""When permits end by the leader's own clock. Only a leader has one; it begins anew with each leader, so
+that no time is ever carried from one clock to another."""
 import heapq
 
 
--- a/gaproute/shared/permits/commands.py
+++ b/gaproute/shared/permits/commands.py
@@ -44,7 +44,8 @@
 
 
 class Lapse(Told, tag=5):
-    """From the leader alone: the permit last granted or renewed by the entry `at` has ended by its clock."""
+    """From the leader alone: the permit last granted or renewed by the entry `at` has ended by its
+    clock."""
     fence: Fence
     at: Amount
 
@@ -66,7 +67,7 @@
 def kept(span, bound=BOUND):
     """How long the keepers hold a resource taken that was granted for `span`, both ns by own clocks.
 
-    The holder's clock runs at 1-b at least, so its span lasts span/(1-b) at most; the leader's runs at 1+b at
-    most, so that its wait lasts kept/(1+b) at least. (1+3b)(1-b) >= 1+b for every b <= 1/3.
+    The holder's clock runs at 1-b at least, so its span lasts span/(1-b) at most; the leader's runs at 1+b
+    at most, so that its wait lasts kept/(1+b) at least. (1+3b)(1-b) >= 1+b for every b <= 1/3.
     """
     return span + -(-span * 3 * bound // 1000)
--- a/gaproute/shared/permits/holder.py
+++ b/gaproute/shared/permits/holder.py
@@ -1,8 +1,8 @@
 """The side that wants permits: one request at a time, asked again until some keeper's leader answers.
 
-A permit holds by the holder's own clock from when the request was FIRST sent: whatever was granted was granted
-later. Nobody heard: it runs out here, before the keepers let it lapse (`commands.kept`). What is done under a
-permit carries its fence, as a process may be stopped between looking at `may` and acting.
+A permit holds by the holder's own clock from when the request was FIRST sent: whatever was granted was
+granted later. Nobody heard: it runs out here, before the keepers let it lapse (`commands.kept`). What is
+done under a permit carries its fence, as a process may be stopped between looking at `may` and acting.
 """
 from collections import Counter, deque
 
@@ -144,7 +144,7 @@
             return self._redirect(now, sender, message.leader)
         if message.state == "busy":
             self.again = now + PAUSE + self.chance.below(PAUSE)
-            self.to = self.keepers[self.keepers.index(sender) - 1]       # the next one in turn is this one again
+            self.to = self.keepers[self.keepers.index(sender) - 1]   # the next in turn is this one
             return []
         self.to, self.job, self.again = sender, None, now
         if message.state == "forgotten":
@@ -188,7 +188,7 @@
                 wish.state = "held"
                 self._until(wish, job.sent)
                 return
-            self.urgent.append(Job(Give(answer.fence, self.name)))       # granted too late, or not wanted any more
+            self.urgent.append(Job(Give(answer.fence, self.name)))   # too late, or not wanted any more
             if wish.state == "asked":
                 self._end(wish, "over", "answered too late")
         elif kind is Take and wish.state == "asked":
--- a/gaproute/shared/permits/machine.py
+++ b/gaproute/shared/permits/machine.py
@@ -1,13 +1,13 @@
 """The permits as all keepers apply them from the log: no clock, no chance, the same state everywhere.
 
-A permit ends here only by an entry: given back by its holder, or lapsed by the leader's word. Which entry last
-granted or renewed it is part of that word, so that a renewal that came first in the log wins.
+A permit ends here only by an entry: given back by its holder, or lapsed by the leader's word. Which entry
+last granted or renewed it is part of that word, so that a renewal that came first in the log wins.
 """
 import msgspec
 
 from gaproute.shared.keepers.messages import Told
-from gaproute.shared.permits.commands import (LONGEST, Answer, Give, Lapse, Renew, Size, Take, encode, kept, read,
-                                              read_wish)
+from gaproute.shared.permits.commands import (LONGEST, Answer, Give, Lapse, Renew, Size, Take, encode, kept,
+                                              read, read_wish)
 
 PERMITS = 4096           # standing at once: hosts out and rooms lent of a large fleet; 200 bytes each
 POOLS = 4096             # resources with a size of their own: hosts whose room is lent
@@ -33,8 +33,8 @@
 
 
 class Permits:
-    """`quiet`: nothing is granted until the leader has waited the longest span: a log is founded anew only when
-    all disks are lost, and then permits of before may still be held. It harms the first start alone.
+    """`quiet`: nothing is granted until the leader has waited the longest span: a log is founded anew only
+    when all disks are lost, and then permits of before may still be held. It harms the first start alone.
     """
 
     def __init__(self, quiet=True, longest=LONGEST):
--- /dev/null
+++ b/tests/test_keepers_members.py
@@ -0,0 +1,107 @@
+"""Who the keepers are: one joins or leaves at a time, and a lost disk makes another keeper."""
+from keepers_net import MILLI, SECOND, Disk, Net
+
+from gaproute.shared.keepers.members import next_roll
+from gaproute.shared.keepers.messages import Ack, Member
+
+A, B, C = (Member(name, number) for number, name in enumerate("abc", 1))
+ALL = (A, B, C)
+
+
+def step(members=ALL, named=("a", "b", "c"), lives=None, matches=None, commit=9):
+    lives = {"a": 1, "b": 2, "c": 3} if lives is None else lives
+    return next_roll(members, named, lives, matches or {}, commit)
+
+
+def test_one_step_at_a_time_and_none_that_would_stop_all():
+    assert step() is None
+    assert step(lives={"a": 1, "b": 2, "c": 4}) == (A, B)
+    assert step(lives={"a": 1, "c": 4}) is None       # a alone could not agree
+    assert step((A, B), lives={"a": 1, "b": 2, "c": 4}, matches={"c": (4, 9)}) == (A, B, Member("c", 4))
+    assert step((A, B), lives={"a": 1, "b": 2, "c": 4}, matches={"c": (4, 8)}) is None       # not caught up
+    assert step((A, B), lives={"a": 1, "b": 2, "c": 5}, matches={"c": (4, 9)}) is None   # of a life before
+    assert step(named=("a", "b", "d"), matches={"d": (4, 9)}, lives={"a": 1, "b": 2, "d": 4}) == (*ALL,
+                                                                                               Member("d", 4))
+    assert step(named=("a", "b")) == (A, B)
+
+
+def settled(size=3):
+    net = Net(5, size)
+    net.run(6 * SECOND)
+    return net
+
+
+def test_a_keeper_without_its_disk_votes_for_nobodys_past_and_is_a_member_again():
+    net = settled()
+    name = next(each for each in net.names if not net.keepers[each].leading)
+    life, lead = net.keepers[name].life, net.leader
+    net.crash(name, lost=True)
+    net.run(SECOND)
+    net.start(name)
+    assert net.keepers[name].life != life and not net.keepers[name].member
+    before = lead.commit
+    third = next(each for each in net.names if each not in (name, lead.name))
+    net.cut = {(third, lead.name)}           # only the one without memory answers
+    net.run(500 * MILLI)
+    lead.propose(0)
+    net.run(SECOND)
+    assert lead.commit == before
+    net.cut.clear()
+    net.run(15 * SECOND)
+    assert net.keepers[name].member
+    assert all(each.members == net.leader.members for each in net.keepers.values())
+
+
+def test_the_founder_without_its_disk_founds_nothing_while_others_remember():
+    net = settled()
+    agreed = net.leader.log.entry(1)
+    net.crash("k0", lost=True)
+    net.run(5 * SECOND)
+    net.start("k0")
+    net.run(20 * SECOND)
+    assert net.keepers["k0"].member and net.keepers["k0"].log.entry(1) == agreed
+
+
+def test_two_of_three_without_their_disks_agree_on_nothing():
+    net = settled()
+    left = net.leader.name
+    for name in net.names:
+        if name != left:
+            net.crash(name, lost=True)
+    for name in net.names:
+        if name != left:
+            net.start(name)
+    before = net.keepers[left].commit
+    net.run(30 * SECOND)
+    assert net.leader is None and net.keepers[left].commit == before
+
+
+def test_the_configuration_names_others_and_the_members_follow():
+    net = settled()
+    net.names = ["k0", "k1", "k3"]
+    net.disks["k3"], net.rate["k3"] = Disk(), 1000
+    net.start("k3")
+    for name in ("k0", "k1", "k2"):
+        net.keepers[name].named(net.now, net.names)
+    net.run(20 * SECOND)
+    assert [member.name for member in net.leader.members] == net.names
+    assert net.leader.name != "k2" and not net.keepers["k2"].leading
+    sizes = [len(members) for _, members in net.leader.log.rolls]
+    assert sizes == [0, 3, 4, 3]
+
+
+def test_no_change_before_an_entry_of_the_own_term_is_agreed_on():
+    net = settled()
+    lead = net.leader
+    other = next(each for each in net.names if each != lead.name)
+    lead.lead.first = lead.log.last + 1      # as if it had just been elected
+    lead.named(net.now, [lead.name, other])
+    now = net.now + 60 * SECOND
+    for name in lead.others():
+        lead.hear(now, name, Ack(lead.term, net.keepers[name].life, True, lead.log.last))
+    last = lead.log.last
+    lead.tick(now)
+    assert lead.log.last == last
+    lead.lead.first = last
+    lead.tick(now + SECOND)
+    assert lead.log.last == last + 1 and len(lead.members) == 2
