Keepers and holders carried between gateways by POST /keepers, on sockets and on disk

Batches in MessagePack with types and bounds in the decoder; strangers, floods, versions and noise are counted by reason. Nothing makes a Seat yet: no configuration names one. Tested on loopback sockets with votes on disk: a permit outlives the leader and its restart.

--- /dev/null
+++ b/tests/test_keepers_carried.py
@@ -0,0 +1,139 @@
+"""Keepers and holders on sockets and on disk; what a peer may not send."""
+import msgspec
+import pytest
+from keepers_net import MILLI, SECOND, Chance
+
+from gaproute.http1 import Exchange
+from gaproute.ledger.votes import Votes
+from gaproute.loop import Loop
+from gaproute.loop.streams import address
+from gaproute.peers.keepers import Seat, wire
+from gaproute.peers.keepers.carrier import BURST
+from gaproute.shared.keepers.messages import Ack, Append, Ask, Entry, Hello, Reply, Request
+from gaproute.shared.permits import Permits
+
+
+class Record:
+    def __init__(self):
+        self.events = []
+
+    def event(self, level, what, **told):
+        self.events.append((level, what, told))
+
+
+class Group:
+    def __init__(self, folder, names=("a", "b", "c")):
+        self.folder, self.names, self.loop, self.peers, self.seats = folder, names, Loop(), {}, {}
+        for number, name in enumerate((*names, "h")):
+            self.start(name, number)
+
+    def start(self, name, number=9):
+        disk = Votes(self.folder / name, lambda text: None).open() if name in self.names else None
+        seat = Seat(self.loop, name, self.names, self.peers, Record(), Chance(number), disk,
+                    machine=Permits(quiet=False))
+        seat.disk = disk
+        self.peers[name] = seat.carrier.listen(self.peers.get(name, "127.0.0.1:0"))
+        self.seats[name] = seat
+
+    def end(self, name):
+        seat = self.seats.pop(name)
+        seat.close()
+        if seat.disk is not None:
+            seat.disk.close()
+
+    def until(self, done, within=20 * SECOND):
+        end = self.loop.now() + within
+        while not done():
+            assert self.loop.now() < end, "out of time"
+            self.loop.turn()
+
+    def close(self):
+        for name in list(self.seats):
+            self.end(name)
+        self.loop.close()
+
+    @property
+    def leader(self):
+        return next((name for name in self.names
+                     if name in self.seats and self.seats[name].keeper.leading), None)
+
+
+@pytest.fixture
+def group(tmp_path):
+    made = Group(tmp_path)
+    yield made
+    made.close()
+
+
+def post(group, to, body):
+    came = []
+    data = b"POST /keepers HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+    Exchange(group.loop, data, lambda answer, fault: came.append(answer)).open(
+        address(group.peers[to]), SECOND, 4096, 4096, lambda link: came.append(link))
+    group.until(lambda: len(came) == 2)
+    came[0].drop()
+    return came[1].status
+
+
+def test_a_permit_over_sockets_outlives_the_leader_and_a_restart(group):
+    holder = group.seats["h"].holder
+    wish = holder.take(group.loop.now(), "host-7", 10 * SECOND)
+    group.seats["h"].act()
+    group.until(lambda: wish.state == "held")
+    assert wish.may(group.loop.now()) and wish.fence == 1
+    gone = group.leader
+    agreed, life = group.seats[gone].keeper.commit, group.seats[gone].keeper.life
+    group.end(gone)
+    other = holder.take(group.loop.now(), "host-8", 10 * SECOND)
+    group.seats["h"].act()
+    group.until(lambda: other.state == "held")
+    assert wish.may(group.loop.now()) and other.fence == 2
+    group.start(gone)
+    keeper = group.seats[gone].keeper
+    assert keeper.life == life and keeper.log.last >= agreed - 1
+    group.until(lambda: len(keeper.machine.permits) == 2)
+    assert not any(seat.keeper.breaches for seat in group.seats.values() if seat.keeper)
+    assert "leader" in [told["now"] for _, what, told in group.seats[group.leader].record.events
+                        if what == "keeper"]
+
+
+def test_bad_batches_are_counted_by_reason_and_change_nothing(group):
+    group.until(lambda: group.leader)
+    seat = group.seats["a"]
+    good = wire.pack(Ack(1, 1, True, 1))
+    for body, reason in ((b"", "noise"), (b"\xff" * 65536, "noise"), (b"\x93\x07" + b"x", "version"),
+                         (wire.batch("nobody", [good]), "stranger"), (wire.batch("a", [good]), "stranger"),
+                         (wire.batch("b", [good[:-1]]), "noise"), (wire.batch("b", [good] * 65), "noise"),
+                         (wire.batch("b", [msgspec.msgpack.encode([5, -1, 1, True, 1])]), "noise"),
+                         (wire.batch("b", [wire.pack(Request(1, 1, b"x" * 4096))]), "noise"),
+                         (b"\x93\x01\xa1b" + b"\x91" * 5000, "noise")):
+        before = seat.carrier.counts[f"refused: {reason}"]
+        assert post(group, "a", body) == 400
+        assert seat.carrier.counts[f"refused: {reason}"] == before + 1, body[:20]
+    term = seat.keeper.term
+    assert post(group, "a", wire.batch("h", [wire.pack(Ask(term + 1, 1, 99, 99, False))])) == 204
+    assert seat.keeper.refused["stranger"] == 1 and seat.keeper.term == term
+    assert post(group, "h", wire.batch("b", [good])) == 204
+    assert group.seats["h"].carrier.counts["refused: no keeper here"] == 1
+
+
+def test_a_flood_is_refused_and_the_queue_to_a_dead_peer_is_bounded(group):
+    group.until(lambda: group.leader)
+    flood = wire.batch("h", [wire.pack(Reply(1, 1, "busy"))] * wire.MANY)
+    answers = [post(group, "a", flood) for _ in range(BURST // wire.MANY + 2)]
+    assert answers[0] == 204 and answers[-1] == 429
+    carrier = group.seats["h"].carrier
+    group.peers["dead"] = "127.0.0.1:1"
+    for _ in range(1000):
+        carrier.send("dead", Hello(1, 0, True))
+    assert len(carrier.table["dead"].queue) == 256 and carrier.counts["lost"] >= 744
+    large = Append(1, 1, 1, 1, 1, tuple(Entry(1, 0, body=b"x" * 2048) for _ in range(64)))
+    for _ in range(100):
+        carrier.send("dead", large)
+    assert carrier.table["dead"].held <= 2 * wire.LONGEST
+
+
+def test_every_message_comes_back_as_it_was():
+    for message in (Hello(1, 2, True), Append(1, 2, 3, 4, 5, (Entry(1, 0, 2, 3, b"x"),)),
+                    Reply(1, 2, "done", b"y")):
+        assert wire.read(wire.batch("a", [wire.pack(message)])) == ("a", [message])
