--- a/gaproute/peers/keepers/seat.py
+++ b/gaproute/peers/keepers/seat.py
@@ -32,6 +32,13 @@
         self.timer = None
         self.arm()
 
+    def named(self, keepers):
+        """The configuration names these keepers now."""
+        self.holder.named(self.loop.now(), keepers)
+        if self.keeper is not None:
+            self.keeper.named(self.loop.now(), keepers)
+        self.act()
+
     def take(self, sender, message):
         """One that came from a peer, or from here."""
         part = self.holder if isinstance(message, Reply) else self.keeper
--- a/gaproute/shared/permits/holder.py
+++ b/gaproute/shared/permits/holder.py
@@ -142,7 +142,7 @@
             return []
         if message.state == "elsewhere":
             return self._redirect(now, sender, message.leader)
-        if message.state == "busy":
+        if message.state == "busy" or message.state == "done" and not (job.session or message.opened):
             self.again = now + PAUSE + self.chance.below(PAUSE)
             self.to = self.keepers[self.keepers.index(sender) - 1]   # the next in turn is this one
             return []
--- a/gaproute/shared/permits/machine.py
+++ b/gaproute/shared/permits/machine.py
@@ -94,6 +94,8 @@
             return Answer("quiet after founding")
         if len(self.permits) >= PERMITS:
             return Answer("too many permits")
+        if word.amount > self.size(word.resource):
+            return Answer("more than there is")
         if held + word.amount > self.size(word.resource):
             return Answer("taken")
         self.fence += 1
--- a/tests/test_keepers_carried.py
+++ b/tests/test_keepers_carried.py
@@ -97,6 +97,27 @@
                         if what == "keeper"]
 
 
+@pytest.mark.parametrize("harm", ["of another gateway", "torn"])
+def test_a_file_that_cannot_be_trusted_is_kept_aside_and_the_keeper_learns_anew(group, harm):
+    group.until(lambda: group.leader)
+    name, other = [each for each in group.names if each != group.leader]
+    life = group.seats[name].keeper.life
+    group.end(name)
+    path = group.folder / name
+    if harm == "torn":
+        data = bytearray(path.read_bytes())
+        data[len(data) // 3] ^= 1
+        path.write_bytes(data)
+    else:
+        path.write_bytes((group.folder / other).read_bytes())
+    group.start(name)
+    seat = group.seats[name]
+    assert seat.keeper.life not in (life, group.seats[other].keeper.life) and seat.keeper.store.blank
+    assert [what for _, what, _ in seat.record.events] == ["keeper's memory set aside"]
+    assert len(list(group.folder.glob(f"{name}.*"))) >= 2       # the lock, and what was set aside
+    group.until(lambda: seat.keeper.member)
+
+
 def test_bad_batches_are_counted_by_reason_and_change_nothing(group):
     group.until(lambda: group.leader)
     seat = group.seats["a"]
