--- a/gaproute/shared/keepers/members.py
+++ b/gaproute/shared/keepers/members.py
@@ -19,7 +19,8 @@
         if ready and name not in known and len(members) < KEEPERS:
             return tuple(sorted((*members, Member(name, life)), key=lambda member: member.name))
     for member in members:
-        if member.name not in named:
+        # Not before whoever takes its place has joined: fewer members bear fewer losses meanwhile.
+        if member.name not in named and len(members) > len(named):
             return _without(members, member, lives)
     return None
 
--- a/tests/test_keepers_members.py
+++ b/tests/test_keepers_members.py
@@ -22,6 +22,8 @@
     assert step((A, B), lives={"a": 1, "b": 2, "c": 5}, matches={"c": (4, 9)}) is None   # of a life before
     assert step(named=("a", "b", "d"), matches={"d": (4, 9)}, lives={"a": 1, "b": 2, "d": 4}) == (*ALL,
                                                                                                Member("d", 4))
+    assert step(named=("a", "b", "d")) is None                        # d has not joined: c stays meanwhile
+    assert step((*ALL, Member("d", 4)), named=("a", "b", "d")) == (A, B, Member("d", 4))
     assert step(named=("a", "b")) == (A, B)
 
 
