--- a/gaproute/shared/keepers/keeper.py
+++ b/gaproute/shared/keepers/keeper.py
@@ -53,9 +53,18 @@
 
     @property
     def member(self):
-        """Whether it may ask for votes: in the last roll under the life that its disk has."""
+        """Whether it is in the last roll, under the life that its disk has."""
         return Member(self.name, self.life) in self.members
 
+    @property
+    def stands(self):
+        """Whether it asks for votes: a member by a roll that may be in force, which is the one agreed on and all
+        behind it. One whose leaving is not agreed on may know more than all that stay (dissertation 4.2.2); its
+        own vote counts by the last roll only, as any."""
+        me = Member(self.name, self.life)
+        return me in self.log.members_at(self.commit) or any(
+            me in members for at, members in self.log.rolls if at > self.commit)
+
     def named(self, now, keepers):
         """The names that the configuration has now. Errors: ValueError."""
         if not 1 <= len(set(keepers)) <= KEEPERS:
@@ -107,7 +116,7 @@
             leading.tick(self, now, out)
         elif now >= self.election:
             self.put_off(now)
-            if self.member:
+            if self.stands:
                 election.ask_first(self, now, out)
             else:
                 founding.tick(self, now, out)
--- a/tests/test_keepers_votes.py
+++ b/tests/test_keepers_votes.py
@@ -115,6 +115,17 @@
     assert one.commit == 3
 
 
+def test_one_whose_leaving_is_not_agreed_on_still_stands_without_a_vote_of_its_own():
+    one, _ = keeper(Entry(1, MEMBERS, body=encode(Roll((ROLL[0], ROLL[2])))))
+    assert not one.member and len(one.tick(one.due)) == 2
+    one.hear(one.election, "a", Vote(1, 1, True, True))
+    assert one.role == "asking"
+    one.hear(one.election, "c", Vote(1, 3, True, True))
+    assert one.role == "candidate"
+    one.hear(one.election, "a", Append(3, 1, 2, 1, 2))
+    assert one.tick(one.due) == []
+
+
 def test_a_stale_leader_is_told_so_and_one_that_is_not_heard_steps_down():
     one, _ = lead()
     now = one.election
