--- a/gaproute/shared/keepers/keeper.py
+++ b/gaproute/shared/keepers/keeper.py
@@ -25,25 +25,18 @@
         self.name, self.chance, self.base = name, chance, base
         self.machine = Permits() if machine is None else machine
         self.sessions = Sessions(self.machine)
-        self.store = Store(name, disk, chance)
+        self.store = Store(name, disk, chance, self.sessions.unpack)
         self.mute = self.store.broken        # why nothing is said, or ''
         self.again = now + DISK_AGAIN
         self.role, self.leader, self.heard = FOLLOWER, "", now - 2 * ELECTION
         self.votes = {}                      # name: life, of those who gave this election
         self.blanks = {}                     # name: life, of those that were as blank as a founder
-        self.commit = self.applied = 0
+        self.commit = self.applied = self.log.base       # a crash left what the store has, and nothing else
         self.lead = None                     # leading.Lead while it leads
         self.refused = Counter()
         self.breaches, self.seen = [], None      # what the invariants found as it went, the first few
         self.named(now, keepers)
         self.put_off(now)
-        self.revive()
-
-    def revive(self):
-        """The state as the store has it; a crash left nothing else."""
-        if self.store.state is not None:
-            self.sessions.unpack(self.store.state)
-        self.commit = self.applied = self.log.base
 
     term = property(lambda self: self.store.term)
     life = property(lambda self: self.store.life)
@@ -144,8 +137,7 @@
             self.again = now + DISK_AGAIN
             if not self.store.opened:
                 self.store.open()
-                if self.store.opened:
-                    self.revive()
+                self.commit = self.applied = self.log.base
             elif self.store.rewrite():
                 self.put_off(now)
             self.mute = self.store.broken
--- a/gaproute/shared/keepers/store.py
+++ b/gaproute/shared/keepers/store.py
@@ -11,8 +11,10 @@
 
 
 class Store:
-    def __init__(self, name, disk, chance):
-        self.name, self.disk, self.chance = name, disk, chance
+    """`unpack(state)`: brings the machine to a snapshot's state. Errors: ValueError where it is none."""
+
+    def __init__(self, name, disk, chance, unpack):
+        self.name, self.disk, self.chance, self.unpack = name, disk, chance, unpack
         self.life = self.term = 0
         self.voted = ("", 0)                 # (name, life) that has this term's vote
         self.log, self.state = Log(), None   # state: bytes of the machine at the log's base
@@ -67,6 +69,8 @@
                     log, state = Log(record.index, record.last, record.members), record.state
                 else:
                     log.put(record.index, record.entry)
+            if state is not None:
+                self.unpack(state)
         except ValueError as fault:
             return Lost(f"not understood: {fault}")
         if log.last_term > term:
--- a/tests/test_keepers_votes.py
+++ b/tests/test_keepers_votes.py
@@ -6,7 +6,7 @@
 from gaproute.shared.keepers import Keeper, Lost
 from gaproute.shared.keepers.messages import (MEMBERS, NOTHING, Ack, Append, Ask, Entry, Hello, Install,
                                               Member, Roll, Vote)
-from gaproute.shared.keepers.records import Identity, Voted, Written, decode
+from gaproute.shared.keepers.records import Identity, Snapshot, Voted, Written, decode
 from gaproute.shared.keepers.records import encode as record
 
 NAMES = ("a", "b", "c")
@@ -154,7 +154,8 @@
 @pytest.mark.parametrize("came", [
     Lost("torn"), [record(Identity("z", 9))], [b"noise"], [record(Voted(3, "", 0))],
     [record(Identity("b", 2)), record(Written(5, note(1)))],
-    [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Voted(2, "", 0))]])
+    [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Voted(2, "", 0))],
+    [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Snapshot(9, 2, ROLL, b"noise"))]])
 def test_a_disk_that_cannot_be_trusted_is_put_aside_and_the_keeper_is_another(came):
     kept = disk()
     kept.read = lambda: came
@@ -164,6 +165,18 @@
     assert one.tick(one.due) == [] and not one.member
 
 
+def test_a_disk_that_cannot_be_read_is_tried_again_and_nothing_is_said_meanwhile():
+    kept, good = disk(vote=("c", 3)), Disk.read
+    kept.read = lambda: Disk.sync(kept)
+    kept.fails = "input/output error"
+    one = Keeper("b", NAMES, kept, Chance(1), 0)
+    assert "not read" in one.mute and one.hear(0, "a", Ask(1, 1, 1, 0, False)) == []
+    kept.read, kept.fails = lambda: good(kept), None
+    one.tick(one.due)
+    assert not one.mute and one.life == 2
+    assert one.hear(one.again, "a", Ask(1, 1, 1, 0, False)) == [("a", Vote(1, 2, False, False))]
+
+
 def test_a_founder_needs_all_others_blank_in_answer_to_its_own_life():
     one = Keeper("a", NAMES, Disk(), Chance(1), 0)
     assert one.tick(one.due) == [(name, Hello(one.life, 0, True)) for name in "bc"]
