--- a/gaproute/peers/keepers/seat.py
+++ b/gaproute/peers/keepers/seat.py
@@ -109,6 +109,11 @@
                                       "members": [each.name for each in keeper.members],
                                       "silent": keeper.mute, "permits": len(keeper.machine.permits)}}
 
+    def stop(self):
+        """Gives all permits back; `close` ends it."""
+        self.holder.leave(self.loop.now())
+        self.act()
+
     def close(self):
         if self.timer is not None:
             self.timer.cancel()
--- a/gaproute/shared/permits/__init__.py
+++ b/gaproute/shared/permits/__init__.py
@@ -7,6 +7,7 @@
         .due, .tick(now), .hear(now, sender, message) -> [(to, message)]; as a keeper's
         .take(now, resource, span, amount=1)  -> Wish; `span` ns; kept up by renewals until given back
         .give(now, wish)                      from here on `wish.may` is false
+        .leave(now)                           gives all back
         .size(now, resource, amount)          the pool's size (names without one: 1)
         wish.may(now)                         whether the permit holds by the holder's own clock
         wish.fence, .state ("asked", "held", "refused", "given", "over"), .why, .end
--- a/gaproute/shared/permits/holder.py
+++ b/gaproute/shared/permits/holder.py
@@ -74,6 +74,11 @@
         if wish.state in ("asked", "held"):
             self._end(wish, "given")
 
+    def leave(self, now):
+        """All is given back: the gateway stops. What is not heard lapses."""
+        for wish in list(self.wishes):
+            self.give(now, wish)
+
     def size(self, now, resource, amount):
         """Errors: ValueError where too much waits to be said."""
         if len(self.queue) >= 2 * WISHES:
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -186,6 +186,17 @@
     return net
 
 
+def test_a_holder_that_leaves_gives_all_back():
+    net = settled()
+    for name in ("host-1", "host-2"):
+        net.holders["h0"].take(net.now, name, 4 * SECOND)
+    net.run(SECOND)
+    assert len(net.leader.machine.permits) == 2
+    net.holders["h0"].leave(net.now)
+    net.run(SECOND)
+    assert not net.leader.machine.permits and net.holders["h0"].due is None
+
+
 def test_a_holder_that_dies_is_followed_only_after_its_end():
     net = settled()
     wish = net.holders["h0"].take(net.now, "host", 4 * SECOND)
