--- a/gaproute/shared/keepers/keeper.py
+++ b/gaproute/shared/keepers/keeper.py
@@ -51,9 +51,9 @@
 
     @property
     def stands(self):
-        """Whether it asks for votes: a member by a roll that may be in force, which is the one agreed on and all
-        behind it. One whose leaving is not agreed on may know more than all that stay (dissertation 4.2.2); its
-        own vote counts by the last roll only, as any."""
+        """Whether it asks for votes: a member by a roll that may be in force, which is the one agreed on
+        and all behind it. One whose leaving is not agreed on may know more than all that stay
+        (dissertation 4.2.2); its own vote counts by the last roll only, as any."""
         me = Member(self.name, self.life)
         return me in self.log.members_at(self.commit) or any(
             me in members for at, members in self.log.rolls if at > self.commit)
@@ -85,11 +85,11 @@
         """A term above its own: no leader, no vote given yet."""
         self.store.vote(term)
         self.step_down(now)
-        self.leader = ""
+        self.leader = ""                     # a follower's as well
 
     def step_down(self, now):
         if self.role != FOLLOWER:
-            self.role, self.lead = FOLLOWER, None
+            self.role, self.lead, self.leader = FOLLOWER, None, ""
             self.put_off(now)
 
     @property
