--- /dev/null
+++ b/tests/keepers_net.py
@@ -0,0 +1,108 @@
+"""Keepers and holders on a net and a clock of the test's own; random faults are for `gaproute/driver`."""
+import heapq
+import random
+
+from gaproute.shared.keepers import Keeper
+from gaproute.shared.keepers.invariants import History, check_all
+from gaproute.shared.permits import Holder, Permits
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+
+
+class Chance(random.Random):
+    def below(self, n):
+        return self.randrange(n)
+
+
+class Disk:
+    """Records in memory; `synced` of them survive a crash. `fails`: what every write raises."""
+
+    def __init__(self):
+        self.records, self.synced, self.fails, self.put_aside = [], 0, None, []
+
+    def _may(self):
+        if self.fails:
+            raise OSError(self.fails)
+
+    def read(self):
+        return list(self.records)
+
+    def append(self, record):
+        self._may()
+        self.records.append(record)
+
+    def sync(self):
+        self._may()
+        self.synced = len(self.records)
+
+    def replace(self, records):
+        self._may()
+        self.records, self.synced = list(records), len(records)
+
+    def aside(self, why):
+        self.put_aside.append(why)
+        self.records, self.synced = [], 0
+
+    def crash(self, chance):
+        del self.records[self.synced + chance.below(1 + len(self.records) - self.synced):]
+        self.synced = len(self.records)
+
+
+class Net:
+    def __init__(self, seed, keepers=3, holders=0):
+        self.chance, self.now, self.flying, self.count = Chance(seed), 0, [], 0
+        self.names = [f"k{n}" for n in range(keepers)]
+        self.disks = {name: Disk() for name in self.names}
+        self.cut, self.history = set(), History()
+        self.keepers = {}
+        for name in self.names:
+            self.start(name)
+        self.holders = {f"h{n}": Holder(f"h{n}", self.names, self.chance, 0) for n in range(holders)}
+
+    def start(self, name):
+        self.keepers[name] = Keeper(name, self.names, self.disks[name], self.chance, self.now,
+                                    Permits(quiet=False))
+
+    def crash(self, name, lost=False):
+        if self.keepers.pop(name, None) is not None:
+            self.disks[name].crash(self.chance)
+        if lost:
+            self.disks[name] = Disk()
+
+    def send(self, sender, messages):
+        for to, message in messages:
+            if (sender, to) not in self.cut:
+                self.count += 1
+                heapq.heappush(self.flying, (self.now + (1 + self.chance.below(5)) * MILLI, self.count,
+                                             sender, to, message))
+
+    def everyone(self):
+        return {**self.keepers, **self.holders}
+
+    def step(self):
+        """To the next message or tick."""
+        when, name = min((each.due, name) for name, each in self.everyone().items() if each.due is not None)
+        if self.flying and self.flying[0][0] <= when:
+            when, _, sender, to, message = heapq.heappop(self.flying)
+            self.now = max(self.now, when)
+            each = self.everyone().get(to)
+            if each is not None:
+                self.send(to, each.hear(self.now, sender, message))
+        else:
+            self.now = max(self.now, when)
+            self.send(name, self.everyone()[name].tick(self.now))
+
+    def run(self, span):
+        end = self.now + span
+        while self.now < end:
+            self.step()
+            self.check()
+
+    def check(self):
+        holders = [(each, self.now) for each in self.holders.values()]
+        assert check_all(list(self.keepers.values()), holders, self.history) == []
+
+    @property
+    def leader(self):
+        return max((each for each in self.keepers.values() if each.leading), key=lambda each: each.term,
+                   default=None)
