--- /dev/null
+++ b/gaproute/conf/across.py
@@ -0,0 +1,62 @@
+"""Mistakes that only show between lines."""
+from gaproute.conf.lines import Mistake
+from gaproute.conf.words.fleet import HostLine, Listen, Word
+from gaproute.conf.words.tasks import ModelLine, TrackLine
+
+
+def twice(file, found):
+    """Mistakes for names that stand a second time."""
+    first, mistakes = {}, []
+    for word, line in found:
+        if word in ("host", "track", "model", "tenant", "peer"):
+            if (word, line.name) in first:
+                mistakes.append(Mistake(file, line.line, f"{word} {line.name} stands a second time",
+                                        f"keep line {first[word, line.name]} or this"))
+            first.setdefault((word, line.name), line.line)
+    return mistakes
+
+
+def across(file, found, words):
+    """What only shows between lines."""
+    mistakes = twice(file, found)
+    tracks = [line.name for word, line in found if word == "track"]
+    for word, cure in (
+        ("listen", Listen.example),
+        ("track", TrackLine.example),
+        ("model", ModelLine.example),
+    ):
+        if word not in words:
+            mistakes.append(Mistake(file, 0, f"no {word} line", f"right would be: {cure}"))
+    if "host" not in words and "hosts-file" not in words:
+        mistakes.append(
+            Mistake(file, 0, "no host and no hosts-file line", f"right would be: {HostLine.example}")
+        )
+    if {"host", "hosts-file"} <= {word for word, _ in found}:
+        line = next(line for word, line in found if word == "host")
+        mistakes.append(
+            Mistake(file, line.line, "hosts stand here and in a hosts-file", "keep one of the two")
+        )
+    if {"peer", "peers-file"} <= words.keys():
+        line = next(line for word, line in found if word == "peer")
+        mistakes.append(
+            Mistake(file, line.line, "peers stand here and in a peers-file", "keep one of the two")
+        )
+    if "peers-file" in words and "name" not in words:
+        mistakes.append(Mistake(file, 0, "a peers-file without a name line: which peer is this gateway?",
+                                f"right would be: {Word.example}"))
+    for word, line in found:
+        if word == "weak-word" and line.told and not any(other == "listen" and listen.kind == "peers"
+                                                         for other, listen in found):
+            mistakes.append(Mistake(file, line.line, "weak-word yes without a listen peers line",
+                                    "right would be: listen peers 127.0.0.1:8090"))
+        if word == "model" and line.track not in tracks:
+            mistakes.append(Mistake(file, line.line, f"model {line.name}: no track {line.track!r}",
+                                    f"the tracks here: {', '.join(tracks) or 'none'}"))
+    wheres = {}
+    for word, line in found:
+        if word == "listen" and line.where in wheres and not line.where.endswith(":0"):
+            mistakes.append(Mistake(file, line.line, f"{line.where} is listened on twice",
+                                    f"see line {wheres[line.where]}"))
+        if word == "listen":
+            wheres.setdefault(line.where, line.line)
+    return mistakes
--- a/gaproute/conf/moving.py
+++ b/gaproute/conf/moving.py
@@ -10,8 +10,10 @@
 import tempfile
 from typing import NamedTuple
 
-from gaproute.conf.charter import WORDS, read_charter, twice
+from gaproute.conf.across import twice
 from gaproute.conf.lines import Mistake, Mistakes, read_lines
+from gaproute.conf.reading import read_charter
+from gaproute.conf.words import WORDS
 
 # What a deployment states; everything else is the operator's own and stays as it is.
 STATED = ("track", "tenant", "copies", "relays", "reports", "cold", "advice", "over-share", "sizes")
--- /dev/null
+++ b/gaproute/conf/words/process.py
@@ -0,0 +1,48 @@
+"""Lines on the process: limits towards clients and hosts, its log, its decision module."""
+import importlib
+from typing import ClassVar, Literal
+
+from pydantic import Field
+
+from gaproute.conf.lines import Directive, Size, Span
+
+
+class Clients(Directive):
+    example: ClassVar = "clients way-back 25ms body 16m connections 10000"
+    once: ClassVar = True
+    way_back: Span = 25_000_000
+    head: Size = Field(32768, ge=1024, le=1 << 20)
+    body: Size = Field(16 << 20, ge=0, le=1 << 30)
+    pipelined: int = Field(16, ge=1, le=1024)
+    read: Span = Field(20_000_000_000, gt=0)
+    idle: Span = Field(75_000_000_000, gt=0)
+    connections: int = Field(10_000, ge=1)
+    per_address: int = Field(2_000, ge=1)
+
+
+class ReachLine(Directive):
+    example: ClassVar = "reach connect 250ms probe 250ms order 10s connections 256 answer 64m"
+    once: ClassVar = True
+    connect: Span = Field(250_000_000, gt=0, le=400_000_000)
+    probe: Span = Field(250_000_000, gt=0)
+    order: Span = Field(10_000_000_000, gt=0)
+    connections: int = Field(256, ge=1)
+    answer: Size = Field(64 << 20, ge=1024)
+
+
+class Log(Directive):
+    places: ClassVar = ("level",)
+    example: ClassVar = "log info"
+    once: ClassVar = True
+    level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class Decisions(Directive):
+    places: ClassVar = ("made_by",)
+    example: ClassVar = "decisions gaproute.decisions.route:Gateway"
+    once: ClassVar = True
+    made_by: str = Field("gaproute.decisions.route:Gateway", pattern=r"^[\w.]+:\w+$")
+
+    def load(self):
+        module, _, name = self.made_by.partition(":")
+        return getattr(importlib.import_module(module), name)
