appliance/gateway.py split: the process, what others tell, what an operator is told

Change: moved as they stand; a front whose datagrams find no place closes itself. Tested: the tests as they were but for the new places.

--- /dev/null
+++ b/gaproute/appliance/operator.py
@@ -0,0 +1,93 @@
+"""What an operator is told of a running gateway, over HTTP."""
+import msgspec
+
+from gaproute.http1 import Server
+from gaproute.lobby.lot import descriptors
+
+MILLI = 1_000_000
+
+
+def status(gate):
+    counts, others, lot, hosts = gate.record.table(), gate.others, gate.lot, gate.hosts
+    giver, keeper, learner = others.giver, others.keeper, others.learner
+    return {"name": gate.charter.name, "stopping": gate.stopping, "ready": gate.ready(),
+            "up_ms": (gate.loop.now() - gate.started) // MILLI, "held": len(gate.core.held),
+            "late_turns": gate.loop.late_turns, "counts": counts,
+            "clients": {"connections": lot.held, "most": lot.door.most, "parked": lot.parked,
+                        "displaced": lot.displaced, "turned_away": lot.turned_away,
+                        "idle_ended": lot.expired, "descriptors": descriptors(),
+                        "kept_back": lot.door.reserve},
+            "connections": {"opened": hosts.opened, "reused": hosts.reused, "raced": hosts.raced},
+            "gateways": others.gossip.members.up() if others.gossip else None,
+            "weak_word": others.weak and others.weak.weak.status(gate.loop.now()),
+            "learnt": {"facts": len(others.lore.facts), "refused": dict(others.lore.refused),
+                       "peers": learner.state if learner else {}, "booked": learner.booked if learner else 0,
+                       "right": gate.core.gateway.right, "wrong": gate.core.gateway.wrong},
+            "telling": giver and {"facts": giver.told, "put_off": giver.put_off,
+                                  "cpu_ms": giver.spent / MILLI},
+            "memory": keeper and {"written": keeper.memory.written, "failed": keeper.memory.failed,
+                                  "cpu_ms": keeper.spent / MILLI, "longest_ms": keeper.longest / MILLI}}
+
+
+def host_table(gate):
+    relays = gate.record.table().get("relay", {})
+    told = []
+    for name, row in sorted(gate.rows.items()):
+        host = gate.hosts.hosts.get(name)
+        told.append({"name": name, "address": row.where, "state": row.listed.state.value,
+                     "capacity": row.listed.capacity, "connections": len(host.open) if host else 0,
+                     "relays": relays.get(name, {})})
+    return told
+
+
+def knowledge(gate):
+    """Copies that are believed to stand, the latest use first, with what speaks for each: an answer, a task
+    sent there, or who told of it; `tried`: whether that was followed yet."""
+    now, functions, told = gate.loop.now(), gate.core.gateway.functions, []
+    for name, function in functions.items():
+        for tried, table in ((True, function.seen), (False, function.told)):
+            for worker, seen in table.items():
+                fact = gate.others.lore.facts.get(("warm", worker, name))
+                told.append({"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
+                             "tried": tried, "by": "an answer" if worker in function.stands else
+                             fact.origin if fact else "a task sent"})
+    return sorted(told, key=lambda each: each["age_ms"])
+
+
+def peer_table(gate):
+    """The gateways that are known: membership's view, and what each told at the start."""
+    learnt = gate.others.learner.state if gate.others.learner else {}
+    gossip = gate.others.gossip
+    rows = gossip.table() if gossip else [{"name": name, "state": None} for name in learnt]
+    return [row | {"learnt": learnt.get(row["name"])} for row in rows]
+
+
+def events(gate):
+    return [{"what": what, **told} for what, told in gate.record.events]
+
+
+TABLES = {b"/status": status, b"/hosts": host_table, b"/knows": knowledge, b"/peers": peer_table,
+          b"/events": events}
+
+
+class Operator:
+    """What the command line reads. Errors: OSError where the address cannot be listened on."""
+
+    def __init__(self, loop, where, gate):
+        self.gate = gate
+        self.server = Server(loop, where, self.handle)
+        self.address = self.server.address
+
+    def handle(self, request):
+        table = TABLES.get(request.target)
+        names = [path.decode() for path in TABLES]
+        body = msgspec.json.encode(
+            table(self.gate) if table else {"error": f"the paths are {', '.join(names[:-1])} and {names[-1]}"}
+        )
+        self.server.answer(request, 200 if table else 404, ((b"Content-Type", b"application/json"),), body)
+
+    def stop(self):
+        """Stays to be asked while the last tasks end; `close` ends it."""
+
+    def close(self):
+        self.server.close()
--- /dev/null
+++ b/gaproute/appliance/others.py
@@ -0,0 +1,106 @@
+"""What one gateway has to do with the others and with its own past life: parts wired, nothing decided."""
+from gaproute.appliance.keeping import Keeper
+from gaproute.conf import read_peers
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.told.facts import Fact
+from gaproute.decisions.told.lore import FACTS, Lore
+from gaproute.decisions.told.roll import Roll
+from gaproute.discovery.listing import FileWatch
+from gaproute.ledger import Memory, NoMemory
+from gaproute.loop.streams import address
+from gaproute.peers import Giver, Gossip, Learner
+from gaproute.peers.weak import Carrier
+
+
+class Others:
+    def __init__(self, loop, charter, gateway, record, seed):
+        self.loop, self.charter, self.gateway, self.record, self.seed = loop, charter, gateway, record, seed
+        self.giver = self.learner = self.gossip = self.weak = self.keeper = self.watch = None
+        self.roll, self.lore = Roll(), Lore()
+        self.tracks = [line.name for line in charter.tracks]
+        self.chance = Chance(seed + 1)
+
+    def listen(self, where, arrived):
+        """The front at which others ask. `arrived(call)`: sets who hears of each task. Errors: OSError."""
+        self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks)
+        try:
+            self.gossip = Gossip(self.loop, self.charter.name, self.giver.address, Chance(self.seed + 2),
+                                 self.record)
+        except OSError:
+            self.giver.close()
+            raise
+        if self.charter.weak_word:
+            self.weak = Carrier(self.loop, self.charter.name, self.gossip, self.gateway,
+                                Chance(self.seed + 4))
+            arrived(self.weak.arrived)
+        return self.giver
+
+    def start(self):
+        self.remember()
+        if self.charter.peers or self.charter.peers_file:
+            self.learner = Learner(self.loop, (), self.lore, self.follow, self.whole, self.record)
+            self.listed(self.charter.peers)
+        if self.charter.peers_file:
+            told = self.charter.peers_file
+            self.watch = FileWatch(self.loop, told.path, told.look, self.listed, self.refused, read_peers)
+
+    def hosts_listed(self, lives):
+        """`lives`: {host: (state, start, ns since 1970)} of the whole list."""
+        self.roll.listed(self.loop.now(), lives)
+        if self.weak is not None:
+            self.weak.listed({name: told[1] for name, told in self.roll.told.items() if name in lives})
+
+    def remember(self):
+        """Opens the memory on disk where there is one, and follows what it tells of the past life."""
+        if self.charter.memory is None:
+            return
+        memory = Memory(self.charter.memory, lambda text: self.record.event("warning", "memory", text=text))
+        try:
+            memory.open()
+        except NoMemory as fault:
+            self.record.event("warning", "no memory", text=str(fault))
+            return
+        now = self.loop.now()
+        for subject, value, age in memory.read(FACTS):
+            at = self.lore.observed(now, age)
+            if at is not None:
+                self.lore.tell(subject, Fact(at, "past life", 0, value))
+        booked = self.follow(self.lore.facts)
+        self.whole()
+        self.record.event("info", "remembered", facts=len(self.lore.facts), booked=booked,
+                          refused=dict(self.lore.refused))
+        self.keeper = Keeper(self.loop, memory, self.gateway, self.roll, self.tracks)
+
+    def follow(self, subjects):
+        tracks = {name: place for place, name in enumerate(self.tracks)}
+        return self.lore.follow(self.gateway, self.loop.now(), self.roll.lives(), tracks,
+                                self.charter.terms.keep_alive, self.chance, subjects)
+
+    def whole(self):
+        """All that one source tells has come: the mix is known now."""
+        self.gateway.hint_mix(self.lore.mix())
+
+    def listed(self, peers):
+        others = [peer for peer in peers if peer.name != self.charter.name]
+        if self.gossip is not None:
+            self.gossip.listed(others)
+        self.learner.listed(others)
+
+    def refused(self, mistakes):
+        for mistake in mistakes:
+            self.record.event("error", "peer list refused", mistake=str(mistake))
+
+    def spent(self):
+        """CPU that telling and writing down took, ns."""
+        return sum(part.spent for part in (self.giver, self.keeper) if part is not None)
+
+    def stop(self):
+        if self.gossip is not None:
+            self.gossip.stop()
+        if self.watch is not None:
+            self.watch.close()
+
+    def close(self):
+        for part in (self.watch, self.learner, self.weak, self.gossip, self.keeper):
+            if part is not None:
+                part.close()
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gaproute.appliance.operator import knowledge
 from gaproute.decisions.chance import Chance
 from gaproute.decisions.told.facts import OLDEST, Fact
 from gaproute.decisions.told.lore import FACTS, SLOWEST, Lore
@@ -380,19 +381,19 @@
     warm_at = json.loads(made.wait(made.ask("lamp", "last")).body)["outputs"][0]["data"][0]
     loads = len(made.seen("loaded"))
     second = start()
-    made.until(lambda: second.learner.booked)
+    made.until(lambda: second.others.learner.booked)
     made.at = made.at[0], tuple([*made.at[1][:1], int(second.fronts[0].address.rpartition(":")[2])])
     answer = made.wait(made.ask("lamp", "first"))
     assert json.loads(answer.body)["outputs"][0]["data"][0] == warm_at and len(made.seen("loaded")) == loads
-    assert made.gate.giver.told >= 1 and second.learner.state["g"].startswith("told ")
+    assert made.gate.others.giver.told >= 1 and second.others.learner.state["g"].startswith("told ")
     assert not second.core.gateway.ration.out and not second.core.gateway.ration.ends
 
 
 def test_an_operator_sees_what_is_known_and_by_what(beside):
     made, start = beside
     second = start()
-    made.until(lambda: second.learner.booked)
-    (own,), (hinted,) = made.gate.knowledge(), second.knowledge()
+    made.until(lambda: second.others.learner.booked)
+    (own,), (hinted,) = knowledge(made.gate), knowledge(second)
     assert (own["by"], hinted["by"]) == ("an answer", "g")
     assert (own["worker"], own["function"]) == (hinted["worker"], hinted["function"])
     assert hinted["age_ms"] >= 3500 > own["age_ms"]
@@ -405,8 +406,8 @@
     made.gate.watch.close()          # the giver's own list is late: it still believes in the host
     made.relist(*[row for row in rows if not row.startswith(f"host {worker} ")])
     second = start()
-    made.until(lambda: second.learner.state["g"].startswith("told"))
-    assert second.lore.refused["not listed"] and worker not in second.core.gateway.workers
+    made.until(lambda: second.others.learner.state["g"].startswith("told"))
+    assert second.others.lore.refused["not listed"] and worker not in second.core.gateway.workers
     assert "lamp" not in second.core.gateway.functions
 
 
@@ -423,13 +424,13 @@
     second = start(where)
     made.at = made.at[0], ("127.0.0.1", int(second.fronts[0].address.rpartition(":")[2]))
     assert made.wait(made.ask("lamp", "meanwhile")).status == 200
-    made.until(lambda: second.learner.state["g"] == "dropped after 0 facts")
+    made.until(lambda: second.others.learner.state["g"] == "dropped after 0 facts")
     listener.close()
 
 
 def test_a_giver_out_of_budget_puts_off_and_still_tells(beside):
     made, start = beside
-    made.gate.giver.purse.spend(made.loop.now(), 11 * MILLI)
+    made.gate.others.giver.purse.spend(made.loop.now(), 11 * MILLI)
     second = start()
-    made.until(lambda: second.learner.state["g"].startswith("told"))
-    assert made.gate.giver.put_off >= 1 and second.learner.booked >= 1
+    made.until(lambda: second.others.learner.state["g"].startswith("told"))
+    assert made.gate.others.giver.put_off >= 1 and second.others.learner.booked >= 1
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gaproute.appliance.keeping import MOST, Keeper
+from gaproute.appliance.operator import knowledge
 from gaproute.decisions.told.purse import REST, SLICE
 from gaproute.decisions.told.roll import Roll
 from gaproute.ledger import Memory, NoMemory
@@ -126,11 +127,11 @@
     first = start("alone", line, listen=False)
     made.at = front(first)
     assert made.wait(made.ask("lamp", "w1")).status == 200
-    made.until(lambda: first.keeper.memory.written >= 1)
+    made.until(lambda: first.others.keeper.memory.written >= 1)
     first.close()
     loads = len(made.seen("loaded"))
     second = start("alone", line, listen=False)
-    assert second.lore.facts and [row["by"] for row in second.knowledge()] == ["past life"]
+    assert second.others.lore.facts and [row["by"] for row in knowledge(second)] == ["past life"]
     made.at = front(second)
     assert made.wait(made.ask("lamp", "w2")).status == 200 and len(made.seen("loaded")) == loads
     assert second.core.gateway.loads or second.core.gateway.functions["lamp"].times
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -5,6 +5,7 @@
 import pytest
 from test_gateway import scripted_host
 
+from gaproute.appliance.operator import peer_table, status
 from gaproute.conf import Mistakes, read_charter, read_peers
 from gaproute.decisions.told.asking import CHUNK
 from gaproute.decisions.told.lore import Lore
@@ -19,7 +20,7 @@
 
 
 def where(appliance):
-    return appliance.giver.address
+    return appliance.others.giver.address
 
 
 def front(appliance):
@@ -30,18 +31,18 @@
     made, start = fleet
     second = start("second", f"peer g {where(made.gate)}")
     third = start("third", f"peer second {where(second)}")
-    made.until(lambda: [each.gossip.members.up() for each in (made.gate, second, third)] == [3, 3, 3])
-    third.gossip.stop()
-    made.until(lambda: made.gate.gossip.members.up() == 2)
-    states = {row["name"]: row["state"] for row in made.gate.peer_table()}
+    made.until(lambda: [each.others.gossip.members.up() for each in (made.gate, second, third)] == [3, 3, 3])
+    third.others.gossip.stop()
+    made.until(lambda: made.gate.others.gossip.members.up() == 2)
+    states = {row["name"]: row["state"] for row in peer_table(made.gate)}
     assert states == {"second": "alive", "third": "left"}
-    assert made.gate.status()["gateways"] == 2
+    assert status(made.gate)["gateways"] == 2
 
 
 def test_what_changes_after_the_snapshot_comes_as_well(fleet):
     made, start = fleet
     second = start("second", f"peer g {where(made.gate)}")
-    made.until(lambda: second.learner.state["g"].startswith("told"))
+    made.until(lambda: second.others.learner.state["g"].startswith("told"))
     assert "lamp" not in second.core.gateway.functions
     assert made.wait(made.ask("lamp", "w1")).status == 200
     made.until(lambda: "lamp" in second.core.gateway.functions)
@@ -57,11 +58,12 @@
         late = "127.0.0.1:%d" % taken.getsockname()[1]
     second = start("second", f"peer late {late}")
     made.rest(100 * MILLI)
-    assert second.learner.state["late"] == "asked"
-    giver = Giver(made.loop, address(late), made.gate.core.gateway, made.gate.roll, made.gate.track_names)
-    made.until(lambda: second.learner.state["late"].startswith("told"))
+    assert second.others.learner.state["late"] == "asked"
+    told = made.gate.others
+    giver = Giver(made.loop, address(late), told.gateway, told.roll, told.tracks)
+    made.until(lambda: second.others.learner.state["late"].startswith("told"))
     giver.close()
-    assert second.learner.booked
+    assert second.others.learner.booked
 
 
 def test_a_list_of_gateways_is_watched_and_names_this_one_without_harm(fleet):
@@ -69,15 +71,15 @@
     peers = made.folder / "peers.list"
     peers.write_text("peer second 127.0.0.1:9\n")
     second = start("second", f"peers-file {peers} look 5ms")
-    assert second.gossip.members.members == {} and second.learner.state == {}
+    assert second.others.gossip.members.members == {} and second.others.learner.state == {}
     fresh = made.folder / "fresh"
     fresh.write_text(f"peer second 127.0.0.1:9\npeer g {where(made.gate)}\n")
     fresh.replace(peers)
-    made.until(lambda: second.learner.state.get("g", "").startswith("told"))
+    made.until(lambda: second.others.learner.state.get("g", "").startswith("told"))
     fresh.write_text("peer g nowhere\n")
     fresh.replace(peers)
     made.until(lambda: any(what == "peer list refused" for what, _ in second.record.events))
-    assert second.gossip.members.members["g"].fixed
+    assert second.others.gossip.members.members["g"].fixed
 
 
 def test_both_sides_started_at_once_learn_from_each_other_what_came_since(fleet):
@@ -114,7 +116,7 @@
 
     listener = scripted_host(made.loop, act)
     second = start("second", f"peer half {listener.address}")
-    made.until(lambda: second.learner.state["half"] == "dropped after 1 facts")
+    made.until(lambda: second.others.learner.state["half"] == "dropped after 1 facts")
     listener.close()
     assert set(second.core.gateway.functions["lamp"].told) == {"h1"}
 
@@ -143,7 +145,7 @@
     made.until(lambda: "h1" not in other.rows)
     body = bodies.pop(0)
     held[0].write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-    made.until(lambda: other.lore.refused["not listed"])
+    made.until(lambda: other.others.lore.refused["not listed"])
     made.at = front(other)
     for model in ("lamp", "crew"):
         assert made.wait(made.ask(model, f"t-{model}")).status == 200
@@ -157,17 +159,17 @@
     assert made.wait(made.ask("lamp", "w1")).status == 200
     (worker,) = made.gate.core.gateway.functions["lamp"].stands
     second = start("second", f"peer g {where(made.gate)}")
-    made.until(lambda: second.learner.booked)
+    made.until(lambda: second.others.learner.booked)
     third = start("third", f"peer second {where(second)}")
-    made.until(lambda: third.learner.state["second"].startswith("told"))
+    made.until(lambda: third.others.learner.state["second"].startswith("told"))
     assert "lamp" not in third.core.gateway.functions, "a hint was told on"
     rows = made.list.read_text().splitlines()
     made.relist(*[row for row in rows if not row.startswith(f"host {worker} ")])
     made.until(lambda: all(worker not in each.rows for each in (made.gate, second, third)))
     fourth = start("fourth", f"peer g {where(made.gate)}", f"peer second {where(second)}")
-    made.until(lambda: all(state.startswith("told") for state in fourth.learner.state.values()))
+    made.until(lambda: all(state.startswith("told") for state in fourth.others.learner.state.values()))
     assert worker not in fourth.core.gateway.workers
-    made.until(lambda: fourth.lore.facts["listed", worker].value[0] == "gone")
+    made.until(lambda: fourth.others.lore.facts["listed", worker].value[0] == "gone")
 
 
 def test_a_host_back_with_a_new_start_does_not_inherit_its_old_copies(fleet):
@@ -178,14 +180,14 @@
     assert made.wait(made.ask("lamp", "w1")).status == 200
     second = start("second")
     made.relist(*[f"{row} started 2000" for row in rows])
-    made.until(lambda: second.roll.lives()["h0"] == 2000 * SECOND)
+    made.until(lambda: second.others.roll.lives()["h0"] == 2000 * SECOND)
     made.gate.watch.close()          # the giver's own list is late
     told = Told(version=2)
     told.warm.add(worker="h0", function="lamp", lanes=4, started_ns=1000 * SECOND)
     lore = Lore()
     wire.put(told, made.loop.now(), "g", lore)
-    second.lore.merge(lore)
-    assert second.follow(lore.facts) == 0 and second.lore.refused == {"another life": 1}
+    second.others.lore.merge(lore)
+    assert second.others.follow(lore.facts) == 0 and second.others.lore.refused == {"another life": 1}
 
 
 def test_versions_one_apart_understand_each_other():
@@ -330,7 +332,7 @@
 def test_an_operator_sees_the_peers(fleet):
     made, start = fleet
     second = start("second", f"peer g {where(made.gate)}", "listen operator 127.0.0.1:0")
-    made.until(lambda: second.peer_table()[0]["learnt"] != "asked")
+    made.until(lambda: peer_table(second)[0]["learnt"] != "asked")
     made.at = address(next(each.address for each in second.fronts if type(each).__name__ == "Operator"))
     (told,) = json.loads(made.wait(made.get("/peers")).body)
     assert told["name"] == "g" and told["state"] == "alive" and told["learnt"].startswith("told")
