Permits in whole gateways: the keepers line, POST /keepers at peers, errands of crews

Cause: the strong word was agreed on, carried and stored, but no configuration made a keeper and nobody outside could hold a permit.

Change: a keepers line, checked beside the others; the peers' address serves POST /keepers where it stands, with room for long batches; /permits at the operators' address takes, keeps, gives back and shows permits. Errands are decisions of their own: a crew that dies holds nothing for ever, as the gateway renews only as long as somebody asked for. Imports of permits before keepers were circular: the bound on wishes moved to commands.

Tested: 17 tests on four whole gateways in one loop: a permit that a second crew is refused, a leader that dies, no majority (nothing begins, tasks are served), lines and orders that cannot be, by name.

--- a/gaproute/appliance/operator.py
+++ b/gaproute/appliance/operator.py
@@ -3,6 +3,7 @@
 
 from gaproute.http1 import Server
 from gaproute.lobby.lot import descriptors
+from gaproute.shared.permits.errands import read_order
 
 MILLI = 1_000_000
 
@@ -62,12 +63,17 @@
     return [row | {"learnt": learnt.get(row["name"])} for row in rows]
 
 
+def permits(gate):
+    """What this gateway holds, and its part among the keepers."""
+    return gate.others.strong and gate.others.strong.table()
+
+
 def events(gate):
     return [{"what": what, **told} for what, told in gate.record.events]
 
 
 TABLES = {b"/status": status, b"/hosts": host_table, b"/knows": knowledge, b"/peers": peer_table,
-          b"/events": events}
+          b"/permits": permits, b"/events": events}
 
 
 class Operator:
@@ -79,6 +85,9 @@
         self.address = self.server.address
 
     def handle(self, request):
+        if request.target == b"/permits" and request.method == b"POST":
+            self.order(request)
+            return
         table = TABLES.get(request.target)
         names = [path.decode() for path in TABLES]
         body = msgspec.json.encode(
@@ -86,6 +95,18 @@
         )
         self.server.answer(request, 200 if table else 404, ((b"Content-Type", b"application/json"),), body)
 
+    def order(self, request):
+        """A permit taken, kept or given back for whoever asks (`docs/permits.md`)."""
+        strong, status = self.gate.others.strong, 200
+        try:
+            if strong is None:
+                raise ValueError("no keepers line in the configuration")
+            told = strong.ask(read_order(request.body))
+        except (ValueError, msgspec.ValidationError) as fault:
+            told, status = {"error": str(fault)}, 400
+        self.server.answer(request, status, ((b"Content-Type", b"application/json"),),
+                           msgspec.json.encode(told))
+
     def stop(self):
         """Stays to be asked while the last tasks end; `close` ends it."""
 
--- a/gaproute/appliance/others.py
+++ b/gaproute/appliance/others.py
@@ -1,31 +1,45 @@
 """What one gateway has to do with the others and with its own past life: parts wired, nothing decided."""
 from gaproute.appliance.keeping import Keeper
+from gaproute.appliance.strong import Strong
 from gaproute.conf import read_peers
 from gaproute.decisions.chance import Chance
 from gaproute.decisions.told.facts import Fact
 from gaproute.decisions.told.lore import FACTS, Lore
 from gaproute.decisions.told.roll import Roll
 from gaproute.discovery.listing import FileWatch
+from gaproute.http1 import Limits
 from gaproute.ledger import Memory, NoMemory
 from gaproute.loop.streams import address
 from gaproute.peers import Giver, Gossip, Learner
+from gaproute.peers.giver import LIMITS
+from gaproute.peers.keepers.carrier import TARGET
+from gaproute.peers.keepers.wire import LONGEST
 from gaproute.peers.weak import Carrier
 
+# Of those that ask at a gateway that takes part in the strong word: batches are long, and every gateway of
+# a large fleet may hold a connection to each keeper.
+ASKED = Limits(body=LONGEST, pipelined=1, connections=4096, buffered=4 * LONGEST)
+
 
 class Others:
     def __init__(self, loop, charter, gateway, record, seed):
         self.loop, self.charter, self.gateway, self.record, self.seed = loop, charter, gateway, record, seed
-        self.giver = self.learner = self.gossip = self.weak = self.keeper = self.watch = None
+        self.giver = self.learner = self.gossip = self.weak = self.keeper = self.watch = self.strong = None
         self.roll, self.lore = Roll(), Lore()
         self.tracks = [line.name for line in charter.tracks]
         self.chance = Chance(seed + 1)
 
     def listen(self, where, arrived):
         """The front at which others ask. `arrived(call)`: sets who hears of each task. Errors: OSError."""
-        self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks)
+        line = self.charter.keepers
+        self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks,
+                           LIMITS if line is None else ASKED)
         try:
             self.gossip = Gossip(self.loop, self.charter.name, self.giver.address, Chance(self.seed + 2),
                                  self.record)
+            if line is not None:
+                self.strong = Strong(self.loop, self.charter.name, line, self.record, Chance(self.seed + 5))
+                self.giver.also[TARGET] = self.strong.handle
         except OSError:
             self.giver.close()
             raise
@@ -84,6 +98,8 @@
         others = [peer for peer in peers if peer.name != self.charter.name]
         if self.gossip is not None:
             self.gossip.listed(others)
+        if self.strong is not None:
+            self.strong.listed({peer.name: peer.where for peer in others})
         self.learner.listed(others)
 
     def refused(self, mistakes):
@@ -95,12 +111,13 @@
         return sum(part.spent for part in (self.giver, self.keeper) if part is not None)
 
     def stop(self):
-        if self.gossip is not None:
-            self.gossip.stop()
+        for part in (self.gossip, self.strong):
+            if part is not None:
+                part.stop()
         if self.watch is not None:
             self.watch.close()
 
     def close(self):
-        for part in (self.watch, self.learner, self.weak, self.gossip, self.keeper):
+        for part in (self.watch, self.learner, self.weak, self.gossip, self.strong, self.keeper):
             if part is not None:
                 part.close()
--- /dev/null
+++ b/gaproute/appliance/strong.py
@@ -0,0 +1,60 @@
+"""The strong word of one gateway: its seat among keepers and holders, and errands of the operators' address.
+Parts wired, nothing decided."""
+import time
+
+from gaproute.ledger.votes import Votes
+from gaproute.peers.keepers import Seat
+from gaproute.shared.permits import Permits
+from gaproute.shared.permits.errands import Errands
+
+MILLI = 1_000_000
+
+
+class Strong:
+    """`line`: the configuration's `keepers`. Errors: OSError where the file of votes cannot be had."""
+
+    def __init__(self, loop, name, line, record, chance):
+        self.loop, self.peers = loop, {}         # name: address
+        self.disk = None
+        if name in line.names:
+            self.disk = Votes(line.votes, lambda text: record.event("warning", "votes", text=text)).open()
+        self.seat = Seat(loop, name, line.names, self.peers, record, chance, self.disk,
+                         base=time.time_ns() // MILLI, machine=Permits(longest=line.longest))
+        self.errands = Errands(self.seat.holder, line.longest)
+        self.timer = None
+
+    def listed(self, peers):
+        """{name: address} of all gateways that may ask. Changed in place, as the carrier holds it."""
+        for name in [name for name in self.peers if name not in peers]:
+            del self.peers[name]
+        self.peers.update(peers)
+
+    def handle(self, server, request):
+        self.seat.carrier.handle(server, request)
+
+    def ask(self, order):
+        """What an operator's order comes to. Errors: ValueError."""
+        told = self.errands.ask(self.loop.now(), order)
+        self._act()
+        return told
+
+    def table(self):
+        return {"errands": self.errands.table(self.loop.now()), **self.seat.table()}
+
+    def _act(self):
+        self.errands.tick(self.loop.now())
+        self.seat.act()
+        if self.timer is not None:
+            self.timer.cancel()
+        due = self.errands.due
+        self.timer = None if due is None else self.loop.at(max(due, self.loop.now() + MILLI), self._act)
+
+    def stop(self):
+        self.seat.stop()
+
+    def close(self):
+        if self.timer is not None:
+            self.timer.cancel()
+        self.seat.close()
+        if self.disk is not None:
+            self.disk.close()
--- a/gaproute/conf/across.py
+++ b/gaproute/conf/across.py
@@ -1,6 +1,6 @@
 """Mistakes that only show between lines."""
 from gaproute.conf.lines import Mistake
-from gaproute.conf.words.fleet import HostLine, Listen, Word
+from gaproute.conf.words.fleet import HostLine, KeepersLine, Listen, Word
 from gaproute.conf.words.tasks import ModelLine, TrackLine
 
 
@@ -16,6 +16,25 @@
     return mistakes
 
 
+def keepers(file, line, found):
+    """Mistakes of the `keepers` line beside the others."""
+    own = next((each.name for word, each in found if word == "name"), None)
+    known = {own} | {each.name for word, each in found if word == "peer"}
+    if own is None:
+        yield Mistake(file, line.line, "keepers without a name line: which of them is this gateway?",
+                      f"right would be: {Word.example}")
+    if not any(word == "peers-file" for word, _ in found):
+        for name in line.names:
+            if name not in known:
+                yield Mistake(file, line.line, f"keeper {name} is no peer here",
+                              f"right would be: peer {name} 127.0.0.1:8091")
+    if own in line.names and line.votes is None:
+        yield Mistake(file, line.line, "a keeper without a file for its votes",
+                      f"right would be: {KeepersLine.example}")
+    if own is not None and own not in line.names and line.votes is not None:
+        yield Mistake(file, line.line, "votes at a gateway that is no keeper", "leave votes out here")
+
+
 def across(file, found, words):
     """What only shows between lines."""
     mistakes = twice(file, found)
@@ -45,10 +64,12 @@
         mistakes.append(Mistake(file, 0, "a peers-file without a name line: which peer is this gateway?",
                                 f"right would be: {Word.example}"))
     for word, line in found:
-        if word == "weak-word" and line.told and not any(other == "listen" and listen.kind == "peers"
-                                                         for other, listen in found):
-            mistakes.append(Mistake(file, line.line, "weak-word yes without a listen peers line",
+        if (word == "keepers" or word == "weak-word" and line.told) and not any(
+                other == "listen" and listen.kind == "peers" for other, listen in found):
+            mistakes.append(Mistake(file, line.line, f"{word} without a listen peers line",
                                     "right would be: listen peers 127.0.0.1:8090"))
+        if word == "keepers":
+            mistakes += keepers(file, line, found)
         if word == "model" and line.track not in tracks:
             mistakes.append(Mistake(file, line.line, f"model {line.name}: no track {line.track!r}",
                                     f"the tracks here: {', '.join(tracks) or 'none'}"))
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -28,6 +28,7 @@
         self.peers = all_of("peer")
         self.peers_file = next(iter(all_of("peers-file")), None)
         self.memory = next((line.path for line in all_of("memory")), None)
+        self.keepers = next(iter(all_of("keepers")), None)
         self.clients, self.reach = one("clients"), one("reach")
         self.log_level, self.decisions = one("log").level, one("decisions").load()
         self.longest = max(line.limit for line in self.tracks)
--- a/gaproute/conf/words/__init__.py
+++ b/gaproute/conf/words/__init__.py
@@ -1,6 +1,6 @@
 """What each line of the configuration may say: one schema a word."""
-from gaproute.conf.words.fleet import (HostLine, HostsFile, Listen, MemoryLine, PeerLine, PeersFile, WeakWord,
-                                       Word)
+from gaproute.conf.words.fleet import (HostLine, HostsFile, KeepersLine, Listen, MemoryLine, PeerLine,
+                                       PeersFile, WeakWord, Word)
 from gaproute.conf.words.kinds import Address, Name
 from gaproute.conf.words.process import Clients, Decisions, Log, ReachLine
 from gaproute.conf.words.tasks import (Advice, Cold, Copies, ModelLine, OverShare, Relays, Reports, Sizes,
@@ -20,6 +20,7 @@
     "peer": PeerLine,
     "peers-file": PeersFile,
     "memory": MemoryLine,
+    "keepers": KeepersLine,
     "copies": Copies,
     "relays": Relays,
     "reports": Reports,
--- a/gaproute/conf/words/fleet.py
+++ b/gaproute/conf/words/fleet.py
@@ -1,10 +1,12 @@
 """Lines on this gateway, its hosts and the other gateways."""
-from typing import ClassVar, Literal
+from typing import Annotated, ClassVar, Literal
 
-from pydantic import Field
+from pydantic import BeforeValidator, Field, model_validator
 
 from gaproute.conf.lines import Directive, Span, Yes
 from gaproute.conf.words.kinds import Address, Name, Started
+from gaproute.shared.keepers.messages import KEEPERS
+from gaproute.shared.permits.commands import LONGEST, SHORTEST
 
 
 class Word(Directive):
@@ -63,6 +65,24 @@
     path: str
 
 
+class KeepersLine(Directive):
+    places: ClassVar = ("names",)
+    example: ClassVar = "keepers gate-1,gate-2,gate-3 votes /var/lib/gaproute/gate-1.votes longest 600s"
+    once: ClassVar = True
+    names: Annotated[tuple[Name, ...], BeforeValidator(
+        lambda value: tuple(value.split(",")) if isinstance(value, str) else value)]
+    votes: str | None = None                       # what this keeper must not forget; others need none
+    longest: Span = Field(LONGEST, ge=SHORTEST, le=LONGEST)      # of a permit
+
+    @model_validator(mode="after")
+    def fits(self):
+        if len(set(self.names)) < len(self.names):
+            raise ValueError("a keeper is named twice")
+        if len(self.names) > KEEPERS:
+            raise ValueError(f"{KEEPERS} keepers at most, 3 or 5 are usual")
+        return self
+
+
 class WeakWord(Directive):
     places: ClassVar = ("told",)
     example: ClassVar = "weak-word yes"
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -19,6 +19,7 @@
 READINGS = 16            # readings held for learners; whoever comes back for an older one begins anew
 HELD = 4 << 20           # bytes of told chunks held for them
 SHARED = 250 * MILLI     # after it began, a snapshot is still told to others that begin: after a roll many do
+LIMITS = Limits(body=4096, pipelined=1, connections=64)      # of those that ask
 PLACE = 1 << 20          # a cursor is the reading's number times this, plus the chunk's
 
 
@@ -33,18 +34,22 @@
 class Giver:
     """`gateway` tells what it knows, `roll` what its host list told; `tracks`: their names."""
 
-    def __init__(self, loop, where, gateway, roll, tracks, meter=time.thread_time_ns):
+    def __init__(self, loop, where, gateway, roll, tracks, limits=LIMITS, meter=time.thread_time_ns):
         self.meter = meter           # CPU spent so far, ns
+        self.also = {}               # target: handle(server, request), of what else is served here
         self.loop, self.gateway, self.roll, self.tracks = loop, gateway, roll, tracks
         self.purse = Purse(loop.now())
         self.life = secrets.randbits(63) | 1       # the clock's marks are this process's alone
         self.readings, self.count = {}, 0          # number: Reading
         self.told = self.put_off = self.spent = 0
-        self.server = Server(loop, where, self.handle, Limits(body=4096, pipelined=1, connections=64))
+        self.server = Server(loop, where, self.handle, limits)
         self.address = self.server.address
 
     def handle(self, request):
         now = self.loop.now()
+        if request.target in self.also:
+            self.also[request.target](self.server, request)
+            return
         if request.target != b"/lore" or request.method != b"POST":
             self.server.answer(request, 404, (), b"POST /lore\n")
             return
--- a/gaproute/shared/permits/commands.py
+++ b/gaproute/shared/permits/commands.py
@@ -11,6 +11,7 @@
 LONGEST = 600 * SECOND   # of a permit: how long a resource stays taken at most by a holder that died
 SHORTEST = 100 * MILLI   # below it the renewals cost more than the permit is worth
 BOUND = 10               # per mille by which any clock's rate may differ from true time (1%)
+MOST_WISHES = 1024       # of one holder at once: the hosts of a large fleet, and a bound
 
 Amount = Annotated[int, Meta(ge=0, le=HIGHEST)]
 Span = Annotated[int, Meta(ge=SHORTEST, le=LONGEST)]
--- a/gaproute/shared/permits/holder.py
+++ b/gaproute/shared/permits/holder.py
@@ -7,15 +7,14 @@
 from collections import Counter, deque
 
 from gaproute.shared.keepers.messages import HIGHEST, Reply, Request
-from gaproute.shared.permits.commands import (LONGEST, SHORTEST, Answer, Give, Renew, Size, Take, encode,
-                                              read_answer)
+from gaproute.shared.permits.commands import (LONGEST, MOST_WISHES, SHORTEST, Answer, Give, Renew, Size, Take,
+                                              encode, read_answer)
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 AGAIN = 500 * MILLI      # until the next keeper is asked: above a sync and a round trip, below an election
 PAUSE = 100 * MILLI      # before the next one is asked by one that knows no leader
 HOPS = 2                 # redirects followed at once: keepers that name one another must not be a flood
-WISHES = 1024            # at once: the hosts of a large fleet, and a bound
 
 
 class Wish:
@@ -59,8 +58,8 @@
         """Errors: ValueError for what no keeper would take."""
         if not SHORTEST <= span <= LONGEST or not 1 <= amount <= HIGHEST:
             raise ValueError(f"a permit of {amount} for {span} ns")
-        if len(self.wishes) >= WISHES:
-            raise ValueError(f"{WISHES} wishes at once")
+        if len(self.wishes) >= MOST_WISHES:
+            raise ValueError(f"{MOST_WISHES} wishes at once")
         wish = Wish(resource, amount, span)
         self.wishes.append(wish)
         self.queue.append(Job(Take(resource, self.name, amount, span), wish))
@@ -81,7 +80,7 @@
 
     def size(self, now, resource, amount):
         """Errors: ValueError where too much waits to be said."""
-        if len(self.queue) >= 2 * WISHES:
+        if len(self.queue) >= 2 * MOST_WISHES:
             raise ValueError(f"{len(self.queue)} commands wait")
         self.queue.append(Job(Size(resource, self.name, amount)))
 
--- a/gaproute/shared/permits/invariants.py
+++ b/gaproute/shared/permits/invariants.py
@@ -1,5 +1,5 @@
 """What must always hold of permits; every check returns breaches as text, named first."""
-from gaproute.shared.permits.holder import WISHES
+from gaproute.shared.permits.commands import MOST_WISHES
 from gaproute.shared.permits.machine import PERMITS, POOLS
 
 
@@ -24,7 +24,7 @@
 def check_holder(holder):
     """Cheap: of one holder alone."""
     came = []
-    if len(holder.wishes) > WISHES or len(holder.queue) > 3 * WISHES or len(holder.urgent) > 3 * WISHES:
+    if len(holder.wishes) > MOST_WISHES or len(holder.queue) > 3 * MOST_WISHES or len(holder.urgent) > 3 * MOST_WISHES:
         came.append(f"maps are bounded: {holder.name}")
     if any(wish.state not in ("asked", "held") for wish in holder.wishes):
         came.append(f"wishes at work are asked or held: {holder.name}")
--- /dev/null
+++ b/tests/test_permits_appliance.py
@@ -0,0 +1,139 @@
+"""Permits through whole gateways: the configuration's lines, the operators' address, keepers that die."""
+import json
+
+import pytest
+
+from gaproute.conf import Mistakes, read_charter
+from gaproute.loop.streams import address
+from gaproute.shared.permits import Holder
+from gaproute.shared.permits.errands import Errands, Order
+from helpers import CHARTER, MILLI, SECOND
+
+LONGEST = 300            # ms of a permit here, so that the quiet after founding is short
+
+
+def mistakes(*lines):
+    with pytest.raises(Mistakes) as wrong:
+        read_charter("f", CHARTER + "host h 127.0.0.1:9\n" + "\n".join(lines) + "\n")
+    return [str(mistake) for mistake in wrong.value.mistakes]
+
+
+PEERS = ("listen peers 127.0.0.1:0", "peer h 127.0.0.1:1", "peer i 127.0.0.1:2")
+
+
+@pytest.mark.parametrize("lines, told", [
+    ((*PEERS, "keepers g,h,i"), "a keeper without a file for its votes"),
+    ((*PEERS, "keepers h,i votes /tmp/v"), "votes at a gateway that is no keeper"),
+    ((*PEERS, "keepers g,h,k votes /tmp/v"), "keeper k is no peer here"),
+    (("keepers g votes /tmp/v",), "keepers without a listen peers line"),
+    ((*PEERS, "keepers g,g votes /tmp/v"), "a keeper is named twice"),
+    ((*PEERS, "keepers g,h,i votes /tmp/v longest 2h"), "longest")])
+def test_lines_that_contradict_each_other_are_named(lines, told):
+    assert any(told in text for text in mistakes(*lines)), mistakes(*lines)
+
+
+class Site:
+    def __init__(self, fleet, folder):
+        (self.made, self.start), self.folder, self.gates = fleet, folder, {}
+
+    def up(self, name):
+        lines = [f"listen peers unix:{self.folder}/{name}", "listen operator 127.0.0.1:0",
+                 f"keepers a,b,c longest {LONGEST}ms" + (f" votes {self.folder}/{name}.votes" if name in "abc"
+                                                         else "")]
+        lines += [f"peer {other} unix:{self.folder}/{other}" for other in "abcd" if other != name]
+        self.gates[name] = self.start(name, *lines, listen=False)
+
+    def down(self, name):
+        self.gates.pop(name).close()
+
+    def ask(self, name, **order):
+        """(status, what it is told) of one order at that gateway's operators' address."""
+        front = next(front for front in self.gates[name].fronts if type(front).__name__ == "Operator")
+        self.made.at = address(front.address)
+        answer = self.made.wait(self.made.ask(path="/permits", body=json.dumps(order).encode()))
+        return answer.status, json.loads(answer.body)
+
+    def errand(self, name, number):
+        return next(each for each in self.gates[name].others.strong.table()["errands"]
+                    if each["errand"] == number)
+
+    def leader(self):
+        def leaders():
+            return [name for name in "abc" if self.gates[name].others.strong.seat.keeper.leading]
+        self.made.until(leaders)
+        return leaders()[0]
+
+    def held(self, name, resource, for_ms=20_000):
+        """Takes it, again where it is refused, until it is held."""
+        def one():
+            number = self.ask(name, take=resource, span_ms=LONGEST, for_ms=for_ms)[1]["errand"]
+            self.made.until(lambda: self.errand(name, number)["state"] != "asked")
+            return self.errand(name, number)
+        told = one()
+        while told["state"] == "refused":
+            told = one()
+        return told
+
+
+@pytest.fixture
+def site(fleet, tmp_path):
+    made = Site(fleet, tmp_path)
+    for name in "abcd":
+        made.up(name)
+    return made
+
+
+def test_a_crew_takes_a_permit_that_nobody_else_gets_and_gives_it_back(site):
+    one = site.held("d", "out h0", for_ms=5000)
+    assert one["state"] == "held" and one["fence"] > 0
+    number = site.ask("a", take="out h0", span_ms=LONGEST)[1]["errand"]
+    site.made.until(lambda: site.errand("a", number)["state"] != "asked")
+    assert (site.errand("a", number)["state"], site.errand("a", number)["why"]) == ("refused", "taken")
+    assert site.ask("d", give=one["errand"])[1]["state"] == "given"
+    assert site.held("a", "out h0")["fence"] > one["fence"]
+
+
+def test_a_permit_outlives_its_leader_and_ends_when_nobody_asks_to_keep_it(site):
+    one = site.held("d", "out h1", for_ms=5000)
+    leader = site.leader()
+    site.down(leader)
+    site.ask("d", keep=one["errand"], for_ms=6000)
+    site.made.until(lambda: site.errand("d", one["errand"])["state"] != "held")
+    site.up(leader)
+    other = next(name for name in "abc" if name != leader)
+    assert site.held(other, "out h1")["fence"] > one["fence"]
+
+
+def test_nothing_begins_without_a_majority_and_tasks_are_served_all_the_same(site):
+    site.held("d", "out h2")
+    site.down("a")
+    site.down("b")
+    number = site.ask("d", take="out h3", span_ms=LONGEST)[1]["errand"]
+    site.made.at = address(site.gates["d"].fronts[0].address)
+    assert site.made.wait(site.made.ask("lamp", "w1")).status == 200
+    site.made.rest(2 * LONGEST * MILLI)
+    assert site.errand("d", number)["state"] in ("asked", "given") and not site.errand("d", number)["fence"]
+
+
+@pytest.mark.parametrize("order, why", [
+    ({}, "one of take"), ({"take": "x", "give": 1}, "one of take"), ({"give": 9}, "no errand 9"),
+    ({"take": "x", "span_ms": 10 ** 9}, "are possible"), ({"take": "x" * 500, "span_ms": LONGEST}, "length"),
+    ({"take": "x", "amount": -1}, "take"), ({"wish": 1}, "unknown field")])
+def test_an_order_that_cannot_be_is_refused_by_name(site, order, why):
+    status, told = site.ask("d", **order)
+    assert status == 400 and (why in told["error"] or "Expected" in told["error"])
+
+
+def test_an_errand_that_nobody_keeps_is_given_back_and_then_forgotten():
+    class Once:
+        def below(self, n):
+            return 0
+    errands = Errands(Holder("g", ["k"], Once(), 0))
+    number = errands.ask(0, Order(take="x", span_ms=1000))["errand"]
+    errands.ask(900 * MILLI, Order(keep=number))
+    errands.tick(SECOND)
+    assert errands.told(SECOND, number)["state"] == "asked"
+    errands.tick(1900 * MILLI)
+    assert errands.told(2 * SECOND, number)["state"] == "given"
+    errands.tick(70 * SECOND)
+    assert errands.errands == {} and errands.due is None
