--- a/gaproute/driver/chance.py
+++ b/gaproute/driver/chance.py
@@ -27,3 +27,16 @@
 
     def of(self, things):
         return things[int(self.random() * len(things))]
+
+
+class Narrow(Chance):
+    """Draws from the lowest part only, so that what is spread by chance to keep out of each other's way meets."""
+
+    __slots__ = ("part",)
+
+    def __init__(self, part, *words):
+        super().__init__(*words)
+        self.part = part
+
+    def below(self, n):
+        return int(self.random() * (n // self.part + 1)) if n > self.part else int(self.random() * n)
--- a/gaproute/driver/faults.py
+++ b/gaproute/driver/faults.py
@@ -1,11 +1,26 @@
 """What each kind of fault of a plan does to the world when it begins and when it ends."""
+import msgspec
+
 from gaproute.driver.disk import FAILING, FULL, READONLY
+from gaproute.driver.plan import LEADER
 
 START = 4                # as in world.py: START events
 ERRORS = {"full": FULL, "read-only": READONLY, "failing": FAILING}
 
 
+def _met(world, fault, number):
+    """The fault with a number in the leader's place; at its end the same as at its begin."""
+    if LEADER not in fault.who:
+        return fault
+    if number not in world.befell:
+        seat = world.leader(world) if world.leader is not None else None
+        place = seat.number if seat is not None else world.chance.below(len(world.places))
+        world.befell[number] = tuple(dict.fromkeys(place if who == LEADER else who for who in fault.who))
+    return msgspec.structs.replace(fault, who=world.befell[number])
+
+
 def begin(world, fault, number):
+    fault = _met(world, fault, number)
     net, kind = world.net, fault.kind
     seat = world.places[fault.who[0]] if fault.who else None
     if kind in ("crash", "wipe", "spoil"):
@@ -40,6 +55,7 @@
 
 
 def end(world, fault, number):
+    fault = _met(world, fault, number)
     net, kind = world.net, fault.kind
     seat = world.places[fault.who[0]] if fault.who else None
     if kind in ("crash", "wipe", "spoil", "fuse"):
@@ -74,6 +90,8 @@
         others = [number for number in range(len(world.places)) if number not in fault.who]
         pairs = [(one, other) for one in fault.who for other in others]
         return pairs + [(other, one) for one, other in pairs]
+    if len(fault.who) < 2:
+        return []                            # the leader was the other end
     one, other = fault.who
     return [(one, other)] if fault.kind == "cut" else [(one, other), (other, one)]
 
--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/driver/keepchecks.py
@@ -1,7 +1,7 @@
 """What must hold of keepers and holders that only one who sees all of them, and true time, can tell."""
 from gaproute.driver.plan import MEMORY
 from gaproute.shared.keepers.invariants import History, check_all
-from gaproute.shared.keepers.messages import Append, Install, Vote
+from gaproute.shared.keepers.messages import Append, Install, Reply, Vote
 
 
 class Told:
@@ -10,7 +10,7 @@
 
     def __init__(self, play):
         self.keepers = set(play.keepers)     # asked for membership only
-        self.votes, self.leaders = {}, {}
+        self.votes, self.leaders, self.answers = {}, {}, {}
 
     def __call__(self, world, seat, to, message):
         if seat.name not in self.keepers:
@@ -25,6 +25,10 @@
             was = self.leaders.setdefault(message.term, (seat.name, message.life))
             if was != (seat.name, message.life):
                 yield f"one leader a term: {was[0]} and {seat.name} in {message.term}"
+        elif isinstance(message, Reply) and message.session and message.state == "done":
+            was = self.answers.setdefault((to, message.session, message.nonce), message.body)
+            if was != message.body:
+                yield f"one answer a request: {to} was told {was} and {message.body}"
 
 
 class Held:
--- a/gaproute/driver/keepers.py
+++ b/gaproute/driver/keepers.py
@@ -7,7 +7,7 @@
 from gaproute.driver.checks import Breach, Checks
 from gaproute.driver.keepchecks import Held, Told, agreed, came_right
 from gaproute.driver.load import Load
-from gaproute.driver.plan import draw
+from gaproute.driver.plan import MEMORY, draw
 from gaproute.driver.world import World
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.keepers import keeper as module
@@ -23,6 +23,7 @@
 RATE = BOUND * 1_000     # millionths: clocks go wrong up to what is promised
 NAMES = ("r1", "r2", "r3", "p1", "p2")
 POOLS = {"p1": (3, 4), "p2": (4, 6)}      # name: sizes that are told
+NARROW = 64              # in a third of the runs elections meet: timers differ by a 64th of what they should
 DEEP = 12                # steps between the dear checks
 
 
@@ -37,7 +38,9 @@
         self.keepers = [*self.named, self.spare]
         self.holders = [f"h{number}" for number in range(1, holders + 1)]
         self.told = {}                       # actor: the names it goes by; others have yet to hear
-        self.changes = changes and chance.below(3) == 0
+        lost = {fault.who[0] for fault in plan.faults if fault.kind in MEMORY}
+        # The last with a memory must not be taken out of the names: then the others begin anew, as they should.
+        self.changes = changes and chance.below(3) == 0 and 2 * len(lost) < keepers
         makes = {name: self.keeper for name in self.keepers} | {name: self.holder for name in self.holders}
         asks = [(12, self.take), (5, self.give), (2, self.size)] + [(1, self.change)] * self.changes
         rates = {name: chance.of((-rate, 0, rate)) for name in makes}
@@ -46,7 +49,8 @@
             checks = Checks(touched=[held])
         else:
             checks = Checks([held], [told], [agreed(self)], [came_right(self)], every)
-        self.world = World(plan, makes, checks, Load(asks, EVERY, Chance(plan.seed, "load")), rates)
+        self.world = World(plan, makes, checks, Load(asks, EVERY, Chance(plan.seed, "load")), rates,
+                           leader=self.leader, narrow=chance.of((0, 0, NARROW)))
 
     def keeper(self, name, disk, chance, now):
         self.told[name] = tuple(self.named)
@@ -57,6 +61,11 @@
         self.told[name] = tuple(self.named)
         return Holder(name, self.named, chance, now)
 
+    def leader(self, world):
+        leading = [seat for name in self.keepers if (seat := world.seats[name]).actor is not None
+                   and seat.actor.leading]
+        return max(leading, key=lambda seat: seat.actor.term, default=None)
+
     def take(self, world, chance):
         resource, amount = chance.of(NAMES), 1
         if resource in POOLS:
@@ -106,7 +115,8 @@
     wiped = range(keepers) if forgotten else sorted((first + step) % keepers for step in range(lost))
     size = keepers + 1 + holders
     return draw(seed, size, end, ["crash", "wipe", "spoil", "cut", "part", "pause", "pace"] if forgotten else None,
-                wiped=wiped, beyond=RATE, settle=settle, faulty=[*range(size), *range(keepers)])
+                wiped=wiped, beyond=RATE, settle=settle, faulty=[*range(size), *range(keepers)],
+                led=True)
 
 
 def play(plan, **told):
--- a/gaproute/driver/plan.py
+++ b/gaproute/driver/plan.py
@@ -12,12 +12,15 @@
 KINDS = {"crash": 4, "fuse": 6, "wipe": 1, "spoil": 1, "pause": 4, "cut": 4, "cut both": 2, "part": 4, "lose": 2, "double": 2,
          "slow": 2, "hold": 2, "full": 1, "read-only": 1, "failing": 1,
          "pace": 2}
+LEADER = -1              # what stands or falls with the leader is hit by chance too seldom
+LED = ("crash", "fuse", "pause", "cut both", "cut", "part")
 MEMORY = ("wipe", "spoil")    # those that cost an actor its memory
 LONGEST = {"lose": 4, "double": 6, "slow": 4, "pace": 8, "part": 4, "pause": 3}    # s; others 3
 
 
 class Fault(msgspec.Struct, frozen=True, array_like=True):
-    """`who` are numbers of actors; `value` is the share, ns, operations or millionths, as the kind has it."""
+    """`who` are numbers of actors, LEADER being whoever leads when it begins; `value` is the share, ns, operations
+    or millionths, as the kind has it."""
     kind: str
     at: int
     until: int
@@ -41,11 +44,11 @@
     return msgspec.json.decode(text, type=Plan)
 
 
-def draw(seed, size, end, kinds=None, wiped=None, faulty=None, beyond=0, settle=0):
+def draw(seed, size, end, kinds=None, wiped=None, faulty=None, beyond=0, settle=0, led=False):
     """A plan for `size` actors over `end` ns. `kinds` leaves out others. A run has some kinds only, drawn for it:
     a run with everything at once hides what one kind alone would show. Disks are lost by the actors in `wiped` only
     (default: none), faults of one actor befall those in `faulty` (default: all). `beyond` > 0 lets clocks go wrong
-    by so many millionths, outside what is promised."""
+    by so many millionths. `led`: half of the faults that one actor has befall the leader of that moment."""
     chance = Chance(seed, "plan")
     faulty = list(range(size)) if faulty is None else faulty
     offered = [kind for kind in KINDS if kinds is None or kind in kinds]
@@ -61,7 +64,10 @@
             break
         kind = chance.of(weighed)
         until = min(end, now + 50 * MILLI + chance.below(LONGEST.get(kind, 3) * SECOND) // chance.of((1, 1, 4)))
-        faults.append(_fault(chance, kind, now, until, size, wiped, faulty, beyond))
+        fault = _fault(chance, kind, now, until, size, wiped, faulty, beyond)
+        if led and kind in LED and chance.below(2):
+            fault = msgspec.structs.replace(fault, who=(LEADER, *fault.who[1:]))
+        faults.append(fault)
     return Plan(seed, end, tuple(faults), settle)
 
 
--- a/gaproute/driver/world.py
+++ b/gaproute/driver/world.py
@@ -12,7 +12,7 @@
 import xxhash
 
 from gaproute.driver import faults
-from gaproute.driver.chance import Chance
+from gaproute.driver.chance import Chance, Narrow
 from gaproute.driver.checks import Breach, Checks
 from gaproute.driver.clock import Clock
 from gaproute.driver.disk import Crash, Disk
@@ -32,10 +32,13 @@
 
 class World:
     """`makes`: {name: make}. `rates`: {name: millionths}, None: each within `plan.RATE`, drawn. `wire`: (encode,
-    decode), where messages are to go in bytes; else an actor must not change what it sent or heard."""
+    decode), where messages are to go in bytes; else an actor must not change what it sent or heard. `leader(world)`:
+    the seat that a fault means by plan.LEADER, or None. `narrow`: actors' chance draws from such a part only."""
 
-    def __init__(self, plan, makes, checks=None, load=None, rates=None, wire=None, rate=100):
+    def __init__(self, plan, makes, checks=None, load=None, rates=None, wire=None, rate=100, leader=None,
+                 narrow=0):
         self.plan, self.checks, self.load, self.wire = plan, checks or Checks(), load, wire
+        self.leader, self.befell = leader, {}    # fault's number: whom it befell, as the leader may be another then
         self.now = self.step = self.order = self.strays = 0
         self.heap, self.last, self.digest = [], deque(maxlen=LAST), xxhash.xxh3_64()
         self.chance = Chance(plan.seed, "world")
@@ -44,7 +47,8 @@
         for number, (name, make) in enumerate(makes.items()):
             fast = self.chance.between(-rate, rate) if rates is None else rates.get(name, 0)
             clock = Clock(0, self.chance.below(SHOWN), fast)
-            self.seats[name] = Seat(name, number, make, Disk(), clock, Chance(plan.seed, "actor", name), fast)
+            luck = Narrow(narrow, plan.seed, "actor", name) if narrow else Chance(plan.seed, "actor", name)
+            self.seats[name] = Seat(name, number, make, Disk(), clock, luck, fast)
         self.places = list(self.seats.values())
         for seat in self.places:
             self.push(0, START, seat, None, None)
