Workers that left the list leave the module's table; no list of the gone under 1,024

Change: tidy forgets those that are off the list with nothing out to them, in all tables of functions; hints read over many turns pass over who went meanwhile. GONE_KEPT 256 and 64 connections of learners were caps below 1,024, which a roll of a large fleet passes.

--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -20,14 +20,15 @@
 class Worker:
     """What this gateway knows of one worker."""
 
-    def __init__(self, row):
-        self.id, self.place, self.asked = row.worker, 0, -LONG   # in the fleet; when last probed from here
-        self.restart(row)
+    def __init__(self, row, cold_time):
+        self.id, self.cold_time = row.worker, cold_time
+        self.place, self.asked = 0, -LONG    # in the fleet; when last probed from here
+        self.restart(row, -1, {})
 
-    def restart(self, row):
+    def restart(self, row, wiped, out):
         self.started = row.started
-        self.wiped = -1          # copies recorded before this time are lost
-        self.out = {}            # (task, relay): when sent
+        self.warm_at = -1 if row.started is None else row.started + self.cold_time     # able to do all its work
+        self.wiped, self.out = wiped, out    # copies before it are lost; (task, relay): when sent
         self.heard = {}          # track: when an answer last came
         self.late = {}           # (task, relay) overdue with nothing of its track heard since: whether booked
         self.results = []        # (time, track, harm: 0 if good, 1 if unanswered), the last of each track
@@ -36,7 +37,6 @@
         self.slow, self.slow_until = 1.0, -1     # the pace at the last answer
         self.report, self.reported, self.memory = None, -LOAD_LIFE, None
         self.tally, self.tally_until = None, 0   # see `queued`
-        self.warm_at = -1        # from when it can do all of its work
         self.credit, self.credited = 0.0, 0      # chance of a relay to it while cold; when last raised
         self.full_until = -1     # it turned a task away; nothing more until then
         self.renew(row)
--- a/gaproute/decisions/route/booked.py
+++ b/gaproute/decisions/route/booked.py
@@ -14,8 +14,7 @@
 class Booked(Waits):
     def probed(self, now, worker_id, good, report):
         """Returns what all other gateways are to be told of it, or None."""
-        worker = self.workers.get(worker_id)
-        if worker is not None:
+        if (worker := self.workers.get(worker_id)) is not None:
             self.note(worker, now, report)
             if not good:
                 self.book(worker, now, None, 1.0)
--- a/gaproute/decisions/route/hints.py
+++ b/gaproute/decisions/route/hints.py
@@ -118,7 +118,8 @@
             if function is None or function.answered <= since:
                 continue
             for worker, seen in list(function.stands.items()):
-                if seen > since and self.workers[worker].active and seen >= self.workers[worker].wiped:
+                held = self.workers.get(worker)      # gone meanwhile: this is read over many turns
+                if seen > since and held is not None and held.active and seen >= held.wiped:
                     yield "warm", (worker, name), (function.lanes,), seen
             if function.times:
                 yield "usual", (name,), (int(median(function.times)),), function.answered
--- a/gaproute/decisions/route/known.py
+++ b/gaproute/decisions/route/known.py
@@ -38,21 +38,15 @@
 
     def listed(self, now, rows, complete):
         for row in rows:
-            worker = self.workers.get(row.worker)
-            if worker is None:
-                worker = self.workers[row.worker] = Worker(row)
+            if (worker := self.workers.get(row.worker)) is None:
+                self.workers[row.worker] = Worker(row, self.terms.cold_time)
             elif row.started is not None and row.started != worker.started:
-                out = worker.out
-                worker.restart(row)
-                worker.out, worker.wiped = out, now
+                worker.restart(row, now, worker.out)
             else:
                 worker.renew(row)
-        if complete:
-            named = {row.worker for row in rows}
-            for worker in self.workers.values():
-                worker.active = worker.active and worker.id in named
-        for worker in self.workers.values():
-            worker.warm_at = -1 if worker.started is None else worker.started + self.terms.cold_time
+        named = {row.worker for row in rows}
+        for worker in self.workers.values() if complete else ():
+            worker.active = worker.active and worker.id in named
         self.fleet = [worker for worker in self.workers.values() if worker.active]
         for place, worker in enumerate(self.fleet):
             worker.place = place
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -69,8 +69,7 @@
                 best, ties = score, [worker]
             elif score == best:
                 ties.append(worker)
-        if len(ties) > 1:
-            ties.sort(key=lambda worker: worker.place)
+        ties.sort(key=lambda worker: worker.place)
         # One that turned a task away just now gets none for a moment: refusals come fast and look like
         # idleness, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused
         # moves on.
--- a/gaproute/decisions/route/tidy.py
+++ b/gaproute/decisions/route/tidy.py
@@ -8,6 +8,14 @@
 
 
 class Gateway(Serving):
+    def forget(self):
+        """Workers that left the list with nothing out to them: a long life would hold each that ever was."""
+        for name in [worker.id for worker in self.workers.values() if not (worker.active or worker.out)]:
+            del self.workers[name]
+            for function in self.functions.values():
+                for table in (function.seen, function.stands, function.told):
+                    table.pop(name, None)
+
     def housekeep(self, now):
         """Ask for the list where it must be asked for, probe where reports come no other way, and forget."""
         tidied = now
@@ -19,6 +27,7 @@
                 yield Probe(worker.id)
             if now - tidied >= TIDY:
                 tidied = now
+                self.forget()
                 self.functions = {name: function for name, function in self.functions.items()
                                   if function.ordered or now - function.used <= 4 * self.keep_alive}
             rest = PROBE_EVERY // max(1, len(self.fleet)) if self.sharing.may() else PAUSE
--- a/gaproute/decisions/told/roll.py
+++ b/gaproute/decisions/told/roll.py
@@ -1,6 +1,6 @@
 """What a gateway tells of its own: its host list and what it saw."""
 
-GONE_KEPT = 256          # hosts remembered as gone
+GONE_KEPT = 1024         # hosts remembered as gone: more than a fleet replaces in a roll
 
 
 class Roll:
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -19,7 +19,7 @@
 READINGS = 16            # readings held for learners; whoever comes back for an older one begins anew
 HELD = 4 << 20           # bytes of told chunks held for them
 SHARED = 250 * MILLI     # after it began, a snapshot is still told to others that begin: after a roll many do
-LIMITS = Limits(body=4096, pipelined=1, connections=64)      # of those that ask
+LIMITS = Limits(body=4096, pipelined=1, connections=1024)    # of those that ask: a roll starts hundreds
 PLACE = 1 << 20          # a cursor is the reading's number times this, plus the chunk's
 
 
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -336,3 +336,25 @@
         made.workers["near"].out["x", number] = 0
     made.workers["near"].tally = None
     assert made.choose(0, task(), Trail()).id == "far"
+
+
+def test_a_worker_that_left_the_list_is_forgotten_once_nothing_is_out_to_it():
+    made = gateway(row("a"), row("b"))
+    drive = Drive(made, task())
+    held = drive.sent[0]
+    made.listed(1, [row("a" if held == "b" else "b")], True)
+    made.forget()
+    assert held in made.workers and held in made.functions["f"].seen, "its answer is still to be booked"
+    drive.hears(2, Result.OK)
+    made.forget()
+    assert held not in made.workers
+    assert held not in made.functions["f"].seen and held not in made.functions["f"].stands
+    assert Drive(made, task("u")).sent[0] != held
+
+
+def test_a_thousand_hosts_replaced_leave_no_trace():
+    made = gateway(row("a"))
+    for number in range(1000):
+        made.listed(number, [row(f"h{number}")], True)
+        made.forget()
+    assert list(made.workers) == ["h999"]
