--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -27,7 +27,7 @@
 
     def restart(self, row, wiped, out):
         self.started = row.started
-        self.wiped, self.out = wiped, out    # copies of before are lost; (task, relay): when sent
+        self.warm_at = -1 if row.started is None else row.started + self.cold_time     # does all its work
         self.wiped, self.out = wiped, out    # copies before it are lost; (task, relay): when sent
         self.heard = {}          # track: when an answer last came
         self.late = {}           # (task, relay) overdue with nothing of its track heard since: whether booked
