--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/driver/keepchecks.py
@@ -1,7 +1,7 @@
 """What must hold of keepers and holders that only one who sees all of them, and true time, can tell."""
 from gaproute.driver.plan import MEMORY
 from gaproute.shared.keepers.invariants import History, check_all
-from gaproute.shared.keepers.messages import Append, Install, Reply, Vote
+from gaproute.shared.keepers.messages import Ack, Append, Install, Reply, Vote
 from gaproute.shared.keepers.records import Voted, decode
 
 
@@ -11,7 +11,7 @@
 
     def __init__(self, play):
         self.keepers = set(play.keepers)     # asked for membership only
-        self.votes, self.leaders, self.answers = {}, {}, {}
+        self.votes, self.leaders, self.answers, self.acked = {}, {}, {}, {}
 
     def __call__(self, world, seat, to, message):
         if seat.name not in self.keepers:
@@ -26,6 +26,9 @@
                          if isinstance(record, Voted)), None)
             if last is None or (last.term, last.name) != (message.term, to):
                 yield f"a vote is on disk before it is told: {seat.name}, {message.term} to {to}, has {last}"
+        elif isinstance(message, Ack) and message.ok:
+            key = seat.name, message.life, message.term
+            self.acked[key] = max(message.index, self.acked.get(key, 0))
         elif isinstance(message, (Append, Install)):
             was = self.leaders.setdefault(message.term, (seat.name, message.life))
             if was != (seat.name, message.life):
@@ -37,11 +40,12 @@
 
 
 class Remembered:
-    """For `Checks.touched`: a keeper with the same disk knows what it told before: its term, its vote. So one
-    that forgets in a crash is found at once, not only where the second vote does harm."""
+    """For `Checks.touched`: a keeper with the same disk knows what it told before: its term, its vote. A leader was
+    voted for by most, and commits by entries of its own term that most have. So what breaks the rules of the
+    agreement is found at once, not only where harm comes of it, which takes several accidents more."""
 
     def __init__(self, told):
-        self.told, self.terms = told, {}
+        self.told, self.terms, self.led = told, {}, {}
 
     def __call__(self, world, seat):
         if seat.name not in self.told.keepers:
@@ -55,6 +59,29 @@
         voted = self.told.votes.get((*key, term))
         if voted is not None and keeper.store.voted[0] != voted:
             yield f"a vote is remembered: {seat.name} gave {term} to {voted}, knows of {keeper.store.voted}"
+        if keeper.leading:
+            yield from self._leader(keeper, (*key, term))
+
+    def _leader(self, keeper, key):
+        before, commit, term = self.led.get(key), keeper.commit, keeper.term
+        self.led[key] = commit
+        if before is None and not self._most(keeper, self.told.votes, keeper.name):
+            yield f"a leader has most votes: {keeper.name} leads {term} without"
+        elif before is not None and commit > before:
+            if keeper.log.term(commit) != term:
+                yield f"a leader commits by its own term: {keeper.name} {commit} in {term}"
+            if not self._most(keeper, self.told.acked, commit):
+                yield f"committed is what most have: {keeper.name} {commit} in {term}"
+
+    @staticmethod
+    def _most(keeper, told, least):
+        """Whether most members told so (a name: that one; a number: so much), each under the life of the roll."""
+        count = 0
+        for member in keeper.members:
+            value = told.get((member.name, member.life, keeper.term))
+            count += member.name == keeper.name or value is not None and (
+                value == least if isinstance(least, str) else value >= least)
+        return 2 * count > len(keeper.members)
 
 
 class Held:
@@ -62,15 +89,15 @@
     and who comes later has the greater fencing number. Of a pool, the most that it was ever said to hold;
     names have one. Looked at when a holder has acted: in between a permit can only end."""
 
-    def __init__(self, holders, pools):
-        self.holders = dict.fromkeys(holders)
+    def __init__(self, holders, pools, leader):
+        self.holders, self.leader = dict.fromkeys(holders), leader
         self.most = {name: max(sizes) for name, sizes in pools.items()}
         self.fences = {}                     # name: the greatest that was held
 
     def __call__(self, world, seat):
         if seat.name not in self.holders:
             return
-        spent = {}
+        spent, held, leader = {}, [], self.leader(world)
         for name in self.holders:
             other = world.seats[name]
             if other.actor is None or not other.actor.wishes:
@@ -79,14 +106,20 @@
             for wish in other.actor.wishes:
                 if wish.may(own):
                     spent[wish.resource] = spent.get(wish.resource, 0) + wish.amount
-                    if wish.resource not in self.most:
-                        was = self.fences.get(wish.resource, 0)
-                        if wish.fence < was:
-                            yield f"fencing numbers grow: {name}, {wish.resource} by {wish.fence} after {was}"
-                        self.fences[wish.resource] = wish.fence
+                    held.append((other, wish))
         for resource, amount in spent.items():
             if amount > self.most.get(resource, 1):
                 yield f"one holder at one true moment: {amount} of {resource} held"
+        for other, wish in held:
+            if wish.resource not in self.most:
+                was = self.fences.get(wish.resource, 0)
+                if wish.fence < was:
+                    yield f"fencing numbers grow: {other.name}, {wish.resource} by {wish.fence} after {was}"
+                self.fences[wish.resource] = wish.fence
+            if leader is not None:
+                _, when = leader.actor.lead.clocks.ends.get(wish.fence, (0, None))
+                if when is not None and leader.clock.true(when) < other.clock.true(wish.end):
+                    yield f"the holder's end comes first: {other.name} after {leader.name}, {wish.fence}"
 
 
 def agreed(play):
--- a/gaproute/driver/keepers.py
+++ b/gaproute/driver/keepers.py
@@ -51,7 +51,7 @@
         rates = {name: chance.of((-rate, 0, rate)) for name in makes}
         if kind == "tight":
             rates = {name: rate if name in self.keepers else -rate for name in makes}
-        held, told = Held(self.holders, POOLS), Told(self)
+        held, told = Held(self.holders, POOLS, self.leader), Told(self)
         if kind == "forgotten":
             checks = Checks(touched=[held])
         else:
@@ -120,7 +120,7 @@
     other."""
     chance, size = Chance(seed, "disks"), keepers + 1 + holders
     if kind == "forgotten":
-        return Plan(seed, END, tuple(_forgotten(chance, keepers, holders)))
+        return Plan(seed, 2 * END + 4 * SECOND, tuple(_forgotten(chance, keepers, holders)))
     if kind == "tight":
         return draw(seed, size, END, ["crash", "cut", "cut both", "part", "pause", "slow"],
                     faulty=range(keepers + 1, size), settle=SETTLE, led=True)
--- a/gaproute/driver/mutants.py
+++ b/gaproute/driver/mutants.py
@@ -22,6 +22,8 @@
 REMEMBERED, TERM, WRITTEN = "a vote is remembered", "term only grows", "a vote is on disk before it is told"
 UNSAID, STATE, MATCH = "never unsaid", "same entries, same state", "log matching"
 HOLDER, STANDS = "one holder at one true moment", "a permit stands while its holder may"
+MOST, OWN_TERM = "a leader has most votes", "a leader commits by its own term"
+HAVE, FIRST = "committed is what most have", "the holder's end comes first"
 FENCES = "fencing numbers grow"
 ONCE, GROWS, POOL = "a fencing number is given once", "fencing number only grows", "pool never overspent"
 SPENT, ANSWER = "one holder, no pool overspent", "one answer a request"
@@ -50,15 +52,15 @@
        (Store._load, "term, voted = record.term, (record.name, record.life)", "term = record.term")),
     _m("a rewritten disk has no vote", (REMEMBERED, VOTE),
        (Store.rewrite, "Voted(self.term, *self.voted)", 'Voted(self.term, "", 0)')),
-    _m("a restart forgets the log", (UNSAID, LEADER, STATE, MATCH, STANDS),
+    _m("a restart forgets the log", (UNSAID, LEADER, STATE, MATCH, STANDS, TERM),
        (Store._load, "log.put(record.index, record.entry)", "pass")),
-    _m("a vote is given twice", (REMEMBERED, VOTE, LEADER),
+    _m("a vote is given twice", (WRITTEN, REMEMBERED, VOTE, LEADER),
        (election.asked, ' and keeper.store.voted in (("", 0), (sender, ask.life))', "")),
     _m("a vote is given to a log that knows less", (UNSAID, MATCH, STATE),
        (election.asked, "known = keeper.log.after(ask.index, ask.last)", "known = True")),
-    _m("votes of another term are counted", (LEADER,),
+    _m("votes of another term are counted", (MOST, LEADER,),
        (election.voted, " and vote.term == keeper.term", "")),
-    _m("votes of another life are counted", (LEADER, UNSAID, STATE, MATCH),
+    _m("votes of another life are counted", (MOST, LEADER, UNSAID, STATE, MATCH),
        (Keeper.most, "lives.get(member.name) == member.life", "member.name in lives")),
     _m("a lost disk comes back as if it remembered", (VOTE, TERM, REMEMBERED),
        (Store.open, "life = 1 + self.chance.below(HIGHEST)", "life = 1")),
@@ -74,11 +76,11 @@
        (following.append, "elif log.term(index) != message.last:", "elif index > log.last:")),
     _m("committed beyond what was compared", (UNSAID, STATE, "raised", "applied after committed after held"),
        (following.append, "min(message.commit, end)", "message.commit")),
-    _m("committed by a minority", (UNSAID, STATE, MATCH, STANDS),
+    _m("committed by a minority", (HAVE, UNSAID, STATE, MATCH, STANDS),
        (leading.advance, "have[len(have) // 2]", "have[0]")),
-    _m("committed by an entry of an old term", (UNSAID, STATE, STANDS),
+    _m("committed by an entry of an old term", (OWN_TERM, UNSAID, STATE, STANDS),
        (leading.advance, " and keeper.log.term(index) == keeper.term", "")),
-    _m("what the old disk had is counted for the new one", (UNSAID, STATE, STANDS),
+    _m("what the old disk had is counted for the new one", (HAVE, UNSAID, STATE, STANDS),
        (leading.acked, "each.life, each.match, each.next, each.state_at = ack.life, 0, "
         "keeper.log.last + 1, None", "each.life = ack.life"),
        (leading._match, " and each.life == member.life", "")),
@@ -89,15 +91,15 @@
        (requests.take, "if request.nonce == row[1]:", "if False:")),
     _m("sessions of one holder without end", ("session table bounded",),
        (Sessions._open, "if len(own) >= OWN:", "if False:"), kind="tight"),
-    _m("the keepers' end without the clock bound", (HOLDER, STANDS, SPENT),
+    _m("the keepers' end without the clock bound", (FIRST, HOLDER, STANDS, SPENT),
        (commands.kept, "span + -(-span * 3 * bound // 1000)", "span"), kind="tight"),
-    _m("a new leader does not wait for permits of before", (HOLDER, STANDS, SPENT),
+    _m("a new leader does not wait for permits of before", (FIRST, HOLDER, STANDS, SPENT),
        (Clocks.__init__, "self.note(now, fence, at, wait)", "self.note(now, fence, at, 0)"), kind="tight"),
-    _m("a holder counts from the answer", (HOLDER, STANDS, SPENT),
+    _m("a holder counts from the answer", (FIRST, HOLDER, STANDS, SPENT),
        (Holder._answered, "self._until(wish, job.sent)", "self._until(wish, now)"), kind="tight"),
-    _m("a holder does not look at the end", (HOLDER, STANDS, SPENT),
+    _m("a holder does not look at the end", (FIRST, HOLDER, STANDS, SPENT),
        (Wish.may, " and now < self.end", ""), kind="tight"),
-    _m("what is given back is still used", (HOLDER, STANDS, SPENT),
+    _m("what is given back is still used", (FIRST, HOLDER, STANDS, SPENT),
        (Holder.give, 'self._end(wish, "given")', "pass")),
     _m("a fencing number is used again", (GROWS, ONCE, FENCES),
        (Permits._take, "self.fence += 1", "self.fence = max(self.permits, default=self.fence) + 1")),
--- a/gaproute/driver/plan.py
+++ b/gaproute/driver/plan.py
@@ -15,7 +15,7 @@
 LEADER = -1              # what stands or falls with the leader is hit by chance too seldom
 LED = ("crash", "fuse", "pause", "cut both", "cut", "part")
 MEMORY = ("wipe", "spoil")    # those that cost an actor its memory
-LONGEST = {"lose": 4, "double": 6, "slow": 4, "pace": 8, "part": 4, "pause": 3}    # s; others 3
+LONGEST = {"lose": 4, "double": 6, "slow": 4, "pace": 8, "part": 4, "pause": 5}    # s; others 3
 
 
 class Fault(msgspec.Struct, frozen=True, array_like=True):
