--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/driver/keepchecks.py
@@ -40,9 +40,10 @@
 
 
 class Remembered:
-    """For `Checks.touched`: a keeper with the same disk knows what it told before: its term, its vote. A leader was
-    voted for by most, and commits by entries of its own term that most have. So what breaks the rules of the
-    agreement is found at once, not only where harm comes of it, which takes several accidents more."""
+    """For `Checks.touched`: a keeper with the same disk knows what it told before: its term, its vote. A
+    leader was voted for by most, and commits by entries of its own term that most have. So what breaks the
+    rules of the agreement is found at once, not only where harm comes of it, which takes several accidents
+    more."""
 
     def __init__(self, told):
         self.told, self.terms, self.led = told, {}, {}
@@ -59,6 +60,12 @@
         voted = self.told.votes.get((*key, term))
         if voted is not None and keeper.store.voted[0] != voted:
             yield f"a vote is remembered: {seat.name} gave {term} to {voted}, knows of {keeper.store.voted}"
+        for (_, one), (_, other) in zip(keeper.log.rolls, keeper.log.rolls[1:]):
+            if one and len({*one} ^ {*other}) > 1:
+                yield f"members change one at a time: {seat.name}, {one} to {other}"
+        leads = self.told.leaders.get(term)
+        if keeper.leader and leads is not None and leads[0] != keeper.leader:
+            yield f"one leader a term: {seat.name} follows {keeper.leader} in {term}, which {leads[0]} leads"
         if keeper.leading:
             yield from self._leader(keeper, (*key, term))
 
@@ -75,7 +82,8 @@
 
     @staticmethod
     def _most(keeper, told, least):
-        """Whether most members told so (a name: that one; a number: so much), each under the life of the roll."""
+        """Whether most members told so (a name: that one; a number: so much), each under the life of the
+        roll."""
         count = 0
         for member in keeper.members:
             value = told.get((member.name, member.life, keeper.term))
--- a/gaproute/driver/keepers.py
+++ b/gaproute/driver/keepers.py
@@ -14,6 +14,7 @@
 from gaproute.driver.world import World
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.keepers import keeper as module
+from gaproute.shared.keepers import log
 from gaproute.shared.permits import Holder, Permits
 from gaproute.shared.permits.commands import BOUND
 
@@ -24,6 +25,7 @@
 SETTLE = 12 * SECOND     # after them: a disk that failed is tried again within 5 s
 EVERY = 20 * MILLI       # between requests
 KEEP = 12                # entries held before a snapshot, for the run to see many (the program: 1,024)
+TOGETHER = 3             # entries in one message, so that logs are caught up with in parts (the program: 64)
 RATE = BOUND * 1_000     # millionths: clocks go wrong up to what is promised
 NAMES = ("r1", "r2", "r3", "p1", "p2")
 POOLS = {"p1": (3, 4), "p2": (4, 6)}      # name: sizes that are told
@@ -143,12 +145,12 @@
 
 def play(plan, keepers=3, kind="common", **told):
     """(World, Breach or None)."""
-    made, before = Play(plan, keepers, kind, **told), module.KEEP
-    module.KEEP = KEEP
+    made, before = Play(plan, keepers, kind, **told), (module.KEEP, log.MOST_ENTRIES)
+    module.KEEP, log.MOST_ENTRIES = KEEP, TOGETHER
     try:
         made.world.run()
     except Breach as breach:
         return made.world, breach
     finally:
-        module.KEEP = before
+        module.KEEP, log.MOST_ENTRIES = before
     return made.world, None
