--- a/gaproute/driver/keepers.py
+++ b/gaproute/driver/keepers.py
@@ -14,6 +14,7 @@
 from gaproute.driver.world import World
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.keepers import keeper as module
+from gaproute.shared.keepers import log
 from gaproute.shared.permits import Holder, Permits
 from gaproute.shared.permits.commands import BOUND
 
@@ -24,6 +25,7 @@
 SETTLE = 12 * SECOND     # after them: a disk that failed is tried again within 5 s
 EVERY = 20 * MILLI       # between requests
 KEEP = 12                # entries held before a snapshot, for the run to see many (the program: 1,024)
+TOGETHER = 3             # entries in one message, so that logs are caught up with in parts (the program: 64)
 RATE = BOUND * 1_000     # millionths: clocks go wrong up to what is promised
 NAMES = ("r1", "r2", "r3", "p1", "p2")
 POOLS = {"p1": (3, 4), "p2": (4, 6)}      # name: sizes that are told
@@ -51,7 +53,7 @@
         rates = {name: chance.of((-rate, 0, rate)) for name in makes}
         if kind == "tight":
             rates = {name: rate if name in self.keepers else -rate for name in makes}
-        held, told = Held(self.holders, POOLS), Told(self)
+        held, told = Held(self.holders, POOLS, self.leader), Told(self)
         if kind == "forgotten":
             checks = Checks(touched=[held])
         else:
@@ -120,7 +122,7 @@
     other."""
     chance, size = Chance(seed, "disks"), keepers + 1 + holders
     if kind == "forgotten":
-        return Plan(seed, END, tuple(_forgotten(chance, keepers, holders)))
+        return Plan(seed, 2 * END + 4 * SECOND, tuple(_forgotten(chance, keepers, holders)))
     if kind == "tight":
         return draw(seed, size, END, ["crash", "cut", "cut both", "part", "pause", "slow"],
                     faulty=range(keepers + 1, size), settle=SETTLE, led=True)
@@ -143,12 +145,12 @@
 
 def play(plan, keepers=3, kind="common", **told):
     """(World, Breach or None)."""
-    made, before = Play(plan, keepers, kind, **told), module.KEEP
-    module.KEEP = KEEP
+    made, before = Play(plan, keepers, kind, **told), (module.KEEP, log.MOST_ENTRIES)
+    module.KEEP, log.MOST_ENTRIES = KEEP, TOGETHER
     try:
         made.world.run()
     except Breach as breach:
         return made.world, breach
     finally:
-        module.KEEP = before
+        module.KEEP, log.MOST_ENTRIES = before
     return made.world, None
