Driver: campaigns beside production with gateways, keepers and hosts, judged at the hosts

Cases: leader killed while weights move, a zone cut, seven of ten gateways, half of the hosts, two campaigns, a slow store, noise.

--- /dev/null
+++ b/gaproute/driver/campaigns_cases.py
@@ -0,0 +1,81 @@
+"""The hard cases of campaigns, each a script with a seed."""
+from typing import NamedTuple
+
+from gaproute.driver.plan import Fault
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+
+AT, LONG = 8 * SECOND, 9 * SECOND     # when a fault begins; a cut that outlasts every permit
+
+
+def none(play):
+    return ()
+
+
+class Case(NamedTuple):
+    """`acts`: [(true time, what(play, world))]; `tasks`: of a step, so many that weights move every few seconds."""
+    name: str
+    faults: object = none
+    acts: tuple = ()
+    two: bool = False
+    store: bool = False
+    gateways: int = 6
+    hosts: int = 8
+    tasks: int = 240
+
+
+def zone_cut(play):
+    """Gateways, hosts and the one keeper of a zone hear each other only."""
+    who = tuple(play.numbers[name] for name in play.numbers if play.zones[name] == "b")
+    return (Fault("part", AT, AT + LONG, who),)
+
+
+def seven_of_ten(play):
+    gone = play.gateways[:len(play.gateways) * 7 // 10]
+    return tuple(Fault("crash", AT, AT + SECOND, (play.numbers[name],)) for name in gone)
+
+
+def half_of_hosts(play):
+    gone = list(play.hosts)[::2]
+    return tuple(Fault("crash", AT, AT + 2 * SECOND, (play.numbers[name],)) for name in gone)
+
+
+def noise(play):
+    """Loss, doubling and late words all the time, gateways that stand still or are killed."""
+    chance, faults = play.chance, [Fault("lose", SECOND, play.end, (), 30_000), Fault("double", SECOND, play.end, (),
+                                                                                     50_000)]
+    now = 5 * SECOND
+    while now < play.end - 2 * SECOND:
+        who = (play.numbers[chance.of(play.gateways)],)
+        kind = chance.of(("crash", "pause", "slow", "hold", "cut"))
+        one, other = play.numbers[chance.of(play.gateways)], play.numbers[chance.of(list(play.hosts))]
+        faults.append(Fault(kind, now, now + chance.between(200, 1500) * MILLI, (one, other) if kind in (
+            "hold", "cut") else () if kind == "slow" else who, 300 * MILLI if kind == "slow" else 0))
+        now += chance.between(500, 2500) * MILLI
+    return tuple(faults)
+
+
+def kill_leader(play, world):
+    """The keeper that leads ends now, and starts again after 2 s; weights have just moved on."""
+    from gaproute.driver.world import START
+    for name in play.campaigns:
+        play.versions[name] += 1
+        world.ask(play.gateways[0], lambda actor, now: actor._weights(now, "", {name: play.versions[name]}))
+    for name in play.keepers:
+        seat = world.seats[name]
+        if seat.actor is not None and seat.actor.leading:
+            world.crash(seat)
+            world.push(world.now + 2 * SECOND, START, seat, None, None)
+            return
+
+
+CASES = {case.name: case for case in (
+    Case("plain"),
+    Case("leader killed", acts=((AT, kill_leader),)),
+    Case("zone cut", zone_cut),
+    Case("seven of ten", seven_of_ten, gateways=10),
+    Case("half of hosts", half_of_hosts),
+    Case("two campaigns", two=True),
+    Case("slow store", store=True, tasks=900),
+    Case("noise", noise),
+)}
--- a/gaproute/rollouts/exchange.py
+++ b/gaproute/rollouts/exchange.py
@@ -9,7 +9,8 @@
 
 
 def exchange(name, room, wanted, planned, copies, loading, free):
-    """Orders of one campaign now: [("load" or "drop", host, version)], loads in the order of their use.
+    """Orders of one campaign now: [(kind, host, version)], loads in the order of their use. "drop": it serves nobody;
+    "load": beside what stands there; "swap": the campaign's oldest copies there go until this one has room.
 
     `wanted`: versions that serve, the newest first; `planned`: hosts that shall have a copy, the most useful first;
     `copies`: {host: versions standing of this campaign}; `loading`: hosts with a load under way; `free`: {host: room}.
@@ -29,12 +30,9 @@
         if away >= most and host not in bare:
             break
         left = free.get(host, 0) + sum(room for other, _ in dropped if other == host)
-        if left < room:
-            olds = [version for version in copies.get(host, ()) if (host, version) not in dropped]
-            if not olds or left + room * len(olds) < room:
-                continue                     # production's copies are there now
-            orders.append(("drop", host, min(olds)))
-            dropped.add((host, min(olds)))
-        orders.append(("load", host, newest))
+        olds = [version for version in copies.get(host, ()) if (host, version) not in dropped]
+        if left + room * len(olds) < room:
+            continue                         # production's copies are there now
+        orders.append(("load" if left >= room else "swap", host, newest))
         away += 1
     return orders
--- a/gaproute/rollouts/orders.py
+++ b/gaproute/rollouts/orders.py
@@ -6,14 +6,13 @@
 
 
 class Orders(NamedTuple):
-    """What the planner tells one gateway. `aims`: {host: {campaign: lanes}}; `copies`: {campaign: hosts that shall
-    have a copy}; `loads`: hosts that this gateway loads; `versions`: {campaign: version}."""
+    """What the planner tells one gateway. `aims`: {host: {campaign: lanes}}; `paces`: {campaign: tasks a second};
+    `copies`: {campaign: hosts that shall have a copy, the first first}. Who has a host's lanes loads its copies."""
     fence: int
     number: int
     aims: dict
     paces: dict
     copies: dict
-    loads: list
 
 
 class Latest:
--- a/gaproute/rollouts/spend.py
+++ b/gaproute/rollouts/spend.py
@@ -151,8 +151,8 @@
         self.paces[name].took(now)
         self.hands[task] = Hand(name, host, wish, now, now + self.campaigns[name].need)
 
-    def ended(self, now, task):
-        """An answer, which proves that its lane is free again, or its time is over."""
+    def ended(self, now, task, free=True):
+        """An answer, which proves that its lane is free again, or its time is over. `free` False: it was full."""
         hand = self.hands.pop(task, None)
         if hand is None:
             return
@@ -161,7 +161,7 @@
         if not part.hands[hand.campaign]:
             del part.hands[hand.campaign]
         part.wishes[hand.wish] -= 1
-        part.free += now - hand.sent < FRESH and not part.want
+        part.free = part.free + 1 if free else 0
 
 
 def pool(host):
--- a/tests/test_rollouts_campaign.py
+++ b/tests/test_rollouts_campaign.py
@@ -97,9 +97,9 @@
 
 def test_only_newer_orders_count():
     latest = Latest()
-    assert latest.news(Orders(5, 1, {}, {}, {}, [])) and latest.news(Orders(5, 2, {}, {}, {}, []))
-    assert not latest.news(Orders(4, 9, {}, {}, {}, [])) and not latest.news(Orders(1 << 70, 1, {}, {}, {}, []))
-    assert latest.news(Orders(6, 1, {}, {}, {}, [])) and latest.refused == 2
+    assert latest.news(Orders(5, 1, {}, {}, {})) and latest.news(Orders(5, 2, {}, {}, {}))
+    assert not latest.news(Orders(4, 9, {}, {}, {})) and not latest.news(Orders(1 << 70, 1, {}, {}, {}))
+    assert latest.news(Orders(6, 1, {}, {}, {})) and latest.refused == 2
 
 
 def test_hosts_are_dealt_whole_and_kept():
