--- a/gaproute/driver/campaigns.py
+++ b/gaproute/driver/campaigns.py
@@ -17,7 +17,7 @@
 
 MILLI = 1_000_000
 
-END = 20 * SECOND        # of a run's faults and of production's bursts
+END = 18 * SECOND        # of a run's faults and of production's bursts
 BEGIN = 5 * SECOND       # from here the use counts: a leader, a plan, permits and the first loads are there
 SAMPLE = 10 * MILLI      # between two looks at the truth
 LANES, ROOM = 8, 2       # of a host: a campaign's old and new copy, or two campaigns' copies
@@ -40,7 +40,7 @@
         self.zones = {name: "abc"[number % 3] for names in (self.keepers, self.gateways)
                       for number, name in enumerate(names)} | {host.name: host.zone for host in self.hosts.values()}
         given = [Campaign("c1", "m", 1, case.tasks, 1000, 1, 1, SECOND, 450 * MILLI, 4, floors={
-            **dict.fromkeys(self.hosts, 1), "a": len(self.hosts) // 3 + 2})]
+            **dict.fromkeys(self.hosts, case.floor), "a": len(self.hosts) // 3 * case.floor + 2})]
         if case.two:
             given.append(given[0]._replace(name="c2", weight=3, floors={}))
         wrong = check(given, self.hosts.values(), {"m": 1})
@@ -159,8 +159,7 @@
             if play.done[name] >= campaign.tasks * play.versions[name]:
                 play.versions[name] += 1
                 for gateway in play.gateways:        # one that is up hears it, the others from it
-                    if world.ask(gateway, lambda actor, now: actor._weights(now, gateway, {
-                            name: play.versions[name]})):
+                    if world.ask(gateway, lambda actor, now: actor.moved(name, play.versions[name])):
                         break
         for at, what in play.case.acts:
             if world.now >= at and at not in self.done:
--- a/gaproute/driver/campaigns_cases.py
+++ b/gaproute/driver/campaigns_cases.py
@@ -2,10 +2,11 @@
 from typing import NamedTuple
 
 from gaproute.driver.plan import Fault
+from gaproute.driver.world import START
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-AT, LONG = 8 * SECOND, 9 * SECOND     # when a fault begins; a cut that outlasts every permit
+AT, LONG = 6 * SECOND, 9 * SECOND     # when a fault begins; a cut that outlasts every permit
 
 
 def none(play):
@@ -22,6 +23,8 @@
     gateways: int = 6
     hosts: int = 8
     tasks: int = 240
+    floor: int = 1           # lanes of each host that are never taken
+    liars: bool = False      # hosts answer by their newest copy, whatever was named
 
 
 def zone_cut(play):
@@ -55,12 +58,16 @@
     return tuple(faults)
 
 
-def kill_leader(play, world):
-    """The keeper that leads ends now, and starts again after 2 s; weights have just moved on."""
-    from gaproute.driver.world import START
+def move(play, world):
+    """The trainer has new weights, done or not."""
     for name in play.campaigns:
         play.versions[name] += 1
-        world.ask(play.gateways[0], lambda actor, now: actor._weights(now, "", {name: play.versions[name]}))
+        world.ask(play.gateways[0], lambda actor, now: actor.moved(name, play.versions[name]))
+
+
+def kill_leader(play, world):
+    """Weights have just moved on when the keeper that leads ends; it starts again after 2 s."""
+    move(play, world)
     for name in play.keepers:
         seat = world.seats[name]
         if seat.actor is not None and seat.actor.leading:
@@ -72,10 +79,12 @@
 CASES = {case.name: case for case in (
     Case("plain"),
     Case("leader killed", acts=((AT, kill_leader),)),
+    Case("fast weights", acts=tuple((AT + step * SECOND // 5, move) for step in range(4))),
     Case("zone cut", zone_cut),
     Case("seven of ten", seven_of_ten, gateways=10),
     Case("half of hosts", half_of_hosts),
-    Case("two campaigns", two=True),
+    Case("two campaigns", two=True, tasks=160),
     Case("slow store", store=True, tasks=900),
     Case("noise", noise),
+    Case("liars", liars=True),
 )}
--- a/gaproute/driver/campaigns_checks.py
+++ b/gaproute/driver/campaigns_checks.py
@@ -7,12 +7,14 @@
 from gaproute.shared.permits.invariants import check_holder
 
 STOP = SECOND // 5       # from when production wants a host's room until no gateway sends rollouts there
+DEEP = 12                # steps between the dear checks: a permit lasts seconds
 
 
 def checks(play):
     return Checks([lambda world, seat: touched(play, world, seat)],
                   [lambda world, seat, to, message: sent(play, world, seat, to, message), Told(play)],
-                  [lambda world: check_floor(list(play.hosts.values()), play.lent, play.floors)], every=5000)
+                  [lambda world: parts(play, world), lambda world: check_floor(list(play.hosts.values()), play.lent,
+                                                                            play.floors)], every=DEEP)
 
 
 def touched(play, world, seat):
@@ -32,7 +34,6 @@
         yield from check_groups(gateway.groups)
         yield from check_loads(gateway.loads)
         yield from check_holder(gateway.holder)
-        yield from parts(play, world)
 
 
 def parts(play, world):
@@ -58,7 +59,7 @@
     if truth is not None and truth.want_since is not None and world.now - truth.want_since > STOP:
         yield (f"production first: {task} to {to} {(world.now - truth.want_since) / 1e6:.0f} ms after production "
                "wanted its room")
-    if gateway.weights.why_not(campaign, version):
+    if gateway.weights.now[campaign] - version > gateway.campaigns[campaign].old:
         yield f"too old is not run: {task} of version {version}, now {gateway.weights.now[campaign]}"
     group = gateway.groups.open.get(gateway.tasks[task][1])
     if group is not None and group.version != version:
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/driver/campaigns_gateway.py
@@ -106,6 +106,12 @@
             self.weights.moved(name, version)
         self.heard[sender] = now
 
+    def moved(self, name, version):
+        """The trainer's word to this gateway; the others hear it from here."""
+        self.weights.moved(name, version)
+        self.tell_at = 0
+        return []
+
     def _orders(self, now, sender, orders):
         if self.latest.news(orders):
             self.planned = orders.copies
--- a/gaproute/driver/campaigns_host.py
+++ b/gaproute/driver/campaigns_host.py
@@ -61,6 +61,8 @@
         return [(sender, ("ended", self.name, task, how, version))]
 
     def _run(self, now, sender, task, campaign, version, lasts, limit):
+        if campaign and self.play.case.liars:
+            version = max(other for name, other in self.copies if name == campaign)
         self.running[task] = sender, campaign, version
         self.rollouts += bool(campaign)
         if not campaign:
