--- a/gaproute/driver/campaigns.py
+++ b/gaproute/driver/campaigns.py
@@ -10,8 +10,7 @@
 from gaproute.driver.checks import Breach
 from gaproute.driver.plan import Plan
 from gaproute.driver.world import World
-from gaproute.rollouts.campaign import SECOND, Campaign, Host, check, floors, lendable
-from gaproute.rollouts.campaign import WAY
+from gaproute.rollouts.campaign import SECOND, WAY, Campaign, Host, check, floors, lendable
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.permits import Permits
 
@@ -51,8 +50,8 @@
         self.campaigns = {} if without else {campaign.name: campaign for campaign in given}
         self.ration = 6
         self.versions, self.done = {name: 1 for name in self.campaigns}, {name: 0 for name in self.campaigns}
-        self.arrived, self.waits, self.used, self.spare, self.truths = {}, [], 0, 0, 0
-        self.by, self.served, self.breaches, self.ends = dict.fromkeys(self.campaigns, 0), {}, [], {}
+        self.arrived, self.waits, self.used, self.spare, self.stop = {}, [], 0, 0, 0
+        self.by, self.served, self.breaches = dict.fromkeys(self.campaigns, 0), {}, []
         self.bursts = sorted((self.chance.below(end), self.chance.between(1, 3) * SECOND) for _ in range(3))
         self.height = BURST[0] + (BURST[1] - BURST[0]) * self.chance.below(1000) / 1000
         makes = {name: self._keeper for name in self.keepers} | {
@@ -136,7 +135,7 @@
         return {"used": self.used / max(1, self.spare), "by": dict(self.by), "done": dict(self.done),
                 "versions": dict(self.versions), "p50": waits[len(waits) // 2], "p99": waits[len(waits) * 99 // 100],
                 "late": sum(wait > 100 for wait in waits) / len(waits), "lost": len(self.arrived),
-                "production": len(waits), "scrapped": sum(sum(each.values()) - each["delivered"] for each in groups)}
+                "stop": self.stop / MILLI, "production": len(waits), "scrapped": sum(sum(each.values()) - each["delivered"] for each in groups)}
 
 
 class Script:
--- a/gaproute/driver/campaigns_checks.py
+++ b/gaproute/driver/campaigns_checks.py
@@ -56,9 +56,11 @@
         return
     truth, gateway = world.seats[to].actor, seat.actor
     _, task, campaign, version, *_ = message
-    if truth is not None and truth.want_since is not None and world.now - truth.want_since > STOP:
-        yield (f"production first: {task} to {to} {(world.now - truth.want_since) / 1e6:.0f} ms after production "
-               "wanted its room")
+    if truth is not None and truth.want_since is not None:
+        late = world.now - truth.want_since
+        play.stop = max(play.stop, late)
+        if late > STOP:
+            yield f"production first: {task} to {to} {late / 1e6:.0f} ms after production wanted its room"
     if gateway.weights.now[campaign] - version > gateway.campaigns[campaign].old:
         yield f"too old is not run: {task} of version {version}, now {gateway.weights.now[campaign]}"
     group = gateway.groups.open.get(gateway.tasks[task][1])
