--- /dev/null
+++ b/benchmarks/campaigns.py
@@ -0,0 +1,183 @@
+"""Campaigns beside production, in one process each: what of the spare room is used, what production pays, how good
+the plans and the told ends are.
+
+    python benchmarks/campaigns.py [--seeds 12] [--hunt 0] [--out docs/measured] [--processes 4]
+
+`faults`: each case of gaproute/driver/campaigns_cases.py with each seed; `used` is what rollouts had of the lanes that
+production and the floors left at hosts that were up, from 5 s on; `last sent`: the latest that a rollout went to a
+host after production had taken all its lent room there. `beside`: the same production with and without campaigns, by
+lanes of each host that are never lent. `plans`: greedy and HiGHS on a forecast that is off, each by what it brings
+under the truth, beside HiGHS given the truth. `ends`: the end told after the first tenth. `--hunt N`: N seeds more of
+every case, only for breaches. The median of the seeds; in brackets the least and the most.
+"""
+import argparse
+import random
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from statistics import median
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from rows import table, write
+
+from gaproute.driver.campaigns import play
+from gaproute.driver.campaigns_cases import CASES
+from gaproute.rollouts.campaign import Host
+from gaproute.rollouts.forecast import COURSE, SLOT, End, Forecast
+from gaproute.rollouts.plan import Problem, Want, greedy, worth, wrong
+
+SECOND = 1_000_000_000
+FLOORS = (1, 2, 3)
+HOSTS = (12, 40, 120)
+LIMIT = 5.0              # s for the solver
+
+
+def one(job):
+    name, seed, floor, without = job
+    made, breach = play(seed, CASES[name]._replace(floor=floor), without=without)
+    return job, made.figures(), str(breach).splitlines()[0] if breach else ""
+
+
+def told(figures, digits=2):
+    least, middle, most = min(figures), median(figures), max(figures)
+    return f"{middle:.{digits}f} ({least:.{digits}f}-{most:.{digits}f})"
+
+
+def faults(pool, seeds):
+    came = {}
+    for job, figures, breach in pool.map(one, [(name, seed, 1, False) for name in CASES for seed in range(seeds)]):
+        came.setdefault(job[0], []).append((figures, breach))
+    return [{"case": name, "plays": len(plays), "breaches": sum(bool(breach) for _, breach in plays),
+             "used": told([figures["used"] for figures, _ in plays]),
+             "last sent, ms": told([figures["stop"] for figures, _ in plays], 0),
+             "rollouts": told([sum(figures["done"].values()) for figures, _ in plays], 0),
+             "groups scrapped": told([figures["scrapped"] for figures, _ in plays], 0),
+             "production over 100 ms, %": told([100 * figures["late"] for figures, _ in plays], 1)}
+            for name, plays in came.items()]
+
+
+def beside(pool, seeds):
+    jobs = [("plain", seed, floor, without) for floor in FLOORS for seed in range(seeds) for without in (False, True)]
+    came = {}
+    for (_, seed, floor, without), figures, _ in pool.map(one, jobs):
+        came[floor, seed, without] = figures
+    rows = []
+    for floor in FLOORS:
+        pairs = [(came[floor, seed, False], came[floor, seed, True]) for seed in range(seeds)]
+        rows.append({"lanes never lent, of 8": floor, "pairs": seeds, "used": told([one["used"] for one, _ in pairs]),
+                     **{f"{word}, ms more": told([one[word] - other[word] for one, other in pairs], 1)
+                        for word in ("p50", "p99")},
+                     "p99 without, ms": told([other["p99"] for _, other in pairs], 1),
+                     "over 100 ms, % more": told([100 * (one["late"] - other["late"]) for one, other in pairs], 2)})
+    return rows
+
+
+def walk(chance, slots, level, off):
+    """Spare lanes over time: a level, swings that last minutes, bursts of production."""
+    swing, came, burst = 0.0, [], 0
+    for _ in range(slots):
+        swing = 0.8 * swing + chance.gauss(0, off)
+        burst = burst - 1 if burst else chance.randrange(2, 6) if chance.random() < 0.04 else 0
+        came.append(max(0.0, min(1.0, level + swing - 0.4 * bool(burst))))
+    return came
+
+
+def planned(seed, count):
+    """A problem on the forecast, and the truth."""
+    chance = random.Random(f"{seed} {count}")
+    zones = [walk(chance, 8, chance.uniform(0.4, 0.8), 0.08) for _ in range(3)]
+    truth, spare = {}, {}
+    for number in range(count):
+        host, own = f"h{number:03}", chance.uniform(-0.25, 0.25)
+        truth[host] = [float(int(8 * max(0.0, min(0.9, part + own)))) for part in zones[number % 3]]
+        spare[host] = [max(0.0, min(7.0, lanes + chance.gauss(0, 1.0 + 0.2 * slot)))
+                       for slot, lanes in enumerate(truth[host])]
+    wants = [Want("a", 1, 2, 2 * count), Want("b", 2, 1, 2 * count), Want("c", 1, 1, count)]
+    return Problem(spare, {host: 2 for host in spare}, wants,
+                   [("abc"[number % 3], f"h{number:03}") for number in range(0, count, 3)], max(2, count // 8)), truth
+
+
+def plans(seeds):
+    from gaproute.rollouts.solver import solve
+    rows = []
+    for count in HOSTS:
+        figures = {"greedy": [], "HiGHS": []}
+        times, loads, failed = {"greedy": [], "HiGHS": []}, {"greedy": [], "HiGHS": []}, 0
+        for seed in range(seeds):
+            problem, truth = planned(seed, count)
+            best = solve(Problem(truth, problem.room, problem.wants, problem.standing, problem.loads), LIMIT)
+            for name, make in (("greedy", greedy), ("HiGHS", lambda problem: solve(problem, LIMIT))):
+                began = time.perf_counter()
+                plan = make(problem)
+                times[name].append(1000 * (time.perf_counter() - began))
+                if plan is None or best is None or wrong(problem, plan):
+                    failed += 1
+                    continue
+                figures[name].append(worth(problem, plan, truth) / worth(problem, best, truth))
+                loads[name].append(len([copy for copy in plan.copies if copy[:2] not in problem.standing]))
+        rows += [{"hosts": count, "plan": name, "seeds": len(figures[name]), "of the one that sees all": told(
+            figures[name], 3), "ms": told(times[name], 0), "loads": told(loads[name], 0), "failed": failed}
+            for name in figures]
+    return rows
+
+
+def ends(seeds):
+    """A campaign of about two hours on 40 hosts of 8 lanes, told by `Forecast` and `End`: production's demand is read
+    once a slot, from so many hours before the campaign's begin; over the day it rises by the half or not."""
+    hosts, rows = [Host(f"h{number}", "a", 8, 1) for number in range(40)], []
+    lent = {host.name: 8 for host in hosts}
+    for rises, known, before in ((0, 0, 0), (0, 0, 2), (0, 0, 8), (0.5, 1, 8), (0.5, 0, 8)):
+        off = []
+        for seed in range(seeds):
+            chance, first = random.Random(f"end {seed}"), before * 120
+            course = [1.0 + rises * max(0, half - 16) / 8 if half < 24 else 1.0 + rises for half in range(COURSE)]
+            forecast = Forecast({"p": course} if known else None)
+            demand = [320 * (1 - part) * (course[slot // 60 % COURSE] if rises else 1.0)
+                      for slot, part in enumerate(walk(chance, 2400, 0.65, 0.05))]
+            true = [max(0.0, 320 - lanes) for lanes in demand]
+            work = int(sum(true[first:first + 240]) * SLOT / (2 * SECOND))
+            end, done, said = End(work, 0), 0.0, None
+            for slot in range(len(demand)):
+                now = (slot - first + 1) * SLOT
+                if slot >= first:
+                    done += true[slot] * SLOT / (2 * SECOND) * chance.uniform(0.9, 1.0)
+                    if done >= work:
+                        break
+                    end.saw(now, int(done), true[slot])
+                forecast.read(slot * SLOT, {"p": (demand[slot], 0.0, 1.0)})
+                if said is None and done >= work / 10:
+                    spare = forecast.spare((slot + 1) * SLOT, hosts, lent, 480, sure=0.0)
+                    said = end.at_end([sum(lanes) for lanes in zip(*spare.values())])
+            off.append(100 * abs(said - now) / now)
+        rows.append({"production over the day": f"rises by {rises:.0%}" + ", known" * known if rises else "level",
+                     "hours read before": before, "seeds": seeds, "off by, %": told(off, 1),
+                     "within 15%": sum(each <= 15 for each in off)})
+    return rows
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    for word, default in (("seeds", 12), ("hunt", 0), ("processes", 4)):
+        parser.add_argument(f"--{word}", type=int, default=default)
+    parser.add_argument("--out")
+    told_ = parser.parse_args()
+    with ProcessPoolExecutor(told_.processes) as pool:
+        if told_.hunt:
+            jobs = [(name, seed, 1, False) for name in CASES for seed in range(1000, 1000 + told_.hunt)]
+            found = [(job, breach) for job, _, breach in pool.map(one, jobs, chunksize=8) if breach]
+            print(f"{len(jobs)} plays, breaches: {len(found)}", *found, sep="\n")
+            return
+        parts = {"faults": faults(pool, told_.seeds), "beside": beside(pool, told_.seeds)}
+    parts |= {"plans": plans(told_.seeds), "ends": ends(max(40, told_.seeds))}
+    text = "\n".join(f"{name}\n\n{table(rows)}" for name, rows in parts.items())
+    print(text)
+    if told_.out:
+        rows = parts.pop("faults")
+        write(told_.out, "campaigns", rows, seeds=told_.seeds, **parts)
+        (Path(told_.out) / "campaigns.md").write_text(text)
+
+
+if __name__ == "__main__":
+    main()
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/driver/campaigns_gateway.py
@@ -233,7 +233,6 @@
             one = other
         task = f"p{self.play.number()}"
         self.mine[task] = one, now
-        self.play.came(task)
         return [(one, ("task", task, "", None, self.play.takes(self.chance), GIVEN, self.play.world.now))]
 
     def _hands(self, host):
--- a/gaproute/driver/campaigns_host.py
+++ b/gaproute/driver/campaigns_host.py
@@ -94,7 +94,7 @@
                 return [(sender, ("ended", self.name, task, "miss", None))]
             if len(self.running) >= self.spec.lanes:
                 return [(sender, ("ended", self.name, task, "full", None))]
-        elif now < self.ready:
+        elif self.play.came(task) or now < self.ready:
             return [(sender, ("ended", self.name, task, "miss", None))]
         elif len(self.running) >= self.spec.lanes:
             self.queue.append((sender, task, campaign, version, lasts, limit))
--- a/gaproute/rollouts/forecast.py
+++ b/gaproute/rollouts/forecast.py
@@ -5,6 +5,8 @@
 SLOT = 30 * SECOND       # of a plan: several loads long, short beside the course of a day
 SLOTS = 8                # minutes ahead that a plan looks
 HALF = 0.3               # weight of a new reading of the level: some readings average out, a rise shows in a minute
+STAY = 0.8               # of what the level is off its usual, what is left a slot later: calms and bursts pass
+LONG = 960               # readings in the usual level: the working hours of a day at one a slot
 SURE = 1.0               # spreads above the mean that are kept for production: what comes above it stops rollouts
 COURSE = 48              # factors of a day, half an hour each, where its course is known
 FUNCTIONS = 4096
@@ -16,7 +18,8 @@
 
     def __init__(self, course=None):
         self.course = course
-        self.level = self.spread = None
+        self.level = self.spread = self.usual = None
+        self.readings = 0
         self.error = 0.0                     # mean of how far the last readings were off, squared
 
     def _factor(self, clock):
@@ -32,16 +35,20 @@
         lanes, factor = total * seconds, self._factor(clock)
         if self.level is None:
             self.level = lanes / factor
+            self.usual = self.level
+        self.readings = min(LONG, self.readings + 1)
+        self.usual += (lanes / factor - self.usual) / self.readings
         off = lanes - self.level * factor
         self.error += HALF * (off * off - self.error)
         self.level += HALF * (lanes / factor - self.level)
         self.spread = spread * seconds
 
-    def lanes(self, clock, sure=SURE):
-        """Wanted then: the mean and `sure` spreads."""
+    def lanes(self, clock, sure=SURE, slots=0):
+        """Wanted at `clock`, so many slots from the last reading: the mean, and `sure` spreads above it."""
         if self.level is None:
             return 0.0
-        return self.level * self._factor(clock) + sure * (self.error + self.spread ** 2) ** 0.5
+        level = self.usual + (self.level - self.usual) * STAY ** slots
+        return level * self._factor(clock) + sure * (self.error + self.spread ** 2) ** 0.5
 
 
 class Forecast:
@@ -65,7 +72,7 @@
         lanes. `out`: {(host, slot)} in maintenance."""
         total, came = sum(host.lanes for host in hosts) or 1, {host.name: [] for host in hosts}
         for slot in range(slots):
-            wanted = sum(each.lanes(clock + slot * SLOT, sure) for each in self.functions.values())
+            wanted = sum(each.lanes(clock + slot * SLOT, sure, slot) for each in self.functions.values())
             for host in hosts:
                 room = min(float(lendable[host.name]), host.lanes - wanted * host.lanes / total)
                 came[host.name].append(0.0 if (host.name, slot) in out else max(0.0, room))
