--- a/gaproute/driver/campaigns.py
+++ b/gaproute/driver/campaigns.py
@@ -1,7 +1,8 @@
-"""Campaigns beside production in one process: gateways, keepers and hosts with a true room, judged by that truth.
+"""Campaigns beside production in one process: gateways, keepers and hosts with a true room, judged by that
+truth.
 
-`Play(seed, case)` is one run; `cases` are in `campaigns_cases.py`. `world.run()` raises Breach where a check fails;
-`figures()` says what was used, how production fared and what was delivered.
+`Play(seed, case)` is one run; `cases` are in `campaigns_cases.py`. `world.run()` raises Breach where a check
+fails; `figures()` says what was used, how production fared and what was delivered.
 """
 from gaproute.driver.campaigns_checks import checks
 from gaproute.driver.campaigns_gateway import Gateway
@@ -31,13 +32,15 @@
     def __init__(self, seed, case, end=END, without=False):
         self.seed, self.case, self.end, self.way = seed, case, end, WAY
         self.chance = Chance(seed, "campaigns")
+        self.production = Chance(seed, "production")
         self.count, self.mean = 0, 200 * MILLI
         self.keepers = ["k1", "k2", "k3"]
         self.gateways = [f"g{number}" for number in range(1, case.gateways + 1)]
         self.hosts = {f"h{number}": Host(f"h{number}", "abc"[number % 3], LANES, ROOM)
                       for number in range(1, case.hosts + 1)}
         self.zones = {name: "abc"[number % 3] for names in (self.keepers, self.gateways)
-                      for number, name in enumerate(names)} | {host.name: host.zone for host in self.hosts.values()}
+                      for number, name in enumerate(names)} | {
+                          host.name: host.zone for host in self.hosts.values()}
         given = [Campaign("c1", "m", 1, case.tasks, 1000, 1, 1, SECOND, 450 * MILLI, 4, floors={
             **dict.fromkeys(self.hosts, case.floor), "a": len(self.hosts) // 3 * case.floor + 2})]
         if case.two:
@@ -48,8 +51,9 @@
         self.floors = floors(given)
         self.lent = lendable(list(self.hosts.values()), self.floors)
         self.campaigns = {} if without else {campaign.name: campaign for campaign in given}
-        self.ration = 6
+        self.ration = 3
         self.versions, self.done = {name: 1 for name in self.campaigns}, {name: 0 for name in self.campaigns}
+        self.answers = []                    # ms at the host, production's waits and runs
         self.arrived, self.waits, self.used, self.spare, self.stop = {}, [], 0, 0, 0
         self.by, self.served, self.breaches = dict.fromkeys(self.campaigns, 0), {}, []
         self.bursts = sorted((self.chance.below(end), self.chance.between(1, 3) * SECOND) for _ in range(3))
@@ -92,9 +96,10 @@
     def came(self, task):
         self.arrived[task] = self.world.now
 
-    def waited(self, task):
+    def waited(self, task, lasts):
         if task in self.arrived:
             self.waits.append((self.world.now - self.arrived.pop(task)) / MILLI)
+            self.answers.append(self.waits[-1] + lasts / MILLI)
 
     def ran(self, task, campaign, version, how):
         if campaign and how == "done":
@@ -123,19 +128,22 @@
             truth = self.world.seats[name].actor
             if truth is not None:
                 spare = max(0, self.lent[name] - truth.production)
-                self.used += min(spare, truth.rollouts)      # what production came beside is not spare any more
+                self.used += min(spare, truth.rollouts)  # what production came beside is spare no more
                 self.spare += spare
                 for _, campaign, _ in truth.running.values():
                     if campaign:
                         self.by[campaign] += 1
 
     def figures(self):
-        waits = sorted(self.waits)
+        waits, answers = sorted(self.waits), sorted(self.answers)
         groups = [seat.actor.groups.counts for seat in self.world.up() if seat.name in self.gateways]
         return {"used": self.used / max(1, self.spare), "by": dict(self.by), "done": dict(self.done),
-                "versions": dict(self.versions), "p50": waits[len(waits) // 2], "p99": waits[len(waits) * 99 // 100],
+                "versions": dict(self.versions), "wait": waits[len(waits) * 99 // 100],
+                "p50": answers[len(waits) // 2], "p99": answers[len(waits) * 99 // 100],
+                "mean": sum(answers) / len(waits),
                 "late": sum(wait > 100 for wait in waits) / len(waits), "lost": len(self.arrived),
-                "stop": self.stop / MILLI, "production": len(waits), "scrapped": sum(sum(each.values()) - each["delivered"] for each in groups)}
+                "stop": self.stop / MILLI, "production": len(waits),
+                "scrapped": sum(sum(each.values()) - each["delivered"] for each in groups)}
 
 
 class Script:
@@ -146,11 +154,11 @@
 
     def next(self, now):
         every = SECOND / max(1.0, self.play.rate(now))
-        return now + 1 + int(self.play.chance.random() * 2 * every)
+        return now + 1 + int(self.play.production.random() * 2 * every)
 
     def run(self, world, chance=None):
         play = self.play
-        world.ask(play.chance.of(play.gateways), Gateway.produce)
+        world.ask(play.production.of(play.gateways), Gateway.produce)
         while self.sampled <= world.now:
             self.sampled += SAMPLE
             play.sample()
--- a/gaproute/driver/campaigns_cases.py
+++ b/gaproute/driver/campaigns_cases.py
@@ -14,7 +14,8 @@
 
 
 class Case(NamedTuple):
-    """`acts`: [(true time, what(play, world))]; `tasks`: of a step, so many that weights move every few seconds."""
+    """`acts`: [(true time, what(play, world))]; `tasks`: of a step, so many that weights move every few
+    seconds."""
     name: str
     faults: object = none
     acts: tuple = ()
@@ -45,8 +46,8 @@
 
 def noise(play):
     """Loss, doubling and late words all the time, gateways that stand still or are killed."""
-    chance, faults = play.chance, [Fault("lose", SECOND, play.end, (), 30_000), Fault("double", SECOND, play.end, (),
-                                                                                     50_000)]
+    chance = play.chance
+    faults = [Fault("lose", SECOND, play.end, (), 30_000), Fault("double", SECOND, play.end, (), 50_000)]
     now = 5 * SECOND
     while now < play.end - 2 * SECOND:
         who = (play.numbers[chance.of(play.gateways)],)
--- a/gaproute/driver/campaigns_checks.py
+++ b/gaproute/driver/campaigns_checks.py
@@ -1,4 +1,5 @@
-"""What must hold of campaigns, by the truth at hosts and by each gateway's own state, at every step of a run."""
+"""What must hold of campaigns, by the truth at hosts and by each gateway's own state, at every step of a
+run."""
 from gaproute.driver.checks import Checks
 from gaproute.driver.keepchecks import Told
 from gaproute.rollouts.campaign import SECOND
@@ -13,8 +14,8 @@
 def checks(play):
     return Checks([lambda world, seat: touched(play, world, seat)],
                   [lambda world, seat, to, message: sent(play, world, seat, to, message), Told(play)],
-                  [lambda world: parts(play, world), lambda world: check_floor(list(play.hosts.values()), play.lent,
-                                                                            play.floors)], every=DEEP)
+                  [lambda world: parts(play, world),
+                   lambda world: check_floor(list(play.hosts.values()), play.lent, play.floors)], every=DEEP)
 
 
 def touched(play, world, seat):
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/driver/campaigns_gateway.py
@@ -1,4 +1,5 @@
-"""A gateway of the campaigns' driver: its holder, its spending, its versions and groups, and production's tasks."""
+"""A gateway of the campaigns' driver: its holder, its spending, its versions and groups, and production's
+tasks."""
 from collections import deque
 
 from gaproute.driver.campaigns_planner import Planner
@@ -33,9 +34,10 @@
         self.weak = Weak(name, 1 + play.number(), chance, now)
         self.peers = [other for other in play.gateways if other != name]
         self.weak.peers(now, self.peers)
-        self.asks, self.known, self.heard = {}, {}, {}       # number: (host, when); host: its last room; peer: when
+        self.asks, self.known = {}, {}       # number: (host, when); host: its last room
+        self.heard = {}                      # peer: when
         self.queues = {campaign: deque() for campaign in self.campaigns}    # (group, task, version)
-        self.tasks, self.mine = {}, {}       # rollouts out: task: (campaign, group, version); production: when
+        self.tasks, self.mine = {}, {}       # rollouts: (campaign, group, version); production: when
         self.under = {}                      # loads under way: host: (copy, wish, when)
         self.planned = {}                    # campaign: hosts
         self.ask_at = self.tell_at = self.step_at = now
@@ -89,10 +91,10 @@
         self.known[host] = asked[1], copies, loading, room
         self.spend.report(now, host, asked[1], free, want, cold)
         self.weak.saw_room(now, host, free)
+        out = [(host, ("cancel", task)) for task in self.spend.recalls(host, lacking)]
         if not want:
             self.wanted.pop(host, None)
-            return []
-        out = [(host, ("cancel", task)) for task in self.spend.recalls(host, lacking)]
+            return out
         if host not in self.wanted:
             self.wanted[host] = now
             out += [(peer, ("want", host)) for peer in self.peers]
@@ -151,7 +153,8 @@
         """What became too old is declined by name, and what runs of it is recalled."""
         out = []
         for group, tasks in self.groups.aged():
-            out += [(self.spend.hands[task].host, ("cancel", task)) for task in tasks if task in self.spend.hands]
+            out += [(self.spend.hands[task].host, ("cancel", task))
+                    for task in tasks if task in self.spend.hands]
         for queue in self.queues.values():
             for entry in [entry for entry in queue if entry[0] not in self.groups.open]:
                 queue.remove(entry)
@@ -201,7 +204,8 @@
             free = {host: self.known[host][3] for host in mine}
             loading = [host for host in mine if host in self.under or any(
                 campaign == name for campaign, _ in self.known[host][2])]
-            for kind, host, version in exchange(name, 1, self.weights.wanted(name), mine, copies, loading, free):
+            wanted = self.weights.wanted(name)
+            for kind, host, version in exchange(name, 1, wanted, mine, copies, loading, free):
                 if kind == "drop":
                     out.append((host, ("drop", (name, version))))
                 elif host not in self.under and self.loads.may(now):
@@ -225,15 +229,17 @@
     # Production
 
     def produce(self, now):
-        """A task of production comes: to the better of two hosts by what is known here."""
+        """A task of production comes: to the one of two hosts with fewer of the own. It does not look at
+        campaigns, so that the same production is played with and without them."""
         self.weak.saw_arrival(now, "p", 0)
         hosts = self.play.up()
-        one, other = self.chance.of(hosts), self.chance.of(hosts)
-        if (other in self.wanted, self._hands(other)) < (one in self.wanted, self._hands(one)):
+        chance = self.play.production       # the same with and without campaigns
+        one, other = chance.of(hosts), chance.of(hosts)
+        if self._hands(other) < self._hands(one):
             one = other
         task = f"p{self.play.number()}"
         self.mine[task] = one, now
-        return [(one, ("task", task, "", None, self.play.takes(self.chance), GIVEN, self.play.world.now))]
+        return [(one, ("task", task, "", None, self.play.takes(chance), GIVEN, self.play.world.now))]
 
     def _hands(self, host):
         return sum(each == host for each, _ in self.mine.values())
--- a/gaproute/driver/campaigns_host.py
+++ b/gaproute/driver/campaigns_host.py
@@ -66,7 +66,7 @@
         self.running[task] = sender, campaign, version
         self.rollouts += bool(campaign)
         if not campaign:
-            self.play.waited(task)
+            self.play.waited(task, lasts)
         self._after(now + min(lasts, limit), ("end", task))
 
     def hear(self, now, sender, message):
@@ -77,9 +77,11 @@
 
     def _ask(self, now, sender, number):
         free = self.lent - len(self.running) if now >= self.ready else 0
+        # What production waits for and what of its floor rollouts stand on, which were there before it.
+        lacking = len(self.queue) + min(self.rollouts, max(0, len(self.running) - self.lent))
         cold = self.cold and now < self.began + COLD
-        return [(sender, ("room", self.name, number, max(0, free), self.state(), len(self.queue), cold, frozenset(self.copies),
-                          frozenset(self.loading), self.free_room()))]
+        return [(sender, ("room", self.name, number, max(0, free), self.state(), lacking, cold,
+                          frozenset(self.copies), frozenset(self.loading), self.free_room()))]
 
     def free_room(self):
         return self.spec.room - len(self.copies) - len(self.loading)
--- a/gaproute/driver/campaigns_planner.py
+++ b/gaproute/driver/campaigns_planner.py
@@ -60,7 +60,8 @@
         stand = sorted({(name, host) for host, told in known.items() for name, _ in told[1] | told[2]})
         # Of a host's room a campaign's old and new copy stand together while they are exchanged.
         problem = Problem(spare, {host.name: host.room // 2 for host in hosts},
-                          [Want(name, 1, campaign.weight, 10_000) for name, campaign in gateway.campaigns.items()],
+                          [Want(name, 1, campaign.weight, 10_000)
+                           for name, campaign in gateway.campaigns.items()],
                           stand, max(2, len(hosts) // 2))
         plan = greedy(problem)
         self.made += 1
--- a/gaproute/rollouts/campaign.py
+++ b/gaproute/rollouts/campaign.py
@@ -22,9 +22,10 @@
 
 
 class Campaign(NamedTuple):
-    """`tasks` a step, `steps` in all; a rollout may be `old` steps old; `group` tasks of one prompt; `room` of a
-    copy; `most`: ns that one rollout may run, told to hosts as its limit; `takes`: ns that one usually runs; `by`:
-    ns after its begin, or `pace`: tasks a second, 0 where not asked; `floors`: lanes by host or zone never taken."""
+    """`tasks` a step, `steps` in all; a rollout may be `old` steps old; `group` tasks of one prompt; `room`
+    of a copy; `most`: ns that one rollout may run, told to hosts as its limit; `takes`: ns that one usually
+    runs; `by`: ns after its begin, or `pace`: tasks a second, 0 where not asked; `floors`: lanes by host or
+    zone never taken."""
     name: str
     function: str
     version: int
@@ -43,8 +44,8 @@
 
     @property
     def need(self):
-        """ns of a permit that a rollout which begins now needs: its way and its run, by a host's clock that may be
-        slow while the holder's is fast."""
+        """ns of a permit that a rollout which begins now needs: its way and its run, by a host's clock that
+        may be slow while the holder's is fast."""
         return kept(self.most + WAY)
 
     @property
@@ -63,8 +64,8 @@
 
 
 def lendable(hosts, floors):
-    """{host: lanes that may be lent at most}. A zone's floor is laid on its hosts, on those with most left first, so
-    that a host's pool alone keeps both floors, whoever is cut off."""
+    """{host: lanes that may be lent at most}. A zone's floor is laid on its hosts, on those with most left
+    first, so that a host's pool alone keeps both floors, whoever is cut off."""
     room = {host.name: max(0, host.lanes - floors.get(host.name, 0)) for host in hosts}
     zones = {}
     for host in hosts:
@@ -92,8 +93,9 @@
 
 
 def _contradicts(campaign):
-    for word, least, most in (("tasks", 1, TASKS), ("steps", 1, STEPS), ("old", 0, STEPS), ("group", 1, TASKS),
-                              ("room", 1, HIGHEST), ("takes", 1, LONGEST), ("most", 1, LONGEST), ("by", 0, 1 << 60),
+    for word, least, most in (("tasks", 1, TASKS), ("steps", 1, STEPS), ("old", 0, STEPS),
+                              ("group", 1, TASKS), ("room", 1, HIGHEST), ("takes", 1, LONGEST),
+                              ("most", 1, LONGEST), ("by", 0, 1 << 60),
                               ("weight", 1, 1000), ("pace", 0, TASKS), ("version", 0, 1 << 40)):
         value = getattr(campaign, word)
         if not least <= value <= most:
@@ -105,7 +107,8 @@
     if campaign.takes > campaign.most:
         yield "takes: longer than most"
     if campaign.span > LONGEST:
-        yield f"most: a permit of {campaign.span / 1e9:.0f} s would be needed, the longest is {LONGEST / 1e9:.0f} s"
+        yield (f"most: a permit of {campaign.span / 1e9:.0f} s would be needed, "
+               f"the longest is {LONGEST / 1e9:.0f} s")
     for name, lanes in campaign.floors.items():
         if lanes < 0:
             yield f"floors: {name} {lanes} is below nought"
--- a/gaproute/rollouts/deal.py
+++ b/gaproute/rollouts/deal.py
@@ -2,11 +2,12 @@
 
 
 def deal(lanes, pools, gateways, before, homes=None):
-    """{gateway: {host: {campaign: lanes}}}. `lanes`: {(campaign, host): lanes of this slot}; `pools`: {host: lanes
-    that may be lent}; `before`: {host: gateway} of the last time; `homes`: {gateway or host: zone}, for nearness.
+    """{gateway: {host: {campaign: lanes}}}. `lanes`: {(campaign, host): lanes of this slot}; `pools`: {host:
+    lanes that may be lent}; `before`: {host: gateway} of the last time; `homes`: {gateway or host: zone}, for
+    nearness.
 
-    A host's pool is dealt whole where anything is planned there: what is spare beyond the plan is used as it comes,
-    since the host itself tells at each moment what is free.
+    A host's pool is dealt whole where anything is planned there: what is spare beyond the plan is used as it
+    comes, since the host itself tells at each moment what is free.
     """
     hosts, homes = {}, homes or {}
     for (name, host), count in lanes.items():
@@ -26,8 +27,8 @@
             load[gateway] += pools.get(host, 0)
     for host in sorted(hosts):
         if host not in owners:
-            owners[host] = min(gateways, key=lambda each: (load[each] >= most, homes.get(each) != homes.get(host),
-                                                           load[each], each))
+            owners[host] = min(gateways, key=lambda each: (
+                load[each] >= most, homes.get(each) != homes.get(host), load[each], each))
             load[owners[host]] += pools.get(host, 0)
     for host, gateway in owners.items():
         came[gateway][host] = _spread(hosts[host], pools.get(host, 0))
@@ -66,5 +67,6 @@
         for counts in hosts.values():
             for name, count in counts.items():
                 if campaigns[name].pace:
-                    mine[gateway][name] = mine[gateway].get(name, 0.0) + campaigns[name].pace * count / lanes[name]
+                    part = campaigns[name].pace * count / lanes[name]
+                    mine[gateway][name] = mine[gateway].get(name, 0.0) + part
     return mine
--- a/gaproute/rollouts/exchange.py
+++ b/gaproute/rollouts/exchange.py
@@ -1,19 +1,21 @@
 """In which order copies are exchanged when weights move, so that neither rollouts nor production stand still.
 
-Where there is room for both, the new copy is loaded beside the old, which goes when the new one stands. Else the old
-one goes first, and then at most a PART of a campaign's copies is away at a time. Production's copies are not touched:
-`free` is what they leave.
+Where there is room for both, the new copy is loaded beside the old, which goes when the new one stands. Else
+the old one goes first, and then at most a PART of a campaign's copies is away at a time. Production's copies
+are not touched: `free` is what they leave.
 """
 
 PART = 3                 # one in so many of a campaign's copies may be under way: rollouts keep two thirds
 
 
 def exchange(name, room, wanted, planned, copies, loading, free):
-    """Orders of one campaign now: [(kind, host, version)], loads in the order of their use. "drop": it serves nobody;
-    "load": beside what stands there; "swap": the campaign's oldest copies there go until this one has room.
+    """Orders of one campaign now: [(kind, host, version)], loads in the order of their use. "drop": it serves
+    nobody; "load": beside what stands there; "swap": the campaign's oldest copies there go until this one has
+    room.
 
-    `wanted`: versions that serve, the newest first; `planned`: hosts that shall have a copy, the most useful first;
-    `copies`: {host: versions standing of this campaign}; `loading`: hosts with a load under way; `free`: {host: room}.
+    `wanted`: versions that serve, the newest first; `planned`: hosts that shall have a copy, the most useful
+    first; `copies`: {host: versions standing of this campaign}; `loading`: hosts with a load under way;
+    `free`: {host: room}.
     """
     newest, orders = wanted[0], []
     for host, versions in copies.items():    # what serves nobody goes at once, where nothing is lost by it
@@ -25,8 +27,9 @@
     away = len(loading)
     most = max(1, len(planned) // PART)
     lacking = [host for host in planned if newest not in copies.get(host, ()) and host not in loading]
-    bare = [host for host in lacking if not any((host, version) not in dropped for version in copies.get(host, ()))]
-    for host in bare + [host for host in lacking if host not in bare]:       # those without any copy lose nothing
+    bare = [host for host in lacking
+            if not any((host, version) not in dropped for version in copies.get(host, ()))]
+    for host in bare + [host for host in lacking if host not in bare]:   # without any copy nothing is lost
         if away >= most and host not in bare:
             break
         left = free.get(host, 0) + sum(room for other, _ in dropped if other == host)
--- a/gaproute/rollouts/forecast.py
+++ b/gaproute/rollouts/forecast.py
@@ -1,13 +1,14 @@
-"""What production will want in the next minutes, and when a campaign will end. Both from what was told and seen."""
+"""What production will want in the next minutes, and when a campaign will end. Both from what was told and
+seen."""
 
 SECOND = 1_000_000_000
 
 SLOT = 30 * SECOND       # of a plan: several loads long, short beside the course of a day
 SLOTS = 8                # minutes ahead that a plan looks
-HALF = 0.3               # weight of a new reading of the level: some readings average out, a rise shows in a minute
-STAY = 0.8               # of what the level is off its usual, what is left a slot later: calms and bursts pass
+HALF = 0.3               # weight of a new reading of the level: some average out, a rise shows in a minute
+STAY = 0.8               # of what the level is off its usual, what is left a slot later: bursts pass
 LONG = 960               # readings in the usual level: the working hours of a day at one a slot
-SURE = 1.0               # spreads above the mean that are kept for production: what comes above it stops rollouts
+SURE = 1.0               # spreads above the mean that are kept for production; more stops rollouts
 COURSE = 48              # factors of a day, half an hour each, where its course is known
 FUNCTIONS = 4096
 EARLY = 0.02             # of a campaign: before it an end would be a guess
@@ -31,7 +32,8 @@
         return max(0.01, self.course[first] * (1 - part) + self.course[(first + 1) % COURSE] * part)
 
     def read(self, clock, total, spread, seconds):
-        """A reading of the weak word: arrivals a second of the fleet with their spread, and seconds that one runs."""
+        """A reading of the weak word: arrivals a second of the fleet with their spread, and seconds that one
+        runs."""
         lanes, factor = total * seconds, self._factor(clock)
         if self.level is None:
             self.level = lanes / factor
@@ -68,8 +70,8 @@
             self.functions.setdefault(name, Demand(self.courses.get(name))).read(clock, *reading)
 
     def spare(self, clock, hosts, lendable, slots=SLOTS, sure=SURE, out=()):
-        """{host: [lanes in each slot]}: what may be lent less production's demand, which is laid on the hosts by their
-        lanes. `out`: {(host, slot)} in maintenance."""
+        """{host: [lanes in each slot]}: what may be lent less production's demand, which is laid on the hosts
+        by their lanes. `out`: {(host, slot)} in maintenance."""
         total, came = sum(host.lanes for host in hosts) or 1, {host.name: [] for host in hosts}
         for slot in range(slots):
             wanted = sum(each.lanes(clock + slot * SLOT, sure, slot) for each in self.functions.values())
@@ -92,8 +94,8 @@
         self.done, self.at = max(self.done, done), now
 
     def at_end(self, planned=()):
-        """ns of the own clock, or None while it is too early. `planned`: lanes in each next slot; beyond them their
-        mean, halfway to what it had so far, as no burst and no calm lasts."""
+        """ns of the own clock, or None while it is too early. `planned`: lanes in each next slot; beyond them
+        their mean, halfway to what it had so far, as no burst and no calm lasts."""
         if self.done < EARLY * self.work or not self.lanes:
             return None
         each = self.lanes / self.done                        # lane-ns a task, exchanges and waits included
--- a/gaproute/rollouts/groups.py
+++ b/gaproute/rollouts/groups.py
@@ -38,8 +38,8 @@
         return ""
 
     def answered(self, group, task, told):
-        """An answer by the version `told`. "delivered" once, for the whole group; "" while it waits for others; else
-        why all of it is scrapped."""
+        """An answer by the version `told`. "delivered" once, for the whole group; "" while it waits for
+        others; else why all of it is scrapped."""
         held = self.open.get(group)
         if held is None or task not in held.tasks:
             return self.ended.get(group, "unknown")
--- a/gaproute/rollouts/loads.py
+++ b/gaproute/rollouts/loads.py
@@ -5,8 +5,8 @@
 
 
 class Loads:
-    """`ration`: the gateway's `Ration` of rule 5 (`may(now)`, `ordered()`, `ended(now, good)`), or None without one.
-    `free`: orders for rollouts in `window` ns."""
+    """`ration`: the gateway's `Ration` of rule 5 (`may(now)`, `ordered()`, `ended(now, good)`), or None
+    without one. `free`: orders for rollouts in `window` ns."""
 
     def __init__(self, ration, free, window):
         self.ration, self.free, self.window = ration, free, window
--- a/gaproute/rollouts/orders.py
+++ b/gaproute/rollouts/orders.py
@@ -1,4 +1,5 @@
-"""Who plans, and whose plan counts: the holder of one permit plans, its fencing number goes with each plan."""
+"""Who plans, and whose plan counts: the holder of one permit plans, its fencing number goes with each
+plan."""
 from typing import NamedTuple
 
 PLANNER = "rollouts/plan"    # the permit that a planner holds
@@ -6,8 +7,9 @@
 
 
 class Orders(NamedTuple):
-    """What the planner tells one gateway. `aims`: {host: {campaign: lanes}}; `paces`: {campaign: tasks a second};
-    `copies`: {campaign: hosts that shall have a copy, the first first}. Who has a host's lanes loads its copies."""
+    """What the planner tells one gateway. `aims`: {host: {campaign: lanes}}; `paces`: {campaign: tasks a
+    second}; `copies`: {campaign: hosts that shall have a copy, the first first}. Who has a host's lanes loads
+    its copies."""
     fence: int
     number: int
     aims: dict
@@ -16,8 +18,9 @@
 
 
 class Latest:
-    """Takes only what is newer: a planner that lost its permit and does not know it yet is not followed by those who
-    heard its successor. Who heard neither goes on by the last plan: permits bound what that may do."""
+    """Takes only what is newer: a planner that lost its permit and does not know it yet is not followed by
+    those who heard its successor. Who heard neither goes on by the last plan: permits bound what that may
+    do."""
 
     def __init__(self):
         self.fence = self.number = 0
@@ -25,7 +28,8 @@
 
     def news(self, orders):
         mark = orders.fence, orders.number
-        if not all(type(each) is int and 0 <= each <= HIGHEST for each in mark) or mark <= (self.fence, self.number):
+        sound = all(type(each) is int and 0 <= each <= HIGHEST for each in mark)
+        if not sound or mark <= (self.fence, self.number):
             self.refused += 1
             return False
         self.fence, self.number = mark
@@ -33,8 +37,9 @@
 
 
 class Choice:
-    """Which of two plans of one problem is followed: the solver's while it is sound and in time, else the greedy one.
-    `begin(now, number, problem, plan)`; `solved(now, number, plan)`; `due(now)` gives the plan once, or None."""
+    """Which of two plans of one problem is followed: the solver's while it is sound and in time, else the
+    greedy one. `begin(now, number, problem, plan)`; `solved(now, number, plan)`; `due(now)` gives the plan
+    once, or None."""
 
     def __init__(self, wrong, limit):
         self.wrong, self.limit = wrong, limit
@@ -45,7 +50,8 @@
         self.number, self.until, self.problem, self.plan = number, now + self.limit, problem, plan
 
     def solved(self, now, number, plan):
-        """`plan` None: the solver failed. The plan to be followed now, or None: too late, or of another problem."""
+        """`plan` None: the solver failed. The plan to be followed now, or None: too late, or of another
+        problem."""
         if number != self.number or self.plan is None:
             self.late += 1
             return None
--- a/gaproute/rollouts/plan.py
+++ b/gaproute/rollouts/plan.py
@@ -1,5 +1,5 @@
-"""A plan for the next slots: which campaign has a copy at which host, and how many lanes there. The greedy one, what
-a plan must keep, and what one is worth once the truth is known."""
+"""A plan for the next slots: which campaign has a copy at which host, and how many lanes there. The greedy
+one, what a plan must keep, and what one is worth once the truth is known."""
 import msgspec
 
 from gaproute.rollouts.shares import shares
@@ -38,15 +38,15 @@
 
 
 class Plan(msgspec.Struct, array_like=True):
-    """`copies`: [(campaign, host, slot from which it stands)], loaded in this order; `lanes`: [(campaign, host, lanes
-    in each slot)]."""
+    """`copies`: [(campaign, host, slot from which it stands)], loaded in this order; `lanes`: [(campaign,
+    host, lanes in each slot)]."""
     copies: list[tuple[str, str, int]]
     lanes: list[tuple[str, str, list[int]]]
 
 
 def greedy(problem):
-    """Copies that stand stay where they serve; then the campaign furthest below its share gets the host that gives
-    it most, while that is more than the load costs."""
+    """Copies that stand stay where they serve; then the campaign furthest below its share gets the host that
+    gives it most, while that is more than the load costs."""
     caps = [problem.caps(slot) for slot in range(problem.slots)]
     wants = {want.name: want for want in problem.wants}
     left = {host: [int(lanes) for lanes in spare] for host, spare in problem.spare.items()}
@@ -68,7 +68,8 @@
 
     stand = [(name, host) for name, host in problem.standing if name in wants and host in left]
     while stand:                             # each campaign's best first, the one that has least of its share
-        name, host = max(stand, key=lambda pair: (sum(lacking[pair[0]]) / wants[pair[0]].weight, gain(*pair, 0), pair))
+        name, host = max(stand, key=lambda pair: (
+            sum(lacking[pair[0]]) / wants[pair[0]].weight, gain(*pair, 0), pair))
         stand.remove((name, host))
         if room[host] >= wants[name].room and gain(name, host, 0) > 0:
             put(name, host, 0)
@@ -93,7 +94,8 @@
     wants, stand = {want.name: want for want in problem.wants}, set(problem.standing)
     begins = {}
     for name, host, first in plan.copies:
-        if name not in wants or host not in problem.spare or (name, host) in begins or not 0 <= first < problem.slots:
+        known = name in wants and host in problem.spare
+        if not known or (name, host) in begins or not 0 <= first < problem.slots:
             return [f"plan: copy of {name} at {host} from {first}"]
         begins[name, host] = first
         rooms[host] = rooms.get(host, 0) + wants[name].room
@@ -113,7 +115,8 @@
 
 
 def worth(problem, plan, truth):
-    """Lane-slots that the plan brings where `truth`, {host: lanes in each slot}, is what was spare; loads cost."""
+    """Lane-slots that the plan brings where `truth`, {host: lanes in each slot}, is what was spare; loads
+    cost."""
     stand, value = set(problem.standing), 0.0
     begins = {(name, host): first for name, host, first in plan.copies}
     left = {host: list(lanes) for host, lanes in truth.items()}
--- a/gaproute/rollouts/solver.py
+++ b/gaproute/rollouts/solver.py
@@ -1,5 +1,6 @@
-"""The same plan by a solver (HiGHS), optional: `requirements-rollouts.txt`. It is slow, so it runs in a process of its
-own, `python -m gaproute.rollouts`, which reads a Problem and writes a Plan; who waits for it has a bound of its own."""
+"""The same plan by a solver (HiGHS), optional: `requirements-rollouts.txt`. It is slow, so it runs in a
+process of its own, `python -m gaproute.rollouts`, which reads a Problem and writes a Plan; who waits for it
+has a bound of its own."""
 from gaproute.rollouts.plan import Plan
 
 LIMIT = 2.0              # s of solving: a plan is for half a minute
@@ -18,7 +19,8 @@
     model.setOptionValue("threads", 1)
     slots, stand = range(problem.slots), set(problem.standing)
     caps = [problem.caps(slot) for slot in slots]
-    pairs = [(want, host) for want in problem.wants for host in problem.spare if problem.room[host] >= want.room]
+    pairs = [(want, host) for want in problem.wants for host in problem.spare
+             if problem.room[host] >= want.room]
     lanes, begins = {}, {}
     for want, host in pairs:
         # A copy begins in one slot at most and stays; one that stands begins in the first without a load.
@@ -31,7 +33,8 @@
         for slot in slots:
             spare = int(problem.spare[host][slot])
             lanes[key, slot] = model.addVariable(0, spare, 1.0)
-            model.addConstr(lanes[key, slot] <= spare * sum(begins[key][first] for first in firsts if first <= slot))
+            stands = sum(begins[key][first] for first in firsts if first <= slot)
+            model.addConstr(lanes[key, slot] <= spare * stands)
     for host in problem.spare:
         here = [(want, key) for want, other in pairs if other == host for key in [(want.name, host)]]
         if not here:
--- a/gaproute/rollouts/spend.py
+++ b/gaproute/rollouts/spend.py
@@ -1,10 +1,11 @@
 """One gateway's part of the hosts' room: what it may send where, under permits, production first.
 
-A rollout goes out only if all of these hold: a permit of that host's pool has a free lane and stands, by the own
-clock, until after the rollout's way and longest run; the host itself said lately that it has room to spare and that
-no production waits; the pace has a turn. The first keeps the sum of all parts under the room whoever is cut off,
-restarted or doubled: a permit's lane is given back, or lapses, only when what ran on it has ended. The second stops
-rollouts for production within FRESH although nobody else is heard: who does not hear the host sends nothing.
+A rollout goes out only if all of these hold: a permit of that host's pool has a free lane and stands, by the
+own clock, until after the rollout's way and longest run; the host itself said lately that it has room to
+spare and that no production waits; the pace has a turn. The first keeps the sum of all parts under the room
+whoever is cut off, restarted or doubled: a permit's lane is given back, or lapses, only when what ran on it
+has ended. The second stops rollouts for production within FRESH although nobody else is heard: who does not
+hear the host sends nothing.
 """
 from collections import Counter, deque
 
@@ -14,7 +15,7 @@
 MILLI = 1_000_000
 
 FRESH = 150 * MILLI      # ns from asking a host until its answer says nothing any more; 200 ms is the promise
-ASK = 50 * MILLI         # between askings of a host with a part: two may be lost before sending stops
+ASK = 25 * MILLI         # between askings of a host with a part: production waits so long for a recall
 AGAIN = 300 * MILLI      # until a permit that was refused is asked again
 PARTS = 1024             # hosts with a part: as many wishes as a holder has
 HANDS = 4096             # rollouts in hand
@@ -54,7 +55,8 @@
     # What is planned
 
     def aim(self, now, aims, paces=None):
-        """`aims`: {host: {campaign: lanes}}; a host that is not named is given back. `paces`: {campaign: a second}."""
+        """`aims`: {host: {campaign: lanes}}; a host that is not named is given back. `paces`: {campaign: a
+        second}."""
         for host in [host for host in aims if host not in self.parts][:PARTS - len(self.parts)]:
             self.parts[host] = Part()
         for host, part in self.parts.items():
@@ -76,7 +78,8 @@
                     part.chunk, part.again = max(1, part.chunk // 2), now + AGAIN
                 if not part.wishes[wish]:
                     del part.wishes[wish]    # else when the last under it has ended
-            open_ = [wish for wish in part.wishes if wish not in part.closing and wish.state in ("asked", "held")]
+            open_ = [wish for wish in part.wishes
+                     if wish not in part.closing and wish.state in ("asked", "held")]
             has, aim = sum(wish.amount for wish in open_), sum(part.aims.values())
             for wish in sorted(open_, key=lambda wish: (part.wishes[wish], wish.amount)):
                 if has - wish.amount >= aim:
@@ -90,7 +93,8 @@
             if any(wish.state == "held" for wish in open_) and now >= part.again + AGAIN:
                 part.chunk = CHUNK
             while has < aim and now >= part.again and len(self.holder.wishes) < PARTS:
-                span, amount = max(self.campaigns[name].span for name in part.aims), min(part.chunk, aim - has)
+                span = max(self.campaigns[name].span for name in part.aims)
+                amount = min(part.chunk, aim - has)
                 part.wishes[self.holder.take(now, pool(host), span, amount)] = 0
                 has += amount
             if not part.aims and not part.wishes:
@@ -103,8 +107,8 @@
         return [host for host, part in self.parts.items() if part.aims]
 
     def report(self, now, host, asked, free, want, cold=False):
-        """The host's answer to what was asked at `asked`, own clock: lanes free above its floor, whether production
-        waits or has taken the floor."""
+        """The host's answer to what was asked at `asked`, own clock: lanes free above its floor, whether
+        production waits or has taken the floor."""
         part = self.parts.get(host)
         if part is None or asked > now or asked < part.after or part.asked is not None and asked < part.asked:
             return
@@ -113,14 +117,15 @@
         part.free = max(0, free) - since
 
     def wanted(self, now, host):
-        """Own tasks found no room there, or another gateway told so: nothing more until the host, asked after this,
-        says that there is room."""
+        """Own tasks found no room there, or another gateway told so: nothing more until the host, asked after
+        this, says that there is room."""
         part = self.parts.get(host)
         if part is not None:
             part.want, part.after = True, now
 
     def recalls(self, host, lanes):
-        """Rollouts to be taken back so that production gets `lanes`: the last sent first, least is lost by them."""
+        """Rollouts to be taken back so that production gets `lanes`: the last sent first, least is lost by
+        them."""
         mine = [task for task, hand in self.hands.items()
                 if hand.host == host and self.campaigns[hand.campaign].recall]
         return mine[::-1][:max(0, lanes)]
@@ -152,7 +157,8 @@
         self.hands[task] = Hand(name, host, wish, now, now + self.campaigns[name].need)
 
     def ended(self, now, task, free=True):
-        """An answer, which proves that its lane is free again, or its time is over. `free` False: it was full."""
+        """An answer, which proves that its lane is free again, or its time is over. `free` False: it was
+        full."""
         hand = self.hands.pop(task, None)
         if hand is None:
             return
