--- a/tests/test_rollouts_campaign.py
+++ b/tests/test_rollouts_campaign.py
@@ -1,6 +1,9 @@
 """Campaigns that are refused at once, shares, plans, forecasts."""
 import random
+import subprocess
+import sys
 
+import msgspec
 import pytest
 
 from gaproute.rollouts.campaign import Campaign, Host, check, floors, lendable
@@ -85,6 +88,17 @@
     assert worth(given, best, given.spare) >= 0.99 * worth(given, greedy(given), given.spare)
 
 
+def test_the_solver_has_a_process_of_its_own():
+    def run(data):
+        return subprocess.run([sys.executable, "-m", "gaproute.rollouts", "2"], input=data, capture_output=True)
+
+    bad = run(b"[1]")
+    assert bad.returncode == 1 and bad.stderr.startswith(b"no plan: ")
+    pytest.importorskip("highspy")
+    given = problem(2, 6)
+    assert wrong(given, msgspec.json.decode(run(msgspec.json.encode(given)).stdout, type=Plan)) == []
+
+
 def test_the_solvers_plan_counts_while_sound_and_in_time():
     given, choice = problem(1), Choice(wrong, 2 * SECOND)
     plan, other = greedy(given), Plan([], [])
