--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/driver/keepchecks.py
@@ -97,8 +97,8 @@
     and who comes later has the greater fencing number. Of a pool, the most that it was ever said to hold;
     names have one. Looked at when a holder has acted: in between a permit can only end."""
 
-    def __init__(self, holders, pools, leader):
-        self.holders, self.leader = dict.fromkeys(holders), leader
+    def __init__(self, holders, pools, leader, leaders):
+        self.holders, self.leader, self.leaders = dict.fromkeys(holders), leader, leaders
         self.most = {name: max(sizes) for name, sizes in pools.items()}
         self.fences = {}                     # name: the greatest that was held
 
@@ -106,6 +106,8 @@
         if seat.name not in self.holders:
             return
         spent, held, leader = {}, [], self.leader(world)
+        if leader is not None and leader.actor.term != max(self.leaders, default=0):
+            leader = None                    # one that another has followed: nothing it says is agreed on
         for name in self.holders:
             other = world.seats[name]
             if other.actor is None or not other.actor.wishes:
--- a/gaproute/driver/keepers.py
+++ b/gaproute/driver/keepers.py
@@ -53,7 +53,8 @@
         rates = {name: chance.of((-rate, 0, rate)) for name in makes}
         if kind == "tight":
             rates = {name: rate if name in self.keepers else -rate for name in makes}
-        held, told = Held(self.holders, POOLS, self.leader), Told(self)
+        told = Told(self)
+        held = Held(self.holders, POOLS, self.leader, told.leaders)
         if kind == "forgotten":
             checks = Checks(touched=[held])
         else:
