--- a/gaproute/peers/weak/carrier.py
+++ b/gaproute/peers/weak/carrier.py
@@ -5,6 +5,7 @@
 
 SECOND = 1_000_000_000
 LOOK = SECOND // 2       # between two looks at tasks in hand and copies: as often as one peer is told at most
+LEAST = SECOND // 200    # between two turns
 LISTED = SECOND          # between two takes of the list of members: a storm of news must not be one of lists
 
 
@@ -29,6 +30,12 @@
 
     def _tick(self):
         now = self.loop.now()
+        try:
+            self._turn(now)
+        finally:                 # a fault in one turn is logged by the loop, and must not end all later ones
+            self.timer = self.loop.at(max(self.weak.due, now + LEAST), self._tick)
+
+    def _turn(self, now):
         members = self.gossip.members
         if now - self.listed_at >= LISTED:
             self.listed_at = now
@@ -41,7 +48,6 @@
             member = members.members.get(name)
             if member is not None:
                 self.gossip.post(member.where, "weak", encode(word))
-        self.timer = self.loop.at(self.weak.due, self._tick)
 
     def _look(self, now):
         for name, worker in self.gateway.workers.items():
