--- a/benchmarks/wide.py
+++ b/benchmarks/wide.py
@@ -83,7 +83,8 @@
         names = sorted(self.where)
         for number in range(CHANGES):
             name = names[number // 2 % len(names)]
-            self.log.say(self.listing.change(member(name, self.where[name], ("draining", "active")[number % 2])))
+            state = ("draining", "active")[number % 2]
+            self.log.say(self.listing.change(member(name, self.where[name], state)))
             time.sleep(0.05)
 
     def serve(self, seconds):
--- a/gaproute/shared/permits/invariants.py
+++ b/gaproute/shared/permits/invariants.py
@@ -24,7 +24,8 @@
 def check_holder(holder):
     """Cheap: of one holder alone."""
     came = []
-    if len(holder.wishes) > MOST_WISHES or len(holder.queue) > 3 * MOST_WISHES or len(holder.urgent) > 3 * MOST_WISHES:
+    most = 3 * MOST_WISHES
+    if len(holder.wishes) > MOST_WISHES or len(holder.queue) > most or len(holder.urgent) > most:
         came.append(f"maps are bounded: {holder.name}")
     if any(wish.state not in ("asked", "held") for wish in holder.wishes):
         came.append(f"wishes at work are asked or held: {holder.name}")
--- a/tests/test_rollouts_campaign.py
+++ b/tests/test_rollouts_campaign.py
@@ -90,7 +90,8 @@
 
 def test_the_solver_has_a_process_of_its_own():
     def run(data):
-        return subprocess.run([sys.executable, "-m", "gaproute.rollouts", "2"], input=data, capture_output=True)
+        return subprocess.run([sys.executable, "-m", "gaproute.rollouts", "2"], input=data,
+                              capture_output=True)
 
     bad = run(b"[1]")
     assert bad.returncode == 1 and bad.stderr.startswith(b"no plan: ")
