Candidates for an even load, each alone: chance among near-ties, own first choices, smoothed loads

Cause: what mends the herds must be measured one by one before the policy changes. What: benchmarks/fleet/variants.py; plays can be measured from a later second; lateness counts what was asked since.

--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -1,8 +1,8 @@
 """Many gateways' decision modules in one process on a clock of their own: no sockets and no protocol.
 
     python -m benchmarks.fleet [--gateways 3,20,60,200] [--hosts 88] [--rate 1000] [--seconds 20]
-    python -m benchmarks.fleet --even [--gateways 200] [--rates 1000,3000] [--seconds 12] [--seeds 1,2,3]
-        [--variants today,sees] [--faults none,deaf] [--jobs 4] [--out docs/measured --name evenness]
+    python -m benchmarks.fleet --even [--gateways 200] [--rates 1000,3000] [--seconds 12] [--since 2]
+        [--seeds 1,2,3] [--variants today,sees] [--faults none,deaf] [--jobs 4] [--out docs/measured --name evenness]
     python -m benchmarks.fleet --follow [--gateways 200] [--rates 1000,3000] [--seconds 12] [--seeds 1]
 
 The first tells what a fleet costs its hosts (`costs`), the second how evenly it loads them (`evenness`,
@@ -25,6 +25,7 @@
     asked.add_argument("--rate", type=int, default=1000)
     asked.add_argument("--rates", default="1000,3000")
     asked.add_argument("--seconds", type=int)
+    asked.add_argument("--since", type=int, default=2, help="first second that is measured")
     asked.add_argument("--seeds", default="1,2,3")
     asked.add_argument("--variants", default="today", help=", ".join(VARIANTS))
     asked.add_argument("--faults", default="none", help=", ".join(KINDS))
--- a/benchmarks/fleet/evenness.py
+++ b/benchmarks/fleet/evenness.py
@@ -15,11 +15,11 @@
          "p50", "p99", "late", "loads", "CPU")
 
 
-def play(variant, fault, gateways, hosts, rate, seconds, seed):
+def play(variant, fault, gateways, hosts, rate, seconds, seed, since=2):
     """The figures of one play (`measures.Watch.sums`)."""
     weights = WEIGHTS[fault](gateways) if fault in WEIGHTS else None
     world = World(gateways, hosts, VARIANTS[variant], SIZES.get(fault, (1.0,)))
-    watch = Watch(world, seconds * SECOND)
+    watch = Watch(world, seconds * SECOND, since * SECOND)
     FAULTS.get(fault, none)(world, watch, chance_of(seed))
     Traffic(world, rate, seed, weights, fault in THIRD)
     world.clock.run(seconds * SECOND)
@@ -33,7 +33,7 @@
     seeds = [int(seed) for seed in told.seeds.split(",")]
     with ProcessPoolExecutor(told.jobs) as pool:
         asked = {(what, seed): pool.submit(play, what[0], what[1], int(told.gateways), told.hosts, what[2],
-                                           told.seconds, seed) for what in wanted for seed in seeds}
+                                           told.seconds, seed, told.since) for what in wanted for seed in seeds}
         rows, each = [], []
         for what in wanted:
             of = {seed: asked[what, seed].result() for seed in seeds}
--- a/benchmarks/fleet/follow.py
+++ b/benchmarks/fleet/follow.py
@@ -11,7 +11,7 @@
 
 from benchmarks.fleet.clock import MILLI, SECOND
 from benchmarks.fleet.faults import FAULTS, chance_of, none
-from benchmarks.fleet.measures import FROM, HERD, Watch
+from benchmarks.fleet.measures import HERD, Watch
 from benchmarks.fleet.traffic import Traffic
 from benchmarks.fleet.variants import VARIANTS
 from benchmarks.fleet.world import World
@@ -43,7 +43,7 @@
 
     def relayed(self, now, one, function, worker, host):
         super().relayed(now, one, function, worker, host)
-        if now < FROM or not one.gateway.last:
+        if now < self.since or not one.gateway.last:
             return
         known = one.gateway.workers[worker]
         age = now - known.reported if known.report is not None else LOAD_LIFE + 1
--- a/benchmarks/fleet/measures.py
+++ b/benchmarks/fleet/measures.py
@@ -21,12 +21,13 @@
 class Watch:
     """Watches a world; `sums` has the figures of the play."""
 
-    def __init__(self, world, until):
-        self.world, self.samples, self.reports, self.events = world, [], [], []
+    def __init__(self, world, until, since=FROM):
+        self.world, self.since = world, since
+        self.samples, self.reports, self.events = [], [], []
         self.took, self.late = [], {"load": 0, "queue": 0, "failed": 0, "waited": 0, "declined": 0}
-        self.left = self.relays = 0
+        self.relays = 0
         world.watchers.append(self)
-        for at in range(FROM, until + 1, TICK):
+        for at in range(since, until + 1, TICK):
             world.clock.at(at, self.sample)
 
     def sample(self):
@@ -35,7 +36,7 @@
 
     def told(self, now, teller, words):
         heard = teller.gateway.sharing.words.read(words)
-        if heard is not None and now >= FROM:
+        if heard is not None and now >= self.since:
             self.reports.append((now, heard[0], heard[1].cpu_busy))
 
     def event(self, names):
@@ -46,6 +47,8 @@
         self.relays += 1
 
     def answered(self, now, asked):
+        if asked.came < self.since:
+            return
         took = now - asked.came
         self.took.append(took)
         if took > CONTRACT:
@@ -55,7 +58,7 @@
             self.late[why] += 1
 
     def lost(self, now, asked):
-        self.late["declined"] += 1
+        self.late["declined"] += asked.came >= self.since
 
     def got(self, name, at, span=HERD):
         """Relays that a host got after that moment, over its fair share of all."""
@@ -102,14 +105,14 @@
         in_hand = sum(map(sum, each)) / sum(map(len, each))
         tasks, took = self.world.counts["tasks"], sorted(self.took)
         herd, high, worst = self.herds()
-        late = sum(self.late.values())
+        late, asked = sum(self.late.values()), len(took) + self.late["declined"]
         return {
             "cv": sum(map(coefficient, each)) / len(each), "by chance": in_hand ** -0.5, "in hand": in_hand,
             "low": means[0], "high": means[-1], "lasting": coefficient(means),
             "peak": sum(max(some) * len(some) / max(sum(some), 1) for some in each) / len(each),
             "idle": self.idle(), "herd": herd, "herd p99": high, "herd event": worst,
             "p50": median(took) / MILLI, "p99": took[len(took) * 99 // 100] / MILLI,
-            "late": late / tasks, **{f"late {why}": count / tasks for why, count in self.late.items()},
+            "late": late / asked, **{f"late {why}": count / asked for why, count in self.late.items()},
             "loads": self.world.counts["loads"] / tasks, "relays": self.relays / tasks,
             "probes": self.world.counts["probes"] / tasks,
             "CPU": self.world.cpu / tasks / MILLI}
--- a/benchmarks/fleet/variants.py
+++ b/benchmarks/fleet/variants.py
@@ -15,6 +15,9 @@
 WORK_TIME = 100 * MILLI  # over which what a report told of has been answered
 SMOOTH = 8               # reports over which a worker's load is averaged
 POINT = 0.5              # points a task in hand, where queues are true: a copy is worth twelve
+SOFT = 0.1               # points by which a worker is chosen e times as often
+RELATIVE = 0.3           # of a usual room, for the load that is usual in the fleet
+BOUND = 1.25             # of its share that a worker may long have
 STRONG = 4.0             # times more points for the smoothed load
 
 
@@ -114,13 +117,13 @@
 
 class Smooth(Parted):
     """A worker's load is the mean of its last reports, not the last; it weighs more."""
-    strong = STRONG
+    strong, smooth_over = STRONG, SMOOTH
 
     def note(self, worker, now, report):
         super().note(worker, now, report)
         if report is not None and report.cpu_busy is not None:
             was = getattr(worker, "smooth", report.cpu_busy)
-            worker.smooth = was + (report.cpu_busy - was) / SMOOTH
+            worker.smooth = was + (report.cpu_busy - was) / self.smooth_over
 
     def queue(self, worker, task, now):
         if now - worker.reported > LOAD_LIFE or not hasattr(worker, "smooth"):
@@ -135,6 +138,81 @@
         return max(1, int(1000 * worker.capacity * (1 - getattr(worker, "smooth", 0.0))))
 
 
+class Coarse(Parted):
+    """(c) A queue counts in whole steps alone, so that the workers of one step share by chance."""
+    step = 1                 # task, of those that a share of CPU stands for: a quarter of the share
+
+    def queue(self, worker, task, now):
+        return super().queue(worker, task, now) // self.step * self.step
+
+
+class Coarser(Coarse):
+    """The same with steps of half the share."""
+    step = 2
+
+
+class Soft(Parted):
+    """(c) Near-ties by chance, the likelier the more points."""
+    slack, heat = 5 * SOFT, SOFT
+
+    def pick(self, scored):
+        best = max(each.score for each in scored)
+        near = sorted([each for each in scored if each.score >= best - self.slack],
+                      key=lambda each: each.worker.place)
+        weights = [exp((each.score - best) / self.heat) for each in near]
+        drawn = self.chance.below(SECOND) / SECOND * sum(weights)
+        for each, weight in zip(near, weights, strict=True):
+            drawn -= weight
+            if drawn < 0:
+                return each.worker
+        return near[-1].worker
+
+
+class SoftSmooth(Smooth, Soft):
+    """The smoothed load, and near-ties by chance, the likelier the more points."""
+
+
+class FirstsSmooth(Smooth, Firsts):
+    """The smoothed load, and own first choices."""
+
+
+class Relative(SoftSmooth):
+    """The smoothed load over the fleet's, so that it says as much where all have little to do."""
+
+    relative = RELATIVE
+
+    def queue(self, worker, task, now):
+        if now - worker.reported > LOAD_LIFE or not hasattr(worker, "smooth"):
+            return policy.ROOM * self.relative
+        return policy.ROOM * self.relative * min(3.0, worker.smooth / self.usual_smooth(now))
+
+    def usual_smooth(self, now):
+        if now - getattr(self, "shared_at", -SECOND) > 40 * MILLI:
+            known = [worker.smooth for worker in self.fleet if hasattr(worker, "smooth")]
+            self.shared, self.shared_at = max(sum(known) / max(len(known), 1), 0.01), now
+        return self.shared
+
+
+class Gentle(Relative):
+    """The same with a fifth of the points, over twice as many reports."""
+    relative, smooth_over = RELATIVE / 5, 2 * SMOOTH
+
+
+class Bounded(Smooth, Firsts):
+    """Own first choices; a worker that long had over a quarter more than its share loses as much of the
+    functions that are its by the hash: each gateway decides by its own hash, so that few copies move."""
+
+    queue, usual_smooth = Parted.queue, Relative.usual_smooth
+    smooth_over = 2 * SMOOTH
+
+    def prior(self, name, worker, rank, width, prior):
+        points = super().prior(name, worker, rank, width, prior)
+        over = getattr(worker, "smooth", 0.0) / (BOUND * self.usual_smooth(self.world.clock.now))
+        if over > 1 and crc32(f"{self.number} {name} {worker.id}".encode()) % 1000 < 1000 * (1 - 1 / over):
+            points *= 0.8
+        return points
+
+
 def lagging(base, milli):
     return type(f"{base.__name__}{milli}", (base,), {"lag": milli * MILLI})
 
@@ -144,5 +222,7 @@
     "sees": Sees, "level": Level, "level50": lagging(Level, 50), "level100": lagging(Level, 100),
     "level300": lagging(Level, 300), "level1000": lagging(Level, 1000), "least": Least,
     "aged": Aged, "readers": Readers, "shared": Shared, "firsts": Firsts, "told": Told,
-    "smooth": Smooth, "smoothshared": SmoothShared,
+    "smooth": Smooth, "smoothshared": SmoothShared, "soft": Soft, "softsmooth": SoftSmooth, "coarse": Coarse, "coarser": Coarser,
+   
+    "firstssmooth": FirstsSmooth, "relative": Relative, "gentle": Gentle, "bounded": Bounded,
 }
