--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -2,7 +2,8 @@
 
     python -m benchmarks.fleet [--gateways 3,20,60,200] [--hosts 88] [--rate 1000] [--seconds 20]
     python -m benchmarks.fleet --even [--gateways 200] [--rates 1000,3000] [--seconds 12] [--since 2]
-        [--seeds 1,2,3] [--variants today,sees] [--faults none,deaf] [--jobs 4] [--out docs/measured --name evenness]
+        [--seeds 1,2,3] [--variants today,sees] [--faults none,deaf] [--jobs 4]
+        [--out docs/measured --name evenness]
     python -m benchmarks.fleet --follow [--gateways 200] [--rates 1000,3000] [--seconds 12] [--seeds 1]
 
 The first tells what a fleet costs its hosts (`costs`), the second how evenly it loads them (`evenness`,
--- /dev/null
+++ b/benchmarks/fleet/candidates.py
@@ -0,0 +1,107 @@
+"""Candidates that change how the last report is read, or how equals are chosen among."""
+from math import exp
+from zlib import crc32
+
+from gaproute.beliefs import LOAD_LIFE, MILLI, SECOND
+
+from benchmarks.fleet.parted import Parted
+
+NEAR_TIE = 0.3           # points: less than from one choice of the hash to the next
+WORK_TIME = 100 * MILLI  # over which what a report told of has been answered
+SOFT = 0.1               # points by which a worker is chosen e times as often
+
+
+class Aged(Parted):
+    """(a) A report fades to the usual one within an answer time: what all others send comes in between."""
+
+    def queue(self, worker, task, now):
+        told = super().queue(worker, task, now)
+        age = now - worker.reported
+        if worker.report is None or age > LOAD_LIFE or worker.report.cpu_busy is None:
+            return told
+        usual = self.usual_share(now) * task.lanes
+        fresh = exp(-age / WORK_TIME)
+        return max(usual + (worker.report.cpu_busy * task.lanes - usual) * fresh, len(worker.out))
+
+    def usual_share(self, now):
+        if now - getattr(self, "shared_at", -SECOND) > 40 * MILLI:
+            shares = [worker.report.cpu_busy for worker in self.fleet
+                      if worker.report is not None and now - worker.reported <= LOAD_LIFE]
+            self.shared, self.shared_at = sum(shares) / len(shares) if shares else 0.0, now
+        return self.shared
+
+
+class Readers(Parted):
+    """(b) Points for the queue grow with how many read the same report: the root of the gateways."""
+
+    def queue_weight(self, heat):
+        return super().queue_weight(heat) * max(1.0, len(self.world.gateways) ** 0.5)
+
+
+class Shared(Parted):
+    """(c) Near-ties by chance in proportion to the room that reports tell of."""
+    slack = NEAR_TIE
+
+    def room(self, worker):
+        busy = worker.report.cpu_busy if worker.report is not None else 0.0
+        return max(1, int(1000 * worker.capacity * (1 - busy)))
+
+    def pick(self, scored):
+        best = max(each.score for each in scored)
+        near = sorted([each.worker for each in scored if each.score >= best - self.slack],
+                      key=lambda worker: worker.place)
+        rooms = [self.room(worker) for worker in near]
+        drawn = self.chance.below(sum(rooms))
+        for worker, room in zip(near, rooms, strict=True):
+            drawn -= room
+            if drawn < 0:
+                return worker
+        raise AssertionError("drawn beyond all room")
+
+
+class Firsts(Parted):
+    """(d) Of the first choices that count alike each gateway has its own."""
+
+    def prior(self, name, worker, rank, width, prior):
+        mine = (self.number + crc32(name.encode())) % width
+        return super().prior(name, worker, rank, width, prior) * (
+            1.0 if rank >= width or rank == mine else 0.93)
+
+
+class Coarse(Parted):
+    """(c) A queue counts in whole steps alone, so that the workers of one step share by chance."""
+    step = 1                 # task, of those that a share of CPU stands for: a quarter of the share
+
+    def queue(self, worker, task, now):
+        return super().queue(worker, task, now) // self.step * self.step
+
+
+class Coarser(Coarse):
+    """The same with steps of half the share."""
+    step = 2
+
+
+class Steps(Parted):
+    """(c) As `Coarser`, of the share of CPU alone: own tasks in hand count each."""
+
+    def queued(self, worker, lanes, now):
+        super().queued(worker, lanes, now)
+        told, share, own = worker.tally
+        return max(told + share * lanes // Coarser.step * Coarser.step, own)
+
+
+class Soft(Parted):
+    """(c) Near-ties by chance, the likelier the more points."""
+    slack, heat = 5 * SOFT, SOFT
+
+    def pick(self, scored):
+        best = max(each.score for each in scored)
+        near = sorted([each for each in scored if each.score >= best - self.slack],
+                      key=lambda each: each.worker.place)
+        weights = [exp((each.score - best) / self.heat) for each in near]
+        drawn = self.chance.below(SECOND) / SECOND * sum(weights)
+        for each, weight in zip(near, weights, strict=True):
+            drawn -= weight
+            if drawn < 0:
+                return each.worker
+        return near[-1].worker
--- a/benchmarks/fleet/evenness.py
+++ b/benchmarks/fleet/evenness.py
@@ -33,7 +33,8 @@
     seeds = [int(seed) for seed in told.seeds.split(",")]
     with ProcessPoolExecutor(told.jobs) as pool:
         asked = {(what, seed): pool.submit(play, what[0], what[1], int(told.gateways), told.hosts, what[2],
-                                           told.seconds, seed, told.since) for what in wanted for seed in seeds}
+                                           told.seconds, seed, told.since)
+                 for what in wanted for seed in seeds}
         rows, each = [], []
         for what in wanted:
             of = {seed: asked[what, seed].result() for seed in seeds}
--- a/benchmarks/fleet/gateways.py
+++ b/benchmarks/fleet/gateways.py
@@ -1,5 +1,5 @@
 """One gateway's decisions on the fleet's clock, and what each of its tasks met."""
-from time import perf_counter_ns
+from time import process_time_ns
 
 from gaproute import interface as face
 from gaproute.core.drive import Driver
@@ -35,9 +35,9 @@
         world.counts["tasks"] += 1
         key = str(world.counts["tasks"])
         self.asked[key] = Asked(function, world.clock.now)
-        began = perf_counter_ns()
+        began = process_time_ns()
         self.take(world.clock.now, face.Task(key, 0, TRACKS[track].hard_limit, function, LANES, None, track))
-        world.cpu += perf_counter_ns() - began
+        world.cpu += process_time_ns() - began
 
     def wait(self, key, until, now):
         self.waits[key] = mark = object()
@@ -48,9 +48,9 @@
 
     def woken(self, key, mark):
         if self.waits.get(key) is mark and not self.gone:
-            began = perf_counter_ns()
+            began = process_time_ns()
             self.late(key, self.world.clock.now)
-            self.world.cpu += perf_counter_ns() - began
+            self.world.cpu += process_time_ns() - began
 
     def connect(self, worker):
         now = self.world.clock.now
@@ -91,10 +91,10 @@
         if key in self.tasks:
             world.counts["delivered"] += 1
             world.answer(self.asked.pop(key))
-        began = perf_counter_ns()
+        began = process_time_ns()
         self.outcome(world.clock.now, face.Outcome(key, number, worker, face.Result.OK, took, True, found,
                                                    host.busy, None))
-        world.cpu += perf_counter_ns() - began
+        world.cpu += process_time_ns() - began
 
     def recall(self, key, number):
         """The host works on."""
--- /dev/null
+++ b/benchmarks/fleet/seers.py
@@ -0,0 +1,48 @@
+"""Comparisons that see what no gateway can: true queues, as they are or were, and true copies."""
+from gaproute import policy
+from gaproute.beliefs import MILLI
+
+from benchmarks.fleet.parted import Parted
+
+POINT = 0.5              # points a task in hand, where queues are true: a copy is worth twelve
+
+
+class Sees(Parted):
+    """The same score with the true queues, as old as `lag`."""
+    lag = 0
+
+    def true(self, worker):
+        host = self.world.hosts[worker.id]
+        if not self.lag:
+            return host.busy
+        return self.world.past.busy(worker.id, self.lag)
+
+    def queue(self, worker, task, now):
+        return self.true(worker)
+
+
+class Level(Sees):
+    """True queues and true copies: the least load among hosts where a copy stands, another where it pays."""
+    slack = 100.0            # all are scored
+
+    def queue_weight(self, heat):
+        return POINT * policy.ROOM
+
+    def copy(self, name, worker, rank, width, warmth):
+        return 1.0 if name in self.world.hosts[worker.id].copies else 0.0
+
+
+class Least(Level):
+    """True queues and nothing else: the least load, whatever it costs in loads."""
+
+    def copy(self, name, worker, rank, width, warmth):
+        return 1.0
+
+
+class Told(Sees):
+    """(e) Tasks in hand told by all each 500 ms, beside reports: as old as that at most, half in the mean."""
+    lag = 250 * MILLI
+
+
+def lagging(base, milli):
+    return type(f"{base.__name__}{milli}", (base,), {"lag": milli * MILLI})
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -1,6 +1,6 @@
 """The fleet: the clock, the hosts, the gateways, the words between them, and the counts."""
 from collections import deque
-from time import perf_counter_ns
+from time import process_time_ns
 
 from gaproute import interface as face
 from gaproute.policy import Gateway
@@ -74,11 +74,11 @@
         self.counts["words"] += len(words) * len(self.gateways)
         for watcher in self.watchers:
             watcher.told(self.clock.now, teller, words)
-        began = perf_counter_ns()
+        began = process_time_ns()
         for other in self.gateways:
             if self.hears is None or self.hears(self, teller, other, words):
                 other.gateway.told(self.clock.now, words)
-        self.cpu += perf_counter_ns() - began
+        self.cpu += process_time_ns() - began
 
     def relayed(self, one, function, worker, host):
         for watcher in self.watchers:
