--- a/benchmarks/campaigns.py
+++ b/benchmarks/campaigns.py
@@ -1,7 +1,8 @@
 """Campaigns beside production, in one process each: what of the spare room is used, what production pays, how
 good the plans and the told ends are.
 
-    python benchmarks/campaigns.py [--seeds 12] [--hunt 0] [--out docs/measured] [--processes 4]
+    python benchmarks/campaigns.py [--seeds 12] [--hunt 0] [--only faults,beside,plans,ends]
+                                   [--processes 4] [--out docs/measured]
 
 `faults`: each case of gaproute/driver/campaigns_cases.py with each seed; `used` is what rollouts had of the
 lanes that production and the floors left at hosts that were up, from 5 s on; `last sent`: the latest that a
@@ -106,35 +107,42 @@
                    max(2, count // 8)), truth
 
 
-def plans(seeds):
+def solved(job):
+    """Of one problem: {plan: (part of the worth of the one that sees all, CPU ms, loads) or None}."""
+    count, seed = job
     from gaproute.rollouts.solver import solve
-    rows = []
+    problem, truth = planned(seed, count)
+    seen = Problem(truth, problem.room, problem.wants, problem.standing, problem.loads)
+    best, came = solve(seen, LIMIT), {}
+    for name, make in (("greedy", greedy), ("HiGHS", lambda problem: solve(problem, LIMIT))):
+        began = time.process_time()
+        plan = make(problem)
+        took = 1000 * (time.process_time() - began)
+        came[name] = None if plan is None or best is None or wrong(problem, plan) else (
+            worth(problem, plan, truth) / worth(problem, best, truth), took,
+            sum(copy[:2] not in problem.standing for copy in plan.copies))
+    return job, came
+
+
+def plans(pool, seeds):
+    rows, came = [], {}
+    for (count, _), each in pool.map(solved, [(count, seed) for count in HOSTS for seed in range(seeds)]):
+        came.setdefault(count, []).append(each)
     for count in HOSTS:
-        figures = {"greedy": [], "HiGHS": []}
-        times, loads, failed = {"greedy": [], "HiGHS": []}, {"greedy": [], "HiGHS": []}, 0
-        for seed in range(seeds):
-            problem, truth = planned(seed, count)
-            best = solve(Problem(truth, problem.room, problem.wants, problem.standing, problem.loads), LIMIT)
-            for name, make in (("greedy", greedy), ("HiGHS", lambda problem: solve(problem, LIMIT))):
-                began = time.perf_counter()
-                plan = make(problem)
-                times[name].append(1000 * (time.perf_counter() - began))
-                if plan is None or best is None or wrong(problem, plan):
-                    failed += 1
-                    continue
-                figures[name].append(worth(problem, plan, truth) / worth(problem, best, truth))
-                loads[name].append(len([copy for copy in plan.copies if copy[:2] not in problem.standing]))
-        rows += [{"hosts": count, "plan": name, "seeds": len(figures[name]), "of the one that sees all": told(
-            figures[name], 3), "ms": told(times[name], 0), "loads": told(loads[name], 0), "failed": failed}
-            for name in figures]
+        good = {name: [each[name] for each in came[count] if each[name]] for name in ("greedy", "HiGHS")}
+        rows += [{"hosts": count, "plan": name, "seeds": len(each),
+                  "of the one that sees all": told([worth_ for worth_, _, _ in each], 3),
+                  "CPU ms": told([took for _, took, _ in each], 0),
+                  "loads": told([loads for _, _, loads in each], 0),
+                  "failed": seeds - len(each)} for name, each in good.items() if each]
     return rows
 
 
-def ends(seeds):
+def ends(pool, seeds):
     """A campaign of about two hours on 40 hosts of 8 lanes, told by `Forecast` and `End`: production's demand
     is read once a slot, from so many hours before the campaign's begin; over the day it rises by the half or
     not."""
-    hosts, rows = [Host(f"h{number}", "a", 8, 1) for number in range(40)], []
+    hosts, rows, seeds = [Host(f"h{number}", "a", 8, 1) for number in range(40)], [], max(40, seeds)
     lent = {host.name: 8 for host in hosts}
     for rises, known, before in ((0, 0, 0), (0, 0, 2), (0, 0, 8), (0.5, 1, 8), (0.5, 0, 8)):
         off = []
@@ -171,6 +179,7 @@
     for word, default in (("seeds", 12), ("hunt", 0), ("processes", 4)):
         parser.add_argument(f"--{word}", type=int, default=default)
     parser.add_argument("--out")
+    parser.add_argument("--only", default="faults,beside,plans,ends")
     told_ = parser.parse_args()
     with ProcessPoolExecutor(told_.processes) as pool:
         if told_.hunt:
@@ -178,12 +187,13 @@
             found = [(job, breach) for job, _, breach in pool.map(one, jobs, chunksize=8) if breach]
             print(f"{len(jobs)} plays, breaches: {len(found)}", *found, sep="\n")
             return
-        parts = {"faults": faults(pool, told_.seeds), "beside": beside(pool, told_.seeds)}
-    parts |= {"plans": plans(told_.seeds), "ends": ends(max(40, told_.seeds))}
+        only = told_.only.split(",")
+        makes = {"faults": faults, "beside": beside, "plans": plans, "ends": ends}
+        parts = {name: make(pool, told_.seeds) for name, make in makes.items() if name in only}
     text = "\n".join(f"{name}\n\n{table(rows)}" for name, rows in parts.items())
     print(text)
     if told_.out:
-        rows = parts.pop("faults")
+        rows = parts.pop("faults", [{}])
         write(told_.out, "campaigns", rows, seeds=told_.seeds, **parts)
         (Path(told_.out) / "campaigns.md").write_text(text)
 
