--- /dev/null
+++ b/gaproute/trial/crowd.py
@@ -0,0 +1,48 @@
+"""The clients of a day: stand-ins that draw the load, and what they saw."""
+from gaproute.standins.tap import read
+from gaproute.trial.processes import MILLI
+
+
+class Crowd:
+    def __init__(self, trial):
+        self.trial, self.processes = trial, []
+
+    def kinds(self):
+        """The tracks as clients know them."""
+        script = self.trial.script
+        limits = {line.name: line.limit for line in script.tracks}
+        pure = {line.name: line.effect == "pure" for line in script.tracks}
+        return [
+            {
+                "name": line.track,
+                "share": line.share,
+                "limit": limits[line.track],
+                "pure": pure[line.track],
+                "models": [model["name"] for model in self.trial.models if model["track"] == line.track],
+            }
+            for line in script.traffic
+        ]
+
+    def start(self):
+        trial, day = self.trial, self.trial.script.day
+        addresses = trial.gateways.addresses
+        self.processes = [trial.processes.standin("clients", "clients", {
+            "gateways": [addresses[number] for number in sorted(addresses)], "kinds": self.kinds(),
+            "habits": {"rate": day.rate, "patience": [0.6, 1.0], "retries": day.retries,
+                       "impatient": day.impatient, "zipf": day.zipf},
+            "seed": trial.seed, "length": day.length, "tap": str(trial.out / "clients.tap")})]
+
+    def say(self, told):
+        for process in self.processes:
+            process.say(told)
+
+    def rest(self, span):
+        """A coroutine: until all have ended, or the span is over."""
+        loop = self.trial.loop
+        longest = loop.now() + span
+        while any(each.child.poll() is None for each in self.processes) and loop.now() < longest:
+            yield loop.sleep(50 * MILLI)
+
+    def events(self):
+        return sorted((event for path in sorted(self.trial.out.glob("clients*.tap")) for event in read(path)),
+                      key=lambda event: event["at"])
--- /dev/null
+++ b/gaproute/trial/processes.py
@@ -0,0 +1,88 @@
+"""The children of one played day: started here, ended here by their own ids, and no others."""
+import json
+import subprocess
+import sys
+
+from gaproute.loop import Promise
+from gaproute.loop.loop import GONE, READ
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+# not 127.0.0.1, from which all connect: a port of a killed process stays free for it
+ANYWHERE = "127.0.0.2:0"
+READY_TIME = 20 * SECOND     # for a process to come up, on a crowded machine
+
+
+class Process:
+    """One child: its command lines go to its standard input."""
+
+    def __init__(self, command, first, errors, tells=True):
+        self.errors = open(errors, "ab")
+        self.child = subprocess.Popen(
+            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE if tells else None, stderr=self.errors
+        )
+        if first is not None:
+            self.say(first)
+
+    def say(self, told):
+        try:
+            self.child.stdin.write(json.dumps(told).encode() + b"\n")
+            self.child.stdin.flush()
+        except BrokenPipeError:
+            pass
+
+    def signal(self, number):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def end(self):
+        if self.child.poll() is None:
+            self.child.kill()
+        self.child.wait()
+        self.child.stdin.close()
+        if self.child.stdout is not None:
+            self.child.stdout.close()
+        self.errors.close()
+
+
+class Processes:
+    """All that one day started. `command(words, **manner)`: how a module of the program becomes a command."""
+
+    def __init__(self, loop, out):
+        self.loop, self.out, self.all = loop, out, []
+
+    def command(self, words):
+        return [sys.executable, "-m", *words]
+
+    def start(self, words, told, errors, tells=True, **manner):
+        """`words`: the module and its arguments; `told`: its first line, as JSON."""
+        process = Process(self.command(words, **manner), told, self.out / errors, tells)
+        self.all.append(process)
+        return process
+
+    def standin(self, kind, name, told):
+        return self.start(["gaproute.standins", kind], told, f"{name}.err")
+
+    def line(self, process, name="a stand-in"):
+        """A promise of the first line that it tells on its standard output, read from JSON."""
+        promise, fd = Promise(), process.child.stdout.fileno()
+
+        def ready(events):
+            line = process.child.stdout.readline() if events & (READ | GONE) else b""
+            self.loop.unwatch(fd)
+            if line:
+                promise.set(json.loads(line))
+            else:
+                promise.fail(RuntimeError(f"{name} did not start; see its .err file"))
+
+        self.loop.watch(fd, READ, ready)
+        return promise
+
+    def rest(self, processes, span):
+        """A coroutine: until all of them have ended, or the span is over."""
+        end = self.loop.now() + span
+        while any(process.child.poll() is None for process in processes) and self.loop.now() < end:
+            yield self.loop.sleep(20 * MILLI)
+
+    def end(self):
+        for process in self.all:
+            process.end()
