--- /dev/null
+++ b/gaproute/rig/gateways.py
@@ -0,0 +1,76 @@
+"""The rig's gateways: each with addresses of its own for every other seat, some with a clock that is wrong."""
+import signal
+
+from gaproute.trial.gateways import Gateways
+from gaproute.trial.processes import MILLI, SECOND
+
+
+class RigGateways(Gateways):
+    """`clocks`: {gateway: (rate, offset in ns)}."""
+
+    def __init__(self, trial):
+        super().__init__(trial)
+        self.table, self.clocks, self.busy = trial.table, {}, set()
+        self.addresses = {number: self.table.gateway(number)[0] for number in range(trial.script.day.gateways)}
+
+    def lines(self, number):
+        trial, day, name = self.trial, self.trial.script.day, f"g{number}"
+        clients, peers = self.table.gateway(number)
+        lines = [f"name {name}", f"listen kserve {clients}", f"decisions {trial.decisions}",
+                 f"hosts-file {trial.list.path(number)} look 50ms", *trial.script.gateway_lines]
+        if day.peers:
+            lines += [f"listen peers {peers}"] + [f"peer g{other} {self.table.peer(number, other)}"
+                                                  for other in range(day.gateways) if other != number]
+        lines += [f"memory {self.out}/{name}.memory"] * day.memory
+        return lines + self.model_lines()
+
+    def manner(self, number):
+        rate, offset = self.clocks.get(number, (1.0, 0))
+        return {"rate": rate, "offset": offset}
+
+    # What the strikes do; one that is struck already is left alone
+
+    def restart(self, number, kind, back):
+        """A coroutine: ended by a signal (TERM: it may end what it holds first), started again after `back`."""
+        if number in self.busy:
+            return
+        self.busy.add(number)
+        process = self.processes[number]
+        process.signal(signal.SIGKILL if kind == "KILL" else signal.SIGTERM)
+        # from a TERM on it may refuse and still must answer what it holds: judged until it has ended
+        if kind == "TERM":
+            yield from self.trial.processes.rest([process], self.trial.longest + 3 * SECOND)
+            code = process.child.poll()
+            if code != 0:
+                self.trial.faulty.append(f"g{number} ended with {code} after a SIGTERM")
+                process.signal(signal.SIGKILL)
+        self.tap.note("killed", gateway=number)
+        yield self.loop.sleep(back)
+        yield from self.trial.starting(self.start(number))
+        self.busy.discard(number)
+
+    def stall(self, number, span):
+        if number in self.busy:
+            return
+        self.busy.add(number)
+        yield from super().stall(number, span)
+        self.busy.discard(number)
+
+    def kill(self, number, back):
+        yield from self.restart(number, "KILL", back)
+
+    def starve(self, number, until, duty, cycle=100 * MILLI):
+        """A coroutine: stopped for a `duty` of each cycle until then."""
+        process = self.processes[number]
+        if number in self.busy:
+            return
+        self.busy.add(number)
+        self.tap.note("stopped", gateway=number)
+        while self.loop.now() < until:
+            process.signal(signal.SIGSTOP)
+            yield self.loop.sleep(round(duty * cycle))
+            process.signal(signal.SIGCONT)
+            yield self.loop.sleep(round((1 - duty) * cycle))
+        process.signal(signal.SIGCONT)
+        self.tap.note("continued", gateway=number)
+        self.busy.discard(number)
--- /dev/null
+++ b/gaproute/rig/lateness.py
@@ -0,0 +1,49 @@
+"""Whether the rig kept time: a wire, a client or a parent that ran late measured itself, not the program."""
+from gaproute.trial.processes import MILLI
+
+BEAT = 20 * MILLI            # between looks at the parent's own clock
+
+
+class Lateness:
+    def __init__(self, rig):
+        self.rig, self.loop, self.parent, self.over = rig, rig.loop, 0, False
+        self.wires = []          # what each wire said at the end, None where it said nothing
+
+    def begin(self):
+        """A coroutine: watches the parent; what the wires had been late before the day is passed over."""
+        self.rig.wires.say({"say": True})
+        due = self.loop.now()
+        while not self.over:
+            now = self.loop.now()
+            self.parent = max(self.parent, now - due)
+            due = now + BEAT
+            yield self.loop.sleep(BEAT)
+
+    def end(self):
+        """A coroutine: before the gateways are asked to end."""
+        self.over = True
+        self.wires = yield from self.rig.wires.counts()
+
+    def most(self):
+        """{who: longest lateness, ms}"""
+        done = [event["late"] for event in self.rig.crowd.events() if event["what"] == "done"]
+        return {"parent": self.parent / MILLI, "clients": max(done, default=0) / MILLI,
+                "wires": max((told["late_ns"] for told in self.wires if told), default=0) / MILLI}
+
+    def void(self):
+        """Why the measurement is void, as text."""
+        rig, allowed = self.rig, self.rig.script.rig.late / MILLI
+        for who, late in self.most().items():
+            if late > allowed:
+                yield f"{who} ran up to {late:.0f} ms late, {allowed:.0f} ms are allowed"
+        if sum(event["what"] == "done" for event in rig.crowd.events()) < rig.script.rig.clients:
+            yield "clients did not end in time"
+        for place, told in enumerate(self.wires):
+            if told is None:
+                yield f"wire {place} said nothing at the end"
+            else:
+                yield from (f"wire {place}: {told[what]} {what}"
+                            for what in ("overrun", "spilt", "errors", "breaches") if told.get(what))
+        yield from (f"a wire did not follow: {error}" for error in rig.wires.errors[:3])
+        if rig.ready_time is not None and rig.ready_time > rig.script.rig.ready:
+            yield f"all were up after {rig.ready_time / 1e9:.0f} s, {rig.script.rig.ready / 1e9:.0f} are allowed"
--- /dev/null
+++ b/gaproute/rig/rig.py
@@ -0,0 +1,113 @@
+"""Plays a script with a wire between all processes: hundreds of gateways and hosts, and faults on their way.
+
+It ends by itself (`bound`), ends only what it started, and leaves nothing when it is itself killed: its children
+have asked the kernel to be killed with it.
+"""
+import json
+import os
+import random
+import resource
+import signal
+import time
+import traceback
+
+from gaproute.rig.crowd import RigCrowd
+from gaproute.rig.gateways import RigGateways
+from gaproute.rig.lateness import Lateness
+from gaproute.rig.lists import Lists
+from gaproute.rig.processes import Gate, RigProcesses
+from gaproute.rig.seats import RigSeats
+from gaproute.rig.strikes import Strikes
+from gaproute.rig.table import Table
+from gaproute.rig.verdict import Verdict
+from gaproute.rig.wires import Wires
+from gaproute.trial.processes import SECOND, NotReady
+from gaproute.trial.run import Trial
+
+LAST_RESORT = 30             # seconds after the bound: the alarm ends a parent that no longer turns its loop
+
+
+class Rig(Trial):
+    def furnish(self):
+        rig, self.faulty, self.voids, self.ready_time = self.script.rig, [], [], None
+        self.loop.on_error = self.went_wrong
+        (self.out / "day.script").write_text(self.script.text)
+        (self.out / "play.json").write_text(json.dumps({"seed": self.seed, "decisions": self.decisions}))
+        _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))      # three descriptors for each child
+        self.gate = Gate(rig.batch or os.cpu_count() or 1)
+        self.table = Table(self.script.day, rig.direct)
+        self.processes = RigProcesses(self.loop, self.out)
+        self.wires = Wires(self.loop, self.processes, self.table, self.seed)
+        self.seats = RigSeats(self, random.Random(self.seed))
+        self.list = Lists(self.loop, self.tap, self.seats, self.table, self.out / "lists")
+        self.gateways, self.crowd = RigGateways(self), RigCrowd(self)
+        self.strikes, self.lateness = Strikes(self), Lateness(self)
+
+    def chance(self, line):
+        """A line's own chance: what it draws does not hang on what other lines drew before it."""
+        return random.Random(f"{self.seed} {type(line).__name__} {line.line}")
+
+    def went_wrong(self, error):
+        """An error that nobody awaited: a gateway that did not come back is the program's, all else the rig's."""
+        with open(self.out / "parent.err", "a") as file:
+            traceback.print_exception(error, file=file)
+        if type(error) is RuntimeError:
+            self.faulty.append(str(error))
+        else:
+            self.voids.append(str(error) if isinstance(error, NotReady) else f"the rig's own error: {error!r}")
+
+    def starting(self, routine):
+        return self.gate.through(routine)
+
+    def set_up(self):
+        begun, day, rig = self.loop.now(), self.script.day, self.script.rig
+        yield from self.start_store()
+        yield from self.together([self.seats.start(self.seats.new(), True) for _ in range(day.hosts)])
+        if not rig.direct:
+            seats = dict(self.table.gateway_seat(number) for number in range(day.gateways))
+            seats |= dict(map(self.table.host_seat, self.seats.seats.values()))
+            yield from self.wires.start(rig.wires, seats)
+        self.list.first()
+        self.strikes.clocks()
+        self.talk(f"{(self.loop.now() - begun) / SECOND:5.1f} s  hosts are up")
+        yield from self.together([self.starting(self.gateways.start(number)) for number in range(day.gateways)])
+        self.ready_time = self.loop.now() - begun
+        self.talk(f"{self.ready_time / SECOND:5.1f} s  all are up; the day begins")
+
+    def begin(self):
+        script = self.script
+        self.loop.spawn(self.lateness.begin())
+        if self.script.rig.direct and script.faults:
+            self.talk("direct: no wire, its faults are left out")
+        return [
+            *super().begin(),
+            *(self.wires.fault(self, line, self.chance(line)) for line in script.faults if self.wires.wires),
+            *(self.strikes.strike(line) for line in script.strikes if line.kind != "clock"),
+            *(self.list.strike(line, self.strikes.numbers(line)) for line in script.lists)]
+
+    def wind_up(self):
+        yield from self.lateness.end()
+        for number in self.gateways.processes:
+            self.gateways.processes[number].signal(signal.SIGCONT)
+        yield from super().wind_up()
+
+    def run(self):
+        """Plays the day; its `Verdict`, which stands in the folder as well."""
+        bound, begun, end = self.script.rig.bound, time.time(), None
+        signal.setitimer(signal.ITIMER_REAL, bound / SECOND + LAST_RESORT)
+        try:
+            played = self.loop.spawn(self.play()).done
+            self.loop.after(bound, played.fail, TimeoutError("the time bound is over"))
+            self.loop.run(until=played)
+        except (RuntimeError, TimeoutError) as fault:
+            end = fault
+            if isinstance(fault, TimeoutError):
+                self.voids.append(str(fault))
+        finally:
+            self.processes.end()
+            self.tap.flush()
+            signal.setitimer(signal.ITIMER_REAL, 0)
+        verdict = Verdict(self, end, time.time() - begun)
+        (self.out / "verdict.json").write_text(json.dumps(verdict.plain(), indent=1))
+        return verdict
--- /dev/null
+++ b/gaproute/rig/script.py
@@ -0,0 +1,113 @@
+"""Scripts of rigs: a trial's lines, and lines for the wire, the processes and each gateway's host list.
+
+Any of `rig`, `fault`, `strike` and `list` makes a script a rig's. All mistakes are told at once.
+"""
+from typing import ClassVar, Literal
+
+from pydantic import Field
+
+from gaproute.conf.lines import Directive, Mistake, Span, Yes
+from gaproute.rig import sets
+from gaproute.trial import script as trial
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+
+
+class RigLine(Directive):
+    example: ClassVar = "rig wires 4 clients 4 batch 8 ready 60s late 100ms bound 5m"
+    once: ClassVar = True
+    wires: int = Field(1, ge=1, le=16)        # processes that share the wire
+    clients: int = Field(1, ge=1, le=32)      # processes that share the load
+    batch: int = Field(0, ge=0, le=256)       # processes that start at a time; 0: as many as cores
+    direct: Yes = False                       # no wire: what it costs, and what it changes
+    ready: Span = 60 * SECOND                 # for all to be up
+    late: Span = 100 * MILLI                  # a wire, client or parent later than this voids the measurement
+    bound: Span = 600 * SECOND                # the run ends by then whatever happens
+
+
+class FaultLine(Directive):
+    places: ClassVar = ("kind",)
+    example: ClassVar = "fault cut at 2s for 3s from 0.3:gateways to hosts/hall-1 both no what streams"
+    kind: Literal["delay", "lose", "double", "reorder", "cut", "hold", "reset"]
+    at: Span
+    lasts: Span = Field(alias="for")
+    source: str = Field("*", alias="from")
+    to: str = "*"
+    both: Yes = False
+    what: Literal["streams", "datagrams", "all"] = "all"
+    share: float = Field(1.0, gt=0, le=1)
+    delay: Span = 0
+    jitter: Span = 0
+    bytes: float = Field(0, ge=0)             # a second, for each pair; 0: no limit
+
+
+class StrikeLine(Directive):
+    places: ClassVar = ("kind",)
+    example: ClassVar = "strike restart at 4s on 0.7:gateways signal KILL back 500ms"
+    kind: Literal["kill", "stop", "restart", "clock", "starve"]
+    on: str = "gateways"
+    at: Span = 0
+    lasts: Span = Field(0, alias="for")
+    back: Span = 500 * MILLI                  # until what ended is started again
+    batch: int = Field(0, ge=0)               # restarted at a time; 0: all
+    signal: Literal["TERM", "KILL"] = "TERM"
+    rate: float = Field(1.0, ge=0.5, le=2)    # of the clock
+    offset: Span = 0                          # of the clock, ahead
+    duty: float = Field(0, ge=0, lt=1)        # of the CPU taken away: stopped for so much of each CYCLE
+    core: Yes = False                         # all on one core, beside a process that never rests
+
+
+class ListLine(Directive):
+    places: ClassVar = ("kind",)
+    example: ClassVar = "list late at 2s for 4s on 0.3:gateways back 800ms"
+    kind: Literal["late", "deaf"]
+    on: str = "gateways"
+    at: Span
+    lasts: Span = Field(alias="for")
+    back: Span = SECOND                       # how late; of no use where they are deaf
+
+
+WORDS = {"rig": RigLine, "fault": FaultLine, "strike": StrikeLine, "list": ListLine}
+SETS = {"fault": ("source", "to"), "strike": ("on",), "list": ("on",)}
+
+
+def wrong(word, line, day):
+    """What is wrong with a line beside its single words, as text."""
+    for field in SETS.get(word, ()):
+        try:
+            parts = sets.parse(getattr(line, field))
+        except ValueError as fault:
+            yield str(fault)
+            continue
+        yield from sets.unknown(parts, day)
+        if word != "fault" and any(part.what.startswith(("hosts", "mh")) for part in parts):
+            yield f"{word} strikes gateways alone; hosts have their troubles (vanish, crash, deploy, ...)"
+    kind = getattr(line, "kind", "")
+    if word != "rig" and kind != "clock" and line.at >= day.length:
+        yield f"it begins after the day, which is {day.length / SECOND:g} s long"
+    if word == "fault" and kind == "delay" and not (line.delay or line.jitter or line.bytes):
+        yield "a delay names delay, jitter or bytes"
+    if word == "fault" and kind in ("double", "reorder") and line.what == "streams":
+        yield f"TCP hides what would {kind} a stream: what datagrams"
+    if word == "strike" and kind in ("stop", "starve") and not line.lasts:
+        yield f"a {kind} lasts for some time: for 2s"
+    if word == "strike" and kind == "starve" and bool(line.duty) == line.core:
+        yield "a starve names either duty or core"
+    if word == "strike" and kind == "clock" and line.rate == 1 and not line.offset:
+        yield "a clock that is wrong has a rate or an offset"
+
+
+def check(file, found):
+    day = next((line for word, line in found if word == "day"), trial.DayLine())
+    return [Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
+            for word, line in found if word in WORDS for text in wrong(word, line, day)]
+
+
+def read_script(name):
+    """A trial's or a rig's script, by its name or its path; a rig's has `rig`, `faults`, `strikes` and
+    `lists`, a trial's `rig` is None. Errors: `Mistakes`."""
+    script, found = trial.read_script(name, WORDS, check)
+    lines = {kind: [line for word, line in found if word == kind] for kind in WORDS}
+    script.rig = next(iter(lines["rig"]), None) or (RigLine() if any(lines.values()) else None)
+    script.faults, script.strikes, script.lists = lines["fault"], lines["strike"], lines["list"]
+    return script
--- /dev/null
+++ b/gaproute/rig/seats.py
@@ -0,0 +1,20 @@
+"""The rig's hosts: the wire is told where each listens; who is struck is drawn by the script's line alone."""
+from gaproute.trial.seats import Seats
+
+
+class RigSeats(Seats):
+    def __init__(self, rig, random):
+        super().__init__(rig.script, rig.seed, rig.processes, rig.models, random)
+        self.rig = rig
+
+    def start(self, seat, warm):
+        before = seat.where
+        yield from self.rig.gate.through(super().start(seat, warm))
+        if seat.where != before and self.rig.wires.wires:
+            number, told = self.rig.table.host_seat(seat)
+            self.rig.wires.say({"seat": {number: told}})
+
+    def pick(self, line):
+        free = [seat for seat in self.seats.values() if seat.state == "active" and not seat.busy
+                and line.zone in (None, seat.zone)]
+        return self.rig.chance(line).sample(free, min(line.hosts, len(free)))
--- /dev/null
+++ b/gaproute/rig/strikes.py
@@ -0,0 +1,65 @@
+"""Troubles of whole processes: killed, stopped, restarted by shares, with a wrong clock, starved of CPU."""
+import os
+
+from gaproute.rig import sets
+from gaproute.trial.processes import SECOND
+
+
+class Strikes:
+    def __init__(self, rig):
+        self.rig, self.loop, self.gateways = rig, rig.loop, rig.gateways
+
+    def numbers(self, line):
+        """The gateways that a line is about, drawn by its own chance: the same whatever else happens."""
+        names = sets.names(sets.parse(line.on), self.rig.table.all(self.rig.seats.seats.values()),
+                           self.rig.chance(line))
+        return [int(name[1:]) for name in names if name.startswith("g")]
+
+    def clocks(self):
+        """Before the gateways start."""
+        for line in self.rig.script.strikes:
+            if line.kind == "clock":
+                numbers = self.numbers(line)
+                self.gateways.clocks |= dict.fromkeys(numbers, (line.rate, line.offset))
+                self.rig.tap.note("strike", kind="clock", gateways=numbers, rate=line.rate, ahead=line.offset)
+
+    def strike(self, line):
+        """A coroutine: one `strike` line from its time to its end."""
+        yield self.loop.sleep(line.at)
+        numbers = self.numbers(line)
+        self.rig.talk(f"{line.at / SECOND:5.1f} s  {line.kind} {len(numbers)} gateways")
+        self.rig.tap.note("strike", kind=line.kind, gateways=numbers, lasts=line.lasts)
+        if line.kind == "stop":
+            yield from self.rig.together([self.gateways.stall(number, line.lasts) for number in numbers])
+        elif line.kind == "starve" and line.core:
+            yield from self.crowd(numbers, line.lasts)
+        elif line.kind == "starve":
+            until = self.loop.now() + line.lasts
+            yield from self.rig.together([self.gateways.starve(number, until, line.duty) for number in numbers])
+        else:
+            kind = "KILL" if line.kind == "kill" else line.signal
+            batch = line.batch or len(numbers)
+            for place in range(0, len(numbers), batch):
+                yield from self.rig.together([self.gateways.restart(number, kind, line.back)
+                                              for number in numbers[place:place + batch]])
+
+    def crowd(self, numbers, span):
+        """A coroutine: all of them on the last core, beside a process that never rests. Judged as if they
+        stood still: they do, again and again."""
+        cores = sorted(os.sched_getaffinity(0))
+        spinner = self.rig.processes.start(["gaproute.rig.spin"], None, "spin.err", tells=False)
+        struck = [(number, self.gateways.processes[number].child) for number in numbers]
+        for number, child in struck:
+            self.rig.tap.note("stopped", gateway=number)
+        for child in [spinner.child, *(child for _, child in struck)]:
+            pin(child, cores[-1:])
+        yield self.loop.sleep(span)
+        spinner.child.kill()
+        for number, child in struck:
+            pin(child, cores)
+            self.rig.tap.note("continued", gateway=number)
+
+
+def pin(child, cores):
+    if child.poll() is None:
+        os.sched_setaffinity(child.pid, cores)
--- /dev/null
+++ b/gaproute/rig/table.py
@@ -0,0 +1,66 @@
+"""Who sits where: the numbers by which the wire tells gateways and hosts apart, and the addresses between them."""
+import os
+import socket
+
+from gaproute.rig.addresses import LOWEST, between
+
+GATEWAYS, HOSTS = LOWEST, LOWEST + 1000      # seats from which gateways and hosts are counted
+LOWEST_PORT, PORTS = 20000, 11000            # below those that the kernel gives out by itself (32768 on)
+APART = 4                                    # ports that one rig takes: wire, clients' door, peers, one free
+
+
+def free_port():
+    """The first of APART ports that nobody has anywhere on this machine, for streams and datagrams. Errors:
+    OSError where none is left."""
+    begin = os.getpid() * APART % PORTS
+    for place in range(0, PORTS, APART):
+        port = LOWEST_PORT + (begin + place) % PORTS // APART * APART
+        try:
+            for each in range(port, port + APART):
+                for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                    with socket.socket(socket.AF_INET, kind) as sock:
+                        sock.bind(("0.0.0.0", each))
+        except OSError:
+            continue
+        return port
+    raise OSError("no free ports for a rig")
+
+
+class Table:
+    """`direct`: no wire, so that all use each other's own addresses."""
+
+    def __init__(self, day, direct):
+        self.day, self.direct, self.port = day, direct, free_port()
+
+    def zone(self, number):
+        return f"hall-{number % self.day.halls}"
+
+    def gateway(self, number):
+        """Its own addresses: for clients, for peers. Not in 127.0.0.x, from which all connect."""
+        ip = f"127.0.{2 + number // 200}.{1 + number % 200}"
+        return f"{ip}:{self.port + 1}", f"{ip}:{self.port + 2}"
+
+    def peer(self, number, other):
+        """Where gateway `number` finds another."""
+        return self.gateway(other)[1] if self.direct else \
+            f"{between(GATEWAYS + number, GATEWAYS + other)}:{self.port}"
+
+    def host(self, number, seat):
+        """Where gateway `number` finds a host."""
+        return seat.where if self.direct else f"{between(GATEWAYS + number, HOSTS + seat.number)}:{self.port}"
+
+    # What the wire is told
+
+    def gateway_seat(self, number):
+        where = self.gateway(number)[1]
+        return str(GATEWAYS + number), {"name": f"g{number}", "kind": "gateway", "zone": self.zone(number),
+                                        "tcp": where, "udp": where}
+
+    def host_seat(self, seat):
+        return str(HOSTS + seat.number), {"name": seat.name, "kind": "host", "zone": seat.zone,
+                                          "tcp": seat.where, "udp": None}
+
+    def all(self, seats):
+        """[(name, kind, zone)] of all gateways and of the hosts that there are now, for a script's sets."""
+        return [(f"g{number}", "gateway", self.zone(number)) for number in range(self.day.gateways)] + [
+            (seat.name, "host", seat.zone) for seat in seats if seat.state != "absent"]
--- /dev/null
+++ b/gaproute/rig/wires.py
@@ -0,0 +1,114 @@
+"""The wire's processes, as the parent drives them: seats, faults, and what they say of themselves."""
+import json
+import os
+
+from gaproute.loop import Promise
+from gaproute.loop.loop import GONE, READ
+from gaproute.rig import sets
+from gaproute.trial.processes import MILLI, SECOND, NotReady
+
+ANSWER = 5 * SECOND          # for a wire to say its counts: one that takes longer ran late anyway
+
+
+class Wires:
+    """`count` processes behind the same ports; each line goes to all of them."""
+
+    def __init__(self, loop, processes, table, seed):
+        self.loop, self.processes, self.table, self.seed = loop, processes, table, seed
+        self.wires, self.told, self.errors, self.numbers = [], [], [], 0
+
+    def start(self, count, seats):
+        """A coroutine: until all serve. `seats`: as their first line has them."""
+        for place in range(count):
+            told = {"tcp": self.table.port, "udp": self.table.port, "seats": seats, "seed": self.seed,
+                    "tap": None}
+            wire = self.processes.start(["gaproute.rig.wire"], told, f"wire-{place}.err")
+            self.wires.append(wire)
+            self.told.append([])
+        for wire, told in zip(self.wires, self.told):
+            answer = yield self.processes.line(wire, "a wire")
+            if not answer.get("ready"):
+                raise NotReady(f"a wire did not start: {answer}")
+            self.listen(wire, told)
+
+    def listen(self, wire, told):
+        """What it says from now on is kept; what it could not follow is an error of the rig."""
+        fd, rest = wire.child.stdout.fileno(), bytearray()
+
+        def heard(events):
+            data = os.read(fd, 1 << 16) if events & (READ | GONE) else b""
+            rest.extend(data)
+            *lines, last = bytes(rest).split(b"\n")
+            rest[:] = last
+            for line in lines:
+                answer = json.loads(line)
+                if "error" in answer:
+                    self.errors.append(answer["error"])
+                else:
+                    told.append(answer)
+            if not data:
+                self.loop.unwatch(fd)
+
+        self.loop.watch(fd, READ, heard)
+
+    def say(self, line):
+        for wire in self.wires:
+            wire.say(line)
+
+    def counts(self):
+        """A coroutine: what each says now, in their order; None for one that says nothing in time."""
+        before = [len(told) for told in self.told]
+        self.say({"say": True})
+        end = self.loop.now() + ANSWER
+        while any(len(told) == had for told, had in zip(self.told, before)) and self.loop.now() < end:
+            yield self.loop.sleep(10 * MILLI)
+        return [told[-1] if len(told) > had else None for told, had in zip(self.told, before)]
+
+    def fault(self, rig, line, random):
+        """A coroutine: one `fault` line from its time to its end."""
+        yield self.loop.sleep(line.at)
+        ends = [self.ends(rig, text, random) for text in (line.source, line.to)]
+        on = {"kind": line.kind, "from": ends[0][0], "to": ends[1][0], "both": line.both, "what": line.what,
+              "share": line.share, "delay_ms": line.delay / MILLI, "jitter_ms": line.jitter / MILLI,
+              "bytes_per_s": line.bytes}
+        self.numbers += 1
+        name = f"f{self.numbers}"
+        rig.talk(f"{line.at / SECOND:5.1f} s  {line.kind} on the wire")
+        self.say({"fault": name, "on": on})
+        note = {"id": name, "kind": line.kind, "slack": slack(line)}
+        if line.what != "datagrams":
+            note |= ways(line, ends[0][1], ends[1][1])
+        rig.tap.note("fault", on=True, **note)
+        yield self.loop.sleep(line.lasts)
+        self.say({"fault": name, "off": True})
+        rig.tap.note("fault", on=False, **note)
+
+    def ends(self, rig, text, random):
+        """(words for the wire, names of seats now). Words that the wire knows cover hosts that come later."""
+        parts = sets.parse(text)
+        names = sets.names(parts, rig.table.all(rig.seats.seats.values()), random)
+        plain = not any(part.no or part.share < 1 or "/" in part.what for part in parts)
+        return [part.what for part in parts] if plain else names, names
+
+
+def slack(line):
+    """How much later than the fault's end its last bytes may arrive, ns: for the judge."""
+    tries = next((tries for tries in range(1, 7) if line.share ** tries < 1e-6), 6)
+    return {"lose": 200 * MILLI * ((1 << tries) - 1), "delay": line.delay + line.jitter}.get(line.kind, 0) \
+        + (10 * SECOND if line.bytes else 500 * MILLI)
+
+
+def ways(line, source, to):
+    """Which gateways' bytes may reach which hosts late: [[gateways' numbers], [hosts]] for each way.
+
+    A cut or a hold keeps a new connection waiting whichever way it lies; other faults lie on the way that they
+    name.
+    """
+    def way(ours, theirs):
+        return [[int(name[1:]) for name in ours if name.startswith("g")],
+                [name for name in theirs if name.startswith("mh")]]
+
+    if line.kind in ("double", "reorder", "reset"):
+        return {}
+    both = line.both or line.kind in ("cut", "hold")
+    return {"ways": [way(source, to)] + [way(to, source)] * both}
--- /dev/null
+++ b/tests/test_rig_script.py
@@ -0,0 +1,89 @@
+"""A rig's script: its sets of seats, and every mistake in one go; what its faults mean for the judge."""
+import random
+
+import pytest
+from gaproute.conf import Mistakes
+from gaproute.judge import Facts, judge
+from gaproute.rig import sets
+from gaproute.rig.script import read_script
+from gaproute.rig.wires import slack, ways
+from hypothesis import given
+from hypothesis import strategies as st
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+SEATS = [(f"g{number}", "gateway", f"hall-{number % 2}") for number in range(10)] + [
+    (f"mh{number:02}", "host", f"hall-{number % 2}") for number in range(6)]
+HEAD = """day length 6s gateways 3 hosts 2 halls 2
+track a pure contract 1s limit 2s
+traffic a
+"""
+
+
+@pytest.mark.parametrize("text, wanted", [
+    ("g3,mh01", ["g3", "mh01"]),
+    ("hosts/hall-1", ["mh01", "mh03", "mh05"]),
+    ("zone:hall-0,not:hosts", ["g0", "g2", "g4", "g6", "g8"]),
+    ("not:gateways,not:mh00", ["mh01", "mh02", "mh03", "mh04", "mh05"]),
+])
+def test_a_set_names_seats(text, wanted):
+    assert sets.names(sets.parse(text), SEATS, random.Random(1)) == wanted
+
+
+@given(st.integers(0, 99), st.integers(1, 10))
+def test_a_share_draws_so_many_the_same_at_each_play(seed, tenths):
+    parts = sets.parse(f"{tenths / 10}:gateways")
+    drawn = sets.names(parts, SEATS, random.Random(seed))
+    assert len(drawn) == tenths and drawn == sets.names(parts, SEATS, random.Random(seed))
+
+
+def script(folder, *lines):
+    file = folder / "a.script"
+    file.write_text(HEAD + "\n".join(lines) + "\n")
+    return read_script(str(file))
+
+
+def test_every_mistake_is_told_at_once_with_its_line(tmp_path):
+    wrong = ["rig wires 0", "fault cut at 9s for 1s", "fault delay at 1s for 1s", "fault lose at 1s for 1s to nobody",
+             "strike stop on g7 at 1s", "strike starve at 1s for 1s", "strike clock on gateways",
+             "list deaf at 1s for 1s on hosts", "strike kill on zone:hall-9 at 1s", "fault mend at 1s for 1s",
+             "fault double at 1s for 1s what streams", "list late for 1s"]
+    with pytest.raises(Mistakes) as told:
+        script(tmp_path, *wrong)
+    lines = [mistake.line for mistake in told.value.mistakes]
+    assert sorted(set(lines)) == list(range(4, 4 + len(wrong)))
+    assert sum(line == 8 for line in lines) == 2                     # no such gateway, and no span
+
+
+def test_the_scripts_that_come_with_the_program_can_be_read_and_tell_trials_from_rigs(tmp_path):
+    assert read_script("small-rig").rig.wires == 1 and read_script("fleet-rig").day.gateways == 200
+    assert read_script("short-day").rig is None and script(tmp_path, "strike kill on g0 at 1s").rig is not None
+
+
+FACTS = Facts({"p": "pure"}, {"p": "all"}, {"p": 0}, {"h": ("z", "r")})
+
+
+def day(*run, gateway=0, at=900):
+    """A task of gateway `gateway` that reaches the host at `at` ms; how often rule 3 is broken."""
+    arrival = {"at": at * MILLI, "what": "task", "id": "t", "track": "p", "mark": "k", "work": 1}
+    end = {"at": SECOND, "what": "answer", "id": "t", "track": "p", "outcome": "delivered", "status": 200,
+           "asked": 0, "patience": SECOND, "gateway": gateway}
+    up = {"at": 0, "what": "up", "warm": True}
+    return [broken.rule for broken in judge(FACTS, {"mh00": [[up, arrival]]}, [end], run)]
+
+
+def told(at, state, gateway):
+    return {"at": at * MILLI, "what": "told", "host": "mh00", "state": state, "gateway": gateway}
+
+
+def test_rule_3_counts_from_when_that_gateway_was_told():
+    run = [told(0, "active", 0), told(0, "active", 1), told(100, "gone", 0), told(800, "gone", 1)]
+    assert day(*run) == [3] and day(*run, gateway=1) == [] and day(*run, gateway=1, at=1500) == [1, 3]
+
+
+def test_what_a_fault_may_have_kept_back_is_not_held_against_the_gateway_and_nothing_else_is_excused(tmp_path):
+    line = script(tmp_path, "fault hold at 1s for 1s from mh00 to g0 what streams").faults[0]
+    fault = {"what": "fault", "id": "f", "slack": slack(line), **ways(line, ["mh00"], ["g0"])}
+    run = [told(0, "gone", 0), told(0, "gone", 1), fault | {"on": True, "at": 800 * MILLI},
+           fault | {"on": False, "at": 850 * MILLI}]
+    assert day(*run) == [] and day(*run, gateway=1) == [3] and day(*run, at=700) == [3]
+    assert "ways" not in ways(script(tmp_path, "fault double at 1s for 1s").faults[0], ["mh00"], ["g0"])
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -12,7 +12,7 @@
 from gaproute.loop.streams import address
 from gaproute.standins.rogues import ROGUES
 from gaproute.trial.daybook import script_of
-from gaproute.trial.script import read_script
+from gaproute.rig.script import read_script
 from helpers import SECOND
 
 RULES = {-3: "gaproute.standins.liars:LiesAlways", -2: "gaproute.policy:Gateway",
