--- a/gaproute/judge/day.py
+++ b/gaproute/judge/day.py
@@ -53,11 +53,11 @@
         ends = self.ends.get(event["id"])
         return ends[0]["gateway"] if ends else None
 
-    def late(self, gateway, host, at):
-        """Whether what arrived at the host then may have lain on the wire: a fault was on between the two, so
-        that the time of arrival does not tell when it was sent."""
-        return any(begin <= at <= end and gateway in gateways and host in hosts
-                   for begin, end, gateways, hosts in self.held_up)
+    def sent(self, gateway, host, at):
+        """The earliest time at which what arrived then may have been sent, by the faults on the wire between the
+        two: bytes that were kept back may be as old as the fault."""
+        return min((max(begin, at - late) for begin, end, late, gateways, hosts in self.held_up
+                    if begin <= at <= end and gateway in gateways and host in hosts), default=at)
 
     def ran(self, task, at, host):
         """Whether this arrival may have run: the host did not say, in full, that it never did."""
@@ -69,7 +69,8 @@
 
 
 def held_up(run):
-    """[(begin, end, gateways, hosts)] of the faults under which bytes may reach hosts late."""
+    """[(begin, end, late, gateways, hosts)] of the faults under which bytes may reach hosts late, `late` ns at
+    most."""
     spans, open_since = [], {}
     for event in sorted(run, key=lambda event: event["at"]):
         if event["what"] != "fault" or not event.get("ways"):
@@ -80,5 +81,5 @@
             begin = open_since.pop(event["id"])
             spans.append((begin["at"], event["at"] + event["slack"], event))
     spans += [(event["at"], 1 << 62, event) for event in open_since.values()]
-    return [(begin, end, frozenset(gateways), frozenset(hosts))
+    return [(begin, end, event["late"], frozenset(gateways), frozenset(hosts))
             for begin, end, event in spans for gateways, hosts in event["ways"]]
--- a/gaproute/judge/rules.py
+++ b/gaproute/judge/rules.py
@@ -1,7 +1,8 @@
 """Judges a day by its taps: what hosts and clients saw on their sockets, and what was told to whom and when.
 
-An arrival that a fault on the wire may have kept back does not tell when it was sent: what rests on its time alone
-(rules 1, 3, 4, 5, a receipted task's window) is not held against the gateway; what rests on its being there is.
+What arrives through a fault on the wire may have been sent earlier: what rests on its time (rules 1 and 3, a receipted
+task's window) goes by the earliest time that the fault allows; rules 4 and 5, which count what comes together, pass
+over what may have waited for longer than `transit`. What rests on its being there is not touched.
 """
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
@@ -59,7 +60,7 @@
         if end["what"] == "answer" and not end["outcome"] and end["status"] >= 500:
             yield Broken(1, end["at"], f"task {task}: status {end['status']} names no outcome")
         for at, host, _ in day.arrivals.get(task, ()):
-            if at > end["at"] + facts.transit and not excused and not day.late(end["gateway"], host, at):
+            if not excused and day.sent(end["gateway"], host, at) > end["at"] + facts.transit:
                 yield Broken(
                     1, at, f"task {task}: sent to {host} {(at - end['at']) // MILLI} ms after its end"
                 )
@@ -78,8 +79,8 @@
                 if effect == "effectful":
                     yield Broken(2, at, f"effectful task {task}: sent to {host}, may have run at {first[1]}")
                 else:
-                    if at > first[0] + facts.windows[track] + facts.transit \
-                            and not day.late(day.sender(event), host, at):
+                    sent = day.sent(day.sender(event), host, at)
+                    if sent > first[0] + facts.windows[track] + facts.transit:
                         yield Broken(2, at, f"receipted task {task}: sent again after its window")
                     place = {"all": 0, "zone": 1, "rack": 2}[facts.groups[track]]
                     if place and facts.places[host][place - 1] != facts.places[first[1]][place - 1]:
@@ -113,8 +114,8 @@
                 sender = day.sender(event)
                 by = [spans.get(sender, spans.get(None, []))] if sender is not None or None in spans \
                     else list(spans.values())
-                if all(any(begin < event["at"] < end for begin, end in each) for each in by) \
-                        and not day.late(sender, host, event["at"]):
+                sent = day.sent(sender, host, event["at"])
+                if all(any(begin < sent and event["at"] < end for begin, end in each) for each in by):
                     yield Broken(3, event["at"], f"{event['what']} to {host}, told draining or gone before"
                                  + (f", by g{sender}" if None not in spans else ""))
 
@@ -138,7 +139,7 @@
             if up is None or up["warm"]:
                 continue
             arrivals = [event for event in events if event["what"] == "task"
-                        and not (day.held_up and day.late(day.sender(event), host, event["at"]))]
+                        and event["at"] - day.sent(day.sender(event), host, event["at"]) <= facts.transit]
             begin, total = 0, 0
             for event in arrivals:
                 age = event["at"] - up["at"]
@@ -164,7 +165,7 @@
         for events in runs:
             for event in events:
                 if event["what"] == "order" and event["count"] > 0 \
-                        and not day.late(day.sender(event), host, event["at"]):
+                        and event["at"] - day.sent(day.sender(event), host, event["at"]) <= facts.transit:
                     orders[event["gateway"]].append(event["at"])
     names = day.names
     for event in day.run:
--- a/gaproute/rig/lateness.py
+++ b/gaproute/rig/lateness.py
@@ -17,6 +17,7 @@
             now = self.loop.now()
             self.parent = max(self.parent, now - due)
             due = now + BEAT
+            self.rig.tap.flush()         # the folder tells of a run that is cut off as well
             yield self.loop.sleep(BEAT)
 
     def end(self):
--- a/gaproute/rig/wires.py
+++ b/gaproute/rig/wires.py
@@ -8,6 +8,7 @@
 from gaproute.trial.processes import MILLI, SECOND, NotReady
 
 ANSWER = 5 * SECOND          # for a wire to say its counts: one that takes longer ran late anyway
+AFTER = 500 * MILLI          # after a cut, until all that it kept has flown on
 
 
 class Wires:
@@ -75,7 +76,8 @@
         name = f"f{self.numbers}"
         rig.talk(f"{line.at / SECOND:5.1f} s  {line.kind} on the wire")
         self.say({"fault": name, "on": on})
-        note = {"id": name, "kind": line.kind, "slack": slack(line)}
+        span, slack = late(line)
+        note = {"id": name, "kind": line.kind, "late": span, "slack": slack}
         if line.what != "datagrams":
             note |= ways(line, ends[0][1], ends[1][1])
         rig.tap.note("fault", on=True, **note)
@@ -91,11 +93,14 @@
         return [part.what for part in parts] if plain else names, names
 
 
-def slack(line):
-    """How much later than the fault's end its last bytes may arrive, ns: for the judge."""
+def late(line):
+    """(by how much bytes may be late under a fault, how long after its end): ns, for the judge. What is kept back
+    may be as old as the fault."""
+    if line.kind in ("cut", "hold") or line.bytes:
+        return line.lasts + AFTER, AFTER
     tries = next((tries for tries in range(1, 7) if line.share ** tries < 1e-6), 6)
-    return {"lose": 200 * MILLI * ((1 << tries) - 1), "delay": line.delay + line.jitter}.get(line.kind, 0) \
-        + (10 * SECOND if line.bytes else 500 * MILLI)
+    span = 200 * MILLI * ((1 << tries) - 1) if line.kind == "lose" else line.delay + line.jitter
+    return span, span
 
 
 def ways(line, source, to):
--- a/tests/test_rig_script.py
+++ b/tests/test_rig_script.py
@@ -6,7 +6,7 @@
 from gaproute.judge import Facts, judge
 from gaproute.rig import sets
 from gaproute.rig.script import read_script
-from gaproute.rig.wires import slack, ways
+from gaproute.rig.wires import late, ways
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -82,8 +82,15 @@
 
 def test_what_a_fault_may_have_kept_back_is_not_held_against_the_gateway_and_nothing_else_is_excused(tmp_path):
     line = script(tmp_path, "fault hold at 1s for 1s from mh00 to g0 what streams").faults[0]
-    fault = {"what": "fault", "id": "f", "slack": slack(line), **ways(line, ["mh00"], ["g0"])}
-    run = [told(0, "gone", 0), told(0, "gone", 1), fault | {"on": True, "at": 800 * MILLI},
-           fault | {"on": False, "at": 850 * MILLI}]
-    assert day(*run) == [] and day(*run, gateway=1) == [3] and day(*run, at=700) == [3]
+    span, slack = late(line)
+    fault = {"what": "fault", "id": "f", "late": span, "slack": slack, **ways(line, ["mh00"], ["g0"])}
+
+    def held(begin):
+        return [told(0, "gone", 0), told(0, "gone", 1), fault | {"on": True, "at": begin * MILLI},
+                fault | {"on": False, "at": 850 * MILLI}]
+
+    # sent before the grace was over, for all that the arrival tells; or surely after it
+    assert day(*held(400)) == [] and day(*held(400), gateway=1) == [3] and day(*held(800)) == [3]
+    short = fault | {"late": 20 * MILLI, "on": True, "at": 0}          # a delay, which is on all the time
+    assert day(told(0, "gone", 0), short) == [3] and day(told(0, "gone", 0), short, at=570) == []
     assert "ways" not in ways(script(tmp_path, "fault double at 1s for 1s").faults[0], ["mh00"], ["g0"])
