--- /dev/null
+++ b/tests/test_rig_child.py
@@ -0,0 +1,89 @@
+"""The starter of the rig's processes: a wrong clock under an unchanged program, and no life after the parent's."""
+import os
+import subprocess
+import sys
+import time
+
+import pytest
+
+from gaproute.rig.child import die_with, set_clocks, wrong
+
+ASK = """
+import time
+from gaproute.loop import Loop
+from gaproute.appliance import Appliance
+from time import monotonic_ns
+print(time.time_ns(), Loop().now(), monotonic_ns(), time.monotonic(), time.time())
+"""
+
+
+def run(tmp_path, *options, text=ASK):
+    (tmp_path / "asked_module.py").write_text(text)
+    here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    done = subprocess.run([sys.executable, "-m", "gaproute.rig.child", *options, "--", "asked_module", "--word"],
+                          env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"}, capture_output=True, text=True,
+                          timeout=30)
+    assert done.returncode == 0, done.stderr
+    return done.stdout.split()
+
+
+def test_a_wrong_clock_runs_at_its_rate_from_the_start_on():
+    true = iter((1000, 2000, 3000))
+    clock = wrong(lambda: next(true), 1000, 1.5, 7)
+    assert [clock(), clock(), clock()] == [1007, 2507, 4007]
+    halves = wrong(lambda: 4.0, 2.0, 0.5, 0.25)
+    assert halves() == 3.25
+
+
+def test_a_rate_that_is_none_is_refused():
+    for rate in (0, -1, 100, float("nan")):
+        with pytest.raises(ValueError):
+            set_clocks(rate, 0)
+
+
+def test_the_unchanged_program_sees_the_wrong_clock_by_whatever_name(tmp_path):
+    hour = 3600 * 1_000_000_000
+    before, wall = time.monotonic_ns(), time.time_ns()
+    wall_ns, loop, named, seconds, wall_seconds = map(float, run(tmp_path, "--offset-ms", "3600000"))
+    after, wall_after = time.monotonic_ns(), time.time_ns()
+    for clock in (loop, named, seconds * 1e9):
+        assert before + hour - 1e6 <= clock <= after + hour + 1e6
+    for clock in (wall_ns, wall_seconds * 1e9):
+        assert wall + hour - 1e6 <= clock <= wall_after + hour + 1e6
+
+
+def test_without_options_nothing_is_replaced(tmp_path):
+    assert run(tmp_path, text="import sys, time\nprint(time.time.__module__, *sys.argv[1:])") == ["time", "--word"]
+
+
+def test_a_parent_that_has_ended_already_is_told():
+    came, told = os.pipe()
+    child = os.fork()
+    if not child:
+        try:
+            die_with(1 << 30)
+        except ProcessLookupError:
+            os.write(told, b"gone")
+        os._exit(0)
+    os.waitpid(child, 0)
+    os.close(told)
+    assert os.read(came, 9) == b"gone"
+    os.close(came)
+
+
+def test_it_does_not_outlive_its_parent(tmp_path):
+    """The parent starts it, hands on the reading end of its life, and is killed: the pipe ends with the child."""
+    (tmp_path / "asked_module.py").write_text("print('up', flush=True)\nimport signal\nsignal.pause()")
+    parent = f"""
+import os, subprocess, sys
+subprocess.Popen([sys.executable, "-m", "gaproute.rig.child", "--parent-death", "--parent", str(os.getpid()),
+                  "--", "asked_module"]).wait()
+"""
+    here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+    process = subprocess.Popen([sys.executable, "-c", parent], stdout=subprocess.PIPE,
+                               env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"})
+    assert process.stdout.readline() == b"up\n"
+    process.kill()
+    process.wait()
+    assert process.stdout.read() == b""      # ends only when the child, which holds it too, is no more
+    process.stdout.close()
