The wire tested on loopback: ends, resets, slow readers, cuts, bursts, random weather

17 tests; all but two in one process on a clock that leaps. Two processes share one port and both serve.

--- /dev/null
+++ b/tests/test_rig_wire.py
@@ -0,0 +1,393 @@
+"""The wire on loopback: bytes, ends, resets and datagrams of seats through one listener, and faults on their way.
+
+All in one process on a clock that leaps, but for the last ones, which start the wire as the rig does."""
+import json
+import random
+import socket
+import subprocess
+import sys
+
+import pytest
+
+from gaproute.loop import Loop, Stepped
+from gaproute.rig.addresses import between, of
+from gaproute.rig.wire.__main__ import Wire
+from gaproute.rig.wire.ends import CHUNK, HIGH
+from gaproute.rig.wire.faults import MILLI
+from gaproute.rig.wire.invariants import breaches
+
+A, H, DEAD, NOBODY = 16, 17, 18, 19
+
+
+class Party:
+    """A wire with a gateway `A`, a host `H`, a host that has no address and one where nobody listens."""
+
+    def __init__(self):
+        self.loop = Loop(Stepped(10**9))
+        self.host = socket.create_server(("127.0.0.1", 0))
+        self.udp = {seat: socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for seat in (A, H)}
+        self.open = [self.host, *self.udp.values()]
+        for sock in self.udp.values():
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)    # a burst finds room
+            sock.bind(("127.0.0.1", 0))
+        with socket.create_server(("127.0.0.1", 0)) as gone:
+            nobody = at(gone)
+        self.seats = {"16": {"name": "g0", "kind": "gateway", "udp": at(self.udp[A])},
+                      "17": {"name": "h0", "kind": "host", "tcp": at(self.host), "udp": at(self.udp[H])},
+                      "18": {"name": "h1", "kind": "host"}, "19": {"name": "h2", "kind": "host", "tcp": nobody}}
+        self.wire = Wire(self.loop, {"tcp": 0, "udp": 0, "seed": 5, "seats": self.seats})
+        self.loop.on_error = self.fail
+        self.tcp, self.udp_port = (int(sock.getsockname()[1]) for sock in (
+            self.wire.streams.listener.sock, self.wire.datagrams.sock))
+        for sock in self.open:
+            sock.setblocking(False)
+
+    def fail(self, error):
+        raise SystemExit(f"a callback failed: {error!r}")
+
+    def tell(self, **line):
+        return self.wire.follow(json.dumps(line))
+
+    def turns(self, count=40):
+        for _ in range(count):
+            self.loop.turn()
+
+    def run(self, span):
+        """Until the clock has gone on by `span` ns."""
+        end = self.loop.now() + span
+        while self.loop.now() < end:
+            self.loop.turn()
+        assert not breaches(self.wire)
+
+    def call(self, seat=H):
+        sock = socket.create_connection((between(A, seat), self.tcp), timeout=5)
+        sock.setblocking(False)
+        self.open.append(sock)
+        return sock
+
+    def joined(self):
+        """A connection of `A` with `H`, both ends, and the address that `H` sees."""
+        near = self.call()
+        self.turns()
+        far, caller = self.host.accept()
+        far.setblocking(False)
+        self.open.append(far)
+        return near, far, caller[0]
+
+    def close(self):
+        self.wire.close()
+        self.loop.close()
+        for sock in self.open:
+            sock.close()
+
+
+def at(sock):
+    return "{}:{}".format(*sock.getsockname())
+
+
+def taken(sock, size=1 << 20):
+    """What is there: bytes, b"" at the end, the name of an error, None while there is nothing."""
+    try:
+        return sock.recv(size)
+    except BlockingIOError:
+        return None
+    except OSError as fault:
+        return type(fault).__name__
+
+
+@pytest.fixture
+def party():
+    made = Party()
+    yield made
+    made.close()
+
+
+def test_bytes_go_both_ways_and_each_end_of_sending_alone(party):
+    near, far, caller = party.joined()
+    assert of(caller) == (H, A), "the host sees who called"
+    near.send(b"ask"), far.send(b"early")
+    party.turns()
+    assert taken(far) == b"ask" and taken(near) == b"early"
+    near.shutdown(socket.SHUT_WR)
+    party.turns()
+    assert taken(far) == b"" and taken(near) is None
+    far.send(b"answer")
+    far.close()
+    party.turns()
+    assert taken(near) == b"answer" and taken(near) == b"" and not party.wire.streams.relays
+    assert party.wire.counts()["bytes"] == 14 and not breaches(party.wire)
+
+
+@pytest.mark.parametrize("end", [0, 1])
+def test_a_reset_is_passed_on_as_a_reset(party, end):
+    ends = party.joined()[:2]
+    ends[end].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    ends[end].close()
+    party.turns()
+    assert taken(ends[1 - end]) == "ConnectionResetError" and not party.wire.streams.relays
+
+
+def test_an_answer_before_a_reset_still_comes(party):
+    near, far, _ = party.joined()
+    near.send(b"a long request")
+    party.turns()
+    far.send(b"no")
+    far.close()              # with bytes unread: the kernel resets
+    near.send(b"more of it")     # the wire finds out by its write, and reads what came before
+    party.turns()
+    assert taken(near) == b"no" and taken(near) == "ConnectionResetError" and not party.wire.streams.relays
+
+
+def test_refused_is_a_reset_and_dead_is_silence_until_it_lives(party):
+    near, silent = party.call(NOBODY), party.call(DEAD)
+    party.turns()
+    assert taken(near) == "ConnectionResetError" and taken(silent) is None
+    party.tell(seat={str(DEAD): party.seats["17"] | {"name": "h1"}})
+    party.turns()
+    party.host.accept()[0].close()
+    party.turns()
+    assert taken(silent) == b""
+    gone = party.call(DEAD - 1)
+    party.turns()
+    party.tell(seat={str(DEAD): {"name": "h1", "kind": "host"}})
+    gave_up = party.call(DEAD)
+    party.turns()
+    gave_up.close()
+    party.turns()
+    assert party.wire.counts()["given_up"] == 1 and taken(gone) is None
+
+
+def test_a_slow_reader_holds_the_writer_back(party):
+    near, far, _ = party.joined()
+    block, sent = random.Random(1).randbytes(1 << 16), 0
+    for _ in range(400):
+        try:
+            sent += near.send(block[sent % len(block):])
+        except BlockingIOError:
+            pass
+        party.turns(2)
+        way = party.wire.streams.relays[1].near
+        assert way.queued + way.other.waiting <= HIGH + CHUNK
+    assert way.paused and way.other.waiting and sent < 400 * len(block)
+    came = bytearray()
+    near.shutdown(socket.SHUT_WR)
+    while data := taken(far) or party.turns(2) or taken(far):
+        came += data
+    assert len(came) == sent and came == (block * 400)[:sent] and not breaches(party.wire)
+
+
+def test_delay_is_as_long_as_told_both_ways_and_for_opening(party):
+    party.tell(fault="x", on={"kind": "delay", "delay_ms": 30, "both": True, "from": ["g0"], "to": ["hosts"]})
+    start, near, far = party.loop.now(), party.call(), None
+    near.send(b"ask")
+    while far is None:
+        party.loop.turn()
+        try:
+            far = party.host.accept()[0]
+        except BlockingIOError:
+            pass
+    assert party.loop.now() - start == 60 * MILLI
+    far.setblocking(False)
+    while taken(far) is None:
+        party.loop.turn()
+    assert party.loop.now() - start == 90 * MILLI
+    far.send(b"answer")
+    far.close()
+    while taken(near) != b"answer":
+        party.loop.turn()
+    assert party.loop.now() - start == 120 * MILLI
+    party.turns()
+    assert taken(near) == b""
+
+
+def test_a_one_way_cut_keeps_bytes_and_end_and_heals_in_order(party):
+    near, far, _ = party.joined()
+    party.tell(fault="x", on={"kind": "cut", "from": ["g0"], "to": ["h0"]})
+    for word in (b"one ", b"two ", b"three"):
+        near.send(word)
+        party.turns(3)
+    far.send(b"still")
+    near.shutdown(socket.SHUT_WR)
+    late = party.call()
+    party.run(500 * MILLI)
+    assert taken(far) is None and taken(near) == b"still"
+    assert party.wire.counts()["hanging"] == 1
+    party.tell(fault="x", off=True)
+    party.turns()
+    assert taken(far) == b"one two three" and taken(far) == b""
+    second, _ = party.host.accept()
+    second.close()
+    party.turns()
+    assert taken(late) == b"" and party.wire.counts()["late_most_ns"] == 0, "kept back is not late"
+
+
+def test_a_reset_does_not_get_through_a_cut_either(party):
+    near, far, _ = party.joined()
+    party.tell(fault="x", on={"kind": "cut", "both": True, "from": ["g0"], "to": ["h0"]})
+    near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    near.close()
+    far.send(b"to nobody")
+    party.run(500 * MILLI)
+    assert taken(far) is None
+    party.tell(fault="x", off=True)
+    party.turns()
+    assert taken(far) == "ConnectionResetError" and not party.wire.streams.relays
+
+
+def test_a_cut_also_stops_what_is_under_way(party):
+    near, far, _ = party.joined()
+    party.tell(fault="x", on={"kind": "delay", "delay_ms": 100})
+    near.send(b"slow")
+    party.run(50 * MILLI)
+    party.tell(fault="y", on={"kind": "cut"})
+    party.run(500 * MILLI)
+    assert taken(far) is None
+    party.tell(fault="y", off=True)
+    party.turns(3)
+    assert taken(far) == b"slow"
+
+
+def test_the_fault_reset_breaks_both_ends_of_those_that_stand(party):
+    near, far, _ = party.joined()
+    party.tell(fault="x", on={"kind": "reset", "from": ["hosts"], "to": ["gateways"]})
+    party.turns(3)
+    assert taken(near) == taken(far) == "ConnectionResetError"
+    near, far, _ = party.joined()
+    near.send(b"new")
+    party.turns()
+    assert taken(far) == b"new"
+
+
+def test_datagrams_answer_to_their_source_and_vanish_in_a_cut(party):
+    party.udp[A].sendto(b"ask", (between(A, H), party.udp_port))
+    party.turns()
+    data, source = party.udp[H].recvfrom(99)
+    assert data == b"ask" and source == (between(H, A), party.udp_port)
+    party.udp[H].sendto(b"answer", source)
+    party.turns()
+    assert party.udp[A].recvfrom(99) == (b"answer", (between(A, H), party.udp_port))
+    party.tell(fault="x", on={"kind": "cut", "from": ["g0"], "to": ["h0"]})
+    party.udp[A].sendto(b"ask", (between(A, H), party.udp_port))
+    party.udp[H].sendto(b"word", source)
+    party.udp[A].sendto(b"dead", (between(A, DEAD), party.udp_port))
+    party.run(100 * MILLI)
+    assert taken(party.udp[H]) is None and taken(party.udp[A]) == b"word"
+    counts = party.wire.counts()
+    assert (counts["messages"], counts["stray"], counts["weather"]["cut"]) == (4, 1, 1)
+
+
+def test_a_hold_releases_all_in_one_burst_and_in_order(party):
+    party.tell(fault="x", on={"kind": "hold", "to": ["hosts"]})
+    for number in range(300):
+        party.udp[A].sendto(b"%d" % number, (between(A, H), party.udp_port))
+        party.turns(2)
+    assert taken(party.udp[H]) is None and party.wire.counts()["kept"] == 300
+    party.tell(fault="y", on={"kind": "delay", "delay_ms": 5, "what": "streams"})
+    party.turns()
+    assert party.wire.counts()["kept"] == 300, "another change lets nothing go"
+    at_once = party.loop.now()
+    party.tell(fault="x", off=True)
+    party.turns(2)
+    assert [taken(party.udp[H]) for _ in range(300)] == [b"%d" % number for number in range(300)]
+    assert party.loop.now() == at_once and not breaches(party.wire)
+
+
+def test_whatever_the_weather_bytes_are_neither_lost_nor_changed(party):
+    for seed in range(12):
+        chance = random.Random(seed)
+        near, far, _ = party.joined()
+        whole = chance.randbytes(300_000), chance.randbytes(300_000)
+        sent, came, on = [0, 0], [bytearray(), bytearray()], []
+        ends = near, far
+        while any(len(got) < 300_000 for got in came):
+            if chance.random() < 0.1:
+                name, kind = f"f{len(on)}", chance.choice(("cut", "hold", "delay", "lose"))
+                party.tell(fault=name, on={"kind": kind, "share": 0.5, "delay_ms": 7, "jitter_ms": 20,
+                                           "from": chance.choice((["g0"], ["h0"], ["*"]))})
+                on.append(name)
+            if on and chance.random() < 0.15 or len(on) > 4:
+                party.tell(fault=on.pop(), off=True)
+            side = chance.randrange(2)
+            piece = whole[side][sent[side]:sent[side] + chance.randrange(1, 40_000)]
+            try:
+                sent[side] += ends[side].send(piece) if piece else 0
+            except BlockingIOError:
+                pass
+            party.turns(3)
+            got = taken(ends[1 - side], chance.randrange(1, 90_000))
+            came[side] += got or b""
+            assert not breaches(party.wire)
+        assert (bytes(came[0]), bytes(came[1])) == whole
+        for name in on:
+            party.tell(fault=name, off=True)
+        near.close(), far.close()
+        party.turns()
+
+
+def test_the_checks_bite(party):
+    near, far, _ = party.joined()
+    party.tell(fault="x", on={"kind": "delay", "delay_ms": 100})
+    near.send(b"a")
+    party.run(10 * MILLI)
+    near.send(b"b")
+    party.turns(1)
+    way = party.wire.streams.relays[1].near
+    way.queue.reverse()
+    way.queued += 1
+    way.other.waiting += HIGH + CHUNK
+    way.timer.cancel()
+    way.timer = None
+    party.wire.datagrams.kept_bytes = 1 << 30
+    party.wire.weather.free["y", 0, "streams"] = 1
+    del party.wire.weather.told["x"]
+    names = {text.split(":")[0] for text in breaches(party.wire)}
+    assert names == {"queued_bytes", "waiting_bytes", "bounded", "in_order", "never_stuck", "kept_bytes", "kept_bounded",
+                     "faults_as_told", "pace_without_fault"}
+
+
+def start():
+    return subprocess.Popen([sys.executable, "-m", "gaproute.rig.wire"], stdin=subprocess.PIPE, text=True,
+                            stdout=subprocess.PIPE)
+
+
+def test_several_processes_share_the_ports_and_end_with_stdin(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as host, socket.create_server(("127.0.0.1", 0)) as free:
+        first = {"tcp": free.getsockname()[1], "udp": free.getsockname()[1], "tap": str(tmp_path / "tap"),
+                 "seats": {"16": {"name": "g0"}, "17": {"name": "h0", "tcp": at(host)}}}
+        free.close()
+        wires = [start(), start()]
+        try:
+            for wire in wires:
+                print(json.dumps(first), file=wire.stdin, flush=True)
+                assert json.loads(wire.stdout.readline()) == {"ready": True}
+            for _ in range(24):
+                with socket.create_connection((between(16, 17), first["tcp"]), timeout=5) as near:
+                    far, caller = host.accept()
+                    near.sendall(b"x")
+                    assert far.recv(9) == b"x" and of(caller[0]) == (17, 16)
+                    far.close()
+                    assert near.recv(9) == b""
+            opened = []
+            for wire in wires:
+                for line in ("{", '{"fault": "x", "off": true}', "[]", '{"a": 1}', '{"say": true}'):
+                    print(line, file=wire.stdin, flush=True)
+                said = [json.loads(wire.stdout.readline()) for _ in range(5)]
+                assert all("error" in line for line in said[:4]) and said[4]["breaches"] == []
+                assert 0 < said[4]["late_most_ns"]
+                opened.append(said[4]["opened"])
+            assert sum(opened) == 24 and all(opened), "the kernel shares them"
+            for wire in wires:
+                wire.stdin.close()
+                assert wire.wait(10) == 0
+            lines = [json.loads(line) for line in (tmp_path / "tap").read_text().splitlines()]
+            assert sorted(line["what"] for line in lines) == ["ended"] * 24 + ["opened"] * 24
+        finally:
+            for wire in wires:
+                wire.kill()
+                wire.wait()
+                wire.stdout.close()
+
+
+def test_a_first_line_that_cannot_be_followed_ends_it():
+    wire = start()
+    assert "error" in json.loads(wire.communicate('{"tcp": 0}\n', timeout=20)[0]) and wire.returncode == 2
