--- a/tests/test_rig_wire.py
+++ b/tests/test_rig_wire.py
@@ -287,7 +287,7 @@
     assert party.wire.counts()["kept"] == 300, "another change lets nothing go"
     at_once = party.loop.now()
     party.tell(fault="x", off=True)
-    party.turns(2)
+    party.turns(1)
     assert [taken(party.udp[H]) for _ in range(300)] == [b"%d" % number for number in range(300)]
     assert party.loop.now() == at_once and not breaches(party.wire)
 
