A seat told as refusing refuses its connections before a byte is taken

A killed process on a live machine refuses, which proves that nothing ran; the wire accepted and reset, after which the task may have run. The gate drops the SYN and a raw socket answers it, open only while a seat refuses; without the right to one all stays as it was. Tested: refused at once, silent behind a cut, open again when the seat is told anew.

--- a/gaproute/rig/wire/__main__.py
+++ b/gaproute/rig/wire/__main__.py
@@ -1,7 +1,7 @@
 """`python -m gaproute.rig.wire`: told by lines of JSON on stdin, says lines of JSON on stdout; ends with stdin.
 
 First line: {"tcp": port, "udp": port, "seats": {"16": {"name": ..., "kind": "gateway|host|list", "zone": ...,
-"tcp": "127.0.0.1:7001", "udp": ...}, ...}, "seed": n, "tap": "path"}; then it says {"ready": true}. Later lines:
+"tcp": "127.0.0.1:7001", "udp": ..., "refuses": true where its process is down}, ...}, "seed": n, "tap": "path"}; then it says {"ready": true}. Later lines:
 {"seat": {"17": {...}}}, {"fault": id, "on": {...}} (see `faults.py`), {"fault": id, "off": true}, {"say": true}.
 Several may run at the same ports: the kernel shares connections and senders of datagrams among them. A line that
 cannot be followed is answered with {"error": text} and changes nothing; a first line like that ends it with 2.
@@ -68,7 +68,7 @@
         return {
             "bytes": streams.carried + sum(relay.carried for relay in streams.relays.values()),
             "pieces": streams.pieces, "connections": len(streams.relays), "opened": streams.opened,
-            "refused": streams.refused, "gate": len(streams.gate), "hanging": len(streams.hanging), "given_up": streams.given_up,
+            "refused": streams.refused + streams.refusals.count, "gate": len(streams.gate), "hanging": len(streams.hanging), "given_up": streams.given_up,
             "stray": streams.stray + datagrams.stray, "messages": datagrams.messages,
             "message_bytes": datagrams.carried, "overrun": datagrams.overrun, "unsent": datagrams.unsent,
             "spilt": datagrams.spilt, "kept": len(datagrams.kept), "weather": self.weather.counts,
--- a/gaproute/rig/wire/faults.py
+++ b/gaproute/rig/wire/faults.py
@@ -34,13 +34,15 @@
 
 
 class Seat(NamedTuple):
-    """A process's end of the wire. `tcp`, `udp`: its own addresses as text, None where it has none."""
+    """A process's end of the wire. `tcp`, `udp`: its own addresses as text, None where it has none: then it is
+    like a dead machine. `refuses`: its process is down, its machine answers."""
 
     name: str
     kind: str = ""
     zone: str = ""
     tcp: str | None = None
     udp: str | None = None
+    refuses: bool = False
 
 
 class Fault(NamedTuple):
@@ -70,7 +72,8 @@
     for place in places:
         if place is not None and (not isinstance(place, str) or address(place)[0] != AF_INET):
             raise ValueError(f"{place!r} is no IPv4 address and port")
-    return Seat(told["name"], *(told.get(word) or "" for word in ("kind", "zone")), *places)
+    return Seat(told["name"], *(told.get(word) or "" for word in ("kind", "zone")), *places,
+                bool(told.get("refuses")))
 
 
 def fault(told, seats):
--- a/gaproute/rig/wire/gate.py
+++ b/gaproute/rig/wire/gate.py
@@ -21,11 +21,11 @@
 PASS, DROP = 0xFFFFFFFF, 0
 
 
-def program(weather):
-    """Instructions (code, jump if so, jump if not, number); None where the kernel would not take so many: then
+def program(weather, refusing=False):
+    """`refusing`: those told to refuse are answered by others (`refusals.py`), not let in. Instructions (code, jump if so, jump if not, number); None where the kernel would not take so many: then
     what cannot open is accepted and stays silent."""
     dead = [n for n in range(LOWEST, HIGHEST + 1)
-            if n not in weather.seats or weather.seats[n].tcp is None]
+            if n not in weather.seats or weather.seats[n].tcp is None or refusing and weather.seats[n].refuses]
     made = [(LOAD_BYTE, 0, 0, FLAGS), (AND, 0, 0, SYN_ACK), (EQUAL, 1, 0, SYN), (END, 0, 0, PASS),
             (LOAD_WORD, 0, 0, HEADER + TO), (AND, 0, 0, (1 << SEAT_BITS) - 1), (KEEP, 0, 0, CALLED),
             (LOAD_WORD, 0, 0, HEADER + TO), (SHIFT, 0, 0, SEAT_BITS), (AND, 0, 0, (1 << SEAT_BITS) - 1),
--- a/gaproute/rig/wire/streams.py
+++ b/gaproute/rig/wire/streams.py
@@ -1,8 +1,9 @@
 """Connections through the wire: accepted for any pair of seats, opened at the far end, held until both ends close.
 
 The kernel shakes hands for the wire before it is asked, so a far end that refuses is passed on as an accepted
-connection that is reset. What leads to a seat without an address, or through a cut, does not open (`gate.py`); what
-the gate let through before it heard of that stays silent until it can.
+connection that is reset, unless the seat was told as one that `refuses` (`refusals.py`). What leads to a seat
+without an address, or through a cut, does not open (`gate.py`); what the gate let through before it heard of that
+stays silent until it can.
 """
 import select
 import socket
@@ -12,6 +13,7 @@
 from gaproute.rig.addresses import between, of
 from gaproute.rig.wire import gate
 from gaproute.rig.wire.ends import AT_ONCE, End
+from gaproute.rig.wire.refusals import Refusals
 from gaproute.rig.wire.weather import HELD
 
 WITHIN = 130_000_000_000     # ns: as long as Linux tries to connect; then the caller's end is reset
@@ -52,6 +54,7 @@
         self.opened = self.refused = self.given_up = self.stray = self.pieces = self.carried = 0
         self.listener = Listener(loop, (socket.AF_INET, None), self._accepted, inherited=sock)
         self.gate = None                     # its instructions, as last attached
+        self.refusals = Refusals(loop, weather, sock.getsockname()[1])
         self.changed()
 
     def _accepted(self, sock):
@@ -106,10 +109,11 @@
 
     def changed(self):
         """The weather has changed, or a seat."""
-        instructions = gate.program(self.weather) or [(gate.END, 0, 0, gate.PASS)]
+        instructions = gate.program(self.weather, self.refusals.can) or [(gate.END, 0, 0, gate.PASS)]
         if instructions != self.gate:
             gate.attach(self.listener.sock, instructions)
             self.gate = instructions
+        self.refusals.changed()
         for number, (sock, a, b) in list(self.hanging.items()):
             seat = self.weather.seats.get(b)
             if seat is not None and seat.tcp is not None and self.weather.opens(a, b):
@@ -127,6 +131,7 @@
 
     def close(self):
         self.listener.close()
+        self.refusals.close()
         for sock, _, _ in self.hanging.values():
             self.loop.unwatch(sock.fileno())
             sock.close()
--- a/tests/test_rig_wire.py
+++ b/tests/test_rig_wire.py
@@ -156,6 +156,24 @@
     assert taken(near) == "ConnectionResetError" and party.wire.counts()["refused"] == 1
 
 
+def test_a_seat_that_refuses_does_so_before_a_byte_is_taken(party):
+    if not party.wire.streams.refusals.can:
+        pytest.skip("needs CAP_NET_RAW")
+    told = party.seats["19"] | {"refuses": True}
+    party.tell(seat={str(NOBODY): told})
+    near, others = party.try_to(NOBODY), party.try_to(H)
+    assert not opened(near) and opened(others)
+    party.turns(2)
+    assert taken(near) == "ConnectionRefusedError" and party.wire.counts()["refused"] == 1
+    party.tell(fault="x", on={"kind": "cut"})
+    cut = party.try_to(NOBODY)
+    party.turns(2)
+    assert taken(cut) is None, "no refusal comes through a cut"
+    party.tell(fault="x", off=True)
+    party.tell(seat={str(NOBODY): party.seats["17"] | {"name": "h2"}})
+    assert party.wire.streams.refusals.sock is None and opened(party.try_to(NOBODY))
+
+
 def test_what_cannot_open_does_not_until_it_can(party):
     """The caller's kernel tries again a second later; until then its connect has proved nothing."""
     party.tell(fault="x", on={"kind": "cut", "from": ["h0"], "to": ["g0"]})
