--- a/gaproute/judge/day.py
+++ b/gaproute/judge/day.py
@@ -33,10 +33,15 @@
             arrivals.sort(key=lambda arrival: arrival[0])
         # Spans in which a gateway did not run: killed or stopped.
         self.stops = defaultdict(list)
-        since = {}
+        self.endings = defaultdict(list)       # gateway: (asked to end, ended), after which it starts again
+        since, asked = {}, {}
         for event in sorted(run, key=lambda event: event["at"]):
             if event["what"] in ("killed", "stopped"):
                 since[event["gateway"]] = event["at"]
+                if event["gateway"] in asked:
+                    self.endings[event["gateway"]].append((asked.pop(event["gateway"]), event["at"]))
+            elif event["what"] == "ending":
+                asked[event["gateway"]] = event["at"]
             elif event["what"] in ("started", "continued") and event["gateway"] in since:
                 self.stops[event["gateway"]].append((since.pop(event["gateway"]), event["at"]))
         for gateway, at in since.items():
@@ -67,6 +72,11 @@
     def stopped_within(self, gateway, begin, end):
         return any(start <= end and stop + SECOND >= begin for start, stop in self.stops[gateway])
 
+    def ending_at(self, gateway, at):
+        """Whether it had been asked to end then: it may close a connection just as a request comes on it, which
+        no client can tell from a request that was read."""
+        return any(begin <= at <= end for begin, end in self.endings[gateway])
+
 
 def held_up(run):
     """[(begin, end, late, gateways, hosts)] of the faults under which bytes may reach hosts late, `late` ns at
--- a/gaproute/trial/seats.py
+++ b/gaproute/trial/seats.py
@@ -62,6 +62,9 @@
         seat.where = (yield self.processes.line(seat.process))["address"]
         seat.started = None if warm else time.time_ns()
 
+    def kill(self, seat):
+        seat.process.signal(signal.SIGKILL)
+
     def pick(self, line):
         free = [seat for seat in self.seats.values() if seat.state == "active" and not seat.busy
                 and line.zone in (None, seat.zone)]
--- a/gaproute/trial/troubles.py
+++ b/gaproute/trial/troubles.py
@@ -63,7 +63,7 @@
             yield self.loop.sleep(line.lasts)
         else:
             self.loop.spawn(self.list.soon(seat, "gone", self.delay))
-        seat.process.signal(signal.SIGKILL)
+        self.seats.kill(seat)
         yield self.loop.sleep(line.back + self.delay + self.list.late)
         yield from self.seats.start(seat, False)
         yield from self.list.soon(seat, "active", self.delay // 2)
@@ -75,7 +75,7 @@
         seat.state = "draining"
         self.list.publish()
         yield self.loop.sleep(notice)
-        seat.process.signal(signal.SIGKILL)
+        self.seats.kill(seat)
         yield from self.list.soon(seat, "absent", 200 * MILLI)
         yield self.loop.sleep(back)
         fresh = self.seats.new()
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -59,6 +59,12 @@
     assert rules({}, [end(600, "broken")], run) == [] and rules({}, [end(400, "broken")], run) == [1]
 
 
+def test_rule_1_excuses_a_request_sent_to_a_gateway_that_was_asked_to_end_and_no_earlier_one():
+    run = [{"at": at * MILLI, "what": what, "gateway": 0} for at, what in ((300, "ending"), (2500, "killed"))]
+    assert rules({}, [end(600, "broken", asked=400 * MILLI)], run) == []
+    assert rules({}, [end(600, "broken", asked=200 * MILLI)], run) == [1]
+
+
 @pytest.mark.parametrize("hosts, clients", [
     ({"h1": [task(1, track="e")], "h2": [task(50, track="e")]}, []),
     ({"h1": [task(1, track="e"), said(5, 500)], "h2": [task(50, track="e")]}, []),
