--- a/gaproute/rig/wire/__main__.py
+++ b/gaproute/rig/wire/__main__.py
@@ -32,8 +32,7 @@
     def __init__(self, loop, told):
         self.loop, self.stale = loop, False
         self.weather = Weather(int(told.get("seed", 0)), Chance)
-        for number, seat in told.get("seats", {}).items():
-            self.weather.seated(int(number), seat)
+        self.weather.seated({int(number): seat for number, seat in told.get("seats", {}).items()})
         self.lateness = Lateness(loop)
         self.file = open(told["tap"], "ab", buffering=0) if told.get("tap") else None
         listening = bound(socket.SOCK_STREAM, told["tcp"])
@@ -52,8 +51,7 @@
         if "say" in said:
             return self.counts()
         if "seat" in said:
-            for number, seat in said["seat"].items():
-                self.weather.seated(int(number), seat)
+            self.weather.seated({int(number): seat for number, seat in said["seat"].items()})
         elif "on" in said:
             self.weather.begin(said["fault"], said["on"])
             self.streams.reset(said["fault"])
--- a/gaproute/rig/wire/faults.py
+++ b/gaproute/rig/wire/faults.py
@@ -99,13 +99,13 @@
     """Numbers of the seats that any of `words` names. Errors: ValueError for a word that names nothing."""
     if not isinstance(words, list) or not all(isinstance(word, str) for word in words):
         raise ValueError("from and to are lists of words")
-    found = []
+    found = set()
     for word in words:
         bare = word.removeprefix("not:")
-        named = [number for number, one in seats.items() if _names(bare, one)]
+        named = {number for number, one in seats.items() if _names(bare, one)}
         if not named and bare not in GROUPS and bare != "*":
             raise ValueError(f"{word!r} names no seat")     # a slip in the script would else be a calm day
-        found += named if bare == word else [number for number in seats if number not in named]
+        found |= named if bare == word else seats.keys() - named
     return frozenset(found)
 
 
--- a/gaproute/rig/wire/weather.py
+++ b/gaproute/rig/wire/weather.py
@@ -29,11 +29,12 @@
 
     # The script's words
 
-    def seated(self, number, told):
-        """A seat is new or moved. Errors: ValueError."""
-        if not LOWEST <= number <= HIGHEST:
-            raise ValueError(f"{number} is no seat's number: they are {LOWEST} to {HIGHEST}")
-        seats = self.seats | {number: seat(told)}
+    def seated(self, told):
+        """Seats are new or have moved: {number: as told}. Errors: ValueError; nothing has changed then."""
+        for number in told:
+            if not LOWEST <= number <= HIGHEST:
+                raise ValueError(f"{number} is no seat's number: they are {LOWEST} to {HIGHEST}")
+        seats = self.seats | {number: seat(words) for number, words in told.items()}
         self.faults = {name: fault(words, seats) for name, words in self.told.items()}
         self.seats = seats
         self._changed()
--- a/tests/test_rig_weather.py
+++ b/tests/test_rig_weather.py
@@ -15,8 +15,7 @@
 
 def made(seed=1, **faults):
     weather = Weather(seed, Chance)
-    for number, seat in SEATS.items():
-        weather.seated(number, seat)
+    weather.seated(SEATS)
     for name, told in faults.items():
         weather.begin(name, told)
     assert not list(breaches(weather))
@@ -159,7 +158,7 @@
 def test_a_seat_that_comes_later_is_under_the_faults_that_are_on():
     weather = made(x={"kind": "cut", "from": ["zone:z1"], "to": ["gateways"]})
     assert lands(weather, 41, A) == (0,)
-    weather.seated(41, {"name": "h1", "kind": "host", "zone": "z1"})
+    weather.seated({41: {"name": "h1", "kind": "host", "zone": "z1"}})
     assert lands(weather, 41, A) == () and lands(weather, A, 41) == (0,)
 
 
@@ -183,7 +182,7 @@
     weather = made(x={"kind": "cut", "from": ["g0"]})
     seats = dict(weather.seats)
     with pytest.raises(ValueError):
-        weather.seated(number, told)
+        weather.seated({51: SEATS[B], number: told})
     assert weather.seats == seats and lands(weather, A, B) == ()
     with pytest.raises(ValueError):
         weather.end("y")
