--- a/gaproute/rig/wire/__main__.py
+++ b/gaproute/rig/wire/__main__.py
@@ -60,7 +60,7 @@
             self.weather.end(said["fault"])
         else:
             raise ValueError("no such line")
-        if not self.stale:           # many lines at once, as when most of the seats move, cost one look at all
+        if not self.stale:       # many lines at once, as when most seats move, cost one look at all
             self.stale = True
             self.loop.soon(self.settle)
         return None
@@ -114,7 +114,7 @@
 def main():
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))     # two descriptors for each connection
-    gc.disable()     # a full collection stops it for 25 ms with 4,000 connections; `streams.py` unties its circles
+    gc.disable()     # a full collection stops it for 25 ms at 4,000 connections; `streams.py` unties circles
     loop, wires, rest = Loop(), [], bytearray()
 
     def read(events):
