--- a/benchmarks/wide.py
+++ b/benchmarks/wide.py
@@ -18,7 +18,7 @@
 
 from gaproute.standins.platform import charter
 from gaproute.standins.platform.listing import Listing, member
-from gaproute.trial.run import Process
+from gaproute.trial.processes import Process
 
 MILLI = 1_000_000
 RATE = 3.0               # tasks a second
--- a/gaproute/judge/day.py
+++ b/gaproute/judge/day.py
@@ -5,6 +5,8 @@
 """
 from collections import defaultdict
 
+from gaproute.judge.senders import Senders
+
 SECOND = 1_000_000_000
 NEVER_RAN = (429, 404)
 
@@ -46,24 +48,19 @@
                 self.stops[event["gateway"]].append((since.pop(event["gateway"]), event["at"]))
         for gateway, at in since.items():
             self.stops[gateway].append((at, 1 << 62))
-        self.names = {event["gateway"]: event.get("name", str(event["gateway"])) for event in run
-                      if event["what"] == "started"}
-        self.numbers = {name: gateway for gateway, name in self.names.items()}
+        self.senders = Senders(hosts, self.ends, run)
         self.held_up = held_up(run)
 
-    def sender(self, event):
-        """The number of the gateway that sent a task or an order, by its clients' word; None: not known."""
-        if event["what"] == "order":
-            return self.numbers.get(event["gateway"])
-        ends = self.ends.get(event["id"])
-        return ends[0]["gateway"] if ends else None
-
     def sent(self, gateway, host, at):
         """The earliest time at which what arrived then may have been sent, by the faults on the wire between the
         two: bytes that were kept back may be as old as the fault."""
         return min((max(begin, at - late) for begin, end, late, gateways, hosts in self.held_up
                     if begin <= at <= end and gateway in gateways and host in hosts), default=at)
 
+    def waited(self, host, place, event):
+        """How long before it arrived something may have been sent, ns. `place`: of the host's run."""
+        return event["at"] - self.sent(self.senders.number(host, place, event), host, event["at"])
+
     def ran(self, task, at, host):
         """Whether this arrival may have run: the host did not say, in full, that it never did."""
         later = [status for said, status in self.said[task, host] if said >= at]
--- a/gaproute/judge/rules.py
+++ b/gaproute/judge/rules.py
@@ -81,7 +81,7 @@
                 if effect == "effectful":
                     yield Broken(2, at, f"effectful task {task}: sent to {host}, may have run at {first[1]}")
                 else:
-                    sent = day.sent(day.sender(event), host, at)
+                    sent = day.sent(day.senders.number(host, None, event), host, at)
                     if sent > first[0] + facts.windows[track] + facts.transit:
                         yield Broken(2, at, f"receipted task {task}: sent again after its window")
                     place = {"all": 0, "zone": 1, "rack": 2}[facts.groups[track]]
@@ -108,12 +108,11 @@
             told[event["host"]][event.get("gateway")].append((event["at"], event["state"]))
     for host, by_gateway in told.items():
         spans = {gateway: drained(facts, changes) for gateway, changes in by_gateway.items()}
-        for events in day.hosts.get(host, ()):
+        for place, events in enumerate(day.hosts.get(host, ())):
             for event in events:
-                sends = event["what"] == "task" or event["what"] == "order" and event["count"] > 0
-                if not sends:
+                if event["what"] != "task" and (event["what"] != "order" or event["count"] <= 0):
                     continue
-                sender = day.sender(event)
+                sender = day.senders.number(host, place, event)
                 by = [spans.get(sender, spans.get(None, []))] if sender is not None or None in spans \
                     else list(spans.values())
                 sent = day.sent(sender, host, event["at"])
@@ -133,29 +132,15 @@
     return spans
 
 
-def closed_spans(facts, changes):
-    """Spans in which nothing may be sent to a host, by what was told of it."""
-    spans = []
-    for place, (at, state) in enumerate(changes):
-        if state != "active" and (place == 0 or changes[place - 1][1] == "active"):
-            back = [later for later, next_state in changes[place:] if next_state == "active"]
-            spans.append((at + facts.drain_grace + TRANSIT, back[0] if back else 1 << 62))
-    return spans
-
-
-def within(spans, at):
-    return any(begin < at < end for begin, end in spans)
-
-
 def cold(facts, day):
     """Rule 4: the work sent to a cold host within any window stays under multiple x capacity x window."""
     for host, runs in day.hosts.items():
-        for events in runs:
+        for place, events in enumerate(runs):
             up = next((event for event in events if event["what"] == "up"), None)
             if up is None or up["warm"]:
                 continue
             arrivals = [event for event in events if event["what"] == "task"
-                        and event["at"] - day.sent(day.sender(event), host, event["at"]) <= facts.transit]
+                        and day.waited(host, place, event) <= facts.transit]
             begin, total = 0, 0
             for event in arrivals:
                 age = event["at"] - up["at"]
@@ -180,10 +165,13 @@
     for host, runs in day.hosts.items():
         for place, events in enumerate(runs):
             for event in events:
-                if event["what"] == "order" and event["count"] > 0 \
-                        and event["at"] - day.sent(day.sender(event), host, event["at"]) <= facts.transit:
-                    orders[event["gateway"]].append(event["at"])
-    names = day.names
+                if event["what"] != "order" or event["count"] <= 0 \
+                        or day.waited(host, place, event) > facts.transit:
+                    continue
+                sender = day.senders.name(host, place, event)
+                if sender is not None:           # else it is nobody's: the order's connection carried no task
+                    orders[sender].append(event["at"])
+    names = day.senders.names
     for event in day.run:
         if event["what"] == "started":
             starts[names[event["gateway"]]].append(event["at"])
--- a/gaproute/rig/wire/__main__.py
+++ b/gaproute/rig/wire/__main__.py
@@ -15,7 +15,7 @@
 import socket
 import sys
 
-from gaproute.beliefs import Chance
+from gaproute.decisions.chance import Chance
 from gaproute.loop import Loop
 from gaproute.loop.loop import READ
 from gaproute.rig.wire.datagrams import Datagrams
--- a/gaproute/standins/__main__.py
+++ b/gaproute/standins/__main__.py
@@ -22,16 +22,49 @@
 from gaproute.standins.tap import Tap
 
 
-BEAT = 50_000_000        # ns between looks at the own clock
-LATE = 20_000_000        # ns beyond which lateness is noted
+def say(told):
+    print(msgspec.json.encode(told).decode(), flush=True)
 
 
-def beat(loop, tap, due):
-    """A stand-in that had to wait for a core tells on its tap, so that its times are not taken for the gateway's."""
-    now = loop.now()
-    if now - due > LATE:
-        tap.note("late", by=now - due)
-    loop.at(now + BEAT, beat, loop, tap, now + BEAT)
+def store(loop, told, tap):
+    made = Store(loop, address(told["listen"]), told["pace"], told["limit"], told["thrash"], tap)
+    made.command = lambda told: setattr(made, "pace", told["pace"])
+    say({"address": made.address})
+    return made
+
+
+def host(loop, told, tap):
+    models = {model["name"]: Model(**model) for model in told["models"]}
+    made = Host(loop, address(told["listen"]), Make(**told["make"]), models, told["store"], told["seed"], tap,
+                told["warm"])
+    say({"address": made.address})
+    return made
+
+
+def callers(loop, told, tap):
+    habits = told["habits"] | {"patience": tuple(told["habits"]["patience"])}
+    kinds = [clients.Kind(**each | {"models": tuple(each["models"])}) for each in told["kinds"]]
+    return clients.Clients(loop, told["gateways"], kinds, clients.Habits(**habits), told["seed"], tap,
+                           loop.now() + told["length"])
+
+
+def platform_hosts(loop, told, tap):
+    return Hosts(loop, told, say)
+
+
+def platform_log(loop, told, tap):
+    return Log(loop, told["gateways"], tap, say)
+
+
+def platform_callers(loop, told, tap):
+    return platform_clients.Clients(
+        loop, told["gateways"], [Model(**model) for model in told["models"]],
+        [platform_clients.Kind(**kind) for kind in told["kinds"]],
+        platform_clients.Habits(**told.get("habits", {})), told["seed"], tap, told["length"], say)
+
+
+MAKERS = {"store": store, "host": host, "clients": callers, "platform-host": platform_hosts,
+          "platform-log": platform_log, "platform-clients": platform_callers}
 
 
 def main():
@@ -44,8 +77,8 @@
     loop = Loop()
     tap = Tap(told.get("tap"), loop.clock)
     made = MAKERS[sys.argv[1]](loop, told, tap)
+    beat(loop, tap)
     rest = [b""]
-    beat(loop, tap, loop.now())
 
     def command(events):
         data = os.read(0, 65536) if events & (READ | GONE) else b""
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -22,7 +22,7 @@
 class Trial:
     ENDING = 3 * SECOND      # beyond the longest limit, for gateways that are asked to end
 
-    def __init__(self, script, out, seed=1, decisions="gaproute.policy:Gateway", talk=None):
+    def __init__(self, script, out, seed=1, decisions="gaproute.decisions.route:Gateway", talk=None):
         self.script, self.out, self.seed, self.decisions = script, Path(out), seed, decisions
         self.talk = talk or (lambda text: None)
         self.out.mkdir(parents=True, exist_ok=True)
--- a/tests/test_platform_trial.py
+++ b/tests/test_platform_trial.py
@@ -11,7 +11,7 @@
 from gaproute.standins.platform import charter
 from gaproute.standins.platform.listing import Listing, member
 from gaproute.standins.tap import Tap, read
-from gaproute.trial.run import Process
+from gaproute.trial.processes import Process
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LENGTH = 3 * SECOND
--- a/tests/test_rig_weather.py
+++ b/tests/test_rig_weather.py
@@ -1,7 +1,7 @@
 """What each fault does to a message, decided without I/O."""
 import pytest
 
-from gaproute.beliefs import Chance
+from gaproute.decisions.chance import Chance
 from gaproute.rig import addresses
 from gaproute.rig.wire.faults import MILLI
 from gaproute.rig.wire.invariants import weather as breaches
