--- a/gaproute/rig/lateness.py
+++ b/gaproute/rig/lateness.py
@@ -28,7 +28,7 @@
 
     def end(self):
         """A coroutine: before the gateways are asked to end."""
-        self.over = True
+        self.over, self.rig.ended = True, self.loop.now()
         shares = [(wait - self.waits[pid][0]) / (now - self.waits[pid][1])
                   for pid, (wait, now) in self.rig.gateways.waited().items() if pid in self.waits]
         self.waited = median(shares) if shares else 0.0
--- a/gaproute/rig/processes.py
+++ b/gaproute/rig/processes.py
@@ -24,6 +24,11 @@
     return True
 
 
+def calm():
+    """No more hurry for this process: the judging can wait."""
+    os.sched_setscheduler(0, os.SCHED_OTHER, os.sched_param(0))
+
+
 class RigProcesses(Processes):
     # As a service manager starts them. Linux shares cores among sessions first: in one, 200 gateways would have as
     # much as a single process of somebody else's.
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -56,17 +56,27 @@
             self.known[number, seat.number] = where
         return where
 
-    # What the wire is told
+    # What the wire is told: its zones are of gateways or of hosts, so that a word names either without a list
 
     def gateway_seat(self, number):
         where = self.gateway(number)[1]
-        return str(GATEWAYS + number), {"name": f"g{number}", "kind": "gateway", "zone": self.zone(number),
+        return str(GATEWAYS + number), {"name": f"g{number}", "kind": "gateway",
+                                        "zone": f"gateway/{self.zone(number)}",
                                         "tcp": where, "udp": where}
 
     def host_seat(self, seat):
-        return str(HOSTS + seat.number), {"name": seat.name, "kind": "host", "zone": seat.zone,
+        return str(HOSTS + seat.number), {"name": seat.name, "kind": "host", "zone": f"host/{seat.zone}",
                                           "tcp": seat.where, "udp": None}
 
+    def words(self, what, seats):
+        """The wire's words for what a script's word names; seats of these words that come later are meant too."""
+        base, _, zone = what.replace("zone:", "zone/").partition("/")
+        if not zone:
+            return [what]
+        kinds = {"gateways": ["gateway"], "hosts": ["host"]}.get(base, ["gateway", "host"])
+        there = {(kind, place) for _, kind, place in seats}
+        return [f"zone:{kind}/{zone}" for kind in kinds if (kind, zone) in there]
+
     def all(self, seats):
         """[(name, kind, zone)] of all gateways and of the hosts that there are now, for a script's sets."""
         return [(f"g{number}", "gateway", self.zone(number)) for number in range(self.day.gateways)] + [
--- a/gaproute/trial/processes.py
+++ b/gaproute/trial/processes.py
@@ -35,6 +35,13 @@
         except BrokenPipeError:
             pass
 
+    def hush(self):
+        """The end of its input; what a dead one did not read is lost."""
+        try:
+            self.child.stdin.close()
+        except BrokenPipeError:
+            pass
+
     def signal(self, number):
         if self.child.poll() is None:
             self.child.send_signal(number)
@@ -43,7 +50,7 @@
         if self.child.poll() is None:
             self.child.kill()
         self.child.wait()
-        self.child.stdin.close()
+        self.hush()
         if self.child.stdout is not None:
             self.child.stdout.close()
         self.errors.close()
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -82,7 +82,7 @@
         """A coroutine: the gateways end as asked, then the rest, whose last lines are written then."""
         yield from self.gateways.stop(self.longest + self.ENDING)
         self.seats.close()
-        self.store.child.stdin.close()
+        self.store.hush()
         yield from self.processes.rest(self.processes.all, 3 * SECOND)
 
     def run(self):
--- a/gaproute/trial/seats.py
+++ b/gaproute/trial/seats.py
@@ -75,4 +75,4 @@
         for seat in self.seats.values():
             if seat.process is not None and seat.process.child.poll() is None:
                 seat.process.signal(signal.SIGCONT)
-                seat.process.child.stdin.close()
+                seat.process.hush()
