--- a/gaproute/rig/rig.py
+++ b/gaproute/rig/rig.py
@@ -1,7 +1,7 @@
 """Plays a script with a wire between all processes: hundreds of gateways and hosts, and faults on their way.
 
-It ends by itself (`bound`), ends only what it started, and leaves nothing when it is itself killed: its children
-have asked the kernel to be killed with it.
+It ends by itself (`bound`), ends only what it started, and leaves nothing when it is itself killed: its
+children have asked the kernel to be killed with it.
 """
 import json
 import os
@@ -15,7 +15,7 @@
 from gaproute.rig.gateways import RigGateways
 from gaproute.rig.lateness import Lateness
 from gaproute.rig.lists import Lists
-from gaproute.rig.processes import Gate, RigProcesses
+from gaproute.rig.processes import Gate, RigProcesses, calm
 from gaproute.rig.seats import RigSeats
 from gaproute.rig.strikes import Strikes
 from gaproute.rig.table import Table
@@ -33,7 +33,8 @@
     ENDING = 20 * SECOND     # beyond the longest limit, for hundreds of gateways that end at once
 
     def furnish(self):
-        rig, self.faulty, self.voids, self.ready_time, self.begun = self.script.rig, [], [], None, 0
+        rig, self.faulty, self.voids, self.ready_time = self.script.rig, [], [], None
+        self.begun = self.ended = 0
         self.loop.on_error = self.went_wrong
         (self.out / "day.script").write_text(self.script.text)
         (self.out / "play.json").write_text(json.dumps({"seed": self.seed, "decisions": self.decisions}))
@@ -53,17 +54,20 @@
         return random.Random(f"{self.seed} {type(line).__name__} {line.line}")
 
     def went_wrong(self, error):
-        """An error that nobody awaited: a gateway that did not come back is the program's, all else the rig's."""
+        """An error that nobody awaited: a gateway that did not come back is the program's, all else the
+        rig's."""
         with open(self.out / "parent.err", "a") as file:
             traceback.print_exception(error, file=file)
         if type(error) is RuntimeError:
             self.faulty.append(str(error))
         else:
-            self.voids.append(str(error) if isinstance(error, NotReady) else f"the rig's own error: {error!r}")
+            known = isinstance(error, NotReady)
+            self.voids.append(str(error) if known else f"the rig's own error: {error!r}")
 
     def hosts_seen(self):
-        """The taps of all hosts' runs during the day; who is stopped is late of course."""
-        return [[event for event in read(path) if event["at"] > self.begun] for path in self.out.glob("host-*.tap")]
+        """What the hosts noted during the day, by run."""
+        return [[event for event in read(path) if self.begun < event["at"] < self.ended]
+                for path in self.out.glob("host-*.tap")]
 
     def starting(self, routine):
         return self.gate.through(routine)
@@ -79,7 +83,8 @@
         self.list.first()
         self.strikes.clocks()
         self.talk(f"{(self.loop.now() - begun) / SECOND:5.1f} s  hosts are up")
-        yield from self.together([self.starting(self.gateways.start(number)) for number in range(day.gateways)])
+        yield from self.together([self.starting(self.gateways.start(number))
+                                  for number in range(day.gateways)])
         self.ready_time = self.loop.now() - begun
         self.talk(f"{self.ready_time / SECOND:5.1f} s  all are up; the day begins")
 
@@ -98,7 +103,8 @@
     def wind_up(self):
         yield from self.lateness.end()
         end = self.loop.now() + BACK
-        while self.gateways.busy and self.loop.now() < end:      # who was being restarted is up before it ends
+        # who was being restarted is up before it is asked to end
+        while self.gateways.busy and self.loop.now() < end:
             yield self.loop.sleep(20 * MILLI)
         for number in self.gateways.processes:
             self.gateways.processes[number].signal(signal.SIGCONT)
@@ -117,6 +123,7 @@
             if isinstance(fault, TimeoutError):
                 self.voids.append(str(fault))
         finally:
+            calm()
             self.processes.end()
             self.tap.flush()
             signal.setitimer(signal.ITIMER_REAL, 0)
--- a/gaproute/rig/wires.py
+++ b/gaproute/rig/wires.py
@@ -87,15 +87,16 @@
 
     def ends(self, rig, text, random):
         """(words for the wire, names of seats now). Words that the wire knows cover hosts that come later."""
-        parts = sets.parse(text)
-        names = sets.names(parts, rig.table.all(rig.seats.seats.values()), random)
-        plain = not any(part.no or part.share < 1 or "/" in part.what for part in parts)
-        return [part.what for part in parts] if plain else names, names
+        parts, seats = sets.parse(text), rig.table.all(rig.seats.seats.values())
+        names = sets.names(parts, seats, random)
+        if any(part.no or part.share < 1 for part in parts):
+            return names, names
+        return [word for part in parts for word in rig.table.words(part.what, seats)], names
 
 
 def late(line):
-    """(by how much bytes may be late under a fault, how long after its end): ns, for the judge. What is kept back
-    may be as old as the fault."""
+    """(by how much bytes may be late under a fault, how long after its end): ns, for the judge. What is kept
+    back may be as old as the fault."""
     if line.kind in ("cut", "hold") or line.bytes:
         return line.lasts + AFTER, AFTER
     tries = next((tries for tries in range(1, 7) if line.share ** tries < 1e-6), 6)
@@ -106,8 +107,8 @@
 def ways(line, source, to):
     """Which gateways' bytes may reach which hosts late: [[gateways' numbers], [hosts]] for each way.
 
-    A cut or a hold keeps a new connection waiting whichever way it lies; other faults lie on the way that they
-    name.
+    A cut or a hold keeps a new connection waiting whichever way it lies; other faults lie on the way that
+    they name.
     """
     def way(ours, theirs):
         return [[int(name[1:]) for name in ours if name.startswith("g")],
