The rig plays crews with permits: the strong word judged between failing processes

Crews ask at the operators' address of random gateways and note by the machine's clock when they hold what by which fence, counting from when they sent the question.

--- a/gaproute/rig/gateways.py
+++ b/gaproute/rig/gateways.py
@@ -30,7 +30,7 @@
             lines += [f"listen peers {peers}"] + [f"peer g{other} {self.table.peer(number, other)}"
                                                   for other in range(day.gateways) if other != number]
         lines += [f"memory {self.out}/{name}.memory"] * day.memory
-        return lines + self.model_lines()
+        return lines + trial.crews.lines(number) + self.model_lines()
 
     def manner(self, number):
         rate, offset = self.clocks.get(number, (1.0, 0))
--- a/gaproute/rig/rig.py
+++ b/gaproute/rig/rig.py
@@ -11,6 +11,7 @@
 import time
 import traceback
 
+from gaproute.rig.crews import Crews
 from gaproute.rig.crowd import RigCrowd
 from gaproute.rig.gateways import RigGateways
 from gaproute.rig.lateness import Lateness
@@ -47,11 +48,11 @@
         self.seats = RigSeats(self, random.Random(self.seed))
         self.list = Lists(self.loop, self.tap, self.seats, self.table, self.out / "lists")
         self.gateways, self.crowd = RigGateways(self), RigCrowd(self)
-        self.strikes, self.lateness = Strikes(self), Lateness(self)
+        self.strikes, self.lateness, self.crews = Strikes(self), Lateness(self), Crews(self)
 
-    def chance(self, line):
+    def chance(self, line, part=""):
         """A line's own chance: what it draws does not hang on what other lines drew before it."""
-        return random.Random(f"{self.seed} {type(line).__name__} {line.line}")
+        return random.Random(f"{self.seed} {type(line).__name__} {line.line}{part}")
 
     def went_wrong(self, error):
         """An error that nobody awaited: a gateway that did not come back is the program's, all else the
@@ -95,7 +96,7 @@
         if self.script.rig.direct and script.faults:
             self.talk("direct: no wire, its faults are left out")
         return [
-            *super().begin(),
+            *super().begin(), *self.crews.begin(),
             *(self.wires.fault(self, line, self.chance(line)) for line in script.faults if self.wires.wires),
             *(self.strikes.strike(line) for line in script.strikes if line.kind != "clock"),
             *(self.list.strike(line, self.strikes.numbers(line)) for line in script.lists)]
--- a/gaproute/rig/script.py
+++ b/gaproute/rig/script.py
@@ -7,7 +7,7 @@
 from pydantic import Field
 
 from gaproute.conf.lines import Directive, Mistake, Span, Yes
-from gaproute.rig import sets
+from gaproute.rig import crews, sets
 from gaproute.trial import script as trial
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
@@ -68,7 +68,7 @@
     back: Span = SECOND                       # how late; of no use where they are deaf
 
 
-WORDS = {"rig": RigLine, "fault": FaultLine, "strike": StrikeLine, "list": ListLine}
+WORDS = {"rig": RigLine, "fault": FaultLine, "strike": StrikeLine, "list": ListLine, "crews": crews.CrewsLine}
 SETS = {"fault": ("source", "to"), "strike": ("on",), "list": ("on",)}
 
 
@@ -83,8 +83,10 @@
         yield from sets.unknown(parts, day)
         if word != "fault" and any(part.what.startswith(("hosts", "mh")) for part in parts):
             yield f"{word} strikes gateways alone; hosts have their troubles (vanish, crash, deploy, ...)"
+    if word == "crews":
+        yield from crews.wrong(line, day)
     kind = getattr(line, "kind", "")
-    if word != "rig" and kind != "clock" and line.at >= day.length:
+    if word not in ("rig", "crews") and kind != "clock" and line.at >= day.length:
         yield f"it begins after the day, which is {day.length / SECOND:g} s long"
     if word == "fault" and kind == "delay" and not (line.delay or line.jitter or line.bytes):
         yield "a delay names delay, jitter or bytes"
@@ -111,4 +113,5 @@
     lines = {kind: [line for word, line in found if word == kind] for kind in WORDS}
     script.rig = next(iter(lines["rig"]), None) or (RigLine() if any(lines.values()) else None)
     script.faults, script.strikes, script.lists = lines["fault"], lines["strike"], lines["list"]
+    script.crews = next(iter(lines["crews"]), None)
     return script
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -7,7 +7,7 @@
 
 GATEWAYS, HOSTS = LOWEST, LOWEST + 1000      # seats from which gateways and hosts are counted
 LOWEST_PORT, PORTS = 20000, 11000            # below those that the kernel gives out by itself (32768 on)
-APART = 4                                    # ports that one rig takes: wire, clients' door, peers, one free
+APART = 4                                    # ports that one rig takes: wire, clients' door, peers, operators
 
 
 def free_port():
@@ -42,6 +42,10 @@
         ip = f"127.0.{2 + number // 200}.{1 + number % 200}"
         return f"{ip}:{self.port + 1}", f"{ip}:{self.port + 2}"
 
+    def operator(self, number):
+        """Where a gateway's operators ask."""
+        return f"{self.gateway(number)[0].rpartition(':')[0]}:{self.port + 3}"
+
     def peer(self, number, other):
         """Where gateway `number` finds another."""
         return self.gateway(other)[1] if self.direct else \
--- a/gaproute/rig/verdict.py
+++ b/gaproute/rig/verdict.py
@@ -17,6 +17,8 @@
             self.faulty += [f"g{number} ended with {code}" for number, code in self.codes.items()
                             if code != 0]
             self.faulty += [f"rule {broken.rule}: {broken.text}" for broken in self.broken[:20]]
+            self.permits = rig.crews.judged()
+            self.faulty += self.permits["broken"][:20] if self.permits else []
             self.void += ["no task came to an end"] * (not self.ends)
 
     @property
@@ -35,4 +37,4 @@
                 "ready_s": None if rig.ready_time is None else round(rig.ready_time / 1e9, 1),
                 "late_ms": self.late, "gateways_waited": rig.lateness.waited,
                 "wires": rig.lateness.wires}
-        return told | (super().plain() if self.whole else {})
+        return told | (super().plain() | {"permits": self.permits} if self.whole else {})
