--- a/tests/test_rig_permits.py
+++ b/tests/test_rig_permits.py
@@ -12,10 +12,10 @@
 
 
 def test_permits_keep_their_word_while_keepers_die_stand_still_and_do_not_hear_each_other(tmp_path):
-    """Also where the machine is too busy for the day's other measurements (void): permits bear lateness."""
-    for turn in range(PLAYS):
     """Also where the machine is too busy for the other measurements (void): permits bear lateness."""
-                              timeout=90)
+    for turn in range(PLAYS):
+        words = command("permits-rig", tmp_path / str(turn), "--seed", "3")
+        done = subprocess.run(words, capture_output=True, timeout=90)
         verdict = json.loads(done.stdout)
         assert verdict["permits"]["broken"] == []
         if verdict["verdict"] == "well" or not verdict["faulty"]:
