The rig plays gateways of the platform's kind with its wire, strikes and judge

rig kind platform: gaproute.node by the charter, hosts several to a process, the change log with addresses of each gateway's own, clients of the platform, and a spreader that takes what gateways send to all to each of them through the wire. Lists late or deaf become the log's troubles. The script's times count from the first task.

--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -244,8 +244,9 @@
         sys.exit(2)
     out = out or tempfile.mkdtemp(prefix="gaproute-trial-")
     if told.rig is not None:
-        from gaproute.rig.rig import Rig as Play
+        from gaproute.rig.platform.play import player
         from gaproute.rig.show import show
+        Play = player(told)
     else:
         from gaproute.trial.run import Trial as Play
         from gaproute.trial.tables import show
--- /dev/null
+++ b/gaproute/rig/platform/gateways.py
@@ -0,0 +1,58 @@
+"""The platform's gateways of a rig: `gaproute.node`, each with a file and environment of its own."""
+import json
+
+from gaproute.rig.gateways import RigGateways
+from gaproute.standins.platform import charter
+from gaproute.trial.processes import MILLI, READY_TIME, NotReady
+
+
+class NodeGateways(RigGateways):
+    def rules(self):
+        script = self.trial.script
+        copies, life, day = script.copies, script.life, script.day
+        tracks = [charter.Track(line.name, line.effect, line.group, line.contract, line.limit, line.earnings,
+                                line.remembers) for line in script.tracks]
+        return charter.settings(
+            tracks, gateways=day.gateways, zones=[f"hall-{hall}" for hall in range(day.halls)],
+            keep=life.keep, cold_share=life.cold_share, cold_time=life.cold_time,
+            idle_close=life.idle_close, family_info={
+                "placement_calls": copies.orders, "loads_anyway": copies.free, "load_part": copies.share,
+                "loads_within": copies.window / MILLI})
+
+    def start(self, number):
+        """A coroutine: until it says that it has started."""
+        trial, name = self.trial, f"g{number}"
+        listen, peers = self.table.gateway(number)
+        told = charter.charter(
+            name, listen, trial.list.addresses[number], trial.list.known(number), self.rules(),
+            trial.seed * 1000 + number, peer_listen=peers if trial.script.day.peers else "",
+            peers_all=trial.spread_at)
+        _, environment = charter.write(self.out, told)
+        log = self.out / f"{name}.log"
+        before = log.stat().st_size if log.exists() else 0
+        process = trial.processes.start(["gaproute.node"], None, log.name, tells=False,
+                                        environment=environment, **self.manner(number))
+        self.processes[number] = process
+        end = self.loop.now() + READY_TIME
+        while not self.has_started(log.read_bytes()[before:]):
+            if process.child.poll() is not None:
+                raise RuntimeError(f"{name} did not start; see {log}")
+            if self.loop.now() > end:
+                raise NotReady(f"{name} was not up in time; see {log}")
+            yield self.loop.sleep(20 * MILLI)
+        self.tap.note("started", gateway=number, name=name)
+        self.tap.flush()
+
+    def has_started(self, text):
+        lines = [json.loads(line) for line in text.split(b"\n")[:-1] if line.startswith(b"{")]
+        return any(line.get("event") == "started" for line in lines)
+
+    def restart(self, number, kind, back):
+        if kind == "TERM" and number not in self.busy:
+            self.trial.crowd.say({"do": "leaving", "gateway": number})
+        yield from super().restart(number, kind, back)
+
+    def stop(self, span):
+        yield from super().stop(span)
+        self.trial.list.process.hush()
+        self.trial.spread.hush()
--- /dev/null
+++ b/gaproute/rig/platform/lists.py
@@ -0,0 +1,71 @@
+"""The change log of a platform rig: one process that tells each gateway the addresses by which it alone finds
+the hosts. Has the face of a rig's `Lists`; its troubles are the log's own."""
+from gaproute.rig.lists import GATHER
+from gaproute.standins.platform.listing import Listing, member
+
+
+class NodeLists:
+    def __init__(self, rig):
+        self.rig, self.loop, self.table, self.seats = rig, rig.loop, rig.table, rig.seats
+        self.late, self.asked, self.told = 0, False, {}
+        self.listing, self.process, self.addresses = Listing(), None, []
+
+    def furnish(self):
+        """A coroutine: the log's process, which listens for each gateway apart."""
+        gateways = range(self.table.day.gateways)
+        self.process = self.rig.processes.standin("platform-log", "log", {
+            "gateways": ["127.0.0.1:0"] * len(gateways), "tap": str(self.rig.out / "log.tap")})
+        self.addresses = (yield self.rig.processes.line(self.process, "the change log"))["addresses"]
+
+    def row(self, seat):
+        """As the log's event has it, with an address for each gateway; None before it was ever up."""
+        if seat.process is None:
+            return None
+        where = [self.table.host(number, seat) for number in range(self.table.day.gateways)]
+        state = "gone" if seat.state == "absent" else seat.state
+        return member(seat.name, where, state, seat.zone, seat.number % self.table.day.racks,
+                      seat.kind.cores * seat.kind.speed, seat.started // 1_000_000 if seat.started else 0)
+
+    def known(self, number):
+        """What a gateway that starts now is told in its file."""
+        told = self.listing.known()
+        for whole in told["results"]:
+            whole["fleet"]["members"] = [row | {"host_port": row["host_port"][number]}
+                                         for row in whole["fleet"]["members"]]
+        return told
+
+    def first(self):
+        self.write()
+
+    def publish(self):
+        if not self.asked:
+            self.asked = True
+            self.loop.after(GATHER, self.write)
+
+    def write(self):
+        """What has changed since, as one event."""
+        self.asked = False
+        fresh = []
+        for seat in self.seats.seats.values():
+            row = self.row(seat)
+            before = self.told.get(seat.name)
+            if row is not None and row != before and (before is not None or row["phase"] != "Gone"):
+                self.told[seat.name] = row
+                fresh.append(row)
+        if fresh:
+            self.process.say(self.listing.change(*fresh))
+
+    def soon(self, seat, state, delay):
+        """A coroutine: the log tells of the seat after the delay, later still while the list is late."""
+        yield self.loop.sleep(delay + self.late)
+        seat.state = state
+        self.publish()
+
+    def strike(self, line, numbers):
+        """A coroutine: a `list` line; deaf gateways' ways are silent, which counts as told after 4 s."""
+        yield self.loop.sleep(line.at)
+        told = {"trouble": "late", "by": line.back} if line.kind == "late" else {"trouble": "silent"}
+        self.process.say(told | {"gateways": numbers})
+        self.rig.tap.note("list", kind=line.kind, gateways=numbers, lasts=line.lasts)
+        yield self.loop.sleep(line.lasts)
+        self.process.say(told | {"gateways": numbers, "on": False})
--- a/gaproute/rig/processes.py
+++ b/gaproute/rig/processes.py
@@ -40,8 +40,8 @@
         # Whether the rig's own are woken at once. What they start must be able to give that up as it starts.
         self.first = shutil.which("chrt") is not None and hurry(0)
 
-    def command(self, words, rate=1.0, offset=0):
-        """`rate`, `offset` (ns): of a clock that is wrong."""
+    def command(self, words, rate=1.0, offset=0, environment=None):
+        """`rate`, `offset` (ns): of a clock that is wrong; `environment`: to add."""
         clock = [f"--rate={rate:g}"] * (rate != 1) + [f"--offset-ms={offset / 1e6:g}"] * (offset != 0)
         # The parent waits until the new process runs its first program: as urgent as it, and only until then.
         manner = []
@@ -49,6 +49,8 @@
             manner = ["chrt", "-o", "0"]
         elif not self.first and "serve" in words:
             manner = ["nice", "-n", str(NICE)]
+        if environment:
+            manner = ["env", *(f"{name}={value}" for name, value in environment.items()), *manner]
         return [*manner, sys.executable, "-m", "gaproute.rig.child", "--parent-death", *clock, "--", *words]
 
     def line(self, process, name="a stand-in"):
--- a/gaproute/rig/script.py
+++ b/gaproute/rig/script.py
@@ -16,6 +16,7 @@
 class RigLine(Directive):
     example: ClassVar = "rig wires 4 clients 4 batch 8 ready 60s late 100ms bound 5m"
     once: ClassVar = True
+    kind: Literal["appliance", "platform"] = "appliance"      # `gaproute serve` or `gaproute.node`
     wires: int = Field(1, ge=1, le=16)        # processes that share the wire
     clients: int = Field(1, ge=1, le=32)      # processes that share the load
     batch: int = Field(0, ge=0, le=256)       # processes that start at a time; 0: as many as cores
@@ -102,8 +103,11 @@
 
 def check(file, found):
     day = next((line for word, line in found if word == "day"), trial.DayLine())
-    return [Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
-            for word, line in found if word in WORDS for text in wrong(word, line, day)]
+    kind = next((line.kind for word, line in found if word == "rig"), "appliance")
+    return [Mistake(file, line.line, "crews: permits are off on the platform's sockets", "leave crews out")
+            for word, line in found if word == "crews" and kind == "platform"] + [
+        Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
+        for word, line in found if word in WORDS for text in wrong(word, line, day)]
 
 
 def read_script(name):
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -46,6 +46,10 @@
         """Where a gateway's operators ask."""
         return f"{self.gateway(number)[0].rpartition(':')[0]}:{self.port + 3}"
 
+    def everybody(self):
+        """Where the platform's gateways send what all others are to hear; in no gateway's net."""
+        return f"127.0.0.1:{self.port + 3}"
+
     def peer(self, number, other):
         """Where gateway `number` finds another."""
         return self.gateway(other)[1] if self.direct else \
--- a/gaproute/standins/__main__.py
+++ b/gaproute/standins/__main__.py
@@ -18,6 +18,7 @@
 from gaproute.standins.platform import clients as platform_clients
 from gaproute.standins.platform.hosts import Hosts
 from gaproute.standins.platform.log import Log
+from gaproute.standins.platform.spread import Spread
 from gaproute.standins.store import Store
 from gaproute.standins.tap import Tap
 
@@ -56,6 +57,12 @@
     return Log(loop, told["gateways"], tap, say)
 
 
+def platform_spread(loop, told, tap):
+    made = Spread(loop, told["listen"], told["ways"], tap)
+    say({"address": made.address})
+    return made
+
+
 def platform_callers(loop, told, tap):
     return platform_clients.Clients(
         loop, told["gateways"], [Model(**model) for model in told["models"]],
@@ -64,7 +71,8 @@
 
 
 MAKERS = {"store": store, "host": host, "clients": callers, "platform-host": platform_hosts,
-          "platform-log": platform_log, "platform-clients": platform_callers}
+          "platform-log": platform_log, "platform-clients": platform_callers,
+          "platform-spread": platform_spread}
 
 
 def main():
--- a/gaproute/standins/platform/log.py
+++ b/gaproute/standins/platform/log.py
@@ -93,7 +93,7 @@
         self.due = max(self.due, upto)
         if self.stream is not None and "silent" not in self.troubles:
             for number in range(max(self.sent, 0) + 1, upto + 1):
-                self.stream.write(self.log.events[number - 1])
+                self.stream.write(self.log.event(number, self.place))
             self.sent = max(self.sent, upto)
         if not any(name in self.troubles for name in DEAD):
             self.count(upto)
@@ -150,7 +150,7 @@
 
     def __init__(self, loop, gateways, tap, say):
         self.loop, self.tap, self.say = loop, tap, say
-        self.events, self.told = [], []          # as bytes on the wire; their members
+        self.events, self.told = [], []          # as they were commanded; their members
         self.ways = [Way(self, place, where) for place, where in enumerate(gateways)]
         self.tell_addresses()
         self.look()
@@ -159,6 +159,15 @@
         addresses = [way.where for way in self.ways]
         self.say({"address": addresses[0] if addresses else "", "addresses": addresses})
 
+    def event(self, number, place):
+        """The event's bytes for the gateway of this place. A member's `host_port` may be a list with an
+        address for each: then every gateway finds the host by one of its own."""
+        told = self.events[number - 1]
+        members = [row | {"host_port": row["host_port"][place]} if isinstance(row["host_port"], list) else row
+                   for row in told["fleet"]["members"]]
+        told = told | {"fleet": told["fleet"] | {"members": members}}
+        return b"id: %d\ndata: %b\n\n" % (told["seq"], msgspec.json.encode(told))
+
     def look(self):
         for way in self.ways:
             way.look()
@@ -173,7 +182,7 @@
         if "fleet" in told:
             if told["seq"] != len(self.events) + 1:
                 raise ValueError(f"event {told['seq']} after {len(self.events)}")
-            self.events.append(b"id: %d\ndata: %b\n\n" % (told["seq"], msgspec.json.encode(told)))
+            self.events.append(told)
             self.told.append(told["fleet"]["members"])
             for way in self.ways:
                 way.published()
