--- /dev/null
+++ b/tests/test_rig_platform.py
@@ -0,0 +1,106 @@
+"""The rig with the platform's gateways: a day through the wire, and the parts that stand between."""
+import json
+import socket
+import subprocess
+
+import pytest
+from gaproute.conf import Mistakes
+from gaproute.judge import Facts, judge
+from gaproute.loop import Loop
+from gaproute.rig.platform.play import NodeRig, player
+from gaproute.rig.rig import Rig
+from gaproute.rig.script import read_script
+from gaproute.standins.platform.listing import Listing, member
+from gaproute.standins.platform.log import Log
+from gaproute.standins.platform.spread import Spread
+from gaproute.standins.tap import Tap, read
+from test_rig_play import PLAYS, command
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+
+
+@pytest.fixture(scope="module")
+def played(tmp_path_factory):
+    """(folder, verdict) of a play without a broken rule; a busy machine voids what else was measured."""
+    for turn in range(PLAYS):
+        out = tmp_path_factory.mktemp("platform") / str(turn)
+        done = subprocess.run(command("platform-rig", out, "--seed", "3"), capture_output=True, timeout=90)
+        verdict = json.loads(done.stdout)
+        if verdict["verdict"] == "well" or not verdict["faulty"]:
+            break
+    return out, verdict
+
+
+def test_the_rules_are_kept_through_the_wire(played):
+    out, verdict = played
+    assert verdict["faulty"] == [] and verdict["verdict"] in ("well", "void") and verdict["broken"] == []
+    assert verdict["relays"] > 200 and set(verdict["exit_codes"].values()) == {0}
+    wire = verdict["wires"][0]
+    assert wire["bytes"] > 50_000 and wire["messages"] > 20 and wire["weather"]["lost"] > 0
+    noted = {each["what"] for each in read(out / "run.tap")}
+    assert {"fault", "strike", "list", "told", "killed", "ending", "started"} <= noted
+    spread = read(out / "spread.tap")[-1]
+    assert spread["sent"] == 2 * spread["heard"] > 20 and spread["strange"] == 0
+
+
+def test_what_the_log_told_is_judged_with_the_rest(played):
+    out, _ = played
+    run, clients = read(out / "run.tap"), read(out / "clients-0.tap")
+    drained = max((each for each in run if each["what"] == "told" and each["state"] == "draining"),
+                  key=lambda each: each["at"])
+    assert drained["gateway"] == 0                           # it alone was told late
+    host, gateway = drained["host"], {each["id"]: each["gateway"] for each in clients if "asked" in each}
+    events = read(out / f"host-{host}.1.tap")
+    task = next(each for each in events if each["what"] == "task" and each["id"] in gateway)
+    forged = task | {"at": drained["at"] + SECOND}
+    script = read_script("platform-rig")
+    facts = Facts({line.name: line.effect for line in script.tracks},
+                  {line.name: line.group for line in script.tracks},
+                  {line.name: line.remembers for line in script.tracks}, {host: ("hall-0", "rack-0")})
+    assert 3 in {each.rule for each in judge(facts, {host: [[*events, forged]]}, clients, run)}
+    assert 3 not in {each.rule for each in judge(facts, {host: [events]}, clients, run)}
+
+
+def test_the_log_tells_each_gateway_addresses_of_its_own(tmp_path):
+    loop = Loop()
+    log = Log(loop, ["127.0.0.1:0", "127.0.0.1:0"], Tap(str(tmp_path / "log.tap"), loop.clock),
+              lambda told: None)
+    log.command(Listing().change(member("h", ["127.1.0.1:1", "127.1.0.2:1"]), member("i", "127.0.0.1:2")))
+
+    def where(place):
+        told = json.loads(log.event(1, place).split(b"data: ")[1])
+        return [row["host_port"] for row in told["fleet"]["members"]]
+    assert where(0) == ["127.1.0.1:1", "127.0.0.1:2"] and where(1) == ["127.1.0.2:1", "127.0.0.1:2"]
+    loop.close()
+
+
+def test_a_word_to_all_goes_to_each_other_gateway_by_its_pair_and_never_back(tmp_path):
+    loop, socks = Loop(), [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(4)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+        sock.settimeout(2)
+    names = ["{}:{}".format(*sock.getsockname()) for sock in socks]
+    spread = Spread(loop, "127.0.0.1:0", {names[0]: names[1:3], names[1]: [names[0]]},
+                    Tap(str(tmp_path / "spread.tap"), loop.clock))
+    host, _, port = spread.address.rpartition(":")
+    for place in (0, 1, 3):
+        socks[place].sendto(b"%d" % place, (host, int(port)))
+    while spread.heard + spread.strange < 3:
+        loop.turn()
+    assert (spread.heard, spread.sent, spread.strange) == (2, 3, 1)
+    assert [socks[place].recv(10) for place in (0, 1, 2)] == [b"1", b"0", b"0"]
+    for sock in [*socks, spread.sock]:
+        sock.close()
+    loop.close()
+
+
+def test_the_kind_chooses_who_plays_and_what_it_cannot_have_is_named(tmp_path):
+    assert player(read_script("platform-rig")) is NodeRig and player(read_script("small-rig")) is Rig
+    fleet = read_script("fleet-platform")
+    assert player(fleet) is NodeRig and fleet.day.gateways == 200 and fleet.day.hosts == 120
+    path = tmp_path / "x.script"
+    path.write_text("rig kind platform\nday gateways 3 peers yes\ntrack a pure contract 1s limit 2s\n"
+                    "traffic a\ncrews keepers 3\n")
+    with pytest.raises(Mistakes) as wrong:
+        read_script(str(path))
+    assert "permits are off on the platform's sockets" in str(wrong.value)
