Each gateway of the platform hears its change log through the wire, which can keep it back

lists is a set of a rig's script (l0 to g0, and so on): a cut or hold there is told to the log, so that news counts as told when it ends; other kinds are refused by name. platform-rig holds one gateway's list for 0.7 s beside a late one: the drain counts as told in that order.

--- a/gaproute/rig/platform/__init__.py
+++ b/gaproute/rig/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Rigs of the platform's gateways, `gaproute.node`, with their hosts, change log and clients (`play.NodeRig`)."""
+"""Rigs of the platform's gateways, `gaproute.node`, their hosts, change log and clients (`play.NodeRig`)."""
--- a/gaproute/rig/platform/gateways.py
+++ b/gaproute/rig/platform/gateways.py
@@ -24,7 +24,7 @@
         trial, name = self.trial, f"g{number}"
         listen, peers = self.table.gateway(number)
         told = charter.charter(
-            name, listen, trial.list.addresses[number], trial.list.known(number), self.rules(),
+            name, listen, self.table.changelog(number), trial.list.known(number), self.rules(),
             trial.seed * 1000 + number, peer_listen=peers if trial.script.day.peers else "",
             peers_all=trial.spread_at)
         _, environment = charter.write(self.out, told)
--- a/gaproute/rig/platform/lists.py
+++ b/gaproute/rig/platform/lists.py
@@ -8,14 +8,14 @@
     def __init__(self, rig):
         self.rig, self.loop, self.table, self.seats = rig, rig.loop, rig.table, rig.seats
         self.late, self.asked, self.told = 0, False, {}
-        self.listing, self.process, self.addresses = Listing(), None, []
+        self.listing, self.process = Listing(), None
 
     def furnish(self):
         """A coroutine: the log's process, which listens for each gateway apart."""
         gateways = range(self.table.day.gateways)
         self.process = self.rig.processes.standin("platform-log", "log", {
             "gateways": ["127.0.0.1:0"] * len(gateways), "tap": str(self.rig.out / "log.tap")})
-        self.addresses = (yield self.rig.processes.line(self.process, "the change log"))["addresses"]
+        self.table.ways = (yield self.rig.processes.line(self.process, "the change log"))["addresses"]
 
     def row(self, seat):
         """As the log's event has it, with an address for each gateway; None before it was ever up."""
@@ -61,6 +61,22 @@
         seat.state = state
         self.publish()
 
+    def cut(self, line):
+        """A coroutine: beside a `fault` that keeps back what the log tells gateways, the log is told whom.
+        Both draw the same ends, by the line's own chance."""
+        random, names = self.rig.chance(line), []
+        yield self.loop.sleep(line.at)
+        ends = [set(self.rig.wires.ends(self.rig, text, random)[1]) for text in (line.source, line.to)]
+        for number in range(self.table.day.gateways):
+            ours, theirs = f"g{number}", f"l{number}"
+            if any(ours in one and theirs in other for one, other in (ends, ends[::-1])):
+                names.append(number)
+        if not names or line.what == "datagrams":
+            return
+        self.process.say({"trouble": "elsewhere", "gateways": names})
+        yield self.loop.sleep(line.lasts)
+        self.process.say({"trouble": "elsewhere", "gateways": names, "on": False})
+
     def strike(self, line, numbers):
         """A coroutine: a `list` line; deaf gateways' ways are silent, which counts as told after 4 s."""
         yield self.loop.sleep(line.at)
--- a/gaproute/rig/platform/play.py
+++ b/gaproute/rig/platform/play.py
@@ -34,7 +34,9 @@
 
     def begin(self):
         """Clients wait until all gateways answer them; the script's times count from their first task."""
-        return [self.once_in(routine) for routine in super().begin()]
+        cuts = [self.list.cut(line) for line in self.script.faults
+                if self.wires.wires and line.kind in ("cut", "hold")]
+        return [self.once_in(routine) for routine in [*super().begin(), *cuts]]
 
     def once_in(self, routine):
         for begun in self.crowd.begun:
--- a/gaproute/rig/rig.py
+++ b/gaproute/rig/rig.py
@@ -80,6 +80,7 @@
         if not rig.direct:
             seats = dict(self.table.gateway_seat(number) for number in range(day.gateways))
             seats |= dict(map(self.table.host_seat, self.seats.seats.values()))
+            seats |= dict(map(self.table.list_seat, range(len(self.table.ways))))
             yield from self.wires.start(rig.wires, seats)
         self.list.first()
         self.strikes.clocks()
--- a/gaproute/rig/script.py
+++ b/gaproute/rig/script.py
@@ -8,6 +8,7 @@
 
 from gaproute.conf.lines import Directive, Mistake, Span, Yes
 from gaproute.rig import crews, sets
+from gaproute.rig.platform import words
 from gaproute.trial import script as trial
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
@@ -104,10 +105,9 @@
 def check(file, found):
     day = next((line for word, line in found if word == "day"), trial.DayLine())
     kind = next((line.kind for word, line in found if word == "rig"), "appliance")
-    return [Mistake(file, line.line, "crews: permits are off on the platform's sockets", "leave crews out")
-            for word, line in found if word == "crews" and kind == "platform"] + [
-        Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
-        for word, line in found if word in WORDS for text in wrong(word, line, day)]
+    return [Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
+            for word, line in found if word in WORDS
+            for text in (*wrong(word, line, day), *words.wrong(kind, word, line))]
 
 
 def read_script(name):
--- a/gaproute/rig/sets.py
+++ b/gaproute/rig/sets.py
@@ -7,8 +7,9 @@
 from typing import NamedTuple
 
 WORD = re.compile(r"(?P<no>not:)?(?:(?P<share>[0-9.]+):)?"
-                  r"(?P<what>\*|zone:[\w-]+|(?:gateways|hosts)(?:/[\w-]+)?|g[0-9]+|mh[0-9]+)")
-KINDS = {"gateways": "gateway", "hosts": "host"}
+                  r"(?P<what>\*|zone:[\w-]+|lists|(?:gateways|hosts)(?:/[\w-]+)?|g[0-9]+|mh[0-9]+)")
+# lists: the ways of the change log, of the platform alone
+KINDS = {"gateways": "gateway", "hosts": "host", "lists": "list"}
 
 
 class Part(NamedTuple):
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -5,7 +5,8 @@
 
 from gaproute.rig.addresses import LOWEST, between
 
-GATEWAYS, HOSTS = LOWEST, LOWEST + 1000      # seats from which gateways and hosts are counted
+# seats from which gateways, hosts and the platform's change log, a seat for each gateway, are counted
+GATEWAYS, HOSTS, LISTS = LOWEST, LOWEST + 1000, LOWEST + 3000
 LOWEST_PORT, PORTS = 20000, 11000            # below those that the kernel gives out by itself (32768 on)
 APART = 4                                    # ports that one rig takes: wire, clients' door, peers, operators
 
@@ -32,6 +33,7 @@
 
     def __init__(self, day, direct):
         self.day, self.direct, self.port = day, direct, free_port()
+        self.ways = []           # where the change log listens for each gateway, on the platform
         self.known = {}          # (gateway, host): address, as a list names it again and again
 
     def zone(self, number):
@@ -65,6 +67,11 @@
             self.known[number, seat.number] = where
         return where
 
+    def changelog(self, number):
+        """Where gateway `number` finds the change log."""
+        return self.ways[number] if self.direct else \
+            f"{between(GATEWAYS + number, LISTS + number)}:{self.port}"
+
     # What the wire is told: its zones are of gateways or of hosts, so that a word names either without a list
 
     def gateway_seat(self, number):
@@ -77,6 +84,10 @@
         return str(HOSTS + seat.number), {"name": seat.name, "kind": "host", "zone": f"host/{seat.zone}",
                                           "tcp": seat.where, "udp": None}
 
+    def list_seat(self, number):
+        return str(LISTS + number), {"name": f"l{number}", "kind": "list", "zone": "",
+                                     "tcp": self.ways[number], "udp": None}
+
     def words(self, what, seats):
         """The wire's words for what a script's word names; seats of these words that come later are meant
         too."""
@@ -90,4 +101,5 @@
     def all(self, seats):
         """[(name, kind, zone)] of all gateways and of the hosts that there are now, for a script's sets."""
         return [(f"g{number}", "gateway", self.zone(number)) for number in range(self.day.gateways)] + [
-            (seat.name, "host", seat.zone) for seat in seats if seat.state != "absent"]
+            (seat.name, "host", seat.zone) for seat in seats if seat.state != "absent"] + [
+            (f"l{number}", "list", "") for number in range(len(self.ways))]
--- a/tests/test_rig_platform.py
+++ b/tests/test_rig_platform.py
@@ -46,9 +46,11 @@
 def test_what_the_log_told_is_judged_with_the_rest(played):
     out, _ = played
     run, clients = read(out / "run.tap"), read(out / "clients-0.tap")
-    drained = max((each for each in run if each["what"] == "told" and each["state"] == "draining"),
-                  key=lambda each: each["at"])
-    assert drained["gateway"] == 0                           # it alone was told late
+    drained = sorted((each for each in run if each["what"] == "told" and each["state"] == "draining"),
+                     key=lambda each: each["at"])
+    # g1's way was held on the wire until 2.6 s, g0's log was late by 0.3 s, g2 was told at once
+    assert [each["gateway"] for each in drained] == [2, 0, 1]
+    drained = drained[-1]
     host, gateway = drained["host"], {each["id"]: each["gateway"] for each in clients if "asked" in each}
     events = read(out / f"host-{host}.1.tap")
     task = next(each for each in events if each["what"] == "task" and each["id"] in gateway)
@@ -100,7 +102,8 @@
     assert player(fleet) is NodeRig and fleet.day.gateways == 200 and fleet.day.hosts == 120
     path = tmp_path / "x.script"
     path.write_text("rig kind platform\nday gateways 3 peers yes\ntrack a pure contract 1s limit 2s\n"
-                    "traffic a\ncrews keepers 3\n")
+                    "traffic a\ncrews keepers 3\nfault lose at 1s for 1s from lists to g0\n")
     with pytest.raises(Mistakes) as wrong:
         read_script(str(path))
-    assert "permits are off on the platform's sockets" in str(wrong.value)
+    told = "\n".join(str(mistake) for mistake in wrong.value.mistakes)
+    assert "permits are off on the platform's sockets" in told and "when its news was told" in told
