--- a/gaproute/rig/platform/play.py
+++ b/gaproute/rig/platform/play.py
@@ -15,6 +15,7 @@
         super().furnish()
         for number, model in enumerate(self.models, 1):
             model["name"] = f"{number:016x}"             # as the platform names functions
+        self.table.whose = True      # orders bear their gateway's name, for rule 5
         self.seats = NodeSeats(self, random.Random(self.seed))
         self.list = NodeLists(self)
         self.gateways, self.crowd = NodeGateways(self), NodeCrowd(self)
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -34,6 +34,7 @@
     def __init__(self, day, direct):
         self.day, self.direct, self.port = day, direct, free_port()
         self.ways = []           # where the change log listens for each gateway, on the platform
+        self.whose = False       # whether the wire tells hosts who calls
         self.known = {}          # (gateway, host): address, as a list names it again and again
 
     def zone(self, number):
@@ -82,7 +83,7 @@
 
     def host_seat(self, seat):
         return str(HOSTS + seat.number), {"name": seat.name, "kind": "host", "zone": f"host/{seat.zone}",
-                                          "tcp": seat.where, "udp": None}
+                                          "tcp": seat.where, "udp": None, "whose": self.whose}
 
     def list_seat(self, number):
         return str(LISTS + number), {"name": f"l{number}", "kind": "list", "zone": "",
--- a/gaproute/rig/wire/faults.py
+++ b/gaproute/rig/wire/faults.py
@@ -43,6 +43,7 @@
     tcp: str | None = None
     udp: str | None = None
     refuses: bool = False
+    whose: bool = False      # told who calls in a first line, as the platform's stand-in hosts read it
 
 
 class Fault(NamedTuple):
@@ -73,7 +74,7 @@
         if place is not None and (not isinstance(place, str) or address(place)[0] != AF_INET):
             raise ValueError(f"{place!r} is no IPv4 address and port")
     return Seat(told["name"], *(told.get(word) or "" for word in ("kind", "zone")), *places,
-                bool(told.get("refuses")))
+                bool(told.get("refuses")), bool(told.get("whose")))
 
 
 def fault(told, seats):
--- a/gaproute/rig/wire/streams.py
+++ b/gaproute/rig/wire/streams.py
@@ -102,6 +102,7 @@
         def done(far, error):
             if error is None:
                 self.opened += 1
+                self._introduce(far, a, b)
                 self.relays[number] = Relay(self, number, sock, far, a, b)
                 self.tap("opened", a, b, 0)
             else:
@@ -110,6 +111,15 @@
                 _reset(sock)
         connect(self.loop, address(where), WITHIN, done, source=between(b, a))
 
+    def _introduce(self, far, a, b):
+        """A host that is to know who orders is told first; a new connection's buffer has room for that."""
+        seat, caller = self.weather.seats.get(b), self.weather.seats.get(a)
+        if seat is not None and seat.whose and caller is not None:
+            try:
+                far.send(b'{"type":"whose","gateway":"%b"}\n' % caller.name.encode())
+            except OSError:      # it has closed already, which its relay will see
+                pass
+
     def over(self, relay):
         if self.relays.pop(relay.number, None) is not None:
             self.carried += relay.carried
--- a/tests/test_rig_platform.py
+++ b/tests/test_rig_platform.py
@@ -15,6 +15,7 @@
 from gaproute.standins.platform.spread import Spread
 from gaproute.standins.tap import Tap, read
 from test_rig_play import PLAYS, command
+from test_rig_wire import Party
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
@@ -39,6 +40,8 @@
     assert wire["bytes"] > 50_000 and wire["messages"] > 20 and wire["weather"]["lost"] > 0
     noted = {each["what"] for each in read(out / "run.tap")}
     assert {"fault", "strike", "list", "told", "killed", "ending", "started"} <= noted
+    orders = [each for path in out.glob("host-*.tap") for each in read(path) if each["what"] == "order"]
+    assert {each["gateway"] for each in orders} <= {"g0", "g1", "g2"}
     spread = read(out / "spread.tap")[-1]
     assert spread["sent"] == 2 * spread["heard"] > 20 and spread["strange"] == 0
 
@@ -96,6 +99,20 @@
     loop.close()
 
 
+def test_the_wire_tells_a_host_that_asks_for_it_who_calls_before_all_else():
+    party = Party()
+    try:
+        party.tell(seat={"17": party.seats["17"] | {"whose": True}})
+        party.call().send(b"a task\n")
+        far, _ = party.accepted()
+        told = b""
+        while b"a task" not in told:
+            told += party.got(far)
+        assert told == b'{"type":"whose","gateway":"g0"}\na task\n'
+    finally:
+        party.close()
+
+
 def test_the_kind_chooses_who_plays_and_what_it_cannot_have_is_named(tmp_path):
     assert player(read_script("platform-rig")) is NodeRig and player(read_script("small-rig")) is Rig
     fleet = read_script("fleet-platform")
