--- a/gaproute/standins/__main__.py
+++ b/gaproute/standins/__main__.py
@@ -18,6 +18,7 @@
 from gaproute.standins.platform import clients as platform_clients
 from gaproute.standins.platform.hosts import Hosts
 from gaproute.standins.platform.log import Log
+from gaproute.standins.platform.spread import Spread
 from gaproute.standins.store import Store
 from gaproute.standins.tap import Tap
 
@@ -29,7 +30,6 @@
 def store(loop, told, tap):
     made = Store(loop, address(told["listen"]), told["pace"], told["limit"], told["thrash"], tap)
     made.command = lambda told: setattr(made, "pace", told["pace"])
-    beat(loop, tap)
     say({"address": made.address})
     return made
 
@@ -50,15 +50,19 @@
 
 
 def platform_hosts(loop, told, tap):
-    beat(loop, tap)
     return Hosts(loop, told, say)
 
 
 def platform_log(loop, told, tap):
-    beat(loop, tap)
     return Log(loop, told["gateways"], tap, say)
 
 
+def platform_spread(loop, told, tap):
+    made = Spread(loop, told["listen"], told["ways"], tap)
+    say({"address": made.address})
+    return made
+
+
 def platform_callers(loop, told, tap):
     return platform_clients.Clients(
         loop, told["gateways"], [Model(**model) for model in told["models"]],
@@ -67,7 +71,8 @@
 
 
 MAKERS = {"store": store, "host": host, "clients": callers, "platform-host": platform_hosts,
-          "platform-log": platform_log, "platform-clients": platform_callers}
+          "platform-log": platform_log, "platform-clients": platform_callers,
+          "platform-spread": platform_spread}
 
 
 def main():
@@ -80,6 +85,7 @@
     loop = Loop()
     tap = Tap(told.get("tap"), loop.clock)
     made = MAKERS[sys.argv[1]](loop, told, tap)
+    beat(loop, tap)
     rest = [b""]
 
     def command(events):
