--- /dev/null
+++ b/gaproute/maintenance/view.py
@@ -0,0 +1,16 @@
+"""What a running round looks at, at one moment."""
+import msgspec
+
+
+class View(msgspec.Struct, frozen=True):
+    """`fleet`: {name: words.Host} as listed, `shown`: {name: warm.Shown} as each showed itself last, `sights`:
+    {function: {host: (age, tellers)}} as `Weak.warm` reads, `demand`: {function: lanes in use at its peak told}."""
+    fleet: dict
+    shown: dict
+    sights: dict
+    demand: dict
+    told: int                # ns since somebody told of demand last
+
+    @property
+    def zones(self):
+        return sorted({host.zone for host in self.fleet.values()})
