--- a/gaproute/maintenance/floor.py
+++ b/gaproute/maintenance/floor.py
@@ -4,6 +4,10 @@
 A host's lanes count for every function that it has warm; so that they are not all counted on at once, the row ALL
 holds the lanes of hosts with anything warm against the sum of all needs. In whole lanes, needs rounded up.
 """
+import msgspec
+
+from gaproute.maintenance.words import LEVELS
+
 ALL = "*"                # all functions together; no function's name may have it
 FLEET = ""               # the scope that is the whole fleet
 UNHEARD = [(("demand", FLEET), 0, 0, "unheard")]     # what is missing where nobody tells of demand
@@ -20,6 +24,21 @@
     return {row: lanes for row, lanes in rows.items() if lanes > 0}
 
 
+def needs(rounds, demand, zones):
+    """The same of several rounds that may run at once: of each row the most."""
+    rows = {}
+    for asked in rounds:
+        for row, lanes in need(asked, demand, zones).items():
+            rows[row] = max(lanes, rows.get(row, 0))
+    return rows
+
+
+def strict(asked, beside):
+    """The round with the strictest look ahead of all."""
+    level = max([asked.survive, *(other.survive for other in beside)], key=LEVELS.index)
+    return msgspec.structs.replace(asked, survive=level)
+
+
 def rows_of(host, warm):
     """{(function, scope): lanes} that one host gives."""
     if not warm:
--- a/gaproute/maintenance/round.py
+++ b/gaproute/maintenance/round.py
@@ -39,10 +39,11 @@
 
 
 class Running:
-    """`holder`: a `permits.Holder`. `tick(now, view)` and `ask(now, host, view)`; `view`: see `view.py`."""
+    """`holder`: a `permits.Holder`; `beside`: other rounds that may run now, of which it keeps the floor as well. `tick(now, view)` and `ask(now, host, view)`; `view`: see `view.py`."""
 
-    def __init__(self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces()):
-        self.asked, self.me, self.holder, self.span = asked, me, holder, span
+    def __init__(self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces(), beside=()):
+        self.asked, self.beside = floor.strict(asked, beside), tuple(beside)
+        self.me, self.holder, self.span = me, holder, span
         self.bounds, self.paces = bounds, paces
         self.stage, self.why, self.withdrawn = "asking", "", False
         self.begun, self.count, self.planned = now, 0, False
@@ -89,15 +90,15 @@
             return []
         if not self.places and not self._begin(now, view):
             return []
+        self.ordered = {key: when for key, when in self.ordered.items() if now - when < ORDERED}
         out, anew = [], self.lives.see(now, view.fleet, view.shown)
-        if self._turn(now):
-            out += self._takeover(now, view)
+        self._turn(now)
         self._believe(now, view)
         for place in self.places.values():
             out += self._follow(now, place, view, anew)
         if self.withdrawn or now - self.begun > self.asked.by:   # rule 10
             out += self._back(now, "withdrawn" if self.withdrawn else "by is over")
-            if not self.away():
+            if all(self.places[name].state == "lost" for name in self.away()):
                 self._end(now, "withdrawn" if self.withdrawn else "by is over")
             return out
         if all(place.state == "done" for place in self.places.values()):
@@ -121,11 +122,9 @@
         return not wrong
 
     def _turn(self, now):
-        """Whether the turn has just been granted."""
         held = self.turn is not None and self.turn.may(now)
         if held and self.turned is None:
             self.turned = now
-            return True
         if held and now - self.turned > TURN_LONG and not self.away():     # rule 1
             self.holder.give(now, self.turn)
             self.turn, self.turned, self.next = None, None, now + REST
@@ -133,21 +132,12 @@
             self.turn, self.turned, self.next = None, None, now + AGAIN
         if self.turn is None and now >= self.next:
             self.turn = self.holder.take(now, TURN, self.span)
-        return False
-
-    def _takeover(self, now, view):
-        """Rule 2; a round's first look: hosts that its crew has restarted already are back."""
-        for place in self.places.values():
-            seen = view.shown.get(place.name)
-            if place.state == "waiting" and seen is not None and seen.done == self.asked.name:
-                self._to(now, place, "back", "seen done")
-        return []
 
     def _believe(self, now, view):
         turn = self.turned if self.holds(now) else now
         since = self.lives.counting(now, turn, view.fleet, view.shown)
         self.believed = warm.lanes(now, self.me, view.fleet, view.sights, view.shown, since)
-        self.needs = floor.need(self.asked, view.demand, view.zones)
+        self.needs = floor.needs((self.asked, *self.beside), view.demand, view.zones)
         self.missing = floor.kept(view.fleet, self.believed, self.needs, self.asked.survive, self.away())
         if not view.demand or view.told > TOLD:
             self.missing = floor.UNHEARD
@@ -205,7 +195,7 @@
         going, first = [], None
         if not self.missing and now - self.turned <= TURN_LONG:
             down = [name for name in view.fleet if not there(now, view.shown.get(name))]
-            going, first = schedule.choose(self.asked, view.fleet, self.believed, self.needs, waiting, self.away(), down)
+            going, first = self._choose(view, waiting, down)
             self._stage("going", first[1] if first and not going and not self.away() else "")
         for name in going:                                       # rule 5
             place = self.places[name]
@@ -215,6 +205,9 @@
             out.append(("drain", name, place.mark))
         return out + self._loads(now, view, [name for name in waiting if name not in going])
 
+    def _choose(self, view, waiting, down):
+        return schedule.choose(self.asked, view.fleet, self.believed, self.needs, waiting, self.away(), down)
+
     def _plan(self, now, view):
         """Whether there is a lawful schedule; asked once, before anything is begun."""
         if any(place.state != "waiting" for place in self.places.values()):
@@ -232,7 +225,6 @@
         return self.planned
 
     def _loads(self, now, view, waiting):
-        self.ordered = {key: when for key, when in self.ordered.items() if now - when < ORDERED}
         under = {(name, function) for name, seen in view.shown.items() for function in seen.loading}
         loading = sorted(under | {key for key in self.ordered if key[0] != "serve"
                                   and not self.believed[key[0]].get(key[1])})
--- a/gaproute/maintenance/schedule.py
+++ b/gaproute/maintenance/schedule.py
@@ -47,8 +47,8 @@
         -max((crowd[group] for group in groups(asked, fleet, name)), default=0), -fleet[name].lanes, name))
 
 
-def choose(asked, fleet, warm, needs, waiting, away, down=()):
-    """([hosts that may go now], (the first that may not, why) or None)."""
+def choose(asked, fleet, warm, needs, waiting, away, down=(), order=order):
+    """([hosts that may go now], (the first that may not, why) or None). `order`: as above."""
     going, first, away = [], None, list(away)
     for name in order(asked, fleet, waiting):
         why = barred(asked, fleet, name, away, down)
@@ -136,7 +136,7 @@
     why: str = ""
 
 
-def plan(asked, fleet, warm, needs, hosts, free, paces):
+def plan(asked, fleet, warm, needs, hosts, free, paces, order=order):
     """Plays the round as believed, everything taking its pace. A round that cannot be done names in `why` the first
     thing in its way."""
     warm = {name: dict(functions) for name, functions in warm.items()}
@@ -151,7 +151,7 @@
     waiting, away, loading, had, free = list(hosts), {}, {}, {}, dict(free)
     now, steps = 0, []
     while True:
-        going, first = choose(asked, fleet, warm, needs, waiting, away)
+        going, first = choose(asked, fleet, warm, needs, waiting, away, (), order)
         for name in going:
             waiting.remove(name)
             steps.append((now, name))
