--- a/gaproute/driver/rounds_actors.py
+++ b/gaproute/driver/rounds_actors.py
@@ -5,7 +5,7 @@
 """
 from gaproute.maintenance import Running, View
 from gaproute.maintenance.drained import Bounds
-from gaproute.maintenance.invariants import check_given, check_round
+from gaproute.maintenance.invariants import check_belief, check_given, check_round
 from gaproute.maintenance.warm import Shown
 from gaproute.shared.permits import Holder
 from gaproute.shared.weak import Weak
@@ -185,7 +185,7 @@
             for running in self.rounds:
                 for order in running.tick(now, view):
                     out.append((order[1], (order[0], order[2])))
-                self.breaches += check_round(running, now, self.play.fleet)
+                self.breaches += check_round(running, now, self.play.fleet) + check_belief(running, now, view)
                 self.play.judge.logs(self.name, running)
         return out + self.holder.tick(now)
 
--- a/gaproute/maintenance/invariants.py
+++ b/gaproute/maintenance/invariants.py
@@ -1,7 +1,8 @@
 """What must always hold of a running round as it believes; each check returns breaches as text, named first."""
-from gaproute.maintenance.place import AWAY
+from gaproute.maintenance.place import AWAY, there
 from gaproute.maintenance.round import ORDERED
 from gaproute.maintenance.schedule import groups
+from gaproute.maintenance.warm import WITNESSES, weight
 
 ORDERS = 4096            # loads and orders to serve remembered at once
 
@@ -29,6 +30,22 @@
     return came
 
 
+def check_belief(running, now, view):
+    """That belief is a lower bound of what was shown or told lately."""
+    came = []
+    for name, functions in running.believed.items():
+        seen = view.shown.get(name)
+        for function, lanes in functions.items():
+            told = view.sights.get(function, {}).get(name)
+            if seen is None or seen.draining or not there(now, seen):
+                came.append(f"who is not there counts nothing: {name}")
+            elif function not in seen.copies and (told is None or len(told[1]) < WITNESSES):
+                came.append(f"nothing counts until it is seen warm: {function} at {name}")
+            elif lanes * 1000 > view.fleet[name].lanes * weight(now - seen.asked) and told is None:
+                came.append(f"belief fades with its age: {name} counts {lanes} lanes, seen {now - seen.asked} ns ago")
+    return came
+
+
 def check_given(running, now, name, answer, greatest):
     """Of one answer to a crew. `greatest`: {host: fence given last}, kept by the caller over all rounds."""
     if isinstance(answer, str):
--- /dev/null
+++ b/tests/test_maintenance_driven.py
@@ -0,0 +1,123 @@
+"""Rounds in the driver: fixed seeds keep the floor in truth, and small faults put into the code are each caught."""
+import msgspec
+import pytest
+
+from gaproute.driver import rounds
+from gaproute.driver.rounds import KINDS, play
+from gaproute.driver.rounds_baselines import One, of
+from gaproute.maintenance import drained, floor, place, schedule, warm
+from gaproute.maintenance.round import Running
+
+
+def verdict(seed, kind, **told):
+    """The name of what was broken, or ""."""
+    run, breach = play(seed, kind, **told)
+    if breach:
+        return breach.name
+    return "floor" if any(each[5] == "promised" for each in run.judge.breaches) else ""
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_fixed_seeds_keep_the_floor_in_truth(kind):
+    assert [verdict(seed, kind) for seed in range(3)] == ["", "", ""]
+
+
+def test_rounds_end_and_a_seed_is_one_run():
+    first, again = play(0, "none")[0], play(0, "none")[0]
+    assert first.judge.ends["round0"][1:] == ("ended", "") and first.judge.outs == len(first.rounds[0].hosts)
+    assert first.world.digest.digest() == again.world.digest.digest() and first.judge.events == again.judge.events
+
+
+def test_a_scheduler_killed_after_any_order_ends_its_round():
+    """At each second of the round: killed, up again 3 s later; each host is out once, or again where it was lost."""
+    length = play(3, "none")[0].judge.ends["round0"][0] // rounds.SECOND
+    for at in range(4, min(length, 60), 4):
+        run = rounds.Play(3, "none")
+        fault = rounds.Fault("crash", at * rounds.SECOND, (at + 3) * rounds.SECOND, (run.numbers["s1"],))
+        run.world.push(fault.at, 2, None, fault, 0)
+        run.world.push(fault.until, 3, None, fault, 0)
+        run.run()
+        assert run.judge.ends["round0"][1] == "ended" and not run.judge.breaches
+        assert run.judge.outs == len(run.rounds[0].hosts)
+
+
+def test_one_at_a_time_with_no_regard_breaks_the_floor():
+    found = [verdict(seed, "died", made=of(One)) for seed in range(12)]
+    assert found.count("floor") >= 3
+
+
+def no_margin(put):
+    real = floor.needs
+    put(floor, "needs", lambda asked, demand, zones: real(
+        [msgspec.structs.replace(each, margin=0) for each in asked], demand, zones))
+
+
+def no_look_ahead(put):
+    put(floor, "failures", lambda *told: [])
+
+
+def no_age(put):
+    put(warm, "weight", lambda age: 1000)
+    put(place, "GONE", 1 << 60)
+
+
+def counted_at_once(put):
+    real = Running._believe
+
+    def believe(self, now, view):
+        real(self, now, view)
+        for each in self.places.values():
+            if each.state == "back":
+                self.believed[each.name] = dict.fromkeys(each.had, view.fleet[each.name].lanes)
+    put(Running, "_believe", believe)
+
+
+def no_permit(put):
+    put(Running, "holds", lambda self, now: self.turned is not None)
+
+
+def one_too_many(put):
+    real = schedule.barred
+    put(schedule, "barred", lambda asked, fleet, name, away, down=(): real(asked, fleet, name, list(away)[1:], down)
+        if len(away) == asked.together else real(asked, fleet, name, away, down))
+
+
+def apart_forgotten(put):
+    put(schedule, "groups", lambda *told: [])
+
+
+def not_drained(put):
+    put(drained, "proof", lambda now, seen, marked, bounds: "host" if seen else "")
+
+
+def turn_for_each(put):
+    """The turn is no permit of the fleet but each round's own."""
+    put(Running, "_turn", lambda self, now, real=Running._turn: _own_turn(self, now, real))
+
+
+def _own_turn(running, now, real):
+    from gaproute.maintenance import round as module
+    before, module.TURN = module.TURN, f"turn of {running.asked.name}"
+    try:
+        return real(running, now)
+    finally:
+        module.TURN = before
+
+
+MUTANTS = [(no_margin, "floor", "none"), (no_look_ahead, "floor", "died"), (no_age, "who is not there", "died"),
+           (counted_at_once, "nothing counts until", "none"), (no_permit, "no out without", "links"),
+           (one_too_many, "at most", "none"), (apart_forgotten, "not out together", "none"),
+           (not_drained, "tasks in hand", "none"), (turn_for_each, "floor", "two rounds")]
+
+
+def caught(name, kind, seeds):
+    for seed in range(seeds):
+        if (found := verdict(seed, kind)).startswith(name):
+            return seed
+    return None
+
+
+@pytest.mark.parametrize("mutant, name, kind", MUTANTS, ids=[each[0].__name__ for each in MUTANTS])
+def test_a_small_fault_is_caught_by_name(monkeypatch, mutant, name, kind):
+    mutant(lambda where, what, put: monkeypatch.setattr(where, what, put))
+    assert caught(name, kind, 40) is not None
