--- a/gaproute/driver/rounds_truth.py
+++ b/gaproute/driver/rounds_truth.py
@@ -68,6 +68,12 @@
 
     # Looking
 
+    def at(self, world, name):
+        """Rounds of this scheduler that hold the turn at this true moment."""
+        seat = world.seats[name]
+        own = seat.clock.own(world.now)
+        return [running for running in seat.actor.rounds if running.holds(own)] if seat.actor is not None else []
+
     def places(self):
         return [self.play.world.seats[name] for name in self.play.fleet]
 
@@ -89,6 +95,9 @@
         elif seat.name in self.play.schedulers:
             broken, seat.actor.breaches = seat.actor.breaches, []
             yield from broken
+            turns = [running.asked.name for name in self.play.schedulers for running in self.at(world, name)]
+            if len(turns) > 1:
+                yield f"one round has the turn: {turns} at once"
         there = [place.actor is not None and not place.paused for place in self.places()]
         if there != self.there:              # a crash comes between the steps of actors
             self.there, self.dirty = there, True
--- a/gaproute/maintenance/invariants.py
+++ b/gaproute/maintenance/invariants.py
@@ -2,7 +2,7 @@
 from gaproute.maintenance.place import AWAY, there
 from gaproute.maintenance.round import ORDERED
 from gaproute.maintenance.schedule import groups
-from gaproute.maintenance.warm import WITNESSES, weight
+from gaproute.maintenance.warm import TOLD, WITNESSES, weight
 
 ORDERS = 4096            # loads and orders to serve remembered at once
 
@@ -41,8 +41,10 @@
                 came.append(f"who is not there counts nothing: {name}")
             elif function not in seen.copies and (told is None or len(told[1]) < WITNESSES):
                 came.append(f"nothing counts until it is seen warm: {function} at {name}")
-            elif lanes * 1000 > view.fleet[name].lanes * weight(now - seen.asked) and told is None:
-                came.append(f"belief fades with its age: {name} counts {lanes} lanes, seen {now - seen.asked} ns ago")
+            else:
+                counts = weight(now - seen.asked) if function in seen.copies else weight(told[0] + TOLD)
+                if lanes * 1000 > view.fleet[name].lanes * counts:
+                    came.append(f"belief fades with its age: {name} counts {lanes} lanes at {counts} per mille")
     return came
 
 
