--- a/gaproute/maintenance/invariants.py
+++ b/gaproute/maintenance/invariants.py
@@ -33,6 +33,8 @@
 def check_belief(running, now, view):
     """That belief is a lower bound of what was shown or told lately."""
     came = []
+    if running.stage in ("ended", "refused"):
+        return came                          # it looks no more
     for name, functions in running.believed.items():
         seen = view.shown.get(name)
         for function, lanes in functions.items():
