--- a/gaproute/rig/platform/gateways.py
+++ b/gaproute/rig/platform/gateways.py
@@ -2,6 +2,7 @@
 import json
 
 from gaproute.rig.gateways import RigGateways
+from gaproute.rig.processes import NEXT, hurry
 from gaproute.standins.platform import charter
 from gaproute.trial.processes import MILLI, READY_TIME, NotReady
 
@@ -40,6 +41,8 @@
             if self.loop.now() > end:
                 raise NotReady(f"{name} was not up in time; see {log}")
             yield self.loop.sleep(20 * MILLI)
+        if trial.script.rig.crowded and trial.processes.first:
+            hurry(process.child.pid, NEXT)
         self.tap.note("started", gateway=number, name=name)
         self.tap.flush()
 
--- a/gaproute/rig/platform/hosts.py
+++ b/gaproute/rig/platform/hosts.py
@@ -40,7 +40,7 @@
             self.many.append(self.processes.standin("platform-host", f"hosts-{place}", {
                 "hosts": [], "models": self.models, "taps": str(self.processes.out), "store": self.store_at,
                 "seed": self.seed, "tap": str(self.processes.out / f"hosts-{place}.tap")}))
-            self.gates.append(Gate(1))
+            self.gates.append(Gate(self.rig.loop, 1))
         for process in self.many:
             yield self.processes.line(process, "the hosts' process")
 
