An errand's number is of one life of its gateway: a crew cannot take another's after a restart

Change: each life begins at a number of 40 random bits. The test fails without it (the old number is kept by the new life).

--- a/gaproute/appliance/strong.py
+++ b/gaproute/appliance/strong.py
@@ -1,5 +1,6 @@
 """The strong word of one gateway: its seat among keepers and holders, and errands of the operators' address.
 Parts wired, nothing decided."""
+import secrets
 import time
 
 from gaproute.ledger.votes import Votes
@@ -8,6 +9,7 @@
 from gaproute.shared.permits.errands import Errands
 
 MILLI = 1_000_000
+LIVES = 40               # bits of a life's first errand: with 4,096 errands more a number still fits JSON's 2^53
 
 
 class Strong:
@@ -20,7 +22,7 @@
             self.disk = Votes(line.votes, lambda text: record.event("warning", "votes", text=text)).open()
         self.seat = Seat(loop, name, line.names, self.peers, record, chance, self.disk,
                          base=time.time_ns() // MILLI, machine=Permits(longest=line.longest))
-        self.errands = Errands(self.seat.holder, line.longest)
+        self.errands = Errands(self.seat.holder, line.longest, secrets.randbits(LIVES) << 12)
         self.timer = None
 
     def listed(self, peers):
--- a/tests/test_permits_appliance.py
+++ b/tests/test_permits_appliance.py
@@ -115,6 +115,15 @@
     assert site.errand("d", number)["state"] in ("asked", "given") and not site.errand("d", number)["fence"]
 
 
+def test_a_gateway_that_restarts_does_not_give_an_errands_number_again(site):
+    before = site.held("d", "out h4")
+    site.down("d")
+    site.up("d")
+    after = site.ask("d", take="out h5", span_ms=LONGEST)[1]
+    assert abs(after["errand"] - before["errand"]) > 1
+    assert site.ask("d", keep=before["errand"])[0] == 400
+
+
 @pytest.mark.parametrize("order, why", [
     ({}, "one of take"), ({"take": "x", "give": 1}, "one of take"), ({"give": 9}, "no errand 9"),
     ({"take": "x", "span_ms": 10 ** 9}, "are possible"), ({"take": "x" * 500, "span_ms": LONGEST}, "length"),
