--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -2,8 +2,8 @@
 
     python -m benchmarks.rounds --seeds 1008 --out docs/measured/rounds
 
-Beside it the same fleets and faults by two ways without a floor, and the time of rounds without faults against the
-best order of all, for rounds small enough to try every order.
+Beside it the same fleets and faults by two ways without a floor, and the time of rounds without faults
+against the best order of all, for rounds small enough to try every order.
 """
 import argparse
 import itertools
@@ -48,7 +48,8 @@
 
 
 def table(rows):
-    lines = ["| way | faults | runs | hosts out | ended | refused | open | promised | beyond | own | checks |",
+    lines = ["| way | faults | runs | hosts out | ended | refused | open "
+             "| promised | beyond | own | checks |",
              "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |"]
     for way in MADE:
         for kind in (*KINDS, "sum"):
@@ -58,9 +59,10 @@
             ends = sum((Counter(row["ends"]) for row in mine), Counter())
             of_class = [sum(any(each["class"] == name for each in row["breaches"]) for row in mine)
                         for name in ("promised", "beyond")]
-            lines.append(f"| {way} | {kind} | {len(mine)} | {sum(row['outs'] for row in mine)} | {ends['ended']} | "
-                         f"{ends['refused']} | {ends['open']} | {of_class[0]} | {of_class[1]} | "
-                         f"{sum(row['own'] > 0 for row in mine)} | {sum(bool(row['breach']) for row in mine)} |")
+            outs, own = sum(row["outs"] for row in mine), sum(row["own"] > 0 for row in mine)
+            checks = sum(bool(row["breach"]) for row in mine)
+            lines.append(f"| {way} | {kind} | {len(mine)} | {outs} | {ends['ended']} | {ends['refused']} | "
+                         f"{ends['open']} | {of_class[0]} | {of_class[1]} | {own} | {checks} |")
     return lines
 
 
@@ -70,7 +72,8 @@
     words.add_argument("--others", type=int, default=240)
     words.add_argument("--timed", type=int, default=60)
     words.add_argument("--processes", type=int, default=8)
-    words.add_argument("--most", type=int, default=3600, help="s after which it tells what was done until then")
+    words.add_argument("--most", type=int, default=3600,
+                       help="s after which it tells what was done until then")
     words.add_argument("--out", default="")
     told, began = words.parse_args(), time.time()
     jobs = [(KINDS[seed % len(KINDS)], seed, "in steps") for seed in range(told.seeds)]
@@ -85,16 +88,19 @@
                 pool.terminate()
                 break
     ratios = sorted(run / shortest for _, run, shortest in times)
-    faults = Counter(f"{row['kind']}: {each['class']}, {each['things']} failed ({', '.join(each['what']) or 'nothing'}),"
-                     f" at {each['touch']}" for row in rows if row["way"] == "in steps" for each in row["breaches"])
+    faults = Counter(f"{row['kind']}: {each['class']}, {each['things']} failed "
+                     f"({', '.join(each['what']) or 'nothing'}), at {each['touch']}"
+                     for row in rows if row["way"] == "in steps" for each in row["breaches"])
     done = Counter(row["way"] for row in rows)
-    lines = [f"{done['in steps']} seeds in steps, {done['one at a time']} of each other way, {told.processes} processes, "
-             f"{time.time() - began:.0f} s", "", *table(rows), "",
-             "Runs with at least one breach are counted, by class (see docs/maintenance.md). In steps, each breach:", "",
+    lines = [f"{done['in steps']} seeds in steps, {done['one at a time']} of each other way, "
+             f"{told.processes} processes, {time.time() - began:.0f} s", "", *table(rows), "",
+             "Runs with at least one breach are counted, by class (see docs/maintenance.md). "
+             "In steps, each breach:", "",
              *(f"- {count} times {name}" for name, count in sorted(faults.items())), ""]
     if ratios:
-        lines += [f"Time against the best order that sees all, {len(ratios)} rounds of up to 5 hosts, {LONG // SECOND} s "
-                  f"each away: median {statistics.median(ratios):.2f}, most {ratios[-1]:.2f}, "
+        lines += [f"Time against the best order that sees all, {len(ratios)} rounds of up to 5 hosts, "
+                  f"{LONG // SECOND} s each away: median {statistics.median(ratios):.2f}, "
+                  f"most {ratios[-1]:.2f}, "
                   f"{sum(ratio > 1.5 for ratio in ratios)} above 1.5.", ""]
     print("\n".join(lines))
     if told.out:
--- a/gaproute/driver/rounds.py
+++ b/gaproute/driver/rounds.py
@@ -1,6 +1,6 @@
-"""Rounds of maintenance in one process: true copies at hosts, belief told late, permits of real keepers, faults.
+"""Rounds of maintenance in one process: true copies, belief told late, permits of real keepers, faults.
 
-`draw_play(seed, faults)` draws a fleet, rounds and what befalls them; `play(seed, ...)` runs them to their end.
+`Play(seed, kind)` draws a fleet, rounds and what befalls them; `play(seed, kind)` runs them to their end.
 """
 from gaproute.driver.chance import Chance
 from gaproute.driver.checks import Breach, Checks
@@ -20,8 +20,8 @@
 LAST = 300 * SECOND      # a run that has not ended by then is looked at as it is
 OUT = 10 * SECOND        # a host away
 RATE = BOUND * 1_000     # millionths: clocks go wrong up to what is promised
-KINDS = ("none", "links", "died", "died two", "zone cut", "demand", "killed", "two rounds", "withdrawn", "never back",
-         "pulled", "all")
+KINDS = ("none", "links", "died", "died two", "zone cut", "demand", "killed", "two rounds", "withdrawn",
+         "never back", "pulled", "all")
 LINKS = ("crash", "pause", "cut", "cut both", "part", "lose", "double", "slow", "hold", "pace")
 
 
@@ -44,7 +44,8 @@
         self.numbers = {name: number for number, name in enumerate(names)}
         self.judge, self.world = Judge(self), None
         makes = dict.fromkeys(self.keepers, self._keeper) | dict.fromkeys(self.schedulers, self._scheduler)
-        makes |= dict.fromkeys(("g1", "g2"), self._gateway) | {"crew": lambda name, disk, chance, now: Crew(self, now)}
+        makes |= dict.fromkeys(("g1", "g2"), self._gateway)
+        makes |= {"crew": lambda name, disk, chance, now: Crew(self, now)}
         makes |= dict.fromkeys(self.fleet, self._host)
         self.plan = self._plan(chance)
         checks = Checks(touched=[self.judge, Held(self.schedulers, {})])
@@ -67,8 +68,8 @@
                 if len(self.copies[name]) < 3 and chance.below(100) < 55:
                     self.copies[name].append(function)
         self.copies = {name: tuple(copies) for name, copies in self.copies.items()}
-        total = {function: sum(host.lanes for host in self.fleet.values() if function in self.copies[host.name])
-                 for function in self.functions}
+        total = {function: sum(host.lanes for host in self.fleet.values()
+                               if function in self.copies[host.name]) for function in self.functions}
         lanes, share = sum(host.lanes for host in self.fleet.values()), chance.between(10, 45)
         self.demand = {function: max(1, min(each * chance.between(15, 60) // 100, lanes * share // 100
                                             // len(self.functions))) for function, each in total.items()}
@@ -77,8 +78,9 @@
         chosen = [name for name in self.fleet if chance.below(100) < 70] or list(self.fleet)
         if len(self.schedulers) > 1:
             chosen = [name for place, name in enumerate(self.fleet) if place % 2 == number]
+        by = 3600 * SECOND if self.kind not in ("never back", "all") else 220 * SECOND
         return Round(name=f"round{number}", hosts=tuple(chosen), out=OUT if self.outs < OUT else self.outs,
-                     together=min(len(chosen), chance.between(1, 3)), by=3600 * SECOND if self.kind not in ("never back", "all") else 220 * SECOND,
+                     together=min(len(chosen), chance.between(1, 3)), by=by,
                      one_per=chance.of(("", "", "rack", "zone")), margin=chance.of((100, 250, 400)),
                      zones=chance.of((0, 0, 300)), survive=chance.of(("host", "host", "host", "", "rack")),
                      apart=(tuple(chosen[:2]),) if len(chosen) > 1 and chance.below(3) == 0 else ())
@@ -94,15 +96,16 @@
             begin = at()
             faults.append(Fault(what, begin, begin + long, tuple(self.numbers[name] for name in who), value))
         if kind in ("links", "all"):
-            drawn = draw(self.seed, len(self.numbers), END, LINKS, faulty=[self.numbers[name] for name in staff],
-                         beyond=RATE)
+            drawn = draw(self.seed, len(self.numbers), END, LINKS,
+                         faulty=[self.numbers[name] for name in staff], beyond=RATE)
             faults += [fault for fault in drawn.faults if chance.below(5) == 0]
         if kind in ("died", "died two") or kind == "all" and chance.below(2):
             for _ in range(2 if kind == "died two" else 1):
                 add("crash", (chance.of(hosts),), chance.between(2, 30) * SECOND)
         if kind == "zone cut" or kind == "all" and chance.below(2):
             zone = chance.of(self.zones)
-            add("part", [name for name in hosts if self.fleet[name].zone == zone], chance.between(5, 30) * SECOND)
+            parted = [name for name in hosts if self.fleet[name].zone == zone]
+            add("part", parted, chance.between(5, 30) * SECOND)
         if kind == "killed" or kind == "all" and chance.below(2):
             for _ in range(3):
                 add("crash", (chance.of(self.schedulers),), chance.between(1, 8) * SECOND)
@@ -126,7 +129,8 @@
             self.never.add(chance.of(self.rounds[0].hosts))
         if often("pulled"):
             name = chance.of(list(self.fleet))
-            came.append((at(), lambda: self.world.ask(name, lambda actor, now: actor.hear(now, "", ("pull",)))))
+            came.append((at(), lambda: self.world.ask(
+                name, lambda actor, now: actor.hear(now, "", ("pull",)))))
         return came
 
     def _doubles(self):
@@ -145,7 +149,8 @@
         return self.scheduler(self, name, chance, now, peers, [self.rounds[place]])
 
     def _gateway(self, name, disk, chance, now):
-        return Gateway(self, name, chance, now, [other for other in ("g1", "g2", *self.schedulers) if other != name])
+        peers = [other for other in ("g1", "g2", *self.schedulers) if other != name]
+        return Gateway(self, name, chance, now, peers)
 
     def _host(self, name, disk, chance, now):
         first = name not in self.started
--- a/gaproute/driver/rounds_actors.py
+++ b/gaproute/driver/rounds_actors.py
@@ -1,7 +1,8 @@
 """What acts in a run of rounds: hosts with their true copies, schedulers, gateways that see and tell, a crew.
 
-Words between them are tuples that nobody changes; keepers get and give their own. A host keeps the greatest fence and
-mark that it took, and the last round whose crew restarted it, over its restarts (`memory`), as what supervises it does.
+Words between them are tuples that nobody changes; keepers get and give their own. A host keeps the greatest
+fence and mark that it took, and the last round whose crew restarted it, over its restarts (`memory`), as what
+supervises it does.
 """
 from gaproute.maintenance import Running, View
 from gaproute.maintenance.drained import Bounds
@@ -88,7 +89,8 @@
     def stop(self, now):
         self.copies, self.loading, self.tasks, self.warms = {}, {}, [], None
         never = self.host.name in self.play.never
-        self.down = now + (10_000 * SECOND if never else self.play.outs - self.chance.below(self.play.outs // 10))
+        outs = self.play.outs
+        self.down = now + (10_000 * SECOND if never else outs - self.chance.below(outs // 10))
 
     def warm(self):
         """{function: lanes} in truth, for new tasks."""
@@ -126,11 +128,14 @@
         if message[0] == "word":
             self.weak.hear(now, sender, message[1])
         elif message[0] == "shown" and self.asked.get(sender, (0, 0))[0] == message[1]:
-            asked, (start, draining, mark, hands, power, free, loading, done) = self.asked[sender][1], message[2]
+            asked = self.asked[sender][1]
+            start, draining, mark, hands, power, free, loading, done = message[2]
             if self.starts.get(sender) != start:
                 self.starts[sender] = start
-                self.weak.listed(now, self.starts | {name: 0 for name in self.hosts if name not in self.starts})
-            self.shown[sender] = Shown(asked, start, draining, mark, hands, power, free, message[3], loading, done)
+                self.weak.listed(now, self.starts | {
+                    name: 0 for name in self.hosts if name not in self.starts})
+            self.shown[sender] = Shown(
+                asked, start, draining, mark, hands, power, free, message[3], loading, done)
             for function in self.play.functions:
                 if function in message[3]:   # as of when it was asked: an answer may be long on its way
                     self.weak.saw_warm(asked, sender, function)
@@ -159,8 +164,9 @@
     def __init__(self, play, name, chance, now, peers, rounds):
         super().__init__(play, name, chance, now, peers)
         self.holder = Holder(name, play.keepers, chance, now)
-        self.rounds = [self.running(asked, name, self.holder, now, SPAN, Bounds(),
-                                beside=[other for other in play.rounds if other is not asked]) for asked in rounds]
+        self.rounds = [
+            self.running(asked, name, self.holder, now, SPAN, Bounds(),
+                         beside=[other for other in play.rounds if other is not asked]) for asked in rounds]
         self.demand, self.told, self.look = {}, now - PEAK, now
         self.log, self.breaches = [], []
 
@@ -195,7 +201,8 @@
         if message[0] == "demand":
             self.told = now
             for function, lanes in message[1].items():
-                kept = [each for each in self.demand.get(function, ()) if each[0] > lanes and now - each[1] < PEAK]
+                kept = [each for each in self.demand.get(function, ())
+                        if each[0] > lanes and now - each[1] < PEAK]
                 self.demand[function] = [*kept[-8:], (lanes, now)]
         elif message[0] == "ask":
             return self.give(now, sender, message[1])
--- a/gaproute/driver/rounds_baselines.py
+++ b/gaproute/driver/rounds_baselines.py
@@ -1,6 +1,7 @@
-"""Two ways of maintenance without a floor, driven as the round is, to show what they break. Both wait for permits, let
-hosts drain and load again what a host had; `One` takes the next host when the one before is back, `Groups` the hosts
-in the order listed, as many as may go together, when all of the group before are back."""
+"""Two ways of maintenance without a floor, driven as the round is, to show what they break. Both wait for
+permits, let hosts drain and load again what a host had; `One` takes the next host when the one before is
+back, `Groups` the hosts in the order listed, as many as may go together, when all of the group before are
+back."""
 import msgspec
 
 from gaproute.driver.rounds import Play
@@ -41,15 +42,16 @@
 
 
 def best(asked, fleet, warm, needs, free, load, orders):
-    """ns of the shortest plan over all `orders` of the hosts: drains take nothing, what happens is seen at once. Each
-    order is played twice: as a preference, and strictly (nobody goes before the one in front)."""
+    """ns of the shortest plan over all `orders` of the hosts: drains take nothing, what happens is seen at
+    once. Each order is played twice: as a preference, and strictly (nobody goes before the one in front)."""
     ends = []
     for order in orders:
         for strictly in (False, True):
             def ranked(_asked, _fleet, waiting, order=order, strictly=strictly):
                 left = [name for name in order if name in waiting]
                 return left[:1] if strictly else left
-            made = schedule.plan(asked, fleet, warm, needs, order, free, schedule.Paces(0, load, 0, 2), ranked)
+            paces = schedule.Paces(0, load, 0, 2)
+            made = schedule.plan(asked, fleet, warm, needs, order, free, paces, ranked)
             if not made.why:
                 ends.append(made.end)
     return min(ends, default=None)
--- a/gaproute/driver/rounds_truth.py
+++ b/gaproute/driver/rounds_truth.py
@@ -1,14 +1,15 @@
 """What all rounds did to the truth at the hosts, judged by one who sees all.
 
-Defined before anything was measured. At each change, for each row of the floor (by the true demand; of a round as long
-as it runs), W is what hosts truly give that take new tasks; `taken` is what the hosts that a round has in hand (told
-to drain, away, or back without all that they had) gave before and do not give now.
+Defined before anything was measured. At each change, for each row of the floor (by the true demand; of a
+round as long as it runs), W is what hosts truly give that take new tasks; `taken` is what the hosts that a
+round has in hand (told to drain, away, or back without all that they had) gave before and do not give now.
 - W >= floor: kept.
 - W < floor and W + taken < floor: `own`: broken without any round too. Counted, no breach.
-- W < floor <= W + taken: a breach: without the round it would be kept. It is `promised` where what failed unasked is
-  no more than was to be looked ahead for (one host, rack or zone, by `survive`; nothing by "") and demand has not risen
-  since the round took its last host; else `beyond`, by what failed.
-A host that failed unasked counts as failed until it has again what it had; one that gave nothing just then does not.
+- W < floor <= W + taken: a breach: without the round it would be kept. It is `promised` where what failed
+  unasked is no more than was to be looked ahead for (one host, rack or zone, by `survive`; nothing by "") and
+  demand has not risen since the round took its last host; else `beyond`, by what failed.
+A host that failed unasked counts as failed until it has again what it had; one that gave nothing just then
+does not.
 """
 from gaproute.maintenance import floor
 
@@ -72,7 +73,8 @@
         """Rounds of this scheduler that hold the turn at this true moment."""
         seat = world.seats[name]
         own = seat.clock.own(world.now)
-        return [running for running in seat.actor.rounds if running.holds(own)] if seat.actor is not None else []
+        rounds = seat.actor.rounds if seat.actor is not None else []
+        return [running for running in rounds if running.holds(own)]
 
     def places(self):
         return [self.play.world.seats[name] for name in self.play.fleet]
@@ -118,8 +120,8 @@
             del self.had[name]
         for name in [name for name, (_, copies) in self.failed.items() if set(warm[name]) >= set(copies)]:
             del self.failed[name]
-        whole = {name: dict.fromkeys(self.had[name], play.fleet[name].lanes) if name in self.had else functions
-                 for name, functions in warm.items()}
+        whole = {name: dict.fromkeys(self.had[name], play.fleet[name].lanes) if name in self.had
+                 else functions for name, functions in warm.items()}
         self.last, self.dirty = warm, False
         have, might = floor.standing(play.fleet, warm), floor.standing(play.fleet, whole)
         for asked in play.rounds:
@@ -138,8 +140,8 @@
             self.bad[key] = "own"
             return
         level, names = asked.survive, list(self.failed)
-        things = {name if level == "host" else getattr(self.play.fleet[name], level) for name in names} if level \
-            else names
+        things = {name if level == "host" else getattr(self.play.fleet[name], level)
+                  for name in names} if level else names
         promised = not self.risen and len(things) <= (1 if level else 0)
         what = sorted({self.failed[name][0] for name in names} | ({"demand"} if self.risen else set()))
         kind = "promised" if promised else "beyond"
--- a/gaproute/maintenance/floor.py
+++ b/gaproute/maintenance/floor.py
@@ -1,8 +1,9 @@
-"""The floor: warm lanes that each function needs, in the fleet and in each zone, and whether it is kept, now and
-when one more thing fails.
+"""The floor: warm lanes that each function needs, in the fleet and in each zone, and whether it is kept, now
+and when one more thing fails.
 
-A host's lanes count for every function that it has warm; so that they are not all counted on at once, the row ALL
-holds the lanes of hosts with anything warm against the sum of all needs. In whole lanes, needs rounded up.
+A host's lanes count for every function that it has warm; so that they are not all counted on at once, the row
+ALL holds the lanes of hosts with anything warm against the sum of all needs. In whole lanes, needs rounded
+up.
 """
 import msgspec
 
@@ -14,7 +15,7 @@
 
 
 def need(asked, demand, zones):
-    """{(function, scope): lanes}. `demand`: {function: lanes in use at its peak told}; `zones`: their names."""
+    """{(function, scope): lanes}. `demand`: {function: lanes in use at its peak}; `zones`: their names."""
     rows, wanted = {}, asked.functions or tuple(demand)
     for name, peak in [*((name, demand.get(name, 0)) for name in wanted), (ALL, sum(demand.values()))]:
         least = peak * (1000 + asked.margin)
@@ -80,8 +81,8 @@
 
 
 def kept(fleet, warm, needs, level, without=()):
-    """[(row, needed, there, what fails first or "")] that stands in the way; [] where the floor is kept now and
-    when any one thing of the level fails. In a zone that fails its own floor is not asked."""
+    """[(row, needed, there, what fails first or "")] that stands in the way; [] where the floor is kept now
+    and when any one thing of the level fails. In a zone that fails its own floor is not asked."""
     have = standing(fleet, warm, without)
     missing = [(*each, "") for each in short(needs, have)]
     if missing:
@@ -100,4 +101,5 @@
     (function, scope), needed, there, what = missing[0]
     where = f"in zone {scope}" if scope else "in the fleet"
     name = "all functions together" if function == ALL else function
-    return f"floor: {name} {where} needs {needed} warm lanes, has {there}" + (f" if {what} fails" if what else "")
+    ahead = f" if {what} fails" if what else ""
+    return f"floor: {name} {where} needs {needed} warm lanes, has {there}{ahead}"
--- a/gaproute/maintenance/invariants.py
+++ b/gaproute/maintenance/invariants.py
@@ -1,4 +1,4 @@
-"""What must always hold of a running round as it believes; each check returns breaches as text, named first."""
+"""What must always hold of a running round as it believes; each check returns breaches, named first."""
 from gaproute.maintenance.place import AWAY, there
 from gaproute.maintenance.round import ORDERED
 from gaproute.maintenance.schedule import groups
@@ -46,7 +46,8 @@
             else:
                 counts = weight(now - seen.asked) if function in seen.copies else weight(told[0] + TOLD)
                 if lanes * 1000 > view.fleet[name].lanes * counts:
-                    came.append(f"belief fades with its age: {name} counts {lanes} lanes at {counts} per mille")
+                    came.append(f"belief fades with its age: {name} counts {lanes} lanes"
+                                f" at {counts} per mille")
     return came
 
 
--- a/gaproute/maintenance/place.py
+++ b/gaproute/maintenance/place.py
@@ -6,7 +6,7 @@
 | `draining` | told to take no new task; its tasks end | `asking` on proof; `waiting` when given back |
 | `asking` | drained; its permit is asked for | `ready` when held; `waiting` when given back |
 | `ready` | its crew may have it | `out` when the crew asks; `waiting` when given back |
-| `out` | given to the crew, which may begin until `until` | `back`; `waiting` where the crew never began; `lost` |
+| `out` | given to the crew, which may begin until `until` | `back`, `lost`; `waiting` where none began |
 | `lost` | not back in time | `back` when it shows itself after all |
 | `back` | there again, cold: it counts what it is seen warm with, and gets again what it had | `done` |
 | `done` | has again what it had, or was given up on that | |
@@ -56,8 +56,8 @@
         return anew
 
     def counting(self, now, turn, fleet, shown):
-        """{host: own ns after which sights of it count}; hosts that are not there, or may be in the hands of whoever
-        had the turn before (drained since then not asked again), do not count."""
+        """{host: own ns after which sights of it count}; hosts that are not there, or may be in the hands of
+        whoever had the turn before (drained since then not asked again), do not count."""
         return {name: max(turn, self.since[name]) for name in fleet if name in self.since
                 and there(now, shown.get(name)) and shown[name].asked > turn and not shown[name].draining}
 
--- a/gaproute/maintenance/round.py
+++ b/gaproute/maintenance/round.py
@@ -1,23 +1,29 @@
 """A running round: what it does next, from what is shown and believed, under permits. No I/O.
 
 Rules, by number in the code:
-1. Nothing is begun, and nothing given out, without the turn: the permit TURN, which one round of the fleet holds at
-   a time. So two rounds never count on the same warm lanes. After TURN_LONG it begins nothing, lets its hosts come
-   back and gives the turn back for a while.
-2. With a new turn belief begins anew: only hosts that answered after it was granted count, with copies seen after it.
-   Whoever had the turn before may have taken hosts until its end; such a host drains, is gone, or has another start.
-   Hosts that still drain by an older mark are told to serve again.
-3. The turn lost (not renewed, nobody heard): what has not been given out is given back, hosts out are followed.
-4. The floor not kept as believed, one more failure looked ahead for: what has not been given out is given back;
-   nothing new is begun; copies are loaded; it goes on by itself once the floor is kept again.
-5. A host goes when the floor is kept without it and all that are away; where it is not, copies are loaded elsewhere.
-6. `out` is given when the host is drained (`drained.py`), turn and its own permit hold, and the floor is kept then.
+1. Nothing is begun, and nothing given out, without the turn: the permit TURN, which one round of the fleet
+   holds at a time. So two rounds never count on the same warm lanes. After TURN_LONG it begins nothing, lets
+   its hosts come back and gives the turn back for a while.
+2. With a new turn belief begins anew: only hosts that answered after it was granted count, with copies seen
+   after it. Whoever had the turn before may have taken hosts until its end; such a host drains, is gone, or
+   has another start. Hosts that still drain by an older mark are told to serve again.
+3. The turn lost (not renewed, nobody heard): what has not been given out is given back, hosts out are
+   followed.
+4. The floor not kept as believed, one more failure looked ahead for: what has not been given out is given
+   back; nothing new is begun; copies are loaded; it goes on by itself once the floor is kept again.
+5. A host goes when the floor is kept without it and all that are away; where it is not, copies are loaded
+   elsewhere.
+6. `out` is given when the host is drained (`drained.py`), turn and its own permit hold, and the floor is kept
+   then.
 7. Given out and still in its old life after the crew's time: the crew never began; given back.
-8. Not back in time: lost. It counts as away until it is seen; the round goes on while `together` and the floor allow.
+8. Not back in time: lost. It counts as away until it is seen; the round goes on while `together` and the
+   floor allow.
 9. Another life that this round's crew did not begin: belief of it is void; the host is still to go.
-10. Withdrawn, or `by` is over: nothing new, what has not been given out is given back, ends when all others are back.
-After a restart of the scheduler: hosts whose `done` names the round are done, hosts that drain by old marks serve
-again, hosts that are away show another start when they come; the turn is asked for anew and old permits lapse.
+10. Withdrawn, or `by` is over: nothing new, what has not been given out is given back, ends when all others
+    are back.
+After a restart of the scheduler: hosts whose `done` names the round are done, hosts that drain by old marks
+serve again, hosts that are away show another start when they come; the turn is asked for anew and old permits
+lapse.
 """
 from gaproute.maintenance import drained, floor, schedule, warm, words
 from gaproute.maintenance.place import AWAY, UNDONE, Lives, Place, there
@@ -34,14 +40,16 @@
 FILL = 60 * SECOND       # until a host that came back is given up on getting all that it had
 OUT_AGAIN = 10 * SECOND      # a crew that asks again is answered again, as its order may have been lost
 TOLD = 15 * SECOND       # without a word of demand: nothing is judged to be kept
-JUDGE = 20 * SECOND      # of a turn until a round without a lawful schedule is refused: belief has to fill first
+JUDGE = 20 * SECOND      # of a turn until a round without a lawful schedule is refused: belief fills first
 ORDERED = 10 * SECOND    # a load that was ordered and not seen to begin or end is forgotten
 
 
 class Running:
-    """`holder`: a `permits.Holder`; `beside`: other rounds that may run now, of which it keeps the floor as well. `tick(now, view)` and `ask(now, host, view)`; `view`: see `view.py`."""
+    """`holder`: a `permits.Holder`; `beside`: other rounds that may run now, of which it keeps the floor as
+    well. `tick(now, view)` and `ask(now, host, view)`; `view`: see `view.py`."""
 
-    def __init__(self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces(), beside=()):
+    def __init__(self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces(),
+                 beside=()):
         self.asked, self.beside = floor.strict(asked, beside), tuple(beside)
         self.me, self.holder, self.span = me, holder, span
         self.bounds, self.paces = bounds, paces
@@ -65,7 +73,8 @@
         return [place.name for place in self.places.values() if place.state in AWAY]
 
     def ask(self, now, name, view):
-        """The crew asks for a host: (fence, mark, ns that it may still begin in), or a text that says why not."""
+        """The crew asks for a host: (fence, mark, ns that it may still begin in), or a text that says why
+        not."""
         place = self.places.get(name)
         if place is None or place.state not in ("ready", "out") \
                 or place.state == "out" and now - place.since > OUT_AGAIN:
@@ -74,7 +83,8 @@
             return "no permit"
         if place.state == "ready":
             seen = view.shown.get(name)
-            if seen is None or not drained.proof(now, seen, place.marked, self.bounds) or seen.start != place.start:
+            if seen is None or not drained.proof(now, seen, place.marked, self.bounds) \
+                    or seen.start != place.start:
                 return "not drained"
             self._believe(now, view)
             if self.missing:                                     # rule 6: looked at again at the last moment
@@ -144,12 +154,13 @@
 
     def _follow(self, now, place, view, anew):
         seen, name = view.shown.get(place.name), place.name
-        if place.state in UNDONE and (name in anew or now - place.since > DRAIN or not there(now, seen)):   # rule 9
+        if place.state in UNDONE and (name in anew or now - place.since > DRAIN
+                                      or not there(now, seen)):              # rule 9
             return self._give(now, place, "another start" if name in anew else "not drained in time")
         if place.state == "waiting" and seen is not None and seen.done == self.asked.name:
             self._to(now, place, "back", "seen done")
-        elif place.state == "waiting" and seen is not None and seen.draining and seen.mark[0] and self.holds(now) \
-                and there(now, seen) and now - place.since > AGAIN:
+        elif place.state == "waiting" and seen is not None and seen.draining and seen.mark[0] \
+                and self.holds(now) and there(now, seen) and now - place.since > AGAIN:
             place.since = now                # marked by another turn, or by an order of ours that came late
             return [("serve", name, self._mark())]
         elif place.state == "draining" and drained.proof(now, seen, place.marked, self.bounds):
@@ -171,10 +182,11 @@
         if seen is not None and seen.start != place.start:
             self._release(now, place)
             ours = seen.done == self.asked.name                  # rule 9
-            self._to(now, place, "back" if ours else "waiting", "" if ours else "another start, not by its crew")
+            self._to(now, place, *(("back", "") if ours else ("waiting", "another start, not by its crew")))
         elif place.state == "out" and now > place.until and seen is not None and seen.asked > place.until:
             return self._give(now, place, "the crew never began")    # rule 7
-        elif place.state == "out" and now - place.since > self.asked.out + GRACE + max(0, place.until - place.since):
+        elif place.state == "out" and \
+                now - place.since > self.asked.out + GRACE + max(0, place.until - place.since):
             self._to(now, place, "lost", "not back")             # rule 8
         return []
 
--- a/gaproute/maintenance/schedule.py
+++ b/gaproute/maintenance/schedule.py
@@ -1,8 +1,9 @@
 """Which hosts go next, which copies are loaded where before that, and whether a round can be done at all.
 
-Greedy: first the host whose group (of `apart` or `one_per`) has the most hosts still to go, as that chain decides
-when the round ends, then the one with the most lanes, as it is the hardest to place; whoever may not go now is
-passed over. When a better order would pay is measured in `benchmarks/rounds.py` against the best order of all.
+Greedy: first the host whose group (of `apart` or `one_per`) has the most hosts still to go, as that chain
+decides when the round ends, then the one with the most lanes, as it is the hardest to place; whoever may not
+go now is passed over. When a better order would pay is measured in `benchmarks/rounds.py` against the best
+order of all.
 """
 import msgspec
 
@@ -12,7 +13,7 @@
 
 
 class Paces(msgspec.Struct, frozen=True):
-    """ns that things are believed to take, and the ration: loads under way at once that maintenance may cause."""
+    """ns that things are believed to take; the ration: loads under way at once that a round may cause."""
     drain: int = 6 * SECOND
     load: int = 4 * SECOND
     seen: int = 2 * SECOND
@@ -64,9 +65,10 @@
 
 
 def loads(asked, fleet, warm, needs, waiting, away, free, loading, had, ration):
-    """[(host, function)] to be loaded now. `free`: {host: free slots} of hosts that may load; `loading`: [(host,
-    function)] under way; `had`: {host: functions} of those that came back, to be loaded there again; `ration`:
-    loads at once. A host loads one copy at a time; one that is to go soon loads none for others if it can be helped.
+    """[(host, function)] to be loaded now. `free`: {host: free slots} of hosts that may load; `loading`:
+    [(host, function)] under way; `had`: {host: functions} of those that came back, to be loaded there again;
+    `ration`: loads at once. A host loads one copy at a time; one that is to go soon loads none for others if
+    it can be helped.
     """
     left, busy, came = ration - len(loading), {host for host, _ in loading}, []
     coming = {name: dict(functions) for name, functions in warm.items()}
@@ -80,7 +82,7 @@
         coming[host][function] = fleet[host].lanes
         came.append((host, function))
 
-    for host, functions in had.items():          # what was there is put back, the rest of the fleet is as it was
+    for host, functions in had.items():          # what was there is put back, the rest is as it was
         for function in functions:
             if left > 0 and host not in busy and free.get(host, 0) > 0 and function not in coming[host]:
                 load(host, function)
@@ -130,20 +132,21 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """`steps`: [(ns after the beginning, host)]; `end`: ns when all are back; `why`: what forbids it, or ""."""
+    """`steps`: [(ns after the beginning, host)]; `end`: ns when all are back; `why`: what forbids it."""
     steps: tuple[tuple[int, str], ...]
     end: int
     why: str = ""
 
 
 def plan(asked, fleet, warm, needs, hosts, free, paces, order=order):
-    """Plays the round as believed, everything taking its pace. A round that cannot be done names in `why` the first
-    thing in its way."""
+    """Plays the round as believed, everything taking its pace. A round that cannot be done names in `why` the
+    first thing in its way."""
     warm = {name: dict(functions) for name, functions in warm.items()}
     missing = kept(fleet, warm, needs, asked.survive)
     whole = {}                               # what all lanes there are could give, each warm with everything
     for name in fleet:
-        for row, lanes in rows_of(fleet[name], dict.fromkeys([row[0] for row in needs], fleet[name].lanes)).items():
+        every = dict.fromkeys([row[0] for row in needs], fleet[name].lanes)
+        for row, lanes in rows_of(fleet[name], every).items():
             whole[row] = whole.get(row, 0) + lanes
     above = [(row, lanes, whole.get(row, 0), "") for row, lanes in needs.items() if lanes > whole.get(row, 0)]
     if above:
--- a/gaproute/maintenance/warm.py
+++ b/gaproute/maintenance/warm.py
@@ -1,8 +1,9 @@
 """What is believed warm: a lower bound, from what was confirmed lately, by whom, and how long ago.
 
-A copy counts where the host showed it to this gateway itself, or where two others tell that they saw it and the host
-has not shown this one otherwise since. What was seen before a host came back, or before this scheduler had its turn, counts for nothing: it may be of another
-life of the host, or from before another round took it out. Beliefs only lose by age; none gains.
+A copy counts where the host showed it to this gateway itself, or where two others tell that they saw it and
+the host has not shown this one otherwise since. What was seen before a host came back, or before this
+scheduler had its turn, counts for nothing: it may be of another life of the host, or from before another
+round took it out. Beliefs only lose by age; none gains.
 """
 import msgspec
 
@@ -15,10 +16,11 @@
 
 
 class Shown(msgspec.Struct, frozen=True):
-    """A host as it last showed itself. `asked`: own clock's ns when it was asked that; `start`: of its process;
-    `mark`: of the order to drain, or to stop that, which it took last; `hands`: tasks in hand; `power`: per mille
-    of its lanes' full pace that it has now (cold hosts have less); `free`: slots without a copy and not being
-    loaded; `copies`: functions that it has warm; `loading`: those on their way; `done`: the last round whose crew restarted it."""
+    """A host as it last showed itself. `asked`: own clock's ns when it was asked that; `start`: of its
+    process; `mark`: of the order to drain, or to stop that, which it took last; `hands`: tasks in hand;
+    `power`: per mille of its lanes' full pace that it has now (cold hosts have less); `free`: slots without a
+    copy and not being loaded; `copies`: functions that it has warm; `loading`: those on their way; `done`:
+    the last round whose crew restarted it."""
     asked: int
     start: int
     draining: bool = False
@@ -39,8 +41,8 @@
 
 
 def sight(now, me, function, seen, told, since):
-    """Per mille that a copy counts. `seen`: what the host showed this gateway, from when it was asked that; `told`:
-    (age, tellers) by `Weak.warm`, or None; nothing seen before `since` counts."""
+    """Per mille that a copy counts. `seen`: what the host showed this gateway, from when it was asked that;
+    `told`: (age, tellers) by `Weak.warm`, or None; nothing seen before `since` counts."""
     if function in seen.copies:
         return weight(now - seen.asked) if seen.asked > since else 0
     if told is None:
@@ -52,8 +54,9 @@
 
 
 def lanes(now, me, fleet, sights, shown, since):
-    """{host: {function: lanes}} believed warm now. `sights`: {function: {host: (age, tellers)}} as `Weak.warm` has
-    them; `shown`: {host: Shown}; `since`: {host: ns before which nothing counts}, of all hosts that count."""
+    """{host: {function: lanes}} believed warm now. `sights`: {function: {host: (age, tellers)}} as
+    `Weak.warm` has them; `shown`: {host: Shown}; `since`: {host: ns before which nothing counts}, of all
+    hosts that count."""
     found = {name: {} for name in fleet}
     for name, host in fleet.items():
         seen = shown.get(name)
--- a/gaproute/maintenance/words.py
+++ b/gaproute/maintenance/words.py
@@ -27,12 +27,12 @@
 
 
 class Round(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
-    """`hosts`, or all of one `kind`, `zone` or `rack` (where two are given: of both). `out`: ns that one host is
-    away at most; `together`: away at once at most; `by`: ns after its beginning by which all are back. `apart`:
-    lists of hosts of which one at a time is away; `one_per`: "rack" or "zone", of each of which one host at a time
-    is away. The floor of a function: its peak told and `margin` per mille more, in the fleet; `zones` per mille of
-    an even share of that in each zone. `survive`: "host", "rack" or "zone": the floor must still be kept when any
-    one of these fails now; "": nothing is looked ahead for."""
+    """`hosts`, or all of one `kind`, `zone` or `rack` (where two are given: of both). `out`: ns that one host
+    is away at most; `together`: away at once at most; `by`: ns after its beginning by which all are back.
+    `apart`: lists of hosts of which one at a time is away; `one_per`: "rack" or "zone", of each of which one
+    host at a time is away. The floor of a function: its peak told and `margin` per mille more, in the fleet;
+    `zones` per mille of an even share of that in each zone. `survive`: "host", "rack" or "zone": the floor
+    must still be kept when any one of these fails now; "": nothing is looked ahead for."""
     name: Name
     hosts: Annotated[tuple[Name, ...], Meta(max_length=HOSTS)] = ()
     kind: Annotated[str, Meta(max_length=NAME)] = ""
@@ -73,7 +73,8 @@
         if value and all(getattr(host, word) != value for host in fleet.values()):
             came.append(f"{word}: no host is of {word} {value}")
     came += [f"hosts: {name} is not listed" for name in asked.hosts if name not in fleet]
-    came += [f"hosts: {name} is named twice" for name in dict.fromkeys(asked.hosts) if asked.hosts.count(name) > 1]
+    came += [f"hosts: {name} is named twice" for name in dict.fromkeys(asked.hosts)
+             if asked.hosts.count(name) > 1]
     if by_group and not asked.hosts and not chosen and not came:
         came.append(f"hosts: none is of all of {', '.join(by_group)}")
     for number, group in enumerate(asked.apart, 1):
--- a/tests/test_maintenance_driven.py
+++ b/tests/test_maintenance_driven.py
@@ -1,4 +1,4 @@
-"""Rounds in the driver: fixed seeds keep the floor in truth, and small faults put into the code are each caught."""
+"""Rounds in the driver: fixed seeds keep the floor in truth, small faults put into the code are caught."""
 import msgspec
 import pytest
 
@@ -26,11 +26,12 @@
 def test_rounds_end_and_a_seed_is_one_run():
     first, again = play(0, "none")[0], play(0, "none")[0]
     assert first.judge.ends["round0"][1:] == ("ended", "") and first.judge.outs == len(first.rounds[0].hosts)
-    assert first.world.digest.digest() == again.world.digest.digest() and first.judge.events == again.judge.events
+    assert first.world.digest.digest() == again.world.digest.digest()
+    assert first.judge.events == again.judge.events
 
 
 def test_a_scheduler_killed_after_any_order_ends_its_round():
-    """Every 9 s of the round: killed, up again 3 s later; each host is out once, or again where it was lost."""
+    """Every 9 s of the round: killed, up again 3 s later; each host is out once."""
     length = play(3, "none")[0].judge.ends["round0"][0] // rounds.SECOND
     for at in range(4, min(length, 60), 9):
         run = rounds.Play(3, "none")
@@ -74,8 +75,8 @@
 
 def one_too_many(put):
     real = schedule.barred
-    put(schedule, "barred", lambda asked, fleet, name, away, down=(): real(asked, fleet, name, list(away)[1:], down)
-        if len(away) == asked.together else real(asked, fleet, name, away, down))
+    put(schedule, "barred", lambda asked, fleet, name, away, down=(): real(
+        asked, fleet, name, list(away)[1:] if len(away) == asked.together else away, down))
 
 
 def apart_forgotten(put):
@@ -106,7 +107,8 @@
 MUTANTS = [(no_margin, "floor", "none", TIGHT, 0), (no_look_ahead, "floor", "died", AHEAD, 10),
            (no_age, "belief fades", "died", {}, 2), (counted_at_once, "nothing counts until", "none", {}, 0),
            (one_too_many, "at most", "none", {}, 0), (apart_forgotten, "not out together", "none", {}, 0),
-           (not_drained, "tasks in hand", "none", {}, 0), (turn_for_each, "one round has the turn", "two rounds", {}, 0)]
+           (not_drained, "tasks in hand", "none", {}, 0),
+           (turn_for_each, "one round has the turn", "two rounds", {}, 0)]
 
 
 def changed(words):
@@ -114,7 +116,8 @@
         "together": min(len(asked.hosts), words.get("together", asked.together))})
 
 
-@pytest.mark.parametrize("mutant, name, kind, words, seed", MUTANTS, ids=[each[0].__name__ for each in MUTANTS])
+@pytest.mark.parametrize("mutant, name, kind, words, seed", MUTANTS,
+                         ids=[each[0].__name__ for each in MUTANTS])
 def test_a_small_fault_is_caught_by_name(monkeypatch, mutant, name, kind, words, seed):
     assert verdict(seed, kind, changed=changed(words)) == ""
     mutant(lambda where, what, put: monkeypatch.setattr(where, what, put))
--- a/tests/test_maintenance_parts.py
+++ b/tests/test_maintenance_parts.py
@@ -23,8 +23,10 @@
     ({"zone": "x"}, ["hosts: named one by one and by zone"]),
     ({"hosts": (), "zone": "w"}, ["zone: no host is of zone w"]),
     ({"hosts": (), "zone": "x", "rack": "y1"}, ["hosts: none is of all of zone, rack"]),
-    ({"apart": (("h0", "h9"), ("h1",))}, ["apart: h9 in list 1 is not listed", "apart: list 2 names fewer than two hosts"]),
-    ({"one_per": "row", "survive": "all"}, ["one_per: row is neither rack nor zone", "survive: all is none of host, rack, zone"]),
+    ({"apart": (("h0", "h9"), ("h1",))},
+     ["apart: h9 in list 1 is not listed", "apart: list 2 names fewer than two hosts"]),
+    ({"one_per": "row", "survive": "all"},
+     ["one_per: row is neither rack nor zone", "survive: all is none of host, rack, zone"]),
     ({"together": 5}, ["together: 5 of 4 hosts"]),
     ({"by": 39 * SECOND}, ["by: 4 hosts, 1 at a time, are away for 40 s together, by is 39 s"]),
     ({"zones": 1001}, ["zones: 1001 per mille is more than the floor of the whole fleet"]),
@@ -42,14 +44,14 @@
 def test_a_sight_counts_by_its_age_and_its_teller():
     now, seen = 100 * SECOND, Shown(99 * SECOND, 1, copies=("f",))
     assert warm.sight(now, "me", "f", seen, None, 0) == 1000
-    assert warm.sight(now, "me", "f", seen, None, 99 * SECOND) == 0         # seen before its life or the turn began
+    assert warm.sight(now, "me", "f", seen, None, 99 * SECOND) == 0     # seen before its life or the turn
     assert [warm.weight(age) for age in (FRESH, (FRESH + STALE) // 2, STALE, -1)] == [1000, 500, 0, 0]
     cold = Shown(90 * SECOND, 1)
-    assert warm.sight(now, "me", "f", cold, (SECOND, ("a",)), 0) == 0        # one other alone may tell nonsense
+    assert warm.sight(now, "me", "f", cold, (SECOND, ("a",)), 0) == 0     # one alone may tell nonsense
     assert warm.sight(now, "me", "f", cold, (SECOND, ("a", "me")), 0) == 0
     assert warm.sight(now, "me", "f", cold, (SECOND, ("a", "b")), 0) == warm.weight(SECOND + TOLD)
     assert warm.sight(now, "me", "f", seen, (SECOND, ("a", "b")), 99 * SECOND) == 0
-    later = Shown(97 * SECOND, 1)                                            # it showed itself cold since then
+    later = Shown(97 * SECOND, 1)            # it showed itself cold since then
     assert warm.sight(now, "me", "f", later, (SECOND, ("a", "b")), 0) == 0
 
 
@@ -67,7 +69,8 @@
     assert floor.kept(FLEET, WARM, rows, "", ("h0",)) == []
     assert floor.worded(floor.kept(FLEET, WARM, rows, "host", ("h0",))) == \
         "floor: f in the fleet needs 12 warm lanes, has 8 if h1 fails"
-    assert floor.kept(FLEET, WARM, {("f", "x"): 3, ("f", "y"): 3}, "zone") == []   # not asked of the zone that fails
+    zones = {("f", "x"): 3, ("f", "y"): 3}
+    assert floor.kept(FLEET, WARM, zones, "zone") == []      # not asked of the zone that fails
     assert floor.kept(FLEET, WARM, {("f", ""): 9}, "zone")
     assert floor.needs((asked(), asked(margin=500)), {"f": 8}, [])["f", ""] == 12
     assert floor.strict(asked(), [asked(survive="rack")]).survive == "rack"
@@ -77,8 +80,8 @@
     needs = {("f", ""): 8}
     one = asked(together=2)
     assert schedule.choose(one, FLEET, WARM, needs, list(FLEET), [])[0] == ["h0", "h1"]
-    assert schedule.choose(asked(together=2, one_per="zone"), FLEET, WARM, needs, list(FLEET), [])[0] == ["h0", "h2"]
-    assert schedule.choose(asked(together=2, apart=(("h0", "h1"),)), FLEET, WARM, needs, list(FLEET), [])[0] == ["h0", "h2"]
+    for two in asked(together=2, one_per="zone"), asked(together=2, apart=(("h0", "h1"),)):
+        assert schedule.choose(two, FLEET, WARM, needs, list(FLEET), [])[0] == ["h0", "h2"]
     going, first = schedule.choose(one, FLEET, WARM, {("f", ""): 13}, list(FLEET), [])
     assert going == [] and first == ("h0", "floor: f in the fleet needs 13 warm lanes, has 12")
 
@@ -104,8 +107,8 @@
 def test_a_host_is_drained_by_its_own_word_or_by_the_lists_bound():
     bounds, life = drained.Bounds(), drained.Bounds(life=10 * SECOND)
     assert drained.bound(bounds) is None and drained.bound(life) == 41_200_000_000
-    for seen, which in ((None, ""), (Shown(5, 1, draining=True), "host"), (Shown(5, 1, draining=True, hands=1), ""),
-                        (Shown(3, 1, draining=True), ""), (Shown(5 + 41 * SECOND, 1), ""),
-                        (Shown(4 + drained.bound(life), 1), "list")):
+    for seen, which in ((None, ""), (Shown(5, 1, draining=True), "host"),
+                        (Shown(5, 1, draining=True, hands=1), ""), (Shown(3, 1, draining=True), ""),
+                        (Shown(5 + 41 * SECOND, 1), ""), (Shown(4 + drained.bound(life), 1), "list")):
         assert drained.proof(0, seen, 4, life) == which
     assert drained.proof(0, Shown(1 << 60, 1), 4, bounds) == ""
