Each gateway has its own of the first choices that the hash counts alike

A host whose report had fallen got 0.31 of its share in the half second before it was told and 1.56 after; where it had risen 1.75 and 0.40; with nothing heard 0.98 and 1.01. 39% (at 1,000 tasks a second) and 32% (3,000) of relays were decided by the queue's points among first choices of equal prior: score.choose, the term of the prior, whose exponent is rank // width, the same for all of them, so that a tenth of a task in a report 340 to 820 ms old, since which 17 relays had gone there, drew all gateways to one host. Ruled out: the near zone (not told in that play), warm copies (15 and 35% of relays, true tasks there 1.1 of the mean). Coarser reports (steps) and soft ties were measured beside it.

--- a/benchmarks/fleet/candidates.py
+++ b/benchmarks/fleet/candidates.py
@@ -2,7 +2,7 @@
 from math import exp
 from zlib import crc32
 
-from benchmarks.fleet.parted import Parted
+from benchmarks.fleet.parted import Alike
 
 from gaproute.decisions.route.beliefs import LOAD_LIFE, MILLI, SECOND
 
@@ -11,7 +11,7 @@
 SOFT = 0.1               # points by which a worker is chosen e times as often
 
 
-class Aged(Parted):
+class Aged(Alike):
     """(a) A report fades to the usual one within an answer time: what all others send comes in between."""
 
     def queue(self, worker, task, now):
@@ -31,14 +31,14 @@
         return self.shared
 
 
-class Readers(Parted):
+class Readers(Alike):
     """(b) Points for the queue grow with how many read the same report: the root of the gateways."""
 
     def queue_weight(self, heat):
         return super().queue_weight(heat) * max(1.0, len(self.world.gateways) ** 0.5)
 
 
-class Shared(Parted):
+class Shared(Alike):
     """(c) Near-ties by chance in proportion to the room that reports tell of."""
     slack = NEAR_TIE
 
@@ -59,7 +59,7 @@
         raise AssertionError("drawn beyond all room")
 
 
-class Firsts(Parted):
+class Firsts(Alike):
     """(d) Of the first choices that count alike each gateway has its own."""
 
     def prior(self, name, worker, rank, width, prior):
@@ -68,7 +68,7 @@
             1.0 if rank >= width or rank == mine else 0.93)
 
 
-class Coarse(Parted):
+class Coarse(Alike):
     """(c) A queue counts in whole steps alone, so that the workers of one step share by chance."""
     step = 1                 # task, of those that a share of CPU stands for: a quarter of the share
 
@@ -81,7 +81,7 @@
     step = 2
 
 
-class Steps(Parted):
+class Steps(Alike):
     """(c) As `Coarser`, of the share of CPU alone: own tasks in hand count each."""
 
     def queued(self, worker, lanes, now):
@@ -90,7 +90,7 @@
         return max(told + share * lanes // Coarser.step * Coarser.step, own)
 
 
-class Soft(Parted):
+class Soft(Alike):
     """(c) Near-ties by chance, the likelier the more points."""
     slack, heat = 5 * SOFT, SOFT
 
--- a/benchmarks/fleet/parted.py
+++ b/benchmarks/fleet/parted.py
@@ -44,7 +44,7 @@
 
     def prior(self, name, worker, rank, width, prior):
         """At most prior * PRIOR_FALL ** (rank // width)."""
-        return prior * policy.PRIOR_FALL ** (rank // width)
+        return prior * policy.PRIOR_FALL ** (rank // width or policy.OTHERS * (rank != self.own % width))
 
     def copy(self, name, worker, rank, width, warmth):
         """Warmth of the worker's copy, by what this gateway believes."""
@@ -126,3 +126,10 @@
             function.rests_until = worker.full_until
             return self.choose(now, task, trail)
         return worker if now >= worker.full_until else None
+
+
+class Alike(Parted):
+    """As it was when the candidates were measured: first choices that count alike have all of the prior."""
+
+    def prior(self, name, worker, rank, width, prior):
+        return prior * policy.PRIOR_FALL ** (rank // width)
--- a/benchmarks/fleet/seers.py
+++ b/benchmarks/fleet/seers.py
@@ -1,5 +1,5 @@
 """Comparisons that see what no gateway can: true queues, as they are or were, and true copies."""
-from benchmarks.fleet.parted import Parted
+from benchmarks.fleet.parted import Alike
 
 from gaproute.decisions.route import score as policy
 from gaproute.decisions.route.beliefs import MILLI
@@ -7,7 +7,7 @@
 POINT = 0.5              # points a task in hand, where queues are true: a copy is worth twelve
 
 
-class Sees(Parted):
+class Sees(Alike):
     """The same score with the true queues, as old as `lag`."""
     lag = 0
 
--- a/benchmarks/fleet/smoothed.py
+++ b/benchmarks/fleet/smoothed.py
@@ -2,7 +2,7 @@
 from zlib import crc32
 
 from benchmarks.fleet.candidates import Firsts, Shared, Soft
-from benchmarks.fleet.parted import Parted
+from benchmarks.fleet.parted import Alike
 
 from gaproute.decisions.route import score as policy
 from gaproute.decisions.route.beliefs import LOAD_LIFE, MILLI, SECOND, WIDE
@@ -13,7 +13,7 @@
 BOUND = 1.25             # of its share that a worker may long have
 
 
-class Smooth(Parted):
+class Smooth(Alike):
     """A worker's load is the mean of its last reports, not the last; it weighs more."""
     strong, smooth_over = STRONG, SMOOTH
 
@@ -70,7 +70,7 @@
     """Own first choices; a worker that long had over a quarter more than its share loses as much of the
     functions that are its by the hash: each gateway decides by its own hash, so that few copies move."""
 
-    queue, usual_smooth = Parted.queue, Relative.usual_smooth
+    queue, usual_smooth = Alike.queue, Relative.usual_smooth
     smooth_over = 2 * SMOOTH
 
     def prior(self, name, worker, rank, width, prior):
--- a/gaproute/decisions/route/known.py
+++ b/gaproute/decisions/route/known.py
@@ -12,7 +12,7 @@
 
 class Known:
     def __init__(self, seed, terms, now):
-        self.chance = Chance(seed)
+        self.chance, self.own = Chance(seed), seed   # which of the first choices that count alike is its own
         self.terms, self.tracks = terms, terms.tracks
         self.keep_alive = max(terms.keep_alive, 1)
         self.zone, self.near = terms.zone, NEAR * terms.crossing_price
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -9,6 +9,7 @@
 PRIOR = 2.0            # points for the stable hash's first choice: a third of a copy's, which is kept
 PRIOR_HOT = 3.3        # the same for a hot function, kept loaded by others: warm with a free lane still wins
 PRIOR_FALL = 0.85      # of PRIOR, from each choice to the next: gateways agree on where to spill, ten deep
+OTHERS = 0.45          # of a step of it, for first choices that count alike but are other gateways' own
 SHUN = 12.0            # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 NIL = 1e-9             # points below which two sums of the same terms may differ by rounding alone
 
@@ -62,7 +63,8 @@
             score = (worth * warmth
                      - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                      - MEMORY * (usual_memory if worker.memory is None else worker.memory)
-                     + prior * PRIOR_FALL ** (ranks[worker.id] // width) * (1 - warmth)
+                     + prior * PRIOR_FALL ** ((rank := ranks[worker.id]) // width
+                                              or OTHERS * (rank != self.own % width)) * (1 - warmth)
                      + (self.near if worker.zone == self.zone else 0.0))
             score -= SHUN * doubts.get(worker.id, 0.0)
             if best is None or score > best:
@@ -70,9 +72,8 @@
             elif score == best:
                 ties.append(worker)
         ties.sort(key=lambda worker: worker.place)
-        # One that turned a task away just now gets none for a moment: refusals come fast and look like
-        # idleness, and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused
-        # moves on.
+        # One that turned a task away just now gets none for a moment: refusals come fast and look like ease,
+        # and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused moves on.
         worker = ties[self.chance.below(len(ties))]
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
--- a/gaproute/decisions/route/task.py
+++ b/gaproute/decisions/route/task.py
@@ -10,14 +10,13 @@
 class Serving(Booked):
     def serve(self, now, task):
         """One task, from acceptance to its one final answer."""
-        track, trail = self.tracks[task.track], Trail()
+        track, trail, came, why = self.tracks[task.track], Trail(), now, "nobody"
         end = now + task.time_left - ANSWER_BY
         function = self.function(task.function, task.lanes)
         function.lanes, function.used = task.lanes, now
         if function.told:
             self.consider(now, task.function, function)
         self.mix.append(task.function)
-        came, why = now, "nobody"
         self.tenants.append(task.tenant)
         if now < self.all_warm_at and all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
