--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/driver/keepchecks.py
@@ -95,9 +95,10 @@
 class Held:
     """True time: what all holders may do at one moment, each by its own clock, is never more than there is;
     and who comes later has the greater fencing number. Of a pool, the most that it was ever said to hold;
-    names have one. Looked at when a holder has acted: in between a permit can only end."""
+    names have one. Looked at when a holder has acted: in between a permit can only end. `leader(world)`
+    and the terms that had one, where they are known: its end is then compared with the holder's."""
 
-    def __init__(self, holders, pools, leader, leaders):
+    def __init__(self, holders, pools, leader=lambda world: None, leaders=()):
         self.holders, self.leader, self.leaders = dict.fromkeys(holders), leader, leaders
         self.most = {name: max(sizes) for name, sizes in pools.items()}
         self.fences = {}                     # name: the greatest that was held
