--- a/gaproute/appliance/strong.py
+++ b/gaproute/appliance/strong.py
@@ -9,7 +9,7 @@
 from gaproute.shared.permits.errands import Errands
 
 MILLI = 1_000_000
-LIVES = 40               # bits of a life's first errand: with 4,096 errands more a number still fits JSON's 2^53
+LIVES = 40               # bits of a life's first errand: with 4,096 after it, all fit JSON's 2^53
 
 
 class Strong:
--- a/gaproute/shared/permits/errands.py
+++ b/gaproute/shared/permits/errands.py
@@ -48,9 +48,9 @@
 
 
 class Errands:
-    """`longest`: ns of a permit, by the configuration. `first`: where this life's numbers begin, drawn anew at
-    each start: who was away meanwhile must not take another's errand for its own. `due`, `tick`: as of any part.
-    """
+    """`longest`: ns of a permit, by the configuration. `first`: where this life's numbers begin, drawn anew
+    at each start: who was away meanwhile must not take another's errand for its own. `due` and `tick` as of
+    any part."""
 
     def __init__(self, holder, longest=LONGEST, first=0):
         self.holder, self.longest = holder, longest
--- a/tests/test_rig_script.py
+++ b/tests/test_rig_script.py
@@ -39,7 +39,8 @@
 
 def test_a_zone_is_one_word_on_the_wire_and_one_without_hosts_names_none(tmp_path):
     table = Table(script(tmp_path, "rig wires 1").day, False)
-    assert table.words("gateways/hall-1", SEATS) == ["zone:gateway/hall-1"] and table.words("g1", SEATS) == ["g1"]
+    assert table.words("gateways/hall-1", SEATS) == ["zone:gateway/hall-1"]
+    assert table.words("g1", SEATS) == ["g1"]
     assert table.words("zone:hall-0", SEATS) == ["zone:gateway/hall-0", "zone:host/hall-0"]
     assert table.words("zone:hall-0", SEATS[:10]) == ["zone:gateway/hall-0"]
 
