No setter for who hears arrivals; a comment on a ring that is gone, a field nothing read

Read over the whole change: the appliance handed a method to its own part so that this part could set a field of the core back; it now sets it itself. rollouts/campaign named an import ring that was mended, rounds_truth kept a table nobody read. Behaviour as it was. Tested: 136 tests of those parts; the node's import is unchanged.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -57,13 +57,15 @@
                     self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready,
                                              self.inherited.get(where)))
                 elif kind == "peers":
-                    self.fronts.append(self.others.listen(where, self.hear_arrivals))
+                    self.fronts.append(self.others.listen(where))
                 else:
                     self.fronts.append(Operator(self.loop, address(where), self))
         except OSError as fault:
             for front in [*self.fronts, self.others]:
                 front.close()
             raise OSError(fault.errno, f"{where}: {fault.strerror}") from fault
+        if self.others.weak is not None:
+            self.core.arrived = self.others.weak.arrived
         source = self.charter.hosts_file
         if source is None:
             self.listed(self.charter.hosts)
@@ -73,10 +75,6 @@
         self.log.info("started", listens=[front.address for front in self.fronts], hosts=len(self.rows),
                       descriptors=descriptors(), clients=self.lot.door.most)
 
-    def hear_arrivals(self, heard):
-        """`heard(now, function, track)` of each task."""
-        self.core.arrived = heard
-
     def listed(self, lines):
         """A whole host list. The host connections come first: the module may wish for a new host at once."""
         rows = self.listing.rows(lines)
--- a/gaproute/appliance/others.py
+++ b/gaproute/appliance/others.py
@@ -29,8 +29,8 @@
         self.tracks = [line.name for line in charter.tracks]
         self.chance = Chance(seed + 1)
 
-    def listen(self, where, arrived):
-        """The front at which others ask. `arrived(call)`: sets who hears of each task. Errors: OSError."""
+    def listen(self, where):
+        """The front at which others ask. Errors: OSError."""
         line = self.charter.keepers
         self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks,
                            LIMITS if line is None else ASKED)
@@ -46,7 +46,6 @@
         if self.charter.weak_word:
             self.weak = Carrier(self.loop, self.charter.name, self.gossip, self.gateway,
                                 Chance(self.seed + 4))
-            arrived(self.weak.arrived)
         return self.giver
 
     def start(self):
--- a/gaproute/driver/rounds_truth.py
+++ b/gaproute/driver/rounds_truth.py
@@ -27,7 +27,6 @@
         self.there = []
         self.seen, self.dirty, self.touch = {}, True, ""
         self.outs, self.lost = 0, 0
-        self.stages = {}
 
     # What hosts tell of themselves
 
--- a/gaproute/rollouts/campaign.py
+++ b/gaproute/rollouts/campaign.py
@@ -1,7 +1,7 @@
 """What a campaign asks, and why one is refused at once: contradictions, unknown names, what can never fit."""
 from typing import NamedTuple
 
-from gaproute.shared.keepers.messages import HIGHEST      # before the permits, which import it in a ring
+from gaproute.shared.keepers.messages import HIGHEST
 from gaproute.shared.permits.commands import LONGEST, kept
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
