Scripted peers and a handed clock stand in one place for the tests

The gateway among a scripted host, client and change log stood in tests/test_node.py; it is a fixture of its own now (tests/scripted.py), with a clock that the test holds and dials that come up when the test lets them. Tests unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,12 @@
+from functools import partial
+
 import pytest
 from gaproute.appliance import Appliance
 from gaproute.conf import read_charter
 from gaproute.record.logs import logger
 from helpers import CHARTER, Rig, makers
 from hypothesis import settings
+from scripted import Gate
 
 settings.register_profile("steady", derandomize=True, deadline=None)    # the same verdict every time
 settings.load_profile("steady")
@@ -31,3 +34,9 @@
     yield made, start
     for other in started:
         other.close()
+
+
+@pytest.fixture
+def gate(tmp_path):
+    """Makes the platform's gateway among scripted peers (`scripted.Gate`) and closes it after the test."""
+    yield from makers(partial(Gate, tmp_path))
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,141 @@
+"""The platform's gateway with scripted peers on loopback: a host, a client and a change log that speak, stall,
+half-close and reset byte for byte as a test tells them, on a clock that the test may hold."""
+import json
+import socket
+
+from gaproute.loop import Loop, connect
+from gaproute.node import charter as charters
+from gaproute.node.log import Log
+from gaproute.node.process import Process
+from gaproute.record.record import FOLLOWED
+from gaproute.standins.platform import ChangeLog, Client, LineHost, event
+from helpers import turn_until
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+SETTINGS = {
+    "lanes": [{"name": "fault-check", "effect": "free", "aim": 500.0, "deadline": 3000.0, "worth": 3.0},
+              {"name": "repair-order", "effect": "single_shot", "aim": 500.0, "deadline": 3000.0}],
+    "limits": {"cancel": True, "probes": True, "send_cap": 6, "retry_after": True, "max_retry_after": 1000.0,
+               "conn_idle": 15000.0, "connect_timeout": 250.0, "multiplex": 100, "may_duplicate": True},
+    "family_info": {"counts_alike": True, "idle_life": 9800.0, "warm_notes": True, "placement_calls": True,
+                    "loads_anyway": 6, "load_part": 0.3, "loads_within": 10000.0, "order_limit": 10000.0},
+    "report": {"names": ["cpu_share", "x0"], "source": "pull"},
+    "rules": {"cold": 18000.0, "cold_from": 0.17}, "zones": ["hall-a"], "membership_mode": "pushed",
+}
+
+
+def nothing(stream, command):
+    """A host that takes and says nothing."""
+
+
+class Handed:
+    """A clock that moves only when the test says so; the poll looks for bytes and never waits long."""
+
+    def __init__(self, now=1000 * SECOND):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+    def poll(self, epoll, span):
+        return epoll.poll(0.001 if span > 0 else 0)
+
+
+class HeldDials:
+    """Stands for `connect` in a module: connections come up, and fail, only when the test lets them.
+
+    `monkeypatch.setattr(module, "connect", dials)`; `let(place)` or `let()` for all, then turns of the loop.
+    """
+
+    def __init__(self):
+        self.held, self.passing = [], False
+
+    def __call__(self, loop, where, within, done, source=None):
+        if self.passing:
+            return connect(loop, where, within, done, source)
+        entry = [loop, where, within, done, True]
+        self.held.append(entry)
+        return lambda: entry.__setitem__(4, False)
+
+    def let(self, *places):
+        """Those not given up meanwhile are dialled now."""
+        for place in places or range(len(self.held)):
+            loop, where, within, done, wanted = self.held[place]
+            if wanted:
+                self.held[place][4] = False
+                connect(loop, where, within, done)
+
+    @property
+    def waiting(self):
+        return sum(entry[4] for entry in self.held)
+
+
+def half_close(stream):
+    """The peer sends no more and goes on reading."""
+    stream.sock.shutdown(socket.SHUT_WR)
+
+
+class Gate:
+    """`clock`: a `Handed` one where the test holds the time; `settings` stand in place of `SETTINGS`."""
+
+    def __init__(self, folder, answer=None, sockets=256, hosts=1, followed=FOLLOWED, clock=None, **told):
+        self.clock = clock
+        self.loop = Loop(clock) if clock else Loop()
+        self.hosts = [LineHost(self.loop, answer) for _ in range(hosts)]
+        self.log = ChangeLog(self.loop)
+        self.lines = []
+        self.path = folder / "config.json"
+        self.told = {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "changelog": self.log.address,
+                     "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets}, "settings": SETTINGS,
+                     "known": {"seq": 1, "results": [event(1, *[
+                         (f"s-{place}", host.address, "Ready") for place, host in enumerate(self.hosts)],
+                         complete=True)]}} | told
+        self.write()
+        log = Log(-1)
+        log.line = lambda level, what, told: self.lines.append((what, told))
+        self.process = Process(str(self.path), charters.read(str(self.path)), loop=self.loop, log=log,
+                               followed=followed)
+        self.process.start()
+        self.where = self.process.front.address
+        self.clients = []
+
+    def write(self):
+        self.path.write_text(json.dumps(self.told))
+
+    def client(self):
+        self.clients.append(Client(self.loop, self.where))
+        return self.clients[-1]
+
+    def until(self, condition):
+        if self.clock is None:
+            turn_until(self.loop, condition)
+            return
+        for _ in range(2000):                # turns of a millisecond at most, in which no time passes
+            if condition():
+                return
+            self.loop.turn()
+        assert condition(), "waited too long"
+
+    def turns(self, count=20):
+        """A few turns, so that whatever is under way on loopback arrives."""
+        for _ in range(count):
+            self.loop.after(0, lambda: None)
+            self.loop.turn()
+
+    def passes(self, span):
+        """So much of the handed time goes by, and what is due then happens."""
+        self.clock.now += span
+        self.turns()
+
+    def came(self):
+        return sum(len(host.seen("go")) for host in self.hosts)
+
+    def close(self):
+        for part in (self.process.front, self.process.follower, self.process.hosts, self.process.peers,
+                     *self.hosts, self.log):
+            if part is not None:
+                part.close()
+        for client in self.clients:
+            if client.stream is not None:
+                client.stream.abort()
+        self.loop.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -5,34 +5,19 @@
 import subprocess
 import sys
 import time
-from functools import partial
 
 import pytest
 from gaproute.benchlink import wire
 from gaproute.discovery.changelog import events
 from gaproute.fronts.jsonrpc import front as fronts
 from gaproute.fronts.jsonrpc import messages
-from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
 from gaproute.node import charter as charters
 from gaproute.node.log import Log
-from gaproute.node.process import Process
-from gaproute.record.record import FOLLOWED, Record
-from gaproute.standins.platform import ChangeLog, Client, LineHost, arg, event, sse
+from gaproute.record.record import Record
+from gaproute.standins.platform import ChangeLog, arg, event, sse
 from gaproute.terms import site, terms
-from helpers import makers, turn_until
-
-MILLI, SECOND = 1_000_000, 1_000_000_000
-SETTINGS = {
-    "lanes": [{"name": "fault-check", "effect": "free", "aim": 500.0, "deadline": 3000.0, "worth": 3.0},
-              {"name": "repair-order", "effect": "single_shot", "aim": 500.0, "deadline": 3000.0}],
-    "limits": {"cancel": True, "probes": True, "send_cap": 6, "retry_after": True, "max_retry_after": 1000.0,
-               "conn_idle": 15000.0, "connect_timeout": 250.0, "multiplex": 100, "may_duplicate": True},
-    "family_info": {"counts_alike": True, "idle_life": 9800.0, "warm_notes": True, "placement_calls": True,
-                    "loads_anyway": 6, "load_part": 0.3, "loads_within": 10000.0, "order_limit": 10000.0},
-    "report": {"names": ["cpu_share", "x0"], "source": "pull"},
-    "rules": {"cold": 18000.0, "cold_from": 0.17}, "zones": ["hall-a"], "membership_mode": "pushed",
-}
+from scripted import MILLI, SECOND, SETTINGS, nothing
 
 
 def test_the_start_object_is_read_alike_for_the_wire_and_for_the_node():
@@ -41,60 +26,6 @@
     assert (told.tracks, told.shared, told.idle_time) == (("fault-check", "repair-order"), 100, 15 * SECOND)
 
 
-class Gate:
-    def __init__(self, folder, answer=None, sockets=256, hosts=1, followed=FOLLOWED, **told):
-        self.loop = Loop()
-        self.hosts = [LineHost(self.loop, answer) for _ in range(hosts)]
-        self.log = ChangeLog(self.loop)
-        self.lines = []
-        self.path = folder / "config.json"
-        self.told = {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "changelog": self.log.address,
-                     "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets}, "settings": SETTINGS,
-                     "known": {"seq": 1, "results": [event(1, *[
-                         (f"s-{place}", host.address, "Ready") for place, host in enumerate(self.hosts)],
-                         complete=True)]}} | told
-        self.write()
-        log = Log(-1)
-        log.line = lambda level, what, told: self.lines.append((what, told))
-        self.process = Process(str(self.path), charters.read(str(self.path)), loop=self.loop, log=log,
-                               followed=followed)
-        self.process.start()
-        self.where = self.process.front.address
-        self.clients = []
-
-    def write(self):
-        self.path.write_text(json.dumps(self.told))
-
-    def client(self):
-        self.clients.append(Client(self.loop, self.where))
-        return self.clients[-1]
-
-    def until(self, condition):
-        turn_until(self.loop, condition)
-
-    def came(self):
-        return sum(len(host.seen("go")) for host in self.hosts)
-
-    def close(self):
-        for part in (self.process.front, self.process.follower, self.process.hosts, self.process.peers,
-                     *self.hosts, self.log):
-            if part is not None:
-                part.close()
-        for client in self.clients:
-            if client.stream is not None:
-                client.stream.abort()
-        self.loop.close()
-
-
-@pytest.fixture
-def gate(tmp_path):
-    yield from makers(partial(Gate, tmp_path))
-
-
-def nothing(stream, command):
-    """A host that takes and says nothing."""
-
-
 def test_a_task_goes_through_and_its_body_comes_back_unchanged(gate):
     made = gate()
     client = made.client()
