--- a/gaproute/standins/platform/parties.py
+++ b/gaproute/standins/platform/parties.py
@@ -7,6 +7,7 @@
 from gaproute.loop.streams import address
 
 SECOND = 1_000_000_000
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"    # of the change log's answer
 
 
 class Party:
@@ -63,9 +64,9 @@
 class ChangeLog(Party):
     """Answers each question with its head and the events that `script(last)` gives as raw bytes."""
 
-    def __init__(self, loop, script=lambda last: b"", where="127.0.0.1:0"):
+    def __init__(self, loop, script=lambda last: b"", where="127.0.0.1:0", head=HEAD):
         super().__init__(loop, where)
-        self.script = script
+        self.script, self.head = script, head
 
     def bytes(self, stream, buffer, data):
         buffer += data
@@ -74,7 +75,7 @@
             buffer.clear()
             last = int(fields[1].split(b"\r\n")[0])
             self.came.append(last)
-            stream.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + self.script(last))
+            stream.write(self.head + self.script(last))
 
 
 def event(number, *members, complete=False):
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -3,6 +3,8 @@
 import json
 import socket
 
+from gaproute.decisions.chance import Chance
+from gaproute.discovery.changelog.follow import Follower
 from gaproute.loop import Loop, connect
 from gaproute.node import charter as charters
 from gaproute.node.log import Log
@@ -75,6 +77,34 @@
     stream.sock.shutdown(socket.SHUT_WR)
 
 
+class Followed:
+    """A follower and the log it asks. `told`: the numbers it passed on."""
+
+    def __init__(self, script, last=0, clock=None, **log):
+        self.clock = clock
+        self.loop, self.told = Loop(clock) if clock else Loop(), []
+        self.log = ChangeLog(self.loop, script, **log)
+        self.follower = Follower(self.loop, self.log.address, last, lambda each: self.told.append(each.seq),
+                                 Chance(1))
+
+    def until(self, condition):
+        turn_until(self.loop, condition)
+
+    def passes(self, span, step=10 * MILLI):
+        """So much of the handed time goes by, in small steps with turns in between."""
+        until = self.clock.now + span
+        while self.clock.now < until:
+            self.clock.now = min(until, self.clock.now + step)
+            for _ in range(6):
+                self.loop.soon(lambda: None)
+                self.loop.turn()
+
+    def close(self):
+        self.follower.close()
+        self.log.close()
+        self.loop.close()
+
+
 class Gate:
     """`clock`: a `Handed` one where the test holds the time; `settings` stand in place of `SETTINGS`."""
 
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -5,15 +5,13 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-
-from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
-from gaproute.discovery.changelog.follow import Follower
 from gaproute.interface import State
 from gaproute.loop import Loop
 from gaproute.standins.platform import ChangeLog, event, sse
-from helpers import makers, turn_until
+from helpers import makers
+from scripted import Followed
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -70,22 +68,6 @@
     loop.close()
 
 
-class Followed:
-    def __init__(self, script, last=0):
-        self.loop, self.told = Loop(), []
-        self.log = ChangeLog(self.loop, script)
-        self.follower = Follower(self.loop, self.log.address, last, lambda each: self.told.append(each.seq),
-                                 Chance(1))
-
-    def until(self, condition):
-        turn_until(self.loop, condition)
-
-    def close(self):
-        self.follower.close()
-        self.log.close()
-        self.loop.close()
-
-
 @pytest.fixture
 def follow():
     yield from makers(Followed)
