A log's answer counts as alive by what comes whole, and has a bounded size and cost

Seen: a header, an event or a chunk's extension that trickles a byte a second kept its connection for ever, and so did comments within an event without an end: `Follower.bytes` took any byte for a sign of life. An endless header or chunk extension was never given up (`Reader.size` counted body alone). A chunked answer that ended was noticed by the silence 2 s later. A long line was joined and looked through again with each piece: a list of 1,024 hosts in single bytes cost 6.3 s, 2.7 MB in 1 kB pieces 2.1 s. Ruled out: silence from the start, after the head and in half an event, which were asked again in time.

The reader counts what came to its end (head, comment, event) and the bytes since; the follower's silence runs from the former and grants the latter 256 kB/s, so that a long list may take its time and a trickle may not. More than 4 MB without an end, and the end of the answer, are Broken. The silence is now timed from the moment it is asked, so that a fault on the way leaves a timer that asks again.

--- a/gaproute/discovery/changelog/events.py
+++ b/gaproute/discovery/changelog/events.py
@@ -47,44 +47,63 @@
 
 
 class Reader:
-    """Feed bytes of the answer; take the events that became whole. A comment is a sign of life alone."""
+    """Feed bytes of the answer; take the events that became whole. A comment is a sign of life alone.
+
+    `whole` counts what came to its end: the head, a comment, an event. `size` is the bytes since then, of
+    what has not: an answer without an end must neither fill the memory nor pass for a sign of life.
+    """
 
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
-        self.rest, self.data, self.size = b"", [], 0
+        self.rest, self.data = bytearray(), bytearray()
+        self.whole = self.size = 0
         self.events = []
 
     def on_headers_complete(self):
         if self.parser.get_status_code() != 200:
             raise Broken(f"status {self.parser.get_status_code()}")
+        self.whole += 1
+
+    def on_message_complete(self):
+        raise Broken("the answer has ended")
 
     def on_body(self, body):
-        *whole, self.rest = (self.rest + body).split(b"\n")
-        self.size += len(body)
-        if self.size > EVENT:
-            raise Broken("an event is too long")
-        for line in whole:
+        self.rest += body
+        if b"\n" not in body:            # a long line in many pieces is not looked through again with each
+            return
+        *lines, self.rest = self.rest.split(b"\n")
+        for line in lines:
             line = line.removesuffix(b"\r")
-            if line:
-                name, _, value = line.partition(b":")
-                if name == b"data":
-                    self.data.append(value.removeprefix(b" "))
-                continue
-            if self.data:
-                try:
-                    self.events.append(_event(b"\n".join(self.data)))
-                except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
-                    raise Broken(f"an event cannot be read: {fault}") from None
-            self.data = []
-            self.size = len(self.rest)
+            name, _, value = line.partition(b":")
+            if not line:
+                self.end()
+            elif name == b"data":
+                self.data += value + b"\n"
+            elif not name and not self.data:
+                self.whole += 1
+
+    def end(self):
+        data, self.data = self.data, bytearray()
+        if data:
+            try:
+                self.events.append(_event(data))
+            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
+                raise Broken(f"an event cannot be read: {fault}") from None
+        self.whole += 1
 
     def feed(self, data):
         """Errors: Broken; what was whole before it stays in `events`."""
+        before = self.whole
+        self.size += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as fault:
             cause = fault.__context__
             raise Broken(str(cause if isinstance(cause, Broken) else fault)) from None
+        if self.whole != before:
+            self.size = 0
+        if self.size > EVENT:
+            raise Broken("an event is too long")
         events, self.events = self.events, []
         return events
 
--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -5,6 +5,7 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SILENCE = 2 * SECOND     # two of its comments missing: what it has to tell counts as told after 4 s
+PACE = 256 << 10         # bytes a second at least, of what has not ended: a long list may take its time
 CONNECT = 500 * MILLI    # for a connection: many round trips, and several tries within that time
 FIRST = 20 * MILLI       # before it is asked again; doubled with each try that told nothing
 LONGEST = 500 * MILLI    # between tries: told or not, its news counts as told soon after
@@ -17,7 +18,8 @@
         self.loop, self.told, self.last, self.chance = loop, told, last, chance
         self.where = self.text = None
         self.stream = self.connecting = self.timer = self.reader = None
-        self.pause, self.heard, self.asked, self.gap = FIRST, loop.now(), 0, None
+        self.pause, self.asked, self.gap = FIRST, 0, None
+        self.heard = self.since = loop.now()     # the last that came whole; that, or when it was asked since
         self.move(where)
 
     def move(self, where):
@@ -30,6 +32,8 @@
     def ask(self):
         self.cut()
         self.asked += 1
+        self.since = self.loop.now()
+        self.timer = self.loop.after(SILENCE, self.quiet)
         self.connecting = connect(self.loop, self.where, CONNECT, self.connected)
 
     def connected(self, sock, error):
@@ -41,16 +45,17 @@
         self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again())
         self.stream.write(b"GET /changes HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
                           b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last))
-        self.timer = self.loop.after(SILENCE, self.quiet)
 
     def bytes(self, data):
-        self.heard = self.loop.now()
         self.pause = FIRST
+        reader, before = self.reader, self.reader.whole
         try:
-            events = self.reader.feed(data)
+            events = reader.feed(data)
         except Broken:
-            events, self.reader.events = self.reader.events, []
+            events = reader.events
             self.again()
+        if reader.whole != before:
+            self.heard = self.since = self.loop.now()
         for event in events:
             if event.seq <= self.last:
                 continue                 # written twice
@@ -62,7 +67,9 @@
             self.told(event)
 
     def quiet(self):
-        left = self.heard + SILENCE - self.loop.now()
+        """Bytes alone are no sign of life: a trickle without an end would keep the connection for ever."""
+        slow = self.reader.size * SECOND // PACE if self.stream is not None else 0
+        left = self.since + SILENCE + slow - self.loop.now()
         if left <= 0:
             self.again()
         else:
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -1,12 +1,18 @@
 """The list's way in falls silent, breaks and jumps: forced by the order of bytes, on a handed clock."""
+import time
+
 import pytest
-from gaproute.standins.platform import event, sse
+from gaproute.discovery.changelog import events
+from gaproute.standins.platform import event, parties, sse
 from helpers import makers
 from scripted import MILLI, SECOND, Followed, Handed
 
 ONE = event(1, ("s-1", "127.0.0.1:5", "Ready"), complete=True)
 TWO = event(2, ("s-1", "127.0.0.1:5", "Terminating"))
 THREE = event(3, ("s-1", "127.0.0.1:5", "Gone"))
+HEAD = parties.HEAD
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+ENDLESS = b"HTTP/1.1 200 OK\r\nA: "
 HALF = sse(TWO)[:40]
 
 
@@ -23,6 +29,30 @@
         made.passes(SECOND)
 
 
+@pytest.mark.parametrize("head,first,later", [
+    (b"", b"", b""), (ENDLESS, b"", b"a"), (HEAD, b"", b""), (HEAD, HALF, b""),
+    (HEAD, HALF, b"a"), (HEAD, b"data: {\n", b": alive\n"), (CHUNKED + b"1;", b"", b"a"),
+], ids=["no head", "a head that trickles", "silent after the head", "half an event", "an event that trickles",
+        "comments in an event without an end", "a chunk's extension that trickles"])
+def test_what_becomes_nothing_whole_is_asked_again_in_time(follow, head, first, later):
+    """4 s after a log fell silent what it has to tell counts as told: by then another answer must be here."""
+    made = follow(lambda last: first if len(made.log.came) == 1 else sse(TWO), last=1, head=head)
+    made.passes(100 * MILLI)
+    made.log.head = HEAD
+    trickle(made, later, 3)
+    assert made.told == [2]
+
+
+def test_a_long_event_may_take_its_time(follow):
+    whole = sse(event(2) | {"more": "x" * (1 << 20)})
+    made = follow(lambda last: b"", last=1)
+    made.passes(100 * MILLI)
+    for at in range(0, len(whole), 1 << 18):
+        made.log.streams[0].write(whole[at:at + (1 << 18)])
+        made.passes(SECOND)
+    assert made.told == [2] and made.log.came == [1]
+
+
 def test_comments_alone_keep_a_connection(follow):
     made = follow(lambda last: b"", last=1)
     made.passes(100 * MILLI)
@@ -30,6 +60,14 @@
     assert made.log.came == [1]
 
 
+def test_a_chunked_answer_that_ends_is_asked_again_at_once(follow):
+    part = sse(TWO)
+    made = follow(lambda last: b"%x\r\n%b\r\n0\r\n\r\n" % (len(part), part) if last == 1 else b"", last=1,
+                  head=CHUNKED)
+    made.passes(100 * MILLI)
+    assert made.told == [2] and made.log.came[:2] == [1, 2]
+
+
 @pytest.mark.parametrize("how", ["end", "reset"])
 def test_half_an_event_and_the_end_is_asked_again_at_once(follow, how):
     made = follow(lambda last: HALF if len(made.log.came) == 1 else sse(TWO), last=1)
@@ -46,3 +84,23 @@
     made.log.streams[-1].write(sse(event(6)))
     made.passes(100 * MILLI)
     assert made.told == [3, 6] and made.log.came == [1, 1, 3]
+
+
+@pytest.mark.parametrize("head,piece", [
+    (ENDLESS, b"a"), (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"), (HEAD, b"data:\n"), (HEAD, b"a"),
+    (HEAD, b"data: a\n:\n"), (CHUNKED + b"1;", b"a"),
+], ids=["header", "headers", "lines", "line", "comments in an event", "chunk's extension"])
+def test_an_answer_without_an_end_is_given_up_at_a_bounded_size(head, piece):
+    reader = events.Reader()
+    reader.feed(head)
+    with pytest.raises(events.Broken, match="too long"):
+        for _ in range(events.EVENT // 60_000 + 2):
+            reader.feed(piece * (60_000 // len(piece)))
+
+
+def test_a_list_of_a_thousand_hosts_costs_little_in_the_smallest_pieces():
+    data = HEAD + sse(event(1, *[(f"s-{place}", "127.0.0.1:5", "Ready") for place in range(1024)]))
+    reader, began = events.Reader(), time.process_time()
+    got = [each for at in range(len(data)) for each in reader.feed(data[at:at + 1])]
+    assert len(got[0].fleet.members) == 1024
+    assert time.process_time() - began < 2        # 0.2 s; looked through anew with each piece it took 6 s
