A log that answers and tells nothing is asked less and less often

Seen: a log that answers 503, 404, a redirect or an end at once was asked each 10 to 20 ms for ever (200 times in 4 s): `Follower.bytes` began the pauses anew with any byte that came, although the comment at FIRST says 'doubled with each try that told nothing'. Ruled out: a log that refuses the connection, whose pauses did grow.

The pauses begin anew with an event that is taken, and once a connection has lasted for LONGEST and then brought something whole. The new test fails without it with 503, 404, redirect, noise and end.

--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -19,7 +19,8 @@
         self.where = self.text = None
         self.stream = self.connecting = self.timer = self.reader = None
         self.pause, self.asked, self.gap = FIRST, 0, None
-        self.heard = self.since = loop.now()     # the last that came whole; that, or when it was asked since
+        # the last that came whole; when it was asked; the later of the two
+        self.heard = self.began = self.since = loop.now()
         self.move(where)
 
     def move(self, where):
@@ -32,7 +33,7 @@
     def ask(self):
         self.cut()
         self.asked += 1
-        self.since = self.loop.now()
+        self.began = self.since = self.loop.now()
         self.timer = self.loop.after(SILENCE, self.quiet)
         self.connecting = connect(self.loop, self.where, CONNECT, self.connected)
 
@@ -47,7 +48,6 @@
                           b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last))
 
     def bytes(self, data):
-        self.pause = FIRST
         reader, before = self.reader, self.reader.whole
         try:
             events = reader.feed(data)
@@ -56,6 +56,8 @@
             self.again()
         if reader.whole != before:
             self.heard = self.since = self.loop.now()
+            if self.heard >= self.began + LONGEST:
+                self.pause = FIRST       # it has lasted; a head alone tells nothing
         for event in events:
             if event.seq <= self.last:
                 continue                 # written twice
@@ -63,7 +65,7 @@
                 self.gap = self.last     # something is missing: asked for once
                 self.again()
                 return
-            self.last = event.seq
+            self.last, self.pause = event.seq, FIRST
             self.told(event)
 
     def quiet(self):
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -3,6 +3,7 @@
 
 import pytest
 from gaproute.discovery.changelog import events
+from gaproute.discovery.changelog import follow as following
 from gaproute.standins.platform import event, parties, sse
 from helpers import makers
 from scripted import MILLI, SECOND, Followed, Handed
@@ -60,6 +61,20 @@
     assert made.log.came == [1]
 
 
+@pytest.mark.parametrize("head", [
+    b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", b"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno",
+    b"HTTP/1.1 307 There\r\nLocation: http://127.0.0.1:9/\r\nContent-Length: 0\r\n\r\n", b"SSH-2.0-x\r\n",
+    CHUNKED + b"0\r\n\r\n",
+], ids=["503", "404", "redirect", "no HTTP", "an end at once"])
+def test_answers_that_tell_nothing_are_asked_less_and_less_often_and_never_given_up(follow, head):
+    made = follow(lambda last: b"", last=1, head=head)
+    made.passes(4 * SECOND)
+    assert 8 <= len(made.log.came) <= 20
+    made.log.head, made.log.script = HEAD, lambda last: sse(TWO)
+    made.passes(following.LONGEST + 20 * MILLI)
+    assert made.told == [2]
+
+
 def test_a_chunked_answer_that_ends_is_asked_again_at_once(follow):
     part = sse(TWO)
     made = follow(lambda last: b"%x\r\n%b\r\n0\r\n\r\n" % (len(part), part) if last == 1 else b"", last=1,
