A wrong event or member of the list costs itself alone, and no endless asking

Seen: one member with a field of a wrong type made the whole event Broken; it was asked for again for ever, and what stood behind it never came. The same with an event that is no JSON. An error raised by `told` left the events behind it in the same bytes untold until a later one showed the gap. Ruled out: a member with an unknown phase or address, which was passed over.

Members are read one by one, numbers also as strings, a size that is no finite number as none. An event that cannot be read is asked for once, like one that is missing, and then done without; those behind it are read. Each event is told under the loop's guard. A wrong member among the events of the start no longer keeps the process from starting.

Of the tests three fail without it.

--- a/gaproute/discovery/changelog/events.py
+++ b/gaproute/discovery/changelog/events.py
@@ -1,4 +1,5 @@
 """Server-sent events out of an HTTP answer, and host lists out of events; never touches a socket."""
+import math
 import time
 
 import httptools
@@ -28,7 +29,7 @@
 
 
 class Fleet(msgspec.Struct):
-    members: list[Member]
+    members: list[msgspec.Raw]       # each is read by itself: a wrong one must not spoil the others
     complete: bool = False
     revision: int | str | None = None
 
@@ -40,14 +41,17 @@
 
 class Known(msgspec.Struct):
     seq: int = 0
-    results: list[Event] = []
+    results: list = []
 
 
-_event = msgspec.json.Decoder(Event).decode
+# a number may come as a string
+_event = msgspec.json.Decoder(Event, strict=False).decode
+_member = msgspec.json.Decoder(Member, strict=False).decode
 
 
 class Reader:
-    """Feed bytes of the answer; take the events that became whole. A comment is a sign of life alone.
+    """Feed bytes of the answer; take the events that became whole, None for one that cannot be read. A
+    comment is a sign of life alone.
 
     `whole` counts what came to its end: the head, a comment, an event. `size` is the bytes since then, of
     what has not: an answer without an end must neither fill the memory nor pass for a sign of life.
@@ -87,8 +91,8 @@
         if data:
             try:
                 self.events.append(_event(data))
-            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
-                raise Broken(f"an event cannot be read: {fault}") from None
+            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+                self.events.append(None)
         self.whole += 1
 
     def feed(self, data):
@@ -124,18 +128,18 @@
         rows = []
         for member in fleet.members:
             try:
-                address(member.host_port)
-                rows.append(self.row(member))
-            except (ValueError, KeyError, OverflowError):
+                rows.append(self.row(_member(member)))
+            except (ValueError, KeyError, OverflowError, RecursionError):    # msgspec's are a ValueError
                 self.refused += 1
         return rows
 
     def row(self, member):
+        address(member.host_port)
         zone = self.zones.setdefault(member.locality, len(self.zones))
         cell = member.cell if isinstance(member.cell, int) \
             else self.cells.setdefault(member.cell, len(self.cells))
         state = STATES[member.phase]
-        size = member.size if member.size is not None and member.size > 0 else 1.0
+        size = member.size if 0 < (member.size or 0) < math.inf else 1.0
         started = self.started(member.id, int(member.up_since_ms or 0))
         if state is State.GONE:
             self.starts.pop(member.id, None)
@@ -154,5 +158,6 @@
 
 def known(told):
     """(number of the last event, events) of the start. Errors: msgspec.ValidationError."""
-    told = msgspec.convert(told, Known)
-    return max([told.seq] + [event.seq for event in told.results]), told.results
+    told = msgspec.convert(told, Known, strict=False)
+    results = [_event(msgspec.json.encode(result)) for result in told.results]
+    return max([told.seq] + [event.seq for event in results]), results
--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -59,14 +59,16 @@
             if self.heard >= self.began + LONGEST:
                 self.pause = FIRST       # it has lasted; a head alone tells nothing
         for event in events:
-            if event.seq <= self.last:
+            if event is not None and event.seq <= self.last:
                 continue                 # written twice
-            if event.seq > self.last + 1 and not event.fleet.complete and self.gap != self.last:
-                self.gap = self.last     # something is missing: asked for once
+            missing = event is None or (event.seq > self.last + 1 and not event.fleet.complete)
+            if missing and self.gap != self.last:
+                self.gap = self.last     # or cannot be read: asked for once, then done without
                 self.again()
                 return
-            self.last, self.pause = event.seq, FIRST
-            self.told(event)
+            if event is not None:
+                self.last, self.pause = event.seq, FIRST
+                self.loop.guard(self.told, event)
 
     def quiet(self):
         """Bytes alone are no sign of life: a trickle without an end would keep the connection for ever."""
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -101,6 +101,40 @@
     assert made.told == [3, 6] and made.log.came == [1, 1, 3]
 
 
+def test_an_error_in_what_is_told_costs_that_event_alone(follow):
+    made = follow(lambda last: sse(TWO) + sse(THREE), last=1)
+    made.loop.on_error = lambda error: None
+    tell = made.follower.told
+
+    def told(each):
+        if each.seq == 2:
+            raise KeyError(2)
+        tell(each)
+
+    made.follower.told = told
+    made.passes(100 * MILLI)
+    assert made.told == [3]
+
+
+def test_an_event_that_nobody_can_read_is_asked_for_once_and_passed_over(follow):
+    made = follow(lambda last: (b"data: {broken\n\n" + sse(THREE)) if last == 1 else b"", last=1)
+    made.passes(SECOND)
+    assert made.told == [3] and made.log.came == [1, 1]
+
+
+def test_one_wrong_member_spoils_neither_the_others_nor_the_number(follow):
+    told = event(2, *[(f"s-{place}", f"127.0.0.1:{place}", "Ready") for place in (1, 2, 3)])
+    told["fleet"]["members"][0]["host_port"] = 5
+    told["fleet"]["members"][1]["size"] = "4"
+    seen = []
+    made = follow(lambda last: sse(told) if last == 1 else b"", last=1)
+    made.follower.told = seen.append
+    made.passes(SECOND)
+    assert made.log.came == [1] and made.follower.last == 2
+    rows = events.Lister(made.loop, []).rows(seen[0].fleet)
+    assert [row.listed.worker for row in rows] == ["s-2", "s-3"]
+
+
 @pytest.mark.parametrize("head,piece", [
     (ENDLESS, b"a"), (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"), (HEAD, b"data:\n"), (HEAD, b"a"),
     (HEAD, b"data: a\n:\n"), (CHUNKED + b"1;", b"a"),
