A dial that found no descriptor and was given up does not start a second one

Seen: with no descriptor left `connect` tells its failure in the next turn and cannot be given up. When the address moved in between, `Follower.connected` took the late failure for that of the new dial, forgot it and asked once more: the log had two connections of one follower, of which one was read into nothing and never closed. Ruled out, each with a test: a move in mid-dial, to an address that refuses, while a pause runs, and back to the first; no descriptor without a move; an error as a connection comes up (asked again after the silence).

The failure is heeded only for the dial that is under way. The test of it fails without.

--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -1,4 +1,6 @@
 """Follows the log: one connection, asked again from the last number whenever it breaks or falls silent."""
+from functools import partial
+
 from gaproute.discovery.changelog.events import Broken, Reader
 from gaproute.loop import Stream, connect
 from gaproute.loop.streams import address
@@ -35,9 +37,11 @@
         self.asked += 1
         self.began = self.since = self.loop.now()
         self.timer = self.loop.after(SILENCE, self.quiet)
-        self.connecting = connect(self.loop, self.where, CONNECT, self.connected)
+        self.connecting = connect(self.loop, self.where, CONNECT, partial(self.connected, self.asked))
 
-    def connected(self, sock, error):
+    def connected(self, number, sock, error):
+        if number != self.asked or self.connecting is None:
+            return       # a dial that found no descriptor tells so even when it was given up meanwhile
         self.connecting = None
         if error is not None:
             self.again()
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -62,7 +62,7 @@
 def test_members_become_rows_in_the_modules_terms():
     loop = Loop(lambda: 50 * SECOND)
     lister = events.Lister(loop, ["hall-b", "hall-a"], lambda: 1_000 * SECOND)
-    told = event(1, ("s-1", "127.0.0.1:5", "Ready"), ("s-2", "nowhere", "Ready"), ("s-3", "127.0.0.1:6", "No"))
+    told = event(1, ("s-1", "127.0.0.1:5", "Ready"), ("s-2", "nowhere", "Ready"), ("s-3", "127.0.0.1:6", "X"))
     told["fleet"]["members"][0]["up_since_ms"] = 990_000
     row, = lister.rows(events.known({"results": [told]})[1][0].fleet)
     assert (row.listed.worker, row.listed.zone, row.listed.cell, row.where) == ("s-1", 1, 2, "127.0.0.1:5")
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -1,12 +1,13 @@
 """The list's way in falls silent, breaks and jumps: forced by the order of bytes, on a handed clock."""
+import resource
 import time
 
 import pytest
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
-from gaproute.standins.platform import event, parties, sse
+from gaproute.standins.platform import ChangeLog, event, parties, sse
 from helpers import makers
-from scripted import MILLI, SECOND, Followed, Handed
+from scripted import MILLI, SECOND, Followed, Handed, HeldDials
 
 ONE = event(1, ("s-1", "127.0.0.1:5", "Ready"), complete=True)
 TWO = event(2, ("s-1", "127.0.0.1:5", "Terminating"))
@@ -153,3 +154,73 @@
     got = [each for at in range(len(data)) for each in reader.feed(data[at:at + 1])]
     assert len(got[0].fleet.members) == 1024
     assert time.process_time() - began < 2        # 0.2 s; looked through anew with each piece it took 6 s
+
+
+@pytest.fixture
+def other(follow):
+    """(a follower that has heard 1, an address that refuses, another log that goes on)."""
+    made = follow(lambda last: sse(ONE) if last == 0 else b"")
+    made.until(lambda: made.told)
+    away, log = ChangeLog(made.loop), ChangeLog(made.loop, lambda last: sse(TWO))
+    away.close()
+    yield made, away.address, log
+    log.close()
+
+
+def test_an_address_that_moves_in_mid_dial_and_while_a_pause_runs_and_back_is_followed(other, monkeypatch):
+    made, refuses, log = other
+    dials = HeldDials()
+    monkeypatch.setattr(following, "connect", dials)
+    made.follower.move(log.address)
+    made.follower.move(refuses)
+    made.follower.move(made.log.address)
+    made.follower.move(log.address)
+    assert dials.waiting == 1
+    dials.passing = True
+    made.follower.move(refuses)
+    made.passes(following.SILENCE)
+    assert made.follower.stream is None and made.follower.timer.call is not None
+    made.follower.move(log.address)
+    dials.let()
+    made.passes(100 * MILLI)
+    assert made.told == [1, 2] and log.came == [1]
+    made.follower.move(made.log.address)
+    made.passes(100 * MILLI)
+    assert made.log.came == [0, 2] and not any(stream.open for stream in log.streams)
+
+
+def test_no_descriptor_for_a_dial_that_is_given_up_leaves_one_connection(other):
+    made, refuses, log = other
+    _, most = limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (3, most))
+    try:
+        made.follower.move(refuses)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    made.follower.move(log.address)
+    made.passes(200 * MILLI)
+    assert made.told == [1, 2] and log.came == [1]
+
+
+def test_no_descriptor_is_asked_again(other):
+    made, _, log = other
+    _, most = limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (3, most))
+    try:
+        made.follower.move(log.address)
+        made.passes(SECOND)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    made.passes(following.LONGEST)
+    assert made.told == [1, 2]
+
+
+def test_an_error_when_a_connection_comes_up_is_asked_again(other, monkeypatch):
+    made, _, log = other
+    made.loop.on_error = lambda error: None
+    with monkeypatch.context() as patch:
+        patch.setattr(following, "Stream", None)
+        made.follower.move(log.address)
+        made.passes(100 * MILLI)
+    made.passes(following.SILENCE)
+    assert made.told == [1, 2]
