--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -5,6 +5,7 @@
 import pytest
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
+from gaproute.loop import connect
 from gaproute.standins.platform import ChangeLog, event, parties, sse
 from helpers import makers
 from scripted import MILLI, SECOND, Followed, Handed, HeldDials
@@ -224,3 +225,21 @@
         made.passes(100 * MILLI)
     made.passes(following.SILENCE)
     assert made.told == [1, 2]
+
+
+def test_three_dials_into_nothing_after_a_silence_leave_the_news_within_four_seconds(follow, monkeypatch):
+    made = follow(lambda last: b":\n\n" if len(made.log.came) == 1 else sse(TWO), last=1)
+    made.passes(SECOND)
+    made.log.streams[0].write(b":\n\n")
+    made.passes(10 * MILLI)
+    dials = []
+
+    def dial(loop, where, within, done):
+        dials.append(where)
+        if len(dials) > 3:
+            return connect(loop, where, within, done)
+        return loop.after(within, done, None, TimeoutError()).cancel
+
+    monkeypatch.setattr(following, "connect", dial)
+    made.passes(4 * SECOND - 20 * MILLI)
+    assert made.told == [2] and len(dials) == 4
