What the lister keeps of a host goes with it; a wrong member leaves its host as it was

Seen: the start time of a host that a whole list no longer names was kept for ever (`Lister.starts` let go of those told as Gone alone). A known host whose member in a whole list cannot be read (an address or phase of a new kind) fell out of the list. A start that is no number cost the host its place. Ruled out: starts in seconds, in microseconds, beyond any clock and below zero, which make a host old, or one just started, and no more; a start that is told again, which is converted once.

The lister keeps one row for each host, and its start as told; a whole list and Gone let it go, and a member that cannot be read has the row that was. Names of zones and cells are still numbered for good: a name has some 100 bytes, and its number must not be given to another while a row holds it.

--- a/gaproute/discovery/changelog/events.py
+++ b/gaproute/discovery/changelog/events.py
@@ -25,7 +25,11 @@
     locality: str | int = ""
     cell: int | str = 0
     size: float | None = 1.0
-    up_since_ms: int | float | None = 0
+    up_since_ms: float | None = 0
+
+
+class Name(msgspec.Struct):
+    id: str
 
 
 class Fleet(msgspec.Struct):
@@ -47,6 +51,7 @@
 # a number may come as a string
 _event = msgspec.json.Decoder(Event, strict=False).decode
 _member = msgspec.json.Decoder(Member, strict=False).decode
+_name = msgspec.json.Decoder(Name).decode
 
 
 class Reader:
@@ -116,44 +121,54 @@
     """Members as rows. Zones and cells that are not numbers are numbered as they are first named.
 
     Start times come by the wall clock and leave by the loop's; each is converted once, so that a wall clock
-    that is set does not look like a restart.
+    that is set does not look like a restart. A member that cannot be read leaves its host as it was: a whole
+    list must not lose it. What is kept of a host goes with it.
     """
 
     def __init__(self, loop, zones, wall=time.time_ns):
         self.loop, self.wall = loop, wall
         self.zones = {name: number for number, name in enumerate(zones)}
-        self.cells, self.starts, self.refused = {}, {}, 0
+        self.cells, self.refused = {}, 0
+        self.hosts = {}          # id: (its start as it was told, its row)
 
     def rows(self, fleet):
-        rows = []
-        for member in fleet.members:
-            try:
-                rows.append(self.row(_member(member)))
-            except (ValueError, KeyError, OverflowError, RecursionError):    # msgspec's are a ValueError
-                self.refused += 1
+        rows = [row for row in map(self.read, fleet.members) if row is not None]
+        if fleet.complete:
+            self.hosts = {row.listed.worker: self.hosts[row.listed.worker] for row in rows
+                          if row.listed.worker in self.hosts}
         return rows
 
+    def read(self, raw):
+        try:
+            return self.row(_member(raw))
+        except (ValueError, KeyError, RecursionError):       # msgspec's are a ValueError
+            self.refused += 1
+        try:
+            return self.hosts[_name(raw).id][1]
+        except (ValueError, KeyError, RecursionError):
+            return None
+
     def row(self, member):
         address(member.host_port)
+        state = STATES[member.phase]
         zone = self.zones.setdefault(member.locality, len(self.zones))
         cell = member.cell if isinstance(member.cell, int) \
             else self.cells.setdefault(member.cell, len(self.cells))
-        state = STATES[member.phase]
         size = member.size if 0 < (member.size or 0) < math.inf else 1.0
-        started = self.started(member.id, int(member.up_since_ms or 0))
+        told = int(member.up_since_ms) if 0 < (member.up_since_ms or 0) < math.inf else 0
+        row = Row(Listed(member.id, zone, cell, state, size, self.started(member.id, told)), member.host_port)
+        self.hosts[member.id] = told, row
         if state is State.GONE:
-            self.starts.pop(member.id, None)
-        return Row(Listed(member.id, zone, cell, state, size, started), member.host_port)
+            del self.hosts[member.id]
+        return row
 
     def started(self, name, told):
-        if told <= 0:
-            self.starts.pop(name, None)
+        if told == 0:
             return None
-        known = self.starts.get(name)
-        if known is None or known[0] != told:
-            age = max(0, self.wall() - told * MILLI)     # a start in the future is one just now
-            known = self.starts[name] = (told, self.loop.now() - age)
-        return known[1]
+        known = self.hosts.get(name)
+        if known is not None and known[0] == told:
+            return known[1].listed.started
+        return self.loop.now() - max(0, self.wall() - told * MILLI)     # one in the future is one just now
 
 
 def known(told):
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -5,7 +5,7 @@
 import pytest
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
-from gaproute.loop import connect
+from gaproute.loop import Loop, connect
 from gaproute.standins.platform import ChangeLog, event, parties, sse
 from helpers import makers
 from scripted import MILLI, SECOND, Followed, Handed, HeldDials
@@ -243,3 +243,46 @@
     monkeypatch.setattr(following, "connect", dial)
     made.passes(4 * SECOND - 20 * MILLI)
     assert made.told == [2] and len(dials) == 4
+
+
+def listed(lister, *members, complete=False, **told):
+    """What the lister makes of members, by id; `told` is in each of them."""
+    change = event(1, *members, complete=complete)
+    for member in change["fleet"]["members"]:
+        member.update(told)
+    return {row.listed.worker: row for row in lister.rows(events.known({"results": [change]})[1][0].fleet)}
+
+
+@pytest.fixture
+def lister():
+    loop = Loop(lambda: 50 * SECOND)
+    yield events.Lister(loop, ["hall-a"], lambda: 1_000_000 * SECOND)
+    loop.close()
+
+
+@pytest.mark.parametrize("since,started", [
+    (0, None), (-5, None), (None, None), ("nan", None), ("999999000", 49 * SECOND),
+    (999_999_000.0, 49 * SECOND), (10 ** 15, 50 * SECOND), (10 ** 300, 50 * SECOND),
+    (1_000_000, (50 + 1000 - 1_000_000) * SECOND),
+], ids=str)
+def test_a_start_that_makes_no_sense_does_no_harm(lister, since, started):
+    row = listed(lister, ("s-1", "127.0.0.1:5", "Ready"), up_since_ms=since)["s-1"]
+    assert row.listed.started == started
+
+
+def test_what_is_kept_of_a_host_goes_with_it(lister):
+    hosts = [(f"s-{place}", f"127.0.0.1:{place}", "Ready") for place in range(1, 4)]
+    first = listed(lister, *hosts, up_since_ms=999_999_000)
+    lister.wall = lambda: 2_000_000 * SECOND
+    assert listed(lister, *hosts, up_since_ms=999_999_000) == first
+    assert listed(lister, hosts[0], up_since_ms=1_999_999_000)["s-1"].listed.started == 49 * SECOND
+    listed(lister, ("s-1", "127.0.0.1:1", "Gone"))
+    listed(lister, hosts[1], complete=True)
+    assert list(lister.hosts) == ["s-2"]
+
+
+def test_a_member_that_cannot_be_read_leaves_its_host_as_it_was(lister):
+    first = listed(lister, ("s-1", "127.0.0.1:1", "Ready"), complete=True)
+    for wrong in (("s-1", 5, "Ready"), ("s-1", "nowhere", "Ready"), ("s-1", "127.0.0.1:1", "Odd")):
+        assert listed(lister, wrong, ("s-7", "127.0.0.1:7", None), complete=True) == {"s-1": first["s-1"]}
+    assert lister.refused == 6
