A log that begins anew is followed from its new numbers

Seen: a log that restarts with lower numbers was passed over until it had caught up with the last one had: every event with `seq <= last` counted as written twice, a whole list too, and the list of hosts never changed again. Ruled out: an old event, a doubled one, and a whole list among others, which must be passed over still.

A whole list at a number that was had, first on a connection, and another than the one had under that number, says that the log began anew: it is taken and counted from. Lists are known again by a mark of what their members say, whatever the writing and order, those of the start as well. Status lines say `log_anew`, and `log_asked` and `members_refused` with it.

Tests fail without each part: that it is first, that it differs, and that it is taken.

--- a/gaproute/discovery/changelog/events.py
+++ b/gaproute/discovery/changelog/events.py
@@ -1,6 +1,8 @@
 """Server-sent events out of an HTTP answer, and host lists out of events; never touches a socket."""
 import math
 import time
+import zlib
+from typing import Any
 
 import httptools
 import msgspec
@@ -35,7 +37,12 @@
 class Fleet(msgspec.Struct):
     members: list[msgspec.Raw]       # each is read by itself: a wrong one must not spoil the others
     complete: bool = False
-    revision: int | str | None = None
+    revision: Any = None
+
+    def mark(self):
+        """The same for the same list, however it is written and in whatever order."""
+        members = sorted(map(_plain, self.members))
+        return zlib.crc32(b"\n".join([msgspec.json.encode([self.complete, self.revision]), *members]))
 
 
 class Event(msgspec.Struct):
@@ -54,6 +61,13 @@
 _name = msgspec.json.Decoder(Name).decode
 
 
+def _plain(raw):
+    try:
+        return msgspec.json.encode(_member(raw))
+    except (ValueError, RecursionError):
+        return bytes(raw)
+
+
 class Reader:
     """Feed bytes of the answer; take the events that became whole, None for one that cannot be read. A
     comment is a sign of life alone.
--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -11,16 +11,25 @@
 CONNECT = 500 * MILLI    # for a connection: many round trips, and several tries within that time
 FIRST = 20 * MILLI       # before it is asked again; doubled with each try that told nothing
 LONGEST = 500 * MILLI    # between tries: told or not, its news counts as told soon after
+WHOLE = 1024             # whole lists that are known again, by some bytes each: usually there is one
 
 
 class Follower:
-    """`told(event)` for each new event, in order."""
+    """`told(event)` for each new event, in order. `known`: the events up to `last`.
 
-    def __init__(self, loop, where, last, told, chance):
+    `anew` counts how often the log began anew: what it told would be passed over for ever as had before. An
+    event written twice must not pass for that: only a whole list does, first on a connection, that is not
+    the one had under its number. A log that begins anew with less is not noticed.
+    """
+
+    def __init__(self, loop, where, last, told, chance, known=()):
         self.loop, self.told, self.last, self.chance = loop, told, last, chance
         self.where = self.text = None
         self.stream = self.connecting = self.timer = self.reader = None
         self.pause, self.asked, self.gap = FIRST, 0, None
+        self.lists, self.fresh, self.anew = {}, False, 0
+        for event in known:
+            self.note(event)
         # the last that came whole; when it was asked; the later of the two
         self.heard = self.began = self.since = loop.now()
         self.move(where)
@@ -46,7 +55,7 @@
         if error is not None:
             self.again()
             return
-        self.reader = Reader()
+        self.reader, self.fresh = Reader(), True
         self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again())
         self.stream.write(b"GET /changes HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
                           b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last))
@@ -63,16 +72,27 @@
             if self.heard >= self.began + LONGEST:
                 self.pause = FIRST       # it has lasted; a head alone tells nothing
         for event in events:
-            if event is not None and event.seq <= self.last:
-                continue                 # written twice
-            missing = event is None or (event.seq > self.last + 1 and not event.fleet.complete)
-            if missing and self.gap != self.last:
-                self.gap = self.last     # or cannot be read: asked for once, then done without
-                self.again()
-                return
-            if event is not None:
-                self.last, self.pause = event.seq, FIRST
-                self.loop.guard(self.told, event)
+            first, self.fresh = self.fresh, False
+            if event is None or (event.seq > self.last + 1 and not event.fleet.complete):
+                if self.gap != self.last:
+                    self.gap = self.last     # missing, or cannot be read: asked for once, then done without
+                    self.again()
+                    return
+                if event is None:
+                    continue
+            elif event.seq <= self.last:
+                if not (first and event.fleet.complete and self.lists.get(event.seq) != event.fleet.mark()):
+                    continue                 # written twice
+                self.anew += 1
+            self.last, self.pause = event.seq, FIRST
+            self.note(event)
+            self.loop.guard(self.told, event)
+
+    def note(self, event):
+        if event.fleet.complete:
+            self.lists[event.seq] = event.fleet.mark()
+            if len(self.lists) > WHOLE:
+                del self.lists[min(self.lists)]
 
     def quiet(self):
         """Bytes alone are no sign of life: a trickle without an end would keep the connection for ever."""
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -64,7 +64,8 @@
         last, known = events.known(self.charter.known)
         for event in known:
             self.told(event)
-        self.follower = Follower(self.loop, self.charter.changelog, last, self.told, Chance(self.seed + 1))
+        self.follower = Follower(self.loop, self.charter.changelog, last, self.told, Chance(self.seed + 1),
+                                 known)
         self.log.info("started", name=self.name, listen=self.front.address, hosts=len(self.hosts.hosts),
                       sockets=self.sockets, clients=Lot.of(self.loop).door.most, to_hosts=self.hosts.room,
                       limits=self.charter.limits, reported=self.site.reported,
@@ -148,6 +149,9 @@
                       reused=hosts.reused, doubled=hosts.doubled, spoilt=hosts.spoilt, strays=hosts.strays,
                       late_turns=self.loop.late_turns, descriptors=len(os.listdir("/proc/self/fd")),
                       memory_mb=memory(), cpu_s=round(sum(os.times()[:2]), 2),
+                      members_refused=self.lister.refused,
+                      log_asked=self.follower.asked if self.follower else 0,
+                      log_anew=self.follower.anew if self.follower else 0,
                       log_seq=self.follower.last if self.follower else 0,
                       log_silent_ms=(self.loop.now() - self.follower.heard) // MILLI if self.follower else 0)
         self.loop.after(STATUS, self.status)
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,5 +1,5 @@
-"""The platform's gateway with scripted peers on loopback: a host, a client and a change log that speak, stall,
-half-close and reset byte for byte as a test tells them, on a clock that the test may hold."""
+"""The platform's gateway with scripted peers on loopback: a host, a client and a change log that speak,
+stall, half-close and reset byte for byte as a test tells them, on a clock that the test may hold."""
 import json
 import socket
 
@@ -80,12 +80,12 @@
 class Followed:
     """A follower and the log it asks. `told`: the numbers it passed on."""
 
-    def __init__(self, script, last=0, clock=None, **log):
+    def __init__(self, script, last=0, clock=None, known=(), **log):
         self.clock = clock
         self.loop, self.told = Loop(clock) if clock else Loop(), []
         self.log = ChangeLog(self.loop, script, **log)
         self.follower = Follower(self.loop, self.log.address, last, lambda each: self.told.append(each.seq),
-                                 Chance(1))
+                                 Chance(1), known)
 
     def until(self, condition):
         turn_until(self.loop, condition)
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -77,7 +77,8 @@
 
 
 def test_it_asks_from_the_last_number_and_passes_over_what_is_written_twice(follow):
-    made = follow(lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE), last=1)
+    made = follow(lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE), last=1,
+                  known=events.known({"results": [ONE]})[1])
     made.until(lambda: made.told)
     assert made.log.came == [1] and made.told == [2]
 
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -1,4 +1,5 @@
 """The list's way in falls silent, breaks and jumps: forced by the order of bytes, on a handed clock."""
+import json
 import resource
 import time
 
@@ -227,6 +228,34 @@
     assert made.told == [1, 2]
 
 
+AGAIN = event(1, ("s-9", "127.0.0.1:9", "Ready"), complete=True)
+
+
+@pytest.mark.parametrize("first,told", [
+    (sse(AGAIN) + sse(TWO), [1, 2]), (sse(ONE) + sse(AGAIN) + sse(event(42)), [42]),
+    (sse(TWO) + sse(AGAIN), []), (sse(event(1, ("s-1", "127.0.0.1:5", "Gone"))), []),
+], ids=["a list that differs", "one had and then one", "a change and then one", "no whole list"])
+def test_a_log_that_begins_anew_is_told_from_one_that_writes_twice(follow, first, told):
+    known = events.known({"results": [ONE]})[1]
+    made = follow(lambda last: first if last == 41 else b"", last=41, known=known)
+    made.passes(SECOND)
+    assert made.told == told and made.follower.anew == told.count(1)
+    made.log.streams[-1].abort()
+    made.passes(SECOND)
+    assert made.log.came[-1] == (told or [41])[-1] and made.told == told
+
+
+def test_a_list_had_before_is_known_again_however_it_is_written(follow):
+    twice = event(1, ("s-2", "127.0.0.1:6", "Ready"), ("s-1", "127.0.0.1:5", "Ready"), complete=True)
+    other = json.loads(json.dumps(twice, sort_keys=True))
+    other["fleet"]["members"].reverse()
+    made = follow(lambda last: sse(other) if made.follower.last else sse(twice))
+    made.passes(SECOND)
+    made.log.streams[-1].abort()
+    made.passes(SECOND)
+    assert made.told == [1] and made.log.came == [0, 1] and made.follower.anew == 0
+
+
 def test_three_dials_into_nothing_after_a_silence_leave_the_news_within_four_seconds(follow, monkeypatch):
     made = follow(lambda last: b":\n\n" if len(made.log.came) == 1 else sse(TWO), last=1)
     made.passes(SECOND)
@@ -286,3 +315,18 @@
     for wrong in (("s-1", 5, "Ready"), ("s-1", "nowhere", "Ready"), ("s-1", "127.0.0.1:1", "Odd")):
         assert listed(lister, wrong, ("s-7", "127.0.0.1:7", None), complete=True) == {"s-1": first["s-1"]}
     assert lister.refused == 6
+
+
+def test_a_gateway_is_up_while_its_log_says_nothing_and_takes_one_that_begins_anew(gate):
+    made = gate(clock=Handed(), hosts=2)
+    made.log.head = b""
+    client = made.client()
+    client.message({"jsonrpc": "2.0", "id": 1, "method": "ping"})
+    made.until(lambda: client.answers)
+    assert client.answers[0]["result"] == {"up": True} and made.process.follower.last == 1
+    made.log.head = HEAD + sse(event(1, ("s-1", made.hosts[1].address, "Ready"), complete=True))
+    made.passes(following.SILENCE)
+    made.passes(following.FIRST)
+    assert list(made.process.hosts.hosts) == ["s-1"] and made.process.follower.anew == 1
+    made.process.status()
+    assert made.lines[-1][1]["log_anew"] == 1
