Whatever a log does, a timer stands that asks again; a file's start goes with its line

Driven by steps in any order (a connection that comes up or does not, bytes of all kinds, an end, time, a move) the follower always has one timer that asks again within its silence: sound as it is now. The test fails without each of the three places that arm it.

The list file's start times were kept for ever as well (`Listing.starts`): a line that is gone now takes its own along. Its test fails without.

--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -14,7 +14,7 @@
     """Turns host lines into rows. Zones and racks are numbered in the order in which they are first named.
 
     Start times come by the wall clock and leave by the loop's. Each is converted once, so that a wall clock
-    that is set does not look like a restart.
+    that is set does not look like a restart; it goes with its host.
     """
 
     def __init__(self, loop, wall=time.time_ns, sizes=True):
@@ -22,7 +22,11 @@
         self.zones, self.racks, self.starts = {}, {}, {}
 
     def rows(self, lines):
-        return [self.row(line) for line in lines]
+        """Of a whole list."""
+        rows = [self.row(line) for line in lines]
+        named = {line.name for line in lines}
+        self.starts = {name: start for name, start in self.starts.items() if name in named}
+        return rows
 
     def row(self, line):
         zone = self.zones.setdefault(line.zone, len(self.zones))
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -4,11 +4,17 @@
 import time
 
 import pytest
+from gaproute.conf import read_hosts
+from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
+from gaproute.discovery.changelog.follow import Follower
+from gaproute.discovery.listing import Listing
 from gaproute.loop import Loop, connect
 from gaproute.standins.platform import ChangeLog, event, parties, sse
 from helpers import makers
+from hypothesis import given
+from hypothesis import strategies as st
 from scripted import MILLI, SECOND, Followed, Handed, HeldDials
 
 ONE = event(1, ("s-1", "127.0.0.1:5", "Ready"), complete=True)
@@ -330,3 +336,69 @@
     assert list(made.process.hosts.hosts) == ["s-1"] and made.process.follower.anew == 1
     made.process.status()
     assert made.lines[-1][1]["log_anew"] == 1
+
+
+def test_a_start_of_the_file_goes_with_its_line():
+    loop = Loop(lambda: 50 * SECOND)
+    made = Listing(loop, lambda: 100 * SECOND)
+    lines = read_hosts("l", "".join(f"host {name} 127.0.0.1:1 zone z rack r started 90\n" for name in "ab"))
+    assert [row.listed.started for row in made.rows(lines)] == [40 * SECOND] * 2
+    made.rows(lines[1:])
+    assert list(made.starts) == ["b"]
+    loop.close()
+
+
+class Fakes:
+    """Stands for the follower's `connect` and `Stream`: its steps without sockets."""
+
+    def __init__(self):
+        self.done = self.on_bytes = self.on_end = None
+
+    def connect(self, loop, where, within, done):
+        self.done, self.on_bytes = done, None
+        return lambda: setattr(self, "done", None)
+
+    def stream(self, loop, sock, on_bytes, on_end):
+        self.on_bytes, self.on_end = on_bytes, on_end
+        return self
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        self.on_bytes = None
+
+    def step(self, follower, step):
+        match step:
+            case bytes() if self.on_bytes:
+                self.on_bytes(step)
+            case "end" if self.on_bytes:
+                self.on_end(None)
+            case "up" | "down" if self.done:
+                done, self.done = self.done, None
+                done(None, OSError() if step == "down" else None)
+            case int():
+                follower.loop.clock.now += step
+                follower.loop.turn()
+            case tuple():
+                follower.move(step[0])
+
+
+STEPS = st.sampled_from(["up", "up", "down", "end", HEAD, HEAD, b":\n\n", HALF, sse(ONE), sse(TWO),
+                         sse(event(9)), b"data: {\n\n", b"HTTP/1.1 500 No\r\n\r\n", b"0\r\n\r\n", CHUNKED, 0, 30 * MILLI,
+                         following.CONNECT, following.SILENCE, ("127.0.0.1:1",), ("127.0.0.1:2",)])
+
+
+@given(st.lists(STEPS, max_size=30))
+def test_whatever_comes_a_timer_stands_that_asks_again(steps):
+    fakes, clock = Fakes(), Handed()
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(following, "connect", fakes.connect)
+        patch.setattr(following, "Stream", fakes.stream)
+        loop = Loop(clock)
+        made = Follower(loop, "127.0.0.1:1", 0, lambda each: None, Chance(1))
+        for step in steps:
+            fakes.step(made, step)
+            assert made.timer.call is not None and made.timer.when <= clock.now + following.SILENCE + SECOND
+            assert fakes.on_bytes is None or fakes.done is None
+        loop.close()
