Status says why the log was last asked again; a slow link's long list has time

A log that answers 503, ends, is mute or cannot be reached looked alike in the status lines: a silence. What has not ended must come at 64 kB/s in place of 256: a list of 1,024 hosts (200 kB) over a link of 100 kB/s would have been cut and asked for again for ever; a trickle is given up as before.

--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -7,7 +7,7 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SILENCE = 2 * SECOND     # two of its comments missing: what it has to tell counts as told after 4 s
-PACE = 256 << 10         # bytes a second at least, of what has not ended: a long list may take its time
+PACE = 64 << 10          # bytes a second at least, of what has not ended: a long list may take its time
 CONNECT = 500 * MILLI    # for a connection: many round trips, and several tries within that time
 FIRST = 20 * MILLI       # before it is asked again; doubled with each try that told nothing
 LONGEST = 500 * MILLI    # between tries: told or not, its news counts as told soon after
@@ -28,6 +28,7 @@
         self.stream = self.connecting = self.timer = self.reader = None
         self.pause, self.asked, self.gap = FIRST, 0, None
         self.lists, self.fresh, self.anew = {}, False, 0
+        self.fault = ""          # why it was asked again, the last time
         for event in known:
             self.note(event)
         # the last that came whole; when it was asked; the later of the two
@@ -53,10 +54,10 @@
             return       # a dial that found no descriptor tells so even when it was given up meanwhile
         self.connecting = None
         if error is not None:
-            self.again()
+            self.again(error)
             return
         self.reader, self.fresh = Reader(), True
-        self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again())
+        self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again(error or "closed"))
         self.stream.write(b"GET /changes HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
                           b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last))
 
@@ -64,9 +65,9 @@
         reader, before = self.reader, self.reader.whole
         try:
             events = reader.feed(data)
-        except Broken:
+        except Broken as fault:
             events = reader.events
-            self.again()
+            self.again(fault)
         if reader.whole != before:
             self.heard = self.since = self.loop.now()
             if self.heard >= self.began + LONGEST:
@@ -76,7 +77,7 @@
             if event is None or (event.seq > self.last + 1 and not event.fleet.complete):
                 if self.gap != self.last:
                     self.gap = self.last     # missing, or cannot be read: asked for once, then done without
-                    self.again()
+                    self.again(f"something is missing after {self.last}")
                     return
                 if event is None:
                     continue
@@ -99,13 +100,14 @@
         slow = self.reader.size * SECOND // PACE if self.stream is not None else 0
         left = self.since + SILENCE + slow - self.loop.now()
         if left <= 0:
-            self.again()
+            self.again("silent")
         else:
             self.timer = self.loop.after(left, self.quiet)
 
-    def again(self):
+    def again(self, why):
         """Asks once more in a moment, spread by chance so that gateways do not all ask at once."""
         self.cut()
+        self.fault = str(why)
         wait = self.pause // 2 + self.pause * self.chance.below(1024) // 2048
         self.pause = min(2 * self.pause, LONGEST)
         self.timer = self.loop.after(wait, self.ask)
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -152,6 +152,7 @@
                       members_refused=self.lister.refused,
                       log_asked=self.follower.asked if self.follower else 0,
                       log_anew=self.follower.anew if self.follower else 0,
+                      log_fault=self.follower.fault if self.follower else "",
                       log_seq=self.follower.last if self.follower else 0,
                       log_silent_ms=(self.loop.now() - self.follower.heard) // MILLI if self.follower else 0)
         self.loop.after(STATUS, self.status)
