--- a/gaproute/discovery/changelog/events.py
+++ b/gaproute/discovery/changelog/events.py
@@ -1,5 +1,8 @@
 """Server-sent events out of an HTTP answer, and host lists out of events; never touches a socket."""
+import math
 import time
+import zlib
+from typing import Any
 
 import httptools
 import msgspec
@@ -24,13 +27,22 @@
     locality: str | int = ""
     cell: int | str = 0
     size: float | None = 1.0
-    up_since_ms: int | float | None = 0
+    up_since_ms: float | None = 0
+
+
+class Name(msgspec.Struct):
+    id: str
 
 
 class Fleet(msgspec.Struct):
-    members: list[Member]
+    members: list[msgspec.Raw]       # each is read by itself: a wrong one must not spoil the others
     complete: bool = False
-    revision: int | str | None = None
+    revision: Any = None
+
+    def mark(self):
+        """The same for the same list, however it is written and in whatever order."""
+        members = sorted(map(_plain, self.members))
+        return zlib.crc32(b"\n".join([msgspec.json.encode([self.complete, self.revision]), *members]))
 
 
 class Event(msgspec.Struct):
@@ -40,51 +52,81 @@
 
 class Known(msgspec.Struct):
     seq: int = 0
-    results: list[Event] = []
+    results: list = []
+
+
+# a number may come as a string
+_event = msgspec.json.Decoder(Event, strict=False).decode
+_member = msgspec.json.Decoder(Member, strict=False).decode
+_name = msgspec.json.Decoder(Name).decode
 
 
-_event = msgspec.json.Decoder(Event).decode
+def _plain(raw):
+    try:
+        return msgspec.json.encode(_member(raw))
+    except (ValueError, RecursionError):
+        return bytes(raw)
 
 
 class Reader:
-    """Feed bytes of the answer; take the events that became whole. A comment is a sign of life alone."""
+    """Feed bytes of the answer; take the events that became whole, None for one that cannot be read. A
+    comment is a sign of life alone.
+
+    `whole` counts what came to its end: the head, a comment, an event. `size` is the bytes since then, of
+    what has not: an answer without an end must neither fill the memory nor pass for a sign of life.
+    """
 
     def __init__(self):
         self.parser = httptools.HttpResponseParser(self)
-        self.rest, self.data, self.size = b"", [], 0
+        self.rest, self.data = bytearray(), bytearray()
+        self.whole = self.size = 0
         self.events = []
 
     def on_headers_complete(self):
         if self.parser.get_status_code() != 200:
             raise Broken(f"status {self.parser.get_status_code()}")
+        self.whole += 1
+
+    def on_message_complete(self):
+        raise Broken("the answer has ended")
 
     def on_body(self, body):
-        *whole, self.rest = (self.rest + body).split(b"\n")
-        self.size += len(body)
-        if self.size > EVENT:
-            raise Broken("an event is too long")
-        for line in whole:
+        self.rest += body
+        if b"\n" not in body:            # a long line in many pieces is not looked through again with each
+            return
+        *lines, self.rest = self.rest.split(b"\n")
+        for line in lines:
             line = line.removesuffix(b"\r")
-            if line:
-                name, _, value = line.partition(b":")
-                if name == b"data":
-                    self.data.append(value.removeprefix(b" "))
-                continue
-            if self.data:
-                try:
-                    self.events.append(_event(b"\n".join(self.data)))
-                except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as fault:
-                    raise Broken(f"an event cannot be read: {fault}") from None
-            self.data = []
-            self.size = len(self.rest)
+            name, _, value = line.partition(b":")
+            if not line:
+                self.end()
+            elif name == b"data":
+                self.data += value + b"\n"
+            elif not name and not self.data:
+                self.whole += 1
+
+    def end(self):
+        data, self.data = self.data, bytearray()
+        if data:
+            try:
+                self.events.append(_event(data))
+            except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+                self.events.append(None)
+        self.whole += 1
 
     def feed(self, data):
         """Errors: Broken; what was whole before it stays in `events`."""
+        before = self.whole
+        self.size += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError as fault:
             cause = fault.__context__
             raise Broken(str(cause if isinstance(cause, Broken) else fault)) from None
+        if self.whole != before:
+            self.size = 0
+        if self.size > EVENT:
+            raise Broken("an event is too long")
         events, self.events = self.events, []
         return events
 
@@ -93,47 +135,58 @@
     """Members as rows. Zones and cells that are not numbers are numbered as they are first named.
 
     Start times come by the wall clock and leave by the loop's; each is converted once, so that a wall clock
-    that is set does not look like a restart.
+    that is set does not look like a restart. A member that cannot be read leaves its host as it was: a whole
+    list must not lose it. What is kept of a host goes with it.
     """
 
     def __init__(self, loop, zones, wall=time.time_ns):
         self.loop, self.wall = loop, wall
         self.zones = {name: number for number, name in enumerate(zones)}
-        self.cells, self.starts, self.refused = {}, {}, 0
+        self.cells, self.refused = {}, 0
+        self.hosts = {}          # id: (its start as it was told, its row)
 
     def rows(self, fleet):
-        rows = []
-        for member in fleet.members:
-            try:
-                address(member.host_port)
-                rows.append(self.row(member))
-            except (ValueError, KeyError, OverflowError):
-                self.refused += 1
+        rows = [row for row in map(self.read, fleet.members) if row is not None]
+        if fleet.complete:
+            self.hosts = {row.listed.worker: self.hosts[row.listed.worker] for row in rows
+                          if row.listed.worker in self.hosts}
         return rows
 
+    def read(self, raw):
+        try:
+            return self.row(_member(raw))
+        except (ValueError, KeyError, RecursionError):       # msgspec's are a ValueError
+            self.refused += 1
+        try:
+            return self.hosts[_name(raw).id][1]
+        except (ValueError, KeyError, RecursionError):
+            return None
+
     def row(self, member):
+        address(member.host_port)
+        state = STATES[member.phase]
         zone = self.zones.setdefault(member.locality, len(self.zones))
         cell = member.cell if isinstance(member.cell, int) \
             else self.cells.setdefault(member.cell, len(self.cells))
-        state = STATES[member.phase]
-        size = member.size if member.size is not None and member.size > 0 else 1.0
-        started = self.started(member.id, int(member.up_since_ms or 0))
+        size = member.size if 0 < (member.size or 0) < math.inf else 1.0
+        told = int(member.up_since_ms) if 0 < (member.up_since_ms or 0) < math.inf else 0
+        row = Row(Listed(member.id, zone, cell, state, size, self.started(member.id, told)), member.host_port)
+        self.hosts[member.id] = told, row
         if state is State.GONE:
-            self.starts.pop(member.id, None)
-        return Row(Listed(member.id, zone, cell, state, size, started), member.host_port)
+            del self.hosts[member.id]
+        return row
 
     def started(self, name, told):
-        if told <= 0:
-            self.starts.pop(name, None)
+        if told == 0:
             return None
-        known = self.starts.get(name)
-        if known is None or known[0] != told:
-            age = max(0, self.wall() - told * MILLI)     # a start in the future is one just now
-            known = self.starts[name] = (told, self.loop.now() - age)
-        return known[1]
+        known = self.hosts.get(name)
+        if known is not None and known[0] == told:
+            return known[1].listed.started
+        return self.loop.now() - max(0, self.wall() - told * MILLI)     # one in the future is one just now
 
 
 def known(told):
     """(number of the last event, events) of the start. Errors: msgspec.ValidationError."""
-    told = msgspec.convert(told, Known)
-    return max([told.seq] + [event.seq for event in told.results]), told.results
+    told = msgspec.convert(told, Known, strict=False)
+    results = [_event(msgspec.json.encode(result)) for result in told.results]
+    return max([told.seq] + [event.seq for event in results]), results
--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -1,23 +1,38 @@
 """Follows the log: one connection, asked again from the last number whenever it breaks or falls silent."""
+from functools import partial
+
 from gaproute.discovery.changelog.events import Broken, Reader
 from gaproute.loop import Stream, connect
 from gaproute.loop.streams import address
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SILENCE = 2 * SECOND     # two of its comments missing: what it has to tell counts as told after 4 s
+PACE = 64 << 10          # bytes a second at least, of what has not ended: 1,024 hosts come over 50 kB/s
 CONNECT = 500 * MILLI    # for a connection: many round trips, and several tries within that time
 FIRST = 20 * MILLI       # before it is asked again; doubled with each try that told nothing
 LONGEST = 500 * MILLI    # between tries: told or not, its news counts as told soon after
+WHOLE = 1024             # whole lists that are known again, by some bytes each: usually there is one
 
 
 class Follower:
-    """`told(event)` for each new event, in order."""
+    """`told(event)` for each new event, in order. `known`: the events up to `last`.
+
+    `anew` counts how often the log began anew: what it told would be passed over for ever as had before. An
+    event written twice must not pass for that: only a whole list does, first on a connection, that is not
+    the one had under its number. A log that begins anew with less is not noticed.
+    """
 
-    def __init__(self, loop, where, last, told, chance):
+    def __init__(self, loop, where, last, told, chance, known=()):
         self.loop, self.told, self.last, self.chance = loop, told, last, chance
         self.where = self.text = None
         self.stream = self.connecting = self.timer = self.reader = None
-        self.pause, self.heard, self.asked, self.gap = FIRST, loop.now(), 0, None
+        self.pause, self.asked, self.gap = FIRST, 0, None
+        self.lists, self.fresh, self.anew = {}, False, 0
+        self.fault = ""          # why it was asked again, the last time
+        for event in known:
+            self.note(event)
+        # the last that came whole; when it was asked; the later of the two
+        self.heard = self.began = self.since = loop.now()
         self.move(where)
 
     def move(self, where):
@@ -30,47 +45,69 @@
     def ask(self):
         self.cut()
         self.asked += 1
-        self.connecting = connect(self.loop, self.where, CONNECT, self.connected)
+        self.began = self.since = self.loop.now()
+        self.timer = self.loop.after(SILENCE, self.quiet)
+        self.connecting = connect(self.loop, self.where, CONNECT, partial(self.connected, self.asked))
 
-    def connected(self, sock, error):
+    def connected(self, number, sock, error):
+        if number != self.asked or self.connecting is None:
+            return       # a dial that found no descriptor tells so even when it was given up meanwhile
         self.connecting = None
         if error is not None:
-            self.again()
+            self.again(error)
             return
-        self.reader = Reader()
-        self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again())
+        self.reader, self.fresh = Reader(), True
+        self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again(error or "closed"))
         self.stream.write(b"GET /changes HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
                           b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last))
-        self.timer = self.loop.after(SILENCE, self.quiet)
 
     def bytes(self, data):
-        self.heard = self.loop.now()
-        self.pause = FIRST
+        reader, before = self.reader, self.reader.whole
         try:
-            events = self.reader.feed(data)
-        except Broken:
-            events, self.reader.events = self.reader.events, []
-            self.again()
+            events = reader.feed(data)
+        except Broken as fault:
+            events = reader.events
+            self.again(fault)
+        if reader.whole != before:
+            self.heard = self.since = self.loop.now()
+            if self.heard >= self.began + LONGEST:
+                self.pause = FIRST       # it has lasted; a head alone tells nothing
         for event in events:
-            if event.seq <= self.last:
-                continue                 # written twice
-            if event.seq > self.last + 1 and not event.fleet.complete and self.gap != self.last:
-                self.gap = self.last     # something is missing: asked for once
-                self.again()
-                return
-            self.last = event.seq
-            self.told(event)
+            first, self.fresh = self.fresh, False
+            if event is None or (event.seq > self.last + 1 and not event.fleet.complete):
+                if self.gap != self.last:
+                    self.gap = self.last     # missing, or cannot be read: asked for once, then done without
+                    self.again(f"something is missing after {self.last}")
+                    return
+                if event is None:
+                    continue
+            elif event.seq <= self.last:
+                if not (first and event.fleet.complete and self.lists.get(event.seq) != event.fleet.mark()):
+                    continue                 # written twice
+                self.anew += 1
+            self.last, self.pause = event.seq, FIRST
+            self.note(event)
+            self.loop.guard(self.told, event)
+
+    def note(self, event):
+        if event.fleet.complete:
+            self.lists[event.seq] = event.fleet.mark()
+            if len(self.lists) > WHOLE:
+                del self.lists[min(self.lists)]
 
     def quiet(self):
-        left = self.heard + SILENCE - self.loop.now()
+        """Bytes alone are no sign of life: a trickle without an end would keep the connection for ever."""
+        slow = self.reader.size * SECOND // PACE if self.stream is not None else 0
+        left = self.since + SILENCE + slow - self.loop.now()
         if left <= 0:
-            self.again()
+            self.again("silent")
         else:
             self.timer = self.loop.after(left, self.quiet)
 
-    def again(self):
+    def again(self, why):
         """Asks once more in a moment, spread by chance so that gateways do not all ask at once."""
         self.cut()
+        self.fault = str(why)
         wait = self.pause // 2 + self.pause * self.chance.below(1024) // 2048
         self.pause = min(2 * self.pause, LONGEST)
         self.timer = self.loop.after(wait, self.ask)
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -1,19 +1,16 @@
 """The log of changes: events out of bytes, and the one connection that follows it."""
 import json
 
-import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-
-from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
-from gaproute.discovery.changelog.follow import Follower
 from gaproute.interface import State
 from gaproute.loop import Loop
 from gaproute.standins.platform import ChangeLog, event, sse
-from helpers import makers, turn_until
+from helpers import makers
+from scripted import Followed
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -39,8 +36,13 @@
     assert [each.seq for each in reader.feed(HEAD + b"\r\n" + sse(ONE) + sse(TWO)[:-1])] == [1]
 
 
-@pytest.mark.parametrize("data", [b"HTTP/1.1 503 No\r\n\r\n", b"noise\r\n\r\n",
-                                  HEAD + b"\r\ndata: {\n\n", HEAD + b"\r\ndata: {\"seq\":\"x\"}\n\n"])
+@pytest.mark.parametrize("data", [b"{", b"{\"seq\":\"x\"}", b"{\"seq\":1,\"fleet\":5}", b"\xff", b"[" * 9999])
+def test_what_is_no_event_is_told_and_those_behind_it_are_read(data):
+    one, two = events.Reader().feed(HEAD + b"\r\ndata: " + data + b"\n\n" + sse(TWO))
+    assert one is None and two.seq == 2
+
+
+@pytest.mark.parametrize("data", [b"HTTP/1.1 503 No\r\n\r\n", b"noise\r\n\r\n"])
 def test_what_is_no_log_is_broken(data):
     with pytest.raises(events.Broken):
         events.Reader().feed(data)
@@ -60,39 +62,23 @@
 def test_members_become_rows_in_the_modules_terms():
     loop = Loop(lambda: 50 * SECOND)
     lister = events.Lister(loop, ["hall-b", "hall-a"], lambda: 1_000 * SECOND)
-    told = msgspec.convert(event(1, ("s-1", "127.0.0.1:5", "Ready"), ("s-2", "nowhere", "Ready"),
-                                 ("s-3", "127.0.0.1:6", "Odd")), events.Event)
-    told.fleet.members[0].up_since_ms = 990_000
-    row, = lister.rows(told.fleet)
+    told = event(1, ("s-1", "127.0.0.1:5", "Ready"), ("s-2", "nowhere", "Ready"), ("s-3", "127.0.0.1:6", "X"))
+    told["fleet"]["members"][0]["up_since_ms"] = 990_000
+    row, = lister.rows(events.known({"results": [told]})[1][0].fleet)
     assert (row.listed.worker, row.listed.zone, row.listed.cell, row.where) == ("s-1", 1, 2, "127.0.0.1:5")
     assert (row.listed.state, row.listed.capacity, row.listed.started) == (State.ACTIVE, 4.0, 40 * SECOND)
     assert lister.refused == 2
     loop.close()
 
 
-class Followed:
-    def __init__(self, script, last=0):
-        self.loop, self.told = Loop(), []
-        self.log = ChangeLog(self.loop, script)
-        self.follower = Follower(self.loop, self.log.address, last, lambda each: self.told.append(each.seq),
-                                 Chance(1))
-
-    def until(self, condition):
-        turn_until(self.loop, condition)
-
-    def close(self):
-        self.follower.close()
-        self.log.close()
-        self.loop.close()
-
-
 @pytest.fixture
 def follow():
     yield from makers(Followed)
 
 
 def test_it_asks_from_the_last_number_and_passes_over_what_is_written_twice(follow):
-    made = follow(lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE), last=1)
+    made = follow(lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE), last=1,
+                  known=events.known({"results": [ONE]})[1])
     made.until(lambda: made.told)
     assert made.log.came == [1] and made.told == [2]
 
