A paused stream sees the other side's end; what was said before a reset is read

Seen by probe: a stream that is not read (a client that takes no answers) was watched for nothing, so a half-close was told only once reading went on, and its tasks stayed. And where a write met the reset that had come in since the turn's look for bytes, the stream was finished in the same turn: a whole answer that lay unread in the socket was lost (Linux keeps it readable behind a reset). Ruled out: the readable event alone is in order, as bytes are handed over before the error.

At fault: Stream._watch with an empty mask, Stream._send with soon(_finish). Now EPOLLRDHUP is watched while paused, told once, and a failed write reads what lies there, bounded, before it finishes. For HTTP/1.1 the end means what it meant: the client left, and what it had pipelined unread behind a full line is not taken.

--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -1,6 +1,7 @@
 """Byte streams over TCP (IPv4, IPv6) and Unix sockets, and what accepts and opens them."""
 import errno
 import os
+import select
 import socket
 import stat
 import struct
@@ -8,11 +9,13 @@
 from gaproute.loop.loop import GONE, MILLI, READ, WRITE
 
 CHUNK = 65536            # bytes read in one call: a large socket buffer in few calls, small next to a body
+READS = 128              # of what lies unread when writing fails: more than any receive buffer holds
 HIGH = 1 << 20           # bytes waiting to be written above which the writer is told to hold back
 ACCEPTS = 32             # connections accepted in one turn, so that tasks in flight get their share of it
 BIND_ADDRESS_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT of Linux, which the socket module does not name
 LINGER = 30_000 * MILLI    # for the last bytes to be taken after a close; then the connection is reset
 NO_FD_PAUSE = 100 * MILLI    # accepting rests this long when descriptors run out, rather than spin
+END = select.EPOLLRDHUP  # the other side sends no more: told also while nothing is read
 SHORT_OF_FDS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -57,6 +60,7 @@
         "handed",
         "closing",
         "reading",
+        "halved",
         "mask",
         "open",
     )
@@ -67,17 +71,20 @@
         self.on_half = None
         self.out, self.waiting, self.handed = [], 0, 0
         self.closing, self.reading, self.open = False, True, True
+        self.halved = False      # its end of sending was told: not to be told again and again
         self.mask = READ
         loop.watch(self.fd, READ, self._ready)
 
     def _ready(self, events):
         if events & WRITE:
             self._flush()
-        if self.open and events & (READ | GONE):
-            if not self.reading and events & GONE:
-                self._finish(ConnectionResetError(errno.ECONNRESET, "closed by the other side"))
-            elif self.reading:
+        if self.open and events & (READ | GONE | END):
+            if self.reading:
                 self._read()
+            elif events & GONE:
+                self._finish(ConnectionResetError(errno.ECONNRESET, "closed by the other side"))
+            else:
+                self._half()
 
     def _read(self):
         try:
@@ -89,11 +96,17 @@
             return
         if data:
             self.on_bytes(data)
-        elif self.on_half is not None:
-            self.pause()
-            self.on_half()
         else:
+            self._half()
+
+    def _half(self):
+        """The other side sends no more; what lies unread of a paused stream is not read any more."""
+        if self.on_half is None:
             self._finish(None)
+        elif not self.halved:
+            self.halved = True
+            self.pause()
+            self.on_half()
 
     def write(self, data):
         """Queue bytes; what the kernel takes at once goes at once. Returns whether there is room for more."""
@@ -116,11 +129,23 @@
         except (BlockingIOError, InterruptedError):
             return 0
         except OSError as fault:
-            self.loop.soon(self._finish, fault)
+            self.loop.soon(self._broken, fault)
             return None
         self.handed += sent
         return sent
 
+    def _broken(self, fault):
+        """Writing failed: what the other side had said before its end counts, and is read first."""
+        for _ in range(READS if self.reading else 0):
+            try:
+                data = self.sock.recv(CHUNK) if self.open else b""
+            except OSError:
+                break
+            if not data:
+                break
+            self.on_bytes(data)
+        self._finish(fault)
+
     def _flush(self):
         while self.out:
             sent = self._send(self.out[0])
@@ -139,7 +164,7 @@
             self.on_room()
 
     def _watch(self):
-        mask = (READ if self.reading else 0) | (WRITE if self.out else 0)
+        mask = (READ if self.reading else 0 if self.halved else END) | (WRITE if self.out else 0)
         if self.open and mask != self.mask:
             self.mask = mask
             self.loop.rewatch(self.fd, mask)
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -141,6 +141,45 @@
     assert got == [b"x"]
 
 
+@pytest.mark.parametrize("half", [False, True])
+def test_a_paused_stream_is_told_of_the_end_at_once_and_once(loop, half):
+    told = []
+    stream, there = pair(loop, on_end=told.append)
+    if half:
+        stream.on_half = lambda: told.append(None)
+    stream.pause()
+    there.send(b"unread")
+    there.shutdown(socket.SHUT_WR)
+    for _ in range(3):
+        loop.turn()
+    assert told == [None] and stream.open == half
+
+
+def tcp(loop, on_bytes=lambda data: None, on_end=lambda error: None):
+    """(stream, the other end) over loopback, where a reset is one."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        there = socket.create_connection(server.getsockname())
+        here, _ = server.accept()
+    here.setblocking(False)
+    return Stream(loop, here, on_bytes, on_end), there
+
+
+def test_what_the_other_side_said_before_its_reset_counts_although_a_write_meets_that_first(real):
+    order = []
+    stream, there = tcp(real, order.append, lambda error: order.append(type(error)))
+
+    def cross():                 # after this turn's look for bytes
+        there.send(b"a whole answer")
+        there.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        there.close()
+        stream.write(b"crosses")
+
+    real.after(0, cross)
+    real.turn()
+    real.turn()
+    assert order[0] == b"a whole answer" and issubclass(order[1], OSError) and len(order) == 2
+
+
 def test_close_hands_over_what_was_written_and_abort_does_not_wait(real):
     stream, there = pair(real)
     stream.write(b"last words")
