A close says that no more comes and reads to the other side's end: no reset behind an answer

Seen by probe: an answer still in flight was lost (ECONNRESET at the reader) when the connection was closed with bytes unread in it, or when bytes crossed the close: the kernel answers both with a reset. Stream.close closed the socket as soon as the kernel had taken the bytes. It also ended with bytes still waiting here where the other side had closed half, and its descriptor, up to 30 s, was counted nowhere.

Now: what was written is handed over, sending is shut down, and what comes is read and dropped until the other side closes, 300 ms at most (longer only while the kernel says that bytes are unacknowledged; no such figure counts as taken). Until the descriptor is given back the connection counts in the house; in a full one the one that has said farewell longest makes room first, after the rest that parked ones get. Where nothing was written the close is at once, and abort stays a reset.

Tests changed: three asked for the descriptor in the very turn of the close; they now wait for it and for the house to be empty (as strict: that it is given back).

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -224,10 +224,12 @@
         if self.stream.waiting and now - self.told > PROGRESS:
             self.front.deaf += 1
             self.end()
+        elif self.closing:
+            return
         elif self.reader.midway and now - self.since > PROGRESS:
             self.refuse(Fault(messages.UNREADABLE, "the message did not come in whole in time"))
         elif not self.open and not self.stream.waiting and not self.reader.midway \
-                and now - self.told > QUIET and not self.closing:
+                and now - self.told > QUIET:
             self.park()
 
     def park(self):
@@ -243,12 +245,11 @@
             self.shut()
 
     def shut(self):
-        """Closes once what was written has left; what is open on it has lost its client."""
+        """Closes once what was written has been taken; what is open on it has lost its client. Until its
+        descriptor is given back it counts."""
         self.closing = True
         self.leave()
-        if self.stream.open:
-            self.stream.close()
-        self.gone()
+        self.stream.close(self.ended)
 
     def end(self):
         self.stream.abort()
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -356,8 +356,8 @@
 
     def _shut(self):
         self._untime()
-        self.stream.close()
-        self._lose()
+        self.closing = True
+        self.stream.close(lambda error: self._lose())    # until its descriptor is given back it counts
 
     def gone(self):
         self._untime()
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -65,7 +65,8 @@
     def _accept(self):
         listener, owner = next(iter(self.arriving.items()))
         del self.arriving[listener]
-        if self.door.patient and owner.counted and self.held >= self.door.most and self._victim() is None:
+        if self.door.patient and owner.counted and self.held >= self.door.most \
+                and self._parting() is None and self._victim() is None:
             listener.rest(HOLD)
             return
         came = listener.accept()
@@ -117,7 +118,17 @@
         idle = idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
         return self.door.victim(self.loop.now(), idle)
 
+    def _parting(self):
+        """The connection that has said farewell longest, where that is long enough; it too is counted."""
+        for stream, since in self.loop.leaving.items():
+            return self.door.victim(self.loop.now(), [(stream, since, 0)])
+        return None
+
     def _displace(self):
+        parting = self._parting()
+        if parting is not None:
+            parting.cut()
+            return True
         fd = self._victim()
         if fd is None:
             return False
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -123,6 +123,7 @@
         self.poll = getattr(clock, "poll", None) or (lambda epoll, span: epoll.poll(max(0, span) / SECOND))
         self.epoll = select.epoll()
         self.watched = {}        # descriptor: call(events)
+        self.leaving = {}        # stream that says farewell (`Stream.close`): since when; the oldest first
         self.fresh = set()       # watched since the last poll: what that told is of an earlier life of them
         self.lobby = select.epoll()          # of what is parked; one event of the outer one
         self.inner = self.lobby.fileno()
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -1,10 +1,12 @@
 """Byte streams over TCP (IPv4, IPv6) and Unix sockets, and what accepts and opens them."""
 import errno
+import fcntl
 import os
 import select
 import socket
 import stat
 import struct
+import termios
 
 from gaproute.loop.loop import GONE, MILLI, READ, WRITE
 
@@ -14,6 +16,8 @@
 ACCEPTS = 32             # connections accepted in one turn, so that tasks in flight get their share of it
 BIND_ADDRESS_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT of Linux, which the socket module does not name
 LINGER = 30_000 * MILLI    # for the last bytes to be taken after a close; then the connection is reset
+FAREWELL = 300 * MILLI   # for the other side to close too, once all is written: some round trips; what one
+#                          that does not sends later meets a closed socket, as ever
 NO_FD_PAUSE = 100 * MILLI    # accepting rests this long when descriptors run out, rather than spin
 END = select.EPOLLRDHUP  # the other side sends no more: told also while nothing is read
 SHORT_OF_FDS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -62,6 +66,7 @@
         "reading",
         "halved",
         "mask",
+        "timer",
         "open",
     )
 
@@ -72,7 +77,7 @@
         self.out, self.waiting, self.handed = [], 0, 0
         self.closing, self.reading, self.open = False, True, True
         self.halved = False      # its end of sending was told: not to be told again and again
-        self.mask = READ
+        self.mask, self.timer = READ, None
         loop.watch(self.fd, READ, self._ready)
 
     def _ready(self, events):
@@ -157,7 +162,7 @@
                 return
             self.out.pop(0)
         if self.closing:
-            self._shut()
+            self._farewell()
             return
         self._watch()
         if self.on_room is not None:
@@ -202,25 +207,63 @@
         self.loop.unwatch(self.fd)
         return self.sock.detach()
 
-    def close(self):
-        """Closes once all that was written has been handed over; no further callbacks."""
-        self.on_bytes, self.on_end, self.on_half = _nothing, _nothing, None
-        if self.open and self.out:
-            self.closing = True
-            self._watch()
-            self.loop.after(LINGER, self.abort)
+    def close(self, closed=None):
+        """Hands over what was written, says that no more comes and reads until the other side closes too, for
+        a while. `closed(error)` once the descriptor is given back; no other callbacks.
+
+        Guards the last answer: a socket closed with bytes unread, or written to after its close, is reset,
+        and a reset can destroy what is in flight. Harms by the descriptors held: `loop.leaving` has them.
+        """
+        if self.closing or not self.open:
+            return
+        self.on_bytes, self.on_end, self.on_half = _nothing, closed or _nothing, None
+        if not self.out and not self.handed:
+            self._finish(None)               # nothing of ours is in flight
+            return
+        self.closing = True
+        self.loop.leaving[self] = self.loop.now()
+        if self.out:                         # nothing is read meanwhile: an end read now would end it
+            self.halved = True
+            self.pause()
+            self.timer = self.loop.after(LINGER, self.cut)
         else:
-            self._shut()
+            self._farewell()
+
+    def _farewell(self):
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass                             # reset already: reading tells
+        if self.timer is not None:
+            self.timer.cancel()
+        self.timer = self.loop.after(FAREWELL, self._leave, self.loop.now() + LINGER)
+        self.resume()
+        self._read()
+
+    def _leave(self, until):
+        """The other side has not closed: left to the kernel once that has nothing of ours unacknowledged."""
+        try:
+            held = int.from_bytes(fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(4)), "little")
+        except OSError:                      # no such figure here: taken
+            held = 0
+        if held and self.loop.now() < until:
+            self.timer = self.loop.after(FAREWELL, self._leave, until)
+        else:
+            self._finish(None)
 
     def abort(self):
         """Closes at once with a reset; no further callbacks."""
         self.on_end = _nothing
+        self.cut()
+
+    def cut(self):
+        """Closes at once with a reset."""
         if self.open:
             try:
                 self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             except OSError:
                 pass
-            self._shut()
+            self._finish(None)
 
     def _finish(self, error):
         if self.open:
@@ -231,6 +274,9 @@
         if self.open:
             self.open = False
             self.out, self.waiting = [], 0
+            self.loop.leaving.pop(self, None)
+            if self.timer is not None:
+                self.timer.cancel()
             self.loop.unwatch(self.fd)
             self.sock.close()
 
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -399,7 +399,8 @@
     for client in (parked, arriving):
         answer = client.recv(4096)
         assert b"200" in answer and b"Connection: close" in answer and client.recv(1) == b""
-    assert made.lot.held == 0
+        client.close()
+    made.turns(lambda: made.lot.held == 0)
 
 
 def test_a_client_that_resets_while_it_waits_at_the_door_harms_nobody(house):
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -180,11 +180,48 @@
     assert order[0] == b"a whole answer" and issubclass(order[1], OSError) and len(order) == 2
 
 
-def test_close_hands_over_what_was_written_and_abort_does_not_wait(real):
-    stream, there = pair(real)
+@pytest.mark.parametrize("before", [b"", b"unread"])
+def test_close_hands_over_what_was_written_and_bytes_that_cross_it_do_not_reset_it(real, before):
+    """The other side reads to the end although it wrote before, across and after the close."""
+    closed, size = [], 1 << 20           # more than the socket takes at once
+    stream, there = tcp(real)
+    stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
+    there.send(before)
+    stream.write(b"x" * size)
+    stream.close(closed.append)
+    stream.close(closed.append)
+    got = 0
+    there.setblocking(False)
+    while got < size:
+        there.send(b"crosses")
+        real.after(0, lambda: None)
+        real.turn()
+        try:
+            got += len(there.recv(1 << 16))
+        except BlockingIOError:
+            pass
+    there.setblocking(True)
+    assert there.recv(1) == b"" and stream.open and list(real.leaving) == [stream]
+    there.send(b"after the end")
+    there.close()
+    while not closed:
+        real.turn()
+    assert closed == [None] and not stream.open and not real.leaving
+
+
+def test_who_does_not_close_is_waited_for_a_while_and_who_takes_nothing_is_reset(loop):
+    closed = []
+    stream, there = pair(loop)
     stream.write(b"last words")
-    stream.close()
-    assert there.recv(100) == b"last words" and there.recv(1) == b"" and not stream.open
+    stream.close(closed.append)
+    assert there.recv(100) == b"last words" and there.recv(1) == b""
+    deaf, far = pair(loop)
+    deaf.write(b"x" * (4 << 20))
+    deaf.close(lambda error: closed.append("deaf"))
+    loop.run(until=loop.sleep(SECOND))
+    assert closed == [None] and list(loop.leaving) == [deaf]
+    loop.run(until=loop.sleep(40 * SECOND))
+    assert closed == [None, "deaf"] and not loop.leaving
 
 
 @pytest.mark.parametrize("where", ["127.0.0.1:0", "[::1]:0", "unix"])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -70,8 +70,9 @@
     client = made.client()
     client.send(data)
     made.until(lambda: client.ended)
-    assert not client.answers or client.answers[0]["error"]["code"] == messages.UNREADABLE
-    assert not made.process.front.links
+    assert client.answers[0]["error"]["code"] == messages.UNREADABLE
+    made.until(lambda: not made.process.front.links)
+    assert made.process.front.lot.held == 0
 
 
 def test_a_second_request_under_an_open_id_or_number_is_an_error_and_the_first_unharmed(gate):
