The process leaves when its last answers are taken, not 50 ms after them

Seen by probe: after SIGTERM the loop ended a fixed 50 ms after the last final answer, and every connection still at work was then reset: an answer that lay in a full socket, or crossed bytes, went with it. Half a message at the stop left its connection parked on a front that had stopped, to be reset at the end though it was answered late; in a full house what waited in the kernel's queue at the stop was turned away by a reset, as nobody rested long enough to make room; and an error in the reload of one SIGHUP swallowed a SIGTERM that came in the same turn (Loop._signalled called them unguarded).

Now each connection closes by its farewell once nothing is open on it and no half message has come, and the loop ends when the core holds nothing and the front holds no connection. What only waits for its bytes to be taken gets no more time than SIGTERM grants (the longest deadline, 3 s at most, and 0.7 s, less 0.2 s), and is left to the kernel then, not reset. At a stop the resting ones close first, which makes room for those that wait. The parts close one by one, whichever fails.

Ruled out: a second SIGTERM changes nothing, nothing listed ends by the deadline; both are held by a test now.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -42,7 +42,7 @@
         self.refused = lambda code, text: None   # what came wrong, for the log
         self.parked = self.turned_away = self.faults = self.deaf = 0
         self.marks = {}              # a task's mark, while it is open: its connection
-        self.stopping = False
+        self.stopping, self.emptied = False, None    # call() after a stop, when no connection is left
         self.family = where[0]
         self.lot = Lot.of(loop)
         self.number = self.lot.open(self)
@@ -74,6 +74,15 @@
     def lost(self):
         """A parked connection was closed."""
         self.parked -= 1
+        self.tell()
+
+    @property
+    def held(self):
+        return len(self.links) + self.parked
+
+    def tell(self):
+        if self.stopping and self.emptied is not None and not self.held:
+            self.emptied()
 
     def _sweep(self):
         now = self.loop.now()
@@ -137,11 +146,15 @@
     # Stop
 
     def stop(self):
-        """Accepts no more; connections close once nothing is open on them. What waits in the kernel's queue
-        is taken in first, as it would be reset, and what it asks is declined."""
-        while not self.stopping and (came := self.listener.accept()) is not None:
-            self.admits(*came)
+        """Accepts no more; connections close once nothing is open on them and no half message has come. What
+        waits in the kernel's queue is taken in first, as it would be reset, and what it asks is declined: the
+        resting ones make room for it."""
+        if self.stopping:
+            return
         self.stopping = True
+        self.lot.close(self.number)
+        while (came := self.listener.accept()) is not None:
+            self.admits(*came)
         self.listener.close()
         self.lot.close(self.number)
         for link in list(self.links):
@@ -152,7 +165,10 @@
         self.sweeper.cancel()
         self.lot.close(self.number, True)
         for link in list(self.links):
-            link.end()
+            if link.closing:
+                link.stream.part()       # its last words are with the kernel
+            else:
+                link.end()
 
 
 class Link:
@@ -193,6 +209,8 @@
             self.refuse(fault)       # what a reader finds wrong is unreadable: that closes
         elif self.stream.waiting >= HIGH:
             self.stream.pause()
+        if self.front.stopping:
+            self.settled()
 
     def refuse(self, fault):
         self.front.faults += 1
@@ -229,7 +247,7 @@
         elif self.reader.midway and now - self.since > PROGRESS:
             self.refuse(Fault(messages.UNREADABLE, "the message did not come in whole in time"))
         elif not self.open and not self.stream.waiting and not self.reader.midway \
-                and now - self.told > QUIET:
+                and now - self.told > QUIET and not self.front.stopping:
             self.park()
 
     def park(self):
@@ -269,3 +287,4 @@
         if self in self.front.links:
             del self.front.links[self]
             self.front.lot.leave(self.place, True)
+            self.front.tell()
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -200,7 +200,7 @@
             return
         for number in dict.fromkeys(numbers):
             if number in self.signals:
-                self.signals[number]()
+                self.guard(self.signals[number])     # one that fails must not take the next one's call
 
     # Turns
 
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -236,18 +236,19 @@
             pass                             # reset already: reading tells
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.loop.after(FAREWELL, self._leave, self.loop.now() + LINGER)
+        self.timer = self.loop.after(FAREWELL, self.part, self.loop.now() + LINGER)
         self.resume()
         self._read()
 
-    def _leave(self, until):
-        """The other side has not closed: left to the kernel once that has nothing of ours unacknowledged."""
+    def part(self, until=0):
+        """The other side has not closed: left to the kernel, by then at the latest, once that has nothing of
+        ours unacknowledged."""
         try:
             held = int.from_bytes(fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(4)), "little")
         except OSError:                      # no such figure here: taken
             held = 0
         if held and self.loop.now() < until:
-            self.timer = self.loop.after(FAREWELL, self._leave, until)
+            self.timer = self.loop.after(FAREWELL, self.part, until)
         else:
             self._finish(None)
 
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -24,7 +24,9 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 STATUS = 5 * SECOND          # between lines of status: a few of them in the shortest day
 STILL_COMING = 800 * MILLI   # after SIGTERM, in which clients still come: 0.6 s, and a turn or two
-LAST_WORDS = 50 * MILLI      # after the last final answer, for its bytes to leave
+GRANTED = 700 * MILLI        # beyond the longest deadline, until SIGKILL may come after SIGTERM
+LONGEST = 3 * SECOND         # what a longer deadline counts as there
+AHEAD = 200 * MILLI          # of SIGKILL, by which what is only waiting to be taken is left to the kernel
 
 
 class Process:
@@ -52,7 +54,7 @@
         self.lister = events.Lister(loop, self.site.zones)
         self.seed, self.sockets = seed, sockets
         self.front = self.follower = self.peers = None
-        self.stopping = False
+        self.stopping, self.granted = False, 0
 
     def start(self):
         """Errors: OSError where the address cannot be listened on."""
@@ -115,24 +117,29 @@
         if not self.stopping:
             self.stopping = True
             self.log.info("stopping", held=len(self.core.held))
+            longest = max(track.hard_limit for track in self.terms.tracks)
+            self.granted = self.loop.now() + min(longest, LONGEST) + GRANTED - AHEAD
             self.loop.after(STILL_COMING, self.shut)
 
     def shut(self):
+        self.core.emptied = self.front.emptied = self.leave
         self.front.stop()
-        self.core.emptied = self.leave
-        if not self.core.held:
-            self.leave()
+        self.loop.at(self.granted, self.leave)
+        self.leave()
 
     def leave(self):
-        self.loop.after(LAST_WORDS, self.loop.stop)
+        """Ends the loop once all is answered and the answers are taken: each connection closes when the other
+        side has read to its end. What only waits for that gets no more time than SIGTERM grants."""
+        if not self.core.held and (not self.front.held or self.loop.now() >= self.granted):
+            self.loop.stop()
 
     def run(self):
         self.loop.run()
-        self.status()
-        self.log.info("stopped", held=len(self.core.held))
+        self.loop.guard(self.status)
+        self.log.info("stopped", held=len(self.core.held), connections=self.front.held)
         for part in (self.front, self.follower, self.hosts, self.peers):
             if part is not None:
-                part.close()
+                self.loop.guard(part.close)
 
     # For whoever reads the log
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,8 +1,14 @@
 """Crossings at the platform's front: a client's leaving, a connection's close and the end of the process."""
+import os
+import signal
 import socket
 
-from gaproute.loop.streams import address
-from scripted import MILLI, Handed, half_close, nothing
+import pytest
+from gaproute.fronts.jsonrpc import front as fronts
+from gaproute.fronts.jsonrpc.messages import REFUSED
+from gaproute.loop.streams import FAREWELL, address
+from gaproute.node.process import STILL_COMING
+from scripted import MILLI, SECOND, Handed, half_close, nothing
 
 
 def test_a_client_that_takes_no_answers_is_seen_to_leave_though_nothing_is_read(gate):
@@ -34,3 +40,128 @@
     assert "result" in late.answers[0] and lot.held == lot.door.most == len(made.loop.leaving) + 1
     for each in deaf:
         each.close()
+
+
+# The end of the process
+
+def stopped(made):
+    """SIGTERM, and all but the last moment in which clients still come; whether the process has ended."""
+    made.loop.running = True
+    made.process.stop()
+    made.passes(STILL_COMING - MILLI)
+    return lambda: not made.loop.running
+
+
+def spoken(client, number):
+    """The bytes of a request that the client is still to send."""
+    said, client.send = [], lambda data: said.append(data)
+    client.ask(number)
+    del client.send
+    return said[0]
+
+
+@pytest.mark.parametrize("closes", [True, False])
+def test_the_process_ends_when_its_last_answer_is_taken_and_no_sooner(gate, closes, monkeypatch):
+    monkeypatch.setattr("fcntl.ioctl", lambda *told: bytes(4))   # acknowledged, as far as the kernel knows
+    held = []
+    made = gate(lambda *told: told[1]["type"] == "go" and held.append(told), clock=Handed())
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: held)
+    client.stream.on_half = lambda: None     # reads the end of sending, and closes when the test says so
+    ended = stopped(made)
+    made.passes(MILLI)
+    for each in held:
+        made.hosts[0].serve(*each)
+    made.until(lambda: client.answers)
+    made.passes(FAREWELL - MILLI)
+    assert "result" in client.answers[0] and not ended()
+    if closes:
+        client.stream.close()
+        made.turns()
+    else:
+        made.passes(2 * MILLI)               # it has the answer and holds on: left to the kernel
+    assert ended()
+
+
+def test_what_only_waits_to_be_taken_gets_no_more_time_than_is_granted(gate, monkeypatch):
+    monkeypatch.setattr(fronts.Link, "look", lambda link, now: None)     # no deaf client's end before
+    made = gate(clock=Handed())
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: client.answers)
+    link, = made.process.front.links
+    ended = stopped(made)
+    monkeypatch.setattr(link.stream.__class__, "_send", lambda stream, data: 0)
+    link.stream.out, link.stream.waiting = [b"x"], 1       # as where the client's window is shut
+    made.passes(MILLI)
+    made.passes(made.process.granted - made.loop.now() - MILLI)
+    assert not ended() and made.process.front.held == 1
+    made.passes(MILLI)
+    assert ended() and made.process.granted < made.loop.now() + SECOND
+
+
+def test_half_a_message_at_the_stop_is_answered_when_whole_and_ended_where_it_is_not(gate):
+    made = gate(clock=Handed())
+    whole, never = made.client(), made.client()
+    said = spoken(whole, 1)
+    whole.send(said[:40])
+    never.send(said[:40])
+    made.until(lambda: len(made.process.front.links) == 2)
+    ended = stopped(made)
+    made.passes(MILLI)
+    assert not ended() and made.process.front.stopping
+    whole.send(said[40:])
+    made.turns()
+    assert [each["error"]["code"] for each in whole.answers] == [REFUSED] and whole.ended and not never.ended
+    made.passes(2 * SECOND)
+    made.passes(200 * MILLI)
+    assert never.ended and ended() and made.loop.now() <= made.process.granted
+
+
+def test_who_waits_in_the_kernels_queue_at_the_stop_is_answered_though_the_house_is_full(gate):
+    made = gate(sockets=70, clock=Handed())
+    front = made.process.front
+    rest = [made.client() for _ in range(front.lot.door.most)]
+    for place, client in enumerate(rest):
+        client.ask(1, i=f"{place:016x}")
+    made.until(lambda: all(client.answers for client in rest))
+    made.passes(200 * MILLI)
+    made.until(lambda: front.parked == len(rest))
+    ended = stopped(made)
+    late = [made.client() for _ in range(2)]
+    made.loop.unwatch(front.listener.sock.fileno())
+    made.turns()
+    for client in late:
+        client.ask(1)
+    made.turns()
+    made.passes(MILLI)
+    made.until(ended)
+    assert [client.answers[0]["error"]["code"] for client in late] == [REFUSED, REFUSED]
+    assert all(client.ended for client in rest + late)
+
+
+def test_signals_that_come_together_are_all_heeded_and_a_second_sigterm_changes_nothing(gate):
+    made = gate(clock=Handed(), known={"seq": 0, "results": []})     # nothing was ever listed
+    before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)}
+    made.process.reload = lambda: 1 / 0
+    try:
+        made.process.heed_signals()
+        client = made.client()
+        client.ask(1)
+        made.until(lambda: made.process.core.held or client.answers)
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM):
+            os.kill(os.getpid(), number)
+        made.loop.running = True
+        made.until(lambda: made.process.stopping)
+        granted = made.process.granted
+        made.clock.now += 100 * MILLI
+        os.kill(os.getpid(), signal.SIGTERM)
+        made.turns()
+        for _ in range(40):
+            made.passes(100 * MILLI)
+        assert made.process.granted == granted and not made.loop.running and "error" in client.answers[0]
+    finally:
+        signal.set_wakeup_fd(-1)
+        for number, call in before.items():
+            signal.signal(number, call)
