Without a descriptor no reload is lost, the status goes on, and the oldest idle clients go

A dial or an accept that found no descriptor waited for one to be given back by chance. And the door kept 64 and 3 in 100 for hosts that already have a share of their own: with a limit of 64 one client was let in, with 90 fewer than the third that the protocol grants them.

Now a file that cannot be opened for want of a descriptor is read again every 200 ms, the status is armed first and says null for what it cannot read, and whoever is refused a descriptor has up to 8 idle clients closed, the oldest first, rested at least as long as for any newcomer. The node's door keeps what hosts and the process may take, so clients, parked, at work and saying farewell, with hosts and the process never pass the limit.

--- a/gaproute/decisions/door/door.py
+++ b/gaproute/decisions/door/door.py
@@ -20,6 +20,8 @@
 RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
 HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
+SHORT = 8                # idle ones closed each time that no descriptor is to be had: what failed is tried
+#                          again some 100 ms later, and as many may come meanwhile
 RESTED = 100 * MILLI     # the same where clients send once more what crosses a close: the house must hold
 #                          those at work, and one that rests makes room for a request that is there
 HOLD = 10 * MILLI        # until a full house looks again for one that rests: a tenth of the rest asked for
@@ -37,11 +39,12 @@
 class Door:
     """`most`: connections of clients that the operator allows; `descriptors`: the process's limit."""
 
-    def __init__(self, most, per_address, descriptors, chance, spare=SPARE, patient=False):
-        """`spare`: rest from which a parked connection may make room; less where clients ask again.
+    def __init__(self, most, per_address, descriptors, chance, spare=SPARE, patient=False, reserve=None):
+        """`reserve`: descriptors that clients can never take, where others have shares of their own.
+        `spare`: rest from which a parked connection may make room; less where clients ask again.
         `patient`: arrivals at a full house wait in the kernel's queue, where no rested one makes room."""
         self.spare, self.patient = spare, patient
-        self.reserve = RESERVE + int(HOSTS_SHARE * descriptors)
+        self.reserve = RESERVE + int(HOSTS_SHARE * descriptors) if reserve is None else reserve
         self.most = max(1, min(most, descriptors - self.reserve))
         self.per_address, self.chance = per_address, chance
         self.turn = 0
@@ -74,6 +77,11 @@
         spare = [(tasks, since, fd) for fd, since, tasks in idle if now - since >= self.spare]
         return min(spare)[2] if spare else None
 
+    def oldest(self, now, idle):
+        """Those that go where no descriptor is to be had, of [(descriptor, idle since, tasks it brought)]."""
+        return [fd for _, fd in sorted((since, fd) for fd, since, _ in idle
+                                       if now - since >= self.spare)[:SHORT]]
+
     def says_close(self, held):
         """Whether answers say that the connection closes: so that a full house empties where that is safe."""
         return held >= FULL * self.most
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -111,12 +111,22 @@
             self.free.append(place)
 
     def _victim(self):
+        return self.door.victim(self.loop.now(), self._idle())
+
+    def _idle(self):
         """Of a small house every parked one is looked at; of a large one those whose end is next."""
         some = range(len(self.state)) if self.parked <= 4 * SAMPLE else self.calendar.first(4 * SAMPLE)
         idle = [(fd, self.since[fd], self.tasks[fd]) for fd in some
                 if self.state[fd] == PARKED and self.owners[self.owner[fd]].counted]
-        idle = idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
-        return self.door.victim(self.loop.now(), idle)
+        return idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
+
+    def make_room(self):
+        """No descriptor was to be had: some idle ones go, the oldest first."""
+        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())   # one that has just spoken is not idle
+        self.loop.waiting = True
+        for fd in self.door.oldest(self.loop.now(), self._idle()):
+            self.displaced += 1
+            self._drop(fd)
 
     def _parting(self):
         """The connection that has said farewell longest, where that is long enough; it too is counted."""
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -286,6 +286,15 @@
     pass
 
 
+def short(loop, fault):
+    """Whether no descriptor was to be had: some who rest at the door then go, for the next try."""
+    if fault.errno not in SHORT_OF_FDS:
+        return False
+    if loop.patient is not None:
+        loop.patient.make_room()
+    return True
+
+
 def _tuned(sock):
     sock.setblocking(False)
     if sock.family != socket.AF_UNIX:
@@ -307,6 +316,7 @@
             sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
             sock.bind((source, 0))
     except OSError as fault:
+        short(loop, fault)
         loop.soon(done, None, fault)
         return _nothing
     code = sock.connect_ex(target)
@@ -409,6 +419,7 @@
         except OSError as fault:
             if fault.errno not in SHORT_OF_FDS:
                 raise
+            short(self.loop, fault)
             self.rest(NO_FD_PAUSE)
             return None
 
--- a/gaproute/node/charter.py
+++ b/gaproute/node/charter.py
@@ -12,6 +12,14 @@
     """The configuration cannot be used; the text names the field."""
 
 
+class Unread(Refused):
+    """It could not be opened for now; `fault` is the OSError."""
+
+    def __init__(self, text, fault):
+        super().__init__(text)
+        self.fault = fault
+
+
 class Limits(msgspec.Struct):
     cores: float = 1.0
     memory_mb: float = 192
@@ -37,7 +45,7 @@
         with open(path, "rb") as file:
             told = file.read()
     except OSError as fault:
-        raise Refused(f"EDGE_CONFIG: {path}: {fault.strerror}") from None
+        raise Unread(f"EDGE_CONFIG: {path}: {fault.strerror}", fault) from None
     try:
         charter = msgspec.json.decode(told, type=Charter)
     except (msgspec.MsgspecError, UnicodeDecodeError) as fault:
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -6,7 +6,7 @@
 from gaproute.core.core import Core
 from gaproute.decisions.chance import Chance
 from gaproute.decisions.door.door import RESTED, Door, way_back
-from gaproute.decisions.links.pooling import Pooling, share_out
+from gaproute.decisions.links.pooling import OWN, Pooling, share_out
 from gaproute.decisions.route import Gateway
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog.follow import Follower
@@ -16,13 +16,14 @@
 from gaproute.lobby.lot import descriptors
 from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
-from gaproute.loop.streams import address
+from gaproute.loop.streams import address, short
 from gaproute.node import charter as charters
 from gaproute.node.log import Log
 from gaproute.record.record import FOLLOWED, Record
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 STATUS = 5 * SECOND          # between lines of status: a few of them in the shortest day
+AGAIN = 200 * MILLI          # until a file that could not be opened is tried again
 STILL_COMING = 800 * MILLI   # after SIGTERM, in which clients still come: 0.6 s, and a turn or two
 GRANTED = 700 * MILLI        # beyond the longest deadline, until SIGKILL may come after SIGTERM
 LONGEST = 3 * SECOND         # what a longer deadline counts as there
@@ -49,12 +50,13 @@
                          self.name)
         if self.core.gateway.ration.travel:
             self.hosts.order_time = min(self.hosts.order_time, self.core.gateway.ration.travel)
-        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3), RESTED,
-                                 patient=True)
+        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3), RESTED, patient=True,
+                                 reserve=to_hosts + OWN)
         self.lister = events.Lister(loop, self.site.zones)
         self.seed, self.sockets = seed, sockets
         self.front = self.follower = self.peers = None
         self.stopping, self.granted = False, 0
+        self.again = None            # timer of a reload that could not be read
 
     def start(self):
         """Errors: OSError where the address cannot be listened on."""
@@ -101,11 +103,19 @@
         self.loop.on_signal(signal.SIGHUP, self.reload)
 
     def reload(self):
-        """The file anew: the log's address may have moved. A file that cannot be used changes nothing."""
+        """The file anew: the log's address may have moved. A file that cannot be used changes nothing; one
+        that cannot be opened for want of a descriptor is tried again until it can."""
+        if self.again is not None:
+            self.again.cancel()
+            self.again = None
         try:
             charter, _, _ = charters.read(self.path)
         except charters.Refused as fault:
-            self.log.error("configuration refused", text=str(fault))
+            if isinstance(fault, charters.Unread) and short(self.loop, fault.fault):
+                self.log.warning("configuration not read yet", text=str(fault))
+                self.again = self.loop.after(AGAIN, self.reload)
+            else:
+                self.log.error("configuration refused", text=str(fault))
             return
         self.log.info("configuration", changelog=charter.changelog)
         self.charter = charter
@@ -144,6 +154,7 @@
     # For whoever reads the log
 
     def status(self):
+        self.loop.after(STATUS, self.status)         # first: a line that fails must not be the last
         hosts, front, gateway = self.hosts, self.front, self.core.gateway
         held = {name: [len(host.links), sum(len(link.open) for link in host.links)]
                 for name, host in hosts.hosts.items() if host.links}
@@ -153,11 +164,19 @@
                       believed=believed, clients=Lot.of(self.loop).held, parked=front.parked,
                       faults=front.faults, turned_away=front.turned_away, opened=hosts.opened,
                       reused=hosts.reused, doubled=hosts.doubled, spoilt=hosts.spoilt, strays=hosts.strays,
-                      late_turns=self.loop.late_turns, descriptors=len(os.listdir("/proc/self/fd")),
-                      memory_mb=memory(), cpu_s=round(sum(os.times()[:2]), 2),
+                      late_turns=self.loop.late_turns,
+                      descriptors=had(lambda: len(os.listdir("/proc/self/fd"))),
+                      memory_mb=had(memory), cpu_s=round(sum(os.times()[:2]), 2),
                       log_seq=self.follower.last if self.follower else 0,
                       log_silent_ms=(self.loop.now() - self.follower.heard) // MILLI if self.follower else 0)
-        self.loop.after(STATUS, self.status)
+
+
+def had(figure):
+    """None where it cannot be had: reading it takes a descriptor."""
+    try:
+        return figure()
+    except OSError:
+        return None
 
 
 def memory():
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,13 +1,17 @@
 """Crossings at the platform's front: a client's leaving, a connection's close and the end of the process."""
 import os
+import resource
 import signal
 import socket
 
 import pytest
+from gaproute.decisions.door.door import SHORT
+from gaproute.decisions.links.pooling import OWN
 from gaproute.fronts.jsonrpc import front as fronts
 from gaproute.fronts.jsonrpc.messages import REFUSED
+from gaproute.loop import connect
 from gaproute.loop.streams import FAREWELL, address
-from gaproute.node.process import STILL_COMING
+from gaproute.node.process import AGAIN, STATUS, STILL_COMING
 from scripted import MILLI, SECOND, Handed, half_close, nothing
 
 
@@ -165,3 +169,68 @@
         signal.set_wakeup_fd(-1)
         for number, call in before.items():
             signal.signal(number, call)
+
+
+# Descriptors
+
+@pytest.fixture
+def exhausted():
+    """A call that leaves no descriptor to be had, and one that gives them back."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+
+    def take():
+        free = os.dup(0)
+        os.close(free)
+        resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))
+
+    def give():
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+    yield take, give
+    give()
+
+
+def test_without_descriptors_a_reload_is_not_lost_the_status_goes_on_and_the_oldest_idle_go(gate, exhausted):
+    take, give = exhausted
+    made = gate(clock=Handed())
+    clients = []
+    for _ in range(SHORT + 2):                   # each idle for a little longer than the next
+        clients.append(made.client())
+        made.turns(5)
+        made.passes(10 * MILLI)
+    made.passes(100 * MILLI)
+    made.told["changelog"] = "127.0.0.1:9"
+    made.write()
+    take()
+    made.process.status()
+    made.process.reload()
+    made.turns()
+    give()
+    assert [what for what, _ in made.lines[-2:]] == ["status", "configuration not read yet"]
+    assert made.lines[-2][1]["descriptors"] is made.lines[-2][1]["memory_mb"] is None
+    assert [client.ended for client in clients] == [True] * SHORT + [False] * 2
+    made.passes(AGAIN + MILLI)
+    assert made.lines[-1][0] == "configuration" and made.process.follower.where == address("127.0.0.1:9")
+    made.passes(STATUS)
+    assert [what for what, _ in made.lines].count("status") == 4    # both go on
+
+
+def test_a_dial_that_finds_no_descriptor_makes_room_for_the_next(gate, exhausted):
+    take, give = exhausted
+    made = gate(clock=Handed())
+    idle, told = made.client(), []
+    made.turns()
+    made.passes(110 * MILLI)
+    take()
+    connect(made.loop, address(made.hosts[0].address), SECOND, lambda sock, error: told.append(error))
+    give()
+    made.until(lambda: told and idle.ended)
+    assert told[0].errno == 24
+
+
+@pytest.mark.parametrize("sockets", [32, 64, 90, 256, 1024])
+def test_what_clients_hosts_and_the_process_may_hold_is_never_more_than_the_limit(gate, sockets):
+    process = gate(sockets=sockets).process
+    most = process.front.lot.door.most
+    assert most + process.hosts.room + OWN <= sockets and process.hosts.room > 0
+    assert most >= sockets // 3 or sockets < 64     # what clients may hold by the protocol
