Nothing begins for a request whose client closed behind it, or took it back in the same read

Seen by probe: a request with a FIN right behind it, at work or out of the lot where it had waited, was given to the core and, over a standing connection, sent to a host before the end was read; the same for a request whose abort came in the same read. Link.bytes took every body in turn.

Now one look (MSG_PEEK) at each read that holds a message says whether the client has closed behind it, and an abort takes back a request that stands before it in the same read. An abort before its request, a second one, one for another connection's request and one that names nothing change nothing, as before: held by tests now. The tests of the closed client and of the abort behind its request fail without it.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -198,7 +198,9 @@
             fault, bodies = wrong, wrong.bodies
         if bodies:
             self.since = now
-        for body in bodies:
+            if self.stream.ended():      # the client has left behind what it sent, maybe while that waited at
+                return                   # the door: nothing begins, and the next read tells the end
+        for body in messages.wanted(bodies, self.open, self.front.marks):
             try:
                 self.front.take(self, body)
             except Fault as wrong:
--- a/gaproute/fronts/jsonrpc/messages.py
+++ b/gaproute/fronts/jsonrpc/messages.py
@@ -190,6 +190,28 @@
     return named if isinstance(named, (int, str)) and not isinstance(named, bool) else None
 
 
+def wanted(bodies, *opened):
+    """Without the requests that an abort behind them in the same read takes back, and those aborts: nothing
+    begins for them. What names one of the `opened` is left as it is."""
+    if not any([b"abort" in body for body in bodies[1:]]):
+        return bodies
+    kept, names = [], []                 # bodies; for each, what an abort may name it by
+    for body in bodies:
+        try:
+            number, method, params = envelope(body)
+            named = withdrawn(params)
+        except Fault:
+            method = None
+        if method == "abort" and named is not None and not any([named in each for each in opened]):
+            place = next((place for place, told in enumerate(names) if named in told), None)
+            if place is not None:
+                del kept[place], names[place]
+                continue
+        kept.append(body)
+        names.append(() if method in (None, "abort", "ping") or number is None else (number, named))
+    return kept
+
+
 # Answers
 
 def framed(body):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -46,6 +46,61 @@
         each.close()
 
 
+@pytest.mark.parametrize("at_work", [False, True])
+def test_nothing_begins_for_a_request_whose_client_has_closed_behind_it(gate, at_work):
+    """Also where it waited at the door meanwhile: a parked connection that spoke."""
+    made = gate(clock=Handed())
+    client = made.client()
+    if at_work:
+        client.ask(1)
+        made.until(lambda: client.answers)
+    else:
+        made.until(lambda: made.process.front.parked)
+    client.ask(2)
+    half_close(client.stream)
+    made.until(lambda: not made.process.front.held)
+    made.turns()
+    assert made.came() == at_work == made.process.core.count and not made.process.front.marks
+
+
+@pytest.mark.parametrize("abort, answered, relayed", [
+    ({"id": 2}, [3], 1), ({"i": f"{2:016x}"}, [3], 1),      # neither begun nor answered
+    ({"id": 9}, [2, 3], 2), ({"id": None}, [2, 3], 2),
+])
+def test_an_abort_takes_back_a_request_that_came_in_the_same_read(gate, abort, answered, relayed):
+    made = gate()
+    client = made.client()
+    client.ask(1)                        # a connection to the host stands then
+    made.until(lambda: client.answers)
+    client.answers.clear()
+    client.message({"jsonrpc": "2.0", "method": "abort", "params": abort})    # before it: names nothing
+    client.ask(2)
+    for _ in range(2):
+        client.message({"jsonrpc": "2.0", "method": "abort", "params": abort})
+    client.ask(3)
+    made.until(lambda: len(client.answers) == len(answered))
+    made.turns()
+    assert sorted(each["id"] for each in client.answers) == answered and made.came() == 1 + relayed
+    assert made.process.front.faults == 0 and not made.process.core.held
+
+
+def test_an_abort_reaches_no_request_of_another_connection_and_a_second_one_nothing(gate):
+    held = []
+    made = gate(lambda *told: told[1]["type"] == "go" and held.append(told))
+    one, other = made.client(), made.client()
+    one.ask(1)
+    other.ask(1, i="f" * 16)
+    made.until(lambda: len(held) == 2)
+    for named in ("f" * 16, f"{1:016x}", f"{1:016x}"):     # of the other's; its own; its own again
+        one.message({"jsonrpc": "2.0", "method": "abort", "params": {"i": named}})
+    made.until(lambda: made.hosts[0].seen("halt"))
+    for each in held:
+        made.hosts[0].serve(*each)
+    made.until(lambda: other.answers)
+    made.turns()
+    assert "result" in other.answers[0] and one.answers == [] and len(made.hosts[0].seen("halt")) == 1
+
+
 # The end of the process
 
 def stopped(made):
