What deaf and slow clients make the front hold is bounded, each and all together

Seen by reading and a probe: of a client that takes no answers 1 MB waited before nothing more of it was read, so a flood of pings on some hundred connections could hold more than the memory limit within the 2 s that a deaf client is given; and nothing bounded half messages and untaken answers of all clients together. Bad messages (64 a connection), silent connections (2 s) and slow senders (2 s) were bounded and are held by a test now.

Now nothing is read of a client from 64 KiB of untaken answers on, and where all together hold more than 24 MiB at a look (each 100 ms) the heaviest are ended until they do not. Both tests fail without it.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -16,7 +16,6 @@
 from gaproute.interface.call import Call, Ending
 from gaproute.lobby import Lot
 from gaproute.loop import Listener, Stream
-from gaproute.loop.streams import HIGH
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 OPEN = 32                # requests of one connection at a time, by the protocol
@@ -26,6 +25,10 @@
 FIRST_WORD = 2 * SECOND  # for a new connection to send something: a useless one is to be closed within 3 s
 PROGRESS = 2 * SECOND    # for a message to come in whole, or for a client to take an answer
 IDLE = 30 * SECOND       # between requests: clients close theirs after 4 s
+UNTAKEN = 64 * 1024      # bytes that wait for a client to take them, above which nothing of it is read: a few
+#                          answers of the greatest size, or a thousand of the usual
+WEIGHT = 24 << 20        # bytes of all clients together, untaken answers and messages that have not come in
+#                          whole: an eighth of the memory of a usual gateway; the heaviest client goes then
 FAULTS = 64              # of one connection, until it is closed: each takes work from the others
 
 
@@ -88,8 +91,20 @@
         now = self.loop.now()
         for link in list(self.links):
             link.look(now)
+        self.lighten()
         self.sweeper = self.loop.after(SWEEP, self._sweep)
 
+    def lighten(self):
+        """Guards memory against thousands that send slowly or take no answers, each within its own bounds;
+        harms the heaviest of them before its time."""
+        weights = [(link.weight(), place, link) for place, link in enumerate(self.links)]
+        over = sum([weight for weight, _, _ in weights]) - WEIGHT
+        for weight, _, link in sorted(weights, reverse=True) if over > 0 else ():
+            if over > 0:
+                over -= weight
+                self.deaf += 1
+                link.end()
+
     # Requests
 
     def take(self, link, body):
@@ -209,7 +224,7 @@
                 return
         if fault is not None:
             self.refuse(fault)       # what a reader finds wrong is unreadable: that closes
-        elif self.stream.waiting >= HIGH:
+        elif self.stream.waiting >= UNTAKEN:
             self.stream.pause()
         if self.front.stopping:
             self.settled()
@@ -252,6 +267,9 @@
                 and now - self.told > QUIET and not self.front.stopping:
             self.park()
 
+    def weight(self):
+        return self.stream.waiting + len(self.reader.buffer)
+
     def park(self):
         front = self.front
         del front.links[self]
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -101,6 +101,60 @@
     assert "result" in other.answers[0] and one.answers == [] and len(made.hosts[0].seen("halt")) == 1
 
 
+# Those who take more than their share
+
+def raw(made, data):
+    """A client that sends until the socket takes no more, and reads nothing."""
+    made_one = socket.create_connection(address(made.where)[1])
+    made_one.setblocking(False)
+    made_one.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
+    made.turns(3)
+
+    def push():
+        try:
+            while made_one.send(data):
+                pass
+        except (BlockingIOError, ConnectionError):
+            pass
+
+    return made_one, push
+
+
+def test_floods_of_pings_and_of_bad_messages_and_silent_ones_are_bounded_and_others_are_served(gate):
+    made = gate(clock=Handed())
+    silent = [made.client() for _ in range(60)]
+    ping = b'{"jsonrpc":"2.0","id":1,"method":"ping"}'
+    pings, flood = raw(made, b"Content-Length: %d\r\n\r\n%b" % (len(ping), ping) * 2000)
+    bad, spoil = raw(made, b"Content-Length: 2\r\n\r\n[]" * 200)
+    heaviest = 0
+    for _ in range(300):
+        flood()
+        spoil()
+        made.turns(2)
+        heaviest = max([heaviest, *[link.weight() for link in made.process.front.links]])
+    served = made.client()
+    served.ask(1)
+    made.until(lambda: served.answers)
+    front = made.process.front
+    assert "result" in served.answers[0] and heaviest < 3 * fronts.UNTAKEN and front.faults == fronts.FAULTS
+    made.passes(fronts.FIRST_WORD + 100 * MILLI)     # who said nothing, and who takes nothing, is gone
+    made.passes(fronts.SWEEP)
+    assert all(client.ended for client in silent) and front.deaf == 1 and front.held <= 1
+    pings.close()
+    bad.close()
+
+
+def test_what_all_clients_together_may_hold_is_bounded_and_the_heaviest_goes_first(gate, monkeypatch):
+    monkeypatch.setattr(fronts, "WEIGHT", 60_000)
+    made = gate(clock=Handed())
+    clients = [made.client() for _ in range(3)]
+    for client, size in zip(clients, (10_000, 40_000, 20_000), strict=True):
+        client.send(b"Content-Length: 45000\r\n\r\n" + b"x" * size)
+    made.until(lambda: sum(link.weight() for link in made.process.front.links) == 70_000)
+    made.passes(fronts.SWEEP)
+    assert [client.ended for client in clients] == [False, True, False]
+
+
 # The end of the process
 
 def stopped(made):
