--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -140,6 +140,20 @@
     assert b"504" in client.recv(4096) and client.recv(1) == b""
 
 
+def test_one_that_closes_its_side_while_more_of_it_is_left_unread_has_left_too(served):
+    loop, server, held, client = served
+    for _ in range(4):
+        client.sendall(HEAD + b"Content-Length: 1\r\n\r\na")
+        loop.run(until=loop.sleep(2_000_000))
+    left = []
+    for request in held:
+        request.left = lambda request=request: (left.append(True), server.answer(request, 504, (), b"bye"))
+    client.shutdown(socket.SHUT_WR)
+    turns(loop, lambda: left)
+    assert len(left) == len(held) == 2 and client.recv(4096).count(b"504") == 2 and client.recv(1) == b""
+    turns(loop, lambda: not server.held)
+
+
 def test_a_slow_request_is_told_so_and_an_idle_connection_closed(served):
     loop, server, held, client = served
     client.sendall(HEAD)
