What still comes after SIGTERM is answered by when SIGKILL may come, whatever its deadline

Seen by probe: with deadlines over 3 s a request that came after SIGTERM was held to its own deadline, past the 3.7 s after which the platform may kill, and was lost then. The front now gives the core no more time for it than until then, so that the decisions end it by its class. Requests held from before SIGTERM keep their deadline: that needs a call of the core. The test fails without it.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -46,6 +46,7 @@
         self.parked = self.turned_away = self.faults = self.deaf = 0
         self.marks = {}              # a task's mark, while it is open: its connection
         self.stopping, self.emptied = False, None    # call() after a stop, when no connection is left
+        self.until = None            # by when the process may be killed: what still comes is answered by then
         self.family = where[0]
         self.lot = Lot.of(loop)
         self.number = self.lot.open(self)
@@ -135,10 +136,11 @@
         call = Call(asked.function, "", (), asked.body, asked.mark, method)
         self.marks[asked.mark] = link
         came = self.loop.now() - self.loop.behind
+        wait = min(asked.wait, longest, longest if self.until is None else self.until - came)
         link.tasks += 1
         link.open[number] = None
         link.open[number] = self.core.take(
-            call, track, 0, asked.lanes, asked.load_time, came, min(asked.wait, longest) - self.way_back,
+            call, track, 0, asked.lanes, asked.load_time, came, wait - self.way_back,
             lambda final: self.final(link, asked, final)), asked.mark
 
     def final(self, link, asked, final):
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -128,7 +128,8 @@
             self.stopping = True
             self.log.info("stopping", held=len(self.core.held))
             longest = max(track.hard_limit for track in self.terms.tracks)
-            self.granted = self.loop.now() + min(longest, LONGEST) + GRANTED - AHEAD
+            self.front.until = self.loop.now() + min(longest, LONGEST) + GRANTED
+            self.granted = self.front.until - AHEAD
             self.loop.after(STILL_COMING, self.shut)
 
     def shut(self):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,11 +8,11 @@
 from gaproute.decisions.door.door import SHORT
 from gaproute.decisions.links.pooling import OWN
 from gaproute.fronts.jsonrpc import front as fronts
-from gaproute.fronts.jsonrpc.messages import REFUSED
+from gaproute.fronts.jsonrpc.messages import FAILED, REFUSED
 from gaproute.loop import connect
 from gaproute.loop.streams import FAREWELL, address
 from gaproute.node.process import AGAIN, STATUS, STILL_COMING
-from scripted import MILLI, SECOND, Handed, half_close, nothing
+from scripted import MILLI, SECOND, SETTINGS, Handed, half_close, nothing
 
 
 def test_a_client_that_takes_no_answers_is_seen_to_leave_though_nothing_is_read(gate):
@@ -256,6 +256,21 @@
     assert all(client.ended for client in rest + late)
 
 
+def test_a_request_after_sigterm_is_ended_by_its_class_before_sigkill_though_its_deadline_is_longer(gate):
+    lanes = [lane | {"deadline": 10_000.0} for lane in SETTINGS["lanes"]]
+    made = gate(nothing, clock=Handed(), settings=SETTINGS | {"lanes": lanes})
+    began = made.loop.now()
+    ended = stopped(made)
+    client = made.client()
+    client.ask(1, d=9000)
+    client.ask(2, "repair-order", d=9000)
+    made.until(lambda: len(made.process.core.held) == 2)
+    while not ended():
+        made.passes(20 * MILLI)
+    codes = {each["id"]: each["error"]["code"] for each in client.answers}
+    assert codes == {1: REFUSED, 2: FAILED} and made.loop.now() - began <= 3700 * MILLI
+
+
 def test_signals_that_come_together_are_all_heeded_and_a_second_sigterm_changes_nothing(gate):
     made = gate(clock=Handed(), known={"seq": 0, "results": []})     # nothing was ever listed
     before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)}
