At a stop no connection closes over a request that lies unread in it

Seen by probe: a request that had come into the gateway's socket, but not yet been read when the connection had its last answer (or rested) at a stop, was dropped with the close: taken, by the platform's rule, and never answered. Link.settled now looks whether the socket is quiet; what lies there is read in the next turn and answered, and the connection closes then. The test fails without it.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -280,8 +280,10 @@
         front.lot.park(self.stream.release(), front.number, due, self.place, self.tasks, True)
 
     def settled(self):
-        """A request is answered: a connection that is to close does so after the last."""
-        if not self.open and (self.closing or self.front.stopping) and not self.reader.midway:
+        """A request is answered: at a stop its connection closes after the last, and not before what already
+        lies there has been read and answered."""
+        if self.front.stopping and not self.closing and not self.open and not self.reader.midway \
+                and self.stream.quiet():
             self.shut()
 
     def shut(self):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -271,6 +271,26 @@
     assert codes == {1: REFUSED, 2: FAILED} and made.loop.now() - began <= 3700 * MILLI
 
 
+@pytest.mark.parametrize("open_before", [False, True])
+def test_a_request_that_lies_unread_when_its_connection_would_close_is_answered(gate, open_before):
+    held = []
+    made = gate(lambda *told: told[1]["type"] == "go" and held.append(told), clock=Handed())
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: held)
+    if not open_before:
+        made.hosts[0].serve(*held[0])
+        made.until(lambda: client.answers)
+    link, = made.process.front.links
+    client.ask(2)                            # in the gateway's socket, not read by it
+    made.process.front.stop()
+    if open_before:
+        link.open.clear()                    # as where the first is answered in this very turn
+        link.settled()
+    made.until(lambda: client.ended)
+    assert client.answers[-1]["id"] == 2 and client.answers[-1]["error"]["code"] == REFUSED
+
+
 def test_signals_that_come_together_are_all_heeded_and_a_second_sigterm_changes_nothing(gate):
     made = gate(clock=Handed(), known={"seq": 0, "results": []})     # nothing was ever listed
     before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)}
