--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -16,8 +16,9 @@
 from gaproute.decisions.chance import Chance
 from gaproute.decisions.door.restarts import Restarts
 from gaproute.loop import Loop, Promise
+from gaproute.loop.connecting import listening
 from gaproute.loop.loop import READ
-from gaproute.loop.streams import address, listening
+from gaproute.loop.streams import address
 from gaproute.record.logs import logger
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -15,8 +15,9 @@
 from gaproute.lobby import Lot
 from gaproute.lobby.lot import descriptors
 from gaproute.loop import Loop
+from gaproute.loop.connecting import short
 from gaproute.loop.datagrams import Datagrams
-from gaproute.loop.streams import address, short
+from gaproute.loop.streams import address
 from gaproute.node import charter as charters
 from gaproute.node.log import Log
 from gaproute.record.record import FOLLOWED, Record
