--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -8,6 +8,7 @@
 from gaproute.decisions.door.door import SHORT
 from gaproute.decisions.links.pooling import OWN
 from gaproute.fronts.jsonrpc import front as fronts
+from gaproute.fronts.jsonrpc import link as links
 from gaproute.fronts.jsonrpc.messages import FAILED, REFUSED
 from gaproute.loop import connect
 from gaproute.loop.streams import FAREWELL, address
@@ -138,7 +139,7 @@
     served.ask(1)
     made.until(lambda: served.answers)
     front = made.process.front
-    assert "result" in served.answers[0] and heaviest < 3 * fronts.UNTAKEN and front.faults == fronts.FAULTS
+    assert "result" in served.answers[0] and heaviest < 3 * links.UNTAKEN and front.faults == links.FAULTS
     made.passes(fronts.FIRST_WORD + 100 * MILLI)     # who said nothing, and who takes nothing, is gone
     made.passes(fronts.SWEEP)
     assert all(client.ended for client in silent) and front.deaf == 1 and front.held <= 1
@@ -200,7 +201,7 @@
 
 
 def test_what_only_waits_to_be_taken_gets_no_more_time_than_is_granted(gate, monkeypatch):
-    monkeypatch.setattr(fronts.Link, "look", lambda link, now: None)     # no deaf client's end before
+    monkeypatch.setattr(links.Link, "look", lambda link, now: None)     # no deaf client's end before
     made = gate(clock=Handed())
     client = made.client()
     client.ask(1)
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 from gaproute.benchlink import wire
 from gaproute.discovery.changelog import events
 from gaproute.fronts.jsonrpc import front as fronts
+from gaproute.fronts.jsonrpc import link as links
 from gaproute.fronts.jsonrpc import messages
 from gaproute.loop.datagrams import Datagrams
 from gaproute.node import charter as charters
@@ -135,7 +136,7 @@
 
 def test_a_connection_that_sends_nothing_or_half_a_message_is_closed(gate, monkeypatch):
     monkeypatch.setattr(fronts, "FIRST_WORD", 30 * MILLI)
-    monkeypatch.setattr(fronts, "PROGRESS", 30 * MILLI)
+    monkeypatch.setattr(links, "PROGRESS", 30 * MILLI)
     monkeypatch.setattr(fronts, "SWEEP", 10 * MILLI)
     made = gate()
     silent, half = made.client(), made.client()
@@ -145,7 +146,7 @@
 
 
 def test_resting_connections_make_room_and_those_at_work_stay(gate, monkeypatch):
-    monkeypatch.setattr(fronts, "QUIET", 0)
+    monkeypatch.setattr(links, "QUIET", 0)
     monkeypatch.setattr(fronts, "SWEEP", 5 * MILLI)
     made = gate(sockets=90)
     made.process.front.lot.door.spare = 0
