--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -164,7 +164,8 @@
                                 len(worker.out)] for worker in gateway.fleet if worker.out or worker.slow > 1}
         self.log.info("status", held=len(self.core.held), counts=self.record.table(), links=held,
                       believed=believed, clients=Lot.of(self.loop).held, parked=front.parked,
-                      faults=front.faults, turned_away=front.turned_away, opened=hosts.opened,
+                      faults=front.faults, turned_away=front.turned_away, deaf=front.deaf,
+                      displaced=Lot.of(self.loop).displaced, opened=hosts.opened,
                       reused=hosts.reused, doubled=hosts.doubled, spoilt=hosts.spoilt, strays=hosts.strays,
                       late_turns=self.loop.late_turns,
                       descriptors=had(lambda: len(os.listdir("/proc/self/fd"))),
