An error over one connection ends neither the looks at the others nor the stop

Both are armed first; each look is guarded for itself. The HTTP/1.1 server's close leaves connections that have said farewell to the kernel, as the front does.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -83,11 +83,11 @@
             self.emptied()
 
     def _sweep(self):
+        self.sweeper = self.loop.after(SWEEP, self._sweep)     # first: an error must not end the looks
         now = self.loop.now()
         for link in list(self.links):
-            link.look(now)
+            self.loop.guard(link.look, now)
         self.lighten()
-        self.sweeper = self.loop.after(SWEEP, self._sweep)
 
     def lighten(self):
         """Guards memory against thousands that send slowly or take no answers, each within its own bounds;
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -160,7 +160,10 @@
         if self.sweep is not None:
             self.sweep.cancel()
         for link in list(self.links):
-            link.stream.abort()
+            if link.stream.closing:
+                link.stream.part()       # its last words are with the kernel
+            else:
+                link.stream.abort()
             link.gone()
 
 
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -135,8 +135,8 @@
 
     def shut(self):
         self.core.emptied = self.front.emptied = self.leave
+        self.loop.at(self.granted, self.leave)       # first: an error must not keep the process
         self.front.stop()
-        self.loop.at(self.granted, self.leave)
         self.leave()
 
     def leave(self):
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -158,6 +158,25 @@
     assert [client.ended for client in clients] == [False, True, False]
 
 
+def test_an_error_over_one_connection_ends_neither_the_looks_nor_the_stop(gate, monkeypatch):
+    made = gate(clock=Handed())
+    spoilt, half = made.client(), made.client()
+    for client in (spoilt, half):
+        client.send(b"Content-Length: 50\r\n\r\nhalf")
+    made.until(lambda: len(made.process.front.links) == 2)
+    first, look = next(iter(made.process.front.links)), links.Link.look
+    monkeypatch.setattr(links.Link, "look", lambda link, now: 1 / 0 if link is first else look(link, now))
+    made.passes(links.PROGRESS)
+    made.passes(fronts.SWEEP)
+    assert spoilt.ended + half.ended == 1 and made.process.front.held == 1
+    made.loop.running = True
+    monkeypatch.setattr(made.process.front, "stop", lambda: 1 / 0)
+    made.process.stop()
+    made.passes(STILL_COMING)
+    made.passes(made.process.granted - made.loop.now())
+    assert not made.loop.running and dict(made.lines)["error"]
+
+
 # The end of the process
 
 def stopped(made):
