A timer set again for at once has its turn in the next one, after bytes

Seen with a handed clock: a task whose wait was asked for 'now' again and again (the usual time of a function was 0, as its host had answered within one reading of the clock) kept one turn of the loop for ever: no byte was read. On a real clock the same holds bytes up while it lasts. Loop.turn fired every timer due, those just set included; now only those that stood when the timers' part began. The test fails without it.

--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -238,8 +238,8 @@
             looks -= 1
             self._bytes(ready)
         self.behind = 0
-        now = self.clock()
-        while self.timers and self.timers[0][0] <= now:
+        now, newest = self.clock(), self.count       # one set for no later than now has its turn in the next
+        while self.timers and self.timers[0][0] <= now and self.timers[0][1] <= newest:
             timer = heapq.heappop(self.timers)[2]
             if timer.call is None:
                 self.dead -= 1
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -103,6 +103,22 @@
     loop.close()
 
 
+def test_a_timer_set_again_for_at_once_leaves_bytes_and_others_their_turn(loop):
+    got, left = [], [100]
+
+    def again():
+        left[0] -= 1
+        if left[0]:
+            loop.after(0, again)
+
+    stream, there = pair(loop, got.append)
+    loop.after(0, again)
+    loop.after(0, there.send, b"x")
+    loop.turn()
+    loop.turn()
+    assert got == [b"x"] and left == [98]
+
+
 def test_a_turn_in_time_is_not_late(loop):
     loop.on_late.append(lambda: pytest.fail("told late"))
     loop.after(10 * MILLI, lambda: None)
