--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -96,8 +96,10 @@
         self.loop.at(when, self._end_all)
 
     def _end_all(self):
-        for key in list(self.tasks):
-            self._guarded(key, self.late, key, self.loop.now())
+        for held in list(self.held.values()):
+            self._guarded(held.id, self.late, held.id, self.loop.now())
+            for number in held.out:
+                self._take_back(held, number, face.Result.RECALLED)
 
     # From the hosts
 
--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -12,21 +12,18 @@
 import socket
 
 from gaproute.fronts.jsonrpc import messages
+from gaproute.fronts.jsonrpc.link import Link
 from gaproute.fronts.jsonrpc.messages import Fault
 from gaproute.interface.call import Call, Ending
 from gaproute.lobby import Lot
-from gaproute.loop import Listener, Stream
-from gaproute.loop.streams import HIGH
+from gaproute.loop import Listener
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 OPEN = 32                # requests of one connection at a time, by the protocol
-QUIET = 100 * MILLI      # without a request until a connection is parked: only parked ones can make room, and
-#                          hundreds come in a second where clients open one for each request
 SWEEP = 100 * MILLI      # between looks for quiet, slow and deaf ones: one wake-up for all of them
 FIRST_WORD = 2 * SECOND  # for a new connection to send something: a useless one is to be closed within 3 s
-PROGRESS = 2 * SECOND    # for a message to come in whole, or for a client to take an answer
-IDLE = 30 * SECOND       # between requests: clients close theirs after 4 s
-FAULTS = 64              # of one connection, until it is closed: each takes work from the others
+WEIGHT = 24 << 20        # bytes of all clients together, untaken answers and messages that have not come in
+#                          whole: an eighth of the memory of a usual gateway; the heaviest client goes then
 
 
 class Front:
@@ -42,7 +39,7 @@
         self.refused = lambda code, text: None   # what came wrong, for the log
         self.parked = self.turned_away = self.faults = self.deaf = 0
         self.marks = {}              # a task's mark, while it is open: its connection
-        self.stopping = False
+        self.stopping, self.emptied = False, None    # call() after a stop, when no connection is left
         self.family = where[0]
         self.lot = Lot.of(loop)
         self.number = self.lot.open(self)
@@ -74,12 +71,33 @@
     def lost(self):
         """A parked connection was closed."""
         self.parked -= 1
+        self.tell()
+
+    @property
+    def held(self):
+        return len(self.links) + self.parked
+
+    def tell(self):
+        if self.stopping and self.emptied is not None and not self.held:
+            self.emptied()
 
     def _sweep(self):
+        self.sweeper = self.loop.after(SWEEP, self._sweep)     # first: an error must not end the looks
         now = self.loop.now()
         for link in list(self.links):
-            link.look(now)
-        self.sweeper = self.loop.after(SWEEP, self._sweep)
+            self.loop.guard(link.look, now)
+        self.lighten()
+
+    def lighten(self):
+        """Guards memory against thousands that send slowly or take no answers, each within its own bounds;
+        harms the heaviest of them before its time."""
+        weights = [(link.weight(), place, link) for place, link in enumerate(self.links)]
+        over = sum([weight for weight, _, _ in weights]) - WEIGHT
+        for weight, _, link in sorted(weights, reverse=True) if over > 0 else ():
+            if over > 0:
+                over -= weight
+                self.deaf += 1
+                link.end()
 
     # Requests
 
@@ -137,11 +155,15 @@
     # Stop
 
     def stop(self):
-        """Accepts no more; connections close once nothing is open on them. What waits in the kernel's queue
-        is taken in first, as it would be reset, and what it asks is declined."""
-        while not self.stopping and (came := self.listener.accept()) is not None:
-            self.admits(*came)
+        """Accepts no more; connections close once nothing is open on them and no half message has come. What
+        waits in the kernel's queue is taken in first, as it would be reset, and what it asks is declined: the
+        resting ones make room for it."""
+        if self.stopping:
+            return
         self.stopping = True
+        self.lot.close(self.number)
+        while (came := self.listener.accept()) is not None:
+            self.admits(*came)
         self.listener.close()
         self.lot.close(self.number)
         for link in list(self.links):
@@ -152,119 +174,7 @@
         self.sweeper.cancel()
         self.lot.close(self.number, True)
         for link in list(self.links):
-            link.end()
-
-
-class Link:
-    """A connection at work, from its first byte until it has been quiet for a while."""
-
-    __slots__ = ("front", "stream", "reader", "place", "tasks", "open", "since", "told", "faults", "closing")
-
-    def __init__(self, front, sock, place, tasks):
-        self.front, self.place, self.tasks = front, place, tasks
-        self.reader = messages.Reader()
-        self.open = {}               # number: (the core's key, mark) of its task
-        self.since = self.told = front.loop.now()    # a message is coming in; the last word either way
-        self.faults, self.closing = 0, False
-        self.stream = Stream(front.loop, sock, self.bytes, self.ended)
-        self.stream.on_room = self.room
-
-    def bytes(self, data):
-        if self.closing:
-            return
-        now = self.front.loop.now()
-        if not self.reader.midway:
-            self.since = now
-        self.told, fault = now, None
-        try:
-            bodies = self.reader.feed(data)
-        except Fault as wrong:
-            fault, bodies = wrong, wrong.bodies
-        if bodies:
-            self.since = now
-        for body in bodies:
-            try:
-                self.front.take(self, body)
-            except Fault as wrong:
-                self.refuse(wrong)
-            if self.closing or not self.stream.open:
-                return
-        if fault is not None:
-            self.refuse(fault)       # what a reader finds wrong is unreadable: that closes
-        elif self.stream.waiting >= HIGH:
-            self.stream.pause()
-
-    def refuse(self, fault):
-        self.front.faults += 1
-        self.faults += 1
-        self.front.refused(fault.code, fault.text)
-        self.write(messages.error(fault.number, fault.code, fault.text))
-        if fault.code == messages.UNREADABLE or self.faults >= FAULTS:
-            self.shut()
-
-    def write(self, data):
-        self.told = self.front.loop.now()
-        self.stream.write(data)
-
-    def room(self):
-        self.told = self.front.loop.now()
-        if not self.stream.reading and not self.closing:
-            self.stream.resume()
-
-    def withdraw(self, named):
-        """The client no longer waits for a request, named by its number or its mark: no answer is owed."""
-        for number, (key, mark) in self.open.items():
-            if named == number or named == mark:
-                del self.open[number]
-                self.front.left(key, mark)
-                return
-
-    def look(self, now):
-        """What a glance now and then is enough for."""
-        if self.stream.waiting and now - self.told > PROGRESS:
-            self.front.deaf += 1
-            self.end()
-        elif self.reader.midway and now - self.since > PROGRESS:
-            self.refuse(Fault(messages.UNREADABLE, "the message did not come in whole in time"))
-        elif not self.open and not self.stream.waiting and not self.reader.midway \
-                and now - self.told > QUIET and not self.closing:
-            self.park()
-
-    def park(self):
-        front = self.front
-        del front.links[self]
-        front.parked += 1
-        due = front.lot.door.idle_end(front.loop.now(), IDLE)
-        front.lot.park(self.stream.release(), front.number, due, self.place, self.tasks, True)
-
-    def settled(self):
-        """A request is answered: a connection that is to close does so after the last."""
-        if not self.open and (self.closing or self.front.stopping) and not self.reader.midway:
-            self.shut()
-
-    def shut(self):
-        """Closes once what was written has left; what is open on it has lost its client."""
-        self.closing = True
-        self.leave()
-        if self.stream.open:
-            self.stream.close()
-        self.gone()
-
-    def end(self):
-        self.stream.abort()
-        self.leave()
-        self.gone()
-
-    def ended(self, error):
-        self.leave()
-        self.gone()
-
-    def leave(self):
-        opened, self.open = self.open, {}
-        for key, mark in opened.values():
-            self.front.left(key, mark)
-
-    def gone(self):
-        if self in self.front.links:
-            del self.front.links[self]
-            self.front.lot.leave(self.place, True)
+            if link.closing:
+                link.stream.part()       # its last words are with the kernel
+            else:
+                link.end()
--- a/gaproute/hosts/proof.py
+++ b/gaproute/hosts/proof.py
@@ -13,7 +13,7 @@
 | any byte handed over, then reset, close, half an answer, nonsense | RESET | may have run |
 """
 from gaproute.interface import Result
-from gaproute.loop.streams import SHORT_OF_FDS
+from gaproute.loop.connecting import SHORT_OF_FDS
 
 UNCLEAR = (408, 425)     # time-out at the host, too early: neither says what became of the task
 
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -160,7 +160,10 @@
         if self.sweep is not None:
             self.sweep.cancel()
         for link in list(self.links):
-            link.stream.abort()
+            if link.stream.closing:
+                link.stream.part()       # its last words are with the kernel
+            else:
+                link.stream.abort()
             link.gone()
 
 
@@ -356,8 +359,8 @@
 
     def _shut(self):
         self._untime()
-        self.stream.close()
-        self._lose()
+        self.closing = True
+        self.stream.close(lambda error: self._lose())    # until its descriptor is given back it counts
 
     def gone(self):
         self._untime()
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -65,7 +65,8 @@
     def _accept(self):
         listener, owner = next(iter(self.arriving.items()))
         del self.arriving[listener]
-        if self.door.patient and owner.counted and self.held >= self.door.most and self._victim() is None:
+        if self.door.patient and owner.counted and self.held >= self.door.most \
+                and self._parting() is None and self._victim() is None:
             listener.rest(HOLD)
             return
         came = listener.accept()
@@ -110,14 +111,34 @@
             self.free.append(place)
 
     def _victim(self):
+        return self.door.victim(self.loop.now(), self._idle())
+
+    def _idle(self):
         """Of a small house every parked one is looked at; of a large one those whose end is next."""
         some = range(len(self.state)) if self.parked <= 4 * SAMPLE else self.calendar.first(4 * SAMPLE)
         idle = [(fd, self.since[fd], self.tasks[fd]) for fd in some
                 if self.state[fd] == PARKED and self.owners[self.owner[fd]].counted]
-        idle = idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
-        return self.door.victim(self.loop.now(), idle)
+        return idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
+
+    def make_room(self):
+        """No descriptor was to be had: some idle ones go, the oldest first."""
+        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())   # one that has just spoken is not idle
+        self.loop.waiting = True
+        for fd in self.door.oldest(self.loop.now(), self._idle()):
+            self.displaced += 1
+            self._drop(fd)
+
+    def _parting(self):
+        """The connection that has said farewell longest, where that is long enough; it too is counted."""
+        for stream, since in self.loop.leaving.items():
+            return self.door.victim(self.loop.now(), [(stream, since, 0)])
+        return None
 
     def _displace(self):
+        parting = self._parting()
+        if parting is not None:
+            parting.cut()
+            return True
         fd = self._victim()
         if fd is None:
             return False
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -123,6 +123,7 @@
         self.poll = getattr(clock, "poll", None) or (lambda epoll, span: epoll.poll(max(0, span) / SECOND))
         self.epoll = select.epoll()
         self.watched = {}        # descriptor: call(events)
+        self.leaving = {}        # stream that says farewell (`Stream.close`): since when; the oldest first
         self.fresh = set()       # watched since the last poll: what that told is of an earlier life of them
         self.lobby = select.epoll()          # of what is parked; one event of the outer one
         self.inner = self.lobby.fileno()
@@ -199,7 +200,7 @@
             return
         for number in dict.fromkeys(numbers):
             if number in self.signals:
-                self.signals[number]()
+                self.guard(self.signals[number])     # one that fails must not take the next one's call
 
     # Turns
 
@@ -237,8 +238,8 @@
             looks -= 1
             self._bytes(ready)
         self.behind = 0
-        now = self.clock()
-        while self.timers and self.timers[0][0] <= now:
+        now, newest = self.clock(), self.count       # one set for no later than now has its turn in the next
+        while self.timers and self.timers[0][0] <= now and self.timers[0][1] <= newest:
             timer = heapq.heappop(self.timers)[2]
             if timer.call is None:
                 self.dead -= 1
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -103,6 +103,22 @@
     loop.close()
 
 
+def test_a_timer_set_again_for_at_once_leaves_bytes_and_others_their_turn(loop):
+    got, left = [], [100]
+
+    def again():
+        left[0] -= 1
+        if left[0]:
+            loop.after(0, again)
+
+    stream, there = pair(loop, got.append)
+    loop.after(0, again)
+    loop.after(0, there.send, b"x")
+    loop.turn()
+    loop.turn()
+    assert got == [b"x"] and left == [98]
+
+
 def test_a_turn_in_time_is_not_late(loop):
     loop.on_late.append(lambda: pytest.fail("told late"))
     loop.after(10 * MILLI, lambda: None)
@@ -141,11 +157,87 @@
     assert got == [b"x"]
 
 
-def test_close_hands_over_what_was_written_and_abort_does_not_wait(real):
-    stream, there = pair(real)
+@pytest.mark.parametrize("half", [False, True])
+def test_a_paused_stream_is_told_of_the_end_at_once_and_once(loop, half):
+    told = []
+    stream, there = pair(loop, on_end=told.append)
+    if half:
+        stream.on_half = lambda: told.append(None)
+    stream.pause()
+    there.send(b"unread")
+    there.shutdown(socket.SHUT_WR)
+    for _ in range(3):
+        loop.turn()
+    assert told == [None] and stream.open == half
+
+
+def tcp(loop, on_bytes=lambda data: None, on_end=lambda error: None):
+    """(stream, the other end) over loopback, where a reset is one."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        there = socket.create_connection(server.getsockname())
+        here, _ = server.accept()
+    here.setblocking(False)
+    return Stream(loop, here, on_bytes, on_end), there
+
+
+def test_what_the_other_side_said_before_its_reset_counts_although_a_write_meets_that_first(real):
+    order = []
+    stream, there = tcp(real, order.append, lambda error: order.append(type(error)))
+
+    def cross():                 # after this turn's look for bytes
+        there.send(b"a whole answer")
+        there.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
+        there.close()
+        stream.write(b"crosses")
+
+    real.after(0, cross)
+    real.turn()
+    real.turn()
+    assert order[0] == b"a whole answer" and issubclass(order[1], OSError) and len(order) == 2
+
+
+@pytest.mark.parametrize("before", [b"", b"unread"])
+def test_close_hands_over_what_was_written_and_bytes_that_cross_it_do_not_reset_it(real, before):
+    """The other side reads to the end although it wrote before, across and after the close."""
+    closed, size = [], 1 << 20           # more than the socket takes at once
+    stream, there = tcp(real)
+    stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
+    there.send(before)
+    stream.write(b"x" * size)
+    stream.close(closed.append)
+    stream.close(closed.append)
+    got = 0
+    there.setblocking(False)
+    while got < size:
+        there.send(b"crosses")
+        real.after(0, lambda: None)
+        real.turn()
+        try:
+            got += len(there.recv(1 << 16))
+        except BlockingIOError:
+            pass
+    there.setblocking(True)
+    assert there.recv(1) == b"" and stream.open and list(real.leaving) == [stream]
+    there.send(b"after the end")
+    there.close()
+    while not closed:
+        real.turn()
+    assert closed == [None] and not stream.open and not real.leaving
+
+
+def test_who_does_not_close_is_waited_for_a_while_and_who_takes_nothing_is_reset(loop):
+    closed = []
+    stream, there = pair(loop)
     stream.write(b"last words")
-    stream.close()
-    assert there.recv(100) == b"last words" and there.recv(1) == b"" and not stream.open
+    stream.close(closed.append)
+    assert there.recv(100) == b"last words" and there.recv(1) == b""
+    deaf, far = pair(loop)
+    deaf.write(b"x" * (4 << 20))
+    deaf.close(lambda error: closed.append("deaf"))
+    loop.run(until=loop.sleep(SECOND))
+    assert closed == [None] and list(loop.leaving) == [deaf]
+    loop.run(until=loop.sleep(40 * SECOND))
+    assert closed == [None, "deaf"] and not loop.leaving
 
 
 @pytest.mark.parametrize("where", ["127.0.0.1:0", "[::1]:0", "unix"])
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -10,6 +10,7 @@
 from gaproute.benchlink import wire
 from gaproute.discovery.changelog import events
 from gaproute.fronts.jsonrpc import front as fronts
+from gaproute.fronts.jsonrpc import link as links
 from gaproute.fronts.jsonrpc import messages
 from gaproute.loop.datagrams import Datagrams
 from gaproute.node import charter as charters
@@ -70,8 +71,9 @@
     client = made.client()
     client.send(data)
     made.until(lambda: client.ended)
-    assert not client.answers or client.answers[0]["error"]["code"] == messages.UNREADABLE
-    assert not made.process.front.links
+    assert client.answers[0]["error"]["code"] == messages.UNREADABLE
+    made.until(lambda: not made.process.front.links)
+    assert made.process.front.lot.held == 0
 
 
 def test_a_second_request_under_an_open_id_or_number_is_an_error_and_the_first_unharmed(gate):
@@ -134,7 +136,7 @@
 
 def test_a_connection_that_sends_nothing_or_half_a_message_is_closed(gate, monkeypatch):
     monkeypatch.setattr(fronts, "FIRST_WORD", 30 * MILLI)
-    monkeypatch.setattr(fronts, "PROGRESS", 30 * MILLI)
+    monkeypatch.setattr(links, "PROGRESS", 30 * MILLI)
     monkeypatch.setattr(fronts, "SWEEP", 10 * MILLI)
     made = gate()
     silent, half = made.client(), made.client()
@@ -144,7 +146,7 @@
 
 
 def test_resting_connections_make_room_and_those_at_work_stay(gate, monkeypatch):
-    monkeypatch.setattr(fronts, "QUIET", 0)
+    monkeypatch.setattr(links, "QUIET", 0)
     monkeypatch.setattr(fronts, "SWEEP", 5 * MILLI)
     made = gate(sockets=90)
     made.process.front.lot.door.spare = 0
