A dial given up tells nothing, also where no descriptor was left for it

`connect` handed its error to `done` after the dial had been given up where `socket()` itself failed, against its own words (its give-up did nothing there).

--- a/gaproute/loop/connecting.py
+++ b/gaproute/loop/connecting.py
@@ -12,10 +12,6 @@
 SHORT_OF_FDS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
-def _nothing(*_):
-    pass
-
-
 def short(loop, fault):
     """Whether no descriptor was to be had: some who rest at the door then go, for the next try."""
     if fault.errno not in SHORT_OF_FDS:
@@ -38,7 +34,7 @@
 
     Returns a call that gives up; after it `done` is not called.
     """
-    family, target = where
+    (family, target), sock, over = where, None, []
     try:
         sock = _tuned(socket.socket(family, socket.SOCK_STREAM | socket.SOCK_CLOEXEC))
         if source is not None:
@@ -46,11 +42,12 @@
             sock.setsockopt(socket.IPPROTO_IP, BIND_ADDRESS_NO_PORT, 1)
             sock.bind((source, 0))
     except OSError as fault:
+        if sock is not None:
+            sock.close()
         short(loop, fault)
-        loop.soon(done, None, fault)
-        return _nothing
+        loop.soon(lambda: over or done(None, fault))
+        return lambda: over.append(True)
     code = sock.connect_ex(target)
-    over = []
 
     def settle(error):
         if over:
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -261,6 +261,16 @@
         assert isinstance(real.run(until=told), ConnectionRefusedError)
 
 
+def test_a_dial_without_a_descriptor_that_is_given_up_tells_nothing(real, monkeypatch):
+    def none_left(*_):
+        raise OSError(errno.EMFILE, "none left")
+    monkeypatch.setattr(socket, "socket", none_left)
+    give_up = connect(real, (socket.AF_INET, ("127.0.0.1", 9)), SECOND, lambda *_: pytest.fail("told"))
+    give_up()
+    real.turn()
+    assert not real.errors
+
+
 def test_a_stale_socket_file_is_replaced_and_a_live_one_never(real, tmp_path):
     where = address(f"unix:{tmp_path}/s")
     with socket.socket(socket.AF_UNIX) as dead:
