A choice among cold hosts looks through the fleet once, not once for each passed over

Seen: with all 88 hosts of a fleet cold a choice cost 4 ms, and with 1,200 it ended in a RecursionError: the task was lost. Each cold host whose credit did not suffice began the whole choice anew (choose, the line 'return self.choose' behind the draw), so a choice scored the fleet as often as it had cold hosts with credit. Ruled out: the spread of credit itself (under a tenth of the time, by profile).

The scores are now kept in order and the next best is taken; only warm hosts end the scoring early, as a cold one may be passed over.

--- /dev/null
+++ b/benchmarks/cold.py
@@ -0,0 +1,270 @@
+"""How much cold hosts get from a whole fleet, against the budget past which one falls: decisions alone, on
+the clock of `benchmarks/fleet`, against stand-in hosts.
+
+    python benchmarks/cold.py [--seeds 0:1000] [--jobs 2] [--gain step|even] [--list]
+
+The seed decides the day: one host new, six in ten replaced within 7 s, all cold, a third back cold; 3 to 200
+gateways, some with ten times or a thirtieth of the mean traffic; the load; whether a minute without traffic
+comes before, seven in ten gateways restart, lists come up to 4 s late. `step`: a cold host stays at its first
+share until it is warm, the least that the settings promise; `even`: it gains evenly.
+"""
+import argparse
+import sys
+from collections import defaultdict, deque
+from math import sqrt
+from multiprocessing import Pool
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+from benchmarks.fleet import world as fleet_world
+from benchmarks.fleet.clock import MILLI, SECOND
+from benchmarks.fleet.gateways import One
+from benchmarks.fleet.hosts import WAY, Host
+from gaproute import interface as face
+
+PACE = 12.0              # requests of mean work a second that a warm host does
+WORK = 80 * MILLI        # of a request on an idle host, beside its turn
+LOAD = 500 * MILLI       # of a copy
+FULL = 1500 * MILLI      # of work waiting, at which a host turns requests away
+LIGHT, HEAVY, SELDOM = 0.6, 2.6, 5       # work of requests; one in so many is heavy: the mean is 1
+FUNCTIONS = 60
+COLD, TIP, MULTIPLE = 9 * SECOND, 1500 * MILLI, 2.5      # as the settings tell them, but a shorter cold time
+BEFORE, IDLE, AFTER = 3 * SECOND, 60 * SECOND, 10 * SECOND
+KINDS, GATEWAYS = ("one", "join", "all", "zone"), (3, 20, 30, 200)
+
+
+class Day(NamedTuple):
+    kind: str
+    gateways: int
+    hosts: int
+    busy: float              # of the warm hosts' pace
+    share: float             # of its power that a cold host has at least
+    gain: str
+    uneven: bool
+    idle: bool
+    restart: bool
+    late: bool
+
+
+def day(seed, gain=None):
+    dice = Random(seed)
+    return Day(KINDS[seed % 4], GATEWAYS[seed // 4 % 4], dice.choice((12, 16, 20, 24, 32, 40, 88)),
+               dice.uniform(0.3, 0.6), dice.choice((0.17, 0.25)), gain or dice.choice(("step", "even")),
+               *[dice.random() < odds for odds in (0.6, 0.25, 0.3, 0.3)])
+
+
+class ColdHost(Host):
+    """Does its work in turn, slower while it is cold."""
+
+    def __init__(self, number, told, started=None):
+        super().__init__(number % fleet_world.ZONES, 1.0, started)
+        self.day, self.free, self.got = told, 0, []      # (when, work, whether by one told of its start)
+
+    def power(self, now):
+        if self.started is None or now - self.started >= COLD:
+            return 1.0
+        gained = (now - self.started) / COLD if self.day.gain == "even" else 0
+        return self.day.share + (1 - self.day.share) * gained
+
+    def full(self, now):
+        return self.free - now > FULL
+
+    def take(self, now, function, work):
+        self.busy += 1
+        stands = self.copies.get(function)
+        warm = stands is not None and stands <= now
+        if stands is None:
+            stands = self.copies[function] = now + LOAD
+        self.free = max(now, self.free) + int(work * SECOND / PACE / self.power(now))
+        return max(self.free, stands) - now + WAY + WORK, warm
+
+    def worst(self):
+        """(Most of the budget that a window used up, whether the told sent two thirds of the first fall)."""
+        window, work, by_told, worst, broken = deque(), 0.0, 0.0, 0.0, False
+        for at, one, told in self.got:
+            if at >= self.started + COLD:
+                break
+            window.append((at, one, told))
+            work, by_told = work + one, by_told + one * told
+            while window[0][0] <= at - TIP:
+                _, old, old_told = window.popleft()
+                work, by_told = work - old, by_told - old * old_told
+            bears = MULTIPLE * PACE * self.power(max(self.started, at - TIP)) * TIP / SECOND
+            used = work / (bears + 2 * sqrt(bears) + 2)
+            if worst <= 1 < used:            # it falls
+                broken = by_told > 2 / 3 * work
+            worst = max(worst, used)
+        return worst, broken
+
+
+class Gate(One):
+    def relay(self, key, number, worker, now):
+        world, host = self.world, self.world.hosts[worker]
+        work = HEAVY if world.dice.random() * SELDOM < 1 else LIGHT
+        if host.started is not None and not host.lost:
+            host.got.append((now, work, self.gateway.workers[worker].started == host.started))
+        if host.lost or host.full(now):
+            found = face.Result.CONNECT_FAILED if host.lost else face.Result.FULL
+            world.clock.at(now + WAY, self.back, key, number, worker, found, WAY, face.Found.UNTOLD)
+            return
+        took, warm = host.take(now, self.asked[key].function, work)
+        found = face.Found.WARM if warm else face.Found.BEGAN_LOAD
+        world.clock.at(now + took, self.back, key, number, worker, face.Result.OK, took, found, host.life)
+
+    def back(self, key, number, worker, result, took, found, life=None):
+        now, host = self.world.clock.now, self.world.hosts[worker]
+        if life is not None and life != host.life:
+            result, found = face.Result.RESET, face.Found.UNTOLD
+        elif life is not None:
+            host.busy -= 1
+        if self.gone:
+            return
+        good = result is face.Result.OK
+        if good and key in self.tasks:
+            self.world.counts["delivered"] += 1
+            self.world.answer(self.asked.pop(key))
+        report = face.Report(in_hand=host.busy) if good else None
+        self.outcome(now, face.Outcome(key, number, worker, result, took, good, found, None, report))
+
+
+class Play(fleet_world.World):
+    def __init__(self, told, seed):
+        self.day, self.dice, self.made = told, Random(f"play {seed}"), 0
+        super().__init__(told.gateways, 0)
+        self.hosts = {f"h{number}": ColdHost(number, told) for number in range(told.hosts)}
+        self.made, self.first = told.hosts, self.clock.now
+        for one in self.gateways:
+            one.gateway.listed(0, self.rows(), True)
+        quiet = IDLE if told.idle else 0
+        self.weights = [self.dice.choice((300, 30, 30, 30, 1)) if told.uneven else 30
+                        for _ in range(told.gateways)]
+        self.clock.at(0, self.arrive, BEFORE)
+        self.begin = BEFORE + quiet
+        self.end = self.begin + AFTER + (7 * SECOND if told.kind == "join" else 0)
+        self.clock.at(self.begin, self.arrive, self.end)
+        if told.restart:
+            for place in self.dice.sample(range(told.gateways), int(0.7 * told.gateways)):
+                self.clock.at(self.begin + self.dice.randrange(2 * SECOND), self.restart, place)
+        {"one": self.one_new, "join": self.join, "all": self.all, "zone": self.zone}[told.kind]()
+
+    def one(self, place, seed, rows):
+        terms = fleet_world.terms(self.members)._replace(cold_share=self.day.share, cold_time=COLD,
+                                                         probes_allowed=False, orders_allowed=False)
+        return Gate(self, place, self.make(self, seed, terms, self.clock.now), rows)
+
+    def arrive(self, until):
+        if self.clock.now >= until:
+            return
+        gap = self.dice.expovariate(self.day.busy * PACE * self.day.hosts)
+        self.dice.choices(self.gateways, self.weights)[0].ask(
+            f"f{int(FUNCTIONS * self.dice.random() * self.dice.random())}", 0)
+        self.clock.at(self.clock.now + max(1, int(gap * SECOND)), self.arrive, until)
+
+    def list_anew(self):
+        """Each gateway is told by itself, what holds then."""
+        for place in range(self.day.gateways):
+            after = self.dice.randrange(4 * SECOND if self.day.late else 300 * MILLI)
+            self.clock.at(self.clock.now + after, self.tell_list, place)
+
+    def tell_list(self, place):
+        self.gateways[place].gateway.listed(self.clock.now, self.rows(), True)
+
+    def back_cold(self, names):
+        for name in names:
+            host = self.hosts[name]
+            host.lose()
+            host.back(self.clock.now)
+            host.free = 0
+        self.list_anew()
+
+    def replace(self, name):
+        self.hosts[name].lose()
+        self.made += 1
+        self.hosts[f"h{self.made}"] = ColdHost(self.made, self.day, self.clock.now)
+        self.list_anew()
+
+    def join(self):
+        names = self.dice.sample(sorted(self.hosts), int(0.6 * self.day.hosts))
+        for number, name in enumerate(names):
+            self.clock.at(self.begin + 7 * SECOND * number // len(names), self.replace, name)
+
+    def one_new(self):
+        self.clock.at(self.begin, self.replace, "h0")
+
+    def all(self):
+        self.clock.at(self.begin, self.back_cold, sorted(self.hosts))
+
+    def lose_some(self, names):
+        for name in names:
+            self.hosts[name].lose()
+        self.list_anew()
+
+    def zone(self):
+        names = [name for name, host in self.hosts.items() if host.zone == 0]
+        self.clock.at(self.begin - SECOND, self.lose_some, names)
+        self.clock.at(self.begin + SECOND, self.back_cold, names)
+
+
+def play(told, seed):
+    """What the day came to, counted over what came after its start."""
+    world = Play(told, seed)
+    world.clock.run(world.begin)
+    tasks, delivered = world.counts["tasks"], world.counts["delivered"]
+    world.clock.run(world.end + 3 * SECOND)
+    cold = [host for host in world.hosts.values() if host.started is not None]
+    worst = [host.worst() for host in cold]
+    got = sum([work for host in cold for at, work, _ in host.got if at < host.started + COLD])
+    seconds = sum([min(COLD, world.end - host.started) for host in cold]) / SECOND
+    bears = sum([host.power(at) for host in cold
+                 for at in range(host.started, min(host.started + COLD, world.end), SECOND // 10)])
+    return {"passed": sum([all_told > 1 for all_told, _ in worst]),
+            "broken": sum([by_told for _, by_told in worst]),
+            "hosts": len(cold), "worst": max(most for most, _ in worst), "got": got / seconds,
+            "bears": bears / 10 * PACE / seconds,
+            "served": (world.counts["delivered"] - delivered) / (world.counts["tasks"] - tasks)}
+
+
+def once(asked):
+    seed, gain = asked
+    told = day(seed, gain)
+    return seed, told, play(told, seed)
+
+
+def table(results, key):
+    groups = defaultdict(list)
+    for _, told, found in results:
+        groups[key(told)].append(found)
+    for name, all_found in sorted(groups.items()):
+        def mean(part, found=all_found):
+            return sum([each[part] for each in found]) / len(found)
+        print(f"| {name} | {len(all_found)} | {sum([each['passed'] > 0 for each in all_found])} | "
+              f"{sum([each['broken'] > 0 for each in all_found])} | "
+              f"{max(each['worst'] for each in all_found):.2f} | {mean('worst'):.2f} | {mean('got'):.2f} | "
+              f"{mean('bears'):.2f} | {mean('served'):.3f} |")
+
+
+def main():
+    arguments = argparse.ArgumentParser()
+    arguments.add_argument("--seeds", default="0:1000")
+    arguments.add_argument("--jobs", type=int, default=2)
+    arguments.add_argument("--gain", choices=("step", "even"))
+    arguments.add_argument("--list", action="store_true", help="each play in which a budget was passed")
+    told = arguments.parse_args()
+    first, last = map(int, told.seeds.split(":"))
+    with Pool(told.jobs) as pool:
+        results = pool.map(once, [(seed, told.gain) for seed in range(first, last)], 4)
+    print("| day | plays | a budget passed | by the told | worst | worst, mean | got /s | can /s | served |")
+    print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
+    for key in (lambda each: each.kind, lambda each: f"{each.gateways} gateways", lambda each: each.gain,
+                lambda each: "late lists" if each.late else "prompt lists", lambda each: "whole"):
+        table(results, key)
+    if told.list:
+        for seed, each, found in results:
+            if found["passed"]:
+                print(seed, each, found)
+
+
+if __name__ == "__main__":
+    main()
--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -32,9 +32,8 @@
         cold = [worker for worker in self.fleet if now < worker.warm_at]
         peers = max(len(self.fleet) - len(cold), len(self.fleet) / 2)
         for worker in cold:
-            share = self.power(worker, now)
             kept = max(0.0, 1 - (now - worker.credited) / CREDIT_LIFE)
-            worker.credit, worker.credited = worker.credit * kept + share / peers, now
+            worker.credit, worker.credited = worker.credit * kept + self.power(worker, now) / peers, now
 
     def may_order(self, now, function):
         """Within the load ration; one open order for a function."""
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -1,4 +1,6 @@
 """The choice of a worker: the highest score wins."""
+from bisect import bisect_left
+
 from gaproute.decisions.route.allowed import Allowed
 from gaproute.decisions.route.beliefs import LONG, ROOM, SECOND, WIDE
 
@@ -21,7 +23,7 @@
             return None
         resting = now < function.rests_until and not trail.failed
         # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
-        able, capacity = self.fleet, self.capacity
+        able = self.fleet
         if trail.first is not None or trail.out or now < self.all_warm_at:
             holding = {worker.id for worker, _ in trail.out.values()}
             able = [worker for worker in self.fleet if worker.id not in holding and
@@ -34,8 +36,7 @@
             able = [each for each in able if now >= each.full_until and self.warmth(function, each, now) > 0]
         if not able:
             return None
-        if able is not self.fleet:
-            capacity = sum([worker.capacity for worker in able])
+        capacity = self.capacity if able is self.fleet else sum([worker.capacity for worker in able])
         ranks, usual_memory = self.ranks(task.function, function), None
         lanes = max(task.lanes, ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
@@ -47,15 +48,13 @@
         for zone, until in self.silent.items():
             if now < until or trail.failed:
                 doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
-        best, ties = None, []
+        best, scored = -LONG, []
         for worker, warmth, most in self.contenders(now, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
-            if best is not None and most + self.near - queue_weight / (lanes * self.strongest) < best - NIL:
+            if most + self.near - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
             pace = worker.slow if now < worker.slow_until else 1.0
-            strength = worker.capacity / pace
-            if now < worker.warm_at:
-                strength *= self.power(worker, now)
+            strength = worker.capacity / pace * (self.power(worker, now) if now < worker.warm_at else 1.0)
             if worker.memory is None and usual_memory is None:
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
@@ -67,21 +66,23 @@
                                               or OTHERS * (rank != self.own % width)) * (1 - warmth)
                      + (self.near if worker.zone == self.zone else 0.0))
             score -= SHUN * doubts.get(worker.id, 0.0)
-            if best is None or score > best:
-                best, ties = score, [worker]
-            elif score == best:
-                ties.append(worker)
-        ties.sort(key=lambda worker: worker.place)
-        # One that turned a task away just now gets none for a moment: refusals come fast and look like ease,
-        # and tasks sent round full workers, or to load elsewhere, feed the jam. What it refused moves on.
-        worker = ties[self.chance.below(len(ties))]
-        if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
-            worker.credit = 0.0
-            return self.choose(now, task, trail)
-        if now < worker.full_until and not resting and not trail.failed:
-            function.rests_until = worker.full_until
-            return self.choose(now, task, trail)
-        return worker if now >= worker.full_until else None
+            scored.append((-score, worker.place))
+            if now >= worker.warm_at:        # a cold one may yet be passed over
+                best = max(best, score)
+        scored.sort()
+        while scored:
+            ties = bisect_left(scored, (scored[0][0], LONG))
+            worker = self.fleet[scored.pop(self.chance.below(ties))[1]]
+            if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
+                worker.credit = 0.0
+                continue
+            # One that turned a task away just now gets none for a moment: refusals come fast and look like
+            # ease, and what goes round full workers or loads elsewhere feeds the jam. What it refused moves on.
+            if now < worker.full_until and not resting and not trail.failed:
+                function.rests_until = worker.full_until
+                return self.choose(now, task, trail)
+            return worker if now >= worker.full_until else None
+        return self.choose(now, task, trail)     # all were cold and passed over: those not asked so far
 
     def contenders(self, now, function, able, prior, width):
         """The able workers as (worker, warmth, most): those believed warm, then the others by rank.
