With few warm, answers of cold hosts earn their credit: a fleet all cold fell over

Seen (simulated, benchmarks/cold.py): where all hosts are cold and gain nothing until they are warm, the least that the settings promise, 10 of 12 hosts fall by the sum of 200 gateways, 3 of 30's, one of 3's, all by gateways that were told.

Cause: with no warm host spread_credit is called at each task, not at answers, and gives each cold host its power over half the fleet: twice the mean of what tasks come, grown by the age alone (Measures.power), whether or not the hosts gained anything. With one warm host among many the same rule starves: its few answers alone earn. Ruled out: credit saved up by idle or fresh gateways (falls come 2 to 9 s after the start, in steady flow); late lists (they pass the budget, but by gateways not told).

Mend: where under half the fleet is warm, answers of cold hosts earn too, up to one for one with none warm; tasks then earn a quarter of the told share, only to begin with. So they get what they can do, however they gain.

test_unspent_credit_fades names the worker that answered, as strict as before: the call now wants it.

--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -1,7 +1,7 @@
 """How much cold hosts get from a whole fleet, against the budget past which one falls: decisions alone, on
 the clock of `benchmarks/fleet`, against stand-in hosts.
 
-    python benchmarks/cold.py [--seeds 0:1000] [--jobs 2] [--gain step|even] [--list]
+    python benchmarks/cold.py [--seeds 0:1000] [--jobs 2] [--gain step|even] [--kind KIND] [--list]
 
 The seed decides the day: one host new, six in ten replaced within 7 s, all cold, a third back cold; 3 to 200
 gateways, some with ten times or a thirtieth of the mean traffic; the load; whether a minute without traffic
@@ -48,9 +48,9 @@
     late: bool
 
 
-def day(seed, gain=None):
+def day(seed, gain=None, kind=None):
     dice = Random(seed)
-    return Day(KINDS[seed % 4], GATEWAYS[seed // 4 % 4], dice.choice((12, 16, 20, 24, 32, 40, 88)),
+    return Day(kind or KINDS[seed % 4], GATEWAYS[seed // 4 % 4], dice.choice((12, 16, 20, 24, 32, 40, 88)),
                dice.uniform(0.3, 0.6), dice.choice((0.17, 0.25)), gain or dice.choice(("step", "even")),
                *[dice.random() < odds for odds in (0.6, 0.25, 0.3, 0.3)])
 
@@ -147,7 +147,8 @@
         if told.restart:
             for place in self.dice.sample(range(told.gateways), int(0.7 * told.gateways)):
                 self.clock.at(self.begin + self.dice.randrange(2 * SECOND), self.restart, place)
-        {"one": self.one_new, "join": self.join, "all": self.all, "zone": self.zone}[told.kind]()
+        {"one": self.one_new, "join": self.join, "all": self.all, "zone": self.zone,
+         "most": self.most}[told.kind]()
 
     def one(self, place, seed, rows):
         terms = fleet_world.terms(self.members)._replace(cold_share=self.day.share, cold_time=COLD,
@@ -196,6 +197,10 @@
     def all(self):
         self.clock.at(self.begin, self.back_cold, sorted(self.hosts))
 
+    def most(self):
+        """Of all one in sixteen, one at least, stays warm."""
+        self.clock.at(self.begin, self.back_cold, sorted(self.hosts)[1 + self.day.hosts // 16:])
+
     def lose_some(self, names):
         for name in names:
             self.hosts[name].lose()
@@ -227,8 +232,8 @@
 
 
 def once(asked):
-    seed, gain = asked
-    told = day(seed, gain)
+    seed, *forced = asked
+    told = day(seed, *forced)
     return seed, told, play(told, seed)
 
 
@@ -250,11 +255,12 @@
     arguments.add_argument("--seeds", default="0:1000")
     arguments.add_argument("--jobs", type=int, default=2)
     arguments.add_argument("--gain", choices=("step", "even"))
+    arguments.add_argument("--kind", choices=(*KINDS, "most"))
     arguments.add_argument("--list", action="store_true", help="each play in which a budget was passed")
     told = arguments.parse_args()
     first, last = map(int, told.seeds.split(":"))
     with Pool(told.jobs) as pool:
-        results = pool.map(once, [(seed, told.gain) for seed in range(first, last)], 4)
+        results = pool.map(once, [(seed, told.gain, told.kind) for seed in range(first, last)], 4)
     print("| day | plays | a budget passed | by the told | worst | worst, mean | got /s | can /s | served |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for key in (lambda each: each.kind, lambda each: f"{each.gateways} gateways", lambda each: each.gain,
--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -4,6 +4,7 @@
 from gaproute.interface import Effect, Group
 
 CREDIT_LIFE = SECOND   # over which unspent credit fades: about the time in which a cold worker falls over
+FIRST = 0.25           # of the told share, for tasks: answers then show what cold workers can do
 
 
 class Allowed(Hints):
@@ -20,20 +21,22 @@
                 Group.CELL: worker.cell == first.cell}[track.group]
         return same and now < sent + track.repeat_window
 
-    def spread_credit(self, now):
+    def spread_credit(self, now, by=None):
         """Each answer of a warm worker earns every cold one its share of the mean per warm peer.
 
-        Counted in answers it holds for bursts, storms of refusals and fresh gateways. Half the fleet stands
-        for the warm peers when fewer are warm, as those carry more each. What is unspent fades, so that many
-        gateways save up no burst, and is spent by chance, so that those with few tasks use cold ones too.
-        """
+        Counted in answers it holds for bursts, storms of refusals, fresh gateways. Half the fleet stands for
+        the warm peers when fewer are warm: then answers of cold ones earn too, up to one for one with none
+        warm, so they get what they can do however they gain; the first then come of tasks (`by` none).
+        What is unspent fades, so that many gateways save up no burst, and is spent by chance."""
         if now >= self.all_warm_at:
             return
-        cold = [worker for worker in self.fleet if now < worker.warm_at]
-        peers = max(len(self.fleet) - len(cold), len(self.fleet) / 2)
+        cold, half = [worker for worker in self.fleet if now < worker.warm_at], len(self.fleet) / 2
+        warm = len(self.fleet) - len(cold)
+        each = max(0.0, 1 - warm / half) / max(1, len(cold)) if by else FIRST * self.terms.cold_share / half
         for worker in cold:
+            earned = self.power(worker, now) / max(warm, half) if by and now >= by.warm_at else each
             kept = max(0.0, 1 - (now - worker.credited) / CREDIT_LIFE)
-            worker.credit, worker.credited = worker.credit * kept + self.power(worker, now) / peers, now
+            worker.credit, worker.credited = worker.credit * kept + earned, now
 
     def may_order(self, now, function):
         """Within the load ration; one open order for a function."""
--- a/gaproute/decisions/route/booked.py
+++ b/gaproute/decisions/route/booked.py
@@ -73,8 +73,7 @@
             worker.full_until = -1
             if warm:
                 self.answers.append(now)
-            if self.power(worker, now) >= 1:
-                self.spread_credit(now)
+            self.spread_credit(now, worker)
             if sent >= worker.wiped:
                 function.seen[worker.id] = function.stands[worker.id] = function.answered = now
             self.verify(name, worker.id, outcome.found)
--- a/gaproute/decisions/route/measures.py
+++ b/gaproute/decisions/route/measures.py
@@ -36,10 +36,8 @@
 
     def power(self, worker, now):
         """Share of its capacity that a worker has at least, by the told cold share."""
-        if now >= worker.warm_at:
-            return 1.0
-        share, age = self.terms.cold_share, (now - worker.started) / self.terms.cold_time
-        return min(1.0, share + (1 - share) * age)
+        left = max(0, worker.warm_at - now) / max(1, self.terms.cold_time)
+        return 1.0 - (1.0 - self.terms.cold_share) * left
 
     def pace(self, worker, now):
         """Times slower than usual a worker answers, beyond what machines and work explain; 1 if none.
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -77,7 +77,7 @@
                 worker.credit = 0.0
                 continue
             # One that turned a task away just now gets none for a moment: refusals come fast and look like
-            # ease, and what goes round full workers or loads elsewhere feeds the jam. What it refused moves on.
+            # ease; what goes round full workers or loads elsewhere feeds the jam. What it refused moves on.
             if now < worker.full_until and not resting and not trail.failed:
                 function.rests_until = worker.full_until
                 return self.choose(now, task, trail)
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,7 @@
 """Cold hosts over a whole fleet: what each gateway may send, and what all together send."""
+import pytest
+
+from benchmarks.cold import Day, play
 from gaproute.decisions.route.beliefs import Trail
 from helpers import SECOND, gateway, row, task
 
@@ -9,3 +12,20 @@
         worker.credit = 1 / SECOND           # each is passed over
     assert made.choose(0, task(), Trail()) is None
     assert not any(worker.credit for worker in made.fleet)
+
+
+@pytest.mark.parametrize("kind, gateways", [("all", 3), ("all", 30), ("all", 200), ("join", 30)])
+def test_no_cold_host_falls_by_the_sum_over_the_fleet(kind, gateways):
+    """They gain nothing until they are warm, the least that the settings promise."""
+    found = play(Day(kind, gateways, 12, 0.6, 0.17, "step", True, False, False, False), 4)
+    assert not found["broken"] and found["served"] > (0.2 if kind == "all" else 0.8)
+
+
+def test_with_few_warm_answers_of_cold_workers_earn_so_that_none_starve():
+    made = gateway(row("a"), *[row(f"c{number}", started=0) for number in range(9)])
+    cold = [worker for worker in made.fleet if worker.id != "a"]
+    made.spread_credit(1, cold[0])
+    assert sum([worker.credit for worker in cold]) == pytest.approx(0.8)     # one warm, five would do
+    half = gateway(row("a"), row("b", started=0))
+    half.spread_credit(1, half.workers["b"])
+    assert half.workers["b"].credit == 0
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -148,10 +148,10 @@
     made = gateway(row("a"), row("cold", started=0))
     cold = made.workers["cold"]
     for now in range(0, 5 * SECOND, SECOND // 10):
-        made.spread_credit(now)
+        made.spread_credit(now, made.workers["a"])
     last = made.power(cold, now)
     assert last <= cold.credit <= 10 * last     # no more than the last second's answers earned
-    made.spread_credit(8 * SECOND)
+    made.spread_credit(8 * SECOND, made.workers["a"])
     assert cold.credit == made.power(cold, 8 * SECOND)
 
 
