No cold host counts for more than the told multiple of its first share surely bears

Cause: Measures.power takes an even gain for granted, and spread_credit gave its whole. With two in five hosts warm those answer at 0.8 of their pace and more, so from a third of the cold time on the credit alone is over fall_multiple x cold_share.

Mend: the power that credit goes by stays under 0.8 of the told multiple of the told share. rules.fall_multiple is read for it (2 where it is not told). The rank of a cold host among others still goes by the even gain. Two tests of tests/test_cold.py fail without it.

--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -3,7 +3,8 @@
 from gaproute.decisions.route.hints import Hints
 from gaproute.interface import Effect, Group
 
-CREDIT_LIFE = SECOND   # over which unspent credit fades: about the time in which a cold worker falls over
+CREDIT_LIFE = 2 * SECOND   # over which unspent credit fades: about the time in which cold workers fall over
+SAFE = 0.8             # of the load that pushes a cold worker over: the rest is for chance
 FIRST = 0.25           # of the told share, for tasks: answers then show what cold workers can do
 
 
@@ -26,17 +27,17 @@
 
         Counted in answers it holds for bursts, storms of refusals, fresh gateways. Half the fleet stands for
         the warm peers when fewer are warm: then answers of cold ones earn too, up to one for one with none
-        warm, so they get what they can do however they gain; the first then come of tasks (`by` none).
-        What is unspent fades, so that many gateways save up no burst, and is spent by chance."""
+        warm; the first then come of tasks (`by` none). As nobody is told how they gain, none counts for more
+        than what it surely bears. What is unspent fades, lest many gateways save up a burst."""
         if now >= self.all_warm_at:
             return
         cold, half = [worker for worker in self.fleet if now < worker.warm_at], len(self.fleet) / 2
-        warm = len(self.fleet) - len(cold)
+        warm, most = len(self.fleet) - len(cold), SAFE * self.terms.cold_multiple * self.terms.cold_share
         each = max(0.0, 1 - warm / half) / max(1, len(cold)) if by else FIRST * self.terms.cold_share / half
         for worker in cold:
-            earned = self.power(worker, now) / max(warm, half) if by and now >= by.warm_at else each
+            share = min(self.power(worker, now), most) / max(warm, half) if by and now >= by.warm_at else each
             kept = max(0.0, 1 - (now - worker.credited) / CREDIT_LIFE)
-            worker.credit, worker.credited = worker.credit * kept + earned, now
+            worker.credit, worker.credited = worker.credit * kept + share, now
 
     def may_order(self, now, function):
         """Within the load ration; one open order for a function."""
--- a/gaproute/interface/terms.py
+++ b/gaproute/interface/terms.py
@@ -58,6 +58,7 @@
     must_ask_list: bool
     zone: int                  # of this gateway, as the list numbers them; -1: not told
     crossing_price: float      # share of the result that relays to other zones take, one for each task
+    cold_multiple: float = 2.0  # of what it can do, the load that pushes a cold worker over
 
 
 class Listed(NamedTuple):
--- a/gaproute/terms.py
+++ b/gaproute/terms.py
@@ -69,6 +69,7 @@
         advice_limit=span(limits, "max_retry_after") if limits.get("retry_after") else 0,
         cold_share=float(rules.get("cold_from") or 0),
         cold_time=span(rules, "cold"),
+        cold_multiple=float(rules.get("fall_multiple") or face.Terms._field_defaults["cold_multiple"]),
         must_ask_list=told.get("membership_mode") == "on_request",
         zone=told["az"] if isinstance(told.get("az"), int) else -1,
         crossing_price=float(prices.get("cross_zone") or 0),
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,8 +1,9 @@
 """Cold hosts over a whole fleet: what each gateway may send, and what all together send."""
 import pytest
 
-from benchmarks.cold import Day, play
+from benchmarks.cold import Day, day, play
 from gaproute.decisions.route.beliefs import Trail
+from gaproute.terms import terms
 from helpers import SECOND, gateway, row, task
 
 
@@ -29,3 +30,17 @@
     half = gateway(row("a"), row("b", started=0))
     half.spread_credit(1, half.workers["b"])
     assert half.workers["b"].credit == 0
+
+
+def test_a_cold_worker_counts_for_no_more_than_it_surely_bears():
+    """How it gains is not told: it may have nothing but its first share until the last moment."""
+    made = gateway(row("a"), row("cold", started=0))
+    late = made.workers["cold"].warm_at - 1
+    made.spread_credit(late, made.workers["a"])
+    bears = made.terms.cold_multiple * made.terms.cold_share
+    assert terms({"rules": {"fall_multiple": 3}}).cold_multiple == 3
+    assert made.power(made.workers["cold"], late) > bears > made.workers["cold"].credit > bears / 2
+
+
+def test_a_host_of_six_in_ten_new_ones_does_not_fall_late_in_its_cold_time():
+    assert not play(day(737), 737)["broken"]
