--- a/benchmarks/fleet/cold_hosts.py
+++ b/benchmarks/fleet/cold_hosts.py
@@ -61,7 +61,7 @@
 
 
 class Gate(One):
-    def relay(self, key, number, worker, now):
+    def relay(self, key, number, worker, until, now):
         world, host = self.world, self.world.hosts[worker]
         work = HEAVY if world.dice.random() * SELDOM < 1 else LIGHT
         if host.started is not None and not host.lost:
--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -15,9 +15,8 @@
             return False
         if trail.first is None or track.effect is Effect.PURE:
             return True
-        first, group = trail.first[0], track.group
-        same = group is Group.ALL or (worker.zone == first.zone if group is Group.ZONE else
-                                      worker.cell == first.cell)
+        first, of = trail.first[0], track.group.value      # the field by which workers know each other's tasks
+        same = track.group is Group.ALL or getattr(worker, of) == getattr(first, of)
         return track.effect is Effect.RECEIPTED and same and now < self.begin_by(track, trail, LONG)
 
     def begin_by(self, track, trail, end):
