--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -92,7 +92,7 @@
     def end_by(self, when):
         """The process is about to be ended: what is held then has its final answer by then, as its class
         allows."""
-        self.gateway.last = when
+        self.gateway.end_by = when
         self.loop.at(when, self._end_all)
 
     def _end_all(self):
--- a/gaproute/decisions/route/task.py
+++ b/gaproute/decisions/route/task.py
@@ -24,7 +24,7 @@
             yield Decline(self.advice(track), "crowded")
             return
         give_up, look = now + track.contract_time, now       # and when to look for a worker again
-        while now < min(end, self.last):
+        while now < min(end, self.end_by):
             if now >= look:
                 worker = self.choose(now, task, trail)
                 if worker is not None and not trail.relays and self.shed(now, task, track, worker):
--- a/gaproute/loop/connecting.py
+++ b/gaproute/loop/connecting.py
@@ -45,7 +45,7 @@
         if sock is not None:
             sock.close()
         short(loop, fault)
-        loop.soon(lambda: over or done(None, fault))
+        loop.soon(lambda error: over or done(None, error), fault)
         return lambda: over.append(True)
     code = sock.connect_ex(target)
 
