'served' without a body is an error that may have run, not an empty answer

Read and shown by a test: an answer 'served' with no `data` at all was passed to the client as an empty body that no host made (`lines.heard`, `reply.data or ""`). The test fails without the change; its maker of replies now gives 'served' the body that the protocol asks for.

--- a/gaproute/hosts/jsonlines/lines.py
+++ b/gaproute/hosts/jsonlines/lines.py
@@ -93,11 +93,10 @@
         return None
     answer = None
     if result is Result.OK:
-        body = reply.data or ""
         try:
-            data = body.encode("ascii")
+            data = reply.data.encode("ascii")
             binascii.a2b_base64(data, strict_mode=True)
-        except (UnicodeEncodeError, binascii.Error):
+        except (AttributeError, UnicodeEncodeError, binascii.Error):      # an empty body is "", none is None
             return Heard(Result.ERROR, None)         # it ran, but what it gave is lost
         answer = Answer(200, (), data)
     alike = None
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -23,7 +23,7 @@
 
 
 def reply(**told):
-    return lines.Reader().feed(json.dumps({"type": "served", "req": "a"} | told).encode() + b"\n")[0]
+    return lines.Reader().feed(json.dumps({"type": "served", "req": "a", "data": ""} | told).encode() + b"\n")[0]
 
 
 @pytest.mark.parametrize("cut", range(1, 50, 7))
@@ -69,8 +69,10 @@
     assert lines.load({"meter": "util:lots;inflight:7"}).in_hand == 7 and lines.load({"meter": "x"}) is None
 
 
-def test_a_body_that_is_no_base64_ran_and_is_not_passed_on():
-    assert lines.heard(reply(data="%%%"), True) == (Result.ERROR, None, Found.UNTOLD, None, None)
+@pytest.mark.parametrize("data", ["%%%", "ab", "\u00e9", None])
+def test_a_body_that_is_missing_or_no_base64_ran_and_is_not_passed_on(data):
+    assert lines.heard(reply(data=data), True) == (Result.ERROR, None, Found.UNTOLD, None, None)
+    assert lines.heard(reply(data=""), True).answer.body == b""
 
 
 # On sockets
