--- a/benchmarks/charts.py
+++ b/benchmarks/charts.py
@@ -17,7 +17,7 @@
     "connections": ("connections", "form", ("bytes each", "% of a core at 0.1%", "% of a core at 1.0%",
                                             "us a task at 1.0%")),
     "membership": ("gateways", "lost", ("all know, s", "bytes/s", "suspicions")),
-    "storm": ("connections", "door", ("calm p99", "storm p99", "storm's p99, ms")),
+    "storm": ("connections", "admission", ("calm p99", "storm p99", "storm's p99, ms")),
     "timers": ("timers", "form", ("us a move", "bytes each")),
     "telling": ("tasks/s", "learners", ("p99, ms", "telling, % of a core")),
 }
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -5,7 +5,7 @@
 One gateway with the module, ten hosts that answer at once, connections held by the load tool. Quiet clients
 that stayed go on with repair orders (effectful) at 50 a second. Measured for 5 s without and with a storm at
 the start: their time to the answer, what became of the storm's tasks and when the last ended; once with the
-door as it is, once with all that waits in one line, in the order of coming, accepts first.
+admission as it is, once with all that waits in one line, in the order of coming, accepts first.
 """
 import argparse
 import json
@@ -44,7 +44,7 @@
 
 def serve(file, form):
     if form == "one line":
-        from gaproute.decisions.door.door import ARRIVING, FRESH, Door
+        from gaproute.decisions.admission.admission import ARRIVING, FRESH, Admission
         from gaproute.lobby import Lot
 
         def look(lot, events, seen):
@@ -54,7 +54,8 @@
                     lot.fresh.append((fd, seen))
 
         Lot.look = look
-        Door.next = lambda door, known, fresh, arriving: ARRIVING if arriving else FRESH if fresh else None
+        Admission.next = lambda self, known, fresh, arriving: (ARRIVING if arriving else FRESH if fresh
+                                                               else None)
     from gaproute.cli.main import main
     main(["serve", file, "--seed", "1"])
 
@@ -109,7 +110,7 @@
         gate.terminate()
         gate.wait()
         gate.stderr.close()
-    return {"door": form, "connections": count} | {
+    return {"admission": form, "connections": count} | {
         name: round(median(run[name] for run in found), 1) for name in found[0]}
 
 
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -7,7 +7,7 @@
 from gaproute.appliance.others import Others
 from gaproute.core.core import Core
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.door.door import Door
+from gaproute.decisions.admission.admission import Admission
 from gaproute.decisions.links.pooling import Pooling
 from gaproute.discovery.listing import FileWatch, Listing
 from gaproute.fronts.kserve import Front
@@ -46,7 +46,8 @@
         self.fronts, self.watch, self.started = [], None, loop.now()
         self.lot = Lot.of(loop)
         clients = charter.clients
-        self.lot.door = Door(clients.connections, clients.per_address, descriptors(), Chance(seed + 3))
+        self.lot.admission = Admission(clients.connections, clients.per_address, descriptors(),
+                                       Chance(seed + 3))
         self.others = Others(loop, charter, gateway, self.record, seed)
 
     def start(self):
@@ -73,7 +74,7 @@
             self.watch = FileWatch(self.loop, source.path, source.look, self.listed, self.list_refused)
         self.others.start()
         self.log.info("started", listens=[front.address for front in self.fronts], hosts=len(self.rows),
-                      descriptors=descriptors(), clients=self.lot.door.most)
+                      descriptors=descriptors(), clients=self.lot.admission.most)
 
     def listed(self, lines):
         """A whole host list. The host connections come first: the module may wish for a new host at once."""
--- /dev/null
+++ b/gaproute/decisions/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who comes in at admission and must leave it; when a process that died comes back."""
--- a/gaproute/decisions/door/door.py
+++ b/gaproute/decisions/admission/admission.py
@@ -1,4 +1,4 @@
-"""Who comes in at the door and who must leave: decisions only, no sockets, the clock and the chance handed
+"""Who comes in at admission and who must leave: decisions only, no sockets, the clock and the chance handed
 in.
 
 Connections of clients wait in three lines: those that speak and spoke before (known), those that speak for
@@ -7,8 +7,8 @@
 """
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-DOOR_TIME = 3 * MILLI    # of each turn at most for what waits at the door: tasks in hand wait no longer
-KNOWN_SHARE = 3          # of each 4 turns at the door go to the known while others wait: after a power cut
+ADMISSION_TIME = 3 * MILLI   # of each turn at most for what waits there: tasks in hand wait no longer
+KNOWN_SHARE = 3          # of each 4 turns at admission go to the known while others wait: after a power cut
 #                          the district that comes back is fresh; those that stayed must not wait behind
 FRESH_MOST = 512         # fresh ones that wait before no more are accepted: the kernel's queue holds the
 #                          rest, and what is accepted is served within a second
@@ -36,7 +36,7 @@
     return WAY_BACK
 
 
-class Door:
+class Admission:
     """`most`: connections of clients that the operator allows; `descriptors`: the process's limit."""
 
     def __init__(self, most, per_address, descriptors, chance, spare=SPARE, patient=False, reserve=None):
--- a/gaproute/decisions/links/pooling.py
+++ b/gaproute/decisions/links/pooling.py
@@ -27,8 +27,8 @@
 #                          a process that dies at work ends all of them at any time
 STALE_LIFE = 10 * SECOND # such an end says nothing after it: kept connections are tried again
 STALE_MOST = 1           # of the last SEEN kept ones at a host: above it, pure tasks too take new connections
-CARRIED = 64             # requests of a connection that may yet be answered once more, until it takes no further
-#                          one: a long life would hold all their ids. A handshake for so many is little
+CARRIED = 64             # requests of a connection that may yet be answered once more, until it takes no
+#                          further one: a long life would hold all their ids. A handshake for 64 is little
 FORGET = 300 * SECOND    # a closing seen so long ago says nothing: the host may have been set up anew
 
 
--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -15,7 +15,7 @@
             return False
         if trail.first is None or track.effect is Effect.PURE:
             return True
-        first, of = trail.first[0], track.group.value      # the field by which workers know each other's tasks
+        first, of = trail.first[0], track.group.value   # a field of workers, but for ALL
         same = track.group is Group.ALL or getattr(worker, of) == getattr(first, of)
         return track.effect is Effect.RECEIPTED and same and now < self.begin_by(track, trail, LONG)
 
--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -52,7 +52,7 @@
         self.loop.waiting = True
 
     def admits(self, sock, address):
-        """A connection was accepted: it is parked, or closed where the door has no room."""
+        """A connection was accepted: it is parked, or closed where admission has no room."""
         place = self.lot.admit(address[0], True)
         if place is None:
             self.turned_away += 1
--- a/gaproute/fronts/jsonrpc/link.py
+++ b/gaproute/fronts/jsonrpc/link.py
@@ -41,7 +41,7 @@
         if bodies:
             self.since = now
             if self.stream.ended():      # the client has left behind what it sent, maybe while that waited at
-                return                   # the door: nothing begins, and the next read tells the end
+                return                   # admission: nothing begins, and the next read tells the end
         for body in messages.wanted(bodies, self.open, self.front.marks):
             try:
                 self.front.take(self, body)
@@ -101,7 +101,7 @@
         front = self.front
         del front.links[self]
         front.parked += 1
-        due = front.lot.door.idle_end(front.loop.now(), IDLE)
+        due = front.lot.admission.idle_end(front.loop.now(), IDLE)
         front.lot.park(self.stream.release(), front.number, due, self.place, self.tasks, True)
 
     def settled(self):
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from gaproute.decisions.door.door import JITTER
+from gaproute.decisions.admission.admission import JITTER
 from gaproute.http1 import Limits, Server
 from gaproute.interface.call import Call, Ending
 
--- a/gaproute/hosts/proof.py
+++ b/gaproute/hosts/proof.py
@@ -3,7 +3,7 @@
 | what was seen | result | proves |
 | --- | --- | --- |
 | no connection: refused, no route, time-out | CONNECT_FAILED | never ran |
-| no descriptor of this process's for one; it may no longer begin | MOOT | never ran, and no fault of the host |
+| no descriptor here for a connection; it may no longer begin | MOOT | never ran, no fault of the host |
 | not one byte of the request accepted by the kernel | CONNECT_FAILED | never ran |
 | full answer 429 | FULL | never ran |
 | full answer 404: no such model, or not ready | MISS | never ran |
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -87,7 +87,7 @@
         self.loop.waiting = True
 
     def admits(self, sock, address):
-        """A connection was accepted: it is parked, or closed where the door has no room."""
+        """A connection was accepted: it is parked, or closed where admission has no room."""
         place = None
         if self.held < self.limits.connections:
             place = self.lot.admit(address[0] if self.family != socket.AF_UNIX else "", self.counted)
@@ -100,7 +100,7 @@
         self.lot.park(sock.detach(), self.number, self.idle_end(now), place, 0, False)
 
     def idle_end(self, now):
-        return self.lot.door.idle_end(now, self.limits.idle_time, self.limits.spread)
+        return self.lot.admission.idle_end(now, self.limits.idle_time, self.limits.spread)
 
     def woken(self, fd, data, place, tasks):
         """A parked connection spoke."""
@@ -299,7 +299,7 @@
         if self.closing or self.server.loop.behind and self.stream.ended():
             return           # one that came and left while this process stood still is not taken
         self.tasks += 1
-        if not request.keep_alive or self.server.counted and self.server.lot.door.says_close(
+        if not request.keep_alive or self.server.counted and self.server.lot.admission.says_close(
                 self.server.lot.held):
             self.closing = True
         self.queue.append([request, None])
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -2,7 +2,8 @@
 
 Parked descriptors are watched by an epoll of their own inside the loop's, each until its first event. So a
 district that speaks at once is one event to the loop: tasks in hand and their timers go first, and what waits
-is served by the door's decisions in what time they leave. A request counts from when it was seen to wait.
+is served by the decisions on admission in what time they leave. A request counts from when it was seen to
+wait.
 
 An entry of the arrays belongs to the descriptor's present life alone: what is queued or due under its number
 is looked at only where the state says so.
@@ -14,13 +15,14 @@
 from select import EPOLLIN, EPOLLONESHOT
 
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.door.door import ARRIVING, DISPLACE, HOLD, KNOWN, SAMPLE, TURN_AWAY, Door
+from gaproute.decisions.admission.admission import (ARRIVING, DISPLACE, HOLD, KNOWN, SAMPLE, TURN_AWAY,
+                                                    Admission)
 from gaproute.lobby.calendar import Calendar
 from gaproute.loop.loop import LOBBY
 
 CHUNK = 65536            # bytes read from one that wakes
 EXPIRES = 256            # idle ends looked at in one turn: after a stop they must not all fall into one
-WAITED = 5_000_000       # ns of waiting at the door that count: less is within any turn
+WAITED = 5_000_000       # ns of waiting at admission that count: less is within any turn
 ONCE = EPOLLIN | EPOLLONESHOT
 NONE, PARKED, QUEUED = 0, 1, 2
 
@@ -33,8 +35,8 @@
 class Lot:
     """One for a loop. An owner has `woken(fd, data, address, tasks)` and `admits(sock, address)`."""
 
-    def __init__(self, loop, door=None):
-        self.loop, self.door = loop, door or Door(1 << 30, 1 << 30, descriptors(), Chance(1))
+    def __init__(self, loop, admission=None):
+        self.loop, self.admission = loop, admission or Admission(1 << 30, 1 << 30, descriptors(), Chance(1))
         self.state, self.owner = array("b"), array("h")
         self.due, self.since, self.slot = array("q"), array("q"), array("q")
         self.tasks, self.place = array("H"), array("i")
@@ -65,7 +67,7 @@
     def _accept(self):
         listener, owner = next(iter(self.arriving.items()))
         del self.arriving[listener]
-        if self.door.patient and owner.counted and self.held >= self.door.most \
+        if self.admission.patient and owner.counted and self.held >= self.admission.most \
                 and self._parting() is None and self._victim() is None:
             listener.rest(HOLD)
             return
@@ -81,7 +83,7 @@
         the clients' share of connections; operators and peers do not."""
         place = self.addresses.get(address)
         if counted:
-            said = self.door.admit(self.held, self.counts[place] if place is not None else 0, True)
+            said = self.admission.admit(self.held, self.counts[place] if place is not None else 0, True)
             if said is DISPLACE and not self._displace():
                 said = TURN_AWAY
             if said is TURN_AWAY:
@@ -111,7 +113,7 @@
             self.free.append(place)
 
     def _victim(self):
-        return self.door.victim(self.loop.now(), self._idle())
+        return self.admission.victim(self.loop.now(), self._idle())
 
     def _idle(self):
         """Of a small house every parked one is looked at; of a large one those whose end is next."""
@@ -124,14 +126,14 @@
         """No descriptor was to be had: some idle ones go, the oldest first."""
         self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())   # one that has just spoken is not idle
         self.loop.waiting = True
-        for fd in self.door.oldest(self.loop.now(), self._idle()):
+        for fd in self.admission.oldest(self.loop.now(), self._idle()):
             self.displaced += 1
             self._drop(fd)
 
     def _parting(self):
         """The connection that has said farewell longest, where that is long enough; it too is counted."""
         for stream, since in self.loop.leaving.items():
-            return self.door.victim(self.loop.now(), [(stream, since, 0)])
+            return self.admission.victim(self.loop.now(), [(stream, since, 0)])
         return None
 
     def _displace(self):
@@ -206,7 +208,7 @@
     def work(self, until):
         """Serves the lines until that time, one at least; whether somebody still waits."""
         while True:
-            line = self.door.next(len(self.known), len(self.fresh), bool(self.arriving))
+            line = self.admission.next(len(self.known), len(self.fresh), bool(self.arriving))
             if line is None:
                 return bool(self.arriving)
             if line is ARRIVING:
--- a/gaproute/loop/connecting.py
+++ b/gaproute/loop/connecting.py
@@ -13,7 +13,7 @@
 
 
 def short(loop, fault):
-    """Whether no descriptor was to be had: some who rest at the door then go, for the next try."""
+    """Whether no descriptor was to be had: some who rest at admission then go, for the next try."""
     if fault.errno not in SHORT_OF_FDS:
         return False
     if loop.patient is not None:
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -1,7 +1,7 @@
 """The loop: readiness by epoll, timers in a heap, generators as coroutines. Times are int nanoseconds.
 
 One turn hands over everything that is readable, then what was asked for `soon`, then the timers that are due,
-and last, for a bounded time, what waits at the door (`gaproute/lobby`).
+and last, for a bounded time, what waits at admission (`gaproute/lobby`).
 A turn that finds itself late (the process was stopped, or the machine stalled) looks for bytes again until
 none are left before any timer fires: what came in meanwhile is booked before anything is judged overdue.
 """
@@ -13,7 +13,7 @@
 import traceback
 from collections import deque
 
-from gaproute.decisions.door.door import DOOR_TIME
+from gaproute.decisions.admission.admission import ADMISSION_TIME
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LATE = 50 * MILLI      # a turn this late was stopped, not busy: a busy one lasts some milliseconds
@@ -128,7 +128,7 @@
         self.lobby = select.epoll()          # of what is parked; one event of the outer one
         self.inner = self.lobby.fileno()
         self.epoll.register(self.inner, READ)
-        self.patient, self.waiting = None, False     # the lot; whether somebody waits at the door
+        self.patient, self.waiting = None, False     # the lot; whether somebody waits at admission
         self.timers, self.dead, self.count = [], 0, 0
         self.queue = deque()
         self.running = False
@@ -249,7 +249,7 @@
             self.guard(call, *args)
         self._queued()
         if self.waiting:
-            self.waiting = self.patient.work(self.clock() + DOOR_TIME)
+            self.waiting = self.patient.work(self.clock() + ADMISSION_TIME)
 
     def _bytes(self, ready):
         self.fresh.clear()
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -5,7 +5,7 @@
 
 from gaproute.core.core import Core
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.door.door import RESTED, Door, way_back
+from gaproute.decisions.admission.admission import RESTED, Admission, way_back
 from gaproute.decisions.links.pooling import OWN, Pooling, share_out
 from gaproute.decisions.route import Gateway
 from gaproute.discovery.changelog import events
@@ -51,8 +51,8 @@
                          self.name)
         if self.core.gateway.ration.travel:
             self.hosts.order_time = min(self.hosts.order_time, self.core.gateway.ration.travel)
-        Lot.of(loop).door = Door(clients, clients + 1, sockets, Chance(seed + 3), RESTED, patient=True,
-                                 reserve=to_hosts + OWN)
+        Lot.of(loop).admission = Admission(clients, clients + 1, sockets, Chance(seed + 3), RESTED,
+                                           patient=True, reserve=to_hosts + OWN)
         self.lister = events.Lister(loop, self.site.zones)
         self.seed, self.sockets = seed, sockets
         self.front = self.follower = self.peers = None
@@ -72,7 +72,8 @@
         self.follower = Follower(self.loop, self.charter.changelog, last, self.told, Chance(self.seed + 1),
                                  known)
         self.log.info("started", name=self.name, listen=self.front.address, hosts=len(self.hosts.hosts),
-                      sockets=self.sockets, clients=Lot.of(self.loop).door.most, to_hosts=self.hosts.room,
+                      sockets=self.sockets, clients=Lot.of(self.loop).admission.most,
+                      to_hosts=self.hosts.room,
                       limits=self.charter.limits, reported=self.site.reported,
                       prices=self.charter.settings.get("prices"), gateways=self.terms.gateways)
         self.status()
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -8,7 +8,7 @@
 # seats from which gateways, hosts and the platform's change log, a seat for each gateway, are counted
 GATEWAYS, HOSTS, LISTS = LOWEST, LOWEST + 1000, LOWEST + 3000
 LOWEST_PORT, PORTS = 20000, 11000            # below those that the kernel gives out by itself (32768 on)
-APART = 4                                    # ports that one rig takes: wire, clients' door, peers, operators
+APART = 4                                    # ports that one rig takes: wire, clients, peers, operators
 
 
 def free_port():
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -23,7 +23,8 @@
 
 
 def reply(**told):
-    return lines.Reader().feed(json.dumps({"type": "served", "req": "a", "data": ""} | told).encode() + b"\n")[0]
+    told = {"type": "served", "req": "a", "data": ""} | told
+    return lines.Reader().feed(json.dumps(told).encode() + b"\n")[0]
 
 
 @pytest.mark.parametrize("cut", range(1, 50, 7))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -5,7 +5,7 @@
 import socket
 
 import pytest
-from gaproute.decisions.door.door import SHORT
+from gaproute.decisions.admission.admission import SHORT
 from gaproute.decisions.links.pooling import OWN
 from gaproute.fronts.jsonrpc import front as fronts
 from gaproute.fronts.jsonrpc import link as links
@@ -31,25 +31,25 @@
 def test_connections_that_say_farewell_count_and_make_room_in_a_full_house(gate):
     made = gate(sockets=70, clock=Handed())
     lot = made.process.front.lot
-    deaf = [socket.create_connection(address(made.where)[1]) for _ in range(lot.door.most)]
+    deaf = [socket.create_connection(address(made.where)[1]) for _ in range(lot.admission.most)]
     for each in deaf:                    # an error is owed to each, and none of them closes then
         each.sendall(b"noise" * 200)
     made.until(lambda: len(made.loop.leaving) == len(deaf))
     late = made.client()
     late.ask(1)
     made.turns()
-    assert lot.held == lot.door.most and not late.answers
+    assert lot.held == lot.admission.most and not late.answers
     made.passes(110 * MILLI)
     made.passes(20 * MILLI)
     made.until(lambda: late.answers)
-    assert "result" in late.answers[0] and lot.held == lot.door.most == len(made.loop.leaving) + 1
+    assert "result" in late.answers[0] and lot.held == lot.admission.most == len(made.loop.leaving) + 1
     for each in deaf:
         each.close()
 
 
 @pytest.mark.parametrize("at_work", [False, True])
 def test_nothing_begins_for_a_request_whose_client_has_closed_behind_it(gate, at_work):
-    """Also where it waited at the door meanwhile: a parked connection that spoke."""
+    """Also where it waited at admission meanwhile: a parked connection that spoke."""
     made = gate(clock=Handed())
     client = made.client()
     if at_work:
@@ -257,7 +257,7 @@
 def test_who_waits_in_the_kernels_queue_at_the_stop_is_answered_though_the_house_is_full(gate):
     made = gate(sockets=70, clock=Handed())
     front = made.process.front
-    rest = [made.client() for _ in range(front.lot.door.most)]
+    rest = [made.client() for _ in range(front.lot.admission.most)]
     for place, client in enumerate(rest):
         client.ask(1, i=f"{place:016x}")
     made.until(lambda: all(client.answers for client in rest))
@@ -397,6 +397,6 @@
 @pytest.mark.parametrize("sockets", [32, 64, 90, 256, 1024])
 def test_what_clients_hosts_and_the_process_may_hold_is_never_more_than_the_limit(gate, sockets):
     process = gate(sockets=sockets).process
-    most = process.front.lot.door.most
+    most = process.front.lot.admission.most
     assert most + process.hosts.room + OWN <= sockets and process.hosts.room > 0
     assert most >= sockets // 3 or sockets < 64     # what clients may hold by the protocol
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -10,8 +10,9 @@
 from hypothesis import strategies as st
 
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.door.door import (ARRIVING, DISPLACE, FRESH, FRESH_MOST, HOSTS_SHARE, JITTER, KNOWN,
-                                          RESERVE, SPARE, TAKE, TURN_AWAY, Door)
+from gaproute.decisions.admission.admission import (ARRIVING, DISPLACE, FRESH, FRESH_MOST, HOSTS_SHARE,
+                                                    JITTER, KNOWN, RESERVE, SPARE, TAKE, TURN_AWAY,
+                                                    Admission)
 from gaproute.http1 import Limits, Server
 from gaproute.lobby import Calendar, Lot
 from gaproute.lobby.calendar import WIDTH
@@ -24,31 +25,31 @@
 HEAD = b"GET / HTTP/1.1\r\nHost: g\r\n\r\n"
 
 
-def door(most=10, per_address=10, descriptors=10_000):
-    return Door(most, per_address, descriptors, Chance(1))
+def admission(most=10, per_address=10, descriptors=10_000):
+    return Admission(most, per_address, descriptors, Chance(1))
 
 
-# The door's decisions
+# The decisions on admission
 
 def test_clients_can_never_take_what_is_kept_for_hosts_and_operators():
-    assert door(most=10**6, descriptors=20_000).most == 20_000 - RESERVE - int(20_000 * HOSTS_SHARE)
-    assert door(most=100).most == 100 and door(descriptors=10).most == 1
+    assert admission(most=10**6, descriptors=20_000).most == 20_000 - RESERVE - int(20_000 * HOSTS_SHARE)
+    assert admission(most=100).most == 100 and admission(descriptors=10).most == 1
 
 
 @pytest.mark.parametrize("held, of_address, spare, said", [
     (9, 0, False, TAKE), (10, 0, True, DISPLACE), (10, 0, False, TURN_AWAY), (5, 10, True, TURN_AWAY)])
 def test_an_arrival_is_taken_displaces_or_is_turned_away(held, of_address, spare, said):
-    assert door().admit(held, of_address, spare) is said
+    assert admission().admit(held, of_address, spare) is said
 
 
 def test_the_least_valuable_goes_then_the_longest_idle_and_none_that_was_busy_just_now():
     now = 100 * SECOND
-    assert door().victim(now, [(1, 10 * SECOND, 5), (2, 20 * SECOND, 0), (3, 30 * SECOND, 0)]) == 2
-    assert door().victim(now, [(1, now - SPARE + 1, 0)]) is None and door().victim(now, []) is None
+    assert admission().victim(now, [(1, 10 * SECOND, 5), (2, 20 * SECOND, 0), (3, 30 * SECOND, 0)]) == 2
+    assert admission().victim(now, [(1, now - SPARE + 1, 0)]) is None and admission().victim(now, []) is None
 
 
 def test_those_that_spoke_before_get_most_of_the_turns_and_fresh_ones_are_never_starved():
-    made = door()
+    made = admission()
     turns = [made.next(1000, 100, True) for _ in range(4000)]
     assert turns.count(KNOWN) == 3000 and 300 < turns.count(FRESH) < 700 and 300 < turns.count(ARRIVING) < 700
     assert made.next(0, 0, False) is None
@@ -58,7 +59,7 @@
 
 @given(st.integers(1, 10**12), st.integers(0, 10**12))
 def test_an_idle_time_is_never_shortened_and_spreads(idle, now):
-    ends = {door().idle_end(now, idle) for _ in range(5)}
+    ends = {admission().idle_end(now, idle) for _ in range(5)}
     assert all(now + idle <= end <= now + idle * (1 + JITTER) + 1 for end in ends)
 
 
@@ -223,8 +224,8 @@
 
 
 def test_a_full_house_displaces_the_idle_and_turns_away_where_none_is(house):
-    made = house(made=door(most=3))
-    made.lot.door.says_close = lambda held: False
+    made = house(made=admission(most=3))
+    made.lot.admission.says_close = lambda held: False
     worthy, idle, busy = made.client(), made.client(), made.client()
     made.turns(lambda: made.lot.parked == 3)
     made.ask(worthy)
@@ -242,7 +243,7 @@
 
 
 def test_one_address_cannot_take_the_house(house):
-    made = house(made=door(per_address=2))
+    made = house(made=admission(per_address=2))
     kept = [made.client("127.0.0.9") for _ in range(2)]
     made.turns(lambda: made.lot.held == 2)
     third = made.client("127.0.0.9")
@@ -258,7 +259,7 @@
 
 
 def test_in_a_nearly_full_house_answers_say_that_the_connection_closes(house):
-    made = house(made=door(most=2))
+    made = house(made=admission(most=2))
     one, two = made.client(), made.client()
     made.turns(lambda: made.lot.held == 2)
     assert b"Connection: close" in made.ask(one)
@@ -271,15 +272,15 @@
     crowd = [made.client() for _ in range(200)]
     made.turns(lambda: made.lot.parked == 200)
     order = []
-    made.server.handle = lambda request: (order.append("door"), made.server.answer(request, 200, (), b""))
+    made.server.handle = lambda request: (order.append("served"), made.server.answer(request, 200, (), b""))
     here, there = socket.socketpair()
     made.loop.watch(here.fileno(), 1, lambda events: (order.append("in hand"), here.recv(1)))
     for client in crowd:
         client.sendall(HEAD)
     there.send(b"x")
     made.loop.turn()
-    assert order[0] == "in hand" and "door" in order
-    made.turns(lambda: order.count("door") == 200)
+    assert order[0] == "in hand" and "served" in order
+    made.turns(lambda: order.count("served") == 200)
     made.loop.unwatch(here.fileno())
     here.close(), there.close()
 
@@ -416,7 +417,7 @@
 
 def test_an_address_whose_last_connection_makes_room_for_itself_is_counted_on():
     loop = Loop()
-    lot = Lot(loop, Door(1, 10, 1000, Chance(1)))
+    lot = Lot(loop, Admission(1, 10, 1000, Chance(1)))
     first = lot.admit("a", True)
 
     def displace():
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -149,8 +149,8 @@
     monkeypatch.setattr(links, "QUIET", 0)
     monkeypatch.setattr(fronts, "SWEEP", 5 * MILLI)
     made = gate(sockets=90)
-    made.process.front.lot.door.spare = 0
-    most = made.process.front.lot.door.most
+    made.process.front.lot.admission.spare = 0
+    most = made.process.front.lot.admission.most
     first = [made.client() for _ in range(most)]
     for place, client in enumerate(first):
         client.ask(1, i=f"{place:016x}")
@@ -164,7 +164,7 @@
 
 def test_a_house_full_of_connections_of_one_request_each_turns_none_away(gate):
     made = gate(sockets=90)
-    most = made.process.front.lot.door.most
+    most = made.process.front.lot.admission.most
     clients = []
     for place in range(3 * most):                 # as fast as resting ones may make room
         clients.append(made.client())
@@ -179,7 +179,7 @@
     held = []
     made = gate(lambda stream, command: command["type"] == "go" and held.append((stream, command)),
                 sockets=90)
-    most = made.process.front.lot.door.most
+    most = made.process.front.lot.admission.most
     clients = []
     for place in range(most + 5):
         clients.append(made.client())
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -12,7 +12,7 @@
 
 from gaproute.conf import read_charter
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.door.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
+from gaproute.decisions.admission.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
 from gaproute.loop.streams import address
 from helpers import CHARTER, SECOND
 
