A property test over orders of events before, at and after a relay

The core, the real decisions and the hosts that speak lines on streams of memory: tasks of each class, dials, answers of each kind, twice, early and for ids never sent, spoilt lines, ends, clients that leave, list changes, a full socket, few connections, the process's end, time. Judged is what a host was handed at the moment at which it was, and that nothing is kept.

--- /dev/null
+++ b/tests/test_crossings_orders.py
@@ -0,0 +1,291 @@
+"""Any order of events before, at and after a relay: the core, the real decisions and the hosts that speak
+lines, on streams of memory whose room, bytes and ends the test gives, with the time standing still between.
+
+What is judged is what a host was handed, at the moment at which it was.
+"""
+import errno
+import json
+from types import SimpleNamespace
+
+import pytest
+from gaproute import interface as face
+from gaproute.core.core import Core
+from gaproute.decisions.links.pooling import Pooling
+from gaproute.decisions.route import Gateway
+from gaproute.hosts.jsonlines import link as links
+from gaproute.hosts.jsonlines.fleet import Hosts
+from gaproute.hosts.rows import Row
+from gaproute.interface.call import Call, Ending
+from gaproute.loop import Loop, Stepped
+from gaproute.record.record import Record
+from helpers import TERMS, row
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from scripted import MILLI, SECOND, HeldDials
+
+HOSTS = ("a", "b")
+LEFT = 3 * SECOND                        # that each client waits
+SPANS = (0, MILLI, 20 * MILLI, 100 * MILLI, 700 * MILLI)
+WINDOW = 300 * MILLI                     # for which hosts know a repeat
+TRACKS = tuple(track._replace(repeat_window=WINDOW, contract_time=200 * MILLI) for track in TERMS.tracks)
+NEVER_RAN = ("overload", "not_here", "nobody")
+ANSWERS = ("served", "served", "served", "crashed", "garbled", *NEVER_RAN)
+FULL = ("overload",)                    # of hosts that turn all away
+ENDS = (None, ConnectionResetError(errno.ECONNRESET, "reset"))
+FAILS = (ConnectionRefusedError(errno.ECONNREFUSED, "refused"), OSError(errno.EMFILE, "too many open files"),
+         TimeoutError("no answer"))
+EVENTS = (*["take"] * 4, *["up"] * 8, *["answer"] * 10, *["pass"] * 3, "leave", "fail", "again", "again",
+          "stranger", "stranger", "spoil", "end", "end", "end", "change", "back", "back", "room", "room",
+          "connections", "last")
+
+
+class Ticking(Stepped):
+    """Each look takes a microsecond: no answer comes in no time."""
+
+    def __call__(self):
+        self.now += 1000
+        return self.now
+
+
+class Wire:
+    """Stands for a `Stream`. `room`: bytes that the kernel takes at a time; the rest waits for `take`."""
+
+    def __init__(self, loop, life, on_bytes, on_end):
+        self.world, self.life, self.on_bytes, self.on_end = life.world, life, on_bytes, on_end
+        self.on_room, self.handed, self.waiting, self.open = None, 0, 0, True
+        self.world.wires.append(self)
+
+    def begin(self, data):
+        if not self.open or self.waiting or not self.world.room:
+            return False
+        self.world.begins(self, json.loads(data), len(data))
+        self.write(data)
+        return True
+
+    def write(self, data):
+        if self.open:
+            sent = 0 if self.waiting else min(len(data), self.world.room)
+            self.handed, self.waiting = self.handed + sent, self.waiting + len(data) - sent
+
+    def take(self):
+        """The kernel takes what waits."""
+        self.handed, self.waiting = self.handed + self.waiting, 0
+        if self.open:
+            self.on_room()
+
+    def say(self, kind, name, **told):
+        if self.open:
+            self.on_bytes(json.dumps({"type": kind, "req": name} | told).encode() + b"\n")
+
+    def quiet(self):
+        return True
+
+    def end(self, error):
+        if self.open:
+            self.open = False
+            self.on_end(error)
+
+    def abort(self):
+        self.open = False
+
+
+class World:
+    def __init__(self, patch, cancel, twins, shared, answers):
+        patch.setattr(links, "connect", dials := HeldDials())
+        patch.setattr(links, "Stream", Wire)
+        self.dials, self.wires, self.room, self.errors = dials, [], 1 << 20, []
+        self.loop = Loop(Ticking(1000 * SECOND))
+        self.loop.on_error = self.errors.append
+        self.twins, self.answers = twins, answers
+        site = SimpleNamespace(idle_time=15 * SECOND, connect_time=0, order_time=SECOND, shared=shared,
+                               counts_alike=True, halts=cancel)
+        self.hosts = Hosts(self.loop, Pooling(), site, 64)
+        terms = TERMS._replace(tracks=TRACKS, recall_allowed=cancel, twins_allowed=twins)
+        self.record = Record(SimpleNamespace(error=lambda what, **told: self.errors.append(told)), "pgs", 0)
+        self.core = Core(self.loop, Gateway(7, terms, self.loop.now()), terms, self.hosts, self.record, "g")
+        self.rows = {name: row(name, started=0) for name in HOSTS}
+        self.lives = {name: SimpleNamespace(world=self, name=name) for name in HOSTS}
+        self.tasks, self.named, self.attempts = [], {}, []     # `named`: by the client's own id, the last one
+        self.last = 1 << 62
+        self.change()
+
+    # What hosts are handed
+
+    def begins(self, wire, command, size):
+        if command["type"] != "go":
+            return
+        now, task = self.loop.now(), self.named[command["req"]]
+        life = wire.life
+        held = [each for each in self.core.held.values() if each.call.mark == command["req"] and each.finish]
+        assert held and not task.finals and not task.left, "begun for nobody"
+        assert now < min(task.end, self.last), "begun too late"
+        assert self.lives[life.name] is life and self.rows[life.name].state is face.State.ACTIVE
+        before = [each for each in self.attempts if each.task is task]
+        unclear = [each for each in before if each.said not in NEVER_RAN]
+        if task.effect is face.Effect.EFFECTFUL:
+            assert not unclear, "may have run already"
+        if task.effect is face.Effect.RECEIPTED and unclear:
+            assert now < unclear[0].at + WINDOW, "no host knows the repeat any more"
+        if not self.twins:
+            assert all(each.said or not each.wire.open for each in before), "two are out"
+        stop = wire.handed + size
+        self.attempts.append(SimpleNamespace(task=task, wire=wire, at=now, said=None, name=command["req"],
+                                             whole=lambda: wire.handed >= stop))
+
+    # Events
+
+    def take(self, place, way):
+        """A task; also under the id of one that is over."""
+        over = [name for name, task in self.named.items() if task.finals or task.left]
+        name = over[-1] if over and way == 0 else str(len(self.tasks))
+        task = SimpleNamespace(finals=[], left=False, effect=TRACKS[place % 3].effect,
+                               end=self.loop.now() + LEFT)
+        self.named[name] = task
+        self.tasks.append(task)
+        call = Call(f"m{place % 2}", "", (), b"", name, "x")
+        task.key = self.core.take(call, place % 3, 0, 1, None, self.loop.now(), LEFT, task.finals.append)
+
+    def leave(self, place, _):
+        if waits := [task for task in self.tasks if not task.finals and not task.left]:
+            task = waits[place % len(waits)]
+            held = self.core.held.get(task.key)
+            task.left = held is not None and held.finish is not None       # else its answer is on its way
+            self.core.client_left(task.key)
+
+    def dialled(self, place):
+        waits = [entry for entry in self.dials.held if entry[4]]
+        if not waits:
+            return None
+        entry = waits[place % len(waits)]
+        entry[4] = False
+        return entry
+
+    def up(self, place, _):
+        if entry := self.dialled(place):
+            entry[3](entry[1], None)
+
+    def fail(self, place, way):
+        if entry := self.dialled(place):
+            entry[3](None, FAILS[way % len(FAILS)])
+
+    def pick(self, place, of):
+        """One of the attempts, of those that the host has whole."""
+        some = [each for each in self.attempts if each.wire.open and each.whole() and of(each)]
+        return some[place % len(some)] if some else None
+
+    def answer(self, place, way):
+        self.passes(20 * MILLI)              # no host answers at once
+        if each := self.pick(place, lambda each: each.said is None):
+            each.said = self.answers[way % len(self.answers)]
+            kind, data = ("served", "?") if each.said == "garbled" else (each.said, self.body(each))
+            each.wire.say(kind, each.name, data=data, meta={"queue_fn": way})
+
+    def body(self, each):
+        return f"{self.attempts.index(each):04}"
+
+    def again(self, place, way):
+        if each := self.pick(place, lambda each: each.said not in (None, "served")):
+            each.wire.say(ANSWERS[way % 4], each.name, data="oddd")
+
+    def stranger(self, place, way):
+        """An answer for an id never sent, or not yet sent whole."""
+        if wire := self.wire(place):
+            known = [each.name for each in self.attempts if each.wire is wire and each.whole()]
+            names = [name for name in ("x", *self.named) if name not in known]
+            wire.say("served", names[-1 - way % len(names)], data="oddd")
+
+    def wire(self, place):
+        some = [wire for wire in self.wires if wire.open]
+        return some[place % len(some)] if some else None
+
+    def spoil(self, place, _):
+        if wire := self.wire(place):
+            wire.on_bytes(b"no line\n")
+
+    def end(self, place, way):
+        if wire := self.wire(place):
+            wire.end(ENDS[way % len(ENDS)])
+
+    def change(self, place=0, way=None):
+        """The host drains, is gone, is named no more, or is there again."""
+        name = HOSTS[place % 2]
+        if way is not None:
+            state = list(face.State)[way % 3]
+            self.rows[name] = self.rows[name]._replace(state=state)
+        shown = [Row(self.rows[each], f"127.0.0.1:{self.place(each)}") for each in HOSTS
+                 if way != 5 or each != name]
+        if way == 5:
+            self.rows[name] = self.rows[name]._replace(state=face.State.GONE)
+        self.hosts.listed(shown, True)
+        self.core.listed([each.listed for each in shown], True)
+        for host in self.hosts.hosts.values():
+            host.where = self.lives[host.name]
+
+    def place(self, name):
+        return 1000 + self.rows[name].cell
+
+    def back(self, place, way):
+        """It is there at another address, or in a new life."""
+        name = HOSTS[place % 2]
+        old = self.rows[name]
+        self.lives[name] = SimpleNamespace(world=self, name=name)
+        self.rows[name] = old._replace(state=face.State.ACTIVE, cell=old.cell + way % 2,
+                                       started=old.started + 1 - way % 2)
+        self.change()
+
+    def takes(self, place, way):
+        self.room = (0, 5, 1 << 20, 1 << 20)[way % 4]
+        for wire in list(self.wires) if self.room else ():
+            wire.take()
+
+    def connections(self, place, way):
+        self.hosts.room = (1, 2, 64, 64)[way % 4]
+
+    def end_by(self, place, way):
+        if place < 3 and self.last > self.loop.now() + SECOND:
+            self.last = self.loop.now() + (way + 1) * 100 * MILLI
+            self.core.end_by(self.last)
+
+    def passes(self, span):
+        self.loop.run(until=self.loop.sleep(span))
+
+    def ends(self):
+        """Nothing more comes from anywhere; each task has had its one answer and nothing is kept."""
+        self.room = 1 << 20
+        self.passes(LEFT)
+        for task in self.tasks:
+            assert len(task.finals) == (not task.left), (task, task.finals)
+            if task.finals and task.finals[0].ending is Ending.DELIVERED:
+                assert task.finals[0].answer.body.decode() in [
+                    self.body(each) for each in self.attempts if each.task is task and each.said == "served"]
+        core, gateway = self.core, self.core.gateway
+        assert not core.held and not core.tasks and not core.relays and set(core.timers) == {""}
+        assert not gateway.hands and not gateway.ration.out
+        assert not any(each.out or each.late for each in gateway.workers.values())
+        self.passes(30 * SECOND)
+        assert not any(link.open for host in self.hosts.hosts.values() for link in host.links)
+        assert not self.hosts.links() and not any(entry[4] for entry in self.dials.held)
+        named = {name for name in HOSTS if self.rows[name].state is not face.State.GONE}
+        assert set(self.hosts.hosts) == named
+        assert sum(timer.call is not None for _, _, timer in self.loop.timers) == 2, "timers are kept"
+        assert not self.errors, self.errors
+
+
+MOVES = {"pass": lambda world, place, way: world.passes(SPANS[way % 5]), "room": World.takes,
+         "last": World.end_by}
+MOVES |= {name: getattr(World, name) for name in EVENTS if name not in MOVES}
+
+
+@settings(max_examples=500, phases=[Phase.generate])    # with `Phase.shrink` by hand: it takes minutes
+@given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5), st.integers(0, 6), st.booleans()),
+                min_size=30, max_size=60),
+       st.tuples(st.booleans(), st.booleans(), st.sampled_from((1, 4)), st.sampled_from((ANSWERS, ANSWERS, FULL))))
+def test_in_any_order_each_task_has_one_answer_and_nothing_begins_that_may_not(events, site):
+    with pytest.MonkeyPatch.context() as patch:
+        world = World(patch, *site)
+        for kind, place, way, turns in events:
+            MOVES[kind](world, place, way)
+            if turns:
+                world.passes(0)
+        world.ends()
+        world.loop.close()
