An answer on its way to a request taken back answers no later request of that id

A host's answer, the client's `abort` of that request and a new request under the same id come in one turn: the final answer was decided and queued, the abort took the request out of `link.open`, the new one came in under its id, and `Front.final` then took the entry it found for its own. The new request was answered with the old one's result, its own answer reached nobody, and its mark was let go. `core.client_left` cannot help: the answer has been given.

`Front.final` goes by the core's id of the task, which every `Final` bears. The test, which has the three come in that order in one turn, fails without.

--- a/gaproute/fronts/jsonrpc/front.py
+++ b/gaproute/fronts/jsonrpc/front.py
@@ -136,10 +136,10 @@
             lambda final: self.final(link, asked, final)), asked.mark
 
     def final(self, link, asked, final):
-        if self.marks.get(asked.mark) is link:
-            del self.marks[asked.mark]
-        if link.open.pop(asked.number, None) is None:
-            return
+        held = link.open.get(asked.number)
+        if held is None or held[0] != final.task:    # its client left while this was on its way; another
+            return                                   # request may bear its id by now
+        del link.open[asked.number], self.marks[asked.mark]
         if final.ending is Ending.DELIVERED:
             link.write(messages.result(asked.number, final.answer.body))
         elif final.ending is Ending.DECLINED:
--- a/tests/test_crossings_orders.py
+++ b/tests/test_crossings_orders.py
@@ -289,3 +289,19 @@
                 world.passes(0)
         world.ends()
         world.loop.close()
+
+
+def test_an_answer_on_its_way_when_its_request_was_taken_back_answers_no_later_one_of_that_id(gate):
+    held = []
+    made = gate(lambda *told: told[1]["type"] == "go" and held.append(told))
+    client = made.client()
+    client.ask(1)
+    made.until(lambda: held)
+    made.hosts[0].serve(*held[0])
+    client.message({"jsonrpc": "2.0", "method": "abort", "params": {"id": 1}})
+    client.ask(1, i="e" * 16, arg="bmV3")
+    made.until(lambda: len(held) == 2)
+    assert not client.answers
+    made.hosts[0].serve(*held[1])
+    made.until(lambda: client.answers)
+    assert client.answers[0]["result"]["arg"] == "bmV3" and not made.process.front.marks
