--- a/benchmarks/fleet/gateways.py
+++ b/benchmarks/fleet/gateways.py
@@ -96,7 +96,7 @@
                                                    host.busy, None))
         world.cpu += process_time_ns() - began
 
-    def recall(self, key, number):
+    def cancel(self, key, number):
         """The host works on."""
 
     def order(self, worker, function, copies):
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -38,7 +38,7 @@
 store pace 40 limit 80 thrash 0.2
 host-life keep 10s cold-share 0.17 cold-time 12s fall 2.5 tip 1500ms idle-close 5s
 copies keep 10s orders yes free 6 share 0.3 window 10s
-relays limit 4 twins yes recall yes
+relays limit 4 twins yes cancel yes
 reports answer
 cold share 0.17 time 12s
 {troubles}
--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -25,7 +25,7 @@
 TOLD = {"tenant_shares": (), "over_share_value": 1.0, "keep_alive": 10 * SECOND, "orders_allowed": True,
         "order_free": 6, "order_share": 0.3, "order_window": 10 * SECOND, "counts_alike": True,
         "notes_warmth": True, "probes_allowed": True, "reports_by_probe": False, "reported": (),
-        "probe_price": 0.0, "peer_price": 0.0, "peers_allowed": False, "gateways": 1, "recall_allowed": True,
+        "probe_price": 0.0, "peer_price": 0.0, "peers_allowed": False, "gateways": 1, "cancel_allowed": True,
         "twins_allowed": True, "relay_limit": 4, "advice_limit": SECOND, "cold_share": 0.2,
         "cold_time": 10 * SECOND, "must_ask_list": False, "zone": -1, "crossing_price": 0.0}
 
--- a/gaproute/benchlink/drive.py
+++ b/gaproute/benchlink/drive.py
@@ -31,7 +31,7 @@
     def relay(self, key, number, worker, until, now):
         self.lines.append(f"ATTEMPT {key} {worker} 0")
 
-    def recall(self, key, number):
+    def cancel(self, key, number):
         self.lines.append(f"RECALL {key} {number}")
 
     def order(self, worker, function, copies):
--- a/gaproute/benchlink/wire.py
+++ b/gaproute/benchlink/wire.py
@@ -16,7 +16,7 @@
     "3": face.Result.TIMEOUT,
     "4": face.Result.CONNECT_FAILED,
     "5": face.Result.RESET,
-    "6": face.Result.RECALLED,
+    "6": face.Result.CANCELLED,
     "7": face.Result.MOOT,
     "8": face.Result.MISS,
 }
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -62,7 +62,7 @@
             peer_price=0.0,
             peers_allowed=False,     # they tell each other more, by their own way
             gateways=1,
-            recall_allowed=relays.recall,
+            cancel_allowed=relays.cancel,
             twins_allowed=relays.twins,
             relay_limit=relays.limit,
             advice_limit=one("advice").limit,
--- a/gaproute/conf/words/tasks.py
+++ b/gaproute/conf/words/tasks.py
@@ -58,11 +58,11 @@
 
 
 class Relays(Directive):
-    example: ClassVar = "relays limit 4 twins yes recall yes"
+    example: ClassVar = "relays limit 4 twins yes cancel yes"
     once: ClassVar = True
     limit: int = Field(4, ge=1, le=64)
     twins: Yes = True
-    recall: Yes = True
+    cancel: Yes = True
 
 
 class Reports(Directive):
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -77,7 +77,7 @@
         for held in list(self.held.values()):
             self._guarded(held.id, self.late, held.id, self.loop.now())
             for number in held.out:
-                self._take_back(held, number, face.Result.RECALLED)
+                self._take_back(held, number, face.Result.CANCELLED)
 
     # From the hosts
 
@@ -146,10 +146,10 @@
                                 min(until, held.limit), lambda heard: self._came(key, number, heard))
         held.out[number] = (worker, now, hold)
 
-    def recall(self, key, number):
+    def cancel(self, key, number):
         held = self.held.get(key)
         if held is not None and number in held.out:
-            self._take_back(held, number, face.Result.RECALLED)
+            self._take_back(held, number, face.Result.CANCELLED)
 
     def order(self, worker, function, copies):
         self.record.ordered(worker, function, copies)
--- a/gaproute/core/drive.py
+++ b/gaproute/core/drive.py
@@ -7,7 +7,7 @@
     """One gateway: its decision module and the tasks it holds. Whoever carries out wishes derives from it.
 
     A derived class gives `wait(key, until, now)`, which may overwrite an earlier wait of the key and calls
-    `late` when the time has come, and `relay(key, number, worker, until, now)`, `recall(key, number)`,
+    `late` when the time has come, and `relay(key, number, worker, until, now)`, `cancel(key, number)`,
     `order(worker, function, copies)`, `probe(worker)`, `tell(words)`, `listen()`,
     `decline(key, stay_away, why)` and `scrap(key)`. The housekeeper's key is "".
     """
@@ -79,8 +79,8 @@
                     value = self.relays[key]
                     self.relays[key] += 1
                     self.relay(key, value, worker, until, now)
-                case face.Recall(relay):
-                    self.recall(key, relay)
+                case face.Cancel(relay):
+                    self.cancel(key, relay)
                 case face.Order(worker, function, copies):
                     self.order(worker, function, copies)
                 case face.Probe(worker):
--- a/gaproute/core/final.py
+++ b/gaproute/core/final.py
@@ -75,7 +75,7 @@
 
     def _over(self, held):
         """Nothing begins any more once a task has its final answer or its client has left. What waits for its
-        connection is taken back whatever the settings say of recalls: not to begin is none."""
+        connection is taken back whatever the settings say of cancelling: not to begin is none."""
         for number, (_, _, hold) in held.out.items():
             if not hold.begun:
                 self._take_back(held, number, face.Result.MOOT)
--- a/gaproute/decisions/route/task.py
+++ b/gaproute/decisions/route/task.py
@@ -1,7 +1,7 @@
 """One task, from acceptance to its one final answer."""
 from gaproute.decisions.route.beliefs import MILLI, SECOND, Trail
 from gaproute.decisions.route.booked import Booked
-from gaproute.interface import Decline, Effect, Order, Recall, Relay, Result, Scrap, Wait
+from gaproute.interface import Cancel, Decline, Effect, Order, Relay, Result, Scrap, Wait
 
 PAUSE = 100 * MILLI    # between looks while a task waits for a worker: half an answer time, spares the CPU
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
@@ -62,8 +62,8 @@
                     self.sharing.task()
                     yield from self.more_copies(now, task, function, held, outcome)
             if outcome.ended:
-                for relay in trail.out if self.terms.recall_allowed else ():
-                    yield Recall(relay)
+                for relay in trail.out if self.terms.cancel_allowed else ():
+                    yield Cancel(relay)
                 return
             look = now
             if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
@@ -74,8 +74,8 @@
                 yield Order(held.id, task.function, 1)
                 function.seen[held.id] = now
                 look = now + outcome.took    # the order is there once a round trip has passed
-        for relay in trail.out if self.terms.recall_allowed else ():
-            yield Recall(relay)
+        for relay in trail.out if self.terms.cancel_allowed else ():
+            yield Cancel(relay)
         if trail.first is None or track.effect is Effect.PURE:
             yield Decline(self.advice(track), why)
         else:
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/driver/campaigns_gateway.py
@@ -91,7 +91,7 @@
         self.known[host] = asked[1], copies, loading, room
         self.spend.report(now, host, asked[1], free, want, cold)
         self.weak.saw_room(now, host, free)
-        out = [(host, ("cancel", task)) for task in self.spend.recalls(host, lacking)]
+        out = [(host, ("cancel", task)) for task in self.spend.cancels(host, lacking)]
         if not want:
             self.wanted.pop(host, None)
             return out
@@ -142,7 +142,7 @@
             self.back(task)
 
     def back(self, task):
-        """It never ran, or was recalled: it may go again while its group stands."""
+        """It never ran, or was cancelled: it may go again while its group stands."""
         told = self.tasks.pop(task, None)
         if told is not None and told[1] in self.groups.open:
             self.queues[told[0]].appendleft((told[1], task, told[2]))
@@ -150,7 +150,7 @@
     # Rollouts
 
     def aged(self, now):
-        """What became too old is declined by name, and what runs of it is recalled."""
+        """What became too old is declined by name, and what runs of it is cancelled."""
         out = []
         for group, tasks in self.groups.aged():
             out += [(self.spend.hands[task].host, ("cancel", task))
--- a/gaproute/driver/campaigns_host.py
+++ b/gaproute/driver/campaigns_host.py
@@ -105,7 +105,7 @@
         return []
 
     def _cancel(self, now, sender, task):
-        return self._end(now, task, "recalled")
+        return self._end(now, task, "cancelled")
 
     def _load(self, now, sender, copy):
         if copy in self.copies or copy in self.loading:
--- a/gaproute/interface/__init__.py
+++ b/gaproute/interface/__init__.py
@@ -17,7 +17,7 @@
 """
 from gaproute.interface.outcomes import Found, Outcome, Report, Result
 from gaproute.interface.terms import Effect, Group, Listed, State, Task, Terms, Track
-from gaproute.interface.wishes import Decline, Listen, Order, Probe, Recall, Relay, Scrap, Wait
+from gaproute.interface.wishes import Cancel, Decline, Listen, Order, Probe, Relay, Scrap, Wait
 
-__all__ = ["Decline", "Effect", "Found", "Group", "Listed", "Listen", "Order", "Outcome", "Probe", "Recall",
+__all__ = ["Decline", "Effect", "Found", "Group", "Listed", "Listen", "Order", "Outcome", "Probe", "Cancel",
            "Relay", "Report", "Result", "Scrap", "State", "Task", "Terms", "Track", "Wait"]
--- a/gaproute/interface/outcomes.py
+++ b/gaproute/interface/outcomes.py
@@ -10,7 +10,7 @@
     TIMEOUT = "timeout"                # may have run
     CONNECT_FAILED = "connect failed"  # never ran
     RESET = "reset"                    # may have run
-    RECALLED = "recalled"              # may have run
+    CANCELLED = "cancelled"              # may have run
     MOOT = "moot"                      # never sent
     MISS = "miss"                      # never ran: no copy there and none on its way
     BEGUN = "begun"                    # a streamed answer has begun; the relay's real outcome follows
--- a/gaproute/interface/terms.py
+++ b/gaproute/interface/terms.py
@@ -49,7 +49,7 @@
     peer_price: float          # and 256 bytes to another gateway
     peers_allowed: bool        # gateways may send each other such messages
     gateways: int              # in the tier
-    recall_allowed: bool
+    cancel_allowed: bool
     twins_allowed: bool        # two relays of a task may be out at once
     relay_limit: int
     advice_limit: int          # longest stay-away that clients heed; 0: they are given none
--- a/gaproute/interface/wishes.py
+++ b/gaproute/interface/wishes.py
@@ -11,7 +11,7 @@
     until: int
 
 
-class Recall(NamedTuple):
+class Cancel(NamedTuple):
     relay: int
 
 
--- a/gaproute/rollouts/campaign.py
+++ b/gaproute/rollouts/campaign.py
@@ -39,7 +39,7 @@
     by: int = 0
     pace: float = 0.0
     weight: int = 1
-    recall: bool = True
+    cancel: bool = True
     floors: dict = {}
 
     @property
--- a/gaproute/rollouts/groups.py
+++ b/gaproute/rollouts/groups.py
@@ -50,7 +50,7 @@
         return self._end(group, "delivered") if held.good == held.size else ""
 
     def scrap(self, group, why):
-        """Whole: what of it was answered counts nothing, what runs may be recalled."""
+        """Whole: what of it was answered counts nothing, what runs may be cancelled."""
         return self._end(group, why) if group in self.open else self.ended.get(group, "unknown")
 
     def aged(self):
--- a/gaproute/rollouts/spend.py
+++ b/gaproute/rollouts/spend.py
@@ -15,7 +15,7 @@
 MILLI = 1_000_000
 
 FRESH = 150 * MILLI      # ns from asking a host until its answer says nothing any more; 200 ms is the promise
-ASK = 25 * MILLI         # between askings of a host with a part: production waits so long for a recall
+ASK = 25 * MILLI         # between askings of a host with a part: production waits so long for a cancel
 AGAIN = 300 * MILLI      # until a permit that was refused is asked again
 PARTS = 1024             # hosts with a part: as many wishes as a holder has
 HANDS = 4096             # rollouts in hand
@@ -123,11 +123,11 @@
         if part is not None:
             part.want, part.after = True, now
 
-    def recalls(self, host, lanes):
+    def cancels(self, host, lanes):
         """Rollouts to be taken back so that production gets `lanes`: the last sent first, least is lost by
         them."""
         mine = [task for task, hand in self.hands.items()
-                if hand.host == host and self.campaigns[hand.campaign].recall]
+                if hand.host == host and self.campaigns[hand.campaign].cancel]
         return mine[::-1][:max(0, lanes)]
 
     # What goes out
--- a/gaproute/terms.py
+++ b/gaproute/terms.py
@@ -64,7 +64,7 @@
         peer_price=float(prices.get("peer") or 0),
         peers_allowed=bool(limits.get("peers")),
         gateways=int(told.get("balancers") or 1),
-        recall_allowed=bool(limits.get("cancel")),
+        cancel_allowed=bool(limits.get("cancel")),
         twins_allowed=bool(limits.get("may_duplicate")),
         relay_limit=int(limits.get("send_cap") or 1),
         advice_limit=span(limits, "max_retry_after") if limits.get("retry_after") else 0,
--- a/gaproute/trial/daybook.py
+++ b/gaproute/trial/daybook.py
@@ -17,7 +17,7 @@
 store pace 25 limit 40 thrash 0.2
 host-life keep 10s cold-share 0.17 cold-time 12s fall 2.5 tip 1500ms
 copies keep 10s orders yes free 6 share 0.3 window 10s
-relays limit 6 twins yes recall yes
+relays limit 6 twins yes cancel yes
 reports probe
 cold share 0.17 time 12s
 """
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -128,14 +128,14 @@
         yield face.Relay("w")
         _, outcome = yield face.Wait(now + SECOND)
         assert outcome.result is face.Result.DEPARTED
-        yield face.Recall(0)
+        yield face.Cancel(0)
 
     made = core(serve)
     key = take(made)
     made.client_left(key)
     turns(made)
     assert made.finals == [] and made.hosts.taken_back == ["w"] and not made.held
-    assert [outcome.result for outcome in made.gateway.told] == [face.Result.RECALLED]
+    assert [outcome.result for outcome in made.gateway.told] == [face.Result.CANCELLED]
     made.client_left(key)       # a second time is nothing
 
 
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -40,7 +40,7 @@
     return client
 
 
-def test_where_no_recall_is_allowed_a_dial_that_outlasts_its_client_begins_nothing(slow):
+def test_where_no_cancel_is_allowed_a_dial_that_outlasts_its_client_begins_nothing(slow):
     made = slow(cancel=False)
     client = asked(made, 1)
     client.stream.abort()
@@ -131,7 +131,8 @@
 
 @pytest.mark.parametrize("first", [("crashed", {}), ("served", {"data": "?"})])
 def test_a_second_answer_to_a_failed_attempt_is_not_taken_for_the_next_ones(gate, first):
-    """The host answers 'crashed', or what cannot be read, and, once the task came again, 'served' for the first of the two."""
+    """The host answers 'crashed', or what cannot be read, and once the task came again 'served' for the first
+    of the two."""
     came = []
 
     def answer(stream, command):
@@ -183,7 +184,7 @@
 
 
 @pytest.mark.parametrize("cancel", [True, False])
-def test_a_halt_is_said_only_where_the_settings_allow_recalls(gate, cancel):
+def test_a_halt_is_said_only_where_the_settings_allow_cancels(gate, cancel):
     made = gate(nothing, clock=Handed(), settings=settings(cancel=cancel))
     client = made.client()
     client.ask(1)
--- a/tests/test_crossings_orders.py
+++ b/tests/test_crossings_orders.py
@@ -100,7 +100,7 @@
         site = SimpleNamespace(idle_time=15 * SECOND, connect_time=0, order_time=SECOND, shared=shared,
                                counts_alike=True, halts=cancel)
         self.hosts = Hosts(self.loop, Pooling(), site, 64)
-        terms = TERMS._replace(tracks=TRACKS, recall_allowed=cancel, twins_allowed=twins)
+        terms = TERMS._replace(tracks=TRACKS, cancel_allowed=cancel, twins_allowed=twins)
         self.record = Record(SimpleNamespace(error=lambda what, **told: self.errors.append(told)), "pgs", 0)
         self.core = Core(self.loop, Gateway(7, terms, self.loop.now()), terms, self.hosts, self.record, "g")
         self.rows = {name: row(name, started=0) for name in HOSTS}
@@ -279,7 +279,8 @@
 @settings(max_examples=500, phases=[Phase.generate])    # with `Phase.shrink` by hand: it takes minutes
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5), st.integers(0, 6), st.booleans()),
                 min_size=30, max_size=60),
-       st.tuples(st.booleans(), st.booleans(), st.sampled_from((1, 4)), st.sampled_from((ANSWERS, ANSWERS, FULL))))
+       st.tuples(st.booleans(), st.booleans(), st.sampled_from((1, 4)),
+                 st.sampled_from((ANSWERS, ANSWERS, FULL))))
 def test_in_any_order_each_task_has_one_answer_and_nothing_begins_that_may_not(events, site):
     with pytest.MonkeyPatch.context() as patch:
         world = World(patch, *site)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -9,7 +9,7 @@
 from gaproute.interface import Result
 from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, TERMS, Drive, gateway, row, task
 
-MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.RECALLED]
+MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
 
 
@@ -115,7 +115,7 @@
     assert drive.ended and drive.wishes == []
     drive = Drive(made, task("u"))
     drive.go((MILLI, face.Outcome("u", -1, "", Result.DEPARTED, 0, True, face.Found.UNTOLD, None, None)))
-    assert drive.ended and drive.wishes == [face.Recall(0)]
+    assert drive.ended and drive.wishes == [face.Cancel(0)]
 
 
 @pytest.mark.parametrize("change", [[row("a", state=face.State.DRAINING)], [row("a", state=face.State.GONE)]])
@@ -249,7 +249,7 @@
     made = gateway()
     drive = Drive(made, task())
     while not drive.ended:
-        assert not any(isinstance(wish, (face.Relay, face.Recall)) for wish in drive.wishes[1:])
+        assert not any(isinstance(wish, (face.Relay, face.Cancel)) for wish in drive.wishes[1:])
         drive.late(drive.wishes[-1].until)
     assert len(drive.sent) == 1
 
@@ -269,7 +269,7 @@
     drive = Drive(made, task(track=track))
     made.refusals.extend([(SECOND, True)] * 5)
     drive.late(SECOND)
-    assert drive.ended is ended and (drive.wishes == [face.Recall(0), face.Decline(SECOND, "late")]) is ended
+    assert drive.ended is ended and (drive.wishes == [face.Cancel(0), face.Decline(SECOND, "late")]) is ended
 
 
 @pytest.mark.parametrize(
--- a/tests/test_rollouts_spend.py
+++ b/tests/test_rollouts_spend.py
@@ -32,7 +32,7 @@
 
 
 def made(name="g", **words):
-    given = {"c": campaign(**words), "d": campaign("d", recall=False)}
+    given = {"c": campaign(**words), "d": campaign("d", cancel=False)}
     return Spend(Holder(name, ["k"], Zero(), 0), given, 0)
 
 
@@ -67,7 +67,7 @@
     spend.report(0, "h", 0, 8, False)
     assert send(spend, 0) == 4 and send(spend, 0, "d") == 2
     spend.wanted(10, "h")
-    assert spend.recalls("h", 3) == ["gc03", "gc02", "gc01"]     # the last first; d's may not be recalled
+    assert spend.cancels("h", 3) == ["gc03", "gc02", "gc01"]     # the last first; d's may not be cancelled
     spend.ended(12, "gc03")
     spend.report(20, "h", 5, 8, False)       # asked before
     assert send(spend, 20) == 0
