A gone host's counts are dropped after its last relays are told, not before

A host that left the list and then broke off was forgotten as its connection ended, its counts in the record with it; what its relays came to was told a moment later and counted under its name for ever: up to two entries for each host that ever died with work in hand.

`Host.forget` was called from `Link.drop` and `Hosts.listed`. The property test saw it; the small one fails without the mend.

--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -15,6 +15,7 @@
         self.hosts, self.name = hosts, row.listed.worker
         self.links = Links()
         self.active = self.listed = True
+        self.gone = False                # at the last look
         self.at(row)
 
     def at(self, row):
@@ -22,10 +23,13 @@
         self.text, self.where, self.started = row.where, address(row.where), row.listed.started
 
     def forget(self):
-        if not self.listed and not self.links:
-            if self.hosts.hosts.pop(self.name, None) is not None:
-                self.hosts.pooling.gone(self.name)
-                self.hosts.forgotten(self.name)
+        """Gone for good where it was so at the last look too: what its last relays came to is told after their
+        connections have ended, and would be kept for ever if it were told after this."""
+        before, self.gone = self.gone, not self.listed and not self.links
+        if before and self.gone:
+            del self.hosts.hosts[self.name]
+            self.hosts.pooling.gone(self.name)
+            self.hosts.forgotten(self.name)
 
 
 class Hosts:
@@ -63,7 +67,6 @@
         for host in list(self.hosts.values()):
             if not host.active:
                 self.rest(host)
-                host.forget()
 
     def rest(self, host):
         """What has not begun never does; connections end once nothing is at work on them."""
@@ -108,13 +111,15 @@
         return bool(idle)
 
     def sweep(self):
-        """Connections that rested too long for any task are closed from this side, before the host does."""
+        """Connections that rested too long for any task are closed from this side, before the host does, and
+        hosts that are gone are forgotten."""
         now = self.loop.now()
         for host in list(self.hosts.values()):
             for link in list(host.links):
                 if not link.open and now - link.used > self.pooling.safe_rest(now, host.name, Effect.PURE,
                                                                              self.idle_time):
                     link.drop()
+            host.forget()
         self.sweeper = self.loop.after(SECOND, self.sweep)
 
     def tag(self):
--- a/gaproute/hosts/jsonlines/link.py
+++ b/gaproute/hosts/jsonlines/link.py
@@ -157,7 +157,6 @@
             self.stop_connecting = None
         if self.stream is not None:
             self.stream.abort()
-        self.host.forget()
 
 
 class Links(dict):
--- a/tests/test_crossings_orders.py
+++ b/tests/test_crossings_orders.py
@@ -102,6 +102,7 @@
         self.hosts = Hosts(self.loop, Pooling(), site, 64)
         terms = TERMS._replace(tracks=TRACKS, recall_allowed=cancel, twins_allowed=twins)
         self.record = Record(SimpleNamespace(error=lambda what, **told: self.errors.append(told)), "pgs", 0)
+        self.hosts.forgotten = self.record.forget
         self.core = Core(self.loop, Gateway(7, terms, self.loop.now()), terms, self.hosts, self.record, "g")
         self.rows = {name: row(name, started=0) for name in HOSTS}
         self.lives = {name: SimpleNamespace(world=self, name=name) for name in HOSTS}
@@ -267,6 +268,7 @@
         assert not self.hosts.links() and not any(entry[4] for entry in self.dials.held)
         named = {name for name in HOSTS if self.rows[name].state is not face.State.GONE}
         assert set(self.hosts.hosts) == named
+        assert {key[1] for key in self.record.counts if key[0] in ("relay", "order")} <= named
         assert sum(timer.call is not None for _, _, timer in self.loop.timers) == 2, "timers are kept"
         assert not self.errors, self.errors
 
