--- a/gaproute/hosts/jsonlines/fleet.py
+++ b/gaproute/hosts/jsonlines/fleet.py
@@ -23,8 +23,8 @@
         self.text, self.where, self.started = row.where, address(row.where), row.listed.started
 
     def forget(self):
-        """Gone for good where it was so at the last look too: what its last relays came to is told after their
-        connections have ended, and would be kept for ever if it were told after this."""
+        """Gone for good where it was so at the last look too: what its last relays came to is told after
+        their connections have ended, and would be kept for ever if it were told after this."""
         before, self.gone = self.gone, not self.listed and not self.links
         if before and self.gone:
             del self.hosts.hosts[self.name]
--- a/gaproute/hosts/jsonlines/link.py
+++ b/gaproute/hosts/jsonlines/link.py
@@ -12,8 +12,8 @@
 
 class Asked:
     """One request on a connection. `done(reply or None, what its failure proves or None)` once, never at
-    once; it returns whether nothing goes out under that id again. `line(now)` gives its bytes, and is asked when they are written; `until`: when it may begin at the
-    latest."""
+    once; it returns whether nothing goes out under that id again. `line(now)` gives its bytes, and is asked
+    when they are written; `until`: when it may begin at the latest."""
 
     __slots__ = ("id", "line", "until", "done", "sent", "stop", "link")
 
--- a/tests/test_crossings_orders.py
+++ b/tests/test_crossings_orders.py
@@ -281,7 +281,8 @@
 @settings(max_examples=500, phases=[Phase.generate])    # with `Phase.shrink` by hand: it takes minutes
 @given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5), st.integers(0, 6), st.booleans()),
                 min_size=30, max_size=60),
-       st.tuples(st.booleans(), st.booleans(), st.sampled_from((1, 4)), st.sampled_from((ANSWERS, ANSWERS, FULL))))
+       st.tuples(st.booleans(), st.booleans(), st.sampled_from((1, 4)),
+                 st.sampled_from((ANSWERS, ANSWERS, FULL))))
 def test_in_any_order_each_task_has_one_answer_and_nothing_begins_that_may_not(events, site):
     with pytest.MonkeyPatch.context() as patch:
         world = World(patch, *site)
