--- a/benchmarks/leaving.py
+++ b/benchmarks/leaving.py
@@ -129,10 +129,10 @@
 def row(rate, play):
     lags = sorted(play.lags.get(name, 0) / MILLI for name in play.left)
     share = sum(lag > 100 for lag in lags) / len(lags)
-    return {"tasks/s": rate, "loop, of a core": f"{play.busy:.2f}", "served": f"{play.served / play.asked:.0%}",
-            "left": len(lags), "begun after": len(play.lags), "99th, ms": f"{lags[int(0.99 * len(lags))]:.1f}",
-            "latest, ms": f"{lags[-1]:.1f}", "over 0.1 s": f"{share:.2%}",
-            "peers late by, ms": f"{play.late / MILLI:.1f}"}
+    return {"tasks/s": rate, "loop, of a core": f"{play.busy:.2f}",
+            "served": f"{play.served / play.asked:.0%}", "left": len(lags), "begun after": len(play.lags),
+            "99th, ms": f"{lags[int(0.99 * len(lags))]:.1f}", "latest, ms": f"{lags[-1]:.1f}",
+            "over 0.1 s": f"{share:.2%}", "peers late by, ms": f"{play.late / MILLI:.1f}"}
 
 
 def main():
