A test that probes and orders wear no connection out

Their ids were kept as ones that may be answered once more, so that 64 of them closed a connection to all further requests; that went with the ids of answers that cannot be read. The test fails where `Link.bytes` keeps the id whatever `Asked.end` says.

--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -249,3 +249,14 @@
         made.passes(SECOND)
     assert name not in made.process.hosts.hosts
     assert not any(name in key for key in made.process.record.counts)
+
+
+def test_probes_and_orders_wear_no_connection_out(gate):
+    """Their ids never come again, so none of them needs to be remembered."""
+    made = gate()
+    made.until(lambda: any(link.served for link in made.process.hosts.hosts["s-0"].links))
+    done = []
+    made.process.hosts.order("s-0", "m", 1, lambda *told: done.append(told))
+    made.until(lambda: done)
+    assert made.hosts[0].seen("stat") and not any(
+        link.carried for link in made.process.hosts.hosts["s-0"].links)
