The benchmark of the fleet drives relays and gateways as the core does now

15 of its 20 tests failed: a relay's wish bears the time by which it may begin, which `One.relay` did not take, and `Parted` kept its last scores under `last`, which is the gateway's own time of the last final answers since the process's end is told to it.

--- a/benchmarks/fleet/follow.py
+++ b/benchmarks/fleet/follow.py
@@ -43,14 +43,14 @@
 
     def relayed(self, now, one, function, worker, host):
         super().relayed(now, one, function, worker, host)
-        if now < self.since or not one.gateway.last:
+        if now < self.since or not one.gateway.latest:
             return
         known = one.gateway.workers[worker]
         age = now - known.reported if known.report is not None else LOAD_LIFE + 1
         since = len(host.came) - bisect_right(host.came, known.reported) if age <= LOAD_LIFE else 0
         own = sum(sent > known.reported for sent in known.out.values())
         others = mean(each.busy for each in self.world.hosts.values())
-        self.each[why(one.gateway.last, worker)].append(
+        self.each[why(one.gateway.latest, worker)].append(
             (age, since, own, host.busy / others if others else 0.0, function in host.copies))
 
     def shares(self):
--- a/benchmarks/fleet/gateways.py
+++ b/benchmarks/fleet/gateways.py
@@ -58,7 +58,7 @@
             self.world.counts["connections"] += 1
         self.links[worker] = now
 
-    def relay(self, key, number, worker, now):
+    def relay(self, key, number, worker, until, now):
         self.connect(worker)
         world, asked = self.world, self.asked[key]
         host = world.hosts[worker]
--- a/benchmarks/fleet/parted.py
+++ b/benchmarks/fleet/parted.py
@@ -31,7 +31,7 @@
 
     def __init__(self, world, place, terms, now):
         super().__init__(place, terms, now)
-        self.world, self.number, self.last = world, place, []
+        self.world, self.number, self.latest = world, place, []
 
     # Parts
 
@@ -117,8 +117,8 @@
         able = self.able(now, task, trail, function, resting)
         if not able:
             return None
-        self.last = self.scores(now, task, trail, function, able)
-        worker = self.pick(self.last)
+        self.latest = self.scores(now, task, trail, function, able)
+        worker = self.pick(self.latest)
         if now < worker.warm_at and self.chance.below(SECOND) >= worker.credit * SECOND:
             worker.credit = 0.0
             return self.choose(now, task, trail)
