--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -229,3 +229,34 @@
     made.until(lambda: len(client.answers) == 2)
     assert {each["req"][-1]: each["meta"].get("nonce") for each in made.hosts[0].seen("go")} == \
         {"1": "00ff" * 8, "2": None}
+
+
+def test_what_came_of_a_gone_hosts_last_relays_is_not_kept_for_ever(gate):
+    made = gate(nothing, hosts=2, clock=Handed())
+    client = made.client()
+    client.ask(1, "repair-order")
+    made.until(made.came)
+    name = "s-0" if made.hosts[0].seen("go") else "s-1"
+    other, = [each for each in made.process.hosts.hosts if each != name]
+    where = made.process.hosts.hosts[other].text
+    told = event(2, (other, where, "Ready"), complete=True)
+    made.process.told(events.known({"seq": 2, "results": [told]})[1][0])
+    for host in made.hosts:
+        for stream in host.streams:
+            stream.abort()
+    made.until(lambda: client.answers)
+    for _ in range(3):
+        made.passes(SECOND)
+    assert name not in made.process.hosts.hosts
+    assert not any(name in key for key in made.process.record.counts)
+
+
+def test_probes_and_orders_wear_no_connection_out(gate):
+    """Their ids never come again, so none of them needs to be remembered."""
+    made = gate()
+    made.until(lambda: any(link.served for link in made.process.hosts.hosts["s-0"].links))
+    done = []
+    made.process.hosts.order("s-0", "m", 1, lambda *told: done.append(told))
+    made.until(lambda: done)
+    assert made.hosts[0].seen("stat") and not any(
+        link.carried for link in made.process.hosts.hosts["s-0"].links)
