Two tests of crossings did not bite; they do now

Not caught were `_over` at the final answer (at the deadline `Link.begin` holds the same by itself) and the room for hosts (both requests went to one host). The first has a test in tests/test_core.py, the second sends to two hosts; both fail with their line undone.

--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -31,17 +31,19 @@
 class Hold:
     """What the hosts give for a relay."""
 
-    def __init__(self, give_up, begun=True):
+    def __init__(self, give_up, begun):
         self.give_up, self.begun = give_up, begun
 
 
 class Hosts:
+    begun = True
+
     def __init__(self):
         self.sent, self.taken_back = [], []
 
     def relay(self, worker, call, effect, task, limit, until, done):
         self.sent.append(done)
-        return Hold(lambda: self.taken_back.append(worker))
+        return Hold(lambda: self.taken_back.append(worker), self.begun)
 
 
 class Log:
@@ -154,6 +156,21 @@
     assert not made.held and emptied and made.gateway.told[0].result is face.Result.TIMEOUT
 
 
+def test_what_has_not_begun_when_its_task_ends_never_does_whatever_the_settings_allow():
+    def serve(now, task):
+        yield face.Relay("w")
+        yield face.Wait(now + MILLI)
+        yield face.Decline(0)
+
+    made = core(serve)
+    made.hosts.begun = False
+    take(made)
+    turns(made, 2 * MILLI)
+    assert made.finals[0].ending is Ending.DECLINED
+    assert made.hosts.taken_back == ["w"] and not made.held
+    assert made.gateway.told[0].result is face.Result.MOOT
+
+
 def test_a_wait_is_resumed_at_its_time_and_moved_by_an_outcome():
     times = []
 
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -7,6 +7,8 @@
 from gaproute.decisions.links.pooling import CARRIED
 from gaproute.discovery.changelog import events
 from gaproute.hosts.jsonlines import link as links
+from gaproute.interface import Effect, Result
+from gaproute.interface.call import Call
 from gaproute.standins.platform import arg, event
 from scripted import MILLI, SECOND, SETTINGS, Handed, HeldDials, nothing
 
@@ -175,12 +177,14 @@
 
 
 def test_with_no_room_for_one_more_connection_a_request_is_not_sent_and_no_descriptor_is_taken(slow):
-    made = slow(hosts=2)
-    made.process.hosts.room = 1
-    client = asked(made, 1)
-    client.ask(2, i="f" * 16)
-    made.until(lambda: client.answers or len(made.process.core.held) == 2)
-    assert made.dials.waiting == 1 and made.process.hosts.links() == 1
+    made, heard = slow(hosts=2), []
+    hosts, end = made.process.hosts, made.loop.now() + SECOND
+    hosts.room = 1
+    for worker in ("s-0", "s-1"):
+        call = Call("7f3a9c21e0b4d655", "", (), b"", f"{worker:>16}", "fault-check")
+        hosts.relay(worker, call, Effect.PURE, worker, end, end, heard.append)
+    made.turns()
+    assert made.dials.waiting == 1 and [each.result for each in heard] == [Result.MOOT]
 
 
 @pytest.mark.parametrize("cancel", [True, False])
