--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -1,12 +1,13 @@
 """How much cold hosts get from a whole fleet, against the budget past which one falls: decisions alone, on
 the clock of `benchmarks/fleet`, against stand-in hosts.
 
-    python benchmarks/cold.py [--seeds 0:1000] [--jobs 2] [--gain step|even] [--kind KIND] [--list]
+    python benchmarks/cold.py [--seeds 0:1000] [--jobs 2] [--gain step|even] [--kind KIND] [--named] [--list]
 
 The seed decides the day: one host new, six in ten replaced within 7 s, all cold, a third back cold; 3 to 200
 gateways, some with ten times or a thirtieth of the mean traffic; the load; whether a minute without traffic
 comes before, seven in ten gateways restart, lists come up to 4 s late. `step`: a cold host stays at its first
-share until it is warm, the least that the settings promise; `even`: it gains evenly.
+share until it is warm, the least that the settings promise; `even`: it gains evenly. `--named`: with each
+list every gateway is told, wrongly, that each cold host has a copy of each function and nothing to do.
 """
 import argparse
 import sys
@@ -20,6 +21,8 @@
 from benchmarks.fleet import world as fleet_world
 from benchmarks.fleet.clock import MILLI, SECOND
 from benchmarks.fleet.cold_hosts import COLD, MULTIPLE, PACE, ColdHost, Gate
+from benchmarks.fleet.hosts import LANES
+from gaproute import interface as face
 
 FUNCTIONS = 60
 BEFORE, IDLE, AFTER = 3 * SECOND, 60 * SECOND, 10 * SECOND
@@ -47,8 +50,8 @@
 
 
 class Play(fleet_world.World):
-    def __init__(self, told, seed):
-        self.day, self.dice, self.made = told, Random(f"play {seed}"), 0
+    def __init__(self, told, seed, named=False):
+        self.named, self.day, self.dice, self.made = named, told, Random(f"play {seed}"), 0
         super().__init__(told.gateways, 0)
         self.hosts = {f"h{number}": ColdHost(number, told) for number in range(told.hosts)}
         self.made, self.first = told.hosts, self.clock.now
@@ -88,7 +91,12 @@
             self.clock.at(self.clock.now + after, self.tell_list, place)
 
     def tell_list(self, place):
-        self.gateways[place].gateway.listed(self.clock.now, self.rows(), True)
+        gateway = self.gateways[place].gateway
+        gateway.listed(self.clock.now, self.rows(), True)
+        for worker in [worker for worker in gateway.fleet if self.named and self.clock.now < worker.warm_at]:
+            gateway.note(worker, self.clock.now, face.Report(in_hand=0))
+            for number in range(FUNCTIONS):
+                gateway.hint(worker.id, f"f{number}", LANES, self.clock.now)
 
     def back_cold(self, names):
         for name in names:
@@ -130,9 +138,9 @@
         self.clock.at(self.begin + SECOND, self.back_cold, names)
 
 
-def play(told, seed):
+def play(told, seed, named=False):
     """What the day came to, counted over what came after its start."""
-    world = Play(told, seed)
+    world = Play(told, seed, named)
     world.clock.run(world.begin)
     tasks, delivered = world.counts["tasks"], world.counts["delivered"]
     world.clock.run(world.end + 3 * SECOND)
@@ -150,9 +158,9 @@
 
 
 def once(asked):
-    seed, *forced = asked
+    seed, named, *forced = asked
     told = day(seed, *forced)
-    return seed, told, play(told, seed)
+    return seed, told, play(told, seed, named)
 
 
 def table(results, key):
@@ -174,11 +182,12 @@
     arguments.add_argument("--jobs", type=int, default=2)
     arguments.add_argument("--gain", choices=("step", "even"))
     arguments.add_argument("--kind", choices=(*KINDS, "most"))
+    arguments.add_argument("--named", action="store_true", help="gossip and hints name the cold hosts")
     arguments.add_argument("--list", action="store_true", help="each play in which a budget was passed")
     told = arguments.parse_args()
     first, last = map(int, told.seeds.split(":"))
     with Pool(told.jobs) as pool:
-        results = pool.map(once, [(seed, told.gain, told.kind) for seed in range(first, last)], 4)
+        results = pool.map(once, [(seed, told.named, told.gain, told.kind) for seed in range(first, last)], 4)
     print("| day | plays | a budget passed | by the told | worst | worst, mean | got /s | can /s | served |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     for key in (lambda each: each.kind, lambda each: f"{each.gateways} gateways", lambda each: each.gain,
