--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -267,7 +267,7 @@
     assert b"Connection: close" not in made.ask(two)
 
 
-def test_tasks_in_hand_go_before_what_waits_at_the_door(house):
+def test_tasks_in_hand_go_before_what_waits_at_admission(house):
     made = house()
     crowd = [made.client() for _ in range(200)]
     made.turns(lambda: made.lot.parked == 200)
@@ -404,7 +404,7 @@
     made.turns(lambda: made.lot.held == 0)
 
 
-def test_a_client_that_resets_while_it_waits_at_the_door_harms_nobody(house):
+def test_a_client_that_resets_while_it_waits_at_admission_harms_nobody(house):
     made = house()
     gone, stays = made.client(), made.client()
     made.turns(lambda: made.lot.parked == 2)
