--- a/benchmarks/bad_day.py
+++ b/benchmarks/bad_day.py
@@ -4,6 +4,7 @@
 
 Each day is played by processes of its own (`gaproute trial`); the chart needs requirements-bench.txt.
 """
+
 import argparse
 import json
 import subprocess
@@ -14,13 +15,30 @@
 
 from rows import table, write
 
-WAYS = {"module": "gaproute.decisions.route:Gateway", "least queue": "gaproute.standins.baselines:LeastQueue",
-        "random choice": "gaproute.standins.baselines:RandomChoice"}
+WAYS = {
+    "module": "gaproute.decisions.route:Gateway",
+    "least queue": "gaproute.standins.baselines:LeastQueue",
+    "random choice": "gaproute.standins.baselines:RandomChoice",
+}
 
 
 def play(way, seed, script):
-    run = subprocess.run([sys.executable, "-m", "gaproute", "trial", script, "--seed", str(seed), "--json",
-                          "--decisions", WAYS[way]], capture_output=True, text=True)
+    run = subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "gaproute",
+            "trial",
+            script,
+            "--seed",
+            str(seed),
+            "--json",
+            "--decisions",
+            WAYS[way],
+        ],
+        capture_output=True,
+        text=True,
+    )
     if not run.stdout:
         raise RuntimeError(run.stderr)
     print(way, seed, json.loads(run.stdout)["service"], flush=True)
@@ -53,9 +71,13 @@
             }
         )
     name = Path(told.script).stem
-    folder = write(told.out, name, rows,
-                   broken={way: [results[way, seed]["broken"] for seed in seeds] for way in WAYS},
-                   windows={way: [results[way, seed]["windows"] for seed in seeds] for way in WAYS})
+    folder = write(
+        told.out,
+        name,
+        rows,
+        broken={way: [results[way, seed]["broken"] for seed in seeds] for way in WAYS},
+        windows={way: [results[way, seed]["windows"] for seed in seeds] for way in WAYS},
+    )
     print(table(rows))
     try:
         from matplotlib import pyplot
@@ -65,9 +87,12 @@
     figure, axes = pyplot.subplots(figsize=(8, 4))
     for way in WAYS:
         windows = [results[way, seed]["windows"] for seed in seeds]
-        axes.plot([5 * place for place in range(len(windows[0]))],
-                  [median(each[place] or 0 for each in windows) for place in range(len(windows[0]))],
-                  marker="o", label=way)
+        axes.plot(
+            [5 * place for place in range(len(windows[0]))],
+            [median(each[place] or 0 for each in windows) for place in range(len(windows[0]))],
+            marker="o",
+            label=way,
+        )
     axes.set(xlabel="seconds into the day", ylabel="service, median of the seeds", ylim=(0, 1.02), title=name)
     axes.legend()
     figure.tight_layout()
--- a/benchmarks/campaigns.py
+++ b/benchmarks/campaigns.py
@@ -12,6 +12,7 @@
 first tenth. `--hunt N`: N seeds more of every case, only for breaches. The median of the seeds; in brackets
 the least and the most.
 """
+
 import argparse
 import random
 import sys
@@ -33,7 +34,7 @@
 SECOND = 1_000_000_000
 FLOORS = (1, 2, 3)
 HOSTS = (12, 40, 120)
-LIMIT = 5.0              # s for the solver
+LIMIT = 5.0  # s for the solver
 
 
 def one(job):
@@ -52,32 +53,54 @@
     jobs = [(name, seed, 1, False) for name in CASES for seed in range(seeds)]
     for job, figures, breach in pool.map(one, jobs):
         came.setdefault(job[0], []).append((figures, breach))
-    return [{"case": name, "plays": len(plays), "breaches": sum(bool(breach) for _, breach in plays),
-             "used": told([figures["used"] for figures, _ in plays]),
-             "last sent, ms": told([figures["stop"] for figures, _ in plays], 0),
-             "rollouts": told([sum(figures["done"].values()) for figures, _ in plays], 0),
-             "groups scrapped": told([figures["scrapped"] for figures, _ in plays], 0),
-             "production over 100 ms, %": told([100 * figures["late"] for figures, _ in plays], 1)}
-            for name, plays in came.items()]
+    return [
+        {
+            "case": name,
+            "plays": len(plays),
+            "breaches": sum(bool(breach) for _, breach in plays),
+            "used": told([figures["used"] for figures, _ in plays]),
+            "last sent, ms": told([figures["stop"] for figures, _ in plays], 0),
+            "rollouts": told([sum(figures["done"].values()) for figures, _ in plays], 0),
+            "groups scrapped": told([figures["scrapped"] for figures, _ in plays], 0),
+            "production over 100 ms, %": told([100 * figures["late"] for figures, _ in plays], 1),
+        }
+        for name, plays in came.items()
+    ]
 
 
 def beside(pool, seeds):
-    jobs = [("plain", seed, floor, without)
-            for floor in FLOORS for seed in range(seeds) for without in (False, True)]
+    jobs = [
+        ("plain", seed, floor, without)
+        for floor in FLOORS
+        for seed in range(seeds)
+        for without in (False, True)
+    ]
     came = {}
     for (_, seed, floor, without), figures, _ in pool.map(one, jobs):
         came[floor, seed, without] = figures
     rows = []
     for floor in FLOORS:
         pairs = [(came[floor, seed, False], came[floor, seed, True]) for seed in range(seeds)]
-        rows.append({"lanes never lent, of 8": floor, "pairs": seeds,
-                     "used": told([one["used"] for one, _ in pairs]),
-                     **{f"{word}, ms more": told([one[key] - other[key] for one, other in pairs], 1)
-                        for word, key in (("mean", "mean"), ("p50", "p50"), ("p99", "p99"),
-                                          ("p99 of the wait", "wait"))},
-                     "p99 without, ms": told([other["p99"] for _, other in pairs], 0),
-                     "waits over 100 ms, % more": told(
-                         [100 * (one["late"] - other["late"]) for one, other in pairs], 2)})
+        rows.append(
+            {
+                "lanes never lent, of 8": floor,
+                "pairs": seeds,
+                "used": told([one["used"] for one, _ in pairs]),
+                **{
+                    f"{word}, ms more": told([one[key] - other[key] for one, other in pairs], 1)
+                    for word, key in (
+                        ("mean", "mean"),
+                        ("p50", "p50"),
+                        ("p99", "p99"),
+                        ("p99 of the wait", "wait"),
+                    )
+                },
+                "p99 without, ms": told([other["p99"] for _, other in pairs], 0),
+                "waits over 100 ms, % more": told(
+                    [100 * (one["late"] - other["late"]) for one, other in pairs], 2
+                ),
+            }
+        )
     return rows
 
 
@@ -99,18 +122,25 @@
     for number in range(count):
         host, own = f"h{number:03}", chance.uniform(-0.25, 0.25)
         truth[host] = [float(int(8 * max(0.0, min(0.9, part + own)))) for part in zones[number % 3]]
-        spare[host] = [max(0.0, min(7.0, lanes + chance.gauss(0, 1.0 + 0.2 * slot)))
-                       for slot, lanes in enumerate(truth[host])]
+        spare[host] = [
+            max(0.0, min(7.0, lanes + chance.gauss(0, 1.0 + 0.2 * slot)))
+            for slot, lanes in enumerate(truth[host])
+        ]
     wants = [Want("a", 1, 2, 2 * count), Want("b", 2, 1, 2 * count), Want("c", 1, 1, count)]
-    return Problem(spare, {host: 2 for host in spare}, wants,
-                   [("abc"[number % 3], f"h{number:03}") for number in range(0, count, 3)],
-                   max(2, count // 8)), truth
+    return Problem(
+        spare,
+        {host: 2 for host in spare},
+        wants,
+        [("abc"[number % 3], f"h{number:03}") for number in range(0, count, 3)],
+        max(2, count // 8),
+    ), truth
 
 
 def solved(job):
     """Of one problem: {plan: (part of the worth of the one that sees all, CPU ms, loads) or None}."""
     count, seed = job
     from gaproute.rollouts.solver import solve
+
     problem, truth = planned(seed, count)
     seen = Problem(truth, problem.room, problem.wants, problem.standing, problem.loads)
     best, came = solve(seen, LIMIT), {}
@@ -118,9 +148,15 @@
         began = time.process_time()
         plan = make(problem)
         took = 1000 * (time.process_time() - began)
-        came[name] = None if plan is None or best is None or wrong(problem, plan) else (
-            worth(problem, plan, truth) / worth(problem, best, truth), took,
-            sum(copy[:2] not in problem.standing for copy in plan.copies))
+        came[name] = (
+            None
+            if plan is None or best is None or wrong(problem, plan)
+            else (
+                worth(problem, plan, truth) / worth(problem, best, truth),
+                took,
+                sum(copy[:2] not in problem.standing for copy in plan.copies),
+            )
+        )
     return job, came
 
 
@@ -130,11 +166,19 @@
         came.setdefault(count, []).append(each)
     for count in HOSTS:
         good = {name: [each[name] for each in came[count] if each[name]] for name in ("greedy", "HiGHS")}
-        rows += [{"hosts": count, "plan": name, "seeds": len(each),
-                  "of the one that sees all": told([worth_ for worth_, _, _ in each], 3),
-                  "CPU ms": told([took for _, took, _ in each], 0),
-                  "loads": told([loads for _, _, loads in each], 0),
-                  "failed": seeds - len(each)} for name, each in good.items() if each]
+        rows += [
+            {
+                "hosts": count,
+                "plan": name,
+                "seeds": len(each),
+                "of the one that sees all": told([worth_ for worth_, _, _ in each], 3),
+                "CPU ms": told([took for _, took, _ in each], 0),
+                "loads": told([loads for _, _, loads in each], 0),
+                "failed": seeds - len(each),
+            }
+            for name, each in good.items()
+            if each
+        ]
     return rows
 
 
@@ -150,10 +194,12 @@
             chance, first = random.Random(f"end {seed}"), before * 120
             course = [1.0 + rises * min(1, max(0, half - 16) / 8) for half in range(COURSE)]
             forecast = Forecast({"p": course} if known else None)
-            demand = [320 * (1 - part) * (course[slot // 60 % COURSE] if rises else 1.0)
-                      for slot, part in enumerate(walk(chance, 2400, 0.65, 0.05))]
+            demand = [
+                320 * (1 - part) * (course[slot // 60 % COURSE] if rises else 1.0)
+                for slot, part in enumerate(walk(chance, 2400, 0.65, 0.05))
+            ]
             true = [max(0.0, 320 - lanes) for lanes in demand]
-            work = int(sum(true[first:first + 240]) * SLOT / (2 * SECOND))
+            work = int(sum(true[first : first + 240]) * SLOT / (2 * SECOND))
             end, done, said = End(work, 0), 0.0, None
             for slot in range(len(demand)):
                 now = (slot - first + 1) * SLOT
@@ -168,9 +214,15 @@
                     said = end.at_end([sum(lanes) for lanes in zip(*spare.values())])
             off.append(100 * abs(said - now) / now)
         day = f"rises by {rises:.0%}" + ", known" * known if rises else "level"
-        rows.append({"production over the day": day,
-                     "hours read before": before, "seeds": seeds, "off by, %": told(off, 1),
-                     "within 15%": sum(each <= 15 for each in off)})
+        rows.append(
+            {
+                "production over the day": day,
+                "hours read before": before,
+                "seeds": seeds,
+                "off by, %": told(off, 1),
+                "within 15%": sum(each <= 15 for each in off),
+            }
+        )
     return rows
 
 
--- a/benchmarks/charts.py
+++ b/benchmarks/charts.py
@@ -1,5 +1,6 @@
 """Draws the kept tables: `python benchmarks/charts.py [--folder docs/measured]`; a PNG beside each known
 table."""
+
 import argparse
 import json
 from pathlib import Path
@@ -14,8 +15,11 @@
     "learning": ("restarted", "told by", ("2 s", "fetches in 30 s")),
     "learning-untried": ("restarted", "told by", ("2 s", "fetches in 30 s")),
     "learning-wrong": ("restarted", "told", ("2 s", "fetches in 30 s")),
-    "connections": ("connections", "form", ("bytes each", "% of a core at 0.1%", "% of a core at 1.0%",
-                                            "us a task at 1.0%")),
+    "connections": (
+        "connections",
+        "form",
+        ("bytes each", "% of a core at 0.1%", "% of a core at 1.0%", "us a task at 1.0%"),
+    ),
     "membership": ("gateways", "lost", ("all know, s", "bytes/s", "suspicions")),
     "storm": ("connections", "admission", ("calm p99", "storm p99", "storm's p99, ms")),
     "timers": ("timers", "form", ("us a move", "bytes each")),
@@ -28,10 +32,16 @@
     figure, axes = pyplot.subplots(1, len(figures), figsize=(4.2 * len(figures), 3.2))
     for axis, name in zip([axes] if len(figures) == 1 else axes, figures):
         for place, each in enumerate(bars):
-            heights = [next((row[name] for row in rows if row[group] == one and row[bar] == each), 0)
-                       for one in groups]
-            axis.bar([number + 0.8 * place / len(bars) for number in range(len(groups))], heights,
-                     0.8 / len(bars), label=str(each))
+            heights = [
+                next((row[name] for row in rows if row[group] == one and row[bar] == each), 0)
+                for one in groups
+            ]
+            axis.bar(
+                [number + 0.8 * place / len(bars) for number in range(len(groups))],
+                heights,
+                0.8 / len(bars),
+                label=str(each),
+            )
         axis.set_xticks([number + 0.4 - 0.4 / len(bars) for number in range(len(groups))], map(str, groups))
         axis.set_title(name, fontsize=10)
         axis.set_xlabel(group)
--- a/benchmarks/cold.py
+++ b/benchmarks/cold.py
@@ -9,6 +9,7 @@
 share until it is warm, the least that the settings promise; `even`: it gains evenly. `--named`: with each
 list every gateway is told, wrongly, that each cold host has a copy of each function and nothing to do.
 """
+
 import argparse
 import sys
 from collections import defaultdict
@@ -33,8 +34,8 @@
     kind: str
     gateways: int
     hosts: int
-    busy: float              # of the warm hosts' pace
-    share: float             # of its power that a cold host has at least
+    busy: float  # of the warm hosts' pace
+    share: float  # of its power that a cold host has at least
     gain: str
     uneven: bool
     idle: bool
@@ -44,9 +45,15 @@
 
 def day(seed, gain=None, kind=None):
     dice = Random(seed)
-    return Day(kind or KINDS[seed % 4], GATEWAYS[seed // 4 % 4], dice.choice((12, 16, 20, 24, 32, 40, 88)),
-               dice.uniform(0.3, 0.6), dice.choice((0.17, 0.25)), gain or dice.choice(("step", "even")),
-               *[dice.random() < odds for odds in (0.6, 0.25, 0.3, 0.3)])
+    return Day(
+        kind or KINDS[seed % 4],
+        GATEWAYS[seed // 4 % 4],
+        dice.choice((12, 16, 20, 24, 32, 40, 88)),
+        dice.uniform(0.3, 0.6),
+        dice.choice((0.17, 0.25)),
+        gain or dice.choice(("step", "even")),
+        *[dice.random() < odds for odds in (0.6, 0.25, 0.3, 0.3)],
+    )
 
 
 class Play(fleet_world.World):
@@ -58,8 +65,9 @@
         for one in self.gateways:
             one.gateway.listed(0, self.rows(), True)
         quiet = IDLE if told.idle else 0
-        self.weights = [self.dice.choice((300, 30, 30, 30, 1)) if told.uneven else 30
-                        for _ in range(told.gateways)]
+        self.weights = [
+            self.dice.choice((300, 30, 30, 30, 1)) if told.uneven else 30 for _ in range(told.gateways)
+        ]
         self.clock.at(0, self.arrive, BEFORE)
         self.begin = BEFORE + quiet
         self.end = self.begin + AFTER + (7 * SECOND if told.kind == "join" else 0)
@@ -67,13 +75,18 @@
         if told.restart:
             for place in self.dice.sample(range(told.gateways), int(0.7 * told.gateways)):
                 self.clock.at(self.begin + self.dice.randrange(2 * SECOND), self.restart, place)
-        {"one": self.one_new, "join": self.join, "all": self.all, "zone": self.zone,
-         "most": self.most}[told.kind]()
+        {"one": self.one_new, "join": self.join, "all": self.all, "zone": self.zone, "most": self.most}[
+            told.kind
+        ]()
 
     def one(self, place, seed, rows):
         terms = fleet_world.terms(self.members)._replace(
-            cold_share=self.day.share, cold_time=COLD, cold_multiple=MULTIPLE, probes_allowed=False,
-            orders_allowed=False)
+            cold_share=self.day.share,
+            cold_time=COLD,
+            cold_multiple=MULTIPLE,
+            probes_allowed=False,
+            orders_allowed=False,
+        )
         return Gate(self, place, self.make(self, seed, terms, self.clock.now), rows)
 
     def arrive(self, until):
@@ -81,7 +94,8 @@
             return
         gap = self.dice.expovariate(self.day.busy * PACE * self.day.hosts)
         self.dice.choices(self.gateways, self.weights)[0].ask(
-            f"f{int(FUNCTIONS * self.dice.random() * self.dice.random())}", 0)
+            f"f{int(FUNCTIONS * self.dice.random() * self.dice.random())}", 0
+        )
         self.clock.at(self.clock.now + max(1, int(gap * SECOND)), self.arrive, until)
 
     def list_anew(self):
@@ -125,7 +139,7 @@
 
     def most(self):
         """Of all one in sixteen, one at least, stays warm."""
-        self.clock.at(self.begin, self.back_cold, sorted(self.hosts)[1 + self.day.hosts // 16:])
+        self.clock.at(self.begin, self.back_cold, sorted(self.hosts)[1 + self.day.hosts // 16 :])
 
     def lose_some(self, names):
         for name in names:
@@ -148,13 +162,22 @@
     worst = [host.worst() for host in cold]
     got = sum([work for host in cold for at, work, _ in host.got if at < host.started + COLD])
     seconds = sum([min(COLD, world.end - host.started) for host in cold]) / SECOND
-    bears = sum([host.power(at) for host in cold
-                 for at in range(host.started, min(host.started + COLD, world.end), SECOND // 10)])
-    return {"passed": sum([all_told > 1 for all_told, _ in worst]),
-            "broken": sum([by_told for _, by_told in worst]),
-            "hosts": len(cold), "worst": max(most for most, _ in worst), "got": got / seconds,
-            "bears": bears / 10 * PACE / seconds,
-            "served": (world.counts["delivered"] - delivered) / (world.counts["tasks"] - tasks)}
+    bears = sum(
+        [
+            host.power(at)
+            for host in cold
+            for at in range(host.started, min(host.started + COLD, world.end), SECOND // 10)
+        ]
+    )
+    return {
+        "passed": sum([all_told > 1 for all_told, _ in worst]),
+        "broken": sum([by_told for _, by_told in worst]),
+        "hosts": len(cold),
+        "worst": max(most for most, _ in worst),
+        "got": got / seconds,
+        "bears": bears / 10 * PACE / seconds,
+        "served": (world.counts["delivered"] - delivered) / (world.counts["tasks"] - tasks),
+    }
 
 
 def once(asked):
@@ -168,12 +191,16 @@
     for _, told, found in results:
         groups[key(told)].append(found)
     for name, all_found in sorted(groups.items()):
+
         def mean(part, found=all_found):
             return sum([each[part] for each in found]) / len(found)
-        print(f"| {name} | {len(all_found)} | {sum([each['passed'] > 0 for each in all_found])} | "
-              f"{sum([each['broken'] > 0 for each in all_found])} | "
-              f"{max(each['worst'] for each in all_found):.2f} | {mean('worst'):.2f} | {mean('got'):.2f} | "
-              f"{mean('bears'):.2f} | {mean('served'):.3f} |")
+
+        print(
+            f"| {name} | {len(all_found)} | {sum([each['passed'] > 0 for each in all_found])} | "
+            f"{sum([each['broken'] > 0 for each in all_found])} | "
+            f"{max(each['worst'] for each in all_found):.2f} | {mean('worst'):.2f} | {mean('got'):.2f} | "
+            f"{mean('bears'):.2f} | {mean('served'):.3f} |"
+        )
 
 
 def main():
@@ -190,8 +217,13 @@
         results = pool.map(once, [(seed, told.named, told.gain, told.kind) for seed in range(first, last)], 4)
     print("| day | plays | a budget passed | by the told | worst | worst, mean | got /s | can /s | served |")
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- |")
-    for key in (lambda each: each.kind, lambda each: f"{each.gateways} gateways", lambda each: each.gain,
-                lambda each: "late lists" if each.late else "prompt lists", lambda each: "whole"):
+    for key in (
+        lambda each: each.kind,
+        lambda each: f"{each.gateways} gateways",
+        lambda each: each.gain,
+        lambda each: "late lists" if each.late else "prompt lists",
+        lambda each: "whole",
+    ):
         table(results, key)
     if told.list:
         for seed, each, found in results:
--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -8,6 +8,7 @@
 each second, with the time to the answer; then how late the idle ends of all come while 1% goes on speaking
 (idle time 8 s, spread 10%).
 """
+
 import argparse
 import gc
 import json
@@ -120,9 +121,20 @@
             made.idle = told["idle"]
         elif told.get("late"):
             late = sorted(made.late)
-            print(json.dumps({"ends": len(late), "early": sum(each < 0 for each in late), "late_ms": [
-                late[min(len(late) - 1, int(len(late) * at))] / 1e6 for at in (0.5, 0.999, 1)] if late else []
-            }), flush=True)
+            print(
+                json.dumps(
+                    {
+                        "ends": len(late),
+                        "early": sum(each < 0 for each in late),
+                        "late_ms": [
+                            late[min(len(late) - 1, int(len(late) * at))] / 1e6 for at in (0.5, 0.999, 1)
+                        ]
+                        if late
+                        else [],
+                    }
+                ),
+                flush=True,
+            )
         else:
             print(json.dumps({"held": made.held}), flush=True)
 
@@ -133,8 +145,11 @@
 
 def crowd(where, count):
     loop = Loop()
-    load = read_load("crowd", f"target {where}\nhold {count} over {max(1, count // 4000)}s addresses 100\n"
-                              "traffic a rate 1 path /x method GET")
+    load = read_load(
+        "crowd",
+        f"target {where}\nhold {count} over {max(1, count // 4000)}s addresses 100\n"
+        "traffic a rate 1 path /x method GET",
+    )
     crowd = Crowd(loop, load, 1)
     line = load.traffic[0]
 
@@ -142,6 +157,7 @@
         for number in range(count):
             low = number % 100 + 1
             from gaproute.load.crowd import Member
+
             member = Member(crowd, f"127.1.0.{low}", line)
             crowd.members.append(member)
             loop.after(load.hold.over * number // count, crowd.open, member)
@@ -153,6 +169,7 @@
 
     def speak(rate, seconds):
         from gaproute.load.results import Tally
+
         tally = crowd.tallies["a"] = Tally()
         crowd.end = loop.now() + round(seconds * SECOND)
         if rate:
@@ -168,8 +185,9 @@
 
 class Child:
     def __init__(self, *words, core=None):
-        self.process = subprocess.Popen([sys.executable, __file__, *map(str, words)], stdin=subprocess.PIPE,
-                                        stdout=subprocess.PIPE)
+        self.process = subprocess.Popen(
+            [sys.executable, __file__, *map(str, words)], stdin=subprocess.PIPE, stdout=subprocess.PIPE
+        )
         if core is not None:
             os.sched_setaffinity(self.process.pid, {core})
 
@@ -208,9 +226,13 @@
     people = Child("crowd", where, size)
     people.hear()
     time.sleep(2)
-    row = {"form": form, "connections": size, "held": server.ask(held=True)["held"],
-           "bytes each": round((server.memory() - base) / size),
-           "kernel bytes each, both ends": round((slab() - kernel) / size)}
+    row = {
+        "form": form,
+        "connections": size,
+        "held": server.ask(held=True)["held"],
+        "bytes each": round((server.memory() - base) / size),
+        "kernel bytes each, both ends": round((slab() - kernel) / size),
+    }
     for share in (0, 0.001, 0.01):
         before = server.cpu()
         told = people.ask(rate=share * size, seconds=seconds)
@@ -219,11 +241,14 @@
             row[f"us a task at {share:.1%}"] = round((server.cpu() - before) / 1e3 / max(1, told["tasks"]))
             row[f"p99 ms at {share:.1%}"] = round(told["p99"], 1)
     server.ask(idle=SHORT)
-    people.ask(rate=2 * size / SECOND * 1e9 / 8, seconds=4)      # most speak once, and are idle from then on
+    people.ask(rate=2 * size / SECOND * 1e9 / 8, seconds=4)  # most speak once, and are idle from then on
     people.ask(rate=0.01 * size, seconds=9)
     told = server.ask(late=True)
-    row |= {"idle ends": told["ends"], "early": told["early"],
-            "late ms p50, p99.9, max": " ".join(f"{each:.1f}" for each in told["late_ms"])}
+    row |= {
+        "idle ends": told["ends"],
+        "early": told["early"],
+        "late ms p50, p99.9, max": " ".join(f"{each:.1f}" for each in told["late_ms"]),
+    }
     people.end()
     server.end()
     return row
--- a/benchmarks/fleet/__main__.py
+++ b/benchmarks/fleet/__main__.py
@@ -9,6 +9,7 @@
 The first tells what a fleet costs its hosts (`costs`), the second how evenly it loads them (`evenness`,
 `docs/evenness.md`), the third which points decided each relay (`follow`).
 """
+
 import argparse
 
 from benchmarks.fleet import costs, evenness, follow
--- a/benchmarks/fleet/candidates.py
+++ b/benchmarks/fleet/candidates.py
@@ -1,4 +1,5 @@
 """Candidates that change how the last report is read, or how equals are chosen among."""
+
 from math import exp
 from zlib import crc32
 
@@ -6,9 +7,9 @@
 
 from gaproute.decisions.route.beliefs import LOAD_LIFE, MILLI, SECOND
 
-NEAR_TIE = 0.3           # points: less than from one choice of the hash to the next
+NEAR_TIE = 0.3  # points: less than from one choice of the hash to the next
 WORK_TIME = 100 * MILLI  # over which what a report told of has been answered
-SOFT = 0.1               # points by which a worker is chosen e times as often
+SOFT = 0.1  # points by which a worker is chosen e times as often
 
 
 class Aged(Alike):
@@ -25,8 +26,11 @@
 
     def usual_share(self, now):
         if now - getattr(self, "shared_at", -SECOND) > 40 * MILLI:
-            shares = [worker.report.cpu_busy for worker in self.fleet
-                      if worker.report is not None and now - worker.reported <= LOAD_LIFE]
+            shares = [
+                worker.report.cpu_busy
+                for worker in self.fleet
+                if worker.report is not None and now - worker.reported <= LOAD_LIFE
+            ]
             self.shared, self.shared_at = sum(shares) / len(shares) if shares else 0.0, now
         return self.shared
 
@@ -40,6 +44,7 @@
 
 class Shared(Alike):
     """(c) Near-ties by chance in proportion to the room that reports tell of."""
+
     slack = NEAR_TIE
 
     def room(self, worker):
@@ -48,8 +53,10 @@
 
     def pick(self, scored):
         best = max(each.score for each in scored)
-        near = sorted([each.worker for each in scored if each.score >= best - self.slack],
-                      key=lambda worker: worker.place)
+        near = sorted(
+            [each.worker for each in scored if each.score >= best - self.slack],
+            key=lambda worker: worker.place,
+        )
         rooms = [self.room(worker) for worker in near]
         drawn = self.chance.below(sum(rooms))
         for worker, room in zip(near, rooms, strict=True):
@@ -65,12 +72,14 @@
     def prior(self, name, worker, rank, width, prior):
         mine = (self.number + crc32(name.encode())) % width
         return super().prior(name, worker, rank, width, prior) * (
-            1.0 if rank >= width or rank == mine else 0.93)
+            1.0 if rank >= width or rank == mine else 0.93
+        )
 
 
 class Coarse(Alike):
     """(c) A queue counts in whole steps alone, so that the workers of one step share by chance."""
-    step = 1                 # task, of those that a share of CPU stands for: a quarter of the share
+
+    step = 1  # task, of those that a share of CPU stands for: a quarter of the share
 
     def queue(self, worker, task, now):
         return super().queue(worker, task, now) // self.step * self.step
@@ -78,6 +87,7 @@
 
 class Coarser(Coarse):
     """The same with steps of half the share."""
+
     step = 2
 
 
@@ -92,12 +102,14 @@
 
 class Soft(Alike):
     """(c) Near-ties by chance, the likelier the more points."""
+
     slack, heat = 5 * SOFT, SOFT
 
     def pick(self, scored):
         best = max(each.score for each in scored)
-        near = sorted([each for each in scored if each.score >= best - self.slack],
-                      key=lambda each: each.worker.place)
+        near = sorted(
+            [each for each in scored if each.score >= best - self.slack], key=lambda each: each.worker.place
+        )
         weights = [exp((each.score - best) / self.heat) for each in near]
         drawn = self.chance.below(SECOND) / SECOND * sum(weights)
         for each, weight in zip(near, weights, strict=True):
--- a/benchmarks/fleet/clock.py
+++ b/benchmarks/fleet/clock.py
@@ -1,4 +1,5 @@
 """The clock of a play: events in order of time, equal times in order of asking."""
+
 import heapq
 
 MICRO, MILLI, SECOND = 1_000, 1_000_000, 1_000_000_000
--- a/benchmarks/fleet/cold_hosts.py
+++ b/benchmarks/fleet/cold_hosts.py
@@ -1,4 +1,5 @@
 """Stand-in hosts that fall when they get too much while they are cold, and gateways that send to them."""
+
 from collections import deque
 from math import sqrt
 
@@ -8,12 +9,12 @@
 from gaproute import interface as face
 
 ZONES = 3
-PACE = 12.0              # requests of mean work a second that a warm host does
-WORK = 80 * MILLI        # of a request on an idle host, beside its turn
-LOAD = 500 * MILLI       # of a copy
-FULL = 1500 * MILLI      # of work waiting, at which a host turns requests away
-LIGHT, HEAVY, SELDOM = 0.6, 2.6, 5       # work of requests; one in so many is heavy: the mean is 1
-COLD, TIP, MULTIPLE = 9 * SECOND, 1500 * MILLI, 2.5      # as the settings tell them, but a shorter cold time
+PACE = 12.0  # requests of mean work a second that a warm host does
+WORK = 80 * MILLI  # of a request on an idle host, beside its turn
+LOAD = 500 * MILLI  # of a copy
+FULL = 1500 * MILLI  # of work waiting, at which a host turns requests away
+LIGHT, HEAVY, SELDOM = 0.6, 2.6, 5  # work of requests; one in so many is heavy: the mean is 1
+COLD, TIP, MULTIPLE = 9 * SECOND, 1500 * MILLI, 2.5  # as the settings tell them, but a shorter cold time
 
 
 class ColdHost(Host):
@@ -21,7 +22,7 @@
 
     def __init__(self, number, told, started=None):
         super().__init__(number % ZONES, 1.0, started)
-        self.day, self.free, self.got = told, 0, []      # (when, work, whether by one told of its start)
+        self.day, self.free, self.got = told, 0, []  # (when, work, whether by one told of its start)
 
     def power(self, now):
         if self.started is None or now - self.started >= COLD:
@@ -54,7 +55,7 @@
                 work, by_told = work - old, by_told - old * old_told
             bears = MULTIPLE * PACE * self.power(max(self.started, at - TIP)) * TIP / SECOND
             used = work / (bears + 2 * sqrt(bears) + 2)
-            if worst <= 1 < used:            # it falls
+            if worst <= 1 < used:  # it falls
                 broken = by_told > 2 / 3 * work
             worst = max(worst, used)
         return worst, broken
--- a/benchmarks/fleet/costs.py
+++ b/benchmarks/fleet/costs.py
@@ -2,6 +2,7 @@
 
 It counts what the gateways wish: probes, words told, orders, and connections by how long hosts keep one. Its
 figures show how costs grow, not what an operators' day would give."""
+
 from benchmarks.fleet.clock import SECOND
 from benchmarks.fleet.traffic import Traffic
 from benchmarks.fleet.world import World
@@ -17,10 +18,15 @@
 
 def table(told):
     """Prints a row for each number of gateways."""
-    print("| gateways | probes a task | bytes told a task | orders a task | connections a task |"
-          " loads a task | delivered |")
+    print(
+        "| gateways | probes a task | bytes told a task | orders a task | connections a task |"
+        " loads a task | delivered |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- |")
     for gateways in map(int, told.gateways.split(",")):
         each = play(gateways, told.hosts, told.rate, told.seconds)
-        print(f"| {gateways} | {each['probes']:.3f} | {each['words']:.1f} | {each['orders']:.3f} | "
-              f"{each['connections']:.3f} | {each['loads']:.3f} | {each['delivered']:.3f} |", flush=True)
+        print(
+            f"| {gateways} | {each['probes']:.3f} | {each['words']:.1f} | {each['orders']:.3f} | "
+            f"{each['connections']:.3f} | {each['loads']:.3f} | {each['delivered']:.3f} |",
+            flush=True,
+        )
--- a/benchmarks/fleet/evenness.py
+++ b/benchmarks/fleet/evenness.py
@@ -1,4 +1,5 @@
 """One play in which it is measured how evenly a fleet's gateways load its hosts, and tables of many plays."""
+
 from concurrent.futures import ProcessPoolExecutor
 from itertools import product
 from statistics import mean
@@ -11,8 +12,23 @@
 from benchmarks.fleet.world import World
 from benchmarks.rows import table, write
 
-SHOWN = ("cv", "by chance", "low", "high", "lasting", "peak", "idle", "herd", "herd p99", "herd event",
-         "p50", "p99", "late", "loads", "CPU")
+SHOWN = (
+    "cv",
+    "by chance",
+    "low",
+    "high",
+    "lasting",
+    "peak",
+    "idle",
+    "herd",
+    "herd p99",
+    "herd event",
+    "p50",
+    "p99",
+    "late",
+    "loads",
+    "CPU",
+)
 
 
 def play(variant, fault, gateways, hosts, rate, seconds, seed, since=2):
@@ -28,20 +44,37 @@
 
 def plays(told):
     """A row for each variant, fault and rate: the means over the seeds, and all plays."""
-    wanted = list(product(told.variants.split(","), told.faults.split(","),
-                          [int(rate) for rate in told.rates.split(",")]))
+    wanted = list(
+        product(
+            told.variants.split(","), told.faults.split(","), [int(rate) for rate in told.rates.split(",")]
+        )
+    )
     seeds = [int(seed) for seed in told.seeds.split(",")]
     with ProcessPoolExecutor(told.jobs) as pool:
-        asked = {(what, seed): pool.submit(play, what[0], what[1], int(told.gateways), told.hosts, what[2],
-                                           told.seconds, seed, told.since)
-                 for what in wanted for seed in seeds}
+        asked = {
+            (what, seed): pool.submit(
+                play,
+                what[0],
+                what[1],
+                int(told.gateways),
+                told.hosts,
+                what[2],
+                told.seconds,
+                seed,
+                told.since,
+            )
+            for what in wanted
+            for seed in seeds
+        }
         rows, each = [], []
         for what in wanted:
             of = {seed: asked[what, seed].result() for seed in seeds}
             head = dict(zip(("variant", "fault", "rate"), what, strict=True))
             rows.append(head | {name: round(mean(sums[name] for sums in of.values()), 3) for name in SHOWN})
-            each += [head | {"seed": seed} | {name: round(value, 4) for name, value in sums.items()}
-                     for seed, sums in of.items()]
+            each += [
+                head | {"seed": seed} | {name: round(value, 4) for name, value in sums.items()}
+                for seed, sums in of.items()
+            ]
             print(rows[-1], flush=True)
     return rows, each
 
--- a/benchmarks/fleet/follow.py
+++ b/benchmarks/fleet/follow.py
@@ -3,6 +3,7 @@
 A relay is told by what would have been chosen without the points for the queue. Herds show in what a host got
 in the half second after a report of it beside the half second before, by whether its load fell or rose.
 """
+
 from bisect import bisect_left, bisect_right
 from statistics import mean, median
 
@@ -17,9 +18,16 @@
 from gaproute.decisions.route.beliefs import LOAD_LIFE
 from gaproute.decisions.route.score import NIL
 
-WHY = ("only copy known", "copy by warmth", "copy by queue", "prior", "queue among equal priors",
-       "queue against prior", "chance")
-STEP = 0.03              # of CPU: a report is taken to rise or fall from here on; half a task in hand
+WHY = (
+    "only copy known",
+    "copy by warmth",
+    "copy by queue",
+    "prior",
+    "queue among equal priors",
+    "queue against prior",
+    "chance",
+)
+STEP = 0.03  # of CPU: a report is taken to rise or fall from here on; half a task in hand
 
 
 def why(scored, chosen):
@@ -51,7 +59,8 @@
         own = sum(sent > known.reported for sent in known.out.values())
         others = mean(each.busy for each in self.world.hosts.values())
         self.each[why(one.gateway.latest, worker)].append(
-            (age, since, own, host.busy / others if others else 0.0, function in host.copies))
+            (age, since, own, host.busy / others if others else 0.0, function in host.copies)
+        )
 
     def shares(self):
         """A row for each reason."""
@@ -61,14 +70,18 @@
             if not some:
                 continue
             fresh = [each for each in some if each[0] <= LOAD_LIFE]
-            rows.append({
-                "decided by": name, "share": round(len(some) / every, 3),
-                "a report was there": round(len(fresh) / len(some), 2),
-                "its age, ms": round(median(each[0] for each in fresh) / MILLI) if fresh else "-",
-                "sent there since by all": round(mean(each[1] for each in fresh), 1) if fresh else "-",
-                "by this gateway, in hand": round(mean(each[2] for each in fresh), 2) if fresh else "-",
-                "true tasks there over the mean": round(mean(each[3] for each in some), 2),
-                "copy stood or was on its way": round(mean(each[4] for each in some), 2)})
+            rows.append(
+                {
+                    "decided by": name,
+                    "share": round(len(some) / every, 3),
+                    "a report was there": round(len(fresh) / len(some), 2),
+                    "its age, ms": round(median(each[0] for each in fresh) / MILLI) if fresh else "-",
+                    "sent there since by all": round(mean(each[1] for each in fresh), 1) if fresh else "-",
+                    "by this gateway, in hand": round(mean(each[2] for each in fresh), 2) if fresh else "-",
+                    "true tasks there over the mean": round(mean(each[3] for each in some), 2),
+                    "copy stood or was on its way": round(mean(each[4] for each in some), 2),
+                }
+            )
         return rows
 
     def after(self):
@@ -82,10 +95,16 @@
             kinds[kind].append(pair)
             if share < STEP:
                 kinds["told idle"].append(pair)
-        return [{"report": kind, "number": len(pairs),
-                 "500 ms before": round(mean(before for before, _ in pairs), 2),
-                 "500 ms after": round(mean(after for _, after in pairs), 2)}
-                for kind, pairs in kinds.items() if pairs]
+        return [
+            {
+                "report": kind,
+                "number": len(pairs),
+                "500 ms before": round(mean(before for before, _ in pairs), 2),
+                "500 ms after": round(mean(after for _, after in pairs), 2),
+            }
+            for kind, pairs in kinds.items()
+            if pairs
+        ]
 
 
 def play(variant, gateways, hosts, rate, seconds, seed, fault="none"):
--- a/benchmarks/fleet/gateways.py
+++ b/benchmarks/fleet/gateways.py
@@ -1,4 +1,5 @@
 """One gateway's decisions on the fleet's clock, and what each of its tasks met."""
+
 from time import process_time_ns
 
 from benchmarks.fleet.clock import SECOND
@@ -13,6 +14,7 @@
 
 class Asked:
     """One task as it was asked, and what it waited for."""
+
     __slots__ = ("function", "came", "load", "queue", "relays", "failed")
 
     def __init__(self, function, came):
@@ -71,19 +73,35 @@
         took, load, began, warm = host.take(now, asked.function)
         world.counts["loads"] += began
         asked.load, asked.queue = asked.load + load, asked.queue + took - load
-        world.clock.at(now + took, self.answered, key, number, worker, took,
-                       face.Found.WARM if warm else face.Found.BEGAN_LOAD, host.life)
+        world.clock.at(
+            now + took,
+            self.answered,
+            key,
+            number,
+            worker,
+            took,
+            face.Found.WARM if warm else face.Found.BEGAN_LOAD,
+            host.life,
+        )
 
     def refused(self, key, number, worker):
         if not self.gone:
-            self.outcome(self.world.clock.now, face.Outcome(
-                key, number, worker, face.Result.CONNECT_FAILED, WAY, False, face.Found.UNTOLD, None, None))
+            self.outcome(
+                self.world.clock.now,
+                face.Outcome(
+                    key, number, worker, face.Result.CONNECT_FAILED, WAY, False, face.Found.UNTOLD, None, None
+                ),
+            )
 
     def answered(self, key, number, worker, took, found, life):
         world, host = self.world, self.world.hosts[worker]
         if host.life != life:
-            self.outcome(world.clock.now, face.Outcome(
-                key, number, worker, face.Result.RESET, took, False, face.Found.UNTOLD, None, None))
+            self.outcome(
+                world.clock.now,
+                face.Outcome(
+                    key, number, worker, face.Result.RESET, took, False, face.Found.UNTOLD, None, None
+                ),
+            )
             return
         host.busy -= 1
         if self.gone:
@@ -92,8 +110,10 @@
             world.counts["delivered"] += 1
             world.answer(self.asked.pop(key))
         began = process_time_ns()
-        self.outcome(world.clock.now, face.Outcome(key, number, worker, face.Result.OK, took, True, found,
-                                                   host.busy, None))
+        self.outcome(
+            world.clock.now,
+            face.Outcome(key, number, worker, face.Result.OK, took, True, found, host.busy, None),
+        )
         world.cpu += process_time_ns() - began
 
     def cancel(self, key, number):
@@ -103,8 +123,10 @@
         self.connect(worker)
         world = self.world
         world.counts["orders"] += 1
-        world.clock.at(world.clock.now + WAY, lambda: self.gateway.stood(
-            world.clock.now, worker, function, face.Result.OK, copies))
+        world.clock.at(
+            world.clock.now + WAY,
+            lambda: self.gateway.stood(world.clock.now, worker, function, face.Result.OK, copies),
+        )
 
     def probe(self, worker):
         self.connect(worker)
--- a/benchmarks/fleet/hosts.py
+++ b/benchmarks/fleet/hosts.py
@@ -1,20 +1,21 @@
 """Stand-in hosts: they add copies by themselves, slow down over their lanes, start cold, and may be lost."""
+
 from benchmarks.fleet.clock import MILLI, SECOND
 
-LOAD = 900 * MILLI       # of a copy
-WORK = 70 * MILLI        # of a task on an idle host
-WAY = MILLI              # there and back again
-LANES = 4                # of a host of size 1; it works at its pace up to twice as many tasks
-CAPACITY = 4.0           # of a host of size 1, as the list tells it
-FULL = 4 * LANES         # tasks in hand at which a host of size 1 reports all of its CPU busy
-COLD_SHARE, COLD_TIME = 0.17, 18 * SECOND    # of its power that a host has at its start; until all of it
+LOAD = 900 * MILLI  # of a copy
+WORK = 70 * MILLI  # of a task on an idle host
+WAY = MILLI  # there and back again
+LANES = 4  # of a host of size 1; it works at its pace up to twice as many tasks
+CAPACITY = 4.0  # of a host of size 1, as the list tells it
+FULL = 4 * LANES  # tasks in hand at which a host of size 1 reports all of its CPU busy
+COLD_SHARE, COLD_TIME = 0.17, 18 * SECOND  # of its power that a host has at its start; until all of it
 
 
 class Host:
     def __init__(self, zone=0, size=1.0, started=None):
         self.zone, self.size, self.started = zone, size, started
         self.busy, self.copies, self.lost, self.life = 0, {}, False, 0
-        self.came = []           # when relays came, in order
+        self.came = []  # when relays came, in order
 
     def share(self):
         return min(1.0, self.busy / (FULL * self.size))
--- a/benchmarks/fleet/measures.py
+++ b/benchmarks/fleet/measures.py
@@ -1,15 +1,16 @@
 """How even a play was: tasks in hand by host, idle hosts, herds after reports and events, lateness.
 
 `fair`: of a host of size s, s over the sum of the sizes of all that are up. A share of 1 is fair."""
+
 from bisect import bisect_left
 from statistics import median
 
 from benchmarks.fleet.clock import MILLI, SECOND
 
-TICK = 100 * MILLI       # between samples: a little over an answer time
-FROM = 2 * SECOND        # first sample: before it the loads of the start weigh most
-HERD = 500 * MILLI       # after a report or an event
-IDLE, IDLE_FOR = 0.25, 50        # of the fair share, in the mean over so many samples
+TICK = 100 * MILLI  # between samples: a little over an answer time
+FROM = 2 * SECOND  # first sample: before it the loads of the start weigh most
+HERD = 500 * MILLI  # after a report or an event
+IDLE, IDLE_FOR = 0.25, 50  # of the fair share, in the mean over so many samples
 CONTRACT = 600 * MILLI
 
 
@@ -31,8 +32,13 @@
             world.clock.at(at, self.sample)
 
     def sample(self):
-        self.samples.append({name: (host.busy / host.size, host.busy / host.lanes(self.world.clock.now) > 1)
-                             for name, host in self.world.hosts.items() if not host.lost})
+        self.samples.append(
+            {
+                name: (host.busy / host.size, host.busy / host.lanes(self.world.clock.now) > 1)
+                for name, host in self.world.hosts.items()
+                if not host.lost
+            }
+        )
 
     def told(self, now, teller, words):
         heard = teller.gateway.sharing.words.read(words)
@@ -85,7 +91,7 @@
         """Hosts that were idle over some span while another queued."""
         found, names = set(), list(self.world.hosts)
         for end in range(IDLE_FOR, len(self.samples) + 1, IDLE_FOR // 5):
-            span = self.samples[end - IDLE_FOR:end]
+            span = self.samples[end - IDLE_FOR : end]
             stood = [name for name in names if all(name in sample for sample in span)]
             means = {name: sum(sample[name][0] for sample in span) / len(span) for name in stood}
             if means and any(queues for sample in span for _, queues in sample.values()):
@@ -107,12 +113,23 @@
         herd, high, worst = self.herds()
         late, asked = sum(self.late.values()), len(took) + self.late["declined"]
         return {
-            "cv": sum(map(coefficient, each)) / len(each), "by chance": in_hand ** -0.5, "in hand": in_hand,
-            "low": means[0], "high": means[-1], "lasting": coefficient(means),
+            "cv": sum(map(coefficient, each)) / len(each),
+            "by chance": in_hand**-0.5,
+            "in hand": in_hand,
+            "low": means[0],
+            "high": means[-1],
+            "lasting": coefficient(means),
             "peak": sum(max(some) * len(some) / max(sum(some), 1) for some in each) / len(each),
-            "idle": self.idle(), "herd": herd, "herd p99": high, "herd event": worst,
-            "p50": median(took) / MILLI, "p99": took[len(took) * 99 // 100] / MILLI,
-            "late": late / asked, **{f"late {why}": count / asked for why, count in self.late.items()},
-            "loads": self.world.counts["loads"] / tasks, "relays": self.relays / tasks,
+            "idle": self.idle(),
+            "herd": herd,
+            "herd p99": high,
+            "herd event": worst,
+            "p50": median(took) / MILLI,
+            "p99": took[len(took) * 99 // 100] / MILLI,
+            "late": late / asked,
+            **{f"late {why}": count / asked for why, count in self.late.items()},
+            "loads": self.world.counts["loads"] / tasks,
+            "relays": self.relays / tasks,
             "probes": self.world.counts["probes"] / tasks,
-            "CPU": self.world.cpu / tasks / MILLI}
+            "CPU": self.world.cpu / tasks / MILLI,
+        }
--- a/benchmarks/fleet/parted.py
+++ b/benchmarks/fleet/parted.py
@@ -3,6 +3,7 @@
 `Parted` chooses as `route.Gateway` does (`tests/test_benchmark_fleet.py` holds it to that) and keeps the
 scores of its last choice. What a candidate changes is one of the methods under "Parts".
 """
+
 from typing import NamedTuple
 
 from gaproute.decisions.route import Gateway
@@ -12,6 +13,7 @@
 
 class Scored(NamedTuple):
     """Points of one worker; `queue`, `memory` and `doubt` are taken off."""
+
     worker: Worker
     warmth: float
     copy: float
@@ -27,7 +29,7 @@
 
 
 class Parted(Gateway):
-    slack = 0.0              # points below the best up to which a worker is still scored
+    slack = 0.0  # points below the best up to which a worker is still scored
 
     def __init__(self, world, place, terms, now):
         super().__init__(place, terms, now)
@@ -63,8 +65,13 @@
         track, able = self.tracks[task.track], self.fleet
         if trail.first is not None or trail.out or now < self.all_warm_at:
             holding = {worker.id for worker, _ in trail.out.values()}
-            able = [worker for worker in self.fleet if worker.id not in holding and
-                    (now >= worker.warm_at or worker.credit > 0) and self.allowed(worker, track, trail, now)]
+            able = [
+                worker
+                for worker in self.fleet
+                if worker.id not in holding
+                and (now >= worker.warm_at or worker.credit > 0)
+                and self.allowed(worker, track, trail, now)
+            ]
         if trail.failed:
             able = [worker for worker in able if worker not in trail.failed] or able
             able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
@@ -99,13 +106,18 @@
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth = self.copy(task.function, worker, rank, width, warmth) / pace
-            scored.append(Scored(
-                worker, warmth, worth * warmth,
-                weight * (self.queue(worker, task, now) + 1) / (lanes * strength),
-                policy.MEMORY * (usual_memory if worker.memory is None else worker.memory),
-                self.prior(task.function, worker, rank, width, prior) * (1 - warmth),
-                self.near if worker.zone == self.zone else 0.0,
-                policy.SHUN * doubts.get(worker.id, 0.0)))
+            scored.append(
+                Scored(
+                    worker,
+                    warmth,
+                    worth * warmth,
+                    weight * (self.queue(worker, task, now) + 1) / (lanes * strength),
+                    policy.MEMORY * (usual_memory if worker.memory is None else worker.memory),
+                    self.prior(task.function, worker, rank, width, prior) * (1 - warmth),
+                    self.near if worker.zone == self.zone else 0.0,
+                    policy.SHUN * doubts.get(worker.id, 0.0),
+                )
+            )
             best = scored[-1].score if best is None else max(best, scored[-1].score)
         return scored
 
--- a/benchmarks/fleet/seers.py
+++ b/benchmarks/fleet/seers.py
@@ -1,14 +1,16 @@
 """Comparisons that see what no gateway can: true queues, as they are or were, and true copies."""
+
 from benchmarks.fleet.parted import Alike
 
 from gaproute.decisions.route import score as policy
 from gaproute.decisions.route.beliefs import MILLI
 
-POINT = 0.5              # points a task in hand, where queues are true: a copy is worth twelve
+POINT = 0.5  # points a task in hand, where queues are true: a copy is worth twelve
 
 
 class Sees(Alike):
     """The same score with the true queues, as old as `lag`."""
+
     lag = 0
 
     def true(self, worker):
@@ -23,7 +25,8 @@
 
 class Level(Sees):
     """True queues and true copies: the least load among hosts where a copy stands, another where it pays."""
-    slack = 100.0            # all are scored
+
+    slack = 100.0  # all are scored
 
     def queue_weight(self, heat):
         return POINT * policy.ROOM
@@ -41,6 +44,7 @@
 
 class Told(Sees):
     """(e) Tasks in hand told by all each 500 ms, beside reports: as old as that at most, half in the mean."""
+
     lag = 250 * MILLI
 
 
--- a/benchmarks/fleet/smoothed.py
+++ b/benchmarks/fleet/smoothed.py
@@ -1,4 +1,5 @@
 """Candidates that read a worker's load over many reports, beside what else each changes."""
+
 from zlib import crc32
 
 from benchmarks.fleet.candidates import Firsts, Shared, Soft
@@ -7,14 +8,15 @@
 from gaproute.decisions.route import score as policy
 from gaproute.decisions.route.beliefs import LOAD_LIFE, MILLI, SECOND, WIDE
 
-SMOOTH = 8               # reports over which a worker's load is averaged
-STRONG = 4.0             # times more points for the smoothed load
-RELATIVE = 0.3           # of a usual room, for the load that is usual in the fleet
-BOUND = 1.25             # of its share that a worker may long have
+SMOOTH = 8  # reports over which a worker's load is averaged
+STRONG = 4.0  # times more points for the smoothed load
+RELATIVE = 0.3  # of a usual room, for the load that is usual in the fleet
+BOUND = 1.25  # of its share that a worker may long have
 
 
 class Smooth(Alike):
     """A worker's load is the mean of its last reports, not the last; it weighs more."""
+
     strong, smooth_over = STRONG, SMOOTH
 
     def note(self, worker, now, report):
@@ -63,6 +65,7 @@
 
 class Gentle(Relative):
     """The same with a fifth of the points, over twice as many reports."""
+
     relative, smooth_over = RELATIVE / 5, 2 * SMOOTH
 
 
--- a/benchmarks/fleet/traffic.py
+++ b/benchmarks/fleet/traffic.py
@@ -1,4 +1,5 @@
 """Who asks what, when: seeded, so that a play can be played again."""
+
 from bisect import bisect_right
 from itertools import accumulate
 
@@ -8,11 +9,13 @@
 from gaproute.decisions.chance import Chance
 
 FUNCTIONS = 400
-SPARE = 7                # one task in so many is effectful
-SEED = 7                 # of the play in the table of costs
+SPARE = 7  # one task in so many is effectful
+SEED = 7  # of the play in the table of costs
 
-TRACKS = (face.Track(face.Effect.PURE, face.Group.ALL, 0, 600 * MILLI, 2400 * MILLI, 3.0),
-          face.Track(face.Effect.EFFECTFUL, face.Group.ALL, 0, 600 * MILLI, 2000 * MILLI, 3.0))
+TRACKS = (
+    face.Track(face.Effect.PURE, face.Group.ALL, 0, 600 * MILLI, 2400 * MILLI, 3.0),
+    face.Track(face.Effect.EFFECTFUL, face.Group.ALL, 0, 600 * MILLI, 2000 * MILLI, 3.0),
+)
 
 
 class Traffic:
--- a/benchmarks/fleet/variants.py
+++ b/benchmarks/fleet/variants.py
@@ -1,15 +1,39 @@
 """Who chooses, by name: the policy as it is, some that see all, and the candidates (docs/evenness.md)."""
+
 from benchmarks.fleet import candidates, seers, smoothed
 from benchmarks.fleet.parted import Alike, Parted
 
 from gaproute.decisions.route import Gateway
 
 VARIANTS = {
-    "today": lambda world, seed, terms, now: Gateway(seed, terms, now), "parted": Parted, "alike": Alike,
-    **{each.__name__.lower(): each for each in (
-        seers.Sees, seers.Level, seers.Least, seers.Told, *[
-            seers.lagging(seers.Level, milli) for milli in (50, 100, 300, 1000)],
-        candidates.Aged, candidates.Readers, candidates.Shared, candidates.Firsts, candidates.Coarse,
-        candidates.Coarser, candidates.Steps, candidates.Soft,
-        smoothed.Smooth, smoothed.SmoothShared, smoothed.SoftSmooth, smoothed.FirstsSmooth,
-        smoothed.Relative, smoothed.Gentle, smoothed.Bounded, smoothed.Wide, smoothed.WideBounded)}}
+    "today": lambda world, seed, terms, now: Gateway(seed, terms, now),
+    "parted": Parted,
+    "alike": Alike,
+    **{
+        each.__name__.lower(): each
+        for each in (
+            seers.Sees,
+            seers.Level,
+            seers.Least,
+            seers.Told,
+            *[seers.lagging(seers.Level, milli) for milli in (50, 100, 300, 1000)],
+            candidates.Aged,
+            candidates.Readers,
+            candidates.Shared,
+            candidates.Firsts,
+            candidates.Coarse,
+            candidates.Coarser,
+            candidates.Steps,
+            candidates.Soft,
+            smoothed.Smooth,
+            smoothed.SmoothShared,
+            smoothed.SoftSmooth,
+            smoothed.FirstsSmooth,
+            smoothed.Relative,
+            smoothed.Gentle,
+            smoothed.Bounded,
+            smoothed.Wide,
+            smoothed.WideBounded,
+        )
+    },
+}
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -1,4 +1,5 @@
 """The fleet: the clock, the hosts, the gateways, the words between them, and the counts."""
+
 from collections import deque
 from time import process_time_ns
 
@@ -11,13 +12,38 @@
 from gaproute.decisions.route import Gateway
 
 ZONES = 3
-STEP, STEPS = 25 * MILLI, 48     # between looks at the hosts' tasks in hand; so many are kept
+STEP, STEPS = 25 * MILLI, 48  # between looks at the hosts' tasks in hand; so many are kept
 
 
 def terms(gateways):
-    return face.Terms(TRACKS, (), 1.0, 10 * SECOND, True, 6, 0.3, 10 * SECOND, True, True, True, True,
-                      ("cpu_busy", "memory_busy"), 0.08, 0.01, True, gateways, True, True, 6, SECOND,
-                      COLD_SHARE, COLD_TIME, False, -1, 0.0)
+    return face.Terms(
+        TRACKS,
+        (),
+        1.0,
+        10 * SECOND,
+        True,
+        6,
+        0.3,
+        10 * SECOND,
+        True,
+        True,
+        True,
+        True,
+        ("cpu_busy", "memory_busy"),
+        0.08,
+        0.01,
+        True,
+        gateways,
+        True,
+        True,
+        6,
+        SECOND,
+        COLD_SHARE,
+        COLD_TIME,
+        False,
+        -1,
+        0.0,
+    )
 
 
 class Past:
@@ -41,12 +67,14 @@
     def __init__(self, gateways, hosts, make=None, sizes=(1.0,)):
         self.clock, self.cpu, self.sizes = Clock(), 0, sizes
         self.counts = dict.fromkeys(
-            ("tasks", "delivered", "probes", "words", "orders", "connections", "loads"), 0)
-        self.hosts = {f"h{number}": Host(number % ZONES, sizes[number // ZONES % len(sizes)])
-                      for number in range(hosts)}
+            ("tasks", "delivered", "probes", "words", "orders", "connections", "loads"), 0
+        )
+        self.hosts = {
+            f"h{number}": Host(number % ZONES, sizes[number // ZONES % len(sizes)]) for number in range(hosts)
+        }
         self.make = make or (lambda world, seed, told, now: Gateway(seed, told, now))
-        self.hears = None        # (world, teller, hearer, words): handed over if it says so; None: always
-        self.watchers = []       # told of relays, answers and words
+        self.hears = None  # (world, teller, hearer, words): handed over if it says so; None: always
+        self.watchers = []  # told of relays, answers and words
         self.members = gateways
         self.past = Past(self)
         rows = self.rows()
@@ -57,8 +85,17 @@
 
     def rows(self):
         """The list: hosts that are lost are gone from it."""
-        return [face.Listed(name, host.zone, 0, face.State.GONE if host.lost else face.State.ACTIVE,
-                            CAPACITY * host.size, host.started) for name, host in self.hosts.items()]
+        return [
+            face.Listed(
+                name,
+                host.zone,
+                0,
+                face.State.GONE if host.lost else face.State.ACTIVE,
+                CAPACITY * host.size,
+                host.started,
+            )
+            for name, host in self.hosts.items()
+        ]
 
     def list_anew(self):
         rows = self.rows()
--- a/benchmarks/hunt.py
+++ b/benchmarks/hunt.py
@@ -7,6 +7,7 @@
 folder `--out` as a file with its last events and its plan made small, which `gaproute.driver.plan.kept` reads
 back for a test to keep. Ends with 1 where anything broke.
 """
+
 import argparse
 import subprocess
 import sys
@@ -18,7 +19,7 @@
 from gaproute.driver import shrink
 from gaproute.driver.keepers import SPANS, play, plan
 
-PLAYS = 200              # to make one breach small
+PLAYS = 200  # to make one breach small
 
 
 def hunt(seeds, told):
@@ -32,9 +33,10 @@
             continue
         found[breach.name] = found.get(breach.name, 0) + 1
         print(breach, flush=True)
-        if found[breach.name] == 1:          # one of each name is made small
-            small, least = shrink(lambda plan: play(plan, told.keepers, told.kind)[1], breach.plan,
-                                  breach.name, PLAYS)
+        if found[breach.name] == 1:  # one of each name is made small
+            small, least = shrink(
+                lambda plan: play(plan, told.keepers, told.kind)[1], breach.plan, breach.name, PLAYS
+            )
             Path(told.out).mkdir(parents=True, exist_ok=True)
             kept = Path(told.out, f"{told.kind}-{told.keepers}-{seed}.txt")
             kept.write_text((least or breach).report() + "\n")
@@ -53,19 +55,32 @@
     told = arguments.parse_args()
     first, _, last = told.seeds.partition("-")
     seeds = range(int(first), int(last or first) + 1)
-    if told.jobs > 1:                        # each plays a run of seeds of its own, as a process
+    if told.jobs > 1:  # each plays a run of seeds of its own, as a process
         share = -(-len(seeds) // told.jobs)
-        words = [sys.executable, __file__, "--seconds", str(told.seconds), "--keepers", str(told.keepers),
-                 "--kind", told.kind, "--out", told.out]
-        parts = [seeds[at:at + share] for at in range(0, len(seeds), share)]
+        words = [
+            sys.executable,
+            __file__,
+            "--seconds",
+            str(told.seconds),
+            "--keepers",
+            str(told.keepers),
+            "--kind",
+            told.kind,
+            "--out",
+            told.out,
+        ]
+        parts = [seeds[at : at + share] for at in range(0, len(seeds), share)]
         started = [subprocess.Popen([*words, "--seeds", f"{part[0]}-{part[-1]}"]) for part in parts]
         return max(one.wait() for one in started)
     began = time.monotonic()
     played, steps, found = hunt(seeds, told)
     took = time.monotonic() - began
-    print(f"{told.kind}, {told.keepers} keepers: {played} seeds in {took:.1f} s, "
-          f"{60 * played / took:.0f} a minute ({60 * played / time.process_time():.0f} by CPU), "
-          f"{steps / max(1, played):.0f} steps a seed; broken: {found or 'nothing'}", flush=True)
+    print(
+        f"{told.kind}, {told.keepers} keepers: {played} seeds in {took:.1f} s, "
+        f"{60 * played / took:.0f} a minute ({60 * played / time.process_time():.0f} by CPU), "
+        f"{steps / max(1, played):.0f} steps a seed; broken: {found or 'nothing'}",
+        flush=True,
+    )
     return 1 if found else 0
 
 
--- a/benchmarks/kept_connections.py
+++ b/benchmarks/kept_connections.py
@@ -7,6 +7,7 @@
 effectful task every 1 s, give or take 4 ms: the worst spacing there is. Each task that ends in a reset would
 be scrapped. The last row's host says `Keep-Alive: timeout=1`, as many do.
 """
+
 import argparse
 import json
 import random
@@ -55,21 +56,26 @@
     loop, servers = Loop(), []
     headers = ((b"Keep-Alive", b"timeout=1"),) if tells else ()
     for _ in range(count):
+
         def handle(request):
             request.link.server.answer(request, 200, headers, b"{}")
+
         servers.append(Server(loop, address("127.0.0.1:0"), handle, Limits(idle_time=SECOND)))
     print(json.dumps([server.address for server in servers]), flush=True)
     loop.run()
 
 
 def play(pooling, count, seconds, tells=False, effect=Effect.EFFECTFUL):
-    sink = subprocess.Popen([sys.executable, __file__, "listeners", str(count), str(int(tells))],
-                            stdout=subprocess.PIPE)
+    sink = subprocess.Popen(
+        [sys.executable, __file__, "listeners", str(count), str(int(tells))], stdout=subprocess.PIPE
+    )
     where = json.loads(sink.stdout.readline())
     loop, chance = Loop(), random.Random(1)
     hosts = Hosts(loop, pooling)
-    hosts.listed([Row(Listed(f"h{place}", 0, 0, State.ACTIVE, 1.0, None), each)
-                  for place, each in enumerate(where)], True)
+    hosts.listed(
+        [Row(Listed(f"h{place}", 0, 0, State.ACTIVE, 1.0, None), each) for place, each in enumerate(where)],
+        True,
+    )
     call, results = Call("m", "", (), b"{}"), {}
     end = loop.now() + round(seconds * SECOND)
 
@@ -88,8 +94,12 @@
     sink.kill()
     sink.wait()
     tasks = sum(results.values())
-    return {"tasks": tasks, "resets": results.get(Result.RESET, 0), "opened": hosts.opened,
-            "opened_share": round(hosts.opened / tasks, 2)}
+    return {
+        "tasks": tasks,
+        "resets": results.get(Result.RESET, 0),
+        "opened": hosts.opened,
+        "opened_share": round(hosts.opened / tasks, 2),
+    }
 
 
 def main():
@@ -99,10 +109,13 @@
     arguments.add_argument("--out", default="docs/measured")
     told = arguments.parse_args()
     rows = []
-    for name, made, tells in (("any rest", AnyRest, False), ("always new", AlwaysNew, False),
-                              ("half of what was seen", SeenOnly, False),
-                              ("gaproute: calm ones only", Pooling, False),
-                              ("gaproute, host tells its time", Pooling, True)):
+    for name, made, tells in (
+        ("any rest", AnyRest, False),
+        ("always new", AlwaysNew, False),
+        ("half of what was seen", SeenOnly, False),
+        ("gaproute: calm ones only", Pooling, False),
+        ("gaproute, host tells its time", Pooling, True),
+    ):
         rows.append({"way": name, **play(made(), told.hosts, told.seconds, tells)})
         print(rows[-1], flush=True)
     write(told.out, "kept_connections", rows)
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -10,6 +10,7 @@
 store fetches in the 30 s after the first kill; from the clients' taps the service of the restarted gateways'
 first ten seconds; from the gateways' logs the CPU that telling and remembering took.
 """
+
 import argparse
 import itertools
 import json
@@ -27,7 +28,7 @@
 from gaproute.standins.tap import read
 
 SECOND = 1_000_000_000
-KILL = 24               # by then the store is calm: copies stand where the gateways want them
+KILL = 24  # by then the store is calm: copies stand where the gateways want them
 SCRIPT = """
 day length {length}s rate {rate} hosts {hosts} gateways 4 models {models} retries 0 impatient 0 {told}
 kind std share 1 cores 4 speed 1 copies 10
@@ -45,24 +46,44 @@
 """
 
 
-AFTER = 30 * SECOND     # from the first kill, in which fetches are counted
+AFTER = 30 * SECOND  # from the first kill, in which fetches are counted
 MODES = {"nothing": (False, False), "disk": (False, True), "peers": (True, False), "both": (True, True)}
-LIARS = {"0%": "gaproute.decisions.route:Gateway", "20%": "gaproute.standins.liars:LiesNow",
-         "50%": "gaproute.standins.liars:LiesHalf", "100%": "gaproute.standins.liars:LiesAlways"}
+LIARS = {
+    "0%": "gaproute.decisions.route:Gateway",
+    "20%": "gaproute.standins.liars:LiesNow",
+    "50%": "gaproute.standins.liars:LiesHalf",
+    "100%": "gaproute.standins.liars:LiesAlways",
+}
 
 
 def play(hosts, mode, seed, struck, decisions=LIARS["0%"]):
-    troubles = "\n".join(f"trouble gateway-kill at {KILL + 2 * place}s back 500ms gateway {place}"
-                         for place in range(struck))
+    troubles = "\n".join(
+        f"trouble gateway-kill at {KILL + 2 * place}s back 500ms gateway {place}" for place in range(struck)
+    )
     peers, memory = ("yes" if each else "no" for each in MODES[mode])
     how = f"peers {peers} memory {memory}"
     with tempfile.TemporaryDirectory(prefix="gl-") as folder:
         script, out = Path(folder, "day.script"), Path(folder, "o")
-        script.write_text(SCRIPT.format(length=KILL + 30, rate=8 * hosts, hosts=hosts, models=3 * hosts,
-                                        troubles=troubles, told=how))
+        script.write_text(
+            SCRIPT.format(
+                length=KILL + 30, rate=8 * hosts, hosts=hosts, models=3 * hosts, troubles=troubles, told=how
+            )
+        )
         run = subprocess.run(
-            [sys.executable, "-m", "gaproute", "trial", str(script), "--seed", str(seed),
-             "--decisions", decisions, "--json", "--out", str(out)],
+            [
+                sys.executable,
+                "-m",
+                "gaproute",
+                "trial",
+                str(script),
+                "--seed",
+                str(seed),
+                "--decisions",
+                decisions,
+                "--json",
+                "--out",
+                str(out),
+            ],
             capture_output=True,
             text=True,
         )
@@ -71,8 +92,12 @@
         told = json.loads(run.stdout)
         ran = [event for path in out.glob("host-*.tap") for event in read(path) if event["what"] == "ran"]
         run = read(out / "run.tap")
-        logs = [json.loads(line) for path in out.glob("g*.log") for line in path.read_text().splitlines()
-                if line.startswith("{")]
+        logs = [
+            json.loads(line)
+            for path in out.glob("g*.log")
+            for line in path.read_text().splitlines()
+            if line.startswith("{")
+        ]
         fetches = [event["at"] for event in read(out / "store.tap") if event["what"] == "fetch"]
         ends = [
             event for event in read(out / "clients.tap") if event["what"] in ("answer", "broken", "overdue")
@@ -82,19 +107,31 @@
     first = min(kills.values())
 
     def warm(gateway, begin, end):
-        found = [event["found"] == 1 for event in ran if event["mark"].startswith(f"g{gateway}-")
-                 and begin <= event["at"] < end]
+        found = [
+            event["found"] == 1
+            for event in ran
+            if event["mark"].startswith(f"g{gateway}-") and begin <= event["at"] < end
+        ]
         return sum(found) / max(1, len(found))
 
     def mean(values):
         values = list(values)
         return sum(values) / len(values)
 
-    soon = [event for event in ends if event["gateway"] in starts and kills.get(event["gateway"]) is not None
-            and 0 <= event["asked"] - starts[event["gateway"]] < 10 * SECOND]
-    good = [event["what"] == "answer" and event["outcome"] == "delivered"
-            and event["at"] - event["asked"] < (1200 if event["track"] == "fault-check" else 600) * 1_000_000
-            for event in soon]
+    soon = [
+        event
+        for event in ends
+        if event["gateway"] in starts
+        and kills.get(event["gateway"]) is not None
+        and 0 <= event["asked"] - starts[event["gateway"]] < 10 * SECOND
+    ]
+    good = [
+        event["what"] == "answer"
+        and event["outcome"] == "delivered"
+        and event["at"] - event["asked"] < (1200 if event["track"] == "fault-check" else 600) * 1_000_000
+        for event in soon
+    ]
+
     def recovery(gateway):
         """Seconds until two seconds in a row had 95% of the old share."""
         old = warm(gateway, first - 8 * SECOND, first)
@@ -105,14 +142,17 @@
         return 15.0
 
     stopped = [event for event in logs if event.get("event") == "stopped"]
-    return {"before": mean(warm(each, first - 8 * SECOND, first) for each in kills),
-            "2 s": mean(warm(each, starts[each], starts[each] + 2 * SECOND) for each in kills),
-            "10 s": mean(warm(each, starts[each], starts[each] + 10 * SECOND) for each in kills),
-            "recovery, s": mean(recovery(each) for each in kills),
-            "fetches/s before": sum(first - 8 * SECOND <= at < first for at in fetches) / 8,
-            "fetches in 30 s": sum(first <= at < first + AFTER for at in fetches),
-            "service": sum(good) / max(1, len(good)), "broken": len(told["broken"]),
-            "telling, % of a core": 100 * max([event["telling_share"] for event in stopped], default=0)}
+    return {
+        "before": mean(warm(each, first - 8 * SECOND, first) for each in kills),
+        "2 s": mean(warm(each, starts[each], starts[each] + 2 * SECOND) for each in kills),
+        "10 s": mean(warm(each, starts[each], starts[each] + 10 * SECOND) for each in kills),
+        "recovery, s": mean(recovery(each) for each in kills),
+        "fetches/s before": sum(first - 8 * SECOND <= at < first for at in fetches) / 8,
+        "fetches in 30 s": sum(first <= at < first + AFTER for at in fetches),
+        "service": sum(good) / max(1, len(good)),
+        "broken": len(told["broken"]),
+        "telling, % of a core": 100 * max([event["telling_share"] for event in stopped], default=0),
+    }
 
 
 def row_of(head, runs):
@@ -120,8 +160,10 @@
     for name in runs[0]:
         if name not in ("broken", "all"):
             row[name] = round(median(run[name] for run in runs), 3)
-    return row | {"fetches, each": " ".join(str(run["fetches in 30 s"]) for run in runs),
-                  "broken": sum(run["broken"] for run in runs)}
+    return row | {
+        "fetches, each": " ".join(str(run["fetches in 30 s"]) for run in runs),
+        "broken": sum(run["broken"] for run in runs),
+    }
 
 
 def main():
@@ -138,12 +180,16 @@
     if told.wrong:
         days = [
             ({"restarted": "4 of 4", "told": "nothing"}, (told.hosts, "nothing", 4, LIARS["0%"])),
-            *(({"restarted": "4 of 4", "told": f"{wrong} wrong"}, (told.hosts, "peers", 4, LIARS[wrong]))
-              for wrong in LIARS)]
+            *(
+                ({"restarted": "4 of 4", "told": f"{wrong} wrong"}, (told.hosts, "peers", 4, LIARS[wrong]))
+                for wrong in LIARS
+            ),
+        ]
     else:
-        days = [({"restarted": f"{struck} of 4", "told by": mode}, (told.hosts, mode, struck, LIARS["0%"]))
-                for struck, mode in itertools.product(map(int, told.struck.split(",")),
-                                                      told.modes.split(","))]
+        days = [
+            ({"restarted": f"{struck} of 4", "told by": mode}, (told.hosts, mode, struck, LIARS["0%"]))
+            for struck, mode in itertools.product(map(int, told.struck.split(",")), told.modes.split(","))
+        ]
 
     def one(work):
         (_, (hosts, mode, struck, decisions)), seed = work
--- a/benchmarks/leaving.py
+++ b/benchmarks/leaving.py
@@ -8,6 +8,7 @@
 and turn one attempt in ten away, so that it is sent on. The lag runs from just before the close to when the
 host has read the attempt, so it holds the peers' own lateness, which is told beside it.
 """
+
 import argparse
 import json
 import os
@@ -29,9 +30,9 @@
 from gaproute.standins.platform.parties import ChangeLog, Client, LineHost, event
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-HOSTS, KEPT = 12, 300          # kept connections of clients
+HOSTS, KEPT = 12, 300  # kept connections of clients
 WORK, LEAVES = 30 * MILLI, 20 * MILLI
-WARM = 2 * SECOND              # first ones, which count for nothing
+WARM = 2 * SECOND  # first ones, which count for nothing
 TRACKS = (Track("check"), Track("check"), Track("check"), Track("order", "effectful"))
 
 
@@ -62,7 +63,7 @@
 class Play:
     def __init__(self, loop, rate, seconds, seed, core, folder):
         self.loop, self.chance, self.rate = loop, Chance(seed), rate
-        self.left, self.late = {}, 0             # id: when its client left
+        self.left, self.late = {}, 0  # id: when its client left
         self.sent, self.answers, log = 0, [], ChangeLog(loop)
         hosts = os.fork()
         if not hosts:
@@ -71,13 +72,24 @@
             os._exit(0)
         while not Path(folder, "hosts").exists():
             loop.run(until=loop.sleep(MILLI))
-        known = {"seq": 1, "results": [event(1, *[
-            (f"s-{place}", host, "Ready") for place, host in
-            enumerate(json.loads(Path(folder, "hosts").read_text()))], complete=True)]}
+        known = {
+            "seq": 1,
+            "results": [
+                event(
+                    1,
+                    *[
+                        (f"s-{place}", host, "Ready")
+                        for place, host in enumerate(json.loads(Path(folder, "hosts").read_text()))
+                    ],
+                    complete=True,
+                )
+            ],
+        }
         where = "127.0.0.1:7390"
         command, told = ready(folder, charter("n1", where, log.address, known, settings(TRACKS[2:]), seed))
-        self.node = subprocess.Popen(["taskset", "-c", str(core), *command], env=os.environ | told,
-                                     stderr=subprocess.DEVNULL)
+        self.node = subprocess.Popen(
+            ["taskset", "-c", str(core), *command], env=os.environ | told, stderr=subprocess.DEVNULL
+        )
         try:
             loop.run(until=loop.sleep(SECOND))
             self.clients = [self.client(where) for _ in range(KEPT)]
@@ -129,10 +141,17 @@
 def row(rate, play):
     lags = sorted(play.lags.get(name, 0) / MILLI for name in play.left)
     share = sum(lag > 100 for lag in lags) / len(lags)
-    return {"tasks/s": rate, "loop, of a core": f"{play.busy:.2f}",
-            "served": f"{play.served / play.asked:.0%}", "left": len(lags), "begun after": len(play.lags),
-            "99th, ms": f"{lags[int(0.99 * len(lags))]:.1f}", "latest, ms": f"{lags[-1]:.1f}",
-            "over 0.1 s": f"{share:.2%}", "peers late by, ms": f"{play.late / MILLI:.1f}"}
+    return {
+        "tasks/s": rate,
+        "loop, of a core": f"{play.busy:.2f}",
+        "served": f"{play.served / play.asked:.0%}",
+        "left": len(lags),
+        "begun after": len(play.lags),
+        "99th, ms": f"{lags[int(0.99 * len(lags))]:.1f}",
+        "latest, ms": f"{lags[-1]:.1f}",
+        "over 0.1 s": f"{share:.2%}",
+        "peers late by, ms": f"{play.late / MILLI:.1f}",
+    }
 
 
 def main():
--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -11,6 +11,7 @@
 process in the calm minute, the simulation's own cost in it. Figures are the median of the seeds, in brackets
 the least and the most.
 """
+
 import argparse
 import sys
 import time
@@ -29,8 +30,8 @@
 from gaproute.standins.net import LINK, Net
 
 SECOND = 1_000_000_000
-CALM = 60                # s
-LONG = 240               # s, until which something is waited for
+CALM = 60  # s
+LONG = 240  # s, until which something is waited for
 
 
 class Bytes(Net):
@@ -66,16 +67,22 @@
     net.run(CALM * SECOND)
     spent = time.process_time() - spent
     nodes = list(net.nodes.values())
-    told = {"messages/s": len(net.sizes) / CALM / size, "bytes/s": sum(net.sizes) / CALM / size,
-            "largest": max(net.sizes), "CPU, %": 100 * spent / CALM / size,
-            "suspicions": sum(node.suspicions for node in nodes),
-            "wrongly dead": sum(member.state in (DEAD, LEFT) for node in nodes
-                                for member in node.members.values())}
+    told = {
+        "messages/s": len(net.sizes) / CALM / size,
+        "bytes/s": sum(net.sizes) / CALM / size,
+        "largest": max(net.sizes),
+        "CPU, %": 100 * spent / CALM / size,
+        "suspicions": sum(node.suspicions for node in nodes),
+        "wrongly dead": sum(
+            member.state in (DEAD, LEFT) for node in nodes for member in node.members.values()
+        ),
+    }
     net.down.add("g1")
     others = [node for name, node in net.nodes.items() if name != "g1"]
     told["first knows, s"] = net.until(lambda: any(node.members["g1"].state == DEAD for node in others))
     told["all know, s"] = (told["first knows, s"] or 0) + net.until(
-        lambda: all(node.members["g1"].state == DEAD for node in others))
+        lambda: all(node.members["g1"].state == DEAD for node in others)
+    )
     net.start("new", 77 + seed, {"g2": "g2"})
     born = net.now
     told["it knows, s"] = net.until(lambda: len(net.nodes["new"].table.alive) >= size * 0.99 - 1)
@@ -104,8 +111,12 @@
     net.run(60 * SECOND)
     for name in killed:
         net.start(name, chance.below(1 << 30), peers)
-    return net.until(lambda: net.whole() and all(member.state == ALIVE for node in net.nodes.values()
-                                                 for member in node.members.values()))
+    return net.until(
+        lambda: (
+            net.whole()
+            and all(member.state == ALIVE for node in net.nodes.values() for member in node.members.values())
+        )
+    )
 
 
 def told_of(found):
@@ -115,8 +126,10 @@
     missed = len(found) - len(known)
     if not known:
         return f"not in {LONG}"
-    middle, low, high = (f"{figure:.3g}" if figure < 1000 else f"{figure:.0f}"
-                         for figure in (median(known), known[0], known[-1]))
+    middle, low, high = (
+        f"{figure:.3g}" if figure < 1000 else f"{figure:.0f}"
+        for figure in (median(known), known[0], known[-1])
+    )
     return middle + (f" ({low}-{high})" if low != high else "") + (f", {missed} never" if missed else "")
 
 
@@ -127,10 +140,14 @@
         runs = [run for (_, *case), run in found.items() if case[:2] == [size, loss]]
         calm = [run for run in runs if "largest" in run]
         if calm:
-            more = {name: told_of([run[name] for run in runs if name in run])
-                    for name in ("heal, s", "roll, s")}
-            rows.append({"gateways": size, "lost": f"{loss:.0%}", "plays": len(calm)} | {
-                name: told_of([run[name] for run in calm]) for name in calm[0]} | more)
+            more = {
+                name: told_of([run[name] for run in runs if name in run]) for name in ("heal, s", "roll, s")
+            }
+            rows.append(
+                {"gateways": size, "lost": f"{loss:.0%}", "plays": len(calm)}
+                | {name: told_of([run[name] for run in calm]) for name in calm[0]}
+                | more
+            )
     return rows
 
 
@@ -155,7 +172,7 @@
             found[case] = ended.result() if case[0] == "calm" else {f"{case[0]}, s": ended.result()}
             print(case, found[case], flush=True)
             rows = table(sorted(cases), found)
-            if rows:                    # what has ended is kept, whatever becomes of the rest
+            if rows:  # what has ended is kept, whatever becomes of the rest
                 write(told.out, "membership", rows)
 
 
--- a/benchmarks/module.py
+++ b/benchmarks/module.py
@@ -6,6 +6,7 @@
 With --against, the decisions of that revision are measured in turn with the present ones, each run in a
 process of its own.
 """
+
 import argparse
 import cProfile
 import importlib
@@ -20,14 +21,35 @@
 ROOT = Path(__file__).resolve().parent.parent
 MILLI, SECOND = 1_000_000, 1_000_000_000
 MODELS = 300
-LAG = 40                 # tasks in flight
+LAG = 40  # tasks in flight
 PLACES = (("gaproute.decisions.route", "gaproute.decisions.chance"), ("gaproute.policy", "gaproute.policy"))
-TOLD = {"tenant_shares": (), "over_share_value": 1.0, "keep_alive": 10 * SECOND, "orders_allowed": True,
-        "order_free": 6, "order_share": 0.3, "order_window": 10 * SECOND, "counts_alike": True,
-        "notes_warmth": True, "probes_allowed": True, "reports_by_probe": False, "reported": (),
-        "probe_price": 0.0, "peer_price": 0.0, "peers_allowed": False, "gateways": 1, "cancel_allowed": True,
-        "twins_allowed": True, "relay_limit": 4, "advice_limit": SECOND, "cold_share": 0.2,
-        "cold_time": 10 * SECOND, "must_ask_list": False, "zone": -1, "crossing_price": 0.0}
+TOLD = {
+    "tenant_shares": (),
+    "over_share_value": 1.0,
+    "keep_alive": 10 * SECOND,
+    "orders_allowed": True,
+    "order_free": 6,
+    "order_share": 0.3,
+    "order_window": 10 * SECOND,
+    "counts_alike": True,
+    "notes_warmth": True,
+    "probes_allowed": True,
+    "reports_by_probe": False,
+    "reported": (),
+    "probe_price": 0.0,
+    "peer_price": 0.0,
+    "peers_allowed": False,
+    "gateways": 1,
+    "cancel_allowed": True,
+    "twins_allowed": True,
+    "relay_limit": 4,
+    "advice_limit": SECOND,
+    "cold_share": 0.2,
+    "cold_time": 10 * SECOND,
+    "must_ask_list": False,
+    "zone": -1,
+    "crossing_price": 0.0,
+}
 
 
 def decisions():
@@ -47,8 +69,14 @@
     tracks = (face.Track(face.Effect.PURE, face.Group.ALL, 0, SECOND, 4 * SECOND, 1.0),)
     terms = face.Terms(tracks=tracks, **{name: TOLD[name] for name in face.Terms._fields if name in TOLD})
     gateway, chance = made(7, terms, 0), dice(3)
-    gateway.listed(0, [face.Listed(f"h{number}", number % 3, number % 5, face.State.ACTIVE, 4.0, None)
-                       for number in range(hosts)], True)
+    gateway.listed(
+        0,
+        [
+            face.Listed(f"h{number}", number % 3, number % 5, face.State.ACTIVE, 4.0, None)
+            for number in range(hosts)
+        ],
+        True,
+    )
     weights = [int(1e6 / (rank + 1)) for rank in range(MODELS)]
     ladder, total = [], 0
     for weight in weights:
@@ -90,8 +118,12 @@
 
 def apart(root, hosts, tasks):
     """One play in a process of its own, by the decisions of that tree."""
-    told = subprocess.run([sys.executable, __file__, "--once", root, "--hosts", str(hosts), "--tasks",
-                           str(tasks)], capture_output=True, check=True, text=True)
+    told = subprocess.run(
+        [sys.executable, __file__, "--once", root, "--hosts", str(hosts), "--tasks", str(tasks)],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
     return float(told.stdout)
 
 
@@ -130,9 +162,14 @@
             for _ in range(3):
                 for name, root in trees.items():
                     runs[name].append(apart(root, hosts, told.tasks))
-            print(f"{hosts} hosts: " + ", ".join(f"{name} {sorted(times)[1] * 1e3:.3f} ms a task (of "
-                                                 f"{min(times) * 1e3:.3f} to {max(times) * 1e3:.3f})"
-                                                 for name, times in runs.items()))
+            print(
+                f"{hosts} hosts: "
+                + ", ".join(
+                    f"{name} {sorted(times)[1] * 1e3:.3f} ms a task (of "
+                    f"{min(times) * 1e3:.3f} to {max(times) * 1e3:.3f})"
+                    for name, times in runs.items()
+                )
+            )
 
 
 if __name__ == "__main__":
--- a/benchmarks/parsers.py
+++ b/benchmarks/parsers.py
@@ -1,7 +1,8 @@
 """httptools against h11 for one typical infer request, whole and cut in two: microseconds each, medians.
 
-    python benchmarks/parsers.py      (needs requirements-test.txt)
+python benchmarks/parsers.py      (needs requirements-test.txt)
 """
+
 import json
 import sys
 import time
@@ -57,8 +58,10 @@
                 way(parts, 3000)
                 taken.append((time.process_time() - begun) / 3000 * 1e6)
         ours, other = (median(taken) for taken in times.values())
-        print(f"{name}: httptools, all of Reader, {ours:.1f} us; h11, its answer's bookkeeping included, "
-              f"{other:.1f} us; {other / ours:.1f} times")
+        print(
+            f"{name}: httptools, all of Reader, {ours:.1f} us; h11, its answer's bookkeeping included, "
+            f"{other:.1f} us; {other / ours:.1f} times"
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -8,6 +8,7 @@
 other: a new one is started first, then the old one closes its listening socket and ends. Counted: tasks that
 failed, that took over 100 ms and over 1 s.
 """
+
 import argparse
 import os
 import random
@@ -55,8 +56,11 @@
 
 def child(sock, wait):
     os.set_inheritable(sock.fileno(), True)
-    made = subprocess.Popen([sys.executable, __file__, "serve", str(sock.fileno())], pass_fds=[sock.fileno()],
-                            stdout=subprocess.PIPE)
+    made = subprocess.Popen(
+        [sys.executable, __file__, "serve", str(sock.fileno())],
+        pass_fds=[sock.fileno()],
+        stdout=subprocess.PIPE,
+    )
     if wait:
         made.stdout.readline()
     return made
@@ -82,6 +86,7 @@
     def task(at):
         def came(answer, fault):
             times.append((loop.now() - at, answer is not None))
+
         Exchange(loop, data, came).open((socket.AF_INET, ("127.0.0.1", port)), 10 * SECOND, 16384, 1 << 20)
 
     def arrivals():
@@ -102,7 +107,7 @@
             yield loop.sleep(SECOND)
 
     def replaced(place):
-        children.append(start(wait=False))       # the clients go on meanwhile
+        children.append(start(wait=False))  # the clients go on meanwhile
         yield loop.sleep(700 * 1_000_000)
         children[place].send_signal(signal.SIGTERM)
 
@@ -115,9 +120,12 @@
         each.wait()
         each.stdout.close()
     first.close()
-    return {"tasks": len(times), "failed": sum(not well for _, well in times),
-            "over 100 ms": sum(took > SECOND // 10 for took, _ in times),
-            "over 1 s": sum(took > SECOND for took, _ in times)}
+    return {
+        "tasks": len(times),
+        "failed": sum(not well for _, well in times),
+        "over 100 ms": sum(took > SECOND // 10 for took, _ in times),
+        "over 1 s": sum(took > SECOND for took, _ in times),
+    }
 
 
 def main():
--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -7,6 +7,7 @@
 answer at once; one load process holds 64 connections. First as fast as it goes (tasks a second, CPU a task by
 the kernel's account), then at half the module's rate for the latency added over asking the hosts directly.
 """
+
 import argparse
 import json
 import os
@@ -51,14 +52,22 @@
 
 def hosts(count):
     loop = Loop()
-    metrics = (b"endpoint-load-metrics",
-               b'JSON {"cpu_utilization": 0.3, "named_metrics": {"queue": 0, "copy": 1, "alike": 0}}')
-    body = json.dumps({"model_name": "m", "outputs": [{"name": "o", "shape": [1], "datatype": "BYTES",
-                                                       "data": ["y" * 100]}]}).encode()
+    metrics = (
+        b"endpoint-load-metrics",
+        b'JSON {"cpu_utilization": 0.3, "named_metrics": {"queue": 0, "copy": 1, "alike": 0}}',
+    )
+    body = json.dumps(
+        {
+            "model_name": "m",
+            "outputs": [{"name": "o", "shape": [1], "datatype": "BYTES", "data": ["y" * 100]}],
+        }
+    ).encode()
     servers = []
     for _ in range(count):
+
         def handle(request):
             request.link.server.answer(request, 200, (metrics,), body)
+
         servers.append(Server(loop, address("127.0.0.1:0"), handle))
     print(json.dumps([server.address for server in servers]), flush=True)
     loop.run()
@@ -69,8 +78,13 @@
     loop, chance = Loop(), random.Random(seed)
     weights = [1 / (rank + 1) for rank in range(MODELS)]
     names = chance.choices(range(MODELS), weights, k=20000)
-    requests = [(f"POST /v2/models/m{name}/infer HTTP/1.1\r\nHost: g\r\nContent-Type: application/json\r\n"
-                 f"Content-Length: {len(BODY)}\r\n\r\n{BODY}").encode() for name in names]
+    requests = [
+        (
+            f"POST /v2/models/m{name}/infer HTTP/1.1\r\nHost: g\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(BODY)}\r\n\r\n{BODY}"
+        ).encode()
+        for name in names
+    ]
     idle, times, state = [], [], {"sent": 0, "bad": 0, "begun": 0}
 
     def send(link, at):
@@ -115,8 +129,17 @@
         connect(loop, address(targets[place % len(targets)]), SECOND, ready)
     loop.run()
     times.sort()
-    print(json.dumps({"tasks": len(times), "bad": state["bad"], "rate": len(times) / seconds,
-                      "p50_ms": times[len(times) // 2] / 1e6, "p99_ms": times[len(times) * 99 // 100] / 1e6}))
+    print(
+        json.dumps(
+            {
+                "tasks": len(times),
+                "bad": state["bad"],
+                "rate": len(times) / seconds,
+                "p50_ms": times[len(times) // 2] / 1e6,
+                "p99_ms": times[len(times) * 99 // 100] / 1e6,
+            }
+        )
+    )
 
 
 def play(targets, seconds, rate=0, seed=1):
@@ -145,8 +168,11 @@
         file = Path(folder, decisions.replace(":", "-") + ".conf")
         file.write_text("\n".join(lines) + "\n")
         environment = os.environ | {"PYTHONPATH": f"{Path(__file__).parent}:{Path(__file__).parent.parent}"}
-        self.process = subprocess.Popen([sys.executable, "-m", "gaproute", "serve", str(file), "--seed", "1"],
-                                        stderr=subprocess.PIPE, env=environment)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "gaproute", "serve", str(file), "--seed", "1"],
+            stderr=subprocess.PIPE,
+            env=environment,
+        )
         while True:
             told = json.loads(self.process.stderr.readline())
             if told["event"] == "started":
@@ -177,12 +203,17 @@
         sink = subprocess.Popen([sys.executable, __file__, "hosts", str(count)], stdout=subprocess.PIPE)
         where = json.loads(sink.stdout.readline())
         with tempfile.TemporaryDirectory() as folder:
-            made = {name: Gate(where, decisions, folder) for name, decisions in (
-                ("module", "gaproute.decisions.route:Gateway"), ("next in turn", "relay:NextInTurn"))}
+            made = {
+                name: Gate(where, decisions, folder)
+                for name, decisions in (
+                    ("module", "gaproute.decisions.route:Gateway"),
+                    ("next in turn", "relay:NextInTurn"),
+                )
+            }
             for gate in made.values():
-                gate.measure(2)                  # warms up: connections, tables
+                gate.measure(2)  # warms up: connections, tables
             fast = {name: [] for name in made}
-            for seed in range(3):                # in turn, so that the machine's drift strikes both
+            for seed in range(3):  # in turn, so that the machine's drift strikes both
                 for name, gate in made.items():
                     fast[name].append(gate.measure(told.seconds / 3, seed=seed))
             fast = {name: sorted(runs, key=lambda run: run["cpu_ms"])[1] for name, runs in fast.items()}
@@ -191,11 +222,18 @@
             calm = {name: gate.measure(told.seconds, half) for name, gate in made.items()}
             for name, gate in made.items():
                 gate.end()
-                rows.append({"hosts": count, "decisions": name, "tasks_per_s": round(fast[name]["rate"]),
-                             "cpu_ms": round(fast[name]["cpu_ms"], 3),
-                             "bad": fast[name]["bad"] + calm[name]["bad"], "at_rate": round(half),
-                             "added_p50_ms": round(calm[name]["p50_ms"] - direct["p50_ms"], 2),
-                             "added_p99_ms": round(calm[name]["p99_ms"] - direct["p99_ms"], 2)})
+                rows.append(
+                    {
+                        "hosts": count,
+                        "decisions": name,
+                        "tasks_per_s": round(fast[name]["rate"]),
+                        "cpu_ms": round(fast[name]["cpu_ms"], 3),
+                        "bad": fast[name]["bad"] + calm[name]["bad"],
+                        "at_rate": round(half),
+                        "added_p50_ms": round(calm[name]["p50_ms"] - direct["p50_ms"], 2),
+                        "added_p99_ms": round(calm[name]["p99_ms"] - direct["p99_ms"], 2),
+                    }
+                )
                 print(rows[-1], flush=True)
         sink.kill()
         sink.wait()
--- a/benchmarks/rig.py
+++ b/benchmarks/rig.py
@@ -7,6 +7,7 @@
 and as lines on standard output. `--direct`: without the wire; `--quiet-wire`: through it, without the
 script's faults.
 """
+
 import argparse
 import json
 import statistics
@@ -25,8 +26,11 @@
     if direct:
         text = text.replace("\nrig ", "\nrig direct yes ", 1)
     if quiet:
-        text = "\n".join(line for line in text.split("\n")
-                         if line.split(" ")[0] not in ("fault", "strike", "list", "trouble"))
+        text = "\n".join(
+            line
+            for line in text.split("\n")
+            if line.split(" ")[0] not in ("fault", "strike", "list", "trouble")
+        )
     return text
 
 
@@ -45,14 +49,47 @@
 
 
 def play(script, seed, out):
-    subprocess.run([sys.executable, "-m", "gaproute", "trial", str(script), "--seed", str(seed), "--json",
-                    "--out", str(out)], stdout=subprocess.DEVNULL)
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "gaproute",
+            "trial",
+            str(script),
+            "--seed",
+            str(seed),
+            "--json",
+            "--out",
+            str(out),
+        ],
+        stdout=subprocess.DEVNULL,
+    )
     told = json.loads((out / "verdict.json").read_text())
-    begun = next((json.loads(line)["at"] for line in (out / "run.tap").read_bytes().split(b"\n")
-                  if b'"begun"' in line), 0)
-    row = {key: told.get(key) for key in ("seed", "verdict", "void", "service", "ready_s", "took_s",
-                                          "late_ms", "gateways_waited", "relays", "orders", "fetches",
-                                          "windows")}
+    begun = next(
+        (
+            json.loads(line)["at"]
+            for line in (out / "run.tap").read_bytes().split(b"\n")
+            if b'"begun"' in line
+        ),
+        0,
+    )
+    row = {
+        key: told.get(key)
+        for key in (
+            "seed",
+            "verdict",
+            "void",
+            "service",
+            "ready_s",
+            "took_s",
+            "late_ms",
+            "gateways_waited",
+            "relays",
+            "orders",
+            "fetches",
+            "windows",
+        )
+    }
     broken = [each["rule"] for each in told.get("broken", ())]
     row["broken"] = {rule: broken.count(rule) for rule in sorted(set(broken))}
     row["evenness"] = evenness(out, begun, read_script(str(script)).day.length)
@@ -80,10 +117,13 @@
         (told.out / "rig.json").write_text(json.dumps(rows, indent=1))
         row = rows[-1]
         late = ", ".join(f"{who} {late:.0f}" for who, late in row["late_ms"].items())
-        print(f"seed {seed}: {row['verdict']}; service {row['service'] and round(row['service'], 3)}; ready "
-              f"{row['ready_s']} s; late ms: {late}; waited {row['gateways_waited']:.3f}; "
-              f"broken {row['broken']}; "
-              f"evenness {row['evenness']}", flush=True)
+        print(
+            f"seed {seed}: {row['verdict']}; service {row['service'] and round(row['service'], 3)}; ready "
+            f"{row['ready_s']} s; late ms: {late}; waited {row['gateways_waited']:.3f}; "
+            f"broken {row['broken']}; "
+            f"evenness {row['evenness']}",
+            flush=True,
+        )
 
 
 if __name__ == "__main__":
--- a/benchmarks/rows.py
+++ b/benchmarks/rows.py
@@ -1,4 +1,5 @@
 """Rows of a measurement as a table in Markdown and as JSON."""
+
 import json
 import time
 from pathlib import Path
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -7,6 +7,7 @@
 the start: their time to the answer, what became of the storm's tasks and when the last ended; once with the
 admission as it is, once with all that waits in one line, in the order of coming, accepts first.
 """
+
 import argparse
 import json
 import os
@@ -54,20 +55,42 @@
                     lot.fresh.append((fd, seen))
 
         Lot.look = look
-        Admission.next = lambda self, known, fresh, arriving: (ARRIVING if arriving else FRESH if fresh
-                                                               else None)
+        Admission.next = lambda self, known, fresh, arriving: (
+            ARRIVING if arriving else FRESH if fresh else None
+        )
     from gaproute.cli.main import main
+
     main(["serve", file, "--seed", "1"])
 
 
 def play(where, folder, count, storm, seed):
     script, out = Path(folder, "load"), Path(folder, "out")
-    script.write_text(LOAD.format(
-        where=where, count=count, over=max(1, count // 3000), storm="storm at 50ms share 0.5 back 1s" * storm,
-        orders=",".join(f"/v2/models/o{n}/infer" for n in range(20)),
-        checks=",".join(f"/v2/models/c{n}/infer" for n in range(60))))
-    subprocess.run([sys.executable, "-m", "gaproute", "load", str(script), "--seed", str(seed), "--out",
-                    str(out), "--json"], capture_output=True, cwd=HERE.parent.parent)
+    script.write_text(
+        LOAD.format(
+            where=where,
+            count=count,
+            over=max(1, count // 3000),
+            storm="storm at 50ms share 0.5 back 1s" * storm,
+            orders=",".join(f"/v2/models/o{n}/infer" for n in range(20)),
+            checks=",".join(f"/v2/models/c{n}/infer" for n in range(60)),
+        )
+    )
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "gaproute",
+            "load",
+            str(script),
+            "--seed",
+            str(seed),
+            "--out",
+            str(out),
+            "--json",
+        ],
+        capture_output=True,
+        cwd=HERE.parent.parent,
+    )
     return read_result(out)
 
 
@@ -78,8 +101,11 @@
         lines += [f"model o{n} track order lanes 4" for n in range(20)]
         lines += [f"model c{n} track check lanes 4" for n in range(60)]
         file.write_text(CONFIG + "\n".join(lines) + "\n")
-        gate = subprocess.Popen([sys.executable, str(HERE), "serve", str(file), form], stderr=subprocess.PIPE,
-                                cwd=HERE.parent.parent)
+        gate = subprocess.Popen(
+            [sys.executable, str(HERE), "serve", str(file), form],
+            stderr=subprocess.PIPE,
+            cwd=HERE.parent.parent,
+        )
         while True:
             told = json.loads(gate.stderr.readline())
             if told["event"] == "started":
@@ -98,20 +124,30 @@
                 for end, n in tally.ends.items():
                     ends[end] = ends.get(end, 0) + n
             quiet = tallies["orders"]
-            found.append({"calm p99": calm.figures()["p99"], "storm p99": quiet.figures()["p99"],
-                          "quiet, not well": sum(n for end, n in quiet.ends.items()
-                                                 if end not in ("delivered", "given up")),
-                          "storm's tasks": sum(ends.values()), "delivered": ends.get("delivered", 0),
-                          "declined": ends.get("declined", 0), "scrapped": ends.get("scrapped", 0),
-                          "no answer": sum(n for end, n in ends.items()
-                                           if end not in ("delivered", "declined", "scrapped")),
-                          "storm's p99, ms": max(tally.figures()["p99"] for tally in storm),
-                          "CPU, s": cpu(gate.pid) - before})
+            found.append(
+                {
+                    "calm p99": calm.figures()["p99"],
+                    "storm p99": quiet.figures()["p99"],
+                    "quiet, not well": sum(
+                        n for end, n in quiet.ends.items() if end not in ("delivered", "given up")
+                    ),
+                    "storm's tasks": sum(ends.values()),
+                    "delivered": ends.get("delivered", 0),
+                    "declined": ends.get("declined", 0),
+                    "scrapped": ends.get("scrapped", 0),
+                    "no answer": sum(
+                        n for end, n in ends.items() if end not in ("delivered", "declined", "scrapped")
+                    ),
+                    "storm's p99, ms": max(tally.figures()["p99"] for tally in storm),
+                    "CPU, s": cpu(gate.pid) - before,
+                }
+            )
         gate.terminate()
         gate.wait()
         gate.stderr.close()
     return {"admission": form, "connections": count} | {
-        name: round(median(run[name] for run in found), 1) for name in found[0]}
+        name: round(median(run[name] for run in found), 1) for name in found[0]
+    }
 
 
 def main():
@@ -120,8 +156,9 @@
     arguments.add_argument("--runs", type=int, default=3)
     arguments.add_argument("--out", default="docs/measured")
     told = arguments.parse_args()
-    sink = subprocess.Popen([sys.executable, str(HERE.with_name("relay.py")), "hosts", "10"],
-                            stdout=subprocess.PIPE)
+    sink = subprocess.Popen(
+        [sys.executable, str(HERE.with_name("relay.py")), "hosts", "10"], stdout=subprocess.PIPE
+    )
     hosts = json.loads(sink.stdout.readline())
     rows = []
     for count in map(int, told.connections.split(",")):
--- a/benchmarks/telling.py
+++ b/benchmarks/telling.py
@@ -6,6 +6,7 @@
 The giver relays at half of what it can do, and knows 300 functions. In every second window ten learners begin
 at once, take the whole snapshot, and go on asking for changes, as after a roll over ten gateways.
 """
+
 import argparse
 import json
 import subprocess
@@ -55,6 +56,7 @@
 
 def ask(where):
     import socket
+
     with socket.socket(socket.AF_UNIX) as sock:
         sock.connect(where)
         sock.sendall(b"GET /status HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
@@ -69,20 +71,28 @@
     arguments.add_argument("--seconds", type=float, default=4)
     arguments.add_argument("--out", default="docs/measured")
     told = arguments.parse_args()
-    sink = subprocess.Popen([sys.executable, str(Path(__file__).with_name("relay.py")), "hosts",
-                             str(told.hosts)], stdout=subprocess.PIPE)
+    sink = subprocess.Popen(
+        [sys.executable, str(Path(__file__).with_name("relay.py")), "hosts", str(told.hosts)],
+        stdout=subprocess.PIPE,
+    )
     hosts = json.loads(sink.stdout.readline())
     windows = {False: [], True: []}
     with tempfile.TemporaryDirectory() as folder:
-        gate = Gate(hosts, "gaproute.decisions.route:Gateway", folder, f"listen peers unix:{folder}/p",
-                    f"listen operator unix:{folder}/o")
+        gate = Gate(
+            hosts,
+            "gaproute.decisions.route:Gateway",
+            folder,
+            f"listen peers unix:{folder}/p",
+            f"listen operator unix:{folder}/o",
+        )
         gate.where = gate.where[:1]
         rate = sorted(gate.measure(2)["rate"] for _ in range(3))[1] / 2
         for pair in range(told.pairs):
-            for learners in ((False, True) if pair % 2 else (True, False)):
+            for learners in (False, True) if pair % 2 else (True, False):
                 asking = learners and subprocess.Popen(
                     [sys.executable, __file__, "learn", f"unix:{folder}/p", str(told.seconds)],
-                    stdout=subprocess.PIPE)
+                    stdout=subprocess.PIPE,
+                )
                 before = ask(f"{folder}/o")
                 run = gate.measure(told.seconds, rate, pair + 1)
                 after = ask(f"{folder}/o")
@@ -95,12 +105,22 @@
     sink.wait()
     rows = []
     for learners, runs in windows.items():
-        rows.append({"learners": LEARNERS if learners else 0, "tasks/s": round(rate)} | {
-            name: round(median(run[key] for run in runs), 3) for name, key in (
-                ("CPU, ms a task", "cpu_ms"), ("p50, ms", "p50_ms"), ("p99, ms", "p99_ms"),
-                ("telling, % of a core", "telling"), ("facts told", "facts"), ("asks put off", "put_off"),
-                ("snapshots whole", "whole"))} | {
-            "p99 of each": " ".join(f"{run['p99_ms']:.1f}" for run in runs)})
+        rows.append(
+            {"learners": LEARNERS if learners else 0, "tasks/s": round(rate)}
+            | {
+                name: round(median(run[key] for run in runs), 3)
+                for name, key in (
+                    ("CPU, ms a task", "cpu_ms"),
+                    ("p50, ms", "p50_ms"),
+                    ("p99, ms", "p99_ms"),
+                    ("telling, % of a core", "telling"),
+                    ("facts told", "facts"),
+                    ("asks put off", "put_off"),
+                    ("snapshots whole", "whole"),
+                )
+            }
+            | {"p99 of each": " ".join(f"{run['p99_ms']:.1f}" for run in runs)}
+        )
         print(rows[-1], flush=True)
     write(told.out, "telling", rows)
 
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -8,6 +8,7 @@
 stop of 100 s after which all are due: how much one turn does. In the heap a move cancels and pushes; in the
 wheel it takes the entry out of its list of slots; in the calendar it only notes the new time.
 """
+
 import argparse
 import heapq
 import random
@@ -140,10 +141,14 @@
     now += 100 * SECOND
     begun = time.perf_counter_ns()
     fired = made.step(now)
-    return {"bytes each": round(memory), "us a move": round(moves / moved / 1000, 2),
-            "us a step": round(steps / (SPAN // STEP) / 1000, 2), "longest step, us": round(longest / 1000),
-            "first turn after a stop, us": round((time.perf_counter_ns() - begun) / 1000),
-            "fired in it": fired}
+    return {
+        "bytes each": round(memory),
+        "us a move": round(moves / moved / 1000, 2),
+        "us a step": round(steps / (SPAN // STEP) / 1000, 2),
+        "longest step, us": round(longest / 1000),
+        "first turn after a stop, us": round((time.perf_counter_ns() - begun) / 1000),
+        "fired in it": fired,
+    }
 
 
 def main():
--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -17,6 +17,7 @@
 demand    mean error of the ten most wanted functions' arrivals a second, %; spread: told, over the true one
 warm      copies used within 60 s that a reader can name, %; false: named, but never there
 """
+
 import argparse
 import heapq
 import random
@@ -39,8 +40,8 @@
 from gaproute.shared.weak.invariants import check, own_alone
 
 SECOND = 1_000_000_000
-STEP = SECOND // 4       # in which tasks come
-LINK = 5_000_000         # that a word takes
+STEP = SECOND // 4  # in which tasks come
+LINK = 5_000_000  # that a word takes
 HOSTS, FUNCTIONS, RATE, HELD = 120, 100, 15, 0.3
 PLAY, FROM, EVERY, READERS = 45, 20, 5, 10
 CASES = {"none": 0, "5% lost": 0.05, "20% lost": 0.2, "30% cut": 0, "5% lie": 0}
@@ -49,8 +50,8 @@
 def poisson(dice, mean_of):
     """Knuth's way below 30, the normal distribution above."""
     if mean_of > 30:
-        return max(0, round(dice.gauss(mean_of, mean_of ** 0.5)))
-    limit, count, product = 2.718281828459045 ** -mean_of, 0, dice.random()
+        return max(0, round(dice.gauss(mean_of, mean_of**0.5)))
+    limit, count, product = 2.718281828459045**-mean_of, 0, dice.random()
     while product > limit:
         count, product = count + 1, product * dice.random()
     return count
@@ -60,8 +61,9 @@
     def __init__(self, size, case, seed):
         self.dice, self.size, self.loss = random.Random(f"{size} {case} {seed}"), size, CASES[case]
         names = [f"gate-{number}" for number in range(size)]
-        self.nodes = {name: Weak(name, 1, Chance(seed * 10_000 + place), 0)
-                      for place, name in enumerate(names)}
+        self.nodes = {
+            name: Weak(name, 1, Chance(seed * 10_000 + place), 0) for place, name in enumerate(names)
+        }
         self.hosts = [f"host-{number:03}" for number in range(HOSTS)]
         self.functions = [f"model-{number:03}" for number in range(FUNCTIONS)]
         self.wanted = [1 / (place + 1) for place in range(FUNCTIONS)]
@@ -69,18 +71,19 @@
         self.busy = {host: self.dice.uniform(0.3, 1.7) for host in self.hosts}
         weights = [self.dice.choice((1 / 30, 0.5, 1, 1, 1, 1.5, 10)) for _ in names]
         self.rates = {name: RATE * weight * size / sum(weights) for name, weight in zip(names, weights)}
-        self.cut = {(one, other) for one in names for other in names
-                    if case == "30% cut" and self.dice.random() < 0.3}
+        self.cut = {
+            (one, other) for one in names for other in names if case == "30% cut" and self.dice.random() < 0.3
+        }
         self.liars = set(names[::20]) if case == "5% lie" else set()
         for node in self.nodes.values():
             node.peers(0, names)
             node.listed(0, dict.fromkeys(self.hosts, 1))
         self.now, self.count, self.events = 0, 0, []
-        self.hands = {name: Counter() for name in names}      # name: tasks in hand by host
+        self.hands = {name: Counter() for name in names}  # name: tasks in hand by host
         self.ends = []
         self.true = Counter()
-        self.past = []                                        # true counts of the last steps
-        self.copies = {}                                      # (host, function): last used
+        self.past = []  # true counts of the last steps
+        self.copies = {}  # (host, function): last used
         self.spent, self.out, self.came, self.words, self.breaches = 0.0, 0, Counter(), 0, []
 
     def tasks(self):
@@ -106,7 +109,7 @@
                 node.saw_hands(self.now, host, self.hands[name][host])
                 until = self.now + round(self.dice.expovariate(1 / HELD) * SECOND)
                 heapq.heappush(self.ends, (until, name, host))
-        self.past = [*self.past, Counter(self.true)][-5 * SECOND // STEP:]
+        self.past = [*self.past, Counter(self.true)][-5 * SECOND // STEP :]
 
     def push(self, when, name, data=None, sender=None):
         self.count += 1
@@ -118,8 +121,14 @@
         sent = []
         for to, word in words:
             if name in self.liars:
-                lie = Page(HANDS, 0, word.pages[0].counter, 0, 0.0, tuple(
-                    [(node.own.key(host), 1e6) for host in self.hosts[:64]]))
+                lie = Page(
+                    HANDS,
+                    0,
+                    word.pages[0].counter,
+                    0,
+                    0.0,
+                    tuple([(node.own.key(host), 1e6) for host in self.hosts[:64]]),
+                )
                 word = word._replace(pages=(lie, *word.pages[1:]))
             made = word_pb2.Word(version=1, kind=6, weak=encode(word))
             made.sender.name = name
@@ -170,14 +179,21 @@
         for place, function in enumerate(self.functions[:10]):
             told, true = node.demand(now, function, 0), rate * self.wanted[place] / share
             demand.append(100 * abs(told.total - true) / true)
-            spread.append(told.spread / (true / 2) ** 0.5)          # a step of 2 s: Poisson
+            spread.append(told.spread / (true / 2) ** 0.5)  # a step of 2 s: Poisson
         lately = {copy for copy, used in self.copies.items() if now - used < 60 * SECOND}
         named = {(host, function) for function in self.functions for host in node.warm(now, function)}
-        return {"read, us": 1e6 * spent, "hands": error({host: each.total for host, each in hands.items()}),
-                "alone": error({host: self.hands[name][host] * self.size for host in self.hosts}),
-                "now": error(self.true), "age, s": one.age / SECOND, "tellers": one.tellers,
-                "demand": mean(demand), "spread": mean(spread),
-                "warm": 100 * len(named & lately) / len(lately), "false": len(named - self.copies.keys())}
+        return {
+            "read, us": 1e6 * spent,
+            "hands": error({host: each.total for host, each in hands.items()}),
+            "alone": error({host: self.hands[name][host] * self.size for host in self.hosts}),
+            "now": error(self.true),
+            "age, s": one.age / SECOND,
+            "tellers": one.tellers,
+            "demand": mean(demand),
+            "spread": mean(spread),
+            "warm": 100 * len(named & lately) / len(lately),
+            "false": len(named - self.copies.keys()),
+        }
 
 
 def play(size, case, seed):
@@ -196,15 +212,20 @@
     breaches = fleet.breaches + [breach for node in fleet.nodes.values() for breach in check(node, True)]
     assert not breaches, breaches[:3]
     span = PLAY - FROM
-    return {"words/s": fleet.words / span / size, "bytes/s": fleet.out / span / size,
-            "busiest": max(fleet.came.values()) / span, "CPU, %": 100 * fleet.spent / span / size} | {
-        name: mean([each[name] for each in found]) for name in found[0]}
+    return {
+        "words/s": fleet.words / span / size,
+        "bytes/s": fleet.out / span / size,
+        "busiest": max(fleet.came.values()) / span,
+        "CPU, %": 100 * fleet.spent / span / size,
+    } | {name: mean([each[name] for each in found]) for name in found[0]}
 
 
 def told_of(runs, name):
     found = sorted(run[name] for run in runs)
-    middle, low, high = (f"{figure:.3g}" if figure < 1000 else f"{figure:.0f}"
-                         for figure in (median(found), found[0], found[-1]))
+    middle, low, high = (
+        f"{figure:.3g}" if figure < 1000 else f"{figure:.0f}"
+        for figure in (median(found), found[0], found[-1])
+    )
     return middle + (f" ({low}-{high})" if low != high else "")
 
 
--- a/benchmarks/weak_bytes.py
+++ b/benchmarks/weak_bytes.py
@@ -6,6 +6,7 @@
 figures are too high rather than too low. `refused`: a word of a sender whose budget is spent, a stranger's, a
 datagram of noise, one beyond the 2,000 that are read in a second.
 """
+
 import argparse
 import os
 import socket
@@ -41,13 +42,19 @@
 
 
 def words():
-    hands = [Page(HANDS, 0, 1, 0, 0.0, tuple((number * 7919, 1.0) for number in range(count)))
-             for count in (5, ENTRIES[HANDS])]
-    demand = Page(DEMAND, 0, 1, 0, 3.0, tuple((number * 7919, 0, 1.5, 0.5)
-                                              for number in range(ENTRIES[DEMAND])))
+    hands = [
+        Page(HANDS, 0, 1, 0, 0.0, tuple((number * 7919, 1.0) for number in range(count)))
+        for count in (5, ENTRIES[HANDS])
+    ]
+    demand = Page(
+        DEMAND, 0, 1, 0, 3.0, tuple((number * 7919, 0, 1.5, 0.5) for number in range(ENTRIES[DEMAND]))
+    )
     warm = Page(WARM, 0, 1, 0, 0.0, tuple((number * 7919, 8, 10**9) for number in range(ENTRIES[WARM])))
-    return {"5 tasks in hand": Word(1, (hands[0],)), "5 tasks in hand, demand": Word(1, (hands[0], demand)),
-            "64 tasks in hand, warm": Word(1, (hands[1], warm))}
+    return {
+        "5 tasks in hand": Word(1, (hands[0],)),
+        "5 tasks in hand, demand": Word(1, (hands[0], demand)),
+        "64 tasks in hand, warm": Word(1, (hands[1], warm)),
+    }
 
 
 def wrapped(data):
@@ -63,8 +70,12 @@
 
     def call():
         count[0] += 1
-        weak.hear(count[0] * 10**9, "a", word._replace(pages=tuple(
-            [page._replace(counter=count[0]) for page in word.pages])))
+        weak.hear(
+            count[0] * 10**9,
+            "a",
+            word._replace(pages=tuple([page._replace(counter=count[0]) for page in word.pages])),
+        )
+
     return spent(call)
 
 
@@ -78,6 +89,7 @@
     def call():
         one.send(data, where)
         other._ready(0)
+
     cost = spent(call)
     one.close(), other.close()
     assert len(came) == ROUNDS * TIMES
@@ -104,11 +116,18 @@
         def call():
             gossip.read = before
             gossip._heard(data)
+
         return spent(call)
 
-    rows = [{"word": name, "bytes": len(told), "refused, us": heard(told, before)} for name, told, before in (
-        ("over the sender's budget", data, 0), ("a stranger's", stranger, 0), ("noise", noise, 0),
-        ("beyond 2,000 a second", data, MOST))]
+    rows = [
+        {"word": name, "bytes": len(told), "refused, us": heard(told, before)}
+        for name, told, before in (
+            ("over the sender's budget", data, 0),
+            ("a stranger's", stranger, 0),
+            ("noise", noise, 0),
+            ("beyond 2,000 a second", data, MOST),
+        )
+    ]
     gossip.close()
     return rows
 
@@ -119,10 +138,17 @@
     rows = []
     for name, word in words().items():
         data = encode(word)
-        rows.append({"word": name, "bytes": len(wrapped(data)),
-                     "encode, us": spent(lambda: wrapped(encode(word))),
-                     "decode, us": spent(lambda: decode(word_pb2.Word.FromString(wrapped(data)).weak)),
-                     "merge, us": merging(word), "socket, us": on_sockets(wrapped(data)), "refused, us": "-"})
+        rows.append(
+            {
+                "word": name,
+                "bytes": len(wrapped(data)),
+                "encode, us": spent(lambda: wrapped(encode(word))),
+                "decode, us": spent(lambda: decode(word_pb2.Word.FromString(wrapped(data)).weak)),
+                "merge, us": merging(word),
+                "socket, us": on_sockets(wrapped(data)),
+                "refused, us": "-",
+            }
+        )
         print(rows[-1])
     for row in refusals():
         rows.append({name: row.get(name, "-") for name in rows[0]})
--- a/benchmarks/wide.py
+++ b/benchmarks/wide.py
@@ -5,6 +5,7 @@
 
     python -m benchmarks.wide [--hosts 60,120,400,1000] [--seconds 15] [--plays 3]
 """
+
 import argparse
 import json
 import os
@@ -21,18 +22,20 @@
 from gaproute.trial.processes import Process
 
 MILLI = 1_000_000
-RATE = 3.0               # tasks a second
+RATE = 3.0  # tasks a second
 FUNCTIONS = 400
-CHANGES = 40             # of a line of the list
-HOSTS_EACH = 250         # in one stand-in process
+CHANGES = 40  # of a line of the list
+HOSTS_EACH = 250  # in one stand-in process
 TRACKS = [charter.Track("fault-check", earnings=3.0)]
-MODELS = [{"name": f"{number:016x}", "track": TRACKS[0].name, "lanes": 4, "work": 40 * MILLI,
-           "start": 100 * MILLI} for number in range(1, FUNCTIONS + 1)]
+MODELS = [
+    {"name": f"{number:016x}", "track": TRACKS[0].name, "lanes": 4, "work": 40 * MILLI, "start": 100 * MILLI}
+    for number in range(1, FUNCTIONS + 1)
+]
 
 
 def cpu(pid):
     """Seconds of CPU that the process has taken."""
-    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9      # of its one thread
+    return int(Path(f"/proc/{pid}/schedstat").read_text().split()[0]) / 1e9  # of its one thread
 
 
 class Scene:
@@ -40,10 +43,18 @@
         self.folder, self.processes, self.listing = Path(folder), [], Listing()
         where = {}
         for first in range(0, count, HOSTS_EACH):
-            _, told = self.standin("platform-host", {
-                "models": MODELS, "taps": folder, "seed": 3, "hosts": [
-                    {"listen": "127.0.0.2:0", "warm": True, "make": {"name": f"s-{number}", "copies": 12}}
-                    for number in range(first, min(count, first + HOSTS_EACH))]})
+            _, told = self.standin(
+                "platform-host",
+                {
+                    "models": MODELS,
+                    "taps": folder,
+                    "seed": 3,
+                    "hosts": [
+                        {"listen": "127.0.0.2:0", "warm": True, "make": {"name": f"s-{number}", "copies": 12}}
+                        for number in range(first, min(count, first + HOSTS_EACH))
+                    ],
+                },
+            )
             where |= told["addresses"]
         self.where = where
         whole = self.listing.change(*[member(name, at) for name, at in where.items()])
@@ -57,8 +68,12 @@
         return process, json.loads(process.child.stdout.readline())
 
     def gateway(self, changelog):
-        command, environment = charter.write(self.folder, charter.charter(
-            "g0", "127.0.0.2:0", changelog, self.listing.known(), charter.settings(TRACKS, gateways=200)))
+        command, environment = charter.write(
+            self.folder,
+            charter.charter(
+                "g0", "127.0.0.2:0", changelog, self.listing.known(), charter.settings(TRACKS, gateways=200)
+            ),
+        )
         self.said = self.folder / "g0.log"
         with open(self.said, "wb") as log:
             self.child = subprocess.Popen(command, env=os.environ | environment, stderr=log)
@@ -88,10 +103,18 @@
             time.sleep(0.05)
 
     def serve(self, seconds):
-        clients, _ = self.standin("platform-clients", {
-            "gateways": [self.listens], "models": MODELS, "seed": 5, "tap": f"{self.folder}/clients",
-            "kinds": [{"name": TRACKS[0].name, "share": 1.0, "limit": 5000 * MILLI, "pure": True}],
-            "habits": {"rate": RATE}, "length": int(seconds * 1000) * MILLI})
+        clients, _ = self.standin(
+            "platform-clients",
+            {
+                "gateways": [self.listens],
+                "models": MODELS,
+                "seed": 5,
+                "tap": f"{self.folder}/clients",
+                "kinds": [{"name": TRACKS[0].name, "share": 1.0, "limit": 5000 * MILLI, "pure": True}],
+                "habits": {"rate": RATE},
+                "length": int(seconds * 1000) * MILLI,
+            },
+        )
         clients.child.wait(seconds + 40)
 
     def end(self):
@@ -107,7 +130,7 @@
         scene = Scene(folder, hosts)
         try:
             start = cpu(scene.child.pid)
-            scene.spent(lambda: time.sleep(1))       # what the start leaves to be done
+            scene.spent(lambda: time.sleep(1))  # what the start leaves to be done
             said = scene.said.stat().st_size
             idle = scene.spent(lambda: time.sleep(seconds)) / seconds
             said = (scene.said.stat().st_size - said) / seconds
@@ -134,7 +157,8 @@
         plays = [play(hosts, told.seconds) for _ in range(told.plays)]
         start, idle, change, task, said = (
             f"{median(each) * factor:.2f} ({min(each) * factor:.2f} to {max(each) * factor:.2f})"
-            for each, factor in zip(zip(*plays, strict=True), (1, 100, 1000, 1000, 1), strict=True))
+            for each, factor in zip(zip(*plays, strict=True), (1, 100, 1000, 1000, 1), strict=True)
+        )
         print(f"| {hosts} | {start} | {idle} | {change} | {task} | {said} |", flush=True)
 
 
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -7,6 +7,7 @@
 two messages. The far end answers from another process. A wire that held none of the connections, lost a
 message or ran late says so in its own row.
 """
+
 import argparse
 import itertools
 import json
@@ -29,12 +30,16 @@
 
 SECOND = 1_000_000_000
 TICKS = os.sysconf("SC_CLK_TCK")
-FIRST, HOSTS = 16, 120               # seats: hosts from FIRST on, callers behind them
-SMALL = b"x" * 200                   # bytes of a small message
-IDLE = 3                             # seconds of rest that are measured
-AT_ONCE = 64                         # connections that exchange at the same time
-FAULTS = {"none": None, "elsewhere": {"kind": "cut", "from": ["h0"], "to": ["h1"]},
-          "lose nothing": {"kind": "lose", "share": 0.0}, "delay 5 ms": {"kind": "delay", "delay_ms": 5}}
+FIRST, HOSTS = 16, 120  # seats: hosts from FIRST on, callers behind them
+SMALL = b"x" * 200  # bytes of a small message
+IDLE = 3  # seconds of rest that are measured
+AT_ONCE = 64  # connections that exchange at the same time
+FAULTS = {
+    "none": None,
+    "elsewhere": {"kind": "cut", "from": ["h0"], "to": ["h1"]},
+    "lose nothing": {"kind": "lose", "share": 0.0},
+    "delay 5 ms": {"kind": "delay", "delay_ms": 5},
+}
 
 
 def echo():
@@ -53,9 +58,10 @@
 
     def opened(sock):
         stream = Stream(loop, sock, lambda data: stream.write(data), lambda error: None)
+
     tcp = Listener(loop, (socket.AF_INET, ("127.0.0.1", 0)), opened)
     loop.watch(udp.fileno(), READ, back)
-    loop.watch(0, READ, lambda events: loop.stop())          # stdin's end
+    loop.watch(0, READ, lambda events: loop.stop())  # stdin's end
     print(tcp.address, "{}:{}".format(*udp.getsockname()), flush=True)
     loop.run()
 
@@ -64,18 +70,25 @@
     """The echo, a wire before it, and what the wire has cost since it was last asked."""
 
     def __init__(self, callers):
-        self.echo = subprocess.Popen([sys.executable, __file__, "--echo"], stdin=subprocess.PIPE, text=True,
-                                     stdout=subprocess.PIPE)
+        self.echo = subprocess.Popen(
+            [sys.executable, __file__, "--echo"], stdin=subprocess.PIPE, text=True, stdout=subprocess.PIPE
+        )
         self.tcp, self.udp = self.echo.stdout.readline().split()
-        seats = {FIRST + n: {"name": f"h{n}", "kind": "host", "tcp": self.tcp, "udp": self.udp}
-                 for n in range(HOSTS)}
+        seats = {
+            FIRST + n: {"name": f"h{n}", "kind": "host", "tcp": self.tcp, "udp": self.udp}
+            for n in range(HOSTS)
+        }
         self.callers = range(FIRST + HOSTS, FIRST + HOSTS + callers)
         seats |= {n: {"name": f"g{n}", "kind": "gateway"} for n in self.callers}
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
-        self.wire = subprocess.Popen([sys.executable, "-m", "gaproute.rig.wire"], stdin=subprocess.PIPE,
-                                     stdout=subprocess.PIPE, text=True,
-                                     cwd=Path(__file__).resolve().parent.parent)
+        self.wire = subprocess.Popen(
+            [sys.executable, "-m", "gaproute.rig.wire"],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+            cwd=Path(__file__).resolve().parent.parent,
+        )
         self.tell({"tcp": self.port, "udp": self.port, "seed": 1, "seats": seats})
         self.wire.stdout.readline()
         self.spent = self.cpu()
@@ -107,11 +120,18 @@
     said, spent = party.ask(), party.cost()
     spans.sort()
     lost = said["overrun"] + said["unsent"] + said["spilt"]
-    return {"part": name, "count": count, "cpu_us": round(spent / count * 1e6, 1),
-            "median_us": round(spans[len(spans) // 2] / 1e3) if spans else "",
-            "p99_us": round(spans[len(spans) * 99 // 100] / 1e3) if spans else "",
-            "late_ms": round(said["late_ns"] / 1e6, 1), "held": said["connections"], "lost": lost,
-            "ends": called, "wrong": len(said["errors"]) + len(said["breaches"])}
+    return {
+        "part": name,
+        "count": count,
+        "cpu_us": round(spent / count * 1e6, 1),
+        "median_us": round(spans[len(spans) // 2] / 1e3) if spans else "",
+        "p99_us": round(spans[len(spans) * 99 // 100] / 1e3) if spans else "",
+        "late_ms": round(said["late_ns"] / 1e6, 1),
+        "held": said["connections"],
+        "lost": lost,
+        "ends": called,
+        "wrong": len(said["errors"]) + len(said["breaches"]),
+    }
 
 
 def exchanges(socks, count, send):
@@ -125,7 +145,7 @@
     while len(spans) < count:
         ready = poll.poll(5)
         if not ready:
-            break                    # lost on the way: the row's count shows it
+            break  # lost on the way: the row's count shows it
         for fd, _ in ready:
             if len(by[fd].recv(2048)) == size:
                 now = time.perf_counter_ns()
@@ -138,8 +158,10 @@
 
 def streams(party, name, count, direct=False):
     host, port = party.tcp.split(":")
-    wired = [(between(party.callers[n % len(party.callers)], FIRST + n % HOSTS), party.port)
-             for n in range(AT_ONCE)]
+    wired = [
+        (between(party.callers[n % len(party.callers)], FIRST + n % HOSTS), party.port)
+        for n in range(AT_ONCE)
+    ]
     socks = [socket.create_connection((host, port) if direct else where) for where in wired]
     party.ask(), party.cost()
     spans = exchanges(socks, count, lambda sock: sock.send(SMALL))
@@ -157,12 +179,19 @@
     turns = {}
     for n, sock in enumerate(socks):
         sock.bind(("127.0.0.1", 0))
-        callers = party.callers[n::at_once][:pairs // HOSTS // at_once + 1]
-        turns[sock] = itertools.cycle([(between(a, FIRST + b), party.port)
-                                       for a in callers for b in range(HOSTS)])
+        callers = party.callers[n::at_once][: pairs // HOSTS // at_once + 1]
+        turns[sock] = itertools.cycle(
+            [(between(a, FIRST + b), party.port) for a in callers for b in range(HOSTS)]
+        )
     place = ["{}:{}".format(*sock.getsockname()) for sock in socks]
-    party.tell({"seat": {a: {"name": f"g{a}", "kind": "gateway", "udp": place[n % at_once]}
-                         for n, a in enumerate(party.callers)}})
+    party.tell(
+        {
+            "seat": {
+                a: {"name": f"g{a}", "kind": "gateway", "udp": place[n % at_once]}
+                for n, a in enumerate(party.callers)
+            }
+        }
+    )
     party.ask(), party.cost()
     spans = exchanges(socks, count, lambda sock: sock.sendto(SMALL, next(turns[sock])))
     made = row(party, name, 2 * len(spans), spans, min(pairs, count))
@@ -180,11 +209,16 @@
         where = between(party.callers[n % len(party.callers)], FIRST + n % HOSTS)
         socks.append(socket.create_connection((where, party.port)))
         socks[-1].send(SMALL)
-        socks[-1].recv(2048)         # the far end is there
+        socks[-1].recv(2048)  # the far end is there
         spans.append(time.perf_counter_ns() - began)
     yield row(party, f"{name}: opening, with one exchange", count, spans, count)
-    yield row(party, f"{name}: messages over {AT_ONCE} of them", 2 * 10_000,
-              exchanges(socks[:AT_ONCE], 10_000, lambda sock: sock.send(SMALL)), count)
+    yield row(
+        party,
+        f"{name}: messages over {AT_ONCE} of them",
+        2 * 10_000,
+        exchanges(socks[:AT_ONCE], 10_000, lambda sock: sock.send(SMALL)),
+        count,
+    )
     time.sleep(IDLE)
     yield row(party, f"{name}: a second of rest", IDLE, [], count)
     words = Path(f"/proc/{party.wire.pid}/status").read_text().split("VmRSS:")[1].split()
@@ -216,8 +250,9 @@
             rows.append(datagrams(party, f"datagrams, fault: {name}", said.messages, AT_ONCE))
             if fault:
                 party.tell({"fault": "x", "off": True})
-        rows.append(datagrams(party, f"datagrams over {said.pairs} pairs", max(said.messages, said.pairs),
-                              said.pairs))
+        rows.append(
+            datagrams(party, f"datagrams over {said.pairs} pairs", max(said.messages, said.pairs), said.pairs)
+        )
         rows += opened(party, f"{said.held} held", said.held)
     finally:
         party.close()
--- a/gaproute/__main__.py
+++ b/gaproute/__main__.py
@@ -1,4 +1,5 @@
 """`python -m gaproute`: the same as the command `gaproute`."""
+
 from gaproute.cli.main import main
 
 main()
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -1,4 +1,5 @@
 """One gateway as a process: its parts wired, started and stopped. Decides nothing."""
+
 import os
 import secrets
 import signal
@@ -21,7 +22,7 @@
 from gaproute.record.logs import logger
 from gaproute.record.record import Record
 
-LAST_WORDS = 200_000_000     # ns, after the last final answer, for its bytes to leave
+LAST_WORDS = 200_000_000  # ns, after the last final answer, for its bytes to leave
 
 
 class Appliance:
@@ -32,11 +33,15 @@
         self.log = log or logger(level=charter.log_level).bind(gateway=charter.name)
         loop.on_error = lambda error: self.log.error("error", error=repr(error), exc_info=error)
         seed = secrets.randbits(64) if seed is None else seed
-        run = f"{charter.name}-{secrets.token_hex(3)}"     # task ids stay apart over restarts
+        run = f"{charter.name}-{secrets.token_hex(3)}"  # task ids stay apart over restarts
         self.record = Record(self.log, [line.name for line in charter.tracks])
         reach = charter.reach
-        self.hosts = Hosts(loop, Pooling(), Reach(reach.connect, reach.probe, reach.order, reach.connections,
-                                                  reach.answer), charter.name)
+        self.hosts = Hosts(
+            loop,
+            Pooling(),
+            Reach(reach.connect, reach.probe, reach.order, reach.connections, reach.answer),
+            charter.name,
+        )
         gateway = charter.decisions(seed, charter.terms, loop.now())
         self.core = Core(loop, gateway, charter.terms, self.hosts, self.record, run)
         self.listing = Listing(loop, sizes=charter.sizes_told)
@@ -46,8 +51,9 @@
         self.fronts, self.watch, self.started = [], None, loop.now()
         self.lot = Lot.of(loop)
         clients = charter.clients
-        self.lot.admission = Admission(clients.connections, clients.per_address, descriptors(),
-                                       Chance(seed + 3))
+        self.lot.admission = Admission(
+            clients.connections, clients.per_address, descriptors(), Chance(seed + 3)
+        )
         self.others = Others(loop, charter, gateway, self.record, seed)
 
     def start(self):
@@ -55,8 +61,16 @@
         try:
             for kind, where in self.charter.listens:
                 if kind == "kserve":
-                    self.fronts.append(Front(self.loop, address(where), self.core, self.charter, self.ready,
-                                             self.inherited.get(where)))
+                    self.fronts.append(
+                        Front(
+                            self.loop,
+                            address(where),
+                            self.core,
+                            self.charter,
+                            self.ready,
+                            self.inherited.get(where),
+                        )
+                    )
                 elif kind == "peers":
                     self.fronts.append(self.others.listen(where))
                 else:
@@ -73,8 +87,13 @@
         else:
             self.watch = FileWatch(self.loop, source.path, source.look, self.listed, self.list_refused)
         self.others.start()
-        self.log.info("started", listens=[front.address for front in self.fronts], hosts=len(self.rows),
-                      descriptors=descriptors(), clients=self.lot.admission.most)
+        self.log.info(
+            "started",
+            listens=[front.address for front in self.fronts],
+            hosts=len(self.rows),
+            descriptors=descriptors(),
+            clients=self.lot.admission.most,
+        )
 
     def listed(self, lines):
         """A whole host list. The host connections come first: the module may wish for a new host at once."""
@@ -82,9 +101,12 @@
         before, self.rows = self.rows, {row.listed.worker: row for row in rows}
         self.hosts.listed(rows, True)
         self.core.listed([row.listed for row in rows], True)
-        self.others.hosts_listed({
-            name: (row.listed.state.value, (self.listing.starts.get(name) or (0,))[0])
-            for name, row in self.rows.items()})
+        self.others.hosts_listed(
+            {
+                name: (row.listed.state.value, (self.listing.starts.get(name) or (0,))[0])
+                for name, row in self.rows.items()
+            }
+        )
         for name in sorted(before.keys() | self.rows.keys()):
             old, new = (table.get(name) for table in (before, self.rows))
             if old != new:
@@ -135,8 +157,9 @@
         self.loop.run()
         self.close()
         lived = max(1, self.loop.now() - self.started)
-        self.log.info("stopped", held=len(self.core.held),
-                      telling_share=round(self.others.spent() / lived, 6))
+        self.log.info(
+            "stopped", held=len(self.core.held), telling_share=round(self.others.spent() / lived, 6)
+        )
 
     def close(self):
         for front in self.fronts:
--- a/gaproute/appliance/keeping.py
+++ b/gaproute/appliance/keeping.py
@@ -1,4 +1,5 @@
 """Writes what this gateway saw to its memory on disk, in the background, a slice at a time."""
+
 import time
 
 from gaproute.decisions.told.asking import KEEP_EVERY, KEEP_WHOLE
@@ -6,7 +7,7 @@
 from gaproute.decisions.told.purse import SLICE, Purse
 from gaproute.decisions.told.roll import own
 
-MOST = 256               # facts in one transaction: about a millisecond
+MOST = 256  # facts in one transaction: about a millisecond
 
 
 class Keeper:
--- a/gaproute/appliance/operator.py
+++ b/gaproute/appliance/operator.py
@@ -1,4 +1,5 @@
 """What an operator is told of a running gateway, over HTTP."""
+
 import msgspec
 
 from gaproute.http1 import Server
@@ -11,23 +12,44 @@
 def status(gate):
     counts, others, lot, hosts = gate.record.table(), gate.others, gate.lot, gate.hosts
     giver, keeper, learner = others.giver, others.keeper, others.learner
-    return {"name": gate.charter.name, "stopping": gate.stopping, "ready": gate.ready(),
-            "up_ms": (gate.loop.now() - gate.started) // MILLI, "held": len(gate.core.held),
-            "late_turns": gate.loop.late_turns, "counts": counts,
-            "clients": {"connections": lot.held, "most": lot.admission.most, "parked": lot.parked,
-                        "displaced": lot.displaced, "turned_away": lot.turned_away,
-                        "idle_ended": lot.expired, "descriptors": descriptors(),
-                        "kept_back": lot.admission.reserve},
-            "connections": {"opened": hosts.opened, "reused": hosts.reused, "raced": hosts.raced},
-            "gateways": others.gossip.members.up() if others.gossip else None,
-            "weak_word": others.weak and others.weak.weak.status(gate.loop.now()),
-            "learnt": {"facts": len(others.lore.facts), "refused": dict(others.lore.refused),
-                       "peers": learner.state if learner else {}, "booked": learner.booked if learner else 0,
-                       "right": gate.core.gateway.right, "wrong": gate.core.gateway.wrong},
-            "telling": giver and {"facts": giver.told, "put_off": giver.put_off,
-                                  "cpu_ms": giver.spent / MILLI},
-            "memory": keeper and {"written": keeper.memory.written, "failed": keeper.memory.failed,
-                                  "cpu_ms": keeper.spent / MILLI, "longest_ms": keeper.longest / MILLI}}
+    return {
+        "name": gate.charter.name,
+        "stopping": gate.stopping,
+        "ready": gate.ready(),
+        "up_ms": (gate.loop.now() - gate.started) // MILLI,
+        "held": len(gate.core.held),
+        "late_turns": gate.loop.late_turns,
+        "counts": counts,
+        "clients": {
+            "connections": lot.held,
+            "most": lot.admission.most,
+            "parked": lot.parked,
+            "displaced": lot.displaced,
+            "turned_away": lot.turned_away,
+            "idle_ended": lot.expired,
+            "descriptors": descriptors(),
+            "kept_back": lot.admission.reserve,
+        },
+        "connections": {"opened": hosts.opened, "reused": hosts.reused, "raced": hosts.raced},
+        "gateways": others.gossip.members.up() if others.gossip else None,
+        "weak_word": others.weak and others.weak.weak.status(gate.loop.now()),
+        "learnt": {
+            "facts": len(others.lore.facts),
+            "refused": dict(others.lore.refused),
+            "peers": learner.state if learner else {},
+            "booked": learner.booked if learner else 0,
+            "right": gate.core.gateway.right,
+            "wrong": gate.core.gateway.wrong,
+        },
+        "telling": giver and {"facts": giver.told, "put_off": giver.put_off, "cpu_ms": giver.spent / MILLI},
+        "memory": keeper
+        and {
+            "written": keeper.memory.written,
+            "failed": keeper.memory.failed,
+            "cpu_ms": keeper.spent / MILLI,
+            "longest_ms": keeper.longest / MILLI,
+        },
+    }
 
 
 def host_table(gate):
@@ -35,9 +57,16 @@
     told = []
     for name, row in sorted(gate.rows.items()):
         host = gate.hosts.hosts.get(name)
-        told.append({"name": name, "address": row.where, "state": row.listed.state.value,
-                     "capacity": row.listed.capacity, "connections": len(host.open) if host else 0,
-                     "relays": relays.get(name, {})})
+        told.append(
+            {
+                "name": name,
+                "address": row.where,
+                "state": row.listed.state.value,
+                "capacity": row.listed.capacity,
+                "connections": len(host.open) if host else 0,
+                "relays": relays.get(name, {}),
+            }
+        )
     return told
 
 
@@ -49,9 +78,19 @@
         for tried, table in ((True, function.seen), (False, function.told)):
             for worker, seen in table.items():
                 fact = gate.others.lore.facts.get(("warm", worker, name))
-                told.append({"worker": worker, "function": name, "age_ms": (now - seen) // MILLI,
-                             "tried": tried, "by": "an answer" if worker in function.stands else
-                             fact.origin if fact else "a task sent"})
+                told.append(
+                    {
+                        "worker": worker,
+                        "function": name,
+                        "age_ms": (now - seen) // MILLI,
+                        "tried": tried,
+                        "by": "an answer"
+                        if worker in function.stands
+                        else fact.origin
+                        if fact
+                        else "a task sent",
+                    }
+                )
     return sorted(told, key=lambda each: each["age_ms"])
 
 
@@ -72,8 +111,14 @@
     return [{"what": what, **told} for what, told in gate.record.events]
 
 
-TABLES = {b"/status": status, b"/hosts": host_table, b"/knows": knowledge, b"/peers": peer_table,
-          b"/permits": permits, b"/events": events}
+TABLES = {
+    b"/status": status,
+    b"/hosts": host_table,
+    b"/knows": knowledge,
+    b"/peers": peer_table,
+    b"/permits": permits,
+    b"/events": events,
+}
 
 
 class Operator:
@@ -104,8 +149,9 @@
             told = strong.ask(read_order(request.body))
         except (ValueError, msgspec.ValidationError) as fault:
             told, status = {"error": str(fault)}, 400
-        self.server.answer(request, status, ((b"Content-Type", b"application/json"),),
-                           msgspec.json.encode(told))
+        self.server.answer(
+            request, status, ((b"Content-Type", b"application/json"),), msgspec.json.encode(told)
+        )
 
     def stop(self):
         """Stays to be asked while the last tasks end; `close` ends it."""
--- a/gaproute/appliance/others.py
+++ b/gaproute/appliance/others.py
@@ -1,4 +1,5 @@
 """What one gateway has to do with the others and with its own past life: parts wired, nothing decided."""
+
 from gaproute.appliance.keeping import Keeper
 from gaproute.appliance.strong import Strong
 from gaproute.conf import read_peers
@@ -32,11 +33,13 @@
     def listen(self, where):
         """The front at which others ask. Errors: OSError."""
         line = self.charter.keepers
-        self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks,
-                           LIMITS if line is None else ASKED)
+        self.giver = Giver(
+            self.loop, address(where), self.gateway, self.roll, self.tracks, LIMITS if line is None else ASKED
+        )
         try:
-            self.gossip = Gossip(self.loop, self.charter.name, self.giver.address, Chance(self.seed + 2),
-                                 self.record)
+            self.gossip = Gossip(
+                self.loop, self.charter.name, self.giver.address, Chance(self.seed + 2), self.record
+            )
             if line is not None:
                 self.strong = Strong(self.loop, self.charter.name, line, self.record, Chance(self.seed + 5))
                 self.giver.also[TARGET] = self.strong.handle
@@ -44,8 +47,9 @@
             self.giver.close()
             raise
         if self.charter.weak_word:
-            self.weak = Carrier(self.loop, self.charter.name, self.gossip, self.gateway,
-                                Chance(self.seed + 4))
+            self.weak = Carrier(
+                self.loop, self.charter.name, self.gossip, self.gateway, Chance(self.seed + 4)
+            )
         return self.giver
 
     def start(self):
@@ -80,14 +84,22 @@
                 self.lore.tell(subject, Fact(at, "past life", 0, value))
         booked = self.follow(self.lore.facts)
         self.whole()
-        self.record.event("info", "remembered", facts=len(self.lore.facts), booked=booked,
-                          refused=dict(self.lore.refused))
+        self.record.event(
+            "info", "remembered", facts=len(self.lore.facts), booked=booked, refused=dict(self.lore.refused)
+        )
         self.keeper = Keeper(self.loop, memory, self.gateway, self.roll, self.tracks)
 
     def follow(self, subjects):
         tracks = {name: place for place, name in enumerate(self.tracks)}
-        return self.lore.follow(self.gateway, self.loop.now(), self.roll.lives(), tracks,
-                                self.charter.terms.keep_alive, self.chance, subjects)
+        return self.lore.follow(
+            self.gateway,
+            self.loop.now(),
+            self.roll.lives(),
+            tracks,
+            self.charter.terms.keep_alive,
+            self.chance,
+            subjects,
+        )
 
     def whole(self):
         """All that one source tells has come: the mix is known now."""
--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -6,6 +6,7 @@
 `benchmarks/processes.py` has both. Each child is a gateway of its own: its own decisions, counts, ration,
 operator and peers addresses.
 """
+
 import os
 import signal
 import socket
@@ -22,7 +23,7 @@
 from gaproute.record.logs import logger
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-READY_TIME = 30 * SECOND     # for a child to start, on a crowded machine
+READY_TIME = 30 * SECOND  # for a child to start, on a crowded machine
 
 
 class Child:
@@ -32,13 +33,14 @@
     def __init__(self, loop, command, descriptors):
         self.loop, self.started = loop, loop.now()
         self.ready, self.ended = Promise(), Promise()
-        life, self.life = os.pipe2(os.O_CLOEXEC)             # its end tells the child that the parent is gone
+        life, self.life = os.pipe2(os.O_CLOEXEC)  # its end tells the child that the parent is gone
         self.told, says = os.pipe2(os.O_CLOEXEC | os.O_NONBLOCK)
         for fd in (life, says, *descriptors):
             os.set_inheritable(fd, True)
         try:
-            self.process = subprocess.Popen([*command, "--life", str(life), "--ready", str(says)],
-                                            pass_fds=(life, says, *descriptors))
+            self.process = subprocess.Popen(
+                [*command, "--life", str(life), "--ready", str(says)], pass_fds=(life, says, *descriptors)
+            )
         finally:
             os.close(life)
             os.close(says)
@@ -90,10 +92,10 @@
         self.loop = loop or Loop()
         self.log = log or logger(level=charter.log_level).bind(gateway=f"{charter.name}, parent")
         self.restarts = Restarts(Chance(os.getpid() if seed is None else seed))
-        self.children = {}           # seat: Child
-        self.sockets = {}            # address as configured: its listening socket
+        self.children = {}  # seat: Child
+        self.sockets = {}  # address as configured: its listening socket
         self.stopping = self.rolling = False
-        self.again = False           # a reload was asked for while one was under way
+        self.again = False  # a reload was asked for while one was under way
 
     def open(self, charter):
         """The listening sockets of a charter; those that stand already stay. Errors: OSError."""
@@ -118,13 +120,22 @@
         self.loop.on_signal(signal.SIGHUP, self.reload)
         for seat in range(self.count):
             self._start(seat)
-        self.log.info("parent started", processes=self.count,
-                      listens=[told(sock) for sock in self.sockets.values()])
+        self.log.info(
+            "parent started", processes=self.count, listens=[told(sock) for sock in self.sockets.values()]
+        )
 
     def _start(self, seat):
         sockets = self.open(self.charter)
-        command = [sys.executable, "-m", "gaproute", "serve", str(self.file), "--seat", str(seat),
-                   str(self.count)]
+        command = [
+            sys.executable,
+            "-m",
+            "gaproute",
+            "serve",
+            str(self.file),
+            "--seat",
+            str(seat),
+            str(self.count),
+        ]
         for where, sock in sockets.items():
             command += ["--inherited", f"{sock.fileno()}={where}"]
         if self.seed is not None:
@@ -135,7 +146,7 @@
 
     def _ended(self, seat, child, code):
         if self.children.get(seat) is not child:
-            return                           # rolled out: its place is taken
+            return  # rolled out: its place is taken
         del self.children[seat]
         if self.stopping:
             if not self.children:
--- a/gaproute/appliance/strong.py
+++ b/gaproute/appliance/strong.py
@@ -1,5 +1,6 @@
 """The strong word of one gateway: its seat among keepers and holders, and errands of the operators' address.
 Parts wired, nothing decided."""
+
 import secrets
 import time
 
@@ -9,19 +10,28 @@
 from gaproute.shared.permits.errands import Errands
 
 MILLI = 1_000_000
-LIVES = 40               # bits of a life's first errand: with 4,096 after it, all fit JSON's 2^53
+LIVES = 40  # bits of a life's first errand: with 4,096 after it, all fit JSON's 2^53
 
 
 class Strong:
     """`line`: the configuration's `keepers`. Errors: OSError where the file of votes cannot be had."""
 
     def __init__(self, loop, name, line, record, chance):
-        self.loop, self.peers = loop, {}         # name: address
+        self.loop, self.peers = loop, {}  # name: address
         self.disk = None
         if name in line.names:
             self.disk = Votes(line.votes, lambda text: record.event("warning", "votes", text=text)).open()
-        self.seat = Seat(loop, name, line.names, self.peers, record, chance, self.disk,
-                         base=time.time_ns() // MILLI, machine=Permits(longest=line.longest))
+        self.seat = Seat(
+            loop,
+            name,
+            line.names,
+            self.peers,
+            record,
+            chance,
+            self.disk,
+            base=time.time_ns() // MILLI,
+            machine=Permits(longest=line.longest),
+        )
         self.errands = Errands(self.seat.holder, line.longest, secrets.randbits(LIVES) << 12)
         self.timer = None
 
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -1,6 +1,7 @@
 """`gaproute serve|check|migrate|status|hosts|knows|peers|trial|day-script`. Exit codes: 0 well, 1 the thing
 asked about is not well (a broken rule, a gateway that is not ready), 2 wrong arguments or configuration, 3 it
 could not be done."""
+
 import gc
 import json
 import socket
@@ -54,9 +55,11 @@
     charter = charter_of(file)
     if processes is not None:
         from gaproute.appliance.parent import Parent
+
         runs = Parent(file, charter, processes, seed)
     else:
         from gaproute.appliance import Appliance
+
         sockets = {}
         for each in inherited:
             fd, _, where = each.partition("=")
@@ -73,8 +76,8 @@
     if life is not None:
         runs.under(life, ready)
     gc.collect()
-    gc.freeze()      # what stands for good is not looked through again and again: pauses of 20 ms and more
-    gc.set_threshold(10_000, 50, 100)    # a task leaves no cycles behind
+    gc.freeze()  # what stands for good is not looked through again and again: pauses of 20 ms and more
+    gc.set_threshold(10_000, 50, 100)  # a task leaves no cycles behind
     runs.run()
 
 
@@ -83,15 +86,21 @@
 def check(file):
     """Check the configuration FILE and the host list that it names; every mistake in one go."""
     charter = charter_of(file)
-    click.echo(f"{file}: well: {len(charter.tracks)} tracks, {len(charter.models)} models, "
-               f"{len(charter.hosts) or 'listed'} hosts")
+    click.echo(
+        f"{file}: well: {len(charter.tracks)} tracks, {len(charter.models)} models, "
+        f"{len(charter.hosts) or 'listed'} hosts"
+    )
 
 
 @main.command()
 @click.argument("old", type=click.Path(dir_okay=False))
 @click.argument("new", type=click.Path(dir_okay=False))
-@click.option("--shape", required=True, type=click.Path(dir_okay=False),
-              help="What the new deployment states, as lines of a configuration.")
+@click.option(
+    "--shape",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="What the new deployment states, as lines of a configuration.",
+)
 @click.option("--dry-run", is_flag=True, help="Print the result; write nothing.")
 @click.option("--replace", is_flag=True, help="Write NEW even where such a file stands.")
 def migrate(old, new, shape, dry_run, replace):
@@ -109,12 +118,14 @@
         try:
             write_whole(new, text, replace, kept=(old, shape))
         except FileExistsError:
-            click.echo(f"{new}: stands already; name another file or say --replace; nothing is written",
-                       err=True)
+            click.echo(
+                f"{new}: stands already; name another file or say --replace; nothing is written", err=True
+            )
             sys.exit(2)
         except OSError as fault:
-            click.echo(f"{new}: {fault.strerror}; name a file that can be written; nothing is written",
-                       err=True)
+            click.echo(
+                f"{new}: {fault.strerror}; name a file that can be written; nothing is written", err=True
+            )
             sys.exit(2)
     for each in left:
         click.echo(str(each), err=True)
@@ -179,8 +190,13 @@
         for column in ("track", "taken", "delivered", "declined", "scrapped", "left"):
             table.add_column(column, justify="left" if column == "track" else "right")
         for track in sorted(counts.get("taken", {})):
-            table.add_row(track, *(str(counts.get(what, {}).get(track, 0))
-                                   for what in ("taken", "delivered", "declined", "scrapped", "left")))
+            table.add_row(
+                track,
+                *(
+                    str(counts.get(what, {}).get(track, 0))
+                    for what in ("taken", "delivered", "declined", "scrapped", "left")
+                ),
+            )
         Console().print(table)
     sys.exit(0 if told["ready"] else 1)
 
@@ -190,11 +206,20 @@
 @json_option
 def hosts(where, plain):
     """The hosts that a running gateway knows."""
-    listing(where, b"/hosts", plain,
-            ("host", "address", "state", "capacity", "connections", "relays by outcome"),
-            lambda host: (host["name"], host["address"], host["state"], f"{host['capacity']:g}",
-                          str(host["connections"]),
-                          ", ".join(f"{name} {n}" for name, n in host["relays"].items())))
+    listing(
+        where,
+        b"/hosts",
+        plain,
+        ("host", "address", "state", "capacity", "connections", "relays by outcome"),
+        lambda host: (
+            host["name"],
+            host["address"],
+            host["state"],
+            f"{host['capacity']:g}",
+            str(host["connections"]),
+            ", ".join(f"{name} {n}" for name, n in host["relays"].items()),
+        ),
+    )
 
 
 @main.command()
@@ -202,9 +227,18 @@
 @json_option
 def knows(where, plain):
     """The copies that a running gateway believes to stand, the latest use first."""
-    listing(where, b"/knows", plain, ("host", "function", "last use", "known by"),
-            lambda copy: (copy["worker"], copy["function"], f"{copy['age_ms'] / 1000:.1f} s ago",
-                          copy["by"] if copy["tried"] else f"{copy['by']}, not yet tried"))
+    listing(
+        where,
+        b"/knows",
+        plain,
+        ("host", "function", "last use", "known by"),
+        lambda copy: (
+            copy["worker"],
+            copy["function"],
+            f"{copy['age_ms'] / 1000:.1f} s ago",
+            copy["by"] if copy["tried"] else f"{copy['by']}, not yet tried",
+        ),
+    )
 
 
 @main.command()
@@ -212,22 +246,33 @@
 @json_option
 def peers(where, plain):
     """The other gateways that a running one knows: who is up, and what each told at the start."""
+
     def cells(peer):
         heard = peer.get("heard_ms")
-        return (peer["name"], peer.get("where", ""), peer["state"] or "",
-                f"{peer['since_ms'] / 1000:.0f} s" if "since_ms" in peer else "",
-                f"{heard / 1000:.1f} s ago" if heard is not None else "never",
-                peer["learnt"] or "not asked")
-
-    listing(where, b"/peers", plain,
-            ("gateway", "address", "state", "for", "last heard", "told at the start"), cells)
+        return (
+            peer["name"],
+            peer.get("where", ""),
+            peer["state"] or "",
+            f"{peer['since_ms'] / 1000:.0f} s" if "since_ms" in peer else "",
+            f"{heard / 1000:.1f} s ago" if heard is not None else "never",
+            peer["learnt"] or "not asked",
+        )
+
+    listing(
+        where,
+        b"/peers",
+        plain,
+        ("gateway", "address", "state", "for", "last heard", "told at the start"),
+        cells,
+    )
 
 
 @main.command()
 @click.argument("script", default="bad-day")
 @click.option("--seed", default=1, help="Seed of the day's chance.")
-@click.option("--decisions", default="gaproute.decisions.route:Gateway",
-              help="The gateways' decisions, MODULE:CLASS.")
+@click.option(
+    "--decisions", default="gaproute.decisions.route:Gateway", help="The gateways' decisions, MODULE:CLASS."
+)
 @click.option("--out", type=click.Path(file_okay=False), help="Folder for taps, logs and result.json.")
 @json_option
 def trial(script, seed, decisions, out, plain):
@@ -237,6 +282,7 @@
     from pathlib import Path
 
     from gaproute.rig.script import read_script
+
     try:
         told = read_script(script)
     except Mistakes as wrong:
@@ -246,6 +292,7 @@
     if told.rig is not None:
         from gaproute.rig.platform.play import player
         from gaproute.rig.show import show
+
         Play = player(told)
     else:
         from gaproute.trial.run import Trial as Play
@@ -271,6 +318,7 @@
     from gaproute.load import Crowd, read_load
     from gaproute.load.results import write_result
     from gaproute.loop import Loop
+
     try:
         told = read_load(script)
     except Mistakes as wrong:
@@ -281,9 +329,14 @@
     loop.run(until=loop.spawn(crowd.play()).done)
     if out:
         write_result(out, told, seed, crowd.tallies, crowd.counts)
-    rows = [{"traffic": name, **tally.figures(), "not well": {end: count for end, count in tally.ends.items()
-                                                              if end != "delivered"}}
-            for name, tally in crowd.tallies.items()]
+    rows = [
+        {
+            "traffic": name,
+            **tally.figures(),
+            "not well": {end: count for end, count in tally.ends.items() if end != "delivered"},
+        }
+        for name, tally in crowd.tallies.items()
+    ]
     if plain:
         click.echo(json.dumps({"traffic": rows, "counts": dict(crowd.counts)}))
     else:
@@ -298,6 +351,7 @@
 def load_report(results, plain):
     """The results of one or more loads side by side."""
     from gaproute.load import compare
+
     try:
         rows = compare(results)
     except (OSError, ValueError) as fault:
@@ -323,6 +377,7 @@
 def day_script(day, hosts, gateways, scale):
     """Print a trial script with the troubles of a bench's DAY file (JSON)."""
     from gaproute.trial.daybook import script_of
+
     try:
         text, left_out = script_of(json.load(day), hosts, gateways, scale)
     except (ValueError, KeyError, TypeError) as fault:
--- a/gaproute/conf/__init__.py
+++ b/gaproute/conf/__init__.py
@@ -1,8 +1,17 @@
 """The configuration: line-based, checked by a schema, refused whole with every mistake in one go."""
+
 from gaproute.conf.charter import Charter
 from gaproute.conf.lines import Mistakes
 from gaproute.conf.moving import move, write_whole
 from gaproute.conf.reading import read_charter, read_hosts, read_peers, read_text
 
-__all__ = ["Charter", "Mistakes", "move", "read_charter", "read_hosts", "read_peers", "read_text",
-           "write_whole"]
+__all__ = [
+    "Charter",
+    "Mistakes",
+    "move",
+    "read_charter",
+    "read_hosts",
+    "read_peers",
+    "read_text",
+    "write_whole",
+]
--- a/gaproute/conf/across.py
+++ b/gaproute/conf/across.py
@@ -1,4 +1,5 @@
 """Mistakes that only show between lines."""
+
 from gaproute.conf.lines import Mistake
 from gaproute.conf.words.fleet import HostLine, KeepersLine, Listen, Word
 from gaproute.conf.words.tasks import ModelLine, TrackLine
@@ -10,8 +11,14 @@
     for word, line in found:
         if word in ("host", "track", "model", "tenant", "peer"):
             if (word, line.name) in first:
-                mistakes.append(Mistake(file, line.line, f"{word} {line.name} stands a second time",
-                                        f"keep line {first[word, line.name]} or this"))
+                mistakes.append(
+                    Mistake(
+                        file,
+                        line.line,
+                        f"{word} {line.name} stands a second time",
+                        f"keep line {first[word, line.name]} or this",
+                    )
+                )
             first.setdefault((word, line.name), line.line)
     return mistakes
 
@@ -21,16 +28,25 @@
     own = next((each.name for word, each in found if word == "name"), None)
     known = {own} | {each.name for word, each in found if word == "peer"}
     if own is None:
-        yield Mistake(file, line.line, "keepers without a name line: which of them is this gateway?",
-                      f"right would be: {Word.example}")
+        yield Mistake(
+            file,
+            line.line,
+            "keepers without a name line: which of them is this gateway?",
+            f"right would be: {Word.example}",
+        )
     if not any(word == "peers-file" for word, _ in found):
         for name in line.names:
             if name not in known:
-                yield Mistake(file, line.line, f"keeper {name} is no peer here",
-                              f"right would be: peer {name} 127.0.0.1:8091")
+                yield Mistake(
+                    file,
+                    line.line,
+                    f"keeper {name} is no peer here",
+                    f"right would be: peer {name} 127.0.0.1:8091",
+                )
     if own in line.names and line.votes is None:
-        yield Mistake(file, line.line, "a keeper without a file for its votes",
-                      f"right would be: {KeepersLine.example}")
+        yield Mistake(
+            file, line.line, "a keeper without a file for its votes", f"right would be: {KeepersLine.example}"
+        )
     if own is not None and own not in line.names and line.votes is not None:
         yield Mistake(file, line.line, "votes at a gateway that is no keeper", "leave votes out here")
 
@@ -61,23 +77,45 @@
             Mistake(file, line.line, "peers stand here and in a peers-file", "keep one of the two")
         )
     if "peers-file" in words and "name" not in words:
-        mistakes.append(Mistake(file, 0, "a peers-file without a name line: which peer is this gateway?",
-                                f"right would be: {Word.example}"))
+        mistakes.append(
+            Mistake(
+                file,
+                0,
+                "a peers-file without a name line: which peer is this gateway?",
+                f"right would be: {Word.example}",
+            )
+        )
     for word, line in found:
         if (word == "keepers" or word == "weak-word" and line.told) and not any(
-                other == "listen" and listen.kind == "peers" for other, listen in found):
-            mistakes.append(Mistake(file, line.line, f"{word} without a listen peers line",
-                                    "right would be: listen peers 127.0.0.1:8090"))
+            other == "listen" and listen.kind == "peers" for other, listen in found
+        ):
+            mistakes.append(
+                Mistake(
+                    file,
+                    line.line,
+                    f"{word} without a listen peers line",
+                    "right would be: listen peers 127.0.0.1:8090",
+                )
+            )
         if word == "keepers":
             mistakes += keepers(file, line, found)
         if word == "model" and line.track not in tracks:
-            mistakes.append(Mistake(file, line.line, f"model {line.name}: no track {line.track!r}",
-                                    f"the tracks here: {', '.join(tracks) or 'none'}"))
+            mistakes.append(
+                Mistake(
+                    file,
+                    line.line,
+                    f"model {line.name}: no track {line.track!r}",
+                    f"the tracks here: {', '.join(tracks) or 'none'}",
+                )
+            )
     wheres = {}
     for word, line in found:
         if word == "listen" and line.where in wheres and not line.where.endswith(":0"):
-            mistakes.append(Mistake(file, line.line, f"{line.where} is listened on twice",
-                                    f"see line {wheres[line.where]}"))
+            mistakes.append(
+                Mistake(
+                    file, line.line, f"{line.where} is listened on twice", f"see line {wheres[line.where]}"
+                )
+            )
         if word == "listen":
             wheres.setdefault(line.where, line.line)
     return mistakes
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -1,4 +1,5 @@
 """The charter that a checked configuration becomes."""
+
 from gaproute import interface as face
 from gaproute.conf.words import WORDS
 from gaproute.conf.words.fleet import PeerLine
@@ -60,7 +61,7 @@
             reported=(),
             probe_price=0.0,
             peer_price=0.0,
-            peers_allowed=False,     # they tell each other more, by their own way
+            peers_allowed=False,  # they tell each other more, by their own way
             gateways=1,
             cancel_allowed=relays.cancel,
             twins_allowed=relays.twins,
@@ -79,13 +80,17 @@
         base = self.name
         self.name = f"{base}-{number}"
         peers = [where for kind, where in self.listens if kind == "peers"]
-        self.listens = [(kind, where if kind == "kserve" else _seated(where, number))
-                        for kind, where in self.listens]
+        self.listens = [
+            (kind, where if kind == "kserve" else _seated(where, number)) for kind, where in self.listens
+        ]
         if self.memory is not None:
             self.memory = f"{self.memory}.{number}"
         if peers and not self.peers_file:
-            self.peers = self.peers + [PeerLine(name=f"{base}-{other}", where=_seated(peers[0], other))
-                                       for other in range(count + 1) if other != number]
+            self.peers = self.peers + [
+                PeerLine(name=f"{base}-{other}", where=_seated(peers[0], other))
+                for other in range(count + 1)
+                if other != number
+            ]
 
 
 def _seated(where, seat):
--- a/gaproute/conf/lines.py
+++ b/gaproute/conf/lines.py
@@ -4,6 +4,7 @@
 A directive's class names its positional words in `places`; the rest come as `keyword value`. Checking is
 pydantic's; what it says is turned into: file, line, what is wrong, what would be right.
 """
+
 import difflib
 import shlex
 from typing import Annotated, Any, ClassVar, NamedTuple
@@ -43,7 +44,7 @@
     if not isinstance(value, str):
         return value
     number = value.rstrip("abcdefghijklmnopqrstuvwxyz")
-    unit = value[len(number):]
+    unit = value[len(number) :]
     try:
         span = float(number) * UNITS[unit]
     except (ValueError, KeyError):
@@ -57,9 +58,9 @@
     if not isinstance(value, str):
         return value
     number = value.rstrip("kmg")
-    if not number.isdigit() or value[len(number):] not in SIZES:
+    if not number.isdigit() or value[len(number) :] not in SIZES:
         raise ValueError(f"{value!r} is no size: a whole number with k, m or g, such as 16m")
-    return int(number) * SIZES[value[len(number):]]
+    return int(number) * SIZES[value[len(number) :]]
 
 
 def _yes(value: Any):
@@ -77,7 +78,7 @@
 
 class Directive(BaseModel):
     model_config = ConfigDict(extra="forbid", frozen=True)
-    places: ClassVar[tuple[str, ...]] = ()     # fields given by place
+    places: ClassVar[tuple[str, ...]] = ()  # fields given by place
     example: ClassVar[str] = ""
     once: ClassVar[bool] = False
     line: int = 0
@@ -119,12 +120,15 @@
     """[what is wrong], directive or None."""
     places = kind.places
     if len(words) < len(places):
-        return [f"{' '.join(place.upper() for place in places[len(words):])} is missing"], None
+        return [f"{' '.join(place.upper() for place in places[len(words) :])} is missing"], None
     given = dict(zip(places, words))
-    rest = words[len(places):]
+    rest = words[len(places) :]
     wrong = []
-    names = {field.alias or name.replace("_", "-"): field.alias or name
-             for name, field in kind.model_fields.items() if name not in places and name != "line"}
+    names = {
+        field.alias or name.replace("_", "-"): field.alias or name
+        for name, field in kind.model_fields.items()
+        if name not in places and name != "line"
+    }
     for place in range(0, len(rest), 2):
         key = rest[place]
         if key not in names:
@@ -141,5 +145,8 @@
     try:
         return [], kind(line=number, **given)
     except ValidationError as fault:
-        return [f"{'.'.join(str(part) for part in error['loc']).replace('_', '-') or 'line'}: "
-                f"{error['msg'].removeprefix('Value error, ')}" for error in fault.errors()], None
+        return [
+            f"{'.'.join(str(part) for part in error['loc']).replace('_', '-') or 'line'}: "
+            f"{error['msg'].removeprefix('Value error, ')}"
+            for error in fault.errors()
+        ], None
--- a/gaproute/conf/moving.py
+++ b/gaproute/conf/moving.py
@@ -5,6 +5,7 @@
 are, each as stated there. What cannot be carried over is told with its line and why; the result is checked
 like any configuration.
 """
+
 import os
 import shlex
 import tempfile
@@ -22,6 +23,7 @@
 
 class Left(NamedTuple):
     """A line, or a part of one, that the new shape has no place for."""
+
     file: str
     line: int
     text: str
@@ -37,8 +39,14 @@
     mistakes += twice(file, found)
     for word, line in found:
         if word not in STATED:
-            mistakes.append(Mistake(file, line.line, f"{word} is no statement of a deployment",
-                                    f"a shape holds {', '.join(STATED)}; the rest stays in the old file"))
+            mistakes.append(
+                Mistake(
+                    file,
+                    line.line,
+                    f"{word} is no statement of a deployment",
+                    f"a shape holds {', '.join(STATED)}; the rest stays in the old file",
+                )
+            )
     if not found and not mistakes:
         mistakes.append(Mistake(file, 0, "states nothing", "name what the new deployment states"))
     if mistakes:
@@ -83,7 +91,7 @@
         if word in shape:
             used.add((word, key))
             places, stated = shape[word][key]
-            keywords = stated if word in NAMED else keywords | stated     # a track is stated whole
+            keywords = stated if word in NAMED else keywords | stated  # a track is stated whole
         if word == "model" and "track" in shape and keywords["track"] not in shape["track"]:
             leave(" ".join(words), f"the new deployment has no track {keywords['track']}")
             continue
@@ -96,8 +104,12 @@
         if word in shape or keywords != before:
             raw = _line(word, places, keywords) + _comment(raw, words)
         lines.append(raw)
-    rest = [_line(word, *parts) for word, named in shape.items() for key, parts in named.items()
-            if (word, key) not in used]
+    rest = [
+        _line(word, *parts)
+        for word, named in shape.items()
+        for key, parts in named.items()
+        if (word, key) not in used
+    ]
     if rest:
         lines += ["", "# stated by the new deployment"] + rest
     text = "\n".join(lines) + "\n"
@@ -113,7 +125,7 @@
 def _parts(words):
     """The words by place and {keyword: value} of a checked line."""
     count = len(WORDS[words[0]].places)
-    places, rest = tuple(words[1:count + 1]), words[count + 1:]
+    places, rest = tuple(words[1 : count + 1]), words[count + 1 :]
     return places, dict(zip(rest[::2], rest[1::2]))
 
 
@@ -124,7 +136,7 @@
             if letter == "#" and shlex.split(raw[:place]) == words:
                 return "  " + raw[place:]
         except ValueError:
-            pass                       # within quotes
+            pass  # within quotes
     return ""
 
 
@@ -151,7 +163,7 @@
         if replace:
             os.replace(beside, path)
         else:
-            os.link(beside, path)      # fails where the file stands, also if it came meanwhile
+            os.link(beside, path)  # fails where the file stands, also if it came meanwhile
     finally:
         if os.path.exists(beside):
             os.unlink(beside)
--- a/gaproute/conf/reading.py
+++ b/gaproute/conf/reading.py
@@ -1,4 +1,5 @@
 """Files read: the charter, lists of hosts and of gateways; whole or not at all."""
+
 from pathlib import Path
 
 from gaproute.conf.across import across, twice
--- a/gaproute/conf/words/__init__.py
+++ b/gaproute/conf/words/__init__.py
@@ -1,10 +1,30 @@
 """What each line of the configuration may say: one schema a word."""
-from gaproute.conf.words.fleet import (HostLine, HostsFile, KeepersLine, Listen, MemoryLine, PeerLine,
-                                       PeersFile, WeakWord, Word)
+
+from gaproute.conf.words.fleet import (
+    HostLine,
+    HostsFile,
+    KeepersLine,
+    Listen,
+    MemoryLine,
+    PeerLine,
+    PeersFile,
+    WeakWord,
+    Word,
+)
 from gaproute.conf.words.kinds import Address, Name
 from gaproute.conf.words.process import Clients, Decisions, Log, ReachLine
-from gaproute.conf.words.tasks import (Advice, Cold, Copies, ModelLine, OverShare, Relays, Reports, Sizes,
-                                       TenantLine, TrackLine)
+from gaproute.conf.words.tasks import (
+    Advice,
+    Cold,
+    Copies,
+    ModelLine,
+    OverShare,
+    Relays,
+    Reports,
+    Sizes,
+    TenantLine,
+    TrackLine,
+)
 
 __all__ = ["HOST_WORDS", "PEER_WORDS", "WORDS", "Address", "Name"]
 
--- a/gaproute/conf/words/fleet.py
+++ b/gaproute/conf/words/fleet.py
@@ -1,4 +1,5 @@
 """Lines on this gateway, its hosts and the other gateways."""
+
 from typing import Annotated, ClassVar, Literal
 
 from pydantic import BeforeValidator, Field, model_validator
@@ -69,10 +70,12 @@
     places: ClassVar = ("names",)
     example: ClassVar = "keepers gate-1,gate-2,gate-3 votes /var/lib/gaproute/gate-1.votes longest 600s"
     once: ClassVar = True
-    names: Annotated[tuple[Name, ...], BeforeValidator(
-        lambda value: tuple(value.split(",")) if isinstance(value, str) else value)]
-    votes: str | None = None                       # what this keeper must not forget; others need none
-    longest: Span = Field(LONGEST, ge=SHORTEST, le=LONGEST)      # of a permit
+    names: Annotated[
+        tuple[Name, ...],
+        BeforeValidator(lambda value: tuple(value.split(",")) if isinstance(value, str) else value),
+    ]
+    votes: str | None = None  # what this keeper must not forget; others need none
+    longest: Span = Field(LONGEST, ge=SHORTEST, le=LONGEST)  # of a permit
 
     @model_validator(mode="after")
     def fits(self):
--- a/gaproute/conf/words/kinds.py
+++ b/gaproute/conf/words/kinds.py
@@ -1,4 +1,5 @@
 """Values that several lines say: names, addresses, times of a start."""
+
 import datetime
 from typing import Annotated
 
--- a/gaproute/conf/words/process.py
+++ b/gaproute/conf/words/process.py
@@ -1,4 +1,5 @@
 """Lines on the process: limits towards clients and hosts, its log, its decision module."""
+
 import importlib
 from typing import ClassVar, Literal
 
--- a/gaproute/conf/words/tasks.py
+++ b/gaproute/conf/words/tasks.py
@@ -1,4 +1,5 @@
 """Lines on tasks: tracks, models, tenants, and what relays of them may do."""
+
 from typing import Annotated, ClassVar, Literal
 
 from pydantic import BeforeValidator, Field, model_validator
@@ -34,8 +35,10 @@
     track: str
     lanes: int = Field(1, ge=1, le=1024)
     load: Span | None = None
-    versions: Annotated[tuple[Name, ...], BeforeValidator(
-        lambda value: tuple(value.split(",")) if isinstance(value, str) else value)] = ()
+    versions: Annotated[
+        tuple[Name, ...],
+        BeforeValidator(lambda value: tuple(value.split(",")) if isinstance(value, str) else value),
+    ] = ()
 
 
 class TenantLine(Directive):
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -4,6 +4,7 @@
 What a front gives is a `Call`; what it gets, once, is a `Final`. What the hosts give for each relay, once, is
 a `Heard`. Neither side knows of the other.
 """
+
 from functools import partial
 
 from gaproute import interface as face
@@ -22,12 +23,12 @@
         super().__init__(gateway)
         self.loop, self.hosts, self.record, self.name = loop, hosts, record, name
         self.tracks = terms.tracks
-        self.held = {}                 # task id: Held
-        self.timers = {}               # key: timer of its wait
+        self.held = {}  # task id: Held
+        self.timers = {}  # key: timer of its wait
         self.count = 0
-        self.tell = lambda words: None      # tells all other gateways, where there is a way
-        self.arrived = None            # call(now, function, track) of each task, where demand is told
-        self.emptied = None            # call() when the last task held is accounted for
+        self.tell = lambda words: None  # tells all other gateways, where there is a way
+        self.arrived = None  # call(now, function, track) of each task, where demand is told
+        self.emptied = None  # call() when the last task held is accounted for
 
     # From the fronts
 
@@ -88,8 +89,15 @@
             self._final(held, Ending.DELIVERED, heard.answer, 0, "")
         self.record.outcome(worker, held.track, heard.result, now - sent)
         if held.step is not None:
-            held.step("outcome", relay=number, worker=worker, result=heard.result.value,
-                      took_ms=(now - sent) // MILLI, found=heard.found.name, alike=heard.alike)
+            held.step(
+                "outcome",
+                relay=number,
+                worker=worker,
+                result=heard.result.value,
+                took_ms=(now - sent) // MILLI,
+                found=heard.found.name,
+                alike=heard.alike,
+            )
         outcome = face.Outcome(
             key,
             number,
@@ -107,8 +115,15 @@
     def _stood(self, begun, worker, function, copies, result, stand):
         now = self.loop.now()
         if self.record.follows(function):
-            self.record.step(function, "order", worker=worker, copies=copies, result=result.value,
-                             stand=stand, took_ms=(now - begun) // MILLI)
+            self.record.step(
+                function,
+                "order",
+                worker=worker,
+                copies=copies,
+                result=result.value,
+                stand=stand,
+                took_ms=(now - begun) // MILLI,
+            )
         self.gateway.stood(now, worker, function, result, stand)
 
     def told(self, words):
@@ -142,8 +157,15 @@
         held.relays += 1
         if held.step is not None:
             held.step("relay", relay=number, worker=worker)
-        hold = self.hosts.relay(worker, held.call, self.tracks[held.track].effect, key, held.limit,
-                                min(until, held.limit), lambda heard: self._came(key, number, heard))
+        hold = self.hosts.relay(
+            worker,
+            held.call,
+            self.tracks[held.track].effect,
+            key,
+            held.limit,
+            min(until, held.limit),
+            lambda heard: self._came(key, number, heard),
+        )
         held.out[number] = (worker, now, hold)
 
     def cancel(self, key, number):
@@ -153,8 +175,9 @@
 
     def order(self, worker, function, copies):
         self.record.ordered(worker, function, copies)
-        self.hosts.order(worker, function, copies,
-                         partial(self._stood, self.loop.now(), worker, function, copies))
+        self.hosts.order(
+            worker, function, copies, partial(self._stood, self.loop.now(), worker, function, copies)
+        )
 
     def probe(self, worker):
         self.hosts.probe(worker, lambda good, report: self.probed(self.loop.now(), worker, good, report))
@@ -163,8 +186,9 @@
         """The host list of a running gateway comes unasked."""
 
     def decline(self, key, stay_away, why):
-        self._final(self.held[key], Ending.DECLINED, None, stay_away, "declined: it is safe to try again",
-                    why)
+        self._final(
+            self.held[key], Ending.DECLINED, None, stay_away, "declined: it is safe to try again", why
+        )
 
     def scrap(self, key):
         self._final(self.held[key], Ending.SCRAPPED, None, 0, "scrapped: it may have run, or may yet")
--- a/gaproute/core/drive.py
+++ b/gaproute/core/drive.py
@@ -1,5 +1,6 @@
 """Drives one gateway's generators: the one way to do it, for the bench's wire and the running gateway
 alike."""
+
 from gaproute import interface as face
 
 
@@ -45,8 +46,11 @@
     def departed(self, now, key):
         """The client left: the generator is told, and nothing more is owed."""
         if key in self.tasks:
-            self.resume(key, now, face.Outcome(key, -1, "", face.Result.DEPARTED, 0, True,
-                                               face.Found.UNTOLD, None, None))
+            self.resume(
+                key,
+                now,
+                face.Outcome(key, -1, "", face.Result.DEPARTED, 0, True, face.Found.UNTOLD, None, None),
+            )
             self.forget(key)
 
     def probed(self, now, worker, good, report):
--- a/gaproute/core/final.py
+++ b/gaproute/core/final.py
@@ -1,4 +1,5 @@
 """The end of each task: exactly one final answer, nothing that begins after it, nothing kept."""
+
 from gaproute import interface as face
 from gaproute.core.drive import Driver
 from gaproute.core.held import Heard
@@ -43,8 +44,12 @@
 
     def _settle(self, held):
         """Forgets a task that is answered and has no relay out."""
-        if held.finish is None and not held.out and held.id not in self.tasks \
-                and self.held.pop(held.id, None) is not None:
+        if (
+            held.finish is None
+            and not held.out
+            and held.id not in self.tasks
+            and self.held.pop(held.id, None) is not None
+        ):
             held.end.cancel()
             if not self.held and self.emptied is not None:
                 self.loop.soon(self.emptied)
@@ -66,7 +71,7 @@
         self.loop.failed(error)
         self.record.fault(f"the decision module failed: {error!r}", key)
         if key == "":
-            self.keeper = None         # begun anew with the next list
+            self.keeper = None  # begun anew with the next list
             return
         held = self.held.get(key)
         if held is not None and held.finish is not None:
--- a/gaproute/core/held.py
+++ b/gaproute/core/held.py
@@ -1,4 +1,5 @@
 """A task in hand, and what the hosts give for each of its relays."""
+
 from typing import NamedTuple
 
 from gaproute import interface as face
@@ -7,8 +8,9 @@
 
 class Heard(NamedTuple):
     """What came of one relay, in the module's terms."""
+
     result: face.Result
-    answer: Answer | None              # with Result.OK
+    answer: Answer | None  # with Result.OK
     found: face.Found = face.Found.UNTOLD
     alike: int | None = None
     report: face.Report | None = None
@@ -21,7 +23,7 @@
 
     def __init__(self, name, call, track, finish, taken):
         self.id, self.call, self.track, self.finish, self.taken = name, call, track, finish, taken
-        self.out = {}                  # relay: (worker, when sent, the hosts' hold of it)
+        self.out = {}  # relay: (worker, when sent, the hosts' hold of it)
         self.relays = 0
-        self.end = None                # timer at the client's limit
-        self.step = None               # call(what, told) where the task is followed in the log
+        self.end = None  # timer at the client's limit
+        self.step = None  # call(what, told) where the task is followed in the log
--- a/gaproute/decisions/admission/admission.py
+++ b/gaproute/decisions/admission/admission.py
@@ -5,27 +5,28 @@
 the first time (fresh), and those that ask to be accepted (arriving). Work in hand comes before all three;
 what is left of each turn is shared here.
 """
+
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-ADMISSION_TIME = 3 * MILLI   # of each turn at most for what waits there: tasks in hand wait no longer
-KNOWN_SHARE = 3          # of each 4 turns at admission go to the known while others wait: after a power cut
+ADMISSION_TIME = 3 * MILLI  # of each turn at most for what waits there: tasks in hand wait no longer
+KNOWN_SHARE = 3  # of each 4 turns at admission go to the known while others wait: after a power cut
 #                          the district that comes back is fresh; those that stayed must not wait behind
-FRESH_MOST = 512         # fresh ones that wait before no more are accepted: the kernel's queue holds the
+FRESH_MOST = 512  # fresh ones that wait before no more are accepted: the kernel's queue holds the
 #                          rest, and what is accepted is served within a second
-SPARE = 2 * SECOND       # idle for less, none is closed for another's sake: newcomers must not close
+SPARE = 2 * SECOND  # idle for less, none is closed for another's sake: newcomers must not close
 #                          each other
-SAMPLE = 64              # of the idle longest, among which the least valuable is picked
-FULL = 0.95              # of the connections allowed from which on answers say that the connection closes
-JITTER = 0.1             # of the idle time, added by chance: what came at one moment must not close at one
-RESERVE = 64             # descriptors that clients can never take: lists, logs, operators, peers, taking over
-HOSTS_SHARE = 0.03       # of all descriptors kept for connections to hosts: 600 of the usual 20,000
+SAMPLE = 64  # of the idle longest, among which the least valuable is picked
+FULL = 0.95  # of the connections allowed from which on answers say that the connection closes
+JITTER = 0.1  # of the idle time, added by chance: what came at one moment must not close at one
+RESERVE = 64  # descriptors that clients can never take: lists, logs, operators, peers, taking over
+HOSTS_SHARE = 0.03  # of all descriptors kept for connections to hosts: 600 of the usual 20,000
 
-SHORT = 8                # idle ones closed each time that no descriptor is to be had: what failed is tried
+SHORT = 8  # idle ones closed each time that no descriptor is to be had: what failed is tried
 #                          again some 100 ms later, and as many may come meanwhile
-RESTED = 100 * MILLI     # the same where clients send once more what crosses a close: the house must hold
+RESTED = 100 * MILLI  # the same where clients send once more what crosses a close: the house must hold
 #                          those at work, and one that rests makes room for a request that is there
-HOLD = 10 * MILLI        # until a full house looks again for one that rests: a tenth of the rest asked for
-WAY_BACK = 12 * MILLI    # of a client's time kept for the final answer: a turn of a busy loop and the way
+HOLD = 10 * MILLI  # until a full house looks again for one that rests: a tenth of the rest asked for
+WAY_BACK = 12 * MILLI  # of a client's time kept for the final answer: a turn of a busy loop and the way
 
 TAKE, DISPLACE, TURN_AWAY = "take", "displace", "turn away"
 KNOWN, FRESH, ARRIVING = "known", "fresh", "arriving"
@@ -79,8 +80,9 @@
 
     def oldest(self, now, idle):
         """Those that go where no descriptor is to be had, of [(descriptor, idle since, tasks it brought)]."""
-        return [fd for _, fd in sorted((since, fd) for fd, since, _ in idle
-                                       if now - since >= self.spare)[:SHORT]]
+        return [
+            fd for _, fd in sorted((since, fd) for fd, since, _ in idle if now - since >= self.spare)[:SHORT]
+        ]
 
     def says_close(self, held):
         """Whether answers say that the connection closes: so that a full house empties where that is safe."""
--- a/gaproute/decisions/admission/restarts.py
+++ b/gaproute/decisions/admission/restarts.py
@@ -4,21 +4,22 @@
 A process that dies at once must not be started in a loop that eats the machine, and one fault that ends all
 of them must not start all of them at one moment; one that served well and died comes back at once.
 """
+
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-FIRST = 100 * MILLI      # before the first start again: a crash that clears at once costs little
-GROW = 2                 # each time it died soon
-MOST = 10 * SECOND       # longest wait: a site with a broken file recovers soon after it is mended
-WELL = 10 * SECOND       # lived so long, its next death is a first one again
-SPREAD = 0.25            # of the wait, added by chance
-APART = 300 * MILLI      # between any two starts: about the CPU that one takes
+FIRST = 100 * MILLI  # before the first start again: a crash that clears at once costs little
+GROW = 2  # each time it died soon
+MOST = 10 * SECOND  # longest wait: a site with a broken file recovers soon after it is mended
+WELL = 10 * SECOND  # lived so long, its next death is a first one again
+SPREAD = 0.25  # of the wait, added by chance
+APART = 300 * MILLI  # between any two starts: about the CPU that one takes
 
 
 class Restarts:
     def __init__(self, chance):
         self.chance = chance
-        self.soon = {}           # seat: times in a row that it died soon
-        self.last = None         # when the last start was or is to be
+        self.soon = {}  # seat: times in a row that it died soon
+        self.last = None  # when the last start was or is to be
 
     def died(self, now, seat, lived):
         """When to start it again, having lived so long."""
