--- a/gaproute/judge/permits.py
+++ b/gaproute/judge/permits.py
@@ -4,11 +4,12 @@
 Events: `hold` (crew, resource, fence, until: ns) says that the crew may act from `at` until then; `let go`
 (crew, resource, fence) ends that early; `crews over` says that nobody asks from then on.
 """
+
 from collections import defaultdict
 from typing import NamedTuple
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-WITHIN = 3 * SECOND      # for a grant after a fault has healed: an election (1 to 2 s) and one permit's span
+WITHIN = 3 * SECOND  # for a grant after a fault has healed: an election (1 to 2 s) and one permit's span
 
 
 class Breach(NamedTuple):
@@ -35,7 +36,8 @@
             end = ended.get((event["crew"], event["resource"], event["fence"]), event["until"])
             if event["at"] < min(end, event["until"]):
                 found[event["resource"]].append(
-                    Span(event["at"], min(end, event["until"]), event["crew"], event["fence"]))
+                    Span(event["at"], min(end, event["until"]), event["crew"], event["fence"])
+                )
     return {resource: sorted(each) for resource, each in found.items()}
 
 
@@ -43,22 +45,36 @@
     """[Breach]: two holders at one moment, a fencing number that is none, falls, or is had by two."""
     broken = []
     for resource, held in spans(run).items():
-        highest, ends = 0, {}        # of fencing numbers; (crew, fence): when its hold ends
+        highest, ends = 0, {}  # of fencing numbers; (crew, fence): when its hold ends
         for span in held:
             who = span.crew, span.fence
             if span.fence <= 0:
                 broken.append(Breach("fence", span.begin, f"{span.crew} holds {resource} without a fence"))
             if span.fence < highest:
-                broken.append(Breach("fence", span.begin, f"{span.crew} holds {resource} by {span.fence}, "
-                                                          f"{highest} was held before"))
+                broken.append(
+                    Breach(
+                        "fence",
+                        span.begin,
+                        f"{span.crew} holds {resource} by {span.fence}, {highest} was held before",
+                    )
+                )
             for (crew, fence), end in ends.items():
                 if (crew, fence) != who and end > span.begin:
-                    broken.append(Breach("holders", span.begin, f"{span.crew} ({span.fence}) and {crew} "
-                                         f"({fence}) both hold {resource} for "
-                                         f"{(min(end, span.end) - span.begin) / MILLI:.1f} ms"))
+                    broken.append(
+                        Breach(
+                            "holders",
+                            span.begin,
+                            f"{span.crew} ({span.fence}) and {crew} "
+                            f"({fence}) both hold {resource} for "
+                            f"{(min(end, span.end) - span.begin) / MILLI:.1f} ms",
+                        )
+                    )
                 if fence == span.fence and crew != span.crew:
-                    broken.append(Breach("fence", span.begin, f"{span.crew} and {crew} had {resource} by one "
-                                                              f"fence {fence}"))
+                    broken.append(
+                        Breach(
+                            "fence", span.begin, f"{span.crew} and {crew} had {resource} by one fence {fence}"
+                        )
+                    )
             ends[who] = max(ends.get(who, 0), span.end)
             highest = max(highest, span.fence)
     return sorted(broken, key=lambda breach: breach.at)
@@ -95,4 +111,6 @@
     looked, granted = [each for each in healings(run) if each[0] + within <= over], grants(run)
     return len(looked), [
         Breach("progress", at, f"nothing was granted within {within / SECOND:g} s after {what}")
-        for at, what in looked if not any(at < grant <= at + within for grant in granted)]
+        for at, what in looked
+        if not any(at < grant <= at + within for grant in granted)
+    ]
--- a/gaproute/judge/rules.py
+++ b/gaproute/judge/rules.py
@@ -5,6 +5,7 @@
 comes together, pass over what may have waited for longer than `transit`. What rests on its being there is
 not touched.
 """
+
 from bisect import bisect_left, bisect_right
 from collections import defaultdict
 from typing import NamedTuple
@@ -12,7 +13,7 @@
 from gaproute.judge.day import Day
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-TRANSIT = 60 * MILLI     # between a gateway's send and the host's read of it, on a machine that is busy
+TRANSIT = 60 * MILLI  # between a gateway's send and the host's read of it, on a machine that is busy
 
 
 class Broken(NamedTuple):
@@ -23,15 +24,16 @@
 
 class Facts(NamedTuple):
     """What the day was played by."""
-    effects: dict            # track: "pure", "receipted" or "effectful"
-    groups: dict             # track: "all", "zone" or "rack"
-    windows: dict            # track: how long a group remembers, ns
-    places: dict             # host: (zone, rack)
+
+    effects: dict  # track: "pure", "receipted" or "effectful"
+    groups: dict  # track: "all", "zone" or "rack"
+    windows: dict  # track: how long a group remembers, ns
+    places: dict  # host: (zone, rack)
     drain_grace: int = 500 * MILLI
     order_free: float = 6
     order_share: float = 0.3
     order_window: int = 10 * SECOND
-    transit: int = TRANSIT   # a rig adds what it may itself be late
+    transit: int = TRANSIT  # a rig adds what it may itself be late
 
 
 def judge(facts, hosts, clients, run):
@@ -48,16 +50,23 @@
     that was asked to end still answers what had reached it before."""
     for event in day.clients:
         if event["what"] == "stray":
-            yield Broken(1, event["at"], f"gateway {event['gateway']} sent an answer that nobody asked for"
-                                         f"{': ' * ('text' in event)}{event.get('text', '')}")
+            yield Broken(
+                1,
+                event["at"],
+                f"gateway {event['gateway']} sent an answer that nobody asked for"
+                f"{': ' * ('text' in event)}{event.get('text', '')}",
+            )
     for task, ends in day.ends.items():
         if len(ends) > 1:
             yield Broken(1, ends[1]["at"], f"task {task}: {len(ends)} ends")
         end = ends[0]
         excused = day.stopped_within(end["gateway"], end["asked"], end["at"])
         if end["what"] == "overdue" and not excused:
-            yield Broken(1, end["at"], f"task {task} ({end['track']}): no answer within its "
-                                       f"{end['patience'] // MILLI} ms")
+            yield Broken(
+                1,
+                end["at"],
+                f"task {task} ({end['track']}): no answer within its {end['patience'] // MILLI} ms",
+            )
         if end["what"] == "broken" and not excused and not day.ending_at(end["gateway"], end["asked"]):
             yield Broken(1, end["at"], f"task {task}: the connection ended without an answer: {end['text']}")
         if end["what"] == "answer" and not end["outcome"] and end["status"] >= 500:
@@ -76,7 +85,7 @@
         effect = facts.effects[track]
         if effect == "pure":
             continue
-        first = None               # the first arrival that may have run
+        first = None  # the first arrival that may have run
         for at, host, event in arrivals:
             if first is not None:
                 if effect == "effectful":
@@ -115,12 +124,19 @@
                 if event["what"] != "task" and (event["what"] != "order" or event["count"] <= 0):
                     continue
                 sender = day.senders.number(host, place, event)
-                by = [spans.get(sender, spans.get(None, []))] if sender is not None or None in spans \
+                by = (
+                    [spans.get(sender, spans.get(None, []))]
+                    if sender is not None or None in spans
                     else list(spans.values())
+                )
                 sent = day.sent(sender, host, event["at"])
                 if all(any(begin < sent and event["at"] < end for begin, end in each) for each in by):
-                    yield Broken(3, event["at"], f"{event['what']} to {host}, told draining or gone before"
-                                 + (f", by g{sender}" if None not in spans else ""))
+                    yield Broken(
+                        3,
+                        event["at"],
+                        f"{event['what']} to {host}, told draining or gone before"
+                        + (f", by g{sender}" if None not in spans else ""),
+                    )
 
 
 def drained(facts, changes):
@@ -141,8 +157,11 @@
             up = next((event for event in events if event["what"] == "up"), None)
             if up is None or up["warm"]:
                 continue
-            arrivals = [event for event in events if event["what"] == "task"
-                        and day.waited(host, place, event) <= facts.transit]
+            arrivals = [
+                event
+                for event in events
+                if event["what"] == "task" and day.waited(host, place, event) <= facts.transit
+            ]
             begin, total = 0, 0
             for event in arrivals:
                 age = event["at"] - up["at"]
@@ -167,11 +186,14 @@
     for host, runs in day.hosts.items():
         for place, events in enumerate(runs):
             for event in events:
-                if event["what"] != "order" or event["count"] <= 0 \
-                        or day.waited(host, place, event) > facts.transit:
+                if (
+                    event["what"] != "order"
+                    or event["count"] <= 0
+                    or day.waited(host, place, event) > facts.transit
+                ):
                     continue
                 sender = day.senders.name(host, place, event)
-                if sender is not None:           # else it is nobody's: the order's connection carried no task
+                if sender is not None:  # else it is nobody's: the order's connection carried no task
                     orders[sender].append(event["at"])
     names = day.senders.names
     for event in day.run:
@@ -186,7 +208,8 @@
             since = max([at - facts.order_window] + [start for start in starts[gateway] if start <= at])
             ordered = bisect_right(times, at) - bisect_right(times, since)
             allowed = facts.order_free + facts.order_share * (
-                bisect_right(asked, at) - bisect_left(asked, since - facts.transit))
+                bisect_right(asked, at) - bisect_left(asked, since - facts.transit)
+            )
             if ordered > allowed:
                 yield Broken(5, at, f"gateway {gateway}: {ordered} load orders, {allowed:.1f} allowed")
                 break
--- a/gaproute/judge/senders.py
+++ b/gaproute/judge/senders.py
@@ -10,7 +10,7 @@
         started = [event for event in run if event["what"] == "started"]
         self.names = {event["gateway"]: event.get("name", str(event["gateway"])) for event in started}
         self.numbers = {name: number for number, name in self.names.items()}
-        self.links = {}                        # (host, its run, connection): gateway
+        self.links = {}  # (host, its run, connection): gateway
         for host, runs in hosts.items():
             for place, events in enumerate(runs):
                 for event in events:
--- a/gaproute/ledger/__init__.py
+++ b/gaproute/ledger/__init__.py
@@ -1,4 +1,5 @@
 """State on disk."""
+
 from gaproute.ledger.memory import Memory, NoMemory
 from gaproute.ledger.votes import Votes
 
--- a/gaproute/ledger/memory.py
+++ b/gaproute/ledger/memory.py
@@ -7,6 +7,7 @@
 A row has its time by the monotonic clock with the boot that this clock belongs to, and by the wall clock for
 when the machine was booted since. So a wall clock that is set makes no fact of this boot younger.
 """
+
 import fcntl
 import os
 import sqlite3
@@ -16,7 +17,7 @@
 import msgspec
 import xxhash
 
-BUSY = 0                 # s to wait for a lock: none, a task may be waiting
+BUSY = 0  # s to wait for a lock: none, a task may be waiting
 
 
 class NoMemory(Exception):
@@ -27,18 +28,18 @@
     try:
         return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
     except OSError:
-        return ""            # unknown: the wall clock is believed
+        return ""  # unknown: the wall clock is believed
 
 
 class Row(msgspec.Struct, array_like=True):
-    at: int                  # by the monotonic clock of the boot
-    wall: int                # ns since 1970
+    at: int  # by the monotonic clock of the boot
+    wall: int  # ns since 1970
     boot: str
     value: tuple
 
 
 def _sum(key, data):
-    return xxhash.xxh3_64_intdigest(key + data) - (1 << 63)    # as SQLite's signed integers
+    return xxhash.xxh3_64_intdigest(key + data) - (1 << 63)  # as SQLite's signed integers
 
 
 class Memory:
@@ -75,8 +76,10 @@
         (health,), *_ = base.execute("PRAGMA quick_check(1)")
         if health != "ok":
             raise sqlite3.DatabaseError(health)
-        base.execute("CREATE TABLE IF NOT EXISTS facts "
-                     "(subject BLOB PRIMARY KEY, data BLOB, sum INTEGER, wall INTEGER) WITHOUT ROWID")
+        base.execute(
+            "CREATE TABLE IF NOT EXISTS facts "
+            "(subject BLOB PRIMARY KEY, data BLOB, sum INTEGER, wall INTEGER) WITHOUT ROWID"
+        )
         base.execute("SELECT subject, data, sum, wall FROM facts LIMIT 1").fetchall()
 
     def _set_aside(self, why):
@@ -98,8 +101,9 @@
         out and counted. A row that claims to be of the future has an age below nought."""
         now, wall, found = self.clock(), self.wall(), []
         try:
-            rows = self.base.execute("SELECT subject, data, sum FROM facts ORDER BY wall DESC LIMIT ?",
-                                     (most,)).fetchall()
+            rows = self.base.execute(
+                "SELECT subject, data, sum FROM facts ORDER BY wall DESC LIMIT ?", (most,)
+            ).fetchall()
         except sqlite3.Error as fault:
             self._set_aside(str(fault))
             self._connect()
@@ -151,7 +155,7 @@
                 if self.base.in_transaction:
                     self.base.execute("ROLLBACK")
             except sqlite3.Error:
-                pass                 # the connection is of no use; each later write is counted as failed
+                pass  # the connection is of no use; each later write is counted as failed
 
     def close(self):
         if self.base is not None:
--- a/gaproute/ledger/records.py
+++ b/gaproute/ledger/records.py
@@ -7,13 +7,14 @@
 another's place whole cannot be torn at all: there each record is a batch, and a seal behind the last one
 shows where it went bad too.
 """
+
 import struct
 
 import xxhash
 
-MAGIC, SEAL = b"\x9evR1", b"\x9evS1"     # found again after a bad record
+MAGIC, SEAL = b"\x9evR1", b"\x9evS1"  # found again after a bad record
 START = MAGIC[:2]
-MOST = 16 << 20          # bytes of one record: a whole snapshot; more is a length that went bad
+MOST = 16 << 20  # bytes of one record: a whole snapshot; more is a length that went bad
 head = struct.Struct("<4sIQQQ")
 
 
@@ -43,7 +44,7 @@
     end = at + head.size + size
     if magic not in (MAGIC, SEAL) or size > MOST or end > len(data):
         return None
-    value = data[at + head.size:end]
+    value = data[at + head.size : end]
     if told != _sum(magic, number, first, value):
         return None
     return number, first, value if magic == MAGIC else None, end
--- a/gaproute/ledger/votes.py
+++ b/gaproute/ledger/votes.py
@@ -14,6 +14,7 @@
 anew: after a failed fsync the kernel may hold as clean what never came to the disk, and a replacement writes
 all anew.
 """
+
 import errno
 import fcntl
 import os
@@ -40,7 +41,7 @@
         try:
             self.lock = os.open(f"{self.path}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, ONLY_OWNER)
             fcntl.flock(self.lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-            Path(f"{self.path}.new").unlink(missing_ok=True)      # a replacement that was not finished
+            Path(f"{self.path}.new").unlink(missing_ok=True)  # a replacement that was not finished
         except OSError:
             self.close()
             raise
@@ -62,10 +63,12 @@
             self.file = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, ONLY_OWNER)
             if good < len(data):
                 self.torn += 1
-                self.told(f"{self.path}: a torn tail of {len(data) - good} bytes cut off, "
-                          f"{len(records)} records stay")
+                self.told(
+                    f"{self.path}: a torn tail of {len(data) - good} bytes cut off, "
+                    f"{len(records)} records stay"
+                )
                 os.ftruncate(self.file, good)
-            os.fsync(self.file)              # what a dead process wrote may be in memory only
+            os.fsync(self.file)  # what a dead process wrote may be in memory only
             self._folder()
             self.number = self.first = last + 1
             return records
@@ -99,7 +102,7 @@
                 raise
             self._forget()
             self.file = file
-            self.number = self.first = len(records) + 1          # the seal is one
+            self.number = self.first = len(records) + 1  # the seal is one
         self.failed = None
 
     def aside(self, why):
@@ -148,8 +151,9 @@
         votes = self.votes
         if isinstance(fault, OSError):
             if votes.failed is None:
-                votes.told(f"{votes.path}: {fault}; this keeper neither votes nor grants until all is "
-                           "written anew")
+                votes.told(
+                    f"{votes.path}: {fault}; this keeper neither votes nor grants until all is written anew"
+                )
             votes.failed = fault
 
 
@@ -157,4 +161,4 @@
     """A short write, as on a disk that is just full, is tried on until the error comes."""
     view = memoryview(data)
     while view:
-        view = view[os.write(file, view):]
+        view = view[os.write(file, view) :]
--- a/gaproute/load/crowd.py
+++ b/gaproute/load/crowd.py
@@ -4,6 +4,7 @@
 Latency counts from when a task was meant to start, not from when a connection was free for it: a stall of the
 other side is not hidden by the waiting of this one.
 """
+
 import random
 from collections import Counter, deque
 
@@ -13,7 +14,7 @@
 from gaproute.loop.streams import address
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-OPENING = 200            # connects on their way at once: the other side's accept queue holds the rest
+OPENING = 200  # connects on their way at once: the other side's accept queue holds the rest
 CONNECT_TIME = 5 * SECOND
 HEAD, ANSWER = 65536, 64 << 20
 
@@ -28,7 +29,7 @@
         self.crowd, self.source, self.traffic = crowd, source, traffic
         self.stream = self.reader = None
         self.owed = None
-        self.place = -1          # among the idle ones of its traffic
+        self.place = -1  # among the idle ones of its traffic
         self.storm = False
 
     def opened(self, sock):
@@ -57,7 +58,8 @@
                 self.crowd.counts["strays"] += 1
                 continue
             outcome = answer.headers.get(b"gaproute-outcome", b"").decode() or (
-                "delivered" if answer.status == 200 else str(answer.status))
+                "delivered" if answer.status == 200 else str(answer.status)
+            )
             self.crowd.over(self, self.owed.popleft(), outcome)
             if not answer.keep_alive:
                 self.lose()
@@ -92,12 +94,12 @@
         self.targets = [address(where) for where in load.targets]
         self.tallies = {line.name: Tally() for line in load.traffic}
         self.idle = {line.name: [] for line in load.traffic}
-        self.waiting = {line.name: deque() for line in load.traffic}     # meant starts that found none free
+        self.waiting = {line.name: deque() for line in load.traffic}  # meant starts that found none free
         self.members, self.counts = [], Counter()
         self.to_open, self.opening = deque(), 0
         self.begun = self.end = None
         self.settled = False
-        self.deadlines = {line.name: deque() for line in load.traffic}     # (when, member, what it owed)
+        self.deadlines = {line.name: deque() for line in load.traffic}  # (when, member, what it owed)
         self.bodies = {}
 
     # One task
@@ -183,8 +185,13 @@
             member = self.to_open.popleft()
             self.opening += 1
             family, target = self.chance.choice(self.targets)
-            connect(self.loop, (family, target), CONNECT_TIME,
-                    lambda sock, error, member=member: self._opened(member, sock, error), member.source)
+            connect(
+                self.loop,
+                (family, target),
+                CONNECT_TIME,
+                lambda sock, error, member=member: self._opened(member, sock, error),
+                member.source,
+            )
 
     def _opened(self, member, sock, error):
         self.opening -= 1
@@ -241,11 +248,14 @@
             yield self.loop.sleep(min(SECOND, self.end - self.loop.now()))
             if self.tell:
                 ends = sum(sum(tally.ends.values()) for tally in self.tallies.values())
-                self.tell(f"{(self.loop.now() - self.begun) // SECOND} s: {self.held()} held, "
-                          f"{self.counts['asked']} asked, {ends} ended")
+                self.tell(
+                    f"{(self.loop.now() - self.begun) // SECOND} s: {self.held()} held, "
+                    f"{self.counts['asked']} asked, {ends} ended"
+                )
         last = self.end + max([line.patience for line in traffic], default=0)
-        while self.loop.now() < last and (any(member.owed for member in self.members)
-                                          or any(self.waiting.values())):
+        while self.loop.now() < last and (
+            any(member.owed for member in self.members) or any(self.waiting.values())
+        ):
             yield self.loop.sleep(20 * MILLI)
         for line in traffic:
             for meant in self.waiting[line.name]:
@@ -293,12 +303,18 @@
         """A client that sends, or takes, a byte at a time."""
         request = b"POST /v2/models/none/infer HTTP/1.1\r\nHost: g\r\nX-Slow: " + b"x" * 4000
         if line.what == "body":
-            request = b"POST /v2/models/none/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 4000\r\n\r\n" \
+            request = (
+                b"POST /v2/models/none/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 4000\r\n\r\n"
                 + b"x" * 4000
+            )
         while self.loop.now() < self.end:
             state = {}
-            give_up = connect(self.loop, self.chance.choice(self.targets), CONNECT_TIME,
-                              lambda sock, error: state.update(sock=sock, over=True))
+            give_up = connect(
+                self.loop,
+                self.chance.choice(self.targets),
+                CONNECT_TIME,
+                lambda sock, error: state.update(sock=sock, over=True),
+            )
             while "over" not in state and self.loop.now() < self.end:
                 yield self.loop.sleep(20 * MILLI)
             give_up()
@@ -306,8 +322,9 @@
                 self.counts["slow ones refused"] += 1
                 yield self.loop.sleep(line.every)
                 continue
-            stream = Stream(self.loop, state["sock"], lambda data: None,
-                            lambda error: state.update(ended=True))
+            stream = Stream(
+                self.loop, state["sock"], lambda data: None, lambda error: state.update(ended=True)
+            )
             if line.what == "read":
                 stream.pause()
                 stream.write(b"GET /v2 HTTP/1.1\r\nHost: g\r\n\r\n" * 4000)
@@ -315,7 +332,7 @@
             while "ended" not in state and self.loop.now() < self.end:
                 if line.what in ("head", "body") and sent < len(request):
                     burst = 60 if sent == 0 else 1
-                    stream.write(request[sent:sent + burst])
+                    stream.write(request[sent : sent + burst])
                     sent += burst
                 yield self.loop.sleep(line.every)
             self.counts["slow ones ended"] += "ended" in state
--- a/gaproute/load/results.py
+++ b/gaproute/load/results.py
@@ -1,4 +1,5 @@
 """What came of a load: counts and histograms that a file keeps and later reports read."""
+
 import base64
 import json
 from collections import Counter
@@ -6,7 +7,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-HIGHEST = 600_000_000    # us: ten minutes
+HIGHEST = 600_000_000  # us: ten minutes
 DIGITS = 3
 VERSION = 1
 
@@ -16,7 +17,7 @@
 
     def __init__(self):
         self.times = HdrHistogram(1, HIGHEST, DIGITS)
-        self.ends, self.seconds = Counter(), []       # by outcome; tasks ended in each second
+        self.ends, self.seconds = Counter(), []  # by outcome; tasks ended in each second
 
     def ended(self, outcome, took, second):
         self.ends[outcome] += 1
@@ -26,8 +27,11 @@
         self.seconds[second] += 1
 
     def plain(self):
-        return {"ends": dict(self.ends), "seconds": self.seconds,
-                "times": base64.b64encode(self.times.encode()).decode()}
+        return {
+            "ends": dict(self.ends),
+            "seconds": self.seconds,
+            "times": base64.b64encode(self.times.encode()).decode(),
+        }
 
     @classmethod
     def of(cls, plain):
@@ -40,13 +44,23 @@
         times = self.times
         return {"tasks": times.get_total_count(), "well": self.ends["delivered"]} | {
             name: times.get_value_at_percentile(at) / 1000
-            for name, at in (("p50", 50), ("p90", 90), ("p99", 99), ("p99.9", 99.9), ("max", 100))}
+            for name, at in (("p50", 50), ("p90", 90), ("p99", 99), ("p99.9", 99.9), ("max", 100))
+        }
 
 
 def write_result(path, load, seed, tallies, counts):
-    Path(path).write_text(json.dumps({
-        "version": VERSION, "script": load.text, "seed": seed, "counts": dict(counts),
-        "traffic": {name: tally.plain() for name, tally in tallies.items()}}, indent=1))
+    Path(path).write_text(
+        json.dumps(
+            {
+                "version": VERSION,
+                "script": load.text,
+                "seed": seed,
+                "counts": dict(counts),
+                "traffic": {name: tally.plain() for name, tally in tallies.items()},
+            },
+            indent=1,
+        )
+    )
 
 
 def read_result(path):
@@ -55,8 +69,12 @@
         told = json.loads(Path(path).read_text())
         if told["version"] != VERSION:
             raise ValueError(f"{path}: version {told['version']}, this is {VERSION}")
-        return told["script"], told["seed"], told["counts"], {
-            name: Tally.of(plain) for name, plain in told["traffic"].items()}
+        return (
+            told["script"],
+            told["seed"],
+            told["counts"],
+            {name: Tally.of(plain) for name, plain in told["traffic"].items()},
+        )
     except (KeyError, TypeError, json.JSONDecodeError) as fault:
         raise ValueError(f"{path}: no result of a load: {fault!r}") from fault
 
@@ -67,7 +85,12 @@
     for path in paths:
         _, _, counts, tallies = read_result(path)
         for name, tally in tallies.items():
-            rows.append({"file": Path(path).name, "traffic": name, **tally.figures(),
-                         "not well": dict(sorted((end, n) for end, n in tally.ends.items()
-                                                 if end != "delivered"))})
+            rows.append(
+                {
+                    "file": Path(path).name,
+                    "traffic": name,
+                    **tally.figures(),
+                    "not well": dict(sorted((end, n) for end, n in tally.ends.items() if end != "delivered")),
+                }
+            )
     return rows
--- a/gaproute/lobby/__init__.py
+++ b/gaproute/lobby/__init__.py
@@ -1,4 +1,5 @@
 """Connections between their requests: parked without frame, buffer, parser or timer of their own."""
+
 from gaproute.lobby.calendar import Calendar
 from gaproute.lobby.lot import Lot
 
--- a/gaproute/lobby/calendar.py
+++ b/gaproute/lobby/calendar.py
@@ -4,14 +4,15 @@
 Picked by `benchmarks/timers.py` against a heap of timers and a hierarchical wheel. An entry is moved lazily:
 it stays in its slot, and whoever takes it there puts it in again where it is not yet due.
 """
+
 import heapq
 
-WIDTH = 10_000_000       # ns of a slot: what is due fires up to so much late, and never early
+WIDTH = 10_000_000  # ns of a slot: what is due fires up to so much late, and never early
 
 
 class Calendar:
     def __init__(self):
-        self.slots, self.heap = {}, []       # number: things; the numbers in use
+        self.slots, self.heap = {}, []  # number: things; the numbers in use
 
     def slot(self, due):
         """The first slot that begins at or after the time."""
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -8,6 +8,7 @@
 An entry of the arrays belongs to the descriptor's present life alone: what is queued or due under its number
 is looked at only where the state says so.
 """
+
 import os
 import resource
 from array import array
@@ -15,14 +16,21 @@
 from select import EPOLLIN, EPOLLONESHOT
 
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.admission.admission import (ARRIVING, DISPLACE, HOLD, KNOWN, SAMPLE, TURN_AWAY,
-                                                    Admission)
+from gaproute.decisions.admission.admission import (
+    ARRIVING,
+    DISPLACE,
+    HOLD,
+    KNOWN,
+    SAMPLE,
+    TURN_AWAY,
+    Admission,
+)
 from gaproute.lobby.calendar import Calendar
 from gaproute.loop.loop import LOBBY
 
-CHUNK = 65536            # bytes read from one that wakes
-EXPIRES = 256            # idle ends looked at in one turn: after a stop they must not all fall into one
-WAITED = 5_000_000       # ns of waiting at admission that count: less is within any turn
+CHUNK = 65536  # bytes read from one that wakes
+EXPIRES = 256  # idle ends looked at in one turn: after a stop they must not all fall into one
+WAITED = 5_000_000  # ns of waiting at admission that count: less is within any turn
 ONCE = EPOLLIN | EPOLLONESHOT
 NONE, PARKED, QUEUED = 0, 1, 2
 
@@ -40,13 +48,13 @@
         self.state, self.owner = array("b"), array("h")
         self.due, self.since, self.slot = array("q"), array("q"), array("q")
         self.tasks, self.place = array("H"), array("i")
-        self.owners = []                     # by number
-        self.known, self.fresh = deque(), deque()      # (descriptor, when seen)
-        self.arriving = {}                   # listener: its owner
+        self.owners = []  # by number
+        self.known, self.fresh = deque(), deque()  # (descriptor, when seen)
+        self.arriving = {}  # listener: its owner
         self.calendar, self.timer = Calendar(), None
-        self.addresses, self.free = {}, []   # address: its place below
+        self.addresses, self.free = {}, []  # address: its place below
         self.counts, self.names = array("i"), []
-        self.held = self.parked = 0          # clients' connections in all; those parked
+        self.held = self.parked = 0  # clients' connections in all; those parked
         self.displaced = self.turned_away = self.expired = 0
         loop.patient = self
 
@@ -67,14 +75,19 @@
     def _accept(self):
         listener, owner = next(iter(self.arriving.items()))
         del self.arriving[listener]
-        if self.admission.patient and owner.counted and self.held >= self.admission.most \
-                and self._parting() is None and self._victim() is None:
+        if (
+            self.admission.patient
+            and owner.counted
+            and self.held >= self.admission.most
+            and self._parting() is None
+            and self._victim() is None
+        ):
             listener.rest(HOLD)
             return
         came = listener.accept()
         if came is None:
             return
-        self.arriving[listener] = owner      # behind the others, until it has none left
+        self.arriving[listener] = owner  # behind the others, until it has none left
         sock, address = came
         owner.admits(sock, address)
 
@@ -89,7 +102,7 @@
             if said is TURN_AWAY:
                 self.turned_away += 1
                 return None
-            place = self.addresses.get(address)      # the displaced one may have been its last
+            place = self.addresses.get(address)  # the displaced one may have been its last
             self.held += 1
         if place is None:
             if self.free:
@@ -118,13 +131,16 @@
     def _idle(self):
         """Of a small house every parked one is looked at; of a large one those whose end is next."""
         some = range(len(self.state)) if self.parked <= 4 * SAMPLE else self.calendar.first(4 * SAMPLE)
-        idle = [(fd, self.since[fd], self.tasks[fd]) for fd in some
-                if self.state[fd] == PARKED and self.owners[self.owner[fd]].counted]
+        idle = [
+            (fd, self.since[fd], self.tasks[fd])
+            for fd in some
+            if self.state[fd] == PARKED and self.owners[self.owner[fd]].counted
+        ]
         return idle if self.parked <= 4 * SAMPLE else idle[:SAMPLE]
 
     def make_room(self):
         """No descriptor was to be had: some idle ones go, the oldest first."""
-        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())   # one that has just spoken is not idle
+        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())  # one that has just spoken is not idle
         self.loop.waiting = True
         for fd in self.admission.oldest(self.loop.now(), self._idle()):
             self.displaced += 1
@@ -185,10 +201,10 @@
         now = self.loop.now()
         for fd, slot in self.calendar.take(now, EXPIRES):
             if self.slot[fd] != slot:
-                continue                     # another entry speaks for this descriptor
+                continue  # another entry speaks for this descriptor
             self.slot[fd] = 0
             if self.state[fd] != PARKED:
-                continue                     # it is at work; when it is parked again it is entered again
+                continue  # it is at work; when it is parked again it is entered again
             if self.due[fd] > now:
                 self.slot[fd] = self.calendar.add(fd, self.due[fd])
             else:
@@ -223,7 +239,7 @@
     def _wake(self, fd, seen):
         try:
             data = os.read(fd, CHUNK)
-        except BlockingIOError:              # nothing there after all: it waits on
+        except BlockingIOError:  # nothing there after all: it waits on
             self.state[fd] = PARKED
             self.loop.lobby.modify(fd, ONCE)
             self._enter(fd)
@@ -256,8 +272,9 @@
         """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`."""
         self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())
         self.loop.waiting = True
-        for listener in [listener for listener, whose in self.arriving.items()
-                         if whose is self.owners[owner]]:
+        for listener in [
+            listener for listener, whose in self.arriving.items() if whose is self.owners[owner]
+        ]:
             del self.arriving[listener]
         for fd, state in enumerate(self.state):
             if self.owner[fd] == owner and (state == PARKED or state == QUEUED and all_of_them):
--- a/gaproute/loop/connecting.py
+++ b/gaproute/loop/connecting.py
@@ -1,4 +1,5 @@
 """What opens streams over TCP (IPv4, IPv6) and Unix sockets, and what accepts them."""
+
 import errno
 import os
 import socket
@@ -6,9 +7,9 @@
 
 from gaproute.loop.loop import MILLI, READ, WRITE
 
-ACCEPTS = 32             # connections accepted in one turn, so that tasks in flight get their share of it
+ACCEPTS = 32  # connections accepted in one turn, so that tasks in flight get their share of it
 BIND_ADDRESS_NO_PORT = 24  # IP_BIND_ADDRESS_NO_PORT of Linux, which the socket module does not name
-NO_FD_PAUSE = 100 * MILLI    # accepting rests this long when descriptors run out, rather than spin
+NO_FD_PAUSE = 100 * MILLI  # accepting rests this long when descriptors run out, rather than spin
 SHORT_OF_FDS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -77,7 +78,7 @@
         loop.soon(settle, None)
     elif code == errno.EINPROGRESS:
         loop.watch(sock.fileno(), WRITE, ready)
-    else:     # a Unix socket whose backlog is full says EAGAIN: it is refused like any other
+    else:  # a Unix socket whose backlog is full says EAGAIN: it is refused like any other
         loop.soon(settle, OSError(code, os.strerror(code)))
     return give_up
 
--- a/gaproute/loop/datagrams.py
+++ b/gaproute/loop/datagrams.py
@@ -1,5 +1,6 @@
 """Datagrams over UDP (IPv4, IPv6) and Unix sockets. A message that finds no room or nobody is lost, as
 ever."""
+
 import errno
 import os
 import socket
@@ -7,8 +8,8 @@
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address
 
-READS = 64               # messages taken in one turn, so that tasks in flight get their share of it
-LONGEST = 2048           # bytes of a message; what is longer is cut and then refused by its reader
+READS = 64  # messages taken in one turn, so that tasks in flight get their share of it
+LONGEST = 2048  # bytes of a message; what is longer is cut and then refused by its reader
 
 
 class Datagrams:
@@ -19,11 +20,11 @@
         self.lost = 0
         try:
             family, target = address(where)
-        except ValueError as fault:          # a path that the name added to it made too long
+        except ValueError as fault:  # a path that the name added to it made too long
             raise OSError(errno.ENAMETOOLONG, str(fault)) from None
         self.path = target if family == socket.AF_UNIX else None
         if self.path and os.path.exists(self.path):
-            os.unlink(self.path)         # of a past life: nobody can be connected to a datagram socket's name
+            os.unlink(self.path)  # of a past life: nobody can be connected to a datagram socket's name
         self.sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
         try:
             self.sock.bind(target)
@@ -36,7 +37,7 @@
         for _ in range(READS):
             try:
                 data = self.sock.recv(LONGEST)
-            except OSError:              # nothing more, or an error that a message of ours brought back
+            except OSError:  # nothing more, or an error that a message of ours brought back
                 return
             self.heard(data)
 
--- a/gaproute/loop/loop.py
+++ b/gaproute/loop/loop.py
@@ -5,6 +5,7 @@
 A turn that finds itself late (the process was stopped, or the machine stalled) looks for bytes again until
 none are left before any timer fires: what came in meanwhile is booked before anything is judged overdue.
 """
+
 import heapq
 import os
 import select
@@ -16,10 +17,10 @@
 from gaproute.decisions.admission.admission import ADMISSION_TIME
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-LATE = 50 * MILLI      # a turn this late was stopped, not busy: a busy one lasts some milliseconds
-LOBBY = 4096             # events taken from the inner epoll in one look
-LOOKS = 8              # looks for bytes in a late turn: a flood must not keep timers from firing for ever
-IDLE = SECOND          # longest wait in one poll: a clock that jumps is noticed within it
+LATE = 50 * MILLI  # a turn this late was stopped, not busy: a busy one lasts some milliseconds
+LOBBY = 4096  # events taken from the inner epoll in one look
+LOOKS = 8  # looks for bytes in a late turn: a flood must not keep timers from firing for ever
+IDLE = SECOND  # longest wait in one poll: a clock that jumps is noticed within it
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 GONE = select.EPOLLHUP | select.EPOLLERR
 
@@ -122,21 +123,21 @@
         self.clock = clock
         self.poll = getattr(clock, "poll", None) or (lambda epoll, span: epoll.poll(max(0, span) / SECOND))
         self.epoll = select.epoll()
-        self.watched = {}        # descriptor: call(events)
-        self.leaving = {}        # stream that says farewell (`Stream.close`): since when; the oldest first
-        self.fresh = set()       # watched since the last poll: what that told is of an earlier life of them
-        self.lobby = select.epoll()          # of what is parked; one event of the outer one
+        self.watched = {}  # descriptor: call(events)
+        self.leaving = {}  # stream that says farewell (`Stream.close`): since when; the oldest first
+        self.fresh = set()  # watched since the last poll: what that told is of an earlier life of them
+        self.lobby = select.epoll()  # of what is parked; one event of the outer one
         self.inner = self.lobby.fileno()
         self.epoll.register(self.inner, READ)
-        self.patient, self.waiting = None, False     # the lot; whether somebody waits at admission
+        self.patient, self.waiting = None, False  # the lot; whether somebody waits at admission
         self.timers, self.dead, self.count = [], 0, 0
         self.queue = deque()
         self.running = False
         self.turns = self.late_turns = 0
-        self.behind = 0          # in a late turn: how long ago what is read now may have come
-        self.on_late = []        # calls made first in a late turn: other news that waits to be read
-        self.errors = []         # the last few errors that escaped a callback
-        self.on_error = None     # call(error), where somebody wants to log them
+        self.behind = 0  # in a late turn: how long ago what is read now may have come
+        self.on_late = []  # calls made first in a late turn: other news that waits to be read
+        self.errors = []  # the last few errors that escaped a callback
+        self.on_error = None  # call(error), where somebody wants to log them
         self.signals = {}
 
     # Time
@@ -200,7 +201,7 @@
             return
         for number in dict.fromkeys(numbers):
             if number in self.signals:
-                self.guard(self.signals[number])     # one that fails must not take the next one's call
+                self.guard(self.signals[number])  # one that fails must not take the next one's call
 
     # Turns
 
@@ -238,7 +239,7 @@
             looks -= 1
             self._bytes(ready)
         self.behind = 0
-        now, newest = self.clock(), self.count       # one set for no later than now has its turn in the next
+        now, newest = self.clock(), self.count  # one set for no later than now has its turn in the next
         while self.timers and self.timers[0][0] <= now and self.timers[0][1] <= newest:
             timer = heapq.heappop(self.timers)[2]
             if timer.call is None:
@@ -258,7 +259,7 @@
                 self.patient.look(self.lobby.poll(0, LOBBY), self.clock() - self.behind)
                 self.waiting = True
                 continue
-            call = self.watched.get(fd)    # an earlier callback of this turn may have closed it
+            call = self.watched.get(fd)  # an earlier callback of this turn may have closed it
             if call is not None and fd not in self.fresh:
                 self.guard(call, events)
         self._queued()
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -1,4 +1,5 @@
 """Byte streams over TCP (IPv4, IPv6) and Unix sockets; `connecting` opens and accepts them."""
+
 import errno
 import fcntl
 import select
@@ -8,11 +9,11 @@
 
 from gaproute.loop.loop import GONE, MILLI, READ, WRITE
 
-CHUNK = 65536            # bytes read in one call: a large socket buffer in few calls, small next to a body
-READS = 128              # of what lies unread when writing fails: more than any receive buffer holds
-HIGH = 1 << 20           # bytes waiting to be written above which the writer is told to hold back
-LINGER = 30_000 * MILLI    # for the last bytes to be taken after a close; then the connection is reset
-FAREWELL = 300 * MILLI   # for the other side to close too, once all is written: some round trips; what one
+CHUNK = 65536  # bytes read in one call: a large socket buffer in few calls, small next to a body
+READS = 128  # of what lies unread when writing fails: more than any receive buffer holds
+HIGH = 1 << 20  # bytes waiting to be written above which the writer is told to hold back
+LINGER = 30_000 * MILLI  # for the last bytes to be taken after a close; then the connection is reset
+FAREWELL = 300 * MILLI  # for the other side to close too, once all is written: some round trips; what one
 #                          that does not sends later meets a closed socket, as ever
 END = select.EPOLLRDHUP  # the other side sends no more: told also while nothing is read
 
@@ -71,8 +72,8 @@
         self.on_half = None
         self.out, self.waiting, self.handed = [], 0, 0
         self.closing, self.reading, self.open = False, True, True
-        self.wanted = False      # `begin` found no room: told by `on_room`
-        self.halved = False      # its end of sending was told: not to be told again and again
+        self.wanted = False  # `begin` found no room: told by `on_room`
+        self.halved = False  # its end of sending was told: not to be told again and again
         self.mask, self.timer = READ, None
         loop.watch(self.fd, READ, self._ready)
 
@@ -180,7 +181,8 @@
 
     def _watch(self):
         mask = (READ if self.reading else 0 if self.halved else END) | (
-            WRITE if self.out or self.wanted else 0)
+            WRITE if self.out or self.wanted else 0
+        )
         if self.open and mask != self.mask:
             self.mask = mask
             self.loop.rewatch(self.fd, mask)
@@ -229,11 +231,11 @@
             return
         self.on_bytes, self.on_end, self.on_half = _nothing, closed or _nothing, None
         if not self.out and not self.handed:
-            self._finish(None)               # nothing of ours is in flight
+            self._finish(None)  # nothing of ours is in flight
             return
         self.closing = True
         self.loop.leaving[self] = self.loop.now()
-        if self.out:                         # nothing is read meanwhile: an end read now would end it
+        if self.out:  # nothing is read meanwhile: an end read now would end it
             self.halved = True
             self.pause()
             self.timer = self.loop.after(LINGER, self.cut)
@@ -244,7 +246,7 @@
         try:
             self.sock.shutdown(socket.SHUT_WR)
         except OSError:
-            pass                             # reset already: reading tells
+            pass  # reset already: reading tells
         if self.timer is not None:
             self.timer.cancel()
         self.timer = self.loop.after(FAREWELL, self.part, self.loop.now() + LINGER)
@@ -256,7 +258,7 @@
         ours unacknowledged."""
         try:
             held = int.from_bytes(fcntl.ioctl(self.fd, termios.TIOCOUTQ, bytes(4)), "little")
-        except OSError:                      # no such figure here: taken
+        except OSError:  # no such figure here: taken
             held = 0
         if held and self.loop.now() < until:
             self.timer = self.loop.after(FAREWELL, self.part, until)
--- a/gaproute/maintenance/__init__.py
+++ b/gaproute/maintenance/__init__.py
@@ -7,6 +7,7 @@
 
 Decisions only: no clock, no chance, no sockets. Off: nothing in the program makes a Running yet.
 """
+
 from gaproute.maintenance.round import Running
 from gaproute.maintenance.view import View
 from gaproute.maintenance.words import Host, Round, mistakes
--- a/gaproute/maintenance/drained.py
+++ b/gaproute/maintenance/drained.py
@@ -11,14 +11,16 @@
   (max(poll, life) + hard limit) * (1 + 3 * BOUND). In hand must be none after it, as the host says.
 A permit's end proves nothing here: it bounds how long `out` may be begun, not who sends.
 """
+
 import msgspec
 
 SECOND = 1_000_000_000
-BOUND = 10               # per mille by which a clock may be wrong, as permits have it
+BOUND = 10  # per mille by which a clock may be wrong, as permits have it
 
 
 class Bounds(msgspec.Struct, frozen=True):
     """ns: `poll` between two looks at the list, `life` of an entry not renewed, `hard` limit of a task."""
+
     poll: int = 2 * SECOND
     life: int = 0
     hard: int = 30 * SECOND
@@ -33,7 +35,7 @@
 
 
 def proof(now, shown, marked, bounds):
-    """"host", "list" or "" (not yet). `marked`: when draining was begun; `shown`: its last Shown or None."""
+    """ "host", "list" or "" (not yet). `marked`: when draining was begun; `shown`: its last Shown or None."""
     if shown is None or shown.hands:
         return ""
     if shown.draining and shown.asked > marked:
--- a/gaproute/maintenance/floor.py
+++ b/gaproute/maintenance/floor.py
@@ -5,13 +5,14 @@
 ALL holds the lanes of hosts with anything warm against the sum of all needs. In whole lanes, needs rounded
 up.
 """
+
 import msgspec
 
 from gaproute.maintenance.words import LEVELS
 
-ALL = "*"                # all functions together; no function's name may have it
-FLEET = ""               # the scope that is the whole fleet
-UNHEARD = [(("demand", FLEET), 0, 0, "unheard")]     # what is missing where nobody tells of demand
+ALL = "*"  # all functions together; no function's name may have it
+FLEET = ""  # the scope that is the whole fleet
+UNHEARD = [(("demand", FLEET), 0, 0, "unheard")]  # what is missing where nobody tells of demand
 
 
 def need(asked, demand, zones):
--- a/gaproute/maintenance/going.py
+++ b/gaproute/maintenance/going.py
@@ -2,15 +2,16 @@
 
 Rules by number: see `round.py`.
 """
+
 from gaproute.maintenance import floor, schedule, warm
 from gaproute.maintenance.hands import Hands
 from gaproute.maintenance.place import there
 
 SECOND = 1_000_000_000
 
-TURN_LONG = 300 * SECOND     # that one round keeps the turn while another may wait
-TOLD = 15 * SECOND       # without a word of demand: nothing is judged to be kept
-JUDGE = 20 * SECOND      # of a turn until a round without a lawful schedule is refused: belief fills first
+TURN_LONG = 300 * SECOND  # that one round keeps the turn while another may wait
+TOLD = 15 * SECOND  # without a word of demand: nothing is judged to be kept
+JUDGE = 20 * SECOND  # of a turn until a round without a lawful schedule is refused: belief fills first
 
 
 class Going(Hands):
@@ -27,24 +28,34 @@
 
     def _go(self, now, view):
         out = []
-        for name, seen in view.shown.items():                    # rule 2, hosts of other rounds
-            if name not in self.places and seen.draining and 0 < seen.mark[0] < self.turn.fence \
-                    and there(now, seen) and ("serve", name) not in self.ordered:
+        for name, seen in view.shown.items():  # rule 2, hosts of other rounds
+            if (
+                name not in self.places
+                and seen.draining
+                and 0 < seen.mark[0] < self.turn.fence
+                and there(now, seen)
+                and ("serve", name) not in self.ordered
+            ):
                 self.ordered["serve", name] = now
                 out.append(("serve", name, self._mark()))
         if not self.planned and not self._plan(now, view):
             return out
-        if self.missing:                                         # rule 4
+        if self.missing:  # rule 4
             out += self._back(now, floor.worded(self.missing))
             self._stage("paused", floor.worded(self.missing))
-        waiting = [place.name for place in self.places.values() if place.state == "waiting"
-                   and there(now, view.shown.get(place.name)) and not view.shown[place.name].draining]
+        waiting = [
+            place.name
+            for place in self.places.values()
+            if place.state == "waiting"
+            and there(now, view.shown.get(place.name))
+            and not view.shown[place.name].draining
+        ]
         going, first = [], None
         if not self.missing and now - self.turned <= TURN_LONG:
             down = [name for name in view.fleet if not there(now, view.shown.get(name))]
             going, first = self._choose(view, waiting, down)
             self._stage("going", first[1] if first and not going and not self.away() else "")
-        for name in going:                                       # rule 5
+        for name in going:  # rule 5
             place = self.places[name]
             place.marked, place.mark, place.start = now, self._mark(), view.shown[name].start
             place.had = tuple(function for function, lanes in self.believed[name].items() if lanes)
@@ -58,11 +69,16 @@
     def _plan(self, now, view):
         """Whether there is a lawful schedule; asked once, before anything is begun."""
         if any(place.state != "waiting" for place in self.places.values()):
-            self.planned = True              # begun already, by the process before this one
+            self.planned = True  # begun already, by the process before this one
             return True
         free = {name: seen.free for name, seen in view.shown.items() if name in view.fleet}
-        why = floor.worded(self.missing) if self.missing == floor.UNHEARD else schedule.plan(
-            self.asked, view.fleet, self.believed, self.needs, list(self.places), free, self.paces).why
+        why = (
+            floor.worded(self.missing)
+            if self.missing == floor.UNHEARD
+            else schedule.plan(
+                self.asked, view.fleet, self.believed, self.needs, list(self.places), free, self.paces
+            ).why
+        )
         self.planned = not why
         if why and now - self.turned > JUDGE:
             self._end(now, why)
@@ -73,12 +89,27 @@
 
     def _loads(self, now, view, waiting):
         under = {(name, function) for name, seen in view.shown.items() for function in seen.loading}
-        loading = sorted(under | {key for key in self.ordered if key[0] != "serve"
-                                  and not self.believed[key[0]].get(key[1])})
-        free = {name: seen.free for name, seen in view.shown.items() if there(now, seen) and not seen.draining
-                and name in view.fleet and name not in self.away()}
+        loading = sorted(
+            under
+            | {key for key in self.ordered if key[0] != "serve" and not self.believed[key[0]].get(key[1])}
+        )
+        free = {
+            name: seen.free
+            for name, seen in view.shown.items()
+            if there(now, seen) and not seen.draining and name in view.fleet and name not in self.away()
+        }
         had = {place.name: place.had for place in self.places.values() if place.state == "back"}
-        orders = schedule.loads(self.asked, view.fleet, self.believed, self.needs, waiting, self.away(), free,
-                                loading, had, self.paces.ration)
+        orders = schedule.loads(
+            self.asked,
+            view.fleet,
+            self.believed,
+            self.needs,
+            waiting,
+            self.away(),
+            free,
+            loading,
+            had,
+            self.paces.ration,
+        )
         self.ordered.update(dict.fromkeys(orders, now))
         return [("load", *order) for order in orders]
--- a/gaproute/maintenance/invariants.py
+++ b/gaproute/maintenance/invariants.py
@@ -1,10 +1,11 @@
 """What must always hold of a running round as it believes; each check returns breaches, named first."""
+
 from gaproute.maintenance.place import AWAY, there
 from gaproute.maintenance.round import ORDERED
 from gaproute.maintenance.schedule import groups
 from gaproute.maintenance.warm import TOLD, WITNESSES, weight
 
-ORDERS = 4096            # loads and orders to serve remembered at once
+ORDERS = 4096  # loads and orders to serve remembered at once
 
 
 def check_round(running, now, fleet):
@@ -34,7 +35,7 @@
     """That belief is a lower bound of what was shown or told lately."""
     came = []
     if running.stage in ("ended", "refused"):
-        return came                          # it looks no more
+        return came  # it looks no more
     for name, functions in running.believed.items():
         seen = view.shown.get(name)
         for function, lanes in functions.items():
@@ -46,8 +47,9 @@
             else:
                 counts = weight(now - seen.asked) if function in seen.copies else weight(told[0] + TOLD)
                 if lanes * 1000 > view.fleet[name].lanes * counts:
-                    came.append(f"belief fades with its age: {name} counts {lanes} lanes"
-                                f" at {counts} per mille")
+                    came.append(
+                        f"belief fades with its age: {name} counts {lanes} lanes at {counts} per mille"
+                    )
     return came
 
 
--- a/gaproute/maintenance/place.py
+++ b/gaproute/maintenance/place.py
@@ -11,11 +11,12 @@
 | `back` | there again, cold: it counts what it is seen warm with, and gets again what it had | `done` |
 | `done` | has again what it had, or was given up on that | |
 """
+
 SECOND = 1_000_000_000
 
-GONE = 6 * SECOND        # without an answer: not there; some probes
+GONE = 6 * SECOND  # without an answer: not there; some probes
 AWAY = ("draining", "asking", "ready", "out", "lost")
-UNDONE = ("draining", "asking", "ready")         # can still be given back
+UNDONE = ("draining", "asking", "ready")  # can still be given back
 
 
 class Place:
@@ -23,10 +24,10 @@
 
     def __init__(self, name):
         self.name, self.state, self.wish, self.had = name, "waiting", None, ()
-        self.marked, self.mark = 0, (0, 0)   # when it was told to drain, and by which number
-        self.start = 0                       # of the process that was drained
-        self.until = 0                       # own ns until which the crew may begin
-        self.since = 0                       # own ns at which this state began
+        self.marked, self.mark = 0, (0, 0)  # when it was told to drain, and by which number
+        self.start = 0  # of the process that was drained
+        self.until = 0  # own ns until which the crew may begin
+        self.since = 0  # own ns at which this state began
 
     def to(self, now, state):
         self.state, self.since = state, now
@@ -58,8 +59,14 @@
     def counting(self, now, turn, fleet, shown):
         """{host: own ns after which sights of it count}; hosts that are not there, or may be in the hands of
         whoever had the turn before (drained since then not asked again), do not count."""
-        return {name: max(turn, self.since[name]) for name in fleet if name in self.since
-                and there(now, shown.get(name)) and shown[name].asked > turn and not shown[name].draining}
+        return {
+            name: max(turn, self.since[name])
+            for name in fleet
+            if name in self.since
+            and there(now, shown.get(name))
+            and shown[name].asked > turn
+            and not shown[name].draining
+        }
 
 
 def there(now, seen):
--- a/gaproute/maintenance/round.py
+++ b/gaproute/maintenance/round.py
@@ -25,6 +25,7 @@
 serve again, hosts that are away show another start when they come; the turn is asked for anew and old permits
 lapse.
 """
+
 from gaproute.maintenance import drained, floor, schedule, words
 from gaproute.maintenance.going import TURN_LONG, Going
 from gaproute.maintenance.hands import AGAIN
@@ -33,27 +34,28 @@
 SECOND = 1_000_000_000
 
 TURN = "maintenance turn"
-LOOK = 4 * SECOND        # after a turn is granted: hosts have to be seen anew before anything is judged
-REST = 3 * SECOND        # without the turn then, longer than another's AGAIN
-ORDERED = 10 * SECOND    # a load that was ordered and not seen to begin or end is forgotten
+LOOK = 4 * SECOND  # after a turn is granted: hosts have to be seen anew before anything is judged
+REST = 3 * SECOND  # without the turn then, longer than another's AGAIN
+ORDERED = 10 * SECOND  # a load that was ordered and not seen to begin or end is forgotten
 
 
 class Running(Going):
     """`holder`: a `permits.Holder`; `beside`: other rounds that may run now, of which it keeps the floor as
     well. `tick(now, view)` and `ask(now, host, view)`; `view`: see `view.py`."""
 
-    def __init__(self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces(),
-                 beside=()):
+    def __init__(
+        self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces(), beside=()
+    ):
         self.asked, self.beside = floor.strict(asked, beside), tuple(beside)
         self.me, self.holder, self.span = me, holder, span
         self.bounds, self.paces = bounds, paces
         self.stage, self.why, self.withdrawn = "asking", "", False
         self.begun, self.count, self.planned = now, 0, False
         self.places, self.lives = {}, Lives()
-        self.turn, self.turned, self.next = None, None, now      # wish; when it was seen held; next asking
-        self.ordered = {}                    # (host, function): when
+        self.turn, self.turned, self.next = None, None, now  # wish; when it was seen held; next asking
+        self.ordered = {}  # (host, function): when
         self.believed, self.needs, self.missing = {}, {}, []
-        self.log = []                        # (state or stage, host or "", why), taken away by the caller
+        self.log = []  # (state or stage, host or "", why), taken away by the caller
 
     # Faces (and `ask`, see `hands.py`)
 
@@ -78,7 +80,7 @@
         self._believe(now, view)
         for place in self.places.values():
             out += self._follow(now, place, view, anew)
-        if self.withdrawn or now - self.begun > self.asked.by:   # rule 10
+        if self.withdrawn or now - self.begun > self.asked.by:  # rule 10
             out += self._back(now, "withdrawn" if self.withdrawn else "by is over")
             if all(self.places[name].state == "lost" for name in self.away()):
                 self._end(now, "withdrawn" if self.withdrawn else "by is over")
@@ -87,7 +89,7 @@
             self._end(now, "")
             return out
         if not self.holds(now):
-            out += self._back(now, "no turn")                    # rule 3
+            out += self._back(now, "no turn")  # rule 3
             self._stage("paused" if self.away() else "asking", "no turn")
         elif now - self.turned >= LOOK:
             out += self._go(now, view)
@@ -107,7 +109,7 @@
         held = self.turn is not None and self.turn.may(now)
         if held and self.turned is None:
             self.turned = now
-        if held and now - self.turned > TURN_LONG and not self.away():     # rule 1
+        if held and now - self.turned > TURN_LONG and not self.away():  # rule 1
             self.holder.give(now, self.turn)
             self.turn, self.turned, self.next = None, None, now + REST
         elif not held and self.turn is not None and self.turn.state != "asked":
--- a/gaproute/maintenance/schedule.py
+++ b/gaproute/maintenance/schedule.py
@@ -5,6 +5,7 @@
 go now is passed over. When a better order would pay is measured in `benchmarks/rounds.py` against the best
 order of all.
 """
+
 import msgspec
 
 from gaproute.maintenance.floor import ALL, kept, rows_of, worded
@@ -14,6 +15,7 @@
 
 class Paces(msgspec.Struct, frozen=True):
     """ns that things are believed to take; the ration: loads under way at once that a round may cause."""
+
     drain: int = 6 * SECOND
     load: int = 4 * SECOND
     seen: int = 2 * SECOND
@@ -44,8 +46,14 @@
     for name in waiting:
         for group in groups(asked, fleet, name):
             crowd[group] = crowd.get(group, 0) + 1
-    return sorted(waiting, key=lambda name: (
-        -max((crowd[group] for group in groups(asked, fleet, name)), default=0), -fleet[name].lanes, name))
+    return sorted(
+        waiting,
+        key=lambda name: (
+            -max((crowd[group] for group in groups(asked, fleet, name)), default=0),
+            -fleet[name].lanes,
+            name,
+        ),
+    )
 
 
 def choose(asked, fleet, warm, needs, waiting, away, down=(), order=order):
@@ -82,7 +90,7 @@
         coming[host][function] = fleet[host].lanes
         came.append((host, function))
 
-    for host, functions in had.items():          # what was there is put back, the rest is as it was
+    for host, functions in had.items():  # what was there is put back, the rest is as it was
         for function in functions:
             if left > 0 and host not in busy and free.get(host, 0) > 0 and function not in coming[host]:
                 load(host, function)
@@ -95,7 +103,7 @@
                 break
             load(*target)
         if came or loading:
-            break                                # one host's way is made free before the next one's
+            break  # one host's way is made free before the next one's
     return came
 
 
@@ -105,8 +113,13 @@
         best = None
         for name, slots in free.items():
             host = fleet[name]
-            if slots <= 0 or name in busy or name in without or scope not in ("", host.zone) \
-                    or what in (name, host.rack, host.zone):
+            if (
+                slots <= 0
+                or name in busy
+                or name in without
+                or scope not in ("", host.zone)
+                or what in (name, host.rack, host.zone)
+            ):
                 continue
             wanted = function
             if function == ALL:
@@ -133,6 +146,7 @@
 
 class Plan(msgspec.Struct, frozen=True):
     """`steps`: [(ns after the beginning, host)]; `end`: ns when all are back; `why`: what forbids it."""
+
     steps: tuple[tuple[int, str], ...]
     end: int
     why: str = ""
@@ -143,7 +157,7 @@
     first thing in its way."""
     warm = {name: dict(functions) for name, functions in warm.items()}
     missing = kept(fleet, warm, needs, asked.survive)
-    whole = {}                               # what all lanes there are could give, each warm with everything
+    whole = {}  # what all lanes there are could give, each warm with everything
     for name in fleet:
         every = dict.fromkeys([row[0] for row in needs], fleet[name].lanes)
         for row, lanes in rows_of(fleet[name], every).items():
@@ -160,9 +174,18 @@
             steps.append((now, name))
             away[name] = now + paces.drain + asked.out + paces.seen
             had[name], warm[name] = tuple(warm[name]), {}
-        for name, function in loads(asked, fleet, warm, needs, waiting, away, {
-                name: slots for name, slots in free.items() if name not in away}, list(loading),
-                {name: functions for name, functions in had.items() if name not in away}, paces.ration):
+        for name, function in loads(
+            asked,
+            fleet,
+            warm,
+            needs,
+            waiting,
+            away,
+            {name: slots for name, slots in free.items() if name not in away},
+            list(loading),
+            {name: functions for name, functions in had.items() if name not in away},
+            paces.ration,
+        ):
             loading[name, function] = now + paces.load + paces.seen
             free[name] -= 1
         times = [*away.values(), *loading.values()]
@@ -171,8 +194,11 @@
                 why = first[1] if first else worded(missing)
                 return Plan(tuple(steps), now, f"{why}, when {first[0]} is to go" if first else why)
             end = max([0, *(at + paces.drain + asked.out + paces.seen for at, _ in steps)])
-            return Plan(tuple(steps), end, "" if end <= asked.by else
-                        f"by: it takes {end / SECOND:g} s, by is {asked.by / SECOND:g} s")
+            return Plan(
+                tuple(steps),
+                end,
+                "" if end <= asked.by else f"by: it takes {end / SECOND:g} s, by is {asked.by / SECOND:g} s",
+            )
         now = min(times)
         for name in [name for name, at in away.items() if at <= now]:
             del away[name]
--- a/gaproute/maintenance/view.py
+++ b/gaproute/maintenance/view.py
@@ -1,4 +1,5 @@
 """What a running round looks at, at one moment."""
+
 import msgspec
 
 
@@ -6,11 +7,12 @@
     """`fleet`: {name: words.Host} as listed, `shown`: {name: warm.Shown} as each showed itself last,
     `sights`: {function: {host: (age, tellers)}} as `Weak.warm` reads, `demand`: {function: lanes in use at
     its peak told}."""
+
     fleet: dict
     shown: dict
     sights: dict
     demand: dict
-    told: int                # ns since somebody told of demand last
+    told: int  # ns since somebody told of demand last
 
     @property
     def zones(self):
--- a/gaproute/maintenance/warm.py
+++ b/gaproute/maintenance/warm.py
@@ -5,14 +5,15 @@
 scheduler had its turn, counts for nothing: it may be of another life of the host, or from before another
 round took it out. Beliefs only lose by age; none gains.
 """
+
 import msgspec
 
 SECOND = 1_000_000_000
 
-FRESH = 5 * SECOND       # a sight counts in full so long: some probes of one host
-STALE = 20 * SECOND      # and for nothing from here on, evenly less in between: a death shows within it
-TOLD = 5 * SECOND        # what others told may have been on its way so long, whatever age it says
-WITNESSES = 2            # others that must have seen a copy: one alone may tell nonsense
+FRESH = 5 * SECOND  # a sight counts in full so long: some probes of one host
+STALE = 20 * SECOND  # and for nothing from here on, evenly less in between: a death shows within it
+TOLD = 5 * SECOND  # what others told may have been on its way so long, whatever age it says
+WITNESSES = 2  # others that must have seen a copy: one alone may tell nonsense
 
 
 class Shown(msgspec.Struct, frozen=True):
@@ -21,6 +22,7 @@
     `power`: per mille of its lanes' full pace that it has now (cold hosts have less); `free`: slots without a
     copy and not being loaded; `copies`: functions that it has warm; `loading`: those on their way; `done`:
     the last round whose crew restarted it."""
+
     asked: int
     start: int
     draining: bool = False
--- a/gaproute/maintenance/words.py
+++ b/gaproute/maintenance/words.py
@@ -1,4 +1,5 @@
 """A round of maintenance as it is asked for, the fleet it is asked of, and what is wrong with it."""
+
 from typing import Annotated
 
 import msgspec
@@ -6,9 +7,9 @@
 
 SECOND = 1_000_000_000
 
-HOSTS = 4096             # of one round: as many as a fleet may list
-NAME = 128               # characters of a name, as in permits
-LONGEST = 24 * 3600 * SECOND     # a host out, or a whole round: a day; more is two rounds
+HOSTS = 4096  # of one round: as many as a fleet may list
+NAME = 128  # characters of a name, as in permits
+LONGEST = 24 * 3600 * SECOND  # a host out, or a whole round: a day; more is two rounds
 LEVELS = ("", "host", "rack", "zone")
 
 Name = Annotated[str, Meta(min_length=1, max_length=NAME)]
@@ -18,6 +19,7 @@
 
 class Host(msgspec.Struct, frozen=True):
     """One host as listed. `lanes`: tasks at once; `slots`: copies that it holds at once."""
+
     name: str
     zone: str
     rack: str
@@ -33,6 +35,7 @@
     host at a time is away. The floor of a function: its peak told and `margin` per mille more, in the fleet;
     `zones` per mille of an even share of that in each zone. `survive`: "host", "rack" or "zone": the floor
     must still be kept when any one of these fails now; "": nothing is looked ahead for."""
+
     name: Name
     hosts: Annotated[tuple[Name, ...], Meta(max_length=HOSTS)] = ()
     kind: Annotated[str, Meta(max_length=NAME)] = ""
@@ -46,7 +49,7 @@
     margin: Mille = 250
     zones: Mille = 0
     survive: str = "host"
-    functions: Annotated[tuple[Name, ...], Meta(max_length=HOSTS)] = ()     # () : all that production wants
+    functions: Annotated[tuple[Name, ...], Meta(max_length=HOSTS)] = ()  # () : all that production wants
 
 
 def named(asked, fleet):
@@ -56,8 +59,11 @@
         return [host for host in fleet.values() if host.name in wanted]
     if not (asked.kind or asked.zone or asked.rack):
         return []
-    return [host for host in fleet.values() if asked.kind in ("", host.kind)
-            and asked.zone in ("", host.zone) and asked.rack in ("", host.rack)]
+    return [
+        host
+        for host in fleet.values()
+        if asked.kind in ("", host.kind) and asked.zone in ("", host.zone) and asked.rack in ("", host.rack)
+    ]
 
 
 def mistakes(asked, fleet, demand):
@@ -73,8 +79,9 @@
         if value and all(getattr(host, word) != value for host in fleet.values()):
             came.append(f"{word}: no host is of {word} {value}")
     came += [f"hosts: {name} is not listed" for name in asked.hosts if name not in fleet]
-    came += [f"hosts: {name} is named twice" for name in dict.fromkeys(asked.hosts)
-             if asked.hosts.count(name) > 1]
+    came += [
+        f"hosts: {name} is named twice" for name in dict.fromkeys(asked.hosts) if asked.hosts.count(name) > 1
+    ]
     if by_group and not asked.hosts and not chosen and not came:
         came.append(f"hosts: none is of all of {', '.join(by_group)}")
     for number, group in enumerate(asked.apart, 1):
@@ -89,8 +96,10 @@
         came.append(f"together: {asked.together} of {len(chosen)} hosts")
     turns = -(-len(chosen) // asked.together)
     if turns * asked.out > asked.by:
-        came.append(f"by: {len(chosen)} hosts, {asked.together} at a time, are away for"
-                    f" {turns * asked.out / SECOND:g} s together, by is {asked.by / SECOND:g} s")
+        came.append(
+            f"by: {len(chosen)} hosts, {asked.together} at a time, are away for"
+            f" {turns * asked.out / SECOND:g} s together, by is {asked.by / SECOND:g} s"
+        )
     if asked.zones and asked.zones > 1000 + asked.margin:
         came.append(f"zones: {asked.zones} per mille is more than the floor of the whole fleet")
     came += [f"functions: nobody asks for {name}" for name in asked.functions if name not in demand]
--- a/gaproute/node/__main__.py
+++ b/gaproute/node/__main__.py
@@ -1,5 +1,6 @@
 """`python -m gaproute.node`: one gateway of the platform, as the environment says. Exit codes: 0 stopped, 2
 the environment or the configuration cannot be used, 3 the address cannot be listened on."""
+
 import gc
 import os
 import sys
@@ -30,7 +31,7 @@
         print(f"cannot listen on {process.listen}: {fault.strerror}", file=sys.stderr)
         return 3
     gc.collect()
-    gc.freeze()      # what stands for good is not looked through again and again
+    gc.freeze()  # what stands for good is not looked through again and again
     process.run()
     return 0
 
--- a/gaproute/node/charter.py
+++ b/gaproute/node/charter.py
@@ -1,4 +1,5 @@
 """What the platform tells the process: the environment and the configuration file, read whole or refused."""
+
 import os
 
 import msgspec
--- a/gaproute/node/log.py
+++ b/gaproute/node/log.py
@@ -1,10 +1,11 @@
 """The process's log: lines of JSON on standard error. Never blocks, and never more than so many a second."""
+
 import os
 import time
 
 import msgspec
 
-BURST = 200              # lines a second: a storm of faults must not cost the tasks their time
+BURST = 200  # lines a second: a storm of faults must not cost the tasks their time
 
 
 class Log:
@@ -25,7 +26,7 @@
         line = {"at": round(now, 3), "level": level, "event": what, **told}
         try:
             os.write(self.fd, msgspec.json.encode(line, enc_hook=repr) + b"\n")
-        except OSError:          # nobody reads, or the pipe is full: the line is lost, not the task
+        except OSError:  # nobody reads, or the pipe is full: the line is lost, not the task
             pass
 
     def info(self, what, **told):
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -1,4 +1,5 @@
 """One gateway of the platform: its parts wired, started, told anew and stopped. Decides nothing."""
+
 import os
 import signal
 import traceback
@@ -23,59 +24,77 @@
 from gaproute.record.record import FOLLOWED, Record
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-STATUS = 5 * SECOND          # between lines of status: a few of them in the shortest day
-AGAIN = 200 * MILLI          # until a file that could not be opened is tried again
-STILL_COMING = 800 * MILLI   # after SIGTERM, in which clients still come: 0.6 s, and a turn or two
-GRANTED = 700 * MILLI        # beyond the longest deadline, until SIGKILL may come after SIGTERM
-LONGEST = 3 * SECOND         # what a longer deadline counts as there
-AHEAD = 200 * MILLI          # of SIGKILL, by which what is only waiting to be taken is left to the kernel
+STATUS = 5 * SECOND  # between lines of status: a few of them in the shortest day
+AGAIN = 200 * MILLI  # until a file that could not be opened is tried again
+STILL_COMING = 800 * MILLI  # after SIGTERM, in which clients still come: 0.6 s, and a turn or two
+GRANTED = 700 * MILLI  # beyond the longest deadline, until SIGKILL may come after SIGTERM
+LONGEST = 3 * SECOND  # what a longer deadline counts as there
+AHEAD = 200 * MILLI  # of SIGKILL, by which what is only waiting to be taken is left to the kernel
 
 
 class Process:
-    def __init__(self, path, told, name=None, listen=None, loop=None, log=None,
-                 followed=FOLLOWED):
+    def __init__(self, path, told, name=None, listen=None, loop=None, log=None, followed=FOLLOWED):
         self.path = path
         self.charter, self.terms, self.site = told
         self.name, self.listen = name or self.charter.name, listen or self.charter.listen
         self.loop = loop = loop or Loop()
         self.log = log or Log()
-        loop.on_error = lambda error: self.log.error("error", error=repr(error), trace="".join(
-            traceback.format_exception(error))[-2000:])
+        loop.on_error = lambda error: self.log.error(
+            "error", error=repr(error), trace="".join(traceback.format_exception(error))[-2000:]
+        )
         seed = int(self.charter.seed, 16)
         self.record = Record(self.log, self.site.tracks, followed)
         sockets = min(self.charter.limits.sockets, descriptors())
         clients, to_hosts = share_out(sockets)
         self.hosts = Hosts(loop, Pooling(), self.site, to_hosts)
         self.hosts.forgotten = self.record.forget
-        self.core = Core(loop, Gateway(seed, self.terms, loop.now()), self.terms, self.hosts, self.record,
-                         self.name)
+        self.core = Core(
+            loop, Gateway(seed, self.terms, loop.now()), self.terms, self.hosts, self.record, self.name
+        )
         if self.core.gateway.ration.travel:
             self.hosts.order_time = min(self.hosts.order_time, self.core.gateway.ration.travel)
-        Lot.of(loop).admission = Admission(clients, clients + 1, sockets, Chance(seed + 3), RESTED,
-                                           patient=True, reserve=to_hosts + OWN)
+        Lot.of(loop).admission = Admission(
+            clients, clients + 1, sockets, Chance(seed + 3), RESTED, patient=True, reserve=to_hosts + OWN
+        )
         self.lister = events.Lister(loop, self.site.zones)
         self.seed, self.sockets = seed, sockets
         self.front = self.follower = self.peers = None
         self.stopping, self.granted = False, 0
-        self.again = None            # timer of a reload that could not be read
+        self.again = None  # timer of a reload that could not be read
 
     def start(self):
         """Errors: OSError where the address cannot be listened on."""
-        self.front = Front(self.loop, address(self.listen), self.core, self.site.tracks, self.terms.tracks,
-                           self.ready, way_back())
+        self.front = Front(
+            self.loop,
+            address(self.listen),
+            self.core,
+            self.site.tracks,
+            self.terms.tracks,
+            self.ready,
+            way_back(),
+        )
         self.front.refused = lambda code, text: self.log.info("refused", code=code, text=text[:200])
         if self.terms.peers_allowed and self.charter.peer_listen and self.charter.peers_all:
             self.hear_peers()
         last, known = events.known(self.charter.known)
         for event in known:
             self.told(event)
-        self.follower = Follower(self.loop, self.charter.changelog, last, self.told, Chance(self.seed + 1),
-                                 known)
-        self.log.info("started", name=self.name, listen=self.front.address, hosts=len(self.hosts.hosts),
-                      sockets=self.sockets, clients=Lot.of(self.loop).admission.most,
-                      to_hosts=self.hosts.room,
-                      limits=self.charter.limits, reported=self.site.reported,
-                      prices=self.charter.settings.get("prices"), gateways=self.terms.gateways)
+        self.follower = Follower(
+            self.loop, self.charter.changelog, last, self.told, Chance(self.seed + 1), known
+        )
+        self.log.info(
+            "started",
+            name=self.name,
+            listen=self.front.address,
+            hosts=len(self.hosts.hosts),
+            sockets=self.sockets,
+            clients=Lot.of(self.loop).admission.most,
+            to_hosts=self.hosts.room,
+            limits=self.charter.limits,
+            reported=self.site.reported,
+            prices=self.charter.settings.get("prices"),
+            gateways=self.terms.gateways,
+        )
         self.status()
 
     def hear_peers(self):
@@ -92,8 +111,12 @@
         complete = event.fleet.complete
         self.hosts.listed(rows, complete)
         self.core.listed([row.listed for row in rows], complete)
-        self.log.info("list", seq=event.seq, complete=complete,
-                      rows=[[row.listed.worker, row.where, row.listed.state.value] for row in rows[:64]])
+        self.log.info(
+            "list",
+            seq=event.seq,
+            complete=complete,
+            rows=[[row.listed.worker, row.where, row.listed.state.value] for row in rows[:64]],
+        )
 
     def ready(self):
         return not self.stopping and any(host.active for host in self.hosts.hosts.values())
@@ -137,7 +160,7 @@
 
     def shut(self):
         self.core.emptied = self.front.emptied = self.leave
-        self.loop.at(self.granted, self.leave)       # first: an error must not keep the process
+        self.loop.at(self.granted, self.leave)  # first: an error must not keep the process
         self.front.stop()
         self.leave()
 
@@ -158,26 +181,50 @@
     # For whoever reads the log
 
     def status(self):
-        self.loop.after(STATUS, self.status)         # first: a line that fails must not be the last
+        self.loop.after(STATUS, self.status)  # first: a line that fails must not be the last
         hosts, front, gateway = self.hosts, self.front, self.core.gateway
-        held = {name: [len(host.links), sum(len(link.open) for link in host.links)]
-                for name, host in hosts.hosts.items() if host.links}
-        believed = {worker.id: [round(gateway.queued(worker, 1, self.loop.now()), 1), round(worker.slow, 1),
-                                len(worker.out)] for worker in gateway.fleet if worker.out or worker.slow > 1}
-        self.log.info("status", held=len(self.core.held), counts=self.record.table(), links=held,
-                      believed=believed, clients=Lot.of(self.loop).held, parked=front.parked,
-                      faults=front.faults, turned_away=front.turned_away, deaf=front.deaf,
-                      displaced=Lot.of(self.loop).displaced, opened=hosts.opened,
-                      reused=hosts.reused, doubled=hosts.doubled, spoilt=hosts.spoilt, strays=hosts.strays,
-                      late_turns=self.loop.late_turns,
-                      descriptors=had(lambda: len(os.listdir("/proc/self/fd"))),
-                      memory_mb=had(memory), cpu_s=round(sum(os.times()[:2]), 2),
-                      members_refused=self.lister.refused,
-                      log_asked=self.follower.asked if self.follower else 0,
-                      log_anew=self.follower.anew if self.follower else 0,
-                      log_fault=self.follower.fault if self.follower else "",
-                      log_seq=self.follower.last if self.follower else 0,
-                      log_silent_ms=(self.loop.now() - self.follower.heard) // MILLI if self.follower else 0)
+        held = {
+            name: [len(host.links), sum(len(link.open) for link in host.links)]
+            for name, host in hosts.hosts.items()
+            if host.links
+        }
+        believed = {
+            worker.id: [
+                round(gateway.queued(worker, 1, self.loop.now()), 1),
+                round(worker.slow, 1),
+                len(worker.out),
+            ]
+            for worker in gateway.fleet
+            if worker.out or worker.slow > 1
+        }
+        self.log.info(
+            "status",
+            held=len(self.core.held),
+            counts=self.record.table(),
+            links=held,
+            believed=believed,
+            clients=Lot.of(self.loop).held,
+            parked=front.parked,
+            faults=front.faults,
+            turned_away=front.turned_away,
+            deaf=front.deaf,
+            displaced=Lot.of(self.loop).displaced,
+            opened=hosts.opened,
+            reused=hosts.reused,
+            doubled=hosts.doubled,
+            spoilt=hosts.spoilt,
+            strays=hosts.strays,
+            late_turns=self.loop.late_turns,
+            descriptors=had(lambda: len(os.listdir("/proc/self/fd"))),
+            memory_mb=had(memory),
+            cpu_s=round(sum(os.times()[:2]), 2),
+            members_refused=self.lister.refused,
+            log_asked=self.follower.asked if self.follower else 0,
+            log_anew=self.follower.anew if self.follower else 0,
+            log_fault=self.follower.fault if self.follower else "",
+            log_seq=self.follower.last if self.follower else 0,
+            log_silent_ms=(self.loop.now() - self.follower.heard) // MILLI if self.follower else 0,
+        )
 
 
 def had(figure):
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -4,6 +4,7 @@
 A snapshot is read on from where the last answer stopped, function by function, so that no answer takes longer
 than its slice however much is known. What changed since is asked for by the mark of the snapshot's answer.
 """
+
 import secrets
 import time
 
@@ -16,11 +17,11 @@
 from gaproute.peers import wire
 from gaproute.peers.lore_pb2 import Told
 
-READINGS = 16            # readings held for learners; whoever comes back for an older one begins anew
-HELD = 4 << 20           # bytes of told chunks held for them
-SHARED = 250 * MILLI     # after it began, a snapshot is still told to others that begin: after a roll many do
-LIMITS = Limits(body=4096, pipelined=1, connections=1024)    # of those that ask: a roll starts hundreds
-PLACE = 1 << 20          # a cursor is the reading's number times this, plus the chunk's
+READINGS = 16  # readings held for learners; whoever comes back for an older one begins anew
+HELD = 4 << 20  # bytes of told chunks held for them
+SHARED = 250 * MILLI  # after it began, a snapshot is still told to others that begin: after a roll many do
+LIMITS = Limits(body=4096, pipelined=1, connections=1024)  # of those that ask: a roll starts hundreds
+PLACE = 1 << 20  # a cursor is the reading's number times this, plus the chunk's
 
 
 class Reading:
@@ -28,19 +29,19 @@
 
     def __init__(self, begun, whole, facts):
         self.begun, self.whole, self.facts = begun, whole, facts
-        self.chunks, self.size, self.ended = [], 0, False      # chunks: (when built, bytes)
+        self.chunks, self.size, self.ended = [], 0, False  # chunks: (when built, bytes)
 
 
 class Giver:
     """`gateway` tells what it knows, `roll` what its host list told; `tracks`: their names."""
 
     def __init__(self, loop, where, gateway, roll, tracks, limits=LIMITS, meter=time.thread_time_ns):
-        self.meter = meter           # CPU spent so far, ns
-        self.also = {}               # target: handle(server, request), of what else is served here
+        self.meter = meter  # CPU spent so far, ns
+        self.also = {}  # target: handle(server, request), of what else is served here
         self.loop, self.gateway, self.roll, self.tracks = loop, gateway, roll, tracks
         self.purse = Purse(loop.now())
-        self.life = secrets.randbits(63) | 1       # the clock's marks are this process's alone
-        self.readings, self.count = {}, 0          # number: Reading
+        self.life = secrets.randbits(63) | 1  # the clock's marks are this process's alone
+        self.readings, self.count = {}, 0  # number: Reading
         self.told = self.put_off = self.spent = 0
         self.server = Server(loop, where, self.handle, limits)
         self.address = self.server.address
@@ -64,8 +65,9 @@
         except DecodeError:
             self.server.answer(request, 400, (), b"not an Ask\n")
             return
-        self.server.answer(request, 200, ((b"Content-Type", b"application/x-protobuf"),),
-                           self.answer(now, ask, begun))
+        self.server.answer(
+            request, 200, ((b"Content-Type", b"application/x-protobuf"),), self.answer(now, ask, begun)
+        )
         spent = self.meter() - begun
         self.spent += spent
         self.purse.spend(now, spent)
@@ -82,8 +84,12 @@
         built, data = reading.chunks[place]
         more = not reading.ended or place + 1 < len(reading.chunks)
         # Serialized messages that follow one another are one message: the chunk need not be built again.
-        return data + Told(next=number * PLACE + place + 1 if more else 0,
-                           held_us=(now - built) // 1000).SerializeToString()
+        return (
+            data
+            + Told(
+                next=number * PLACE + place + 1 if more else 0, held_us=(now - built) // 1000
+            ).SerializeToString()
+        )
 
     def reading(self, now, since):
         """The number of a reading of what came since then; of one begun just now where all is asked for."""
@@ -91,8 +97,9 @@
             if since < 0 and reading.whole and now - reading.begun <= SHARED:
                 return number
         self.count += 1
-        self.readings[self.count] = Reading(now, since < 0, own(self.gateway, self.roll, self.tracks, now,
-                                                                since))
+        self.readings[self.count] = Reading(
+            now, since < 0, own(self.gateway, self.roll, self.tracks, now, since)
+        )
         while len(self.readings) > READINGS or sum(each.size for each in self.readings.values()) > HELD:
             if len(self.readings) == 1:
                 break
--- a/gaproute/peers/gossip.py
+++ b/gaproute/peers/gossip.py
@@ -1,5 +1,6 @@
 """Membership on datagrams: beside the address at which a gateway tells what it knows, by the same address for
 UDP, by the path with `.words` added for Unix sockets."""
+
 import time
 
 from google.protobuf.message import DecodeError
@@ -10,9 +11,9 @@
 
 SECOND = 1_000_000_000
 VERSION = 1
-KINDS = ("", "ping", "ack", "ask", "pull", "part")     # a version that lacks one passes it over
-CARRIED = {"weak": 6}    # other parts' words by the same datagrams: the number of their kind
-MOST = 2000              # datagrams read in a second: 20 times what comes at 1,000 gateways. In a flood it
+KINDS = ("", "ping", "ack", "ask", "pull", "part")  # a version that lacks one passes it over
+CARRIED = {"weak": 6}  # other parts' words by the same datagrams: the number of their kind
+MOST = 2000  # datagrams read in a second: 20 times what comes at 1,000 gateways. In a flood it
 #                          harms, as words of others are passed over with it
 
 
@@ -54,8 +55,8 @@
         self.members = Members(name, where, chance, loop.now(), time.time_ns() // 1_000_000)
         self.datagrams = Datagrams(loop, at(where), self._heard)
         self.sent = self.bytes = self.strange = self.flood = 0
-        self.read, self.second = 0, 0       # datagrams read in this second
-        self.carried = {}                   # number of a kind: who takes it
+        self.read, self.second = 0, 0  # datagrams read in this second
+        self.carried = {}  # number of a kind: who takes it
         self.timer = None
         self._again()
 
@@ -120,16 +121,25 @@
         for name in self.members.table.changed:
             member = self.members.members.get(name)
             if member is not None:
-                self.record.event("info", "gateway", name=name, state=STATES[member.state],
-                                  incarnation=member.incarnation)
+                self.record.event(
+                    "info", "gateway", name=name, state=STATES[member.state], incarnation=member.incarnation
+                )
         self.members.table.changed.clear()
 
     def table(self):
         now = self.loop.now() - self.members.held
-        return [{"name": member.name, "where": member.where, "state": STATES[member.state],
-                 "incarnation": member.incarnation, "since_ms": (now - member.since) // 1_000_000,
-                 "heard_ms": None if member.heard is None else (self.loop.now() - member.heard) // 1_000_000,
-                 "configured": member.fixed} for _, member in sorted(self.members.members.items())]
+        return [
+            {
+                "name": member.name,
+                "where": member.where,
+                "state": STATES[member.state],
+                "incarnation": member.incarnation,
+                "since_ms": (now - member.since) // 1_000_000,
+                "heard_ms": None if member.heard is None else (self.loop.now() - member.heard) // 1_000_000,
+                "configured": member.fixed,
+            }
+            for _, member in sorted(self.members.members.items())
+        ]
 
     def stop(self):
         self._send(self.members.leave())
--- a/gaproute/peers/keepers/carrier.py
+++ b/gaproute/peers/keepers/carrier.py
@@ -5,6 +5,7 @@
 Who sends is taken at its word, as in all exchange of peers (a private network, see docs/operators.md); a
 name that is no peer's is not listened to.
 """
+
 from collections import Counter, deque
 
 from gaproute.http1 import Exchange, Limits, Server
@@ -13,12 +14,12 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-QUEUE = 256              # messages that wait for one peer; beyond it the oldest goes: it is the stalest
+QUEUE = 256  # messages that wait for one peer; beyond it the oldest goes: it is the stalest
 HELD = 2 * wire.LONGEST  # bytes of them
-ANSWER = 2 * SECOND      # for one exchange: a snapshot over a slow link; a dead peer costs an attempt in that
-REST = 200 * MILLI       # after a failed exchange, until the next: a beat
-PACE = 500               # messages a second that one peer may send: a busy leader's share, ten times over
-BURST = 1000             # messages beyond that at once
+ANSWER = 2 * SECOND  # for one exchange: a snapshot over a slow link; a dead peer costs an attempt in that
+REST = 200 * MILLI  # after a failed exchange, until the next: a beat
+PACE = 500  # messages a second that one peer may send: a busy leader's share, ten times over
+BURST = 1000  # messages beyond that at once
 TARGET = b"/keepers"
 
 
@@ -26,7 +27,7 @@
     def __init__(self, now):
         self.queue, self.held = deque(), 0
         self.link = self.exchange = self.timer = None
-        self.rest = now              # until then nothing is sent
+        self.rest = now  # until then nothing is sent
         self.purse, self.filled = BURST, now
 
 
@@ -36,8 +37,8 @@
 
     def __init__(self, loop, name, peers, take):
         self.loop, self.name, self.peers, self.take = loop, name, peers, take
-        self.table = {}              # name: Peer
-        self.counts = Counter()      # sent, heard, lost, and what was refused by reason
+        self.table = {}  # name: Peer
+        self.counts = Counter()  # sent, heard, lost, and what was refused by reason
         self.server = None
         self.closed = False
 
@@ -46,8 +47,9 @@
     def listen(self, where):
         """Errors: OSError. Returns the address as text."""
         limits = Limits(body=wire.LONGEST, pipelined=1, connections=256, buffered=4 * wire.LONGEST)
-        self.server = Server(self.loop, address(where), lambda request: self.handle(self.server, request),
-                             limits)
+        self.server = Server(
+            self.loop, address(where), lambda request: self.handle(self.server, request), limits
+        )
         return self.server.address
 
     def handle(self, server, request):
@@ -110,21 +112,24 @@
         if not peer.queue or peer.exchange is not None or to not in self.peers or self.closed:
             return
         packed, size = [], 0
-        while peer.queue and len(packed) < wire.MANY and (
-                not packed or size + len(peer.queue[0]) < wire.BATCH):
+        while (
+            peer.queue and len(packed) < wire.MANY and (not packed or size + len(peer.queue[0]) < wire.BATCH)
+        ):
             packed.append(peer.queue.popleft())
             size += len(packed[-1])
         peer.held -= size
         body = wire.batch(self.name, packed)
         data = b"POST %s HTTP/1.1\r\nHost: peer\r\nContent-Length: %d\r\n\r\n%b" % (TARGET, len(body), body)
-        peer.exchange = Exchange(self.loop, data,
-                                 lambda answer, fault: self._over(to, peer, len(packed), answer))
+        peer.exchange = Exchange(
+            self.loop, data, lambda answer, fault: self._over(to, peer, len(packed), answer)
+        )
         peer.timer = self.loop.after(ANSWER, self._over, to, peer, len(packed), None)
         if peer.link is not None and peer.link.open:
             peer.exchange.on(peer.link)
         else:
-            peer.exchange.open(address(self.peers[to]), ANSWER, 4096, 4096,
-                               lambda link: setattr(peer, "link", link))
+            peer.exchange.open(
+                address(self.peers[to]), ANSWER, 4096, 4096, lambda link: setattr(peer, "link", link)
+            )
 
     def _over(self, to, peer, many, answer):
         """The exchange ended, or its time did."""
--- a/gaproute/peers/keepers/seat.py
+++ b/gaproute/peers/keepers/seat.py
@@ -1,5 +1,6 @@
 """A gateway's seat among keepers and holders: clock, sockets and log lines around the decisions, no
 choice."""
+
 from gaproute.peers.keepers.carrier import Carrier
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.keepers.invariants import replay
@@ -8,8 +9,8 @@
 
 MILLI = 1_000_000
 
-SAY = 60_000 * MILLI     # between log lines of what was refused, so that a flood is no flood of lines
-SLOW = 50 * MILLI        # a turn of the keeper above it is told: its disk holds up the gateway's tasks
+SAY = 60_000 * MILLI  # between log lines of what was refused, so that a flood is no flood of lines
+SLOW = 50 * MILLI  # a turn of the keeper above it is told: its disk holds up the gateway's tasks
 
 
 class Seat:
@@ -78,19 +79,29 @@
             return
         if now - begun > SLOW:
             self.record.event("warning", "keeper slow", ms=(now - begun) // MILLI)
-        told = {"keeper": keeper.role if keeper.role in ("leader", "follower") else None,
-                "keeper silent": keeper.mute, "members": [member.name for member in keeper.members]}
+        told = {
+            "keeper": keeper.role if keeper.role in ("leader", "follower") else None,
+            "keeper silent": keeper.mute,
+            "members": [member.name for member in keeper.members],
+        }
         for what, value in told.items():
             if value is not None and self.seen.get(what) != value:
                 self.seen[what] = value
                 if value:
-                    self.record.event("error" if what == "keeper silent" else "info", what, now=value,
-                                      term=keeper.term, leader=keeper.leader)
-        for breach in keeper.breaches[self.breaches:]:
+                    self.record.event(
+                        "error" if what == "keeper silent" else "info",
+                        what,
+                        now=value,
+                        term=keeper.term,
+                        leader=keeper.leader,
+                    )
+        for breach in keeper.breaches[self.breaches :]:
             self.record.event("error", "breach", text=breach, replay=replay(keeper))
         self.breaches = len(keeper.breaches)
-        refused = {**keeper.refused, **{what: count for what, count in self.carrier.counts.items()
-                                        if what.startswith("refused")}}
+        refused = {
+            **keeper.refused,
+            **{what: count for what, count in self.carrier.counts.items() if what.startswith("refused")},
+        }
         if now - self.told >= SAY:
             self.told = now
             if refused != self.seen.get("refused", {}):
@@ -100,14 +111,28 @@
     def table(self):
         """For the operators' address."""
         keeper = self.keeper
-        return {"holds": [{"resource": wish.resource, "state": wish.state, "fence": wish.fence,
-                           "ms_left": None if wish.end is None else (wish.end - self.loop.now()) // MILLI}
-                          for wish in self.holder.wishes],
-                "carried": dict(self.carrier.counts),
-                "keeper": keeper and {"role": keeper.role, "term": keeper.term, "leader": keeper.leader,
-                                      "agreed": keeper.commit,
-                                      "members": [each.name for each in keeper.members],
-                                      "silent": keeper.mute, "permits": len(keeper.machine.permits)}}
+        return {
+            "holds": [
+                {
+                    "resource": wish.resource,
+                    "state": wish.state,
+                    "fence": wish.fence,
+                    "ms_left": None if wish.end is None else (wish.end - self.loop.now()) // MILLI,
+                }
+                for wish in self.holder.wishes
+            ],
+            "carried": dict(self.carrier.counts),
+            "keeper": keeper
+            and {
+                "role": keeper.role,
+                "term": keeper.term,
+                "leader": keeper.leader,
+                "agreed": keeper.commit,
+                "members": [each.name for each in keeper.members],
+                "silent": keeper.mute,
+                "permits": len(keeper.machine.permits),
+            },
+        }
 
     def stop(self):
         """Gives all permits back; `close` ends it."""
--- a/gaproute/peers/keepers/wire.py
+++ b/gaproute/peers/keepers/wire.py
@@ -3,6 +3,7 @@
 A batch is [version, sender's name, [messages]]. One message that is none makes the whole batch none: no
 peer that is in its right mind sends one.
 """
+
 from typing import Annotated
 
 import msgspec
@@ -11,15 +12,19 @@
 from gaproute.shared.keepers.messages import MESSAGES, MOST_STATE, NAME
 
 VERSION = 1
-MANY = 64                # messages in a batch: those of a few beats
-BATCH = 512 << 10        # bytes after which no further message joins a batch
-LONGEST = MOST_STATE + BATCH     # bytes of a batch: one snapshot and what went with it
-HEAD = b"\x93"           # MessagePack's mark of an array of three
+MANY = 64  # messages in a batch: those of a few beats
+BATCH = 512 << 10  # bytes after which no further message joins a batch
+LONGEST = MOST_STATE + BATCH  # bytes of a batch: one snapshot and what went with it
+HEAD = b"\x93"  # MessagePack's mark of an array of three
 
 _one = msgspec.msgpack.Encoder().encode
 _read = msgspec.msgpack.Decoder(
-    tuple[int, Annotated[str, Meta(min_length=1, max_length=NAME)],
-          Annotated[list[MESSAGES], Meta(min_length=1, max_length=MANY)]]).decode
+    tuple[
+        int,
+        Annotated[str, Meta(min_length=1, max_length=NAME)],
+        Annotated[list[MESSAGES], Meta(min_length=1, max_length=MANY)],
+    ]
+).decode
 
 
 def pack(message):
--- a/gaproute/peers/learner.py
+++ b/gaproute/peers/learner.py
@@ -4,8 +4,17 @@
 What has come from a peer that dies or stalls in the middle stays usable. Answers are booked as they come, so
 that the first chunk, which holds what was used last, helps while the rest is on its way.
 """
-from gaproute.decisions.told.asking import (ANSWER, ANSWER_TIME, ASKED, CHANGES, CHUNKS, LEARN_TIME, TRIES,
-                                            TRY_AGAIN)
+
+from gaproute.decisions.told.asking import (
+    ANSWER,
+    ANSWER_TIME,
+    ASKED,
+    CHANGES,
+    CHUNKS,
+    LEARN_TIME,
+    TRIES,
+    TRY_AGAIN,
+)
 from gaproute.decisions.told.lore import Lore
 from gaproute.http1 import Exchange
 from gaproute.loop import Promise
@@ -16,8 +25,7 @@
 
 
 class Learner:
-    """`book(subjects)` hands the module what the lore now holds of them; `done()` where a snapshot is whole.
-    """
+    """`book(subjects)` hands the module what the lore now holds of them; `done()` where a snapshot is whole."""
 
     def __init__(self, loop, peers, lore, book, done, record):
         self.loop, self.lore, self.book, self.done, self.record = loop, lore, book, done, record
@@ -50,7 +58,7 @@
                 yield self.loop.sleep(min(SECOND, int(wait) * MILLI) if wait.isdigit() else 100 * MILLI)
                 continue
             if answer is None and not came and not stalled and tries < TRIES:
-                tries += 1                   # not there: it may be starting as well
+                tries += 1  # not there: it may be starting as well
                 yield self.loop.sleep(TRY_AGAIN)
                 continue
             told = wire.read_told(answer.body) if answer is not None and answer.status == 200 else None
@@ -64,12 +72,18 @@
                 continue
             if not mark:
                 self.done()
-                self.record.event("info", "learnt", peer=peer.name, facts=came, booked=self.booked,
-                                  refused=dict(self.lore.refused))
+                self.record.event(
+                    "info",
+                    "learnt",
+                    peer=peer.name,
+                    facts=came,
+                    booked=self.booked,
+                    refused=dict(self.lore.refused),
+                )
             self.state[peer.name] = f"told {came} facts"
             life, mark = told.life, told.mark
             if not mark:
-                return                       # version 1 tells no changes
+                return  # version 1 tells no changes
             yield self.loop.sleep(CHANGES)
 
     def exchange(self, peer, body):
--- a/gaproute/peers/weak/carrier.py
+++ b/gaproute/peers/weak/carrier.py
@@ -1,12 +1,13 @@
 """The weak word carried by the membership's datagrams. Who is up is taken from there, once a second at most;
 what this gateway sees is looked up from its decisions at a pace, so that no task's path grows longer."""
+
 from gaproute.peers.weak.wire import decode, encode
 from gaproute.shared.weak import Weak
 
 SECOND = 1_000_000_000
-LOOK = SECOND // 2       # between two looks at tasks in hand and copies: as often as one peer is told at most
-LEAST = SECOND // 200    # between two turns
-LISTED = SECOND          # between two takes of the list of members: a storm of news must not be one of lists
+LOOK = SECOND // 2  # between two looks at tasks in hand and copies: as often as one peer is told at most
+LEAST = SECOND // 200  # between two turns
+LISTED = SECOND  # between two takes of the list of members: a storm of news must not be one of lists
 
 
 class Carrier:
@@ -16,7 +17,7 @@
         self.loop, self.gossip, self.gateway = loop, gossip, gateway
         now = loop.now()
         self.weak = Weak(name, gossip.members.incarnation, chance, now)
-        self.hands = {}          # host: tasks in hand as told last
+        self.hands = {}  # host: tasks in hand as told last
         self.looked, self.listed_at, self.mark = now - LOOK, now - LISTED, now
         gossip.carry("weak", self._heard)
         self.timer = loop.at(now, self._tick)
@@ -32,7 +33,7 @@
         now = self.loop.now()
         try:
             self._turn(now)
-        finally:                 # a fault in one turn is logged by the loop, and must not end all later ones
+        finally:  # a fault in one turn is logged by the loop, and must not end all later ones
             self.timer = self.loop.at(max(self.weak.due, now + LEAST), self._tick)
 
     def _turn(self, now):
--- a/gaproute/peers/weak/wire.py
+++ b/gaproute/peers/weak/wire.py
@@ -9,15 +9,16 @@
 The scale: code c stands for 2^(c/12) - 1; rates and their rest are told in hundredths, so that three a second
 stays three.
 """
+
 from bisect import bisect
 from struct import Struct, error
 
 from gaproute.shared.weak.facts import DEMAND, HANDS, KINDS, LIFE, MOST, ROOM, SCALE, SLOTS, WARM, Page, Word
 
 VERSION = 1
-TICK = 10_000_000        # ns of an age's unit: 655 s is the longest, twice what any page lives
-FINE = 100               # rates are told in hundredths of a task a second
-LONGEST = 1200           # bytes: fits an unfragmented datagram everywhere
+TICK = 10_000_000  # ns of an age's unit: 655 s is the longest, twice what any page lives
+FINE = 100  # rates are told in hundredths of a task a second
+LONGEST = 1200  # bytes: fits an unfragmented datagram everywhere
 HEAD, PAGE = Struct("<BQB"), Struct("<BBIHBH")
 ENTRIES = {HANDS: Struct("<IB"), ROOM: Struct("<IB"), DEMAND: Struct("<IBBH"), WARM: Struct("<IIH")}
 BETWEEN = [(low * high) ** 0.5 if low else high / 2 for low, high in zip(SCALE, SCALE[1:])]
@@ -29,7 +30,7 @@
 
 
 def _ticks(age):
-    return min(65535, -(-age // TICK))       # rounded up: ages only grow
+    return min(65535, -(-age // TICK))  # rounded up: ages only grow
 
 
 def encode(word):
@@ -40,9 +41,12 @@
         rest = code(page.rest * FINE if kind == DEMAND else page.rest)
         parts.append(PAGE.pack(kind, page.slot, page.counter, _ticks(page.age), rest, len(page.entries)))
         if kind == DEMAND:
-            parts += [pack(function, track, code(rate * FINE),
-                           round(min(655.0, spread / rate) * FINE) if rate else 0)
-                      for function, track, rate, spread in page.entries]
+            parts += [
+                pack(
+                    function, track, code(rate * FINE), round(min(655.0, spread / rate) * FINE) if rate else 0
+                )
+                for function, track, rate, spread in page.entries
+            ]
         elif kind == WARM:
             parts += [pack(host, function, _ticks(age)) for host, function, age in page.entries]
         else:
@@ -67,8 +71,16 @@
             end = at + entries * ENTRIES[kind].size
             if end > len(data):
                 return None
-            pages.append(Page(kind, slot, counter, age * TICK, SCALE[rest] / (FINE if kind == DEMAND else 1),
-                              _entries(kind, data[at:end])))
+            pages.append(
+                Page(
+                    kind,
+                    slot,
+                    counter,
+                    age * TICK,
+                    SCALE[rest] / (FINE if kind == DEMAND else 1),
+                    _entries(kind, data[at:end]),
+                )
+            )
             at = end
     except error:
         return None
@@ -78,8 +90,12 @@
 def _entries(kind, data):
     found = ENTRIES[kind].iter_unpack(data)
     if kind == DEMAND:
-        return tuple([(function, track, SCALE[rate] / FINE, SCALE[rate] / FINE * spread / FINE)
-                      for function, track, rate, spread in found])
+        return tuple(
+            [
+                (function, track, SCALE[rate] / FINE, SCALE[rate] / FINE * spread / FINE)
+                for function, track, rate, spread in found
+            ]
+        )
     if kind == WARM:
         return tuple([(host, function, min(age * TICK, LIFE[WARM])) for host, function, age in found])
     return tuple([(host, SCALE[figure]) for host, figure in found])
--- a/gaproute/peers/wire.py
+++ b/gaproute/peers/wire.py
@@ -1,4 +1,5 @@
 """Facts as protobuf messages and back: no sockets, no choices. Ages are told in microseconds."""
+
 import math
 
 from google.protobuf.message import DecodeError
@@ -50,6 +51,7 @@
 
 def put(told, asked, origin, lore):
     """Tells the lore every fact of the message, observed by the giver `origin`."""
+
     def tell(subject, value, age_us):
         at = lore.observed(asked, (age_us + told.held_us) * 1000)
         if at is not None:
--- a/gaproute/record/record.py
+++ b/gaproute/record/record.py
@@ -1,20 +1,21 @@
 """Counts and the last events of one gateway."""
+
 from collections import Counter, deque
 from zlib import crc32
 
 from gaproute.interface import Result
 
-LAST = 256               # events kept for an operator's look
-TIMES = 512              # last answer times kept for each track
-FOLLOWED = 32            # of so many tasks one is followed, by its mark: the same at every gateway
+LAST = 256  # events kept for an operator's look
+TIMES = 512  # last answer times kept for each track
+FOLLOWED = 32  # of so many tasks one is followed, by its mark: the same at every gateway
 
 
 class Record:
     def __init__(self, log, tracks, followed=FOLLOWED):
-        self.followed = followed                  # 1: each task; 0: none
-        self.log, self.tracks = log, tracks       # names of the tracks, in their order
-        self.counts = Counter()                   # (what, track name or worker, ...): how often
-        self.times = [deque(maxlen=TIMES) for _ in tracks]    # ns from first byte to final answer
+        self.followed = followed  # 1: each task; 0: none
+        self.log, self.tracks = log, tracks  # names of the tracks, in their order
+        self.counts = Counter()  # (what, track name or worker, ...): how often
+        self.times = [deque(maxlen=TIMES) for _ in tracks]  # ns from first byte to final answer
         self.events = deque(maxlen=LAST)
 
     def event(self, level, what, **told):
--- a/gaproute/rig/addresses.py
+++ b/gaproute/rig/addresses.py
@@ -4,7 +4,8 @@
 No socket and no table is needed for a pair: whoever listens on all of 127/8 reads from the address that was
 called who calls whom. Seats from 16 on never fall into 127.0.x.x, where the processes themselves listen.
 """
-LOWEST, HIGHEST = 16, 4000   # seats: below lies 127.0.x.x; 12 bits, clear of the broadcast 127.255.255.255
+
+LOWEST, HIGHEST = 16, 4000  # seats: below lies 127.0.x.x; 12 bits, clear of the broadcast 127.255.255.255
 SEAT_BITS = 12
 
 
@@ -25,8 +26,7 @@
 
 
 def pair(number):
-    """The same of an address as the number that its four bytes are: so the kernel tells it with a datagram.
-    """
+    """The same of an address as the number that its four bytes are: so the kernel tells it with a datagram."""
     caller, called = number >> SEAT_BITS & 0xFFF, number & 0xFFF
     if number >> 24 != 127 or not (LOWEST <= caller <= HIGHEST and LOWEST <= called <= HIGHEST):
         raise ValueError("not an address between two seats")
--- a/gaproute/rig/asking.py
+++ b/gaproute/rig/asking.py
@@ -1,4 +1,5 @@
 """One question to a gateway's operators' address, as a promise of what came of it."""
+
 import msgspec
 
 from gaproute.http1 import Exchange
@@ -6,16 +7,18 @@
 from gaproute.loop.streams import address
 
 MILLI = 1_000_000
-CONNECT, ANSWER = 200 * MILLI, 400 * MILLI   # a gateway that stands still answers nothing: then again
-HEAD, BODY = 1 << 14, 1 << 22                # bytes of an answer
-LOST, SILENT = "lost", "silent"              # its process has ended; nothing came in time
+CONNECT, ANSWER = 200 * MILLI, 400 * MILLI  # a gateway that stands still answers nothing: then again
+HEAD, BODY = 1 << 14, 1 << 22  # bytes of an answer
+LOST, SILENT = "lost", "silent"  # its process has ended; nothing came in time
 
 
 def ask(loop, where, path, order=None):
     """A promise of the answer as plain data, of `LOST` or of `SILENT`."""
     promise, body = Promise(), b"" if order is None else msgspec.json.encode(order)
-    head = (f"{'GET' if order is None else 'POST'} {path} HTTP/1.1\r\nHost: operator\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n")
+    head = (
+        f"{'GET' if order is None else 'POST'} {path} HTTP/1.1\r\nHost: operator\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
 
     def came(answer, undelivered):
         timer.cancel()
--- a/gaproute/rig/child.py
+++ b/gaproute/rig/child.py
@@ -16,6 +16,7 @@
 - Processes that the program starts itself (`serve --processes`) have the true clock again, and end with
   their parent by its pipe alone.
 """
+
 import ctypes
 import os
 import runpy
@@ -26,18 +27,18 @@
 import click
 
 SECOND, MILLI = 1_000_000_000, 1_000_000
-PR_SET_PDEATHSIG = 1     # prctl of Linux: a signal for this process when the thread that started it ends
-CLOCKS = {"monotonic_ns": 1, "monotonic": SECOND, "time_ns": 1, "time": SECOND}     # ns in its unit
+PR_SET_PDEATHSIG = 1  # prctl of Linux: a signal for this process when the thread that started it ends
+CLOCKS = {"monotonic_ns": 1, "monotonic": SECOND, "time_ns": 1, "time": SECOND}  # ns in its unit
 
 
 def wrong(true, start, rate, offset):
-    """A clock made of the clock `true`: at `rate` from its value `start` on, ahead by `offset`, in its unit.
-    """
+    """A clock made of the clock `true`: at `rate` from its value `start` on, ahead by `offset`, in its unit."""
     whole = isinstance(start, int)
 
     def clock():
         gone = (true() - start) * rate
         return start + offset + (int(gone) if whole else gone)
+
     return clock
 
 
@@ -64,8 +65,11 @@
 @click.option("--rate", type=float, default=1.0, help="Seconds of its clock in a true one.")
 @click.option("--offset-ms", type=float, default=0.0, help="How far its clock is ahead at the start.")
 @click.option("--parent-death", is_flag=True, help="Killed when its parent ends.")
-@click.option("--parent", type=int, help="The parent's process id, where the caller knows it: closes the gap "
-                                         "before this process asks.")
+@click.option(
+    "--parent",
+    type=int,
+    help="The parent's process id, where the caller knows it: closes the gap before this process asks.",
+)
 @click.argument("words", nargs=-1, required=True, type=click.UNPROCESSED)
 def main(rate, offset_ms, parent_death, parent, words):
     """Run the module that is the first of WORDS."""
@@ -75,10 +79,10 @@
         except ProcessLookupError:
             sys.exit(1)
         if os.getppid() == 1 and parent is None:
-            sys.exit(1)          # taken over by init: the parent ended before this line
+            sys.exit(1)  # taken over by init: the parent ended before this line
     if rate != 1.0 or offset_ms:
         set_clocks(rate, int(offset_ms * MILLI))
-    sys.argv = list(words)       # its first word is replaced by the module's path
+    sys.argv = list(words)  # its first word is replaced by the module's path
     runpy.run_module(words[0], run_name="__main__", alter_sys=True)
 
 
--- a/gaproute/rig/crews.py
+++ b/gaproute/rig/crews.py
@@ -4,6 +4,7 @@
 A gateway numbers its errands from 1 in each of its lives. So a crew that finds its gateway gone takes its
 errand for gone, and never asks the next life for it: the number may be another crew's by then.
 """
+
 from typing import ClassVar
 
 from pydantic import Field
@@ -14,12 +15,12 @@
 from gaproute.standins.tap import read
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-LOOK = 40 * MILLI            # between questions about an errand
-REST = 60 * MILLI            # between errands of one crew, at most
-KEPT = 1200 * MILLI          # that a gateway keeps an errand which nobody asks to go on: a crew that died
+LOOK = 40 * MILLI  # between questions about an errand
+REST = 60 * MILLI  # between errands of one crew, at most
+KEPT = 1200 * MILLI  # that a gateway keeps an errand which nobody asks to go on: a crew that died
 #                              holds a resource for so long, and a wish waits for so long
 BREACH = b'"event":"breach"'  # in a gateway's log: one of its own checks does not hold
-GIVEN = 5                    # of ten errands that are given back; two are kept on, of the rest no word comes
+GIVEN = 5  # of ten errands that are given back; two are kept on, of the rest no word comes
 
 
 class CrewsLine(Directive):
@@ -27,12 +28,12 @@
     once: ClassVar = True
     count: int = Field(6, ge=1, le=256)
     resources: int = Field(3, ge=1, le=256)
-    keepers: int = Field(3, ge=1, le=7)       # the first gateways; each with its votes in the run's folder
-    longest: Span = SECOND                    # of a permit; a founded log grants nothing for so long
+    keepers: int = Field(3, ge=1, le=7)  # the first gateways; each with its votes in the run's folder
+    longest: Span = SECOND  # of a permit; a founded log grants nothing for so long
     span: Span = 600 * MILLI
-    hold: Span = 700 * MILLI                  # that a crew works, at most
-    fell_leader: Span = 0                     # when the leader's process is killed; 0: never
-    back: Span = 500 * MILLI                  # until it is started again, with its disk
+    hold: Span = 700 * MILLI  # that a crew works, at most
+    fell_leader: Span = 0  # when the leader's process is killed; 0: never
+    back: Span = 500 * MILLI  # until it is started again, with its disk
 
 
 def wrong(line, day):
@@ -57,8 +58,10 @@
             return []
         names = ",".join(f"g{keeper}" for keeper in range(self.line.keepers))
         votes = f" votes {self.rig.out}/g{number}.votes" if number < self.line.keepers else ""
-        return [f"listen operator {self.rig.table.operator(number)}",
-                f"keepers {names}{votes} longest {self.line.longest}ns"]
+        return [
+            f"listen operator {self.rig.table.operator(number)}",
+            f"keepers {names}{votes} longest {self.line.longest}ns",
+        ]
 
     def begin(self):
         """What happens during the day, as coroutines."""
@@ -82,8 +85,9 @@
             yield self.loop.sleep(random.randrange(REST))
             number = random.randrange(self.rig.script.day.gateways)
             resource = f"r{random.randrange(line.resources)}"
-            told = yield self.ask(number, {"take": resource, "span_ms": line.span // MILLI,
-                                           "for_ms": KEPT // MILLI})
+            told = yield self.ask(
+                number, {"take": resource, "span_ms": line.span // MILLI, "for_ms": KEPT // MILLI}
+            )
             if told in (LOST, SILENT) or "errand" not in told:
                 continue
             yield from self.work(name, number, told["errand"], resource, random)
@@ -117,7 +121,7 @@
                     yield self.ask(number, {"keep": errand, "for_ms": KEPT // MILLI})
                     continue
                 if fence is not None and drawn >= GIVEN:
-                    return                   # as if it had died: its last span runs out
+                    return  # as if it had died: its last span runs out
                 if fence is not None:
                     note("let go", crew=name, resource=resource, fence=fence)
                 yield self.ask(number, {"give": errand})
@@ -143,6 +147,10 @@
         run = read(self.rig.out / "run.tap")
         healed, stood = permits.progress(run)
         broken = [f"permits, {breach.check}: {breach.text}" for breach in permits.judge(run) + stood]
-        broken += [f"{path.stem}: {line.decode()[:300]}" for path in sorted(self.rig.out.glob("g*.log"))
-                   for line in path.read_bytes().split(b"\n") if BREACH in line.replace(b" ", b"")]
+        broken += [
+            f"{path.stem}: {line.decode()[:300]}"
+            for path in sorted(self.rig.out.glob("g*.log"))
+            for line in path.read_bytes().split(b"\n")
+            if BREACH in line.replace(b" ", b"")
+        ]
         return {"granted": len(permits.grants(run)), "healed": healed, "broken": broken}
--- a/gaproute/rig/gateways.py
+++ b/gaproute/rig/gateways.py
@@ -1,12 +1,13 @@
 """The rig's gateways: each with addresses of its own for every other seat, some with a clock that is
 wrong."""
+
 import signal
 
 from gaproute.rig.processes import NEXT, hurry
 from gaproute.trial.gateways import Gateways
 from gaproute.trial.processes import MILLI, SECOND
 
-WAY_BACK = 25 * MILLI        # the configuration's own, for an answer's way on a machine that is not crowded
+WAY_BACK = 25 * MILLI  # the configuration's own, for an answer's way on a machine that is not crowded
 
 
 class RigGateways(Gateways):
@@ -15,8 +16,9 @@
     def __init__(self, trial):
         super().__init__(trial)
         self.table, self.clocks, self.busy, self.texts = trial.table, {}, set(), {}
-        self.addresses = {number: self.table.gateway(number)[0]
-                          for number in range(trial.script.day.gateways)}
+        self.addresses = {
+            number: self.table.gateway(number)[0] for number in range(trial.script.day.gateways)
+        }
 
     def lines(self, number):
         """Its configuration: made once, as it names every other gateway."""
@@ -27,14 +29,22 @@
     def fresh(self, number):
         trial, day, name = self.trial, self.trial.script.day, f"g{number}"
         clients, peers = self.table.gateway(number)
-        lines = [f"name {name}", f"listen kserve {clients}", f"decisions {trial.decisions}",
-                 f"hosts-file {trial.list.path(number)} look 50ms", *trial.script.gateway_lines]
+        lines = [
+            f"name {name}",
+            f"listen kserve {clients}",
+            f"decisions {trial.decisions}",
+            f"hosts-file {trial.list.path(number)} look 50ms",
+            *trial.script.gateway_lines,
+        ]
         if not any(line.split()[0] == "clients" for line in trial.script.gateway_lines):
             # the final answer leaves early enough for a machine that is as late as the rig may be
             lines.append(f"clients way-back {WAY_BACK + trial.script.rig.late}ns")
         if day.peers:
-            lines += [f"listen peers {peers}"] + [f"peer g{other} {self.table.peer(number, other)}"
-                                                  for other in range(day.gateways) if other != number]
+            lines += [f"listen peers {peers}"] + [
+                f"peer g{other} {self.table.peer(number, other)}"
+                for other in range(day.gateways)
+                if other != number
+            ]
         lines += [f"memory {self.out}/{name}.memory"] * day.memory
         return lines + trial.crews.lines(number) + self.model_lines()
 
@@ -57,7 +67,7 @@
                 with open(f"/proc/{pid}/schedstat") as file:
                     told[pid] = int(file.read().split()[1]), self.loop.now()
             except (OSError, IndexError):
-                pass             # it has ended, or this kernel does not tell
+                pass  # it has ended, or this kernel does not tell
         return told
 
     # What the strikes do; one that is struck already is left alone
--- a/gaproute/rig/lateness.py
+++ b/gaproute/rig/lateness.py
@@ -1,12 +1,13 @@
 """Whether the rig kept time: a wire, a client or a parent that ran late measured itself, not the program."""
+
 from statistics import median
 
 from gaproute.trial.processes import MILLI
 
-BEAT = 20 * MILLI            # between looks at the parent's own clock
-PARENT = 500                 # ms that the parent may be late whatever the script allows: it judges nobody, it
+BEAT = 20 * MILLI  # between looks at the parent's own clock
+PARENT = 500  # ms that the parent may be late whatever the script allows: it judges nobody, it
 #                              begins and ends what strikes, and notes when; a later one plays another script
-WAITED = 0.05                # share of the day for which the middle gateway may have been ready without core:
+WAITED = 0.05  # share of the day for which the middle gateway may have been ready without core:
 #                              beyond it the machine is measured, which other work or too many processes crowd
 
 
@@ -14,7 +15,7 @@
     def __init__(self, rig):
         self.rig, self.loop, self.parent, self.over = rig, rig.loop, 0, False
         self.waits, self.waited = {}, 0.0
-        self.wires = []          # what each wire said at the end, None where it said nothing
+        self.wires = []  # what each wire said at the end, None where it said nothing
 
     def begin(self):
         """A coroutine: watches the parent; what the wires had been late before the day is passed over."""
@@ -25,25 +26,32 @@
             now = self.loop.now()
             self.parent = max(self.parent, now - due)
             due = now + BEAT
-            self.rig.tap.flush()         # the folder tells of a run that is cut off as well
+            self.rig.tap.flush()  # the folder tells of a run that is cut off as well
             yield self.loop.sleep(BEAT)
 
     def end(self):
         """A coroutine: before the gateways are asked to end."""
         self.over, self.rig.ended = True, self.loop.now()
-        shares = [(wait - self.waits[pid][0]) / (now - self.waits[pid][1])
-                  for pid, (wait, now) in self.rig.gateways.waited().items() if pid in self.waits]
+        shares = [
+            (wait - self.waits[pid][0]) / (now - self.waits[pid][1])
+            for pid, (wait, now) in self.rig.gateways.waited().items()
+            if pid in self.waits
+        ]
         self.waited = median(shares) if shares else 0.0
         self.wires = yield from self.rig.wires.counts()
 
     def most(self):
         """{who: longest lateness, ms}"""
         done = [event["late"] for event in self.rig.crowd.events() if event["what"] == "done"]
-        hosts = [event["by"] for events in self.rig.hosts_seen() for event in events
-                 if event["what"] == "late"]
-        return {"parent": self.parent / MILLI, "clients": max(done, default=0) / MILLI,
-                "hosts": max(hosts, default=0) / MILLI,
-                "wires": max((told["late_ns"] for told in self.wires if told), default=0) / MILLI}
+        hosts = [
+            event["by"] for events in self.rig.hosts_seen() for event in events if event["what"] == "late"
+        ]
+        return {
+            "parent": self.parent / MILLI,
+            "clients": max(done, default=0) / MILLI,
+            "hosts": max(hosts, default=0) / MILLI,
+            "wires": max((told["late_ns"] for told in self.wires if told), default=0) / MILLI,
+        }
 
     def void(self):
         """Why the measurement is void, as text."""
@@ -53,17 +61,24 @@
             if late > most:
                 yield f"{who} ran up to {late:.0f} ms late, {most:.0f} ms are allowed"
         if self.waited > WAITED:
-            yield (f"gateways were ready without a core for {self.waited:.0%} of the day, "
-                   f"{WAITED:.0%} are allowed")
+            yield (
+                f"gateways were ready without a core for {self.waited:.0%} of the day, "
+                f"{WAITED:.0%} are allowed"
+            )
         if sum(event["what"] == "done" for event in rig.crowd.events()) < rig.script.rig.clients:
             yield "clients did not end in time"
         for place, told in enumerate(self.wires):
             if told is None:
                 yield f"wire {place} said nothing at the end"
             else:
-                yield from (f"wire {place}: {told[what]} {what}"
-                            for what in ("overrun", "spilt", "errors", "breaches") if told.get(what))
+                yield from (
+                    f"wire {place}: {told[what]} {what}"
+                    for what in ("overrun", "spilt", "errors", "breaches")
+                    if told.get(what)
+                )
         yield from (f"a wire did not follow: {error}" for error in rig.wires.errors[:3])
         if rig.ready_time is not None and rig.ready_time > rig.script.rig.ready:
-            yield (f"all were up after {rig.ready_time / 1e9:.0f} s, "
-                   f"{rig.script.rig.ready / 1e9:.0f} are allowed")
+            yield (
+                f"all were up after {rig.ready_time / 1e9:.0f} s, "
+                f"{rig.script.rig.ready / 1e9:.0f} are allowed"
+            )
--- a/gaproute/rig/lists.py
+++ b/gaproute/rig/lists.py
@@ -1,11 +1,12 @@
 """A host list for each gateway, with the addresses by which it alone finds the hosts; late or deaf by
 gateway."""
+
 import os
 
 from gaproute.trial.processes import MILLI
 
-SLICE = 16               # files written in one turn: some milliseconds, so that the parent keeps time
-GATHER = 5 * MILLI       # changes that come together are told together
+SLICE = 16  # files written in one turn: some milliseconds, so that the parent keeps time
+GATHER = 5 * MILLI  # changes that come together are told together
 
 
 class Lists:
@@ -14,9 +15,9 @@
     def __init__(self, loop, tap, seats, table, folder):
         self.loop, self.tap, self.seats, self.table, self.folder = loop, tap, seats, table, folder
         self.late, self.asked, self.count = 0, False, 0
-        self.behind = {}         # gateway: ns that its list is late, or None where it is not told at all
-        self.newest = [0] * table.day.gateways      # snapshot written: a late one never undoes a newer
-        self.told = [{} for _ in range(table.day.gateways)]      # by gateway: {host: state last told}
+        self.behind = {}  # gateway: ns that its list is late, or None where it is not told at all
+        self.newest = [0] * table.day.gateways  # snapshot written: a late one never undoes a newer
+        self.told = [{} for _ in range(table.day.gateways)]  # by gateway: {host: state last told}
         folder.mkdir(exist_ok=True)
 
     def path(self, number):
@@ -44,9 +45,11 @@
     def snapshot(self):
         """(its number, [(seat, its state, what stands before and after its address)]) as of now."""
         self.count += 1
-        return self.count, [(seat, "gone", ()) if seat.state == "absent" else
-                            (seat, seat.state, seat.line("@").split("@"))
-                            for seat in self.seats.seats.values() if seat.process is not None]
+        return self.count, [
+            (seat, "gone", ()) if seat.state == "absent" else (seat, seat.state, seat.line("@").split("@"))
+            for seat in self.seats.seats.values()
+            if seat.process is not None
+        ]
 
     def write(self, number, rows):
         """The gateway's file, whole and at once; `told` notes what is new to it."""
@@ -57,8 +60,11 @@
         self.newest[number] = count
         path, told = self.path(number), self.told[number]
         fresh, link = path.with_suffix(f".{count}"), path.with_suffix(".new")
-        fresh.write_text("".join(f"{parts[0]}{self.table.host(number, seat)}{parts[1]}\n"
-                                 for seat, _, parts in rows if parts))
+        fresh.write_text(
+            "".join(
+                f"{parts[0]}{self.table.host(number, seat)}{parts[1]}\n" for seat, _, parts in rows if parts
+            )
+        )
         # A link is put in place of a link: a file in place of a file is first written to the disk by ext4,
         # 40 ms each on a busy one.
         os.symlink(fresh.name, link)
--- a/gaproute/rig/platform/gateways.py
+++ b/gaproute/rig/platform/gateways.py
@@ -1,4 +1,5 @@
 """The platform's gateways of a rig: `gaproute.node`, each with a file and environment of its own."""
+
 import json
 
 from gaproute.rig.gateways import RigGateways
@@ -11,28 +12,48 @@
     def rules(self):
         script = self.trial.script
         copies, life, day = script.copies, script.life, script.day
-        tracks = [charter.Track(line.name, line.effect, line.group, line.contract, line.limit, line.earnings,
-                                line.remembers) for line in script.tracks]
+        tracks = [
+            charter.Track(
+                line.name, line.effect, line.group, line.contract, line.limit, line.earnings, line.remembers
+            )
+            for line in script.tracks
+        ]
         return charter.settings(
-            tracks, gateways=day.gateways, zones=[f"hall-{hall}" for hall in range(day.halls)],
-            keep=life.keep, cold_share=life.cold_share, cold_time=life.cold_time,
-            idle_close=life.idle_close, family_info={
-                "placement_calls": copies.orders, "loads_anyway": copies.free, "load_part": copies.share,
-                "loads_within": copies.window / MILLI})
+            tracks,
+            gateways=day.gateways,
+            zones=[f"hall-{hall}" for hall in range(day.halls)],
+            keep=life.keep,
+            cold_share=life.cold_share,
+            cold_time=life.cold_time,
+            idle_close=life.idle_close,
+            family_info={
+                "placement_calls": copies.orders,
+                "loads_anyway": copies.free,
+                "load_part": copies.share,
+                "loads_within": copies.window / MILLI,
+            },
+        )
 
     def start(self, number):
         """A coroutine: until it says that it has started."""
         trial, name = self.trial, f"g{number}"
         listen, peers = self.table.gateway(number)
         told = charter.charter(
-            name, listen, self.table.changelog(number), trial.list.known(number), self.rules(),
-            trial.seed * 1000 + number, peer_listen=peers if trial.script.day.peers else "",
-            peers_all=trial.spread_at)
+            name,
+            listen,
+            self.table.changelog(number),
+            trial.list.known(number),
+            self.rules(),
+            trial.seed * 1000 + number,
+            peer_listen=peers if trial.script.day.peers else "",
+            peers_all=trial.spread_at,
+        )
         _, environment = charter.write(self.out, told)
         log = self.out / f"{name}.log"
         before = log.stat().st_size if log.exists() else 0
-        process = trial.processes.start(["gaproute.node"], None, log.name, tells=False,
-                                        environment=environment, **self.manner(number))
+        process = trial.processes.start(
+            ["gaproute.node"], None, log.name, tells=False, environment=environment, **self.manner(number)
+        )
         self.processes[number] = process
         end = self.loop.now() + READY_TIME
         while not self.has_started(log.read_bytes()[before:]):
--- a/gaproute/rig/platform/hosts.py
+++ b/gaproute/rig/platform/hosts.py
@@ -1,11 +1,12 @@
 """Hosts of a platform rig: several in one process, each struck and restarted as if it had its own."""
+
 import signal
 import time
 
 from gaproute.rig.processes import Gate
 from gaproute.rig.seats import RigSeats
 
-PER_PROCESS = 40         # hosts in one process: 60 took 0.09 of a core at 500 tasks a second
+PER_PROCESS = 40  # hosts in one process: 60 took 0.09 of a core at 500 tasks a second
 
 
 class OneOfMany:
@@ -15,7 +16,7 @@
         self.process, self.name, self.child = process, name, process.child
 
     def say(self, told):
-        if not self.child.stdin.closed:          # the first of them that ends it ends all
+        if not self.child.stdin.closed:  # the first of them that ends it ends all
             self.process.say(told | {"host": self.name})
 
     def signal(self, number):
@@ -31,15 +32,26 @@
 class NodeSeats(RigSeats):
     def __init__(self, rig, random):
         super().__init__(rig, random)
-        self.many, self.gates = [], []       # processes; one answer is awaited at a time of each
-        self.down = set()                    # names: a crash is told to those alone that are up
+        self.many, self.gates = [], []  # processes; one answer is awaited at a time of each
+        self.down = set()  # names: a crash is told to those alone that are up
 
     def furnish(self):
         """Before the first host starts."""
         for place in range(-(-self.script.day.hosts // PER_PROCESS)):
-            self.many.append(self.processes.standin("platform-host", f"hosts-{place}", {
-                "hosts": [], "models": self.models, "taps": str(self.processes.out), "store": self.store_at,
-                "seed": self.seed, "tap": str(self.processes.out / f"hosts-{place}.tap")}))
+            self.many.append(
+                self.processes.standin(
+                    "platform-host",
+                    f"hosts-{place}",
+                    {
+                        "hosts": [],
+                        "models": self.models,
+                        "taps": str(self.processes.out),
+                        "store": self.store_at,
+                        "seed": self.seed,
+                        "tap": str(self.processes.out / f"hosts-{place}.tap"),
+                    },
+                )
+            )
             self.gates.append(Gate(self.rig.loop, 1))
         for process in self.many:
             yield self.processes.line(process, "the hosts' process")
@@ -53,12 +65,22 @@
 
     def one(self, seat, process, warm):
         life, kind = self.script.life, seat.kind
-        make = {"name": seat.name, "cores": kind.cores, "speed": kind.speed, "copies": kind.copies,
-                "keep": life.keep, "cold_share": life.cold_share, "cold_time": life.cold_time,
-                "fall_multiple": life.fall, "tip": life.tip, "idle_close": life.idle_close}
+        make = {
+            "name": seat.name,
+            "cores": kind.cores,
+            "speed": kind.speed,
+            "copies": kind.copies,
+            "keep": life.keep,
+            "cold_share": life.cold_share,
+            "cold_time": life.cold_time,
+            "fall_multiple": life.fall,
+            "tip": life.tip,
+            "idle_close": life.idle_close,
+        }
         seat.runs += 1
-        process.say({"host": seat.name, "do": "start",
-                     "seat": {"listen": seat.where, "make": make, "warm": warm}})
+        process.say(
+            {"host": seat.name, "do": "start", "seat": {"listen": seat.where, "make": make, "warm": warm}}
+        )
         seat.where = (yield self.processes.line(process, seat.name))["address"]
         seat.process = OneOfMany(process, seat.name)
         seat.started = None if warm else time.time_ns()
--- a/gaproute/rig/platform/lists.py
+++ b/gaproute/rig/platform/lists.py
@@ -1,5 +1,6 @@
 """The change log of a platform rig: one process that tells each gateway the addresses by which it alone finds
 the hosts. Has the face of a rig's `Lists`; its troubles are the log's own."""
+
 from gaproute.rig.lists import GATHER
 from gaproute.standins.platform.listing import Listing, member
 
@@ -13,8 +14,11 @@
     def furnish(self):
         """A coroutine: the log's process, which listens for each gateway apart."""
         gateways = range(self.table.day.gateways)
-        self.process = self.rig.processes.standin("platform-log", "log", {
-            "gateways": ["127.0.0.1:0"] * len(gateways), "tap": str(self.rig.out / "log.tap")})
+        self.process = self.rig.processes.standin(
+            "platform-log",
+            "log",
+            {"gateways": ["127.0.0.1:0"] * len(gateways), "tap": str(self.rig.out / "log.tap")},
+        )
         self.table.ways = (yield self.rig.processes.line(self.process, "the change log"))["addresses"]
 
     def row(self, seat):
@@ -23,15 +27,23 @@
             return None
         where = [self.table.host(number, seat) for number in range(self.table.day.gateways)]
         state = "gone" if seat.state == "absent" else seat.state
-        return member(seat.name, where, state, seat.zone, seat.number % self.table.day.racks,
-                      seat.kind.cores * seat.kind.speed, seat.started // 1_000_000 if seat.started else 0)
+        return member(
+            seat.name,
+            where,
+            state,
+            seat.zone,
+            seat.number % self.table.day.racks,
+            seat.kind.cores * seat.kind.speed,
+            seat.started // 1_000_000 if seat.started else 0,
+        )
 
     def known(self, number):
         """What a gateway that starts now is told in its file."""
         told = self.listing.known()
         for whole in told["results"]:
-            whole["fleet"]["members"] = [row | {"host_port": row["host_port"][number]}
-                                         for row in whole["fleet"]["members"]]
+            whole["fleet"]["members"] = [
+                row | {"host_port": row["host_port"][number]} for row in whole["fleet"]["members"]
+            ]
         return told
 
     def first(self):
--- a/gaproute/rig/platform/play.py
+++ b/gaproute/rig/platform/play.py
@@ -1,4 +1,5 @@
 """Plays a rig's script with the platform's gateways (`rig kind platform`): same faults, strikes and rules."""
+
 import random
 
 from gaproute.rig.platform.crowd import NodeCrowd
@@ -14,8 +15,8 @@
     def furnish(self):
         super().furnish()
         for number, model in enumerate(self.models, 1):
-            model["name"] = f"{number:016x}"             # as the platform names functions
-        self.table.whose = True      # orders bear their gateway's name, for rule 5
+            model["name"] = f"{number:016x}"  # as the platform names functions
+        self.table.whose = True  # orders bear their gateway's name, for rule 5
         self.seats = NodeSeats(self, random.Random(self.seed))
         self.list = NodeLists(self)
         self.gateways, self.crowd = NodeGateways(self), NodeCrowd(self)
@@ -27,16 +28,29 @@
         yield from self.seats.furnish()
         yield from self.list.furnish()
         gateways, table = range(self.script.day.gateways), self.table
-        self.spread = self.processes.standin("platform-spread", "spread", {
-            "listen": table.everybody(), "tap": str(self.out / "spread.tap"),
-            "ways": {table.gateway(number)[1]: [table.peer(number, other) for other in gateways
-                                                if other != number] for number in gateways}})
+        self.spread = self.processes.standin(
+            "platform-spread",
+            "spread",
+            {
+                "listen": table.everybody(),
+                "tap": str(self.out / "spread.tap"),
+                "ways": {
+                    table.gateway(number)[1]: [
+                        table.peer(number, other) for other in gateways if other != number
+                    ]
+                    for number in gateways
+                },
+            },
+        )
         self.spread_at = (yield self.processes.line(self.spread, "the spreader"))["address"]
 
     def begin(self):
         """Clients wait until all gateways answer them; the script's times count from their first task."""
-        cuts = [self.list.cut(line) for line in self.script.faults
-                if self.wires.wires and line.kind in ("cut", "hold")]
+        cuts = [
+            self.list.cut(line)
+            for line in self.script.faults
+            if self.wires.wires and line.kind in ("cut", "hold")
+        ]
         return [self.once_in(routine) for routine in [*super().begin(), *cuts]]
 
     def once_in(self, routine):
@@ -48,12 +62,13 @@
         """What the hosts and their processes noted during the day."""
         return super().hosts_seen() + [
             [event for event in read(path) if self.begun < event["at"] < self.ended]
-            for path in self.out.glob("hosts-*.tap")]
+            for path in self.out.glob("hosts-*.tap")
+        ]
 
     def wind_up(self):
         yield from super().wind_up()
         self.tap.flush()
-        told = self.out / "log.tap"                      # what was told to whom is judged with the rest
+        told = self.out / "log.tap"  # what was told to whom is judged with the rest
         self.tap.file.write(told.read_bytes() if told.exists() else b"")
 
 
--- a/gaproute/rig/platform/words.py
+++ b/gaproute/rig/platform/words.py
@@ -1,4 +1,5 @@
 """What a rig's script cannot have because of the gateways' kind."""
+
 from gaproute.rig import sets
 
 SETS = {"fault": ("source", "to"), "strike": ("on",), "list": ("on",)}
@@ -25,5 +26,7 @@
     if word in ("strike", "list") and "lists" in words:
         yield f"{word} strikes gateways alone"
     if word == "fault" and line.kind not in ("cut", "hold") and any(what in ("lists", "*") for what in words):
-        yield (f"a {line.kind} on the change log's way: the judge could not tell when its news was told; "
-               "name gateways and hosts")
+        yield (
+            f"a {line.kind} on the change log's way: the judge could not tell when its news was told; "
+            "name gateways and hosts"
+        )
--- a/gaproute/rig/processes.py
+++ b/gaproute/rig/processes.py
@@ -4,6 +4,7 @@
 wire that used 6% of a core waited for one half of the time, whatever its nice value. So all but the gateways
 are woken at once.
 """
+
 import os
 import shutil
 import sys
@@ -12,8 +13,8 @@
 from gaproute.loop import Promise
 from gaproute.trial.processes import MILLI, Processes
 
-NICE = 5                     # that gateways are nicer where nobody may be woken at once
-URGENT, NEXT = 2, 1          # the lowest real-time priorities: woken at once, before other work; gateways
+NICE = 5  # that gateways are nicer where nobody may be woken at once
+URGENT, NEXT = 2, 1  # the lowest real-time priorities: woken at once, before other work; gateways
 #                              on a crowded machine come next, so that they never hold the wire up
 
 
--- a/gaproute/rig/rig.py
+++ b/gaproute/rig/rig.py
@@ -3,6 +3,7 @@
 It ends by itself (`bound`), ends only what it started, and leaves nothing when it is itself killed: its
 children have asked the kernel to be killed with it.
 """
+
 import json
 import os
 import random
@@ -26,12 +27,12 @@
 from gaproute.trial.processes import MILLI, SECOND, NotReady
 from gaproute.trial.run import Trial
 
-LAST_RESORT = 30             # seconds after the bound: the alarm ends a parent that no longer turns its loop
-BACK = 60 * SECOND           # after the day, for gateways that are being restarted: a fleet's start, at most
+LAST_RESORT = 30  # seconds after the bound: the alarm ends a parent that no longer turns its loop
+BACK = 60 * SECOND  # after the day, for gateways that are being restarted: a fleet's start, at most
 
 
 class Rig(Trial):
-    ENDING = 20 * SECOND     # beyond the longest limit, for hundreds of gateways that end at once
+    ENDING = 20 * SECOND  # beyond the longest limit, for hundreds of gateways that end at once
 
     def furnish(self):
         rig, self.faulty, self.voids, self.ready_time = self.script.rig, [], [], None
@@ -40,7 +41,7 @@
         (self.out / "day.script").write_text(self.script.text)
         (self.out / "play.json").write_text(json.dumps({"seed": self.seed, "decisions": self.decisions}))
         _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
-        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))      # three descriptors for each child
+        resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))  # three descriptors for each child
         self.gate = Gate(self.loop, rig.batch or os.cpu_count() or 1)
         self.table = Table(self.script.day, rig.direct)
         self.processes = RigProcesses(self.loop, self.out)
@@ -67,8 +68,10 @@
 
     def hosts_seen(self):
         """What the hosts noted during the day, by run."""
-        return [[event for event in read(path) if self.begun < event["at"] < self.ended]
-                for path in self.out.glob("host-*.tap")]
+        return [
+            [event for event in read(path) if self.begun < event["at"] < self.ended]
+            for path in self.out.glob("host-*.tap")
+        ]
 
     def starting(self, routine):
         return self.gate.through(routine)
@@ -85,8 +88,9 @@
         self.list.first()
         self.strikes.clocks()
         self.talk(f"{(self.loop.now() - begun) / SECOND:5.1f} s  hosts are up")
-        yield from self.together([self.starting(self.gateways.start(number))
-                                  for number in range(day.gateways)])
+        yield from self.together(
+            [self.starting(self.gateways.start(number)) for number in range(day.gateways)]
+        )
         self.ready_time = self.loop.now() - begun
         self.talk(f"{self.ready_time / SECOND:5.1f} s  all are up; the day begins")
 
@@ -97,10 +101,12 @@
         if self.script.rig.direct and script.faults:
             self.talk("direct: no wire, its faults are left out")
         return [
-            *super().begin(), *self.crews.begin(),
+            *super().begin(),
+            *self.crews.begin(),
             *(self.wires.fault(self, line, self.chance(line)) for line in script.faults if self.wires.wires),
             *(self.strikes.strike(line) for line in script.strikes if line.kind != "clock"),
-            *(self.list.strike(line, self.strikes.numbers(line)) for line in script.lists)]
+            *(self.list.strike(line, self.strikes.numbers(line)) for line in script.lists),
+        ]
 
     def wind_up(self):
         yield from self.lateness.end()
--- a/gaproute/rig/script.py
+++ b/gaproute/rig/script.py
@@ -2,6 +2,7 @@
 
 Any of `rig`, `fault`, `strike` and `list` makes a script a rig's. All mistakes are told at once.
 """
+
 from typing import ClassVar, Literal
 
 from pydantic import Field
@@ -17,15 +18,15 @@
 class RigLine(Directive):
     example: ClassVar = "rig wires 4 clients 4 batch 8 ready 60s late 100ms bound 5m"
     once: ClassVar = True
-    kind: Literal["appliance", "platform"] = "appliance"      # `gaproute serve` or `gaproute.node`
-    wires: int = Field(1, ge=1, le=16)        # processes that share the wire
-    clients: int = Field(1, ge=1, le=32)      # processes that share the load
-    batch: int = Field(0, ge=0, le=256)       # processes that start at a time; 0: as many as cores
-    crowded: Yes = False                      # gateways go before the machine's other work as well
-    direct: Yes = False                       # no wire: what it costs, and what it changes
-    ready: Span = 60 * SECOND                 # for all to be up
-    late: Span = 100 * MILLI                  # a wire, client or parent later than this voids the measurement
-    bound: Span = 600 * SECOND                # the run ends by then whatever happens
+    kind: Literal["appliance", "platform"] = "appliance"  # `gaproute serve` or `gaproute.node`
+    wires: int = Field(1, ge=1, le=16)  # processes that share the wire
+    clients: int = Field(1, ge=1, le=32)  # processes that share the load
+    batch: int = Field(0, ge=0, le=256)  # processes that start at a time; 0: as many as cores
+    crowded: Yes = False  # gateways go before the machine's other work as well
+    direct: Yes = False  # no wire: what it costs, and what it changes
+    ready: Span = 60 * SECOND  # for all to be up
+    late: Span = 100 * MILLI  # a wire, client or parent later than this voids the measurement
+    bound: Span = 600 * SECOND  # the run ends by then whatever happens
 
 
 class FaultLine(Directive):
@@ -41,7 +42,7 @@
     share: float = Field(1.0, gt=0, le=1)
     delay: Span = 0
     jitter: Span = 0
-    bytes: float = Field(0, ge=0)             # a second, for each pair; 0: no limit
+    bytes: float = Field(0, ge=0)  # a second, for each pair; 0: no limit
 
 
 class StrikeLine(Directive):
@@ -51,13 +52,13 @@
     on: str = "gateways"
     at: Span = 0
     lasts: Span = Field(0, alias="for")
-    back: Span = 500 * MILLI                  # until what ended is started again
-    batch: int = Field(0, ge=0)               # restarted at a time; 0: all
+    back: Span = 500 * MILLI  # until what ended is started again
+    batch: int = Field(0, ge=0)  # restarted at a time; 0: all
     signal: Literal["TERM", "KILL"] = "TERM"
-    rate: float = Field(1.0, ge=0.5, le=2)    # of the clock
-    offset: Span = 0                          # of the clock, ahead
-    duty: float = Field(0, ge=0, lt=1)        # of the CPU taken away: stopped for so much of each CYCLE
-    core: Yes = False                         # all on one core, beside a process that never rests
+    rate: float = Field(1.0, ge=0.5, le=2)  # of the clock
+    offset: Span = 0  # of the clock, ahead
+    duty: float = Field(0, ge=0, lt=1)  # of the CPU taken away: stopped for so much of each CYCLE
+    core: Yes = False  # all on one core, beside a process that never rests
 
 
 class ListLine(Directive):
@@ -67,7 +68,7 @@
     on: str = "gateways"
     at: Span
     lasts: Span = Field(alias="for")
-    back: Span = SECOND                       # how late; of no use where they are deaf
+    back: Span = SECOND  # how late; of no use where they are deaf
 
 
 WORDS = {"rig": RigLine, "fault": FaultLine, "strike": StrikeLine, "list": ListLine, "crews": crews.CrewsLine}
@@ -105,9 +106,12 @@
 def check(file, found):
     day = next((line for word, line in found if word == "day"), trial.DayLine())
     kind = next((line.kind for word, line in found if word == "rig"), "appliance")
-    return [Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
-            for word, line in found if word in WORDS
-            for text in (*wrong(word, line, day), *words.wrong(kind, word, line))]
+    return [
+        Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
+        for word, line in found
+        if word in WORDS
+        for text in (*wrong(word, line, day), *words.wrong(kind, word, line))
+    ]
 
 
 def read_script(name):
--- a/gaproute/rig/seats.py
+++ b/gaproute/rig/seats.py
@@ -1,4 +1,5 @@
 """The rig's hosts: the wire is told where each listens; who is struck is drawn by the script's line alone."""
+
 from gaproute.trial.seats import Seats
 
 
@@ -22,6 +23,9 @@
             self.rig.wires.say({"seat": {number: told | {"refuses": refuses}}})
 
     def pick(self, line):
-        free = [seat for seat in self.seats.values() if seat.state == "active" and not seat.busy
-                and line.zone in (None, seat.zone)]
+        free = [
+            seat
+            for seat in self.seats.values()
+            if seat.state == "active" and not seat.busy and line.zone in (None, seat.zone)
+        ]
         return self.rig.chance(line).sample(free, min(line.hosts, len(free)))
--- a/gaproute/rig/sets.py
+++ b/gaproute/rig/sets.py
@@ -3,11 +3,14 @@
 A set is words joined by commas: what any of them names, without what a `not:` word names (only `not:` words:
 all others). A share before a word draws so much of what it names, at least one, from the script's seed.
 """
+
 import re
 from typing import NamedTuple
 
-WORD = re.compile(r"(?P<no>not:)?(?:(?P<share>[0-9.]+):)?"
-                  r"(?P<what>\*|zone:[\w-]+|lists|(?:gateways|hosts)(?:/[\w-]+)?|g[0-9]+|mh[0-9]+)")
+WORD = re.compile(
+    r"(?P<no>not:)?(?:(?P<share>[0-9.]+):)?"
+    r"(?P<what>\*|zone:[\w-]+|lists|(?:gateways|hosts)(?:/[\w-]+)?|g[0-9]+|mh[0-9]+)"
+)
 # lists: the ways of the change log, of the platform alone
 KINDS = {"gateways": "gateway", "hosts": "host", "lists": "list"}
 
@@ -26,8 +29,10 @@
         try:
             share = float(found["share"] or 1)
         except (TypeError, ValueError):
-            raise ValueError(f"{word!r} names no seats: gateways, hosts, gateways/ZONE, hosts/ZONE, "
-                             "zone:ZONE, g0, mh00 or *, with a share such as 0.3: or not: before") from None
+            raise ValueError(
+                f"{word!r} names no seats: gateways, hosts, gateways/ZONE, hosts/ZONE, "
+                "zone:ZONE, g0, mh00 or *, with a share such as 0.3: or not: before"
+            ) from None
         if not 0 < share <= 1:
             raise ValueError(f"{word!r}: a share is more than 0 and 1 at most")
         parts.append(Part(bool(found["no"]), share, found["what"]))
@@ -48,10 +53,14 @@
 
 def names(parts, seats, random):
     """The names in the order of `seats`: [(name, kind, zone)]. `random`: of the script's line, for shares."""
+
     def named(part):
         what, _, zone = part.what.partition("/")
-        found = [name for name, kind, place in seats if part.what in ("*", name, f"zone:{place}")
-                 or KINDS.get(what) == kind and zone in ("", place)]
+        found = [
+            name
+            for name, kind, place in seats
+            if part.what in ("*", name, f"zone:{place}") or KINDS.get(what) == kind and zone in ("", place)
+        ]
         if part.share < 1 and found:
             found = random.sample(found, max(1, round(part.share * len(found))))
         return found
--- a/gaproute/rig/show.py
+++ b/gaproute/rig/show.py
@@ -1,4 +1,5 @@
 """A rig's verdict for a person, 80 columns wide."""
+
 from gaproute.trial import tables
 
 
--- a/gaproute/rig/spin.py
+++ b/gaproute/rig/spin.py
@@ -1,4 +1,5 @@
 """`python -m gaproute.rig.spin`: uses a core and does nothing, until it is ended or its parent is."""
+
 if __name__ == "__main__":
     while True:
         pass
--- a/gaproute/rig/strikes.py
+++ b/gaproute/rig/strikes.py
@@ -1,4 +1,5 @@
 """Troubles of whole processes: killed, stopped, restarted by shares, with a wrong clock, starved of CPU."""
+
 import os
 
 from gaproute.rig import sets
@@ -11,8 +12,9 @@
 
     def numbers(self, line):
         """The gateways that a line is about, drawn by its own chance: the same whatever else happens."""
-        names = sets.names(sets.parse(line.on), self.rig.table.all(self.rig.seats.seats.values()),
-                           self.rig.chance(line))
+        names = sets.names(
+            sets.parse(line.on), self.rig.table.all(self.rig.seats.seats.values()), self.rig.chance(line)
+        )
         return [int(name[1:]) for name in names if name.startswith("g")]
 
     def clocks(self):
@@ -35,14 +37,19 @@
             yield from self.crowd(numbers, line.lasts)
         elif line.kind == "starve":
             until = self.loop.now() + line.lasts
-            yield from self.rig.together([self.gateways.starve(number, until, line.duty)
-                                          for number in numbers])
+            yield from self.rig.together(
+                [self.gateways.starve(number, until, line.duty) for number in numbers]
+            )
         else:
             kind = "KILL" if line.kind == "kill" else line.signal
             batch = line.batch or len(numbers)
             for place in range(0, len(numbers), batch):
-                yield from self.rig.together([self.gateways.restart(number, kind, line.back)
-                                              for number in numbers[place:place + batch]])
+                yield from self.rig.together(
+                    [
+                        self.gateways.restart(number, kind, line.back)
+                        for number in numbers[place : place + batch]
+                    ]
+                )
 
     def crowd(self, numbers, span):
         """A coroutine: all of them on the last core, beside a process that never rests. Judged as if they
--- a/gaproute/rig/table.py
+++ b/gaproute/rig/table.py
@@ -1,5 +1,6 @@
 """Who sits where: the numbers by which the wire tells gateways and hosts apart, and the addresses between
 them."""
+
 import os
 import socket
 
@@ -7,8 +8,8 @@
 
 # seats from which gateways, hosts and the platform's change log, a seat for each gateway, are counted
 GATEWAYS, HOSTS, LISTS = LOWEST, LOWEST + 1000, LOWEST + 3000
-LOWEST_PORT, PORTS = 20000, 11000            # below those that the kernel gives out by itself (32768 on)
-APART = 4                                    # ports that one rig takes: wire, clients, peers, operators
+LOWEST_PORT, PORTS = 20000, 11000  # below those that the kernel gives out by itself (32768 on)
+APART = 4  # ports that one rig takes: wire, clients, peers, operators
 
 
 def free_port():
@@ -33,9 +34,9 @@
 
     def __init__(self, day, direct):
         self.day, self.direct, self.port = day, direct, free_port()
-        self.ways = []           # where the change log listens for each gateway, on the platform
-        self.whose = False       # whether the wire tells hosts who calls
-        self.known = {}          # (gateway, host): address, as a list names it again and again
+        self.ways = []  # where the change log listens for each gateway, on the platform
+        self.whose = False  # whether the wire tells hosts who calls
+        self.known = {}  # (gateway, host): address, as a list names it again and again
 
     def zone(self, number):
         return f"hall-{number % self.day.halls}"
@@ -55,8 +56,11 @@
 
     def peer(self, number, other):
         """Where gateway `number` finds another."""
-        return self.gateway(other)[1] if self.direct else \
-            f"{between(GATEWAYS + number, GATEWAYS + other)}:{self.port}"
+        return (
+            self.gateway(other)[1]
+            if self.direct
+            else f"{between(GATEWAYS + number, GATEWAYS + other)}:{self.port}"
+        )
 
     def host(self, number, seat):
         """Where gateway `number` finds a host."""
@@ -70,24 +74,40 @@
 
     def changelog(self, number):
         """Where gateway `number` finds the change log."""
-        return self.ways[number] if self.direct else \
-            f"{between(GATEWAYS + number, LISTS + number)}:{self.port}"
+        return (
+            self.ways[number] if self.direct else f"{between(GATEWAYS + number, LISTS + number)}:{self.port}"
+        )
 
     # What the wire is told: its zones are of gateways or of hosts, so that a word names either without a list
 
     def gateway_seat(self, number):
         where = self.gateway(number)[1]
-        return str(GATEWAYS + number), {"name": f"g{number}", "kind": "gateway",
-                                        "zone": f"gateway/{self.zone(number)}",
-                                        "tcp": where, "udp": where}
+        return str(GATEWAYS + number), {
+            "name": f"g{number}",
+            "kind": "gateway",
+            "zone": f"gateway/{self.zone(number)}",
+            "tcp": where,
+            "udp": where,
+        }
 
     def host_seat(self, seat):
-        return str(HOSTS + seat.number), {"name": seat.name, "kind": "host", "zone": f"host/{seat.zone}",
-                                          "tcp": seat.where, "udp": None, "whose": self.whose}
+        return str(HOSTS + seat.number), {
+            "name": seat.name,
+            "kind": "host",
+            "zone": f"host/{seat.zone}",
+            "tcp": seat.where,
+            "udp": None,
+            "whose": self.whose,
+        }
 
     def list_seat(self, number):
-        return str(LISTS + number), {"name": f"l{number}", "kind": "list", "zone": "",
-                                     "tcp": self.ways[number], "udp": None}
+        return str(LISTS + number), {
+            "name": f"l{number}",
+            "kind": "list",
+            "zone": "",
+            "tcp": self.ways[number],
+            "udp": None,
+        }
 
     def words(self, what, seats):
         """The wire's words for what a script's word names; seats of these words that come later are meant
@@ -101,6 +121,8 @@
 
     def all(self, seats):
         """[(name, kind, zone)] of all gateways and of the hosts that there are now, for a script's sets."""
-        return [(f"g{number}", "gateway", self.zone(number)) for number in range(self.day.gateways)] + [
-            (seat.name, "host", seat.zone) for seat in seats if seat.state != "absent"] + [
-            (f"l{number}", "list", "") for number in range(len(self.ways))]
+        return (
+            [(f"g{number}", "gateway", self.zone(number)) for number in range(self.day.gateways)]
+            + [(seat.name, "host", seat.zone) for seat in seats if seat.state != "absent"]
+            + [(f"l{number}", "list", "") for number in range(len(self.ways))]
+        )
--- a/gaproute/rig/wire/__main__.py
+++ b/gaproute/rig/wire/__main__.py
@@ -8,6 +8,7 @@
 kernel shares connections and senders of datagrams among them. A line that cannot be followed is answered
 with {"error": text} and changes nothing; a first line like that ends it with 2.
 """
+
 import gc
 import json
 import os
@@ -24,7 +25,7 @@
 from gaproute.rig.wire.streams import Streams
 from gaproute.rig.wire.weather import Weather
 
-BACKLOG = 4096           # connections that the kernel opens before the wire takes them
+BACKLOG = 4096  # connections that the kernel opens before the wire takes them
 
 
 class Wire:
@@ -43,8 +44,10 @@
     def tap(self, what, a, b, size):
         """A line to the tap file; times are of the monotonic clock, which all on the machine share."""
         if self.file is not None:
-            self.file.write(b'{"at":%d,"what":"%b","from":%d,"to":%d,"bytes":%d}\n'
-                            % (self.loop.now(), what.encode(), a, b, size))
+            self.file.write(
+                b'{"at":%d,"what":"%b","from":%d,"to":%d,"bytes":%d}\n'
+                % (self.loop.now(), what.encode(), a, b, size)
+            )
 
     def follow(self, line):
         """One line after the first; returns what to say to it, or None. Errors: ValueError."""
@@ -60,7 +63,7 @@
             self.weather.end(said["fault"])
         else:
             raise ValueError("no such line")
-        if not self.stale:       # many lines at once, as when most seats move, cost one look at all
+        if not self.stale:  # many lines at once, as when most seats move, cost one look at all
             self.stale = True
             self.loop.soon(self.settle)
         return None
@@ -77,14 +80,25 @@
         streams, datagrams = self.streams, self.datagrams
         return {
             "bytes": streams.carried + sum(relay.carried for relay in streams.relays.values()),
-            "pieces": streams.pieces, "connections": len(streams.relays), "opened": streams.opened,
-            "refused": streams.refused + streams.refusals.count, "gate": len(streams.gate),
-            "hanging": len(streams.hanging), "given_up": streams.given_up,
-            "stray": streams.stray + datagrams.stray, "messages": datagrams.messages,
-            "message_bytes": datagrams.carried, "overrun": datagrams.overrun, "unsent": datagrams.unsent,
-            "spilt": datagrams.spilt, "kept": len(datagrams.kept), "weather": self.weather.counts,
-            "late_ns": self.lateness.take(), "late_most_ns": self.lateness.ever,
-            "errors": [repr(error) for error in self.loop.errors], "breaches": breaches(self),
+            "pieces": streams.pieces,
+            "connections": len(streams.relays),
+            "opened": streams.opened,
+            "refused": streams.refused + streams.refusals.count,
+            "gate": len(streams.gate),
+            "hanging": len(streams.hanging),
+            "given_up": streams.given_up,
+            "stray": streams.stray + datagrams.stray,
+            "messages": datagrams.messages,
+            "message_bytes": datagrams.carried,
+            "overrun": datagrams.overrun,
+            "unsent": datagrams.unsent,
+            "spilt": datagrams.spilt,
+            "kept": len(datagrams.kept),
+            "weather": self.weather.counts,
+            "late_ns": self.lateness.take(),
+            "late_most_ns": self.lateness.ever,
+            "errors": [repr(error) for error in self.loop.errors],
+            "breaches": breaches(self),
         }
 
     def close(self):
@@ -113,8 +127,8 @@
 
 def main():
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))     # two descriptors for each connection
-    gc.disable()     # a full collection stops it for 25 ms at 4,000 connections; `streams.py` unties circles
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))  # two descriptors for each connection
+    gc.disable()  # a full collection stops it for 25 ms at 4,000 connections; `streams.py` unties circles
     loop, wires, rest = Loop(), [], bytearray()
 
     def read(events):
@@ -124,7 +138,7 @@
         rest.extend(data)
         while (end := rest.find(b"\n")) >= 0:
             line = bytes(rest[:end])
-            del rest[:end + 1]
+            del rest[: end + 1]
             if not wires:
                 wires.append(Wire(loop, json.loads(line)))
                 say({"ready": True})
--- a/gaproute/rig/wire/datagrams.py
+++ b/gaproute/rig/wire/datagrams.py
@@ -1,4 +1,5 @@
 """Datagrams through the wire: one socket for all pairs; the address called tells which pair it is."""
+
 import socket
 from collections import deque
 
@@ -7,16 +8,16 @@
 from gaproute.rig.addresses import between, pair
 from gaproute.rig.wire.weather import HELD
 
-LONGEST = 65535          # bytes of a message: UDP's own limit
-READS = 64               # messages taken in one turn, so that streams get their share of it
-SENDS = 256              # messages of a burst sent in one turn
-KEPT = 16384             # messages kept back at once: what comes beyond is lost
-UNDER_WAY = 65536        # messages delayed at once, of all pairs: three seconds of a busy wire; more are lost
-SPAN = 1 << 25           # their bytes, and of the socket's buffer
-PKTINFO = 8              # IP_PKTINFO of Linux, which this Python does not name: the address that was called
-OVERRUN = 40             # SO_RXQ_OVFL of Linux: messages that found the buffer full, told beside the next
-FORCED = 33              # SO_RCVBUFFORCE: as SO_RCVBUF, but beyond the machine's limit for who may
-SIDE = 96                # bytes for what the kernel tells beside a message
+LONGEST = 65535  # bytes of a message: UDP's own limit
+READS = 64  # messages taken in one turn, so that streams get their share of it
+SENDS = 256  # messages of a burst sent in one turn
+KEPT = 16384  # messages kept back at once: what comes beyond is lost
+UNDER_WAY = 65536  # messages delayed at once, of all pairs: three seconds of a busy wire; more are lost
+SPAN = 1 << 25  # their bytes, and of the socket's buffer
+PKTINFO = 8  # IP_PKTINFO of Linux, which this Python does not name: the address that was called
+OVERRUN = 40  # SO_RXQ_OVFL of Linux: messages that found the buffer full, told beside the next
+FORCED = 33  # SO_RCVBUFFORCE: as SO_RCVBUF, but beyond the machine's limit for who may
+SIDE = 96  # bytes for what the kernel tells beside a message
 
 
 class Datagrams:
@@ -30,18 +31,18 @@
             sock.setsockopt(socket.SOL_SOCKET, FORCED, SPAN)
         except PermissionError:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SPAN)
-        self.routes = {}     # address called, as a number: (a, b, where to, what is beside, the pair's bits)
-        self.kept, self.kept_bytes = deque(), 0          # by a hold: (a, b, data, route)
+        self.routes = {}  # address called, as a number: (a, b, where to, what is beside, the pair's bits)
+        self.kept, self.kept_bytes = deque(), 0  # by a hold: (a, b, data, route)
         self.bursting = False
         self.messages = self.carried = self.stray = self.overrun = self.unsent = self.spilt = 0
-        self.under_way = 0                   # delayed ones, each with its timer
+        self.under_way = 0  # delayed ones, each with its timer
         loop.watch(sock.fileno(), READ, self._ready)
 
     def _ready(self, events):
         for _ in range(READS):
             try:
                 data, beside, _, _ = self.sock.recvmsg(LONGEST, SIDE)
-            except OSError:                  # nothing more
+            except OSError:  # nothing more
                 return
             called = 0
             for level, kind, value in beside:
--- a/gaproute/rig/wire/ends.py
+++ b/gaproute/rig/wire/ends.py
@@ -3,6 +3,7 @@
 Bytes, the end of sending and a reset travel the same queue in their order. An end is not read while too much
 waits for the other, so that a slow reader holds its writer back as it would without the wire.
 """
+
 import errno
 import select
 import socket
@@ -12,26 +13,47 @@
 from gaproute.loop.loop import GONE, READ, WRITE
 from gaproute.rig.wire.weather import HELD
 
-CHUNK = 65536            # bytes read in one call
-HIGH, LOW = 1 << 18, 1 << 16   # bytes under way in one direction: reading stops above, goes on below
-END, RESET = b"", None   # in the place of bytes: no more will be sent; the connection was broken off
-AT_ONCE = struct.pack("ii", 1, 0)    # SO_LINGER: a close then sends a reset
+CHUNK = 65536  # bytes read in one call
+HIGH, LOW = 1 << 18, 1 << 16  # bytes under way in one direction: reading stops above, goes on below
+END, RESET = b"", None  # in the place of bytes: no more will be sent; the connection was broken off
+AT_ONCE = struct.pack("ii", 1, 0)  # SO_LINGER: a close then sends a reset
 
 
 class End:
     """One socket. `a`, `b`: what is read here travels from seat `a` to seat `b`, to the End `other`."""
 
-    __slots__ = ("relay", "loop", "weather", "sock", "fd", "a", "b", "other", "queue", "queued", "last",
-                 "timer", "out", "waiting", "mask", "open", "paused", "finished", "ending", "shut", "broken")
+    __slots__ = (
+        "relay",
+        "loop",
+        "weather",
+        "sock",
+        "fd",
+        "a",
+        "b",
+        "other",
+        "queue",
+        "queued",
+        "last",
+        "timer",
+        "out",
+        "waiting",
+        "mask",
+        "open",
+        "paused",
+        "finished",
+        "ending",
+        "shut",
+        "broken",
+    )
 
     def __init__(self, relay, sock, a, b):
         self.relay, self.loop, self.weather = relay, relay.streams.loop, relay.streams.weather
         self.sock, self.fd, self.a, self.b = sock, sock.fileno(), a, b
-        self.queue, self.queued, self.last, self.timer = deque(), 0, 0, None     # read here: [due, bytes]
-        self.out, self.waiting = deque(), 0      # to be written here
+        self.queue, self.queued, self.last, self.timer = deque(), 0, 0, None  # read here: [due, bytes]
+        self.out, self.waiting = deque(), 0  # to be written here
         self.open, self.paused, self.broken = True, False, False
-        self.finished = False                    # the end of what is sent to us was read
-        self.ending = self.shut = False          # the end of what we send is to be said; has been
+        self.finished = False  # the end of what is sent to us was read
+        self.ending = self.shut = False  # the end of what we send is to be said; has been
         self.mask = READ
         self.loop.watch(self.fd, READ, self._ready)
 
@@ -44,7 +66,7 @@
             self._read()
         elif events & select.EPOLLERR or self.broken:
             self._gone()
-        elif events & GONE:      # both ways are shut, and something lies unread: no news until it is read
+        elif events & GONE:  # both ways are shut, and something lies unread: no news until it is read
             self.loop.unwatch(self.fd)
             self.mask = None
 
@@ -83,7 +105,7 @@
         else:
             size = len(data) if data else 0
             if self.queue and self.queue[-1][0] is HELD:
-                due = HELD           # behind what is kept, even if `changed` has yet to let it go
+                due = HELD  # behind what is kept, even if `changed` has yet to let it go
             else:
                 due = weather.stream(self.a, self.b, size, self.loop.now(), self.last)
             self.queue.append([due, data])
@@ -99,7 +121,7 @@
     def _release(self):
         self.timer = None
         if self.weather.keeps(self.a, self.b):
-            return                               # a cut came over what was under way: `changed` goes on
+            return  # a cut came over what was under way: `changed` goes on
         now, queue = self.loop.now(), self.queue
         while queue and queue[0][0] <= now:
             due, data = queue.popleft()
--- a/gaproute/rig/wire/faults.py
+++ b/gaproute/rig/wire/faults.py
@@ -19,6 +19,7 @@
 are lost; a loss is drawn for each piece read (up to 64 KiB), not for each packet; a sender under
 TCP_USER_TIMEOUT never learns of a cut, as the wire has acknowledged its bytes.
 """
+
 from socket import AF_INET
 from typing import NamedTuple
 
@@ -27,8 +28,8 @@
 MILLI = 1_000_000
 KINDS = ("delay", "lose", "double", "reorder", "cut", "hold", "reset")
 WHAT = ("streams", "datagrams", "all")
-GROUPS = {"gateways": "gateway", "hosts": "host", "lists": "list"}   # words for all seats of a kind
-OVERTAKEN = 10.0     # ms that a reordered message is late if not said: many others pass meanwhile
+GROUPS = {"gateways": "gateway", "hosts": "host", "lists": "list"}  # words for all seats of a kind
+OVERTAKEN = 10.0  # ms that a reordered message is late if not said: many others pass meanwhile
 NUMBERS = {"share": 1.0, "delay_ms": 0.0, "jitter_ms": 0.0, "bytes_per_s": 0.0}
 WORDS = {"kind", "from", "to", "both", "what", *NUMBERS}
 
@@ -43,7 +44,7 @@
     tcp: str | None = None
     udp: str | None = None
     refuses: bool = False
-    whose: bool = False      # told who calls in a first line, as the platform's stand-in hosts read it
+    whose: bool = False  # told who calls in a first line, as the platform's stand-in hosts read it
 
 
 class Fault(NamedTuple):
@@ -73,8 +74,13 @@
     for place in places:
         if place is not None and (not isinstance(place, str) or address(place)[0] != AF_INET):
             raise ValueError(f"{place!r} is no IPv4 address and port")
-    return Seat(told["name"], *(told.get(word) or "" for word in ("kind", "zone")), *places,
-                bool(told.get("refuses")), bool(told.get("whose")))
+    return Seat(
+        told["name"],
+        *(told.get(word) or "" for word in ("kind", "zone")),
+        *places,
+        bool(told.get("refuses")),
+        bool(told.get("whose")),
+    )
 
 
 def fault(told, seats):
@@ -91,9 +97,18 @@
     if numbers["share"] > 1:
         raise ValueError(f"share is at most 1, not {numbers['share']!r}")
     delay = numbers["delay_ms"] or (OVERTAKEN if kind == "reorder" else 0)
-    return Fault(kind, members(told.get("from", ["*"]), seats), members(told.get("to", ["*"]), seats),
-                 bool(told.get("both")), what != "datagrams", what != "streams", float(numbers["share"]),
-                 int(delay * MILLI), int(numbers["jitter_ms"] * MILLI), float(numbers["bytes_per_s"]))
+    return Fault(
+        kind,
+        members(told.get("from", ["*"]), seats),
+        members(told.get("to", ["*"]), seats),
+        bool(told.get("both")),
+        what != "datagrams",
+        what != "streams",
+        float(numbers["share"]),
+        int(delay * MILLI),
+        int(numbers["jitter_ms"] * MILLI),
+        float(numbers["bytes_per_s"]),
+    )
 
 
 def members(words, seats):
@@ -105,7 +120,7 @@
         bare = word.removeprefix("not:")
         named = {number for number, one in seats.items() if _names(bare, one)}
         if not named and bare not in GROUPS and bare != "*":
-            raise ValueError(f"{word!r} names no seat")     # a slip in the script would else be a calm day
+            raise ValueError(f"{word!r} names no seat")  # a slip in the script would else be a calm day
         found |= named if bare == word else seats.keys() - named
     return frozenset(found)
 
--- a/gaproute/rig/wire/invariants.py
+++ b/gaproute/rig/wire/invariants.py
@@ -1,4 +1,5 @@
 """What must always hold in a wire, as named checks; run whenever its counts are asked for."""
+
 from gaproute.rig.wire.datagrams import KEPT, SPAN
 from gaproute.rig.wire.ends import CHUNK, HIGH
 from gaproute.rig.wire.weather import HELD
@@ -6,9 +7,16 @@
 
 def breaches(wire):
     """What does not hold, as text; nothing if all is well."""
-    return [*weather(wire.weather), *datagrams(wire.datagrams),
-            *(found for relay in wire.streams.relays.values() for end in (relay.near, relay.far)
-              for found in stream(end))]
+    return [
+        *weather(wire.weather),
+        *datagrams(wire.datagrams),
+        *(
+            found
+            for relay in wire.streams.relays.values()
+            for end in (relay.near, relay.far)
+            for found in stream(end)
+        ),
+    ]
 
 
 def weather(weather):
@@ -21,7 +29,7 @@
 def stream(end):
     """Of one direction of a connection."""
     if not (end.queue or end.out or end.queued or end.waiting):
-        return                   # most are like this: 5,000 connections must not make the wire late
+        return  # most are like this: 5,000 connections must not make the wire late
     name = f"{end.a} to {end.b}"
     dues = [due for due, _ in end.queue]
     timed = [due for due in dues if due is not HELD]
@@ -31,7 +39,7 @@
         yield f"waiting_bytes: {name}: {end.waiting} booked"
     if end.queued + end.other.waiting > HIGH + CHUNK:
         yield f"bounded: {name}: {end.queued} and {end.other.waiting} bytes under way"
-    if timed != sorted(timed) or HELD in dues[:len(timed)]:
+    if timed != sorted(timed) or HELD in dues[: len(timed)]:
         yield f"in_order: {name}: {dues}"
     if end.queue and end.timer is None and not end.weather.keeps(end.a, end.b):
         yield f"never_stuck: {name}: {len(dues)} pieces wait for nothing"
--- a/gaproute/rig/wire/lateness.py
+++ b/gaproute/rig/wire/lateness.py
@@ -1,6 +1,6 @@
 """How late the wire runs: a measurement through a wire that was late is void, so it has to know."""
 
-BEAT = 50_000_000        # ns between looks at the clock: a wire with nothing to do can be starved as well
+BEAT = 50_000_000  # ns between looks at the clock: a wire with nothing to do can be starved as well
 
 
 class Lateness:
--- a/gaproute/rig/wire/refusals.py
+++ b/gaproute/rig/wire/refusals.py
@@ -6,6 +6,7 @@
 needs CAP_NET_RAW; without it such a seat's connections are accepted and reset as before. It sees a copy of
 every TCP packet, some tenths of a microsecond each, and is therefore open only while a seat refuses.
 """
+
 import socket
 import struct
 
@@ -15,11 +16,11 @@
 from gaproute.rig.wire.datagrams import PKTINFO
 from gaproute.rig.wire.weather import HELD
 
-READS = 64               # packets taken in one turn
-FLAGS, PORT = 33, 22     # in a packet without IP options, as loopback's are: TCP's flags and port called
+READS = 64  # packets taken in one turn
+FLAGS, PORT = 33, 22  # in a packet without IP options, as loopback's are: TCP's flags and port called
 RST_ACK = 0x14
-HALF = 0x28              # BPF's code for a load of two bytes
-FILTER = 0xFFFF          # bytes of a packet that are handed over at most
+HALF = 0x28  # BPF's code for a load of two bytes
+FILTER = 0xFFFF  # bytes of a packet that are handed over at most
 
 
 class Refusals:
@@ -38,10 +39,18 @@
         wanted = self.can and any(seat.refuses for seat in self.weather.seats.values())
         if wanted and self.sock is None:
             self.sock = raw()
-            gate.attach(self.sock, [(gate.LOAD_BYTE, 0, 0, FLAGS), (gate.AND, 0, 0, gate.SYN_ACK),
-                                    (gate.EQUAL, 0, 3, gate.SYN), (HALF, 0, 0, PORT),
-                                    (gate.EQUAL, 0, 1, self.port), (gate.END, 0, 0, FILTER),
-                                    (gate.END, 0, 0, gate.DROP)])
+            gate.attach(
+                self.sock,
+                [
+                    (gate.LOAD_BYTE, 0, 0, FLAGS),
+                    (gate.AND, 0, 0, gate.SYN_ACK),
+                    (gate.EQUAL, 0, 3, gate.SYN),
+                    (HALF, 0, 0, PORT),
+                    (gate.EQUAL, 0, 1, self.port),
+                    (gate.END, 0, 0, FILTER),
+                    (gate.END, 0, 0, gate.DROP),
+                ],
+            )
             self.loop.watch(self.sock.fileno(), READ, self._ready)
         elif not wanted:
             self.close()
@@ -73,8 +82,9 @@
         total = (total & 0xFFFF) + (total >> 16)
         check = ~((total & 0xFFFF) + (total >> 16)) & 0xFFFF
         beside = [(socket.IPPROTO_IP, PKTINFO, bytes(4) + called + bytes(4))]
-        self.sock.sendmsg((head[:16] + struct.pack("!H", check) + head[18:],), beside, 0,
-                          (socket.inet_ntoa(caller), 0))
+        self.sock.sendmsg(
+            (head[:16] + struct.pack("!H", check) + head[18:],), beside, 0, (socket.inet_ntoa(caller), 0)
+        )
         self.count += 1
 
     def close(self):
@@ -86,7 +96,8 @@
 
 def raw():
     """Errors: PermissionError."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_RAW | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC,
-                         socket.IPPROTO_TCP)
+    sock = socket.socket(
+        socket.AF_INET, socket.SOCK_RAW | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC, socket.IPPROTO_TCP
+    )
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_BINDTODEVICE, b"lo")
     return sock
--- a/gaproute/rig/wire/streams.py
+++ b/gaproute/rig/wire/streams.py
@@ -6,6 +6,7 @@
 leads to a seat without an address, or through a cut, does not open (`gate.py`); what the gate let through
 before it heard of that stays silent until it can.
 """
+
 import select
 import socket
 
@@ -17,8 +18,8 @@
 from gaproute.rig.wire.refusals import Refusals
 from gaproute.rig.wire.weather import HELD
 
-WITHIN = 130_000_000_000     # ns: as long as Linux tries to connect; then the caller's end is reset
-GIVEN_UP = select.EPOLLRDHUP     # and errors, which epoll always tells
+WITHIN = 130_000_000_000  # ns: as long as Linux tries to connect; then the caller's end is reset
+GIVEN_UP = select.EPOLLRDHUP  # and errors, which epoll always tells
 
 
 class Relay:
@@ -44,7 +45,7 @@
         self.near.forget()
         self.far.forget()
         self.streams.over(self)
-        self.streams.loop.soon(self._untie)      # whoever is at work on an end still needs the other
+        self.streams.loop.soon(self._untie)  # whoever is at work on an end still needs the other
 
     def _untie(self):
         """Nothing of it goes round in a circle, so that no collection of garbage is needed."""
@@ -57,11 +58,11 @@
 
     def __init__(self, loop, weather, lateness, sock, tap):
         self.loop, self.weather, self.lateness, self.tap = loop, weather, lateness, tap
-        self.relays, self.count = {}, 0      # by number
-        self.hanging = {}                    # those that cannot open: (socket, a, b)
+        self.relays, self.count = {}, 0  # by number
+        self.hanging = {}  # those that cannot open: (socket, a, b)
         self.opened = self.refused = self.given_up = self.stray = self.pieces = self.carried = 0
         self.listener = Listener(loop, (socket.AF_INET, None), self._accepted, inherited=sock)
-        self.gate = None                     # its instructions, as last attached
+        self.gate = None  # its instructions, as last attached
         self.refusals = Refusals(loop, weather, sock.getsockname()[1])
         self.changed()
 
@@ -109,6 +110,7 @@
                 self.refused += 1
                 self.tap("refused", a, b, 0)
                 _reset(sock)
+
         connect(self.loop, address(where), WITHIN, done, source=between(b, a))
 
     def _introduce(self, far, a, b):
@@ -117,7 +119,7 @@
         if seat is not None and seat.whose and caller is not None:
             try:
                 far.send(b'{"type":"whose","gateway":"%b"}\n' % caller.name.encode())
-            except OSError:      # it has closed already, which its relay will see
+            except OSError:  # it has closed already, which its relay will see
                 pass
 
     def over(self, relay):
--- a/gaproute/rig/wire/weather.py
+++ b/gaproute/rig/wire/weather.py
@@ -3,15 +3,16 @@
 The clock is handed in with each question; chance is drawn from a generator for each pair, direction and sort
 of traffic, made of the seed, so that it does not matter which of several wires serves a pair.
 """
+
 from gaproute.rig.addresses import HIGHEST, LOWEST, SEAT_BITS
 from gaproute.rig.wire.faults import MILLI, fault, seat
 
 SECOND = 1000 * MILLI
-AGAIN = 200 * MILLI      # TCP's least time before it sends lost bytes again
-TRIES = 6                # that may be lost in a row, 12.6 s in all: a share of 1 must end some time
-QUEUE = SECOND           # of a limited pace, longest wait of a datagram: a router's queue is not endless
-FINE = 1 << 32           # steps in which a share is drawn
-HELD = None              # in place of a time: kept until the fault ends
+AGAIN = 200 * MILLI  # TCP's least time before it sends lost bytes again
+TRIES = 6  # that may be lost in a row, 12.6 s in all: a share of 1 must end some time
+QUEUE = SECOND  # of a limited pace, longest wait of a datagram: a router's queue is not endless
+FINE = 1 << 32  # steps in which a share is drawn
+HELD = None  # in place of a time: kept until the fault ends
 
 
 class Weather:
@@ -19,12 +20,12 @@
 
     def __init__(self, seed, chance):
         self.seed, self.chance = seed, chance
-        self.seats, self.told, self.faults = {}, {}, {}    # by number; by id, as told and as read
-        self.version = 0         # grows with every change: what was kept of an answer is then stale
-        self.known = {}          # pair: (faults on its streams, faults on its datagrams)
-        self.chances = {}        # (pair, sort): generator
-        self.free = {}           # (fault's id, pair, sort): when its limited pace is free again
-        self.last = {}           # pair: when its last datagram is due, so that the next stays behind it
+        self.seats, self.told, self.faults = {}, {}, {}  # by number; by id, as told and as read
+        self.version = 0  # grows with every change: what was kept of an answer is then stale
+        self.known = {}  # pair: (faults on its streams, faults on its datagrams)
+        self.chances = {}  # (pair, sort): generator
+        self.free = {}  # (fault's id, pair, sort): when its limited pace is free again
+        self.last = {}  # pair: when its last datagram is due, so that the next stays behind it
         self.counts = dict.fromkeys(("lost", "doubled", "reordered", "delayed", "cut", "held", "full"), 0)
 
     # The script's words
@@ -65,8 +66,10 @@
         found = self.known.get(pair)
         if found is None:
             on = tuple((name, one) for name, one in self.faults.items() if one.touches(a, b))
-            found = self.known[pair] = (tuple(one for one in on if one[1].streams),
-                                        tuple(one for one in on if one[1].datagrams))
+            found = self.known[pair] = (
+                tuple(one for one in on if one[1].streams),
+                tuple(one for one in on if one[1].datagrams),
+            )
         return found
 
     def keeps(self, a, b):
@@ -80,8 +83,12 @@
     def resets(self, name, a, b):
         """Whether fault `name`, which has just begun, resets a standing connection of `a` and `b`."""
         one = self.faults[name]
-        return (one.kind == "reset" and one.streams and (one.touches(a, b) or one.touches(b, a))
-                and self._hits(one, a, b, "streams"))
+        return (
+            one.kind == "reset"
+            and one.streams
+            and (one.touches(a, b) or one.touches(b, a))
+            and self._hits(one, a, b, "streams")
+        )
 
     def stream(self, a, b, size, now, last):
         """When `size` bytes read at `now` are due at the other end, never before `last`, the time of those
@@ -158,7 +165,8 @@
         found = self.chances.get(key)
         if found is None:
             found = self.chances[key] = self.chance(
-                mixed(self.seed << 32 ^ key[0] << 1 ^ (sort == "streams")))
+                mixed(self.seed << 32 ^ key[0] << 1 ^ (sort == "streams"))
+            )
         return found
 
 
