--- a/gaproute/rig/wires.py
+++ b/gaproute/rig/wires.py
@@ -1,4 +1,5 @@
 """The wire's processes, as the parent drives them: seats, faults, and what they say of themselves."""
+
 import json
 import os
 
@@ -7,8 +8,8 @@
 from gaproute.rig import sets
 from gaproute.trial.processes import MILLI, SECOND, NotReady
 
-ANSWER = 5 * SECOND          # for a wire to say its counts: one that takes longer ran late anyway
-AFTER = 500 * MILLI          # after a cut, until all that it kept has flown on
+ANSWER = 5 * SECOND  # for a wire to say its counts: one that takes longer ran late anyway
+AFTER = 500 * MILLI  # after a cut, until all that it kept has flown on
 
 
 class Wires:
@@ -21,8 +22,13 @@
     def start(self, count, seats):
         """A coroutine: until all serve. `seats`: as their first line has them."""
         for place in range(count):
-            told = {"tcp": self.table.port, "udp": self.table.port, "seats": seats, "seed": self.seed,
-                    "tap": None}
+            told = {
+                "tcp": self.table.port,
+                "udp": self.table.port,
+                "seats": seats,
+                "seed": self.seed,
+                "tap": None,
+            }
             wire = self.processes.start(["gaproute.rig.wire"], told, f"wire-{place}.err")
             self.wires.append(wire)
             self.told.append([])
@@ -69,9 +75,17 @@
         """A coroutine: one `fault` line from its time to its end."""
         yield self.loop.sleep(line.at)
         ends = [self.ends(rig, text, random) for text in (line.source, line.to)]
-        on = {"kind": line.kind, "from": ends[0][0], "to": ends[1][0], "both": line.both, "what": line.what,
-              "share": line.share, "delay_ms": line.delay / MILLI, "jitter_ms": line.jitter / MILLI,
-              "bytes_per_s": line.bytes}
+        on = {
+            "kind": line.kind,
+            "from": ends[0][0],
+            "to": ends[1][0],
+            "both": line.both,
+            "what": line.what,
+            "share": line.share,
+            "delay_ms": line.delay / MILLI,
+            "jitter_ms": line.jitter / MILLI,
+            "bytes_per_s": line.bytes,
+        }
         self.numbers += 1
         name = f"f{self.numbers}"
         rig.talk(f"{line.at / SECOND:5.1f} s  {line.kind} on the wire")
@@ -99,7 +113,7 @@
     back may be as old as the fault."""
     if line.kind in ("cut", "hold") or line.bytes:
         return line.lasts + AFTER, AFTER
-    tries = next((tries for tries in range(1, 7) if line.share ** tries < 1e-6), 6)
+    tries = next((tries for tries in range(1, 7) if line.share**tries < 1e-6), 6)
     span = 200 * MILLI * ((1 << tries) - 1) if line.kind == "lose" else line.delay + line.jitter
     return span, span
 
@@ -110,9 +124,12 @@
     A cut or a hold keeps a new connection waiting whichever way it lies; other faults lie on the way that
     they name.
     """
+
     def way(ours, theirs):
-        return [[int(name[1:]) for name in ours if name.startswith("g")],
-                [name for name in theirs if name.startswith("mh")]]
+        return [
+            [int(name[1:]) for name in ours if name.startswith("g")],
+            [name for name in theirs if name.startswith("mh")],
+        ]
 
     if line.kind in ("double", "reorder", "reset"):
         return {}
--- a/gaproute/rollouts/__main__.py
+++ b/gaproute/rollouts/__main__.py
@@ -1,4 +1,5 @@
 """One problem from standard input, its plan to standard output, both JSON: the solver's own process."""
+
 import sys
 
 import msgspec
--- a/gaproute/rollouts/campaign.py
+++ b/gaproute/rollouts/campaign.py
@@ -1,4 +1,5 @@
 """What a campaign asks, and why one is refused at once: contradictions, unknown names, what can never fit."""
+
 from typing import NamedTuple
 
 from gaproute.shared.keepers.messages import HIGHEST
@@ -6,15 +7,16 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-WAY = SECOND             # ns that a relay may be under way to its host; its connection is closed by then
-SPARE = 2 * SECOND       # ns of a permit beside the rollouts under it: several askings of the keepers
-CAMPAIGNS = 32           # at once: each costs every gateway a row for each host
+WAY = SECOND  # ns that a relay may be under way to its host; its connection is closed by then
+SPARE = 2 * SECOND  # ns of a permit beside the rollouts under it: several askings of the keepers
+CAMPAIGNS = 32  # at once: each costs every gateway a row for each host
 STEPS = 1_000_000
-TASKS = 10_000_000       # a step: counters and forecasts stay small numbers
+TASKS = 10_000_000  # a step: counters and forecasts stay small numbers
 
 
 class Host(NamedTuple):
     """`lanes`: tasks at once; `room`: for copies, in the unit of the campaigns' `room`."""
+
     name: str
     zone: str
     lanes: int
@@ -26,6 +28,7 @@
     of a copy; `most`: ns that one rollout may run, told to hosts as its limit; `takes`: ns that one usually
     runs; `by`: ns after its begin, or `pace`: tasks a second, 0 where not asked; `floors`: lanes by host or
     zone never taken."""
+
     name: str
     function: str
     version: int
@@ -93,10 +96,19 @@
 
 
 def _contradicts(campaign):
-    for word, least, most in (("tasks", 1, TASKS), ("steps", 1, STEPS), ("old", 0, STEPS),
-                              ("group", 1, TASKS), ("room", 1, HIGHEST), ("takes", 1, LONGEST),
-                              ("most", 1, LONGEST), ("by", 0, 1 << 60),
-                              ("weight", 1, 1000), ("pace", 0, TASKS), ("version", 0, 1 << 40)):
+    for word, least, most in (
+        ("tasks", 1, TASKS),
+        ("steps", 1, STEPS),
+        ("old", 0, STEPS),
+        ("group", 1, TASKS),
+        ("room", 1, HIGHEST),
+        ("takes", 1, LONGEST),
+        ("most", 1, LONGEST),
+        ("by", 0, 1 << 60),
+        ("weight", 1, 1000),
+        ("pace", 0, TASKS),
+        ("version", 0, 1 << 40),
+    ):
         value = getattr(campaign, word)
         if not least <= value <= most:
             yield f"{word}: {value}, from {least} to {most}"
@@ -107,8 +119,10 @@
     if campaign.takes > campaign.most:
         yield "takes: longer than most"
     if campaign.span > LONGEST:
-        yield (f"most: a permit of {campaign.span / 1e9:.0f} s would be needed, "
-               f"the longest is {LONGEST / 1e9:.0f} s")
+        yield (
+            f"most: a permit of {campaign.span / 1e9:.0f} s would be needed, "
+            f"the longest is {LONGEST / 1e9:.0f} s"
+        )
     for name, lanes in campaign.floors.items():
         if lanes < 0:
             yield f"floors: {name} {lanes} is below nought"
@@ -147,5 +161,7 @@
     elif campaign.pace > pace:
         yield f"pace: {campaign.pace:g} a second can never be, {pace:.1f} would fit"
     elif campaign.by and work * SECOND > pace * campaign.by:
-        yield (f"by: {work} tasks in {campaign.by / 1e9:.0f} s can never be, by {work / pace:.0f} s or "
-               f"{int(pace * campaign.by / SECOND / campaign.steps)} tasks a step would fit")
+        yield (
+            f"by: {work} tasks in {campaign.by / 1e9:.0f} s can never be, by {work / pace:.0f} s or "
+            f"{int(pace * campaign.by / SECOND / campaign.steps)} tasks a step would fit"
+        )
--- a/gaproute/rollouts/deal.py
+++ b/gaproute/rollouts/deal.py
@@ -27,8 +27,10 @@
             load[gateway] += pools.get(host, 0)
     for host in sorted(hosts):
         if host not in owners:
-            owners[host] = min(gateways, key=lambda each: (
-                load[each] >= most, homes.get(each) != homes.get(host), load[each], each))
+            owners[host] = min(
+                gateways,
+                key=lambda each: (load[each] >= most, homes.get(each) != homes.get(host), load[each], each),
+            )
             load[owners[host]] += pools.get(host, 0)
     for host, gateway in owners.items():
         came[gateway][host] = _spread(hosts[host], pools.get(host, 0))
@@ -43,7 +45,7 @@
     for name, count in counts.items():
         given[name] = count + (pool - total) * count // total
     order = sorted(counts, key=lambda name: (-counts[name], name))
-    for name in order[:pool - sum(given.values())]:
+    for name in order[: pool - sum(given.values())]:
         given[name] += 1
     return given
 
--- a/gaproute/rollouts/forecast.py
+++ b/gaproute/rollouts/forecast.py
@@ -3,15 +3,15 @@
 
 SECOND = 1_000_000_000
 
-SLOT = 30 * SECOND       # of a plan: several loads long, short beside the course of a day
-SLOTS = 8                # minutes ahead that a plan looks
-HALF = 0.3               # weight of a new reading of the level: some average out, a rise shows in a minute
-STAY = 0.8               # of what the level is off its usual, what is left a slot later: bursts pass
-LONG = 960               # readings in the usual level: the working hours of a day at one a slot
-SURE = 1.0               # spreads above the mean that are kept for production; more stops rollouts
-COURSE = 48              # factors of a day, half an hour each, where its course is known
+SLOT = 30 * SECOND  # of a plan: several loads long, short beside the course of a day
+SLOTS = 8  # minutes ahead that a plan looks
+HALF = 0.3  # weight of a new reading of the level: some average out, a rise shows in a minute
+STAY = 0.8  # of what the level is off its usual, what is left a slot later: bursts pass
+LONG = 960  # readings in the usual level: the working hours of a day at one a slot
+SURE = 1.0  # spreads above the mean that are kept for production; more stops rollouts
+COURSE = 48  # factors of a day, half an hour each, where its course is known
 FUNCTIONS = 4096
-EARLY = 0.02             # of a campaign: before it an end would be a guess
+EARLY = 0.02  # of a campaign: before it an end would be a guess
 
 
 class Demand:
@@ -21,7 +21,7 @@
         self.course = course
         self.level = self.spread = self.usual = None
         self.readings = 0
-        self.error = 0.0                     # mean of how far the last readings were off, squared
+        self.error = 0.0  # mean of how far the last readings were off, squared
 
     def _factor(self, clock):
         """`clock`: ns since midnight."""
@@ -49,8 +49,8 @@
         """Wanted at `clock`, so many slots from the last reading: the mean, and `sure` spreads above it."""
         if self.level is None:
             return 0.0
-        level = self.usual + (self.level - self.usual) * STAY ** slots
-        return level * self._factor(clock) + sure * (self.error + self.spread ** 2) ** 0.5
+        level = self.usual + (self.level - self.usual) * STAY**slots
+        return level * self._factor(clock) + sure * (self.error + self.spread**2) ** 0.5
 
 
 class Forecast:
@@ -86,7 +86,7 @@
 
     def __init__(self, work, began):
         self.work, self.began = work, began
-        self.done, self.at, self.lanes = 0, began, 0.0       # lanes: lane-ns used so far
+        self.done, self.at, self.lanes = 0, began, 0.0  # lanes: lane-ns used so far
 
     def saw(self, now, done, lanes):
         """`done` in all, by `lanes` (mean since the last call)."""
@@ -98,7 +98,7 @@
         their mean, halfway to what it had so far, as no burst and no calm lasts."""
         if self.done < EARLY * self.work or not self.lanes:
             return None
-        each = self.lanes / self.done                        # lane-ns a task, exchanges and waits included
+        each = self.lanes / self.done  # lane-ns a task, exchanges and waits included
         had = self.lanes / max(1, self.at - self.began)
         left, now = (self.work - self.done) * each, self.at
         for lanes in planned:
--- a/gaproute/rollouts/groups.py
+++ b/gaproute/rollouts/groups.py
@@ -1,8 +1,9 @@
 """Groups: the rollouts of one prompt are of one version, or all of them are scrapped."""
+
 from collections import Counter
 
-GROUPS = 4096            # at work at once; beyond it a new one is declined by name
-ENDED = 4096             # that ended and are remembered: their late tasks get the same answer
+GROUPS = 4096  # at work at once; beyond it a new one is declined by name
+ENDED = 4096  # that ended and are remembered: their late tasks get the same answer
 
 
 class Group:
@@ -10,14 +11,14 @@
 
     def __init__(self, campaign, version, size):
         self.campaign, self.version, self.size = campaign, version, size
-        self.tasks, self.good = {}, 0        # tasks taken in: whether delivered
+        self.tasks, self.good = {}, 0  # tasks taken in: whether delivered
 
 
 class Groups:
     def __init__(self, weights):
         self.weights = weights
-        self.open, self.ended = {}, {}       # name: Group; name: how it ended
-        self.counts = Counter()              # how groups ended: "delivered", or why they were scrapped
+        self.open, self.ended = {}, {}  # name: Group; name: how it ended
+        self.counts = Counter()  # how groups ended: "delivered", or why they were scrapped
 
     def take(self, group, task, campaign, version, size):
         """Why the task is declined, or ''. The group's first task says its version for all."""
@@ -55,8 +56,11 @@
 
     def aged(self):
         """Groups that became too old: [(group, its tasks)], scrapped by this."""
-        came = [(name, list(held.tasks)) for name, held in self.open.items()
-                if self.weights.why_not(held.campaign, held.version)]
+        came = [
+            (name, list(held.tasks))
+            for name, held in self.open.items()
+            if self.weights.why_not(held.campaign, held.version)
+        ]
         for name, _ in came:
             self.scrap(name, "too old")
         return came
--- a/gaproute/rollouts/invariants.py
+++ b/gaproute/rollouts/invariants.py
@@ -1,5 +1,6 @@
 """What must always hold of rollouts; every check returns breaches as text, named first. Cheap ones may run
 always."""
+
 from gaproute.rollouts.groups import ENDED, GROUPS
 from gaproute.rollouts.spend import FRESH, HANDS, PARTS
 
@@ -17,7 +18,8 @@
             came.append(f"room never overspent: {count} under a permit of {wish.amount} of {wish.resource}")
     for host, part in spend.parts.items():
         if any(count != under.get(wish, 0) for wish, count in part.wishes.items()) or any(
-                count != by.get((host, name), 0) for name, count in part.hands.items()):
+            count != by.get((host, name), 0) for name, count in part.hands.items()
+        ):
             came.append(f"counts are those of what is in hand: {host}")
     if len(spend.parts) > PARTS or len(spend.hands) > HANDS:
         came.append("maps are bounded: rollouts in hand")
@@ -47,10 +49,16 @@
     zones = {}
     for host in hosts:
         zones[host.zone] = zones.get(host.zone, 0) + host.lanes - lent[host.name]
-    came = [f"floor of free room: {host.name}" for host in hosts
-            if not 0 <= lent[host.name] <= max(0, host.lanes - floors.get(host.name, 0))]
-    return came + [f"floor of free room: zone {zone}" for zone, left in zones.items() if left < min(
-        floors.get(zone, 0), sum(host.lanes for host in hosts if host.zone == zone))]
+    came = [
+        f"floor of free room: {host.name}"
+        for host in hosts
+        if not 0 <= lent[host.name] <= max(0, host.lanes - floors.get(host.name, 0))
+    ]
+    return came + [
+        f"floor of free room: zone {zone}"
+        for zone, left in zones.items()
+        if left < min(floors.get(zone, 0), sum(host.lanes for host in hosts if host.zone == zone))
+    ]
 
 
 def check_loads(loads):
--- a/gaproute/rollouts/loads.py
+++ b/gaproute/rollouts/loads.py
@@ -1,7 +1,8 @@
 """The ration of load orders for rollouts: a part of rule 5's, and never what production may need of it."""
+
 from collections import deque
 
-PART = 4                 # rollouts order at most one in so many of the loads that rule 5 leaves for a window
+PART = 4  # rollouts order at most one in so many of the loads that rule 5 leaves for a window
 
 
 class Loads:
--- a/gaproute/rollouts/orders.py
+++ b/gaproute/rollouts/orders.py
@@ -1,8 +1,9 @@
 """Who plans, and whose plan counts: the holder of one permit plans, its fencing number goes with each
 plan."""
+
 from typing import NamedTuple
 
-PLANNER = "rollouts/plan"    # the permit that a planner holds
+PLANNER = "rollouts/plan"  # the permit that a planner holds
 HIGHEST = 1 << 62
 
 
@@ -10,6 +11,7 @@
     """What the planner tells one gateway. `aims`: {host: {campaign: lanes}}; `paces`: {campaign: tasks a
     second}; `copies`: {campaign: hosts that shall have a copy, the first first}. Who has a host's lanes loads
     its copies."""
+
     fence: int
     number: int
     aims: dict
--- a/gaproute/rollouts/pace.py
+++ b/gaproute/rollouts/pace.py
@@ -1,7 +1,7 @@
 """Turns at a pace, with a small burst: what a plan lets one gateway send of one campaign."""
 
 SECOND = 1_000_000_000
-BURST = 16               # turns saved at most: lanes that become free together are filled together
+BURST = 16  # turns saved at most: lanes that become free together are filled together
 
 
 class Pace:
--- a/gaproute/rollouts/plan.py
+++ b/gaproute/rollouts/plan.py
@@ -1,15 +1,17 @@
 """A plan for the next slots: which campaign has a copy at which host, and how many lanes there. The greedy
 one, what a plan must keep, and what one is worth once the truth is known."""
+
 import msgspec
 
 from gaproute.rollouts.shares import shares
 
-LOAD = 0.5               # of a slot that a copy's load takes: what a move costs
+LOAD = 0.5  # of a slot that a copy's load takes: what a move costs
 LEAST = 1e-6
 
 
 class Want(msgspec.Struct, array_like=True):
     """`lanes`: wanted in all. `copy`: names the version; an exchange of weights keeps it."""
+
     name: str
     room: int
     weight: int
@@ -19,6 +21,7 @@
 class Problem(msgspec.Struct, array_like=True):
     """`spare`: {host: lanes in each slot}; `room`: {host: for copies}; `standing`: [(campaign, host)];
     `loads`: how many copies may be loaded in one slot; `load`: of a slot that one takes."""
+
     spare: dict[str, list[float]]
     room: dict[str, int]
     wants: list[Want]
@@ -33,13 +36,17 @@
     def caps(self, slot):
         """{campaign: lanes that are its share then}."""
         total = sum(int(each[slot]) for each in self.spare.values())
-        return shares(total, {want.name: want.lanes for want in self.wants},
-                      {want.name: want.weight for want in self.wants})
+        return shares(
+            total,
+            {want.name: want.lanes for want in self.wants},
+            {want.name: want.weight for want in self.wants},
+        )
 
 
 class Plan(msgspec.Struct, array_like=True):
     """`copies`: [(campaign, host, slot from which it stands)], loaded in this order; `lanes`: [(campaign,
     host, lanes in each slot)]."""
+
     copies: list[tuple[str, str, int]]
     lanes: list[tuple[str, str, list[int]]]
 
@@ -67,18 +74,29 @@
         copies.append((name, host, first))
 
     stand = [(name, host) for name, host in problem.standing if name in wants and host in left]
-    while stand:                             # each campaign's best first, the one that has least of its share
-        name, host = max(stand, key=lambda pair: (
-            sum(lacking[pair[0]]) / wants[pair[0]].weight, gain(*pair, 0), pair))
+    while stand:  # each campaign's best first, the one that has least of its share
+        name, host = max(
+            stand, key=lambda pair: (sum(lacking[pair[0]]) / wants[pair[0]].weight, gain(*pair, 0), pair)
+        )
         stand.remove((name, host))
         if room[host] >= wants[name].room and gain(name, host, 0) > 0:
             put(name, host, 0)
     orders, first = 0, 0
     while first < problem.slots:
-        best = max(((gain(name, host, first) - problem.load * min(left[host][first], lacking[name][first]),
-                     sum(lacking[name]) / wants[name].weight, name, host)
-                    for name in wants for host in left
-                    if (name, host) not in lanes and room[host] >= wants[name].room), default=None)
+        best = max(
+            (
+                (
+                    gain(name, host, first) - problem.load * min(left[host][first], lacking[name][first]),
+                    sum(lacking[name]) / wants[name].weight,
+                    name,
+                    host,
+                )
+                for name in wants
+                for host in left
+                if (name, host) not in lanes and room[host] >= wants[name].room
+            ),
+            default=None,
+        )
         if best is None or best[0] <= problem.load * max(1, min(left[best[3]])):
             break
         put(best[2], best[3], first)
@@ -110,8 +128,11 @@
             if lanes and slot < begins[name, host]:
                 came.append(f"plan: lanes of {name} at {host} before its copy")
             used[host, slot] = used.get((host, slot), 0) + lanes
-    return came + [f"plan: {lanes} lanes at {host} in {slot}" for (host, slot), lanes in used.items()
-                   if lanes > problem.spare[host][slot] + LEAST]
+    return came + [
+        f"plan: {lanes} lanes at {host} in {slot}"
+        for (host, slot), lanes in used.items()
+        if lanes > problem.spare[host][slot] + LEAST
+    ]
 
 
 def worth(problem, plan, truth):
--- a/gaproute/rollouts/shares.py
+++ b/gaproute/rollouts/shares.py
@@ -8,7 +8,7 @@
     first, the heaviest first where there are fewer lanes than campaigns."""
     order = sorted((name for name in wants if wants[name] > 0), key=lambda name: (-weights[name], name))
     got = dict.fromkeys(wants, 0)
-    for name in order[:int(total)]:
+    for name in order[: int(total)]:
         got[name] = 1
     left = int(total) - sum(got.values())
     while left > 0:
--- a/gaproute/rollouts/solver.py
+++ b/gaproute/rollouts/solver.py
@@ -1,17 +1,19 @@
 """The same plan by a solver (HiGHS), optional: `requirements-rollouts.txt`. It is slow, so it runs in a
 process of its own, `python -m gaproute.rollouts`, which reads a Problem and writes a Plan; who waits for it
 has a bound of its own."""
+
 from gaproute.rollouts.plan import Plan
 
-LIMIT = 2.0              # s of solving: a plan is for half a minute
-GAP = 0.01               # of the value: a forecast is worse than that
-ROUND = 1e-4             # what a solver leaves of a whole lane
-TIE = 0.001              # of a lane: what a copy costs that brings nothing
+LIMIT = 2.0  # s of solving: a plan is for half a minute
+GAP = 0.01  # of the value: a forecast is worse than that
+ROUND = 1e-4  # what a solver leaves of a whole lane
+TIE = 0.001  # of a lane: what a copy costs that brings nothing
 
 
 def solve(problem, limit=LIMIT):
     """A Plan, or None where none was found in time. Errors: ImportError without the solver."""
     import highspy
+
     model = highspy.Highs()
     model.setOptionValue("output_flag", False)
     model.setOptionValue("time_limit", limit)
@@ -19,15 +21,23 @@
     model.setOptionValue("threads", 1)
     slots, stand = range(problem.slots), set(problem.standing)
     caps = [problem.caps(slot) for slot in slots]
-    pairs = [(want, host) for want in problem.wants for host in problem.spare
-             if problem.room[host] >= want.room]
+    pairs = [
+        (want, host) for want in problem.wants for host in problem.spare if problem.room[host] >= want.room
+    ]
     lanes, begins = {}, {}
     for want, host in pairs:
         # A copy begins in one slot at most and stays; one that stands begins in the first without a load.
         key = want.name, host
         firsts = [0] if key in stand else list(slots)
-        begins[key] = {first: model.addVariable(0, 1, -TIE if key in stand else -problem.load * int(
-            problem.spare[host][first]), type=highspy.HighsVarType.kInteger) for first in firsts}
+        begins[key] = {
+            first: model.addVariable(
+                0,
+                1,
+                -TIE if key in stand else -problem.load * int(problem.spare[host][first]),
+                type=highspy.HighsVarType.kInteger,
+            )
+            for first in firsts
+        }
         if len(firsts) > 1:
             model.addConstr(sum(begins[key].values()) <= 1)
         for slot in slots:
@@ -39,8 +49,9 @@
         here = [(want, key) for want, other in pairs if other == host for key in [(want.name, host)]]
         if not here:
             continue
-        model.addConstr(sum(want.room * var for want, key in here for var in begins[key].values())
-                        <= problem.room[host])
+        model.addConstr(
+            sum(want.room * var for want, key in here for var in begins[key].values()) <= problem.room[host]
+        )
         for slot in slots:
             model.addConstr(sum(lanes[key, slot] for _, key in here) <= int(problem.spare[host][slot]))
     for slot in slots:
--- a/gaproute/rollouts/spend.py
+++ b/gaproute/rollouts/spend.py
@@ -7,6 +7,7 @@
 has ended. The second stops rollouts for production within FRESH although nobody else is heard: who does not
 hear the host sends nothing.
 """
+
 from collections import Counter, deque
 
 from gaproute.rollouts.campaign import SECOND, WAY
@@ -14,26 +15,26 @@
 
 MILLI = 1_000_000
 
-FRESH = 150 * MILLI      # ns from asking a host until its answer says nothing any more; 200 ms is the promise
-ASK = 25 * MILLI         # between askings of a host with a part: production waits so long for a cancel
-AGAIN = 300 * MILLI      # until a permit that was refused is asked again
-PARTS = 1024             # hosts with a part: as many wishes as a holder has
-HANDS = 4096             # rollouts in hand
-CHUNK = 4                # lanes a permit: less is renewed too often, more cannot be given back in parts
-COLD = 4                 # a cold host bears a fourth of its part: rule 4's rest is production's
+FRESH = 150 * MILLI  # ns from asking a host until its answer says nothing any more; 200 ms is the promise
+ASK = 25 * MILLI  # between askings of a host with a part: production waits so long for a cancel
+AGAIN = 300 * MILLI  # until a permit that was refused is asked again
+PARTS = 1024  # hosts with a part: as many wishes as a holder has
+HANDS = 4096  # rollouts in hand
+CHUNK = 4  # lanes a permit: less is renewed too often, more cannot be given back in parts
+COLD = 4  # a cold host bears a fourth of its part: rule 4's rest is production's
 
 
 class Part:
     """What this gateway has of one host."""
 
     def __init__(self):
-        self.aims = {}                       # campaign: lanes planned
-        self.wishes = {}                     # wish: rollouts in hand under it
-        self.closing = []                    # wishes that get no more and go back when empty
-        self.hands = Counter()               # campaign: rollouts in hand
+        self.aims = {}  # campaign: lanes planned
+        self.wishes = {}  # wish: rollouts in hand under it
+        self.closing = []  # wishes that get no more and go back when empty
+        self.hands = Counter()  # campaign: rollouts in hand
         self.asked, self.free, self.want, self.cold = None, 0, True, False
-        self.after = 0                       # only what was asked after this counts
-        self.again, self.chunk = 0, CHUNK    # after a refusal less is asked: a part of it may be there
+        self.after = 0  # only what was asked after this counts
+        self.again, self.chunk = 0, CHUNK  # after a refusal less is asked: a part of it may be there
 
 
 class Hand:
@@ -48,7 +49,7 @@
 
     def __init__(self, holder, campaigns, now):
         self.holder, self.campaigns = holder, campaigns
-        self.parts, self.hands = {}, {}      # host: Part; task: Hand
+        self.parts, self.hands = {}, {}  # host: Part; task: Hand
         self.paces = {name: Pace(now) for name in campaigns}
         self.refused = Counter()
 
@@ -57,11 +58,14 @@
     def aim(self, now, aims, paces=None):
         """`aims`: {host: {campaign: lanes}}; a host that is not named is given back. `paces`: {campaign: a
         second}."""
-        for host in [host for host in aims if host not in self.parts][:PARTS - len(self.parts)]:
+        for host in [host for host in aims if host not in self.parts][: PARTS - len(self.parts)]:
             self.parts[host] = Part()
         for host, part in self.parts.items():
-            part.aims = {name: lanes for name, lanes in aims.get(host, {}).items()
-                         if name in self.campaigns and lanes > 0}
+            part.aims = {
+                name: lanes
+                for name, lanes in aims.get(host, {}).items()
+                if name in self.campaigns and lanes > 0
+            }
         for name, rate in (paces or {}).items():
             if name in self.paces:
                 self.paces[name].rate = rate
@@ -77,9 +81,10 @@
                 if wish.state == "refused":
                     part.chunk, part.again = max(1, part.chunk // 2), now + AGAIN
                 if not part.wishes[wish]:
-                    del part.wishes[wish]    # else when the last under it has ended
-            open_ = [wish for wish in part.wishes
-                     if wish not in part.closing and wish.state in ("asked", "held")]
+                    del part.wishes[wish]  # else when the last under it has ended
+            open_ = [
+                wish for wish in part.wishes if wish not in part.closing and wish.state in ("asked", "held")
+            ]
             has, aim = sum(wish.amount for wish in open_), sum(part.aims.values())
             for wish in sorted(open_, key=lambda wish: (part.wishes[wish], wish.amount)):
                 if has - wish.amount >= aim:
@@ -126,9 +131,12 @@
     def cancels(self, host, lanes):
         """Rollouts to be taken back so that production gets `lanes`: the last sent first, least is lost by
         them."""
-        mine = [task for task, hand in self.hands.items()
-                if hand.host == host and self.campaigns[hand.campaign].cancel]
-        return mine[::-1][:max(0, lanes)]
+        mine = [
+            task
+            for task, hand in self.hands.items()
+            if hand.host == host and self.campaigns[hand.campaign].cancel
+        ]
+        return mine[::-1][: max(0, lanes)]
 
     # What goes out
 
@@ -140,8 +148,14 @@
         most = part.aims.get(name, 0)
         if part.cold:
             most = min(most, max(1, sum(part.aims.values()) // COLD))
-        if part.hands[name] >= most or part.asked is None or now - part.asked >= FRESH or part.want \
-                or part.free <= 0 or not self.paces[name].may(now):
+        if (
+            part.hands[name] >= most
+            or part.asked is None
+            or now - part.asked >= FRESH
+            or part.want
+            or part.free <= 0
+            or not self.paces[name].may(now)
+        ):
             return None
         for wish, hands in part.wishes.items():
             if wish not in part.closing and hands < wish.amount and wish.may(now + campaign.need):
--- a/gaproute/rollouts/weights.py
+++ b/gaproute/rollouts/weights.py
@@ -1,7 +1,8 @@
 """Which version of a campaign's weights is now, and what becomes of a rollout that names another."""
+
 from collections import Counter
 
-AHEAD = 1 << 20          # versions: a word further ahead than this is nonsense, not news
+AHEAD = 1 << 20  # versions: a word further ahead than this is nonsense, not news
 
 
 class Weights:
--- a/gaproute/shared/keepers/__init__.py
+++ b/gaproute/shared/keepers/__init__.py
@@ -26,6 +26,7 @@
     is empty
 An unsynced tail may be cut by a crash at any record. A record that was synced and cannot be read: Lost.
 """
+
 from gaproute.shared.keepers.keeper import Keeper
 from gaproute.shared.keepers.records import Lost
 
--- a/gaproute/shared/keepers/election.py
+++ b/gaproute/shared/keepers/election.py
@@ -4,6 +4,7 @@
 A vote is given once a term, to a log that knows at least what the own does, and is on disk before it is
 told.
 """
+
 from gaproute.shared.keepers.messages import NOTHING, Ask, Vote
 from gaproute.shared.keepers.spans import ELECTION
 
@@ -56,6 +57,7 @@
 def voted(keeper, now, sender, vote, out):
     if vote.term > keeper.term:
         keeper.enter(now, vote.term)
-    elif vote.given and (keeper.role == "asking" if vote.pre
-                         else keeper.role == "candidate" and vote.term == keeper.term):
+    elif vote.given and (
+        keeper.role == "asking" if vote.pre else keeper.role == "candidate" and vote.term == keeper.term
+    ):
         keeper.votes[sender] = vote.life
--- a/gaproute/shared/keepers/following.py
+++ b/gaproute/shared/keepers/following.py
@@ -1,4 +1,5 @@
 """The follower's side: entries and snapshots from the leader of the term (Raft 5.3, 7)."""
+
 from gaproute.shared.keepers.messages import Ack
 
 
@@ -22,8 +23,8 @@
     if not _leader(keeper, now, sender, message, out):
         return
     log, index, entries = keeper.log, message.index, message.entries
-    if index < log.base:                 # what the snapshot holds is committed: as the leader's
-        entries = entries[log.base - index:]
+    if index < log.base:  # what the snapshot holds is committed: as the leader's
+        entries = entries[log.base - index :]
         index = log.base
     elif log.term(index) != message.last:
         out.append((sender, Ack(keeper.term, keeper.life, False, _before(log, index))))
--- a/gaproute/shared/keepers/founding.py
+++ b/gaproute/shared/keepers/founding.py
@@ -5,6 +5,7 @@
 nothing while any other remembers anything; and while the founder is the one that lost it, no leader of an
 older log can have been elected, as that takes another's vote, and a vote ends being blank.
 """
+
 import msgspec
 
 from gaproute.shared.keepers.messages import MEMBERS, Entry, Hello, Member, Roll
--- a/gaproute/shared/keepers/invariants.py
+++ b/gaproute/shared/keepers/invariants.py
@@ -3,6 +3,7 @@
 `check_one` looks at one keeper alone and is cheap: the keeper calls it after all that it hears.
 `check_all` looks at all at once, as only a driver can.
 """
+
 from hashlib import blake2b
 
 import msgspec
@@ -11,7 +12,7 @@
 from gaproute.shared.keepers.sessions import OWN, SESSIONS
 from gaproute.shared.permits.invariants import check_holders, check_permits
 
-KEPT = 16                # breaches held by a keeper: the first ones tell
+KEPT = 16  # breaches held by a keeper: the first ones tell
 
 
 def check_one(keeper):
@@ -28,8 +29,10 @@
             came.append(f"one vote a term: {seen[4]} to {now[4]} in {now[1]} at {keeper.name}")
     keeper.seen = now
     if not log.base <= keeper.applied <= keeper.commit <= log.last:
-        came.append(f"applied after committed after held: {keeper.name} {log.base} {keeper.applied} "
-                    f"{keeper.commit} {log.last}")
+        came.append(
+            f"applied after committed after held: {keeper.name} {log.base} {keeper.applied} "
+            f"{keeper.commit} {log.last}"
+        )
     if log.last_term > store.term:
         came.append(f"no entry of a later term: {log.last_term} above {store.term} at {keeper.name}")
     if keeper.leading is not (keeper.lead is not None):
@@ -56,11 +59,11 @@
     """What was seen before, held by the driver for a whole play."""
 
     def __init__(self):
-        self.leaders = {}        # term: (name, life)
-        self.agreed = {}         # index: entry that some keeper had as committed
-        self.looked = {}         # (name, life): index up to which that was compared
-        self.fences = {}         # fence: (resource, holder) that it was given to
-        self.states = {}         # applied: digest of the state of all that applied so much
+        self.leaders = {}  # term: (name, life)
+        self.agreed = {}  # index: entry that some keeper had as committed
+        self.looked = {}  # (name, life): index up to which that was compared
+        self.fences = {}  # fence: (resource, holder) that it was given to
+        self.states = {}  # applied: digest of the state of all that applied so much
 
 
 def check_all(keepers, holders, history):
@@ -110,13 +113,13 @@
     """Log matching: the same term at an index, the same entries up to there."""
     came = []
     for place, one in enumerate(keepers):
-        for other in keepers[place + 1:]:
+        for other in keepers[place + 1 :]:
             first = max(one.log.base, other.log.base)
             same = min(one.log.last, other.log.last)
             while same > first and one.log.term(same) != other.log.term(same):
                 same -= 1
-            mine = one.log.entries[first - one.log.base:same - one.log.base]
-            if same > first and mine != other.log.entries[first - other.log.base:same - other.log.base]:
+            mine = one.log.entries[first - one.log.base : same - one.log.base]
+            if same > first and mine != other.log.entries[first - other.log.base : same - other.log.base]:
                 came.append(f"log matching: {one.name} and {other.name} up to {same}")
     return came
 
--- a/gaproute/shared/keepers/keeper.py
+++ b/gaproute/shared/keepers/keeper.py
@@ -1,21 +1,39 @@
 """One keeper: what comes in goes to the part that decides on it; nothing goes out before it is on disk."""
+
 from collections import Counter
 
 from gaproute.shared.keepers import election, following, founding, leading, requests
 from gaproute.shared.keepers.invariants import KEPT, check_one
-from gaproute.shared.keepers.messages import (COMMAND, KEEPERS, MEMBERS, Ack, Append, Ask, Hello, Install,
-                                              Member, Request, Vote)
+from gaproute.shared.keepers.messages import (
+    COMMAND,
+    KEEPERS,
+    MEMBERS,
+    Ack,
+    Append,
+    Ask,
+    Hello,
+    Install,
+    Member,
+    Request,
+    Vote,
+)
 from gaproute.shared.keepers.sessions import Sessions
 from gaproute.shared.keepers.spans import DISK_AGAIN, ELECTION
 from gaproute.shared.keepers.store import Store
 from gaproute.shared.permits.clocks import Clocks
 from gaproute.shared.permits.machine import Permits
 
-KEEP = 1024              # entries applied that the log holds before a snapshot takes their place
-JUMP = 1 << 30           # a term so far above the own is nonsense: an election a second for 30 years
+KEEP = 1024  # entries applied that the log holds before a snapshot takes their place
+JUMP = 1 << 30  # a term so far above the own is nonsense: an election a second for 30 years
 FOLLOWER, ASKING, CANDIDATE, LEADER = "follower", "asking", "candidate", "leader"
-HANDLERS = {Ask: election.asked, Vote: election.voted, Append: following.append, Install: following.install,
-            Ack: leading.acked, Hello: founding.hello}
+HANDLERS = {
+    Ask: election.asked,
+    Vote: election.voted,
+    Append: following.append,
+    Install: following.install,
+    Ack: leading.acked,
+    Hello: founding.hello,
+}
 
 
 class Keeper:
@@ -26,15 +44,15 @@
         self.machine = Permits() if machine is None else machine
         self.sessions = Sessions(self.machine)
         self.store = Store(name, disk, chance, self.sessions.unpack)
-        self.mute = self.store.broken        # why nothing is said, or ''
+        self.mute = self.store.broken  # why nothing is said, or ''
         self.again = now + DISK_AGAIN
         self.role, self.leader, self.heard = FOLLOWER, "", now - 2 * ELECTION
-        self.votes = {}                      # name: life, of those who gave this election
-        self.blanks = {}                     # name: life, of those that were as blank as a founder
-        self.commit = self.applied = self.log.base       # a crash left what the store has, and nothing else
-        self.lead = None                     # leading.Lead while it leads
+        self.votes = {}  # name: life, of those who gave this election
+        self.blanks = {}  # name: life, of those that were as blank as a founder
+        self.commit = self.applied = self.log.base  # a crash left what the store has, and nothing else
+        self.lead = None  # leading.Lead while it leads
         self.refused = Counter()
-        self.breaches, self.seen = [], None      # what the invariants found as it went, the first few
+        self.breaches, self.seen = [], None  # what the invariants found as it went, the first few
         self.named(now, keepers)
         self.put_off(now)
 
@@ -56,7 +74,8 @@
         (dissertation 4.2.2); its own vote counts by the last roll only, as any."""
         me = Member(self.name, self.life)
         return me in self.log.members_at(self.commit) or any(
-            me in members for at, members in self.log.rolls if at > self.commit)
+            me in members for at, members in self.log.rolls if at > self.commit
+        )
 
     def named(self, now, keepers):
         """The names that the configuration has now. Errors: ValueError."""
@@ -76,7 +95,7 @@
         self.election = now + ELECTION + self.chance.below(ELECTION)
 
     def note(self, breaches):
-        self.breaches += breaches[:KEPT - len(self.breaches)]
+        self.breaches += breaches[: KEPT - len(self.breaches)]
 
     def refuse(self, reason):
         self.refused[reason] += 1
@@ -85,7 +104,7 @@
         """A term above its own: no leader, no vote given yet."""
         self.store.vote(term)
         self.step_down(now)
-        self.leader = ""                     # a follower's as well
+        self.leader = ""  # a follower's as well
 
     def step_down(self, now):
         if self.role != FOLLOWER:
@@ -148,7 +167,7 @@
         failed."""
         while self.store.sync():
             if self.role in (ASKING, CANDIDATE) and self.most(self.votes):
-                election.won(self, now, out)     # writes: has to be synced in its turn
+                election.won(self, now, out)  # writes: has to be synced in its turn
                 continue
             if self.role == LEADER:
                 leading.advance(self, now, out)
@@ -192,6 +211,7 @@
 
     def compact(self, now):
         held = self.applied - self.log.base
-        if held >= KEEP and (self.role != LEADER or held >= 4 * KEEP
-                             or leading.all_have(self, now, self.applied)):
+        if held >= KEEP and (
+            self.role != LEADER or held >= 4 * KEEP or leading.all_have(self, now, self.applied)
+        ):
             self.store.compact(self.applied, self.sessions.pack())
--- a/gaproute/shared/keepers/leading.py
+++ b/gaproute/shared/keepers/leading.py
@@ -1,13 +1,14 @@
 """The leader's side: entries to all, commits by majority (Raft 5.3, 5.4.2), and stepping down when a
 majority is not heard any more (dissertation 6.2), so that holders are sent elsewhere."""
+
 import msgspec
 
 from gaproute.shared.keepers.members import next_roll
 from gaproute.shared.keepers.messages import MEMBERS, Append, Entry, Install, Roll
 from gaproute.shared.keepers.spans import BEAT, CHANGE, STATE_AGAIN, UNHEARD
 
-PENDING = 512            # entries not yet agreed on: a megabyte at most; beyond it holders are told `busy`
-LAPSES = 64              # permits let go in one turn; a leader that was stopped may find many
+PENDING = 512  # entries not yet agreed on: a megabyte at most; beyond it holders are told `busy`
+LAPSES = 64  # permits let go in one turn; a leader that was stopped may find many
 
 
 class Progress:
@@ -15,19 +16,19 @@
 
     def __init__(self, following):
         self.next, self.match = following, 0
-        self.life = 0            # by its last answer
-        self.heard = None        # when that came
-        self.flying = False      # entries are on their way
-        self.state_at = None     # when a snapshot was sent
+        self.life = 0  # by its last answer
+        self.heard = None  # when that came
+        self.flying = False  # entries are on their way
+        self.state_at = None  # when a snapshot was sent
 
 
 class Lead:
     def __init__(self, now, first, clocks):
         self.since, self.first, self.clocks = now, first, clocks
-        self.beat = now          # when the next words are due
-        self.others = {}         # name: Progress
-        self.waiting = {}        # index: (holder, session, nonce) to be answered
-        self.changed = now       # when members last changed
+        self.beat = now  # when the next words are due
+        self.others = {}  # name: Progress
+        self.waiting = {}  # index: (holder, session, nonce) to be answered
+        self.changed = now  # when members last changed
 
     def progress(self, name):
         if name not in self.others:
@@ -45,15 +46,23 @@
 
 def lives_heard(keeper, now):
     """name: life of those who answered lately, itself among them."""
-    return {keeper.name: keeper.life,
-            **{name: each.life for name, each in keeper.lead.others.items()
-               if each.heard is not None and now - each.heard < UNHEARD}}
+    return {
+        keeper.name: keeper.life,
+        **{
+            name: each.life
+            for name, each in keeper.lead.others.items()
+            if each.heard is not None and now - each.heard < UNHEARD
+        },
+    }
 
 
 def all_have(keeper, now, index):
     """Whether all that answer have the entries up to `index`: then a snapshot makes nobody fetch it."""
-    return all(each.match >= index for each in keeper.lead.others.values()
-               if each.heard is not None and now - each.heard < UNHEARD)
+    return all(
+        each.match >= index
+        for each in keeper.lead.others.values()
+        if each.heard is not None and now - each.heard < UNHEARD
+    )
 
 
 def tick(keeper, now, out):
@@ -118,10 +127,21 @@
     if each.next <= log.base:
         if _state_due(each, now):
             each.state_at = now
-            out.append((name, Install(keeper.term, keeper.life, log.base, log.base_term,
-                                      log.members_at(log.base), keeper.store.state)))
+            out.append(
+                (
+                    name,
+                    Install(
+                        keeper.term,
+                        keeper.life,
+                        log.base,
+                        log.base_term,
+                        log.members_at(log.base),
+                        keeper.store.state,
+                    ),
+                )
+            )
             return
-        entries, before = (), log.base       # a heartbeat: it is not to run for office while it unpacks
+        entries, before = (), log.base  # a heartbeat: it is not to run for office while it unpacks
     else:
         entries, before = log.behind(each.next), each.next - 1
         each.flying = bool(entries)
@@ -136,7 +156,7 @@
         keeper.refuse("late")
         return
     each = keeper.lead.progress(sender)
-    if each.life != ack.life:            # another disk: what was known of the old one is nothing to this
+    if each.life != ack.life:  # another disk: what was known of the old one is nothing to this
         each.life, each.match, each.next, each.state_at = ack.life, 0, keeper.log.last + 1, None
     each.heard, each.flying = now, False
     if ack.ok and ack.index > keeper.log.last:
--- a/gaproute/shared/keepers/log.py
+++ b/gaproute/shared/keepers/log.py
@@ -1,9 +1,10 @@
 """The log of a keeper in memory: entries behind a snapshot, and who the members are by each of them."""
+
 import msgspec
 
 from gaproute.shared.keepers.messages import MEMBERS, MOST_ENTRIES, Roll
 
-BYTES = 128 << 10        # of the bodies in one message: several turns of commands, far from a socket's buffer
+BYTES = 128 << 10  # of the bodies in one message: several turns of commands, far from a socket's buffer
 
 read_roll = msgspec.msgpack.Decoder(Roll).decode
 
@@ -43,7 +44,7 @@
         if not self.base < index <= self.last + 1:
             raise ValueError(f"entry {index} does not follow {self.base} to {self.last}")
         roll = read_roll(entry.body) if entry.kind == MEMBERS else None
-        del self.entries[index - self.base - 1:]
+        del self.entries[index - self.base - 1 :]
         while self.rolls[-1][0] >= index:
             self.rolls.pop()
         self.entries.append(entry)
@@ -53,7 +54,7 @@
     def behind(self, index):
         """The entries from `index` on, as many as one message takes."""
         came, size = [], 0
-        for entry in self.entries[index - self.base - 1:][:MOST_ENTRIES]:
+        for entry in self.entries[index - self.base - 1 :][:MOST_ENTRIES]:
             size += len(entry.body)
             if came and size > BYTES:
                 break
@@ -66,7 +67,7 @@
     def cut(self, index):
         """Entries up to `index` are gone: a snapshot holds what they did."""
         members, term = self.members_at(index), self.term(index)
-        del self.entries[:index - self.base]
+        del self.entries[: index - self.base]
         self.base, self.base_term = index, term
         self.rolls = [(index, members), *(roll for roll in self.rolls if roll[0] > index)]
 
--- a/gaproute/shared/keepers/members.py
+++ b/gaproute/shared/keepers/members.py
@@ -1,5 +1,6 @@
 """The next step of the members towards the configuration: one joins or one leaves, never both (Raft's
 single-server changes: any majority before and any after share a keeper)."""
+
 from gaproute.shared.keepers.messages import KEEPERS, Member
 
 
@@ -9,7 +10,7 @@
     `lives`: name: life of those heard lately; `matches`: name: (life, entries it has); `commit`: what a
     newcomer must have, so that the majority that it enlarges can go on at once.
     """
-    for member in members:               # a member that came back with another disk: the old one is no more
+    for member in members:  # a member that came back with another disk: the old one is no more
         if member.name in lives and lives[member.name] != member.life:
             return _without(members, member, lives)
     known = {member.name for member in members}
--- a/gaproute/shared/keepers/messages.py
+++ b/gaproute/shared/keepers/messages.py
@@ -4,21 +4,22 @@
 `life` is the sender's: the number that its disk got when it was empty. A keeper is (name, life); one that
 lost its disk is another keeper, whose votes and acks nobody takes for the old one's.
 """
+
 from typing import Annotated
 
 from msgspec import Meta, Struct
 
-HIGHEST = 1 << 48        # of a term, an index, a life: no fleet gets there; above it is nonsense
-MOST_ENTRIES = 64        # entries in one message: a heartbeat's worth of work, small next to a snapshot
-BODY = 2048              # bytes of one command: names and a few numbers take a tenth of it
-MOST_STATE = 4 << 20     # bytes of a snapshot: all permits and sessions at their bounds take less
-NAME = 128               # characters of a name
-KEEPERS = 9              # members at most: 3 or 5 are meant, one is added before another goes
+HIGHEST = 1 << 48  # of a term, an index, a life: no fleet gets there; above it is nonsense
+MOST_ENTRIES = 64  # entries in one message: a heartbeat's worth of work, small next to a snapshot
+BODY = 2048  # bytes of one command: names and a few numbers take a tenth of it
+MOST_STATE = 4 << 20  # bytes of a snapshot: all permits and sessions at their bounds take less
+NAME = 128  # characters of a name
+KEEPERS = 9  # members at most: 3 or 5 are meant, one is added before another goes
 
 Count = Annotated[int, Meta(ge=0, le=HIGHEST)]
 Name = Annotated[str, Meta(max_length=NAME)]
 Body = Annotated[bytes, Meta(max_length=BODY)]
-NOTHING, MEMBERS, OPEN, COMMAND = range(4)       # kinds of entries
+NOTHING, MEMBERS, OPEN, COMMAND = range(4)  # kinds of entries
 
 
 class Told(Struct, frozen=True, forbid_unknown_fields=True, array_like=True):
@@ -36,12 +37,14 @@
 class Roll(Told):
     """The body of an entry of kind MEMBERS: who the members are from here on. `base`: where the founder
     wants fencing numbers to begin (0: no wish)."""
+
     members: Members
     base: Count = 0
 
 
 class Entry(Told):
     """`session` and `nonce` name the holder's request; 0 where a keeper made the entry."""
+
     term: Count
     kind: Annotated[int, Meta(ge=0, le=COMMAND)]
     session: Count = 0
@@ -52,6 +55,7 @@
 class Hello(Told, tag=1):
     """From a keeper with an empty memory that may found; the answer echoes the asker's life, so that it is
     from after that life began. `blank`: never voted, never took an entry."""
+
     life: Count
     echo: Count
     blank: bool
@@ -60,6 +64,7 @@
 class Ask(Told, tag=2):
     """RequestVote. `index`, `last`: of the last entry and its term. `pre`: only whether it would be
     given."""
+
     term: Count
     life: Count
     index: Count
@@ -76,6 +81,7 @@
 
 class Append(Told, tag=4):
     """AppendEntries, a heartbeat without entries. `index`, `last`: of the entry before them."""
+
     term: Count
     life: Count
     index: Count
@@ -86,6 +92,7 @@
 
 class Ack(Told, tag=5):
     """`ok`: all up to `index` is as the leader's and on disk. Otherwise: try behind `index`."""
+
     term: Count
     life: Count
     ok: bool
@@ -94,6 +101,7 @@
 
 class Install(Told, tag=6):
     """InstallSnapshot: the state after the entry `index` of term `last`; answered by an Ack."""
+
     term: Count
     life: Count
     index: Count
@@ -105,6 +113,7 @@
 class Request(Told, tag=7):
     """From a holder. Session 0 opens one (the body is empty). A nonce is used for one command of a
     session."""
+
     session: Count
     nonce: Count
     body: Body
@@ -114,6 +123,7 @@
     """`state`: `done` (body: the machine's answer; for an opened session its number is in `session`),
     `elsewhere` (not the leader; `leader` may name it), `busy`, `forgotten` (no such session), `refused`
     (body: why, as text). `opened`: 0, or the session that was opened."""
+
     session: Count
     nonce: Count
     state: Name
--- a/gaproute/shared/keepers/records.py
+++ b/gaproute/shared/keepers/records.py
@@ -1,4 +1,5 @@
 """What a keeper writes to its disk, a record each, and how it is read back."""
+
 from typing import NamedTuple
 
 import msgspec
@@ -8,17 +9,20 @@
 
 class Lost(NamedTuple):
     """What `disk.read` returns where what was there cannot be trusted."""
+
     why: str
 
 
 class Identity(Told, tag=1):
     """The head of every disk: whose it is. A life is drawn once for an empty disk."""
+
     name: Name
     life: Count
 
 
 class Voted(Told, tag=2):
     """The term, and who got the vote in it (empty: nobody yet)."""
+
     term: Count
     name: Name
     life: Count
@@ -26,12 +30,14 @@
 
 class Written(Told, tag=3):
     """An entry at its index; whatever was at this index and behind it is replaced."""
+
     index: Count
     entry: Entry
 
 
 class Snapshot(Told, tag=4):
     """The state after the entry `index` of term `last`; entries up to it are gone."""
+
     index: Count
     last: Count
     members: Members
--- a/gaproute/shared/keepers/requests.py
+++ b/gaproute/shared/keepers/requests.py
@@ -1,7 +1,8 @@
 """What holders ask of the leader: checked, written down once, answered when it is agreed on."""
+
 from gaproute.shared.keepers.messages import COMMAND, NAME, OPEN, Reply
 
-EACH = 4                 # requests of one holder that wait to be agreed on: it sends one at a time
+EACH = 4  # requests of one holder that wait to be agreed on: it sends one at a time
 
 
 def take(keeper, now, sender, request, out):
@@ -15,13 +16,18 @@
         reply("elsewhere", leader=keeper.leader)
         return
     lead = keeper.lead
-    if keeper.commit < lead.first:       # what was agreed before its term may not be known here yet
+    if keeper.commit < lead.first:  # what was agreed before its term may not be known here yet
         reply("busy")
         return
     if request.session:
         row = keeper.sessions.table.get(request.session)
-        why = "" if row is None else "not the holder's own" if row[0] != sender else keeper.machine.check(
-            sender, request.body)
+        why = (
+            ""
+            if row is None
+            else "not the holder's own"
+            if row[0] != sender
+            else keeper.machine.check(sender, request.body)
+        )
         if row is None:
             reply("forgotten")
             return
@@ -34,7 +40,7 @@
             return
     own = [(index, waits) for index, waits in lead.waiting.items() if waits[0] == sender]
     if any(waits[1:] == (request.session, request.nonce) for _, waits in own):
-        return                           # written down already: the answer is on its way
+        return  # written down already: the answer is on its way
     body = request.body if request.session else sender.encode()
     index = 0
     if len(own) < EACH:
--- a/gaproute/shared/keepers/sessions.py
+++ b/gaproute/shared/keepers/sessions.py
@@ -3,13 +3,14 @@
 The table is part of what is agreed, so every keeper knows after any change of leader what was done
 already. A command of a session that the table has lost is refused: it may have been done.
 """
+
 import msgspec
 
 from gaproute.shared.keepers.messages import COMMAND, MEMBERS, OPEN
 from gaproute.shared.keepers.log import read_roll
 
-SESSIONS = 4096          # in all: a thousand gateways that restarted a few times; 200 bytes each
-OWN = 4                  # of one holder: a gateway needs one, lost openings make more of them
+SESSIONS = 4096  # in all: a thousand gateways that restarted a few times; 200 bytes each
+OWN = 4  # of one holder: a gateway needs one, lost openings make more of them
 
 _read = msgspec.msgpack.Decoder(tuple[list[tuple[int, str, int, bytes]], bytes]).decode
 
@@ -28,7 +29,7 @@
             self._open(index, entry.body.decode("utf-8", "replace"))
             return "done", b"", index
         elif entry.kind == COMMAND and not entry.session:
-            self.machine.apply(index, entry.body)            # a keeper's own
+            self.machine.apply(index, entry.body)  # a keeper's own
         elif entry.kind == COMMAND:
             return self._command(index, entry)
         return "done", b"", 0
--- a/gaproute/shared/keepers/store.py
+++ b/gaproute/shared/keepers/store.py
@@ -5,6 +5,7 @@
 the disk is not written to any more until `rewrite` has put all of memory there anew: what lies there may
 end in the middle of a record, and a record behind a gap would be read as if nothing were missing.
 """
+
 from gaproute.shared.keepers.log import Log
 from gaproute.shared.keepers.messages import HIGHEST
 from gaproute.shared.keepers.records import Identity, Lost, Snapshot, Voted, Written, decode, encode
@@ -16,10 +17,10 @@
     def __init__(self, name, disk, chance, unpack):
         self.name, self.disk, self.chance, self.unpack = name, disk, chance, unpack
         self.life = self.term = 0
-        self.voted = ("", 0)                 # (name, life) that has this term's vote
-        self.log, self.state = Log(), None   # state: bytes of the machine at the log's base
-        self.broken = ""                     # why the disk cannot be written to
-        self.lost = ""                       # why what was on the disk could not be used
+        self.voted = ("", 0)  # (name, life) that has this term's vote
+        self.log, self.state = Log(), None  # state: bytes of the machine at the log's base
+        self.broken = ""  # why the disk cannot be written to
+        self.lost = ""  # why what was on the disk could not be used
         self.opened = self.dirty = False
         self.open()
 
--- a/gaproute/shared/membership/invariants.py
+++ b/gaproute/shared/membership/invariants.py
@@ -1,4 +1,5 @@
 """What must always hold of a gateway's membership: named checks that return breaches as text."""
+
 from gaproute.shared.membership.members import ERRANDS, STAGES
 from gaproute.shared.membership.news import ALIVE, DEAD, HIGHEST, SUSPECT
 from gaproute.shared.membership.table import MEMBERS
@@ -10,11 +11,12 @@
     strangers = len(members.members) - MEMBERS
     if strangers > 0 and strangers > sum(member.fixed for member in members.members.values()):
         yield f"{len(members.members)} members are known, over {MEMBERS} and those configured"
-    for name, size, most in (("errands", len(members.errands), ERRANDS),
-                             ("round", len(members.round), len(members.waiting)),
-                             ("news", len(table.fresh), len(members.members)),
-                             ("suspects and buried", len(table.suspects) + len(table.buried),
-                              len(members.members))):
+    for name, size, most in (
+        ("errands", len(members.errands), ERRANDS),
+        ("round", len(members.round), len(members.waiting)),
+        ("news", len(table.fresh), len(members.members)),
+        ("suspects and buried", len(table.suspects) + len(table.buried), len(members.members)),
+    ):
         if size > most:
             yield f"{size} {name}, {most} at most"
 
--- a/gaproute/shared/membership/members.py
+++ b/gaproute/shared/membership/members.py
@@ -11,6 +11,7 @@
 Nothing walks all members but a new round and a new list: a period costs the same whatever their number.
 Nothing that the rules rest on uses any of this.
 """
+
 from gaproute.shared.membership.news import ALIVE, DEAD, LEFT, SUSPECT, News, Word, sound
 from gaproute.shared.membership.pulling import Pulling
 from gaproute.shared.membership.table import Table
@@ -18,14 +19,14 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-PERIOD = SECOND          # between probes: n gateways cost each 2 small messages a period whatever n is
-DIRECT = 300 * MILLI     # for the answer to a probe: many round trips, and a few late turns
-STAGES = 2               # times that a probe is tried again, each DIRECT after the last
-HELPERS = 3              # asked to probe for us: one lossy path of our own must not make a suspect
-SUSPECTED = 3            # periods, times the power of two of the members, until a suspect is dead
-REVIVE = 5               # every so many periods a dead one is probed instead: finds a partition that healed
-FORGET = 600 * SECOND    # after it a dead one that nobody configured is no more spoken of
-ERRANDS = 64             # probes for others in hand at most
+PERIOD = SECOND  # between probes: n gateways cost each 2 small messages a period whatever n is
+DIRECT = 300 * MILLI  # for the answer to a probe: many round trips, and a few late turns
+STAGES = 2  # times that a probe is tried again, each DIRECT after the last
+HELPERS = 3  # asked to probe for us: one lossy path of our own must not make a suspect
+SUSPECTED = 3  # periods, times the power of two of the members, until a suspect is dead
+REVIVE = 5  # every so many periods a dead one is probed instead: finds a partition that healed
+FORGET = 600 * SECOND  # after it a dead one that nobody configured is no more spoken of
+ERRANDS = 64  # probes for others in hand at most
 
 
 class Members:
@@ -38,14 +39,14 @@
         self.incarnation = incarnation
         self.table, self.teller, self.pulling = Table(), Teller(name, where), Pulling()
         self.members = self.table.members
-        self.round = []          # names still to be probed in this round
-        self.waiting = set()     # the same, to look them up
+        self.round = []  # names still to be probed in this round
+        self.waiting = set()  # the same, to look them up
         self.number = self.periods = 0
-        self.probe = None        # (number, name) not yet answered
-        self.stage = 0           # how often it was tried again
-        self.errands = {}        # number: (where, number there, name) of probes for others
+        self.probe = None  # (number, name) not yet answered
+        self.stage = 0  # how often it was tried again
+        self.errands = {}  # number: (where, number there, name) of probes for others
         self.period = now + PERIOD
-        self.held = 0            # ns that this gateway was held up: they count for no suspicion
+        self.held = 0  # ns that this gateway was held up: they count for no suspicion
         self.suspicions = self.refutations = 0
 
     @property
@@ -79,7 +80,7 @@
             self.claim(now, news)
         member = self.members.get(sender.name)
         if member is None:
-            return []            # too many are known
+            return []  # too many are known
         member.heard = now
         if was_dead and member.state == ALIVE:
             self.pulling.called = True
@@ -90,8 +91,11 @@
             _, answer = self._word(member, "ack", word.number, word.target, stale)
             return [(where, answer)]
         if word.kind == "pull":
-            return [(where, self.teller.part(self.table, self.incarnation, word.number))] \
-                if self.pulling.give() else []
+            return (
+                [(where, self.teller.part(self.table, self.incarnation, word.number))]
+                if self.pulling.give()
+                else []
+            )
         if word.kind == "part":
             return [self._pull(member)] if self.pulling.came(now, member.name, word.number) else []
         if word.kind == "ask":
@@ -131,7 +135,7 @@
 
     def tick(self, now):
         """Called at `due` or later."""
-        if now - self.due > PERIOD:      # held up: answers may lie unread, and no suspect had a chance
+        if now - self.due > PERIOD:  # held up: answers may lie unread, and no suspect had a chance
             self.held += now - self.due
             self.probe, self.period, self.pulling.asked = None, now + PERIOD, now
             return []
@@ -176,7 +180,8 @@
             return []
         helpers = self.table.alive.some(self.chance, HELPERS, name)
         return [self._word(self.members[name], "ping", number)] + [
-            self._word(self.members[helper], "ask", number, name) for helper in helpers]
+            self._word(self.members[helper], "ask", number, name) for helper in helpers
+        ]
 
     def _next(self):
         """Whom to probe: the living in rounds, each round in another order, newcomers somewhere in this one;
--- a/gaproute/shared/membership/news.py
+++ b/gaproute/shared/membership/news.py
@@ -1,9 +1,10 @@
 """What is said of one gateway, a message of such words, and what is held of one member."""
+
 from typing import NamedTuple
 
-HIGHEST = 1 << 48        # incarnations above it are refused: they begin at ms since 1970, at most
-NAME = 256               # characters of a name or an address
-ROOM = 20                # bytes that one entry takes in a message beside its names, at most
+HIGHEST = 1 << 48  # incarnations above it are refused: they begin at ms since 1970, at most
+NAME = 256  # characters of a name or an address
+ROOM = 20  # bytes that one entry takes in a message beside its names, at most
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
 
@@ -19,6 +20,7 @@
     """One message. `ping` asks for an `ack` of the number; `ask` wants `target` probed for the sender; `pull`
     wants entries from the place `number` on, which a `part` brings: its number is the next place, 0 at the
     end."""
+
     kind: str
     number: int
     sender: News
@@ -29,9 +31,9 @@
 class Member:
     def __init__(self, news, now, fixed):
         self.name, self.where, self.state, self.incarnation = news
-        self.since = now         # in this state
-        self.heard = None        # when it last answered or asked
-        self.fixed = fixed       # named by the configuration
+        self.since = now  # in this state
+        self.heard = None  # when it last answered or asked
+        self.fixed = fixed  # named by the configuration
 
     @property
     def news(self):
@@ -40,8 +42,12 @@
 
 def sound(news):
     """Whether a claim can be true at all."""
-    return 0 < len(news.name) <= NAME and 0 < len(news.where) <= NAME and 0 <= news.state <= LEFT \
+    return (
+        0 < len(news.name) <= NAME
+        and 0 < len(news.where) <= NAME
+        and 0 <= news.state <= LEFT
         and 0 <= news.incarnation <= HIGHEST
+    )
 
 
 def size(news):
--- a/gaproute/shared/membership/pool.py
+++ b/gaproute/shared/membership/pool.py
@@ -29,7 +29,7 @@
     def some(self, chance, count, but=None):
         """Up to `count` different names but that one, by chance."""
         found = {}
-        for _ in range(3 * count):           # a draw may come twice; a few tries too many cost nothing
+        for _ in range(3 * count):  # a draw may come twice; a few tries too many cost nothing
             if len(found) >= min(count, len(self.names)):
                 break
             name = self.pick(chance)
--- a/gaproute/shared/membership/pulling.py
+++ b/gaproute/shared/membership/pulling.py
@@ -1,21 +1,22 @@
 """When one member is asked for all it holds, chunk by chunk: at the start, when one that was held dead is
 back, and now and then. Each chunk is asked for when the last one came, so the giver is never flooded."""
+
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-WAIT = 300 * MILLI       # for a chunk, then it is asked for again
-TRIES = 6                # for one chunk, then another member is asked at once
-EVERY = 300 * SECOND     # between two pulls where nothing calls for one: mends what news has missed
-AGAIN = 20 * SECOND      # between the beginnings of two at least: one healing brings back hundreds
-PARTS = 64               # chunks given in a period at most: 80 kB a second; who asks more waits
+WAIT = 300 * MILLI  # for a chunk, then it is asked for again
+TRIES = 6  # for one chunk, then another member is asked at once
+EVERY = 300 * SECOND  # between two pulls where nothing calls for one: mends what news has missed
+AGAIN = 20 * SECOND  # between the beginnings of two at least: one healing brings back hundreds
+PARTS = 64  # chunks given in a period at most: 80 kB a second; who asks more waits
 NEVER = -(1 << 62)
 
 
 class Pulling:
     def __init__(self):
-        self.of, self.place = None, 0        # the member asked, and the place asked for
+        self.of, self.place = None, 0  # the member asked, and the place asked for
         self.asked, self.tries = 0, 0
         self.begun, self.ended, self.called = NEVER, NEVER, True
-        self.given, self.whole = 0, 0        # chunks given in this period; pulls that came to their end
+        self.given, self.whole = 0, 0  # chunks given in this period; pulls that came to their end
 
     @property
     def due(self):
--- a/gaproute/shared/membership/table.py
+++ b/gaproute/shared/membership/table.py
@@ -4,25 +4,26 @@
 greater, and claims may come in any order, twice, or late. Each state has a list of its own, so that nothing
 walks all members.
 """
+
 from math import ceil, log2
 
 from gaproute.shared.membership.news import ALIVE, DEAD, SUSPECT, Member, News, sound
 from gaproute.shared.membership.pool import Pool
 from gaproute.shared.membership.telling import Queue
 
-MEMBERS = 4096           # strangers are refused beyond it: 8 MB with the longest names; lists know no cap
+MEMBERS = 4096  # strangers are refused beyond it: 8 MB with the longest names; lists know no cap
 
 
 class Table:
     def __init__(self):
-        self.members = {}        # name: Member, this gateway not among them
-        self.every, self.alive, self.dead = Pool(), Pool(), Pool()     # dead: or left
-        self.suspects = {}       # name: since when on the clock of `claim`, the longest first
-        self.buried = {}         # name: since when dead or left, the longest first
-        self.fresh = Queue()     # names whose state is news
-        self.changed = {}        # names whose state is other than at the last look of the reader
-        self.joined = {}         # names new among the living, for the rounds of probes
-        self.refused = 0         # messages or claims that cannot be
+        self.members = {}  # name: Member, this gateway not among them
+        self.every, self.alive, self.dead = Pool(), Pool(), Pool()  # dead: or left
+        self.suspects = {}  # name: since when on the clock of `claim`, the longest first
+        self.buried = {}  # name: since when dead or left, the longest first
+        self.fresh = Queue()  # names whose state is news
+        self.changed = {}  # names whose state is other than at the last look of the reader
+        self.joined = {}  # names new among the living, for the rounds of probes
+        self.refused = 0  # messages or claims that cannot be
 
     def scale(self, times):
         return times * max(1, ceil(log2(len(self.members) + 1)))
@@ -59,7 +60,7 @@
             return
         before, first = member.state, not member.incarnation
         member.state, member.incarnation, member.where = news.state, news.incarnation, where
-        if news.state != before or not first:        # a configured one's first word of itself tells nothing
+        if news.state != before or not first:  # a configured one's first word of itself tells nothing
             self.fresh.put(news.name)
         if news.state != before:
             member.since = now
--- a/gaproute/shared/membership/telling.py
+++ b/gaproute/shared/membership/telling.py
@@ -1,19 +1,20 @@
 """Which news one message carries: the least told first, then a few entries in turn."""
+
 from gaproute.shared.membership.news import ALIVE, News, Word, size
 
-TOLD = 3                 # times that each piece of news is sent for every power of two of the members
-BYTES = 1200             # of one message: fits an unfragmented datagram everywhere
-HEAD = 32                # of them beside the sender's names, the target and the entries, at most
-FILL = 320               # bytes up to which a message with less news is filled with entries in turn: what was
+TOLD = 3  # times that each piece of news is sent for every power of two of the members
+BYTES = 1200  # of one message: fits an unfragmented datagram everywhere
+HEAD = 32  # of them beside the sender's names, the target and the entries, at most
+FILL = 320  # bytes up to which a message with less news is filled with entries in turn: what was
 #                          lost or held back is mended unasked; more of it costs bytes only
-ASKED = 400              # bytes of an `ask`: three go out at once where a path is lossy
+ASKED = 400  # bytes of an `ask`: three go out at once where a path is lossy
 
 
 class Queue:
     """Names by how often their news was told; after so many times they leave it."""
 
     def __init__(self):
-        self.rows, self.place = [{}], {}     # rows[k]: names told k times, the oldest first
+        self.rows, self.place = [{}], {}  # rows[k]: names told k times, the oldest first
 
     def __len__(self):
         return len(self.place)
--- a/gaproute/shared/permits/clocks.py
+++ b/gaproute/shared/permits/clocks.py
@@ -1,11 +1,12 @@
 """When permits end by the leader's own clock. Only a leader has one; it begins anew with each leader, so
 that no time is ever carried from one clock to another."""
+
 import heapq
 
 
 class Clocks:
     def __init__(self, now, waits):
-        self.ends, self.heap = {}, []        # fence: (at, when); (when, fence, at)
+        self.ends, self.heap = {}, []  # fence: (at, when); (when, fence, at)
         for fence, at, wait in waits:
             self.note(now, fence, at, wait)
 
@@ -16,7 +17,7 @@
             return
         self.ends[fence] = at, now + wait
         heapq.heappush(self.heap, (now + wait, fence, at))
-        if len(self.heap) > 64 + 2 * len(self.ends):         # renewals leave their old ends behind
+        if len(self.heap) > 64 + 2 * len(self.ends):  # renewals leave their old ends behind
             self.heap = [(when, fence, at) for fence, (at, when) in self.ends.items()]
             heapq.heapify(self.heap)
 
--- a/gaproute/shared/permits/commands.py
+++ b/gaproute/shared/permits/commands.py
@@ -1,4 +1,5 @@
 """What a holder may ask of the permits and what it is answered, as bytes in entries of the log."""
+
 from typing import Annotated
 
 import msgspec
@@ -8,10 +9,10 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-LONGEST = 600 * SECOND   # of a permit: how long a resource stays taken at most by a holder that died
-SHORTEST = 100 * MILLI   # below it the renewals cost more than the permit is worth
-BOUND = 10               # per mille by which any clock's rate may differ from true time (1%)
-MOST_WISHES = 1024       # of one holder at once: the hosts of a large fleet, and a bound
+LONGEST = 600 * SECOND  # of a permit: how long a resource stays taken at most by a holder that died
+SHORTEST = 100 * MILLI  # below it the renewals cost more than the permit is worth
+BOUND = 10  # per mille by which any clock's rate may differ from true time (1%)
+MOST_WISHES = 1024  # of one holder at once: the hosts of a large fleet, and a bound
 
 Amount = Annotated[int, Meta(ge=0, le=HIGHEST)]
 Span = Annotated[int, Meta(ge=SHORTEST, le=LONGEST)]
@@ -20,6 +21,7 @@
 
 class Take(Told, tag=1):
     """`amount` of the resource (1 of a name) for `span` ns."""
+
     resource: Name
     holder: Name
     amount: Annotated[int, Meta(ge=1, le=HIGHEST)]
@@ -39,6 +41,7 @@
 
 class Size(Told, tag=4):
     """The pool holds `amount`. Less than is held: nothing new is granted until enough has come back."""
+
     resource: Name
     holder: Name
     amount: Amount
@@ -47,12 +50,14 @@
 class Lapse(Told, tag=5):
     """From the leader alone: the permit last granted or renewed by the entry `at` has ended by its
     clock."""
+
     fence: Fence
     at: Amount
 
 
 class Answer(Told):
     """`why` is empty where it was done."""
+
     why: Name = ""
     fence: Fence = 0
 
--- a/gaproute/shared/permits/errands.py
+++ b/gaproute/shared/permits/errands.py
@@ -5,6 +5,7 @@
 An asker counts from when it sent its own question, which was earlier, so its end is never the later one.
 Harms a crew that forgets to ask again: its work then stands without a permit, as if the gateway had died.
 """
+
 from typing import Annotated
 
 import msgspec
@@ -15,8 +16,8 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-ERRANDS = 1024           # open at once: a wish each, of as many as the holder takes
-TOLD = 60 * SECOND       # that one which is over is still told of: time to read why
+ERRANDS = 1024  # open at once: a wish each, of as many as the holder takes
+TOLD = 60 * SECOND  # that one which is over is still told of: time to read why
 
 
 Resource = Annotated[str, Meta(max_length=NAME)]
@@ -24,13 +25,14 @@
 
 class Order(msgspec.Struct, forbid_unknown_fields=True):
     """One of `take` (a resource), `keep` or `give` (an errand's number), `size` (a resource). Times in ms."""
+
     take: Resource = ""
     keep: int = 0
     give: int = 0
     size: Resource = ""
     amount: Annotated[int, Meta(ge=0, le=HIGHEST)] = 1
-    span_ms: int = 30_000    # of the permit: how long it stays taken at most if this gateway dies
-    for_ms: int = 0          # until the gateway gives it back unasked; 0: the span
+    span_ms: int = 30_000  # of the permit: how long it stays taken at most if this gateway dies
+    for_ms: int = 0  # until the gateway gives it back unasked; 0: the span
 
 
 read_order = msgspec.json.Decoder(Order).decode
@@ -54,7 +56,7 @@
 
     def __init__(self, holder, longest=LONGEST, first=0):
         self.holder, self.longest = holder, longest
-        self.errands, self.count = {}, first     # number: Errand
+        self.errands, self.count = {}, first  # number: Errand
 
     def ask(self, now, order):
         """What the asker is told, as plain data. Errors: ValueError, by name."""
@@ -91,17 +93,25 @@
         errand = self.errands[number]
         wish = errand.wish
         left = min(wish.end, errand.end) - now if wish.may(now) else 0
-        return {"errand": number, "resource": wish.resource, "amount": wish.amount,
-                "state": "held" if left > 0 else "over" if wish.state == "held" else wish.state,
-                "why": wish.why, "fence": wish.fence, "ms_left": max(0, left) // MILLI}
+        return {
+            "errand": number,
+            "resource": wish.resource,
+            "amount": wish.amount,
+            "state": "held" if left > 0 else "over" if wish.state == "held" else wish.state,
+            "why": wish.why,
+            "fence": wish.fence,
+            "ms_left": max(0, left) // MILLI,
+        }
 
     def table(self, now):
         return [self.told(now, number) for number in sorted(self.errands)]
 
     @property
     def due(self):
-        return min([errand.end if errand.over is None else errand.over + TOLD
-                    for errand in self.errands.values()], default=None)
+        return min(
+            [errand.end if errand.over is None else errand.over + TOLD for errand in self.errands.values()],
+            default=None,
+        )
 
     def tick(self, now):
         """Gives back what nobody asked to keep, forgets what is long over."""
--- a/gaproute/shared/permits/holder.py
+++ b/gaproute/shared/permits/holder.py
@@ -4,17 +4,28 @@
 granted later. Nobody heard: it runs out here, before the keepers let it lapse (`commands.kept`). What is
 done under a permit carries its fence, as a process may be stopped between looking at `may` and acting.
 """
+
 from collections import Counter, deque
 
 from gaproute.shared.keepers.messages import HIGHEST, Reply, Request
-from gaproute.shared.permits.commands import (LONGEST, MOST_WISHES, SHORTEST, Answer, Give, Renew, Size, Take,
-                                              encode, read_answer)
+from gaproute.shared.permits.commands import (
+    LONGEST,
+    MOST_WISHES,
+    SHORTEST,
+    Answer,
+    Give,
+    Renew,
+    Size,
+    Take,
+    encode,
+    read_answer,
+)
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
-AGAIN = 500 * MILLI      # until the next keeper is asked: above a sync and a round trip, below an election
-PAUSE = 100 * MILLI      # before the next one is asked by one that knows no leader
-HOPS = 2                 # redirects followed at once: keepers that name one another must not be a flood
+AGAIN = 500 * MILLI  # until the next keeper is asked: above a sync and a round trip, below an election
+PAUSE = 100 * MILLI  # before the next one is asked by one that knows no leader
+HOPS = 2  # redirects followed at once: keepers that name one another must not be a flood
 
 
 class Wish:
@@ -23,7 +34,7 @@
     def __init__(self, resource, amount, span):
         self.resource, self.amount, self.span = resource, amount, span
         self.state, self.why, self.fence, self.end = "asked", "", 0, None
-        self.renew = None                    # when it is to be renewed
+        self.renew = None  # when it is to be renewed
 
     def may(self, now):
         return self.state == "held" and now < self.end
@@ -42,9 +53,9 @@
     def __init__(self, name, keepers, chance, now):
         self.name, self.chance = name, chance
         self.session = self.nonce = 0
-        self.urgent, self.queue = deque(), deque()       # renewals and givings back before new wishes
+        self.urgent, self.queue = deque(), deque()  # renewals and givings back before new wishes
         self.job, self.body, self.again, self.hops = None, b"", now, 0
-        self.wishes = []                     # asked or held
+        self.wishes = []  # asked or held
         self.refused = Counter()
         self.keepers, self.to = (), ""
         self.named(now, keepers)
@@ -91,8 +102,13 @@
     @property
     def due(self):
         """ns, or None while there is nothing to do."""
-        times = [when for wish in self.wishes if wish.end is not None for when in (wish.end, wish.renew)
-                 if when is not None]
+        times = [
+            when
+            for wish in self.wishes
+            if wish.end is not None
+            for when in (wish.end, wish.renew)
+            if when is not None
+        ]
         if self.job is not None or self.urgent or self.queue:
             times.append(self.again)
         return min(times, default=None)
@@ -103,14 +119,17 @@
             self._end(wish, "over", "not renewed in time")
         for wish in self.wishes:
             if wish.renew is not None and now >= wish.renew:
-                wish.renew = None            # until this one is answered
+                wish.renew = None  # until this one is answered
                 self.urgent.append(Job(Renew(wish.fence, self.name, wish.span), wish))
         if now < self.again:
             return []
         if self.job is None:
             return self._next(now)
-        self.to = self.keepers[(self.keepers.index(self.to) + 1) % len(self.keepers)] \
-            if self.to in self.keepers else self.keepers[0]
+        self.to = (
+            self.keepers[(self.keepers.index(self.to) + 1) % len(self.keepers)]
+            if self.to in self.keepers
+            else self.keepers[0]
+        )
         return self._send(now)
 
     def _next(self, now):
@@ -148,7 +167,7 @@
             return self._redirect(now, sender, message.leader)
         if message.state == "busy" or message.state == "done" and not (job.session or message.opened):
             self.again = now + PAUSE + self.chance.below(PAUSE)
-            self.to = self.keepers[self.keepers.index(sender) - 1]   # the next in turn is this one
+            self.to = self.keepers[self.keepers.index(sender) - 1]  # the next in turn is this one
             return []
         self.to, self.job, self.again = sender, None, now
         if message.state == "forgotten":
@@ -181,7 +200,7 @@
         if isinstance(job.command, Take):
             if job.wish.state == "asked":
                 self._end(job.wish, "refused", "outcome unknown")
-        else:                                # doing these twice is as doing them once
+        else:  # doing these twice is as doing them once
             self.urgent.append(Job(job.command, job.wish))
 
     def _answered(self, now, job, answer):
@@ -192,7 +211,7 @@
                 wish.state = "held"
                 self._until(wish, job.sent)
                 return
-            self.urgent.append(Job(Give(answer.fence, self.name)))   # too late, or not wanted any more
+            self.urgent.append(Job(Give(answer.fence, self.name)))  # too late, or not wanted any more
             if wish.state == "asked":
                 self._end(wish, "over", "answered too late")
         elif kind is Take and wish.state == "asked":
--- a/gaproute/shared/permits/invariants.py
+++ b/gaproute/shared/permits/invariants.py
@@ -1,4 +1,5 @@
 """What must always hold of permits; every check returns breaches as text, named first."""
+
 from gaproute.shared.permits.commands import MOST_WISHES
 from gaproute.shared.permits.machine import PERMITS, POOLS
 
@@ -39,7 +40,7 @@
         came += check_holder(holder)
         for wish in holder.wishes:
             if not wish.may(now) or wish.fence > machine.fence:
-                continue                     # what this keeper has not applied yet it cannot judge
+                continue  # what this keeper has not applied yet it cannot judge
             if wish.fence in fences:
                 came.append(f"one holder: {holder.name} and {fences[wish.fence]} by permit {wish.fence}")
             fences[wish.fence] = holder.name
--- a/gaproute/shared/permits/machine.py
+++ b/gaproute/shared/permits/machine.py
@@ -3,14 +3,26 @@
 A permit ends here only by an entry: given back by its holder, or lapsed by the leader's word. Which entry
 last granted or renewed it is part of that word, so that a renewal that came first in the log wins.
 """
+
 import msgspec
 
 from gaproute.shared.keepers.messages import Told
-from gaproute.shared.permits.commands import (LONGEST, Answer, Give, Lapse, Renew, Size, Take, encode, kept,
-                                              read, read_wish)
-
-PERMITS = 4096           # standing at once: hosts out and rooms lent of a large fleet; 200 bytes each
-POOLS = 4096             # resources with a size of their own: hosts whose room is lent
+from gaproute.shared.permits.commands import (
+    LONGEST,
+    Answer,
+    Give,
+    Lapse,
+    Renew,
+    Size,
+    Take,
+    encode,
+    kept,
+    read,
+    read_wish,
+)
+
+PERMITS = 4096  # standing at once: hosts out and rooms lent of a large fleet; 200 bytes each
+POOLS = 4096  # resources with a size of their own: hosts whose room is lent
 
 
 class Permit(Told):
@@ -19,7 +31,7 @@
     holder: str
     amount: int
     span: int
-    at: int                  # index of the entry that granted or last renewed it
+    at: int  # index of the entry that granted or last renewed it
 
 
 class State(Told):
@@ -39,11 +51,11 @@
 
     def __init__(self, quiet=True, longest=LONGEST):
         self.quiet, self.longest = quiet, longest
-        self.fence = 0               # the last number given
-        self.permits = {}            # fence: Permit
-        self.held = {}               # resource: amount held
-        self.pools = {}              # resource: (size, what was held above it when it shrank or 0)
-        self.touched = None          # (fence, at, wait) by the last entry; wait None where it ended
+        self.fence = 0  # the last number given
+        self.permits = {}  # fence: Permit
+        self.held = {}  # resource: amount held
+        self.pools = {}  # resource: (size, what was held above it when it shrank or 0)
+        self.touched = None  # (fence, at, wait) by the last entry; wait None where it ended
 
     def size(self, resource):
         return self.pools.get(resource, (1, 0))[0]
@@ -118,7 +130,7 @@
         held = self.held.get(resource, 0)
         size = self.size(resource)
         if size == 1 and held <= 1:
-            self.pools.pop(resource, None)       # as one that never had a size
+            self.pools.pop(resource, None)  # as one that never had a size
         elif resource in self.pools:
             self.pools[resource] = size, held if held > size else 0
 
--- a/gaproute/shared/weak/demand.py
+++ b/gaproute/shared/weak/demand.py
@@ -1,20 +1,21 @@
 """Own arrivals by function and track: the rate over the last steps, and how far the steps differ."""
+
 from collections import deque
 from math import sqrt
 
 from gaproute.shared.weak.facts import DEMAND, MOST, SECOND
 
-STEP = 2 * SECOND        # arrivals are counted by it: a spread over shorter ones is that of chance alone
-STEPS = 10               # kept: 20 s, a burst shows within some seconds
-FUNCTIONS = 4096         # counted by name in a step; the arrivals of others count as the rest
+STEP = 2 * SECOND  # arrivals are counted by it: a spread over shorter ones is that of chance alone
+STEPS = 10  # kept: 20 s, a burst shows within some seconds
+FUNCTIONS = 4096  # counted by name in a step; the arrivals of others count as the rest
 
 
 class Demand:
     def __init__(self, now):
         self.begun = self.until = now
-        self.now = {}            # (function key, track): arrivals in this step
-        self.other = 0           # of functions beyond the bound
-        self.past = deque()      # ({as above}, other) of the last steps
+        self.now = {}  # (function key, track): arrivals in this step
+        self.other = 0  # of functions beyond the bound
+        self.past = deque()  # ({as above}, other) of the last steps
         self.sums, self.squares, self.others = {}, {}, 0
 
     def arrived(self, now, function, track, count=1):
@@ -64,6 +65,6 @@
         self.roll(now)
         if not self.past:
             return 0.0, ()
-        names = sorted(self.sums, key=lambda name: (-self.sums[name], name))[:MOST[DEMAND]]
+        names = sorted(self.sums, key=lambda name: (-self.sums[name], name))[: MOST[DEMAND]]
         rest = self.total() - sum(self.sums[name] for name in names) * SECOND / STEP / len(self.past)
         return max(0.0, rest), tuple((*name, *self.rate(name)) for name in names)
--- a/gaproute/shared/weak/hosts.py
+++ b/gaproute/shared/weak/hosts.py
@@ -1,14 +1,14 @@
 """The hosts that are listed here, by their keys, and from when on what is told of each counts."""
 
-TOMBS = 8192             # hosts that went or restarted, kept until all facts of before have faded
+TOMBS = 8192  # hosts that went or restarted, kept until all facts of before have faded
 
 
 class Hosts:
     def __init__(self):
-        self.names = {}          # key: name
-        self.starts = {}         # key: its start as listed
-        self.tombs = {}          # key: facts seen until then are of a past life, the oldest first
-        self.alike = 0           # names left out, as another has the same key
+        self.names = {}  # key: name
+        self.starts = {}  # key: its start as listed
+        self.tombs = {}  # key: facts seen until then are of a past life, the oldest first
+        self.alike = 0  # names left out, as another has the same key
 
     def listed(self, now, hosts, key):
         """`hosts`: {name: its start, any value that changes with it}. Returns the keys of those that went or
--- a/gaproute/shared/weak/invariants.py
+++ b/gaproute/shared/weak/invariants.py
@@ -1,4 +1,5 @@
 """What must always hold of a gateway's weak word: named checks that return breaches as text."""
+
 from gaproute.shared.weak import demand, hosts, own
 from gaproute.shared.weak.facts import HIGHEST, SLOTS, sound
 from gaproute.shared.weak.merge import TOMBS
@@ -8,15 +9,18 @@
     """Every map is bounded. Cheap: call it always."""
     peers = len(weak.told.peers)
     for name, size, most in (
-            ("tellers", len(weak.store.tellers), peers), ("purses", len(weak.purses), peers),
-            ("round", len(weak.told.round), max(peers, weak.told.longest)),
-            ("tombstones", len(weak.store.tombs), TOMBS),
-            ("hosts' tombstones", len(weak.hosts.tombs), hosts.TOMBS),
-            ("keys", len(weak.own.keys), own.NAMES), ("steps", len(weak.own.demand.past), demand.STEPS),
-            ("functions", len(weak.own.demand.now), demand.FUNCTIONS),
-            ("summed functions", len(weak.own.demand.sums), demand.FUNCTIONS * demand.STEPS),
-            ("copies", max(map(len, weak.own.copies)), own.COPIES),
-            ("hosts", max(map(len, weak.own.figures)), own.HOSTS)):
+        ("tellers", len(weak.store.tellers), peers),
+        ("purses", len(weak.purses), peers),
+        ("round", len(weak.told.round), max(peers, weak.told.longest)),
+        ("tombstones", len(weak.store.tombs), TOMBS),
+        ("hosts' tombstones", len(weak.hosts.tombs), hosts.TOMBS),
+        ("keys", len(weak.own.keys), own.NAMES),
+        ("steps", len(weak.own.demand.past), demand.STEPS),
+        ("functions", len(weak.own.demand.now), demand.FUNCTIONS),
+        ("summed functions", len(weak.own.demand.sums), demand.FUNCTIONS * demand.STEPS),
+        ("copies", max(map(len, weak.own.copies)), own.COPIES),
+        ("hosts", max(map(len, weak.own.figures)), own.HOSTS),
+    ):
         if size > most:
             yield f"{size} {name}, {most} at most"
 
@@ -55,8 +59,11 @@
         self.seen = {}
 
     def __call__(self, weak):
-        seen = {(teller, name, held.version): held.seen for teller, pages in weak.store.tellers.items()
-                for name, held in pages.items()}
+        seen = {
+            (teller, name, held.version): held.seen
+            for teller, pages in weak.store.tellers.items()
+            for name, held in pages.items()
+        }
         for page, at in seen.items():
             if at > self.seen.get(page, at):
                 yield f"{page} was seen at {self.seen[page]}, now at {at}"
@@ -71,8 +78,12 @@
         made = weak.own.made.get(page.kind)
         lately = made is not None and made[1].entries is page.entries
         for entry in () if lately and page.age else page.entries:
-            own = (entry[0] in hosts_seen, entry[0] in hosts_seen, entry[:2] in weak.own.demand.sums,
-                   entry[:2] in copies)[page.kind]
+            own = (
+                entry[0] in hosts_seen,
+                entry[0] in hosts_seen,
+                entry[:2] in weak.own.demand.sums,
+                entry[:2] in copies,
+            )[page.kind]
             if not own:
                 yield f"{entry} of kind {page.kind} is told and was not seen here"
         if sound(page):
--- a/gaproute/shared/weak/merge.py
+++ b/gaproute/shared/weak/merge.py
@@ -4,16 +4,18 @@
 Of one version that came twice with two ages the greater age holds. A tombstone bars a teller's incarnations
 up to the one that ended; what is barred never comes back, in whatever order the tombstone and the facts come.
 """
+
 from collections import Counter
 
 from gaproute.shared.weak.facts import HIGHEST, HOP, LIFE, sound
 
-TOMBS = 8192             # kept at most; a tombstone outlives all facts of its teller, then it may go
+TOMBS = 8192  # kept at most; a tombstone outlives all facts of its teller, then it may go
 TOMB_LIFE = 2 * max(LIFE)
 
 
 class Held:
     """One page as it is held; `seen`: when what it tells was so, by this gateway's clock."""
+
     __slots__ = ("version", "seen", "rest", "entries")
 
     def __init__(self, version, seen, rest, entries):
@@ -22,8 +24,8 @@
 
 class Store:
     def __init__(self):
-        self.tellers = {}        # teller: {(kind, slot): Held}
-        self.tombs = {}          # teller: (the incarnation that ended, when it was told), the oldest first
+        self.tellers = {}  # teller: {(kind, slot): Held}
+        self.tombs = {}  # teller: (the incarnation that ended, when it was told), the oldest first
         self.refused = Counter()
 
     def take(self, now, teller, incarnation, page):
@@ -73,5 +75,9 @@
 
     def fresh(self, now, kind, slots=(0,)):
         """[(teller, Held)] of a kind that still count, in the order in which tellers became known."""
-        return [(teller, held) for teller, pages in self.tellers.items() for slot in slots
-                if (held := pages.get((kind, slot))) is not None and now - held.seen <= LIFE[kind]]
+        return [
+            (teller, held)
+            for teller, pages in self.tellers.items()
+            for slot in slots
+            if (held := pages.get((kind, slot))) is not None and now - held.seen <= LIFE[kind]
+        ]
--- a/gaproute/shared/weak/own.py
+++ b/gaproute/shared/weak/own.py
@@ -1,22 +1,22 @@
 """What this gateway saw itself, made into pages: the only facts that it tells."""
+
 from gaproute.shared.weak.demand import Demand
-from gaproute.shared.weak.facts import (DEMAND, HANDS, LIFE, MOST, ROOM, SCALE, SECOND, SLOTS, WARM, Page,
-                                        key)
+from gaproute.shared.weak.facts import DEMAND, HANDS, LIFE, MOST, ROOM, SCALE, SECOND, SLOTS, WARM, Page, key
 
-HOSTS = 8192             # hosts of which tasks in hand or room are kept
-COPIES = 512             # copies kept of each page's functions, those seen last
-NAMES = 65_536           # names whose keys are kept at hand
-SERVES = (SECOND // 10, SECOND // 2, SECOND, 0)      # a page is told again unchanged, only older, for so
+HOSTS = 8192  # hosts of which tasks in hand or room are kept
+COPIES = 512  # copies kept of each page's functions, those seen last
+NAMES = 65_536  # names whose keys are kept at hand
+SERVES = (SECOND // 10, SECOND // 2, SECOND, 0)  # a page is told again unchanged, only older, for so
 #                          long: 25 words a second must not sort a thousand hosts 25 times
 
 
 class Own:
     def __init__(self, now):
         self.demand = Demand(now)
-        self.figures = ({}, {})                          # tasks in hand, room: {host key: figure}
-        self.copies = [{} for _ in range(SLOTS[WARM])]   # {(host, function): when seen}, the last last
-        self.counters = {}                               # (kind, slot): version of the page told last
-        self.made = {}                                   # kind: (when, its page)
+        self.figures = ({}, {})  # tasks in hand, room: {host key: figure}
+        self.copies = [{} for _ in range(SLOTS[WARM])]  # {(host, function): when seen}, the last last
+        self.counters = {}  # (kind, slot): version of the page told last
+        self.made = {}  # kind: (when, its page)
         self.keys = {}
 
     def key(self, name):
@@ -75,7 +75,7 @@
                 entries.append((host, function, now - seen))
         else:
             table = self.figures[kind]
-            hosts = sorted(table, key=lambda host: (-table[host], host))[:MOST[kind]]
+            hosts = sorted(table, key=lambda host: (-table[host], host))[: MOST[kind]]
             entries = [(host, table[host]) for host in hosts]
             if kind == HANDS:
                 rest = max(0.0, sum(table.values()) - sum(figure for _, figure in entries))
--- a/gaproute/shared/weak/reading.py
+++ b/gaproute/shared/weak/reading.py
@@ -4,24 +4,26 @@
 gateway's own among them, and one subject of it to a part of that; what is above is scaled down. It harms
 where one gateway truly has more: its share is then told too small.
 """
+
 from typing import NamedTuple
 
-BOUND = 16               # times the lower median of the tellers: ten times the mean is a day that was seen
-ONE = 4                  # the part of that bound which one subject may take
-FLOOR = (32.0, 0.0, 50.0)      # by kind, tasks in hand and arrivals a second that are always believed: most
+BOUND = 16  # times the lower median of the tellers: ten times the mean is a day that was seen
+ONE = 4  # the part of that bound which one subject may take
+FLOOR = (32.0, 0.0, 50.0)  # by kind, tasks in hand and arrivals a second that are always believed: most
 #                                may rest while one works
-WITNESSES = 8            # tellers named for one copy
+WITNESSES = 8  # tellers named for one copy
 
 
 class Reading(NamedTuple):
     """`own`: seen here; `heard`: the sum of what `tellers` others told, of `others` that are up; `age`: the
     mean of what was heard, ns. With no teller `total` is what is seen here alone."""
+
     own: float
     heard: float
     tellers: int
     others: int
     age: int
-    spread: float = 0.0      # standard deviation of the total, own part included
+    spread: float = 0.0  # standard deviation of the total, own part included
 
     @property
     def total(self):
@@ -51,13 +53,14 @@
                 self.sums[subject] = self.sums.get(subject, 0.0) + value
                 if spread is not None:
                     # A spread is believed up to what arrivals in a few great bursts would have.
-                    self.variance[subject] = self.variance.get(subject, 0.0) + min(
-                        spread(entry) * scale, bound / ONE) ** 2
+                    self.variance[subject] = (
+                        self.variance.get(subject, 0.0) + min(spread(entry) * scale, bound / ONE) ** 2
+                    )
 
     def reading(self, subject, own, others, own_spread=0.0):
         times = others / self.tellers if self.tellers else 0.0
-        variance = own_spread ** 2 + self.variance.get(subject, 0.0) * times
-        return Reading(own, self.sums.get(subject, 0.0), self.tellers, others, self.age, variance ** 0.5)
+        variance = own_spread**2 + self.variance.get(subject, 0.0) * times
+        return Reading(own, self.sums.get(subject, 0.0), self.tellers, others, self.age, variance**0.5)
 
 
 def median(figures):
--- a/gaproute/shared/weak/told.py
+++ b/gaproute/shared/weak/told.py
@@ -3,20 +3,21 @@
 A word holds the tasks in hand, which change fast, and at a slower pace one other page in turn. In a large
 fleet a round takes longer, and a reader holds a sample of the tellers by which it scales.
 """
+
 from gaproute.shared.weak.facts import DEMAND, HANDS, ROOM, SECOND, SLOTS, WARM, Word, size
 
-RATE = 3_000             # bytes a second, headers included: under 4 kB with bursts and membership's beside it
-EACH = SECOND // 2       # between two words to one peer at least: small fleets need not spend the budget
-SLOW = SECOND // 4       # between two pages other than the tasks in hand
+RATE = 3_000  # bytes a second, headers included: under 4 kB with bursts and membership's beside it
+EACH = SECOND // 2  # between two words to one peer at least: small fleets need not spend the budget
+SLOW = SECOND // 4  # between two pages other than the tasks in hand
 TURN = (DEMAND, WARM, DEMAND, WARM, ROOM, WARM, DEMAND, WARM)
 
 
 class Told:
     def __init__(self, chance, now):
         self.chance = chance
-        self.peers = {}          # name: place in the list below
+        self.peers = {}  # name: place in the list below
         self.names = []
-        self.round, self.longest = [], 0     # names still to be told in this round, and how many it had
+        self.round, self.longest = [], 0  # names still to be told in this round, and how many it had
         self.next, self.slow = now, now
         self.turn = self.slot = 0
         self.sent = self.bytes = 0
--- a/gaproute/shared/weak/weak.py
+++ b/gaproute/shared/weak/weak.py
@@ -1,16 +1,17 @@
 """The weak word of one gateway: it sees, tells, hears and reads; decisions only, no sockets, the clock and
 the chance handed in. Nothing in it raises on what others send; what cannot be is counted by its reason."""
+
 from collections import Counter
 
-from gaproute.shared.weak.facts import (DEMAND, HANDS, KINDS, LIFE, ROOM, SECOND, SLOTS, WARM)
+from gaproute.shared.weak.facts import DEMAND, HANDS, KINDS, LIFE, ROOM, SECOND, SLOTS, WARM
 from gaproute.shared.weak.hosts import Hosts
 from gaproute.shared.weak.merge import TOMB_LIFE, Store
 from gaproute.shared.weak.own import Own
 from gaproute.shared.weak.reading import WITNESSES, Reading, Sums, median
 from gaproute.shared.weak.told import Told
 
-REFRESH = SECOND // 2    # sums serve so long: a figure of the fleet is seconds old anyway
-WORDS = 8                # of one sender a second, four times what an honest one sends; BURST at once
+REFRESH = SECOND // 2  # sums serve so long: a figure of the fleet is seconds old anyway
+WORDS = 8  # of one sender a second, four times what an honest one sends; BURST at once
 BURST = 16
 
 
@@ -20,8 +21,8 @@
     def __init__(self, name, incarnation, chance, now):
         self.name, self.incarnation = name, incarnation
         self.own, self.store, self.told, self.hosts = Own(now), Store(), Told(chance, now), Hosts()
-        self.purses = {}         # sender: (words it may still send, when that was so)
-        self.sums = {}           # kind: (when made, Sums)
+        self.purses = {}  # sender: (words it may still send, when that was so)
+        self.sums = {}  # kind: (when made, Sums)
         self.turn = 0
         self.heard = 0
         self.refused = Counter()
@@ -82,7 +83,7 @@
     def tick(self, now):
         names = list(self.store.tellers) if self.turn % 64 == 0 else ()
         self.turn += 1
-        for name in names:               # every few seconds: what faded goes, so that nothing grows
+        for name in names:  # every few seconds: what faded goes, so that nothing grows
             self.store.fade(now, name)
         self.hosts.fade(now, TOMB_LIFE)
         return self.told.tick(now, self.own, self.incarnation)
@@ -111,8 +112,9 @@
     def hands(self, now, host):
         """Tasks in hand at the host, of the whole fleet."""
         name = self.own.key(host)
-        return self._sums(now, HANDS).reading(name, self.own.figures[HANDS].get(name, 0.0),
-                                              len(self.told.names))
+        return self._sums(now, HANDS).reading(
+            name, self.own.figures[HANDS].get(name, 0.0), len(self.told.names)
+        )
 
     def demand(self, now, function, track):
         """Arrivals a second in the whole fleet, with their spread as if gateways' arrivals were independent.
@@ -125,8 +127,9 @@
     def rest(self, now):
         """Arrivals a second of functions that their tellers do not name."""
         sums = self._sums(now, DEMAND)
-        return Reading(self.own.page(now, DEMAND).rest, sums.rest, sums.tellers, len(self.told.names),
-                       sums.age)
+        return Reading(
+            self.own.page(now, DEMAND).rest, sums.rest, sums.tellers, len(self.told.names), sums.age
+        )
 
     def room(self, now, host):
         """(the median of what is believed spare there, own belief among it, by how many, mean age in ns),
@@ -147,31 +150,58 @@
         name, found = self.own.key(function), {}
         slot = name % SLOTS[WARM]
         pages = [(teller, held.seen, held.entries) for teller, held in self.store.fresh(now, WARM, (slot,))]
-        pages.append((self.name, now, [(host, other, now - seen) for (host, other), seen
-                                       in self.own.copies[slot].items()]))
+        pages.append(
+            (
+                self.name,
+                now,
+                [(host, other, now - seen) for (host, other), seen in self.own.copies[slot].items()],
+            )
+        )
         for teller, at, entries in pages:
             for host, other, age in entries:
                 if other == name and now - at + age <= LIFE[WARM] and self.hosts.counts(host, at - age):
                     found.setdefault(self.hosts.names[host], []).append((now - at + age, teller))
-        return {host: (min(seen)[0], tuple(teller for _, teller in sorted(seen)[:WITNESSES]))
-                for host, seen in found.items()}
+        return {
+            host: (min(seen)[0], tuple(teller for _, teller in sorted(seen)[:WITNESSES]))
+            for host, seen in found.items()
+        }
 
     def _sums(self, now, kind):
         made, sums = self.sums.get(kind, (now - 2 * REFRESH, None))
         if now - made >= REFRESH:
             if kind == HANDS:
-                sums = Sums(now, kind, self.store.fresh(now, kind), sum(self.own.figures[HANDS].values()),
-                            lambda entry: entry[1], lambda entry: entry[0], None,
-                            lambda held, entry: self.hosts.counts(entry[0], held.seen))
+                sums = Sums(
+                    now,
+                    kind,
+                    self.store.fresh(now, kind),
+                    sum(self.own.figures[HANDS].values()),
+                    lambda entry: entry[1],
+                    lambda entry: entry[0],
+                    None,
+                    lambda held, entry: self.hosts.counts(entry[0], held.seen),
+                )
             else:
-                sums = Sums(now, kind, self.store.fresh(now, kind), self.own.demand.total(),
-                            lambda entry: entry[2], lambda entry: entry[:2], lambda entry: entry[3])
+                sums = Sums(
+                    now,
+                    kind,
+                    self.store.fresh(now, kind),
+                    self.own.demand.total(),
+                    lambda entry: entry[2],
+                    lambda entry: entry[:2],
+                    lambda entry: entry[3],
+                )
             self.sums[kind] = now, sums
         return sums
 
     def status(self, now):
         """For operators: what is told and heard, and by how many tellers each kind is known."""
-        return {"peers": len(self.told.names), "sent": self.told.sent, "bytes": self.told.bytes,
-                "heard": self.heard, "refused": dict(self.refused + self.store.refused),
-                "tellers": {KINDS[kind]: len(self.store.fresh(now, kind)) for kind in (HANDS, ROOM, DEMAND)},
-                "clipped": sum(sums.clipped for _, sums in self.sums.values()), "alike": self.hosts.alike}
+        return {
+            "peers": len(self.told.names),
+            "sent": self.told.sent,
+            "bytes": self.told.bytes,
+            "heard": self.heard,
+            "refused": dict(self.refused + self.store.refused),
+            "tellers": {KINDS[kind]: len(self.store.fresh(now, kind)) for kind in (HANDS, ROOM, DEMAND)},
+            "clipped": sum(sums.clipped for _, sums in self.sums.values()),
+            "alike": self.hosts.alike,
+        }
--- a/gaproute/standins/__main__.py
+++ b/gaproute/standins/__main__.py
@@ -3,6 +3,7 @@
 What it is made of comes as one line of JSON on standard input; commands follow, a line each. Its address goes
 to standard output as a line of JSON. It ends when its input ends.
 """
+
 import os
 import resource
 import sys
@@ -36,8 +37,16 @@
 
 def host(loop, told, tap):
     models = {model["name"]: Model(**model) for model in told["models"]}
-    made = Host(loop, address(told["listen"]), Make(**told["make"]), models, told["store"], told["seed"], tap,
-                told["warm"])
+    made = Host(
+        loop,
+        address(told["listen"]),
+        Make(**told["make"]),
+        models,
+        told["store"],
+        told["seed"],
+        tap,
+        told["warm"],
+    )
     say({"address": made.address})
     return made
 
@@ -45,8 +54,15 @@
 def callers(loop, told, tap):
     habits = told["habits"] | {"patience": tuple(told["habits"]["patience"])}
     kinds = [clients.Kind(**each | {"models": tuple(each["models"])}) for each in told["kinds"]]
-    return clients.Clients(loop, told["gateways"], kinds, clients.Habits(**habits), told["seed"], tap,
-                           loop.now() + told["length"])
+    return clients.Clients(
+        loop,
+        told["gateways"],
+        kinds,
+        clients.Habits(**habits),
+        told["seed"],
+        tap,
+        loop.now() + told["length"],
+    )
 
 
 def platform_hosts(loop, told, tap):
@@ -65,14 +81,27 @@
 
 def platform_callers(loop, told, tap):
     return platform_clients.Clients(
-        loop, told["gateways"], [Model(**model) for model in told["models"]],
+        loop,
+        told["gateways"],
+        [Model(**model) for model in told["models"]],
         [platform_clients.Kind(**kind) for kind in told["kinds"]],
-        platform_clients.Habits(**told.get("habits", {})), told["seed"], tap, told["length"], say)
+        platform_clients.Habits(**told.get("habits", {})),
+        told["seed"],
+        tap,
+        told["length"],
+        say,
+    )
 
 
-MAKERS = {"store": store, "host": host, "clients": callers, "platform-host": platform_hosts,
-          "platform-log": platform_log, "platform-clients": platform_callers,
-          "platform-spread": platform_spread}
+MAKERS = {
+    "store": store,
+    "host": host,
+    "clients": callers,
+    "platform-host": platform_hosts,
+    "platform-log": platform_log,
+    "platform-clients": platform_callers,
+    "platform-spread": platform_spread,
+}
 
 
 def main():
@@ -80,7 +109,7 @@
         print(f"one of {', '.join(MAKERS)}", file=sys.stderr)
         return 2
     most = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))     # one process may stand for many hosts
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))  # one process may stand for many hosts
     told = msgspec.json.decode(sys.stdin.buffer.readline())
     loop = Loop()
     tap = Tap(told.get("tap"), loop.clock)
--- a/gaproute/standins/baselines.py
+++ b/gaproute/standins/baselines.py
@@ -1,5 +1,6 @@
 """Choices to measure beside the module's own: the same rules, tasks and guards, another way to pick a
 host."""
+
 from gaproute.decisions.route import Gateway
 
 
@@ -10,9 +11,14 @@
         track = self.tracks[task.track]
         if trail.relays >= self.relay_limit:
             return None
-        able = [worker for worker in self.fleet if self.allowed(worker, track, trail, now)
-                and (now >= worker.warm_at or worker.credit > 0)
-                and worker not in trail.failed and all(worker is not held for held, _ in trail.out.values())]
+        able = [
+            worker
+            for worker in self.fleet
+            if self.allowed(worker, track, trail, now)
+            and (now >= worker.warm_at or worker.credit > 0)
+            and worker not in trail.failed
+            and all(worker is not held for held, _ in trail.out.values())
+        ]
         return self.pick(able) if able else None
 
 
--- a/gaproute/standins/beat.py
+++ b/gaproute/standins/beat.py
@@ -2,9 +2,10 @@
 
 A late stand-in is a late rig: what gateways did meanwhile is not judged by it (`what` is "late", `by` in ns).
 """
+
 MILLI = 1_000_000
-EVERY = 50 * MILLI       # a tap is read after the day: often enough that a kill costs little of it
-LATE = 20 * MILLI        # a turn of a crowded but living process; beyond it the figures are the machine's
+EVERY = 50 * MILLI  # a tap is read after the day: often enough that a kill costs little of it
+LATE = 20 * MILLI  # a turn of a crowded but living process; beyond it the figures are the machine's
 
 
 def beat(loop, tap):
--- a/gaproute/standins/clients.py
+++ b/gaproute/standins/clients.py
@@ -4,6 +4,7 @@
 Each task is told apart by its `id` in the KServe body, which passes through the gateway untouched. A client
 gives up at its limit; a few leave early; after a decline it may try again, heeding the advice, with a new id.
 """
+
 import random
 from typing import NamedTuple
 
@@ -13,27 +14,28 @@
 from gaproute.loop.streams import address
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-LINKS = 64               # kept connections to one gateway
-LEAST = 50 * MILLI       # that a further try has left: with less no answer could come in time
+LINKS = 64  # kept connections to one gateway
+LEAST = 50 * MILLI  # that a further try has left: with less no answer could come in time
 
 
 class Kind(NamedTuple):
     """A track as clients know it."""
+
     name: str
-    share: float             # of the tasks
+    share: float  # of the tasks
     limit: int
     models: tuple[str, ...]
-    pure: bool = False       # may be tried again also after a scrapping
+    pure: bool = False  # may be tried again also after a scrapping
 
 
 class Habits(NamedTuple):
-    rate: float = 100.0      # first tries a second
-    patience: tuple[float, float] = (0.6, 1.0)    # of the limit, after which a try is given up
+    rate: float = 100.0  # first tries a second
+    patience: tuple[float, float] = (0.6, 1.0)  # of the limit, after which a try is given up
     retries: int = 1
     impatient: float = 0.01  # of the tasks: their clients leave early
-    zipf: float = 1.1        # popularity of a track's models
-    payload: int = 200       # bytes of a body
-    prefix: str = "c"        # of the tasks' names, where several processes of clients share a load
+    zipf: float = 1.1  # popularity of a track's models
+    payload: int = 200  # bytes of a body
+    prefix: str = "c"  # of the tasks' names, where several processes of clients share a load
 
 
 class Clients:
@@ -43,10 +45,10 @@
         self.random = random.Random(seed)
         self.idle = [[] for _ in gateways]
         self.rate, self.count, self.open = habits.rate, 0, 0
-        self.hot = None          # (share, model): traffic drawn to one model
+        self.hot = None  # (share, model): traffic drawn to one model
         self.weights = {}
         self.done = False
-        self.late = 0            # of an arrival against its time, at most, ns
+        self.late = 0  # of an arrival against its time, at most, ns
         self.pad = "x" * habits.payload
         self.next = loop.now()
         self.loop.soon(self.arrive)
@@ -68,7 +70,8 @@
         ranks = self.weights.get(len(kind.models))
         if ranks is None:
             ranks = self.weights[len(kind.models)] = [
-                1 / (rank + 1) ** self.habits.zipf for rank in range(len(kind.models))]
+                1 / (rank + 1) ** self.habits.zipf for rank in range(len(kind.models))
+            ]
         model = self.random.choices(kind.models, ranks)[0]
         if self.hot is not None and self.random.random() < self.hot[0]:
             model = kind.models[-1]
@@ -84,8 +87,9 @@
             return
         place = self.random.choice(able)
         patience = round(limit * self.random.uniform(*self.habits.patience)) if tries == 0 else limit
-        body = msgspec.json.encode({"id": name, "inputs": [
-            {"name": "in", "shape": [1], "datatype": "BYTES", "data": [self.pad]}]})
+        body = msgspec.json.encode(
+            {"id": name, "inputs": [{"name": "in", "shape": [1], "datatype": "BYTES", "data": [self.pad]}]}
+        )
         head = (
             f"POST /v2/models/{model}/infer HTTP/1.1\r\nHost: gateway\r\nContent-Type: application/json\r\n"
             f"Gaproute-Limit-Ms: {max(1, patience // MILLI)}\r\nContent-Length: {len(body)}\r\n\r\n"
@@ -95,8 +99,17 @@
         self.open += 1
 
         def note(what, **told):
-            self.tap.note(what, id=name, first=first, track=kind.name, gateway=place, asked=start,
-                          patience=patience, tries=tries, **told)
+            self.tap.note(
+                what,
+                id=name,
+                first=first,
+                track=kind.name,
+                gateway=place,
+                asked=start,
+                patience=patience,
+                tries=tries,
+                **told,
+            )
 
         def came(answer, undelivered):
             self.open -= 1
@@ -162,7 +175,7 @@
         if self.done and self.open == 0:
             self.tap.note("done", late=self.late)
             self.tap.flush()
-            self.loop.after(1500 * MILLI, self.loop.stop)     # for what comes after the final answers
+            self.loop.after(1500 * MILLI, self.loop.stop)  # for what comes after the final answers
             return
         self.loop.after(50 * MILLI, self.tick)
 
--- a/gaproute/standins/host/copies.py
+++ b/gaproute/standins/host/copies.py
@@ -3,11 +3,12 @@
 A load is a fetch from the store, then a start. `fetch(model)` gives a promise of whether it came; no sockets
 here.
 """
+
 from gaproute.standins.host.facts import SECOND, Copies
 
-FETCHES = 8              # tries of a fetch that the store turns away, until the load has failed
-PAUSE = 0.1, 0.4         # seconds between them, by chance: hosts that are turned away do not come back as one
-MOST = 16                # copies of one model that an order can ask for
+FETCHES = 8  # tries of a fetch that the store turns away, until the load has failed
+PAUSE = 0.1, 0.4  # seconds between them, by chance: hosts that are turned away do not come back as one
+MOST = 16  # copies of one model that an order can ask for
 
 
 class Shelf:
@@ -16,7 +17,7 @@
     def __init__(self, loop, make, random, fetch, tap, came, failed):
         self.loop, self.make, self.random, self.fetch, self.tap = loop, make, random, fetch, tap
         self.came, self.failed = came, failed
-        self.copies = {}           # model name: Copies
+        self.copies = {}  # model name: Copies
         self.loads, self.queue = 0, []
         self.spawn = loop.spawn
 
@@ -46,8 +47,11 @@
         return True
 
     def make_room(self):
-        idle = [(copies.idle_since, name) for name, copies in self.copies.items()
-                if copies.stand and not copies.busy and not copies.waiting]
+        idle = [
+            (copies.idle_since, name)
+            for name, copies in self.copies.items()
+            if copies.stand and not copies.busy and not copies.waiting
+        ]
         if idle:
             self.copies[min(idle)[1]].stand -= 1
         return bool(idle)
--- a/gaproute/standins/host/facts.py
+++ b/gaproute/standins/host/facts.py
@@ -1,38 +1,42 @@
 """What a stand-in host is made of, what it knows of a model, and a task that has come to it."""
+
 from typing import NamedTuple
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-WARM, BEGAN_LOAD, AWAITED_LOAD, FAILED = 1, 2, 3, 4      # what a task found here: `Work.found`
+WARM, BEGAN_LOAD, AWAITED_LOAD, FAILED = 1, 2, 3, 4  # what a task found here: `Work.found`
 
 
 class Make(NamedTuple):
     """What a host is made of."""
+
     name: str
     cores: float = 4
     speed: float = 1.0
-    copies: int = 16            # copies that its memory holds
-    queue: int = 64             # tasks waiting for a lane beyond which it answers that it is full
-    loads: int = 4              # loads at a time
+    copies: int = 16  # copies that its memory holds
+    queue: int = 64  # tasks waiting for a lane beyond which it answers that it is full
+    loads: int = 4  # loads at a time
     keep: int = 10 * SECOND
     cold_share: float = 0.2
     cold_time: int = 15 * SECOND
     fall_multiple: float = 3.0
     tip: int = 1500 * MILLI
     idle_close: int = 60 * SECOND
-    adds_copies: bool = True    # starts another copy by itself when all lanes are taken
+    adds_copies: bool = True  # starts another copy by itself when all lanes are taken
 
 
 class Model(NamedTuple):
     """What all hosts know of a model."""
+
     name: str
     track: str
     lanes: int
-    work: int                   # mean core time of a task, ns
-    start: int                  # the start, after the fetch, ns
+    work: int  # mean core time of a task, ns
+    start: int  # the start, after the fetch, ns
 
 
 class Work:
     """A task that has come. `answer(work, end)` once at most; `end` is one of the words of `machine`."""
+
     __slots__ = ("answer", "model", "left", "found", "alike", "fate", "id", "mark")
 
     def __init__(self, name, mark, model, left, alike, answer):
@@ -46,4 +50,4 @@
     def __init__(self):
         self.stand = self.loading = self.busy = 0
         self.idle_since = 0
-        self.waiting = []          # Work
+        self.waiting = []  # Work
--- a/gaproute/standins/host/kserve.py
+++ b/gaproute/standins/host/kserve.py
@@ -2,6 +2,7 @@
 
 Of troubles it knows one more than `machine`: shut (closes connections once they have been answered on).
 """
+
 from urllib.parse import unquote
 
 import msgspec
@@ -63,13 +64,14 @@
     def infer(self, request, model):
         length = request.headers.get(b"inference-header-content-length")
         try:
-            told = msgspec.json.decode(request.body if length is None else request.body[:int(length)])
+            told = msgspec.json.decode(request.body if length is None else request.body[: int(length)])
             name = str(told.get("id", "")) if isinstance(told, dict) else ""
         except (msgspec.DecodeError, ValueError):
             name = request.headers.get(b"x-request-id", b"").decode("latin-1")
         mark = request.headers.get(b"gaproute-task", b"").decode("latin-1")
-        work = self.machine.take(name, mark, model, id(request.link),
-                                 lambda work, end: self.answer(request, work, end))
+        work = self.machine.take(
+            name, mark, model, id(request.link), lambda work, end: self.answer(request, work, end)
+        )
         if work is not None:
             request.left = lambda: self.machine.left(work)
 
@@ -82,12 +84,17 @@
         if end == machine.NO_LOAD:
             headers = self.report(work)
         elif end in (machine.DONE, machine.CUT):
-            body = msgspec.json.encode({"model_name": work.model.name, "id": work.id, "outputs": [
-                {"name": "at", "shape": [1], "datatype": "BYTES", "data": [self.make.name]}]})
+            body = msgspec.json.encode(
+                {
+                    "model_name": work.model.name,
+                    "id": work.id,
+                    "outputs": [{"name": "at", "shape": [1], "datatype": "BYTES", "data": [self.make.name]}],
+                }
+            )
             headers = TYPE + self.report(work)
         if end == machine.CUT:
             whole = render(200, headers, body, False)
-            request.link.stream.write(whole[:len(whole) // 2])
+            request.link.stream.write(whole[: len(whole) // 2])
             request.link._shut()
             return
         self.tap.note("said", id=work.id, status=STATUS[end])
@@ -107,8 +114,9 @@
         if stands is None:
             self.server.answer(request, 409, (), b'{"error":"no room"}')
             return
-        stands.then(lambda stands: self.server.answer(
-            request, 200, (), msgspec.json.encode({"copies": stands.value})))
+        stands.then(
+            lambda stands: self.server.answer(request, 200, (), msgspec.json.encode({"copies": stands.value}))
+        )
 
 
 def cut_off(request):
--- a/gaproute/standins/host/machine.py
+++ b/gaproute/standins/host/machine.py
@@ -9,6 +9,7 @@
 (`factor` times), refuse (says it is full), cut (ends in the middle of the answer), reset (closes connections
 as tasks come), heavy (a share of tasks costs `factor` times the work). Others are the servers' own.
 """
+
 import random
 from collections import Counter
 
@@ -18,11 +19,11 @@
 
 # How a task ends: `Work.answer(work, end)`
 FULL, ERROR, RESET, DONE, CUT, NO_LOAD = "full", "error", "reset", "done", "cut", "the load failed"
-FATES = ("hang", "refuse", "fail", "reset", "lost", "cut")   # troubles of a single task, in order
-TOLD = ("cores", "speed", "cold_share", "cold_time", "fall_multiple", "tip")      # at its start, to the judge
-SHAPE = 4                # of the gamma distribution of work: a spread of half the mean
-ROUNDING = 10_000        # ns: work that is done but for this is done, so that timers never spin
-TICK = 50 * MILLI        # between looks at idle copies and writes of the tap
+FATES = ("hang", "refuse", "fail", "reset", "lost", "cut")  # troubles of a single task, in order
+TOLD = ("cores", "speed", "cold_share", "cold_time", "fall_multiple", "tip")  # at its start, to the judge
+SHAPE = 4  # of the gamma distribution of work: a spread of half the mean
+ROUNDING = 10_000  # ns: work that is done but for this is done, so that timers never spin
+TICK = 50 * MILLI  # between looks at idle copies and writes of the tap
 ORDER_LOOK = 20 * MILLI  # between looks whether what was ordered stands
 
 
@@ -34,12 +35,12 @@
         self.random = random.Random(seed)
         self.began = loop.now() - (make.cold_time if warm else 0)
         self.shelf = Shelf(loop, make, self.random, fetch, tap, self.came, self.load_failed)
-        self.work = []             # tasks at work
+        self.work = []  # tasks at work
         self.at, self.timer = loop.now(), None
-        self.troubles = {}         # name: its command
+        self.troubles = {}  # name: its command
         self.down = False
         self.fell = lambda: None
-        self.arrived = []          # (time, work) of the last `tip`, while cold
+        self.arrived = []  # (time, work) of the last `tip`, while cold
         self.counts = Counter()
         self.routines, self.stopped = [], False
         self.shelf.spawn = self.spawn
@@ -150,8 +151,12 @@
         work.found = AWAITED_LOAD if copies.loading else WARM if copies.stand else BEGAN_LOAD
         copies.waiting.append(work)
         wanted = -(-(copies.busy + len(copies.waiting)) // work.model.lanes)
-        if copies.stand + copies.loading == 0 or \
-                self.make.adds_copies and copies.stand + copies.loading < wanted and not copies.loading:
+        if (
+            copies.stand + copies.loading == 0
+            or self.make.adds_copies
+            and copies.stand + copies.loading < wanted
+            and not copies.loading
+        ):
             self.shelf.load(work.model)
 
     def left(self, work):
--- a/gaproute/standins/liars.py
+++ b/gaproute/standins/liars.py
@@ -1,5 +1,6 @@
 """Gateways that serve as the product does and tell others wrong things on purpose: a share of the copies that
 they tell of stand at other hosts than told."""
+
 from gaproute.decisions.route import Gateway
 
 
--- a/gaproute/standins/net.py
+++ b/gaproute/standins/net.py
@@ -1,5 +1,6 @@
 """Gateways that probe each other, on a clock and a network that stand for real ones: no sockets, no
 waiting."""
+
 import heapq
 
 from gaproute.decisions.chance import Chance
@@ -7,7 +8,7 @@
 from gaproute.shared.membership import Members
 
 MILLI = 1_000_000
-LINK = 5 * MILLI         # that a message takes
+LINK = 5 * MILLI  # that a message takes
 
 
 class Net:
@@ -19,8 +20,11 @@
         self.down = set()
         self.nodes, self.stopped = {}, set()
         for number in range(size):
-            self.start(f"g{number}", seed * 100 + number, {f"g{other}": f"g{other}" for other in
-                                                           (range(size) if known is None else known)})
+            self.start(
+                f"g{number}",
+                seed * 100 + number,
+                {f"g{other}": f"g{other}" for other in (range(size) if known is None else known)},
+            )
 
     def start(self, name, seed, peers):
         node = self.nodes[name] = Members(name, name, Chance(seed), self.now)
@@ -56,5 +60,8 @@
 
     def views(self, of):
         """The states in which the others hold it."""
-        return {node.members[of].state for name, node in self.nodes.items()
-                if name not in self.down and name != of and of in node.members}
+        return {
+            node.members[of].state
+            for name, node in self.nodes.items()
+            if name not in self.down and name != of and of in node.members
+        }
--- a/gaproute/standins/platform/clients.py
+++ b/gaproute/standins/platform/clients.py
@@ -3,6 +3,7 @@
 A task's id is the `i` of its request, new with each try; `first` is that of its first try. Clients give up at
 their limit, a few leave early; after a refusal some try again, staying away as long as they were told.
 """
+
 import base64
 import random
 from itertools import accumulate
@@ -13,32 +14,33 @@
 from gaproute.standins.platform.rpc import DECLINED
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-GRACE = 50 * MILLI       # by which every time limit is longer on sockets: the platform's rule
-READY = 30 * SECOND      # after which clients come although not all gateways are in
+GRACE = 50 * MILLI  # by which every time limit is longer on sockets: the platform's rule
+READY = 30 * SECOND  # after which clients come although not all gateways are in
 LOOK = 50 * MILLI
-AFTER = 1500 * MILLI     # for what comes after the final answers
-STATUS = {"delivered": 200, "declined": 503, "scrapped": 502}    # as the judge reads them
+AFTER = 1500 * MILLI  # for what comes after the final answers
+STATUS = {"delivered": 200, "declined": 503, "scrapped": 502}  # as the judge reads them
 
 
 class Kind(NamedTuple):
     """A track as clients know it; its functions are the models of that track."""
+
     name: str
-    share: float             # of the tasks
-    limit: int               # ns over all tries
-    pure: bool = False       # may be tried again also after a scrapping
+    share: float  # of the tasks
+    limit: int  # ns over all tries
+    pure: bool = False  # may be tried again also after a scrapping
 
 
 class Habits(NamedTuple):
-    rate: float = 100.0      # first tries a second, over all gateways
-    patience: tuple[float, float] = (0.6, 1.0)    # of the limit, after which a try is given up
+    rate: float = 100.0  # first tries a second, over all gateways
+    patience: tuple[float, float] = (0.6, 1.0)  # of the limit, after which a try is given up
     retries: int = 1
     impatient: float = 0.01  # of the tasks: their clients leave early
-    zipf: float = 1.1        # popularity of a track's functions
-    payload: int = 200       # bytes of a body
-    shared: int = 4          # requests on one connection before another is opened
-    links: int = 16          # connections to one gateway at most
-    weights: tuple = ()      # share of the traffic by gateway; all alike where there are none
-    memory: int = 512        # MB of a copy, as requests say
+    zipf: float = 1.1  # popularity of a track's functions
+    payload: int = 200  # bytes of a body
+    shared: int = 4  # requests on one connection before another is opened
+    links: int = 16  # connections to one gateway at most
+    weights: tuple = ()  # share of the traffic by gateway; all alike where there are none
+    memory: int = 512  # MB of a copy, as requests say
 
 
 class Clients:
@@ -49,10 +51,14 @@
         self.random, self.seed = random.Random(seed), seed
         self.shares = [kind.share for kind in kinds]
         self.models = {kind.name: [model for model in models if model.track == kind.name] for kind in kinds}
-        self.ranks = {name: list(accumulate(1 / (rank + 1) ** habits.zipf for rank in range(len(each))))
-                      for name, each in self.models.items()}
-        self.extras = {model.name: f"memory_mb:{habits.memory};lanes:{model.lanes};"
-                                   f"load_ms:{model.start // MILLI}" for model in models}
+        self.ranks = {
+            name: list(accumulate(1 / (rank + 1) ** habits.zipf for rank in range(len(each))))
+            for name, each in self.models.items()
+        }
+        self.extras = {
+            model.name: f"memory_mb:{habits.memory};lanes:{model.lanes};load_ms:{model.start // MILLI}"
+            for model in models
+        }
         self.places = Places(loop, gateways, habits, self.random, tap)
         self.arg = base64.b64encode(b"x" * habits.payload).decode()
         self.rate, self.count, self.open, self.hot = habits.rate, 0, 0, 0.0
@@ -102,7 +108,7 @@
     def new(self):
         """16 hex digits that no other task of this day has."""
         self.count += 1
-        return f"{self.seed & 0xffffff:06x}{self.count:010x}"
+        return f"{self.seed & 0xFFFFFF:06x}{self.count:010x}"
 
     def command(self, told):
         on = told.get("on", True)
@@ -137,7 +143,8 @@
         self.timers = [clients.loop.after(self.patience + GRACE, self.leave, "overdue")]
         if clients.random.random() < clients.habits.impatient:
             self.timers.append(
-                clients.loop.after(round(self.patience * clients.random.random()), self.leave, "left"))
+                clients.loop.after(round(self.patience * clients.random.random()), self.leave, "left")
+            )
         self.send()
 
     def send(self):
@@ -150,8 +157,13 @@
             self.close()
             return
         left = self.asked + self.patience - clients.loop.now()
-        params = {"i": self.name, "d": max(1, left // MILLI), "o": self.model.name, "arg": clients.arg,
-                  "extras": clients.extras[self.model.name]}
+        params = {
+            "i": self.name,
+            "d": max(1, left // MILLI),
+            "o": self.model.name,
+            "arg": clients.arg,
+            "extras": clients.extras[self.model.name],
+        }
         self.number = self.link.ask({"method": self.kind.name, "params": params}, self.answered, self.lost)
 
     def lost(self, what):
@@ -181,12 +193,18 @@
                 self.clients.places.stray(self.place.number, f"{self.name}: a body that no host made for it")
         else:
             outcome = "declined" if fault.get("code") == DECLINED else "scrapped"
-        self.note("answer", status=STATUS[outcome], outcome=outcome, handed=self.asked,
-                  why=fault and fault.get("message"))
+        self.note(
+            "answer",
+            status=STATUS[outcome],
+            outcome=outcome,
+            handed=self.asked,
+            why=fault and fault.get("message"),
+        )
         habits, now = self.clients.habits, self.clients.loop.now()
         again = outcome == "declined" or self.kind.pure and outcome == "scrapped"
-        wait = round(((fault or {}).get("data") or {}).get("w", 0) * MILLI
-                     * self.clients.random.uniform(1.0, 1.5))
+        wait = round(
+            ((fault or {}).get("data") or {}).get("w", 0) * MILLI * self.clients.random.uniform(1.0, 1.5)
+        )
         self.stop()
         if again and self.tries < habits.retries and now + wait < self.end:
             self.tries += 1
@@ -195,9 +213,17 @@
             self.close()
 
     def note(self, what, **told):
-        self.clients.tap.note(what, id=self.name, first=self.first, track=self.kind.name,
-                              gateway=self.place.number, asked=self.asked, patience=self.patience,
-                              tries=self.tries, **told)
+        self.clients.tap.note(
+            what,
+            id=self.name,
+            first=self.first,
+            track=self.kind.name,
+            gateway=self.place.number,
+            asked=self.asked,
+            patience=self.patience,
+            tries=self.tries,
+            **told,
+        )
 
     def stop(self):
         for timer in self.timers:
--- a/gaproute/standins/platform/host.py
+++ b/gaproute/standins/platform/host.py
@@ -5,6 +5,7 @@
 A line {"type":"whose","gateway":NAME} first on a connection says who speaks: a rig that stands between may
 write it, as no line of the protocol tells a host which gateway ordered a load.
 """
+
 import base64
 
 import msgspec
@@ -16,12 +17,17 @@
 from gaproute.standins.host.machine import Machine
 
 SECOND = 1_000_000_000
-SWEEP = SECOND           # between looks for idle connections
-LINE = 256 * 1024        # bytes of a line: a body of 16 KiB in base64 takes 22, and the rest little
-WORDS = {machine.FULL: "overload", machine.ERROR: "crashed", machine.NO_LOAD: "crashed",
-         machine.DONE: "served", machine.CUT: "served"}
-STATUS = {"served": 200, "overload": 429, "crashed": 500, "not_here": 404}      # as the judge reads them
-NOTES = "?wcjf"          # by what a task found: a copy, a load begun, a load awaited, a load failed
+SWEEP = SECOND  # between looks for idle connections
+LINE = 256 * 1024  # bytes of a line: a body of 16 KiB in base64 takes 22, and the rest little
+WORDS = {
+    machine.FULL: "overload",
+    machine.ERROR: "crashed",
+    machine.NO_LOAD: "crashed",
+    machine.DONE: "served",
+    machine.CUT: "served",
+}
+STATUS = {"served": 200, "overload": 429, "crashed": 500, "not_here": 404}  # as the judge reads them
+NOTES = "?wcjf"  # by what a task found: a copy, a load begun, a load awaited, a load failed
 
 
 class Link:
@@ -29,7 +35,7 @@
 
     def __init__(self, host, sock, number):
         self.host, self.number, self.gateway = host, number, ""
-        self.open, self.buffer = {}, b""         # id: Work
+        self.open, self.buffer = {}, b""  # id: Work
         self.used = host.loop.now()
         self.stream = Stream(host.loop, sock, self.bytes, lambda error: self.ended())
 
@@ -69,8 +75,19 @@
 class PlatformHost:
     """`meter`: names of the figures that probes tell, with answers too where `with_answers`."""
 
-    def __init__(self, loop, where, make, models, store, seed, tap, warm=False, meter=("cpu_share", "x0"),
-                 with_answers=False):
+    def __init__(
+        self,
+        loop,
+        where,
+        make,
+        models,
+        store,
+        seed,
+        tap,
+        warm=False,
+        meter=("cpu_share", "x0"),
+        with_answers=False,
+    ):
         self.loop, self.make, self.models, self.tap = loop, make, models, tap
         self.meter, self.with_answers, self.silent = meter, with_answers, False
         self.links, self.count = {}, 0
@@ -124,8 +141,15 @@
 
     def report(self):
         waiting, in_hand, cores, memory = self.machine.figures()
-        known = {"pending": waiting, "queue": waiting, "busy_reqs": in_hand, "inflight": in_hand,
-                 "cpu_share": cores, "util": cores, "x0": memory}
+        known = {
+            "pending": waiting,
+            "queue": waiting,
+            "busy_reqs": in_hand,
+            "inflight": in_hand,
+            "cpu_share": cores,
+            "util": cores,
+            "x0": memory,
+        }
         return {"meter": ";".join(f"{name}:{known[name]:.3g}" for name in self.meter if name in known)}
 
     def task(self, link, name, meta):
@@ -147,7 +171,7 @@
         if link.open.get(work.id) is work:
             del link.open[work.id]
         elif end not in (machine.FULL, machine.ERROR):
-            return                   # halted, or its connection has gone: no answer
+            return  # halted, or its connection has gone: no answer
         meta = {"tell": NOTES[work.found], "queue_fn": work.alike}
         if self.with_answers:
             meta |= self.report()
@@ -155,7 +179,7 @@
         data = base64.b64encode(f"{self.make.name} {work.id}".encode()).decode()
         if end == machine.CUT:
             whole = msgspec.json.encode({"type": kind, "req": work.id, "meta": meta, "data": data})
-            link.stream.write(whole[:len(whole) // 2])
+            link.stream.write(whole[: len(whole) // 2])
             link.stream.close()
             link.ended()
             return
@@ -179,7 +203,7 @@
                 self.tap.note("order", model=name, count=count, gateway=link.gateway, link=link.number)
             link.say("overload", tag, {"copies": self.machine.shelf.of(name).stand})
             return
-        link.open[tag] = None        # not idle while it is under way
+        link.open[tag] = None  # not idle while it is under way
         stands.then(lambda stands: self.stands(link, tag, count, stands.value))
 
     def stands(self, link, tag, count, copies):
--- a/gaproute/standins/platform/hosts.py
+++ b/gaproute/standins/platform/hosts.py
@@ -1,4 +1,5 @@
 """Several stand-in hosts of the platform in one process, each with a tap of its own for each of its lives."""
+
 from pathlib import Path
 
 from gaproute.loop.streams import address
@@ -24,14 +25,22 @@
         """A host's first life or its next, at the address it had."""
         name, told = seat["make"]["name"], self.told
         if name in self.hosts:
-            self.hosts[name].crash()     # it had fallen over, or is restarted as it stands
+            self.hosts[name].crash()  # it had fallen over, or is restarted as it stands
         run = self.runs[name] = self.runs.get(name, 0) + 1
         folder = told.get("taps")
         tap = Tap(Path(folder) / f"host-{name}.{run}.tap" if folder else None, self.loop.clock)
         host = PlatformHost(
-            self.loop, address(seat["listen"]), Make(**seat["make"]), self.models, told.get("store"),
-            f"{told.get('seed', 1)} {name} {run}", tap, seat.get("warm", False),
-            tuple(told.get("meter", ("cpu_share", "x0"))), told.get("report") == "piggyback")
+            self.loop,
+            address(seat["listen"]),
+            Make(**seat["make"]),
+            self.models,
+            told.get("store"),
+            f"{told.get('seed', 1)} {name} {run}",
+            tap,
+            seat.get("warm", False),
+            tuple(told.get("meter", ("cpu_share", "x0"))),
+            told.get("report") == "piggyback",
+        )
         self.hosts[name], self.seats[name] = host, seat | {"listen": host.address}
 
     def flush(self):
--- a/gaproute/standins/platform/listing.py
+++ b/gaproute/standins/platform/listing.py
@@ -1,12 +1,21 @@
 """The host list as the change log tells it: events numbered from 1, the whole list at any time."""
+
 PHASES = {"active": "Ready", "draining": "Terminating", "gone": "Gone"}
-STATES = {phase: state for state, phase in PHASES.items()}       # the judge's words
+STATES = {phase: state for state, phase in PHASES.items()}  # the judge's words
 
 
 def member(name, where, state="active", zone="hall-a", cell=0, size=4, up_since=0):
     """A line of the list. `up_since`: the Unix time of a late start, ms; 0 where it stood from the first."""
-    return {"id": name, "host_port": where, "locality": zone, "flavor": "std", "cell": cell,
-            "phase": PHASES[state], "size": size, "up_since_ms": up_since}
+    return {
+        "id": name,
+        "host_port": where,
+        "locality": zone,
+        "flavor": "std",
+        "cell": cell,
+        "phase": PHASES[state],
+        "size": size,
+        "up_since_ms": up_since,
+    }
 
 
 class Listing:
@@ -23,11 +32,15 @@
                 self.members.pop(each["id"], None)
             else:
                 self.members[each["id"]] = each
-        return {"seq": self.seq, "fleet": {"revision": self.seq, "complete": self.seq == 1,
-                                           "members": list(members)}}
+        return {
+            "seq": self.seq,
+            "fleet": {"revision": self.seq, "complete": self.seq == 1, "members": list(members)},
+        }
 
     def known(self):
         """What a gateway that starts now is told in its file."""
-        whole = {"seq": self.seq, "fleet": {"revision": self.seq, "complete": True,
-                                            "members": list(self.members.values())}}
+        whole = {
+            "seq": self.seq,
+            "fleet": {"revision": self.seq, "complete": True, "members": list(self.members.values())},
+        }
         return {"seq": self.seq, "results": [whole] if self.seq else []}
--- a/gaproute/standins/platform/log.py
+++ b/gaproute/standins/platform/log.py
@@ -11,6 +11,7 @@
 Silent: nothing is sent, not even comments. Off: nothing listens. Elsewhere: cut by somebody between, who says
 so. Hold: comments go on, events are withheld. Late: each event comes `by` ns later.
 """
+
 import msgspec
 
 from gaproute.loop import Listener, Stream
@@ -19,11 +20,11 @@
 from gaproute.standins.platform.listing import STATES
 
 SECOND = 1_000_000_000
-COMMENT = SECOND         # between signs of life
-COUNTS = 4 * SECOND      # after which what a dead way would have told counts as told: the platform's rule
+COMMENT = SECOND  # between signs of life
+COUNTS = 4 * SECOND  # after which what a dead way would have told counts as told: the platform's rule
 DEAD = ("silent", "off", "elsewhere")
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
-REQUEST = 4096           # bytes of a request: it has four short fields
+REQUEST = 4096  # bytes of a request: it has four short fields
 
 
 class Way:
@@ -32,7 +33,7 @@
     def __init__(self, log, place, where):
         self.log, self.place, self.where = log, place, where
         self.stream, self.sent, self.due, self.counted = None, 0, 0, 0
-        self.troubles = {}           # name: (since, its command)
+        self.troubles = {}  # name: (since, its command)
         self.listener = None
         self.listen()
 
@@ -101,15 +102,19 @@
     def count(self, upto):
         for number in range(self.counted + 1, upto + 1):
             for member in self.log.told[number - 1]:
-                self.log.tap.note("told", host=member["id"], state=STATES[member["phase"]],
-                                  gateway=self.place, seq=number)
+                self.log.tap.note(
+                    "told", host=member["id"], state=STATES[member["phase"]], gateway=self.place, seq=number
+                )
         self.counted = max(self.counted, upto)
 
     def look(self):
         """Each second: a comment, and what counts as told on a dead way."""
         now = self.log.loop.now()
-        dead = [since + told.get("counts", COUNTS) for name, (since, told) in self.troubles.items()
-                if name in DEAD]
+        dead = [
+            since + told.get("counts", COUNTS)
+            for name, (since, told) in self.troubles.items()
+            if name in DEAD
+        ]
         if dead and now >= min(dead):
             self.count(len(self.log.events))
         if self.stream is not None and "silent" not in self.troubles:
@@ -129,7 +134,7 @@
         if name == "off":
             self.listen()
         if name == "silent":
-            self.cut()               # it answered nothing: the gateway asks again
+            self.cut()  # it answered nothing: the gateway asks again
         self.push()
 
     def cut(self):
@@ -150,7 +155,7 @@
 
     def __init__(self, loop, gateways, tap, say):
         self.loop, self.tap, self.say = loop, tap, say
-        self.events, self.told = [], []          # as they were commanded; their members
+        self.events, self.told = [], []  # as they were commanded; their members
         self.ways = [Way(self, place, where) for place, where in enumerate(gateways)]
         self.tell_addresses()
         self.look()
@@ -163,8 +168,10 @@
         """The event's bytes for the gateway of this place. A member's `host_port` may be a list with an
         address for each: then every gateway finds the host by one of its own."""
         told = self.events[number - 1]
-        members = [row | {"host_port": row["host_port"][place]} if isinstance(row["host_port"], list) else row
-                   for row in told["fleet"]["members"]]
+        members = [
+            row | {"host_port": row["host_port"][place]} if isinstance(row["host_port"], list) else row
+            for row in told["fleet"]["members"]
+        ]
         told = told | {"fleet": told["fleet"] | {"members": members}}
         return b"id: %d\ndata: %b\n\n" % (told["seq"], msgspec.json.encode(told))
 
@@ -187,8 +194,12 @@
             for way in self.ways:
                 way.published()
             return
-        self.tap.note("trouble", name=told.get("trouble") or told["do"], on=told.get("on", True),
-                      gateways=told.get("gateways"))
+        self.tap.note(
+            "trouble",
+            name=told.get("trouble") or told["do"],
+            on=told.get("on", True),
+            gateways=told.get("gateways"),
+        )
         for place in told.get("gateways", range(len(self.ways))):
             if "trouble" in told:
                 self.ways[place].trouble(told["trouble"], told)
--- a/gaproute/standins/platform/parties.py
+++ b/gaproute/standins/platform/parties.py
@@ -1,5 +1,6 @@
 """Stand-ins for the platform's parties, written from its public pages: a host of lines, the change log, a
 client."""
+
 import base64
 import json
 
@@ -7,7 +8,7 @@
 from gaproute.loop.streams import address
 
 SECOND = 1_000_000_000
-HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"    # of the change log's answer
+HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"  # of the change log's answer
 
 
 class Party:
@@ -80,9 +81,26 @@
 
 def event(number, *members, complete=False):
     """An event of the log; a member is (id, address, phase)."""
-    told = {"seq": number, "fleet": {"revision": number, "complete": complete, "members": [
-        {"id": name, "host_port": where, "locality": "hall-a", "flavor": "std", "cell": 2, "phase": phase,
-         "size": 4, "up_since_ms": 0} for name, where, phase in members]}}
+    told = {
+        "seq": number,
+        "fleet": {
+            "revision": number,
+            "complete": complete,
+            "members": [
+                {
+                    "id": name,
+                    "host_port": where,
+                    "locality": "hall-a",
+                    "flavor": "std",
+                    "cell": 2,
+                    "phase": phase,
+                    "size": 4,
+                    "up_since_ms": 0,
+                }
+                for name, where, phase in members
+            ],
+        },
+    }
     return told
 
 
@@ -133,8 +151,13 @@
         self.send(b"Content-Length: %d\r\n\r\n%b" % (len(body), body))
 
     def ask(self, number, method="fault-check", **told):
-        params = {"i": f"{number:016x}", "d": 3000, "o": "7f3a9c21e0b4d655", "arg": arg(b"body %d" % number),
-                  "extras": "memory_mb:512;lanes:2;load_ms:640"} | told
+        params = {
+            "i": f"{number:016x}",
+            "d": 3000,
+            "o": "7f3a9c21e0b4d655",
+            "arg": arg(b"body %d" % number),
+            "extras": "memory_mb:512;lanes:2;load_ms:640",
+        } | told
         self.message({"jsonrpc": "2.0", "id": number, "method": method, "params": params})
 
 
--- a/gaproute/standins/platform/places.py
+++ b/gaproute/standins/platform/places.py
@@ -3,17 +3,18 @@
 A gateway comes in once it says so when asked (`ping`), and goes out some seconds after it was first seen
 dead, or when the front is told that it will be restarted.
 """
+
 from gaproute.loop.streams import address
 from gaproute.standins.platform.rpc import Link
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-ASK = 250 * MILLI        # between pings to one that is out
-NOTICE = 1.0, 3.0        # seconds in which the front notices that a gateway has died
-LEAVING = 0.2, 0.4       # seconds for which new connections still come to one that is to be restarted
-LAST = 200 * MILLI       # after that, in which requests still come on open connections
-IDLE = 4 * SECOND        # after which clients close a connection
+ASK = 250 * MILLI  # between pings to one that is out
+NOTICE = 1.0, 3.0  # seconds in which the front notices that a gateway has died
+LEAVING = 0.2, 0.4  # seconds for which new connections still come to one that is to be restarted
+LAST = 200 * MILLI  # after that, in which requests still come on open connections
+IDLE = 4 * SECOND  # after which clients close a connection
 SWEEP = SECOND
-MOST = 32                # requests open on one connection, by the protocol
+MOST = 32  # requests open on one connection, by the protocol
 
 
 class Place:
@@ -21,7 +22,7 @@
 
     def __init__(self, places, number, where):
         self.places, self.number, self.where = places, number, address(where)
-        self.links = {}              # Link: None, in order
+        self.links = {}  # Link: None, in order
         self.taken, self.fresh, self.dying = False, True, False
         self.ask()
 
@@ -40,8 +41,12 @@
         return best
 
     def connect(self):
-        link = Link(self.places.loop, self.where, lambda what: self.places.stray(self.number, what),
-                    lambda link: self.links.pop(link, None))
+        link = Link(
+            self.places.loop,
+            self.where,
+            lambda what: self.places.stray(self.number, what),
+            lambda link: self.links.pop(link, None),
+        )
         self.links[link] = None
         return link
 
--- a/gaproute/standins/platform/rpc.py
+++ b/gaproute/standins/platform/rpc.py
@@ -1,11 +1,12 @@
 """A client's connection to a gateway of the platform: JSON-RPC messages out, answers in, by their numbers."""
+
 import msgspec
 
 from gaproute.loop import Stream, connect
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-CONNECT = 250 * MILLI    # loopback: what takes longer is a gateway that does not accept
-LEFT = 256               # numbers given up that are remembered: an answer to one of them is no stray
+CONNECT = 250 * MILLI  # loopback: what takes longer is a gateway that does not accept
+LEFT = 256  # numbers given up that are remembered: an answer to one of them is no stray
 DECLINED = -32008
 _decode = msgspec.json.Decoder().decode
 
@@ -33,8 +34,8 @@
                 raise ValueError(f"a head of {head[:60]!r}")
             if len(rest) < int(size):
                 return messages
-            messages.append(_decode(rest[:int(size)]))
-            self.buffer = rest[int(size):]
+            messages.append(_decode(rest[: int(size)]))
+            self.buffer = rest[int(size) :]
 
 
 class Asked:
@@ -51,7 +52,7 @@
 class Link:
     """One connection. `stray(what)` for whatever nobody asked for."""
 
-    CROSS = 50 * MILLI       # the platform's figure for a request that crosses a close
+    CROSS = 50 * MILLI  # the platform's figure for a request that crosses a close
 
     def __init__(self, loop, where, stray, closed):
         self.loop, self.stray, self.closed = loop, stray, closed
--- a/gaproute/standins/platform/spread.py
+++ b/gaproute/standins/platform/spread.py
@@ -1,13 +1,14 @@
 """Stands for the platform's address of all peers: what one gateway sends there goes on to each other one, by
 an address of that pair, so that a wire between them can lose it on one way alone."""
+
 import socket
 
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address
 
-READS = 64               # messages taken in one turn
-LONGEST = 2048           # bytes of a message
-SPAN = 1 << 22           # bytes of the socket's buffer: words that 200 gateways send at one moment
+READS = 64  # messages taken in one turn
+LONGEST = 2048  # bytes of a message
+SPAN = 1 << 22  # bytes of the socket's buffer: words that 200 gateways send at one moment
 
 
 class Spread:
@@ -16,8 +17,9 @@
 
     def __init__(self, loop, where, ways, tap):
         self.loop, self.tap = loop, tap
-        self.ways = {address(sender)[1]: [address(each)[1] for each in others]
-                     for sender, others in ways.items()}
+        self.ways = {
+            address(sender)[1]: [address(each)[1] for each in others] for sender, others in ways.items()
+        }
         family, target = address(where)
         self.sock = socket.socket(family, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SPAN)
--- a/gaproute/standins/store.py
+++ b/gaproute/standins/store.py
@@ -3,6 +3,7 @@
 
 `GET /models/NAME` is answered when the fetch is done: 200, or 503 beyond the limit.
 """
+
 from gaproute.http1 import Limits, Server
 
 SECOND = 1_000_000_000
@@ -13,7 +14,7 @@
         """`pace`: fetches a second at full pace, shared by those under way; `limit`: fetches under way at
         most; `thrash`: share of the pace lost when the limit is reached."""
         self.loop, self.pace, self.limit, self.thrash, self.tap = loop, pace, limit, thrash, tap
-        self.fetches = {}          # request: share of it still to be served
+        self.fetches = {}  # request: share of it still to be served
         self.at, self.timer = loop.now(), None
         self.server = Server(loop, where, self.handle, Limits(pipelined=1))
         self.address = self.server.address
--- a/gaproute/standins/tap.py
+++ b/gaproute/standins/tap.py
@@ -2,6 +2,7 @@
 
 Times are the machine's monotonic clock, which all processes of one machine share.
 """
+
 import msgspec
 
 
--- a/gaproute/terms.py
+++ b/gaproute/terms.py
@@ -1,26 +1,32 @@
 """The start object as the module's terms: one reading of it for the simulator's wire and for a gateway on
 sockets. Its words stop here."""
+
 from typing import NamedTuple
 
 from gaproute import interface as face
 
 MICRO = 1_000
 EFFECTS = {"free": face.Effect.PURE, "guarded": face.Effect.RECEIPTED, "single_shot": face.Effect.EFFECTFUL}
-FIGURES = {"in_hand": ("busy_reqs", "inflight"), "waiting": ("pending", "queue"),
-           "cpu_busy": ("cpu_share", "util"), "memory_busy": ("x0",)}    # a report's part: its names
+FIGURES = {
+    "in_hand": ("busy_reqs", "inflight"),
+    "waiting": ("pending", "queue"),
+    "cpu_busy": ("cpu_share", "util"),
+    "memory_busy": ("x0",),
+}  # a report's part: its names
 
 
 class Site(NamedTuple):
     """What a gateway on sockets is told beside the terms."""
-    tracks: tuple[str, ...]            # names, in the order of the terms
+
+    tracks: tuple[str, ...]  # names, in the order of the terms
     zones: tuple[str, ...]
-    reported: tuple[str, ...]          # names of the figures in a load report
+    reported: tuple[str, ...]  # names of the figures in a load report
     connect_time: int
-    idle_time: int                     # after which hosts close an idle connection
+    idle_time: int  # after which hosts close an idle connection
     order_time: int
-    shared: int                        # relays on one connection at most
+    shared: int  # relays on one connection at most
     counts_alike: bool
-    halts: bool = True                 # hosts may be told that a relay is given up
+    halts: bool = True  # hosts may be told that a relay is given up
 
 
 def span(table, key):
@@ -32,7 +38,8 @@
     """Unknown keys are passed over. Errors: KeyError, ValueError, TypeError, AttributeError,
     OverflowError."""
     info, limits, rules, prices = (
-        told.get(key) or {} for key in ("family_info", "limits", "rules", "prices"))
+        told.get(key) or {} for key in ("family_info", "limits", "rules", "prices")
+    )
     tracks = tuple(
         face.Track(
             EFFECTS[lane["effect"]],
@@ -58,8 +65,11 @@
         notes_warmth=bool(info.get("warm_notes")),
         probes_allowed=bool(limits.get("probes")),
         reports_by_probe=source == "pull",
-        reported=tuple(part for part, names in FIGURES.items()
-                       if set(names) & set((told.get("report") or {}).get("names") or ())),
+        reported=tuple(
+            part
+            for part, names in FIGURES.items()
+            if set(names) & set((told.get("report") or {}).get("names") or ())
+        ),
         probe_price=float(prices.get("probe") or 0),
         peer_price=float(prices.get("peer") or 0),
         peers_allowed=bool(limits.get("peers")),
--- a/gaproute/trial/crowd.py
+++ b/gaproute/trial/crowd.py
@@ -1,4 +1,5 @@
 """The clients of a day: stand-ins that draw the load, and what they saw."""
+
 from gaproute.standins.tap import read
 from gaproute.trial.processes import MILLI
 
@@ -26,11 +27,26 @@
     def start(self):
         trial, day = self.trial, self.trial.script.day
         addresses = trial.gateways.addresses
-        self.processes = [trial.processes.standin("clients", "clients", {
-            "gateways": [addresses[number] for number in sorted(addresses)], "kinds": self.kinds(),
-            "habits": {"rate": day.rate, "patience": [0.6, 1.0], "retries": day.retries,
-                       "impatient": day.impatient, "zipf": day.zipf},
-            "seed": trial.seed, "length": day.length, "tap": str(trial.out / "clients.tap")})]
+        self.processes = [
+            trial.processes.standin(
+                "clients",
+                "clients",
+                {
+                    "gateways": [addresses[number] for number in sorted(addresses)],
+                    "kinds": self.kinds(),
+                    "habits": {
+                        "rate": day.rate,
+                        "patience": [0.6, 1.0],
+                        "retries": day.retries,
+                        "impatient": day.impatient,
+                        "zipf": day.zipf,
+                    },
+                    "seed": trial.seed,
+                    "length": day.length,
+                    "tap": str(trial.out / "clients.tap"),
+                },
+            )
+        ]
 
     def say(self, told):
         for process in self.processes:
@@ -44,5 +60,7 @@
             yield loop.sleep(50 * MILLI)
 
     def events(self):
-        return sorted((event for path in sorted(self.trial.out.glob("clients*.tap")) for event in read(path)),
-                      key=lambda event: event["at"])
+        return sorted(
+            (event for path in sorted(self.trial.out.glob("clients*.tap")) for event in read(path)),
+            key=lambda event: event["at"],
+        )
--- a/gaproute/trial/daybook.py
+++ b/gaproute/trial/daybook.py
@@ -3,7 +3,8 @@
 A day file is the JSON that the bench's `draw` prints. Only its troubles and sizes are read; what has no
 counterpart on sockets is named, not dropped in silence.
 """
-SECOND = 1_000_000      # the bench counts in microseconds
+
+SECOND = 1_000_000  # the bench counts in microseconds
 HEAD = """# Made from a bench day: its troubles at {scale:g} of their times.
 day length {length:.1f}s rate {rate:g} hosts {hosts} gateways {gateways} models 24 halls 3 list-delay 1s
 kind fast-4 share 0.55 cores 4 speed 1.5 copies 14
@@ -22,12 +23,24 @@
 cold share 0.17 time 12s
 """
 # Kind of the bench: (trouble here, what its size becomes). Sizes are a share, a factor, or not used.
-KINDS = {"slow": ("slow", "factor"), "hang": ("hang", None), "fast_errors": ("fail", "share"),
-         "answer_lost": ("lost", "share"), "vanish": ("vanish", None), "crash": ("crash", None),
-         "mass_restart": ("crash", None), "preempt": ("preempt", None), "deploy": ("deploy", None),
-         "burst": ("burst", "factor"), "hot_key": ("hot", "share"), "heavy_tail": ("heavy", "factor"),
-         "class_fail": ("lost", "share"), "balancer_roll": ("gateway-kill", None),
-         "balancer_stall": ("gateway-stall", None), "discovery_stale": ("list-late", None)}
+KINDS = {
+    "slow": ("slow", "factor"),
+    "hang": ("hang", None),
+    "fast_errors": ("fail", "share"),
+    "answer_lost": ("lost", "share"),
+    "vanish": ("vanish", None),
+    "crash": ("crash", None),
+    "mass_restart": ("crash", None),
+    "preempt": ("preempt", None),
+    "deploy": ("deploy", None),
+    "burst": ("burst", "factor"),
+    "hot_key": ("hot", "share"),
+    "heavy_tail": ("heavy", "factor"),
+    "class_fail": ("lost", "share"),
+    "balancer_roll": ("gateway-kill", None),
+    "balancer_stall": ("gateway-stall", None),
+    "discovery_stale": ("list-late", None),
+}
 TRACK = ("fault-check", "dimming-plan", "repair-order")
 
 
@@ -50,8 +63,12 @@
             continue
         if name in ("preempt", "deploy", "vanish", "crash"):
             # How long the struck are away: of `size` and `extra`, what the bench's table says of the kind.
-            notice, back = {"preempt": (trouble["size"], trouble["extra"]), "deploy": (trouble["extra"], 1.0),
-                            "vanish": (lasts, 0.5), "crash": (0, lasts)}[name]
+            notice, back = {
+                "preempt": (trouble["size"], trouble["extra"]),
+                "deploy": (trouble["extra"], 1.0),
+                "vanish": (lasts, 0.5),
+                "crash": (0, lasts),
+            }[name]
             words += f" for {max(0.1, notice):.2f}s back {max(0.3, back * scale):.2f}s"
         elif name == "list-late":
             words += f" for {lasts:.2f}s back {trouble['size'] * scale:.2f}s"
@@ -67,8 +84,9 @@
         if size is not None:
             words += f" {size} {min(1, trouble['size']) if size == 'share' else trouble['size']:.3f}"
         lines.append(words)
-    text = HEAD.format(scale=scale, hosts=hosts, gateways=gateways, rate=rate,
-                       length=day["length"] / SECOND * scale)
+    text = HEAD.format(
+        scale=scale, hosts=hosts, gateways=gateways, rate=rate, length=day["length"] / SECOND * scale
+    )
     return text + "\n".join(lines) + "\n", left_out
 
 
@@ -76,8 +94,15 @@
     """Gateways struck one after another over the trouble's length; stalls come again and again."""
     struck = range(max(1, round(share * gateways)))
     if name == "gateway-kill":
-        return [f"trouble {name} at {at + lasts * place / len(struck):.2f}s back "
-                f"{max(0.2, trouble['extra'] * scale):.2f}s gateway {place}" for place in struck]
+        return [
+            f"trouble {name} at {at + lasts * place / len(struck):.2f}s back "
+            f"{max(0.2, trouble['extra'] * scale):.2f}s gateway {place}"
+            for place in struck
+        ]
     every = max(1.0, trouble["extra"])
-    return [f"trouble {name} at {at + every * turn + 0.3 * place:.2f}s for {trouble['size'] / 1000:.2f}s "
-            f"gateway {place}" for place in struck for turn in range(int(lasts // every))]
+    return [
+        f"trouble {name} at {at + every * turn + 0.3 * place:.2f}s for {trouble['size'] / 1000:.2f}s "
+        f"gateway {place}"
+        for place in struck
+        for turn in range(int(lasts // every))
+    ]
--- a/gaproute/trial/gateways.py
+++ b/gaproute/trial/gateways.py
@@ -1,4 +1,5 @@
 """The gateways of a day: each a process with a configuration of its own, at the same address after a kill."""
+
 import json
 import signal
 
@@ -9,22 +10,33 @@
     def __init__(self, trial):
         self.trial, self.loop, self.tap, self.out = trial, trial.loop, trial.tap, trial.out
         self.processes, self.addresses = {}, {}
-        self.codes = {}          # gateway: exit code of its stop
+        self.codes = {}  # gateway: exit code of its stop
 
     def lines(self, number):
         """Its configuration."""
         trial, day, name = self.trial, self.trial.script.day, f"g{number}"
         peers = [f"listen peers unix:{self.out}/{name}.peers"] * day.peers
-        peers += [f"peer g{other} unix:{self.out}/g{other}.peers" for other in range(day.gateways)
-                  if other != number and day.peers]
+        peers += [
+            f"peer g{other} unix:{self.out}/g{other}.peers"
+            for other in range(day.gateways)
+            if other != number and day.peers
+        ]
         peers += [f"memory {self.out}/{name}.memory"] * day.memory
-        return [f"name {name}", f"listen kserve {self.addresses.get(number, ANYWHERE)}",
-                f"decisions {trial.decisions}", f"hosts-file {self.out / 'hosts.list'} look 50ms",
-                *trial.script.gateway_lines, *peers, *self.model_lines()]
+        return [
+            f"name {name}",
+            f"listen kserve {self.addresses.get(number, ANYWHERE)}",
+            f"decisions {trial.decisions}",
+            f"hosts-file {self.out / 'hosts.list'} look 50ms",
+            *trial.script.gateway_lines,
+            *peers,
+            *self.model_lines(),
+        ]
 
     def model_lines(self):
-        return [f"model {model['name']} track {model['track']} lanes {model['lanes']}"
-                for model in self.trial.models]
+        return [
+            f"model {model['name']} track {model['track']} lanes {model['lanes']}"
+            for model in self.trial.models
+        ]
 
     def manner(self, number):
         """How its process is started, beside its arguments."""
@@ -37,8 +49,12 @@
         file.write_text("\n".join([*self.lines(number), ""]))
         before = log.stat().st_size if log.exists() else 0
         process = self.trial.processes.start(
-            ["gaproute", "serve", str(file), "--seed", str(self.trial.seed * 100 + number)], None, log.name,
-            tells=False, **self.manner(number))
+            ["gaproute", "serve", str(file), "--seed", str(self.trial.seed * 100 + number)],
+            None,
+            log.name,
+            tells=False,
+            **self.manner(number),
+        )
         self.processes[number] = process
         end = self.loop.now() + READY_TIME
         while True:
--- a/gaproute/trial/hostlist.py
+++ b/gaproute/trial/hostlist.py
@@ -1,4 +1,5 @@
 """The host list of a day: one file that all gateways watch, late on command."""
+
 import os
 
 
--- a/gaproute/trial/processes.py
+++ b/gaproute/trial/processes.py
@@ -1,4 +1,5 @@
 """The children of one played day: started here, ended here by their own ids, and no others."""
+
 import json
 import subprocess
 import sys
@@ -9,7 +10,7 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 # not 127.0.0.1, from which all connect: a port of a killed process stays free for it
 ANYWHERE = "127.0.0.2:0"
-READY_TIME = 20 * SECOND     # for a process to come up, on a crowded machine
+READY_TIME = 20 * SECOND  # for a process to come up, on a crowded machine
 
 
 class NotReady(RuntimeError):
@@ -22,8 +23,11 @@
     def __init__(self, command, first, errors, tells=True, apart=False):
         self.errors = open(errors, "ab")
         self.child = subprocess.Popen(
-            command, stdin=subprocess.PIPE, stdout=subprocess.PIPE if tells else None, stderr=self.errors,
-            start_new_session=apart
+            command,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE if tells else None,
+            stderr=self.errors,
+            start_new_session=apart,
         )
         if first is not None:
             self.say(first)
--- a/gaproute/trial/result.py
+++ b/gaproute/trial/result.py
@@ -1,4 +1,5 @@
 """What the taps of a played day say: the rules, the service, what was sent and fetched."""
+
 from gaproute.judge import Facts, judge
 from gaproute.judge.rules import TRANSIT
 from gaproute.standins.tap import read
@@ -19,11 +20,17 @@
         copies = script.copies
         # a rig may itself be late by so much before its measurement is void
         transit = TRANSIT + (script.rig.late if script.rig else 0)
-        facts = Facts({line.name: line.effect for line in script.tracks},
-                      {line.name: line.group for line in script.tracks},
-                      {line.name: line.remembers for line in script.tracks},
-                      {seat.name: (seat.zone, seat.rack) for seat in seats.values()},
-                      500 * MILLI, copies.free, copies.share, copies.window if copies.orders else 0, transit)
+        facts = Facts(
+            {line.name: line.effect for line in script.tracks},
+            {line.name: line.group for line in script.tracks},
+            {line.name: line.remembers for line in script.tracks},
+            {seat.name: (seat.zone, seat.rack) for seat in seats.values()},
+            500 * MILLI,
+            copies.free,
+            copies.share,
+            copies.window if copies.orders else 0,
+            transit,
+        )
         self.broken = judge(facts, hosts, self.clients, self.run)
         self.codes = trial.gateways.codes
         self.fetches = sum(event["what"] == "fetch" for event in store)
@@ -46,8 +53,12 @@
             first = firsts.setdefault(
                 event["first"], [event["asked"], event["track"], False, event["what"] == "left"]
             )
-            if event["what"] == "answer" and event["outcome"] == "delivered" and event["status"] == 200 \
-                    and event["at"] - first[0] <= contract[event["track"]]:
+            if (
+                event["what"] == "answer"
+                and event["outcome"] == "delivered"
+                and event["status"] == 200
+                and event["at"] - first[0] <= contract[event["track"]]
+            ):
                 first[2] = True
         self.firsts = [(asked, track, good) for asked, track, good, left in firsts.values() if not left]
         self.service = self._service(worth, lambda asked, track: True)
@@ -64,9 +75,12 @@
 
     def outcomes(self, track):
         ends = [event for event in self.ends if event["track"] == track]
-        return {name: sum((event["outcome"] if event["what"] == "answer" else event["what"]) == name
-                          for event in ends)
-                for name in ("delivered", "declined", "scrapped", "left", "broken", "overdue")}
+        return {
+            name: sum(
+                (event["outcome"] if event["what"] == "answer" else event["what"]) == name for event in ends
+            )
+            for name in ("delivered", "declined", "scrapped", "left", "broken", "overdue")
+        }
 
     @property
     def well(self):
@@ -74,8 +88,16 @@
 
     def plain(self):
         """The result as plain data."""
-        return {"service": self.service, "by_track": self.by_track, "windows": self.windows,
-                "outcomes": {track: self.outcomes(track) for track in self.tracks}, "relays": self.relays,
-                "orders": self.orders, "fetches": self.fetches, "turned_away": self.turned_away,
-                "fell_over": self.fell, "exit_codes": self.codes,
-                "broken": [broken._asdict() for broken in self.broken]}
+        return {
+            "service": self.service,
+            "by_track": self.by_track,
+            "windows": self.windows,
+            "outcomes": {track: self.outcomes(track) for track in self.tracks},
+            "relays": self.relays,
+            "orders": self.orders,
+            "fetches": self.fetches,
+            "turned_away": self.turned_away,
+            "fell_over": self.fell,
+            "exit_codes": self.codes,
+            "broken": [broken._asdict() for broken in self.broken],
+        }
--- a/gaproute/trial/run.py
+++ b/gaproute/trial/run.py
@@ -3,6 +3,7 @@
 The parent starts and ends them by their own ids, writes the host list that the gateways watch, carries out
 the troubles, and notes in `run.tap` what it did and told, when. Judging comes after, from the taps alone.
 """
+
 import random
 from pathlib import Path
 
@@ -16,11 +17,11 @@
 from gaproute.trial.seats import Seats, models_of
 from gaproute.trial.troubles import Troubles
 
-SETTLE = 700 * MILLI         # between all being up and the first task
+SETTLE = 700 * MILLI  # between all being up and the first task
 
 
 class Trial:
-    ENDING = 3 * SECOND      # beyond the longest limit, for gateways that are asked to end
+    ENDING = 3 * SECOND  # beyond the longest limit, for gateways that are asked to end
 
     def __init__(self, script, out, seed=1, decisions="gaproute.decisions.route:Gateway", talk=None):
         self.script, self.out, self.seed, self.decisions = script, Path(out), seed, decisions
@@ -50,9 +51,17 @@
 
     def start_store(self):
         store = self.script.store
-        self.store = self.processes.standin("store", "store", {
-            "listen": ANYWHERE, "pace": store.pace, "limit": store.limit, "thrash": store.thrash,
-            "tap": str(self.out / "store.tap")})
+        self.store = self.processes.standin(
+            "store",
+            "store",
+            {
+                "listen": ANYWHERE,
+                "pace": store.pace,
+                "limit": store.limit,
+                "thrash": store.thrash,
+                "tap": str(self.out / "store.tap"),
+            },
+        )
         self.seats.store_at = (yield self.processes.line(self.store))["address"]
 
     def set_up(self):
--- a/gaproute/trial/script.py
+++ b/gaproute/trial/script.py
@@ -3,6 +3,7 @@
 `day`, `kind`, `traffic`, `store`, `host-life` and `trouble` are the script's; `track`, `copies`, `relays`,
 `reports`, `cold`, `advice` and `clients` go to the gateways' configuration as they stand.
 """
+
 from importlib import resources
 from pathlib import Path
 from typing import ClassVar, Literal
@@ -31,9 +32,9 @@
     retries: int = Field(1, ge=0, le=5)
     impatient: float = Field(0.01, ge=0, le=1)
     zipf: float = 1.1
-    peers: Yes = False                    # gateways tell one another what they know
-    memory: Yes = False                   # gateways keep what they learnt on disk
-    list_delay: Span = 1_000_000_000      # from what happens to a host until the list tells, drains apart
+    peers: Yes = False  # gateways tell one another what they know
+    memory: Yes = False  # gateways keep what they learnt on disk
+    list_delay: Span = 1_000_000_000  # from what happens to a host until the list tells, drains apart
 
 
 class KindLine(Directive):
@@ -85,14 +86,20 @@
     share: float = Field(1.0, ge=0, le=1)
     factor: float = 4.0
     track: str | None = None
-    back: Span = 2_000_000_000       # until what was taken away is back
-    batch: int = 1                   # hosts at a time, in a deploy
+    back: Span = 2_000_000_000  # until what was taken away is back
+    batch: int = 1  # hosts at a time, in a deploy
     gateway: int = 0
-    zone: str | None = None          # hosts of this hall alone
+    zone: str | None = None  # hosts of this hall alone
 
 
-SCRIPT_WORDS = {"day": DayLine, "kind": KindLine, "traffic": TrafficLine, "store": StoreLine,
-                "host-life": HostLife, "trouble": TroubleLine}
+SCRIPT_WORDS = {
+    "day": DayLine,
+    "kind": KindLine,
+    "traffic": TrafficLine,
+    "store": StoreLine,
+    "host-life": HostLife,
+    "trouble": TroubleLine,
+}
 
 
 class Script:
--- a/gaproute/trial/seats.py
+++ b/gaproute/trial/seats.py
@@ -1,4 +1,5 @@
 """The hosts of a day: what each is made of, where it listens, and what the list says of it."""
+
 import signal
 import time
 
@@ -15,8 +16,10 @@
 
     def line(self, where=None):
         started = f" started {self.started / 1e9:.6f}" if self.started else ""
-        return (f"host {self.name} {where or self.where} zone {self.zone} rack {self.rack} capacity "
-                f"{self.kind.cores * self.kind.speed:g} state {self.state}{started}")
+        return (
+            f"host {self.name} {where or self.where} zone {self.zone} rack {self.rack} capacity "
+            f"{self.kind.cores * self.kind.speed:g} state {self.state}{started}"
+        )
 
 
 def models_of(script):
@@ -24,8 +27,15 @@
     models = []
     for number in range(script.day.models):
         traffic = script.traffic[number % len(script.traffic)]
-        models.append({"name": f"m{number:02}", "track": traffic.track, "lanes": traffic.lanes,
-                       "work": traffic.work, "start": traffic.start})
+        models.append(
+            {
+                "name": f"m{number:02}",
+                "track": traffic.track,
+                "lanes": traffic.lanes,
+                "work": traffic.work,
+                "start": traffic.start,
+            }
+        )
     return models
 
 
@@ -51,14 +61,32 @@
     def start(self, seat, warm):
         """A coroutine: the host's process, at the address it had before, if any."""
         life, kind = self.script.life, seat.kind
-        make = {"name": seat.name, "cores": kind.cores, "speed": kind.speed, "copies": kind.copies,
-                "keep": life.keep, "cold_share": life.cold_share, "cold_time": life.cold_time,
-                "fall_multiple": life.fall, "tip": life.tip, "idle_close": life.idle_close}
+        make = {
+            "name": seat.name,
+            "cores": kind.cores,
+            "speed": kind.speed,
+            "copies": kind.copies,
+            "keep": life.keep,
+            "cold_share": life.cold_share,
+            "cold_time": life.cold_time,
+            "fall_multiple": life.fall,
+            "tip": life.tip,
+            "idle_close": life.idle_close,
+        }
         seat.runs += 1
-        seat.process = self.processes.standin("host", f"{seat.name}.{seat.runs}", {
-            "listen": seat.where, "make": make, "models": self.models, "store": self.store_at, "warm": warm,
-            "seed": self.seed * 1000 + seat.number * 10 + seat.runs,
-            "tap": str(self.processes.out / f"host-{seat.name}.{seat.runs}.tap")})
+        seat.process = self.processes.standin(
+            "host",
+            f"{seat.name}.{seat.runs}",
+            {
+                "listen": seat.where,
+                "make": make,
+                "models": self.models,
+                "store": self.store_at,
+                "warm": warm,
+                "seed": self.seed * 1000 + seat.number * 10 + seat.runs,
+                "tap": str(self.processes.out / f"host-{seat.name}.{seat.runs}.tap"),
+            },
+        )
         seat.where = (yield self.processes.line(seat.process))["address"]
         seat.started = None if warm else time.time_ns()
 
@@ -66,8 +94,11 @@
         seat.process.signal(signal.SIGKILL)
 
     def pick(self, line):
-        free = [seat for seat in self.seats.values() if seat.state == "active" and not seat.busy
-                and line.zone in (None, seat.zone)]
+        free = [
+            seat
+            for seat in self.seats.values()
+            if seat.state == "active" and not seat.busy and line.zone in (None, seat.zone)
+        ]
         return self.random.sample(free, min(line.hosts, len(free)))
 
     def close(self):
--- a/gaproute/trial/tables.py
+++ b/gaproute/trial/tables.py
@@ -1,4 +1,5 @@
 """A day's result for a person, 80 columns wide."""
+
 from collections import Counter
 
 from rich import box
@@ -27,9 +28,11 @@
     console.print(
         f"service {share(result.service)}; by 5 s: {' '.join(share(each) for each in result.windows)}"
     )
-    console.print(f"{result.relays} relays, {result.orders} load orders, {result.fetches} store fetches, "
-                  f"{result.turned_away} turned away, {result.fell} hosts fell over; gateways' exit codes "
-                  f"{', '.join(f'{code} {n} times' for code, n in Counter(result.codes.values()).items())}")
+    console.print(
+        f"{result.relays} relays, {result.orders} load orders, {result.fetches} store fetches, "
+        f"{result.turned_away} turned away, {result.fell} hosts fell over; gateways' exit codes "
+        f"{', '.join(f'{code} {n} times' for code, n in Counter(result.codes.values()).items())}"
+    )
     for rule, name in RULES.items():
         broken = [each for each in result.broken if each.rule == rule]
         console.print(f"rule {rule}, {name}: {'kept' if not broken else f'BROKEN {len(broken)} times'}")
--- a/gaproute/trial/troubles.py
+++ b/gaproute/trial/troubles.py
@@ -1,4 +1,5 @@
 """Carries out the troubles of a script: at hosts, at clients, at processes, at the list."""
+
 import signal
 
 from gaproute.trial.processes import MILLI, SECOND
@@ -36,14 +37,19 @@
             self.list.late = 0
         elif line.name in ("gateway-kill", "gateway-stall"):
             number = line.gateway % self.trial.script.day.gateways
-            struck = self.gateways.stall(number, line.lasts) if line.name == "gateway-stall" \
+            struck = (
+                self.gateways.stall(number, line.lasts)
+                if line.name == "gateway-stall"
                 else self.gateways.kill(number, line.back)
+            )
             yield self.loop.spawn(struck).done
         elif line.name == "deploy":
             seats = self.seats.pick(line)
             for place in range(0, len(seats), line.batch):
-                moves = [self.loop.spawn(self.replace(seat, line.lasts, line.back))
-                         for seat in seats[place:place + line.batch]]
+                moves = [
+                    self.loop.spawn(self.replace(seat, line.lasts, line.back))
+                    for seat in seats[place : place + line.batch]
+                ]
                 for move in moves:
                     yield move.done
         elif line.name == "preempt":
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 from hypothesis import settings
 from scripted import Gate
 
-settings.register_profile("steady", derandomize=True, deadline=None)    # the same verdict every time
+settings.register_profile("steady", derandomize=True, deadline=None)  # the same verdict every time
 settings.load_profile("steady")
 
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -201,14 +201,20 @@
         fresh.replace(self.list)
 
     def seen(self, what, **told):
-        return [event for tap in self.taps for event in tap.events
-                if event["what"] == what and all(event.get(key) == value for key, value in told.items())]
+        return [
+            event
+            for tap in self.taps
+            for event in tap.events
+            if event["what"] == what and all(event.get(key) == value for key, value in told.items())
+        ]
 
     def ask(self, model="lamp", name="t", fields="", path=None, body=None):
         """A call as bytes on a connection of its own; a promise of the answer, or of None where none came."""
         body = json.dumps({"id": name, "inputs": []}).encode() if body is None else body
-        data = (f"POST {path or f'/v2/models/{model}/infer'} HTTP/1.1\r\nHost: g\r\n{fields}"
-                f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+        data = (
+            f"POST {path or f'/v2/models/{model}/infer'} HTTP/1.1\r\nHost: g\r\n{fields}"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
         return self.exchange(data)
 
     def get(self, path):
@@ -230,9 +236,11 @@
 
     def until(self, condition, within=10):
         """Turns of the loop until the condition holds."""
+
         def watch():
             while not condition():
                 yield self.loop.sleep(2 * MILLI)
+
         self.wait(self.loop.spawn(watch()).done, within)
 
     def rest(self, span):
--- a/tests/keepers_net.py
+++ b/tests/keepers_net.py
@@ -1,4 +1,5 @@
 """Keepers and holders on a net and a clock of the test's own; random faults are for `gaproute/driver`."""
+
 import heapq
 import random
 
@@ -44,7 +45,7 @@
         self.records, self.synced = [], 0
 
     def crash(self, chance):
-        del self.records[self.synced + chance.below(1 + len(self.records) - self.synced):]
+        del self.records[self.synced + chance.below(1 + len(self.records) - self.synced) :]
         self.synced = len(self.records)
 
 
@@ -60,8 +61,9 @@
         self.holders = {f"h{n}": Holder(f"h{n}", self.names, self.chance, 0) for n in range(holders)}
 
     def start(self, name):
-        self.keepers[name] = Keeper(name, self.names, self.disks[name], self.chance, self.now,
-                                    Permits(quiet=False))
+        self.keepers[name] = Keeper(
+            name, self.names, self.disks[name], self.chance, self.now, Permits(quiet=False)
+        )
 
     def crash(self, name, lost=False):
         if self.keepers.pop(name, None) is not None:
@@ -73,8 +75,10 @@
         for to, message in messages:
             if (sender, to) not in self.cut:
                 self.count += 1
-                heapq.heappush(self.flying, (self.now + (1 + self.chance.below(5)) * MILLI, self.count,
-                                             sender, to, message))
+                heapq.heappush(
+                    self.flying,
+                    (self.now + (1 + self.chance.below(5)) * MILLI, self.count, sender, to, message),
+                )
 
     def everyone(self):
         return {**self.keepers, **self.holders}
@@ -104,5 +108,6 @@
 
     @property
     def leader(self):
-        return max((each for each in self.keepers.values() if each.leading), key=lambda each: each.term,
-                   default=None)
+        return max(
+            (each for each in self.keepers.values() if each.leading), key=lambda each: each.term, default=None
+        )
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,5 +1,6 @@
 """The platform's gateway with scripted peers on loopback: a host, a client and a change log that speak,
 stall, half-close and reset byte for byte as a test tells them, on a clock that the test may hold."""
+
 import json
 import socket
 
@@ -15,14 +16,35 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SETTINGS = {
-    "lanes": [{"name": "fault-check", "effect": "free", "aim": 500.0, "deadline": 3000.0, "worth": 3.0},
-              {"name": "repair-order", "effect": "single_shot", "aim": 500.0, "deadline": 3000.0}],
-    "limits": {"cancel": True, "probes": True, "send_cap": 6, "retry_after": True, "max_retry_after": 1000.0,
-               "conn_idle": 15000.0, "connect_timeout": 250.0, "multiplex": 100, "may_duplicate": True},
-    "family_info": {"counts_alike": True, "idle_life": 9800.0, "warm_notes": True, "placement_calls": True,
-                    "loads_anyway": 6, "load_part": 0.3, "loads_within": 10000.0, "order_limit": 10000.0},
+    "lanes": [
+        {"name": "fault-check", "effect": "free", "aim": 500.0, "deadline": 3000.0, "worth": 3.0},
+        {"name": "repair-order", "effect": "single_shot", "aim": 500.0, "deadline": 3000.0},
+    ],
+    "limits": {
+        "cancel": True,
+        "probes": True,
+        "send_cap": 6,
+        "retry_after": True,
+        "max_retry_after": 1000.0,
+        "conn_idle": 15000.0,
+        "connect_timeout": 250.0,
+        "multiplex": 100,
+        "may_duplicate": True,
+    },
+    "family_info": {
+        "counts_alike": True,
+        "idle_life": 9800.0,
+        "warm_notes": True,
+        "placement_calls": True,
+        "loads_anyway": 6,
+        "load_part": 0.3,
+        "loads_within": 10000.0,
+        "order_limit": 10000.0,
+    },
     "report": {"names": ["cpu_share", "x0"], "source": "pull"},
-    "rules": {"cold": 18000.0, "cold_from": 0.17}, "zones": ["hall-a"], "membership_mode": "pushed",
+    "rules": {"cold": 18000.0, "cold_from": 0.17},
+    "zones": ["hall-a"],
+    "membership_mode": "pushed",
 }
 
 
@@ -86,8 +108,9 @@
         self.clock = clock
         self.loop, self.told = Loop(clock) if clock else Loop(), []
         self.log = ChangeLog(self.loop, script, **log)
-        self.follower = Follower(self.loop, self.log.address, last, lambda each: self.told.append(each.seq),
-                                 Chance(1), known)
+        self.follower = Follower(
+            self.loop, self.log.address, last, lambda each: self.told.append(each.seq), Chance(1), known
+        )
 
     def until(self, condition):
         turn_until(self.loop, condition)
@@ -117,16 +140,30 @@
         self.log = ChangeLog(self.loop)
         self.lines = []
         self.path = folder / "config.json"
-        self.told = {"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "changelog": self.log.address,
-                     "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets}, "settings": SETTINGS,
-                     "known": {"seq": 1, "results": [event(1, *[
-                         (f"s-{place}", host.address, "Ready") for place, host in enumerate(self.hosts)],
-                         complete=True)]}} | told
+        self.told = {
+            "name": "n1",
+            "listen": "127.0.0.1:0",
+            "seed": "8c1f",
+            "changelog": self.log.address,
+            "limits": {"cores": 0.5, "memory_mb": 64, "sockets": sockets},
+            "settings": SETTINGS,
+            "known": {
+                "seq": 1,
+                "results": [
+                    event(
+                        1,
+                        *[(f"s-{place}", host.address, "Ready") for place, host in enumerate(self.hosts)],
+                        complete=True,
+                    )
+                ],
+            },
+        } | told
         self.write()
         log = Log(-1)
         log.line = lambda level, what, told: self.lines.append((what, told))
-        self.process = Process(str(self.path), charters.read(str(self.path)), loop=self.loop, log=log,
-                               followed=followed)
+        self.process = Process(
+            str(self.path), charters.read(str(self.path)), loop=self.loop, log=log, followed=followed
+        )
         self.process.start()
         self.where = self.process.front.address
         self.clients = []
@@ -142,7 +179,7 @@
         if self.clock is None:
             turn_until(self.loop, condition)
             return
-        for _ in range(2000):                # turns of a millisecond at most, in which no time passes
+        for _ in range(2000):  # turns of a millisecond at most, in which no time passes
             if condition():
                 return
             self.loop.turn()
@@ -163,8 +200,14 @@
         return sum(len(host.seen("go")) for host in self.hosts)
 
     def close(self):
-        for part in (self.process.front, self.process.follower, self.process.hosts, self.process.peers,
-                     *self.hosts, self.log):
+        for part in (
+            self.process.front,
+            self.process.follower,
+            self.process.hosts,
+            self.process.peers,
+            *self.hosts,
+            self.log,
+        ):
             if part is not None:
                 part.close()
         for client in self.clients:
--- a/tests/test_benchmark_fleet.py
+++ b/tests/test_benchmark_fleet.py
@@ -1,4 +1,5 @@
 """The fleet's benchmark: its measures on figures made by hand, and plays that are the same each time."""
+
 from types import SimpleNamespace
 
 import pytest
@@ -55,6 +56,7 @@
 def test_the_points_that_decided():
     def scored(name, warmth, queue, prior):
         return Scored(SimpleNamespace(id=name), warmth, 6 * warmth, queue, 0.0, prior, 0.0, 0.0)
+
     first, second = scored("a", 0, 0.2, 2.0), scored("b", 0, 0.1, 1.7)
     assert follow.why([first, second], "a") == "prior"
     assert follow.why([first, scored("b", 0, 0.1, 2.0)], "b") == "queue among equal priors"
