--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -1,4 +1,5 @@
 """The log of changes: events out of bytes, and the one connection that follows it."""
+
 import json
 
 import pytest
@@ -24,10 +25,13 @@
     parts = [b": alive\n\n", sse(ONE), b": alive\n\n", sse(TWO).replace(b"\n", b"\r\n")]
     data = HEAD + b"\r\n" + b"".join(parts)
     if chunked:
-        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"".join(
-            b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+        data = (
+            HEAD
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+        )
     reader = events.Reader()
-    got = [each.seq for at in range(0, len(data), cut) for each in reader.feed(data[at:at + cut])]
+    got = [each.seq for at in range(0, len(data), cut) for each in reader.feed(data[at : at + cut])]
     assert got == [1, 2]
 
 
@@ -36,7 +40,7 @@
     assert [each.seq for each in reader.feed(HEAD + b"\r\n" + sse(ONE) + sse(TWO)[:-1])] == [1]
 
 
-@pytest.mark.parametrize("data", [b"{", b"{\"seq\":\"x\"}", b"{\"seq\":1,\"fleet\":5}", b"\xff", b"[" * 9999])
+@pytest.mark.parametrize("data", [b"{", b'{"seq":"x"}', b'{"seq":1,"fleet":5}', b"\xff", b"[" * 9999])
 def test_what_is_no_event_is_told_and_those_behind_it_are_read(data):
     one, two = events.Reader().feed(HEAD + b"\r\ndata: " + data + b"\n\n" + sse(TWO))
     assert one is None and two.seq == 2
@@ -64,7 +68,7 @@
     lister = events.Lister(loop, ["hall-b", "hall-a"], lambda: 1_000 * SECOND)
     told = event(1, ("s-1", "127.0.0.1:5", "Ready"), ("s-2", "nowhere", "Ready"), ("s-3", "127.0.0.1:6", "X"))
     told["fleet"]["members"][0]["up_since_ms"] = 990_000
-    row, = lister.rows(events.known({"results": [told]})[1][0].fleet)
+    (row,) = lister.rows(events.known({"results": [told]})[1][0].fleet)
     assert (row.listed.worker, row.listed.zone, row.listed.cell, row.where) == ("s-1", 1, 2, "127.0.0.1:5")
     assert (row.listed.state, row.listed.capacity, row.listed.started) == (State.ACTIVE, 4.0, 40 * SECOND)
     assert lister.refused == 2
@@ -77,8 +81,11 @@
 
 
 def test_it_asks_from_the_last_number_and_passes_over_what_is_written_twice(follow):
-    made = follow(lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE), last=1,
-                  known=events.known({"results": [ONE]})[1])
+    made = follow(
+        lambda last: sse(ONE) + sse(TWO) + sse(TWO) + sse(ONE),
+        last=1,
+        known=events.known({"results": [ONE]})[1],
+    )
     made.until(lambda: made.told)
     assert made.log.came == [1] and made.told == [2]
 
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,4 +1,5 @@
 """Cold hosts over a whole fleet: what each gateway may send, and what all together send."""
+
 import pytest
 
 from benchmarks.cold import Day, day, play
@@ -10,7 +11,7 @@
 def test_a_fleet_all_cold_is_looked_through_once_a_choice():
     made = gateway(*[row(f"h{number}", started=0) for number in range(1200)])
     for worker in made.fleet:
-        worker.credit = 1 / SECOND           # each is passed over
+        worker.credit = 1 / SECOND  # each is passed over
     assert made.choose(0, task(), Trail()) is None
     assert not any(worker.credit for worker in made.fleet)
 
@@ -26,7 +27,7 @@
     made = gateway(row("a"), *[row(f"c{number}", started=0) for number in range(9)])
     cold = [worker for worker in made.fleet if worker.id != "a"]
     made.spread_credit(1, cold[0])
-    assert sum([worker.credit for worker in cold]) == pytest.approx(0.8)     # one warm, five would do
+    assert sum([worker.credit for worker in cold]) == pytest.approx(0.8)  # one warm, five would do
     half = gateway(row("a"), row("b", started=0))
     half.spread_credit(1, half.workers["b"])
     assert half.workers["b"].credit == 0
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -32,30 +32,33 @@
     assert charter.hosts[0].started == 1767225600 * 10**9
 
 
-@pytest.mark.parametrize("line, says", [
-    ("modle x track a", "did you mean model?"),
-    ("model x track nope", "no track 'nope'"),
-    ("model m track a", "stands a second time"),
-    ("model x track a lanes 0", "greater than or equal to 1"),
-    ("model x track a lanes", "lanes has no value"),
-    ("model x track a lanes 2 lanes 3", "lanes stands twice"),
-    ("model x track a lames 2", "perhaps lanes"),
-    ("model", "NAME is missing"),
-    ("track c pure contract 9s limit 1s", "contract time is over the limit"),
-    ("track c pure contract 1 limit 1s", "no time"),
-    ("track c pure contract nans limit 1s", "no time"),
-    ("track c receipted contract 1s limit 1s", "remembers"),
-    ("track c odd contract 1s limit 1s", "'pure', 'receipted' or 'effectful'"),
-    ("host h2 nowhere", "HOST:PORT"),
-    ("host h2 127.0.0.1:1 capacity 0", "greater than 0"),
-    ("host h2 127.0.0.1:1 started 2026-01-01", "lacks its offset"),
-    ("hosts-file x.list", "keep one of the two"),
-    ("name again", "second time"),
-    ("clients body 3q", "no size"),
-    ("relays twins maybe", "neither yes nor no"),
-    ("decisions gaproute.nothing:Gateway", "No module"),
-    ('name "open', "close the quote"),
-])
+@pytest.mark.parametrize(
+    "line, says",
+    [
+        ("modle x track a", "did you mean model?"),
+        ("model x track nope", "no track 'nope'"),
+        ("model m track a", "stands a second time"),
+        ("model x track a lanes 0", "greater than or equal to 1"),
+        ("model x track a lanes", "lanes has no value"),
+        ("model x track a lanes 2 lanes 3", "lanes stands twice"),
+        ("model x track a lames 2", "perhaps lanes"),
+        ("model", "NAME is missing"),
+        ("track c pure contract 9s limit 1s", "contract time is over the limit"),
+        ("track c pure contract 1 limit 1s", "no time"),
+        ("track c pure contract nans limit 1s", "no time"),
+        ("track c receipted contract 1s limit 1s", "remembers"),
+        ("track c odd contract 1s limit 1s", "'pure', 'receipted' or 'effectful'"),
+        ("host h2 nowhere", "HOST:PORT"),
+        ("host h2 127.0.0.1:1 capacity 0", "greater than 0"),
+        ("host h2 127.0.0.1:1 started 2026-01-01", "lacks its offset"),
+        ("hosts-file x.list", "keep one of the two"),
+        ("name again", "second time"),
+        ("clients body 3q", "no size"),
+        ("relays twins maybe", "neither yes nor no"),
+        ("decisions gaproute.nothing:Gateway", "No module"),
+        ('name "open', "close the quote"),
+    ],
+)
 def test_each_mistake_is_told_with_line_and_cure(line, says):
     told = wrong(GOOD + line + "\n")
     assert any(says in text for _, text in told) and told[0][0] in (0, 8, 7), told
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,4 +1,5 @@
 """The core with scripted decisions and scripted hosts, on a clock that stands still."""
+
 import pytest
 
 from gaproute import interface as face
@@ -138,7 +139,7 @@
     turns(made)
     assert made.finals == [] and made.hosts.taken_back == ["w"] and not made.held
     assert [outcome.result for outcome in made.gateway.told] == [face.Result.CANCELLED]
-    made.client_left(key)       # a second time is nothing
+    made.client_left(key)  # a second time is nothing
 
 
 def test_a_relay_still_out_after_the_final_answer_is_accounted_for_at_the_limit():
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -1,4 +1,5 @@
 """Crossings between the gateway and its hosts: what is still owed when a dial, a list or a client ends."""
+
 import errno
 import json
 import socket
@@ -12,18 +13,31 @@
 from gaproute.standins.platform import arg, event
 from scripted import MILLI, SECOND, SETTINGS, Handed, HeldDials, nothing
 
-KEYED = {"name": "plan", "effect": "guarded", "group": "all", "dedup_window": 700.0, "aim": 500.0,
-         "deadline": 3000.0}
+KEYED = {
+    "name": "plan",
+    "effect": "guarded",
+    "group": "all",
+    "dedup_window": 700.0,
+    "aim": 500.0,
+    "deadline": 3000.0,
+}
 
 
 def settings(cancel=True, **told):
-    return SETTINGS | {"lanes": [*SETTINGS["lanes"], KEYED], "limits": SETTINGS["limits"] | {
-        "cancel": cancel, "connect_timeout": 1000.0}} | told
+    return (
+        SETTINGS
+        | {
+            "lanes": [*SETTINGS["lanes"], KEYED],
+            "limits": SETTINGS["limits"] | {"cancel": cancel, "connect_timeout": 1000.0},
+        }
+        | told
+    )
 
 
 @pytest.fixture
 def slow(gate, monkeypatch):
     """A gateway on a held clock whose dials come up when the test lets them; only tasks are counted."""
+
     def make(*args, cancel=True, probes=False, **told):
         dials = HeldDials()
         monkeypatch.setattr(links, "connect", dials)
@@ -31,6 +45,7 @@
         made = gate(*args, clock=Handed(), settings=settings() | {"limits": limits}, **told)
         made.dials = dials
         return made
+
     return make
 
 
@@ -91,7 +106,7 @@
     first = made.client()
     first.ask(1)
     made.until(lambda: first.answers)
-    link, = made.process.hosts.hosts["s-0"].links
+    (link,) = made.process.hosts.hosts["s-0"].links
     link.stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
     for stream in made.hosts[0].streams:
         stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
@@ -117,9 +132,9 @@
 def test_a_host_back_under_its_id_is_not_sent_to_on_connections_of_its_life_before(gate, change):
     made = gate(hosts=2)
     known, name = made.process.hosts.hosts, "s-0"
-    made.until(lambda: any(link.served for link in known[name].links))       # a probe's
+    made.until(lambda: any(link.served for link in known[name].links))  # a probe's
     old = next(iter(known[name].links))
-    old.open["x"] = links.Asked(old, "x", None, 0, None, 0)      # still at work there
+    old.open["x"] = links.Asked(old, "x", None, 0, None, 0)  # still at work there
     old.open["x"].stop = 0
     where = made.hosts[1 if change == "address" else 0].address
     told = event(2, (name, where, "Ready"))
@@ -145,6 +160,7 @@
             else:
                 made.hosts[0].say(came[0][0], command, "served", data=arg(b"stale"))
                 made.hosts[0].serve(stream, command)
+
     made = gate(answer)
     client = made.client()
     client.ask(1)
@@ -158,7 +174,7 @@
     asked(made, 1)
     made.dials.let()
     made.until(made.came)
-    link, = made.process.hosts.hosts["s-0"].links
+    (link,) = made.process.hosts.hosts["s-0"].links
     link.open["y"] = links.Asked(link, "y", None, 0, lambda *_: pytest.fail("taken for an answer"), 0)
     link.bytes(b'{"type":"served","req":"y","data":""}\n')
     assert made.process.hosts.strays == 1 and len(link.open) == 2
@@ -193,7 +209,7 @@
     client = made.client()
     client.ask(1)
     made.until(made.came)
-    other, = [each for each in made.process.hosts.hosts["s-0"].links if f"{1:016x}" in each.open]
+    (other,) = [each for each in made.process.hosts.hosts["s-0"].links if f"{1:016x}" in each.open]
     other.open["z"] = links.Asked(other, "z", None, 0, None, made.loop.now() + 9 * SECOND)  # keeps it in use
     client.message({"jsonrpc": "2.0", "method": "abort", "params": {"id": 1}})
     made.turns()
@@ -231,8 +247,10 @@
     client.ask(1, "plan", k="00ff" * 8)
     client.ask(2)
     made.until(lambda: len(client.answers) == 2)
-    assert {each["req"][-1]: each["meta"].get("nonce") for each in made.hosts[0].seen("go")} == \
-        {"1": "00ff" * 8, "2": None}
+    assert {each["req"][-1]: each["meta"].get("nonce") for each in made.hosts[0].seen("go")} == {
+        "1": "00ff" * 8,
+        "2": None,
+    }
 
 
 def test_what_came_of_a_gone_hosts_last_relays_is_not_kept_for_ever(gate):
@@ -241,7 +259,7 @@
     client.ask(1, "repair-order")
     made.until(made.came)
     name = "s-0" if made.hosts[0].seen("go") else "s-1"
-    other, = [each for each in made.process.hosts.hosts if each != name]
+    (other,) = [each for each in made.process.hosts.hosts if each != name]
     where = made.process.hosts.hosts[other].text
     told = event(2, (other, where, "Ready"), complete=True)
     made.process.told(events.known({"seq": 2, "results": [told]})[1][0])
@@ -263,4 +281,5 @@
     made.process.hosts.order("s-0", "m", 1, lambda *told: done.append(told))
     made.until(lambda: done)
     assert made.hosts[0].seen("stat") and not any(
-        link.carried for link in made.process.hosts.hosts["s-0"].links)
+        link.carried for link in made.process.hosts.hosts["s-0"].links
+    )
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -1,4 +1,5 @@
 """The list's way in falls silent, breaks and jumps: forced by the order of bytes, on a handed clock."""
+
 import json
 import resource
 import time
@@ -39,11 +40,27 @@
         made.passes(SECOND)
 
 
-@pytest.mark.parametrize("head,first,later", [
-    (b"", b"", b""), (ENDLESS, b"", b"a"), (HEAD, b"", b""), (HEAD, HALF, b""),
-    (HEAD, HALF, b"a"), (HEAD, b"data: {\n", b": alive\n"), (CHUNKED + b"1;", b"", b"a"),
-], ids=["no head", "a head that trickles", "silent after the head", "half an event", "an event that trickles",
-        "comments in an event without an end", "a chunk's extension that trickles"])
+@pytest.mark.parametrize(
+    "head,first,later",
+    [
+        (b"", b"", b""),
+        (ENDLESS, b"", b"a"),
+        (HEAD, b"", b""),
+        (HEAD, HALF, b""),
+        (HEAD, HALF, b"a"),
+        (HEAD, b"data: {\n", b": alive\n"),
+        (CHUNKED + b"1;", b"", b"a"),
+    ],
+    ids=[
+        "no head",
+        "a head that trickles",
+        "silent after the head",
+        "half an event",
+        "an event that trickles",
+        "comments in an event without an end",
+        "a chunk's extension that trickles",
+    ],
+)
 def test_what_becomes_nothing_whole_is_asked_again_in_time(follow, head, first, later):
     """4 s after a log fell silent what it has to tell counts as told: by then another answer must be here."""
     made = follow(lambda last: first if len(made.log.came) == 1 else sse(TWO), last=1, head=head)
@@ -58,7 +75,7 @@
     made = follow(lambda last: b"", last=1)
     made.passes(100 * MILLI)
     for at in range(0, len(whole), following.PACE):
-        made.log.streams[0].write(whole[at:at + following.PACE])
+        made.log.streams[0].write(whole[at : at + following.PACE])
         made.passes(SECOND)
     assert made.told == [2] and made.log.came == [1]
 
@@ -70,12 +87,17 @@
     assert made.log.came == [1]
 
 
-@pytest.mark.parametrize("head,why", [
-    (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "status 503"),
-    (b"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", "status 404"),
-    (b"HTTP/1.1 307 There\r\nLocation: http://127.0.0.1:9/\r\nContent-Length: 0\r\n\r\n", "status 307"),
-    (b"SSH-2.0-x\r\n", "HTTP"), (CHUNKED + b"0\r\n\r\n", "the answer has ended"),
-], ids=["503", "404", "redirect", "no HTTP", "an end at once"])
+@pytest.mark.parametrize(
+    "head,why",
+    [
+        (b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "status 503"),
+        (b"HTTP/1.1 404 No\r\nContent-Length: 2\r\n\r\nno", "status 404"),
+        (b"HTTP/1.1 307 There\r\nLocation: http://127.0.0.1:9/\r\nContent-Length: 0\r\n\r\n", "status 307"),
+        (b"SSH-2.0-x\r\n", "HTTP"),
+        (CHUNKED + b"0\r\n\r\n", "the answer has ended"),
+    ],
+    ids=["503", "404", "redirect", "no HTTP", "an end at once"],
+)
 def test_answers_that_tell_nothing_are_asked_less_and_less_often_and_never_given_up(follow, head, why):
     made = follow(lambda last: b"", last=1, head=head)
     made.passes(4 * SECOND)
@@ -87,8 +109,9 @@
 
 def test_a_chunked_answer_that_ends_is_asked_again_at_once(follow):
     part = sse(TWO)
-    made = follow(lambda last: b"%x\r\n%b\r\n0\r\n\r\n" % (len(part), part) if last == 1 else b"", last=1,
-                  head=CHUNKED)
+    made = follow(
+        lambda last: b"%x\r\n%b\r\n0\r\n\r\n" % (len(part), part) if last == 1 else b"", last=1, head=CHUNKED
+    )
     made.passes(100 * MILLI)
     assert made.told == [2] and made.log.came[:2] == [1, 2]
 
@@ -145,10 +168,18 @@
     assert [row.listed.worker for row in rows] == ["s-2", "s-3"]
 
 
-@pytest.mark.parametrize("head,piece", [
-    (ENDLESS, b"a"), (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"), (HEAD, b"data:\n"), (HEAD, b"a"),
-    (HEAD, b"data: a\n:\n"), (CHUNKED + b"1;", b"a"),
-], ids=["header", "headers", "lines", "line", "comments in an event", "chunk's extension"])
+@pytest.mark.parametrize(
+    "head,piece",
+    [
+        (ENDLESS, b"a"),
+        (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n"),
+        (HEAD, b"data:\n"),
+        (HEAD, b"a"),
+        (HEAD, b"data: a\n:\n"),
+        (CHUNKED + b"1;", b"a"),
+    ],
+    ids=["header", "headers", "lines", "line", "comments in an event", "chunk's extension"],
+)
 def test_an_answer_without_an_end_is_given_up_at_a_bounded_size(head, piece):
     reader = events.Reader()
     reader.feed(head)
@@ -160,9 +191,9 @@
 def test_a_list_of_a_thousand_hosts_costs_little_in_the_smallest_pieces():
     data = HEAD + sse(event(1, *[(f"s-{place}", "127.0.0.1:5", "Ready") for place in range(1024)]))
     reader, began = events.Reader(), time.process_time()
-    got = [each for at in range(len(data)) for each in reader.feed(data[at:at + 1])]
+    got = [each for at in range(len(data)) for each in reader.feed(data[at : at + 1])]
     assert len(got[0].fleet.members) == 1024
-    assert time.process_time() - began < 2        # 0.2 s; looked through anew with each piece it took 6 s
+    assert time.process_time() - began < 2  # 0.2 s; looked through anew with each piece it took 6 s
 
 
 @pytest.fixture
@@ -238,10 +269,16 @@
 AGAIN = event(1, ("s-9", "127.0.0.1:9", "Ready"), complete=True)
 
 
-@pytest.mark.parametrize("first,told", [
-    (sse(AGAIN) + sse(TWO), [1, 2]), (sse(ONE) + sse(AGAIN) + sse(event(42)), [42]),
-    (sse(TWO) + sse(AGAIN), []), (sse(event(1, ("s-1", "127.0.0.1:5", "Gone"))), []),
-], ids=["a list that differs", "one had and then one", "a change and then one", "no whole list"])
+@pytest.mark.parametrize(
+    "first,told",
+    [
+        (sse(AGAIN) + sse(TWO), [1, 2]),
+        (sse(ONE) + sse(AGAIN) + sse(event(42)), [42]),
+        (sse(TWO) + sse(AGAIN), []),
+        (sse(event(1, ("s-1", "127.0.0.1:5", "Gone"))), []),
+    ],
+    ids=["a list that differs", "one had and then one", "a change and then one", "no whole list"],
+)
 def test_a_log_that_begins_anew_is_told_from_one_that_writes_twice(follow, first, told):
     known = events.known({"results": [ONE]})[1]
     made = follow(lambda last: first if last == 41 else b"", last=41, known=known)
@@ -296,11 +333,21 @@
     loop.close()
 
 
-@pytest.mark.parametrize("since,started", [
-    (0, None), (-5, None), (None, None), ("nan", None), ("999999000", 49 * SECOND),
-    (999_999_000.0, 49 * SECOND), (10 ** 15, 50 * SECOND), (10 ** 300, 50 * SECOND),
-    (1_000_000, (50 + 1000 - 1_000_000) * SECOND),
-], ids=str)
+@pytest.mark.parametrize(
+    "since,started",
+    [
+        (0, None),
+        (-5, None),
+        (None, None),
+        ("nan", None),
+        ("999999000", 49 * SECOND),
+        (999_999_000.0, 49 * SECOND),
+        (10**15, 50 * SECOND),
+        (10**300, 50 * SECOND),
+        (1_000_000, (50 + 1000 - 1_000_000) * SECOND),
+    ],
+    ids=str,
+)
 def test_a_start_that_makes_no_sense_does_no_harm(lister, since, started):
     row = listed(lister, ("s-1", "127.0.0.1:5", "Ready"), up_since_ms=since)["s-1"]
     assert row.listed.started == started
@@ -386,10 +433,31 @@
                 follower.move(step[0])
 
 
-STEPS = st.sampled_from([
-    "up", "up", "down", "end", HEAD, HEAD, b":\n\n", HALF, sse(ONE), sse(TWO), sse(event(9)), b"data: {\n\n",
-    b"HTTP/1.1 500 No\r\n\r\n", b"0\r\n\r\n", CHUNKED, 0, 30 * MILLI, following.CONNECT, following.SILENCE,
-    ("127.0.0.1:1",), ("127.0.0.1:2",)])
+STEPS = st.sampled_from(
+    [
+        "up",
+        "up",
+        "down",
+        "end",
+        HEAD,
+        HEAD,
+        b":\n\n",
+        HALF,
+        sse(ONE),
+        sse(TWO),
+        sse(event(9)),
+        b"data: {\n\n",
+        b"HTTP/1.1 500 No\r\n\r\n",
+        b"0\r\n\r\n",
+        CHUNKED,
+        0,
+        30 * MILLI,
+        following.CONNECT,
+        following.SILENCE,
+        ("127.0.0.1:1",),
+        ("127.0.0.1:2",),
+    ]
+)
 
 
 @given(st.lists(STEPS, max_size=30))
--- a/tests/test_crossings_orders.py
+++ b/tests/test_crossings_orders.py
@@ -3,6 +3,7 @@
 
 What is judged is what a host was handed, at the moment at which it was.
 """
+
 import errno
 import json
 from types import SimpleNamespace
@@ -24,19 +25,42 @@
 from scripted import MILLI, SECOND, HeldDials
 
 HOSTS = ("a", "b")
-LEFT = 3 * SECOND                        # that each client waits
+LEFT = 3 * SECOND  # that each client waits
 SPANS = (0, MILLI, 20 * MILLI, 100 * MILLI, 700 * MILLI)
-WINDOW = 300 * MILLI                     # for which hosts know a repeat
+WINDOW = 300 * MILLI  # for which hosts know a repeat
 TRACKS = tuple(track._replace(repeat_window=WINDOW, contract_time=200 * MILLI) for track in TERMS.tracks)
 NEVER_RAN = ("overload", "not_here", "nobody")
 ANSWERS = ("served", "served", "served", "crashed", "garbled", *NEVER_RAN)
-FULL = ("overload",)                    # of hosts that turn all away
+FULL = ("overload",)  # of hosts that turn all away
 ENDS = (None, ConnectionResetError(errno.ECONNRESET, "reset"))
-FAILS = (ConnectionRefusedError(errno.ECONNREFUSED, "refused"), OSError(errno.EMFILE, "too many open files"),
-         TimeoutError("no answer"))
-EVENTS = (*["take"] * 4, *["up"] * 8, *["answer"] * 10, *["pass"] * 3, "leave", "fail", "again", "again",
-          "stranger", "stranger", "spoil", "end", "end", "end", "change", "back", "back", "room", "room",
-          "connections", "last")
+FAILS = (
+    ConnectionRefusedError(errno.ECONNREFUSED, "refused"),
+    OSError(errno.EMFILE, "too many open files"),
+    TimeoutError("no answer"),
+)
+EVENTS = (
+    *["take"] * 4,
+    *["up"] * 8,
+    *["answer"] * 10,
+    *["pass"] * 3,
+    "leave",
+    "fail",
+    "again",
+    "again",
+    "stranger",
+    "stranger",
+    "spoil",
+    "end",
+    "end",
+    "end",
+    "change",
+    "back",
+    "back",
+    "room",
+    "room",
+    "connections",
+    "last",
+)
 
 
 class Ticking(Stepped):
@@ -97,8 +121,14 @@
         self.loop = Loop(Ticking(1000 * SECOND))
         self.loop.on_error = self.errors.append
         self.twins, self.answers = twins, answers
-        site = SimpleNamespace(idle_time=15 * SECOND, connect_time=0, order_time=SECOND, shared=shared,
-                               counts_alike=True, halts=cancel)
+        site = SimpleNamespace(
+            idle_time=15 * SECOND,
+            connect_time=0,
+            order_time=SECOND,
+            shared=shared,
+            counts_alike=True,
+            halts=cancel,
+        )
         self.hosts = Hosts(self.loop, Pooling(), site, 64)
         terms = TERMS._replace(tracks=TRACKS, cancel_allowed=cancel, twins_allowed=twins)
         self.record = Record(SimpleNamespace(error=lambda what, **told: self.errors.append(told)), "pgs", 0)
@@ -106,7 +136,7 @@
         self.core = Core(self.loop, Gateway(7, terms, self.loop.now()), terms, self.hosts, self.record, "g")
         self.rows = {name: row(name, started=0) for name in HOSTS}
         self.lives = {name: SimpleNamespace(world=self, name=name) for name in HOSTS}
-        self.tasks, self.named, self.attempts = [], {}, []     # `named`: by the client's own id, the last one
+        self.tasks, self.named, self.attempts = [], {}, []  # `named`: by the client's own id, the last one
         self.last = 1 << 62
         self.change()
 
@@ -130,8 +160,16 @@
         if not self.twins:
             assert all(each.said or not each.wire.open for each in before), "two are out"
         stop = wire.handed + size
-        self.attempts.append(SimpleNamespace(task=task, wire=wire, at=now, said=None, name=command["req"],
-                                             whole=lambda: wire.handed >= stop))
+        self.attempts.append(
+            SimpleNamespace(
+                task=task,
+                wire=wire,
+                at=now,
+                said=None,
+                name=command["req"],
+                whole=lambda: wire.handed >= stop,
+            )
+        )
 
     # Events
 
@@ -139,8 +177,9 @@
         """A task; also under the id of one that is over."""
         over = [name for name, task in self.named.items() if task.finals or task.left]
         name = over[-1] if over and way == 0 else str(len(self.tasks))
-        task = SimpleNamespace(finals=[], left=False, effect=TRACKS[place % 3].effect,
-                               end=self.loop.now() + LEFT)
+        task = SimpleNamespace(
+            finals=[], left=False, effect=TRACKS[place % 3].effect, end=self.loop.now() + LEFT
+        )
         self.named[name] = task
         self.tasks.append(task)
         call = Call(f"m{place % 2}", "", (), b"", name, "x")
@@ -150,7 +189,7 @@
         if waits := [task for task in self.tasks if not task.finals and not task.left]:
             task = waits[place % len(waits)]
             held = self.core.held.get(task.key)
-            task.left = held is not None and held.finish is not None       # else its answer is on its way
+            task.left = held is not None and held.finish is not None  # else its answer is on its way
             self.core.client_left(task.key)
 
     def dialled(self, place):
@@ -175,7 +214,7 @@
         return some[place % len(some)] if some else None
 
     def answer(self, place, way):
-        self.passes(20 * MILLI)              # no host answers at once
+        self.passes(20 * MILLI)  # no host answers at once
         if each := self.pick(place, lambda each: each.said is None):
             each.said = self.answers[way % len(self.answers)]
             kind, data = ("served", "?") if each.said == "garbled" else (each.said, self.body(each))
@@ -213,8 +252,11 @@
         if way is not None:
             state = list(face.State)[way % 3]
             self.rows[name] = self.rows[name]._replace(state=state)
-        shown = [Row(self.rows[each], f"127.0.0.1:{self.place(each)}") for each in HOSTS
-                 if way != 5 or each != name]
+        shown = [
+            Row(self.rows[each], f"127.0.0.1:{self.place(each)}")
+            for each in HOSTS
+            if way != 5 or each != name
+        ]
         if way == 5:
             self.rows[name] = self.rows[name]._replace(state=face.State.GONE)
         self.hosts.listed(shown, True)
@@ -230,8 +272,9 @@
         name = HOSTS[place % 2]
         old = self.rows[name]
         self.lives[name] = SimpleNamespace(world=self, name=name)
-        self.rows[name] = old._replace(state=face.State.ACTIVE, cell=old.cell + way % 2,
-                                       started=old.started + 1 - way % 2)
+        self.rows[name] = old._replace(
+            state=face.State.ACTIVE, cell=old.cell + way % 2, started=old.started + 1 - way % 2
+        )
         self.change()
 
     def takes(self, place, way):
@@ -258,7 +301,8 @@
             assert len(task.finals) == (not task.left), (task, task.finals)
             if task.finals and task.finals[0].ending is Ending.DELIVERED:
                 assert task.finals[0].answer.body.decode() in [
-                    self.body(each) for each in self.attempts if each.task is task and each.said == "served"]
+                    self.body(each) for each in self.attempts if each.task is task and each.said == "served"
+                ]
         core, gateway = self.core, self.core.gateway
         assert not core.held and not core.tasks and not core.relays and set(core.timers) == {""}
         assert not gateway.hands and not gateway.ration.out
@@ -273,16 +317,25 @@
         assert not self.errors, self.errors
 
 
-MOVES = {"pass": lambda world, place, way: world.passes(SPANS[way % 5]), "room": World.takes,
-         "last": World.end_by}
+MOVES = {
+    "pass": lambda world, place, way: world.passes(SPANS[way % 5]),
+    "room": World.takes,
+    "last": World.end_by,
+}
 MOVES |= {name: getattr(World, name) for name in EVENTS if name not in MOVES}
 
 
-@settings(max_examples=500, phases=[Phase.generate])    # with `Phase.shrink` by hand: it takes minutes
-@given(st.lists(st.tuples(st.sampled_from(EVENTS), st.integers(0, 5), st.integers(0, 6), st.booleans()),
-                min_size=30, max_size=60),
-       st.tuples(st.booleans(), st.booleans(), st.sampled_from((1, 4)),
-                 st.sampled_from((ANSWERS, ANSWERS, FULL))))
+@settings(max_examples=500, phases=[Phase.generate])  # with `Phase.shrink` by hand: it takes minutes
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(EVENTS), st.integers(0, 5), st.integers(0, 6), st.booleans()),
+        min_size=30,
+        max_size=60,
+    ),
+    st.tuples(
+        st.booleans(), st.booleans(), st.sampled_from((1, 4)), st.sampled_from((ANSWERS, ANSWERS, FULL))
+    ),
+)
 def test_in_any_order_each_task_has_one_answer_and_nothing_begins_that_may_not(events, site):
     with pytest.MonkeyPatch.context() as patch:
         world = World(patch, *site)
--- a/tests/test_driver_bite.py
+++ b/tests/test_driver_bite.py
@@ -1,4 +1,5 @@
 """Each small fault that is put into the keepers is caught by name, within the seeds that the tests play."""
+
 import pytest
 from gaproute.driver.keepers import play, plan
 from gaproute.driver.mutants import MUTANTS, put_in
--- a/tests/test_driver_keepers.py
+++ b/tests/test_driver_keepers.py
@@ -1,10 +1,15 @@
 """Keepers and holders under all faults, on fixed seeds: nothing that must hold is broken, the same run each
 time."""
+
 import pytest
 from gaproute.driver.keepers import play, plan
 
-SEEDS = {("common", 3): range(32), ("common", 5): range(6), ("tight", 3): range(16),
-         ("forgotten", 3): range(4)}
+SEEDS = {
+    ("common", 3): range(32),
+    ("common", 5): range(6),
+    ("tight", 3): range(16),
+    ("forgotten", 3): range(4),
+}
 
 
 @pytest.mark.parametrize("kind, keepers", SEEDS)
@@ -16,7 +21,7 @@
         up = [seat.actor for seat in world.places if seat.actor is not None and seat.name.startswith("k")]
         fences += any(keeper.machine.fence for keeper in up)
         terms += max((keeper.term for keeper in up), default=0)
-    assert fences > len(SEEDS[kind, keepers]) * 2 // 3    # permits were granted
+    assert fences > len(SEEDS[kind, keepers]) * 2 // 3  # permits were granted
     assert terms >= len(SEEDS[kind, keepers]) * (2 if kind == "common" else 1)
 
 
--- a/tests/test_driver_world.py
+++ b/tests/test_driver_world.py
@@ -1,8 +1,22 @@
 """The driver: the same run from the same seed, faults that do what they say, a planted fault found and made
 small."""
+
 import pytest
-from gaproute.driver import (Breach, Chance, Checks, Clock, Crash, Disk, Fault, Load, Net, Plan, World, draw,
-                             shrink)
+from gaproute.driver import (
+    Breach,
+    Chance,
+    Checks,
+    Clock,
+    Crash,
+    Disk,
+    Fault,
+    Load,
+    Net,
+    Plan,
+    World,
+    draw,
+    shrink,
+)
 from gaproute.driver.checks import Grows
 from gaproute.driver.plan import kept
 from gaproute.shared.keepers import Lost
@@ -12,6 +26,7 @@
 
 class Register:
     """Holds the largest number that it was told and tells it on; what it told is never to be forgotten."""
+
     synced = True
 
     def __init__(self, name, disk, chance, now, others):
@@ -41,8 +56,10 @@
 
 def makes(kind, size=3):
     names = [f"r{number}" for number in range(size)]
-    return {name: lambda own, *told: kind(own, *told, [other for other in names if other != own])
-            for name in names}
+    return {
+        name: lambda own, *told: kind(own, *told, [other for other in names if other != own])
+        for name in names
+    }
 
 
 def play(plan, kind=Register):
@@ -87,9 +104,12 @@
 
 
 def test_shares_and_partitions_end():
-    world = faulted(Fault("lose", SECOND, 2 * SECOND, (), 500_000),
-                    Fault("double", SECOND, 2 * SECOND, (), 500_000),
-                    Fault("slow", SECOND, 2 * SECOND, (), SECOND), Fault("part", SECOND, 2 * SECOND, (0, 2)))
+    world = faulted(
+        Fault("lose", SECOND, 2 * SECOND, (), 500_000),
+        Fault("double", SECOND, 2 * SECOND, (), 500_000),
+        Fault("slow", SECOND, 2 * SECOND, (), SECOND),
+        Fault("part", SECOND, 2 * SECOND, (0, 2)),
+    )
     counts, net = world.net.counts, world.net
     assert min(counts["lost"], counts["doubled"], counts["cut"]) > 5
     assert not (net.lose or net.double or net.slow or any(net.cuts))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,6 @@
 """A whole path on loopback sockets: clients, a gateway, stand-in hosts. What happened is counted at the
 hosts."""
+
 import json
 import random
 import socket
@@ -64,8 +65,13 @@
     host.server.handle = lambda request: (seen.append(request), handle(request))
     head = b'{"id":"b"}'
     body = head + bytes(range(256)) * 40
-    made.wait(made.ask(body=body, fields=f"Inference-Header-Content-Length: {len(head)}\r\n"
-                                         "Content-Type: application/octet-stream\r\n"))
+    made.wait(
+        made.ask(
+            body=body,
+            fields=f"Inference-Header-Content-Length: {len(head)}\r\n"
+            "Content-Type: application/octet-stream\r\n",
+        )
+    )
     infer = [request for request in seen if request.target.endswith(b"/infer")][0]
     assert infer.body == body and infer.headers[b"inference-header-content-length"] == b"10"
     assert infer.headers[b"content-type"] == b"application/octet-stream"
@@ -73,8 +79,16 @@
 
 def test_health_and_metadata_have_the_published_form(rig):
     made = rig()
-    answers = {path: made.wait(made.get(path)) for path in (
-        "/v2", "/v2/health/live", "/v2/health/ready", "/v2/models/lamp", "/v2/models/lamp/versions/1/ready")}
+    answers = {
+        path: made.wait(made.get(path))
+        for path in (
+            "/v2",
+            "/v2/health/live",
+            "/v2/health/ready",
+            "/v2/models/lamp",
+            "/v2/models/lamp/versions/1/ready",
+        )
+    }
     assert all(answer.status == 200 for answer in answers.values())
     assert json.loads(answers["/v2"].body)["extensions"] == ["binary_tensor_data"]
     made.relist()
@@ -82,12 +96,19 @@
     assert made.wait(made.get("/v2/health/live")).status == 200
 
 
-@pytest.mark.parametrize("told, status", [
-    ({"path": "/v2/models/none/infer"}, 404), ({"path": "/v2/models/lamp/versions/9/infer"}, 404),
-    ({"path": "/v1/x"}, 404), ({"path": "/v2/models/lamp/odd"}, 404), ({"path": "/v2/health/live"}, 405),
-    ({"fields": "Gaproute-Limit-Ms: soon\r\n"}, 400), ({"fields": "Gaproute-Limit-Ms: 0\r\n"}, 400),
-    ({"fields": "Inference-Header-Content-Length: 99999\r\n"}, 400),
-])
+@pytest.mark.parametrize(
+    "told, status",
+    [
+        ({"path": "/v2/models/none/infer"}, 404),
+        ({"path": "/v2/models/lamp/versions/9/infer"}, 404),
+        ({"path": "/v1/x"}, 404),
+        ({"path": "/v2/models/lamp/odd"}, 404),
+        ({"path": "/v2/health/live"}, 405),
+        ({"fields": "Gaproute-Limit-Ms: soon\r\n"}, 400),
+        ({"fields": "Gaproute-Limit-Ms: 0\r\n"}, 400),
+        ({"fields": "Inference-Header-Content-Length: 99999\r\n"}, 400),
+    ],
+)
 def test_what_cannot_be_served_is_a_clear_error_object(rig, told, status):
     made = rig()
     answer = made.wait(made.ask(**told))
@@ -140,7 +161,7 @@
 
 
 def test_a_receipted_task_stays_in_its_group_with_its_mark(rig):
-    made = rig(hosts=3)          # each a rack of its own
+    made = rig(hosts=3)  # each a rack of its own
     for host in made.hosts:
         host.command({"trouble": "reset"})
     made.wait(made.ask("dim", "d"))
@@ -193,7 +214,7 @@
 
 def test_a_relay_that_waits_for_its_connection_is_not_sent_once_the_host_drains(rig):
     made = rig(hosts=1)
-    with socket.socket() as full:        # its backlog is full: connections to it neither come about nor fail
+    with socket.socket() as full:  # its backlog is full: connections to it neither come about nor fail
         full.bind(("127.0.0.1", 0))
         full.listen(0)
         fillers = [socket.socket() for _ in range(4)]
@@ -244,25 +265,31 @@
     ).open(made.at, SECOND, 65536, 1 << 20)
     assert not made.wait(refused).connected
     assert outcome(made.wait(asked)) == "delivered"
-    made.loop.run()            # the loop ends by itself
+    made.loop.run()  # the loop ends by itself
     assert not made.gate.core.held
 
 
 def test_floods_of_unknown_models_and_noise_leave_others_unharmed(rig):
     made, chance = rig(hosts=1), random.Random(4)
     functions = len(made.gate.core.gateway.functions)
-    lines = b"".join(b"POST /v2/models/x%d/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 0\r\n\r\n" % number
-                     for number in range(10_000))
+    lines = b"".join(
+        b"POST /v2/models/x%d/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 0\r\n\r\n" % number
+        for number in range(10_000)
+    )
     done, count, tail = Promise(), 0, b""
 
     def came(data):
         nonlocal count, tail
-        count, tail = count + (tail + data).count(b" 404 "), data[-4:]     # one may lie across two reads
+        count, tail = count + (tail + data).count(b" 404 "), data[-4:]  # one may lie across two reads
         if count == 10_000:
             done.set()
 
-    flood = Stream(made.loop, socket.create_connection(made.at[1]), came,
-                   lambda error: done.fail(AssertionError("the connection ended")))
+    flood = Stream(
+        made.loop,
+        socket.create_connection(made.at[1]),
+        came,
+        lambda error: done.fail(AssertionError("the connection ended")),
+    )
     flood.sock.setblocking(False)
     flood.write(lines)
     for _ in range(200):
@@ -278,8 +305,10 @@
 
 # What each end of a relay proves: every row of the proof table, on sockets
 
+
 def scripted_host(loop, act):
     """Listens and lets `act(stream, data)` answer what comes."""
+
     def accepted(sock):
         stream = Stream(loop, sock, lambda data: act(stream, data), lambda error: None)
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -28,31 +28,34 @@
 
 
 def test_names_are_lower_case_and_repeats_are_joined():
-    request, = reader().feed(HEAD + b"X-A: 1\r\nx-a: 2\r\nContent-Length: 0\r\n\r\n")
+    (request,) = reader().feed(HEAD + b"X-A: 1\r\nx-a: 2\r\nContent-Length: 0\r\n\r\n")
     assert request.headers[b"x-a"] == b"1, 2" and request.target == b"/x" and request.method == b"POST"
 
 
-@pytest.mark.parametrize("data, status", [
-    (HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400),
-    (HEAD + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400),
-    (HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
-    (HEAD + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", 400),
-    (HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501),
-    (HEAD + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 501),
-    (HEAD + b"Content-Length: -1\r\n\r\n", 400),
-    (HEAD + b"Content-Length: +3\r\n\r\nabc", 400),
-    (HEAD + b"Content-Length: 101\r\n\r\n", 413),
-    (HEAD + b"Content-Length : 3\r\n\r\nabc", 400),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff1\r\n", 400),
-    (HEAD + b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"x" * 101, 413),
-    (b"POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400),
-    (HEAD + b"X: " + b"y" * 1100 + b"\r\n\r\n", 431),
-    (HEAD + b"X: " + b"y" * 1100, 431),
-    (b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\n", 414),
-    (b"\x16\x03\x01\x02\x00\x01\x00", 400),
-    (b"GET / SMTP/1.1\r\n\r\n", 400),
-    (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 400),
-])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400),
+        (HEAD + b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", 400),
+        (HEAD + b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n", 400),
+        (HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501),
+        (HEAD + b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n", 501),
+        (HEAD + b"Content-Length: -1\r\n\r\n", 400),
+        (HEAD + b"Content-Length: +3\r\n\r\nabc", 400),
+        (HEAD + b"Content-Length: 101\r\n\r\n", 413),
+        (HEAD + b"Content-Length : 3\r\n\r\nabc", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff1\r\n", 400),
+        (HEAD + b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"x" * 101, 413),
+        (b"POST /x HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400),
+        (HEAD + b"X: " + b"y" * 1100 + b"\r\n\r\n", 431),
+        (HEAD + b"X: " + b"y" * 1100, 431),
+        (b"GET /" + b"a" * 9000 + b" HTTP/1.1\r\n", 414),
+        (b"\x16\x03\x01\x02\x00\x01\x00", 400),
+        (b"GET / SMTP/1.1\r\n\r\n", 400),
+        (b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n", 400),
+    ],
+)
 def test_what_breaks_the_protocol_or_a_limit_is_a_clear_refusal(data, status):
     with pytest.raises(Fault) as fault:
         read = reader(1024 if len(data) < 5000 else 20000)
@@ -76,8 +79,12 @@
 def served():
     """A server whose handler keeps the requests, and a connected blocking client."""
     loop, held = Loop(), []
-    server = Server(loop, address("127.0.0.1:0"), held.append,
-                    Limits(read_time=SECOND // 20, idle_time=SECOND // 10, pipelined=2))
+    server = Server(
+        loop,
+        address("127.0.0.1:0"),
+        held.append,
+        Limits(read_time=SECOND // 20, idle_time=SECOND // 10, pipelined=2),
+    )
     family, where = address(server.address)
     client = socket.create_connection(where)
     client.settimeout(5)
@@ -171,7 +178,7 @@
     loop, server, held, client = served
     client.sendall((HEAD + b"Content-Length: 0\r\n\r\n") * 2)
     turns(loop, lambda: len(held) == 2)
-    link, = server.links
+    (link,) = server.links
     for request in held[:2]:
         server.answer(request, 200, (), b"x" * (8 << 20))
     assert link.stream.waiting > 8 << 20 and not link.stream.reading
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -1,4 +1,5 @@
 """Lines to and from hosts, and the connections that carry them."""
+
 import json
 from types import SimpleNamespace
 
@@ -17,8 +18,14 @@
 from helpers import makers, row, turn_until
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-SITE = SimpleNamespace(idle_time=15 * SECOND, connect_time=250 * MILLI, order_time=SECOND, shared=100,
-                       counts_alike=True, halts=True)
+SITE = SimpleNamespace(
+    idle_time=15 * SECOND,
+    connect_time=250 * MILLI,
+    order_time=SECOND,
+    shared=100,
+    counts_alike=True,
+    halts=True,
+)
 CALL = Call("7f3a9c21e0b4d655", "", (), b"Ym9keQ==", "9b1f03aa5c7e2d41", "fault-check")
 
 
@@ -31,12 +38,22 @@
 def test_lines_are_read_however_the_bytes_are_split(cut):
     data = b'{"type":"served","req":"a"}\n{"type":"green","req":7}\n'
     reader = lines.Reader()
-    got = [each for at in range(0, len(data), cut) for each in reader.feed(data[at:at + cut])]
+    got = [each for at in range(0, len(data), cut) for each in reader.feed(data[at : at + cut])]
     assert [(each.type, each.req) for each in got] == [("served", "a"), ("green", 7)]
 
 
-@pytest.mark.parametrize("data", [b"noise\n", b"[1]\n", b'{"type":"served"}\n', b"\n", b"\xff\xfe\n",
-                                  b"x" * (lines.LINE + 1), b"[" * 5000 + b"\n"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"noise\n",
+        b"[1]\n",
+        b'{"type":"served"}\n',
+        b"\n",
+        b"\xff\xfe\n",
+        b"x" * (lines.LINE + 1),
+        b"[" * 5000 + b"\n",
+    ],
+)
 def test_a_spoilt_or_endless_line_ends_the_connection_and_what_came_before_counts(data):
     with pytest.raises(lines.Spoilt) as wrong:
         lines.Reader().feed(b'{"type":"red","req":"a"}\n' + data)
@@ -55,9 +72,16 @@
         pass
 
 
-@pytest.mark.parametrize("kind, result", [("served", Result.OK), ("not_here", Result.MISS),
-                                          ("overload", Result.FULL), ("crashed", Result.ERROR),
-                                          ("nobody", Result.MOOT)])
+@pytest.mark.parametrize(
+    "kind, result",
+    [
+        ("served", Result.OK),
+        ("not_here", Result.MISS),
+        ("overload", Result.FULL),
+        ("crashed", Result.ERROR),
+        ("nobody", Result.MOOT),
+    ],
+)
 def test_what_an_answer_proves(kind, result):
     assert lines.heard(reply(type=kind), True).result is result
 
@@ -78,6 +102,7 @@
 
 # On sockets
 
+
 class Bench:
     def __init__(self, answer=None, room=8):
         self.loop = Loop()
@@ -90,8 +115,15 @@
         self.hosts.listed([Row(row("h", state=state), self.host.address)], True)
 
     def relay(self, effect=Effect.PURE, mark=CALL.mark, left=SECOND):
-        return self.hosts.relay("h", CALL._replace(mark=mark), effect, "t", self.loop.now() + left,
-                                self.loop.now() + left, self.heard.append).give_up
+        return self.hosts.relay(
+            "h",
+            CALL._replace(mark=mark),
+            effect,
+            "t",
+            self.loop.now() + left,
+            self.loop.now() + left,
+            self.heard.append,
+        ).give_up
 
     def until(self, condition):
         turn_until(self.loop, condition)
@@ -133,7 +165,7 @@
     made = bench(answer=lambda stream, command: None, room=1)
     made.relay()
     made.relay()
-    assert made.results(1) == [Result.MOOT] and made.hosts.doubled == 0     # and opens none beyond the room
+    assert made.results(1) == [Result.MOOT] and made.hosts.doubled == 0  # and opens none beyond the room
     made.hosts.room = 2
     made.relay()
     made.until(lambda: len(made.host.came) == 2)
@@ -147,7 +179,7 @@
     take_back()
     made.until(lambda: len(late) == 2)
     assert late[1][1] == {"type": "halt", "req": CALL.mark}
-    made.relay()                                  # the same id: on another connection
+    made.relay()  # the same id: on another connection
     made.until(lambda: len(late) == 3)
     assert late[2][0] is not late[0][0]
     made.host.say(late[0][0], late[0][1], "served", data="b2xk")
@@ -161,6 +193,7 @@
         made.host.say(stream, {"req": "ffffffffffffffff"}, "served", data="eA==")
         made.host.serve(stream, command)
         made.host.serve(stream, command)
+
     made = bench(answer=answer)
     made.relay()
     assert made.results(1) == [Result.OK] and made.heard[0].answer.body == CALL.body
@@ -186,7 +219,7 @@
     made = bench(answer=lambda stream, command: held.append((stream, command)))
     made.relay()
     made.until(lambda: held)
-    made.relay(mark="1" * 16)                     # its connection is still being opened
+    made.relay(mark="1" * 16)  # its connection is still being opened
     made.list(State.DRAINING)
     made.relay(mark="2" * 16)
     made.results(2)
@@ -218,7 +251,7 @@
     made = bench()
     made.relay()
     made.results(1)
-    made.host.streams[0].sock.send(b"x")          # unread: this loop has had no turn
+    made.host.streams[0].sock.send(b"x")  # unread: this loop has had no turn
     made.relay(Effect.EFFECTFUL, "1" * 16)
     assert made.results(2) == [Result.OK, Result.OK] and len(made.host.streams) == 2
 
@@ -228,8 +261,9 @@
     made.hosts.order("h", CALL.model, 2, lambda *told: said.append(told))
     made.hosts.probe("h", lambda *told: said.append(told))
     made.until(lambda: len(said) == 2)
-    assert (Result.OK, 2) in said and any(good is True and report.cpu_busy == 0.25
-                                          for good, report in said if good is True)
+    assert (Result.OK, 2) in said and any(
+        good is True and report.cpu_busy == 0.25 for good, report in said if good is True
+    )
     assert len({command["req"] for command in made.host.came}) == 2
 
 
@@ -262,8 +296,9 @@
         else:
             used.append(stream)
             made.host.serve(stream, command)
+
     used, made = [], bench(answer=answer)
-    for number in range(4):                       # the first is served, the next ends a kept connection
+    for number in range(4):  # the first is served, the next ends a kept connection
         made.relay(mark=f"{number:016x}")
         made.results(number + 1)
     made.relay(Effect.EFFECTFUL, "e" * 16)
@@ -280,15 +315,16 @@
     pooling.ended(0, "h", 100 * MILLI, MILLI)
     assert not pooling.keeps(SECOND, "h", Effect.PURE) and pooling.keeps(SECOND, "other", Effect.PURE)
     assert pooling.keeps(11 * SECOND, "h", Effect.EFFECTFUL)
-    assert not pooling.keeps(SECOND, "other", Effect.EFFECTFUL)   # what ends them stands before all hosts
+    assert not pooling.keeps(SECOND, "other", Effect.EFFECTFUL)  # what ends them stands before all hosts
     pooling = Pooling()
-    pooling.ended(0, "i", 100 * MILLI, SECOND)    # at work for a while: not for its rest
+    pooling.ended(0, "i", 100 * MILLI, SECOND)  # at work for a while: not for its rest
     assert pooling.keeps(SECOND, "i", Effect.EFFECTFUL)
 
 
 @pytest.mark.parametrize("effect, rest", [(Effect.PURE, 13.5), (Effect.EFFECTFUL, 3.75)])
 def test_a_connection_rests_as_long_as_the_host_says_it_keeps_one_and_far_less_where_nothing_may_go_twice(
-        effect, rest):
+    effect, rest
+):
     assert Pooling().safe_rest(0, "h", effect, 15 * SECOND) == rest * SECOND
     assert Pooling().safe_rest(0, "h", effect, 0) == 0
 
@@ -306,6 +342,7 @@
     def answer(stream, command):
         if command["type"] == "go":
             made.host.serve(stream, command)
+
     made, ends = bench(answer, room=1), []
     made.hosts.order_time = 100 * MILLI
     made.hosts.order("h", "f", 1, lambda result, copies: ends.append(result))
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -1,11 +1,18 @@
 """The judge catches each rule when it is broken, and only then."""
+
 import pytest
 from gaproute.judge import Facts, judge
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
-FACTS = Facts({"p": "pure", "r": "receipted", "e": "effectful"}, {"p": "all", "r": "rack", "e": "all"},
-              {"p": 0, "r": 2 * SECOND, "e": 0}, {"h1": ("z1", "r1"), "h2": ("z1", "r2"), "h3": ("z2", "r1")},
-              order_free=2, order_share=0.5, order_window=SECOND)
+FACTS = Facts(
+    {"p": "pure", "r": "receipted", "e": "effectful"},
+    {"p": "all", "r": "rack", "e": "all"},
+    {"p": 0, "r": 2 * SECOND, "e": 0},
+    {"h1": ("z1", "r1"), "h2": ("z1", "r2"), "h3": ("z2", "r1")},
+    order_free=2,
+    order_share=0.5,
+    order_window=SECOND,
+)
 UP = {
     "at": 0,
     "what": "up",
@@ -28,8 +35,18 @@
 
 
 def end(at, what="answer", outcome="delivered", name="t", track="p", asked=0, status=200):
-    return {"at": at * MILLI, "what": what, "id": name, "track": track, "outcome": outcome, "status": status,
-            "asked": asked, "patience": SECOND, "gateway": 0, "text": "x"}
+    return {
+        "at": at * MILLI,
+        "what": what,
+        "id": name,
+        "track": track,
+        "outcome": outcome,
+        "status": status,
+        "asked": asked,
+        "patience": SECOND,
+        "gateway": 0,
+        "text": "x",
+    }
 
 
 def rules(hosts=None, clients=(), run=()):
@@ -41,15 +58,18 @@
     assert rules({"h1": [task(1), said(5, 200)]}, [end(6)]) == []
 
 
-@pytest.mark.parametrize("hosts, clients", [
-    ({}, [end(900, "overdue")]),
-    ({}, [end(900, "broken")]),
-    ({}, [end(10), end(20)]),
-    ({}, [{"at": 5, "what": "stray", "gateway": 0}]),
-    ({"h1": [task(200)]}, [end(10, outcome="declined", status=503)]),
-    ({"h1": [task(200)]}, [end(10, "left")]),
-    ({}, [end(10, outcome="", status=500)]),
-])
+@pytest.mark.parametrize(
+    "hosts, clients",
+    [
+        ({}, [end(900, "overdue")]),
+        ({}, [end(900, "broken")]),
+        ({}, [end(10), end(20)]),
+        ({}, [{"at": 5, "what": "stray", "gateway": 0}]),
+        ({"h1": [task(200)]}, [end(10, outcome="declined", status=503)]),
+        ({"h1": [task(200)]}, [end(10, "left")]),
+        ({}, [end(10, outcome="", status=500)]),
+    ],
+)
 def test_rule_1_is_caught(hosts, clients):
     assert rules(hosts, clients) == [1]
 
@@ -65,27 +85,33 @@
     assert rules({}, [end(600, "broken", asked=200 * MILLI)], run) == [1]
 
 
-@pytest.mark.parametrize("hosts, clients", [
-    ({"h1": [task(1, track="e")], "h2": [task(50, track="e")]}, []),
-    ({"h1": [task(1, track="e"), said(5, 500)], "h2": [task(50, track="e")]}, []),
-    ({"h1": [task(1, track="e"), task(50, track="e")]}, []),
-    ({"h1": [task(1, track="e")]}, [end(60, outcome="declined", track="e", status=503)]),
-    ({"h1": [task(1, track="r")], "h2": [task(50, track="r")]}, []),
-    ({"h1": [task(1, track="r")], "h3": [task(2500, track="r")]}, []),
-    ({"h1": [task(1, track="r")], "h3": [task(50, track="r", mark="other")]}, []),
-    ({"h1": [task(1, track="r")]}, [end(60, outcome="declined", track="r", status=503)]),
-])
+@pytest.mark.parametrize(
+    "hosts, clients",
+    [
+        ({"h1": [task(1, track="e")], "h2": [task(50, track="e")]}, []),
+        ({"h1": [task(1, track="e"), said(5, 500)], "h2": [task(50, track="e")]}, []),
+        ({"h1": [task(1, track="e"), task(50, track="e")]}, []),
+        ({"h1": [task(1, track="e")]}, [end(60, outcome="declined", track="e", status=503)]),
+        ({"h1": [task(1, track="r")], "h2": [task(50, track="r")]}, []),
+        ({"h1": [task(1, track="r")], "h3": [task(2500, track="r")]}, []),
+        ({"h1": [task(1, track="r")], "h3": [task(50, track="r", mark="other")]}, []),
+        ({"h1": [task(1, track="r")]}, [end(60, outcome="declined", track="r", status=503)]),
+    ],
+)
 def test_rule_2_is_caught(hosts, clients):
     assert rules(hosts, clients) == [2]
 
 
-@pytest.mark.parametrize("hosts, clients", [
-    ({"h1": [task(1, track="e"), said(5, 429)], "h2": [task(50, track="e")]}, []),
-    ({"h1": [task(1, track="e"), said(5, 429)]}, [end(60, outcome="declined", track="e", status=503)]),
-    ({"h1": [task(1, track="e")]}, [end(60, outcome="scrapped", track="e", status=504)]),
-    ({"h1": [task(1, track="r")], "h3": [task(50, track="r")]}, []),
-    ({"h1": [task(1)], "h2": [task(50)]}, [end(60, outcome="declined", status=503)]),
-])
+@pytest.mark.parametrize(
+    "hosts, clients",
+    [
+        ({"h1": [task(1, track="e"), said(5, 429)], "h2": [task(50, track="e")]}, []),
+        ({"h1": [task(1, track="e"), said(5, 429)]}, [end(60, outcome="declined", track="e", status=503)]),
+        ({"h1": [task(1, track="e")]}, [end(60, outcome="scrapped", track="e", status=504)]),
+        ({"h1": [task(1, track="r")], "h3": [task(50, track="r")]}, []),
+        ({"h1": [task(1)], "h2": [task(50)]}, [end(60, outcome="declined", status=503)]),
+    ],
+)
 def test_rule_2_allows_what_each_track_allows(hosts, clients):
     assert rules(hosts, clients) == []
 
@@ -106,8 +132,16 @@
 
 def test_rule_4_counts_the_work_sent_within_the_window_against_what_the_host_can_do():
     def day(count, apart):
-        return judge(FACTS, {"h1": [[UP] + [task(10 + apart * place, f"t{place}", work=100 * MILLI)
-                                            for place in range(count)]]}, [], [])
+        return judge(
+            FACTS,
+            {
+                "h1": [
+                    [UP] + [task(10 + apart * place, f"t{place}", work=100 * MILLI) for place in range(count)]
+                ]
+            },
+            [],
+            [],
+        )
 
     # 2.2 s of work within 1 s at 1 core: over 2 times
     assert [broken.rule for broken in day(22, 1)] == [4]
@@ -116,8 +150,10 @@
 
 def test_rule_5_counts_orders_against_the_tasks_taken_within_the_window():
     def orders(count, gap=1):
-        return [{"at": (100 + gap * place) * MILLI, "what": "order", "gateway": "0", "count": 1, "model": "m"}
-                for place in range(count)]
+        return [
+            {"at": (100 + gap * place) * MILLI, "what": "order", "gateway": "0", "count": 1, "model": "m"}
+            for place in range(count)
+        ]
 
     tasks = [end(90, name=f"t{place}", asked=50 * MILLI) for place in range(4)]
     assert rules({"h1": orders(5)}, tasks) == [5]
--- a/tests/test_keepers_carried.py
+++ b/tests/test_keepers_carried.py
@@ -1,4 +1,5 @@
 """Keepers and holders on sockets and on disk; what a peer may not send."""
+
 import msgspec
 import pytest
 from keepers_net import MILLI, SECOND, Chance
@@ -29,8 +30,16 @@
 
     def start(self, name, number=9):
         disk = Votes(self.folder / name, lambda text: None).open() if name in self.names else None
-        seat = Seat(self.loop, name, self.names, self.peers, Record(), Chance(number), disk,
-                    machine=Permits(quiet=False))
+        seat = Seat(
+            self.loop,
+            name,
+            self.names,
+            self.peers,
+            Record(),
+            Chance(number),
+            disk,
+            machine=Permits(quiet=False),
+        )
         seat.disk = disk
         self.peers[name] = seat.carrier.listen(self.peers.get(name, "127.0.0.1:0"))
         self.seats[name] = seat
@@ -54,8 +63,9 @@
 
     @property
     def leader(self):
-        return next((name for name in self.names
-                     if name in self.seats and self.seats[name].keeper.leading), None)
+        return next(
+            (name for name in self.names if name in self.seats and self.seats[name].keeper.leading), None
+        )
 
 
 @pytest.fixture
@@ -69,7 +79,8 @@
     came = []
     data = b"POST /keepers HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
     Exchange(group.loop, data, lambda answer, fault: came.append(answer)).open(
-        address(group.peers[to]), SECOND, 4096, 4096, lambda link: came.append(link))
+        address(group.peers[to]), SECOND, 4096, 4096, lambda link: came.append(link)
+    )
     group.until(lambda: len(came) == 2)
     came[0].drop()
     return came[1].status
@@ -93,8 +104,9 @@
     assert keeper.life == life and keeper.log.last >= agreed - 1
     group.until(lambda: len(keeper.machine.permits) == 2)
     assert not any(seat.keeper.breaches for seat in group.seats.values() if seat.keeper)
-    assert "leader" in [told["now"] for _, what, told in group.seats[group.leader].record.events
-                        if what == "keeper"]
+    assert "leader" in [
+        told["now"] for _, what, told in group.seats[group.leader].record.events if what == "keeper"
+    ]
 
 
 @pytest.mark.parametrize("harm", ["of another gateway", "torn"])
@@ -114,7 +126,7 @@
     seat = group.seats[name]
     assert seat.keeper.life not in (life, group.seats[other].keeper.life) and seat.keeper.store.blank
     assert [what for _, what, _ in seat.record.events] == ["keeper's memory set aside"]
-    assert len(list(group.folder.glob(f"{name}.*"))) >= 2       # the lock, and what was set aside
+    assert len(list(group.folder.glob(f"{name}.*"))) >= 2  # the lock, and what was set aside
     group.until(lambda: seat.keeper.member)
 
 
@@ -122,12 +134,18 @@
     group.until(lambda: group.leader)
     seat = group.seats["a"]
     good = wire.pack(Ack(1, 1, True, 1))
-    for body, reason in ((b"", "noise"), (b"\xff" * 65536, "noise"), (b"\x93\x07" + b"x", "version"),
-                         (wire.batch("nobody", [good]), "stranger"), (wire.batch("a", [good]), "stranger"),
-                         (wire.batch("b", [good[:-1]]), "noise"), (wire.batch("b", [good] * 65), "noise"),
-                         (wire.batch("b", [msgspec.msgpack.encode([5, -1, 1, True, 1])]), "noise"),
-                         (wire.batch("b", [wire.pack(Request(1, 1, b"x" * 4096))]), "noise"),
-                         (b"\x93\x01\xa1b" + b"\x91" * 5000, "noise")):
+    for body, reason in (
+        (b"", "noise"),
+        (b"\xff" * 65536, "noise"),
+        (b"\x93\x07" + b"x", "version"),
+        (wire.batch("nobody", [good]), "stranger"),
+        (wire.batch("a", [good]), "stranger"),
+        (wire.batch("b", [good[:-1]]), "noise"),
+        (wire.batch("b", [good] * 65), "noise"),
+        (wire.batch("b", [msgspec.msgpack.encode([5, -1, 1, True, 1])]), "noise"),
+        (wire.batch("b", [wire.pack(Request(1, 1, b"x" * 4096))]), "noise"),
+        (b"\x93\x01\xa1b" + b"\x91" * 5000, "noise"),
+    ):
         before = seat.carrier.counts[f"refused: {reason}"]
         assert post(group, "a", body) == 400
         assert seat.carrier.counts[f"refused: {reason}"] == before + 1, body[:20]
@@ -155,6 +173,9 @@
 
 
 def test_every_message_comes_back_as_it_was():
-    for message in (Hello(1, 2, True), Append(1, 2, 3, 4, 5, (Entry(1, 0, 2, 3, b"x"),)),
-                    Reply(1, 2, "done", b"y")):
+    for message in (
+        Hello(1, 2, True),
+        Append(1, 2, 3, 4, 5, (Entry(1, 0, 2, 3, b"x"),)),
+        Reply(1, 2, "done", b"y"),
+    ):
         assert wire.read(wire.batch("a", [wire.pack(message)])) == ("a", [message])
--- a/tests/test_keepers_members.py
+++ b/tests/test_keepers_members.py
@@ -1,4 +1,5 @@
 """Who the keepers are: one joins or leaves at a time, and a lost disk makes another keeper."""
+
 import pytest
 from keepers_net import MILLI, SECOND, Disk, Net
 
@@ -17,13 +18,15 @@
 def test_one_step_at_a_time_and_none_that_would_stop_all():
     assert step() is None
     assert step(lives={"a": 1, "b": 2, "c": 4}) == (A, B)
-    assert step(lives={"a": 1, "c": 4}) is None       # a alone could not agree
+    assert step(lives={"a": 1, "c": 4}) is None  # a alone could not agree
     assert step((A, B), lives={"a": 1, "b": 2, "c": 4}, matches={"c": (4, 9)}) == (A, B, Member("c", 4))
-    assert step((A, B), lives={"a": 1, "b": 2, "c": 4}, matches={"c": (4, 8)}) is None       # not caught up
-    assert step((A, B), lives={"a": 1, "b": 2, "c": 5}, matches={"c": (4, 9)}) is None   # of a life before
-    assert step(named=("a", "b", "d"), matches={"d": (4, 9)}, lives={"a": 1, "b": 2, "d": 4}) == (*ALL,
-                                                                                               Member("d", 4))
-    assert step(named=("a", "b", "d")) is None                        # d has not joined: c stays meanwhile
+    assert step((A, B), lives={"a": 1, "b": 2, "c": 4}, matches={"c": (4, 8)}) is None  # not caught up
+    assert step((A, B), lives={"a": 1, "b": 2, "c": 5}, matches={"c": (4, 9)}) is None  # of a life before
+    assert step(named=("a", "b", "d"), matches={"d": (4, 9)}, lives={"a": 1, "b": 2, "d": 4}) == (
+        *ALL,
+        Member("d", 4),
+    )
+    assert step(named=("a", "b", "d")) is None  # d has not joined: c stays meanwhile
     assert step((*ALL, Member("d", 4)), named=("a", "b", "d")) == (A, B, Member("d", 4))
     assert step(named=("a", "b")) == (A, B)
 
@@ -52,7 +55,7 @@
     assert net.keepers[name].life != life and not net.keepers[name].member
     before = lead.commit
     third = next(each for each in net.names if each not in (name, lead.name))
-    net.cut = {(third, lead.name)}           # only the one without memory answers
+    net.cut = {(third, lead.name)}  # only the one without memory answers
     net.run(500 * MILLI)
     lead.propose(0)
     net.run(SECOND)
@@ -105,7 +108,7 @@
     net = settled()
     lead = net.leader
     other = next(each for each in net.names if each != lead.name)
-    lead.lead.first = lead.log.last + 1      # as if it had just been elected
+    lead.lead.first = lead.log.last + 1  # as if it had just been elected
     lead.named(net.now, [lead.name, other])
     now = net.now + 60 * SECOND
     for name in lead.others():
--- a/tests/test_keepers_votes.py
+++ b/tests/test_keepers_votes.py
@@ -1,11 +1,23 @@
 """One keeper, message by message: who gets a vote, and what is on disk before it is told."""
+
 import pytest
 from keepers_net import SECOND, Chance, Disk
 from msgspec.msgpack import encode
 
 from gaproute.shared.keepers import Keeper, Lost
-from gaproute.shared.keepers.messages import (MEMBERS, NOTHING, Ack, Append, Ask, Entry, Hello, Install,
-                                              Member, Roll, Vote)
+from gaproute.shared.keepers.messages import (
+    MEMBERS,
+    NOTHING,
+    Ack,
+    Append,
+    Ask,
+    Entry,
+    Hello,
+    Install,
+    Member,
+    Roll,
+    Vote,
+)
 from gaproute.shared.keepers.records import Identity, Snapshot, Voted, Written, decode
 from gaproute.shared.keepers.records import encode as record
 
@@ -16,9 +28,17 @@
 
 def disk(name="b", term=1, vote=("", 0), entries=()):
     made = Disk()
-    made.replace([record(each) for each in (
-        Identity(name, NAMES.index(name) + 1), Voted(term, *vote), Written(1, FIRST),
-        *(Written(index, entry) for index, entry in enumerate(entries, 2)))])
+    made.replace(
+        [
+            record(each)
+            for each in (
+                Identity(name, NAMES.index(name) + 1),
+                Voted(term, *vote),
+                Written(1, FIRST),
+                *(Written(index, entry) for index, entry in enumerate(entries, 2)),
+            )
+        ]
+    )
     return made
 
 
@@ -43,11 +63,12 @@
     again = Keeper("b", NAMES, kept, Chance(1), 0)
     assert again.hear(0, "c", Ask(2, 3, 9, 1, False)) == [("c", Vote(2, 2, False, False))]
     assert again.hear(0, "a", Ask(2, 1, 1, 0, False)) == [("a", Vote(2, 2, False, True))]
-    assert again.hear(0, "a", Ask(2, 77, 1, 0, False)) == [("a", Vote(2, 2, False, False))]    # another life
+    assert again.hear(0, "a", Ask(2, 77, 1, 0, False)) == [("a", Vote(2, 2, False, False))]  # another life
 
 
-@pytest.mark.parametrize("index, last, given", [(3, 1, True), (4, 1, True), (2, 1, False), (2, 2, True),
-                                                (9, 0, False)])
+@pytest.mark.parametrize(
+    "index, last, given", [(3, 1, True), (4, 1, True), (2, 1, False), (2, 2, True), (9, 0, False)]
+)
 def test_only_a_log_that_knows_as_much_gets_a_vote(index, last, given):
     one, _ = keeper(note(1), note(1))
     assert one.hear(0, "a", Ask(2, 1, index, last, False)) == [("a", Vote(2, 2, False, given))]
@@ -70,9 +91,9 @@
     one.hear(0, "a", Vote(2, 1, False, False))
     one.hear(0, "c", Vote(2, 3, False, False))
     assert not one.leading
-    one.hear(0, "c", Vote(1, 3, False, True))        # of a term that is over
+    one.hear(0, "c", Vote(1, 3, False, True))  # of a term that is over
     assert not one.leading
-    one.hear(0, "c", Vote(2, 33, False, True))       # a life that is no member: it lost its disk
+    one.hear(0, "c", Vote(2, 33, False, True))  # a life that is no member: it lost its disk
     assert not one.leading
     one.hear(0, "c", Vote(2, 3, False, True))
     assert one.leading and one.log.last_term == 2
@@ -109,7 +130,7 @@
     one, _ = lead(note(1))
     one.hear(0, "a", Ack(2, 1, True, 2))
     assert one.commit == 0
-    one.hear(0, "c", Ack(2, 33, True, 3))            # a life that is no member counts for nothing
+    one.hear(0, "c", Ack(2, 33, True, 3))  # a life that is no member counts for nothing
     assert one.commit == 0
     one.hear(0, "a", Ack(2, 1, True, 3))
     assert one.commit == 3
@@ -151,11 +172,18 @@
     assert one.hear(one.due, "c", Ask(2, 3, 9, 1, False)) == [("c", Vote(2, 2, False, False))]
 
 
-@pytest.mark.parametrize("came", [
-    Lost("torn"), [record(Identity("z", 9))], [b"noise"], [record(Voted(3, "", 0))],
-    [record(Identity("b", 2)), record(Written(5, note(1)))],
-    [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Voted(2, "", 0))],
-    [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Snapshot(9, 2, ROLL, b"noise"))]])
+@pytest.mark.parametrize(
+    "came",
+    [
+        Lost("torn"),
+        [record(Identity("z", 9))],
+        [b"noise"],
+        [record(Voted(3, "", 0))],
+        [record(Identity("b", 2)), record(Written(5, note(1)))],
+        [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Voted(2, "", 0))],
+        [record(Identity("b", 2)), record(Voted(3, "", 0)), record(Snapshot(9, 2, ROLL, b"noise"))],
+    ],
+)
 def test_a_disk_that_cannot_be_trusted_is_put_aside_and_the_keeper_is_another(came):
     kept = disk()
     kept.read = lambda: came
@@ -181,8 +209,8 @@
     one = Keeper("a", NAMES, Disk(), Chance(1), 0)
     assert one.tick(one.due) == [(name, Hello(one.life, 0, True)) for name in "bc"]
     one.hear(0, "b", Hello(2, one.life, True))
-    one.hear(0, "c", Hello(3, one.life + 1, True))       # in answer to a life before
-    one.hear(0, "c", Hello(3, one.life, False))          # remembers something
+    one.hear(0, "c", Hello(3, one.life + 1, True))  # in answer to a life before
+    one.hear(0, "c", Hello(3, one.life, False))  # remembers something
     assert one.log.last == 0
     one.hear(0, "c", Hello(3, one.life, True))
     assert one.members == (Member("a", one.life), Member("b", 2), Member("c", 3)) and one.due == 0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -1,4 +1,5 @@
 """Crossings at the platform's front: a client's leaving, a connection's close and the end of the process."""
+
 import os
 import resource
 import signal
@@ -21,7 +22,7 @@
     client = made.client()
     client.ask(1)
     made.until(lambda: made.came())
-    link, = made.process.front.links
+    (link,) = made.process.front.links
     link.stream.pause()
     half_close(client.stream)
     made.until(lambda: not made.process.core.held)
@@ -32,7 +33,7 @@
     made = gate(sockets=70, clock=Handed())
     lot = made.process.front.lot
     deaf = [socket.create_connection(address(made.where)[1]) for _ in range(lot.admission.most)]
-    for each in deaf:                    # an error is owed to each, and none of them closes then
+    for each in deaf:  # an error is owed to each, and none of them closes then
         each.sendall(b"noise" * 200)
     made.until(lambda: len(made.loop.leaving) == len(deaf))
     late = made.client()
@@ -64,17 +65,22 @@
     assert made.came() == at_work == made.process.core.count and not made.process.front.marks
 
 
-@pytest.mark.parametrize("abort, answered, relayed", [
-    ({"id": 2}, [3], 1), ({"i": f"{2:016x}"}, [3], 1),      # neither begun nor answered
-    ({"id": 9}, [2, 3], 2), ({"id": None}, [2, 3], 2),
-])
+@pytest.mark.parametrize(
+    "abort, answered, relayed",
+    [
+        ({"id": 2}, [3], 1),
+        ({"i": f"{2:016x}"}, [3], 1),  # neither begun nor answered
+        ({"id": 9}, [2, 3], 2),
+        ({"id": None}, [2, 3], 2),
+    ],
+)
 def test_an_abort_takes_back_a_request_that_came_in_the_same_read(gate, abort, answered, relayed):
     made = gate()
     client = made.client()
-    client.ask(1)                        # a connection to the host stands then
+    client.ask(1)  # a connection to the host stands then
     made.until(lambda: client.answers)
     client.answers.clear()
-    client.message({"jsonrpc": "2.0", "method": "abort", "params": abort})    # before it: names nothing
+    client.message({"jsonrpc": "2.0", "method": "abort", "params": abort})  # before it: names nothing
     client.ask(2)
     for _ in range(2):
         client.message({"jsonrpc": "2.0", "method": "abort", "params": abort})
@@ -92,7 +98,7 @@
     one.ask(1)
     other.ask(1, i="f" * 16)
     made.until(lambda: len(held) == 2)
-    for named in ("f" * 16, f"{1:016x}", f"{1:016x}"):     # of the other's; its own; its own again
+    for named in ("f" * 16, f"{1:016x}", f"{1:016x}"):  # of the other's; its own; its own again
         one.message({"jsonrpc": "2.0", "method": "abort", "params": {"i": named}})
     made.until(lambda: made.hosts[0].seen("halt"))
     for each in held:
@@ -104,6 +110,7 @@
 
 # Those who take more than their share
 
+
 def raw(made, data):
     """A client that sends until the socket takes no more, and reads nothing."""
     made_one = socket.create_connection(address(made.where)[1])
@@ -116,7 +123,7 @@
     def push():
         try:
             while True:
-                left[0] = left[0][made_one.send(left[0]):] or data
+                left[0] = left[0][made_one.send(left[0]) :] or data
         except (BlockingIOError, ConnectionError):
             pass
 
@@ -140,7 +147,7 @@
     made.until(lambda: served.answers)
     front = made.process.front
     assert "result" in served.answers[0] and heaviest < 3 * links.UNTAKEN and front.faults == links.FAULTS
-    made.passes(fronts.FIRST_WORD + 100 * MILLI)     # who said nothing, and who takes nothing, is gone
+    made.passes(fronts.FIRST_WORD + 100 * MILLI)  # who said nothing, and who takes nothing, is gone
     made.passes(fronts.SWEEP)
     assert all(client.ended for client in silent) and front.deaf == 1 and front.held <= 1
     pings.close()
@@ -179,6 +186,7 @@
 
 # The end of the process
 
+
 def stopped(made):
     """SIGTERM, and all but the last moment in which clients still come; whether the process has ended."""
     made.loop.running = True
@@ -197,13 +205,13 @@
 
 @pytest.mark.parametrize("closes", [True, False])
 def test_the_process_ends_when_its_last_answer_is_taken_and_no_sooner(gate, closes, monkeypatch):
-    monkeypatch.setattr("fcntl.ioctl", lambda *told: bytes(4))   # acknowledged, as far as the kernel knows
+    monkeypatch.setattr("fcntl.ioctl", lambda *told: bytes(4))  # acknowledged, as far as the kernel knows
     held = []
     made = gate(lambda *told: told[1]["type"] == "go" and held.append(told), clock=Handed())
     client = made.client()
     client.ask(1)
     made.until(lambda: held)
-    client.stream.on_half = lambda: None     # reads the end of sending, and closes when the test says so
+    client.stream.on_half = lambda: None  # reads the end of sending, and closes when the test says so
     ended = stopped(made)
     made.passes(MILLI)
     for each in held:
@@ -215,20 +223,20 @@
         client.stream.close()
         made.turns()
     else:
-        made.passes(2 * MILLI)               # it has the answer and holds on: left to the kernel
+        made.passes(2 * MILLI)  # it has the answer and holds on: left to the kernel
     assert ended()
 
 
 def test_what_only_waits_to_be_taken_gets_no_more_time_than_is_granted(gate, monkeypatch):
-    monkeypatch.setattr(links.Link, "look", lambda link, now: None)     # no deaf client's end before
+    monkeypatch.setattr(links.Link, "look", lambda link, now: None)  # no deaf client's end before
     made = gate(clock=Handed())
     client = made.client()
     client.ask(1)
     made.until(lambda: client.answers)
-    link, = made.process.front.links
+    (link,) = made.process.front.links
     ended = stopped(made)
     monkeypatch.setattr(link.stream.__class__, "_send", lambda stream, data: 0)
-    link.stream.out, link.stream.waiting = [b"x"], 1       # as where the client's window is shut
+    link.stream.out, link.stream.waiting = [b"x"], 1  # as where the client's window is shut
     made.passes(MILLI)
     made.passes(made.process.granted - made.loop.now() - MILLI)
     assert not ended() and made.process.front.held == 1
@@ -301,18 +309,18 @@
     if not open_before:
         made.hosts[0].serve(*held[0])
         made.until(lambda: client.answers)
-    link, = made.process.front.links
-    client.ask(2)                            # in the gateway's socket, not read by it
+    (link,) = made.process.front.links
+    client.ask(2)  # in the gateway's socket, not read by it
     made.process.front.stop()
     if open_before:
-        link.open.clear()                    # as where the first is answered in this very turn
+        link.open.clear()  # as where the first is answered in this very turn
         link.settled()
     made.until(lambda: client.ended)
     assert client.answers[-1]["id"] == 2 and client.answers[-1]["error"]["code"] == REFUSED
 
 
 def test_signals_that_come_together_are_all_heeded_and_a_second_sigterm_changes_nothing(gate):
-    made = gate(clock=Handed(), known={"seq": 0, "results": []})     # nothing was ever listed
+    made = gate(clock=Handed(), known={"seq": 0, "results": []})  # nothing was ever listed
     before = {number: signal.getsignal(number) for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT)}
     made.process.reload = lambda: 1 / 0
     try:
@@ -339,6 +347,7 @@
 
 # Descriptors
 
+
 @pytest.fixture
 def exhausted():
     """A call that leaves no descriptor to be had, and one that gives them back."""
@@ -360,7 +369,7 @@
     take, give = exhausted
     made = gate(clock=Handed())
     clients = []
-    for _ in range(SHORT + 2):                   # each idle for a little longer than the next
+    for _ in range(SHORT + 2):  # each idle for a little longer than the next
         clients.append(made.client())
         made.turns(5)
         made.passes(10 * MILLI)
@@ -378,7 +387,7 @@
     made.passes(AGAIN + MILLI)
     assert made.lines[-1][0] == "configuration" and made.process.follower.where == address("127.0.0.1:9")
     made.passes(STATUS)
-    assert [what for what, _ in made.lines].count("status") == 4    # both go on
+    assert [what for what, _ in made.lines].count("status") == 4  # both go on
 
 
 def test_a_dial_that_finds_no_descriptor_makes_room_for_the_next(gate, exhausted):
@@ -399,4 +408,4 @@
     process = gate(sockets=sockets).process
     most = process.front.lot.admission.most
     assert most + process.hosts.room + OWN <= sockets and process.hosts.room > 0
-    assert most >= sockets // 3 or sockets < 64     # what clients may hold by the protocol
+    assert most >= sockets // 3 or sockets < 64  # what clients may hold by the protocol
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -1,4 +1,5 @@
 """The load tool: scripts, open-loop arrival, storms, slow writers, results that later reports read."""
+
 import json
 import subprocess
 import sys
@@ -66,24 +67,29 @@
 
 
 def test_a_storm_resets_a_share_which_come_back_asking(answers):
-    crowd = played(answers, "length 600ms\nhold 40 over 10ms again 50ms\ntraffic a rate 20 path /x\n"
-                            "storm at 200ms share 0.5 back 100ms")
+    crowd = played(
+        answers,
+        "length 600ms\nhold 40 over 10ms again 50ms\ntraffic a rate 20 path /x\n"
+        "storm at 200ms share 0.5 back 100ms",
+    )
     after = crowd.tallies["a after a storm"]
     assert sum(after.ends.values()) == 20 and crowd.counts["connected"] == 60 and crowd.counts["storms"] == 1
 
 
 def test_what_nobody_answers_is_overdue_and_what_never_found_a_connection_is_told(answers):
     answers.delay = None
-    crowd = played(answers, "length 300ms\nhold 3 over 10ms again 5s\n"
-                            "traffic a rate 100 path /x patience 150ms")
+    crowd = played(
+        answers, "length 300ms\nhold 3 over 10ms again 5s\ntraffic a rate 100 path /x patience 150ms"
+    )
     ends = crowd.tallies["a"].ends
     assert ends["overdue"] == 3 and ends["never sent"] > 5 and "delivered" not in ends
 
 
 @pytest.mark.parametrize("what", ["head", "body", "read", "silent"])
 def test_slow_ones_hold_connections_and_finish_nothing(answers, what):
-    crowd = played(answers, f"length 300ms\nhold 2 over 10ms\nslow 5 what {what} every 20ms\n"
-                            "traffic a rate 50 path /x")
+    crowd = played(
+        answers, f"length 300ms\nhold 2 over 10ms\nslow 5 what {what} every 20ms\ntraffic a rate 50 path /x"
+    )
     assert answers.most >= 5 and crowd.tallies["a"].ends["delivered"] == crowd.counts["asked"]
 
 
@@ -100,14 +106,21 @@
         load = read_load("l", "target 127.0.0.1:1\ntraffic a rate 1 path /x,/y,/z")
         crowd = Crowd(answers.loop, load, seed)
         return [crowd.request(load.traffic[0]) for _ in range(20)]
+
     assert paths(3) == paths(3) != paths(4)
 
 
-@pytest.mark.parametrize("line, text", [
-    ("traffic a rate 1 think 1s path /x", "either a rate or a time to think"), ("hold none", "hold"),
-    ("traffic a path /x", "either"), ("storm share 2 at 1s", "share"),
-    ("trafic a rate 1 path /x", "did you mean traffic"),
-    ("traffic a rate 1 path /x\ntraffic a rate 2 path /x", "second time")])
+@pytest.mark.parametrize(
+    "line, text",
+    [
+        ("traffic a rate 1 think 1s path /x", "either a rate or a time to think"),
+        ("hold none", "hold"),
+        ("traffic a path /x", "either"),
+        ("storm share 2 at 1s", "share"),
+        ("trafic a rate 1 path /x", "did you mean traffic"),
+        ("traffic a rate 1 path /x\ntraffic a rate 2 path /x", "second time"),
+    ],
+)
 def test_a_wrong_script_is_refused_with_line_and_cure(line, text):
     with pytest.raises(Mistakes, match=text):
         read_load("l", f"target 127.0.0.1:1\n{line}\n")
@@ -139,14 +152,19 @@
 def test_the_command_plays_a_script_and_reports(rig, tmp_path):
     made = rig(hosts=2)
     script, out = tmp_path / "s", tmp_path / "o"
-    script.write_text(f"target 127.0.0.1:{made.at[1][1]}\nlength 500ms\nhold 5 over 10ms\n"
-                      "traffic lamps rate 30 path /v2/models/lamp/infer body 200\n")
-    child = subprocess.Popen([sys.executable, "-m", "gaproute", "load", str(script), "--json", "--out",
-                              str(out)], stdout=subprocess.PIPE)
+    script.write_text(
+        f"target 127.0.0.1:{made.at[1][1]}\nlength 500ms\nhold 5 over 10ms\n"
+        "traffic lamps rate 30 path /v2/models/lamp/infer body 200\n"
+    )
+    child = subprocess.Popen(
+        [sys.executable, "-m", "gaproute", "load", str(script), "--json", "--out", str(out)],
+        stdout=subprocess.PIPE,
+    )
     made.until(lambda: child.poll() is not None, 20)
     told = json.loads(child.stdout.read())
     child.stdout.close()
     assert child.returncode == 0 and told["traffic"][0]["well"] == told["counts"]["asked"] > 3
-    report = subprocess.run([sys.executable, "-m", "gaproute", "load-report", str(out), "--json"],
-                            capture_output=True)
+    report = subprocess.run(
+        [sys.executable, "-m", "gaproute", "load-report", str(out), "--json"], capture_output=True
+    )
     assert json.loads(report.stdout)[0]["well"] == told["traffic"][0]["well"]
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -1,5 +1,6 @@
 """Connections between their requests: who comes in, who waits, who must leave, and the arrays they stand
 in."""
+
 import os
 import resource
 import socket
@@ -10,9 +11,20 @@
 from hypothesis import strategies as st
 
 from gaproute.decisions.chance import Chance
-from gaproute.decisions.admission.admission import (ARRIVING, DISPLACE, FRESH, FRESH_MOST, HOSTS_SHARE,
-                                                    JITTER, KNOWN, RESERVE, SPARE, TAKE, TURN_AWAY,
-                                                    Admission)
+from gaproute.decisions.admission.admission import (
+    ARRIVING,
+    DISPLACE,
+    FRESH,
+    FRESH_MOST,
+    HOSTS_SHARE,
+    JITTER,
+    KNOWN,
+    RESERVE,
+    SPARE,
+    TAKE,
+    TURN_AWAY,
+    Admission,
+)
 from gaproute.http1 import Limits, Server
 from gaproute.lobby import Calendar, Lot
 from gaproute.lobby.calendar import WIDTH
@@ -31,13 +43,16 @@
 
 # The decisions on admission
 
+
 def test_clients_can_never_take_what_is_kept_for_hosts_and_operators():
     assert admission(most=10**6, descriptors=20_000).most == 20_000 - RESERVE - int(20_000 * HOSTS_SHARE)
     assert admission(most=100).most == 100 and admission(descriptors=10).most == 1
 
 
-@pytest.mark.parametrize("held, of_address, spare, said", [
-    (9, 0, False, TAKE), (10, 0, True, DISPLACE), (10, 0, False, TURN_AWAY), (5, 10, True, TURN_AWAY)])
+@pytest.mark.parametrize(
+    "held, of_address, spare, said",
+    [(9, 0, False, TAKE), (10, 0, True, DISPLACE), (10, 0, False, TURN_AWAY), (5, 10, True, TURN_AWAY)],
+)
 def test_an_arrival_is_taken_displaces_or_is_turned_away(held, of_address, spare, said):
     assert admission().admit(held, of_address, spare) is said
 
@@ -54,7 +69,7 @@
     assert turns.count(KNOWN) == 3000 and 300 < turns.count(FRESH) < 700 and 300 < turns.count(ARRIVING) < 700
     assert made.next(0, 0, False) is None
     assert {made.next(1, 0, False) for _ in range(8)} == {KNOWN}
-    assert {made.next(0, FRESH_MOST, True) for _ in range(50)} == {FRESH}      # no more are accepted
+    assert {made.next(0, FRESH_MOST, True) for _ in range(50)} == {FRESH}  # no more are accepted
 
 
 @given(st.integers(1, 10**12), st.integers(0, 10**12))
@@ -65,6 +80,7 @@
 
 # The calendar
 
+
 @given(st.lists(st.integers(1, 10**9), max_size=60), st.lists(st.integers(0, 5 * 10**8), max_size=20))
 def test_nothing_is_taken_early_nothing_is_lost_and_little_late(dues, steps):
     calendar, now, taken = Calendar(), 0, []
@@ -100,6 +116,7 @@
 
 # Parked connections on sockets
 
+
 class House:
     """A server on a loop of the test's own clock, and blocking clients."""
 
@@ -164,7 +181,7 @@
     made = house()
     client = made.client()
     made.ask(client)
-    link, = made.server.links
+    (link,) = made.server.links
     made.ask(client)
     assert made.server.links == {link}
 
@@ -201,7 +218,7 @@
     made.ask(client)
     made.skew += 2 * SECOND
     made.turns(lambda: made.lot.parked == 1)
-    made.skew += 7 * SECOND               # 9 s after its last request, 18 s after it came
+    made.skew += 7 * SECOND  # 9 s after its last request, 18 s after it came
     made.loop.run(until=made.loop.sleep(20 * MILLI))
     assert made.lot.held == 1 and made.lot.expired == 0
     made.skew += 1100 * MILLI
@@ -215,7 +232,7 @@
     quiet = [made.client() for _ in range(EXPIRES + 40)]
     made.turns(lambda: made.lot.parked == len(quiet) + 1)
     speaks.sendall(HEAD)
-    made.skew += 60 * SECOND              # the process stood still: all are overdue, and one has spoken
+    made.skew += 60 * SECOND  # the process stood still: all are overdue, and one has spoken
     made.loop.turn()
     assert len(made.asked) == 1 and made.asked[0].arrived < made.loop.now() - 40 * SECOND
     assert 0 < made.lot.expired <= EXPIRES
@@ -232,7 +249,7 @@
     made.skew += 1300 * MILLI
     made.turns(lambda: made.lot.parked == 3)
     late = made.client()
-    made.turns(lambda: made.lot.turned_away == 1)      # all were busy or came just now
+    made.turns(lambda: made.lot.turned_away == 1)  # all were busy or came just now
     assert late.recv(1) == b""
     made.skew += SPARE
     made.ask(busy)
@@ -307,7 +324,7 @@
     def first(events):
         fd = two.fileno()
         made.loop.unwatch(fd)
-        two.close()                           # its event of this turn is still to be handed over
+        two.close()  # its event of this turn is still to be handed over
         again = socket.socket()
         assert again.fileno() == fd
         made.loop.watch(fd, 1, lambda events: heard.append("stale"))
@@ -318,7 +335,7 @@
     made.loop.watch(two.fileno(), 1, lambda events: heard.append("two"))
     other.send(b"x"), far.send(b"x")
     made.loop.turn()
-    if heard and heard[0] == "two":           # epoll told them the other way round: nothing to show
+    if heard and heard[0] == "two":  # epoll told them the other way round: nothing to show
         pytest.skip("the kernel told the second first")
     assert "stale" not in heard[1:]
     made.loop.unwatch(heard[0].fileno())
@@ -338,7 +355,7 @@
     new = made.client()
     made.turns(lambda: made.lot.parked == 1)
     assert made.lot.state[fd] and made.lot.tasks[fd] == 0
-    made.skew += 5 * SECOND                   # over the old one's end, not the new one's
+    made.skew += 5 * SECOND  # over the old one's end, not the new one's
     made.loop.run(until=made.loop.sleep(20 * MILLI))
     assert made.lot.held == 1 and b"200" in made.ask(new)
 
@@ -351,7 +368,7 @@
     waiting = made.client()
     free = os.dup(0)
     os.close(free)
-    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))     # nothing can be opened any more
+    resource.setrlimit(resource.RLIMIT_NOFILE, (free, hard))  # nothing can be opened any more
     try:
         made.turns(lambda: made.server.listener.rests >= 1)
         assert made.lot.held == 1
@@ -392,7 +409,7 @@
     made = house()
     parked = made.client()
     made.turns(lambda: made.lot.parked == 1)
-    arriving = made.client()                  # not yet accepted
+    arriving = made.client()  # not yet accepted
     for client in (parked, arriving):
         client.sendall(HEAD)
     made.server.stop()
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -97,7 +97,7 @@
     loop.on_late.append(lambda: order.append("news"))
     loop.after(10 * MILLI, order.append, "timer")
     there.send(b"x")
-    clock.now += 2 * SECOND      # as if the process had been stopped
+    clock.now += 2 * SECOND  # as if the process had been stopped
     loop.turn()
     assert order == ["news", ("bytes", 2 * SECOND - 10 * MILLI), "timer"] and loop.late_turns == 1
     loop.close()
@@ -184,7 +184,7 @@
     order = []
     stream, there = tcp(real, order.append, lambda error: order.append(type(error)))
 
-    def cross():                 # after this turn's look for bytes
+    def cross():  # after this turn's look for bytes
         there.send(b"a whole answer")
         there.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\0\0\0\0\0\0\0")
         there.close()
@@ -199,7 +199,7 @@
 @pytest.mark.parametrize("before", [b"", b"unread"])
 def test_close_hands_over_what_was_written_and_bytes_that_cross_it_do_not_reset_it(real, before):
     """The other side reads to the end although it wrote before, across and after the close."""
-    closed, size = [], 1 << 20           # more than the socket takes at once
+    closed, size = [], 1 << 20  # more than the socket takes at once
     stream, there = tcp(real)
     stream.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 16)
     there.send(before)
@@ -256,7 +256,7 @@
 def test_a_refused_connection_is_told_not_raised(real):
     told = Promise()
     with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))       # bound and not listening: refuses
+        taken.bind(("127.0.0.1", 0))  # bound and not listening: refuses
         connect(real, (socket.AF_INET, taken.getsockname()), SECOND, lambda sock, error: told.set(error))
         assert isinstance(real.run(until=told), ConnectionRefusedError)
 
@@ -264,6 +264,7 @@
 def test_a_dial_without_a_descriptor_that_is_given_up_tells_nothing(real, monkeypatch):
     def none_left(*_):
         raise OSError(errno.EMFILE, "none left")
+
     monkeypatch.setattr(socket, "socket", none_left)
     give_up = connect(real, (socket.AF_INET, ("127.0.0.1", 9)), SECOND, lambda *_: pytest.fail("told"))
     give_up()
@@ -302,7 +303,7 @@
     listener.sock = Short()
     with socket.create_connection(inner.getsockname()):
         real.run(until=came).close()
-    assert listener.rests == 2 and Short.calls < 10      # it rested, it did not spin
+    assert listener.rests == 2 and Short.calls < 10  # it rested, it did not spin
     inner.close()
 
 
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -1,4 +1,5 @@
 """What peers tell: the algebra of facts, trust, the budget, and two gateways on sockets."""
+
 import json
 import random
 from collections import Counter
@@ -19,14 +20,22 @@
 
 NOW = 1000 * SECOND
 KEEP = 10 * SECOND
-subject = st.one_of(st.tuples(st.just("warm"), st.sampled_from("xy"), st.sampled_from("fg")),
-                    st.tuples(st.just("listed"), st.sampled_from("xy")),
-                    st.tuples(st.just("pace"), st.sampled_from("xy")))
-VALUES = {"warm": st.tuples(st.integers(1, 2), st.integers(0, 2)),
-          "listed": st.tuples(st.sampled_from(["active", "draining", "gone"]), st.integers(0, 2)),
-          "pace": st.tuples(st.floats(1, 3))}
-told = subject.flatmap(lambda names: st.tuples(st.just(names), st.builds(
-    Fact, st.integers(0, 5), st.sampled_from("ab"), st.integers(0, 1), VALUES[names[0]])))
+subject = st.one_of(
+    st.tuples(st.just("warm"), st.sampled_from("xy"), st.sampled_from("fg")),
+    st.tuples(st.just("listed"), st.sampled_from("xy")),
+    st.tuples(st.just("pace"), st.sampled_from("xy")),
+)
+VALUES = {
+    "warm": st.tuples(st.integers(1, 2), st.integers(0, 2)),
+    "listed": st.tuples(st.sampled_from(["active", "draining", "gone"]), st.integers(0, 2)),
+    "pace": st.tuples(st.floats(1, 3)),
+}
+told = subject.flatmap(
+    lambda names: st.tuples(
+        st.just(names),
+        st.builds(Fact, st.integers(0, 5), st.sampled_from("ab"), st.integers(0, 1), VALUES[names[0]]),
+    )
+)
 facts = st.lists(told, max_size=8)
 
 
@@ -80,13 +89,16 @@
     assert len(seen) > 10 and all(0.34 * KEEP < NOW - at < 0.71 * KEEP for at in seen)
 
 
-@pytest.mark.parametrize("fact, gone, lives, reason", [
-    (warm(), [], {}, "not listed"),
-    (warm(started=7), [], {"x": 8}, "another life"),
-    (warm(at=NOW - SECOND), [listed("x", "gone", NOW - SECOND)], {"x": 0}, "gone since"),
-    (warm(at=NOW - SECOND), [listed("x", "draining", NOW - SECOND)], {"x": 0}, "gone since"),
-    (warm(at=NOW - KEEP), [], {"x": 0}, "faded"),
-])
+@pytest.mark.parametrize(
+    "fact, gone, lives, reason",
+    [
+        (warm(), [], {}, "not listed"),
+        (warm(started=7), [], {"x": 8}, "another life"),
+        (warm(at=NOW - SECOND), [listed("x", "gone", NOW - SECOND)], {"x": 0}, "gone since"),
+        (warm(at=NOW - SECOND), [listed("x", "draining", NOW - SECOND)], {"x": 0}, "gone since"),
+        (warm(at=NOW - KEEP), [], {"x": 0}, "faded"),
+    ],
+)
 def test_a_hint_that_a_newer_fact_or_the_list_gainsays_is_void(fact, gone, lives, reason):
     made = lore(fact, *gone)
     assert hints(made, lives) == [] and made.refused[reason] == 1
@@ -112,15 +124,24 @@
     assert made.observed(NOW, SECOND) == NOW - SECOND
 
 
-@pytest.mark.parametrize("names, value, reason", [
-    (("warm", "x" * 300, "f"), (1, 0), "name"), (("warm", "x", ""), (1, 0), "name"),
-    (("warm", "x"), (1, 0), "name"), (("pace", "x", "y"), (1.0,), "name"),
-    (("warm", "x", "f"), (0, 0), "lanes"), (("warm", "x", "f"), (1 << 30, 0), "lanes"),
-    (("warm", "x", "f"), (1, -5), "start"), (("listed", "x"), ("well", 0), "state"),
-    (("doubt", "x", "t"), (float("nan"),), "share"), (("doubt", "x", "t"), (-1.0,), "share"),
-    (("pace", "x"), (float("inf"),), "pace"), (("usual", "f"), (-1,), "time"),
-    (("rumour", "x"), (1,), "kind"),
-])
+@pytest.mark.parametrize(
+    "names, value, reason",
+    [
+        (("warm", "x" * 300, "f"), (1, 0), "name"),
+        (("warm", "x", ""), (1, 0), "name"),
+        (("warm", "x"), (1, 0), "name"),
+        (("pace", "x", "y"), (1.0,), "name"),
+        (("warm", "x", "f"), (0, 0), "lanes"),
+        (("warm", "x", "f"), (1 << 30, 0), "lanes"),
+        (("warm", "x", "f"), (1, -5), "start"),
+        (("listed", "x"), ("well", 0), "state"),
+        (("doubt", "x", "t"), (float("nan"),), "share"),
+        (("doubt", "x", "t"), (-1.0,), "share"),
+        (("pace", "x"), (float("inf"),), "pace"),
+        (("usual", "f"), (-1,), "time"),
+        (("rumour", "x"), (1,), "kind"),
+    ],
+)
 def test_a_fact_that_cannot_be_is_refused_with_one_counted_reason(names, value, reason):
     made = lore((names, Fact(1, "a", 1, value)))
     assert made.facts == {} and made.refused == {reason: 1}
@@ -184,6 +205,7 @@
 
 # What the decision module makes of a hint
 
+
 def test_a_hint_gives_way_to_what_was_seen_and_is_void_for_hosts_not_active_or_wiped():
     made = gateway(row("a"), row("b", state=State.DRAINING))
     assert made.hint("a", "f", 4, 5 * SECOND) and not made.hint("a", "f", 4, 4 * SECOND)
@@ -323,14 +345,23 @@
     assert (("warm", "a", "f"), (4, 77), 3 * SECOND) in told
     assert (("doubt", "a", "check"), (0.4,), 4 * SECOND) in told
     assert [names for names, _, _ in own(made, roll, ("check",), 5 * SECOND, 3 * SECOND)] == [
-        ("doubt", "a", "check")]
+        ("doubt", "a", "check")
+    ]
 
 
 def test_following_leaves_out_hosts_not_listed_and_tracks_not_known():
     made = gateway(row("a"))
-    told = lore(*[(names, Fact(1, "g", 1, (value,))) for names, value in (
-        (("doubt", "z", "check"), 1.0), (("doubt", "a", "no"), 1.0), (("doubt", "a", "check"), 1.0),
-        (("pace", "a"), 99.0))])
+    told = lore(
+        *[
+            (names, Fact(1, "g", 1, (value,)))
+            for names, value in (
+                (("doubt", "z", "check"), 1.0),
+                (("doubt", "a", "no"), 1.0),
+                (("doubt", "a", "check"), 1.0),
+                (("pace", "a"), 99.0),
+            )
+        ]
+    )
     assert told.follow(made, 2, {"a": 0}, {"check": 0}, KEEP, Chance(1), told.facts) == 2
     assert told.refused == {"not listed": 1, "track": 1} and made.workers["a"].slow == SLOWEST
 
@@ -339,8 +370,10 @@
 def test_gateways_that_learn_the_same_at_one_moment_do_not_all_send_to_one_host(share):
     hosts = [f"h{number}" for number in range(10)]
     others = [worker.id for worker in ranked(gateway(*map(row, hosts)), "f")][1:7]
-    told = lore(*[warm(name, at=59 * SECOND) for name in others],
-                (("share", "f"), Fact(59 * SECOND, "g", 1, (share,))))
+    told = lore(
+        *[warm(name, at=59 * SECOND) for name in others],
+        (("share", "f"), Fact(59 * SECOND, "g", 1, (share,))),
+    )
     sent = Counter()
     seeds = random.Random(1)
     for _ in range(40):
@@ -366,14 +399,16 @@
 
 # Two gateways
 
+
 @pytest.fixture
 def beside(fleet):
     """A busy gateway that tells, and a call that starts another beside it; both on one loop."""
     made, begin = fleet
     for number in range(6):
         assert made.wait(made.ask("lamp", f"w{number}")).status == 200
-    return made, lambda where=None: begin("second", f"peer g {where or made.gate.fronts[1].address}",
-                                          listen=False)
+    return made, lambda where=None: begin(
+        "second", f"peer g {where or made.gate.fronts[1].address}", listen=False
+    )
 
 
 def test_a_gateway_started_beside_a_busy_one_finds_the_copy_at_once(beside):
@@ -403,7 +438,7 @@
     made, start = beside
     rows = made.list.read_text().splitlines()
     (worker,) = made.gate.core.gateway.functions["lamp"].stands
-    made.gate.watch.close()          # the giver's own list is late: it still believes in the host
+    made.gate.watch.close()  # the giver's own list is late: it still believes in the host
     made.relist(*[row for row in rows if not row.startswith(f"host {worker} ")])
     second = start()
     made.until(lambda: second.others.learner.state["g"].startswith("told"))
@@ -414,12 +449,18 @@
 @pytest.mark.parametrize("act", ["stalls", "nonsense", "future"])
 def test_a_peer_that_is_no_help_is_dropped_and_nothing_waits_for_it(beside, act):
     from test_gateway import reply, scripted_host
+
     made, start = beside
     body = {"nonsense": b"\xff\xff", "future": Told(version=9).SerializeToString()}.get(act, b"")
     text = f"HTTP/1.1 200 X\r\nContent-Length: {len(body)}\r\n\r\n".encode("latin-1") + body
-    listener = scripted_host(made.loop, (lambda stream, data: None) if act == "stalls" else
-                             reply(text.decode("latin-1")) if act == "future" else
-                             lambda stream, data: stream.write(text))
+    listener = scripted_host(
+        made.loop,
+        (lambda stream, data: None)
+        if act == "stalls"
+        else reply(text.decode("latin-1"))
+        if act == "future"
+        else lambda stream, data: stream.write(text),
+    )
     where = listener.address
     second = start(where)
     made.at = made.at[0], ("127.0.0.1", int(second.fronts[0].address.rpartition(":")[2]))
--- a/tests/test_maintenance_driven.py
+++ b/tests/test_maintenance_driven.py
@@ -1,4 +1,5 @@
 """Rounds in the driver: fixed seeds keep the floor in truth, small faults put into the code are caught."""
+
 from functools import cache
 
 import msgspec
@@ -65,8 +66,13 @@
 
 def no_margin(put):
     real = floor.needs
-    put(floor, "needs", lambda asked, demand, zones: real(
-        [msgspec.structs.replace(each, margin=0) for each in asked], demand, zones))
+    put(
+        floor,
+        "needs",
+        lambda asked, demand, zones: real(
+            [msgspec.structs.replace(each, margin=0) for each in asked], demand, zones
+        ),
+    )
 
 
 def no_look_ahead(put):
@@ -85,13 +91,19 @@
         for each in self.places.values():
             if each.state == "back":
                 self.believed[each.name] = dict.fromkeys(each.had, view.fleet[each.name].lanes)
+
     put(Running, "_believe", believe)
 
 
 def one_too_many(put):
     real = schedule.barred
-    put(schedule, "barred", lambda asked, fleet, name, away, down=(): real(
-        asked, fleet, name, list(away)[1:] if len(away) == asked.together else away, down))
+    put(
+        schedule,
+        "barred",
+        lambda asked, fleet, name, away, down=(): real(
+            asked, fleet, name, list(away)[1:] if len(away) == asked.together else away, down
+        ),
+    )
 
 
 def apart_forgotten(put):
@@ -109,6 +121,7 @@
 
 def _own_turn(running, now, real):
     from gaproute.maintenance import round as module
+
     before, module.TURN = module.TURN, f"turn of {running.asked.name}"
     try:
         return real(running, now)
@@ -119,20 +132,27 @@
 TIGHT = {"together": 3, "one_per": "", "apart": (), "zones": 0, "margin": 400, "survive": ""}
 AHEAD = TIGHT | {"survive": "host", "margin": 100}
 # the fault, the check that names it, what is played, how rounds are changed, a seed that shows it
-MUTANTS = [(no_margin, "floor", "none", TIGHT, 0), (no_look_ahead, "floor", "died", AHEAD, 10),
-           (no_age, "belief fades", "died", {}, 3), (counted_at_once, "nothing counts until", "none", {}, 0),
-           (one_too_many, "at most", "none", {}, 0), (apart_forgotten, "not out together", "none", {}, 0),
-           (not_drained, "tasks in hand", "none", {}, 0),
-           (turn_for_each, "one round has the turn", "two rounds", {}, 1)]
+MUTANTS = [
+    (no_margin, "floor", "none", TIGHT, 0),
+    (no_look_ahead, "floor", "died", AHEAD, 10),
+    (no_age, "belief fades", "died", {}, 3),
+    (counted_at_once, "nothing counts until", "none", {}, 0),
+    (one_too_many, "at most", "none", {}, 0),
+    (apart_forgotten, "not out together", "none", {}, 0),
+    (not_drained, "tasks in hand", "none", {}, 0),
+    (turn_for_each, "one round has the turn", "two rounds", {}, 1),
+]
 
 
 def changed(words):
-    return lambda asked: msgspec.structs.replace(asked, **words | {
-        "together": min(len(asked.hosts), words.get("together", asked.together))})
+    return lambda asked: msgspec.structs.replace(
+        asked, **words | {"together": min(len(asked.hosts), words.get("together", asked.together))}
+    )
 
 
-@pytest.mark.parametrize("mutant, name, kind, words, seed", MUTANTS,
-                         ids=[each[0].__name__ for each in MUTANTS])
+@pytest.mark.parametrize(
+    "mutant, name, kind, words, seed", MUTANTS, ids=[each[0].__name__ for each in MUTANTS]
+)
 def test_a_small_fault_is_caught_by_name(monkeypatch, mutant, name, kind, words, seed):
     assert (verdict(seed, kind, changed=changed(words)) if words else clean(seed, kind)[1]) == ""
     mutant(lambda where, what, put: monkeypatch.setattr(where, what, put))
@@ -142,7 +162,7 @@
 def test_no_out_without_a_permit_or_on_an_old_fence():
     run = rounds.Play(3, "none")
     run.world.run(rounds.SECOND)
-    run.world.crash(run.world.seats["crew"])         # nobody asks for the host
+    run.world.crash(run.world.seats["crew"])  # nobody asks for the host
     for half in range(3, 80):
         run.world.run(half * rounds.SECOND // 2)
         seat = run.world.seats["s1"]
--- a/tests/test_maintenance_parts.py
+++ b/tests/test_maintenance_parts.py
@@ -1,4 +1,5 @@
 """The parts of maintenance by themselves: words, belief, floor, schedule, proof that a host is drained."""
+
 import msgspec
 import pytest
 
@@ -6,31 +7,50 @@
 from gaproute.maintenance.warm import FRESH, STALE, TOLD, Shown
 
 SECOND = 1_000_000_000
-FLEET = {name: Host(name, zone, zone + rack, "a", 4, 3) for name, zone, rack in (
-    ("h0", "x", "1"), ("h1", "x", "2"), ("h2", "y", "1"), ("h3", "y", "2"))}
+FLEET = {
+    name: Host(name, zone, zone + rack, "a", 4, 3)
+    for name, zone, rack in (("h0", "x", "1"), ("h1", "x", "2"), ("h2", "y", "1"), ("h3", "y", "2"))
+}
 WARM = {name: {"f": 4} for name in FLEET}
 
 
 def asked(**words):
-    return Round(**{"name": "r", "hosts": ("h0", "h1", "h2", "h3"), "out": 10 * SECOND, "by": 600 * SECOND,
-                    "margin": 0, "survive": ""} | words)
-
-
-@pytest.mark.parametrize("words, told", [
-    ({}, []),
-    ({"hosts": ()}, ["hosts: none are named"]),
-    ({"hosts": ("h9", "h0", "h0")}, ["hosts: h9 is not listed", "hosts: h0 is named twice"]),
-    ({"zone": "x"}, ["hosts: named one by one and by zone"]),
-    ({"hosts": (), "zone": "w"}, ["zone: no host is of zone w"]),
-    ({"hosts": (), "zone": "x", "rack": "y1"}, ["hosts: none is of all of zone, rack"]),
-    ({"apart": (("h0", "h9"), ("h1",))},
-     ["apart: h9 in list 1 is not listed", "apart: list 2 names fewer than two hosts"]),
-    ({"one_per": "row", "survive": "all"},
-     ["one_per: row is neither rack nor zone", "survive: all is none of host, rack, zone"]),
-    ({"together": 5}, ["together: 5 of 4 hosts"]),
-    ({"by": 39 * SECOND}, ["by: 4 hosts, 1 at a time, are away for 40 s together, by is 39 s"]),
-    ({"zones": 1001}, ["zones: 1001 per mille is more than the floor of the whole fleet"]),
-    ({"functions": ("f", "g")}, ["functions: nobody asks for g"])])
+    return Round(
+        **{
+            "name": "r",
+            "hosts": ("h0", "h1", "h2", "h3"),
+            "out": 10 * SECOND,
+            "by": 600 * SECOND,
+            "margin": 0,
+            "survive": "",
+        }
+        | words
+    )
+
+
+@pytest.mark.parametrize(
+    "words, told",
+    [
+        ({}, []),
+        ({"hosts": ()}, ["hosts: none are named"]),
+        ({"hosts": ("h9", "h0", "h0")}, ["hosts: h9 is not listed", "hosts: h0 is named twice"]),
+        ({"zone": "x"}, ["hosts: named one by one and by zone"]),
+        ({"hosts": (), "zone": "w"}, ["zone: no host is of zone w"]),
+        ({"hosts": (), "zone": "x", "rack": "y1"}, ["hosts: none is of all of zone, rack"]),
+        (
+            {"apart": (("h0", "h9"), ("h1",))},
+            ["apart: h9 in list 1 is not listed", "apart: list 2 names fewer than two hosts"],
+        ),
+        (
+            {"one_per": "row", "survive": "all"},
+            ["one_per: row is neither rack nor zone", "survive: all is none of host, rack, zone"],
+        ),
+        ({"together": 5}, ["together: 5 of 4 hosts"]),
+        ({"by": 39 * SECOND}, ["by: 4 hosts, 1 at a time, are away for 40 s together, by is 39 s"]),
+        ({"zones": 1001}, ["zones: 1001 per mille is more than the floor of the whole fleet"]),
+        ({"functions": ("f", "g")}, ["functions: nobody asks for g"]),
+    ],
+)
 def test_every_mistake_of_a_round_is_told(words, told):
     assert mistakes(asked(**words), FLEET, {"f": 4}) == told
 
@@ -44,20 +64,24 @@
 def test_a_sight_counts_by_its_age_and_its_teller():
     now, seen = 100 * SECOND, Shown(99 * SECOND, 1, copies=("f",))
     assert warm.sight(now, "me", "f", seen, None, 0) == 1000
-    assert warm.sight(now, "me", "f", seen, None, 99 * SECOND) == 0     # seen before its life or the turn
+    assert warm.sight(now, "me", "f", seen, None, 99 * SECOND) == 0  # seen before its life or the turn
     assert [warm.weight(age) for age in (FRESH, (FRESH + STALE) // 2, STALE, -1)] == [1000, 500, 0, 0]
     cold = Shown(90 * SECOND, 1)
-    assert warm.sight(now, "me", "f", cold, (SECOND, ("a",)), 0) == 0     # one alone may tell nonsense
+    assert warm.sight(now, "me", "f", cold, (SECOND, ("a",)), 0) == 0  # one alone may tell nonsense
     assert warm.sight(now, "me", "f", cold, (SECOND, ("a", "me")), 0) == 0
     assert warm.sight(now, "me", "f", cold, (SECOND, ("a", "b")), 0) == warm.weight(SECOND + TOLD)
     assert warm.sight(now, "me", "f", seen, (SECOND, ("a", "b")), 99 * SECOND) == 0
-    later = Shown(97 * SECOND, 1)            # it showed itself cold since then
+    later = Shown(97 * SECOND, 1)  # it showed itself cold since then
     assert warm.sight(now, "me", "f", later, (SECOND, ("a", "b")), 0) == 0
 
 
 def test_lanes_leave_out_who_drains_and_count_cold_hosts_by_their_power():
-    shown = {"h0": Shown(0, 1, copies=("f",)), "h1": Shown(0, 1, power=500, copies=("f",)),
-             "h2": Shown(0, 1, draining=True, copies=("f",)), "h3": Shown(0, 1, copies=("f",))}
+    shown = {
+        "h0": Shown(0, 1, copies=("f",)),
+        "h1": Shown(0, 1, power=500, copies=("f",)),
+        "h2": Shown(0, 1, draining=True, copies=("f",)),
+        "h3": Shown(0, 1, copies=("f",)),
+    }
     found = warm.lanes(SECOND, "me", FLEET, {}, shown, dict.fromkeys(("h0", "h1", "h2"), -1))
     assert found == {"h0": {"f": 4}, "h1": {"f": 2}, "h2": {}, "h3": {}}
 
@@ -67,10 +91,12 @@
     assert rows == {("f", ""): 12, ("f", "x"): 3, ("f", "y"): 3, ("*", ""): 12, ("*", "x"): 3, ("*", "y"): 3}
     assert floor.kept(FLEET, WARM, rows, "") == [] == floor.kept(FLEET, WARM, rows, "host")
     assert floor.kept(FLEET, WARM, rows, "", ("h0",)) == []
-    assert floor.worded(floor.kept(FLEET, WARM, rows, "host", ("h0",))) == \
-        "floor: f in the fleet needs 12 warm lanes, has 8 if h1 fails"
+    assert (
+        floor.worded(floor.kept(FLEET, WARM, rows, "host", ("h0",)))
+        == "floor: f in the fleet needs 12 warm lanes, has 8 if h1 fails"
+    )
     zones = {("f", "x"): 3, ("f", "y"): 3}
-    assert floor.kept(FLEET, WARM, zones, "zone") == []      # not asked of the zone that fails
+    assert floor.kept(FLEET, WARM, zones, "zone") == []  # not asked of the zone that fails
     assert floor.kept(FLEET, WARM, {("f", ""): 9}, "zone")
     assert floor.needs((asked(), asked(margin=500)), {"f": 8}, [])["f", ""] == 12
     assert floor.strict(asked(), [asked(survive="rack")]).survive == "rack"
@@ -99,6 +125,7 @@
 def test_a_round_without_a_lawful_schedule_names_what_is_in_its_way():
     def why(needs, **words):
         return schedule.plan(asked(**words), FLEET, WARM, needs, list(FLEET), {}, schedule.Paces()).why
+
     assert why({("f", ""): 17}).endswith("needs 17 warm lanes, has 16: above all capacity")
     assert why({("f", ""): 13}) == "floor: f in the fleet needs 13 warm lanes, has 12, when h0 is to go"
     assert why({("f", ""): 8}, by=45 * SECOND).startswith("by: it takes 7")
@@ -107,8 +134,13 @@
 def test_a_host_is_drained_by_its_own_word_or_by_the_lists_bound():
     bounds, life = drained.Bounds(), drained.Bounds(life=10 * SECOND)
     assert drained.bound(bounds) is None and drained.bound(life) == 41_200_000_000
-    for seen, which in ((None, ""), (Shown(5, 1, draining=True), "host"),
-                        (Shown(5, 1, draining=True, hands=1), ""), (Shown(3, 1, draining=True), ""),
-                        (Shown(5 + 41 * SECOND, 1), ""), (Shown(4 + drained.bound(life), 1), "list")):
+    for seen, which in (
+        (None, ""),
+        (Shown(5, 1, draining=True), "host"),
+        (Shown(5, 1, draining=True, hands=1), ""),
+        (Shown(3, 1, draining=True), ""),
+        (Shown(5 + 41 * SECOND, 1), ""),
+        (Shown(4 + drained.bound(life), 1), "list"),
+    ):
         assert drained.proof(0, seen, 4, life) == which
     assert drained.proof(0, Shown(1 << 60, 1), 4, bounds) == ""
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
 """Who is up: claims as a lattice, and whole fleets of gateways on a clock and a network of the test's own."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -34,7 +35,8 @@
     for claim in [*other, *told]:
         two.claim(2, claim)
     assert {name: member.news[2:] for name, member in one.members.items()} == {
-        name: member.news[2:] for name, member in two.members.items()}
+        name: member.news[2:] for name, member in two.members.items()
+    }
 
 
 @pytest.mark.parametrize("size", [2, 3, 8, 40])
@@ -153,9 +155,18 @@
     assert len(made.members) == MEMBERS and made.refused == MEMBERS + 1
 
 
-@pytest.mark.parametrize("sender", [
-    News("", "w", ALIVE, 1), News("x" * 300, "w", ALIVE, 1), News("a", "", ALIVE, 1), News("a", "w", 9, 1),
-    News("a", "w", ALIVE, HIGHEST + 1), News("a", "w", DEAD, 1), News("me", "w", ALIVE, 1)])
+@pytest.mark.parametrize(
+    "sender",
+    [
+        News("", "w", ALIVE, 1),
+        News("x" * 300, "w", ALIVE, 1),
+        News("a", "", ALIVE, 1),
+        News("a", "w", 9, 1),
+        News("a", "w", ALIVE, HIGHEST + 1),
+        News("a", "w", DEAD, 1),
+        News("me", "w", ALIVE, 1),
+    ],
+)
 def test_a_message_whose_sender_cannot_be_is_refused(sender):
     made = members("a")
     assert made.hear(1, Word("ping", 1, sender)) == [] and made.refused == 1
@@ -182,7 +193,7 @@
     for number in range(200):
         made.claim(0, News(f"gateway-with-a-long-name-{number}", "w" * 60, ALIVE, 1))
     made.claim(0, News("a", "a", SUSPECT, 3))
-    (_, word), = made.hear(1, Word("ping", 4, News("a", "a", ALIVE, 1)))
+    ((_, word),) = made.hear(1, Word("ping", 4, News("a", "a", ALIVE, 1)))
     assert word.news[0] == News("a", "a", SUSPECT, 3) and word.number == 4
     assert 3 < len(word.news) < BYTES / ROOM and len(encode(word)) <= BYTES
 
@@ -192,21 +203,25 @@
     assert decode(encode(word)) == word
     assert decode(b"\xff\xff") is None and decode(b"") is None
     future = bytearray(encode(word))
-    future[1] = 9                    # its version
+    future[1] = 9  # its version
     assert decode(bytes(future)) is None
 
 
-@given(st.lists(st.builds(News, st.sampled_from("ab"), st.sampled_from("vw"), st.integers(0, 3),
-                          st.integers(0, 3)), max_size=8).flatmap(
-    lambda told: st.tuples(st.just(told), st.permutations(told))))
+@given(
+    st.lists(
+        st.builds(News, st.sampled_from("ab"), st.sampled_from("vw"), st.integers(0, 3), st.integers(0, 3)),
+        max_size=8,
+    ).flatmap(lambda told: st.tuples(st.just(told), st.permutations(told)))
+)
 def test_claims_of_members_nobody_configured_end_in_one_address_in_any_order(orders):
     one, two = members(), members()
-    alive = [News(name, "u", ALIVE, 0) for name in "ab"]     # nobody dead is learnt of
+    alive = [News(name, "u", ALIVE, 0) for name in "ab"]  # nobody dead is learnt of
     for claims, made in zip(orders, (one, two)):
         for claim in [*alive, *claims]:
             made.claim(1, claim)
     assert {name: member.news for name, member in one.members.items()} == {
-        name: member.news for name, member in two.members.items()}
+        name: member.news for name, member in two.members.items()
+    }
     assert check(one, True) == check(two, True) == []
 
 
@@ -232,7 +247,7 @@
     made.pulling.begin(0, "a")
     a, b = (News(name, name, ALIVE, 1) for name in "ab")
     assert made.hear(1, Word("part", 5, b)) == []
-    (where, word), = made.hear(2, Word("part", 5, a))
+    ((where, word),) = made.hear(2, Word("part", 5, a))
     assert (where, word.kind, word.number) == ("a", "pull", 5) and made.hear(3, Word("part", 5, a)) == []
     assert made.hear(4, Word("part", 0, a)) == [] and made.pulling.whole == 1
 
@@ -248,7 +263,7 @@
     made.claim(0, News("a", "old", ALIVE, 9))
     back = Members("a", "new", Chance(2), 0)
     back.listed(0, {"me": "me"})
-    (where, word), = made.hear(1, back.tick(SECOND)[0][1])
+    ((where, word),) = made.hear(1, back.tick(SECOND)[0][1])
     assert where == "new" and made.members["a"].where == "old"
     back.hear(2, word)
     assert back.incarnation == 10
@@ -279,9 +294,23 @@
     assert all(len(node.table.alive) == 39 for node in net.nodes.values())
 
 
-@given(st.lists(st.tuples(st.sampled_from(("ping", "ack", "ask", "pull", "part", "tick", "list")), st.builds(
-    News, st.sampled_from(("a", "b", "c", "me", "")), st.sampled_from("vw"), st.integers(-1, 5),
-    st.integers(-1, 9)), st.integers(0, 9), st.lists(st.sampled_from("abc"))), max_size=40))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(("ping", "ack", "ask", "pull", "part", "tick", "list")),
+            st.builds(
+                News,
+                st.sampled_from(("a", "b", "c", "me", "")),
+                st.sampled_from("vw"),
+                st.integers(-1, 5),
+                st.integers(-1, 9),
+            ),
+            st.integers(0, 9),
+            st.lists(st.sampled_from("abc")),
+        ),
+        max_size=40,
+    )
+)
 def test_whatever_comes_the_lists_agree(steps):
     made, now = members("a"), 0
     for kind, sender, number, names in steps:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,5 +1,6 @@
 """The memory of a past life on disk: what it gives back, how old, and what it does with a file that is no
 good."""
+
 import itertools
 
 import pytest
@@ -64,10 +65,12 @@
     written(memory)
     assert memory(Clocks(SECOND, 10**18 + 60 * SECOND), "b2").read(9)[0][2] == 61 * SECOND
 
+
 def test_a_fact_of_the_future_is_refused_by_the_lore(memory):
     from gaproute.decisions.told.lore import Lore
+
     written(memory)
-    (_, _, age), = memory(Clocks(SECOND, 10**18 - 60 * SECOND), "b2").read(9)
+    ((_, _, age),) = memory(Clocks(SECOND, 10**18 - 60 * SECOND), "b2").read(9)
     assert age < 0 and Lore().observed(0, age) is None
 
 
@@ -75,6 +78,7 @@
     written(memory, (WARM, (4, 0), 90 * SECOND), (("load",), (5,), 95 * SECOND), (WARM, (8, 0), 91 * SECOND))
     assert memory().read(9) == [(("load",), (5,), 5 * SECOND), (WARM, (8, 0), 9 * SECOND)]
 
+
 def test_no_more_is_read_than_asked_for_and_what_is_old_goes(memory):
     written(memory, *[(("warm", "x", f"f{n}"), (1, 0), n * SECOND) for n in range(1, 21)])
     made = memory()
@@ -88,8 +92,14 @@
     written(memory, *[(("warm", "x", f"f{n}"), (1, 0), SECOND) for n in range(2000)])
     path = tmp_path / "m"
     data = path.read_bytes()
-    path.write_bytes({"cut": data[:5000], "nonsense": b"never a database" * 100, "empty": b"",
-                      "hole": data[:4096] + bytes(len(data) - 4096)}[harm])
+    path.write_bytes(
+        {
+            "cut": data[:5000],
+            "nonsense": b"never a database" * 100,
+            "empty": b"",
+            "hole": data[:4096] + bytes(len(data) - 4096),
+        }[harm]
+    )
     made = memory()
     assert made.read(9) == [] and (harm == "empty" or "set aside" in made.texts[0])
     assert harm == "empty" or list(tmp_path.glob("m.broken-*"))
@@ -100,8 +110,9 @@
 def test_a_torn_row_is_left_out_and_counted(memory):
     written(memory, (WARM, (4, 0), 99 * SECOND), (("load",), (5,), 95 * SECOND))
     made = memory()
-    made.base.execute("UPDATE facts SET data = ? WHERE subject = (SELECT subject FROM facts LIMIT 1)",
-                      (b"\x94",))
+    made.base.execute(
+        "UPDATE facts SET data = ? WHERE subject = (SELECT subject FROM facts LIMIT 1)", (b"\x94",)
+    )
     assert len(made.read(9)) == 1 and made.torn == 1 and "torn" in made.texts[0]
 
 
@@ -172,7 +183,7 @@
     told = facts(30)
     assert not keeper.slice(told) and keeper.memory.written == 11
     keeper.ticks = itertools.repeat(0)
-    assert not keeper.slice(told) and keeper.memory.written == 11      # too soon after the last
+    assert not keeper.slice(told) and keeper.memory.written == 11  # too soon after the last
     keeper.loop.clock.now += REST
     assert keeper.slice(told) and keeper.memory.written == 30
     keeper.loop.clock.now += REST
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,4 +1,5 @@
 """JSON-RPC messages of clients: bytes in, requests or faults out."""
+
 import json
 
 import pytest
@@ -7,8 +8,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-GOOD = {"i": "9b1f03aa5c7e2d41", "d": 1500, "o": "7f3a9c21e0b4d655", "arg": "Ym9keQ==",
-        "extras": "memory_mb:512;lanes:2;load_ms:640"}
+GOOD = {
+    "i": "9b1f03aa5c7e2d41",
+    "d": 1500,
+    "o": "7f3a9c21e0b4d655",
+    "arg": "Ym9keQ==",
+    "extras": "memory_mb:512;lanes:2;load_ms:640",
+}
 
 
 def asked(**told):
@@ -19,15 +25,25 @@
 def test_messages_are_read_however_the_bytes_are_split(cut):
     data = messages.framed(b'{"a":1}') + messages.framed(b"[2]")
     reader = messages.Reader()
-    bodies = [body for at in range(0, len(data), cut) for body in reader.feed(data[at:at + cut])]
+    bodies = [body for at in range(0, len(data), cut) for body in reader.feed(data[at : at + cut])]
     assert bodies == [b'{"a":1}', b"[2]"] and not reader.midway
 
 
-@pytest.mark.parametrize("head", [
-    b"Content-Length: -1", b"Content-Length: 0", b"Content-Length: 60000000", b"Content-Length: 4e1",
-    b"Content-Length: 4\r\nContent-Length: 4", b"X: y", b"\x00\xff", b"GET / HTTP/1.1", b"x" * 600,
-    b"Content-Length: 99999999999999999999",
-])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: -1",
+        b"Content-Length: 0",
+        b"Content-Length: 60000000",
+        b"Content-Length: 4e1",
+        b"Content-Length: 4\r\nContent-Length: 4",
+        b"X: y",
+        b"\x00\xff",
+        b"GET / HTTP/1.1",
+        b"x" * 600,
+        b"Content-Length: 99999999999999999999",
+    ],
+)
 def test_an_unreadable_head_is_a_fault_at_once(head):
     with pytest.raises(Fault) as wrong:
         messages.Reader().feed(head + b"\r\n\r\nbody")
@@ -46,28 +62,54 @@
     assert request.body == b"Ym9keQ==" and request.function == GOOD["o"]
 
 
-@pytest.mark.parametrize("told", [
-    {"i": "XYZ"}, {"i": 5}, {"i": "9B1F03AA5C7E2D41"}, {"o": ""}, {"o": "7f3a9c21e0b4d655\n"}, {"d": 0},
-    {"d": -3}, {"d": 1e300}, {"d": "1500"}, {"d": True}, {"d": 10001}, {"arg": "no base64!"}, {"arg": "Ym9"},
-    {"arg": "A" * 24000}, {"extras": "lanes:0"}, {"extras": "lanes:many"}, {"extras": "lanes:nan"},
-    {"extras": "lanes:1.5"}, {"extras": "lanes"}, {"extras": "load_ms:-1"}, {"extras": "memory_mb:1e12"},
-    {"extras": 5},
-])
+@pytest.mark.parametrize(
+    "told",
+    [
+        {"i": "XYZ"},
+        {"i": 5},
+        {"i": "9B1F03AA5C7E2D41"},
+        {"o": ""},
+        {"o": "7f3a9c21e0b4d655\n"},
+        {"d": 0},
+        {"d": -3},
+        {"d": 1e300},
+        {"d": "1500"},
+        {"d": True},
+        {"d": 10001},
+        {"arg": "no base64!"},
+        {"arg": "Ym9"},
+        {"arg": "A" * 24000},
+        {"extras": "lanes:0"},
+        {"extras": "lanes:many"},
+        {"extras": "lanes:nan"},
+        {"extras": "lanes:1.5"},
+        {"extras": "lanes"},
+        {"extras": "load_ms:-1"},
+        {"extras": "memory_mb:1e12"},
+        {"extras": 5},
+    ],
+)
 def test_figures_that_cannot_be_are_refused_by_name(told):
     with pytest.raises(Fault) as wrong:
         asked(**told)
     assert wrong.value.code == messages.NO_PARAMS and wrong.value.number == 7
 
 
-@pytest.mark.parametrize("body, code", [
-    (b"{", messages.UNREADABLE), (b"\xff", messages.UNREADABLE), (b"[1]", messages.NO_REQUEST),
-    (b"[" * 9000, messages.UNREADABLE), (b'{"jsonrpc":"2.0","id":1}', messages.NO_REQUEST),
-    (b'{"jsonrpc":"1.0","id":1,"method":"x"}', messages.NO_REQUEST),
-    (b'{"jsonrpc":"2.0","id":0,"method":"x"}', messages.NO_REQUEST),
-    (b'{"jsonrpc":"2.0","id":"7","method":"x"}', messages.NO_REQUEST),
-    (b'{"jsonrpc":"2.0","id":true,"method":"x"}', messages.NO_REQUEST),
-    (b'{"jsonrpc":"2.0","id":1.5,"method":"x"}', messages.NO_REQUEST),
-])
+@pytest.mark.parametrize(
+    "body, code",
+    [
+        (b"{", messages.UNREADABLE),
+        (b"\xff", messages.UNREADABLE),
+        (b"[1]", messages.NO_REQUEST),
+        (b"[" * 9000, messages.UNREADABLE),
+        (b'{"jsonrpc":"2.0","id":1}', messages.NO_REQUEST),
+        (b'{"jsonrpc":"1.0","id":1,"method":"x"}', messages.NO_REQUEST),
+        (b'{"jsonrpc":"2.0","id":0,"method":"x"}', messages.NO_REQUEST),
+        (b'{"jsonrpc":"2.0","id":"7","method":"x"}', messages.NO_REQUEST),
+        (b'{"jsonrpc":"2.0","id":true,"method":"x"}', messages.NO_REQUEST),
+        (b'{"jsonrpc":"2.0","id":1.5,"method":"x"}', messages.NO_REQUEST),
+    ],
+)
 def test_what_is_no_request_is_told_so(body, code):
     with pytest.raises(Fault) as wrong:
         messages.envelope(body)
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -1,4 +1,5 @@
 """A configuration moved to another shape of deployment, and a gateway on loopback that runs by the result."""
+
 import os
 
 import pytest
@@ -45,7 +46,7 @@
     assert not charter.terms.probes_allowed and charter.terms.relay_limit == 6 and not charter.sizes_told
     assert charter.terms.keep_alive == 8 * SECOND and charter.terms.order_window == 0
     assert [track.contract_time for track in charter.terms.tracks] == [SECOND]
-    assert charter.terms.tracks[0].earnings == 1.0      # a track is stated whole
+    assert charter.terms.tracks[0].earnings == 1.0  # a track is stated whole
 
 
 def test_each_line_left_behind_is_told_with_its_number_and_why():
@@ -131,16 +132,23 @@
     """A list that each probe of a host is noted in."""
     seen = []
     for host in made.hosts:
+
         def handle(request, through=host.server.handle):
             seen.extend([request.target] * (b"health" in request.target))
             through(request)
+
         host.server.handle = handle
     return seen
 
 
 def test_a_gateway_on_a_moved_configuration_serves_and_never_probes(rig):
-    charter, _ = move("old", CHARTER + "hosts-file none.list\n", "shape",
-                      "reports answer probes no\nsizes no\nrelays limit 2 twins no\n", "new")
+    charter, _ = move(
+        "old",
+        CHARTER + "hosts-file none.list\n",
+        "shape",
+        "reports answer probes no\nsizes no\nrelays limit 2 twins no\n",
+        "new",
+    )
     made = rig(charter=charter.replace("hosts-file none.list\n", ""))
     seen = probes(made)
     assert made.wait(made.ask()).headers[b"gaproute-outcome"] == b"delivered"
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,4 +1,5 @@
 """The platform's gateway whole, on loopback: clients, hosts and the log are stand-ins."""
+
 import json
 import os
 import signal
@@ -33,8 +34,10 @@
     client.ask(1)
     client.ask(2, "repair-order")
     made.until(lambda: len(client.answers) == 2)
-    assert {each["id"]: each["result"]["arg"] for each in client.answers} == \
-        {1: arg(b"body 1"), 2: arg(b"body 2")}
+    assert {each["id"]: each["result"]["arg"] for each in client.answers} == {
+        1: arg(b"body 1"),
+        2: arg(b"body 2"),
+    }
 
 
 def test_ping_says_up_and_no_more_once_it_stops(gate):
@@ -48,10 +51,15 @@
     assert [each["result"]["up"] for each in client.answers] == [True, False]
 
 
-@pytest.mark.parametrize("told, code", [
-    ({"method": "no-such-class"}, messages.NO_METHOD), ({"d": -1}, messages.NO_PARAMS),
-    ({"extras": "lanes:x"}, messages.NO_PARAMS), ({"i": "short"}, messages.NO_PARAMS),
-])
+@pytest.mark.parametrize(
+    "told, code",
+    [
+        ({"method": "no-such-class"}, messages.NO_METHOD),
+        ({"d": -1}, messages.NO_PARAMS),
+        ({"extras": "lanes:x"}, messages.NO_PARAMS),
+        ({"i": "short"}, messages.NO_PARAMS),
+    ],
+)
 def test_bad_input_gets_an_error_and_reaches_no_host(gate, told, code):
     made = gate()
     client = made.client()
@@ -62,10 +70,16 @@
     assert made.came() == 1 and not made.hosts[0].seen("stage")
 
 
-@pytest.mark.parametrize("data", [b"\x00\xffnoise\r\n\r\n",
-                                  b"Content-Length: 60000000\r\n\r\n" + b"x" * 70000,
-                                  b"Content-Length: -5\r\n\r\n", b"x" * 2000,
-                                  b"Content-Length: 1\r\n\r\n{"])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x00\xffnoise\r\n\r\n",
+        b"Content-Length: 60000000\r\n\r\n" + b"x" * 70000,
+        b"Content-Length: -5\r\n\r\n",
+        b"x" * 2000,
+        b"Content-Length: 1\r\n\r\n{",
+    ],
+)
 def test_what_cannot_be_read_gets_an_error_and_a_close(gate, data):
     made = gate()
     client = made.client()
@@ -85,8 +99,10 @@
     client.ask(2, i=f"{1:016x}", arg=arg(b"another"))
     client.ask(1, i=f"{9:016x}")
     made.until(lambda: len(client.answers) == 2)
-    assert [(each["id"], each["error"]["code"]) for each in client.answers] == \
-        [(2, messages.NO_PARAMS), (None, messages.NO_REQUEST)]
+    assert [(each["id"], each["error"]["code"]) for each in client.answers] == [
+        (2, messages.NO_PARAMS),
+        (None, messages.NO_REQUEST),
+    ]
     for stream, command in held:
         made.hosts[0].serve(stream, command)
     made.until(lambda: len(client.answers) == 3)
@@ -125,8 +141,20 @@
 
 def test_a_status_line_tells_of_hosts_in_use_and_does_not_grow_with_the_list(gate):
     made = gate()
-    made.process.told(events.known({"seq": 2, "results": [event(2, *[
-        (f"far-{number}", "127.0.0.1:9", "Ready") for number in range(1000)], complete=True)]})[1][0])
+    made.process.told(
+        events.known(
+            {
+                "seq": 2,
+                "results": [
+                    event(
+                        2,
+                        *[(f"far-{number}", "127.0.0.1:9", "Ready") for number in range(1000)],
+                        complete=True,
+                    )
+                ],
+            }
+        )[1][0]
+    )
     made.lines.clear()
     made.process.status()
     told = dict(made.lines)["status"]
@@ -166,7 +194,7 @@
     made = gate(sockets=90)
     most = made.process.front.lot.admission.most
     clients = []
-    for place in range(3 * most):                 # as fast as resting ones may make room
+    for place in range(3 * most):  # as fast as resting ones may make room
         clients.append(made.client())
         clients[-1].ask(1, i=f"{place:016x}")
         made.until(lambda: clients[-1].answers)
@@ -177,8 +205,9 @@
 
 def test_at_a_full_house_at_work_arrivals_wait_and_are_served_when_one_leaves(gate):
     held = []
-    made = gate(lambda stream, command: command["type"] == "go" and held.append((stream, command)),
-                sockets=90)
+    made = gate(
+        lambda stream, command: command["type"] == "go" and held.append((stream, command)), sockets=90
+    )
     most = made.process.front.lot.admission.most
     clients = []
     for place in range(most + 5):
@@ -244,16 +273,26 @@
 
 # As a process
 
-def start(path, **environment):
-    return subprocess.Popen([sys.executable, "-m", "gaproute.node"], stderr=subprocess.PIPE,
-                            env=os.environ | {"EDGE_CONFIG": str(path)} | environment)
-
 
-@pytest.mark.parametrize("change, named", [
-    ({"listen": "nowhere"}, "listen"), ({"changelog": 5}, "changelog"), ({"seed": "xyz"}, "seed"),
-    ({"settings": {"lanes": [{"effect": "odd"}]}}, "settings"), ({"known": {"seq": "x"}}, "known"),
-    ({"settings": {}}, "settings"),
-])
+def start(path, **environment):
+    return subprocess.Popen(
+        [sys.executable, "-m", "gaproute.node"],
+        stderr=subprocess.PIPE,
+        env=os.environ | {"EDGE_CONFIG": str(path)} | environment,
+    )
+
+
+@pytest.mark.parametrize(
+    "change, named",
+    [
+        ({"listen": "nowhere"}, "listen"),
+        ({"changelog": 5}, "changelog"),
+        ({"seed": "xyz"}, "seed"),
+        ({"settings": {"lanes": [{"effect": "odd"}]}}, "settings"),
+        ({"known": {"seq": "x"}}, "known"),
+        ({"settings": {}}, "settings"),
+    ],
+)
 def test_a_wrong_configuration_is_refused_by_the_field(gate, change, named):
     made = gate()
     made.told.update(change)
@@ -279,12 +318,30 @@
 
 
 def test_the_process_loads_nothing_of_what_it_does_not_use():
-    shut_out = {"pydantic", "rich", "click", "google.protobuf", "structlog", "asyncio", "xxhash",
-                "gaproute.cli", "gaproute.conf", "gaproute.peers", "gaproute.ledger", "gaproute.appliance",
-                "gaproute.load", "gaproute.fronts.kserve", "gaproute.http1", "gaproute.benchlink"}
+    shut_out = {
+        "pydantic",
+        "rich",
+        "click",
+        "google.protobuf",
+        "structlog",
+        "asyncio",
+        "xxhash",
+        "gaproute.cli",
+        "gaproute.conf",
+        "gaproute.peers",
+        "gaproute.ledger",
+        "gaproute.appliance",
+        "gaproute.load",
+        "gaproute.fronts.kserve",
+        "gaproute.http1",
+        "gaproute.benchlink",
+    }
     code = "import sys, gaproute.node.__main__; print(*sys.modules)"
-    loaded = set(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True,
-                                check=True).stdout.split())
+    loaded = set(
+        subprocess.run(
+            [sys.executable, "-c", code], capture_output=True, text=True, check=True
+        ).stdout.split()
+    )
     assert not loaded & shut_out
 
 
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -1,4 +1,5 @@
 """Several gateways under one parent: deaths, restarts without a storm, rolls that lose nothing, ends."""
+
 import json
 import os
 import signal
@@ -36,19 +37,26 @@
 
 
 def test_a_seat_has_a_name_and_addresses_of_its_own_and_the_others_as_peers():
-    text = (f"{CHARTER}listen peers 127.0.0.1:8090\nlisten operator unix:/x/op\nmemory /x/m\n"
-            "host a 127.0.0.1:1")
+    text = (
+        f"{CHARTER}listen peers 127.0.0.1:8090\nlisten operator unix:/x/op\nmemory /x/m\nhost a 127.0.0.1:1"
+    )
     made = read_charter("c", text)
     made.seat(1, 2)
     assert made.name == "g-1" and made.memory == "/x/m.1"
-    assert made.listens == [("kserve", "127.0.0.1:0"), ("peers", "127.0.0.1:8091"),
-                            ("operator", "unix:/x/op.1")]
+    assert made.listens == [
+        ("kserve", "127.0.0.1:0"),
+        ("peers", "127.0.0.1:8091"),
+        ("operator", "unix:/x/op.1"),
+    ]
     assert [(peer.name, peer.where) for peer in made.peers] == [
-        ("g-0", "127.0.0.1:8090"), ("g-2", "127.0.0.1:8092")]
+        ("g-0", "127.0.0.1:8090"),
+        ("g-2", "127.0.0.1:8092"),
+    ]
 
 
 # Processes
 
+
 class Fleet:
     def __init__(self, folder, rig, count=2, told=""):
         self.file, self.log = folder / "g.conf", folder / "g.log"
@@ -57,15 +65,18 @@
         self.file.write_text(self.text)
         self.rig, self.folder, self.count = rig, folder, count
         self.errors = open(self.log, "wb")
-        self.process = subprocess.Popen([sys.executable, "-m", "gaproute", "serve", str(self.file),
-                                         "--processes", str(count)], stderr=self.errors)
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "gaproute", "serve", str(self.file), "--processes", str(count)],
+            stderr=self.errors,
+        )
         self.until(lambda: self.events("started", count))
         where = self.events("parent started")[0]["listens"][0]
         self.rig.at = address(where)
 
     def events(self, name, least=0):
-        lines = [json.loads(line) for line in self.log.read_bytes().split(b"\n")[:-1]
-                 if line.startswith(b"{")]
+        lines = [
+            json.loads(line) for line in self.log.read_bytes().split(b"\n")[:-1] if line.startswith(b"{")
+        ]
         found = [line for line in lines if line["event"] == name]
         return found if len(found) >= least else []
 
@@ -73,8 +84,10 @@
         self.rig.until(condition, within)
 
     def children(self):
-        return [int(pid) for pid in Path(f"/proc/{self.process.pid}/task/{self.process.pid}/children")
-                .read_text().split()]
+        return [
+            int(pid)
+            for pid in Path(f"/proc/{self.process.pid}/task/{self.process.pid}/children").read_text().split()
+        ]
 
     def ask(self, name):
         return self.rig.ask("lamp", name)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,4 +1,5 @@
 """Gateways beside each other on sockets: what they tell, who is up, lists of them, versions one apart."""
+
 import json
 import socket
 
@@ -132,7 +133,7 @@
 
     def act(stream, data):
         if len(bodies) == 1 and not held:
-            held.append(stream)      # the second chunk is held back until the list has changed
+            held.append(stream)  # the second chunk is held back until the list has changed
         elif bodies:
             body = bodies.pop(0)
             stream.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
@@ -181,7 +182,7 @@
     second = start("second")
     made.relist(*[f"{row} started 2000" for row in rows])
     made.until(lambda: second.others.roll.lives()["h0"] == 2000 * SECOND)
-    made.gate.watch.close()          # the giver's own list is late
+    made.gate.watch.close()  # the giver's own list is late
     told = Told(version=2)
     told.warm.add(worker="h0", function="lamp", lanes=4, started_ns=1000 * SECOND)
     lore = Lore()
@@ -198,7 +199,7 @@
     assert list(lore.facts) == [("warm", "x", "f")]
     newer = Told(version=3)
     newer.warm.add(worker="x", function="f", lanes=4, age_us=5)
-    data = newer.SerializeToString() + b"\xfa\x01\x03abc"       # field 31, which nobody knows
+    data = newer.SerializeToString() + b"\xfa\x01\x03abc"  # field 31, which nobody knows
     wire.put(wire.read_told(data), SECOND, "g", lore)
     assert lore.refused == {} and wire.read_told(Told(version=4).SerializeToString()) is None
 
@@ -209,10 +210,13 @@
     assert len(wrong.value.mistakes) == 2
 
 
-@pytest.mark.parametrize("lines, text", [
-    ("peer a 127.0.0.1:1\npeers-file x", "peers stand here and in a peers-file"),
-    ("peers-file x", "which peer is this gateway"),
-])
+@pytest.mark.parametrize(
+    "lines, text",
+    [
+        ("peer a 127.0.0.1:1\npeers-file x", "peers stand here and in a peers-file"),
+        ("peers-file x", "which peer is this gateway"),
+    ],
+)
 def test_lines_about_peers_that_do_not_fit_are_refused(lines, text):
     charter = CHARTER.replace("name g\n", "") if "which" in text else CHARTER
     with pytest.raises(Mistakes, match=text):
@@ -221,13 +225,17 @@
 
 # What telling costs
 
+
 def asked(giver, **told):
     answers = []
     giver.server.answer = lambda request, status, headers, body: answers.append((status, body))
-    request = type("Request", (), {"target": b"/lore", "method": b"POST",
-                                   "body": Ask(version=2, **told).SerializeToString()})
+    request = type(
+        "Request",
+        (),
+        {"target": b"/lore", "method": b"POST", "body": Ask(version=2, **told).SerializeToString()},
+    )
     giver.handle(request)
-    (status, body), = answers
+    ((status, body),) = answers
     return Told.FromString(body) if status == 200 else None
 
 
@@ -268,7 +276,8 @@
     lore = Lore()
     wire.put(second, 10 * SECOND, "g", lore)
     assert {fact.at for fact in lore.facts.values()} == {
-        10 * SECOND - (each.age_us + second.held_us) * 1000 for each in second.warm}
+        10 * SECOND - (each.age_us + second.held_us) * 1000 for each in second.warm
+    }
 
 
 def test_who_comes_back_for_a_reading_that_is_no_more_begins_anew(giver):
@@ -305,6 +314,7 @@
 
 # Datagrams
 
+
 @pytest.mark.parametrize("kind", ["udp", "unix"])
 def test_datagrams_come_whole_and_what_nobody_takes_is_counted(kind, tmp_path):
     loop, heard = Loop(), []
@@ -324,7 +334,7 @@
     assert heard == [b"one", b"two"] and ends[0].lost == 1
     for end in ends:
         end.close()
-    again = Datagrams(loop, place, heard.append)       # the place is free again
+    again = Datagrams(loop, place, heard.append)  # the place is free again
     again.close()
     loop.close()
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -1,4 +1,5 @@
 """Permits: what each entry does, who may when by whose clock, and who asks whom again."""
+
 import pytest
 from keepers_net import MILLI, SECOND, Chance, Net
 
@@ -6,8 +7,19 @@
 from gaproute.shared.keepers.sessions import OWN, Sessions
 from gaproute.shared.permits import Holder, Permits
 from gaproute.shared.permits.clocks import Clocks
-from gaproute.shared.permits.commands import (BOUND, LONGEST, Answer, Give, Lapse, Renew, Size, Take, encode,
-                                              kept, read_answer)
+from gaproute.shared.permits.commands import (
+    BOUND,
+    LONGEST,
+    Answer,
+    Give,
+    Lapse,
+    Renew,
+    Size,
+    Take,
+    encode,
+    kept,
+    read_answer,
+)
 from gaproute.shared.permits.invariants import check_permits
 
 
@@ -57,7 +69,7 @@
     log(Take("host", "a", 1, SECOND))
     assert log(Renew(1, "a", SECOND)).why == ""
     assert log(Lapse(1, 1)).why == "not over"
-    assert log(Lapse(1, 2), "a").why == "not over"       # a holder's word
+    assert log(Lapse(1, 2), "a").why == "not over"  # a holder's word
     assert log(Lapse(1, 2)).why == "" and not log.machine.permits
 
 
@@ -69,10 +81,19 @@
     assert log(Take("host", "a", 1, SECOND)).fence == 1
 
 
-@pytest.mark.parametrize("body", [b"", b"noise", encode(Lapse(1, 1)), encode(Take("h", "z", 1, SECOND)),
-                                  encode(Take("h", "a", 0, SECOND)), encode(Take("h", "a", 1, -SECOND)),
-                                  encode(Take("h", "a", 1, LONGEST + 1)),
-                                  encode(Take("h" * 200, "a", 1, SECOND))])
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"noise",
+        encode(Lapse(1, 1)),
+        encode(Take("h", "z", 1, SECOND)),
+        encode(Take("h", "a", 0, SECOND)),
+        encode(Take("h", "a", 1, -SECOND)),
+        encode(Take("h", "a", 1, LONGEST + 1)),
+        encode(Take("h" * 200, "a", 1, SECOND)),
+    ],
+)
 def test_what_no_holder_may_ask_is_refused_by_the_leader_and_by_the_log(body):
     machine = Permits(quiet=False)
     assert machine.check("a", body)
@@ -83,7 +104,7 @@
     for span in (100 * MILLI, SECOND + 1, LONGEST):
         slow, fast = 1000 - BOUND, 1000 + BOUND
         assert kept(span) * 1000 * slow >= span * 1000 * fast
-        assert span * (1000 + 2 * BOUND) * slow < span * 1000 * fast      # why it is not 1 + 2b
+        assert span * (1000 + 2 * BOUND) * slow < span * 1000 * fast  # why it is not 1 + 2b
 
 
 def test_the_leaders_clock_counts_from_the_last_renewal():
@@ -121,7 +142,7 @@
 def opened(now=0):
     one = holder(now)
     wish = one.take(now, "host", 10 * SECOND)
-    (to, request), = one.tick(now)
+    ((to, request),) = one.tick(now)
     assert (request.session, request.body) == (0, b"")
     told = one.hear(now, to, Reply(0, request.nonce, "done", opened=5))
     assert told[0][1].session == 5
@@ -131,29 +152,29 @@
 def test_a_permit_counts_from_when_it_was_first_asked_for():
     one, wish, (to, request) = opened()
     assert not wish.may(0)
-    (other, again), = one.tick(one.due)
+    ((other, again),) = one.tick(one.due)
     assert again == request and other != to
     granted = Reply(5, 1, "done", encode(Answer("", 3)))
     assert one.hear(4 * SECOND, "z", granted) == [] and not wish.may(4 * SECOND)
     one.hear(4 * SECOND, other, granted)
     assert wish.may(4 * SECOND) and wish.fence == 3 and wish.end == 10 * SECOND
-    (_, renewal), = one.tick(5 * SECOND)
+    ((_, renewal),) = one.tick(5 * SECOND)
     assert renewal.body == encode(Renew(3, "h", 10 * SECOND)) and wish.may(9 * SECOND)
-    assert not wish.may(10 * SECOND)                     # nobody heard
+    assert not wish.may(10 * SECOND)  # nobody heard
     one.tick(10 * SECOND)
     assert wish.state == "over" and not one.wishes
 
 
 def test_an_answer_that_comes_too_late_is_given_back():
     one, wish, (to, request) = opened()
-    (_, back), = one.hear(10 * SECOND, to, Reply(5, 1, "done", encode(Answer("", 3))))
+    ((_, back),) = one.hear(10 * SECOND, to, Reply(5, 1, "done", encode(Answer("", 3))))
     assert wish.state == "over" and back.body == encode(Give(3, "h"))
 
 
 def test_given_back_while_it_was_asked_for():
     one, wish, (to, request) = opened()
     one.give(0, wish)
-    (_, back), = one.hear(SECOND, to, Reply(5, 1, "done", encode(Answer("", 3))))
+    ((_, back),) = one.hear(SECOND, to, Reply(5, 1, "done", encode(Answer("", 3))))
     assert back.body == encode(Give(3, "h")) and not wish.may(SECOND)
 
 
@@ -174,9 +195,9 @@
     other, wish, (to, request) = opened()
     other.hear(0, to, Reply(5, 1, "done", encode(Answer("", 3))))
     other.tick(5 * SECOND)
-    (to, opening), = other.hear(5 * SECOND, other.to, Reply(5, 2, "forgotten"))
+    ((to, opening),) = other.hear(5 * SECOND, other.to, Reply(5, 2, "forgotten"))
     assert opening.session == 0 and wish.may(9 * SECOND)
-    (_, again), = other.hear(5 * SECOND, to, Reply(0, opening.nonce, "done", opened=9))
+    ((_, again),) = other.hear(5 * SECOND, to, Reply(0, opening.nonce, "done", opened=9))
     assert again == Request(9, 1, encode(Renew(3, "h", 10 * SECOND)))
 
 
--- a/tests/test_permits_appliance.py
+++ b/tests/test_permits_appliance.py
@@ -1,4 +1,5 @@
 """Permits through whole gateways: the configuration's lines, the operators' address, keepers that die."""
+
 import json
 
 import pytest
@@ -9,7 +10,7 @@
 from gaproute.shared.permits.errands import Errands, Order
 from helpers import CHARTER, MILLI, SECOND
 
-LONGEST = 300            # ms of a permit here, so that the quiet after founding is short
+LONGEST = 300  # ms of a permit here, so that the quiet after founding is short
 
 
 def mistakes(*lines):
@@ -21,13 +22,17 @@
 PEERS = ("listen peers 127.0.0.1:0", "peer h 127.0.0.1:1", "peer i 127.0.0.1:2")
 
 
-@pytest.mark.parametrize("lines, told", [
-    ((*PEERS, "keepers g,h,i"), "a keeper without a file for its votes"),
-    ((*PEERS, "keepers h,i votes /tmp/v"), "votes at a gateway that is no keeper"),
-    ((*PEERS, "keepers g,h,k votes /tmp/v"), "keeper k is no peer here"),
-    (("keepers g votes /tmp/v",), "keepers without a listen peers line"),
-    ((*PEERS, "keepers g,g votes /tmp/v"), "a keeper is named twice"),
-    ((*PEERS, "keepers g,h,i votes /tmp/v longest 2h"), "longest")])
+@pytest.mark.parametrize(
+    "lines, told",
+    [
+        ((*PEERS, "keepers g,h,i"), "a keeper without a file for its votes"),
+        ((*PEERS, "keepers h,i votes /tmp/v"), "votes at a gateway that is no keeper"),
+        ((*PEERS, "keepers g,h,k votes /tmp/v"), "keeper k is no peer here"),
+        (("keepers g votes /tmp/v",), "keepers without a listen peers line"),
+        ((*PEERS, "keepers g,g votes /tmp/v"), "a keeper is named twice"),
+        ((*PEERS, "keepers g,h,i votes /tmp/v longest 2h"), "longest"),
+    ],
+)
 def test_lines_that_contradict_each_other_are_named(lines, told):
     assert any(told in text for text in mistakes(*lines)), mistakes(*lines)
 
@@ -37,9 +42,12 @@
         (self.made, self.start), self.folder, self.gates = fleet, folder, {}
 
     def up(self, name):
-        lines = [f"listen peers unix:{self.folder}/{name}", "listen operator 127.0.0.1:0",
-                 f"keepers a,b,c longest {LONGEST}ms" + (f" votes {self.folder}/{name}.votes" if name in "abc"
-                                                         else "")]
+        lines = [
+            f"listen peers unix:{self.folder}/{name}",
+            "listen operator 127.0.0.1:0",
+            f"keepers a,b,c longest {LONGEST}ms"
+            + (f" votes {self.folder}/{name}.votes" if name in "abc" else ""),
+        ]
         lines += [f"peer {other} unix:{self.folder}/{other}" for other in "abcd" if other != name]
         self.gates[name] = self.start(name, *lines, listen=False)
 
@@ -54,21 +62,25 @@
         return answer.status, json.loads(answer.body)
 
     def errand(self, name, number):
-        return next(each for each in self.gates[name].others.strong.table()["errands"]
-                    if each["errand"] == number)
+        return next(
+            each for each in self.gates[name].others.strong.table()["errands"] if each["errand"] == number
+        )
 
     def leader(self):
         def leaders():
             return [name for name in "abc" if self.gates[name].others.strong.seat.keeper.leading]
+
         self.made.until(leaders)
         return leaders()[0]
 
     def held(self, name, resource, for_ms=20_000):
         """Takes it, again where it is refused, until it is held."""
+
         def one():
             number = self.ask(name, take=resource, span_ms=LONGEST, for_ms=for_ms)[1]["errand"]
             self.made.until(lambda: self.errand(name, number)["state"] != "asked")
             return self.errand(name, number)
+
         told = one()
         while told["state"] == "refused":
             told = one()
@@ -124,10 +136,18 @@
     assert site.ask("d", keep=before["errand"])[0] == 400
 
 
-@pytest.mark.parametrize("order, why", [
-    ({}, "one of take"), ({"take": "x", "give": 1}, "one of take"), ({"give": 9}, "no errand 9"),
-    ({"take": "x", "span_ms": 10 ** 9}, "are possible"), ({"take": "x" * 500, "span_ms": LONGEST}, "length"),
-    ({"take": "x", "amount": -1}, "take"), ({"wish": 1}, "unknown field")])
+@pytest.mark.parametrize(
+    "order, why",
+    [
+        ({}, "one of take"),
+        ({"take": "x", "give": 1}, "one of take"),
+        ({"give": 9}, "no errand 9"),
+        ({"take": "x", "span_ms": 10**9}, "are possible"),
+        ({"take": "x" * 500, "span_ms": LONGEST}, "length"),
+        ({"take": "x", "amount": -1}, "take"),
+        ({"wish": 1}, "unknown field"),
+    ],
+)
 def test_an_order_that_cannot_be_is_refused_by_name(site, order, why):
     status, told = site.ask("d", **order)
     assert status == 400 and (why in told["error"] or "Expected" in told["error"])
@@ -137,6 +157,7 @@
     class Once:
         def below(self, n):
             return 0
+
     errands = Errands(Holder("g", ["k"], Once(), 0))
     number = errands.ask(0, Order(take="x", span_ms=1000))["errand"]
     errands.ask(900 * MILLI, Order(keep=number))
--- a/tests/test_platform_trial.py
+++ b/tests/test_platform_trial.py
@@ -1,4 +1,5 @@
 """A short day of the platform by processes: gateways, hosts, change log, clients; a host drains mid-way."""
+
 import json
 import os
 import signal
@@ -16,13 +17,25 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LENGTH = 3 * SECOND
 DRAINED = "s-2"
-DRAIN = 1.5              # seconds after the first task
-TRACKS = [charter.Track("fault-check", earnings=3.0),
-          charter.Track("repair-order", "effectful", contract=600 * MILLI, limit=4 * SECOND, earnings=3.0)]
-KINDS = [{"name": "fault-check", "share": 0.8, "limit": 5 * SECOND, "pure": True},
-         {"name": "repair-order", "share": 0.2, "limit": 4 * SECOND}]
-MODELS = [{"name": f"{number:016x}", "track": TRACKS[number % 2].name, "lanes": 4, "work": 40 * MILLI,
-           "start": 100 * MILLI} for number in range(1, 9)]
+DRAIN = 1.5  # seconds after the first task
+TRACKS = [
+    charter.Track("fault-check", earnings=3.0),
+    charter.Track("repair-order", "effectful", contract=600 * MILLI, limit=4 * SECOND, earnings=3.0),
+]
+KINDS = [
+    {"name": "fault-check", "share": 0.8, "limit": 5 * SECOND, "pure": True},
+    {"name": "repair-order", "share": 0.2, "limit": 4 * SECOND},
+]
+MODELS = [
+    {
+        "name": f"{number:016x}",
+        "track": TRACKS[number % 2].name,
+        "lanes": 4,
+        "work": 40 * MILLI,
+        "start": 100 * MILLI,
+    }
+    for number in range(1, 9)
+]
 
 
 class Day:
@@ -31,15 +44,20 @@
         self.tap = Tap(folder / "run.tap", time.monotonic_ns)
 
     def standin(self, kind, told):
-        process = Process([sys.executable, "-m", "gaproute.standins", kind], told,
-                          self.folder / f"{kind}.err")
+        process = Process(
+            [sys.executable, "-m", "gaproute.standins", kind], told, self.folder / f"{kind}.err"
+        )
         self.processes.append(process)
         return process, json.loads(process.child.stdout.readline())
 
     def gateway(self, place, changelog, known):
         name = f"g{place}"
-        command, environment = charter.write(self.folder, charter.charter(
-            name, "127.0.0.2:0", changelog, known, charter.settings(TRACKS, gateways=2), seed=place + 1))
+        command, environment = charter.write(
+            self.folder,
+            charter.charter(
+                name, "127.0.0.2:0", changelog, known, charter.settings(TRACKS, gateways=2), seed=place + 1
+            ),
+        )
         log = open(self.folder / f"{name}.log", "wb")
         child = subprocess.Popen(command, env=os.environ | environment, stderr=log)
         log.close()
@@ -54,21 +72,39 @@
         raise AssertionError(f"{name} did not start")
 
     def play(self):
-        hosts, told = self.standin("platform-host", {
-            "models": MODELS, "taps": str(self.folder), "seed": 3, "hosts": [
-                {"listen": "127.0.0.2:0", "warm": True, "make": {"name": f"s-{number}", "copies": 12}}
-                for number in range(3)]})
+        hosts, told = self.standin(
+            "platform-host",
+            {
+                "models": MODELS,
+                "taps": str(self.folder),
+                "seed": 3,
+                "hosts": [
+                    {"listen": "127.0.0.2:0", "warm": True, "make": {"name": f"s-{number}", "copies": 12}}
+                    for number in range(3)
+                ],
+            },
+        )
         listing = Listing()
         whole = listing.change(*[member(name, where) for name, where in told["addresses"].items()])
-        log, ways = self.standin("platform-log", {"gateways": ["127.0.0.2:0"] * 2,
-                                                  "tap": str(self.folder / "log.tap")})
+        log, ways = self.standin(
+            "platform-log", {"gateways": ["127.0.0.2:0"] * 2, "tap": str(self.folder / "log.tap")}
+        )
         log.say(whole)
-        gateways = [self.gateway(place, where, listing.known())
-                    for place, where in enumerate(ways["addresses"])]
-        clients, _ = self.standin("platform-clients", {
-            "gateways": [where for _, where in gateways], "models": MODELS, "kinds": KINDS, "seed": 5,
-            "habits": {"rate": 150.0, "weights": [3.0, 1.0]}, "length": LENGTH,
-            "tap": str(self.folder / "clients.tap")})
+        gateways = [
+            self.gateway(place, where, listing.known()) for place, where in enumerate(ways["addresses"])
+        ]
+        clients, _ = self.standin(
+            "platform-clients",
+            {
+                "gateways": [where for _, where in gateways],
+                "models": MODELS,
+                "kinds": KINDS,
+                "seed": 5,
+                "habits": {"rate": 150.0, "weights": [3.0, 1.0]},
+                "length": LENGTH,
+                "tap": str(self.folder / "clients.tap"),
+            },
+        )
         time.sleep(DRAIN)
         hosts.say({"host": DRAINED, "trouble": "drain"})
         log.say(listing.change(member(DRAINED, told["addresses"][DRAINED], "draining")))
@@ -108,10 +144,12 @@
 
 
 def facts():
-    return Facts({track.name: track.effect for track in TRACKS},
-                 {track.name: track.group for track in TRACKS},
-                 {track.name: track.remembers for track in TRACKS},
-                 {f"s-{number}": ("hall-a", 0) for number in range(3)})
+    return Facts(
+        {track.name: track.effect for track in TRACKS},
+        {track.name: track.group for track in TRACKS},
+        {track.name: track.remembers for track in TRACKS},
+        {f"s-{number}": ("hall-a", 0) for number in range(3)},
+    )
 
 
 def test_the_day_is_served_without_a_broken_rule(day):
@@ -120,15 +158,14 @@
     assert judge(facts(), day.hosts, day.clients, day.run) == []
     assert len(ends) > 300 and len(delivered) > 0.95 * len(ends) and day.codes == [0, 0]
     share = sum(event["gateway"] == 0 for event in ends) / len(ends)
-    assert 0.65 < share < 0.85                                # three to one, as told
+    assert 0.65 < share < 0.85  # three to one, as told
 
 
 def test_every_gateway_is_told_of_the_drain_and_what_came_later_is_caught(day):
     told = [event for event in day.told if event["what"] == "told" and event["state"] == "draining"]
     assert sorted((event["gateway"], event["host"]) for event in told) == [(0, DRAINED), (1, DRAINED)]
     late = [event for event in day.hosts[DRAINED][0] if event["what"] == "task"]
-    assert len(late) > 20                                     # it worked until then
+    assert len(late) > 20  # it worked until then
     forged = late[-1] | {"at": max(event["at"] for event in told) + 2 * SECOND}
     hosts = day.hosts | {DRAINED: [day.hosts[DRAINED][0] + [forged]]}
     assert 3 in {broken.rule for broken in judge(facts(), hosts, day.clients, day.run)}
-
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -141,7 +141,7 @@
         drive = Drive(made, task(str(number)), 10 * number)
         sent += drive.sent
         drive.hears(10 * number + 5, Result.OK)
-    assert 0 < sent.count("cold") <= 1.5 * 0.21 * 200 / 2    # by chance, so about its share
+    assert 0 < sent.count("cold") <= 1.5 * 0.21 * 200 / 2  # by chance, so about its share
 
 
 def test_unspent_credit_fades_so_that_many_gateways_save_up_no_burst():
@@ -150,7 +150,7 @@
     for now in range(0, 5 * SECOND, SECOND // 10):
         made.spread_credit(now, made.workers["a"])
     last = made.power(cold, now)
-    assert last <= cold.credit <= 10 * last     # no more than the last second's answers earned
+    assert last <= cold.credit <= 10 * last  # no more than the last second's answers earned
     made.spread_credit(8 * SECOND, made.workers["a"])
     fresh = gateway(row("a"), row("cold", started=0))
     fresh.spread_credit(8 * SECOND, fresh.workers["a"])
@@ -272,9 +272,7 @@
     assert drive.ended is ended and (drive.wishes == [face.Cancel(0), face.Decline(SECOND, "late")]) is ended
 
 
-@pytest.mark.parametrize(
-    "weight, prior", [(QUEUE, PRIOR), (QUEUE_HOT, PRIOR_HOT)]
-)
+@pytest.mark.parametrize("weight, prior", [(QUEUE, PRIOR), (QUEUE_HOT, PRIOR_HOT)])
 def test_weights_keep_warm_with_a_free_lane_ahead_for_three_quarters_of_the_keep_alive(weight, prior):
     warmth = 1 - 0.75**FADE
     assert WARMTH * warmth + prior * (1 - warmth) > weight * 3 / ROOM + MEMORY + prior
@@ -337,7 +335,7 @@
     made = gateway()
     made.refusals.extend([(0, True)] * 5 + [(0, False)] * 3)
     assert Drive(made, task()).wishes == [face.Decline(SECOND, "crowded")]
-    assert Drive(made, task("u"), REFUSAL_LIFE).sent    # nothing may come any more: refusals age
+    assert Drive(made, task("u"), REFUSAL_LIFE).sent  # nothing may come any more: refusals age
     made.refusals.append((1, False))
     assert Drive(made, task("v"), 1).sent
 
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -1,4 +1,5 @@
 """What the module stopped taking for granted when deployments of another shape came (docs/assumptions.md)."""
+
 import pytest
 
 from gaproute import interface as face
@@ -124,7 +125,7 @@
 
 def test_a_long_queue_at_the_best_worker_declines_tasks_by_chance_and_lets_some_through():
     made = gateway()
-    queues(made, 12)          # 1.2 s expected
+    queues(made, 12)  # 1.2 s expected
     ended = [Drive(made, task(f"t{number}"), SECOND).ended for number in range(40)]
     assert 20 < sum(ended) < 40
 
@@ -178,8 +179,9 @@
     made = gateway()
     for name, track, weight in (("a", 0, 0.4), ("b", 2, 1.0)):
         made.hands["t", 0] = (name, "f", track, 0, True)
-        made.heard(SECOND, face.Outcome("t", 0, name, Result.ERROR, MILLI, False, face.Found.UNTOLD, None,
-                                        None))
+        made.heard(
+            SECOND, face.Outcome("t", 0, name, Result.ERROR, MILLI, False, face.Found.UNTOLD, None, None)
+        )
         assert made.workers[name].results[-1] == (SECOND, track, weight)
 
 
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -1,4 +1,5 @@
 """The load ration as the far side counts it."""
+
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
@@ -12,21 +13,27 @@
 at = st.integers(0, 50).map(lambda half: half * SECOND // 2)
 
 
-@example([(0, 0, True, 20)], [(8 * SECOND, WAY, 0, 6)], 0)     # sent beside tasks, there when these are over
+@example([(0, 0, True, 20)], [(8 * SECOND, WAY, 0, 6)], 0)  # sent beside tasks, there when these are over
 @settings(max_examples=300, deadline=None)
-@given(bursts=st.lists(st.tuples(at, st.integers(0, 3 * SECOND), st.booleans(), st.integers(1, 20)),
-                       max_size=6),
-       orders=st.lists(st.tuples(at, st.sampled_from([0, WAY // 2, WAY]), st.integers(0, 6 * SECOND),
-                                 st.integers(1, 6)), max_size=8),
-       free=st.integers(0, 1))
+@given(
+    bursts=st.lists(st.tuples(at, st.integers(0, 3 * SECOND), st.booleans(), st.integers(1, 20)), max_size=6),
+    orders=st.lists(
+        st.tuples(at, st.sampled_from([0, WAY // 2, WAY]), st.integers(0, 6 * SECOND), st.integers(1, 6)),
+        max_size=8,
+    ),
+    free=st.integers(0, 1),
+)
 def test_no_arrival_is_over_the_ration_whatever_waits_travels_is_lost_or_faulty(bursts, orders, free):
     """`bursts`: (came, served after, whether real ones, how many); `orders`: (wished, way, answered after it,
     how many)."""
     tasks = [(came, took, real) for came, took, real, count in bursts for _ in range(count)]
     wishes = [(when, way, took) for when, way, took, count in orders for _ in range(count)]
     made, share = Ration(free, 0.3, WINDOW), 0.3
-    happened = sorted([(came + took, 0, came) for came, took, real in tasks if real]
-                      + [(when, 1, (way, took)) for when, way, took in wishes], key=lambda each: each[:2])
+    happened = sorted(
+        [(came + took, 0, came) for came, took, real in tasks if real]
+        + [(when, 1, (way, took)) for when, way, took in wishes],
+        key=lambda each: each[:2],
+    )
     arrivals, ends = [], []
     for now, kind, told in happened:
         for end in sorted(end for end in ends if end <= now):
--- a/tests/test_rig_child.py
+++ b/tests/test_rig_child.py
@@ -1,6 +1,7 @@
 """The starter of the rig's processes: a wrong clock under an unchanged program, and no life after the
 parent's.
 """
+
 import os
 import subprocess
 import sys
@@ -23,8 +24,13 @@
     (tmp_path / "asked_module.py").write_text(text)
     here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
     words = [sys.executable, "-m", "gaproute.rig.child", *options, "--", "asked_module", "--word"]
-    done = subprocess.run(words, env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"}, capture_output=True,
-                          text=True, timeout=30)
+    done = subprocess.run(
+        words,
+        env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"},
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
     assert done.returncode == 0, done.stderr
     return done.stdout.split()
 
@@ -83,10 +89,13 @@
                   "--", "asked_module"]).wait()
 """
     here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-    process = subprocess.Popen([sys.executable, "-c", parent], stdout=subprocess.PIPE,
-                               env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"})
+    process = subprocess.Popen(
+        [sys.executable, "-c", parent],
+        stdout=subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"},
+    )
     assert process.stdout.readline() == b"up\n"
     process.kill()
     process.wait()
-    assert process.stdout.read() == b""      # ends only when the child, which holds it too, is no more
+    assert process.stdout.read() == b""  # ends only when the child, which holds it too, is no more
     process.stdout.close()
--- a/tests/test_rig_permits.py
+++ b/tests/test_rig_permits.py
@@ -1,4 +1,5 @@
 """The strong word between processes that fail, and that the judge of it bites."""
+
 import json
 import subprocess
 
@@ -24,13 +25,19 @@
     assert verdict["permits"]["granted"] >= 6 and verdict["permits"]["healed"] >= 4
     assert verdict["relays"] > 100
     run = read(max(tmp_path.iterdir()) / "run.tap")
-    assert any(event.get("leader") for event in run)             # the leader was killed, and came back
+    assert any(event.get("leader") for event in run)  # the leader was killed, and came back
     assert {"killed", "started", "stopped", "continued", "let go", "crews over"} <= {e["what"] for e in run}
 
 
 def hold(at, crew, fence, until, resource="r"):
-    return {"at": at * SECOND, "what": "hold", "crew": crew, "resource": resource, "fence": fence,
-            "until": int(until * SECOND)}
+    return {
+        "at": at * SECOND,
+        "what": "hold",
+        "crew": crew,
+        "resource": resource,
+        "fence": fence,
+        "until": int(until * SECOND),
+    }
 
 
 def let_go(at, crew, fence):
@@ -40,28 +47,44 @@
 OVER = {"at": 99 * SECOND, "what": "crews over"}
 
 
-@pytest.mark.parametrize("events, checks", [
-    ([hold(1, "a", 5, 3), hold(3, "b", 6, 4)], []),
-    ([hold(1, "a", 5, 3), hold(2, "b", 6, 4)], ["holders"]),
-    ([hold(1, "a", 5, 9), hold(2, "a", 5, 9), hold(3, "a", 5, 4), let_go(3.5, "a", 5), hold(4, "b", 6, 5)],
-     []),
-    ([hold(1, "a", 5, 9), hold(2, "b", 6, 3, "other")], []),
-    ([hold(1, "a", 5, 2), hold(2, "b", 4, 3)], ["fence"]),
-    ([hold(1, "a", 5, 2), hold(2, "b", 6, 3), hold(3, "a", 5, 4)], ["fence"]),
-    ([hold(1, "a", 5, 2), hold(2, "b", 5, 3)], ["fence"]),
-    ([hold(1, "a", 0, 2)], ["fence"])])
+@pytest.mark.parametrize(
+    "events, checks",
+    [
+        ([hold(1, "a", 5, 3), hold(3, "b", 6, 4)], []),
+        ([hold(1, "a", 5, 3), hold(2, "b", 6, 4)], ["holders"]),
+        (
+            [
+                hold(1, "a", 5, 9),
+                hold(2, "a", 5, 9),
+                hold(3, "a", 5, 4),
+                let_go(3.5, "a", 5),
+                hold(4, "b", 6, 5),
+            ],
+            [],
+        ),
+        ([hold(1, "a", 5, 9), hold(2, "b", 6, 3, "other")], []),
+        ([hold(1, "a", 5, 2), hold(2, "b", 4, 3)], ["fence"]),
+        ([hold(1, "a", 5, 2), hold(2, "b", 6, 3), hold(3, "a", 5, 4)], ["fence"]),
+        ([hold(1, "a", 5, 2), hold(2, "b", 5, 3)], ["fence"]),
+        ([hold(1, "a", 0, 2)], ["fence"]),
+    ],
+)
 def test_two_holders_and_a_fence_that_falls_are_told(events, checks):
     assert [breach.check for breach in permits.judge(events)] == checks
 
 
 def test_a_fault_after_whose_end_nothing_is_granted_is_told():
     fault = {"what": "fault", "id": "f1", "kind": "cut"}
-    run = [hold(1, "a", 5, 3), fault | {"at": 2 * SECOND, "on": True},
-           fault | {"at": 3 * SECOND, "on": False},
-           {"at": 4 * SECOND, "what": "killed", "gateway": 1},
-           {"at": 5 * SECOND, "what": "started", "gateway": 1},
-           {"at": 98 * SECOND, "what": "stopped", "gateway": 1},
-           {"at": int(98.5 * SECOND), "what": "continued", "gateway": 1}, OVER]
+    run = [
+        hold(1, "a", 5, 3),
+        fault | {"at": 2 * SECOND, "on": True},
+        fault | {"at": 3 * SECOND, "on": False},
+        {"at": 4 * SECOND, "what": "killed", "gateway": 1},
+        {"at": 5 * SECOND, "what": "started", "gateway": 1},
+        {"at": 98 * SECOND, "what": "stopped", "gateway": 1},
+        {"at": int(98.5 * SECOND), "what": "continued", "gateway": 1},
+        OVER,
+    ]
     looked, broken = permits.progress(run)
     assert looked == 2 and [breach.check for breach in broken] == ["progress", "progress"]
     # a permit that is only held on is no grant; a new one is
--- a/tests/test_rig_platform.py
+++ b/tests/test_rig_platform.py
@@ -1,4 +1,5 @@
 """The rig with the platform's gateways: a day through the wire, and the parts that stand between."""
+
 import json
 import socket
 import subprocess
@@ -49,8 +50,10 @@
 def test_what_the_log_told_is_judged_with_the_rest(played):
     out, _ = played
     run, clients = read(out / "run.tap"), read(out / "clients-0.tap")
-    drained = sorted((each for each in run if each["what"] == "told" and each["state"] == "draining"),
-                     key=lambda each: each["at"])
+    drained = sorted(
+        (each for each in run if each["what"] == "told" and each["state"] == "draining"),
+        key=lambda each: each["at"],
+    )
     # g1's way was held on the wire until 2.6 s, g0's log was late by 0.3 s, g2 was told at once
     assert [each["gateway"] for each in drained] == [2, 0, 1]
     drained = drained[-1]
@@ -59,22 +62,27 @@
     task = next(each for each in events if each["what"] == "task" and each["id"] in gateway)
     forged = task | {"at": drained["at"] + SECOND}
     script = read_script("platform-rig")
-    facts = Facts({line.name: line.effect for line in script.tracks},
-                  {line.name: line.group for line in script.tracks},
-                  {line.name: line.remembers for line in script.tracks}, {host: ("hall-0", "rack-0")})
+    facts = Facts(
+        {line.name: line.effect for line in script.tracks},
+        {line.name: line.group for line in script.tracks},
+        {line.name: line.remembers for line in script.tracks},
+        {host: ("hall-0", "rack-0")},
+    )
     assert 3 in {each.rule for each in judge(facts, {host: [[*events, forged]]}, clients, run)}
     assert 3 not in {each.rule for each in judge(facts, {host: [events]}, clients, run)}
 
 
 def test_the_log_tells_each_gateway_addresses_of_its_own(tmp_path):
     loop = Loop()
-    log = Log(loop, ["127.0.0.1:0", "127.0.0.1:0"], Tap(str(tmp_path / "log.tap"), loop.clock),
-              lambda told: None)
+    log = Log(
+        loop, ["127.0.0.1:0", "127.0.0.1:0"], Tap(str(tmp_path / "log.tap"), loop.clock), lambda told: None
+    )
     log.command(Listing().change(member("h", ["127.1.0.1:1", "127.1.0.2:1"]), member("i", "127.0.0.1:2")))
 
     def where(place):
         told = json.loads(log.event(1, place).split(b"data: ")[1])
         return [row["host_port"] for row in told["fleet"]["members"]]
+
     assert where(0) == ["127.1.0.1:1", "127.0.0.1:2"] and where(1) == ["127.1.0.2:1", "127.0.0.1:2"]
     loop.close()
 
@@ -85,8 +93,12 @@
         sock.bind(("127.0.0.1", 0))
         sock.settimeout(2)
     names = ["{}:{}".format(*sock.getsockname()) for sock in socks]
-    spread = Spread(loop, "127.0.0.1:0", {names[0]: names[1:3], names[1]: [names[0]]},
-                    Tap(str(tmp_path / "spread.tap"), loop.clock))
+    spread = Spread(
+        loop,
+        "127.0.0.1:0",
+        {names[0]: names[1:3], names[1]: [names[0]]},
+        Tap(str(tmp_path / "spread.tap"), loop.clock),
+    )
     host, _, port = spread.address.rpartition(":")
     for place in (0, 1, 3):
         socks[place].sendto(b"%d" % place, (host, int(port)))
@@ -118,8 +130,10 @@
     fleet = read_script("fleet-platform")
     assert player(fleet) is NodeRig and fleet.day.gateways == 200 and fleet.day.hosts == 120
     path = tmp_path / "x.script"
-    path.write_text("rig kind platform\nday gateways 3 peers yes\ntrack a pure contract 1s limit 2s\n"
-                    "traffic a\ncrews keepers 3\nfault lose at 1s for 1s from lists to g0\n")
+    path.write_text(
+        "rig kind platform\nday gateways 3 peers yes\ntrack a pure contract 1s limit 2s\n"
+        "traffic a\ncrews keepers 3\nfault lose at 1s for 1s from lists to g0\n"
+    )
     with pytest.raises(Mistakes) as wrong:
         read_script(str(path))
     told = "\n".join(str(mistake) for mistake in wrong.value.mistakes)
--- a/tests/test_rig_play.py
+++ b/tests/test_rig_play.py
@@ -1,5 +1,6 @@
 """Small rigs, played by processes: rules kept through the wire, a broken one found, a late rig void, and
 nothing left of a rig whose parent was killed."""
+
 import json
 import os
 import random
@@ -19,7 +20,7 @@
 from gaproute.trial.seats import Seats
 
 MILLI = 1_000_000
-PLAYS = 3                # a busy machine voids a play; then it is played again
+PLAYS = 3  # a busy machine voids a play; then it is played again
 
 
 def command(script, out, *words):
@@ -83,7 +84,7 @@
             if parent == pid:
                 found[int(place.name)] = (place / "cmdline").read_bytes()
         except (OSError, ValueError):
-            pass                                   # it ended meanwhile
+            pass  # it ended meanwhile
     return found
 
 
--- a/tests/test_rig_script.py
+++ b/tests/test_rig_script.py
@@ -1,4 +1,5 @@
 """A rig's script: its sets of seats, and every mistake in one go; what its faults mean for the judge."""
+
 import random
 
 import pytest
@@ -13,19 +14,23 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SEATS = [(f"g{number}", "gateway", f"hall-{number % 2}") for number in range(10)] + [
-    (f"mh{number:02}", "host", f"hall-{number % 2}") for number in range(6)]
+    (f"mh{number:02}", "host", f"hall-{number % 2}") for number in range(6)
+]
 HEAD = """day length 6s gateways 3 hosts 2 halls 2
 track a pure contract 1s limit 2s
 traffic a
 """
 
 
-@pytest.mark.parametrize("text, wanted", [
-    ("g3,mh01", ["g3", "mh01"]),
-    ("hosts/hall-1", ["mh01", "mh03", "mh05"]),
-    ("zone:hall-0,not:hosts", ["g0", "g2", "g4", "g6", "g8"]),
-    ("not:gateways,not:mh00", ["mh01", "mh02", "mh03", "mh04", "mh05"]),
-])
+@pytest.mark.parametrize(
+    "text, wanted",
+    [
+        ("g3,mh01", ["g3", "mh01"]),
+        ("hosts/hall-1", ["mh01", "mh03", "mh05"]),
+        ("zone:hall-0,not:hosts", ["g0", "g2", "g4", "g6", "g8"]),
+        ("not:gateways,not:mh00", ["mh01", "mh02", "mh03", "mh04", "mh05"]),
+    ],
+)
 def test_a_set_names_seats(text, wanted):
     assert sets.names(sets.parse(text), SEATS, random.Random(1)) == wanted
 
@@ -52,16 +57,25 @@
 
 
 def test_every_mistake_is_told_at_once_with_its_line(tmp_path):
-    wrong = ["rig wires 0", "fault cut at 9s for 1s", "fault delay at 1s for 1s", 
-             "fault lose at 1s for 1s to nobody",
-             "strike stop on g7 at 1s", "strike starve at 1s for 1s", "strike clock on gateways",
-             "list deaf at 1s for 1s on hosts", "strike kill on zone:hall-9 at 1s", "fault mend at 1s for 1s",
-             "fault double at 1s for 1s what streams", "list late for 1s"]
+    wrong = [
+        "rig wires 0",
+        "fault cut at 9s for 1s",
+        "fault delay at 1s for 1s",
+        "fault lose at 1s for 1s to nobody",
+        "strike stop on g7 at 1s",
+        "strike starve at 1s for 1s",
+        "strike clock on gateways",
+        "list deaf at 1s for 1s on hosts",
+        "strike kill on zone:hall-9 at 1s",
+        "fault mend at 1s for 1s",
+        "fault double at 1s for 1s what streams",
+        "list late for 1s",
+    ]
     with pytest.raises(Mistakes) as told:
         script(tmp_path, *wrong)
     lines = [mistake.line for mistake in told.value.mistakes]
     assert sorted(set(lines)) == list(range(4, 4 + len(wrong)))
-    assert sum(line == 8 for line in lines) == 2                     # no such gateway, and no span
+    assert sum(line == 8 for line in lines) == 2  # no such gateway, and no span
 
 
 def test_the_scripts_that_come_with_the_program_can_be_read_and_tell_trials_from_rigs(tmp_path):
@@ -76,8 +90,17 @@
 def day(*run, gateway=0, at=900):
     """A task of gateway `gateway` that reaches the host at `at` ms; how often rule 3 is broken."""
     arrival = {"at": at * MILLI, "what": "task", "id": "t", "track": "p", "mark": "k", "work": 1}
-    end = {"at": SECOND, "what": "answer", "id": "t", "track": "p", "outcome": "delivered", "status": 200,
-           "asked": 0, "patience": SECOND, "gateway": gateway}
+    end = {
+        "at": SECOND,
+        "what": "answer",
+        "id": "t",
+        "track": "p",
+        "outcome": "delivered",
+        "status": 200,
+        "asked": 0,
+        "patience": SECOND,
+        "gateway": gateway,
+    }
     up = {"at": 0, "what": "up", "warm": True}
     return [broken.rule for broken in judge(FACTS, {"mh00": [[up, arrival]]}, [end], run)]
 
@@ -97,11 +120,15 @@
     fault = {"what": "fault", "id": "f", "late": span, "slack": slack, **ways(line, ["mh00"], ["g0"])}
 
     def held(begin):
-        return [told(0, "gone", 0), told(0, "gone", 1), fault | {"on": True, "at": begin * MILLI},
-                fault | {"on": False, "at": 850 * MILLI}]
+        return [
+            told(0, "gone", 0),
+            told(0, "gone", 1),
+            fault | {"on": True, "at": begin * MILLI},
+            fault | {"on": False, "at": 850 * MILLI},
+        ]
 
     # sent before the grace was over, for all that the arrival tells; or surely after it
     assert day(*held(400)) == [] and day(*held(400), gateway=1) == [3] and day(*held(800)) == [3]
-    short = fault | {"late": 20 * MILLI, "on": True, "at": 0}          # a delay, which is on all the time
+    short = fault | {"late": 20 * MILLI, "on": True, "at": 0}  # a delay, which is on all the time
     assert day(told(0, "gone", 0), short) == [3] and day(told(0, "gone", 0), short, at=570) == []
     assert "ways" not in ways(script(tmp_path, "fault double at 1s for 1s").faults[0], ["mh00"], ["g0"])
--- a/tests/test_rig_weather.py
+++ b/tests/test_rig_weather.py
@@ -1,4 +1,5 @@
 """What each fault does to a message, decided without I/O."""
+
 import pytest
 
 from gaproute.decisions.chance import Chance
@@ -8,9 +9,12 @@
 from gaproute.rig.wire.weather import AGAIN, HELD, QUEUE, SECOND, Weather
 
 A, B, C, H = 16, 17, 18, 40
-SEATS = {A: {"name": "g0", "kind": "gateway", "zone": "z0"},
-         B: {"name": "g1", "kind": "gateway", "zone": "z0"},
-         C: {"name": "g2", "kind": "gateway", "zone": "z1"}, H: {"name": "h0", "kind": "host", "zone": "z1"}}
+SEATS = {
+    A: {"name": "g0", "kind": "gateway", "zone": "z0"},
+    B: {"name": "g1", "kind": "gateway", "zone": "z0"},
+    C: {"name": "g2", "kind": "gateway", "zone": "z1"},
+    H: {"name": "h0", "kind": "host", "zone": "z1"},
+}
 
 
 def made(seed=1, **faults):
@@ -122,14 +126,16 @@
 
 def test_the_same_seed_decides_the_same_whoever_else_asks():
     def play(seed, others):
-        weather = made(seed, x={"kind": "lose", "share": 0.3},
-                       y={"kind": "delay", "jitter_ms": 5, "what": "datagrams"})
+        weather = made(
+            seed, x={"kind": "lose", "share": 0.3}, y={"kind": "delay", "jitter_ms": 5, "what": "datagrams"}
+        )
         got = []
         for now in range(300):
             got.append(lands(weather, A, B, now * MILLI))
-            if others:                # traffic of other pairs and sorts, served by the same wire
+            if others:  # traffic of other pairs and sorts, served by the same wire
                 lands(weather, B, A), lands(weather, A, H), weather.stream(A, B, 9, 0, 0)
         return got
+
     assert play(7, False) == play(7, True)
     assert play(7, False) != play(8, False)
 
@@ -162,12 +168,23 @@
     assert lands(weather, 41, A) == () and lands(weather, A, 41) == (0,)
 
 
-@pytest.mark.parametrize("told", [
-    {}, [], {"kind": "rain"}, {"kind": "cut", "what": "x"}, {"kind": "cut", "share": 2},
-    {"kind": "lose", "share": -1},
-    {"kind": "delay", "delay_ms": "5"}, {"kind": "cut", "from": "g0"}, {"kind": "cut", "from": ["g9"]},
-    {"kind": "cut", "to": ["zone:z9"]}, {"kind": "cut", "too": ["g0"]},
-    {"kind": "delay", "jitter_ms": float("nan")}])
+@pytest.mark.parametrize(
+    "told",
+    [
+        {},
+        [],
+        {"kind": "rain"},
+        {"kind": "cut", "what": "x"},
+        {"kind": "cut", "share": 2},
+        {"kind": "lose", "share": -1},
+        {"kind": "delay", "delay_ms": "5"},
+        {"kind": "cut", "from": "g0"},
+        {"kind": "cut", "from": ["g9"]},
+        {"kind": "cut", "to": ["zone:z9"]},
+        {"kind": "cut", "too": ["g0"]},
+        {"kind": "delay", "jitter_ms": float("nan")},
+    ],
+)
 def test_a_slip_in_a_fault_changes_nothing(told):
     weather = made()
     with pytest.raises(ValueError):
@@ -175,9 +192,18 @@
     assert not weather.faults and not weather.told and lands(weather, A, B) == (0,)
 
 
-@pytest.mark.parametrize("number, told", [
-    (15, SEATS[A]), (4001, SEATS[A]), (50, {}), (50, []), (A, {"name": "g9"}),
-    (50, {"name": "x", "tcp": "nowhere"}), (50, {"name": "x", "udp": "[::1]:5"})])
+@pytest.mark.parametrize(
+    "number, told",
+    [
+        (15, SEATS[A]),
+        (4001, SEATS[A]),
+        (50, {}),
+        (50, []),
+        (A, {"name": "g9"}),
+        (50, {"name": "x", "tcp": "nowhere"}),
+        (50, {"name": "x", "udp": "[::1]:5"}),
+    ],
+)
 def test_a_slip_in_a_seat_changes_nothing(number, told):
     weather = made(x={"kind": "cut", "from": ["g0"]})
     seats = dict(weather.seats)
--- a/tests/test_rig_wire.py
+++ b/tests/test_rig_wire.py
@@ -3,6 +3,7 @@
 
 All in one process on a clock that leaps, but for the last ones, which start the wire as the rig does.
 """
+
 import gc
 import json
 import random
@@ -43,18 +44,21 @@
         self.udp = {seat: socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for seat in (A, H)}
         self.open = [self.host, *self.udp.values()]
         for sock in self.udp.values():
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)    # a burst finds room
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)  # a burst finds room
             sock.bind(("127.0.0.1", 0))
         with socket.create_server(("127.0.0.1", 0)) as gone:
             nobody = at(gone)
-        self.seats = {"16": {"name": "g0", "kind": "gateway", "udp": at(self.udp[A])},
-                      "17": {"name": "h0", "kind": "host", "tcp": at(self.host), "udp": at(self.udp[H])},
-                      "18": {"name": "h1", "kind": "host"},
-                      "19": {"name": "h2", "kind": "host", "tcp": nobody}}
+        self.seats = {
+            "16": {"name": "g0", "kind": "gateway", "udp": at(self.udp[A])},
+            "17": {"name": "h0", "kind": "host", "tcp": at(self.host), "udp": at(self.udp[H])},
+            "18": {"name": "h1", "kind": "host"},
+            "19": {"name": "h2", "kind": "host", "tcp": nobody},
+        }
         self.wire = Wire(self.loop, {"tcp": 0, "udp": 0, "seed": 5, "seats": self.seats})
         self.loop.on_error = self.fail
-        self.tcp, self.udp_port = (int(sock.getsockname()[1]) for sock in (
-            self.wire.streams.listener.sock, self.wire.datagrams.sock))
+        self.tcp, self.udp_port = (
+            int(sock.getsockname()[1]) for sock in (self.wire.streams.listener.sock, self.wire.datagrams.sock)
+        )
         for sock in self.open:
             sock.setblocking(False)
 
@@ -94,6 +98,7 @@
                 return self.host.accept()
             except BlockingIOError:
                 return None
+
         far, caller = self.wait(accept)
         far.setblocking(False)
         self.open.append(far)
@@ -144,7 +149,7 @@
 
 
 def opened(sock):
-    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) == b"\1"     # ESTABLISHED
+    return sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1) == b"\1"  # ESTABLISHED
 
 
 def heard(sock):
@@ -187,8 +192,8 @@
     near.send(b"a long request")
     party.turns()
     far.send(b"no")
-    far.close()              # with bytes unread: the kernel resets
-    near.send(b"more of it")     # the wire finds out by its write, and reads what came before
+    far.close()  # with bytes unread: the kernel resets
+    near.send(b"more of it")  # the wire finds out by its write, and reads what came before
     assert party.got(near) == b"no" and party.got(near) == "ConnectionResetError"
     assert not party.wire.streams.relays
 
@@ -237,7 +242,7 @@
     may = {(a, b) for a, b in pairs if weather.seats[b].tcp is not None and weather.opens(a, b)}
     end, open_now = time.monotonic() + 5, set()
     while open_now != may and time.monotonic() < end:
-        open_now = {pair for pair, sock in pairs.items() if opened(sock)}    # the wire takes none meanwhile
+        open_now = {pair for pair, sock in pairs.items() if opened(sock)}  # the wire takes none meanwhile
     assert open_now == may and 100 < len(pairs) - len(may) < 300
 
 
@@ -260,7 +265,7 @@
     block, sent = random.Random(1).randbytes(1 << 16), 0
     for _ in range(400):
         try:
-            sent += near.send(block[sent % len(block):])
+            sent += near.send(block[sent % len(block) :])
         except BlockingIOError:
             pass
         party.turns(2)
@@ -340,7 +345,7 @@
     party.tell(fault="y", on={"kind": "cut"})
     near.send(b"kept ")
     party.run(50 * MILLI)
-    party.wire.follow('{"fault": "y", "off": true}')     # bytes come in the same turn, before it is followed
+    party.wire.follow('{"fault": "y", "off": true}')  # bytes come in the same turn, before it is followed
     party.wire.streams.relays[1].near._arrived(b"new")
     assert party.got(far) == b"kept new"
 
@@ -396,13 +401,21 @@
         while any(len(got) < 300_000 for got in came):
             if chance.random() < 0.1:
                 name, kind = f"f{len(on)}", chance.choice(("cut", "hold", "delay", "lose"))
-                party.tell(fault=name, on={"kind": kind, "share": 0.5, "delay_ms": 7, "jitter_ms": 20,
-                                           "from": chance.choice((["g0"], ["h0"], ["*"]))})
+                party.tell(
+                    fault=name,
+                    on={
+                        "kind": kind,
+                        "share": 0.5,
+                        "delay_ms": 7,
+                        "jitter_ms": 20,
+                        "from": chance.choice((["g0"], ["h0"], ["*"])),
+                    },
+                )
                 on.append(name)
             if on and chance.random() < 0.15 or len(on) > 4:
                 party.tell(fault=on.pop(), off=True)
             side = chance.randrange(2)
-            piece = whole[side][sent[side]:sent[side] + chance.randrange(1, 40_000)]
+            piece = whole[side][sent[side] : sent[side] + chance.randrange(1, 40_000)]
             try:
                 sent[side] += ends[side].send(piece) if piece else 0
             except BlockingIOError:
@@ -424,11 +437,11 @@
     loop.poll = lambda epoll, span: epoll.poll(0)
     late = Lateness(loop)
     assert late.take() == 0
-    loop.soon(lambda: now.__setitem__(0, now[0] + 30 * MILLI))       # a long turn
+    loop.soon(lambda: now.__setitem__(0, now[0] + 30 * MILLI))  # a long turn
     loop.turn(), loop.turn()
     assert late.take() == 30 * MILLI and late.take() == 0
     loop.poll = late._poll
-    late.poll = lambda epoll, span: now.__setitem__(0, 400 * MILLI) or []    # starved while it waits for 20
+    late.poll = lambda epoll, span: now.__setitem__(0, 400 * MILLI) or []  # starved while it waits for 20
     loop.turn()
     assert late.take() == 350 * MILLI == late.ever
     late.left(390 * MILLI, 800 * MILLI)
@@ -473,21 +486,35 @@
     party.wire.weather.free["y", 0, "streams"] = 1
     del party.wire.weather.told["x"]
     names = {text.split(":")[0] for text in breaches(party.wire)}
-    assert names == {"queued_bytes", "waiting_bytes", "bounded", "in_order", "never_stuck", "kept_bytes",
-                     "kept_bounded", "faults_as_told", "pace_without_fault"}
+    assert names == {
+        "queued_bytes",
+        "waiting_bytes",
+        "bounded",
+        "in_order",
+        "never_stuck",
+        "kept_bytes",
+        "kept_bounded",
+        "faults_as_told",
+        "pace_without_fault",
+    }
 
 
 def start():
-    return subprocess.Popen([sys.executable, "-m", "gaproute.rig.wire"], stdin=subprocess.PIPE, text=True,
-                            stdout=subprocess.PIPE)
+    return subprocess.Popen(
+        [sys.executable, "-m", "gaproute.rig.wire"], stdin=subprocess.PIPE, text=True, stdout=subprocess.PIPE
+    )
 
 
 def test_several_processes_share_the_ports_and_end_with_stdin(tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as host, socket.socket() as free:
         free.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-        free.bind(("127.0.0.1", 0))          # keeps the port for those who share it
-        first = {"tcp": free.getsockname()[1], "udp": free.getsockname()[1], "tap": str(tmp_path / "tap"),
-                 "seats": {"16": {"name": "g0"}, "17": {"name": "h0", "tcp": at(host)}}}
+        free.bind(("127.0.0.1", 0))  # keeps the port for those who share it
+        first = {
+            "tcp": free.getsockname()[1],
+            "udp": free.getsockname()[1],
+            "tap": str(tmp_path / "tap"),
+            "seats": {"16": {"name": "g0"}, "17": {"name": "h0", "tcp": at(host)}},
+        }
         wires = [start(), start()]
         try:
             for wire in wires:
--- a/tests/test_rollouts_campaign.py
+++ b/tests/test_rollouts_campaign.py
@@ -1,4 +1,5 @@
 """Campaigns that are refused at once, shares, plans, forecasts."""
+
 import random
 import subprocess
 import sys
@@ -20,26 +21,48 @@
 
 
 def campaign(name="c", **words):
-    return Campaign(**{"name": name, "function": "f", "version": 1, "tasks": 100, "steps": 10, "old": 1,
-                       "room": 10, "most": 4 * SECOND, "takes": 2 * SECOND, **words})
-
-
-@pytest.mark.parametrize("words, said", [
-    ({"function": "g"}, "campaign c: function: g is not known"),
-    ({"floors": {"h9": 1}}, "campaign c: floors: h9 is no host and no zone"),
-    ({"floors": {"a": 17}}, "campaign c: floors: a 17 is above all of it, 16 would fit"),
-    ({"room": 41}, "campaign c: room: a copy of 41 fits no host, 40 would fit"),
-    ({"pace": 17.0}, "campaign c: pace: 17 a second can never be, 16.0 would fit"),
-    ({"by": 50 * SECOND}, "campaign c: by: 1000 tasks in 50 s can never be, by 62 s or 80 tasks a step would "
-                          "fit"),
-    ({"by": 100 * SECOND, "pace": 1.0}, "campaign c: pace: by is given as well, one of them says the other"),
-    ({"group": 3}, "campaign c: group: 3 does not divide tasks 100"),
-    ({"most": 300 * SECOND}, "campaign c: most: a permit of 624 s would be needed, the longest is 600 s"),
-    ({"weight": 0}, "campaign c: weight: 0, from 1 to 1000"),
-    ({"takes": 5 * SECOND}, "campaign c: takes: longer than most"),
-    ({"floors": {"a": 16, "b": 16}}, "campaign c: floors: nothing may be lent where a copy fits (a 16, "
-                                     "b 16), lower ones would fit"),
-])
+    return Campaign(
+        **{
+            "name": name,
+            "function": "f",
+            "version": 1,
+            "tasks": 100,
+            "steps": 10,
+            "old": 1,
+            "room": 10,
+            "most": 4 * SECOND,
+            "takes": 2 * SECOND,
+            **words,
+        }
+    )
+
+
+@pytest.mark.parametrize(
+    "words, said",
+    [
+        ({"function": "g"}, "campaign c: function: g is not known"),
+        ({"floors": {"h9": 1}}, "campaign c: floors: h9 is no host and no zone"),
+        ({"floors": {"a": 17}}, "campaign c: floors: a 17 is above all of it, 16 would fit"),
+        ({"room": 41}, "campaign c: room: a copy of 41 fits no host, 40 would fit"),
+        ({"pace": 17.0}, "campaign c: pace: 17 a second can never be, 16.0 would fit"),
+        (
+            {"by": 50 * SECOND},
+            "campaign c: by: 1000 tasks in 50 s can never be, by 62 s or 80 tasks a step would fit",
+        ),
+        (
+            {"by": 100 * SECOND, "pace": 1.0},
+            "campaign c: pace: by is given as well, one of them says the other",
+        ),
+        ({"group": 3}, "campaign c: group: 3 does not divide tasks 100"),
+        ({"most": 300 * SECOND}, "campaign c: most: a permit of 624 s would be needed, the longest is 600 s"),
+        ({"weight": 0}, "campaign c: weight: 0, from 1 to 1000"),
+        ({"takes": 5 * SECOND}, "campaign c: takes: longer than most"),
+        (
+            {"floors": {"a": 16, "b": 16}},
+            "campaign c: floors: nothing may be lent where a copy fits (a 16, b 16), lower ones would fit",
+        ),
+    ],
+)
 def test_what_can_never_be_is_refused_by_name_with_what_would_fit(words, said):
     assert said in check([campaign(**words)], HOSTS, {"f": 1})
     assert check([campaign()], HOSTS, {"f": 1}) == []
@@ -66,8 +89,9 @@
     chance = random.Random(seed)
     spare = {f"h{number}": [chance.uniform(0, 8) for _ in range(6)] for number in range(hosts)}
     wants = [Want("a", 1, 2, 3 * hosts), Want("b", 2, 1, 3 * hosts)]
-    return Problem(spare, {host: 2 for host in spare}, wants,
-                   [("a", f"h{number}") for number in range(hosts // 3)], 2)
+    return Problem(
+        spare, {host: 2 for host in spare}, wants, [("a", f"h{number}") for number in range(hosts // 3)], 2
+    )
 
 
 def test_plans_are_sound_steady_and_near_to_the_solvers():
@@ -77,7 +101,7 @@
         assert wrong(given, plan) == [] and {name for name, _, _ in plan.copies} == {"a", "b"}
         stood = {(name, host) for name, host, _ in plan.copies}
         again = greedy(Problem(given.spare, given.room, given.wants, sorted(stood), given.loads))
-        assert stood <= {(name, host) for name, host, _ in again.copies}     # nothing moves for a little
+        assert stood <= {(name, host) for name, host, _ in again.copies}  # nothing moves for a little
     given = problem(1)
     broken = Plan([("a", "h0", 0), ("b", "h0", 0)], [("a", "h1", [1] * 6)])
     assert len(wrong(given, broken)) >= 2
@@ -90,8 +114,9 @@
 
 def test_the_solver_has_a_process_of_its_own():
     def run(data):
-        return subprocess.run([sys.executable, "-m", "gaproute.rollouts", "2"], input=data,
-                              capture_output=True)
+        return subprocess.run(
+            [sys.executable, "-m", "gaproute.rollouts", "2"], input=data, capture_output=True
+        )
 
     bad = run(b"[1]")
     assert bad.returncode == 1 and bad.stderr.startswith(b"no plan: ")
@@ -148,7 +173,7 @@
 def test_an_end_is_told_from_what_was_done_and_what_is_planned():
     end = End(1000, 0)
     assert end.at_end() is None
-    end.saw(10 * SECOND, 100, 10.0)          # a lane-second each
+    end.saw(10 * SECOND, 100, 10.0)  # a lane-second each
     assert end.at_end() == pytest.approx(100 * SECOND)
     assert end.at_end([20.0, 20.0]) == pytest.approx(10 * SECOND + 45 * SECOND)
     assert SLOT == 30 * SECOND
--- a/tests/test_rollouts_driver.py
+++ b/tests/test_rollouts_driver.py
@@ -1,5 +1,6 @@
 """Campaigns beside production under faults, by fixed seeds; and small faults of the code, each caught by its
 name."""
+
 import pytest
 
 from gaproute.driver import campaigns, campaigns_gateway
@@ -12,7 +13,7 @@
 from gaproute.rollouts.weights import Weights
 from gaproute.shared.permits import clocks, machine
 
-USED = {"plain": 0.8, "two campaigns": 0.8, "liars": 0.5, "noise": 0.4, "slow store": 0.5}      # else 0.5
+USED = {"plain": 0.8, "two campaigns": 0.8, "liars": 0.5, "noise": 0.4, "slow store": 0.5}  # else 0.5
 
 
 @pytest.mark.parametrize("name", list(CASES))
@@ -22,9 +23,9 @@
     figures = made.figures()
     assert figures["used"] > USED.get(name, 0.5) and figures["production"] > 1000
     if name == "two campaigns":
-        assert 0.2 < figures["by"]["c1"] / sum(figures["by"].values()) < 0.3         # weights 1 and 3
+        assert 0.2 < figures["by"]["c1"] / sum(figures["by"].values()) < 0.3  # weights 1 and 3
     if name == "liars":
-        assert figures["scrapped"] > 0       # where a host answers by another version
+        assert figures["scrapped"] > 0  # where a host answers by another version
     elif name != "slow store":
         assert max(figures["versions"].values()) >= 2
 
@@ -36,6 +37,7 @@
 
 # Small faults of the code; below, the case in which each is caught and by which name.
 
+
 def said(part, now):
     fresh = part and part.asked is not None and now - part.asked < spend.FRESH
     return fresh and not part.want and part.free > 0
@@ -49,8 +51,10 @@
         if wish is not None:
             return wish
         if said(part, now):
-            return next((wish for wish, hands in part.wishes.items()
-                         if hands < wish.amount and wish.may(now)), None)
+            return next(
+                (wish for wish, hands in part.wishes.items() if hands < wish.amount and wish.may(now)), None
+            )
+
     patch(Spend, "may", hasty)
 
 
@@ -59,6 +63,7 @@
         part = self.parts.get(host)
         if said(part, now):
             return next((wish for wish in part.wishes if wish.may(now + self.campaigns[name].need)), None)
+
     patch(Spend, "may", generous)
 
 
@@ -70,8 +75,13 @@
 
 def production_that_waits_is_not_looked_at(patch):
     report = Spend.report
-    patch(Spend, "report", lambda self, now, host, asked, free, want, cold=False: report(
-        self, now, host, asked, max(1, free), False, cold))
+    patch(
+        Spend,
+        "report",
+        lambda self, now, host, asked, free, want, cold=False: report(
+            self, now, host, asked, max(1, free), False, cold
+        ),
+    )
 
 
 def a_lapse_too_early(patch):
@@ -85,6 +95,7 @@
         tick(self, now)
         for wish in [wish for part in self.parts.values() for wish in part.closing if wish.state == "held"]:
             self.holder.give(now, wish)
+
     patch(Spend, "tick", hasty)
 
 
@@ -101,8 +112,13 @@
 
 
 def a_zone_without_its_floor(patch):
-    patch(campaigns, "lendable", lambda hosts, floors: lendable(hosts, {
-        name: lanes for name, lanes in floors.items() if name.startswith("h")}))
+    patch(
+        campaigns,
+        "lendable",
+        lambda hosts, floors: lendable(
+            hosts, {name: lanes for name, lanes in floors.items() if name.startswith("h")}
+        ),
+    )
 
 
 MUTANTS = [
