--- a/tests/test_rollouts_spend.py
+++ b/tests/test_rollouts_spend.py
@@ -1,4 +1,5 @@
 """One gateway's part: what may go out when, and what two gateways may together whatever befalls them."""
+
 from gaproute.rollouts.invariants import check_sent, check_spend
 from gaproute.rollouts.spend import ASK, FRESH, Spend, pool
 from gaproute.shared.keepers.messages import Reply
@@ -19,8 +20,12 @@
         while out and spend not in self.deaf:
             asked, self.index = out[0][1], self.index + 1
             if asked.body:
-                reply = Reply(asked.session, asked.nonce, "done",
-                              body=self.machine.apply(self.index, asked.body, holder.name))
+                reply = Reply(
+                    asked.session,
+                    asked.nonce,
+                    "done",
+                    body=self.machine.apply(self.index, asked.body, holder.name),
+                )
             else:
                 reply = Reply(0, asked.nonce, "done", opened=self.index)
             out = holder.hear(now, "k", reply)
@@ -50,13 +55,13 @@
     spend, keeper = made(), Keeper(7)
     spend.aim(0, {"h": {"c": 6}})
     spend.report(0, "h", 0, 8, False)
-    assert send(spend, 0) == 0               # asked for, not held
+    assert send(spend, 0) == 0  # asked for, not held
     keeper.serve(0, spend)
-    assert send(spend, FRESH) == 0           # the word is too old
+    assert send(spend, FRESH) == 0  # the word is too old
     spend.report(FRESH, "h", FRESH, 2, False)
     assert send(spend, FRESH) == 2 and send(spend, FRESH) == 0
     spend.report(FRESH + ASK, "h", FRESH + ASK, 8, True)
-    assert send(spend, FRESH + ASK) == 0     # production wants it
+    assert send(spend, FRESH + ASK) == 0  # production wants it
     assert keeper.machine.held == {pool("h"): 6}
 
 
@@ -67,9 +72,9 @@
     spend.report(0, "h", 0, 8, False)
     assert send(spend, 0) == 4 and send(spend, 0, "d") == 2
     spend.wanted(10, "h")
-    assert spend.cancels("h", 3) == ["gc03", "gc02", "gc01"]     # the last first; d's may not be cancelled
+    assert spend.cancels("h", 3) == ["gc03", "gc02", "gc01"]  # the last first; d's may not be cancelled
     spend.ended(12, "gc03")
-    spend.report(20, "h", 5, 8, False)       # asked before
+    spend.report(20, "h", 5, 8, False)  # asked before
     assert send(spend, 20) == 0
     spend.report(20, "h", 11, 8, False)
     assert send(spend, 20) == 1
@@ -87,7 +92,7 @@
         assert send(spend, now) == (now < span - need)
     spend.holder.tick(span)
     spend.tick(span)
-    assert not spend.hands and check_spend(spend, span) == []    # its host has ended it
+    assert not spend.hands and check_spend(spend, span) == []  # its host has ended it
 
 
 def test_two_processes_of_one_name_share_the_pool_and_a_smaller_aim_is_given_back_when_empty():
@@ -105,7 +110,7 @@
     now += ASK
     one.aim(now, {})
     keeper.serve(now, one)
-    assert len(one.hands) and keeper.machine.held == {pool("h"): 6}      # not before they have ended
+    assert len(one.hands) and keeper.machine.held == {pool("h"): 6}  # not before they have ended
     for task in list(one.hands):
         one.ended(now, task)
     one.tick(now)
--- a/tests/test_rollouts_versions.py
+++ b/tests/test_rollouts_versions.py
@@ -1,5 +1,6 @@
 """Versions: what is declined, what is scrapped, in which order copies are exchanged, whose ration loads
 have."""
+
 from gaproute.rollouts import groups as module
 from gaproute.rollouts.exchange import exchange
 from gaproute.rollouts.groups import Groups
@@ -50,12 +51,18 @@
     copies = {host: [1] for host in planned}
     full, roomy = dict.fromkeys(planned, 0), dict.fromkeys(planned, 10)
     assert exchange("c", 10, range(2, 0, -1), planned, copies, [], full) == [
-        ("swap", "h0", 2), ("swap", "h1", 2)]
+        ("swap", "h0", 2),
+        ("swap", "h1", 2),
+    ]
     assert exchange("c", 10, range(2, 0, -1), planned, copies, [], roomy) == [
-        ("load", "h0", 2), ("load", "h1", 2)]
+        ("load", "h0", 2),
+        ("load", "h1", 2),
+    ]
     copies |= {"h0": [2], "h1": [2, 1]}
     assert exchange("c", 10, range(2, 0, -1), planned, copies, ["h2"], full) == [
-        ("drop", "h1", 1), ("swap", "h3", 2)]
+        ("drop", "h1", 1),
+        ("swap", "h3", 2),
+    ]
     # what is too old goes and leaves its room; what production's copies have is not touched
     assert exchange("c", 10, [4], ["h0"], {"h0": [2]}, [], full) == [("drop", "h0", 2), ("load", "h0", 4)]
     assert exchange("c", 10, [4], ["h0"], {}, [], full) == []
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,4 +1,5 @@
 """Loads that gateways tell each other, and what probes may cost."""
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -13,8 +14,15 @@
 from gaproute.interface import Report, Result
 from helpers import SECOND, TERMS, Drive, gateway, row, task
 
-TOLD = {"probes_allowed": True, "reports_by_probe": True, "probe_price": 0.025, "peer_price": 0.01,
-        "peers_allowed": True, "gateways": 200, "reported": ("cpu_busy", "memory_busy")}
+TOLD = {
+    "probes_allowed": True,
+    "reports_by_probe": True,
+    "probe_price": 0.025,
+    "peer_price": 0.01,
+    "peers_allowed": True,
+    "gateways": 200,
+    "reported": ("cpu_busy", "memory_busy"),
+}
 
 
 def shared(*rows, **told):
--- a/tests/test_standins_clients.py
+++ b/tests/test_standins_clients.py
@@ -1,4 +1,5 @@
 """Stand-in clients of the platform on one loop, before gateways that the test plays."""
+
 import base64
 import json
 
@@ -53,8 +54,17 @@
     gates = [Gate(bench.loop, answer) for answer in answers]
     bench.closing += [gate.close for gate in gates]
     habits = Habits(**{"rate": 200.0, "impatient": 0.0} | habits)
-    made = Clients(bench.loop, [gate.address for gate in gates], [MODEL], [Kind("p", 1.0, limit)], habits, 7,
-                   bench.tap, length, bench.said.append)
+    made = Clients(
+        bench.loop,
+        [gate.address for gate in gates],
+        [MODEL],
+        [Kind("p", 1.0, limit)],
+        habits,
+        7,
+        bench.tap,
+        length,
+        bench.said.append,
+    )
     return made, gates
 
 
@@ -94,8 +104,9 @@
         day(bench, [answer], length=1)
         bench.until(lambda before=before: len(bench.seen("done")) > before)
         bench.rest(10 * MILLI)
-    assert ["an answer under" in event["text"] or "no host made" in event["text"]
-            for event in bench.seen("stray")] == [True, True]
+    assert [
+        "an answer under" in event["text"] or "no host made" in event["text"] for event in bench.seen("stray")
+    ] == [True, True]
 
 
 def test_a_client_gives_up_at_its_limit_and_says_so(bench):
@@ -119,7 +130,7 @@
     assert bench.seen("refused")
     gates.append(Gate(bench.loop, served))
     bench.closing.append(gates[2].close)
-    made.places.places[1].where = address(gates[2].address)      # the same place, another port
+    made.places.places[1].where = address(gates[2].address)  # the same place, another port
     bench.until(lambda: len(bench.seen("in", gateway=1)) == 2 and gates[2].came)
     assert {event["outcome"] for event in bench.seen("answer")} == {"delivered"}
 
@@ -132,7 +143,7 @@
     began = bench.loop.now()
     bench.until(lambda: bench.seen("out", gateway=1))
     assert 400 * MILLI <= bench.loop.now() - began
-    bench.rest(50 * MILLI)           # for what had been sent by then
+    bench.rest(50 * MILLI)  # for what had been sent by then
     asked = len(gates[1].came)
     bench.until(lambda: bench.seen("done"))
     assert len(gates[1].came) == asked > 0 and len(bench.seen("in", gateway=1)) == 1
--- a/tests/test_standins_judge.py
+++ b/tests/test_standins_judge.py
@@ -1,4 +1,5 @@
 """What the judge makes of tellings to single gateways, and of load orders that bear no name."""
+
 import pytest
 from gaproute.judge import judge
 from test_judge import FACTS, MILLI, UP, end, task
@@ -17,11 +18,14 @@
     return dict(event, gateway=gateway)
 
 
-@pytest.mark.parametrize("gateway, at, rules", [
-    (0, 1500, [3]),              # told at 0, may send for 0.5 s
-    (1, 1500, []),               # told at 1000
-    (1, 1700, [3]),
-])
+@pytest.mark.parametrize(
+    "gateway, at, rules",
+    [
+        (0, 1500, [3]),  # told at 0, may send for 0.5 s
+        (1, 1500, []),  # told at 1000
+        (1, 1700, [3]),
+    ],
+)
 def test_rule_3_counts_from_what_this_gateway_was_told(gateway, at, rules):
     run = [told(0, 0), told(1000, 1)]
     assert judged({"h1": [task(at)]}, [of(end(at + 10, asked=at * MILLI), gateway)], run) == rules
@@ -48,7 +52,7 @@
     started = [{"at": 0, "what": "started", "gateway": number, "name": f"g{number}"} for number in (0, 1)]
     tasks = [dict(task(1, "a"), link=5), dict(task(1, "b"), link=6)]
     ends = [of(end(9, name="a"), 0), of(end(9, name="b"), 1)]
-    two_each = [order(20 + number, 5 + number % 2) for number in range(4)]     # 2.5 are allowed each
+    two_each = [order(20 + number, 5 + number % 2) for number in range(4)]  # 2.5 are allowed each
     assert judged({"h1": tasks + two_each}, ends, started) == []
     assert judged({"h1": tasks + two_each + [order(30, 5)]}, ends, started) == [5]
     assert judged({"h1": tasks + two_each + [order(30, 7, "g1")]}, ends, started) == [5]
--- a/tests/test_standins_log.py
+++ b/tests/test_standins_log.py
@@ -1,4 +1,5 @@
 """The stand-in change log on one loop, read by the gateway's own follower."""
+
 import msgspec
 import pytest
 from test_standins_platform import ANY, MILLI, Bench
--- a/tests/test_standins_model.py
+++ b/tests/test_standins_model.py
@@ -1,4 +1,5 @@
 """The model of a stand-in host, without sockets, on a clock that leaps."""
+
 import random
 
 import pytest
@@ -15,8 +16,15 @@
     def __init__(self, make=(), warm=True, fetched=True):
         self.loop = Loop(Stepped(SECOND))
         self.tap, self.ends, self.fetched, self.fetches = ListTap(self.loop.clock), [], fetched, 0
-        self.machine = Machine(self.loop, Make("h", **{"cores": 2, "copies": 5, **dict(make)}), MODELS,
-                               self.fetch, 1, self.tap, warm)
+        self.machine = Machine(
+            self.loop,
+            Make("h", **{"cores": 2, "copies": 5, **dict(make)}),
+            MODELS,
+            self.fetch,
+            1,
+            self.tap,
+            warm,
+        )
         self.machine.start()
 
     def fetch(self, model):
@@ -26,8 +34,9 @@
         return came
 
     def take(self, name, model="a"):
-        return self.machine.take(name, name, MODELS[model], 1, lambda work, end: self.ends.append(
-            (work.id, end, self.loop.now())))
+        return self.machine.take(
+            name, name, MODELS[model], 1, lambda work, end: self.ends.append((work.id, end, self.loop.now()))
+        )
 
     def rest(self, span):
         end = self.loop.now() + span
@@ -118,14 +127,23 @@
         made = bench({"cold_share": 0.1, "queue": 10_000}, warm=warm)
         fallen = []
         made.machine.fell = lambda fallen=fallen: fallen.append(True)
-        able = 2 * 0.1 * 1500 * MILLI * made.machine.make.fall_multiple      # core time within the tip
+        able = 2 * 0.1 * 1500 * MILLI * made.machine.make.fall_multiple  # core time within the tip
         for number in range(round(able // (10 * MILLI)) + 2):
             last = made.take(f"t{number}")
         assert bool(fallen) is not warm and made.machine.down is not warm and (last is None) is not warm
 
 
-@pytest.mark.parametrize("trouble, ends", [("hang", []), ("lost", []), ("refuse", ["full"]),
-                                           ("fail", ["error"]), ("reset", ["reset"]), ("cut", ["cut"])])
+@pytest.mark.parametrize(
+    "trouble, ends",
+    [
+        ("hang", []),
+        ("lost", []),
+        ("refuse", ["full"]),
+        ("fail", ["error"]),
+        ("reset", ["reset"]),
+        ("cut", ["cut"]),
+    ],
+)
 def test_troubles_strike_the_track_they_name_and_end_when_told(bench, trouble, ends):
     made = bench()
     for told in ({"track": "other"}, {}, {"on": False}):
@@ -159,8 +177,16 @@
 @pytest.mark.parametrize("seed", range(6))
 def test_no_load_and_no_trouble_breaks_what_must_hold(bench, seed):
     chance = random.Random(seed)
-    made = bench({"copies": chance.choice([1, 3, 6]), "queue": 5, "loads": chance.choice([1, 4]),
-                  "keep": SECOND, "cold_time": 0}, warm=seed % 2 == 0)
+    made = bench(
+        {
+            "copies": chance.choice([1, 3, 6]),
+            "queue": 5,
+            "loads": chance.choice([1, 4]),
+            "keep": SECOND,
+            "cold_time": 0,
+        },
+        warm=seed % 2 == 0,
+    )
     works = []
     for step in range(800):
         made.fetched = chance.random() < 0.7
@@ -168,8 +194,14 @@
             case 0:
                 made.machine.order(chance.choice("abc"), chance.randrange(4), "g", 1)
             case 1:
-                made.machine.command({"trouble": chance.choice([*machine.FATES, "slow", "heavy"]),
-                                      "share": 0.3, "factor": 3, "on": chance.random() < 0.5})
+                made.machine.command(
+                    {
+                        "trouble": chance.choice([*machine.FATES, "slow", "heavy"]),
+                        "share": 0.3,
+                        "factor": 3,
+                        "on": chance.random() < 0.5,
+                    }
+                )
             case 2 if works:
                 made.machine.left(works.pop(chance.randrange(len(works))))
             case 3:
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -1,4 +1,5 @@
 """The platform's stand-in host on one loop, spoken to by lines; the file that a rig writes for a gateway."""
+
 import json
 
 import pytest
@@ -34,14 +35,18 @@
         self.until(lambda: self.loop.now() >= end)
 
     def seen(self, what, **told):
-        return [event for event in self.tap.events if event["what"] == what
-                and all(event.get(key) == value for key, value in told.items())]
+        return [
+            event
+            for event in self.tap.events
+            if event["what"] == what and all(event.get(key) == value for key, value in told.items())
+        ]
 
     # A host
 
     def host(self, **told):
-        made = PlatformHost(self.loop, address(ANY), Make("h"), {MODEL.name: MODEL}, None, 1, self.tap,
-                            **told)
+        made = PlatformHost(
+            self.loop, address(ANY), Make("h"), {MODEL.name: MODEL}, None, 1, self.tap, **told
+        )
         self.closing.append(made.crash)
         return made
 
@@ -52,12 +57,19 @@
         def bytes_came(data):
             self.came += [json.loads(line) for line in data.splitlines()]
 
-        connect(self.loop, address(host.address), SECOND, lambda sock, error: streams.append(
-            Stream(self.loop, sock, bytes_came, lambda error: self.came.append("ended"))))
+        connect(
+            self.loop,
+            address(host.address),
+            SECOND,
+            lambda sock, error: streams.append(
+                Stream(self.loop, sock, bytes_came, lambda error: self.came.append("ended"))
+            ),
+        )
         self.until(lambda: streams)
         self.closing.append(streams[0].abort)
-        return lambda *commands: streams[0].write(b"".join(json.dumps(each).encode() + b"\n"
-                                                           for each in commands))
+        return lambda *commands: streams[0].write(
+            b"".join(json.dumps(each).encode() + b"\n" for each in commands)
+        )
 
     def close(self):
         for call in self.closing:
@@ -72,15 +84,23 @@
 
 
 def go(name, **meta):
-    return {"type": "go", "req": name, "data": "",
-            "meta": {"cls": "p", "item": MODEL.name, "limit": 900} | meta}
+    return {
+        "type": "go",
+        "req": name,
+        "data": "",
+        "meta": {"cls": "p", "item": MODEL.name, "limit": 900} | meta,
+    }
 
 
 def test_a_host_serves_tells_its_load_and_takes_orders(bench):
     host = bench.host(meter=("cpu_share", "inflight"))
     say = bench.line(host)
-    say({"type": "whose", "gateway": "g7"}, go("t1"), {"type": "stat", "req": "s"},
-        {"type": "stage", "req": "o", "meta": {"item": MODEL.name, "copies": 2}})
+    say(
+        {"type": "whose", "gateway": "g7"},
+        go("t1"),
+        {"type": "stat", "req": "s"},
+        {"type": "stage", "req": "o", "meta": {"item": MODEL.name, "copies": 2}},
+    )
     bench.until(lambda: len(bench.came) == 3)
     came = {each["req"]: each for each in bench.came}
     assert came["t1"]["type"] == "served" and came["t1"]["meta"] == {"tell": "c", "queue_fn": 0}
@@ -92,8 +112,9 @@
 def test_a_host_that_drains_takes_no_order_and_an_unknown_function_is_not_here(bench):
     host = bench.host()
     host.command({"trouble": "drain"})
-    bench.line(host)({"type": "stage", "req": "o", "meta": {"item": MODEL.name, "copies": 1}},
-                     go("t", item="f" * 16))
+    bench.line(host)(
+        {"type": "stage", "req": "o", "meta": {"item": MODEL.name, "copies": 1}}, go("t", item="f" * 16)
+    )
     bench.until(lambda: len(bench.came) == 2)
     assert [each["type"] for each in bench.came] == ["overload", "not_here"]
     assert not bench.seen("task") and bench.seen("said", status=404)
@@ -107,14 +128,15 @@
     say(go("t"), {"type": "halt", "req": "t"})
     bench.until(lambda: bench.seen("halt"))
     host.command({"trouble": "heavy", "on": False})
-    say(go("t"))                     # ends after the first
+    say(go("t"))  # ends after the first
     bench.until(lambda: len(bench.seen("ran")) == 2 and bench.came)
     bench.rest(20 * MILLI)
     assert [each["type"] for each in bench.came] == ["served"]
 
 
-@pytest.mark.parametrize("line", [{"type": "go", "req": "x"}, {"type": "huh"}, go("y", cls="q"),
-                                  go("z", limit=0)])
+@pytest.mark.parametrize(
+    "line", [{"type": "go", "req": "x"}, {"type": "huh"}, go("y", cls="q"), go("z", limit=0)]
+)
 def test_what_is_no_command_is_noted_and_ends_the_connection(bench, line):
     bench.line(bench.host())(line)
     bench.until(lambda: "ended" in bench.came)
@@ -139,8 +161,15 @@
 
 def test_hosts_of_one_process_die_and_start_again_at_their_address_with_a_new_tap(bench, tmp_path):
     said = bench.said
-    made = Hosts(bench.loop, {"models": [MODEL._asdict()], "taps": str(tmp_path), "hosts": [
-        {"listen": ANY, "warm": True, "make": {"name": name}} for name in "ab"]}, said.append)
+    made = Hosts(
+        bench.loop,
+        {
+            "models": [MODEL._asdict()],
+            "taps": str(tmp_path),
+            "hosts": [{"listen": ANY, "warm": True, "make": {"name": name}} for name in "ab"],
+        },
+        said.append,
+    )
     bench.closing.append(lambda: [host.crash() for host in made.hosts.values()])
     say = bench.line(made.hosts["b"])
     made.command({"hosts": ["b"], "trouble": "fail"})
@@ -161,14 +190,24 @@
 
 # What a gateway is told
 
+
 def test_the_file_that_is_made_is_one_that_a_gateway_takes(tmp_path):
     tracks = [charter.Track("p"), charter.Track("e", "effectful"), charter.Track("r", "receipted", "rack")]
     listing = Listing()
     listing.change(member("h", "127.0.0.1:9", cell=3, up_since=5))
     rules = charter.settings(tracks, gateways=40, cold_share=0.5, limits={"send_cap": 3})
-    command, environment = charter.write(tmp_path, charter.charter(
-        "g1", "127.0.0.1:1", "127.0.0.1:2", listing.known(), rules, peer_listen="127.0.0.1:3",
-        peers_all="127.0.0.1:4"))
+    command, environment = charter.write(
+        tmp_path,
+        charter.charter(
+            "g1",
+            "127.0.0.1:1",
+            "127.0.0.1:2",
+            listing.known(),
+            rules,
+            peer_listen="127.0.0.1:3",
+            peers_all="127.0.0.1:4",
+        ),
+    )
     made, terms, site = node_charter.read(environment["EDGE_CONFIG"])
     assert command[-1] == "gaproute.node" and (made.name, made.peers_all) == ("g1", "127.0.0.1:4")
     assert (terms.gateways, terms.relay_limit, terms.cold_share, terms.peers_allowed) == (40, 3, 0.5, True)
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,5 +1,6 @@
 """Days played by processes: the honest module keeps the rules, a module that breaks one is caught at it; a
 gateway killed, stopped and asked to end; a bench day's troubles as a script."""
+
 import json
 import os
 import signal
@@ -16,10 +17,12 @@
 from gaproute.rig.script import read_script
 from helpers import SECOND
 
-RULES = {-3: "gaproute.standins.liars:LiesAlways", -2: "gaproute.decisions.route:Gateway",
-         -1: "gaproute.decisions.route:Gateway", 0: "gaproute.decisions.route:Gateway"} | {
-    rule: f"gaproute.standins.rogues:{rogue.__name__}" for rule, rogue in ROGUES.items()
-}
+RULES = {
+    -3: "gaproute.standins.liars:LiesAlways",
+    -2: "gaproute.decisions.route:Gateway",
+    -1: "gaproute.decisions.route:Gateway",
+    0: "gaproute.decisions.route:Gateway",
+} | {rule: f"gaproute.standins.rogues:{rogue.__name__}" for rule, rogue in ROGUES.items()}
 
 SCRIPTS = {-1: "short-day", -2: "telling-day", -3: "telling-day"}
 
@@ -29,11 +32,25 @@
     """{rule: (exit code, result)} of one short day for each decision module, three at a time; rule -1: a day
     on which processes are struck; -2: one on which they learn from each other and from disk meanwhile; -3:
     the same with all that is told of copies wrong."""
+
     def play(rule):
         out = tmp_path_factory.mktemp(f"rule{rule}")
-        played = subprocess.run([sys.executable, "-m", "gaproute", "trial",
-                                 SCRIPTS.get(rule, "rogue"), "--json", "--decisions",
-                                 RULES[rule], "--out", str(out)], capture_output=True, timeout=90)
+        played = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "gaproute",
+                "trial",
+                SCRIPTS.get(rule, "rogue"),
+                "--json",
+                "--decisions",
+                RULES[rule],
+                "--out",
+                str(out),
+            ],
+            capture_output=True,
+            timeout=90,
+        )
         assert played.stdout, played.stderr.decode()
         return played.returncode, json.loads(played.stdout)
 
@@ -50,7 +67,7 @@
 def test_the_rules_hold_while_gateways_are_killed_and_stopped_and_hosts_replaced(days):
     code, result = days[-1]
     assert result["broken"] == [] and code == 0 and result["fell_over"] == 0
-    assert result["service"] > 0.5      # far below what is usual: it only tells a day that was not played
+    assert result["service"] > 0.5  # far below what is usual: it only tells a day that was not played
 
 
 @pytest.mark.parametrize("day", [-2, -3])
@@ -103,7 +120,7 @@
     assert told.returncode == 0 and json.loads(told.stdout)["ready"]
     assert "h" in command("hosts", "--at", f"unix:{tmp_path}/op").stdout
     second = command("serve", tmp_path / "g.conf")
-    assert second.returncode == 3 and "cannot listen" in second.stderr     # a live socket is not stolen
+    assert second.returncode == 3 and "cannot listen" in second.stderr  # a live socket is not stolen
     process.send_signal(signal.SIGTERM)
     assert process.wait(10) == 0 and not os.path.exists(tmp_path / "op")
     assert command("status", "--at", f"unix:{tmp_path}/op").returncode == 3
@@ -138,7 +155,7 @@
     made.rest(2 * SECOND)
     process.send_signal(signal.SIGCONT)
     assert [made.wait(answer).status for answer in asked] == [200] * 12
-    assert len(made.seen("task")) == 12       # nothing was sent again
+    assert len(made.seen("task")) == 12  # nothing was sent again
     told = json.loads(command("hosts", "--at", f"unix:{tmp_path}/op", "--json").stdout)
     assert all(set(host["relays"]) <= {"ok"} for host in told)
     process.send_signal(signal.SIGTERM)
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -1,5 +1,6 @@
 """A keeper's votes on disk: what is synced is there again, what went bad is never taken for a whole
 memory."""
+
 import errno
 import os
 
@@ -58,7 +59,7 @@
 
 
 def flipped(data, at):
-    return data[:at] + bytes([data[at] ^ 0x41]) + data[at + 1:]
+    return data[:at] + bytes([data[at] ^ 0x41]) + data[at + 1 :]
 
 
 def test_any_cut_gives_a_prefix_that_can_be_gone_on_from(votes):
@@ -107,7 +108,7 @@
     path = filled(votes, [b"one"], [b"two", b"three"])
     whole = path.read_bytes()
     at = whole.index(b"two")
-    path.write_bytes(whole[:at] + b"\0\0\0" + whole[at + 3:])
+    path.write_bytes(whole[:at] + b"\0\0\0" + whole[at + 3 :])
     one = votes()
     assert one.read() == [b"one"] and one.torn == 1 and "torn tail" in one.texts[0]
 
--- a/tests/test_weak_carrier.py
+++ b/tests/test_weak_carrier.py
@@ -1,4 +1,5 @@
 """The weak word between gateways on sockets: off unless configured, and noise on its way."""
+
 import socket
 
 from gaproute.appliance.operator import status
@@ -17,7 +18,7 @@
         assert made.wait(made.ask("lamp", f"w{number}")).status == 200
     weak = second.others.weak.weak
     made.until(lambda: "third" in weak.store.tellers and weak.warm(made.loop.now(), "lamp"))
-    (host, (age, by)), = weak.warm(made.loop.now(), "lamp").items()
+    ((host, (age, by)),) = weak.warm(made.loop.now(), "lamp").items()
     assert host in third.rows and by == ("third",) and age >= 0
     assert made.gate.others.weak is None and status(made.gate)["weak_word"] is None
     assert status(third)["weak_word"]["sent"]
--- a/tests/test_weak_merge.py
+++ b/tests/test_weak_merge.py
@@ -1,4 +1,5 @@
 """The merge laws, and the bytes: strict and compact."""
+
 import pytest
 from gaproute.peers.gossip import decode as decode_word
 from gaproute.peers.weak import decode, encode
@@ -9,8 +10,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-page = st.builds(Page, st.sampled_from((HANDS, ROOM)), st.just(0), st.integers(0, 3), st.integers(0, 5),
-                 st.just(0.0), st.just(()))
+page = st.builds(
+    Page,
+    st.sampled_from((HANDS, ROOM)),
+    st.just(0),
+    st.integers(0, 3),
+    st.integers(0, 5),
+    st.just(0.0),
+    st.just(()),
+)
 told = st.tuples(st.just("take"), st.sampled_from("ab"), st.integers(1, 3), page)
 tomb = st.tuples(st.just("bury"), st.sampled_from("ab"), st.integers(1, 2), st.none())
 facts = st.lists(st.one_of(told, told, told, tomb), max_size=10)
@@ -23,8 +31,11 @@
             store.take(0, teller, incarnation, page)
         else:
             store.bury(0, teller, incarnation)
-    return {(teller, name): (held.version, held.seen) for teller, pages in store.tellers.items()
-            for name, held in pages.items()}
+    return {
+        (teller, name): (held.version, held.seen)
+        for teller, pages in store.tellers.items()
+        for name, held in pages.items()
+    }
 
 
 @given(facts.flatmap(lambda steps: st.tuples(st.just(steps), st.permutations(steps))))
@@ -56,14 +67,37 @@
 figure = st.floats(0, 1e6)
 number = st.integers(0, 2**32 - 1)
 pages = st.one_of(
-    st.builds(Page, st.sampled_from((HANDS, ROOM)), st.just(0), number, st.integers(0, LIFE[HANDS]), figure,
-              st.lists(st.tuples(number, figure), max_size=MOST[HANDS]).map(tuple)),
-    st.builds(Page, st.just(DEMAND), st.just(0), number, st.integers(0, LIFE[DEMAND]), st.floats(0, 1e4),
-              st.lists(st.tuples(number, st.integers(0, 255), st.floats(0, 1e4), st.floats(0, 1e4)),
-                       max_size=MOST[DEMAND]).map(tuple)),
-    st.builds(Page, st.just(WARM), st.integers(0, 7), number, st.integers(0, LIFE[WARM]), st.just(0.0),
-              st.lists(st.tuples(number, number, st.integers(0, LIFE[WARM])),
-                       max_size=MOST[WARM]).map(tuple)))
+    st.builds(
+        Page,
+        st.sampled_from((HANDS, ROOM)),
+        st.just(0),
+        number,
+        st.integers(0, LIFE[HANDS]),
+        figure,
+        st.lists(st.tuples(number, figure), max_size=MOST[HANDS]).map(tuple),
+    ),
+    st.builds(
+        Page,
+        st.just(DEMAND),
+        st.just(0),
+        number,
+        st.integers(0, LIFE[DEMAND]),
+        st.floats(0, 1e4),
+        st.lists(
+            st.tuples(number, st.integers(0, 255), st.floats(0, 1e4), st.floats(0, 1e4)),
+            max_size=MOST[DEMAND],
+        ).map(tuple),
+    ),
+    st.builds(
+        Page,
+        st.just(WARM),
+        st.integers(0, 7),
+        number,
+        st.integers(0, LIFE[WARM]),
+        st.just(0.0),
+        st.lists(st.tuples(number, number, st.integers(0, LIFE[WARM])), max_size=MOST[WARM]).map(tuple),
+    ),
+)
 
 
 @given(st.integers(1, 1 << 48), st.lists(pages, max_size=2))
@@ -90,10 +124,19 @@
     assert word is None or encode(word)
 
 
-@pytest.mark.parametrize("break_it", [
-    lambda data: data[:-1], lambda data: data + b"x", lambda data: b"\x02" + data[1:], lambda data: b"",
-    lambda data: data[:9] + b"\xff" + data[10:], lambda data: data[:10] + b"\x09" + data[11:],
-    lambda data: b"\0" * 65536, lambda data: data[:19] + b"\xff\xff" + data[21:]])
+@pytest.mark.parametrize(
+    "break_it",
+    [
+        lambda data: data[:-1],
+        lambda data: data + b"x",
+        lambda data: b"\x02" + data[1:],
+        lambda data: b"",
+        lambda data: data[:9] + b"\xff" + data[10:],
+        lambda data: data[:10] + b"\x09" + data[11:],
+        lambda data: b"\0" * 65536,
+        lambda data: data[:19] + b"\xff\xff" + data[21:],
+    ],
+)
 def test_what_is_not_wholly_a_word_is_none(break_it):
     data = encode(Word(1, (Page(HANDS, 0, 1, 0, 0.0, ((1, 1.0),)),)))
     assert decode(data) is not None and decode(break_it(data)) is None
@@ -106,4 +149,5 @@
 
 def test_a_membership_that_knows_no_weak_word_passes_it_over():
     from gaproute.peers import word_pb2
+
     assert decode_word(word_pb2.Word(version=1, kind=6, weak=b"x").SerializeToString()) is None
--- a/tests/test_weak_word.py
+++ b/tests/test_weak_word.py
@@ -1,4 +1,5 @@
 """The weak word between gateways on a clock of the test's own, and what cannot be believed."""
+
 import random
 
 import pytest
@@ -131,14 +132,21 @@
     assert made.hands(0, "h1").total <= 60
 
 
-@pytest.mark.parametrize("page, reason", [
-    (Page(HANDS, 0, 1, 16 * SECOND, 0.0, ()), "old"), (Page(HANDS, 0, 1, -1, 0.0, ()), "absurd"),
-    (Page(HANDS, 1, 1, 0, 0.0, ()), "absurd"), (Page(9, 0, 1, 0, 0.0, ()), "absurd"),
-    (Page(HANDS, 0, 1, 0, 0.0, ((1, -4.0),)), "absurd"), (Page(HANDS, 0, 1, 0, float("nan"), ()), "absurd"),
-    (Page(DEMAND, 0, 1, 0, 0.0, ((1, 0, float("inf"), 0.0),)), "absurd"),
-    (Page(HANDS, 0, -1, 0, 0.0, ()), "absurd"),
-    (Page(WARM, 0, 1, 0, 0.0, ((1, 2, -5),)), "absurd"),
-    (Page(HANDS, 0, 1, 0, 0.0, ((1, 1.0),) * 65), "large")])
+@pytest.mark.parametrize(
+    "page, reason",
+    [
+        (Page(HANDS, 0, 1, 16 * SECOND, 0.0, ()), "old"),
+        (Page(HANDS, 0, 1, -1, 0.0, ()), "absurd"),
+        (Page(HANDS, 1, 1, 0, 0.0, ()), "absurd"),
+        (Page(9, 0, 1, 0, 0.0, ()), "absurd"),
+        (Page(HANDS, 0, 1, 0, 0.0, ((1, -4.0),)), "absurd"),
+        (Page(HANDS, 0, 1, 0, float("nan"), ()), "absurd"),
+        (Page(DEMAND, 0, 1, 0, 0.0, ((1, 0, float("inf"), 0.0),)), "absurd"),
+        (Page(HANDS, 0, -1, 0, 0.0, ()), "absurd"),
+        (Page(WARM, 0, 1, 0, 0.0, ((1, 2, -5),)), "absurd"),
+        (Page(HANDS, 0, 1, 0, 0.0, ((1, 1.0),) * 65), "large"),
+    ],
+)
 def test_a_page_that_cannot_be_is_refused_by_its_reason(page, reason):
     made = weak()
     assert made.hear(0, "a", Word(1, (page,))) == 0
