--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -20,13 +20,14 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
 from gaproute.http1 import Limits, Reader, Server
 from gaproute.http1.server import render
 from gaproute.load import Crowd, read_load
 from gaproute.loop import Listener, Loop, Promise, Stream
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address
-from rows import write
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 IDLE = 60 * SECOND
--- a/benchmarks/fleet/candidates.py
+++ b/benchmarks/fleet/candidates.py
@@ -4,7 +4,6 @@
 from zlib import crc32
 
 from benchmarks.fleet.parted import Alike
-
 from gaproute.decisions.route.beliefs import LOAD_LIFE, MILLI, SECOND
 
 NEAR_TIE = 0.3  # points: less than from one choice of the hash to the next
--- a/benchmarks/fleet/faults.py
+++ b/benchmarks/fleet/faults.py
@@ -4,7 +4,6 @@
 from benchmarks.fleet.clock import MILLI, SECOND
 from benchmarks.fleet.hosts import Host
 from benchmarks.fleet.world import ZONES
-
 from gaproute import interface as face
 from gaproute.decisions.chance import Chance
 
--- a/benchmarks/fleet/follow.py
+++ b/benchmarks/fleet/follow.py
@@ -4,7 +4,7 @@
 in the half second after a report of it beside the half second before, by whether its load fell or rose.
 """
 
-from bisect import bisect_left, bisect_right
+from bisect import bisect_right
 from statistics import mean, median
 
 from benchmarks.fleet.clock import MILLI, SECOND
@@ -14,7 +14,6 @@
 from benchmarks.fleet.variants import VARIANTS
 from benchmarks.fleet.world import World
 from benchmarks.rows import table, write
-
 from gaproute.decisions.route.beliefs import LOAD_LIFE
 from gaproute.decisions.route.score import NIL
 
--- a/benchmarks/fleet/gateways.py
+++ b/benchmarks/fleet/gateways.py
@@ -5,7 +5,6 @@
 from benchmarks.fleet.clock import SECOND
 from benchmarks.fleet.hosts import LANES, WAY
 from benchmarks.fleet.traffic import TRACKS
-
 from gaproute import interface as face
 from gaproute.core.drive import Driver
 
--- a/benchmarks/fleet/seers.py
+++ b/benchmarks/fleet/seers.py
@@ -1,7 +1,6 @@
 """Comparisons that see what no gateway can: true queues, as they are or were, and true copies."""
 
 from benchmarks.fleet.parted import Alike
-
 from gaproute.decisions.route import score as policy
 from gaproute.decisions.route.beliefs import MILLI
 
--- a/benchmarks/fleet/smoothed.py
+++ b/benchmarks/fleet/smoothed.py
@@ -4,7 +4,6 @@
 
 from benchmarks.fleet.candidates import Firsts, Shared, Soft
 from benchmarks.fleet.parted import Alike
-
 from gaproute.decisions.route import score as policy
 from gaproute.decisions.route.beliefs import LOAD_LIFE, MILLI, SECOND, WIDE
 
--- a/benchmarks/fleet/traffic.py
+++ b/benchmarks/fleet/traffic.py
@@ -4,7 +4,6 @@
 from itertools import accumulate
 
 from benchmarks.fleet.clock import MILLI, SECOND
-
 from gaproute import interface as face
 from gaproute.decisions.chance import Chance
 
--- a/benchmarks/fleet/variants.py
+++ b/benchmarks/fleet/variants.py
@@ -2,7 +2,6 @@
 
 from benchmarks.fleet import candidates, seers, smoothed
 from benchmarks.fleet.parted import Alike, Parted
-
 from gaproute.decisions.route import Gateway
 
 VARIANTS = {
--- a/benchmarks/fleet/world.py
+++ b/benchmarks/fleet/world.py
@@ -7,7 +7,6 @@
 from benchmarks.fleet.gateways import One
 from benchmarks.fleet.hosts import CAPACITY, COLD_SHARE, COLD_TIME, Host
 from benchmarks.fleet.traffic import TRACKS
-
 from gaproute import interface as face
 from gaproute.decisions.route import Gateway
 
--- a/benchmarks/hunt.py
+++ b/benchmarks/hunt.py
@@ -17,7 +17,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
 from gaproute.driver import shrink
-from gaproute.driver.keepers import SPANS, play, plan
+from gaproute.driver.keepers import SPANS, plan, play
 
 PLAYS = 200  # to make one breach small
 
--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -21,9 +21,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
 from gaproute.http1 import Exchange, Server
 from gaproute.loop import Loop
-from rows import write
 
 SECOND = 1_000_000_000
 
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -19,9 +19,10 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from gaproute.lobby import Calendar
 from rows import write
 
+from gaproute.lobby import Calendar
+
 MILLI, SECOND = 1_000_000, 1_000_000_000
 IDLE, STEP, SPAN = 75 * SECOND, 10 * MILLI, 20 * SECOND
 MOST = 256
--- a/benchmarks/weak_bytes.py
+++ b/benchmarks/weak_bytes.py
@@ -17,15 +17,17 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import write
+
+from gaproute.decisions.chance import Chance
 from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
 from gaproute.peers import word_pb2
 from gaproute.peers.gossip import MOST, Gossip
 from gaproute.peers.weak import decode, encode
-from gaproute.decisions.chance import Chance
 from gaproute.shared.weak import Page, Weak, Word
-from gaproute.shared.weak.facts import DEMAND, HANDS, MOST as ENTRIES, WARM
-from rows import write
+from gaproute.shared.weak.facts import DEMAND, HANDS, WARM
+from gaproute.shared.weak.facts import MOST as ENTRIES
 
 ROUNDS, TIMES = 21, 200
 
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -22,11 +22,12 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
+from rows import table, write
+
 from gaproute.loop import Listener, Loop, Stream
 from gaproute.loop.datagrams import READS
 from gaproute.loop.loop import READ
 from gaproute.rig.addresses import between
-from rows import table, write
 
 SECOND = 1_000_000_000
 TICKS = os.sysconf("SC_CLK_TCK")
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -7,8 +7,8 @@
 from gaproute.appliance.operator import Operator
 from gaproute.appliance.others import Others
 from gaproute.core.core import Core
-from gaproute.decisions.chance import Chance
 from gaproute.decisions.admission.admission import Admission
+from gaproute.decisions.chance import Chance
 from gaproute.decisions.links.pooling import Pooling
 from gaproute.discovery.listing import FileWatch, Listing
 from gaproute.fronts.kserve import Front
--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -14,8 +14,8 @@
 import sys
 
 from gaproute.conf import Mistakes, read_charter
-from gaproute.decisions.chance import Chance
 from gaproute.decisions.admission.restarts import Restarts
+from gaproute.decisions.chance import Chance
 from gaproute.loop import Loop, Promise
 from gaproute.loop.connecting import listening
 from gaproute.loop.loop import READ
--- a/gaproute/decisions/route/measures.py
+++ b/gaproute/decisions/route/measures.py
@@ -3,7 +3,7 @@
 from hashlib import blake2b
 from statistics import median
 
-from gaproute.decisions.route.beliefs import LOAD_LIFE, LONG, LOOK, MIX, RECENT, WIDE
+from gaproute.decisions.route.beliefs import LOAD_LIFE, LONG, LOOK, MIX, RECENT
 from gaproute.decisions.route.known import Known
 
 FADE = 4  # power of age over keep-alive: warmth stays above two thirds for three quarters of it
--- a/gaproute/driver/keepers.py
+++ b/gaproute/driver/keepers.py
@@ -13,9 +13,8 @@
 from gaproute.driver.load import Load
 from gaproute.driver.plan import MEMORY, Fault, Plan, draw
 from gaproute.driver.world import World
-from gaproute.shared.keepers import Keeper
+from gaproute.shared.keepers import Keeper, log
 from gaproute.shared.keepers import keeper as module
-from gaproute.shared.keepers import log
 from gaproute.shared.permits import Holder, Permits
 from gaproute.shared.permits.commands import BOUND
 
--- a/gaproute/driver/mutants.py
+++ b/gaproute/driver/mutants.py
@@ -11,7 +11,6 @@
 
 from gaproute.shared.keepers import election, following, founding, leading, members, requests
 from gaproute.shared.keepers.keeper import Keeper
-from gaproute.shared.keepers.log import Log
 from gaproute.shared.keepers.sessions import Sessions
 from gaproute.shared.keepers.store import Store
 from gaproute.shared.permits import commands
--- a/gaproute/driver/rounds.py
+++ b/gaproute/driver/rounds.py
@@ -13,7 +13,7 @@
 from gaproute.maintenance import Host as Listed
 from gaproute.maintenance import Round
 from gaproute.shared.keepers import Keeper
-from gaproute.shared.permits import Holder, Permits
+from gaproute.shared.permits import Permits
 from gaproute.shared.permits.commands import BOUND
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -15,7 +15,6 @@
 from collections import deque
 from select import EPOLLIN, EPOLLONESHOT
 
-from gaproute.decisions.chance import Chance
 from gaproute.decisions.admission.admission import (
     ARRIVING,
     DISPLACE,
@@ -25,6 +24,7 @@
     TURN_AWAY,
     Admission,
 )
+from gaproute.decisions.chance import Chance
 from gaproute.lobby.calendar import Calendar
 from gaproute.loop.loop import LOBBY
 
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -5,8 +5,8 @@
 import traceback
 
 from gaproute.core.core import Core
-from gaproute.decisions.chance import Chance
 from gaproute.decisions.admission.admission import RESTED, Admission, way_back
+from gaproute.decisions.chance import Chance
 from gaproute.decisions.links.pooling import OWN, Pooling, share_out
 from gaproute.decisions.route import Gateway
 from gaproute.discovery.changelog import events
--- a/gaproute/rig/wires.py
+++ b/gaproute/rig/wires.py
@@ -3,7 +3,6 @@
 import json
 import os
 
-from gaproute.loop import Promise
 from gaproute.loop.loop import GONE, READ
 from gaproute.rig import sets
 from gaproute.trial.processes import MILLI, SECOND, NotReady
--- a/gaproute/rollouts/spend.py
+++ b/gaproute/rollouts/spend.py
@@ -8,9 +8,8 @@
 hear the host sends nothing.
 """
 
-from collections import Counter, deque
+from collections import Counter
 
-from gaproute.rollouts.campaign import SECOND, WAY
 from gaproute.rollouts.pace import Pace
 
 MILLI = 1_000_000
--- a/gaproute/shared/membership/invariants.py
+++ b/gaproute/shared/membership/invariants.py
@@ -1,6 +1,6 @@
 """What must always hold of a gateway's membership: named checks that return breaches as text."""
 
-from gaproute.shared.membership.members import ERRANDS, STAGES
+from gaproute.shared.membership.members import ERRANDS
 from gaproute.shared.membership.news import ALIVE, DEAD, HIGHEST, SUSPECT
 from gaproute.shared.membership.table import MEMBERS
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,13 +1,14 @@
 from functools import partial
 
 import pytest
-from gaproute.appliance import Appliance
-from gaproute.conf import read_charter
-from gaproute.record.logs import logger
 from helpers import CHARTER, Rig, makers
 from hypothesis import settings
 from scripted import Gate
 
+from gaproute.appliance import Appliance
+from gaproute.conf import read_charter
+from gaproute.record.logs import logger
+
 settings.register_profile("steady", derandomize=True, deadline=None)  # the same verdict every time
 settings.load_profile("steady")
 
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -4,6 +4,8 @@
 import json
 import socket
 
+from helpers import turn_until
+
 from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog.follow import Follower
 from gaproute.loop import Loop, connect
@@ -12,7 +14,6 @@
 from gaproute.node.process import Process
 from gaproute.record.record import FOLLOWED
 from gaproute.standins.platform import ChangeLog, Client, LineHost, event
-from helpers import turn_until
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SETTINGS = {
--- a/tests/test_changelog.py
+++ b/tests/test_changelog.py
@@ -3,15 +3,16 @@
 import json
 
 import pytest
+from helpers import makers
 from hypothesis import given
 from hypothesis import strategies as st
+from scripted import Followed
+
 from gaproute.discovery.changelog import events
 from gaproute.discovery.changelog import follow as following
 from gaproute.interface import State
 from gaproute.loop import Loop
 from gaproute.standins.platform import ChangeLog, event, sse
-from helpers import makers
-from scripted import Followed
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -1,11 +1,11 @@
 """Cold hosts over a whole fleet: what each gateway may send, and what all together send."""
 
 import pytest
+from helpers import SECOND, gateway, row, task
 
 from benchmarks.cold import Day, day, play
 from gaproute.decisions.route.beliefs import Trail
 from gaproute.terms import terms
-from helpers import SECOND, gateway, row, task
 
 
 def test_a_fleet_all_cold_is_looked_through_once_a_choice():
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -1,4 +1,5 @@
 import pytest
+
 from gaproute.conf import Mistakes, read_charter, read_hosts
 from gaproute.interface import Effect, Group
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,13 +1,13 @@
 """The core with scripted decisions and scripted hosts, on a clock that stands still."""
 
 import pytest
+from helpers import TERMS
 
 from gaproute import interface as face
 from gaproute.core.core import Core, Heard
 from gaproute.interface.call import Answer, Call, Ending
 from gaproute.loop import Loop, Stepped
 from gaproute.record.record import Record
-from helpers import TERMS
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 DONE = Heard(face.Result.OK, Answer(200, (), b"done"))
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -5,13 +5,14 @@
 import socket
 
 import pytest
+from scripted import MILLI, SECOND, SETTINGS, Handed, HeldDials, nothing
+
 from gaproute.decisions.links.pooling import CARRIED
 from gaproute.discovery.changelog import events
 from gaproute.hosts.jsonlines import link as links
 from gaproute.interface import Effect, Result
 from gaproute.interface.call import Call
 from gaproute.standins.platform import arg, event
-from scripted import MILLI, SECOND, SETTINGS, Handed, HeldDials, nothing
 
 KEYED = {
     "name": "plan",
--- a/tests/test_crossings_list.py
+++ b/tests/test_crossings_list.py
@@ -5,6 +5,11 @@
 import time
 
 import pytest
+from helpers import makers
+from hypothesis import given
+from hypothesis import strategies as st
+from scripted import MILLI, SECOND, Followed, Handed, HeldDials
+
 from gaproute.conf import read_hosts
 from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog import events
@@ -13,10 +18,6 @@
 from gaproute.discovery.listing import Listing
 from gaproute.loop import Loop, connect
 from gaproute.standins.platform import ChangeLog, event, parties, sse
-from helpers import makers
-from hypothesis import given
-from hypothesis import strategies as st
-from scripted import MILLI, SECOND, Followed, Handed, HeldDials
 
 ONE = event(1, ("s-1", "127.0.0.1:5", "Ready"), complete=True)
 TWO = event(2, ("s-1", "127.0.0.1:5", "Terminating"))
--- a/tests/test_crossings_orders.py
+++ b/tests/test_crossings_orders.py
@@ -9,6 +9,11 @@
 from types import SimpleNamespace
 
 import pytest
+from helpers import TERMS, row
+from hypothesis import Phase, given, settings
+from hypothesis import strategies as st
+from scripted import MILLI, SECOND, HeldDials
+
 from gaproute import interface as face
 from gaproute.core.core import Core
 from gaproute.decisions.links.pooling import Pooling
@@ -19,10 +24,6 @@
 from gaproute.interface.call import Call, Ending
 from gaproute.loop import Loop, Stepped
 from gaproute.record.record import Record
-from helpers import TERMS, row
-from hypothesis import Phase, given, settings
-from hypothesis import strategies as st
-from scripted import MILLI, SECOND, HeldDials
 
 HOSTS = ("a", "b")
 LEFT = 3 * SECOND  # that each client waits
--- a/tests/test_driver_bite.py
+++ b/tests/test_driver_bite.py
@@ -1,10 +1,11 @@
 """Each small fault that is put into the keepers is caught by name, within the seeds that the tests play."""
 
 import pytest
-from gaproute.driver.keepers import play, plan
-from gaproute.driver.mutants import MUTANTS, put_in
 from test_driver_keepers import SEEDS
 
+from gaproute.driver.keepers import plan, play
+from gaproute.driver.mutants import MUTANTS, put_in
+
 
 def seeds(mutant):
     """Those of the tests, the one where it was caught soonest first."""
--- a/tests/test_driver_keepers.py
+++ b/tests/test_driver_keepers.py
@@ -2,7 +2,8 @@
 time."""
 
 import pytest
-from gaproute.driver.keepers import play, plan
+
+from gaproute.driver.keepers import plan, play
 
 SEEDS = {
     ("common", 3): range(32),
--- a/tests/test_driver_world.py
+++ b/tests/test_driver_world.py
@@ -2,6 +2,7 @@
 small."""
 
 import pytest
+
 from gaproute.driver import (
     Breach,
     Chance,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,12 +8,13 @@
 import sys
 
 import pytest
+from helpers import MILLI, SECOND
+
 from gaproute import interface as face
 from gaproute.hosts import orca, proof
 from gaproute.http1 import Exchange
 from gaproute.loop import Listener, Promise, Stream
 from gaproute.loop.streams import address
-from helpers import MILLI, SECOND
 
 TRITON = """
 import sys, numpy, tritonclient.http as http
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -2,6 +2,7 @@
 import socket
 
 import pytest
+
 from gaproute.http1 import Fault, Limits, Reader, Server
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
--- a/tests/test_jsonlines.py
+++ b/tests/test_jsonlines.py
@@ -4,6 +4,7 @@
 from types import SimpleNamespace
 
 import pytest
+from helpers import makers, row, turn_until
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -15,7 +16,6 @@
 from gaproute.interface.call import Call
 from gaproute.loop import Loop
 from gaproute.standins.platform import LineHost
-from helpers import makers, row, turn_until
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SITE = SimpleNamespace(
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -1,6 +1,7 @@
 """The judge catches each rule when it is broken, and only then."""
 
 import pytest
+
 from gaproute.judge import Facts, judge
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
--- a/tests/test_keepers_carried.py
+++ b/tests/test_keepers_carried.py
@@ -2,7 +2,7 @@
 
 import msgspec
 import pytest
-from keepers_net import MILLI, SECOND, Chance
+from keepers_net import SECOND, Chance
 
 from gaproute.http1 import Exchange
 from gaproute.ledger.votes import Votes
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -6,6 +6,8 @@
 import socket
 
 import pytest
+from scripted import MILLI, SECOND, SETTINGS, Handed, half_close, nothing
+
 from gaproute.decisions.admission.admission import SHORT
 from gaproute.decisions.links.pooling import OWN
 from gaproute.fronts.jsonrpc import front as fronts
@@ -14,7 +16,6 @@
 from gaproute.loop import connect
 from gaproute.loop.streams import FAREWELL, address
 from gaproute.node.process import AGAIN, STATUS, STILL_COMING
-from scripted import MILLI, SECOND, SETTINGS, Handed, half_close, nothing
 
 
 def test_a_client_that_takes_no_answers_is_seen_to_leave_though_nothing_is_read(gate):
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -5,6 +5,7 @@
 import sys
 
 import pytest
+
 from gaproute.conf.lines import Mistakes
 from gaproute.http1 import Server
 from gaproute.load import Crowd, compare, read_load, read_result
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -7,10 +7,10 @@
 import time
 
 import pytest
+from helpers import makers
 from hypothesis import given
 from hypothesis import strategies as st
 
-from gaproute.decisions.chance import Chance
 from gaproute.decisions.admission.admission import (
     ARRIVING,
     DISPLACE,
@@ -25,13 +25,13 @@
     TURN_AWAY,
     Admission,
 )
+from gaproute.decisions.chance import Chance
 from gaproute.http1 import Limits, Server
 from gaproute.lobby import Calendar, Lot
 from gaproute.lobby.calendar import WIDTH
 from gaproute.lobby.lot import EXPIRES
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
-from helpers import makers
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"GET / HTTP/1.1\r\nHost: g\r\n\r\n"
--- a/tests/test_loop.py
+++ b/tests/test_loop.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+
 from gaproute.loop import Listener, Loop, Promise, Stepped, Stream, connect
 from gaproute.loop.streams import address
 
--- a/tests/test_lore.py
+++ b/tests/test_lore.py
@@ -5,6 +5,7 @@
 from collections import Counter
 
 import pytest
+from helpers import MILLI, SECOND, Drive, gateway, row, task
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -16,7 +17,6 @@
 from gaproute.decisions.told.roll import GONE_KEPT, Roll, own
 from gaproute.interface import Found, Outcome, Result, State
 from gaproute.peers.lore_pb2 import Told
-from helpers import MILLI, SECOND, Drive, gateway, row, task
 
 NOW = 1000 * SECOND
 KEEP = 10 * SECOND
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -4,6 +4,7 @@
 import itertools
 
 import pytest
+from helpers import MILLI, SECOND, gateway
 
 from gaproute.appliance.keeping import MOST, Keeper
 from gaproute.appliance.operator import knowledge
@@ -13,7 +14,6 @@
 from gaproute.loop import Loop
 from gaproute.loop.loop import Stepped
 from gaproute.loop.streams import address
-from helpers import MILLI, SECOND, gateway
 
 WARM = ("warm", "x", "f")
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -3,11 +3,12 @@
 import json
 
 import pytest
-from gaproute.fronts.jsonrpc import messages
-from gaproute.fronts.jsonrpc.messages import Fault
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gaproute.fronts.jsonrpc import messages
+from gaproute.fronts.jsonrpc.messages import Fault
+
 GOOD = {
     "i": "9b1f03aa5c7e2d41",
     "d": 1500,
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -4,9 +4,10 @@
 
 import pytest
 from click.testing import CliRunner
+from helpers import CHARTER, MILLI, SECOND
+
 from gaproute.cli.main import main
 from gaproute.conf import Mistakes, move, read_charter
-from helpers import CHARTER, MILLI, SECOND
 
 OLD = """# our box
 name g1
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -8,6 +8,8 @@
 import time
 
 import pytest
+from scripted import MILLI, SECOND, SETTINGS, nothing
+
 from gaproute.benchlink import wire
 from gaproute.discovery.changelog import events
 from gaproute.fronts.jsonrpc import front as fronts
@@ -19,7 +21,6 @@
 from gaproute.record.record import Record
 from gaproute.standins.platform import ChangeLog, arg, event, sse
 from gaproute.terms import site, terms
-from scripted import MILLI, SECOND, SETTINGS, nothing
 
 
 def test_the_start_object_is_read_alike_for_the_wire_and_for_the_node():
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -10,12 +10,12 @@
 from pathlib import Path
 
 import pytest
+from helpers import CHARTER, SECOND
 
 from gaproute.conf import read_charter
-from gaproute.decisions.chance import Chance
 from gaproute.decisions.admission.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
+from gaproute.decisions.chance import Chance
 from gaproute.loop.streams import address
-from helpers import CHARTER, SECOND
 
 # The decisions
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,6 +4,7 @@
 import socket
 
 import pytest
+from helpers import CHARTER, MILLI, SECOND, gateway, row
 from test_gateway import scripted_host
 
 from gaproute.appliance.operator import peer_table, status
@@ -17,7 +18,6 @@
 from gaproute.loop.streams import address
 from gaproute.peers import Giver, wire
 from gaproute.peers.lore_pb2 import Ask, Told
-from helpers import CHARTER, MILLI, SECOND, gateway, row
 
 
 def where(appliance):
--- a/tests/test_platform_trial.py
+++ b/tests/test_platform_trial.py
@@ -8,6 +8,7 @@
 import time
 
 import pytest
+
 from gaproute.judge import Facts, judge
 from gaproute.standins.platform import charter
 from gaproute.standins.platform.listing import Listing, member
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -1,4 +1,5 @@
 import pytest
+from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, TERMS, Drive, gateway, row, task
 
 from gaproute import interface as face
 from gaproute.decisions.route import Gateway
@@ -7,7 +8,6 @@
 from gaproute.decisions.route.score import MEMORY, PRIOR, PRIOR_HOT, QUEUE, QUEUE_HOT, WARMTH
 from gaproute.decisions.route.wait import REFUSAL_LIFE
 from gaproute.interface import Result
-from helpers import EFFECTFUL, MILLI, PURE, RECEIPTED, SECOND, TERMS, Drive, gateway, row, task
 
 MAY_HAVE_RUN = [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED]
 NEVER_RAN = [Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS]
--- a/tests/test_policy_move.py
+++ b/tests/test_policy_move.py
@@ -1,11 +1,11 @@
 """What the module stopped taking for granted when deployments of another shape came (docs/assumptions.md)."""
 
 import pytest
+from helpers import MILLI, SECOND, Drive, gateway, row, task
 
 from gaproute import interface as face
 from gaproute.decisions.route.beliefs import KEPT, LOAD_LIFE, RECENT, ROOM, Trail
 from gaproute.interface import Result
-from helpers import MILLI, SECOND, Drive, gateway, row, task
 
 
 def ranked(made, *order, function="f"):
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -1,12 +1,12 @@
 """The load ration as the far side counts it."""
 
+from helpers import SECOND, Drive, gateway, task
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from gaproute import interface as face
 from gaproute.decisions.route.ration import TRAVEL, Ration
 from gaproute.interface import Result
-from helpers import SECOND, Drive, gateway, task
 
 WINDOW = 10 * SECOND
 WAY = int(TRAVEL * WINDOW)
--- a/tests/test_rig_child.py
+++ b/tests/test_rig_child.py
@@ -83,7 +83,7 @@
 def test_it_does_not_outlive_its_parent(tmp_path):
     """The parent starts it, hands on the reading end of its life, and is killed: the pipe ends with it."""
     (tmp_path / "asked_module.py").write_text("print('up', flush=True)\nimport signal\nsignal.pause()")
-    parent = f"""
+    parent = """
 import os, subprocess, sys
 subprocess.Popen([sys.executable, "-m", "gaproute.rig.child", "--parent-death", "--parent", str(os.getpid()),
                   "--", "asked_module"]).wait()
--- a/tests/test_rig_platform.py
+++ b/tests/test_rig_platform.py
@@ -5,6 +5,9 @@
 import subprocess
 
 import pytest
+from test_rig_play import PLAYS, command
+from test_rig_wire import Party
+
 from gaproute.conf import Mistakes
 from gaproute.judge import Facts, judge
 from gaproute.loop import Loop
@@ -15,8 +18,6 @@
 from gaproute.standins.platform.log import Log
 from gaproute.standins.platform.spread import Spread
 from gaproute.standins.tap import Tap, read
-from test_rig_play import PLAYS, command
-from test_rig_wire import Party
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
--- a/tests/test_rig_play.py
+++ b/tests/test_rig_play.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import pytest
+
 from gaproute.loop import Loop
 from gaproute.rig.lists import Lists
 from gaproute.rig.processes import Gate
--- a/tests/test_rig_script.py
+++ b/tests/test_rig_script.py
@@ -3,14 +3,15 @@
 import random
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from gaproute.conf import Mistakes
 from gaproute.judge import Facts, judge
 from gaproute.rig import sets
 from gaproute.rig.script import read_script
 from gaproute.rig.table import Table
 from gaproute.rig.wires import late, ways
-from hypothesis import given
-from hypothesis import strategies as st
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SEATS = [(f"g{number}", "gateway", f"hall-{number % 2}") for number in range(10)] + [
--- a/tests/test_rollouts_driver.py
+++ b/tests/test_rollouts_driver.py
@@ -11,7 +11,7 @@
 from gaproute.rollouts.loads import Loads
 from gaproute.rollouts.spend import Spend
 from gaproute.rollouts.weights import Weights
-from gaproute.shared.permits import clocks, machine
+from gaproute.shared.permits import machine
 
 USED = {"plain": 0.8, "two campaigns": 0.8, "liars": 0.5, "noise": 0.4, "slow store": 0.5}  # else 0.5
 
--- a/tests/test_rollouts_spend.py
+++ b/tests/test_rollouts_spend.py
@@ -1,11 +1,12 @@
 """One gateway's part: what may go out when, and what two gateways may together whatever befalls them."""
 
+from test_rollouts_campaign import SECOND, campaign
+
 from gaproute.rollouts.invariants import check_sent, check_spend
 from gaproute.rollouts.spend import ASK, FRESH, Spend, pool
 from gaproute.shared.keepers.messages import Reply
 from gaproute.shared.permits import Holder, Permits
 from gaproute.shared.permits.commands import Size, encode
-from test_rollouts_campaign import SECOND, campaign
 
 
 class Keeper:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -1,6 +1,7 @@
 """Loads that gateways tell each other, and what probes may cost."""
 
 import pytest
+from helpers import SECOND, TERMS, Drive, gateway, row, task
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,7 +13,6 @@
 from gaproute.decisions.told import words as wording
 from gaproute.decisions.told.words import mark
 from gaproute.interface import Report, Result
-from helpers import SECOND, TERMS, Drive, gateway, row, task
 
 TOLD = {
     "probes_allowed": True,
--- a/tests/test_standins_judge.py
+++ b/tests/test_standins_judge.py
@@ -1,9 +1,10 @@
 """What the judge makes of tellings to single gateways, and of load orders that bear no name."""
 
 import pytest
-from gaproute.judge import judge
 from test_judge import FACTS, MILLI, UP, end, task
 
+from gaproute.judge import judge
+
 
 def judged(hosts, clients, run):
     hosts = {name: [[dict(UP, warm=True), *events]] for name, events in hosts.items()}
--- a/tests/test_standins_log.py
+++ b/tests/test_standins_log.py
@@ -2,13 +2,13 @@
 
 import msgspec
 import pytest
+from helpers import makers
 from test_standins_platform import ANY, MILLI, Bench
 
 from gaproute.decisions.chance import Chance
 from gaproute.discovery.changelog.follow import Follower
 from gaproute.standins.platform.listing import Listing, member
 from gaproute.standins.platform.log import Log
-from helpers import makers
 
 
 @pytest.fixture
--- a/tests/test_standins_model.py
+++ b/tests/test_standins_model.py
@@ -3,10 +3,11 @@
 import random
 
 import pytest
+from helpers import ListTap
+
 from gaproute.loop import Loop, Promise, Stepped
 from gaproute.standins.host import Make, Model, invariants, machine
 from gaproute.standins.host.machine import Machine
-from helpers import ListTap
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 MODELS = {name: Model(name, "p", 2, 10 * MILLI, 50 * MILLI) for name in ("a", "b", "c")}
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -3,6 +3,8 @@
 import json
 
 import pytest
+from helpers import ListTap, makers, turn_until
+
 from gaproute.loop import Loop, Stream, connect
 from gaproute.loop.streams import address
 from gaproute.node import charter as node_charter
@@ -12,7 +14,6 @@
 from gaproute.standins.platform.hosts import Hosts
 from gaproute.standins.platform.listing import Listing, member
 from gaproute.standins.tap import read
-from helpers import ListTap, makers, turn_until
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 ANY = "127.0.0.1:0"
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -10,12 +10,12 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from helpers import SECOND
 
 from gaproute.loop.streams import address
+from gaproute.rig.script import read_script
 from gaproute.standins.rogues import ROGUES
 from gaproute.trial.daybook import script_of
-from gaproute.rig.script import read_script
-from helpers import SECOND
 
 RULES = {
     -3: "gaproute.standins.liars:LiesAlways",
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -5,6 +5,7 @@
 import os
 
 import pytest
+
 from gaproute.driver import Chance, Disk
 from gaproute.ledger import Votes
 from gaproute.ledger import votes as module
--- a/tests/test_weak_carrier.py
+++ b/tests/test_weak_carrier.py
@@ -2,11 +2,12 @@
 
 import socket
 
+from helpers import CHARTER
+
 from gaproute.appliance.operator import status
 from gaproute.conf import Mistakes, read_charter
 from gaproute.loop.streams import address
 from gaproute.peers import word_pb2
-from helpers import CHARTER
 
 
 def test_gateways_with_the_word_tell_each_other_and_one_without_is_left_as_it_is(fleet):
--- a/tests/test_weak_merge.py
+++ b/tests/test_weak_merge.py
@@ -1,14 +1,15 @@
 """The merge laws, and the bytes: strict and compact."""
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
 from gaproute.peers.gossip import decode as decode_word
 from gaproute.peers.weak import decode, encode
 from gaproute.peers.weak.wire import code
 from gaproute.shared.weak import Page, Word
 from gaproute.shared.weak.facts import DEMAND, HANDS, LIFE, MOST, ROOM, SCALE, WARM
 from gaproute.shared.weak.merge import Store
-from hypothesis import given
-from hypothesis import strategies as st
 
 page = st.builds(
     Page,
