Scale: how a measured cost is kept and fitted

Need: the capacity page rests on slopes; each has to name its sizes, plays, spread, form of fit and residual. benchmarks/scale holds the record (JSON in docs/measured/scale), four forms of fit by relative least squares, and the command that measures. No cost measured yet.

--- /dev/null
+++ b/benchmarks/scale/fit.py
@@ -0,0 +1,95 @@
+"""Fits of a cost by size: which form describes it, how well, and how far a prediction is stretched."""
+
+import math
+from dataclasses import dataclass
+from statistics import linear_regression
+
+from benchmarks.scale.measurement import Measurement
+
+WIDE_STRETCH = 10  # times the largest measured size, beyond which a prediction has to say so
+
+
+@dataclass(frozen=True)
+class Fit:
+    """`form` names the curve; `residual` is the root mean square of the relative errors at the points."""
+
+    form: str
+    first: float
+    second: float
+    residual: float
+    smallest: float
+    largest: float
+
+    def predict(self, size: float) -> float:
+        """The fitted value at `size`."""
+        return FORMS[self.form](self.first, self.second, size)
+
+    def stretch(self, size: float) -> float:
+        """How many times beyond the largest measured size; 1 within the range."""
+        return max(1.0, size / self.largest)
+
+    @property
+    def formula(self) -> str:
+        """The curve in words, with its figures."""
+        return FORMULAS[self.form].format(self.first, self.second)
+
+
+FORMS = {
+    "constant": lambda first, second, size: first,
+    "linear": lambda first, second, size: first + second * size,
+    "power": lambda first, second, size: first * size**second,
+    "logarithmic": lambda first, second, size: first + second * math.log2(size),
+}
+FORMULAS = {
+    "constant": "{0:.3g}",
+    "linear": "{0:.3g} + {1:.3g} n",
+    "power": "{0:.3g} n^{1:.2f}",
+    "logarithmic": "{0:.3g} + {1:.3g} log2 n",
+}
+
+
+def fit(measurement: Measurement) -> Fit:
+    """The form with the least residual; a simpler one wins where it is nearly as good."""
+    sizes = [point.size for point in measurement.points]
+    values = [point.value for point in measurement.points]
+    fits = [_made(form, sizes, values) for form in FORMS]
+    best = min(found.residual for found in fits if found is not None)
+    return next(found for found in fits if found is not None and found.residual <= best * 1.1 + 0.01)
+
+
+def _made(form, sizes, values):
+    """The fit of one form, or None where the values do not allow it."""
+    if form == "constant":
+        first, second = sum(values) / len(values), 0.0
+    elif form == "linear":
+        first, second = _line(sizes, values)
+    elif form == "logarithmic":
+        first, second = _line([math.log2(size) for size in sizes], values)
+    else:
+        if min(values) <= 0:
+            return None
+        second, first = linear_regression(
+            [math.log(size) for size in sizes], [math.log(value) for value in values]
+        )
+        first = math.exp(first)
+    curve = FORMS[form]
+    errors = [
+        (curve(first, second, size) - value) / value if value else curve(first, second, size)
+        for size, value in zip(sizes, values, strict=True)
+    ]
+    residual = math.sqrt(sum(error * error for error in errors) / len(errors))
+    return Fit(form, first, second, residual, min(sizes), max(sizes))
+
+
+def _line(sizes, values):
+    """Least squares of the relative errors: sizes differ by hundreds, and the small ones count as much."""
+    weights = [1 / value**2 if value else 1.0 for value in values]
+    total = sum(weights)
+    mean_size = sum(w * x for w, x in zip(weights, sizes, strict=True)) / total
+    mean_value = sum(w * y for w, y in zip(weights, values, strict=True)) / total
+    spread = sum(w * (x - mean_size) ** 2 for w, x in zip(weights, sizes, strict=True))
+    together = sum(
+        w * (x - mean_size) * (y - mean_value) for w, x, y in zip(weights, sizes, values, strict=True)
+    )
+    slope = together / spread
+    return mean_value - slope * mean_size, slope
--- /dev/null
+++ b/benchmarks/scale/measurement.py
@@ -0,0 +1,72 @@
+"""One measured cost: its sizes, the plays at each, and the file that keeps them."""
+
+import json
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from statistics import median
+
+MEASURED = Path(__file__).parents[2] / "docs" / "measured" / "scale"
+LEAST_SIZES = 4
+PLAYS = 3
+
+
+class MeasurementError(ValueError):
+    """A measurement's file is missing, or holds something else than a measurement."""
+
+
+@dataclass(frozen=True)
+class Point:
+    """One size and the value that each play gave there."""
+
+    size: float
+    plays: list[float]
+
+    @property
+    def value(self) -> float:
+        """The median of the plays."""
+        return median(self.plays)
+
+    @property
+    def spread(self) -> float:
+        """Largest minus least play over the median; 0 where the median is 0."""
+        return (max(self.plays) - min(self.plays)) / self.value if self.value else 0.0
+
+
+@dataclass(frozen=True)
+class Measurement:
+    """A cost by size. `unit` is of the values, `parameter` says what the sizes count."""
+
+    name: str
+    meaning: str
+    unit: str
+    parameter: str
+    points: list[Point] = field(default_factory=list)
+    conditions: str = ""
+
+    def save(self, folder: Path = MEASURED) -> Path:
+        """Writes the measurement's file. Errors: MeasurementError with fewer sizes than a fit needs."""
+        if len(self.points) < LEAST_SIZES:
+            raise MeasurementError(
+                f"{self.name}: {LEAST_SIZES} sizes are needed, {len(self.points)} measured"
+            )
+        folder.mkdir(parents=True, exist_ok=True)
+        path = folder / f"{self.name}.json"
+        path.write_text(json.dumps(asdict(self), indent=1) + "\n")
+        return path
+
+    @classmethod
+    def load(cls, name: str, folder: Path = MEASURED) -> "Measurement":
+        """Reads a measurement by its name. Errors: MeasurementError."""
+        path = folder / f"{name}.json"
+        try:
+            content = json.loads(path.read_text())
+            points = [Point(**point) for point in content.pop("points")]
+            return cls(**content, points=points)
+        except (OSError, ValueError, TypeError, KeyError) as fault:
+            raise MeasurementError(f"{path}: {fault!r}") from fault
+
+
+def measure(name, meaning, unit, parameter, sizes, play, conditions="", plays=PLAYS) -> Measurement:
+    """Calls `play(size, seed)` for each size and seed; each call gives one value in `unit`."""
+    points = [Point(size, [play(size, seed) for seed in range(1, plays + 1)]) for size in sizes]
+    return Measurement(name, meaning, unit, parameter, points, conditions)
