Scale: what the gateway's decisions cost by hosts and by functions

Calls go through `serve` and `heard` as a task does. Sizes grow until a play takes too long; what is left out is named in the measurement. From the largest measured size on, a prediction goes on from the value measured there: costs turn steeper past 6,400 hosts, where the curve alone fell below what was measured.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,8 +1,12 @@
-"""Measures costs by size: `python -m benchmarks.scale list | measure [NAME ...] | fits`."""
+"""Measures costs by size: `python -m benchmarks.scale list | measure [--label L] [NAME ...] | fits`."""
 
 import argparse
+import platform
+import subprocess
 import sys
+from dataclasses import replace
 from importlib import import_module
+from pathlib import Path
 from pkgutil import iter_modules
 
 from benchmarks.scale import costs
@@ -18,18 +22,29 @@
     return found
 
 
-def measure(names):
-    """Measures and keeps what is named, or all. Errors: SystemExit for a name that does not exist."""
+def measure(names, label):
+    """Measures and keeps what is named, or all; `label` tells the program measured.
+
+    Errors: SystemExit for a name that does not exist."""
     known = registry()
     unknown = [name for name in names if name not in known]
     if unknown:
         sys.exit(f"no such measurement: {', '.join(unknown)}")
     for name in names or known:
         made = known[name]()
+        made = replace(made, conditions=f"{label}; {made.conditions}" if made.conditions else label)
         made.save()
         print(f"{name}: {fit(made).formula} {made.unit} by {made.parameter}", flush=True)
 
 
+def program():
+    """The label of the program as it stands: its revision and the interpreter."""
+    revision = subprocess.run(
+        ["git", "describe", "--always", "--dirty"], cwd=Path(__file__).parent, capture_output=True, text=True
+    )
+    return f"program {revision.stdout.strip() or 'unknown'}, Python {platform.python_version()}"
+
+
 def fits():
     """Prints each kept measurement's fit."""
     for path in sorted(MEASURED.glob("*.json")):
@@ -43,11 +58,12 @@
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale", description=__doc__)
     parser.add_argument("act", choices=("list", "measure", "fits"))
     parser.add_argument("names", nargs="*")
-    told = parser.parse_args()
+    parser.add_argument("--label", help="the program measured; its revision where not given")
+    told = parser.parse_intermixed_args()
     if told.act == "list":
         print("\n".join(registry()))
     elif told.act == "measure":
-        measure(told.names)
+        measure(told.names, told.label or program())
     else:
         fits()
 
--- /dev/null
+++ b/benchmarks/scale/costs/sharing.py
@@ -0,0 +1,90 @@
+"""What stands beside a call: the load ration by the calls in its window, the choice of a host to probe."""
+
+from functools import partial
+
+from benchmarks.scale.gateways import MILLI, SECOND, TERMS, Caller
+from benchmarks.scale.plays import CPU, cpu_ms, grown
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.route.ration import Ration
+from gaproute.decisions.route.sharing import Sharing
+
+WINDOW = 10 * SECOND
+CALLS = (100, 1_000, 10_000, 100_000, 1_000_000)
+HOSTS = (100, 400, 1_600, 6_400, 25_600)
+REPEATS = 2_000
+PICKS = 20
+LATE = 4 * SECOND  # answers come so long after their calls at the most, in no order
+TELLING = TERMS._replace(
+    reported=("cpu_busy", "memory_busy"), probe_price=1e-6, peers_allowed=True, gateways=2
+)
+
+
+def _full_ration(calls):
+    """A ration whose window holds so many delivered calls; the time; the time between two calls."""
+    ration, gap = Ration(TERMS.order_free, TERMS.order_share, WINDOW), WINDOW // calls
+    for number in range(calls):
+        ration.delivered(number * gap, number * gap)
+    return ration, WINDOW, gap
+
+
+def may_order(calls: int, seed: int) -> float:
+    """Milliseconds of asking whether an order may go out."""
+    ration, now, _ = _full_ration(calls)
+    return cpu_ms(lambda: ration.may(now), REPEATS)
+
+
+def delivered(calls: int, seed: int) -> float:
+    """Milliseconds of counting one delivered call, the window moving on."""
+    ration, now, gap = _full_ration(calls)
+    chance = Chance(seed)
+    times = iter([(now + number * gap, now + number * gap - chance.below(LATE)) for number in range(REPEATS)])
+    return cpu_ms(lambda: ration.delivered(*next(times)), REPEATS)
+
+
+def pick(hosts: int, seed: int) -> float:
+    """Milliseconds of choosing the host to probe."""
+    fleet, sharing, chance = Caller(hosts, seed).gateway.fleet, Sharing(TELLING), Chance(seed)
+    for _ in range(PICKS):
+        sharing.task()
+    times = iter(range(SECOND, 2 * SECOND, MILLI))
+
+    def choose():
+        sharing.task()
+        if sharing.pick(next(times), fleet, 0, chance) is None:
+            raise RuntimeError("no host was chosen")
+
+    return cpu_ms(choose, PICKS)
+
+
+MEASUREMENTS = {
+    "ration-may-order-by-calls": partial(
+        grown,
+        "ration-may-order-by-calls",
+        "asking the load ration whether an order may go out",
+        "ms",
+        "delivered calls in the window",
+        CALLS,
+        may_order,
+        CPU,
+    ),
+    "ration-delivered-by-calls": partial(
+        grown,
+        "ration-delivered-by-calls",
+        "counting one delivered call in the load ration",
+        "ms",
+        "delivered calls in the window",
+        CALLS,
+        delivered,
+        f"{CPU}; answers up to {LATE // SECOND} s after their calls, in no order",
+    ),
+    "sharing-pick-by-hosts": partial(
+        grown,
+        "sharing-pick-by-hosts",
+        "choosing the host to probe",
+        "ms",
+        "hosts in the list",
+        HOSTS,
+        pick,
+        f"{CPU}; reports are told to other gateways",
+    ),
+}
--- a/benchmarks/scale/fit.py
+++ b/benchmarks/scale/fit.py
@@ -11,7 +11,9 @@
 
 @dataclass(frozen=True)
 class Fit:
-    """`form` names the curve; `residual` is the root mean square of the relative errors at the points."""
+    """`form` names the curve; `residual` is the root mean square of the relative errors at the points.
+
+    `last_ratio` is the measured value at the largest size over the curve's there."""
 
     form: str
     first: float
@@ -19,10 +21,13 @@
     residual: float
     smallest: float
     largest: float
+    last_ratio: float = 1.0
 
     def predict(self, size: float) -> float:
-        """The fitted value at `size`."""
-        return FORMS[self.form](self.first, self.second, size)
+        """The curve's value within the range; from the largest size on, the curve goes on from what was
+        measured there, lest a cost that turns steeper be predicted as less than it already was."""
+        value = FORMS[self.form](self.first, self.second, size)
+        return value * self.last_ratio if size >= self.largest else value
 
     def stretch(self, size: float) -> float:
         """How many times beyond the largest measured size; 1 within the range."""
@@ -78,7 +83,10 @@
         for size, value in zip(sizes, values, strict=True)
     ]
     residual = math.sqrt(sum(error * error for error in errors) / len(errors))
-    return Fit(form, first, second, residual, min(sizes), max(sizes))
+    last, value = max(zip(sizes, values, strict=True))
+    fitted = curve(first, second, last)
+    last_ratio = value / fitted if fitted > 0 < value else 1.0
+    return Fit(form, first, second, residual, min(sizes), last, last_ratio)
 
 
 def _line(sizes, values):
--- /dev/null
+++ b/benchmarks/scale/gateways.py
@@ -0,0 +1,101 @@
+"""Gateways' decisions to be measured: terms, host lists, and a caller that answers each relay at once."""
+
+from gaproute import interface as face
+from gaproute.decisions.route import Gateway
+from gaproute.decisions.route.beliefs import MIX
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+ZONES, CELLS = 13, 640
+LANES, CAPACITY = 4, 4.0
+MEGABYTE = 1 << 20
+TOOK = 100 * MILLI  # every answer's time
+GAP = MILLI // 10  # between two calls
+TERMS = face.Terms(
+    tracks=(face.Track(face.Effect.PURE, face.Group.ALL, 0, SECOND, 4 * SECOND, 1.0),),
+    tenant_shares=(),
+    over_share_value=1.0,
+    keep_alive=10 * SECOND,
+    orders_allowed=True,
+    order_free=6,
+    order_share=0.3,
+    order_window=10 * SECOND,
+    counts_alike=True,
+    notes_warmth=True,
+    probes_allowed=True,
+    reports_by_probe=False,
+    reported=(),
+    probe_price=0.0,
+    peer_price=0.0,
+    peers_allowed=False,
+    gateways=1,
+    cancel_allowed=True,
+    twins_allowed=True,
+    relay_limit=4,
+    advice_limit=SECOND,
+    cold_share=0.2,
+    cold_time=10 * SECOND,
+    must_ask_list=False,
+    zone=-1,
+    crossing_price=0.0,
+)
+REPORT = face.Report(in_hand=1, waiting=0, cpu_busy=0.3, memory_busy=0.4)
+
+
+class CallError(RuntimeError):
+    """A call was not relayed and answered: it would not be the cost that is measured."""
+
+
+def row(
+    number: int,
+    state: face.State = face.State.ACTIVE,
+    capacity: float = CAPACITY,
+    started: int | None = None,
+) -> face.Listed:
+    """One host's line of the list."""
+    return face.Listed(f"host-{number:06d}", number % ZONES, number % CELLS, state, capacity, started)
+
+
+def rows(hosts: int) -> list[face.Listed]:
+    """A whole list."""
+    return [row(number) for number in range(hosts)]
+
+
+class Caller:
+    """One gateway's decisions and the clock that they are handed; every answer tells the host's `report`."""
+
+    def __init__(self, hosts: int, seed: int, report: face.Report | None = None):
+        self.now, self.calls, self.report = SECOND, 0, report
+        self.gateway = Gateway(seed, TERMS, self.now)
+        self.gateway.listed(self.now, rows(hosts), True)
+
+    def call(self, function: str) -> str:
+        """One call from acceptance to its delivered answer; the host. Errors: CallError."""
+        self.now += GAP
+        self.calls += 1
+        name = f"call-{self.calls}"
+        task = face.Task(name, 0, 4 * SECOND, function, LANES, None, 0)
+        serve = self.gateway.serve(self.now, task)
+        relay = next(serve)
+        if not isinstance(relay, face.Relay):
+            raise CallError(f"{name} of {function}: {relay!r} came in place of a relay")
+        serve.send(0)
+        outcome = face.Outcome(
+            name, 0, relay.worker, face.Result.OK, TOOK, True, face.Found.WARM, 0, self.report
+        )
+        self.gateway.heard(self.now + TOOK, outcome)
+        if next(_rest(serve, (self.now + TOOK, outcome)), None) is not None:
+            raise CallError(f"{name} of {function} goes on after its answer")
+        return relay.worker
+
+    def crowd_mix(self) -> None:
+        """Fills the last calls' functions with others, as many calls of a large fleet's traffic would: the
+        function called next is then rare."""
+        self.gateway.mix.extend(f"other-{number}" for number in range(MIX))
+
+
+def _rest(serve, heard):
+    """What a task's generator still yields once it has heard."""
+    try:
+        yield serve.send(heard)
+    except StopIteration:
+        return
--- /dev/null
+++ b/benchmarks/scale/plays.py
@@ -0,0 +1,61 @@
+"""How one play is measured: processor time, memory held, and sizes that grow until a play takes too long."""
+
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from benchmarks.scale.measurement import LEAST_SIZES, PLAYS, Measurement, Point
+
+LONG_PLAY = 5.0  # seconds of processor time of one play, after which no larger size is measured
+CPU = "processor time of the process, garbage collection as the program runs it"
+MEMORY = "memory by tracemalloc after a garbage collection"
+
+
+def cpu_ms(action: Callable[[], object], repeats: int = 1) -> float:
+    """Milliseconds of processor time of one of `repeats` runs."""
+    begun = time.process_time_ns()
+    for _ in range(repeats):
+        action()
+    return (time.process_time_ns() - begun) / 1e6 / repeats
+
+
+def held_bytes(make: Callable[[], object]) -> int:
+    """Bytes that what `make` returns, and what it changed, still hold when it is done."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        kept = make()
+        gc.collect()
+        held = tracemalloc.get_traced_memory()[0] - before
+        del kept
+        return held
+    finally:
+        tracemalloc.stop()
+
+
+def grown(name, meaning, unit, parameter, sizes, play, conditions) -> Measurement:
+    """Calls `play(size, seed)` for each size and seed, up to the size at which a play takes `LONG_PLAY`.
+
+    At least as many sizes are measured as a fit needs."""
+    points = []
+    for size in sizes:
+        values, longest = [], 0.0
+        for seed in range(1, PLAYS + 1):
+            gc.collect()
+            begun = time.process_time()
+            values.append(play(size, seed))
+            longest = max(longest, time.process_time() - begun)
+        points.append(Point(size, values))
+        if longest > LONG_PLAY and len(points) >= LEAST_SIZES:
+            break
+    return Measurement(name, meaning, unit, parameter, points, _told(conditions, points, sizes))
+
+
+def _told(conditions, points, sizes):
+    """The conditions, with the sizes that were left out."""
+    left = sizes[len(points) :]
+    if not left:
+        return conditions
+    return f"{conditions}; not measured as plays grew too long: {', '.join(f'{size:,}' for size in left)}"
