Scale: the capacity page's figures come from the measurements by one command

Figures typed into a page drift from the runs that gave them.

`python -m benchmarks.scale page` makes the tables of docs/CAPACITY.md anew (slopes, budget, breaks-first) and the figures that stand in its text as links with a title; `check` ends with status 1 and names the line, the table or figure, what the page shows and what was measured. Budget rows stand in `roles.py`, the operators' numbers in `size.py`. A row's state is derived: what is over its budget exists to the size that the budget suffices for, rounded down.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -1,4 +1,7 @@
-"""Measures costs by size: `python -m benchmarks.scale list | measure [--label L] [NAME ...] | fits`."""
+"""Measures costs by size, and keeps a page's figures as the measurements are.
+
+python -m benchmarks.scale list | measure [--label LABEL] [NAME ...] | fits | page [--page PATH] | check [...]
+"""
 
 import argparse
 import platform
@@ -12,6 +15,8 @@
 from benchmarks.scale import costs
 from benchmarks.scale.fit import fit
 from benchmarks.scale.measurement import MEASURED, Measurement
+from benchmarks.scale.page import PAGE, rewritten
+from benchmarks.scale.tables import PageError
 
 
 def registry():
@@ -53,19 +58,46 @@
         print(f"{kept.name}: {found.formula} {kept.unit}, {found.form}, residual {found.residual:.1%}")
 
 
+def rewrite(page):
+    """Makes the page's tables and figures anew. Errors: SystemExit."""
+    text, differing = _made(page)
+    page.write_text(text)
+    print(f"{page}: {len(differing)} tables and figures made anew")
+
+
+def check(page):
+    """Ends with status 1, naming each table and figure that disagrees with the measurements."""
+    _, differing = _made(page)
+    if differing:
+        sys.exit("\n".join(f"{page}, {each}" for each in differing))
+
+
+def _made(page):
+    """The page as the measurements have it, and where it differs."""
+    try:
+        return rewritten(page.read_text())
+    except (OSError, PageError) as fault:
+        sys.exit(f"{page}: {fault}")
+
+
 def main():
     """The command line."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale", description=__doc__)
-    parser.add_argument("act", choices=("list", "measure", "fits"))
+    parser.add_argument("act", choices=("list", "measure", "fits", "page", "check"))
     parser.add_argument("names", nargs="*")
     parser.add_argument("--label", help="the program measured; its revision where not given")
+    parser.add_argument("--page", type=Path, default=PAGE, help="the page that is made anew or checked")
     told = parser.parse_intermixed_args()
     if told.act == "list":
         print("\n".join(registry()))
     elif told.act == "measure":
         measure(told.names, told.label or program())
-    else:
+    elif told.act == "fits":
         fits()
+    elif told.act == "page":
+        rewrite(told.page)
+    else:
+        check(told.page)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/scale/tables.py
@@ -0,0 +1,124 @@
+"""The tables that a page can ask for, each made of the kept measurements alone."""
+
+import fnmatch
+from pathlib import Path
+
+from benchmarks.scale import roles, size
+from benchmarks.scale.budget import judged
+from benchmarks.scale.fit import WIDE_STRETCH, fit
+from benchmarks.scale.measurement import Measurement
+from benchmarks.scale.text import number, share, table
+
+
+class PageError(ValueError):
+    """A page asks for something that does not exist; the message names it."""
+
+
+def size_named(told: str) -> float:
+    """A size given as a number, or as the name of a constant of `size`. Errors: PageError."""
+    try:
+        return float(told.replace(",", ""))
+    except ValueError:
+        value = getattr(size, told, None)
+    if not told.isupper() or not isinstance(value, int | float):
+        raise PageError(f"no such size: {told}")
+    return value
+
+
+def slopes(words: list[str], folder: Path) -> list[str]:
+    """`NAME@SIZE ...`: each measurement, its fit, and what it predicts at the size; `*` in a name stands for
+    anything."""
+    head = [
+        "measurement",
+        "cost",
+        "unit",
+        "sizes",
+        "fit",
+        "residual",
+        "largest spread of plays",
+        "last size over the curve",
+        "predicted",
+    ]
+    return table(head, [_slope(name, at, folder) for name, at in _asked(words, folder)])
+
+
+def _asked(words, folder):
+    """(name of a measurement, size) of each that is asked for."""
+    known = sorted(path.stem for path in folder.glob("*.json"))
+    for word in words:
+        pattern, marked, at = word.partition("@")
+        if not marked:
+            raise PageError(f"{word}: a size is needed, as in {pattern}@25600")
+        names = fnmatch.filter(known, pattern)
+        if not names:
+            raise PageError(f"no measurement is named {pattern}")
+        yield from ((name, size_named(at)) for name in names)
+
+
+def _slope(name, at, folder):
+    """One row of `slopes`."""
+    kept = Measurement.load(name, folder)
+    found = fit(kept)
+    stretch = found.stretch(at)
+    predicted = f"{number(found.predict(at))} at {number(at)}"
+    if stretch > 1:
+        stretched = "**stretched**" if stretch > WIDE_STRETCH else "stretched"
+        predicted += f", {stretched} {number(stretch, digits=2)} times"
+    spread = max(point.spread for point in kept.points)
+    sizes = f"{number(found.smallest)} to {number(found.largest)} {kept.parameter}"
+    fitted = f"{found.formula}, {found.form}"
+    ratio = number(found.last_ratio, digits=2)
+    return [
+        name,
+        kept.meaning,
+        kept.unit,
+        sizes,
+        fitted,
+        share(found.residual),
+        share(spread),
+        ratio,
+        predicted,
+    ]
+
+
+def budget(words: list[str], folder: Path) -> list[str]:
+    """`[ROLE ...]`: the rows of these roles, or all, against their budgets."""
+    unknown = set(words) - {row.role for row in roles.ROWS}
+    if unknown:
+        raise PageError(f"no such role: {', '.join(sorted(unknown))}")
+    head = ["role", "cost", "at", "predicted", "budget", "of the budget", "mechanism", "state"]
+    return table(head, [_budgeted(row, folder) for row in roles.ROWS if not words or row.role in words])
+
+
+def _budgeted(row, folder):
+    """One row of `budget`."""
+    verdict = judged(row, folder)
+    predicted = "-" if verdict.predicted is None else f"{number(verdict.predicted)} {row.unit}"
+    if verdict.stretched:
+        predicted += f", {verdict.stretched}"
+    factor = "-" if verdict.factor is None else times(verdict.factor)
+    limit = f"{number(row.budget)} {row.unit}"
+    return [row.role, row.cost, number(row.at), predicted, limit, factor, row.mechanism, verdict.state]
+
+
+def times(factor: float) -> str:
+    """A factor of the budget in words."""
+    return f"{number(factor)} times" if factor > 1 else share(factor)
+
+
+def breaks_first(words: list[str], folder: Path) -> list[str]:
+    """What is missing, then what is over its budget, the furthest over first."""
+    if words:
+        raise PageError(f"breaks-first takes no words: {' '.join(words)}")
+    verdicts = [judged(row, folder) for row in roles.ROWS]
+    missing = [verdict for verdict in verdicts if verdict.factor is None]
+    over = [verdict for verdict in verdicts if verdict.factor is not None and verdict.factor > 1]
+    over.sort(key=lambda verdict: -verdict.factor)
+    rows = [[each.row.role, each.row.cost, "-", each.state] for each in missing]
+    for each in over:
+        factor = f"{times(each.factor)}, {each.stretched}" if each.stretched else times(each.factor)
+        rows.append([each.row.role, each.row.cost, factor, each.state])
+    return table(["role", "cost", "over the budget", "state"], rows)
+
+
+TABLES = {"slopes": slopes, "budget": budget, "breaks-first": breaks_first}
