zip() says that both are equally long, neighbours come by pairwise

Cause: 22 findings of B905. Each was read: 19 pair what is equally long by construction and now say strict=True (the words of a directive are cut to its places first, the rest are its keywords), three walk neighbours and use itertools.pairwise. None needed strict=False.

The benchmarks' scripts were checked by the linter only.

--- a/benchmarks/bad_day.py
+++ b/benchmarks/bad_day.py
@@ -55,7 +55,7 @@
     seeds = [int(seed) for seed in told.seeds.split(",")]
     plays = [(way, seed) for seed in seeds for way in WAYS]
     with ThreadPoolExecutor(told.jobs) as pool:
-        results = dict(zip(plays, pool.map(lambda each: play(*each, told.script), plays)))
+        results = dict(zip(plays, pool.map(lambda each: play(*each, told.script), plays), strict=True))
     rows = []
     for way in WAYS:
         runs = [results[way, seed] for seed in seeds]
--- a/benchmarks/campaigns.py
+++ b/benchmarks/campaigns.py
@@ -211,7 +211,7 @@
                 forecast.read(slot * SLOT, {"p": (demand[slot], 0.0, 1.0)})
                 if said is None and done >= work / 10:
                     spare = forecast.spare((slot + 1) * SLOT, hosts, lent, 480, sure=0.0)
-                    said = end.at_end([sum(lanes) for lanes in zip(*spare.values())])
+                    said = end.at_end([sum(lanes) for lanes in zip(*spare.values(), strict=True)])
             off.append(100 * abs(said - now) / now)
         day = f"rises by {rises:.0%}" + ", known" * known if rises else "level"
         rows.append(
--- a/benchmarks/charts.py
+++ b/benchmarks/charts.py
@@ -30,7 +30,7 @@
 def draw(path, group, bar, figures, rows):
     groups, bars = (list(dict.fromkeys(row[each] for row in rows)) for each in (group, bar))
     figure, axes = pyplot.subplots(1, len(figures), figsize=(4.2 * len(figures), 3.2))
-    for axis, name in zip([axes] if len(figures) == 1 else axes, figures):
+    for axis, name in zip([axes] if len(figures) == 1 else axes, figures, strict=True):
         for place, each in enumerate(bars):
             heights = [
                 next((row[name] for row in rows if row[group] == one and row[bar] == each), 0)
--- a/benchmarks/learning.py
+++ b/benchmarks/learning.py
@@ -201,7 +201,9 @@
         results = list(pool.map(one, works))
     rows = []
     for day in days:
-        rows.append(row_of(day[0], [result for work, result in zip(works, results) if work[0] is day]))
+        rows.append(
+            row_of(day[0], [result for work, result in zip(works, results, strict=True) if work[0] is day])
+        )
         print(rows[-1], flush=True)
     name = ("learning-wrong" if told.wrong else "learning") + ("" if told.hosts == 20 else f"-{told.hosts}")
     write(told.out, name, rows)
--- a/benchmarks/timers.py
+++ b/benchmarks/timers.py
@@ -136,7 +136,7 @@
         things = [chance.randrange(count) for _ in range(max(1, count // 10_000))]
         dues = [now + IDLE + chance.randrange(IDLE // 10) for _ in things]
         begun = time.perf_counter_ns()
-        for thing, due in zip(things, dues):
+        for thing, due in zip(things, dues, strict=True):
             made.move(thing, due)
         moves, moved = moves + time.perf_counter_ns() - begun, moved + len(things)
     now += 100 * SECOND
--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -70,7 +70,9 @@
         self.homes = [self.dice.sample(self.hosts, 6) for _ in self.functions]
         self.busy = {host: self.dice.uniform(0.3, 1.7) for host in self.hosts}
         weights = [self.dice.choice((1 / 30, 0.5, 1, 1, 1, 1.5, 10)) for _ in names]
-        self.rates = {name: RATE * weight * size / sum(weights) for name, weight in zip(names, weights)}
+        self.rates = {
+            name: RATE * weight * size / sum(weights) for name, weight in zip(names, weights, strict=True)
+        }
         self.cut = {
             (one, other) for one in names for other in names if case == "30% cut" and self.dice.random() < 0.3
         }
--- a/gaproute/conf/lines.py
+++ b/gaproute/conf/lines.py
@@ -121,7 +121,7 @@
     places = kind.places
     if len(words) < len(places):
         return [f"{' '.join(place.upper() for place in places[len(words) :])} is missing"], None
-    given = dict(zip(places, words))
+    given = dict(zip(places, words[: len(places)], strict=True))
     rest = words[len(places) :]
     wrong = []
     names = {
--- a/gaproute/conf/moving.py
+++ b/gaproute/conf/moving.py
@@ -78,7 +78,7 @@
 
     no_sizes = "sizes" in shape and shape["sizes"][""][0] == ("no",)
     no_probes = "reports" in shape and shape["reports"][""][1].get("probes") == "no"
-    for number, (raw, words) in enumerate(zip(old_text.splitlines(), _lines(old_text)), 1):
+    for number, (raw, words) in enumerate(zip(old_text.splitlines(), _lines(old_text), strict=True), 1):
         if not words:
             lines.append(raw)
             continue
@@ -126,7 +126,7 @@
     """The words by place and {keyword: value} of a checked line."""
     count = len(WORDS[words[0]].places)
     places, rest = tuple(words[1 : count + 1]), words[count + 1 :]
-    return places, dict(zip(rest[::2], rest[1::2]))
+    return places, dict(zip(rest[::2], rest[1::2], strict=True))
 
 
 def _comment(raw, words):
--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/driver/keepchecks.py
@@ -1,5 +1,7 @@
 """What must hold of keepers and holders that only one who sees all of them, and true time, can tell."""
 
+from itertools import pairwise
+
 from gaproute.driver.plan import MEMORY
 from gaproute.shared.keepers.invariants import History, check_all
 from gaproute.shared.keepers.messages import Ack, Append, Install, Reply, Vote
@@ -63,7 +65,7 @@
         voted = self.told.votes.get((*key, term))
         if voted is not None and keeper.store.voted[0] != voted:
             yield f"a vote is remembered: {seat.name} gave {term} to {voted}, knows of {keeper.store.voted}"
-        for (_, one), (_, other) in zip(keeper.log.rolls, keeper.log.rolls[1:]):
+        for (_, one), (_, other) in pairwise(keeper.log.rolls):
             if one and len({*one} ^ {*other}) > 1:
                 yield f"members change one at a time: {seat.name}, {one} to {other}"
         leads = self.told.leaders.get(term)
--- a/gaproute/peers/weak/wire.py
+++ b/gaproute/peers/weak/wire.py
@@ -11,6 +11,7 @@
 """
 
 from bisect import bisect
+from itertools import pairwise
 from struct import Struct, error
 
 from gaproute.shared.weak.facts import DEMAND, HANDS, KINDS, LIFE, MOST, ROOM, SCALE, SLOTS, WARM, Page, Word
@@ -21,7 +22,7 @@
 LONGEST = 1200  # bytes: fits an unfragmented datagram everywhere
 HEAD, PAGE = Struct("<BQB"), Struct("<BBIHBH")
 ENTRIES = {HANDS: Struct("<IB"), ROOM: Struct("<IB"), DEMAND: Struct("<IBBH"), WARM: Struct("<IIH")}
-BETWEEN = [(low * high) ** 0.5 if low else high / 2 for low, high in zip(SCALE, SCALE[1:])]
+BETWEEN = [(low * high) ** 0.5 if low else high / 2 for low, high in pairwise(SCALE)]
 
 
 def code(figure):
--- a/gaproute/rig/wires.py
+++ b/gaproute/rig/wires.py
@@ -31,7 +31,7 @@
             wire = self.processes.start(["gaproute.rig.wire"], told, f"wire-{place}.err")
             self.wires.append(wire)
             self.told.append([])
-        for wire, told in zip(self.wires, self.told):
+        for wire, told in zip(self.wires, self.told, strict=True):
             answer = yield self.processes.line(wire, "a wire")
             if not answer.get("ready"):
                 raise NotReady(f"a wire did not start: {answer}")
@@ -66,9 +66,12 @@
         before = [len(told) for told in self.told]
         self.say({"say": True})
         end = self.loop.now() + ANSWER
-        while any(len(told) == had for told, had in zip(self.told, before)) and self.loop.now() < end:
+        while (
+            any(len(told) == had for told, had in zip(self.told, before, strict=True))
+            and self.loop.now() < end
+        ):
             yield self.loop.sleep(10 * MILLI)
-        return [told[-1] if len(told) > had else None for told, had in zip(self.told, before)]
+        return [told[-1] if len(told) > had else None for told, had in zip(self.told, before, strict=True)]
 
     def fault(self, rig, line, random):
         """A coroutine: one `fault` line from its time to its end."""
--- a/gaproute/rollouts/plan.py
+++ b/gaproute/rollouts/plan.py
@@ -61,7 +61,7 @@
     room, lanes, copies = dict(problem.room), {}, []
 
     def gain(name, host, first):
-        return sum(min(a, b) for a, b in zip(left[host][first:], lacking[name][first:]))
+        return sum(min(a, b) for a, b in zip(left[host][first:], lacking[name][first:], strict=True))
 
     def put(name, host, first):
         given = [0] * problem.slots
--- a/gaproute/shared/keepers/invariants.py
+++ b/gaproute/shared/keepers/invariants.py
@@ -22,7 +22,9 @@
     seen = keeper.seen
     now = store.life, store.term, keeper.commit, machine.fence, store.voted
     if seen is not None and seen[0] == now[0]:
-        for name, was, value in zip(("term", "commit index", "fencing number"), seen[1:4], now[1:4]):
+        for name, was, value in zip(
+            ("term", "commit index", "fencing number"), seen[1:4], now[1:4], strict=True
+        ):
             if value < was:
                 came.append(f"{name} only grows: {was} to {value} at {keeper.name}")
         if seen[1] == now[1] and seen[4][0] and seen[4] != now[4]:
--- a/gaproute/shared/weak/reading.py
+++ b/gaproute/shared/weak/reading.py
@@ -42,7 +42,7 @@
         totals = [held.rest + sum(map(figure, held.entries)) for _, held in pages]
         bound = max(FLOOR[kind], BOUND * sorted([*totals, own])[len(totals) // 2])
         self.sums, self.variance, self.rest, self.clipped = {}, {}, 0.0, 0
-        for (_, held), total in zip(pages, totals):
+        for (_, held), total in zip(pages, totals, strict=True):
             scale = min(1.0, bound / total) if total else 1.0
             self.clipped += scale < 1
             self.rest += held.rest * scale
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -216,7 +216,7 @@
 def test_claims_of_members_nobody_configured_end_in_one_address_in_any_order(orders):
     one, two = members(), members()
     alive = [News(name, "u", ALIVE, 0) for name in "ab"]  # nobody dead is learnt of
-    for claims, made in zip(orders, (one, two)):
+    for claims, made in zip(orders, (one, two), strict=True):
         for claim in [*alive, *claims]:
             made.claim(1, claim)
     assert {name: member.news for name, member in one.members.items()} == {
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import time
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -33,7 +34,7 @@
 def test_many_that_die_at_one_moment_are_started_apart():
     made = Restarts(Chance(1))
     starts = sorted(made.died(0, seat, WELL) for seat in range(8))
-    assert all(later - earlier >= APART for earlier, later in zip(starts, starts[1:]))
+    assert all(later - earlier >= APART for earlier, later in pairwise(starts))
 
 
 def test_a_seat_has_a_name_and_addresses_of_its_own_and_the_others_as_peers():
--- a/tests/test_rig_weather.py
+++ b/tests/test_rig_weather.py
@@ -108,7 +108,11 @@
     got = [lands(weather, A, B, now) for now in range(0, 1000 * MILLI, MILLI)]
     dues = [due[0] for due in got]
     assert dues != sorted(dues)
-    assert 400 <= sum(due - now == 10 * MILLI for due, now in zip(dues, range(0, 1000 * MILLI, MILLI))) <= 600
+    assert (
+        400
+        <= sum(due - now == 10 * MILLI for due, now in zip(dues, range(0, 1000 * MILLI, MILLI), strict=True))
+        <= 600
+    )
     assert 200 <= sum(len(due) == 2 for due in got) <= 300
     assert [weather.stream(A, B, 9, now, 0) for now in range(50)] == list(range(50))
 
@@ -145,7 +149,7 @@
     drawn = [[lands(weather, a, b) == () for _ in range(200)] for a, b in ((A, B), (A, C), (B, A), (B, C))]
     for one in range(4):
         for two in range(one):
-            assert 60 < sum(x == y for x, y in zip(drawn[one], drawn[two])) < 140
+            assert 60 < sum(x == y for x, y in zip(drawn[one], drawn[two], strict=True)) < 140
 
 
 def test_hold_keeps_all_and_reset_takes_standing_ones():
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -55,7 +55,7 @@
         return played.returncode, json.loads(played.stdout)
 
     with ThreadPoolExecutor(3) as pool:
-        return dict(zip(RULES, pool.map(play, RULES)))
+        return dict(zip(RULES, pool.map(play, RULES), strict=True))
 
 
 def test_the_module_keeps_the_rules_on_a_day_that_tempts_to_each(days):
