No function made in a loop reads the loop's variable later

None was a fault today: each such function ran within its own round of the loop. The waits of tests and one filter take the variable as an argument; the benchmark's hearing of a datagram, its row of a word and one connection of the load tool's slow client are functions of their own; the campaigns' gateway takes the own time first, so that the driver asks it by its method and arguments.

Measured: the tests of the rollouts' driver, the load tool, HTTP/1.1, the node, the lobby and the crossings to hosts, 159 passed. The two benchmarks were not run.

--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -156,13 +156,16 @@
             elif data is None:
                 self.tick(name, self.nodes[name])
             else:
-                self.came[name] += len(data) + 28
-                begun = time.process_time()
-                told = word_pb2.Word.FromString(data)
-                self.nodes[name].hear(self.now, told.sender.name, lambda: decode(told.weak))
-                self.spent += time.process_time() - begun
+                self.hear(name, data)
         self.now = until
 
+    def hear(self, name, data):
+        self.came[name] += len(data) + 28
+        begun = time.process_time()
+        told = word_pb2.Word.FromString(data)
+        self.nodes[name].hear(self.now, told.sender.name, lambda: decode(told.weak))
+        self.spent += time.process_time() - begun
+
     def read(self, name):
         """The errors at one gateway."""
         node, now = self.nodes[name], self.now
--- a/benchmarks/weak_bytes.py
+++ b/benchmarks/weak_bytes.py
@@ -134,23 +134,25 @@
     return rows
 
 
+def row_of(name, word):
+    data = encode(word)
+    return {
+        "word": name,
+        "bytes": len(wrapped(data)),
+        "encode, us": spent(lambda: wrapped(encode(word))),
+        "decode, us": spent(lambda: decode(word_pb2.Word.FromString(wrapped(data)).weak)),
+        "merge, us": merging(word),
+        "socket, us": on_sockets(wrapped(data)),
+        "refused, us": "-",
+    }
+
+
 def main():
     arguments = argparse.ArgumentParser()
     arguments.add_argument("--out", default="docs/measured")
     rows = []
     for name, word in words().items():
-        data = encode(word)
-        rows.append(
-            {
-                "word": name,
-                "bytes": len(wrapped(data)),
-                "encode, us": spent(lambda: wrapped(encode(word))),
-                "decode, us": spent(lambda: decode(word_pb2.Word.FromString(wrapped(data)).weak)),
-                "merge, us": merging(word),
-                "socket, us": on_sockets(wrapped(data)),
-                "refused, us": "-",
-            }
-        )
+        rows.append(row_of(name, word))
         print(rows[-1])
     for row in refusals():
         rows.append({name: row.get(name, "-") for name in rows[0]})
--- a/gaproute/driver/campaigns.py
+++ b/gaproute/driver/campaigns.py
@@ -194,7 +194,7 @@
             if play.done[name] >= campaign.tasks * play.versions[name]:
                 play.versions[name] += 1
                 for gateway in play.gateways:  # one that is up hears it, the others from it
-                    if world.ask(gateway, lambda actor, now: actor.moved(name, play.versions[name])):
+                    if world.ask(gateway, Gateway.moved, name, play.versions[name]):
                         break
         for at, what in play.case.acts:
             if world.now >= at and at not in self.done:
--- a/gaproute/driver/campaigns_cases.py
+++ b/gaproute/driver/campaigns_cases.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from gaproute.driver.campaigns_gateway import Gateway
 from gaproute.driver.plan import Fault
 from gaproute.driver.world import START
 
@@ -72,7 +73,7 @@
     """The trainer has new weights, done or not."""
     for name in play.campaigns:
         play.versions[name] += 1
-        world.ask(play.gateways[0], lambda actor, now: actor.moved(name, play.versions[name]))
+        world.ask(play.gateways[0], Gateway.moved, name, play.versions[name])
 
 
 def kill_leader(play, world):
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/driver/campaigns_gateway.py
@@ -109,7 +109,7 @@
             self.weights.moved(name, version)
         self.heard[sender] = now
 
-    def moved(self, name, version):
+    def moved(self, now, name, version):
         """The trainer's word to this gateway; the others hear it from here."""
         self.weights.moved(name, version)
         self.tell_at = 0
--- a/gaproute/load/crowd.py
+++ b/gaproute/load/crowd.py
@@ -300,7 +300,7 @@
         self.counts["storms"] += 1
 
     def _slow(self, line):
-        """A client that sends, or takes, a byte at a time."""
+        """A coroutine: a client that sends, or takes, a byte at a time until the day's end."""
         request = b"POST /v2/models/none/infer HTTP/1.1\r\nHost: g\r\nX-Slow: " + b"x" * 4000
         if line.what == "body":
             request = (
@@ -308,34 +308,37 @@
                 + b"x" * 4000
             )
         while self.loop.now() < self.end:
-            state = {}
-            give_up = connect(
-                self.loop,
-                self.chance.choice(self.targets),
-                CONNECT_TIME,
-                lambda sock, error: state.update(sock=sock, over=True),
-            )
-            while "over" not in state and self.loop.now() < self.end:
-                yield self.loop.sleep(20 * MILLI)
-            give_up()
-            if state.get("sock") is None:
-                self.counts["slow ones refused"] += 1
-                yield self.loop.sleep(line.every)
-                continue
-            stream = Stream(
-                self.loop, state["sock"], lambda data: None, lambda error: state.update(ended=True)
-            )
-            if line.what == "read":
-                stream.pause()
-                stream.write(b"GET /v2 HTTP/1.1\r\nHost: g\r\n\r\n" * 4000)
-            sent = 0
-            while "ended" not in state and self.loop.now() < self.end:
-                if line.what in ("head", "body") and sent < len(request):
-                    burst = 60 if sent == 0 else 1
-                    stream.write(request[sent : sent + burst])
-                    sent += burst
-                yield self.loop.sleep(line.every)
-            self.counts["slow ones ended"] += "ended" in state
-            stream.abort()
-            if not line.again:
+            opened = yield from self._slow_connection(line, request)
+            if opened and not line.again:
                 return
+
+    def _slow_connection(self, line, request):
+        """A coroutine: one connection of a slow client until its end; whether it was opened at all."""
+        state = {}
+        give_up = connect(
+            self.loop,
+            self.chance.choice(self.targets),
+            CONNECT_TIME,
+            lambda sock, error: state.update(sock=sock, over=True),
+        )
+        while "over" not in state and self.loop.now() < self.end:
+            yield self.loop.sleep(20 * MILLI)
+        give_up()
+        if state.get("sock") is None:
+            self.counts["slow ones refused"] += 1
+            yield self.loop.sleep(line.every)
+            return False
+        stream = Stream(self.loop, state["sock"], lambda data: None, lambda error: state.update(ended=True))
+        if line.what == "read":
+            stream.pause()
+            stream.write(b"GET /v2 HTTP/1.1\r\nHost: g\r\n\r\n" * 4000)
+        sent = 0
+        while "ended" not in state and self.loop.now() < self.end:
+            if line.what in ("head", "body") and sent < len(request):
+                burst = 60 if sent == 0 else 1
+                stream.write(request[sent : sent + burst])
+                sent += burst
+            yield self.loop.sleep(line.every)
+        self.counts["slow ones ended"] += "ended" in state
+        stream.abort()
+        return True
--- a/gaproute/trial/result.py
+++ b/gaproute/trial/result.py
@@ -62,7 +62,9 @@
                 first[2] = True
         self.firsts = [(asked, track, good) for asked, track, good, left in firsts.values() if not left]
         self.service = self._service(worth, lambda asked, track: True)
-        self.by_track = {track: self._service(worth, lambda asked, of: of == track) for track in self.tracks}
+        self.by_track = {
+            track: self._service(worth, lambda asked, of, track=track: of == track) for track in self.tracks
+        }
         self.windows = [
             self._service(worth, lambda asked, track, at=at: at <= (asked - self.begun) // SECOND < at + 5)
             for at in range(0, self.length // SECOND, 5)
--- a/tests/test_crossings_hosts.py
+++ b/tests/test_crossings_hosts.py
@@ -224,7 +224,7 @@
     for number in range(CARRIED + 3):
         client = made.client()
         client.ask(1, "repair-order", i=f"{number:016x}")
-        made.until(lambda: client.answers)
+        made.until(lambda client=client: client.answers)
     held = [len(link.carried) for host in made.process.hosts.hosts.values() for link in host.links]
     assert max(held) <= CARRIED and len(made.hosts[0].seen("go")) == CARRIED + 3
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -122,7 +122,7 @@
         loop.run(until=loop.sleep(2_000_000))
     assert len(held) == 2
     for place in range(6):
-        turns(loop, lambda: len(held) > place)
+        turns(loop, lambda place=place: len(held) > place)
         server.answer(held[place], 200, (), b"")
     assert len(held) == 6
 
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -384,7 +384,7 @@
     for client in (slow, other):
         client.sendall(b"POST / HTTP/1.1\r\nHost: g\r\nContent-Length: 4000\r\n\r\n" + b"x" * 2000)
         before = made.server.buffered
-        made.turns(lambda: made.server.buffered > before)
+        made.turns(lambda before=before: made.server.buffered > before)
     quick.sendall(b"POST / HTTP/1.1\r\nHost: g\r\nContent-Length: 2000\r\n\r\n" + b"x" * 1500)
     made.turns(lambda: made.server.faults == 1)
     assert b"408" in slow.recv(4096) and made.server.buffered <= 5000
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -200,7 +200,7 @@
         clients[-1].ask(1, i=f"{place:016x}")
         made.until(lambda: clients[-1].answers)
         end = made.loop.now() + 400 * MILLI // most
-        made.until(lambda: made.loop.now() >= end)
+        made.until(lambda end=end: made.loop.now() >= end)
     assert made.process.front.turned_away == 0 and made.process.front.lot.displaced >= most
 
 
@@ -214,7 +214,7 @@
     for place in range(most + 5):
         clients.append(made.client())
         clients[-1].ask(1, i=f"{place:016x}")
-        made.until(lambda: len(held) == min(place + 1, most))
+        made.until(lambda place=place: len(held) == min(place + 1, most))
     made.until(lambda: made.process.front.listener.rests)
     made.hosts[0].answer = made.hosts[0].serve
     for each in held:
