Loop variables that nobody reads are gone or named _

Two were read after all, out of the rule's sight: the line's number by a function in gaproute/conf/moving.py, which now takes it as an argument, and an answer's place in the queue after the loop's end in gaproute/http1/server.py, which is now looked up by an expression of its own. The others are _ or gone.

--- a/benchmarks/fleet/faults.py
+++ b/benchmarks/fleet/faults.py
@@ -41,7 +41,7 @@
 
     def hears(world, teller, other, words):
         if other.place < PARTS:
-            for again in range(1 + (chance.below(TWICE) == 0)):
+            for _ in range(1 + (chance.below(TWICE) == 0)):
                 world.clock.at(world.clock.now + chance.below(LATE), hand_over, other.place, words)
         return False
 
--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -204,7 +204,7 @@
 def play(size, case, seed):
     fleet = Fleet(size, case, seed)
     fleet.push(0, None)
-    for name, node in fleet.nodes.items():
+    for name in fleet.nodes:
         fleet.push(fleet.dice.randrange(SECOND // 2), name)
     fleet.run(FROM * SECOND)
     fleet.spent, fleet.out, fleet.words = 0.0, 0, 0
--- a/gaproute/conf/moving.py
+++ b/gaproute/conf/moving.py
@@ -73,7 +73,7 @@
         raise Mistakes(wrong)
     lines, left, used = [], [], set()
 
-    def leave(what, why):
+    def leave(number, what, why):
         left.append(Left(old_file, number, what, why))
 
     no_sizes = "sizes" in shape and shape["sizes"][""][0] == ("no",)
@@ -86,21 +86,23 @@
         key = places[0] if word in NAMED else ""
         before = dict(keywords)
         if word in shape and key not in shape[word]:
-            leave(" ".join(words), f"the new deployment has no {word} {key}")
+            leave(number, " ".join(words), f"the new deployment has no {word} {key}")
             continue
         if word in shape:
             used.add((word, key))
             places, stated = shape[word][key]
             keywords = stated if word in NAMED else keywords | stated  # a track is stated whole
         if word == "model" and "track" in shape and keywords["track"] not in shape["track"]:
-            leave(" ".join(words), f"the new deployment has no track {keywords['track']}")
+            leave(number, " ".join(words), f"the new deployment has no track {keywords['track']}")
             continue
         if word == "host" and no_sizes and keywords.pop("capacity", None) is not None:
-            leave(f"host {places[0]} capacity {before['capacity']}", "no sizes of hosts are told there")
+            leave(
+                number, f"host {places[0]} capacity {before['capacity']}", "no sizes of hosts are told there"
+            )
         if word == "hosts-file" and no_sizes:
-            leave(f"capacities in {places[0]}", "no sizes of hosts are told there: they count as 1")
+            leave(number, f"capacities in {places[0]}", "no sizes of hosts are told there: they count as 1")
         if word == "reach" and no_probes and keywords.pop("probe", None) is not None:
-            leave(f"reach probe {before['probe']}", "no probes are allowed there")
+            leave(number, f"reach probe {before['probe']}", "no probes are allowed there")
         if word in shape or keywords != before:
             raw = _line(word, places, keywords) + _comment(raw, words)
         lines.append(raw)
--- a/gaproute/driver/campaigns.py
+++ b/gaproute/driver/campaigns.py
@@ -144,7 +144,7 @@
         return USUAL * factor * LANES * len(self.hosts) * SECOND / self.mean
 
     def sample(self):
-        for name, host in self.hosts.items():
+        for name in self.hosts:
             truth = self.world.seats[name].actor
             if truth is not None:
                 spare = max(0, self.lent[name] - truth.production)
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/driver/campaigns_gateway.py
@@ -153,7 +153,7 @@
     def aged(self, now):
         """What became too old is declined by name, and what runs of it is cancelled."""
         out = []
-        for group, tasks in self.groups.aged():
+        for _, tasks in self.groups.aged():
             out += [
                 (self.spend.hands[task].host, ("cancel", task)) for task in tasks if task in self.spend.hands
             ]
@@ -234,7 +234,7 @@
                     wish = self.holder.take(now, EXCHANGE, 10 * SECOND) if kind == "swap" else None
                     self.under[host] = (name, version), wish, now
                     self.loads.ordered()
-        for host, (copy, wish, when) in list(self.under.items()):
+        for host, (copy, wish, _) in list(self.under.items()):
             if wish is not None and wish.state not in ("asked", "held"):
                 self._loaded(now, host, host, None)
             elif wish is None or wish.may(now):
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -326,11 +326,10 @@
         self.server.handle(request)
 
     def answer(self, request, status, headers, body):
-        for place, entry in enumerate(self.queue):
-            if entry[0] is request:
-                break
-        else:
+        place = next((place for place, entry in enumerate(self.queue) if entry[0] is request), None)
+        if place is None:
             return
+        entry = self.queue[place]
         if entry[1] is not None:
             raise RuntimeError("a second answer to one request")
         request.left = None
--- a/gaproute/rig/strikes.py
+++ b/gaproute/rig/strikes.py
@@ -57,7 +57,7 @@
         cores = sorted(os.sched_getaffinity(0))
         spinner = self.rig.processes.start(["gaproute.rig.spin"], None, "spin.err", tells=False)
         struck = [(number, self.gateways.processes[number].child) for number in numbers]
-        for number, child in struck:
+        for number, _ in struck:
             self.rig.tap.note("stopped", gateway=number)
         for child in [spinner.child, *(child for _, child in struck)]:
             pin(child, cores[-1:])
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -160,7 +160,7 @@
         assert number < 20_000
     assert number > 5 and {answer and answer.status for answer in ends} == {200}
     assert len(made.children()) == 2 and not before & set(made.children())
-    for again in range(6):
+    for _ in range(6):
         assert made.rig.wait(made.rig.get("/v2/models/moon")).status == 200
 
 
--- a/tests/test_ration.py
+++ b/tests/test_ration.py
@@ -53,9 +53,9 @@
 
 def test_the_ration_is_not_kept_tighter_than_it_must():
     made = Ration(2, 0.3, WINDOW)
-    for number in range(10):
+    for _ in range(10):
         made.delivered(SECOND, SECOND)
-    for number in range(5):
+    for _ in range(5):
         assert made.may(SECOND)
         made.ordered()
         made.ended(SECOND)
--- a/tests/test_rollouts_campaign.py
+++ b/tests/test_rollouts_campaign.py
@@ -156,7 +156,7 @@
 
 def test_demand_follows_its_course_and_keeps_its_spread():
     demand = Demand([1.0] * 24 + [2.0] * 24)
-    for reading in range(20):
+    for _ in range(20):
         demand.read(0, 10.0, 1.0, 2.0)
     assert demand.lanes(0, 0) == pytest.approx(20)
     assert demand.lanes(13 * 3600 * SECOND, 0) == pytest.approx(40)
@@ -165,7 +165,7 @@
     forecast.read(0, {"p": (8.0, 0.0, 1.0)})
     spare = forecast.spare(0, HOSTS, {host.name: 7 for host in HOSTS}, 2, out=[("h1", 1)])
     assert spare["h0"] == [6.0, 6.0] and spare["h1"] == [6.0, 0.0]
-    for reading in range(40):
+    for _ in range(40):
         forecast.read(0, {})
     assert not forecast.functions
 
