Default arguments are constants of their module

The defaults are tuples and frozen records, so nothing was shared that could change; REACH, LIMITS, BOUNDS and PACES name them now.

--- a/gaproute/hosts/fleet.py
+++ b/gaproute/hosts/fleet.py
@@ -29,6 +29,9 @@
     head_limit: int = 65536
 
 
+REACH = Reach()
+
+
 class Host:
     __slots__ = ("name", "where", "text", "idle", "open", "unsent", "active")
 
@@ -57,7 +60,7 @@
 
 
 class Hosts:
-    def __init__(self, loop, pooling, reach=Reach(), gateway="gaproute"):
+    def __init__(self, loop, pooling, reach=REACH, gateway="gaproute"):
         self.loop, self.pooling, self.reach, self.gateway = loop, pooling, reach, gateway.encode()
         self.hosts = {}
         self.opened = self.reused = self.raced = 0
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -51,6 +51,9 @@
     buffered: int = 256 << 20  # bytes of all requests that have not come in whole
 
 
+LIMITS = Limits()
+
+
 def render(status, headers, body, close):
     """An answer's bytes; `headers` are (name, value) pairs of bytes."""
     lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Other").encode())]
@@ -62,7 +65,7 @@
 class Server:
     """Listens on one address. `handle(request)` for each whole request, to be answered once by `answer`."""
 
-    def __init__(self, loop, where, handle, limits=Limits(), explain=None, counted=False, inherited=None):
+    def __init__(self, loop, where, handle, limits=LIMITS, explain=None, counted=False, inherited=None):
         self.loop, self.handle, self.limits, self.counted = loop, handle, limits, counted
         # headers, body of a refusal
         self.explain = explain or (lambda fault: ((), fault.text.encode() + b"\n"))
--- a/gaproute/maintenance/round.py
+++ b/gaproute/maintenance/round.py
@@ -37,15 +37,14 @@
 LOOK = 4 * SECOND  # after a turn is granted: hosts have to be seen anew before anything is judged
 REST = 3 * SECOND  # without the turn then, longer than another's AGAIN
 ORDERED = 10 * SECOND  # a load that was ordered and not seen to begin or end is forgotten
+BOUNDS, PACES = drained.Bounds(), schedule.Paces()
 
 
 class Running(Going):
     """`holder`: a `permits.Holder`; `beside`: other rounds that may run now, of which it keeps the floor as
     well. `tick(now, view)` and `ask(now, host, view)`; `view`: see `view.py`."""
 
-    def __init__(
-        self, asked, me, holder, now, span, bounds=drained.Bounds(), paces=schedule.Paces(), beside=()
-    ):
+    def __init__(self, asked, me, holder, now, span, bounds=BOUNDS, paces=PACES, beside=()):
         self.asked, self.beside = floor.strict(asked, beside), tuple(beside)
         self.me, self.holder, self.span = me, holder, span
         self.bounds, self.paces = bounds, paces
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -35,6 +35,7 @@
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 HEAD = b"GET / HTTP/1.1\r\nHost: g\r\n\r\n"
+LIMITS = Limits(idle_time=60 * SECOND)
 
 
 def admission(most=10, per_address=10, descriptors=10_000):
@@ -120,7 +121,7 @@
 class House:
     """A server on a loop of the test's own clock, and blocking clients."""
 
-    def __init__(self, limits=Limits(idle_time=60 * SECOND), made=None, answer=True):
+    def __init__(self, limits=LIMITS, made=None, answer=True):
         self.skew = 0
         self.loop = Loop(lambda: time.monotonic_ns() + self.skew)
         self.lot = Lot(self.loop, made)
