--- a/benchmarks/weak_bytes.py
+++ b/benchmarks/weak_bytes.py
@@ -86,7 +86,7 @@
     loop = Loop()
     came = []
     one, other = (Datagrams(loop, "127.0.0.1:0", came.append) for _ in range(2))
-    where = "127.0.0.1:%d" % other.sock.getsockname()[1]
+    where = f"127.0.0.1:{other.sock.getsockname()[1]}"
 
     def call():
         one.send(data, where)
@@ -106,7 +106,7 @@
     loop = Loop()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
         free.bind(("127.0.0.1", 0))
-        where = "127.0.0.1:%d" % free.getsockname()[1]
+        where = f"127.0.0.1:{free.getsockname()[1]}"
     gossip = Gossip(loop, "me", where, Chance(1), Record())
     weak = Weak("me", 1, Chance(1), 0)
     weak.peers(0, ["gate-117"])
--- a/gaproute/benchlink/__main__.py
+++ b/gaproute/benchlink/__main__.py
@@ -116,7 +116,8 @@
                 gateway.stood(now, fields[0], fields[1], wire.RESULTS.get(fields[2]), wire.whole(fields[4]))
 
     def reply(self):
-        for self.current, fields in self.alarms:
+        for number, fields in self.alarms:
+            self.current = number
             self.event("ALARM", fields)
         self.alarms = []
         lines = []
--- a/gaproute/peers/learner.py
+++ b/gaproute/peers/learner.py
@@ -25,7 +25,7 @@
 
 
 class Learner:
-    """`book(subjects)` hands the module what the lore now holds of them; `done()` where a snapshot is whole."""
+    """`book(subjects)` hands the module what the lore now holds of them; `done()` at a snapshot's end."""
 
     def __init__(self, loop, peers, lore, book, done, record):
         self.loop, self.lore, self.book, self.done, self.record = loop, lore, book, done, record
--- a/gaproute/rig/addresses.py
+++ b/gaproute/rig/addresses.py
@@ -26,7 +26,7 @@
 
 
 def pair(number):
-    """The same of an address as the number that its four bytes are: so the kernel tells it with a datagram."""
+    """The same of an address as the number of its four bytes: so the kernel tells it with a datagram."""
     caller, called = number >> SEAT_BITS & 0xFFF, number & 0xFFF
     if number >> 24 != 127 or not (LOWEST <= caller <= HIGHEST and LOWEST <= called <= HIGHEST):
         raise ValueError("not an address between two seats")
--- a/gaproute/rig/child.py
+++ b/gaproute/rig/child.py
@@ -32,7 +32,7 @@
 
 
 def wrong(true, start, rate, offset):
-    """A clock made of the clock `true`: at `rate` from its value `start` on, ahead by `offset`, in its unit."""
+    """A clock made of `true`: at `rate` from its value `start` on, ahead by `offset`, in its unit."""
     whole = isinstance(start, int)
 
     def clock():
--- a/gaproute/rig/platform/play.py
+++ b/gaproute/rig/platform/play.py
@@ -54,7 +54,8 @@
         return [self.once_in(routine) for routine in [*super().begin(), *cuts]]
 
     def once_in(self, routine):
-        for begun in self.crowd.begun:
+        # Not `yield from`: the loop sends what each promise came to, which an iterator of a list cannot take.
+        for begun in self.crowd.begun:  # noqa: UP028
             yield begun
         yield from routine
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -56,7 +56,7 @@
         assert made.wait(made.ask("lamp", f"w{number}")).status == 200
     with socket.socket() as taken:
         taken.bind(("127.0.0.1", 0))
-        late = "127.0.0.1:%d" % taken.getsockname()[1]
+        late = f"127.0.0.1:{taken.getsockname()[1]}"
     second = start("second", f"peer late {late}")
     made.rest(100 * MILLI)
     assert second.others.learner.state["late"] == "asked"
@@ -89,7 +89,7 @@
     for _ in range(2):
         with socket.socket() as taken:
             taken.bind(("127.0.0.1", 0))
-            ports.append("127.0.0.1:%d" % taken.getsockname()[1])
+            ports.append(f"127.0.0.1:{taken.getsockname()[1]}")
     one = start("one", f"listen peers {ports[0]}", f"peer two {ports[1]}", listen=False)
     two = start("two", f"listen peers {ports[1]}", f"peer one {ports[0]}", listen=False)
     made.at = front(one)
@@ -321,7 +321,7 @@
     if kind == "udp":
         with socket.socket(type=socket.SOCK_DGRAM) as taken:
             taken.bind(("127.0.0.1", 0))
-            place = "127.0.0.1:%d" % taken.getsockname()[1]
+            place = f"127.0.0.1:{taken.getsockname()[1]}"
         ends = [Datagrams(loop, "127.0.0.1:0", heard.append), Datagrams(loop, place, heard.append)]
     else:
         place = f"unix:{tmp_path}/a"
--- a/tests/test_rollouts_spend.py
+++ b/tests/test_rollouts_spend.py
@@ -117,9 +117,9 @@
     one.tick(now)
     keeper.serve(now, one)
     assert keeper.machine.held[pool("h")] == 2 and not one.parts
-    for now in range(now, now + SECOND, ASK):
-        twin.tick(now)
-        keeper.serve(now, twin)
+    for later in range(now, now + SECOND, ASK):
+        twin.tick(later)
+        keeper.serve(later, twin)
     assert keeper.machine.held[pool("h")] == 6
 
 
