--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,8 @@
 from gaproute.conf import read_charter
 from gaproute.record.logs import logger
 
+pytest_plugins = ["known_red", "pytester"]
+
 settings.register_profile("steady", derandomize=True, deadline=None)  # the same verdict every time
 settings.load_profile("steady")
 
