--- a/gaproute/driver/campaigns.py
+++ b/gaproute/driver/campaigns.py
@@ -144,7 +144,7 @@
         return USUAL * factor * LANES * len(self.hosts) * SECOND / self.mean
 
     def sample(self):
-        for name, host in self.hosts.items():
+        for name in self.hosts:
             truth = self.world.seats[name].actor
             if truth is not None:
                 spare = max(0, self.lent[name] - truth.production)
@@ -194,7 +194,7 @@
             if play.done[name] >= campaign.tasks * play.versions[name]:
                 play.versions[name] += 1
                 for gateway in play.gateways:  # one that is up hears it, the others from it
-                    if world.ask(gateway, lambda actor, now: actor.moved(name, play.versions[name])):
+                    if world.ask(gateway, Gateway.moved, name, play.versions[name]):
                         break
         for at, what in play.case.acts:
             if world.now >= at and at not in self.done:
