--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -70,7 +70,9 @@
         self.homes = [self.dice.sample(self.hosts, 6) for _ in self.functions]
         self.busy = {host: self.dice.uniform(0.3, 1.7) for host in self.hosts}
         weights = [self.dice.choice((1 / 30, 0.5, 1, 1, 1, 1.5, 10)) for _ in names]
-        self.rates = {name: RATE * weight * size / sum(weights) for name, weight in zip(names, weights)}
+        self.rates = {
+            name: RATE * weight * size / sum(weights) for name, weight in zip(names, weights, strict=True)
+        }
         self.cut = {
             (one, other) for one in names for other in names if case == "30% cut" and self.dice.random() < 0.3
         }
@@ -154,13 +156,16 @@
             elif data is None:
                 self.tick(name, self.nodes[name])
             else:
-                self.came[name] += len(data) + 28
-                begun = time.process_time()
-                told = word_pb2.Word.FromString(data)
-                self.nodes[name].hear(self.now, told.sender.name, lambda: decode(told.weak))
-                self.spent += time.process_time() - begun
+                self.hear(name, data)
         self.now = until
 
+    def hear(self, name, data):
+        self.came[name] += len(data) + 28
+        begun = time.process_time()
+        told = word_pb2.Word.FromString(data)
+        self.nodes[name].hear(self.now, told.sender.name, lambda: decode(told.weak))
+        self.spent += time.process_time() - begun
+
     def read(self, name):
         """The errors at one gateway."""
         node, now = self.nodes[name], self.now
@@ -199,7 +204,7 @@
 def play(size, case, seed):
     fleet = Fleet(size, case, seed)
     fleet.push(0, None)
-    for name, node in fleet.nodes.items():
+    for name in fleet.nodes:
         fleet.push(fleet.dice.randrange(SECOND // 2), name)
     fleet.run(FROM * SECOND)
     fleet.spent, fleet.out, fleet.words = 0.0, 0, 0
