Scale: the host list followed, by file and by change log

What it costs a gateway to follow its hosts was known at the size of one fleet only. Two modules measure the appliance's host file (FileWatch, Listing, host connections) and the platform's change log (Follower, Lister): bytes, CPU of a whole list and of one change. The decisions' part of taking a list is not in.

--- /dev/null
+++ b/benchmarks/scale/meters.py
@@ -0,0 +1,45 @@
+"""How a cost is metered: processor time of a call, bytes that objects hold, headers of what is sent."""
+
+import gc
+import time
+import tracemalloc
+
+UDP_HEADERS = 28  # bytes of IPv4 and UDP around a datagram
+LEAST_TIME = 0.02  # seconds that a call is repeated for, so that the clock's steps do not show
+MILLISECONDS = 1e3  # in a second
+TRACED = "memory: Python's own objects by tracemalloc, without the kernel's buffers"
+CPU_TIME = "CPU: processor time of the process, on a machine shared with other work"
+
+
+def cpu_seconds(call, least=LEAST_TIME):
+    """Processor seconds of one `call()`, the mean of as many as `least` seconds hold; one at least."""
+    calls, begun = 0, time.process_time()
+    while True:
+        call()
+        calls += 1
+        spent = time.process_time() - begun
+        if spent >= least:
+            return spent / calls
+
+
+def once(call):
+    """Processor seconds of `call()` alone, for what cannot be done twice."""
+    gc.collect()
+    begun = time.process_time()
+    call()
+    return time.process_time() - begun
+
+
+def held_bytes(build):
+    """Bytes of Python's objects that stand because of `build()`, whose result is kept meanwhile."""
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        built = build()
+        gc.collect()
+        after = tracemalloc.get_traced_memory()[0]
+    finally:
+        tracemalloc.stop()
+    del built
+    return after - before
--- /dev/null
+++ b/tests/test_scale_costs.py
@@ -0,0 +1,39 @@
+"""Costs by size, at their smallest: each measurement plays, and what is counted grows no steeper than stated."""
+
+import pytest
+
+from benchmarks.scale.costs import change_log, host_list
+
+# name: (play, small size, large size, most that one more of the size may add)
+COUNTED = {
+    "host-list-bytes-by-hosts": (host_list.list_bytes, 100, 400, 90),
+    "change-log-whole-bytes-by-hosts": (change_log.whole_bytes, 100, 400, 150),
+    "change-log-change-bytes-by-changes": (change_log.change_bytes, 1, 4, 150),
+}
+# name: (play, smallest size); each asserts itself what it counts
+TIMED = {
+    "host-list-read-cpu-by-hosts": (host_list.whole_read, 100),
+    "host-list-change-cpu-by-hosts": (host_list.changed_line, 100),
+    "change-log-whole-cpu-by-hosts": (change_log.whole_cpu, 100),
+    "change-log-change-cpu-by-hosts": (change_log.change_cpu, 100),
+}
+MODULES = (host_list, change_log)
+
+
+def test_every_measurement_of_the_control_parts_is_played_here():
+    named = {name for module in MODULES for name in module.MEASUREMENTS}
+    assert named == COUNTED.keys() | TIMED.keys()
+
+
+@pytest.mark.parametrize("name", COUNTED)
+def test_what_is_counted_grows_no_steeper_than_stated(name):
+    play, small, large, most = COUNTED[name]
+    least = play(small, 1)
+    assert least > 0
+    assert (play(large, 1) - least) / (large - small) <= most
+
+
+@pytest.mark.parametrize("name", TIMED)
+def test_what_is_timed_plays_at_its_smallest_size(name):
+    play, size = TIMED[name]
+    assert play(size, 1) >= 0
