--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -21,8 +21,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from rows import write
-
+from benchmarks.rows import write
 from gaproute.decisions.chance import Chance
 from gaproute.peers.gossip import decode, encode
 from gaproute.shared.membership import ALIVE, DEAD, LEFT
--- a/benchmarks/weak.py
+++ b/benchmarks/weak.py
@@ -30,8 +30,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from rows import write
-
+from benchmarks.rows import write
 from gaproute.decisions.chance import Chance
 from gaproute.peers import word_pb2
 from gaproute.peers.weak import decode, encode
--- a/benchmarks/weak_bytes.py
+++ b/benchmarks/weak_bytes.py
@@ -17,8 +17,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from rows import write
-
+from benchmarks.rows import write
 from gaproute.decisions.chance import Chance
 from gaproute.loop import Loop
 from gaproute.loop.datagrams import Datagrams
