--- /dev/null
+++ b/benchmarks/scale/costs/gossip.py
@@ -0,0 +1,165 @@
+"""Gossip of demand: what one gateway tells and hears, by the number of gateways."""
+
+import time
+from dataclasses import dataclass
+
+from benchmarks.scale.deferred import deferred
+from benchmarks.scale.meters import CPU_TIME, MILLISECONDS, TRACED, UDP_HEADERS, held_bytes
+from benchmarks.weak import FUNCTIONS, HOSTS
+from benchmarks.weak_bytes import wrapped
+from gaproute.decisions.chance import Chance
+from gaproute.peers import word_pb2
+from gaproute.peers.weak import decode, encode
+from gaproute.shared.weak import Weak
+
+SECOND = 1_000_000_000
+GATEWAYS = (16, 64, 256, 1_024, 4_096)
+SOME = 64  # gateways, where something else is varied
+PLAYED = 20  # s
+HELD = 300  # s after which a reader holds all that it ever will: the longest life of a page
+NOTHING_LOST = (
+    "one gateway's decisions and bytes on a clock handed in; as many words of others come in as go out, "
+    "alike; bytes with 28 of headers a word, out"
+)
+
+
+@dataclass(frozen=True)
+class Fleet:
+    """How many there are of each."""
+
+    gateways: int = SOME
+    hosts: int = HOSTS
+    functions: int = FUNCTIONS
+
+
+class OneOfMany:
+    """One teller whose peers each tell it what it tells them."""
+
+    def __init__(self, fleet, seed):
+        self.fleet, self.chance = fleet, Chance(seed)
+        self.names = [f"gate-{number:04}" for number in range(1, fleet.gateways)]
+        self.weak = Weak("gate-0000", 1, Chance(seed), 0)
+        self.weak.peers(0, self.names)
+        self.weak.listed(0, dict.fromkeys(self.hosts(), 1))
+        self.now, self.out, self.spent, self.words, self.turn = 0, 0, 0.0, 0, 0
+
+    def hosts(self):
+        """Names of the hosts."""
+        return [f"host-{number:04}" for number in range(self.fleet.hosts)]
+
+    def see(self):
+        """What this gateway sees in a second: a task of each function, one in hand at each host."""
+        for number in range(self.fleet.functions):
+            function = f"model-{number:04}"
+            self.weak.saw_arrival(self.now, function, 0)
+            self.weak.saw_warm(self.now, f"host-{number % self.fleet.hosts:04}", function)
+        for number, host in enumerate(self.hosts()):
+            self.weak.saw_hands(self.now, host, 1 + (number + self.now // SECOND) % 8)
+
+    def tick(self):
+        """The next word, and one of the next peer that is alike."""
+        begun = time.process_time()
+        words = [wrapped(encode(word)) for _, word in self.weak.tick(self.now)]
+        self.spent += time.process_time() - begun
+        for data in words:
+            self.words += 1
+            self.out += len(data) + UDP_HEADERS
+            self.hear(data)
+
+    def hear(self, data):
+        """Hears a word of its own as that of the next peer."""
+        self.turn += 1
+        sender = self.names[self.turn % len(self.names)]
+        begun = time.process_time()
+        told = word_pb2.Word.FromString(data)
+        self.weak.hear(self.now, sender, lambda: decode(told.weak))
+        self.spent += time.process_time() - begun
+
+    def play(self, seconds):
+        """Plays so many seconds."""
+        for second in range(seconds):
+            self.see()
+            end = (second + 1) * SECOND
+            while self.weak.due < end:
+                self.now = max(self.now, self.weak.due)
+                self.tick()
+            self.now = end
+        return self
+
+
+def played(fleet, seed):
+    """A gateway after the span that is measured, the first seconds of it left out."""
+    one = OneOfMany(fleet, seed)
+    one.see()
+    one.now = 2 * SECOND  # the first step of arrivals is over
+    return one.play(PLAYED)
+
+
+def bytes_sent(gateways, seed):
+    """Bytes that one gateway sends a second."""
+    return played(Fleet(gateways), seed).out / PLAYED
+
+
+def cpu(gateways, seed):
+    """Milliseconds of CPU a second."""
+    return played(Fleet(gateways), seed).spent / PLAYED * MILLISECONDS
+
+
+def memory(gateways, seed):
+    """Bytes that one gateway holds."""
+    return held_bytes(lambda: OneOfMany(Fleet(gateways), seed).play(HELD))
+
+
+def round_seconds(gateways, seed):
+    """Seconds until each other gateway was told once more."""
+    one = OneOfMany(Fleet(gateways), seed)
+    one.play(PLAYED)
+    one.weak.told.round = []  # a round begins
+    first, told = one.now, set()
+    while len(told) < gateways - 1:
+        one.now = max(one.now, one.weak.due)
+        told.update(name for name, _ in one.weak.tick(one.now))
+    return (one.now - first) / SECOND
+
+
+OTHERS = f"{HOSTS} hosts, {FUNCTIONS} functions"
+SPENT = f"{NOTHING_LOST}. {CPU_TIME}, sockets not in"
+
+MEASUREMENTS = {
+    **deferred(
+        "gossip-bytes-by-gateways",
+        "bytes that one gateway sends",
+        "bytes/s",
+        "gateways",
+        GATEWAYS,
+        bytes_sent,
+        f"{NOTHING_LOST}; {OTHERS}",
+    ),
+    **deferred(
+        "gossip-cpu-by-gateways",
+        "CPU of telling and hearing",
+        "ms/s",
+        "gateways",
+        GATEWAYS,
+        cpu,
+        f"{SPENT}; {OTHERS}",
+    ),
+    **deferred(
+        "gossip-memory-by-gateways",
+        "memory of what one gateway sees and holds of others",
+        "bytes",
+        "gateways",
+        GATEWAYS,
+        memory,
+        f"after {HELD} s; {OTHERS}. {TRACED}",
+    ),
+    **deferred(
+        "gossip-round-seconds-by-gateways",
+        "until each other gateway was told once",
+        "s",
+        "gateways",
+        GATEWAYS,
+        round_seconds,
+        f"simulated, at the budget of 3,000 bytes/s; {OTHERS}",
+    ),
+}
--- /dev/null
+++ b/benchmarks/scale/costs/gossip_content.py
@@ -0,0 +1,103 @@
+"""Gossip of demand: what one gateway tells and hears, by the hosts and the functions that it tells of."""
+
+from benchmarks.scale.costs.gossip import PLAYED, SOME, SPENT, Fleet, played
+from benchmarks.scale.deferred import deferred
+from benchmarks.scale.meters import MILLISECONDS, TRACED, held_bytes
+from benchmarks.weak import FUNCTIONS, HOSTS
+
+WORD_HOSTS = (4, 16, 32, 64)  # a page holds 64; more does not make it longer
+WORD_FUNCTIONS = (4, 16, 64, 256)  # 24 of demand and 256 copies; more does not make it longer
+SIZES = (4, 16, 64, 256, 1_024)
+FEW = 2  # gateways among which the budget cuts nothing
+
+
+def word_bytes_by_hosts(hosts, seed):
+    """Bytes of a word in the mean."""
+    one = played(Fleet(FEW, hosts=hosts), seed)
+    return one.out / one.words
+
+
+def word_bytes_by_functions(functions, seed):
+    """Bytes of a word in the mean."""
+    one = played(Fleet(FEW, functions=functions), seed)
+    return one.out / one.words
+
+
+def cpu_by_hosts(hosts, seed):
+    """Milliseconds of CPU a second."""
+    return played(Fleet(hosts=hosts), seed).spent / PLAYED * MILLISECONDS
+
+
+def cpu_by_functions(functions, seed):
+    """Milliseconds of CPU a second."""
+    return played(Fleet(functions=functions), seed).spent / PLAYED * MILLISECONDS
+
+
+def memory_by_hosts(hosts, seed):
+    """Bytes that one gateway holds."""
+    return held_bytes(lambda: played(Fleet(hosts=hosts), seed))
+
+
+def memory_by_functions(functions, seed):
+    """Bytes that one gateway holds."""
+    return held_bytes(lambda: played(Fleet(functions=functions), seed))
+
+
+BESIDE = f"{SOME} gateways"
+
+MEASUREMENTS = {
+    **deferred(
+        "gossip-word-bytes-by-hosts",
+        "bytes of a word in the mean",
+        "bytes",
+        "hosts with tasks in hand",
+        WORD_HOSTS,
+        word_bytes_by_hosts,
+        f"with 28 of headers; {FUNCTIONS} functions; constant above 64 hosts, a page's bound",
+    ),
+    **deferred(
+        "gossip-word-bytes-by-functions",
+        "bytes of a word in the mean",
+        "bytes",
+        "functions asked for each second",
+        WORD_FUNCTIONS,
+        word_bytes_by_functions,
+        f"with 28 of headers; {HOSTS} hosts; constant above 256 functions, the pages' bound",
+    ),
+    **deferred(
+        "gossip-cpu-by-hosts",
+        "CPU of telling and hearing",
+        "ms/s",
+        "hosts with tasks in hand",
+        SIZES,
+        cpu_by_hosts,
+        f"{SPENT}; {BESIDE}, {FUNCTIONS} functions",
+    ),
+    **deferred(
+        "gossip-cpu-by-functions",
+        "CPU of telling and hearing",
+        "ms/s",
+        "functions asked for each second",
+        SIZES,
+        cpu_by_functions,
+        f"{SPENT}; {BESIDE}, {HOSTS} hosts",
+    ),
+    **deferred(
+        "gossip-memory-by-hosts",
+        "memory of what one gateway sees and holds of others",
+        "bytes",
+        "hosts with tasks in hand",
+        SIZES,
+        memory_by_hosts,
+        f"after {PLAYED} s; {BESIDE}, {FUNCTIONS} functions. {TRACED}",
+    ),
+    **deferred(
+        "gossip-memory-by-functions",
+        "memory of what one gateway sees and holds of others",
+        "bytes",
+        "functions asked for each second",
+        SIZES,
+        memory_by_functions,
+        f"after {PLAYED} s; {BESIDE}, {HOSTS} hosts. {TRACED}",
+    ),
+}
--- a/tests/test_scale_costs.py
+++ b/tests/test_scale_costs.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from benchmarks.scale.costs import change_log, host_list, membership
+from benchmarks.scale.costs import change_log, gossip, gossip_content, host_list, membership
 
 # name: (play, small size, large size, most that one more of the size may add)
 COUNTED = {
@@ -14,6 +14,13 @@
     "membership-table-bytes-by-members": (membership.table_bytes, 16, 64, 40),
     "membership-death-seconds-by-members": (membership.death_seconds, 16, 64, 0.2),
     "membership-newcomer-seconds-by-members": (membership.newcomer_seconds, 16, 64, 0.1),
+    "gossip-bytes-by-gateways": (gossip.bytes_sent, 16, 64, 0),
+    "gossip-memory-by-gateways": (gossip.memory, 4, 16, 50_000),
+    "gossip-round-seconds-by-gateways": (gossip.round_seconds, 16, 64, 0.2),
+    "gossip-word-bytes-by-hosts": (gossip_content.word_bytes_by_hosts, 4, 16, 5.5),
+    "gossip-word-bytes-by-functions": (gossip_content.word_bytes_by_functions, 4, 16, 6),
+    "gossip-memory-by-hosts": (gossip_content.memory_by_hosts, 4, 16, 9_000),
+    "gossip-memory-by-functions": (gossip_content.memory_by_functions, 4, 16, 9_000),
 }
 # name: (play, smallest size); each asserts itself what it counts
 TIMED = {
@@ -22,8 +29,11 @@
     "change-log-whole-cpu-by-hosts": (change_log.whole_cpu, 100),
     "change-log-change-cpu-by-hosts": (change_log.change_cpu, 100),
     "membership-cpu-by-members": (membership.cpu, 16),
+    "gossip-cpu-by-gateways": (gossip.cpu, 16),
+    "gossip-cpu-by-hosts": (gossip_content.cpu_by_hosts, 4),
+    "gossip-cpu-by-functions": (gossip_content.cpu_by_functions, 4),
 }
-MODULES = (host_list, change_log, membership)
+MODULES = (host_list, change_log, membership, gossip, gossip_content)
 
 
 def test_every_measurement_of_the_control_parts_is_played_here():
