--- /dev/null
+++ b/tests/test_scale_costs.py
@@ -0,0 +1,55 @@
+"""Costs by size at their smallest: every measurement plays, and counted costs grow no steeper than stated."""
+
+import pytest
+
+from benchmarks.scale.costs import change_log, gossip, gossip_content, host_list, membership
+
+# name: (play, small size, large size, most that one more of the size may add)
+COUNTED = {
+    "host-list-bytes-by-hosts": (host_list.list_bytes, 100, 400, 90),
+    "change-log-whole-bytes-by-hosts": (change_log.whole_bytes, 100, 400, 150),
+    "change-log-change-bytes-by-changes": (change_log.change_bytes, 1, 4, 150),
+    "membership-bytes-by-members": (membership.bytes_sent, 16, 64, 0),
+    "membership-memory-by-members": (membership.memory, 16, 64, 700),
+    "membership-table-bytes-by-members": (membership.table_bytes, 16, 64, 40),
+    "membership-death-seconds-by-members": (membership.death_seconds, 16, 64, 0.2),
+    "membership-newcomer-seconds-by-members": (membership.newcomer_seconds, 16, 64, 0.1),
+    "gossip-bytes-by-gateways": (gossip.bytes_sent, 16, 64, 0),
+    "gossip-memory-by-gateways": (gossip.memory, 4, 16, 50_000),
+    "gossip-round-seconds-by-gateways": (gossip.round_seconds, 16, 64, 0.2),
+    "gossip-word-bytes-by-hosts": (gossip_content.word_bytes_by_hosts, 4, 16, 5.5),
+    "gossip-word-bytes-by-functions": (gossip_content.word_bytes_by_functions, 4, 16, 6),
+    "gossip-memory-by-hosts": (gossip_content.memory_by_hosts, 4, 16, 9_000),
+    "gossip-memory-by-functions": (gossip_content.memory_by_functions, 4, 16, 9_000),
+}
+# name: (play, smallest size); each asserts itself what it counts
+TIMED = {
+    "host-list-read-cpu-by-hosts": (host_list.whole_read, 100),
+    "host-list-change-cpu-by-hosts": (host_list.changed_line, 100),
+    "change-log-whole-cpu-by-hosts": (change_log.whole_cpu, 100),
+    "change-log-change-cpu-by-hosts": (change_log.change_cpu, 100),
+    "membership-cpu-by-members": (membership.cpu, 16),
+    "gossip-cpu-by-gateways": (gossip.cpu, 16),
+    "gossip-cpu-by-hosts": (gossip_content.cpu_by_hosts, 4),
+    "gossip-cpu-by-functions": (gossip_content.cpu_by_functions, 4),
+}
+MODULES = (host_list, change_log, membership, gossip, gossip_content)
+
+
+def test_every_measurement_of_the_control_parts_is_played_here():
+    named = {name for module in MODULES for name in module.MEASUREMENTS}
+    assert named == COUNTED.keys() | TIMED.keys()
+
+
+@pytest.mark.parametrize("name", COUNTED)
+def test_what_is_counted_grows_no_steeper_than_stated(name):
+    play, small, large, most = COUNTED[name]
+    least = play(small, 1)
+    assert least > 0
+    assert (play(large, 1) - least) / (large - small) <= most
+
+
+@pytest.mark.parametrize("name", TIMED)
+def test_what_is_timed_plays_at_its_smallest_size(name):
+    play, size = TIMED[name]
+    assert play(size, 1) >= 0
