--- a/benchmarks/scale/tables.py
+++ b/benchmarks/scale/tables.py
@@ -3,7 +3,7 @@
 import fnmatch
 from pathlib import Path
 
-from benchmarks.scale import roles, size
+from benchmarks.scale import arithmetic, machines, roles, size
 from benchmarks.scale.budget import judged
 from benchmarks.scale.fit import WIDE_STRETCH, fit
 from benchmarks.scale.measurement import Measurement
@@ -121,4 +121,12 @@
     return table(["role", "cost", "over the budget", "state"], rows)
 
 
-TABLES = {"slopes": slopes, "budget": budget, "breaks-first": breaks_first}
+TABLES = {
+    "slopes": slopes,
+    "budget": budget,
+    "breaks-first": breaks_first,
+    "time": arithmetic.time,
+    "failure": arithmetic.failure,
+    "assumptions": arithmetic.assumptions,
+    "machines": machines.machines,
+}
