--- a/benchmarks/fleet/parted.py
+++ b/benchmarks/fleet/parted.py
@@ -61,24 +61,6 @@
 
     # The whole
 
-    def able(self, now, task, trail, function, resting):
-        track, able = self.tracks[task.track], self.fleet
-        if trail.first is not None or trail.out or now < self.all_warm_at:
-            holding = {worker.id for worker, _ in trail.out.values()}
-            able = [
-                worker
-                for worker in self.fleet
-                if worker.id not in holding
-                and (now >= worker.warm_at or worker.credit > 0)
-                and self.allowed(worker, track, trail, now)
-            ]
-        if trail.failed:
-            able = [worker for worker in able if worker not in trail.failed] or able
-            able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
-        if resting:
-            able = [each for each in able if now >= each.full_until and self.warmth(function, each, now) > 0]
-        return able
-
     def scores(self, now, task, trail, function, able):
         capacity = self.capacity if able is self.fleet else sum([worker.capacity for worker in able])
         ranks, usual_memory = self.ranks(task.function, function), None
@@ -98,7 +80,7 @@
             if best is not None and most + least < best - policy.NIL:
                 break
             rank = ranks[worker.id]
-            pace = worker.slow if now < worker.slow_until else 1.0
+            pace = worker.slowness(now)
             strength = worker.capacity / pace
             if now < worker.warm_at:
                 strength *= self.power(worker, now)
@@ -123,8 +105,6 @@
 
     def choose(self, now, task, trail):
         function = self.function(task.function, task.lanes)
-        if trail.relays >= self.terms.relay_limit:
-            return None
         resting = now < function.rests_until and not trail.failed
         able = self.able(now, task, trail, function, resting)
         if not able:
--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -12,7 +12,8 @@
 class Allowed(Hints):
     def allowed(self, worker, track, trail, now):
         """The rules on further relays, strictly by track; a relay still out may have run."""
-        if not worker.active or trail.out and not self.terms.twins_allowed:
+        barred = trail.relays >= self.terms.relay_limit or trail.out and not self.terms.twins_allowed
+        if barred or not worker.active:
             return False
         if trail.first is None or track.effect is Effect.PURE:
             return True
--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -35,9 +35,8 @@
         self.results = []  # (time, track, harm: 0 if good, 1 if unanswered), the last of each track
         self.paces = deque(maxlen=KEPT)  # (time, answer time over the function's usual)
         self.bad = 0  # of the results
-        self.slow, self.slow_until = 1.0, -1  # the pace at the last answer
+        self.slow, self.slow_until = 1.0, -1  # the pace at the last answer; see `slowness`
         self.report, self.reported, self.memory = None, -LOAD_LIFE, None
-        self.tally, self.tally_until = None, 0  # see `queued`
         self.credit, self.credited = 0.0, 0  # chance of a relay to it while cold; when last raised
         self.full_until = -1  # it turned a task away; nothing more until then
         self.renew(row)
@@ -46,6 +45,10 @@
         self.zone, self.cell, self.capacity = row.zone, row.cell, max(row.capacity, 1e-3)
         self.active = row.state is State.ACTIVE
 
+    def slowness(self, now):
+        """Times slower than usual it answers, by the last pace measured."""
+        return self.slow if now < self.slow_until else 1.0
+
 
 class Function:
     """What this gateway knows of one function."""
@@ -76,7 +79,5 @@
         if result in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
             if self.first == (worker, sent):  # proven not to have run: it binds the task no longer
                 self.first = min(self.out.values(), key=lambda o: o[1], default=None)
-        elif self.first is None or sent < self.first[1]:
-            self.first = (worker, sent)
         if result is not Result.MISS:
             self.failed.append(worker)
--- a/gaproute/decisions/route/booked.py
+++ b/gaproute/decisions/route/booked.py
@@ -1,5 +1,6 @@
 """What is booked: of relays sent, outcomes, silence, reports and orders."""
 
+from collections import Counter
 from statistics import median
 
 from gaproute.decisions.route.beliefs import ERRED, RECENT, ROOM
@@ -42,7 +43,7 @@
         due = now + min(PATIENCE * usual, max(2 * usual, contract - 2 * usual))
         if not warm:
             due += LOAD_PATIENCE * self.load_usual(task.load_time)
-        worker.out[task.id, relay], worker.tally = now, None
+        worker.out[task.id, relay] = now
         self.hands[task.id, relay] = (worker.id, task.function, task.track, now, warm)
         trail.out[relay] = (worker, now)
         trail.relays += 1
@@ -100,7 +101,6 @@
             worker.wiped = now  # a process that broke off, with all its relays, comes back empty
 
     def note(self, worker, now, report):
-        worker.tally = None
         if report is not None:
             worker.report, worker.reported, worker.memory = report, now, report.memory_busy
             told = report.waiting if report.in_hand is None else report.in_hand
@@ -115,11 +115,10 @@
         proves little. The task keeps its place: what goes out again is late and twice the work.
         """
         for relay, (worker, sent) in trail.out.items():
-            if worker.heard.get(task.track, -1) < sent:
-                again = (task.id, relay) in worker.late
-                booked = worker.late.setdefault((task.id, relay), False)
-                if not booked and (again or len(worker.late) > 1):
-                    worker.late[task.id, relay] = True
+            key = task.id, relay
+            if worker.heard.get(task.track, -1) < sent and not worker.late.get(key, False):
+                worker.late[key] = bool(worker.late)  # another is late there, or this one was before
+                if worker.late[key]:
                     self.book(worker, now, task.track, 1.0)
         self.hear_zones(now)
         return now + PATIENCE * self.usual(function)
@@ -129,9 +128,6 @@
 
         Guards against a whole zone cut off: found out worker by worker, each gateway would lose a task at
         every one. Harms a zone of few workers that all have long work; it is tried again in a while."""
-        late = {}
-        for worker in self.fleet:
-            heard = self.zone_heard.get(worker.zone, -1)
-            if any([self.hands[key][3] > heard for key in worker.late]):
-                late[worker.zone] = late.get(worker.zone, 0) + 1
-        self.silent.update({zone: now + RECENT for zone, count in late.items() if count >= ZONE_SILENT})
+        late = [(worker.zone, max(map(worker.out.get, worker.late))) for worker in self.fleet if worker.late]
+        unheard = Counter([zone for zone, sent in late if sent > self.zone_heard.get(zone, -1)])
+        self.silent.update({zone: now + RECENT for zone, count in unheard.items() if count >= ZONE_SILENT})
--- a/gaproute/decisions/route/measures.py
+++ b/gaproute/decisions/route/measures.py
@@ -3,7 +3,7 @@
 from hashlib import blake2b
 from statistics import median
 
-from gaproute.decisions.route.beliefs import LOAD_LIFE, LONG, LOOK, MIX, RECENT
+from gaproute.decisions.route.beliefs import LOAD_LIFE, LOOK, MIX, RECENT
 from gaproute.decisions.route.known import Known
 
 FADE = 4  # power of age over keep-alive: warmth stays above two thirds for three quarters of it
@@ -49,24 +49,16 @@
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
 
     def queued(self, worker, lanes, now):
-        """Tasks at the worker: its report and what was sent since, else own tasks in flight.
-
-        The parts are kept until something happens there, to spare CPU in a large fleet."""
-        if worker.tally is None or now > worker.tally_until:
-            report, told, share, own = worker.report, 0, 0.0, len(worker.out)
-            end = worker.reported + LOAD_LIFE
-            if report is not None and now <= end:
-                since = sum([sent > worker.reported for sent in worker.out.values()])
-                if report.in_hand is not None:
-                    told, own = report.in_hand + since, 0
-                elif report.waiting is not None:  # tells nothing of tasks at work: own ones stand for them
-                    told = report.waiting + own
-                elif report.cpu_busy is not None:
-                    told, share = since, report.cpu_busy
-            worker.tally = told, share, own
-            worker.tally_until = end if now <= end else LONG
-        told, share, own = worker.tally
-        return max(told + share * lanes, own)
+        """Tasks at the worker: its report and what was sent since, else own tasks in flight."""
+        report, own = worker.report, len(worker.out)
+        if report is None or now > worker.reported + LOAD_LIFE:
+            return own
+        since = sum([sent > worker.reported for sent in worker.out.values()])
+        if report.in_hand is not None:
+            return max(report.in_hand + since, 0)
+        if report.waiting is not None:  # tells nothing of tasks at work: own ones stand for them
+            return max(report.waiting, 0) + own
+        return max(since + (report.cpu_busy or 0.0) * lanes, own)
 
     def usual_load(self, now):
         """Median load over capacity by the last reports: it stands for a worker that told nothing lately."""
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -18,28 +18,26 @@
 
 
 class Score(Allowed):
-    def choose(self, now, task, trail):
-        track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        if trail.relays >= self.terms.relay_limit:
-            return None
-        resting = now < function.rests_until and not trail.failed
-        # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
-        able = self.fleet
-        if trail.first is not None or trail.out or now < self.all_warm_at:
-            holding = {worker.id for worker, _ in trail.out.values()}
-            able = [
-                worker
-                for worker in self.fleet
-                if worker.id not in holding
-                and (now >= worker.warm_at or worker.credit > 0)
-                and self.allowed(worker, track, trail, now)
-            ]
+    def able(self, now, task, trail, function, resting):
+        """The workers that may get the task now; all of the fleet where nothing speaks against any."""
+        track, able = self.tracks[task.track], self.fleet
+        if trail.relays or now < self.all_warm_at:
+            held = [worker for worker, _ in trail.out.values()]
+            able = [each for each in able if each not in held and self.allowed(each, track, trail, now)]
+            # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
+            able = [worker for worker in able if now >= worker.warm_at or worker.credit > 0]
         if trail.failed:
             able = [worker for worker in able if worker not in trail.failed] or able
             # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
             able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
         if resting:
             able = [each for each in able if now >= each.full_until and self.warmth(function, each, now) > 0]
+        return able
+
+    def choose(self, now, task, trail):
+        function = self.function(task.function, task.lanes)
+        resting = now < function.rests_until and not trail.failed
+        able = self.able(now, task, trail, function, resting)
         if not able:
             return None
         capacity = self.capacity if able is self.fleet else sum([worker.capacity for worker in able])
@@ -59,22 +57,22 @@
             # The order is such that none after this one can score more than `most` and an empty queue allow.
             if most + self.near - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
-            pace = worker.slow if now < worker.slow_until else 1.0
+            pace = worker.slowness(now)
             strength = worker.capacity / pace * (self.power(worker, now) if now < worker.warm_at else 1.0)
             if worker.memory is None and usual_memory is None:
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth /= pace
+            rank = ranks[worker.id]
+            fall = PRIOR_FALL ** (rank // width or OTHERS * (rank != self.own % width))
             score = (
                 worth * warmth
                 - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                 - MEMORY * (usual_memory if worker.memory is None else worker.memory)
-                + prior
-                * PRIOR_FALL ** ((rank := ranks[worker.id]) // width or OTHERS * (rank != self.own % width))
-                * (1 - warmth)
+                + prior * fall * (1 - warmth)
                 + (self.near if worker.zone == self.zone else 0.0)
+                - SHUN * doubts.get(worker.id, 0.0)
             )
-            score -= SHUN * doubts.get(worker.id, 0.0)
             scored.append((-score, worker.place))
             if now >= worker.warm_at:  # a cold one may yet be passed over
                 best = max(best, score)
@@ -100,15 +98,12 @@
         one is told it, and of the others the prior is all that they can have. It spares scoring those that
         cannot win, which in a large fleet are nearly all; the choice stays as if all were scored.
         """
-        every, warm = able is self.fleet, set()
-        members = None if every else {worker.id for worker in able}
+        names, warm = self.active if able is self.fleet else {worker.id for worker in able}, set()
         for name in function.seen:
             worker = self.workers[name]
-            if worker.active if every else name in members:
-                warmth = self.warmth(function, worker, now)
-                if warmth > 0:
-                    warm.add(name)
-                    yield worker, warmth, LONG
+            if name in names and (warmth := self.warmth(function, worker, now)) > 0:
+                warm.add(name)
+                yield worker, warmth, LONG
         for rank, worker in enumerate(function.order):
-            if worker.id not in warm and (every or worker.id in members):
+            if worker.id in names and worker.id not in warm:
                 yield worker, 0.0, prior * PRIOR_FALL ** (rank // width)
--- a/gaproute/decisions/route/task.py
+++ b/gaproute/decisions/route/task.py
@@ -4,6 +4,7 @@
 from gaproute.decisions.route.booked import Booked
 from gaproute.interface import Cancel, Decline, Effect, Order, Relay, Result, Scrap, Wait
 
+MOST_COPIES = 16  # of one function that one order asks a worker for
 PAUSE = 100 * MILLI  # between looks while a task waits for a worker: half an answer time, spares the CPU
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 
@@ -11,8 +12,7 @@
 class Serving(Booked):
     def serve(self, now, task):
         """One task, from acceptance to its one final answer."""
-        track, trail, came, why = self.tracks[task.track], Trail(), now, "nobody"
-        end = now + task.time_left - ANSWER_BY
+        track, trail = self.tracks[task.track], Trail()
         function = self.function(task.function, task.lanes)
         function.lanes, function.used = task.lanes, now
         if function.told:
@@ -21,47 +21,48 @@
         self.tenants.append(task.tenant)
         if now < self.all_warm_at and all([now < worker.warm_at for worker in self.fleet]):
             self.spread_credit(now)
-        if self.crowded(now, task, track):
-            yield Decline(self.advice(track), "crowded")
+        crowded = self.crowded(now, task, track)
+        why = "crowded" if crowded else (yield from self.attempts(now, task, track, function, trail))
+        for relay in trail.out if self.terms.cancel_allowed else ():
+            yield Cancel(relay)
+        if why is None:
             return
+        if trail.first is None or track.effect is Effect.PURE:
+            yield Decline(self.advice(track), why)
+        else:
+            yield Scrap()
+
+    def attempts(self, now, task, track, function, trail):
+        """Relays until the task has ended, then None, or until another would not help, then the reason."""
+        came, end, pure = now, now + task.time_left - ANSWER_BY, track.effect is Effect.PURE
         give_up, look = now + track.contract_time, now  # and when to look for a worker again
         while now < min(end, self.end_by):
             if now >= look:
                 worker = self.choose(now, task, trail)
                 if worker is not None and not trail.relays and self.shed(now, task, track, worker):
-                    why = "queue"
-                    break
+                    return "queue"
                 if worker is not None:
                     relay = yield Relay(worker.id, self.begin_by(track, trail, end))
                     look = self.sent(now, task, relay, worker, trail)
                 elif trail.out:
                     look = now + self.usual(function)
-                elif (
-                    now >= give_up
-                    or trail.relays >= self.terms.relay_limit
-                    or not any(self.allowed(worker, track, trail, now) for worker in self.fleet)
-                ):
-                    break
+                elif now >= give_up or not any(self.allowed(each, track, trail, now) for each in self.fleet):
+                    return "nobody"
                 else:
                     look = now + PAUSE
             now, outcome = yield Wait(min(look, end, give_up if now < give_up else end))
             if outcome is None:
                 # Late work holds up the rest of a crowded fleet and earns little: it makes room where it may.
-                if (
-                    trail.out
-                    and now >= give_up
-                    and track.effect is Effect.PURE
-                    and self.crowded(now, task, track)
-                ):
-                    why = "late"
-                    break
+                if trail.out and now >= give_up and pure and self.crowded(now, task, track):
+                    return "late"
                 if trail.out and look <= now < end:
                     look = self.overdue(now, task, trail, function)
                 continue
             if outcome.result is Result.BEGUN:
                 while not outcome.ended:  # a begun stream has no deadline; nothing else may be started
                     now, outcome = yield Wait(now + SECOND)
-                return
+                trail.out.clear()  # it is not cancelled
+                return None
             if outcome.relay in trail.out:
                 held, _ = trail.out[outcome.relay]
                 trail.settle(outcome.relay, outcome.result)
@@ -70,31 +71,22 @@
                     self.sharing.task()
                     yield from self.more_copies(now, task, function, held, outcome)
             if outcome.ended:
-                for relay in trail.out if self.terms.cancel_allowed else ():
-                    yield Cancel(relay)
-                return
+                return None
             look = now
             if outcome.result is Result.FULL and not trail.out and self.crowded(now, task, track):
-                why = "full"
-                break  # one refusal in a full fleet is proof enough; the client is told at once
+                return "full"  # one refusal in a full fleet is proof enough; the client is told at once
             if outcome.result is Result.MISS and held.active and self.may_order(now, function):
                 self.ordered(now, function)
                 yield Order(held.id, task.function, 1)
                 function.seen[held.id] = now
                 look = now + outcome.took  # the order is there once a round trip has passed
-        for relay in trail.out if self.terms.cancel_allowed else ():
-            yield Cancel(relay)
-        if trail.first is None or track.effect is Effect.PURE:
-            yield Decline(self.advice(track), why)
-        else:
-            yield Scrap()
+        return "nobody"
 
     def more_copies(self, now, task, function, worker, outcome):
         """Order one more copy where tasks of the function outnumber the lanes of those that stand: serves hot
         functions where only orders add copies; elsewhere it finds them standing (see `Ration.worth`)."""
-        if outcome.alike is None or outcome.alike < task.lanes or not worker.active:
-            return
-        copies = min(16, outcome.alike // task.lanes + 1)
-        if self.ration.worth(self.chance) and self.may_order(now, function):
+        alike = outcome.alike or 0
+        wanted = worker.active and alike >= task.lanes and self.ration.worth(self.chance)
+        if wanted and self.may_order(now, function):
             self.ordered(now, function)
-            yield Order(worker.id, task.function, copies)
+            yield Order(worker.id, task.function, min(MOST_COPIES, alike // task.lanes + 1))
--- a/gaproute/decisions/route/tidy.py
+++ b/gaproute/decisions/route/tidy.py
@@ -29,10 +29,9 @@
             if now - tidied >= TIDY:
                 tidied = now
                 self.forget()
-                self.functions = {
-                    name: function
-                    for name, function in self.functions.items()
-                    if function.ordered or now - function.used <= 4 * self.keep_alive
-                }
+                stale = now - 4 * self.keep_alive
+                for name, function in list(self.functions.items()):
+                    if function.used < stale and not function.ordered:
+                        del self.functions[name]
             rest = PROBE_EVERY // max(1, len(self.fleet)) if self.sharing.may() else PAUSE
             now, _ = yield Wait(now + (rest if self.probing else TIDY))
--- a/gaproute/decisions/route/wait.py
+++ b/gaproute/decisions/route/wait.py
@@ -27,18 +27,18 @@
         if len(self.answers) < FLOWS // 2:
             return False
         if now - self.counted >= LOOK:
-            self.counted, self.in_hand = now, 0
-            for key, (name, _, of, _, warm) in self.hands.items():
-                worker = self.workers[name]
-                self.in_hand += (
-                    warm
-                    and (worker.slow <= 1 or now >= worker.slow_until)
-                    and key not in worker.late
-                    and self.doubt(worker, of, now) < 0.5
-                )
+            self.counted = now
+            self.in_hand = sum([self.counts(now, key, hand) for key, hand in self.hands.items()])
         flow = len(self.answers) / max(now - self.answers[0], 1)
         return self.in_hand >= SHED_FLOOR and self.in_hand / flow > self.bearable(task, track)
 
+    def counts(self, now, key, hand):
+        """Whether a relay in hand waits for a standing copy, at a worker that answers as usual."""
+        name, _, track, _, warm = hand
+        worker = self.workers[name]
+        prompt = warm and key not in worker.late and worker.slowness(now) <= 1
+        return prompt and self.doubt(worker, track, now) < 0.5
+
     def bearable(self, task, track):
         """The longest expected wait for which a task is taken: half of it where it earns nothing."""
         value = track.earnings / self.top_earnings
--- a/gaproute/standins/baselines.py
+++ b/gaproute/standins/baselines.py
@@ -9,8 +9,6 @@
 
     def choose(self, now, task, trail):
         track = self.tracks[task.track]
-        if trail.relays >= self.relay_limit:
-            return None
         able = [
             worker
             for worker in self.fleet
