Workers are ranked for a function only as deep as choices ask for

Each function kept the rendezvous hash's order of the whole fleet and made it anew at each list: memory grew with functions times hosts.

Now the first 32 workers are ranked, or a sixteenth of the fleet, four times as many where these do not settle a choice, and all where a warm worker is deeper; a function stays as deep as it was asked for. A list that leaves the same workers (a renewed or restarted line) keeps all ranks. Hints order the workers told by their keys alone. A worker that is gone has no warmth, which spares the choice a second way to leave it out.

test_warm_with_a_free_lane_beats_cold_idle_at_any_memory_gap set ranks without an order, so that the cold worker was never scored; it sets both now.

--- a/benchmarks/fleet/parted.py
+++ b/benchmarks/fleet/parted.py
@@ -63,7 +63,7 @@
 
     def scores(self, now, task, trail, function, able):
         capacity = self.capacity if able is self.fleet else sum([worker.capacity for worker in able])
-        ranks, usual_memory = self.ranks(task.function, function), None
+        usual_memory = None
         lanes = max(task.lanes, policy.ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
@@ -76,11 +76,10 @@
                 doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
         best, scored = None, []
         least = self.near - policy.QUEUE / (lanes * self.strongest) + self.slack
-        for worker, warmth, most in self.contenders(now, function, able, prior, width):
+        for worker, warmth, rank, most in self.contenders(now, task.function, function, able, prior, width):
             if best is not None and most + least < best - policy.NIL:
                 break
-            rank = ranks[worker.id]
-            pace = worker.slowness(now)
+            pace = worker.slow if now < worker.slow_until else 1.0
             strength = worker.capacity / pace
             if now < worker.warm_at:
                 strength *= self.power(worker, now)
--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -35,7 +35,7 @@
         self.results = []  # (time, track, harm: 0 if good, 1 if unanswered), the last of each track
         self.paces = deque(maxlen=KEPT)  # (time, answer time over the function's usual)
         self.bad = 0  # of the results
-        self.slow, self.slow_until = 1.0, -1  # the pace at the last answer; see `slowness`
+        self.slow, self.slow_until = 1.0, -1  # the pace at the last answer
         self.report, self.reported, self.memory = None, -LOAD_LIFE, None
         self.credit, self.credited = 0.0, 0  # chance of a relay to it while cold; when last raised
         self.full_until = -1  # it turned a task away; nothing more until then
@@ -45,10 +45,6 @@
         self.zone, self.cell, self.capacity = row.zone, row.cell, max(row.capacity, 1e-3)
         self.active = row.state is State.ACTIVE
 
-    def slowness(self, now):
-        """Times slower than usual it answers, by the last pace measured."""
-        return self.slow if now < self.slow_until else 1.0
-
 
 class Function:
     """What this gateway knows of one function."""
@@ -60,7 +56,7 @@
         self.told = {}  # worker: when others saw a copy there; not yet considered
         self.times = deque(maxlen=KEPT)  # answer times where a copy stood
         self.ordered, self.since = False, 0  # an order is open; when the last one went
-        self.ranks, self.order, self.ranked_for = {}, [], -1  # worker: its rank; the workers by rank
+        self.ranks, self.order, self.ranked_for = {}, [], -1  # worker: its rank; the first workers by rank
         self.used, self.rests_until = 0, -1
         self.answered = -1  # when a copy of it was last seen anywhere
 
--- a/gaproute/decisions/route/hints.py
+++ b/gaproute/decisions/route/hints.py
@@ -44,15 +44,16 @@
         nearly everywhere, so that any hint of it proves right. The hash's first choice is tried where it was
         told, else one of its next.
         """
-        ranks, told, function.told = self.ranks(name, function), function.told, {}
-        order = sorted([worker for worker in told if worker in ranks], key=ranks.get)
+        told, function.told = function.told, {}
+        held = [self.workers[worker] for worker in told if worker in self.workers]
+        order = [worker for _, worker in sorted(self.keys(name, [each for each in held if each.active]))]
         if function.stands or not order or self.wrong >= MISLED:
             return
         self.trials = {key: at for key, at in self.trials.items() if now - at < RECENT}
         if len(self.trials) >= TRIALS:
             function.told = told  # its turn comes with a later task
             return
-        some = 1 if ranks[order[0]] == 0 else max(2, int(WIDE * self.breadth(name)))
+        some = 1 if self.ranks(name, function).get(order[0]) == 0 else max(2, int(WIDE * self.breadth(name)))
         worker = order[self.chance.below(min(some, len(order)))]  # not all gateways try the same
         self.trials[name, worker] = now
         function.seen.setdefault(worker, told[worker])
--- a/gaproute/decisions/route/known.py
+++ b/gaproute/decisions/route/known.py
@@ -23,7 +23,6 @@
         self.top_earnings = max((track.earnings for track in terms.tracks), default=1.0)
         self.shortest = min((track.contract_time for track in terms.tracks), default=SECOND)
         self.workers, self.fleet = {}, []  # all that were ever listed; the active ones
-        self.active = set()  # ids of the active ones
         self.capacity, self.strongest, self.all_warm_at = 0, 1.0, -1  # in all, the most; when none is cold
         self.functions, self.list_version, self.end_by = {}, 0, LONG  # of every task: the process stops
         self.zone_heard, self.silent = {}, {}  # zone: last sign of life; until when it is taken for silent
@@ -49,15 +48,15 @@
         named = {row.worker for row in rows}
         for worker in self.workers.values() if complete else ():
             worker.active = worker.active and worker.id in named
-        self.fleet = [worker for worker in self.workers.values() if worker.active]
-        self.active = {worker.id for worker in self.fleet}
+        fleet = [worker for worker in self.workers.values() if worker.active]
+        if fleet != self.fleet:  # what came anew for the same workers leaves their ranks as they are
+            self.fleet, self.list_version = fleet, self.list_version + 1
         for place, worker in enumerate(self.fleet):
             worker.place = place
         self.capacity = sum([worker.capacity for worker in self.fleet])
         self.sharing.words.listed([worker.id for worker in self.fleet])
         self.strongest = max([worker.capacity for worker in self.fleet], default=1.0)
         self.all_warm_at = max([worker.warm_at for worker in self.fleet], default=-1)
-        self.list_version += 1
 
     def list_refused(self, now):
         self.asks_list = True
--- a/gaproute/decisions/route/measures.py
+++ b/gaproute/decisions/route/measures.py
@@ -1,6 +1,7 @@
 """Measures of workers and functions, by which the rooms above judge."""
 
 from hashlib import blake2b
+from heapq import nsmallest
 from statistics import median
 
 from gaproute.decisions.route.beliefs import LOAD_LIFE, LOOK, MIX, RECENT
@@ -10,6 +11,7 @@
 SUSPECT = 0.4  # share of bad results below which none is doubted: chance and lost answers strike all
 BELIEF = 1.0  # good samples granted to each worker: one failure alone halves its worth, no more
 FIRST_GUESS = 0.25  # of the contract time: usual answer time before any was seen
+RANKED, PART = 32, 16  # workers ranked at first, or one in so many: deeper ones are seldom asked for
 SLOW = 1.5  # times slower than usual before it counts: kinds of machine and work differ by as much
 
 
@@ -31,7 +33,7 @@
 
     def warmth(self, function, worker, now):
         last = function.seen.get(worker.id)
-        if last is None or last < worker.wiped:
+        if last is None or last < worker.wiped or not worker.active:
             return 0.0
         return max(0.0, 1.0 - ((now - last) / self.keep_alive) ** FADE)
 
@@ -87,14 +89,16 @@
             self.doubts[worker.id, track] = doubt
         return doubt
 
-    def ranks(self, name, function):
-        """A stable hash's order of the workers for a function: the same at every gateway and restart."""
-        if function.ranked_for != self.list_version:
-            order = sorted(
-                (blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
-                for worker in self.fleet
-            )
-            function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
-            function.order = [self.workers[worker] for _, worker in order]
+    def keys(self, name, workers):
+        """(key, id) of each by rendezvous hashing: their order is the same at every gateway and restart."""
+        return [(blake2b(f"{name} {each.id}".encode(), digest_size=8).digest(), each.id) for each in workers]
+
+    def ranks(self, name, function, depth=RANKED):
+        """Ranks of a function's first workers, `depth` of them or more: few are needed in a large fleet."""
+        if function.ranked_for != self.list_version or len(function.order) < min(depth, len(self.fleet)):
+            depth = max(depth, len(self.fleet) // PART, len(function.order))
+            first = nsmallest(depth, self.keys(name, self.fleet))
+            function.order = [self.workers[worker] for _, worker in first]
+            function.ranks = {worker: rank for rank, (_, worker) in enumerate(first)}
             function.ranked_for = self.list_version
         return function.ranks
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -12,6 +12,7 @@
 PRIOR = 2.0  # points for the stable hash's first choice: a third of a copy's, which is kept
 PRIOR_HOT = 3.3  # the same for a hot function, kept loaded by others: warm with a free lane still wins
 PRIOR_FALL = 0.85  # of PRIOR, from each choice to the next: gateways agree on where to spill, ten deep
+DEEPER = 4  # times as many workers are ranked where those ranked so far did not settle a choice
 OTHERS = 0.45  # of a step of it, for first choices that count alike but are other gateways' own
 SHUN = 12.0  # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 NIL = 1e-9  # points below which two sums of the same terms may differ by rounding alone
@@ -41,7 +42,6 @@
         if not able:
             return None
         capacity = self.capacity if able is self.fleet else sum([worker.capacity for worker in able])
-        ranks, usual_memory = self.ranks(task.function, function), None
         lanes = max(task.lanes, ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
@@ -52,18 +52,17 @@
         for zone, until in self.silent.items():
             if now < until or trail.failed:
                 doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
-        best, scored = -LONG, []
-        for worker, warmth, most in self.contenders(now, function, able, prior, width):
+        best, scored, usual_memory = -LONG, [], None
+        for worker, warmth, rank, most in self.contenders(now, task.function, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
             if most + self.near - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
-            pace = worker.slowness(now)
+            pace = worker.slow if now < worker.slow_until else 1.0
             strength = worker.capacity / pace * (self.power(worker, now) if now < worker.warm_at else 1.0)
             if worker.memory is None and usual_memory is None:
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth /= pace
-            rank = ranks[worker.id]
             fall = PRIOR_FALL ** (rank // width or OTHERS * (rank != self.own % width))
             score = (
                 worth * warmth
@@ -91,19 +90,24 @@
             return worker if now >= worker.full_until else None
         return self.choose(now, task, trail)  # all were cold and passed over: those not asked so far
 
-    def contenders(self, now, function, able, prior, width):
-        """The able workers as (worker, warmth, most): those believed warm, then the others by rank.
+    def contenders(self, now, name, function, able, prior, width):
+        """The able workers as (worker, warmth, rank, most): those believed warm, then the others by rank.
 
         `most` is a bound on the score of this one and all that follow, but for the cost of a queue: no warm
         one is told it, and of the others the prior is all that they can have. It spares scoring those that
         cannot win, which in a large fleet are nearly all; the choice stays as if all were scored.
         """
-        names, warm = self.active if able is self.fleet else {worker.id for worker in able}, set()
-        for name in function.seen:
-            worker = self.workers[name]
-            if name in names and (warmth := self.warmth(function, worker, now)) > 0:
-                warm.add(name)
-                yield worker, warmth, LONG
-        for rank, worker in enumerate(function.order):
-            if worker.id in names and worker.id not in warm:
-                yield worker, 0.0, prior * PRIOR_FALL ** (rank // width)
+        ranks = self.ranks(name, function)
+        done = set() if able is self.fleet else set(self.fleet).difference(able)
+        for seen in function.seen:
+            worker = self.workers[seen]
+            if worker not in done and (warmth := self.warmth(function, worker, now)) > 0:
+                if seen not in ranks:
+                    ranks = self.ranks(name, function, len(self.fleet))
+                done.add(worker)
+                yield worker, warmth, ranks[seen], LONG
+        for rank in range(len(self.fleet)):
+            if rank == len(function.order):
+                self.ranks(name, function, DEEPER * rank)
+            if (worker := function.order[rank]) not in done:
+                yield worker, 0.0, rank, prior * PRIOR_FALL ** (rank // width)
--- a/gaproute/decisions/route/sharing.py
+++ b/gaproute/decisions/route/sharing.py
@@ -19,9 +19,8 @@
     def __init__(self, terms):
         self.words = Words(terms.reported)
         self.tells = terms.peers_allowed and terms.gateways > 1 and bool(self.words.figures)
-        price = terms.probe_price
-        if self.tells:
-            price += terms.peer_price * terms.gateways * self.words.size / MESSAGE
+        telling = terms.peer_price * terms.gateways * self.words.size / MESSAGE
+        price = terms.probe_price + (telling if self.tells else 0.0)
         self.free, self.each = price <= 0, WORTH / price if price > 0 else 0.0
         self.due = 0.0  # probes that the tasks so far have paid for
 
--- a/gaproute/decisions/route/task.py
+++ b/gaproute/decisions/route/task.py
@@ -6,6 +6,7 @@
 
 MOST_COPIES = 16  # of one function that one order asks a worker for
 PAUSE = 100 * MILLI  # between looks while a task waits for a worker: half an answer time, spares the CPU
+STAY_AWAY = 1.0  # of the contract time: advice to a declined client
 ANSWER_BY = 4 * MILLI  # before the time is up: the final answer leaves a tick early
 
 
@@ -28,7 +29,7 @@
         if why is None:
             return
         if trail.first is None or track.effect is Effect.PURE:
-            yield Decline(self.advice(track), why)
+            yield Decline(min(self.terms.advice_limit, int(STAY_AWAY * track.contract_time)), why)
         else:
             yield Scrap()
 
--- a/gaproute/decisions/route/wait.py
+++ b/gaproute/decisions/route/wait.py
@@ -11,7 +11,6 @@
 SHED_SLOPE = 3  # power of bearable over expected wait: at twice the bearable one in eight is taken
 SHED_FLOOR = 8  # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2  # of the last outcomes here are refusals: the fleet is full
-STAY_AWAY = 1.0  # of the contract time: advice to a declined client
 
 
 class Waits(Score):
@@ -36,7 +35,7 @@
         """Whether a relay in hand waits for a standing copy, at a worker that answers as usual."""
         name, _, track, _, warm = hand
         worker = self.workers[name]
-        prompt = warm and key not in worker.late and worker.slowness(now) <= 1
+        prompt = warm and key not in worker.late and (worker.slow <= 1 or now >= worker.slow_until)
         return prompt and self.doubt(worker, track, now) < 0.5
 
     def bearable(self, task, track):
@@ -59,6 +58,3 @@
         wait = median(drains) * load if len(drains) >= KEPT and load * worker.capacity >= ROOM else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
-
-    def advice(self, track):
-        return min(self.terms.advice_limit, int(STAY_AWAY * track.contract_time))
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -29,6 +29,7 @@
     warm, cold = made.workers["a"], made.workers["b"]
     function = made.function("f", 4)
     function.ranks, function.ranked_for = {"b": 0, "c": 1, "a": 2}, made.list_version
+    function.order = [made.workers[name] for name in function.ranks]
     function.seen["a"] = 0
     now = int(age)
     for number in range(3):
