A function's name is hashed once for all keys of its workers

Ranking a function's workers made a hash of name and worker for each: the name's state is now copied, which gives the same keys.

--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -33,8 +33,6 @@
         the warm peers when fewer are warm: then answers of cold ones earn too, up to one for one with none
         warm; the first then come of tasks (`by` none). As nobody is told how they gain, none counts for more
         than what it surely bears. What is unspent fades, lest many gateways save up a burst."""
-        if now >= self.all_warm_at:
-            return
         cold, half = [worker for worker in self.fleet if now < worker.warm_at], len(self.fleet) / 2
         warm, most = len(self.fleet) - len(cold), SAFE * self.terms.cold_multiple * self.terms.cold_share
         each = max(0.0, 1 - warm / half) / max(1, len(cold)) if by else FIRST * self.terms.cold_share / half
--- a/gaproute/decisions/route/booked.py
+++ b/gaproute/decisions/route/booked.py
@@ -39,8 +39,7 @@
         function = self.function(task.function, task.lanes)
         warm = self.warmth(function, worker, now) > 0 and function.stands.get(worker.id, -1) >= worker.wiped
         usual = self.usual(function)
-        contract = self.tracks[task.track].contract_time
-        due = now + min(PATIENCE * usual, max(2 * usual, contract - 2 * usual))
+        due = now + min(PATIENCE * usual, max(2 * usual, self.tracks[task.track].contract_time - 2 * usual))
         if not warm:
             due += LOAD_PATIENCE * self.load_usual(task.load_time)
         worker.out[task.id, relay] = now
@@ -74,7 +73,8 @@
             worker.full_until = -1
             if warm:
                 self.answers.append(now)
-            self.spread_credit(now, worker)
+            if now < self.all_warm_at:
+                self.spread_credit(now, worker)
             if sent >= worker.wiped:
                 function.seen[worker.id] = function.stands[worker.id] = function.answered = now
             self.verify(name, worker.id, outcome.found)
--- a/gaproute/decisions/route/measures.py
+++ b/gaproute/decisions/route/measures.py
@@ -91,7 +91,12 @@
 
     def keys(self, name, workers):
         """(key, id) of each by rendezvous hashing: their order is the same at every gateway and restart."""
-        return [(blake2b(f"{name} {each.id}".encode(), digest_size=8).digest(), each.id) for each in workers]
+        hasher, keys = blake2b(f"{name} ".encode(), digest_size=8), []
+        for worker in workers:
+            key = hasher.copy()
+            key.update(worker.id.encode())
+            keys.append((key.digest(), worker.id))
+        return keys
 
     def ranks(self, name, function, depth=RANKED):
         """Ranks of a function's first workers, `depth` of them or more: few are needed in a large fleet."""
--- a/gaproute/decisions/route/tidy.py
+++ b/gaproute/decisions/route/tidy.py
@@ -29,9 +29,7 @@
             if now - tidied >= TIDY:
                 tidied = now
                 self.forget()
-                stale = now - 4 * self.keep_alive
-                for name, function in list(self.functions.items()):
-                    if function.used < stale and not function.ordered:
-                        del self.functions[name]
+                known, since = self.functions.items(), now - 4 * self.keep_alive
+                self.functions = {name: of for name, of in known if of.ordered or of.used >= since}
             rest = PROBE_EVERY // max(1, len(self.fleet)) if self.sharing.may() else PAUSE
             now, _ = yield Wait(now + (rest if self.probing else TIDY))
