--- a/gaproute/decisions/route/wait.py
+++ b/gaproute/decisions/route/wait.py
@@ -11,7 +11,6 @@
 SHED_SLOPE = 3  # power of bearable over expected wait: at twice the bearable one in eight is taken
 SHED_FLOOR = 8  # tasks in hand below which nothing is declined: fewer say nothing of a pace
 FULL_FLEET = 1 / 2  # of the last outcomes here are refusals: the fleet is full
-STAY_AWAY = 1.0  # of the contract time: advice to a declined client
 
 
 class Waits(Score):
@@ -27,18 +26,18 @@
         if len(self.answers) < FLOWS // 2:
             return False
         if now - self.counted >= LOOK:
-            self.counted, self.in_hand = now, 0
-            for key, (name, _, of, _, warm) in self.hands.items():
-                worker = self.workers[name]
-                self.in_hand += (
-                    warm
-                    and (worker.slow <= 1 or now >= worker.slow_until)
-                    and key not in worker.late
-                    and self.doubt(worker, of, now) < 0.5
-                )
+            self.counted = now
+            self.in_hand = sum([self.counts(now, key, hand) for key, hand in self.hands.items()])
         flow = len(self.answers) / max(now - self.answers[0], 1)
         return self.in_hand >= SHED_FLOOR and self.in_hand / flow > self.bearable(task, track)
 
+    def counts(self, now, key, hand):
+        """Whether a relay in hand waits for a standing copy, at a worker that answers as usual."""
+        name, _, track, _, warm = hand
+        worker = self.workers[name]
+        prompt = warm and key not in worker.late and (worker.slow <= 1 or now >= worker.slow_until)
+        return prompt and self.doubt(worker, track, now) < 0.5
+
     def bearable(self, task, track):
         """The longest expected wait for which a task is taken: half of it where it earns nothing."""
         value = track.earnings / self.top_earnings
@@ -59,6 +58,3 @@
         wait = median(drains) * load if len(drains) >= KEPT and load * worker.capacity >= ROOM else 0
         bearable = SHED_QUEUE * self.bearable(task, track)
         return wait > bearable and self.chance.below(SECOND) > (bearable / wait) ** SHED_SLOPE * SECOND
-
-    def advice(self, track):
-        return min(self.terms.advice_limit, int(STAY_AWAY * track.contract_time))
