Proof of attempts: one that may have run still binds after an earlier one is disproved

Cause, seen by reading and reproduced: with two attempts out, the later one ends unproven, then the first is proven not to have run: Trail.settle took the earliest of those still out, so none was left and a deduplicated task could leave its group or be declined as harmless (beliefs.py, settle).

--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -65,15 +65,15 @@
     """What the relays of one task prove so far."""
 
     def __init__(self):
-        self.out = {}  # relay: (worker, sent)
+        self.out, self.ended = {}, []  # relay: (worker, sent); those ended of which each may have run
         self.first = None  # (worker, sent) of the first relay that may have run or may yet
         self.failed = []  # workers that failed it
         self.relays = 0
 
     def settle(self, relay, result):
         worker, sent = self.out.pop(relay)
-        if result in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
-            if self.first == (worker, sent):  # proven not to have run: it binds the task no longer
-                self.first = min(self.out.values(), key=lambda o: o[1], default=None)
+        if result not in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
+            self.ended.append((worker, sent))  # what is proven not to have run binds the task no longer
+        self.first = min([*self.ended, *self.out.values()], key=lambda each: each[1], default=None)
         if result is not Result.MISS:
             self.failed.append(worker)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -94,6 +94,28 @@
     assert trail.first == (made.workers["b"], 5)
 
 
+@pytest.mark.parametrize("result", MAY_HAVE_RUN)
+def test_a_relay_that_may_have_run_binds_the_task_after_an_earlier_one_is_disproved(result):
+    made = gateway(row("a"), row("b"), row("other", cell=1))
+    track, trail = RECEIPTED._replace(group=face.Group.CELL), Trail()
+    for relay, name in enumerate("ab"):
+        made.sent(relay, task(track=1), relay, made.workers[name], trail)
+    trail.settle(1, result)
+    trail.settle(0, Result.FULL)
+    assert trail.first == (made.workers["b"], 1)
+    assert not made.allowed(made.workers["other"], track, trail, 2)
+
+
+def test_a_begun_stream_that_rests_for_over_a_second_goes_on():
+    made = gateway()
+    drive = Drive(made, task())
+    drive.hears(MILLI, Result.BEGUN)
+    drive.late(MILLI + SECOND)
+    assert not drive.ended
+    drive.hears(2 * SECOND, Result.OK)
+    assert drive.ended and drive.wishes == []
+
+
 def test_no_second_relay_out_where_forbidden():
     made = gateway(twins_allowed=False)
     assert not made.allowed(made.workers["b"], PURE, trail_with(made, None, still_out=True), 1)
