--- a/gaproute/decisions/route/allowed.py
+++ b/gaproute/decisions/route/allowed.py
@@ -12,7 +12,8 @@
 class Allowed(Hints):
     def allowed(self, worker, track, trail, now):
         """The rules on further relays, strictly by track; a relay still out may have run."""
-        if not worker.active or trail.out and not self.terms.twins_allowed:
+        barred = trail.relays >= self.terms.relay_limit or trail.out and not self.terms.twins_allowed
+        if barred or not worker.active:
             return False
         if trail.first is None or track.effect is Effect.PURE:
             return True
@@ -32,8 +33,6 @@
         the warm peers when fewer are warm: then answers of cold ones earn too, up to one for one with none
         warm; the first then come of tasks (`by` none). As nobody is told how they gain, none counts for more
         than what it surely bears. What is unspent fades, lest many gateways save up a burst."""
-        if now >= self.all_warm_at:
-            return
         cold, half = [worker for worker in self.fleet if now < worker.warm_at], len(self.fleet) / 2
         warm, most = len(self.fleet) - len(cold), SAFE * self.terms.cold_multiple * self.terms.cold_share
         each = max(0.0, 1 - warm / half) / max(1, len(cold)) if by else FIRST * self.terms.cold_share / half
--- a/gaproute/decisions/route/known.py
+++ b/gaproute/decisions/route/known.py
@@ -48,14 +48,15 @@
         named = {row.worker for row in rows}
         for worker in self.workers.values() if complete else ():
             worker.active = worker.active and worker.id in named
-        self.fleet = [worker for worker in self.workers.values() if worker.active]
+        fleet = [worker for worker in self.workers.values() if worker.active]
+        if fleet != self.fleet:  # what came anew for the same workers leaves their ranks as they are
+            self.fleet, self.list_version = fleet, self.list_version + 1
         for place, worker in enumerate(self.fleet):
             worker.place = place
         self.capacity = sum([worker.capacity for worker in self.fleet])
         self.sharing.words.listed([worker.id for worker in self.fleet])
         self.strongest = max([worker.capacity for worker in self.fleet], default=1.0)
         self.all_warm_at = max([worker.warm_at for worker in self.fleet], default=-1)
-        self.list_version += 1
 
     def list_refused(self, now):
         self.asks_list = True
--- a/gaproute/decisions/route/measures.py
+++ b/gaproute/decisions/route/measures.py
@@ -1,15 +1,17 @@
 """Measures of workers and functions, by which the rooms above judge."""
 
 from hashlib import blake2b
+from heapq import nsmallest
 from statistics import median
 
-from gaproute.decisions.route.beliefs import LOAD_LIFE, LONG, LOOK, MIX, RECENT
+from gaproute.decisions.route.beliefs import LOAD_LIFE, LOOK, MIX, RECENT
 from gaproute.decisions.route.known import Known
 
 FADE = 4  # power of age over keep-alive: warmth stays above two thirds for three quarters of it
 SUSPECT = 0.4  # share of bad results below which none is doubted: chance and lost answers strike all
 BELIEF = 1.0  # good samples granted to each worker: one failure alone halves its worth, no more
 FIRST_GUESS = 0.25  # of the contract time: usual answer time before any was seen
+RANKED, PART = 32, 16  # workers ranked at first, or one in so many: deeper ones are seldom asked for
 SLOW = 1.5  # times slower than usual before it counts: kinds of machine and work differ by as much
 
 
@@ -31,7 +33,7 @@
 
     def warmth(self, function, worker, now):
         last = function.seen.get(worker.id)
-        if last is None or last < worker.wiped:
+        if last is None or last < worker.wiped or not worker.active:
             return 0.0
         return max(0.0, 1.0 - ((now - last) / self.keep_alive) ** FADE)
 
@@ -49,24 +51,16 @@
         return max(1.0, median(recent) / SLOW) if len(recent) > 2 else 1.0
 
     def queued(self, worker, lanes, now):
-        """Tasks at the worker: its report and what was sent since, else own tasks in flight.
-
-        The parts are kept until something happens there, to spare CPU in a large fleet."""
-        if worker.tally is None or now > worker.tally_until:
-            report, told, share, own = worker.report, 0, 0.0, len(worker.out)
-            end = worker.reported + LOAD_LIFE
-            if report is not None and now <= end:
-                since = sum([sent > worker.reported for sent in worker.out.values()])
-                if report.in_hand is not None:
-                    told, own = report.in_hand + since, 0
-                elif report.waiting is not None:  # tells nothing of tasks at work: own ones stand for them
-                    told = report.waiting + own
-                elif report.cpu_busy is not None:
-                    told, share = since, report.cpu_busy
-            worker.tally = told, share, own
-            worker.tally_until = end if now <= end else LONG
-        told, share, own = worker.tally
-        return max(told + share * lanes, own)
+        """Tasks at the worker: its report and what was sent since, else own tasks in flight."""
+        report, own = worker.report, len(worker.out)
+        if report is None or now > worker.reported + LOAD_LIFE:
+            return own
+        since = sum([sent > worker.reported for sent in worker.out.values()])
+        if report.in_hand is not None:
+            return max(report.in_hand + since, 0)
+        if report.waiting is not None:  # tells nothing of tasks at work: own ones stand for them
+            return max(report.waiting, 0) + own
+        return max(since + (report.cpu_busy or 0.0) * lanes, own)
 
     def usual_load(self, now):
         """Median load over capacity by the last reports: it stands for a worker that told nothing lately."""
@@ -95,14 +89,21 @@
             self.doubts[worker.id, track] = doubt
         return doubt
 
-    def ranks(self, name, function):
-        """A stable hash's order of the workers for a function: the same at every gateway and restart."""
-        if function.ranked_for != self.list_version:
-            order = sorted(
-                (blake2b(f"{name} {worker.id}".encode(), digest_size=8).digest(), worker.id)
-                for worker in self.fleet
-            )
-            function.ranks = {worker: rank for rank, (_, worker) in enumerate(order)}
-            function.order = [self.workers[worker] for _, worker in order]
+    def keys(self, name, workers):
+        """(key, id) of each by rendezvous hashing: their order is the same at every gateway and restart."""
+        hasher, keys = blake2b(f"{name} ".encode(), digest_size=8), []
+        for worker in workers:
+            key = hasher.copy()
+            key.update(worker.id.encode())
+            keys.append((key.digest(), worker.id))
+        return keys
+
+    def ranks(self, name, function, depth=RANKED):
+        """Ranks of a function's first workers, `depth` of them or more: few are needed in a large fleet."""
+        if function.ranked_for != self.list_version or len(function.order) < min(depth, len(self.fleet)):
+            depth = max(depth, len(self.fleet) // PART, len(function.order))
+            first = nsmallest(depth, self.keys(name, self.fleet))
+            function.order = [self.workers[worker] for _, worker in first]
+            function.ranks = {worker: rank for rank, (_, worker) in enumerate(first)}
             function.ranked_for = self.list_version
         return function.ranks
