--- a/benchmarks/scale/budget.py
+++ b/benchmarks/scale/budget.py
@@ -15,7 +15,9 @@
 
 @dataclass(frozen=True)
 class Verdict:
-    """A row with what was predicted; `predicted` and `factor` are None where the mechanism is missing."""
+    """A row with what was predicted; `predicted` and `factor` are None where the mechanism is missing.
+
+    Beyond a bound in the code `factor` is at least how many times the size lies beyond it."""
 
     row: Row
     predicted: float | None
@@ -36,7 +38,11 @@
     found = fit(Measurement.load(row.measurement, folder))
     predicted = found.predict(row.at) * row.multiplier
     factor = predicted / row.budget
-    state = "exists" if factor <= 1 else _up_to(found, row)
+    if row.cap is not None and row.cap < row.at:
+        factor = max(factor, row.at / row.cap)
+        state = f"exists to {number(row.cap)}"
+    else:
+        state = "exists" if factor <= 1 else _up_to(found, row)
     return Verdict(row, predicted, factor, state, found.stretch(row.at))
 
 
--- a/benchmarks/scale/measurement.py
+++ b/benchmarks/scale/measurement.py
@@ -8,6 +8,7 @@
 MEASURED = Path(__file__).parents[2] / "docs" / "measured" / "scale"
 LEAST_SIZES = 4
 PLAYS = 3
+UNITS = ("ms", "ms/s", "s", "bytes", "bytes/s", "MB", "messages/s", "entries", "loads/s", "share")
 
 
 class MeasurementError(ValueError):
@@ -44,7 +45,9 @@
     conditions: str = ""
 
     def save(self, folder: Path = MEASURED) -> Path:
-        """Writes the measurement's file. Errors: MeasurementError with fewer sizes than a fit needs."""
+        """Writes the measurement's file. Errors: MeasurementError with too few sizes, or an unknown unit."""
+        if self.unit not in UNITS:
+            raise MeasurementError(f"{self.name}: {self.unit!r} is none of {', '.join(UNITS)}")
         if len(self.points) < LEAST_SIZES:
             raise MeasurementError(
                 f"{self.name}: {LEAST_SIZES} sizes are needed, {len(self.points)} measured"
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -10,7 +10,8 @@
     """One cost of one role against its budget.
 
     The cost is what `measurement` predicts at `at`, times `multiplier`, in `unit`. Where `measurement` is
-    None the mechanism is missing, and nothing is predicted."""
+    None the mechanism is missing, and nothing is predicted. `cap`: a bound in the code, in the unit of `at`,
+    up to which the mechanism works whatever it costs."""
 
     key: str
     role: str
@@ -21,28 +22,39 @@
     budget: float
     unit: str
     mechanism: str
+    cap: float | None = None
 
 
 KEEP_ALIVE = 10  # seconds; a function is forgotten four of them after its last call
 FUNCTIONS_KEPT = min(size.FUNCTIONS, 4 * KEEP_ALIVE * size.CALLS_A_GATEWAY)  # each call of another function
 BYTES_TO_MB = 1 / (1 << 20)
-HOSTS = size.HOSTS_AT_50
+BYTES_TO_KB = 1 / (1 << 10)
+SECONDS_TO_MINUTES = 1 / 60
+HOSTS = size.HOSTS_AT_20
+HOST_CHANGES_A_SECOND = 2 * (size.RESTARTS + size.MACHINE_FAILURES) / size.DAY  # gone, and back
+DEMAND_LIFE = 120  # seconds that a told demand counts
+MEMBERS_CAP = 4_096  # gateways that membership holds
+LEASE_HOLDERS = 6  # planners and schedulers
+LEASES = 100  # held by them at a time
+
+PATH, CONTROL, RAFT = "gateway, path of requests", "gateway, control part", "Raft group"
+WHOLE_LIST = "every gateway holds the whole list"
 
 ROWS = (
     Row(
-        "gateway-first-call",
-        "gateway",
-        "first call of a rare function, beside a cold start",
+        "path-first-call",
+        PATH,
+        "first call of a rare function, of a cold start's time",
         "decisions-first-call-by-hosts",
         HOSTS,
         1,
         size.COLD_START,
         "ms",
-        "order of all hosts by a stable hash",
+        "rendezvous hashing over all hosts",
     ),
     Row(
-        "gateway-calls",
-        "gateway",
+        "path-calls",
+        PATH,
         "decisions on all calls, no host cold",
         "decisions-later-call-by-hosts",
         HOSTS,
@@ -52,8 +64,8 @@
         "one look at every host a call",
     ),
     Row(
-        "gateway-calls-host-cold",
-        "gateway",
+        "path-calls-host-cold",
+        PATH,
         "decisions on all calls while one host of the fleet is cold",
         "decisions-call-host-cold-by-hosts",
         HOSTS,
@@ -63,9 +75,20 @@
         "every host's rules judged a call",
     ),
     Row(
-        "gateway-list-changes",
-        "gateway",
-        "changes of the host list, were all changes of it",
+        "control-list-file",
+        CONTROL,
+        "host changes read from the list's file",
+        "host-list-change-cpu-by-hosts",
+        HOSTS,
+        HOST_CHANGES_A_SECOND,
+        size.CONTROL_MS,
+        "ms a second",
+        "the file read whole at each change",
+    ),
+    Row(
+        "control-list-changes",
+        CONTROL,
+        "changes booked by the decisions, were each of the day's a line of the list",
         "decisions-changed-line-by-hosts",
         HOSTS,
         size.CHANGES_A_SECOND,
@@ -74,30 +97,41 @@
         "the whole fleet counted anew for each line",
     ),
     Row(
-        "gateway-list-memory",
-        "gateway",
+        "control-list-memory",
+        CONTROL,
         "memory of the host list",
         "decisions-list-memory-by-hosts",
         HOSTS,
         1,
         size.CONTROL_MEMORY,
         "MB",
-        "every gateway holds the whole list",
+        WHOLE_LIST,
+    ),
+    Row(
+        "control-list-bytes",
+        CONTROL,
+        "the whole list at a start, within a minute",
+        "change-log-whole-bytes-by-hosts",
+        HOSTS,
+        BYTES_TO_KB / 60,
+        size.CONTROL_BYTES,
+        "KB a second",
+        WHOLE_LIST,
     ),
     Row(
-        "gateway-function-memory",
-        "gateway",
+        "control-function-memory",
+        CONTROL,
         "memory of the functions kept",
         "decisions-function-memory-by-hosts",
         HOSTS,
         FUNCTIONS_KEPT * BYTES_TO_MB,
         size.CONTROL_MEMORY,
         "MB",
-        "each function keeps its order of the hosts",
+        "each function keeps an order of hosts",
     ),
     Row(
-        "gateway-housekeeping",
-        "gateway",
+        "control-housekeeping",
+        CONTROL,
         "a second's housekeeping",
         "decisions-housekeeping-by-hosts",
         HOSTS,
@@ -106,4 +140,38 @@
         "ms a second",
         "one look at every host a second",
     ),
+    Row(
+        "control-members",
+        CONTROL,
+        "memory of membership",
+        "membership-memory-by-members",
+        size.GATEWAYS,
+        BYTES_TO_MB,
+        size.CONTROL_MEMORY,
+        "MB",
+        "SWIM, every gateway holds all",
+        cap=MEMBERS_CAP,
+    ),
+    Row(
+        "control-gossip-bytes",
+        CONTROL,
+        "bytes of the gossip of demand",
+        "gossip-bytes-by-gateways",
+        size.GATEWAYS,
+        BYTES_TO_KB,
+        size.CONTROL_BYTES,
+        "KB a second",
+        "told to one peer after the other",
+    ),
+    Row(
+        "control-gossip-round",
+        CONTROL,
+        "a round of the gossip of demand to all, while what is told counts",
+        "gossip-round-seconds-by-gateways",
+        size.GATEWAYS,
+        1,
+        DEMAND_LIFE,
+        "s",
+        "told to one peer after the other",
+    ),
 )
--- a/tests/test_scale_measurements.py
+++ b/tests/test_scale_measurements.py
@@ -9,7 +9,7 @@
 from benchmarks.scale.costs import decisions, functions
 from benchmarks.scale.fit import fit
 from benchmarks.scale.gateways import Caller, CallError, row, rows
-from benchmarks.scale.measurement import Measurement, MeasurementError, Point, measure
+from benchmarks.scale.measurement import UNITS, Measurement, MeasurementError, Point, measure
 from benchmarks.scale.plays import cpu_ms, grown, held_bytes
 from gaproute.decisions.route import measures
 
@@ -78,6 +78,13 @@
     assert not list(tmp_path.iterdir())
 
 
+def test_an_unknown_unit_is_refused(tmp_path):
+    odd = measure("odd", "", "furlongs", "things", SIZES, lambda size, seed: size)
+    with pytest.raises(MeasurementError, match="'furlongs' is none of ms, "):
+        odd.save(tmp_path)
+    assert not list(tmp_path.iterdir())
+
+
 def test_a_file_is_read_as_it_was_written(tmp_path):
     kept = made(CURVES["power"])
     kept.save(tmp_path)
@@ -195,7 +202,7 @@
         assert kept.name == path.stem
         assert kept.name in command.registry(), f"{kept.name} can no longer be measured"
         assert len(kept.points) >= 4 and all(len(point.plays) >= 3 for point in kept.points)
-        assert kept.conditions and kept.meaning and kept.unit in ("ms", "bytes", "MB")
+        assert kept.conditions and kept.meaning and kept.unit in UNITS
 
 
 def test_measuring_tells_the_program_measured(tmp_path, monkeypatch, capsys):
