Scale: probes and kept connections by hosts

One listener in a process of its own answers the probes, so the CPU is the gateway's alone. The listeners of benchmarks/kept_connections.py take the idle time as a word, one second as before where it is left out.

--- a/benchmarks/kept_connections.py
+++ b/benchmarks/kept_connections.py
@@ -51,7 +51,7 @@
         return super().safe_rest(now, worker, Effect.PURE, told)
 
 
-def listeners(count, tells):
+def listeners(count, tells, idle_time=SECOND):
     loop, servers = Loop(), []
     headers = ((b"Keep-Alive", b"timeout=1"),) if tells else ()
     for _ in range(count):
@@ -59,7 +59,7 @@
         def handle(request):
             request.link.server.answer(request, 200, headers, b"{}")
 
-        servers.append(Server(loop, address("127.0.0.1:0"), handle, Limits(idle_time=SECOND)))
+        servers.append(Server(loop, address("127.0.0.1:0"), handle, Limits(idle_time=idle_time)))
     print(json.dumps([server.address for server in servers]), flush=True)
     loop.run()
 
@@ -122,6 +122,6 @@
 
 if __name__ == "__main__":
     if sys.argv[1:2] == ["listeners"]:
-        listeners(int(sys.argv[2]), sys.argv[3] == "1")
+        listeners(int(sys.argv[2]), sys.argv[3] == "1", *map(int, sys.argv[4:]))
     else:
         main()
--- a/tests/test_scale_costs.py
+++ b/tests/test_scale_costs.py
@@ -4,6 +4,7 @@
 
 from benchmarks.scale.costs import (
     change_log,
+    connections,
     consensus,
     consensus_state,
     gossip,
@@ -36,6 +37,8 @@
     "consensus-memory-by-holders": (consensus_state.memory_by_holders, 64, 256, 900),
     "consensus-snapshot-bytes-by-leases": (consensus_state.snapshot_bytes, 64, 256, 50),
     "consensus-log-bytes-by-entries": (consensus_state.log_bytes, 32, 128, 100),
+    "kept-connection-memory-by-connections": (connections.memory, 16, 64, 8_000),
+    "probe-bytes-by-hosts": (connections.probe_bytes, 16, 64, 200),
     "consensus-log-memory-by-entries": (consensus_state.log_memory, 32, 128, 500),
 }
 # name: (play, smallest size); each asserts itself what it counts
@@ -50,9 +53,11 @@
     "gossip-cpu-by-functions": (gossip_content.cpu_by_functions, 4),
     "consensus-leader-cpu-by-holders": (consensus.cpu_by_holders, 4),
     "consensus-leader-cpu-by-leases": (consensus.cpu_by_leases, 1),
+    "probe-new-connection-cpu-by-hosts": (connections.new_connections_cpu, 64),
+    "probe-cpu-by-hosts": (connections.kept_connections_cpu, 64),
     "consensus-replay-cpu-by-entries": (consensus_state.replay_cpu, 32),
 }
-MODULES = (host_list, change_log, membership, gossip, gossip_content, consensus, consensus_state)
+MODULES = (host_list, change_log, membership, gossip, gossip_content, consensus, consensus_state, connections)
 
 
 def test_every_measurement_of_the_control_parts_is_played_here():
