--- a/tests/test_scale_costs.py
+++ b/tests/test_scale_costs.py
@@ -10,6 +10,7 @@
     gossip,
     gossip_content,
     host_list,
+    learning,
     membership,
 )
 
@@ -39,6 +40,7 @@
     "consensus-log-bytes-by-entries": (consensus_state.log_bytes, 32, 128, 100),
     "kept-connection-memory-by-connections": (connections.memory, 16, 64, 8_000),
     "probe-bytes-by-hosts": (connections.probe_bytes, 16, 64, 200),
+    "learning-bytes-by-facts": (learning.told_bytes, 256, 1_024, 50),
     "consensus-log-memory-by-entries": (consensus_state.log_memory, 32, 128, 500),
 }
 # name: (play, smallest size); each asserts itself what it counts
@@ -55,9 +57,21 @@
     "consensus-leader-cpu-by-leases": (consensus.cpu_by_leases, 1),
     "probe-new-connection-cpu-by-hosts": (connections.new_connections_cpu, 64),
     "probe-cpu-by-hosts": (connections.kept_connections_cpu, 64),
+    "learning-giver-cpu-by-facts": (learning.giver_cpu, 256),
+    "learning-learner-cpu-by-facts": (learning.learner_cpu, 256),
     "consensus-replay-cpu-by-entries": (consensus_state.replay_cpu, 32),
 }
-MODULES = (host_list, change_log, membership, gossip, gossip_content, consensus, consensus_state, connections)
+MODULES = (
+    host_list,
+    change_log,
+    membership,
+    gossip,
+    gossip_content,
+    consensus,
+    consensus_state,
+    connections,
+    learning,
+)
 
 
 def test_every_measurement_of_the_control_parts_is_played_here():
