--- /dev/null
+++ b/benchmarks/scale/costs/status.py
@@ -0,0 +1,128 @@
+"""What an operator is told: the tables of a running gateway and its log lines, by hosts and functions."""
+
+import io
+
+import msgspec
+
+from benchmarks.scale.deferred import deferred
+from benchmarks.scale.meters import CPU_TIME, MILLISECONDS, cpu_seconds
+from gaproute.appliance import Appliance
+from gaproute.appliance.operator import host_table, knowledge, status
+from gaproute.conf import read_charter
+from gaproute.http1.server import render
+from gaproute.interface import Result
+from gaproute.loop import Loop
+from gaproute.record.logs import logger
+
+HOSTS = (16, 64, 256, 1_024)
+FUNCTIONS = (16, 64, 256, 1_024)
+FEW = 16  # hosts, where functions are varied
+MILLI = 1_000_000
+JSON = ((b"Content-Type", b"application/json"),)
+CHARTER = """
+name gate
+listen kserve 127.0.0.1:0
+track std pure contract 1s limit 4s earnings 3
+model lamp track std lanes 4
+"""
+
+
+class Running:
+    """A gateway that was answered by each of its hosts, and knows one copy of each function."""
+
+    def __init__(self, hosts, functions=0):
+        lines = [f"host host-{number:04} 127.0.0.1:9001 capacity 4" for number in range(hosts)]
+        charter = read_charter("status", CHARTER + "\n".join(lines) + "\n")
+        self.lines = io.StringIO()
+        self.loop = Loop()
+        self.gate = Appliance(charter, self.loop, 1, logger(self.lines))
+        self.gate.start()
+        for number in range(hosts):
+            self.gate.record.outcome(f"host-{number:04}", 0, Result.OK, 100 * MILLI)
+        gateway, now = self.gate.core.gateway, self.loop.now()
+        for number in range(functions):
+            gateway.hint(f"host-{number % hosts:04}", f"model-{number:04}", 4, now)
+
+    def body(self, table):
+        """The bytes of an answer that tells the table."""
+        return render(200, JSON, msgspec.json.encode(table(self.gate)), False)
+
+    def close(self):
+        """Ends it."""
+        self.gate.close()
+        self.loop.close()
+
+
+def answer_bytes(table, hosts, functions=0):
+    """Bytes of the answer."""
+    running = Running(hosts, functions)
+    size = len(running.body(table))
+    running.close()
+    return size
+
+
+def answer_cpu(table, hosts, functions=0):
+    """Milliseconds of CPU of the answer."""
+    running = Running(hosts, functions)
+    spent = cpu_seconds(lambda: running.body(table))
+    running.close()
+    return spent * MILLISECONDS
+
+
+def status_bytes(hosts, seed):
+    """Bytes of /status."""
+    return answer_bytes(status, hosts)
+
+
+def status_cpu(hosts, seed):
+    """Milliseconds of CPU of /status."""
+    return answer_cpu(status, hosts)
+
+
+def hosts_bytes(hosts, seed):
+    """Bytes of /hosts."""
+    return answer_bytes(host_table, hosts)
+
+
+def knows_bytes(functions, seed):
+    """Bytes of /knows."""
+    return answer_bytes(knowledge, FEW, functions)
+
+
+def log_bytes(hosts, seed):
+    """Bytes of the log's lines of a start."""
+    running = Running(hosts)
+    size = len(running.lines.getvalue())
+    running.close()
+    return size
+
+
+ANSWERED = "each host answered once; HTTP head in, TCP's not"
+
+MEASUREMENTS = {
+    **deferred("status-bytes-by-hosts", "bytes of /status", "bytes", "hosts", HOSTS, status_bytes, ANSWERED),
+    **deferred(
+        "status-cpu-by-hosts", "CPU of /status", "ms", "hosts", HOSTS, status_cpu, f"{ANSWERED}. {CPU_TIME}"
+    ),
+    **deferred(
+        "hosts-table-bytes-by-hosts", "bytes of /hosts", "bytes", "hosts", HOSTS, hosts_bytes, ANSWERED
+    ),
+    **deferred(
+        "knows-table-bytes-by-functions",
+        "bytes of /knows",
+        "bytes",
+        "functions, a copy each",
+        FUNCTIONS,
+        knows_bytes,
+        f"{FEW} hosts; {ANSWERED}",
+    ),
+    **deferred(
+        "log-start-bytes-by-hosts",
+        "bytes of the log's lines of a start",
+        "bytes",
+        "hosts",
+        HOSTS,
+        log_bytes,
+        "",
+    ),
+}
--- a/tests/test_scale_costs.py
+++ b/tests/test_scale_costs.py
@@ -12,6 +12,7 @@
     host_list,
     learning,
     membership,
+    status,
 )
 
 # name: (play, small size, large size, most that one more of the size may add)
@@ -41,6 +42,10 @@
     "kept-connection-memory-by-connections": (connections.memory, 16, 64, 8_000),
     "probe-bytes-by-hosts": (connections.probe_bytes, 16, 64, 200),
     "learning-bytes-by-facts": (learning.told_bytes, 256, 1_024, 50),
+    "status-bytes-by-hosts": (status.status_bytes, 16, 64, 60),
+    "hosts-table-bytes-by-hosts": (status.hosts_bytes, 16, 64, 160),
+    "knows-table-bytes-by-functions": (status.knows_bytes, 16, 64, 140),
+    "log-start-bytes-by-hosts": (status.log_bytes, 16, 64, 200),
     "consensus-log-memory-by-entries": (consensus_state.log_memory, 32, 128, 500),
 }
 # name: (play, smallest size); each asserts itself what it counts
@@ -59,6 +64,7 @@
     "probe-cpu-by-hosts": (connections.kept_connections_cpu, 64),
     "learning-giver-cpu-by-facts": (learning.giver_cpu, 256),
     "learning-learner-cpu-by-facts": (learning.learner_cpu, 256),
+    "status-cpu-by-hosts": (status.status_cpu, 16),
     "consensus-replay-cpu-by-entries": (consensus_state.replay_cpu, 32),
 }
 MODULES = (
@@ -71,6 +77,7 @@
     consensus_state,
     connections,
     learning,
+    status,
 )
 
 
