Consensus: a group whose members all restart with a long log agrees again

Change: the entry with which a term begins is always taken. Ruled out: a bound that counts from the leader's first entry, which would let a leader of many terms pile up 512 each time.

Result: tests/test_keepers_members.py, a group of three with over 512 entries; fails without the change (commit stays 0).

--- a/gaproute/shared/keepers/leading.py
+++ b/gaproute/shared/keepers/leading.py
@@ -4,7 +4,7 @@
 import msgspec
 
 from gaproute.shared.keepers.members import next_roll
-from gaproute.shared.keepers.messages import MEMBERS, Append, Entry, Install, Roll
+from gaproute.shared.keepers.messages import MEMBERS, NOTHING, Append, Entry, Install, Roll
 from gaproute.shared.keepers.spans import BEAT, CHANGE, STATE_AGAIN, UNHEARD
 
 PENDING = 512  # entries not yet agreed on: a megabyte at most; beyond it holders are told `busy`
@@ -37,8 +37,12 @@
 
 
 def propose(keeper, kind, session, nonce, body):
+    """Puts an entry into the leader's log; its index, or 0 where too many are not yet agreed on.
+
+    The entry with which a term begins is always taken: after a restart of all, nothing of a long log is
+    known to be agreed on, and it is this entry that brings the agreement (5.4.2)."""
     index = keeper.log.last + 1
-    if index - keeper.commit > PENDING:
+    if kind != NOTHING and index - keeper.commit > PENDING:
         return 0
     keeper.store.put(index, Entry(keeper.term, kind, session, nonce, body))
     return index
--- a/tests/test_keepers_members.py
+++ b/tests/test_keepers_members.py
@@ -3,8 +3,9 @@
 import pytest
 from keepers_net import MILLI, SECOND, Disk, Net
 
+from gaproute.shared.keepers.leading import PENDING
 from gaproute.shared.keepers.members import next_roll
-from gaproute.shared.keepers.messages import Ack, Member
+from gaproute.shared.keepers.messages import NOTHING, Ack, Member
 
 A, B, C = (Member(name, number) for number, name in enumerate("abc", 1))
 ALL = (A, B, C)
@@ -119,3 +120,20 @@
     lead.lead.first = last
     lead.tick(now + SECOND)
     assert lead.log.last == last + 1 and len(lead.members) == 2
+
+
+def test_a_group_whose_members_all_restart_with_a_long_log_agrees_again():
+    made = Net(seed=1)
+    made.run(3 * SECOND)
+    for _ in range(PENDING // 50 + 2):
+        for _ in range(50):
+            assert made.leader.propose(NOTHING)
+        made.run(SECOND)
+    entries = made.leader.commit
+    assert PENDING < entries
+    for name in made.names:
+        made.crash(name)
+    for name in made.names:
+        made.start(name)
+    made.run(10 * SECOND)
+    assert made.leader.commit == made.leader.log.last > entries
