A stopping gateway serves what comes in on connections it accepted before

Cause: `test_parent::test_a_reload_rolls_through_all_and_no_task_is_lost` met a 503, or a connection that ended without an answer. Traced: both came from the old child, which had accepted the connection from the shared queue less than 25 ms before its SIGTERM. (a) The request lay unread: `Server.stop` kept the connection (`Lot.close` spares those that have spoken), `_wake` read it in the same turn, and `Front.infer` declined whatever it read after the stop. (b) The request had not come yet: `Lot.close` closed the connection. No other process can take over an accepted connection. Ruled out: a new child that is not ready, no active host, the decisions' own declining (no such 503 was seen), the queue of a process that closes (the others accept from it).

Change: what comes in on a connection accepted before the stop is served, its connection closed with the answer: an unread request, the first one for 1.5 s, the rest of a half one for as long (408 then), the next one of a connection answered less than a second ago. Only the last answer of several in line says close. The process ends when no client's connection is left, not 200 ms after the last task, and at the latest 1.7 s after the longest hard limit (was 0.2 s). A child tells readiness of the shared address while it is rolled out. Where all end, children learn it by the end of their life pipe and take in who waits in the queue, which was reset before.

Tests: tests/test_stopping.py and two in test_parent.py, where the old child stands still (SIGSTOP) over the crossing.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -22,7 +22,9 @@
 from gaproute.record.logs import logger
 from gaproute.record.record import Record
 
-LAST_WORDS = 200_000_000  # ns, after the last final answer, for its bytes to leave
+LAST_REQUEST = 1_500_000_000  # ns after a stop, for requests on connections accepted before to come in:
+#                               more than until a connection that was at work is parked
+LAST_WORDS = 200_000_000  # ns, after the last client's connection, for words to other gateways to leave
 
 
 class Appliance:
@@ -47,7 +49,9 @@
         self.listing = Listing(loop, sizes=charter.sizes_told)
         self.rows = {}
         self.stopping = False
+        self.shared = False  # other processes serve at the clients' addresses, also after this one's stop
         self.seed = seed
+        self.client_fronts = []
         self.fronts, self.watch, self.started = [], None, loop.now()
         self.lot = Lot.of(loop)
         clients = charter.clients
@@ -61,16 +65,16 @@
         try:
             for kind, where in self.charter.listens:
                 if kind == "kserve":
-                    self.fronts.append(
-                        Front(
-                            self.loop,
-                            address(where),
-                            self.core,
-                            self.charter,
-                            self.ready,
-                            self.inherited.get(where),
-                        )
+                    front = Front(
+                        self.loop,
+                        address(where),
+                        self.core,
+                        self.charter,
+                        self.address_ready,
+                        self.inherited.get(where),
                     )
+                    self.fronts.append(front)
+                    self.client_fronts.append(front)
                 elif kind == "peers":
                     self.fronts.append(self.others.listen(where))
                 else:
@@ -117,28 +121,43 @@
             self.record.event("error", "host list refused", mistake=str(mistake))
 
     def ready(self):
-        return not self.stopping and any(row.listed.state is State.ACTIVE for row in self.rows.values())
+        return not self.stopping and self._has_active()
+
+    def address_ready(self):
+        """Whether the clients' addresses are served: where others accept there too, also while this process
+        stops."""
+        return (self.shared or not self.stopping) and self._has_active()
+
+    def _has_active(self):
+        return any(row.listed.state is State.ACTIVE for row in self.rows.values())
 
     # Stop
 
     def stop(self):
-        """Takes nothing new, lets what is held come to its final answer, then ends the loop."""
+        """Accepts nothing new, lets what is held and what comes in on connections accepted before come to its
+        final answer, then ends the loop."""
         if self.stopping:
             return
         self.stopping = True
         self.log.info("stopping", held=len(self.core.held))
         for front in self.fronts:
-            front.stop()
+            if front in self.client_fronts:
+                front.stop(LAST_REQUEST)
+            else:
+                front.stop()
         self.others.stop()
         if self.watch is not None:
             self.watch.close()
         self.core.emptied = self._emptied
-        self.loop.after(self.charter.longest + LAST_WORDS, self.loop.stop)
-        if not self.core.held:
-            self._emptied()
+        for front in self.client_fronts:
+            front.on_emptied(self._emptied)
+        self.loop.after(LAST_REQUEST + self.charter.longest + LAST_WORDS, self.loop.stop)
+        self._emptied()
 
     def _emptied(self):
-        self.loop.after(LAST_WORDS, self.loop.stop)
+        """Ends the loop once no task is held and no client's connection is left."""
+        if not self.core.held and not any(front.held for front in self.client_fronts):
+            self.loop.after(LAST_WORDS, self.loop.stop)
 
     def heed_signals(self):
         """SIGTERM and SIGINT stop, SIGHUP reads the host list again. Before `start`, so that none is
@@ -148,11 +167,20 @@
         self.loop.on_signal(signal.SIGHUP, lambda: self.watch and self.watch.read())
 
     def under(self, life, ready):
-        """Stands under a parent: says that it serves on the descriptor `ready`, stops when `life` ends."""
-        self.loop.watch(life, READ, lambda events: (self.loop.unwatch(life), self.stop()))
+        """Stands under a parent: says that it serves on the descriptor `ready`, stops when `life` ends, which
+        is the end of all. A stop before that is this process's alone."""
+        self.shared = True
+        self.loop.watch(life, READ, lambda events: self._parent_gone(life))
         os.write(ready, b"ready")
         os.close(ready)
 
+    def _parent_gone(self, life):
+        self.loop.unwatch(life)
+        self.shared = False
+        for front in self.client_fronts:
+            front.alone()
+        self.stop()
+
     def run(self):
         self.loop.run()
         self.close()
--- a/gaproute/appliance/parent.py
+++ b/gaproute/appliance/parent.py
@@ -69,16 +69,28 @@
         self.process.wait()
         self.loop.unwatch(self.pid)
         os.close(self.pid)
-        os.close(self.life)
+        self._end_life()
         self._hush()
         self.timer.cancel()
         self.ready.set(False)
         self.ended.set(self.process.returncode)
 
+    def _end_life(self):
+        if self.life is not None:
+            os.close(self.life)
+            self.life = None
+
     def stop(self):
+        """It ends alone: the others go on accepting clients."""
         if not self.ended.ready:
             self.process.send_signal(signal.SIGTERM)
 
+    def stop_last(self):
+        """It ends with all others, so that nobody else takes the clients in the queue."""
+        self._end_life()
+        if not self.ready.ready:
+            self.stop()  # it does not look at its life yet, and has accepted nobody
+
     def kill(self):
         if not self.ended.ready:
             self.process.kill()
@@ -219,7 +231,7 @@
         for sock in self.sockets.values():
             sock.close()
         for child in self.children.values():
-            child.stop()
+            child.stop_last()
         if not self.children:
             self.loop.stop()
 
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -150,9 +150,6 @@
             tenant = self.tenants.get(named.decode("latin-1"))
             if tenant is None:
                 raise Refused(400, "unknown Gaproute-Tenant")
-        if self.server.stopping:
-            self.decline(request, 0, "declined: the gateway stops; it is safe to try again")
-            return
         call = Call(
             model.name,
             version,
@@ -219,8 +216,22 @@
                 error(final.reason),
             )
 
-    def stop(self):
-        self.server.stop()
+    @property
+    def held(self):
+        """Connections of clients, at work and parked."""
+        return self.server.held
+
+    def alone(self):
+        """No other process accepts from the same queue any more: what waits there at the stop is taken in."""
+        self.server.shared = False
+
+    def on_emptied(self, call):
+        """`call()` when the last connection is closed after a stop."""
+        self.server.emptied = call
+
+    def stop(self, grace):
+        """Accepts no more; `grace` as of `Server.stop`."""
+        self.server.stop(grace)
 
     def close(self):
         self.server.close()
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -69,7 +69,8 @@
         self.links = set()
         self.parked = self.buffered = 0
         self.resting, self.sweep = deque(), None  # (when, link) that may be parked then
-        self.stopping = False
+        self.stopping, self.emptied = False, None  # call() after a stop, when no connection is left
+        self.last_request = None  # after a stop with grace: when the last request must have come in whole
         self.turned_away = self.faults = 0
         self.family = where[0]
         self.lot = Lot.of(loop)
@@ -141,20 +142,34 @@
     def lost(self):
         """A parked connection was closed."""
         self.parked -= 1
+        self.check_emptied()
+
+    def check_emptied(self):
+        """After a stop: tells once no connection is left."""
+        if self.stopping and self.emptied is not None and not self.held:
+            self.emptied()
 
     def answer(self, request, status, headers, body):
         """The one answer to a request; what comes after the client left for good is dropped."""
         request.link.answer(request, status, headers, body)
 
-    def stop(self):
+    def stop(self, grace=None):
         """Accepts no more; kept connections close after the answers they are owed. What has been sent
-        already is still answered, and its connection closed then."""
-        if not self.stopping and not self.shared:
-            while (came := self.listener.accept()) is not None:
-                self.admits(*came)  # else the kernel resets them
+        already is still answered, and its connection closed then.
+
+        `grace`: for so long a connection that has brought no request yet may bring it, as no other process
+        can take it over, and a request may come in whole. One that has just been answered stays until it has
+        been quiet for a while.
+        """
+        if self.stopping:
+            return
+        while not self.shared and (came := self.listener.accept()) is not None:
+            self.admits(*came)  # else the kernel resets them
         self.stopping = True
         self.listener.close()
-        self.lot.close(self.number)
+        if grace is not None:
+            self.last_request = self.loop.now() + grace
+        self.lot.close(self.number, first_by=self.last_request)
         for link in list(self.links):
             link.stop()
 
@@ -248,6 +263,8 @@
         limits, reader = self.server.limits, self.reader
         if reader.midway:
             self.due = reader.message.arrived + limits.read_time
+            if self.server.last_request is not None:
+                self.due = min(self.due, self.server.last_request)
         elif self.stream.waiting:
             self.due = self.server.loop.now() + limits.read_time
         elif not self.queue and not self.closing:
@@ -334,7 +351,9 @@
         if entry[1] is not None:
             raise RuntimeError("a second answer to one request")
         request.left = None
-        last = self.closing and place == len(self.queue) - 1 or self.server.stopping or self.ended
+        last = place == len(self.queue) - 1 and (self.closing or self.server.stopping) or self.ended
+        if last:
+            self.closing = True  # told with the answer: nothing more is taken
         entry[1] = render(status, headers, body, last)
         self._write()
 
@@ -349,7 +368,14 @@
             self._room()
 
     def stop(self):
-        if not self.queue and not self.reader.midway:
+        """Closes a quiet connection; one on which a request lies unread or is coming in is answered first.
+
+        With grace a quiet one is closed when it would be parked: the next request of a busy client, on its
+        way already, is answered and the close told with that answer.
+        """
+        if self.reader.midway:
+            self._time()
+        elif self.server.last_request is None and not self.queue and self.stream.quiet():
             self._shut()
 
     def _half(self):
@@ -391,3 +417,4 @@
             self._weigh(0)
             self.server.links.discard(self)
             self.server.lot.leave(self.place, self.server.counted)
+            self.server.check_emptied()
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -268,8 +268,11 @@
         self.leave(self.place[fd], owner.counted)
         owner.lost()
 
-    def close(self, owner, all_of_them=False):
-        """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`."""
+    def close(self, owner, all_of_them=False, first_by=None):
+        """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`.
+
+        `first_by`: those that have brought no request yet stay parked, until that time at the latest.
+        """
         self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())
         self.loop.waiting = True
         for listener in [
@@ -277,5 +280,10 @@
         ]:
             del self.arriving[listener]
         for fd, state in enumerate(self.state):
-            if self.owner[fd] == owner and (state == PARKED or state == QUEUED and all_of_them):
+            if self.owner[fd] != owner or state == NONE or state == QUEUED and not all_of_them:
+                continue
+            if first_by is not None and not self.tasks[fd]:
+                self.due[fd] = min(self.due[fd], first_by)
+                self._enter(fd)
+            else:
                 self._drop(fd)
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -12,11 +12,18 @@
 import pytest
 from helpers import CHARTER, SECOND
 
+from gaproute.cli.main import ask
 from gaproute.conf import read_charter
 from gaproute.decisions.admission.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
 from gaproute.decisions.chance import Chance
 from gaproute.loop.streams import address
 
+BODY = b'{"id": "t", "inputs": []}'
+ASK = (
+    b"POST /v2/models/lamp/infer HTTP/1.1\r\nHost: g\r\nConnection: close\r\n"
+    b"Content-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+)
+
 # The decisions
 
 
@@ -92,6 +99,29 @@
     def ask(self, name):
         return self.rig.ask("lamp", name)
 
+    def accepted(self):
+        """Connections of clients that the only child holds."""
+        return ask(f"unix:{self.folder}/op.0", b"/status")["clients"]["connections"]
+
+    def answers(self, *clients):
+        """What each client reads until its connection ends; a reset is an error."""
+        said = {client: b"" for client in clients}
+        open_ones = list(clients)
+
+        def ended():
+            for client in list(open_ones):
+                try:
+                    part = client.recv(65536, socket.MSG_DONTWAIT)
+                except BlockingIOError:
+                    continue
+                said[client] += part
+                if not part:
+                    open_ones.remove(client)
+            return not open_ones
+
+        self.until(ended)
+        return list(said.values())
+
     def end(self):
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
@@ -163,6 +193,54 @@
         assert made.rig.wait(made.rig.get("/v2/models/moon")).status == 200
 
 
+def pending(process, number):
+    """Whether a signal waits for a process that stands still."""
+    lines = Path(f"/proc/{process}/status").read_text().splitlines()
+    masks = [int(line.split()[1], 16) for line in lines if line.startswith(("SigPnd:", "ShdPnd:"))]
+    return any(mask >> (number - 1) & 1 for mask in masks)
+
+
+def test_what_an_old_one_accepted_and_has_not_read_at_its_stop_is_served(fleet):
+    """The old child stands still from before the request is sent until it has been told to stop."""
+    made = fleet(1)
+    (old,) = made.children()
+    with socket.create_connection(made.rig.at[1]) as accepted:
+        made.until(lambda: made.accepted() == 1)
+        os.kill(old, signal.SIGSTOP)
+        try:
+            accepted.sendall(ASK)
+            with socket.create_connection(made.rig.at[1]) as queued:
+                queued.sendall(ASK)
+                made.process.send_signal(signal.SIGHUP)
+                made.until(lambda: pending(old, signal.SIGTERM))
+                os.kill(old, signal.SIGCONT)
+                said = made.answers(accepted, queued)
+        finally:
+            os.kill(old, signal.SIGCONT)
+    assert [answer.split(b"\r\n")[0] for answer in said] == [b"HTTP/1.1 200 OK"] * 2
+    made.until(lambda: made.events("rolled"))
+
+
+def test_who_waits_in_the_queue_when_all_are_told_to_stop_is_served(fleet):
+    made = fleet()
+    children = made.children()
+    for child in children:
+        os.kill(child, signal.SIGSTOP)
+    try:
+        with socket.create_connection(made.rig.at[1]) as queued:
+            queued.sendall(ASK)
+            made.process.send_signal(signal.SIGTERM)
+            made.until(lambda: made.events("stopping"))
+            made.rig.rest(SECOND // 10)
+            for child in children:
+                os.kill(child, signal.SIGCONT)
+            (said,) = made.answers(queued)
+    finally:
+        for child in children:
+            os.kill(child, signal.SIGCONT)
+    assert said.split(b"\r\n")[0] == b"HTTP/1.1 200 OK"
+
+
 def test_a_wrong_configuration_changes_nothing(fleet):
     made = fleet()
     before = made.children()
--- /dev/null
+++ b/tests/test_stopping.py
@@ -0,0 +1,182 @@
+"""A gateway that is told to stop: what comes in on connections that it accepted before is still served."""
+
+import os
+import re
+import socket
+
+import pytest
+from helpers import MILLI, SECOND
+
+from gaproute.appliance.gateway import LAST_REQUEST, LAST_WORDS
+from gaproute.http1.server import QUIET
+from gaproute.loop.streams import FAREWELL
+
+BODY = b'{"id": "t", "inputs": []}'
+ASK = b"POST /v2/models/lamp/infer HTTP/1.1\r\nHost: g\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+READY = b"GET /v2/health/ready HTTP/1.1\r\nHost: g\r\n\r\n"
+SLOW = {"trouble": "slow", "factor": 40}  # an answer takes longer than LAST_WORDS
+
+
+@pytest.fixture
+def clients():
+    """Opens connections that the gateway has accepted, and closes them after the test."""
+    opened = []
+
+    def accepted(made):
+        before = made.gate.lot.held
+        client = socket.create_connection(made.at[1])
+        client.settimeout(5)
+        opened.append(client)
+        made.until(lambda: made.gate.lot.held > before)
+        return client
+
+    yield accepted
+    for client in opened:
+        client.close()
+
+
+def rest_of(client):
+    """All that comes until the other side closes."""
+    parts = []
+    while part := client.recv(65536):
+        parts.append(part)
+    return b"".join(parts)
+
+
+def statuses(said):
+    return [int(status) for status in re.findall(rb"HTTP/1.1 (\d+)", said)]
+
+
+def closes(said):
+    """Of each answer, whether it says that the connection closes."""
+    return [b"Connection: close" in part for part in said.split(b"HTTP/1.1 ")[1:]]
+
+
+def run_out(made):
+    """Turns of the loop until it ends by itself; how long that took."""
+    began = made.loop.now()
+    made.loop.run()
+    return made.loop.now() - began
+
+
+def asked_and_answered(made, client):
+    client.sendall(ASK)
+    made.until(lambda: made.seen("task", id="t"))
+    made.until(lambda: not made.gate.core.held)
+    made.rest(10 * MILLI)  # the answer is on its way
+    assert statuses(client.recv(65536)) == [200]
+
+
+def test_a_request_that_lies_unread_at_the_stop_is_served(rig, clients):
+    made = rig(hosts=1)
+    client = clients(made)
+    client.sendall(ASK)
+    made.gate.stop()
+    run_out(made)
+    said = rest_of(client)
+    assert statuses(said) == [200] and closes(said) == [True] and b"delivered" in said
+
+
+def test_a_connection_accepted_before_the_stop_may_bring_its_first_request_after_it(rig, clients):
+    made = rig(hosts=1)
+    made.hosts[0].command(SLOW)
+    client = clients(made)
+    made.gate.stop()
+    client.sendall(ASK)
+    run_out(made)
+    said = rest_of(client)
+    assert statuses(said) == [200] and closes(said) == [True]
+
+
+def test_one_that_stays_silent_is_closed_after_a_while_and_keeps_the_process_no_longer(rig, clients):
+    made = rig(hosts=1)
+    client = clients(made)
+    made.gate.stop()
+    lasted = run_out(made)
+    assert rest_of(client) == b"" and made.gate.lot.held == 0
+    assert LAST_REQUEST <= lasted < LAST_REQUEST + LAST_WORDS + made.gate.charter.longest
+
+
+def test_half_a_request_at_the_stop_is_served_when_whole_and_refused_where_it_is_not(rig, clients):
+    made = rig(hosts=1)
+    whole, never = clients(made), clients(made)
+    for client in (whole, never):
+        client.sendall(ASK[:40])
+    made.until(lambda: len(made.gate.fronts[0].server.links) == 2)
+    made.gate.stop()
+    whole.sendall(ASK[40:])
+    lasted = run_out(made)
+    assert statuses(rest_of(whole)) == [200] and statuses(rest_of(never)) == [408]
+    assert lasted < LAST_REQUEST + LAST_WORDS + made.gate.charter.longest
+
+
+def test_a_request_that_lies_unread_on_a_kept_connection_is_served(rig, clients, monkeypatch):
+    monkeypatch.setattr("gaproute.http1.server.QUIET", 10 * SECOND)  # it is not parked meanwhile
+    made = rig(hosts=1)
+    client = clients(made)
+    asked_and_answered(made, client)
+    client.sendall(ASK)
+    made.gate.stop()
+    run_out(made)
+    said = rest_of(client)
+    assert statuses(said) == [200] and closes(said) == [True]
+
+
+def test_a_connection_just_answered_may_bring_its_next_request_after_the_stop(rig, clients):
+    made = rig(hosts=1)
+    client = clients(made)
+    asked_and_answered(made, client)
+    made.gate.stop()
+    client.sendall(ASK)
+    run_out(made)
+    said = rest_of(client)
+    assert statuses(said) == [200] and closes(said) == [True]
+
+
+def test_a_connection_just_answered_that_brings_no_more_is_closed_before_the_grace_is_over(rig, clients):
+    made = rig(hosts=1)
+    client = clients(made)
+    asked_and_answered(made, client)
+    made.gate.stop()
+    lasted = run_out(made)
+    assert rest_of(client) == b"" and QUIET / 2 < lasted < LAST_REQUEST + LAST_WORDS + FAREWELL + SECOND
+
+
+def test_a_kept_connection_that_rests_is_closed_at_once(rig, clients):
+    made = rig(hosts=1)
+    client = clients(made)
+    asked_and_answered(made, client)
+    made.until(lambda: made.gate.fronts[0].server.parked)
+    made.gate.stop()
+    assert made.gate.lot.held == 0 and rest_of(client) == b""
+
+
+def test_of_requests_in_line_at_the_stop_only_the_last_answer_says_close(rig, clients):
+    made = rig(hosts=1)
+    made.hosts[0].command(SLOW)
+    client = clients(made)
+    client.sendall(ASK + ASK)
+    made.until(lambda: len(made.gate.core.held) == 2)
+    made.gate.stop()
+    run_out(made)
+    said = rest_of(client)
+    assert statuses(said) == [200, 200] and closes(said) == [False, True]
+
+
+@pytest.mark.parametrize("others, status", [(True, 200), (False, 503)])
+def test_readiness_is_told_of_the_address_which_others_serve_on_under_a_parent(rig, clients, others, status):
+    made = rig(hosts=1)
+    life, parent = os.pipe()
+    ready, says = os.pipe()
+    made.gate.under(life, says)
+    client = clients(made)
+    if others:
+        made.gate.stop()
+    else:
+        os.close(parent)  # the parent is gone, and so are the others
+        made.until(lambda: made.gate.stopping)
+    client.sendall(READY)
+    run_out(made)
+    assert statuses(rest_of(client)) == [status]
+    for fd in (life, ready, *([parent] if others else [])):
+        os.close(fd)
