A stop looks for all who have spoken, not for the first 4,096 of them

Cause: `Lot.close` asked the inner epoll once, for 4,096 events at most, and then closed whoever it held for silent: with more that had spoken at that moment, the rest were reset with their requests unread.

Change: it looks until nobody is told any more; each is told once, so the looks are bounded by those parked.

Test: three clients that have spoken, one event a look; fails without the change. test_lobby, test_leaving, test_http1, test_gateway and test_stopping pass.

--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -273,7 +273,9 @@
 
         `first_by`: those that have brought no request yet stay parked, until that time at the latest.
         """
-        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())
+        now = self.loop.now()
+        while events := self.loop.lobby.poll(0, LOBBY):  # each is told once: no more than are parked
+            self.look(events, now)
         self.loop.waiting = True
         for listener in [
             listener for listener, whose in self.arriving.items() if whose is self.owners[owner]
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -27,7 +27,7 @@
 )
 from gaproute.decisions.chance import Chance
 from gaproute.http1 import Limits, Server
-from gaproute.lobby import Calendar, Lot
+from gaproute.lobby import Calendar, Lot, lot
 from gaproute.lobby.calendar import WIDTH
 from gaproute.lobby.lot import EXPIRES
 from gaproute.loop import Loop
@@ -421,6 +421,18 @@
     made.turns(lambda: made.lot.held == 0)
 
 
+def test_all_who_have_spoken_before_a_stop_are_answered_though_one_look_tells_of_few(house, monkeypatch):
+    monkeypatch.setattr(lot, "LOBBY", 1)
+    made = house()
+    clients = [made.client() for _ in range(3)]
+    made.turns(lambda: made.lot.parked == 3)
+    for client in clients:
+        client.sendall(HEAD)
+    made.server.stop()
+    made.turns(lambda: len(made.asked) == 3)
+    assert all(b"200" in client.recv(4096) for client in clients)
+
+
 def test_a_client_that_resets_while_it_waits_at_admission_harms_nobody(house):
     made = house()
     gone, stays = made.client(), made.client()
