--- a/gaproute/decisions/route/task.py
+++ b/gaproute/decisions/route/task.py
@@ -60,7 +60,7 @@
                     look = self.overdue(now, task, trail, function)
                 continue
             if outcome.result is Result.BEGUN:
-                while outcome is None or not outcome.ended:  # a begun stream has no deadline; nothing else may be started
+                while outcome is None or not outcome.ended:  # a stream has no deadline
                     now, outcome = yield Wait(now + SECOND)
                 trail.out.clear()  # it is not cancelled
                 return None
