Capacity: rows of connections, probes, learning, operators and the Raft group

Need: every role of the size has a row. The log's measurement says its conditions, measured again (the same bytes).

--- a/benchmarks/scale/costs/status.py
+++ b/benchmarks/scale/costs/status.py
@@ -123,6 +123,6 @@
         "hosts",
         HOSTS,
         log_bytes,
-        "",
+        "one line a host and one of the start, as written; counted",
     ),
 }
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -34,9 +34,11 @@
 HOST_CHANGES_A_SECOND = 2 * (size.RESTARTS + size.MACHINE_FAILURES) / size.DAY  # gone, and back
 DEMAND_LIFE = 120  # seconds that a told demand counts
 MEMBERS_CAP = 4_096  # gateways that membership holds
-LEASE_HOLDERS = 6  # planners and schedulers
 LEASES = 100  # held by them at a time
 
+CONNECTIONS = size.HOSTS_AT_20  # kept to hosts, were each host reached by each gateway itself
+PROBES_A_SECOND = HOSTS / 0.7  # of each host every 700 ms, as where reports come by probe only
+
 PATH, CONTROL, RAFT = "gateway, path of requests", "gateway, control part", "Raft group"
 WHOLE_LIST = "every gateway holds the whole list"
 
@@ -174,4 +176,81 @@
         "s",
         "told to one peer after the other",
     ),
+    Row(
+        "control-connections",
+        CONTROL,
+        "memory of a kept connection to each host",
+        "kept-connection-memory-by-connections",
+        CONNECTIONS,
+        BYTES_TO_MB,
+        size.CONTROL_MEMORY,
+        "MB",
+        WHOLE_LIST,
+    ),
+    Row(
+        "control-probes",
+        CONTROL,
+        "probes of every host each 700 ms",
+        "probe-cpu-by-hosts",
+        PROBES_A_SECOND,
+        1,
+        size.CONTROL_MS,
+        "ms a second",
+        "each gateway probes for itself",
+    ),
+    Row(
+        "control-start",
+        CONTROL,
+        "facts of a fleet's functions learnt at a start, within a minute",
+        "learning-bytes-by-facts",
+        size.FUNCTIONS,
+        BYTES_TO_KB / 60,
+        size.CONTROL_BYTES,
+        "KB a second",
+        "peers tell all that they saw",
+    ),
+    Row(
+        "operator-hosts-table",
+        "operator's address",
+        "the table of hosts",
+        "hosts-table-bytes-by-hosts",
+        HOSTS,
+        BYTES_TO_MB,
+        size.CONTROL_MEMORY,
+        "MB",
+        "told whole",
+    ),
+    Row(
+        "raft-leader-cpu",
+        RAFT,
+        "leader's processor time, were each gateway a holder of leases",
+        "consensus-leader-cpu-by-holders",
+        size.GATEWAYS,
+        1,
+        1_000,
+        "ms a second",
+        "one Raft group",
+    ),
+    Row(
+        "raft-leader-planners",
+        RAFT,
+        "leader's processor time, planners and schedulers alone hold leases",
+        "consensus-leader-cpu-by-leases",
+        LEASES,
+        1,
+        1_000,
+        "ms a second",
+        "one Raft group",
+    ),
+    Row(
+        "raft-memory",
+        RAFT,
+        "memory of a lease for each host",
+        "consensus-memory-by-leases",
+        HOSTS,
+        BYTES_TO_MB,
+        24_000,
+        "MB",
+        "one Raft group",
+    ),
 )
