Cells: how many homes a function has, which cells may be sent to, and which are known

Need: from what one gateway sees of a function alone it must tell the rare, which all gateways must send to one copy, from what its region keeps loaded and from what fills more than one cell; it must leave cells that are gone, silent, full or slow by its own proof; and its view must stay bounded.

Nothing uses them yet.

--- /dev/null
+++ b/gaproute/decisions/cells/entries.py
@@ -0,0 +1,106 @@
+"""The ways into cells that a gateway does not know: which entry gateway a call is forwarded to.
+
+The order of a cell's entries is this gateway's own (rendezvous hashing of its name and the entry's), so that
+the gateways of a fleet spread over the entries, and one gateway keeps to one entry of each cell: few
+connections, and they are in use. An entry that cannot be reached or is silent is passed over for a while.
+
+Invariants: a task goes to an entry at most once; a call is forwarded `MAX_HOPS` times at most.
+"""
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+from xxhash import xxh3_64_intdigest
+
+from gaproute.interface import Relay
+
+SECOND = 1_000_000_000
+
+MAX_HOPS = 2  # from the gateway that took the call to an entry, and once more where that knows the cell not
+KEPT_PER_CELL = 4  # entries remembered for each cell before those that the table lacks are sought out
+FIRST_DOUBT, LONGEST_DOUBT = SECOND, 30 * SECOND  # for which an entry is passed over
+
+
+class Forwarded(NamedTuple):
+    """What a forwarded task says beside its content."""
+
+    cell: str
+    hops: int  # times that it has been forwarded
+
+
+class Forward(Relay):
+    """A relay to an entry gateway. `worker` is the entry's name."""
+
+    def __new__(cls, entry, until, forwarded):
+        """A wish as `Relay`, with what the other gateway must be told."""
+        wish = super().__new__(cls, entry.name, until)
+        wish.address, wish.forwarded = entry.address, forwarded
+        return wish
+
+
+@dataclass(slots=True)
+class Doubt:
+    """An entry that failed: passed over until then."""
+
+    until: int
+    span: int
+
+
+class Entries:
+    """Which entry of a cell to use."""
+
+    def __init__(self, own_name):
+        self.own_name = own_name
+        self.doubts = {}  # entry: Doubt
+        self.heard = {}  # entry: when it last answered
+        self.orders = {}  # cell: (its row, entries in order)
+
+    def adopt(self, table):
+        """Forget what the table has no more."""
+        self.orders = {name: held for name, held in self.orders.items() if name in table.by_name}
+        if len(self.doubts) + len(self.heard) > KEPT_PER_CELL * len(table.cells):
+            named = {entry.name for cell in table.cells for entry in cell.entries}
+            self.doubts = {name: doubt for name, doubt in self.doubts.items() if name in named}
+            self.heard = {name: at for name, at in self.heard.items() if name in named}
+
+    def order(self, cell):
+        """The cell's entries in this gateway's order, without itself."""
+        row, order = self.orders.get(cell.name, (None, ()))
+        if row is not cell:
+            order = sorted(
+                [entry for entry in cell.entries if entry.name != self.own_name],
+                key=lambda entry: (-xxh3_64_intdigest(f"{self.own_name}\0{entry.name}".encode()), entry.name),
+            )
+            self.orders[cell.name] = cell, tuple(order)
+        return order
+
+    def pick(self, now, cell, tried=()):
+        """The entry to use, or None: all are in doubt or were tried."""
+        for entry in self.order(cell):
+            doubt = self.doubts.get(entry.name)
+            if entry.name not in tried and (doubt is None or now >= doubt.until):
+                return entry
+        return None
+
+    def all_in_doubt(self, now, cell):
+        """Whether no entry of the cell can be used for now."""
+        return self.pick(now, cell) is None
+
+    def failed(self, now, name):
+        """The entry could not be reached, broke off, or is silent."""
+        doubt = self.doubts.get(name)
+        if doubt is None:
+            self.doubts[name] = Doubt(now + FIRST_DOUBT, FIRST_DOUBT)
+        elif now >= doubt.until:
+            span = min(2 * doubt.span, LONGEST_DOUBT)
+            self.doubts[name] = Doubt(now + span, span)
+
+    def silent(self, now, name, sent):
+        """A call sent then has no answer yet, or none came in time: proof if it answered no other since."""
+        if self.heard.get(name, -1) < sent:
+            self.failed(now, name)
+
+    def answered(self, now, name):
+        """The entry is well."""
+        self.heard[name] = now
+        self.doubts.pop(name, None)
--- a/gaproute/decisions/cells/homes.py
+++ b/gaproute/decisions/cells/homes.py
@@ -14,13 +14,18 @@
 
 
 class Homes:
-    """Orders by one table, over the whole fleet or within one region; a bounded number is held."""
+    """Orders by one table, over the whole fleet or within one region; a bounded number is held.
 
-    def __init__(self, table: CellTable, orders_kept: int = ORDERS_KEPT):
+    `regions`: those that will be asked for; the ring of any other is made when it first is.
+    """
+
+    def __init__(self, table: CellTable, orders_kept: int = ORDERS_KEPT, regions: Iterable[str] = ()):
         self.table = table
         self.orders_kept = orders_kept
         self._held = {}  # (function, region): (version, order); the one used last comes last
         self._rings = {None: Ring(table.cells)}  # region: its ring; None: the whole fleet
+        for region in regions:
+            self._ring(region)
 
     def adopt(self, table: CellTable):
         """Go by a newer table. Costs what differs; orders held are computed anew when they are next asked."""
--- /dev/null
+++ b/gaproute/decisions/cells/illness.py
@@ -0,0 +1,55 @@
+"""What is recorded of cells, zones and regions that are or may be ill."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+
+OUTCOMES = 8  # the last ones of a cell, by which refusals and slowness are judged
+
+
+class Permit(Enum):
+    """Whether a function's call may go to a cell now."""
+
+    YES = "yes"
+    TRIAL = "trial"  # as the one trial of an ill place
+    NO = "no"
+
+
+class Illness(Enum):
+    """The proof by which a place is ill."""
+
+    UNREACHABLE = "unreachable"
+    SILENT = "silent"
+    REFUSING = "refusing"
+    SLOW = "slow"
+
+
+class Area(Enum):
+    """The kinds of places, by the field of `Cell` that names them."""
+
+    REGION = "region"
+    ZONE = "zone"
+    CELL = "name"
+
+
+@dataclass(slots=True)
+class Ill:
+    """A place that is ill, or whose functions are coming back."""
+
+    illness: Illness
+    since: int
+    rest: int
+    until: int  # when the next trial may go
+    trial: int | None = None  # when the one that is out was sent
+    healed: int | None = None  # when a trial succeeded
+    spread: int = 0  # over which the functions come back
+
+
+@dataclass(slots=True)
+class Record:
+    """What was heard of a cell of late."""
+
+    heard: int = -1
+    overdue: dict[str, int] = field(default_factory=dict)  # host or entry: when the call overdue was sent
+    outcomes: deque = field(default_factory=lambda: deque(maxlen=OUTCOMES))  # (time, whether a refusal)
+    paces: deque = field(default_factory=lambda: deque(maxlen=OUTCOMES))  # (time, took over usual)
--- /dev/null
+++ b/gaproute/decisions/cells/place.py
@@ -0,0 +1,11 @@
+"""Who a gateway is within the fleet."""
+
+from typing import NamedTuple
+
+
+class Place(NamedTuple):
+    """A gateway's own name, and where it stands."""
+
+    name: str
+    region: str
+    zone: str
