Cells: the gateway that picks a cell and leaves the call to it

Need: the core drives one Gateway; with cells it must be the same interface, and with one cell the same decisions.

cellular: one cell or none goes straight through to route.Gateway; with several it holds one for each cell known and forwards other calls to entry gateways, with the cell and the hops (2 at most). tasks, journey, remote: a task is in one cell at a time, leaves it only when nothing is out, and what must not run twice leaves only when no relay of it may have run. What a cell refuses for its load moves within a tenth of the calls (spill). All cells known share one load ration (local). invariants: named checks.

Three drafts of the tests were wrong themselves (a function called often becomes one of the region) and one found a fault: pure work taken back from a silent cell tried the same cell's next entry; it moves on now.

--- /dev/null
+++ b/gaproute/decisions/cells/invariants.py
@@ -0,0 +1,76 @@
+"""What must always hold of a cellular gateway: named checks that return breaches as text."""
+
+from gaproute.decisions.cells.bounds import MAX_CELLS
+from gaproute.decisions.cells.demand import FUNCTIONS_KEPT
+from gaproute.decisions.cells.entries import MAX_HOPS, Forward
+from gaproute.decisions.cells.homes import ORDERS_KEPT, Homes
+
+
+def view_bounded(gateway):
+    """The hosts of the cells in view, and all that is remembered of cells and functions, are bounded."""
+    view = gateway.view
+    if view.hosts() > view.hosts_bound and len(view.names()) > 1:
+        yield f"{view.hosts()} hosts are in view, {view.hosts_bound} at most"
+    for name in gateway.local.gateways.keys() - set(view.names()):
+        yield f"the hosts of {name} are held, which is not in view"
+    for what, held, most in (
+        ("functions remembered", gateway.demand.functions, FUNCTIONS_KEPT),
+        ("orders held", gateway.homes._held, ORDERS_KEPT),
+        ("cells' loads", gateway.loads.cells, MAX_CELLS),
+        ("cells' records", gateway.health.records, MAX_CELLS),
+        ("entry orders", gateway.entries.orders, MAX_CELLS),
+    ):
+        if len(held) > most:
+            yield f"{len(held)} {what}, {most} at most"
+
+
+def homes_agree(gateway, functions):
+    """The homes are those that any gateway computes afresh from the same table."""
+    fresh = Homes(gateway.table)
+    for function in functions:
+        for region in (None, gateway.place.region):
+            if gateway.homes.order(function, 2, region)[:2] != fresh.order(function, 2, region)[:2]:
+                yield f"the homes of {function!r} differ from those by the table"
+
+
+def one_cell_at_a_time(gateway):
+    """No task has relays out in two cells."""
+    cells = {}
+    for (task, _), hand in gateway.hands.items():
+        if cells.setdefault(task, hand.cell) != hand.cell:
+            yield f"task {task} is out in {cells[task]} and in {hand.cell}"
+
+
+def sent_to_known(gateway, wish):
+    """A relay goes to a cell that is in the table and has an active host, or to one of its entries."""
+    if isinstance(wish, Forward):
+        cell = gateway.table.by_name.get(wish.forwarded.cell)
+        if cell is None:
+            yield f"forwarded to {wish.forwarded.cell}, which is not in the table"
+        elif wish.worker not in {entry.name for entry in cell.entries}:
+            yield f"forwarded to {wish.worker}, which is no entry of {cell.name}"
+    elif (owner := gateway.local.of_worker(wish.worker)) is None:
+        yield f"sent to {wish.worker}, which is in no cell known"
+    elif not owner.workers[wish.worker].active:
+        yield f"sent to {wish.worker}, which is not active"
+
+
+def hops_bounded(wish):
+    """A forwarded task says that it was forwarded at most `MAX_HOPS` times."""
+    if isinstance(wish, Forward) and not 1 <= wish.forwarded.hops <= MAX_HOPS:
+        yield f"forwarded {wish.forwarded.hops} times"
+
+
+def version_grows(before, after):
+    """Of two tables held one after the other: the version never falls."""
+    if before is not None and after.version < before.version:
+        yield f"version {after.version} came after {before.version}"
+
+
+def check(gateway, functions=()):
+    """Breaches of a gateway with several cells, as text; none where all is well."""
+    return [
+        *view_bounded(gateway),
+        *homes_agree(gateway, functions),
+        *one_cell_at_a_time(gateway),
+    ]
--- /dev/null
+++ b/gaproute/decisions/cells/tasks.py
@@ -0,0 +1,160 @@
+"""Tasks on their way through the cells of a fleet, and what is booked of them.
+
+Invariants: a task is in one cell at a time and enters each at most once; no task is forwarded more than
+`MAX_HOPS` times.
+"""
+
+from typing import NamedTuple
+
+from gaproute.decisions.cells.choice import Choice
+from gaproute.decisions.cells.remote import serve_remote
+from gaproute.decisions.route import Gateway
+from gaproute.interface import Decline, Effect, Found, Relay, Result, Scrap, Wait
+
+SECOND = 1_000_000_000
+
+CELLS_TRIED = 3  # for one task: what three cells refused, a fourth would refuse as well
+PATIENCE = 4  # usual answer times before a call is overdue,
+LOAD_PATIENCE = 2  # and usual load times
+FIRST_LOAD = SECOND  # load time where none is told
+PROVEN_UNABLE = ("nobody", "unreachable", "no host")  # why a cell declined other than for its load
+
+
+class Hand(NamedTuple):
+    """A relay that is out."""
+
+    cell: str
+    gateway: Gateway | None  # that sent it to a host; None: it went to an entry
+    function: str
+    sent: int
+    own: bool  # the call came from a client of this gateway
+
+
+class CellTasks:
+    """The part of `CellularGateway` that carries tasks; it makes all that is used here."""
+
+    def travel(self, journey, forwarded):
+        """One task, from acceptance to its one final answer."""
+        ending = Decline(0, "no cell")
+        for choice in self._choices(journey, forwarded):
+            ending = yield from self._in_cell(journey, choice)
+            if ending is None or isinstance(ending, Scrap):
+                break
+            if not journey.may_leave() or not self._worth_leaving(journey.now, ending):
+                break
+        if ending is not None:
+            yield ending
+
+    def _choices(self, journey, forwarded):
+        """The cells for a task, in turn. A forwarded one has no choice: its first gateway made it."""
+        function = journey.task.function
+        if forwarded is not None:
+            if forwarded.cell in self.table.by_name:
+                yield Choice(forwarded.cell)
+            return
+        self.demand.arrived(journey.now, function)
+        self.spill.arrived()
+        choices = self.chooser.cells(journey.now, function, journey.track.effect is Effect.PURE)
+        for _, choice in zip(range(CELLS_TRIED), choices, strict=False):
+            if choice.cell in self.table.by_name:  # a newer table may have come meanwhile
+                self.view.sent(journey.now, choice.cell)
+                yield choice
+
+    def _worth_leaving(self, now, ending):
+        """What was refused for load goes elsewhere within a bounded share of calls: no wave."""
+        return ending.why in PROVEN_UNABLE or self.spill.may()
+
+    def _in_cell(self, journey, choice):
+        """The task in one cell; returns its final wish there, or None where the task is over."""
+        name = choice.cell
+        if choice.trial:
+            self.health.tried(journey.now, name)
+        gateway = self.local.gateways.get(name)
+        if gateway is None:
+            cell = self.table.by_name[name]
+            inner = serve_remote(journey, cell, self.entries, self.health, self.terms.cancel_allowed)
+        elif gateway.fleet:
+            inner = gateway.serve(journey.now, journey.rest() if journey.relays else journey.task)
+        else:
+            self.health.unreachable(journey.now, name)
+            return Decline(journey.advice, "no host")
+        ending = yield from self._drive(journey, name, inner, gateway)
+        if gateway is not None and isinstance(ending, Decline) and ending.why in ("nobody", "full"):
+            self.health.outcome(journey.now, name, Result.FULL)
+        return ending
+
+    def _drive(self, journey, name, inner, gateway):
+        """Pass on what a cell wishes for the task, and keep account of it."""
+        task, value = journey.task, None
+        while True:
+            try:
+                wish = inner.send(value)
+            except StopIteration:
+                return None
+            value = None
+            if isinstance(wish, (Decline, Scrap)):
+                return wish
+            if isinstance(wish, Relay):
+                if journey.relays >= journey.relay_limit:
+                    inner.close()
+                    return journey.ending("relays")
+                value = yield wish
+                journey.sent(value, name, wish.worker, self._due(journey))
+                hand = Hand(name, gateway, task.function, journey.now, journey.hops == 0)
+                self.hands[task.id, value] = hand
+            elif isinstance(wish, Wait):
+                value = yield from self._wait(journey, wish)
+            else:
+                yield wish
+
+    def _wait(self, journey, wish):
+        """Wait, but look at relays that become overdue."""
+        journey.now, outcome = yield Wait(min(wish.until, journey.next_look()))
+        if outcome is not None:
+            journey.settle(outcome)
+        for cell, worker, sent in journey.overdue():
+            self.health.overdue(journey.now, cell, sent, worker)
+            if cell not in self.local.gateways:
+                self.entries.silent(journey.now, worker, sent)
+        return journey.now, outcome
+
+    def _due(self, journey):
+        load = journey.task.load_time or FIRST_LOAD
+        usual = self.demand.usual(journey.task.function)
+        return journey.now + int(PATIENCE * usual) + LOAD_PATIENCE * load
+
+    def heard_in_cell(self, now, outcome, hand):
+        """Book one relay's outcome, whether or not its task is still held."""
+        if outcome.result is Result.BEGUN:
+            self.hands[outcome.task, outcome.relay] = hand
+        if hand.gateway is not None:
+            hand.gateway.heard(now, outcome)
+        self._book(now, outcome, hand)
+
+    def _book(self, now, outcome, hand):
+        standing = outcome.result is Result.OK and outcome.found is Found.WARM
+        pace = outcome.took / max(1.0, self.demand.usual(hand.function)) if standing else None
+        if hand.gateway is None:
+            self._book_entry(now, outcome, hand)
+        if hand.gateway is None or outcome.result is not Result.FULL:  # a full host is no full cell
+            self.health.outcome(now, hand.cell, outcome.result, pace)
+        if hand.own and outcome.result is Result.OK and outcome.found in (Found.WARM, Found.UNTOLD):
+            self.demand.took(hand.function, outcome.took)
+        self._book_load(now, outcome, hand.cell)
+
+    def _book_entry(self, now, outcome, hand):
+        if outcome.result in (Result.CONNECT_FAILED, Result.RESET):
+            self.entries.failed(now, outcome.worker)
+        elif outcome.result is Result.TIMEOUT:
+            self.entries.silent(now, outcome.worker, hand.sent)
+        elif outcome.result not in (Result.MOOT, Result.CANCELLED):
+            self.entries.answered(now, outcome.worker)
+
+    def _book_load(self, now, outcome, name):
+        cell = self.table.by_name.get(name)
+        if cell is None:
+            return
+        if name in self.local.gateways:
+            self.loads.heard(now, name, self.local.load(now, name) / cell.capacity)
+        elif outcome.report is not None and outcome.report.in_hand is not None:
+            self.loads.heard(now, name, outcome.report.in_hand / cell.capacity)
--- /dev/null
+++ b/tests/test_cells_cellular.py
@@ -0,0 +1,340 @@
+"""The gateway of many cells: one cell is as no cells; what goes on to the next cell, and what never does."""
+
+from random import Random
+
+import pytest
+from cells_tables import cell, cells, table
+from helpers import TERMS, Drive, row, task
+
+from gaproute import interface as face
+from gaproute.decisions.cells.cellular import CellularGateway
+from gaproute.decisions.cells.entries import MAX_HOPS, Forward, Forwarded
+from gaproute.decisions.cells.place import Place
+from gaproute.decisions.cells.tasks import CELLS_TRIED
+from gaproute.decisions.route import Gateway
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+PURE, RECEIPTED, EFFECTFUL = 0, 1, 2
+PLACE = Place("gateway1", "region0", "zone0")
+
+
+class Script:
+    """Plays many tasks, answers, lists and probes against a gateway, by a seed; keeps every wish."""
+
+    def __init__(self, made, seed, cell_told):
+        self.made, self.random, self.cell_told = made, Random(seed), cell_told
+        self.now, self.wishes, self.tasks, self.out = 0, [], {}, []
+        self.names = [f"host{number}" for number in range(8)]
+
+    def play(self, steps):
+        self.list(True)
+        self.keeper = self.made.housekeep(0)
+        self.keep(next(self.keeper))
+        for step in range(steps):
+            self.now += self.random.randrange(1, 60) * MILLI
+            act = self.random.choice([self.begin] * 4 + [self.answer] * 5 + [self.late] * 2 + [self.other])
+            act(step)
+        return self.wishes
+
+    def list(self, complete):
+        some = self.names if complete else self.random.sample(self.names, 3)
+        rows = [
+            row(
+                name,
+                zone=self.random.randrange(2),
+                state=self.random.choice([face.State.ACTIVE] * 5 + [face.State.DRAINING]),
+                started=self.random.choice([None, 0]),
+            )
+            for name in some
+        ]
+        told = {"cell": "only"} if self.cell_told else {}
+        self.made.listed(self.now, rows, complete, **told)
+
+    def begin(self, step):
+        function, track = f"f{self.random.randrange(6)}", self.random.randrange(3)
+        serve = self.made.serve(self.now, task(f"t{step}", function, track))
+        self.tasks[f"t{step}"] = [serve, 0]
+        self.advance(f"t{step}", None)
+
+    def advance(self, name, value):
+        held = self.tasks.get(name)
+        if held is None:
+            return
+        while True:
+            try:
+                wish = held[0].send(value)
+            except StopIteration:
+                del self.tasks[name]
+                return
+            self.wishes.append((self.now, name, wish))
+            value = None
+            if isinstance(wish, face.Wait):
+                return
+            if isinstance(wish, face.Relay):
+                value, held[1] = held[1], held[1] + 1
+                self.out.append((name, value, wish.worker, self.now))
+
+    def answer(self, step):
+        if not self.out:
+            return
+        name, relay, worker, sent = self.out.pop(self.random.randrange(len(self.out)))
+        result = self.random.choice(
+            [face.Result.OK] * 6 + [r for r in face.Result if r.value not in ("begun", "departed")]
+        )
+        outcome = face.Outcome(
+            name, relay, worker, result, self.now - sent, result is face.Result.OK,
+            self.random.choice(list(face.Found)), self.random.choice([None, 1, 9]),
+            face.Report(in_hand=float(self.random.randrange(20)), memory_busy=self.random.random()),
+        )  # fmt: skip
+        self.made.heard(self.now, outcome)
+        self.advance(name, (self.now, outcome))
+
+    def late(self, step):
+        if self.tasks:
+            self.advance(self.random.choice(sorted(self.tasks)), (self.now, None))
+
+    def other(self, step):
+        match self.random.randrange(4):
+            case 0:
+                self.list(self.random.random() < 0.5)
+            case 1:
+                worker = self.random.choice(self.names)
+                report = face.Report(in_hand=float(self.random.randrange(9)))
+                self.wishes.append(self.made.probed(self.now, worker, self.random.random() < 0.8, report))
+            case 2:
+                name = self.random.choice(self.names)
+                self.made.stood(self.now, name, f"f{self.random.randrange(6)}", face.Result.OK, 1)
+            case _:
+                self.keep(self.keeper.send((self.now, None)))
+
+    def keep(self, wish):
+        while not isinstance(wish, face.Wait):
+            self.wishes.append((self.now, "", wish))
+            wish = self.keeper.send(None)
+        self.wishes.append((self.now, "", wish))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_one_cell_is_the_same_as_no_cells_wish_by_wish(seed):
+    told = TERMS._replace(reports_by_probe=True, reported=("in_hand",), probe_price=0.0)
+    plain = Script(Gateway(7, told, 0), seed, False).play(2500)
+    bare = Script(CellularGateway(7, told, 0), seed, False).play(2500)
+    made = CellularGateway(7, told, 0, PLACE)
+    made.adopt(0, table([cell("only")]))
+    assert made.wanted() == ("only",)
+    celled = Script(made, seed, True).play(2500)
+    assert len(plain) > 2000
+    for at, (one, other, third) in enumerate(zip(plain, bare, celled, strict=True)):
+        assert one == other == third, at
+
+
+def test_what_carriers_ask_of_one_cell_is_answered():
+    made = CellularGateway(7, TERMS, 0)
+    made.listed(0, [row("a"), row("b")], True)
+    assert made.fleet == made.single.fleet and made.hint("a", "f", 4, 5)
+    with pytest.raises(ValueError):
+        made.adopt(0, table(cells(2)))
+
+
+def fleet(count=26, own=("cell0",), **terms):
+    """A gateway of zone 0 that knows some cells' hosts."""
+    made = CellularGateway(7, TERMS._replace(**{"twins_allowed": False, **terms}), 0, PLACE)
+    made.adopt(0, table(cells(count)))
+    for name in made.wanted():
+        if name in own:
+            made.listed(0, [row(f"{name}-{host}") for host in "abc"], True, name)
+    return made
+
+
+def functions(made, wanted, number=1):
+    """Functions whose first home is one of the cells wanted."""
+    found = (f"f{place}" for place in range(100_000) if made.homes.first(f"f{place}") in wanted)
+    return [next(found) for _ in range(number)]
+
+
+def function_of(made, name):
+    return functions(made, (name,))[0]
+
+
+def test_a_known_cell_is_served_at_its_hosts():
+    made = fleet()
+    drive = Drive(made, task("t", function_of(made, "cell0")))
+    assert drive.sent[0].startswith("cell0-")
+    drive.hears(100 * MILLI, face.Result.OK)
+    assert drive.ended and not made.hands
+
+
+def test_an_unknown_cell_is_reached_by_an_entry_that_is_told_cell_and_hops():
+    made = fleet()
+    drive = Drive(made, task("t", function_of(made, "cell7")))
+    wish = drive.wishes[0]
+    assert isinstance(wish, Forward) and wish.forwarded == Forwarded("cell7", 1)
+    assert (wish.worker, wish.address) in made.table.by_name["cell7"].entries
+    drive.hears(100 * MILLI, face.Result.OK)
+    assert drive.ended
+
+
+def test_an_entry_serves_in_its_cell_and_nowhere_else():
+    made = fleet()
+    serve = made.serve(0, task("t", function_of(made, "cell7")), Forwarded("cell0", 1))
+    assert next(serve).worker.startswith("cell0-")
+    made.listed(0, [], True, "cell0")
+    serve = made.serve(0, task("u"), Forwarded("cell0", 1))
+    assert isinstance(next(serve), face.Decline)
+
+
+def test_an_entry_that_knows_the_cell_no_more_forwards_once():
+    made = fleet()
+    wish = next(made.serve(0, task("t"), Forwarded("cell7", 1)))
+    assert isinstance(wish, Forward) and wish.forwarded == Forwarded("cell7", MAX_HOPS)
+    assert isinstance(next(made.serve(0, task("u"), Forwarded("cell7", MAX_HOPS))), face.Decline)
+    assert isinstance(next(made.serve(0, task("v"), Forwarded("nowhere", 1))), face.Decline)
+
+
+@pytest.mark.parametrize("track", [PURE, RECEIPTED, EFFECTFUL])
+def test_what_provably_did_not_run_goes_to_another_entry_and_then_to_the_next_home(track):
+    made = fleet()
+    name = function_of(made, "cell7")
+    drive = Drive(made, task("t", name, track), now=0)
+    for relay in range(2):
+        assert drive.wishes[0].forwarded.cell == "cell7"
+        drive.hears(10 * MILLI, face.Result.CONNECT_FAILED, relay)
+    second = made.homes.order(name, 2)[1]
+    assert drive.wishes[0].forwarded.cell == second and len(set(drive.sent)) == 3
+    assert made.health.barred("cell7")  # both of its entries failed
+
+
+@pytest.mark.parametrize("track", [RECEIPTED, EFFECTFUL])
+@pytest.mark.parametrize("result", [face.Result.ERROR, face.Result.RESET, face.Result.TIMEOUT])
+def test_what_may_have_run_is_not_sent_again(track, result):
+    made = fleet()
+    drive = Drive(made, task("t", function_of(made, "cell7"), track))
+    wishes = drive.hears(10 * MILLI, result)
+    assert [type(wish) for wish in wishes] == [face.Scrap]
+
+
+def test_pure_work_that_may_have_run_goes_on():
+    made = fleet()
+    drive = Drive(made, task("t", function_of(made, "cell7"), PURE))
+    drive.hears(10 * MILLI, face.Result.RESET)
+    drive.hears(20 * MILLI, face.Result.RESET, 1)
+    assert len(drive.sent) == 3 and not drive.ended
+
+
+def test_what_a_cell_refuses_moves_within_a_budget():
+    made, moved = fleet(), 0
+    for number, name in enumerate(functions(made, ("cell7",), 300)):
+        now = number * MILLI
+        drive = Drive(made, task(f"t{number}", name), now)
+        drive.hears(now, face.Result.FULL)
+        moved += len(drive.sent) > 1
+        made.health.ill.clear()
+        while not drive.ended:
+            drive.hears(now, face.Result.OK, len(drive.sent) - 1)
+    assert 20 <= moved <= 20 + 30
+
+
+def test_a_full_cell_is_passed_over_until_a_trial_succeeds():
+    made = fleet()
+    *names, after, trial, beside = functions(made, ("cell7",), 8)
+    for number, name in enumerate(names):
+        drive = Drive(made, task(f"t{number}", name), now=0)
+        drive.hears(0, face.Result.FULL)
+    assert Drive(made, task("after", after), now=MILLI).wishes[0].forwarded.cell != "cell7"
+    drives = [Drive(made, task(name, name), now=2 * SECOND) for name in (trial, beside)]
+    assert drives[0].wishes[0].forwarded.cell == "cell7"
+    assert drives[1].wishes[0].forwarded.cell != "cell7"
+
+
+def test_a_trial_is_not_made_of_what_must_not_run_twice():
+    made = fleet()
+    name = function_of(made, "cell7")
+    made.health.unreachable(0, "cell7")
+    drive = Drive(made, task("t", name, EFFECTFUL), now=2 * SECOND)
+    assert drive.wishes[0].forwarded.cell != "cell7"
+
+
+def test_relays_and_cells_for_one_task_are_bounded():
+    made = fleet(relay_limit=4)
+    drive = Drive(made, task("t", function_of(made, "cell7")))
+    for relay in range(4):
+        drive.hears(10 * MILLI, face.Result.CONNECT_FAILED, relay)
+    assert drive.ended and isinstance(drive.wishes[-1], face.Decline) and len(drive.sent) == 4
+    made = fleet(relay_limit=50)
+    drive = Drive(made, task("t", function_of(made, "cell7")))
+    for relay in range(2 * CELLS_TRIED):
+        drive.hears(10 * MILLI, face.Result.CONNECT_FAILED, relay)
+    assert drive.ended and len(drive.sent) == 2 * CELLS_TRIED
+
+
+def test_a_known_cell_without_hosts_sends_its_calls_to_the_next_home():
+    made = fleet()
+    name = function_of(made, "cell0")
+    made.listed(0, [], True, "cell0")
+    drive = Drive(made, task("t", name))
+    assert drive.wishes[0].forwarded.cell == made.homes.order(name, 2)[1]
+    assert made.health.barred("cell0")
+
+
+def test_overdue_calls_by_two_entries_prove_a_cell_silent_and_free_pure_work():
+    made = fleet()
+    first, *rest = functions(made, ("cell7",), 4)
+    drives = [Drive(made, task("t0", first), now=0)]
+    drives[0].late(4 * SECOND - 100 * MILLI)  # overdue: its entry is in doubt
+    drives += [Drive(made, task(f"u{n}", name), now=4 * SECOND) for n, name in enumerate(rest)]
+    assert drives[1].sent != drives[0].sent and not made.health.barred("cell7")
+    wishes = drives[1].late(7 * SECOND)
+    assert made.health.barred("cell7")
+    assert wishes[0] == face.Cancel(0)
+    wishes = drives[1].hears(7 * SECOND, face.Result.CANCELLED)
+    assert wishes[0].forwarded.cell != "cell7"
+
+
+def test_the_table_changes_under_tasks_in_hand():
+    made = fleet()
+    drive = Drive(made, task("t", function_of(made, "cell7")))
+    made.adopt(0, table([each for each in cells(26) if each.name not in ("cell7", "cell0")], number=2))
+    assert "cell0" not in made.local.gateways
+    drive.hears(MILLI, face.Result.CONNECT_FAILED)
+    assert not drive.ended
+    one = table([cell("only")], number=3)
+    made.adopt(0, one)
+    drive.hears(2 * MILLI, face.Result.OK, 1)
+    assert drive.ended and made.wanted() == ("only",)
+    made.adopt(0, table(cells(26), number=4))
+    assert Drive(made, task("n", function_of(made, "cell7"))).sent
+
+
+def test_one_cell_becomes_several_and_its_tasks_end_well():
+    made = CellularGateway(7, TERMS, 0, PLACE)
+    made.adopt(0, table(cells(1)))
+    made.listed(0, [row("a"), row("b")], True, "cell0")
+    drive = Drive(made, task("t"))
+    made.adopt(0, table(cells(26), number=2))
+    assert "cell0" in made.local.gateways or "cell0" not in made.wanted()
+    drive.hears(MILLI, face.Result.OK)
+    assert drive.ended and not made.former.hands
+
+
+def test_all_known_cells_share_one_ration():
+    made = fleet(own=("cell0", "cell13"))
+    made.listed(0, [row("x")], True, made.wanted()[0])
+    made.listed(0, [row("y")], True, made.wanted()[1])
+    rations = {id(gateway.ration) for gateway in made.local.gateways.values()}
+    assert len(made.local.gateways) == 2 and rations == {id(made.local.ration)}
+
+
+def test_housekeeping_probes_the_hosts_of_all_known_cells():
+    made = fleet(reports_by_probe=True, reported=("in_hand",))
+    for name in made.wanted():
+        made.listed(0, [row(f"{name}-{host}") for host in "ab"], True, name)
+    keeper, now, probed = made.housekeep(0), 0, set()
+    wish = next(keeper)
+    for _ in range(200):
+        if isinstance(wish, face.Wait):
+            now = max(now, wish.until)
+            wish = keeper.send((now, None))
+        else:
+            probed.add(wish.worker)
+            wish = keeper.send(None)
+    assert {worker.rsplit("-", 1)[0] for worker in probed} == set(made.wanted())
