--- a/benchmarks/weak_bytes.py
+++ b/benchmarks/weak_bytes.py
@@ -86,7 +86,7 @@
     loop = Loop()
     came = []
     one, other = (Datagrams(loop, "127.0.0.1:0", came.append) for _ in range(2))
-    where = "127.0.0.1:%d" % other.sock.getsockname()[1]
+    where = f"127.0.0.1:{other.sock.getsockname()[1]}"
 
     def call():
         one.send(data, where)
@@ -106,7 +106,7 @@
     loop = Loop()
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as free:
         free.bind(("127.0.0.1", 0))
-        where = "127.0.0.1:%d" % free.getsockname()[1]
+        where = f"127.0.0.1:{free.getsockname()[1]}"
     gossip = Gossip(loop, "me", where, Chance(1), Record())
     weak = Weak("me", 1, Chance(1), 0)
     weak.peers(0, ["gate-117"])
@@ -134,23 +134,25 @@
     return rows
 
 
+def row_of(name, word):
+    data = encode(word)
+    return {
+        "word": name,
+        "bytes": len(wrapped(data)),
+        "encode, us": spent(lambda: wrapped(encode(word))),
+        "decode, us": spent(lambda: decode(word_pb2.Word.FromString(wrapped(data)).weak)),
+        "merge, us": merging(word),
+        "socket, us": on_sockets(wrapped(data)),
+        "refused, us": "-",
+    }
+
+
 def main():
     arguments = argparse.ArgumentParser()
     arguments.add_argument("--out", default="docs/measured")
     rows = []
     for name, word in words().items():
-        data = encode(word)
-        rows.append(
-            {
-                "word": name,
-                "bytes": len(wrapped(data)),
-                "encode, us": spent(lambda: wrapped(encode(word))),
-                "decode, us": spent(lambda: decode(word_pb2.Word.FromString(wrapped(data)).weak)),
-                "merge, us": merging(word),
-                "socket, us": on_sockets(wrapped(data)),
-                "refused, us": "-",
-            }
-        )
+        rows.append(row_of(name, word))
         print(rows[-1])
     for row in refusals():
         rows.append({name: row.get(name, "-") for name in rows[0]})
