Configuration of cells: their lines, the table's text, host lists and what check says

Need: a gateway of a fleet in cells must be told its fleet, where it stands, where the cell table is and where the cells' host lists are.

`cells` and `cell-hosts` stand in place of `host` and `hosts-file`; what does not go with them is refused by line. cell_table reads a table from lines of the existing form: its last line is `end`, since a torn file would else pass for a smaller table of the same version. cell_hosts reads the list of one cell and tells hosts in another zone than their cell and hosts of two cells. `gaproute check` reads all of it; `serve` does not, so that a gateway starts without its table.

--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -12,16 +12,21 @@
 from rich.table import Table
 
 from gaproute.conf import Mistakes, move, read_charter, read_hosts, read_peers, read_text, write_whole
+from gaproute.conf.cell_hosts import check_cells
 from gaproute.loop.streams import address
 
 
-def charter_of(file):
+def charter_of(file, whole=False):
+    """The configuration of a file, or exit 2. `whole`: the files of its cells are read as well; a gateway
+    starts without them and waits."""
     try:
         charter = read_charter(file)
         if charter.hosts_file is not None:
             read_hosts(charter.hosts_file.path)
         if charter.peers_file is not None:
             read_peers(charter.peers_file.path)
+        if whole and charter.cells is not None:
+            check_cells(charter)
         return charter
     except Mistakes as wrong:
         refuse(wrong, "nothing of it is used")
@@ -84,8 +89,8 @@
 @main.command()
 @click.argument("file", type=click.Path(dir_okay=False))
 def check(file):
-    """Check the configuration FILE and the host list that it names; every mistake in one go."""
-    charter = charter_of(file)
+    """Check the configuration FILE and the files that it names; every mistake in one go."""
+    charter = charter_of(file, whole=True)
     click.echo(
         f"{file}: well: {len(charter.tracks)} tracks, {len(charter.models)} models, "
         f"{len(charter.hosts) or 'listed'} hosts"
--- a/gaproute/conf/across.py
+++ b/gaproute/conf/across.py
@@ -1,9 +1,18 @@
 """Mistakes that only show between lines."""
 
 from gaproute.conf.lines import Mistake
-from gaproute.conf.words.fleet import HostLine, KeepersLine, Listen, Word
+from gaproute.conf.words.fleet import CellHosts, CellsLine, HostLine, KeepersLine, Listen, Word
 from gaproute.conf.words.tasks import ModelLine, TrackLine
 
+# What a fleet in cells cannot have: {word: cure}.
+WITHOUT_CELLS = {
+    "host": "the hosts of cells stand in the folder of cell-hosts",
+    "hosts-file": "the hosts of cells stand in the folder of cell-hosts",
+    "memory": "leave it out: what is known of cells is not kept on disk",
+    "weak-word": "leave it out: gateways of cells do not tell each other of hosts",
+    "decisions": "leave it out: cells have decisions of their own",
+}
+
 
 def twice(file, found):
     """Mistakes for names that stand a second time."""
@@ -51,6 +60,22 @@
         yield Mistake(file, line.line, "votes at a gateway that is no keeper", "leave votes out here")
 
 
+def cells(file, found, words):
+    """Mistakes of the `cells` and `cell-hosts` lines beside the others."""
+    for word, other, example in (
+        ("cells", "cell-hosts", CellHosts.example),
+        ("cell-hosts", "cells", CellsLine.example),
+        ("cells", "name", Word.example),
+    ):
+        if word in words and other not in words:
+            yield Mistake(file, words[word], f"{word} without a {other} line", f"right would be: {example}")
+    if "cells" not in words:
+        return
+    for word, line in found:
+        if word in WITHOUT_CELLS and (word != "weak-word" or line.told):
+            yield Mistake(file, line.line, f"{word} beside cells", WITHOUT_CELLS[word])
+
+
 def across(file, found, words):
     """What only shows between lines."""
     mistakes = twice(file, found)
@@ -62,7 +87,7 @@
     ):
         if word not in words:
             mistakes.append(Mistake(file, 0, f"no {word} line", f"right would be: {cure}"))
-    if "host" not in words and "hosts-file" not in words:
+    if "host" not in words and "hosts-file" not in words and "cells" not in words:
         mistakes.append(
             Mistake(file, 0, "no host and no hosts-file line", f"right would be: {HostLine.example}")
         )
@@ -108,6 +133,7 @@
                     f"the tracks here: {', '.join(tracks) or 'none'}",
                 )
             )
+    mistakes += cells(file, found, words)
     wheres = {}
     for word, line in found:
         if word == "listen" and line.where in wheres and not line.where.endswith(":0"):
--- /dev/null
+++ b/gaproute/conf/cell_hosts.py
@@ -0,0 +1,84 @@
+"""Host lists of cells as files, one for each cell, and what may be wrong with them beside a cell table."""
+
+import os
+from urllib.parse import quote
+
+from gaproute.conf.cell_table import bounded_text, read_cells
+from gaproute.conf.lines import Mistake, Mistakes
+from gaproute.conf.reading import read_hosts
+from gaproute.decisions.cells.bounds import MAX_HOSTS
+
+MAX_BYTES = 1 << 20  # of one file: 1 KiB for each of the most hosts
+
+
+def path_of(folder, cell):
+    """The file of a cell's hosts."""
+    return os.path.join(folder, f"{quote(cell, safe=' ')}.hosts")
+
+
+def read_cell_hosts(path):
+    """The `host` lines of a cell's file. Errors: `Mistakes`."""
+    lines = read_hosts(path, bounded_text(path, MAX_BYTES))
+    if len(lines) > MAX_HOSTS:
+        mistake = f"{len(lines)} hosts are more than a cell may have"
+        raise Mistakes([Mistake(path, lines[MAX_HOSTS].line, mistake, f"{MAX_HOSTS} at most")])
+    return lines
+
+
+def zone_mistakes(path, lines, zone):
+    """Mistakes of hosts that stand in another zone than their cell."""
+    cure = f"leave the zone out, or name {zone}"
+    return [
+        Mistake(path, line.line, f"host {line.name} stands in zone {line.zone}, its cell in {zone}", cure)
+        for line in lines
+        if line.zone not in ("", zone)
+    ]
+
+
+def first_clash(paths, lists):
+    """(cell, Mistake) of the first cell that names a host of an earlier one, by name or address; or None."""
+    owners = {}
+    for cell, lines in lists.items():
+        for line in lines:
+            for what in (line.name, line.where):
+                owner = owners.setdefault(what, cell)
+                if owner != cell:
+                    text = f"host {line.name} ({line.where}) is also in cell {owner}"
+                    return cell, Mistake(paths[cell], line.line, text, "keep it in one of the two")
+    return None
+
+
+def check_cells(charter):
+    """Read the table and the host lists that a charter names. Errors: `Mistakes` with all that is wrong."""
+    line, folder = charter.cells, charter.cell_hosts.folder
+    table = read_cells(line.file)
+    mistakes, lists, paths = list(_place_mistakes(charter.file, line, table)), {}, {}
+    for cell in table.cells:
+        paths[cell.name] = path_of(folder, cell.name)
+        if not os.path.exists(paths[cell.name]):
+            continue  # only the gateways that know a cell need its list
+        try:
+            lines = read_cell_hosts(paths[cell.name])
+        except Mistakes as wrong:
+            mistakes += wrong.mistakes
+            continue
+        lists[cell.name] = lines
+        mistakes += zone_mistakes(paths[cell.name], lines, cell.zone)
+    while (clash := first_clash(paths, lists)) is not None:
+        mistakes.append(clash[1])
+        del lists[clash[0]]
+    if mistakes:
+        raise Mistakes(mistakes)
+
+
+def _place_mistakes(file, line, table):
+    if table.fleet != line.fleet:
+        cure = f"name the table of fleet {line.fleet}"
+        yield Mistake(file, line.line, f"cells: {line.file} is of fleet {table.fleet}", cure)
+    zones = {cell.zone: cell.region for cell in table.cells}
+    if line.zone not in zones:
+        cure = f"the zones there: {', '.join(sorted(zones))}"
+        yield Mistake(file, line.line, f"cells: the table has no cell in zone {line.zone}", cure)
+    elif zones[line.zone] != line.region:
+        text = f"cells: zone {line.zone} lies in region {zones[line.zone]}, not {line.region}"
+        yield Mistake(file, line.line, text, "name that region")
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -19,10 +19,12 @@
             return next(iter(all_of(word)), None) or WORDS[word].model_construct()
 
         self.file = file
-        self.name = one("name").name
+        self.name = self.base_name = one("name").name
         self.listens = [(line.kind, line.where) for line in all_of("listen")]
         self.hosts = all_of("host")
         self.hosts_file = next(iter(all_of("hosts-file")), None)
+        self.cells = next(iter(all_of("cells")), None)
+        self.cell_hosts = next(iter(all_of("cell-hosts")), None)
         self.tracks = all_of("track")
         self.models = {line.name: line for line in all_of("model")}
         self.tenants = {line.name: place for place, line in enumerate(all_of("tenant"))}
@@ -62,7 +64,7 @@
             probe_price=0.0,
             peer_price=0.0,
             peers_allowed=False,  # they tell each other more, by their own way
-            gateways=1,
+            gateways=self.cells.gateways if self.cells else 1,
             cancel_allowed=relays.cancel,
             twins_allowed=relays.twins,
             relay_limit=relays.limit,
--- a/gaproute/conf/words/__init__.py
+++ b/gaproute/conf/words/__init__.py
@@ -1,6 +1,8 @@
 """What each line of the configuration may say: one schema a word."""
 
 from gaproute.conf.words.fleet import (
+    CellHosts,
+    CellsLine,
     HostLine,
     HostsFile,
     KeepersLine,
@@ -34,6 +36,8 @@
     "name": Word,
     "listen": Listen,
     "hosts-file": HostsFile,
+    "cells": CellsLine,
+    "cell-hosts": CellHosts,
     "track": TrackLine,
     "model": ModelLine,
     "tenant": TenantLine,
--- a/gaproute/conf/words/fleet.py
+++ b/gaproute/conf/words/fleet.py
@@ -6,6 +6,7 @@
 
 from gaproute.conf.lines import Directive, Span, Yes
 from gaproute.conf.words.kinds import Address, Name, Started
+from gaproute.decisions.cells.bounds import MAX_NAME
 from gaproute.shared.keepers.messages import KEEPERS
 from gaproute.shared.permits.commands import LONGEST, SHORTEST
 
@@ -44,6 +45,26 @@
     started: Started | None = None
 
 
+class CellsLine(Directive):
+    places: ClassVar = ("fleet",)
+    example: ClassVar = "cells north file cells.table look 50ms region west zone west-a gateways 12"
+    once: ClassVar = True
+    fleet: str = Field(min_length=1, max_length=MAX_NAME)
+    file: str
+    look: Span = Field(50_000_000, ge=1_000_000, le=400_000_000)
+    region: str = Field(min_length=1, max_length=MAX_NAME)  # where this gateway stands
+    zone: str = Field(min_length=1, max_length=MAX_NAME)
+    gateways: int = Field(1, ge=1, le=100_000)  # of the whole fleet, about
+
+
+class CellHosts(Directive):
+    places: ClassVar = ("folder",)
+    example: ClassVar = "cell-hosts /etc/gaproute/cells look 50ms"
+    once: ClassVar = True
+    folder: str
+    look: Span = Field(50_000_000, ge=1_000_000, le=400_000_000)
+
+
 class PeerLine(Directive):
     places: ClassVar = ("name", "where")
     example: ClassVar = "peer gate-2 127.0.0.1:8090"
--- /dev/null
+++ b/tests/test_cells_conf.py
@@ -0,0 +1,179 @@
+"""Cells in the configuration: its lines, the table's text, host lists of cells, and what `check` says."""
+
+import pytest
+from click.testing import CliRunner
+from helpers import CHARTER
+
+from gaproute.cli.main import main
+from gaproute.conf import Mistakes, read_charter
+from gaproute.conf.cell_hosts import path_of, read_cell_hosts
+from gaproute.conf.cell_table import MAX_BYTES, read_cells
+from gaproute.decisions.cells.bounds import MAX_HOSTS
+from gaproute.decisions.cells.table import Entry, Points, Version
+
+CELLS = "cells north file t look 50ms region west zone west-a"
+LISTS = "cell-hosts lists"
+TABLE = """table north version 1.3
+cell a1 region west zone west-a capacity 100 hosts 2 entries ga=127.0.0.1:1,gb=127.0.0.1:2
+cell b1 region west zone west-b capacity 50 hosts 2 points a1:100+4,b1:0+16
+end
+"""
+
+
+def told(read, *given):
+    """What is said of a mistake."""
+    with pytest.raises(Mistakes) as wrong:
+        read(*given)
+    return [str(mistake) for mistake in wrong.value.mistakes]
+
+
+def test_a_gateway_of_a_fleet_in_cells_needs_no_host_of_its_own():
+    charter = read_charter("f", f"{CHARTER}{CELLS} gateways 12\n{LISTS}\n")
+    line = charter.cells
+    assert (line.fleet, line.file, line.region, line.zone) == ("north", "t", "west", "west-a")
+    assert charter.terms.gateways == 12 and charter.cell_hosts.folder == "lists"
+
+
+@pytest.mark.parametrize(
+    "lines, mistake",
+    [
+        ((CELLS,), "f:11: cells without a cell-hosts line"),
+        ((LISTS, "host h 127.0.0.1:9"), "f:11: cell-hosts without a cells line"),
+        ((CELLS, LISTS, "host h 127.0.0.1:9"), "f:13: host beside cells"),
+        ((CELLS, LISTS, "hosts-file h"), "f:13: hosts-file beside cells"),
+        ((CELLS, LISTS, "memory m"), "f:13: memory beside cells"),
+        ((CELLS, LISTS, "listen peers 127.0.0.1:0", "weak-word yes"), "f:14: weak-word beside cells"),
+        ((CELLS, LISTS, "decisions a:B"), "f:13: decisions beside cells"),
+        ((CELLS, LISTS, CELLS), "f:13: cells stands a second time"),
+        (("cells north region r zone z", LISTS), "f:11: cells: file: Field required"),
+        (("cells north file t look 1h region r zone z", LISTS), "f:11: cells: look:"),
+        (("cells north file t region r", LISTS), "f:11: cells: zone: Field required"),
+    ],
+)
+def test_lines_that_are_wrong_or_contradict_each_other_are_named(lines, mistake):
+    said = told(read_charter, "f", CHARTER + "\n".join(lines) + "\n")
+    assert any(mistake in text for text in said), said
+
+
+def test_cells_without_a_name_are_refused():
+    charter = CHARTER.replace("name g\n", "")
+    assert "cells without a name line" in told(read_charter, "f", f"{charter}{CELLS}\n{LISTS}\n")[0]
+
+
+# The table's text
+
+
+@pytest.fixture
+def table(tmp_path):
+    """Writes a table and returns its path."""
+
+    def write(text):
+        path = tmp_path / "t"
+        path.write_text(text)
+        return str(path)
+
+    return write
+
+
+def test_a_table_is_read_with_its_entries_and_ring_points(table):
+    read = read_cells(table(TABLE))
+    assert (read.fleet, read.version, [cell.name for cell in read.cells]) == (
+        "north",
+        Version(1, 3),
+        ["a1", "b1"],
+    )
+    a1, b1 = read.cells
+    assert a1.entries == (Entry("ga", "127.0.0.1:1"), Entry("gb", "127.0.0.1:2"))
+    assert a1.points == (Points("a1", 0, 43),) and b1.points == (Points("a1", 100, 4), Points("b1", 0, 16))
+
+
+@pytest.mark.parametrize(
+    "before, after, mistake",
+    [
+        ("table north version 1.3\n", "", "no table line"),
+        ("b1:0+16\nend\n", "b1:0+1", ":0: no end line"),
+        ("version 1.3", "version new", ":1: table: version: 'new' is no version"),
+        ("cell b1", "cell a1", ":3: row 2, cell 'a1': the cell is also in row 1"),
+        ("zone west-b", "zone west-a", None),
+        ("region west zone west-b", "region east zone west-a", ":3: row 2, cell 'b1': zone 'west-a' lies in"),
+        ("end\n", "end\n\ncell c1 region west zone west-a capacity 1 hosts 1\n", ":6: a line after the end"),
+        ("hosts 2 points", "hosts 20000 points", ":3: row 2, cell 'b1': 20000 hosts are not"),
+        ("a1:100+4", "a1:0+4", ":3: row 2, cell 'b1': ring point 0 of 'a1' is also of cell 'a1'"),
+        ("a1:100+4", "a1:100", "is no range of points"),
+        ("capacity 50", "capacity nan", ":3: cell: capacity: Input should be a finite number"),
+        ("gb=", "ga=", ":2: row 1, cell 'a1': an entry gateway is named twice"),
+        ("cell b1", "cel b1", ":3: unknown word 'cel'; did you mean cell?"),
+    ],
+)
+def test_a_wrong_table_is_refused_by_line(table, before, after, mistake):
+    path = table(TABLE.replace(before, after))
+    if mistake is None:
+        assert len(read_cells(path).cells) == 2
+    else:
+        said = told(read_cells, path)
+        assert len(said) == 1 and mistake in said[0], said
+
+
+def test_a_table_that_is_gone_or_far_too_large_is_refused_unread(table, tmp_path):
+    assert "cannot be read" in told(read_cells, str(tmp_path / "none"))[0]
+    path = table("")
+    with open(path, "wb") as file:
+        file.truncate(MAX_BYTES + 1)
+    assert f"more than {MAX_BYTES}" in told(read_cells, path)[0]
+
+
+# Host lists
+
+
+def test_a_cells_name_cannot_lead_out_of_the_folder():
+    assert path_of("lists", "../x") == "lists/..%2Fx.hosts" and path_of("lists", "a b") == "lists/a b.hosts"
+
+
+def test_a_list_of_more_hosts_than_a_cell_may_have_is_refused_by_line(tmp_path):
+    path = tmp_path / "a1.hosts"
+    path.write_text("".join(f"host h{number} 127.0.0.1:{number + 1}\n" for number in range(MAX_HOSTS + 1)))
+    assert told(read_cell_hosts, str(path))[0].startswith(f"{path}:{MAX_HOSTS + 1}: ")
+
+
+def check(folder, lists, table=TABLE, place="region west zone west-a"):
+    """Exit code and words of `gaproute check`."""
+    (folder / "lists").mkdir()
+    (folder / "t").write_text(table)
+    for cell, text in lists.items():
+        (folder / "lists" / f"{cell}.hosts").write_text(text)
+    file = folder / "g.conf"
+    file.write_text(f"{CHARTER}cells north file {folder}/t {place}\ncell-hosts {folder}/lists\n")
+    ran = CliRunner().invoke(main, ["check", str(file)])
+    return ran.exit_code, ran.output.replace(f"{folder}/", "")
+
+
+def test_check_is_content_with_what_is_right(tmp_path):
+    lists = {"a1": "host x 127.0.0.1:1\n", "b1": "host y 127.0.0.1:2 zone west-b\n"}
+    assert check(tmp_path, lists)[0] == 0
+
+
+@pytest.mark.parametrize(
+    "told, mistake",
+    [
+        (
+            {"lists": {"a1": "host x 127.0.0.1:1\n", "b1": "\nhost x 127.0.0.1:2\n"}},
+            "lists/b1.hosts:2: host x",
+        ),
+        ({"lists": {"a1": "host x 127.0.0.1:1\n", "b1": "host y 127.0.0.1:1\n"}}, "lists/b1.hosts:1: host y"),
+        ({"lists": {"a1": "host x 127.0.0.1:1 zone moon\n"}}, "lists/a1.hosts:1: host x stands in zone moon"),
+        ({"lists": {"a1": "host x\n"}}, "lists/a1.hosts:1: host: WHERE is missing"),
+        ({"lists": {}, "table": "nonsense\nend\n"}, "t:1: unknown word 'nonsense'"),
+        ({"lists": {}, "table": TABLE.replace("north", "south")}, "g.conf:11: cells: t is of fleet south"),
+        (
+            {"lists": {}, "place": "region west zone moon"},
+            "g.conf:11: cells: the table has no cell in zone moon",
+        ),
+        (
+            {"lists": {}, "place": "region east zone west-a"},
+            "g.conf:11: cells: zone west-a lies in region west",
+        ),
+    ],
+)
+def test_check_names_file_and_line_and_exits_2(tmp_path, told, mistake):
+    code, said = check(tmp_path, **told)
+    assert code == 2 and mistake in said and "1 mistake;" in said, said
