Cells in the appliance: table and lists watched, calls forwarded over the KServe front

Need: the decisions for cells had no gateway around them.

appliance/cells holds the table and drives CellularGateway, cell_lists watches the host lists of the cells that it wants and judges them together, so that hosts may move between cells whichever file changes first. Calls to other cells go to entry gateways as to hosts (hosts/entries), with one header more (hosts/forwarded: hops and cell) and with the time left as Gaproute-Limit-Ms, counted as the request is handed over. The core knows from its relays' results whether a task may have run. Off unless configured; the node imports none of it. `/status` has an entry `cells`.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -4,6 +4,7 @@
 import secrets
 import signal
 
+from gaproute.appliance.cells import Cells
 from gaproute.appliance.operator import Operator
 from gaproute.appliance.others import Others
 from gaproute.core.core import Core
@@ -35,15 +36,15 @@
         seed = secrets.randbits(64) if seed is None else seed
         run = f"{charter.name}-{secrets.token_hex(3)}"  # task ids stay apart over restarts
         self.record = Record(self.log, [line.name for line in charter.tracks])
-        reach = charter.reach
-        self.hosts = Hosts(
-            loop,
-            Pooling(),
-            Reach(reach.connect, reach.probe, reach.order, reach.connections, reach.answer),
-            charter.name,
-        )
-        gateway = charter.decisions(seed, charter.terms, loop.now())
-        self.core = Core(loop, gateway, charter.terms, self.hosts, self.record, run)
+        line = charter.reach
+        reach = Reach(line.connect, line.probe, line.order, line.connections, line.answer)
+        if charter.cells is None:
+            gateway = charter.decisions(seed, charter.terms, loop.now())
+            self.hosts, self.cells = Hosts(loop, Pooling(), reach, charter.name), None
+            self.core = Core(loop, gateway, charter.terms, self.hosts, self.record, run)
+        else:
+            self.cells = Cells(loop, charter, self.record, seed, reach, run, self.enlisted)
+            self.hosts, self.core, gateway = self.cells.hosts, self.cells.core, self.cells.unused
         self.listing = Listing(loop, sizes=charter.sizes_told)
         self.rows = {}
         self.stopping = False
@@ -58,11 +59,12 @@
 
     def start(self):
         """Errors: OSError where an address cannot be listened on; nothing listens then."""
+        make_front = Front if self.cells is None else self.cells.front
         try:
             for kind, where in self.charter.listens:
                 if kind == "kserve":
                     self.fronts.append(
-                        Front(
+                        make_front(
                             self.loop,
                             address(where),
                             self.core,
@@ -82,7 +84,9 @@
         if self.others.weak is not None:
             self.core.arrived = self.others.weak.arrived
         source = self.charter.hosts_file
-        if source is None:
+        if self.cells is not None:
+            self.cells.start()
+        elif source is None:
             self.listed(self.charter.hosts)
         else:
             self.watch = FileWatch(self.loop, source.path, source.look, self.listed, self.list_refused)
@@ -98,8 +102,7 @@
     def listed(self, lines):
         """A whole host list. The host connections come first: the module may wish for a new host at once."""
         rows = self.listing.rows(lines)
-        before, self.rows = self.rows, {row.listed.worker: row for row in rows}
-        self.hosts.listed(rows, True)
+        self.enlisted(rows)
         self.core.listed([row.listed for row in rows], True)
         self.others.hosts_listed(
             {
@@ -107,6 +110,11 @@
                 for name, row in self.rows.items()
             }
         )
+
+    def enlisted(self, rows):
+        """All hosts known: to the connections and the log."""
+        before, self.rows = self.rows, {row.listed.worker: row for row in rows}
+        self.hosts.listed(rows, True)
         for name in sorted(before.keys() | self.rows.keys()):
             old, new = (table.get(name) for table in (before, self.rows))
             if old != new:
@@ -117,7 +125,10 @@
             self.record.event("error", "host list refused", mistake=str(mistake))
 
     def ready(self):
-        return not self.stopping and any(row.listed.state is State.ACTIVE for row in self.rows.values())
+        if self.stopping:
+            return False
+        active = any(row.listed.state is State.ACTIVE for row in self.rows.values())
+        return active or self.cells is not None and self.cells.leads_on()
 
     # Stop
 
@@ -132,6 +143,8 @@
         self.others.stop()
         if self.watch is not None:
             self.watch.close()
+        if self.cells is not None:
+            self.cells.stop()
         self.core.emptied = self._emptied
         self.loop.after(self.charter.longest + LAST_WORDS, self.loop.stop)
         if not self.core.held:
@@ -145,7 +158,13 @@
         missed."""
         for number in (signal.SIGTERM, signal.SIGINT):
             self.loop.on_signal(number, self.stop)
-        self.loop.on_signal(signal.SIGHUP, lambda: self.watch and self.watch.read())
+        self.loop.on_signal(signal.SIGHUP, self.read)
+
+    def read(self):
+        """Read the host list again."""
+        watch = self.watch or self.cells
+        if watch is not None:
+            watch.read()
 
     def under(self, life, ready):
         """Stands under a parent: says that it serves on the descriptor `ready`, stops when `life` ends."""
@@ -164,7 +183,7 @@
     def close(self):
         for front in self.fronts:
             front.close()
-        if self.watch is not None:
-            self.watch.close()
-        self.others.close()
+        for part in (self.watch, self.cells, self.others):
+            if part is not None:
+                part.close()
         self.hosts.close()
--- a/gaproute/appliance/operator.py
+++ b/gaproute/appliance/operator.py
@@ -32,14 +32,15 @@
         },
         "connections": {"opened": hosts.opened, "reused": hosts.reused, "raced": hosts.raced},
         "gateways": others.gossip.members.up() if others.gossip else None,
+        "cells": gate.cells and gate.cells.status(),
         "weak_word": others.weak and others.weak.weak.status(gate.loop.now()),
         "learnt": {
             "facts": len(others.lore.facts),
             "refused": dict(others.lore.refused),
             "peers": learner.state if learner else {},
             "booked": learner.booked if learner else 0,
-            "right": gate.core.gateway.right,
-            "wrong": gate.core.gateway.wrong,
+            "right": sum(each.right for each in decisions(gate)),
+            "wrong": sum(each.wrong for each in decisions(gate)),
         },
         "telling": giver and {"facts": giver.told, "put_off": giver.put_off, "cpu_ms": giver.spent / MILLI},
         "memory": keeper
@@ -52,6 +53,11 @@
     }
 
 
+def decisions(gate):
+    """The decisions of the whole fleet, or of each cell known."""
+    return [gate.core.gateway] if gate.cells is None else gate.cells.gateways()
+
+
 def host_table(gate):
     relays = gate.record.table().get("relay", {})
     told = []
@@ -73,8 +79,8 @@
 def knowledge(gate):
     """Copies that are believed to stand, the latest use first, with what speaks for each: an answer, a task
     sent there, or who told of it; `tried`: whether that was followed yet."""
-    now, functions, told = gate.loop.now(), gate.core.gateway.functions, []
-    for name, function in functions.items():
+    now, told = gate.loop.now(), []
+    for name, function in (pair for each in decisions(gate) for pair in each.functions.items()):
         for tried, table in ((True, function.seen), (False, function.told)):
             for worker, seen in table.items():
                 fact = gate.others.lore.facts.get(("warm", worker, name))
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -85,6 +85,8 @@
     def _came(self, key, number, heard):
         held, now = self.held[key], self.loop.now()
         worker, sent, _ = held.out.pop(number)
+        if heard.result not in face.NEVER_RAN:
+            held.ran = True
         if heard.result is face.Result.OK and held.finish is not None:
             self._final(held, Ending.DELIVERED, heard.answer, 0, "")
         self.record.outcome(worker, held.track, heard.result, now - sent)
@@ -153,11 +155,15 @@
         self._guarded(key, self.late, key, self.loop.now())
 
     def relay(self, key, number, worker, until, now):
+        self.begin(self.hosts, key, number, worker, until, now)
+
+    def begin(self, hosts, key, number, worker, until, now):
+        """A relay by way of these hosts."""
         held = self.held[key]
         held.relays += 1
         if held.step is not None:
             held.step("relay", relay=number, worker=worker)
-        hold = self.hosts.relay(
+        hold = hosts.relay(
             worker,
             held.call,
             self.tracks[held.track].effect,
--- a/gaproute/core/drive.py
+++ b/gaproute/core/drive.py
@@ -25,11 +25,15 @@
             self.advance("", self.keeper, None, now)
 
     def take(self, now, task):
-        generator = self.gateway.serve(now, task)
+        generator = self.serve(now, task)
         self.tasks[task.id] = generator
         self.relays[task.id] = 0
         self.advance(task.id, generator, None, now)
 
+    def serve(self, now, task):
+        """The task's generator."""
+        return self.gateway.serve(now, task)
+
     def resume(self, key, now, outcome):
         generator = self.keeper if key == "" else self.tasks.get(key)
         if generator is not None:
@@ -43,6 +47,10 @@
         self.gateway.heard(now, outcome)
         self.resume(outcome.task, now, outcome)
 
+    def send(self, key, number, wish, now):
+        """Carry out a relay; who knows several kinds of them tells them apart here."""
+        self.relay(key, number, wish.worker, wish.until, now)
+
     def departed(self, now, key):
         """The client left: the generator is told, and nothing more is owed."""
         if key in self.tasks:
@@ -79,10 +87,10 @@
                 case face.Wait(until):
                     self.wait(key, until, now)
                     return
-                case face.Relay(worker, until):
+                case face.Relay():
                     value = self.relays[key]
                     self.relays[key] += 1
-                    self.relay(key, value, worker, until, now)
+                    self.send(key, value, wish, now)
                 case face.Cancel(relay):
                     self.cancel(key, relay)
                 case face.Order(worker, function, copies):
--- a/gaproute/core/final.py
+++ b/gaproute/core/final.py
@@ -23,7 +23,8 @@
             held.step(ending.value, why=why, after_ms=(now - held.taken) // MILLI, relays=held.relays)
         if now > held.limit:
             self.record.fault(f"answered {(now - held.limit) // MILLI} ms after the limit", held.id)
-        self.loop.soon(finish, Final(ending, answer, stay_away, held.id, held.relays, reason))
+        never_ran = not held.ran and not any(hold.begun for _, _, hold in held.out.values())
+        self.loop.soon(finish, Final(ending, answer, stay_away, held.id, held.relays, reason, never_ran))
         self._over(held)
 
     def _time_up(self, key):
--- a/gaproute/core/held.py
+++ b/gaproute/core/held.py
@@ -19,11 +19,12 @@
 class Held:
     """A task in hand: until its final answer is given and the last of its relays is accounted for."""
 
-    __slots__ = ("id", "call", "track", "finish", "taken", "out", "relays", "end", "limit", "step")
+    __slots__ = ("id", "call", "track", "finish", "taken", "out", "relays", "end", "limit", "step", "ran")
 
     def __init__(self, name, call, track, finish, taken):
         self.id, self.call, self.track, self.finish, self.taken = name, call, track, finish, taken
         self.out = {}  # relay: (worker, when sent, the hosts' hold of it)
         self.relays = 0
+        self.ran = False  # a relay that ended may have run
         self.end = None  # timer at the client's limit
         self.step = None  # call(what, told) where the task is followed in the log
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -151,14 +151,9 @@
             if tenant is None:
                 raise Refused(400, "unknown Gaproute-Tenant")
         if self.server.stopping:
-            self.decline(request, 0, "declined: the gateway stops; it is safe to try again")
+            self.decline(request, 0, "declined: the gateway stops; it is safe to try again", never_ran=True)
             return
-        call = Call(
-            model.name,
-            version,
-            tuple((name, headers[name]) for name in PASSED if name in headers),
-            request.body,
-        )
+        call = self.call(request, model, version)
         left = []
 
         def finish(final):
@@ -180,20 +175,39 @@
         )
         request.left = gone
 
-    def decline(self, request, stay_away, text, task=b""):
+    def call(self, request, model, version):
+        """A request as a call."""
+        headers = request.headers
+        return Call(
+            model.name,
+            version,
+            tuple((name, headers[name]) for name in PASSED if name in headers),
+            request.body,
+        )
+
+    def answer(self, request, status, fields, body):
+        """The one answer to a request."""
+        self.server.answer(request, status, fields, body)
+
+    def decline_status(self, request, never_ran):
+        """The status of a declined call; `never_ran`: it provably did not run."""
+        return STATUS[Ending.DECLINED]
+
+    def decline(self, request, stay_away, text, task=b"", never_ran=False):
         fields = [
             JSON,
             (b"Gaproute-Outcome", b"declined"),
             (b"Retry-After", b"%d" % -(-stay_away // SECOND)),
             (b"Gaproute-Retry-After-Ms", b"%d" % -(-stay_away // MILLI)),
         ]
-        self.server.answer(request, 503, fields + ([(b"Gaproute-Task", task)] if task else []), error(text))
+        fields += [(b"Gaproute-Task", task)] if task else []
+        self.answer(request, self.decline_status(request, never_ran), fields, error(text))
 
     def final(self, request, final):
         task = final.task.encode()
         if final.ending is Ending.DELIVERED:
             answer = final.answer
-            self.server.answer(
+            self.answer(
                 request,
                 answer.status,
                 answer.fields
@@ -205,9 +219,9 @@
                 answer.body,
             )
         elif final.ending is Ending.DECLINED:
-            self.decline(request, final.stay_away, final.reason, task)
+            self.decline(request, final.stay_away, final.reason, task, final.never_ran)
         else:
-            self.server.answer(
+            self.answer(
                 request,
                 STATUS[final.ending],
                 (
--- a/gaproute/hosts/fleet.py
+++ b/gaproute/hosts/fleet.py
@@ -203,9 +203,13 @@
                 told = Answer(answer.status, fields, answer.body)
             done(Heard(result, told, found, alike, report))
 
-        exchange = self.exchange(host, kserve.infer(call, task, host.text), effect, came, until)
+        exchange = self.exchange(host, self.request(call, task, host, until), effect, came, until)
         return Never(self.loop, done, Result.FULL) if exchange is None else Sent(self, host, exchange)
 
+    def request(self, call, task, host, until):
+        """The bytes of a relay, or what makes them as they are handed over."""
+        return kserve.infer(call, task, host.text)
+
     def order(self, worker, function, copies, done):
         """A load order; `done(result, copies that stand)` once, never at once."""
         host = self.hosts[worker]
--- /dev/null
+++ b/gaproute/hosts/forwarded.py
@@ -0,0 +1,36 @@
+"""What a call that one gateway forwards to another says beside a client's: one header more.
+
+`Gaproute-Forwarded: HOPS CELL` says how often the call has been forwarded, this time included, and the cell
+that its first gateway chose, percent-encoded. What is malformed is ignored: the call is then a client's own.
+More hops than a gateway may make count as the most, so that such a call is not forwarded again.
+"""
+
+from urllib.parse import quote, unquote
+
+from gaproute.decisions.cells.bounds import MAX_NAME
+from gaproute.decisions.cells.entries import MAX_HOPS, Forwarded
+
+HEADER = b"gaproute-forwarded"
+LONGEST = 3 + 12 * MAX_NAME  # bytes: each character takes 12 at most when it is percent-encoded
+
+
+def field(forwarded):
+    """The header that tells of it."""
+    return b"Gaproute-Forwarded", f"{forwarded.hops} {quote(forwarded.cell, safe='')}".encode()
+
+
+def read(headers):
+    """What a call's headers tell of how it was forwarded; None where that is nothing, or malformed."""
+    value = headers.get(HEADER)
+    if value is None or len(value) > LONGEST:
+        return None
+    hops, _, cell = value.partition(b" ")
+    if not hops.isdigit() or len(hops) > 2 or int(hops) < 1:
+        return None
+    try:
+        name = unquote(cell.decode("ascii"), errors="strict")
+    except UnicodeDecodeError:
+        return None
+    if not 0 < len(name) <= MAX_NAME or not name.isprintable():
+        return None
+    return Forwarded(name, min(int(hops), MAX_HOPS))
--- a/gaproute/http1/client.py
+++ b/gaproute/http1/client.py
@@ -115,14 +115,15 @@
     __slots__ = ("loop", "data", "done", "link", "on_link", "_give_up", "started", "over", "until")
 
     def __init__(self, loop, data, done, until=None):
-        """`until`: when it may begin at the latest; a connection that stands later is not used for it."""
+        """`data`: the request's bytes, or a call(now) that makes them as they are handed over; `until`: when
+        it may begin at the latest; a connection that stands later is not used for it."""
         self.loop, self.data, self.done, self.until = loop, data, done, until
         self.link = self._give_up = self.on_link = None
         self.started, self.over = loop.now(), False
 
     def on(self, link):
         self.link = link
-        link.send(self, self.data)
+        link.send(self, self.data(self.loop.now()) if callable(self.data) else self.data)
         return self
 
     def open(self, where, within, head_limit, body_limit, on_link=None):
--- a/gaproute/interface/call.py
+++ b/gaproute/interface/call.py
@@ -14,6 +14,8 @@
     mark: str = ""  # the client's own id of the task, where hosts are to see it
     track: str = ""  # the track's name, where hosts are told it
     receipt: str = ""  # by which hosts know a repeat, where clients send one
+    tenant: bytes = b""  # as the client named it, where other gateways are told it
+    forwarded: tuple | None = None  # (cell, hops) as `decisions.cells` has it, where another gateway sent it
 
     @property
     def function(self):
@@ -43,3 +45,4 @@
     task: str  # the gateway's id for the task
     relays: int  # relays that were started for it
     reason: str  # a few words for a person
+    never_ran: bool = False  # every relay that was started provably did not run
--- a/gaproute/interface/outcomes.py
+++ b/gaproute/interface/outcomes.py
@@ -18,6 +18,10 @@
     DEPARTED = "departed"  # the client left; nothing more is owed
 
 
+# Results that prove that the worker never ran the task.
+NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
+
+
 class Found(Enum):
     """What a delivered relay found at the worker, where that is told."""
 
--- /dev/null
+++ b/tests/cell_fleet.py
@@ -0,0 +1,223 @@
+"""A fleet of cells for tests: gateways as processes of the program, stand-in hosts on the test's own loop,
+table and host lists as files."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+from helpers import MILLI, SECOND, ListTap
+
+from gaproute.conf.cell_table import read_cells
+from gaproute.decisions.cells.homes import Homes
+from gaproute.http1 import Exchange
+from gaproute.loop import Loop, Promise
+from gaproute.loop.streams import address
+from gaproute.standins.host import Host, Make, Model
+from gaproute.standins.store import Store
+from gaproute.standins.tap import Tap
+
+MODELS = 24  # of each track
+KINDS = {"check": "pure", "order": "effectful"}
+WORK, START = 5 * MILLI, 10 * MILLI  # of a call; of a load, after its fetch
+
+
+def models(track):
+    """Names of a track's models."""
+    return [f"{track}-{number}" for number in range(MODELS)]
+
+
+def free_ports(count):
+    """So many ports of 127.0.0.2 that nothing listens on; nobody connects from there."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.2", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+class CellFleet:
+    """`cells`: {cell: (zone, its entry gateways)}, where region R has the zones R1, R2 and so on."""
+
+    def __init__(self, folder, cells, hosts=2):
+        self.folder, self.cells, self.loop = folder, dict(cells), Loop()
+        self.lists = folder / "cells"
+        self.lists.mkdir()
+        self.table = folder / "cells.table"
+        self.store = Store(self.loop, address("127.0.0.1:0"), 200.0, 100, 0.0, Tap(None, self.loop.clock))
+        self.hosts, self.taps, self.processes, self.ports = {}, {}, {}, {}
+        self.number = 0  # of the table's version
+        for cell in cells:
+            for number in range(hosts):
+                self.add_host(f"{cell}-h{number}", cell)
+            self.list_hosts(cell, [name for name in self.hosts if name.startswith(f"{cell}-h")])
+        names = sorted({name for _, entries in cells.values() for name in entries})
+        for name, port in zip(names, free_ports(len(names)), strict=True):
+            self.ports[name] = port
+
+    # Hosts and files
+
+    def add_host(self, name, cell):
+        """A stand-in host that holds all models."""
+        made = {model: Model(model, track, 4, WORK, START) for track in KINDS for model in models(track)}
+        tap = self.taps[name] = ListTap(self.loop.clock)
+        make = Make(name, copies=4 * len(made))
+        self.hosts[name] = Host(
+            self.loop, address("127.0.0.1:0"), make, made, self.store.address, 3, tap, warm=True
+        )
+
+    def list_hosts(self, cell, names, also=""):
+        """The cell's host list."""
+        lines = [f"host {name} {self.hosts[name].address} capacity 4" for name in names]
+        self.replace(self.lists / f"{cell}.hosts", "\n".join([*lines, also]) + "\n")
+
+    def table_text(self, cells=None, number=None, term=1, fleet="north"):
+        """A table as text; `cells`: as the fleet's."""
+        lines = [f"table {fleet} version {term}.{number or self.number}"]
+        for cell, (zone, entries) in (self.cells if cells is None else cells).items():
+            ways = ",".join(f"{name}=127.0.0.2:{self.ports[name]}" for name in entries)
+            lines.append(
+                f"cell {cell} region {zone[0]} zone {zone} capacity 100 hosts 2"
+                + (f" entries {ways}" if ways else "")
+            )
+        return "\n".join(lines) + "\nend\n"
+
+    def write_table(self, cells=None, path=None):
+        """A newer table, put in place at one stroke."""
+        self.number += 1
+        self.replace(path or self.table, self.table_text(cells))
+
+    def replace(self, path, text):
+        """Write a file beside its place, then put it there."""
+        fresh = path.with_suffix(".new")
+        fresh.write_text(text)
+        os.replace(fresh, path)
+
+    def home(self, model):
+        """The first home of a model by the table."""
+        return Homes(read_cells(self.table)).first(model)
+
+    def homed(self, track, cell):
+        """A model of the track that has its home in that cell."""
+        return next(model for model in models(track) if self.home(model) == cell)
+
+    # Gateways
+
+    def configure(self, name, zone, table=None, more=""):
+        """The configuration of a gateway, as a file."""
+        lines = [
+            f"name {name}",
+            f"listen kserve 127.0.0.2:{self.ports[name]}",
+            f"listen operator unix:{self.folder}/{name}.op",
+            f"cells north file {table or self.table} look 5ms region {zone[0]} zone {zone}",
+            f"cell-hosts {self.lists} look 5ms",
+        ]
+        for track, effect in KINDS.items():
+            lines.append(f"track {track} {effect} contract 2s limit 4s")
+            lines += [f"model {model} track {track} lanes 4 load 20ms" for model in models(track)]
+        file = self.folder / f"{name}.conf"
+        file.write_text("\n".join(lines) + f"\n{more}")
+        return file
+
+    def start(self, name, zone, **told):
+        """A gateway as a process; `up` waits for it."""
+        file = self.configure(name, zone, **told)
+        errors = open(self.folder / f"{name}.log", "ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", "gaproute", "serve", str(file), "--seed", "5"], stderr=errors
+        )
+        errors.close()
+
+    def up(self, *names, version=None):
+        """Until these serve by the version (the last written one)."""
+        version = version or f"1.{self.number}"
+        for name in names:
+            self.until(lambda name=name: self.cell_status(name).get("version") == version)
+
+    def stop(self, name, how=signal.SIGTERM):
+        """End a gateway and wait for it."""
+        process = self.processes.pop(name)
+        process.send_signal(how)
+        self.until(lambda: process.poll() is not None)
+
+    def events(self, name, event):
+        """Lines of a gateway's log."""
+        text = (self.folder / f"{name}.log").read_text()
+        lines = [json.loads(line) for line in text.splitlines() if line.startswith("{")]
+        return [line for line in lines if line["event"] == event]
+
+    # Calls
+
+    def ask(self, name, model, call="t", fields=""):
+        """A client's call; a promise of the answer, or of None where none came."""
+        body = json.dumps({"id": call, "inputs": []}).encode()
+        head = f"POST /v2/models/{model}/infer HTTP/1.1\r\nHost: g\r\n{fields}Content-Length: {len(body)}\r\n"
+        return self.exchange(f"127.0.0.2:{self.ports[name]}", f"{head}\r\n".encode() + body)
+
+    def exchange(self, where, data):
+        """One request's answer, as a promise."""
+        came = Promise()
+        exchange = Exchange(self.loop, data, lambda answer, fault: came.set(answer))
+        exchange.open(address(where), SECOND, 65536, 1 << 24)
+        return came
+
+    def cell_status(self, name):
+        """What a gateway tells of its cells; {} where it does not answer."""
+        came = self.exchange(
+            f"unix:{self.folder}/{name}.op", b"GET /status HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n"
+        )
+        answer = self.wait(came)
+        return json.loads(answer.body)["cells"] if answer is not None else {}
+
+    def came(self, call):
+        """Hosts that a call reached, in order of the hosts."""
+        return [
+            name
+            for name, tap in self.taps.items()
+            for event in tap.events
+            if event["what"] == "task" and event["id"] == call
+        ]
+
+    def ran(self, call):
+        """Hosts at which a call ran to its end."""
+        return [
+            name
+            for name, tap in self.taps.items()
+            for event in tap.events
+            if event["what"] == "ran" and event["id"] == call
+        ]
+
+    # Time
+
+    def wait(self, promise, within=10):
+        """The promise's value."""
+        timer = self.loop.after(within * SECOND, promise.fail, TimeoutError("waited too long"))
+        value = self.loop.run(until=promise)
+        timer.cancel()
+        return value
+
+    def until(self, condition, within=20):
+        """Turns of the loop until the condition holds; it may itself use the loop."""
+        end = self.loop.now() + within * SECOND
+        while not condition():
+            assert self.loop.now() < end, "waited too long"
+            self.rest(5 * MILLI)
+
+    def rest(self, span):
+        """So much time goes by."""
+        self.wait(self.loop.sleep(span))
+
+    def close(self):
+        """End every process, by its own id."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+        for host in self.hosts.values():
+            host.server.close()
+        self.store.server.close()
+        self.loop.close()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,7 @@
 from functools import partial
 
 import pytest
+from cell_fleet import CellFleet
 from helpers import CHARTER, Rig, makers
 from hypothesis import settings
 from scripted import Gate
@@ -43,3 +44,9 @@
 def gate(tmp_path):
     """Makes the platform's gateway among scripted peers (`scripted.Gate`) and closes it after the test."""
     yield from makers(partial(Gate, tmp_path))
+
+
+@pytest.fixture
+def cells(tmp_path):
+    """Makes fleets of cells, whose gateways are processes (`cell_fleet`), and ends them after the test."""
+    yield from makers(partial(CellFleet, tmp_path))
