--- /dev/null
+++ b/benchmarks/scale/cells/fleet.py
@@ -0,0 +1,73 @@
+"""Tables of cells for plays: cells dealt over zones and regions, of three sizes, with entry gateways."""
+
+from typing import NamedTuple
+
+from gaproute.decisions.cells.place import Place
+from gaproute.decisions.cells.table import Cell, Entry, Version, own_points, validate
+from gaproute.decisions.cells.views import View
+
+SIZES = (0.5, 1.0, 1.5)  # of hosts, over the mean; a cell has hosts of one size, as bought together
+HOST_CAPACITY = 20.0  # tasks at a time of a host of size 1
+
+
+class Shape(NamedTuple):
+    """A fleet by a few numbers."""
+
+    cells: int
+    hosts: int  # in a cell
+    gateways: int
+    entries: int = 32  # in a cell at most
+    zones: int = 13
+    regions: int = 5
+    sizes: tuple = SIZES
+
+
+def region_of(zone, shape):
+    """The region of a zone by number."""
+    return f"region{zone % shape.regions}"
+
+
+def place(number, shape):
+    """Where the gateway of that number stands."""
+    zone = number % shape.zones
+    return Place(f"gateway{number}", region_of(zone, shape), f"zone{zone}")
+
+
+def bare_cell(number, shape):
+    """The cell of that number, without entries."""
+    zone = number % shape.zones
+    capacity = shape.hosts * HOST_CAPACITY * shape.sizes[number // shape.zones % len(shape.sizes)]
+    points = own_points(f"cell{number}", capacity, shape.hosts * HOST_CAPACITY)
+    return Cell(f"cell{number}", region_of(zone, shape), f"zone{zone}", capacity, shape.hosts, points)
+
+
+def with_entries(cells, shape):
+    """The cells with the gateways that attend to them as entries."""
+    bare = validate("play", Version(1, 0), cells)
+    entries = {cell.name: [] for cell in cells}
+    for number in range(shape.gateways):
+        stands = place(number, shape)
+        view = View(0, stands)
+        view.adopt(bare)
+        for name in view.attended:
+            if len(entries[name]) < shape.entries:
+                entries[name].append(Entry(stands.name, f"{stands.name}.address"))
+    return [
+        Cell(
+            cell.name,
+            cell.region,
+            cell.zone,
+            cell.capacity,
+            cell.hosts,
+            cell.points,
+            tuple(entries[cell.name]),
+        )
+        for cell in cells
+    ]
+
+
+def table(shape, number=1, cells=None):
+    """The fleet's table, or that of the cells given."""
+    if cells is None:
+        cells = with_entries([bare_cell(each, shape) for each in range(shape.cells)], shape)
+    return validate("play", Version(1, number), cells)
--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -56,7 +56,9 @@
             self.ill = {place: ill for place, ill in self.ill.items() if place in places}
 
     def permit(self, now, name, function):
-        """Whether the function's call may go to the cell."""
+        """Whether the function's call may go to the cell; not where a newer table lacks it."""
+        if name not in self.cells:
+            return Permit.NO
         permit = Permit.YES
         for place in _places(self.cells[name]) if self.ill else ():
             ill = self.ill.get(place)
