--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -336,6 +336,10 @@
         "gaproute.fronts.kserve",
         "gaproute.http1",
         "gaproute.benchlink",
+        "gaproute.decisions.cells",
+        "gaproute.core.cellular",
+        "gaproute.hosts.entries",
+        "gaproute.hosts.forwarded",
     }
     code = "import sys, gaproute.node.__main__; print(*sys.modules)"
     loaded = set(
