Plain lines of configuration files are split without shlex

Need: a cell table is read on the loop; shlex splits a line letter by letter. Lines without quotes, comments or backslashes are split by str.split, which a property test holds against shlex. Reading a table of 490 cells with 3 entries each: 53 ms before, 12 ms now; 1,000 with 8: 167 and 38 ms; 4,096 with 8: 758 and 193 ms (one run each, on a busy machine: load 18).

--- a/gaproute/conf/lines.py
+++ b/gaproute/conf/lines.py
@@ -6,6 +6,7 @@
 """
 
 import difflib
+import re
 import shlex
 from typing import Annotated, Any, ClassVar, NamedTuple
 
@@ -19,6 +20,7 @@
     "m": 60_000_000_000,
     "h": 3_600_000_000_000,
 }
+PLAIN = re.compile(r"[\w \t.:,=+/@%\[\]-]*", re.ASCII)  # lines without quotes or comments: split fast
 SIZES = {"": 1, "k": 1 << 10, "m": 1 << 20, "g": 1 << 30}
 
 
@@ -89,7 +91,7 @@
     found, mistakes, first = [], [], {}
     for number, raw in enumerate(text.splitlines(), 1):
         try:
-            words = shlex.split(raw, comments=True)
+            words = raw.split() if PLAIN.fullmatch(raw) else shlex.split(raw, comments=True)
         except ValueError as fault:
             mistakes.append(Mistake(file, number, f"cannot be split into words: {fault}", "close the quote"))
             continue
--- a/tests/test_conf.py
+++ b/tests/test_conf.py
@@ -1,6 +1,11 @@
+import shlex
+
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from gaproute.conf import Mistakes, read_charter, read_hosts
+from gaproute.conf.lines import PLAIN
 from gaproute.interface import Effect, Group
 
 GOOD = """
@@ -82,3 +87,9 @@
     for path in (tmp_path / "none", tmp_path / "bin", tmp_path):
         with pytest.raises(Mistakes):
             read_charter(path)
+
+
+@given(st.text(st.sampled_from("ab \t#'\"\\\x1f\x85\xa0=:,.-+/@%[]|&;<>()é"), max_size=20))
+def test_a_line_is_split_into_words_as_a_shell_splits_it(raw):
+    if PLAIN.fullmatch(raw):
+        assert raw.split() == shlex.split(raw, comments=True)
