--- a/benchmarks/scale/cells/fleet.py
+++ b/benchmarks/scale/cells/fleet.py
@@ -7,7 +7,6 @@
 from gaproute.decisions.cells.views import View
 
 SIZES = (0.5, 1.0, 1.5)  # of hosts, over the mean; a cell has hosts of one size, as bought together
-HOST_CAPACITY = 20.0  # tasks at a time of a host of size 1
 
 
 class Shape(NamedTuple):
@@ -20,6 +19,7 @@
     zones: int = 13
     regions: int = 5
     sizes: tuple = SIZES
+    host_capacity: float = 20.0  # calls at a time of a host of size 1
 
 
 def region_of(zone, shape):
@@ -36,8 +36,8 @@
 def bare_cell(number, shape):
     """The cell of that number, without entries."""
     zone = number % shape.zones
-    capacity = shape.hosts * HOST_CAPACITY * shape.sizes[number // shape.zones % len(shape.sizes)]
-    points = own_points(f"cell{number}", capacity, shape.hosts * HOST_CAPACITY)
+    capacity = shape.hosts * shape.host_capacity * shape.sizes[number // shape.zones % len(shape.sizes)]
+    points = own_points(f"cell{number}", capacity, shape.hosts * shape.host_capacity)
     return Cell(f"cell{number}", region_of(zone, shape), f"zone{zone}", capacity, shape.hosts, points)
 
 
--- a/benchmarks/scale/cells/hosts.py
+++ b/benchmarks/scale/cells/hosts.py
@@ -16,13 +16,15 @@
         self.copies = {}  # function: until when the copy is kept; while it loads, from when it stands
         self.stands_at = {}
         self.busy, self.slow = 0, 1.0
+        self.worked = 0  # span of all calls, without their loads
         self.loading = []  # when each load in hand ends
-        self.up = True
+        self.up, self.mute = True, False  # mute: it takes calls and never answers
 
     def take(self, now, function):
         """A call comes: (span until its answer, whether a copy stood, whether it began a load)."""
         self.busy += 1
         work = int(WORK * self.slow * max(1.0, self.busy / self.capacity))
+        self.worked += work
         kept, stands = self.copies.get(function, -1), self.stands_at.get(function, 0)
         began = kept < now
         if began:
--- a/benchmarks/scale/cells/node.py
+++ b/benchmarks/scale/cells/node.py
@@ -33,6 +33,8 @@
     def housekeep(self):
         """Begin, or go on with, what is done beside the tasks."""
         now = self.world.clock.now
+        if not self.up:
+            return
         if self.keeper is None:
             self.keeper = self.gateway.housekeep(now)
             wish = next(self.keeper)
@@ -42,6 +44,11 @@
             wish = self.keeper.send(None)
         self.world.clock.at(wish.until, self.housekeep)
 
+    def housekeep_anew(self):
+        """Begin again after the gateway was down."""
+        self.keeper = None
+        self.housekeep()
+
     def _advance(self, held, value):
         while True:
             try:
--- a/benchmarks/scale/cells/world.py
+++ b/benchmarks/scale/cells/world.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from benchmarks.fleet.clock import MILLI, SECOND, Clock
-from benchmarks.scale.cells.fleet import HOST_CAPACITY, place, region_of
+from benchmarks.scale.cells.fleet import place, region_of
 from benchmarks.scale.cells.hosts import Host
 from benchmarks.scale.cells.node import Node
 from gaproute import interface as face
@@ -74,7 +74,7 @@
     def list_cell(self, node, name):
         """A gateway is told of the hosts of a cell that are up."""
         rows = [
-            face.Listed(host.name, 0, 0, face.State.ACTIVE, host.capacity / HOST_CAPACITY, None)
+            face.Listed(host.name, 0, 0, face.State.ACTIVE, host.capacity / self.shape.host_capacity, None)
             for host in (self.hosts[each] for each in self.members.get(name, ()))
             if host.up
         ]
@@ -126,7 +126,7 @@
         found = face.Found.WARM if warm else face.Found.BEGAN_LOAD if began else face.Found.AWAITED_LOAD
 
         def done():
-            if host.up:
+            if host.up and not host.mute:
                 host.busy = max(0, host.busy - 1)
                 answer(face.Result.OK, found, face.Report(in_hand=host.busy))
 
--- /dev/null
+++ b/benchmarks/scale/costs/cells.py
@@ -0,0 +1,160 @@
+"""What a gateway of many cells costs: a function's first call, a changed line, the memory of its view."""
+
+import gc
+import multiprocessing
+import os
+from dataclasses import replace
+from random import Random
+from time import process_time_ns
+
+from benchmarks.scale.cells.evenness import KEEP_ALIVE, Popularity
+from benchmarks.scale.cells.fleet import Shape, place, table
+from benchmarks.scale.cells.world import CALL_TIME, terms
+from benchmarks.scale.measurement import measure
+from gaproute import interface as face
+from gaproute.decisions.cells.cellular import CellularGateway
+from gaproute.decisions.cells.change import TableChange, changed
+from gaproute.decisions.cells.entries import Forwarded
+from gaproute.decisions.cells.table import Version
+
+HOSTS = 51  # in a cell
+SECOND = 1_000_000_000
+CELLS = (100, 250, 500, 1_000, 2_450)
+GATEWAYS = (1_000, 4_000, 8_000, 16_000)
+CALLS = 60_000  # of own clients, and as many forwarded
+CALL_EVERY = KEEP_ALIVE // CALLS
+
+
+def made(cells, gateways=16_000, entries=32):
+    """A gateway with its host lists, and its table."""
+    shape = Shape(cells, HOSTS, gateways, entries)
+    gateway = CellularGateway(7, terms(gateways, KEEP_ALIVE), 0, place(1, shape))
+    cell_table = table(shape)
+    gateway.adopt(0, cell_table)
+    for name in gateway.wanted():
+        rows = [face.Listed(f"{name}-{host}", 0, 0, face.State.ACTIVE, 1.0, None) for host in range(HOSTS)]
+        gateway.listed(0, rows, True, name)
+    return gateway, cell_table
+
+
+def task(number, function):
+    """A call."""
+    return face.Task(f"t{number}", 0, CALL_TIME, function, 4, None, 0)
+
+
+def serve(gateway, number, function, now, forwarded=None):
+    """One call that is answered well."""
+    asked = task(number, function)
+    serving = gateway.serve(now, asked, forwarded)
+    wish = next(serving)
+    if not isinstance(wish, face.Relay):
+        return
+    serving.send(0)
+    outcome = face.Outcome(
+        asked.id, 0, wish.worker, face.Result.OK, SECOND // 20, True, face.Found.WARM, None, None
+    )
+    gateway.heard(now + SECOND // 20, outcome)
+    serving.close()
+
+
+def first_call(cells, seed):
+    """Median CPU time of 200 first calls in a known cell, plus that of as many that are forwarded, us."""
+    gateway, _ = made(int(cells))
+    own, spans = gateway.wanted()[0], {"known": [], "forwarded": []}
+    for number in range(200):
+        for kind, forwarded in (("known", Forwarded(own, 1)), ("forwarded", None)):
+            begun = process_time_ns()
+            next(gateway.serve(0, task(f"{kind}{number}", f"{kind}{seed}-{number}"), forwarded))
+            spans[kind].append(process_time_ns() - begun)
+    return sum(sorted(each)[len(each) // 2] for each in spans.values()) / 1000
+
+
+def changed_line(cells, seed):
+    """Median CPU time of taking a change that moves one cell's ring points, us."""
+    gateway, held = made(int(cells), entries=8)
+    spans, random = [], Random(seed)
+    for number in range(2, 32):
+        cell = random.choice(held.cells)
+        shorter = cell.points[0]._replace(count=max(1, cell.points[0].count - 1))
+        row = replace(cell, points=(shorter,), capacity=cell.capacity + 1)
+        change = TableChange(held.fleet, held.version, Version(1, number), (row,))
+        begun = process_time_ns()
+        held = changed(held, change)
+        gateway.adopt(0, held)
+        spans.append(process_time_ns() - begun)
+    return sorted(spans)[len(spans) // 2] / 1000
+
+
+def resident():
+    """Memory of this process, bytes."""
+    with open("/proc/self/statm") as told:
+        return int(told.read().split()[1]) * os.sysconf("SC_PAGE_SIZE")
+
+
+def _used(gateways, seed, answer):
+    random = Random(seed)
+    popularity = Popularity(390_000, 1.0, random)
+    gc.collect()
+    before = resident()
+    gateway, held = made(490, gateways)
+    own = gateway.wanted()
+    popular = {name: [] for name in own}
+    for number in range(60_000):
+        name = f"rare{number}"
+        home = gateway.homes.first(name)
+        if home in popular:
+            popular[home].append(name)
+    keeper, due = gateway.housekeep(0), 0
+    next(keeper)
+    for number in range(CALLS):
+        now = number * CALL_EVERY
+        serve(gateway, f"own{number}", popularity.draw(), now)
+        name = own[number % len(own)]
+        serve(gateway, f"in{number}", random.choice(popular[name] or ["f"]), now, Forwarded(name, 1))
+        if now >= due:
+            due = now + SECOND
+            while not isinstance(keeper.send((now, None)), face.Wait):
+                pass
+    gc.collect()
+    answer.put(resident() - before)
+
+
+def memory(gateways, seed):
+    """Growth of a process of its own by one gateway, after a keep-alive's time of calls, MB."""
+    context = multiprocessing.get_context("spawn")
+    answer = context.Queue()
+    process = context.Process(target=_used, args=(int(gateways), seed, answer))
+    process.start()
+    used = answer.get()
+    process.join()
+    return used / 1e6
+
+
+MEASUREMENTS = {
+    "cells-first-call": lambda: measure(
+        "cells-first-call",
+        "CPU of an unseen function's first call: half known cell, half forwarded, both added",
+        "us",
+        "cells of 51 hosts",
+        CELLS,
+        first_call,
+    ),
+    "cells-changed-line": lambda: measure(
+        "cells-changed-line",
+        "CPU of taking a table change of one row that moves ring points",
+        "us",
+        "cells of 51 hosts",
+        CELLS,
+        changed_line,
+    ),
+    "cells-memory": lambda: measure(
+        "cells-memory",
+        "memory of one gateway's decisions after 60,000 own and 60,000 forwarded calls in a keep-alive",
+        "MB",
+        "gateways in the fleet",
+        GATEWAYS,
+        memory,
+        "490 cells of 51 hosts, 32 entries at most, 390,000 functions by Zipf's law",
+        plays=2,
+    ),
+}
--- a/gaproute/decisions/cells/choice.py
+++ b/gaproute/decisions/cells/choice.py
@@ -63,6 +63,8 @@
         yield from self._next(now, function, region, given)
         if regional:
             yield from self._next(now, function, None, given)
+        if not given:
+            yield from self._returning(function, region)
 
     def _first(self, now, function, homes, may_try):
         """One of the homes that may be sent to, drawn by load; a trial goes before; None: all are ill."""
@@ -76,6 +78,13 @@
             return None
         return Choice(self.loads.draw(now, homes, self.capacities, self.chance))
 
+    def _returning(self, function, region):
+        """Where nothing else is left: the first home that is well again, before the function's turn."""
+        for name in self.homes.order(function, len(self.capacities), region):
+            if name in self.health.cells and not self.health.barred(name):
+                yield Choice(name)
+                return
+
     def _next(self, now, function, region, given):
         """The cells of the order that may be sent to, but for those already given."""
         count, place = 4, 0
--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -189,22 +189,25 @@
     def _judge_around(self, now, cell):
         """The zone and the region of a cell with an overdue call."""
         zone = self._known_cells(Area.ZONE, cell.zone)
-        if self._silent_cells(zone) < SILENT_PARTS:
+        if self._silent_cells(zone, self._last_heard(zone)) < SILENT_PARTS:
             return
         self._fell(now, (Area.ZONE, cell.zone), Illness.SILENT)
-        zones = {}
-        for other in self._known_cells(Area.REGION, cell.region):
+        region, zones = self._known_cells(Area.REGION, cell.region), {}
+        for other in region:
             zones.setdefault(other.zone, []).append(other)
-        if sum(self._silent_cells(cells) >= SILENT_PARTS for cells in zones.values()) >= SILENT_PARTS:
+        heard = self._last_heard(region)
+        if sum(self._silent_cells(cells, heard) >= SILENT_PARTS for cells in zones.values()) >= SILENT_PARTS:
             self._fell(now, (Area.REGION, cell.region), Illness.SILENT)
 
     def _known_cells(self, area, name):
         """The cells of a place of which anything was heard or is overdue."""
         return [self.cells[each] for each in self.records if getattr(self.cells[each], area.value) == name]
 
-    def _silent_cells(self, cells):
-        """How many of the cells have calls overdue that were sent after the last sign of life of any."""
-        heard = max(self.records[cell.name].heard for cell in cells)
+    def _last_heard(self, cells):
+        return max(self.records[cell.name].heard for cell in cells)
+
+    def _silent_cells(self, cells, heard):
+        """How many of the cells have calls overdue that were sent after that last sign of life."""
         return sum(any(sent > heard for sent in self.records[cell.name].overdue.values()) for cell in cells)
 
 
--- a/gaproute/decisions/cells/loads.py
+++ b/gaproute/decisions/cells/loads.py
@@ -1,9 +1,9 @@
 """How loaded the cells are, as far as this gateway heard lately, and the draw between two of them.
 
-Each call of a function with several homes draws two of them, in proportion to capacity, and takes either by a
-chance that shifts with the difference of their loads. A plain choice of the less loaded sends the calls of
-all gateways to the same cells until the next reports come, and the cells swing; the shift is gradual, so the
-loads settle. Bounded loads (Mirrokni and others, 2018) need a count that all gateways share.
+Each call of a function with several homes draws two of them, in proportion to capacity, and takes the less
+loaded the more likely, the more their loads differ (the power of two choices, Mitzenmacher 2001, with a
+slope for loads that are old). Bounded loads (Mirrokni and others, 2018) would need a count of the calls at
+each home that all gateways share.
 
 Invariant: a load is forgotten `LOAD_LIFE` after it was heard, and then counts as the mean.
 """
@@ -14,7 +14,7 @@
 
 LOAD_MEMORY = 10 * SECOND  # over which reports of a cell are averaged
 LOAD_LIFE = 60 * SECOND  # a load heard longer ago says nothing
-GAIN = 2.0  # how strongly the chance shifts with the difference of two loads over the mean
+GAIN = 12.0  # of the chance by the difference of two loads over the mean: a tenth shifts it by 0.6
 LEAST_CHANCE = 0.05  # of the more loaded one: it is still heard of
 TRIES = 8  # draws until one passes by its capacity
 
--- a/tests/test_cells_cellular.py
+++ b/tests/test_cells_cellular.py
@@ -276,6 +276,19 @@
     assert made.health.barred("cell0")
 
 
+def test_where_nothing_else_is_left_a_home_that_is_well_again_is_used():
+    made = fleet(count=2)
+    for name in ("cell0", "cell1"):
+        made.health.unreachable(0, name)
+    drive = Drive(made, task("t", "f", EFFECTFUL), now=SECOND)
+    assert drive.ended and not drive.sent
+    made.health.tried(600 * SECOND, "cell1")
+    made.health.outcome(600 * SECOND, "cell1", face.Result.OK)
+    for number in range(20):
+        drive = Drive(made, task(f"t{number}", f"f{number}", EFFECTFUL), now=600 * SECOND)
+        assert drive.wishes[0].forwarded.cell == "cell1"
+
+
 def test_overdue_calls_by_two_entries_prove_a_cell_silent_and_free_pure_work():
     made = fleet()
     first, *rest = functions(made, ("cell7",), 4)
--- a/tests/test_cells_health.py
+++ b/tests/test_cells_health.py
@@ -79,6 +79,17 @@
     assert not health.ill
 
 
+def test_a_region_of_which_one_zone_is_heard_is_not_silent():
+    """Else a zone that is cut off with its gateways would take its own cells for lost."""
+    health = made()
+    for number, name in enumerate(("cell0", "cell13", "cell5", "cell18")):
+        health.outcome(9 * SECOND, "cell10", Result.OK)
+        health.overdue(10 * SECOND, name, 8 * SECOND + number, "way")
+    assert health.is_ill(Area.ZONE, "zone0") and health.is_ill(Area.ZONE, "zone5")
+    assert not health.is_ill(Area.REGION, "region0")
+    assert health.permit(10 * SECOND, "cell10", "f") is Permit.YES
+
+
 def test_refusals_of_most_calls():
     health = made()
     for number in range(OUTCOMES // 2):
