Dissemination: how a versioned document reaches every gateway, without I/O

Every gateway is to hold the table of cells within seconds of a change, with nothing but freshness resting on it.

A newer version is pushed at once to 4 peers of a bounded view (own cell, entry gateways spread over the zones, configured ones) and announced five times a second for two seconds, once a second at rest. Whoever is a little behind asks by announcing its own version and is pushed the changes; further behind it pulls changes from a log of 64 or the whole document in parts, paced. Lower, contradicting, other fleets' and unreadable messages are refused and counted; a flood is dropped before it is decoded. Each gateway knows the versions that others announced to it, a sample.

--- /dev/null
+++ b/benchmarks/scale/stub_document.py
@@ -0,0 +1,44 @@
+"""A document for simulations of its dissemination, of which only the version matters."""
+
+from gaproute.decisions.cells.table import Version
+from gaproute.shared.dissemination import Change, DocumentError
+from gaproute.shared.dissemination.messages import NOTHING
+
+FLEET = "north"
+WHOLE_BYTES = 20_000  # of a table of 490 cells, encoded and compressed
+CHANGE_BYTES = 200
+
+
+def digest_of(version, salt=0):
+    """The digest of the one document that has this version."""
+    return (version.term * 1_000_003 + version.number) * 0x9E3779B97F4A7C15 + salt & (2**64 - 1)
+
+
+class StubDocument:
+    """A document of which only the version matters."""
+
+    def __init__(self, version=NOTHING, whole_bytes=WHOLE_BYTES):
+        self.fleet, self.version, self.digest = FLEET, version, digest_of(version)
+        self.data = bytes(whole_bytes)
+
+    def apply(self, change):
+        """Take a change; one whose digest is another's is refused."""
+        if change.digest != digest_of(change.version):
+            raise DocumentError("digest")
+        self.version, self.digest = change.version, change.digest
+
+    def replace(self, version, digest, data):
+        """Take a whole document."""
+        if digest != digest_of(version) or data != self.data:
+            raise DocumentError("digest")
+        self.version, self.digest = version, digest
+
+    def whole(self):
+        """The document's bytes."""
+        return self.data
+
+
+def change_from(base, data=bytes(CHANGE_BYTES)):
+    """The change that follows a version."""
+    version = Version(base.term, base.number + 1)
+    return Change(base, version, digest_of(version), data)
--- /dev/null
+++ b/gaproute/shared/dissemination/bounds.py
@@ -0,0 +1,50 @@
+"""Paces, budgets and bounds of the dissemination. Times in nanoseconds, sizes in bytes."""
+
+MILLISECOND, SECOND = 1_000_000, 1_000_000_000
+
+# Telling
+FANOUT = 4  # peers that a newer version is pushed to: pushes miss 1 in 50 without loss
+ANNOUNCE_INTERVAL = SECOND  # between two announcements at rest
+EAGER_INTERVAL = 200 * MILLISECOND  # between two while a version is new
+EAGER_TIME = 2 * SECOND  # that a version is new: what pushes missed is told within that
+PUSH_BYTES = 1_100  # of changes in one datagram: unfragmented everywhere
+
+# Fetching
+NEAR = 4  # versions behind, up to which changes are asked for by datagram
+REPLY_TIME = 300 * MILLISECOND  # for a datagram that was asked for: the longest round trip and a half
+EXCHANGE_TIME = 2 * SECOND  # for one exchange
+REST = 250 * MILLISECOND  # after an exchange that failed
+TRIES = 8  # for one fetch; the next announcement begins another
+SOURCES = 4  # further peers remembered that hold the newer version
+LONGEST_WAIT = 5 * SECOND  # that a source may put a fetch off at once
+MAX_WHOLE = 4 << 20  # of a whole document, encoded
+
+# Serving
+LOG_CHANGES = 64  # changes kept for those a little behind: two minutes at 46,000 a day
+LOG_BYTES = 64 << 10
+ANSWER_BYTES = 8 << 10  # of changes in one answer to a pull
+PART_BYTES = 4 << 10  # of a whole document in one answer
+SNAPSHOTS = 2  # whole documents held for those that fetch them in parts
+SNAPSHOT_TIME = 30 * SECOND  # that one is given to further askers
+
+# Budgets: 4 KB/s hold both
+MESSAGE_RATE = 2_000  # a second, for datagrams and pulls
+MESSAGE_BURST = 8_000
+SERVE_RATE = 2_000  # a second, for answers to pulls
+SERVE_BURST = 8_000
+
+# Views
+VIEW_NEIGHBOURS = 24  # gateways of the own cell
+VIEW_ENTRIES = 32  # entry gateways of other cells
+VIEW_CONFIGURED = 8
+LEAST_OUTSIDE = 8  # pushes for each change that leave a cell at least, of all its gateways together
+
+# Intake
+REASONS = 32  # of refusal that are counted apart
+PEER_MESSAGES = 20  # a second from one peer of the view, as many again at once
+STRANGER_MESSAGES = 100  # a second from all others together, as many again at once
+
+# What was heard of others' versions
+SIGHTINGS = 256  # gateways whose versions are remembered
+SIGHTING_TIME = 10 * SECOND  # that a version heard counts
+SIGHTING_VERSIONS = 128  # versions of which it is remembered when they were heard
--- /dev/null
+++ b/gaproute/shared/dissemination/cell_peers.py
@@ -0,0 +1,27 @@
+"""The peers that a cell table names."""
+
+from collections.abc import Iterable
+
+from gaproute.decisions.cells.table import CellTable
+from gaproute.shared.dissemination.messages import Peer
+from gaproute.shared.dissemination.view import Candidates
+
+
+def candidates(
+    table: CellTable | None, own_cell: str, neighbours: Iterable[Peer], configured: Iterable[Peer]
+) -> Candidates:
+    """Who may be spoken with. `neighbours`: gateways of the own cell that are known besides the table."""
+    near = {peer.name: peer for peer in neighbours}
+    if table is None:
+        return Candidates(tuple(near.values()), {}, tuple(configured))
+    entries = {}
+    for cell in table.cells:
+        for entry in cell.entries:
+            peer = Peer(entry.name, entry.address)
+            if cell.name == own_cell:
+                near.setdefault(peer.name, peer)
+            else:
+                entries.setdefault(cell.zone, []).append(peer)
+    gateways = max(1, len(near)) * len(table.cells)
+    by_zone = {zone: tuple(peers) for zone, peers in entries.items()}
+    return Candidates(tuple(near.values()), by_zone, tuple(configured), gateways)
--- /dev/null
+++ b/gaproute/shared/dissemination/document.py
@@ -0,0 +1,30 @@
+"""The document that is disseminated, as the dissemination sees it."""
+
+from typing import Protocol
+
+from gaproute.decisions.cells.table import Version
+from gaproute.shared.dissemination.messages import Change
+
+
+class DocumentError(ValueError):
+    """A change or a whole document that cannot be taken; what is held stands. The text is a short reason."""
+
+
+class Document(Protocol):
+    """The one copy that a gateway holds. `version` is `NOTHING` before the first; it only grows.
+
+    Equal documents have equal digests; others of the same version have not.
+    """
+
+    fleet: str
+    version: Version
+    digest: int
+
+    def apply(self, change: Change):
+        """Take a change whose base is held. Errors: DocumentError."""
+
+    def replace(self, version: Version, digest: int, data: bytes):
+        """Take a whole document of a higher version. Errors: DocumentError."""
+
+    def whole(self) -> bytes:
+        """The whole document, encoded; at most `MAX_WHOLE` bytes."""
--- /dev/null
+++ b/tests/test_dissemination_parts.py
@@ -0,0 +1,258 @@
+"""The parts of the dissemination: budget, log, view, whole documents in parts, what is known of others."""
+
+from collections import Counter
+
+import pytest
+from cells_tables import cells, table
+from dissemination_mesh import FLEET, Mesh, StubDocument, Version, change_from, digest_of
+
+from gaproute.decisions.chance import Chance
+from gaproute.shared.dissemination import Candidates, Change, DocumentError, Peer, bounds
+from gaproute.shared.dissemination.bounds import SECOND
+from gaproute.shared.dissemination.budget import Budget
+from gaproute.shared.dissemination.cell_peers import candidates
+from gaproute.shared.dissemination.changelog import Changelog
+from gaproute.shared.dissemination.messages import NOTHING, Announcement, Busy, Changes, Part, Pull, Push
+from gaproute.shared.dissemination.serving import Serving
+from gaproute.shared.dissemination.sightings import Sightings
+from gaproute.shared.dissemination.view import View
+
+
+def logged(count, data=b"x" * 200):
+    """A log of so many changes that follow 1.1, and the version it ends at."""
+    log, version = Changelog(), Version(1, 1)
+    for _ in range(count):
+        change = change_from(version, data)
+        log.append(change)
+        version = change.version
+    return log, version
+
+
+def peers(count, prefix="peer"):
+    return tuple(Peer(f"{prefix}{number}", f"127.0.0.1:{number}") for number in range(count))
+
+
+# Budget
+
+
+def test_a_budget_gives_its_rate_and_a_burst():
+    budget, spent = Budget(100, 300, 0), 0
+    for now in range(0, 10 * SECOND, SECOND // 50):
+        while budget.take(now, 7):
+            spent += 7
+    assert 1250 <= spent <= 1300
+    assert 0 < budget.wait(10 * SECOND, 50) <= SECOND // 2
+
+
+# Log
+
+
+def test_the_log_gives_what_follows_a_version_within_the_bytes():
+    log, version = logged(10)
+    assert [change.version.number for change in log.since(Version(1, 8), 10_000)] == [9, 10, 11]
+    assert len(log.since(Version(1, 1), 500)) == 2
+    assert log.since(version, 10_000) == () and log.since(Version(1, 99), 10_000) == ()
+    assert log.since(NOTHING, 10_000) == ()
+
+
+def test_the_log_is_bounded_and_a_gap_begins_it_anew():
+    log, version = logged(500)
+    assert len(log.changes) == bounds.LOG_CHANGES
+    assert log.reaches(Version(1, version.number - bounds.LOG_CHANGES)) and not log.reaches(Version(1, 5))
+    log.append(change_from(Version(1, 900)))
+    assert len(log.changes) == 1
+    log, _ = logged(50, b"x" * 8_000)
+    assert log.bytes <= bounds.LOG_BYTES
+
+
+# View
+
+
+def test_a_view_is_bounded_and_spread_over_the_zones():
+    view = View("peer0", Chance(3))
+    entries = {f"zone{zone}": peers(100 + zone * 50, f"zone{zone}-") for zone in range(13)}
+    view.listed(Candidates(peers(200), entries, peers(20, "configured"), 16_000))
+    assert len(view.inside) == bounds.VIEW_NEIGHBOURS
+    assert len(view.names) <= 64 and "peer0" not in view.names
+    zones = Counter(name.split("-")[0] for name in view.names if name.startswith("zone"))
+    assert len(zones) == 13 and max(zones.values()) - min(zones.values()) <= 1
+
+
+def test_few_messages_leave_a_large_cell_and_all_of_a_gateway_alone():
+    entries = {"zone1": peers(1470, "entry")}
+    view = View("peer0", Chance(5))
+    view.listed(Candidates(peers(33), entries, (), 16_000))
+    drawn = [peer.name for _ in range(4_000) for peer in view.draw(1)]
+    outside = sum(name.startswith("entry") for name in drawn) / len(drawn)
+    assert 0.035 < outside < 0.07  # 8 of the 4 pushes of each of 33 gateways, at least
+    view.listed(Candidates((), entries, (), 0))
+    assert all(peer.name.startswith("entry") for peer in view.draw(5))
+    view.listed(Candidates())
+    assert view.draw(5) == []
+
+
+def test_a_draw_names_each_once_and_not_the_one_left_out():
+    view = View("peer0", Chance(9))
+    view.listed(Candidates(peers(4)))
+    for _ in range(100):
+        names = [peer.name for peer in view.draw(5, "peer2")]
+        assert len(set(names)) == len(names) and not {"peer0", "peer2"} & set(names)
+
+
+def test_a_table_names_neighbours_and_entries_by_zone():
+    made = table(cells(26))
+    own = made.cells[0]
+    known = candidates(made, own.name, peers(5), peers(2, "configured"))
+    assert {peer.name for peer in known.neighbours} == {f"peer{n}" for n in range(5)} | {
+        entry.name for entry in own.entries
+    }
+    assert sum(map(len, known.entries.values())) == 2 * 25 and len(known.entries) == 13
+    assert known.gateways == 7 * 26
+    assert candidates(None, own.name, peers(5), ()).entries == {}
+
+
+# Serving
+
+
+def serving(count, whole_bytes=20_000):
+    log, version = logged(count)
+    document = StubDocument(version, whole_bytes)
+    return Serving(document, log, 0), document, log
+
+
+def test_changes_are_served_where_the_log_reaches_and_the_whole_elsewhere():
+    served, _, _ = serving(70)
+    assert len(served.answer(0, Pull(FLEET, Version(1, 68))).changes) == 3
+    part = served.answer(SECOND, Pull(FLEET, Version(1, 2)))
+    assert isinstance(part, Part) and part.place == 0 and part.size == 20_000
+    assert served.answer(SECOND, Pull(FLEET, Version(1, 71))) == Changes(FLEET, ())
+    assert served.answer(SECOND, Pull(FLEET, Version(3, 0))) == Changes(FLEET, ())
+
+
+def test_a_whole_document_is_paced_and_stays_the_same_while_changes_come():
+    served, document, log = serving(5)
+    now, place, wanted, waited, took = 0, 0, NOTHING, 0, 0
+    while place < 20_000:
+        answer = served.answer(now, Pull(FLEET, NOTHING, False, wanted, place))
+        if isinstance(answer, Busy):
+            waited += answer.wait
+            now += answer.wait
+            continue
+        wanted, place, took = answer.version, answer.place + len(answer.data), took + 1
+        change = change_from(document.version)
+        document.apply(change)
+        log.append(change)
+    assert wanted == Version(1, 6) and took == 5
+    assert 20_000 - bounds.SERVE_BURST <= waited * bounds.SERVE_RATE / SECOND <= 21_000
+    # A later asker is given the same snapshot, and the changes since by the log.
+    late = served.answer(now + 10 * SECOND, Pull(FLEET, NOTHING))
+    assert late.version == wanted and log.since(wanted, 10_000)
+    old = served.answer(now + 100 * SECOND, Pull(FLEET, NOTHING))
+    assert old.version == document.version and len(served.snapshots) <= bounds.SNAPSHOTS
+
+
+# What was heard
+
+
+def test_a_standing_says_who_is_behind_and_for_how_long_nobody_was():
+    seen = Sightings()
+    assert seen.standing(0, Version(1, 2)).agreed_for is None
+    for second in range(5):
+        seen.saw(second * SECOND, "a", Version(1, 1 + (second > 1)))
+        seen.saw(second * SECOND, "b", Version(1, 2))
+    standing = seen.standing(6 * SECOND, Version(1, 2))
+    assert (standing.heard, standing.behind, standing.oldest) == (2, 0, Version(1, 2))
+    assert standing.agreed_for == 5 * SECOND  # a was behind in second 1 for the last time
+    seen.saw(7 * SECOND, "c", Version(1, 1))
+    standing = seen.standing(7 * SECOND, Version(1, 2))
+    assert (standing.behind, standing.agreed_for, standing.oldest) == (1, None, Version(1, 1))
+    assert seen.standing(60 * SECOND, Version(1, 2)).heard == 0
+
+
+def test_sightings_are_bounded():
+    seen = Sightings()
+    for number in range(5_000):
+        seen.saw(number, f"gateway{number}", Version(1, number))
+    assert len(seen.by_name) == bounds.SIGHTINGS and len(seen.times) == bounds.SIGHTING_VERSIONS
+
+
+# What is refused
+
+
+def test_what_is_lower_of_another_fleet_contradicting_or_no_message_is_refused_and_counted():
+    mesh = Mesh(2)
+    mesh.publish(0)
+    mesh.settle(5)
+    node, peer, held = mesh.nodes[0], mesh.peers[1], Version(1, 2)
+    for message, reason in (
+        (Push(FLEET, (Change(NOTHING, Version(1, 0), 0, b""),)), "lower version"),
+        (Push(FLEET, (Change(Version(1, 1), held, 99, b""),)), "contradiction"),
+        (Announcement(FLEET, held, 99), "contradiction"),
+        (Announcement("south", Version(9, 9), 0), "other fleet"),
+        (Push("south", (Change(held, Version(1, 3), 0, b""),)), "other fleet"),
+        (None, "not understood"),
+        (Pull(FLEET, held), "not understood"),
+    ):
+        before = node.refused[reason]
+        assert node.hear(mesh.now, peer, message) == []
+        assert node.refused[reason] == before + 1 and node.document.version == held
+    assert node.answer(mesh.now, Pull("south", held)) is None and node.answer(mesh.now, b"") is None
+    mesh.check()
+
+
+def test_a_change_that_does_not_lead_where_it_says_is_refused_and_the_whole_is_fetched():
+    mesh = Mesh(2)
+    mesh.publish(0)
+    mesh.flight.clear()
+    wrong = Change(Version(1, 1), Version(1, 2), 1234, b"")
+    sends = mesh.nodes[1].hear(mesh.now, mesh.peers[0], Push(FLEET, (wrong,)))
+    assert mesh.nodes[1].refused["digest"] == 1 and sends[0].message.whole
+    mesh.send(1, sends)
+    mesh.settle()
+    assert mesh.versions() == [Version(1, 2)] * 2 and not mesh.nodes[1].copy.needs_whole
+
+
+def test_two_contradicting_writers_are_told_and_a_higher_version_mends_it():
+    mesh = Mesh(3)
+    mesh.nodes[1].document.version = Version(1, 5)
+    mesh.nodes[1].document.digest = digest_of(Version(1, 5), salt=7)
+    mesh.nodes[0].document.version = Version(1, 5)
+    mesh.nodes[0].document.digest = mesh.nodes[2].document.digest = digest_of(Version(1, 5))
+    mesh.nodes[2].document.version = Version(1, 5)
+    mesh.settle(5)
+    assert mesh.nodes[0].refused["contradiction"] and mesh.nodes[1].refused["contradiction"]
+    mesh.publish(0)
+    mesh.settle(5)
+    assert len({(node.document.version, node.document.digest) for node in mesh.nodes}) == 1
+
+
+def test_a_publisher_that_is_not_at_the_base_is_told():
+    mesh = Mesh(1)
+    for change in (change_from(Version(1, 0)), Change(Version(1, 1), Version(1, 1), 0, b"")):
+        with pytest.raises(DocumentError):
+            mesh.nodes[0].publish(mesh.now, change)
+    with pytest.raises(DocumentError):
+        mesh.nodes[0].publish_whole(mesh.now, Version(1, 1), 0, b"")
+    assert mesh.versions() == [Version(1, 1)]
+
+
+def test_strangers_and_absurd_versions_cost_a_bounded_number_of_messages():
+    mesh = Mesh(2)
+    node, sent, read = mesh.nodes[0], 0, 0
+    for number in range(20_000):
+        mesh.now += SECOND // 2_000
+        name = f"stranger{number}"
+        if not node.admits(mesh.now, name):
+            continue
+        read += 1
+        absurd = Announcement(FLEET, Version(1 << 60, number), number)
+        sent += len(node.hear(mesh.now, Peer(name, "127.0.0.1:1"), absurd))
+        if mesh.now >= node.due:
+            sent += len(node.tick(mesh.now))
+        mesh.check()
+    assert read <= 11 * bounds.STRANGER_MESSAGES + 100
+    assert node.telling.bytes <= 11 * bounds.MESSAGE_RATE + bounds.MESSAGE_BURST
+    assert node.refused["flood"] >= 18_000
+    mesh.publish(1)
+    mesh.settle(10)
+    assert mesh.versions() == [Version(1, 2)] * 2
