--- a/tests/test_dissemination.py
+++ b/tests/test_dissemination.py
@@ -90,7 +90,7 @@
         if newcomer.document.version > NOTHING:
             break
     version = net.nodes[0].disseminator.document.version
-    play_until_all_hold(net, version, 20)
+    play_until_all_hold(net, version, 10)
 
 
 def test_a_region_cut_off_catches_up_without_a_storm():
