Configuration: a cell table in lines of text, read whole or refused with every mistake

A fleet's table of cells has to be written and checked by people before it is given to the gateways.

`read_lines` can be told after how many mistakes to end; others go on as before.

--- a/gaproute/conf/lines.py
+++ b/gaproute/conf/lines.py
@@ -84,10 +84,15 @@
     line: int = 0
 
 
-def read_lines(file, text, kinds):
-    """`kinds`: {word: Directive class}. Returns [(word, directive)], [Mistake], {word: its first line}."""
+def read_lines(file, text, kinds, most_mistakes=None):
+    """`kinds`: {word: Directive class}. Returns [(word, directive)], [Mistake], {word: its first line}.
+
+    Reading ends at `most_mistakes` where that is given.
+    """
     found, mistakes, first = [], [], {}
     for number, raw in enumerate(text.splitlines(), 1):
+        if most_mistakes is not None and len(mistakes) >= most_mistakes:
+            break
         try:
             words = shlex.split(raw, comments=True)
         except ValueError as fault:
--- /dev/null
+++ b/gaproute/conf/words/cells.py
@@ -0,0 +1,80 @@
+"""Lines of a cell table."""
+
+from typing import Annotated, ClassVar
+
+from pydantic import BeforeValidator, Field
+
+from gaproute.conf.lines import Directive
+from gaproute.decisions.cells import bounds
+from gaproute.decisions.cells.table import Entry, Points
+
+LARGEST_VERSION = (1 << 63) - 1
+
+Named = Annotated[str, Field(min_length=1, max_length=bounds.MAX_NAME)]
+VersionPart = Annotated[int, Field(ge=0, le=LARGEST_VERSION)]
+
+
+def _parts(value, most, what):
+    """The parts between commas."""
+    if not isinstance(value, str):
+        return value
+    if value.count(",") >= most:
+        raise ValueError(f"more than {most} {what}")
+    return value.split(",")
+
+
+def _points(value):
+    return tuple(_point(part) for part in _parts(value, bounds.MAX_RANGES, "ranges of ring points"))
+
+
+def _point(part):
+    origin, colon, numbers = part.rpartition(":")
+    first, plus, count = numbers.partition("+")
+    if not (origin and colon and plus and _is_number(first) and _is_number(count)):
+        raise ValueError(f"{part!r:.80} is no range of ring points: ORIGIN:FIRST+COUNT")
+    return Points(origin, int(first), int(count))
+
+
+def _is_number(text):
+    return text.isascii() and text.isdigit() and len(text) <= len(str(bounds.MAX_RING_POINTS))
+
+
+def _entries(value):
+    return tuple(_entry(part) for part in _parts(value, bounds.MAX_ENTRIES, "entry gateways"))
+
+
+def _entry(part):
+    name, equals, address = part.partition("=")
+    if not (name and equals and address):
+        raise ValueError(f"{part!r:.80} is no entry gateway: NAME=ADDRESS")
+    return Entry(name, address)
+
+
+class TableLine(Directive):
+    """Which fleet the table is of, and its version."""
+
+    places: ClassVar = ("fleet",)
+    example: ClassVar = "table north term 3 number 17"
+    once: ClassVar = True
+    fleet: Named
+    term: VersionPart
+    number: VersionPart
+
+
+class CellLine(Directive):
+    """One cell."""
+
+    places: ClassVar = ("name",)
+    example: ClassVar = (
+        "cell c1 region west zone west-a capacity 640 hosts 51 points c1:0+32 entries g1=10.0.0.1:8090"
+    )
+    name: Named
+    region: Named
+    zone: Named
+    capacity: float
+    hosts: int
+    points: Annotated[tuple[Points, ...], BeforeValidator(_points)]
+    entries: Annotated[tuple[Entry, ...], BeforeValidator(_entries)] = ()
+
+
+CELL_WORDS = {"table": TableLine, "cell": CellLine}
