--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from gaproute.appliance.cell_lists import CellLists
-from gaproute.conf.cell_table import read_cells
+from gaproute.conf.cell_files import read_table
 from gaproute.core.cellular import CellularCore
 from gaproute.decisions.cells.cellular import CellularGateway
 from gaproute.decisions.cells.change import TableHolder
@@ -52,7 +52,7 @@
     def start(self):
         """Read the table and the lists, and go on looking."""
         self.watch = FileWatch(
-            self.loop, self.line.file, self.line.look, self.take, self._file_refused, read_cells
+            self.loop, self.line.file, self.line.look, self.take, self._file_refused, read_table
         )
         self._look()
 
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -12,7 +12,7 @@
 from rich.table import Table
 
 from gaproute.conf import Mistakes, move, read_charter, read_hosts, read_peers, read_text, write_whole
-from gaproute.conf.cell_hosts import check_cells
+from gaproute.conf.cell_files import check_cells
 from gaproute.loop.streams import address
 
 
--- a/gaproute/conf/cell_hosts.py
+++ b/gaproute/conf/cell_files.py
@@ -1,14 +1,35 @@
-"""Host lists of cells as files, one for each cell, and what may be wrong with them beside a cell table."""
+"""The files of a fleet in cells: its table, which ends with a line `end`, and the host list of each cell."""
 
 import os
 from urllib.parse import quote
 
-from gaproute.conf.cell_table import bounded_text, read_cells
+from gaproute.conf.cells import MAX_BYTES, read_cells
 from gaproute.conf.lines import Mistake, Mistakes
-from gaproute.conf.reading import read_hosts
+from gaproute.conf.reading import read_hosts, read_text
 from gaproute.decisions.cells.bounds import MAX_HOSTS
 
-MAX_BYTES = 1 << 20  # of one file: 1 KiB for each of the most hosts
+MAX_LIST_BYTES = 1 << 20  # of a host list: 1 KiB for each of the most hosts
+END = "end"  # the last line of a table: a torn file would else pass for a smaller table of the same version
+
+
+def read_table(path):
+    """The cell table of a file. Errors: `Mistakes`."""
+    text = _bounded_text(path, MAX_BYTES).rstrip()
+    body, _, last = text.rpartition("\n")
+    if last.strip() != END:
+        cure = f"let the last line be: {END}"
+        raise Mistakes([Mistake(path, text.count("\n") + 1, "the table is torn: it has no end", cure)])
+    return read_cells(path, f"{body}\n")
+
+
+def _bounded_text(path, most):
+    try:
+        size = os.stat(path).st_size
+    except OSError:
+        size = 0  # said by whoever reads it
+    if size > most:
+        raise Mistakes([Mistake(path, 0, f"{size} bytes are more than {most}", "is this the right file?")])
+    return read_text(path)
 
 
 def path_of(folder, cell):
@@ -18,7 +39,7 @@
 
 def read_cell_hosts(path):
     """The `host` lines of a cell's file. Errors: `Mistakes`."""
-    lines = read_hosts(path, bounded_text(path, MAX_BYTES))
+    lines = read_hosts(path, _bounded_text(path, MAX_LIST_BYTES))
     if len(lines) > MAX_HOSTS:
         mistake = f"{len(lines)} hosts are more than a cell may have"
         raise Mistakes([Mistake(path, lines[MAX_HOSTS].line, mistake, f"{MAX_HOSTS} at most")])
@@ -51,7 +72,7 @@
 def check_cells(charter):
     """Read the table and the host lists that a charter names. Errors: `Mistakes` with all that is wrong."""
     line, folder = charter.cells, charter.cell_hosts.folder
-    table = read_cells(line.file)
+    table = read_table(line.file)
     mistakes, lists, paths = list(_place_mistakes(charter.file, line, table)), {}, {}
     for cell in table.cells:
         paths[cell.name] = path_of(folder, cell.name)
--- a/tests/cell_fleet.py
+++ b/tests/cell_fleet.py
@@ -10,7 +10,7 @@
 
 from helpers import MILLI, SECOND, ListTap
 
-from gaproute.conf.cell_table import read_cells
+from gaproute.conf.cell_files import read_table
 from gaproute.decisions.cells.homes import Homes
 from gaproute.http1 import Exchange
 from gaproute.loop import Loop, Promise
@@ -77,11 +77,11 @@
 
     def table_text(self, cells=None, number=None, term=1, fleet="north"):
         """A table as text; `cells`: as the fleet's."""
-        lines = [f"table {fleet} version {term}.{number or self.number}"]
+        lines = [f"table {fleet} term {term} number {number or self.number}"]
         for cell, (zone, entries) in (self.cells if cells is None else cells).items():
             ways = ",".join(f"{name}=127.0.0.2:{self.ports[name]}" for name in entries)
             lines.append(
-                f"cell {cell} region {zone[0]} zone {zone} capacity 100 hosts 2"
+                f"cell {cell} region {zone[0]} zone {zone} capacity 100 hosts 2 points {cell}:0+32"
                 + (f" entries {ways}" if ways else "")
             )
         return "\n".join(lines) + "\nend\n"
@@ -102,7 +102,7 @@
         """The first home of a model by the table written last."""
         path = self.folder / "last.table"
         path.write_text(self.written)
-        return Homes(read_cells(path)).first(model)
+        return Homes(read_table(path)).first(model)
 
     def homed(self, track, cell):
         """A model of the track that has its home in that cell."""
--- a/tests/test_cells_conf.py
+++ b/tests/test_cells_conf.py
@@ -6,15 +6,15 @@
 
 from gaproute.cli.main import main
 from gaproute.conf import Mistakes, read_charter
-from gaproute.conf.cell_hosts import path_of, read_cell_hosts
-from gaproute.conf.cell_table import MAX_BYTES, read_cells
+from gaproute.conf.cell_files import path_of, read_cell_hosts, read_table
+from gaproute.conf.cells import MAX_BYTES
 from gaproute.decisions.cells.bounds import MAX_HOSTS
 from gaproute.decisions.cells.table import Entry, Points, Version
 
 CELLS = "cells north file t look 50ms region west zone west-a"
 LISTS = "cell-hosts lists"
-TABLE = """table north version 1.3
-cell a1 region west zone west-a capacity 100 hosts 2 entries ga=127.0.0.1:1,gb=127.0.0.1:2
+TABLE = """table north term 1 number 3
+cell a1 region west zone west-a capacity 100 hosts 2 points a1:0+43 entries ga=127.0.0.1:1,gb=127.0.0.1:2
 cell b1 region west zone west-b capacity 50 hosts 2 points a1:100+4,b1:0+16
 end
 """
@@ -76,7 +76,7 @@
 
 
 def test_a_table_is_read_with_its_entries_and_ring_points(table):
-    read = read_cells(table(TABLE))
+    read = read_table(table(TABLE))
     assert (read.fleet, read.version, [cell.name for cell in read.cells]) == (
         "north",
         Version(1, 3),
@@ -90,36 +90,40 @@
 @pytest.mark.parametrize(
     "before, after, mistake",
     [
-        ("table north version 1.3\n", "", "no table line"),
-        ("b1:0+16\nend\n", "b1:0+1", ":0: no end line"),
-        ("version 1.3", "version new", ":1: table: version: 'new' is no version"),
-        ("cell b1", "cell a1", ":3: row 2, cell 'a1': the cell is also in row 1"),
+        ("table north term 1 number 3\n", "", "no table line"),
+        ("b1:0+16\nend\n", "b1:0+1", ":3: the table is torn"),
+        ("number 3", "number new", ":1: table: number: Input should be a valid integer"),
+        ("cell b1", "cell a1", ":3: cell a1 stands a second time; keep line 2"),
         ("zone west-b", "zone west-a", None),
-        ("region west zone west-b", "region east zone west-a", ":3: row 2, cell 'b1': zone 'west-a' lies in"),
-        ("end\n", "end\n\ncell c1 region west zone west-a capacity 1 hosts 1\n", ":6: a line after the end"),
-        ("hosts 2 points", "hosts 20000 points", ":3: row 2, cell 'b1': 20000 hosts are not"),
-        ("a1:100+4", "a1:0+4", ":3: row 2, cell 'b1': ring point 0 of 'a1' is also of cell 'a1'"),
-        ("a1:100+4", "a1:100", "is no range of points"),
-        ("capacity 50", "capacity nan", ":3: cell: capacity: Input should be a finite number"),
-        ("gb=", "ga=", ":2: row 1, cell 'a1': an entry gateway is named twice"),
+        (
+            "region west zone west-b",
+            "region east zone west-a",
+            ":3: zone west-a lies in region east, in line 2 in west",
+        ),
+        ("end\n", "end\n\ncell c1 region west zone west-a capacity 1 hosts 1\n", ":6: the table is torn"),
+        ("50 hosts 2 points", "50 hosts 20000 points", ":3: cell: 20000 hosts are not"),
+        ("a1:100+4", "a1:0+4", ":3: ring point 0 of a1 is also in line 2"),
+        ("a1:100+4", "a1:100", ":3: cell: points: 'a1:100' is no range of ring points"),
+        ("capacity 50", "capacity nan", ":3: cell: the capacity nan is not above 0"),
+        ("gb=", "ga=", ":2: cell: an entry gateway is named twice"),
         ("cell b1", "cel b1", ":3: unknown word 'cel'; did you mean cell?"),
     ],
 )
 def test_a_wrong_table_is_refused_by_line(table, before, after, mistake):
     path = table(TABLE.replace(before, after))
     if mistake is None:
-        assert len(read_cells(path).cells) == 2
+        assert len(read_table(path).cells) == 2
     else:
-        said = told(read_cells, path)
+        said = told(read_table, path)
         assert len(said) == 1 and mistake in said[0], said
 
 
 def test_a_table_that_is_gone_or_far_too_large_is_refused_unread(table, tmp_path):
-    assert "cannot be read" in told(read_cells, str(tmp_path / "none"))[0]
+    assert "cannot be read" in told(read_table, str(tmp_path / "none"))[0]
     path = table("")
     with open(path, "wb") as file:
         file.truncate(MAX_BYTES + 1)
-    assert f"more than {MAX_BYTES}" in told(read_cells, path)[0]
+    assert f"more than {MAX_BYTES}" in told(read_table, path)[0]
 
 
 # Host lists
@@ -162,7 +166,7 @@
         ({"lists": {"a1": "host x 127.0.0.1:1\n", "b1": "host y 127.0.0.1:1\n"}}, "lists/b1.hosts:1: host y"),
         ({"lists": {"a1": "host x 127.0.0.1:1 zone moon\n"}}, "lists/a1.hosts:1: host x stands in zone moon"),
         ({"lists": {"a1": "host x\n"}}, "lists/a1.hosts:1: host: WHERE is missing"),
-        ({"lists": {}, "table": "nonsense\nend\n"}, "t:1: unknown word 'nonsense'"),
+        ({"lists": {}, "table": f"nonsense\n{TABLE}"}, "t:1: unknown word 'nonsense'"),
         ({"lists": {}, "table": TABLE.replace("north", "south")}, "g.conf:11: cells: t is of fleet south"),
         (
             {"lists": {}, "place": "region west zone moon"},
