Gateways forward calls to each other's peers' address, not the clients'

Need: the table has one address for each entry gateway, and the dissemination of the table speaks with the entries at their `listen peers` address. Calls go there too: the same front in the same form on the server that is there, with limits as for clients. From clients the header of forwarded calls now means nothing, which the test of statuses asks for; before, a client could choose its cell.

--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -32,9 +32,9 @@
     decisions."""
 
     def __init__(self, loop, charter, record, seed, reach, run, enlisted):
-        self.loop, self.line, self.record, self.enlisted = loop, charter.cells, record, enlisted
-        name = charter.base_name  # one for all processes behind the same address
-        place = Place(name, self.line.region, self.line.zone)
+        self.loop, self.charter, self.line = loop, charter, charter.cells
+        self.record, self.enlisted = record, enlisted
+        place = Place(charter.name, self.line.region, self.line.zone)
         self.gateway = CellularGateway(seed, charter.terms, loop.now(), place)
         self.hosts = CellHosts(loop, Pooling(), reach, charter.name)
         self.entries = Entries(loop, reach, charter.name)
@@ -56,9 +56,10 @@
         )
         self._look()
 
-    def front(self, *args):
-        """A front that also takes calls that other gateways forward."""
-        return EntryFront(*args, report=self._report)
+    def listen(self, giver, ready):
+        """Take calls that other gateways forward at the address of the peers."""
+        front = EntryFront(self.loop, giver.server, self.core, self.charter, ready, self._report)
+        giver.calls = front.handle
 
     def read(self):
         """Read all files at once."""
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -59,12 +59,11 @@
 
     def start(self):
         """Errors: OSError where an address cannot be listened on; nothing listens then."""
-        make_front = Front if self.cells is None else self.cells.front
         try:
             for kind, where in self.charter.listens:
                 if kind == "kserve":
                     self.fronts.append(
-                        make_front(
+                        Front(
                             self.loop,
                             address(where),
                             self.core,
@@ -75,6 +74,8 @@
                     )
                 elif kind == "peers":
                     self.fronts.append(self.others.listen(where))
+                    if self.cells is not None:
+                        self.cells.listen(self.fronts[-1], self.ready)
                 else:
                     self.fronts.append(Operator(self.loop, address(where), self))
         except OSError as fault:
--- a/gaproute/appliance/others.py
+++ b/gaproute/appliance/others.py
@@ -19,9 +19,20 @@
 
 # Of those that ask at a gateway that takes part in the strong word: batches are long, and every gateway of
 # a large fleet may hold a connection to each keeper.
+FORWARDED_HEAD = 4096  # bytes of headers that a gateway adds to a client's
 ASKED = Limits(body=LONGEST, pipelined=1, connections=4096, buffered=4 * LONGEST)
 
 
+def forwarded_limits(limits, clients):
+    """Limits where other gateways also forward calls: as large as those of clients, on many connections."""
+    return limits._replace(
+        head=clients.head + FORWARDED_HEAD,
+        body=max(limits.body, clients.body),
+        pipelined=max(limits.pipelined, clients.pipelined),
+        connections=max(limits.connections, clients.connections),
+    )
+
+
 class Others:
     def __init__(self, loop, charter, gateway, record, seed):
         self.loop, self.charter, self.gateway, self.record, self.seed = loop, charter, gateway, record, seed
@@ -33,9 +44,10 @@
     def listen(self, where):
         """The front at which others ask. Errors: OSError."""
         line = self.charter.keepers
-        self.giver = Giver(
-            self.loop, address(where), self.gateway, self.roll, self.tracks, LIMITS if line is None else ASKED
-        )
+        limits = LIMITS if line is None else ASKED
+        if self.charter.cells is not None:
+            limits = forwarded_limits(limits, self.charter.clients)
+        self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks, limits)
         try:
             self.gossip = Gossip(
                 self.loop, self.charter.name, self.giver.address, Chance(self.seed + 2), self.record
--- a/gaproute/conf/across.py
+++ b/gaproute/conf/across.py
@@ -111,7 +111,7 @@
             )
         )
     for word, line in found:
-        if (word == "keepers" or word == "weak-word" and line.told) and not any(
+        if (word in ("keepers", "cells") or word == "weak-word" and line.told) and not any(
             other == "listen" and listen.kind == "peers" for other, listen in found
         ):
             mistakes.append(
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -19,7 +19,7 @@
             return next(iter(all_of(word)), None) or WORDS[word].model_construct()
 
         self.file = file
-        self.name = self.base_name = one("name").name
+        self.name = one("name").name
         self.listens = [(line.kind, line.where) for line in all_of("listen")]
         self.hosts = all_of("host")
         self.hosts_file = next(iter(all_of("hosts-file")), None)
--- a/gaproute/fronts/kserve/entry.py
+++ b/gaproute/fronts/kserve/entry.py
@@ -1,4 +1,4 @@
-"""The front of a gateway that other gateways forward calls to.
+"""The front at which other gateways forward calls to this one: the clients' form at the address of its peers.
 
 It answers them as a client's, but that it tells the cell's load, and that a declined call that provably never
 ran is answered 429 in place of 503: by the proof table of the hosts (`gaproute.hosts.proof`) 429 alone proves
@@ -14,17 +14,21 @@
 
 
 class EntryFront(Front):
-    """`report(cell)`: the cell's load as other gateways are told it, or None."""
+    """`server` listens already, and hands over what is for this front by `handle`; `report(cell)`: the cell's
+    load as other gateways are told it, or None."""
 
-    def __init__(self, *args, report):
-        super().__init__(*args)
+    def __init__(self, loop, server, core, charter, ready, report):
+        super().__init__(loop, server, core, charter, ready)
         self.report = report
 
+    def listen(self, where, limits, inherited):
+        """The server that was given in place of an address."""
+        return where
+
     def call(self, request, model, version):
         """A request as a call."""
         call = super().call(request, model, version)
-        tenant = request.headers.get(b"gaproute-tenant", b"")
-        return call._replace(tenant=tenant, forwarded=forwarded.read(request.headers))
+        return call._replace(forwarded=forwarded.read(request.headers))
 
     def answer(self, request, status, fields, body):
         """The one answer to a request."""
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -68,8 +68,13 @@
             clients.connections,
             JITTER,
         )
-        self.server = Server(
-            loop,
+        self.server = self.listen(where, limits, inherited)
+        self.address = self.server.address
+
+    def listen(self, where, limits, inherited):
+        """The server at an address. Errors: OSError."""
+        return Server(
+            self.loop,
             where,
             self.handle,
             limits,
@@ -77,7 +82,6 @@
             counted=True,
             inherited=inherited,
         )
-        self.address = self.server.address
 
     def handle(self, request):
         try:
@@ -183,6 +187,7 @@
             version,
             tuple((name, headers[name]) for name in PASSED if name in headers),
             request.body,
+            tenant=headers.get(b"gaproute-tenant", b""),
         )
 
     def answer(self, request, status, fields, body):
--- a/gaproute/peers/giver.py
+++ b/gaproute/peers/giver.py
@@ -17,6 +17,7 @@
 from gaproute.peers import wire
 from gaproute.peers.lore_pb2 import Told
 
+CALLS = b"/v2/"  # what the targets of calls begin with
 READINGS = 16  # readings held for learners; whoever comes back for an older one begins anew
 HELD = 4 << 20  # bytes of told chunks held for them
 SHARED = 250 * MILLI  # after it began, a snapshot is still told to others that begin: after a roll many do
@@ -38,6 +39,7 @@
     def __init__(self, loop, where, gateway, roll, tracks, limits=LIMITS, meter=time.thread_time_ns):
         self.meter = meter  # CPU spent so far, ns
         self.also = {}  # target: handle(server, request), of what else is served here
+        self.calls = None  # handle(request) of calls that other gateways forward
         self.loop, self.gateway, self.roll, self.tracks = loop, gateway, roll, tracks
         self.purse = Purse(loop.now())
         self.life = secrets.randbits(63) | 1  # the clock's marks are this process's alone
@@ -51,6 +53,9 @@
         if request.target in self.also:
             self.also[request.target](self.server, request)
             return
+        if self.calls is not None and request.target.startswith(CALLS):
+            self.calls(request)
+            return
         if request.target != b"/lore" or request.method != b"POST":
             self.server.answer(request, 404, (), b"POST /lore\n")
             return
