Ledger: the last good cell table on disk, replaced whole, set aside where it is unusable

A gateway that starts while nobody can be heard should serve by the table that it held last.

One file with a checksum over all of it, written beside, synced and put in place. Torn or altered, of another fleet, older than what others are known to hold, or absurdly large: set aside under another name, counted, told once; the gateway starts without. Writes that fail are counted, told once.

Tests: 9, among them a file cut or altered at any place (150 examples), a full disk amid a write, a write that was not finished.

--- /dev/null
+++ b/gaproute/ledger/tables.py
@@ -0,0 +1,147 @@
+"""The last good cell table on disk, so that a gateway that starts serves by it until it hears a newer one.
+
+One file, put in place whole: written beside, synced, renamed. It begins with a checksum over all the rest.
+What is torn, of another fleet or no table is set aside for the operator, never fatal: the gateway starts
+without one. Write failures are counted and told once; the table in memory serves on.
+"""
+
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import xxhash
+
+MAGIC = b"gaproute-table-1"
+CHECKSUM_BYTES = 8
+MAX_FILE = 5 << 20  # bytes: a whole encoded table and its head
+ONLY_OWNER = 0o600
+OLDEST = (-1, -1)
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
+
+
+class StoredTable(msgspec.Struct, array_like=True, frozen=True, forbid_unknown_fields=True):
+    """An encoded table with what it is checked by."""
+
+    fleet: str
+    term: Count
+    number: Count
+    digest: int
+    data: bytes
+
+
+class UnusableTable(Exception):
+    """The file holds no table of this fleet; the text says why."""
+
+
+@dataclass
+class TableFileCounts:
+    """What befell the file since the start."""
+
+    written: int = 0
+    failed: int = 0
+    set_aside: int = 0
+
+
+class TableFile:
+    """`told(text)` is called with what an operator should know of, each kind of thing once."""
+
+    def __init__(self, path, fleet: str, told, wall=time.time_ns):
+        self.path, self.fleet, self.told, self.wall = Path(path), fleet, told, wall
+        self.counts = TableFileCounts()
+
+    def read(self, heard: tuple[int, int] = OLDEST) -> StoredTable | None:
+        """The table kept; None where there is none that can be used. `heard`: the version others hold."""
+        try:
+            with self.path.open("rb") as opened:
+                content = opened.read(MAX_FILE + 1)
+        except FileNotFoundError:
+            return None
+        except OSError as fault:
+            self._failed(fault)
+            return None
+        try:
+            table = self._checked(content)
+            if (table.term, table.number) < heard:
+                raise UnusableTable(f"version {table.term}.{table.number}, others hold {heard[0]}.{heard[1]}")
+            return table
+        except UnusableTable as reason:
+            self.set_aside(str(reason))
+            return None
+
+    def write(self, table: StoredTable) -> bool:
+        """Keep this table in place of the one before; whether it stands on disk."""
+        content = msgspec.msgpack.encode(table)
+        content = MAGIC + _checksum(content) + content
+        beside = f"{self.path}.new"
+        try:
+            if len(content) > MAX_FILE:
+                raise OSError(f"a table of {len(content)} bytes is more than {MAX_FILE}")
+            _write_synced(beside, content)
+            os.rename(beside, self.path)
+            _sync_folder(self.path.parent)
+        except OSError as fault:
+            self._failed(fault)
+            return False
+        self.counts.written += 1
+        return True
+
+    def set_aside(self, reason: str):
+        """Keep what is there under another name: it cannot be used."""
+        self.counts.set_aside += 1
+        aside = f"{self.path}.broken-{self.wall()}"
+        try:
+            os.rename(self.path, aside)
+        except OSError as fault:
+            self._failed(fault)
+            return
+        if self.counts.set_aside == 1:
+            self.told(f"{self.path}: {reason}; set aside as {aside}, starting without a table")
+
+    def _checked(self, content):
+        if len(content) > MAX_FILE:
+            raise UnusableTable(f"more than {MAX_FILE} bytes")
+        if not content.startswith(MAGIC):
+            raise UnusableTable("no cell table")
+        head = len(MAGIC) + CHECKSUM_BYTES
+        body = content[head:]
+        if content[len(MAGIC) : head] != _checksum(body):
+            raise UnusableTable("torn or altered: the checksum differs")
+        try:
+            table = msgspec.msgpack.decode(body, type=StoredTable)
+        except msgspec.DecodeError as fault:
+            raise UnusableTable(f"no cell table: {fault}") from None
+        if table.fleet != self.fleet:
+            raise UnusableTable(f"of fleet {table.fleet!r:.140}, this gateway is of {self.fleet!r}")
+        return table
+
+    def _failed(self, fault):
+        self.counts.failed += 1
+        if self.counts.failed == 1:
+            self.told(f"{self.path}: {fault}; the table is not kept on disk")
+
+
+def _checksum(content):
+    return xxhash.xxh3_64_digest(content)
+
+
+def _write_synced(path, content):
+    file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, ONLY_OWNER)
+    try:
+        view = memoryview(content)
+        while view:
+            view = view[os.write(file, view) :]
+        os.fsync(file)
+    finally:
+        os.close(file)
+
+
+def _sync_folder(folder):
+    file = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        os.fsync(file)
+    finally:
+        os.close(file)
--- /dev/null
+++ b/tests/test_ledger_tables.py
@@ -0,0 +1,111 @@
+"""The last good cell table on disk: kept whole, and set aside where it cannot be used."""
+
+import os
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from gaproute.ledger.tables import MAX_FILE, StoredTable, TableFile
+
+KEPT = StoredTable("north", 3, 17, (1 << 64) - 1, b"rows" * 100)
+
+
+def opened(path, fleet="north"):
+    told = []
+    return TableFile(path, fleet, told.append, wall=lambda: 7), told
+
+
+def asides(path):
+    return [name for name in sorted(os.listdir(path.parent)) if ".broken-" in name]
+
+
+@pytest.fixture
+def path(tmp_path):
+    made = tmp_path / "cells.table"
+    assert opened(made)[0].write(KEPT)
+    return made
+
+
+def test_what_was_kept_is_read_and_the_last_one_stands(path):
+    kept, told = opened(path)
+    assert kept.read() == KEPT
+    newer = StoredTable("north", 3, 18, 5, b"")
+    assert kept.write(newer) and opened(path)[0].read() == newer
+    assert told == [] and os.listdir(path.parent) == [path.name]
+    assert os.stat(path).st_mode & 0o777 == 0o600
+
+
+def test_without_a_file_nothing_is_said(tmp_path):
+    kept, told = opened(tmp_path / "none")
+    assert kept.read() is None and told == [] and kept.counts.set_aside == 0
+
+
+@settings(max_examples=150, deadline=None)
+@given(some.data())
+def test_a_file_cut_short_or_altered_anywhere_is_set_aside(tmp_path_factory, data):
+    path = tmp_path_factory.mktemp("kept") / "cells.table"
+    opened(path)[0].write(KEPT)
+    content = bytearray(path.read_bytes())
+    place = data.draw(some.integers(0, len(content) - 1))
+    if data.draw(some.booleans()):
+        del content[place:]
+    else:
+        content[place] ^= data.draw(some.integers(1, 255))
+    path.write_bytes(content)
+    kept, told = opened(path)
+    assert kept.read() is None
+    assert kept.counts.set_aside == 1 and len(told) == 1 and asides(path) == ["cells.table.broken-7"]
+    assert kept.read() is None and len(told) == 1  # there is nothing any more
+    assert kept.write(KEPT) and kept.read() == KEPT
+
+
+def test_a_table_of_another_fleet_is_set_aside_whole(path):
+    kept, told = opened(path, "south")
+    assert kept.read() is None and "of fleet 'north'" in told[0]
+    assert opened(path.parent / asides(path)[0])[0].read() == KEPT
+
+
+def test_a_table_older_than_what_is_heard_is_set_aside(path):
+    kept, told = opened(path)
+    assert kept.read((3, 17)) == KEPT
+    assert kept.read((4, 0)) is None and "others hold 4.0" in told[0] and kept.counts.set_aside == 1
+
+
+def test_an_absurdly_large_file_is_not_read_whole(path):
+    with path.open("ab") as longer:
+        longer.truncate(1 << 40)
+    kept, told = opened(path)
+    assert kept.read() is None and "more than" in told[0]
+
+
+def test_a_write_that_was_not_finished_leaves_the_table_before(path):
+    path.with_name("cells.table.new").write_bytes(b"half")
+    assert opened(path)[0].read() == KEPT
+
+
+def test_a_disk_that_cannot_be_written_is_counted_and_told_once(path, tmp_path):
+    kept, told = opened(tmp_path / "missing" / "cells.table")
+    for _ in range(3):
+        assert not kept.write(KEPT)
+    assert kept.counts.failed == 3 and len(told) == 1 and "not kept on disk" in told[0]
+    kept, told = opened(path)
+    assert not kept.write(StoredTable("north", 4, 1, 0, bytes(MAX_FILE)))
+    assert kept.read() == KEPT
+    kept, told = opened(tmp_path)
+    assert kept.read() is None and kept.counts.failed == 1 and len(told) == 1
+
+
+def test_a_short_write_does_not_replace_the_table(path, monkeypatch):
+    write = os.write
+
+    def full(file, view):
+        if len(view) <= 100:
+            raise OSError(28, "No space left on device")
+        return write(file, view[:100])
+
+    monkeypatch.setattr(os, "write", full)
+    kept, told = opened(path)
+    assert not kept.write(StoredTable("north", 4, 1, 0, bytes(5_000)))
+    monkeypatch.undo()
+    assert kept.read() == KEPT and "No space left" in told[0]
