The cell table comes from other gateways too, and is kept on disk

Need: one gateway with the table's file must do for a fleet, and a gateway that starts without its file must serve by the last table.

appliance/cell_table joins the file to the carrier: a newer table of the file is published, one that peers tell is adopted as one of the file is, and what is refused is counted by reason, that of peers as `sent: ...`. `cells ... kept PATH` names the file on disk.

--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -1,29 +1,22 @@
 """The cells of a running gateway: its table, the host lists that it wants by that table, and its part in
 forwarding. Parts wired, nothing decided."""
 
-from collections import Counter
-
 from gaproute.appliance.cell_lists import CellLists
-from gaproute.conf.cell_files import read_table
+from gaproute.appliance.cell_table import Table
 from gaproute.core.cellular import CellularCore
 from gaproute.decisions.cells.cellular import CellularGateway
-from gaproute.decisions.cells.change import TableHolder
-from gaproute.decisions.cells.errors import OtherFleet, StaleVersion, TableError
 from gaproute.decisions.cells.place import Place
+from gaproute.decisions.chance import Chance
 from gaproute.decisions.links.pooling import Pooling
 from gaproute.decisions.route import Gateway
-from gaproute.discovery.listing import FileWatch, Listing
+from gaproute.discovery.listing import Listing
 from gaproute.fronts.kserve.entry import EntryFront
 from gaproute.hosts.entries import CellHosts, Entries
+from gaproute.peers.tables import TableCarrier
+from gaproute.shared.dissemination import Peer
 
-
-class Contradiction(TableError):
-    """A table of the version that is held, but with other content."""
-
-
-# Why a table or a host list is refused, as the status counts it.
-REASONS = {OtherFleet: "other fleet", StaleVersion: "older", Contradiction: "contradicts"}
-WRONG_FILE, WRONG_LIST = "wrong file", "wrong host list"
+CARRIER_SEED = 6  # the chance that draws whom to tell is another than those of other parts
+WRONG_LIST = "wrong host list"
 
 
 class Cells:
@@ -41,45 +34,48 @@
         self.core = CellularCore(loop, self.gateway, charter.terms, self.hosts, record, run, self.entries)
         # What gateways of one fleet tell each other of hosts is not told of cells: this one knows of none.
         self.unused = Gateway(seed, charter.terms, loop.now())
-        self.holder = TableHolder(self.line.fleet)
         self.listing = Listing(loop, sizes=charter.sizes_told)
         self.lists = CellLists(loop, charter.cell_hosts, self._listed, self._list_refused)
         self.look_every = charter.cell_hosts.look
         self.told = {}  # cell: the host lines that the decisions were told last
-        self.refused = Counter()  # reason: how often
-        self.watch = self.timer = None
+        self.lists_refused = 0
+        self.seed, self.table, self.timer = seed, None, None
+
+    def listen(self, others, ready):
+        """Take calls that other gateways forward, and the table that they tell, at the address of the
+        peers."""
+        giver = others.giver
+        front = EntryFront(self.loop, giver.server, self.core, self.charter, ready, self._report)
+        giver.calls = front.handle
+        line = self.line
+        carrier = TableCarrier(
+            self.loop,
+            self.charter.name,
+            line.fleet,
+            others.gossip,
+            giver,
+            Chance(self.seed + CARRIER_SEED),
+            self.record,
+            path=line.kept,
+        )
+        self.table = Table(self.loop, line, self.record, carrier, self._adopted)
 
     def start(self):
         """Read the table and the lists, and go on looking."""
-        self.watch = FileWatch(
-            self.loop, self.line.file, self.line.look, self.take, self._file_refused, read_table
-        )
+        self.table.start()
         self._look()
 
-    def listen(self, giver, ready):
-        """Take calls that other gateways forward at the address of the peers."""
-        front = EntryFront(self.loop, giver.server, self.core, self.charter, ready, self._report)
-        giver.calls = front.handle
+    def peers(self, peers):
+        """The other gateways of the configuration, {name: address}."""
+        self.table.carrier.peers(tuple(Peer(name, where) for name, where in peers.items()))
 
     def read(self):
         """Read all files at once."""
-        self.watch.read()
+        self.table.read()
         self.lists.read()
 
-    # The table
-
-    def take(self, table):
-        """Go by the table, if it is newer than the one held; else it is refused, counted and logged."""
-        held = self.holder.table
-        try:
-            if held is not None and (table.fleet, table.version) == (held.fleet, held.version):
-                if table.cells == held.cells:
-                    return
-                raise Contradiction(f"version {table.version} is held with other content")
-            self.holder.take(table)
-        except TableError as wrong:
-            self._refuse(REASONS.get(type(wrong), WRONG_FILE), "cell table refused", [wrong])
-            return
+    def _adopted(self, table):
+        """A newer table has come."""
         now = self.loop.now()
         self.gateway.adopt(now, table)
         self.entries.adopt(table)
@@ -87,18 +83,12 @@
         self._want()
         self.core.begin_housekeeping(now)
 
-    def _file_refused(self, mistakes):
-        self._refuse(WRONG_FILE, "cell table refused", mistakes)
+    # The host lists
 
     def _list_refused(self, cell, mistakes):
-        self._refuse(WRONG_LIST, "host list refused", mistakes, cell=cell)
-
-    def _refuse(self, reason, what, mistakes, **told):
-        self.refused[reason] += 1
+        self.lists_refused += 1
         for mistake in mistakes:
-            self.record.event("error", what, mistake=str(mistake), **told)
-
-    # The host lists
+            self.record.event("error", "host list refused", cell=cell, mistake=str(mistake))
 
     def _look(self):
         """The decisions want other cells now and then, by what is called."""
@@ -106,7 +96,7 @@
         self._want()
 
     def _want(self):
-        table = self.holder.table
+        table = self.table.held
         if table is None:
             return
         zones = {name: table.by_name[name].zone for name in self.gateway.wanted()}
@@ -150,26 +140,27 @@
 
     def leads_on(self):
         """Whether calls can be forwarded to another gateway."""
-        table = self.holder.table
+        table = self.table.held
         return table is not None and any(self.gateway.entries.order(cell) for cell in table.cells)
 
     def status(self):
         """What an operator is told."""
-        table = self.holder.table
+        table = self.table.held
         return {
             "version": str(table.version) if table else None,
             "cells": len(table.cells) if table else 0,
             "known": sorted(self.lists.good),
             "forwarded_in": self.core.forwarded_in,
             "forwarded_out": self.core.forwarded_out,
-            "refused": dict(self.refused),
+            "refused": self.table.refusals()
+            | ({WRONG_LIST: self.lists_refused} if self.lists_refused else {}),
         }
 
     def stop(self):
-        """Look at no file any more."""
-        for part in (self.watch, self.lists):
-            if part is not None:
-                part.close()
+        """Look at no file any more, and neither tell nor hear of tables."""
+        self.lists.close()
+        if self.table is not None:
+            self.table.stop()
         if self.timer is not None:
             self.timer.cancel()
 
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -55,7 +55,7 @@
         self.lot.admission = Admission(
             clients.connections, clients.per_address, descriptors(), Chance(seed + 3)
         )
-        self.others = Others(loop, charter, gateway, self.record, seed)
+        self.others = Others(loop, charter, gateway, self.record, seed, self.cells)
 
     def start(self):
         """Errors: OSError where an address cannot be listened on; nothing listens then."""
@@ -75,7 +75,7 @@
                 elif kind == "peers":
                     self.fronts.append(self.others.listen(where))
                     if self.cells is not None:
-                        self.cells.listen(self.fronts[-1], self.ready)
+                        self.cells.listen(self.others, self.ready)
                 else:
                     self.fronts.append(Operator(self.loop, address(where), self))
         except OSError as fault:
--- a/gaproute/appliance/others.py
+++ b/gaproute/appliance/others.py
@@ -34,7 +34,8 @@
 
 
 class Others:
-    def __init__(self, loop, charter, gateway, record, seed):
+    def __init__(self, loop, charter, gateway, record, seed, cells=None):
+        self.cells = cells
         self.loop, self.charter, self.gateway, self.record, self.seed = loop, charter, gateway, record, seed
         self.giver = self.learner = self.gossip = self.weak = self.keeper = self.watch = self.strong = None
         self.roll, self.lore = Roll(), Lore()
@@ -123,6 +124,8 @@
             self.gossip.listed(others)
         if self.strong is not None:
             self.strong.listed({peer.name: peer.where for peer in others})
+        if self.cells is not None:
+            self.cells.peers({peer.name: peer.where for peer in others})
         self.learner.listed(others)
 
     def refused(self, mistakes):
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -87,6 +87,8 @@
         ]
         if self.memory is not None:
             self.memory = f"{self.memory}.{number}"
+        if self.cells is not None and self.cells.kept is not None:
+            self.cells = self.cells.model_copy(update={"kept": f"{self.cells.kept}.{number}"})
         if peers and not self.peers_file:
             self.peers = self.peers + [
                 PeerLine(name=f"{base}-{other}", where=_seated(peers[0], other))
--- a/gaproute/conf/words/fleet.py
+++ b/gaproute/conf/words/fleet.py
@@ -55,6 +55,7 @@
     region: str = Field(min_length=1, max_length=MAX_NAME)  # where this gateway stands
     zone: str = Field(min_length=1, max_length=MAX_NAME)
     gateways: int = Field(1, ge=1, le=100_000)  # of the whole fleet, about
+    kept: str | None = None  # where the last good table is kept on disk
 
 
 class CellHosts(Directive):
--- a/tests/cell_fleet.py
+++ b/tests/cell_fleet.py
@@ -111,14 +111,15 @@
 
     # Gateways
 
-    def configure(self, name, zone, table=None, more=""):
+    def configure(self, name, zone, table=None, kept=None, more=""):
         """The configuration of a gateway, as a file."""
         lines = [
             f"name {name}",
             f"listen kserve 127.0.0.2:{self.ports[name]}",
             f"listen peers 127.0.0.2:{self.entries[name]}",
             f"listen operator unix:{self.folder}/{name}.op",
-            f"cells north file {table or self.table} look 5ms region {zone[0]} zone {zone}",
+            f"cells north file {table or self.table} look 5ms region {zone[0]} zone {zone}"
+            + (f" kept {kept}" if kept else ""),
             f"cell-hosts {self.lists} look 5ms",
         ]
         for track, effect in KINDS.items():
--- /dev/null
+++ b/tests/test_cells_table_told.py
@@ -0,0 +1,95 @@
+"""The cell table between processes of the program: told to others, kept on disk, told on when its source
+dies."""
+
+import signal
+
+import pytest
+
+CELLS = {"a1": ("a1", ("ga",)), "b1": ("b1", ("gc", "gd"))}
+NAMES = ("ga", "gc", "gd")
+ZONES = dict(zip(NAMES, ("a1", "b1", "b1"), strict=True))
+OK = 200
+
+
+class Told:
+    """Three gateways of which `ga` alone has a table file; each knows all others as peers."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        fleet.write_table()
+        for name in NAMES:
+            self.start(name)
+        fleet.up(*NAMES)
+
+    def start(self, name):
+        fleet = self.fleet
+        peers = [f"peer {other} 127.0.0.2:{fleet.entries[other]}" for other in NAMES if other != name]
+        table = fleet.table if name == "ga" else fleet.folder / "none"
+        fleet.start(name, ZONES[name], table=table, kept=fleet.folder / f"{name}.kept", more="\n".join(peers))
+
+    def reaches(self, name, track):
+        """Whether a call at that gateway reaches its copy in the other cell."""
+        fleet = self.fleet
+        cell = "b1" if name == "ga" else "a1"
+        call = f"{name} {fleet.number} {track}"
+        answer = fleet.wait(fleet.ask(name, fleet.homed(track, cell), call))
+        return answer.status == OK and [host[:2] for host in fleet.came(call)] == [cell]
+
+
+@pytest.fixture
+def told(cells):
+    return Told(cells(CELLS))
+
+
+def test_a_table_that_came_from_a_peer_counts_as_one_from_the_file(told):
+    assert all(told.reaches(name, "order") for name in NAMES)
+    told.fleet.write_table()
+    told.fleet.up(*NAMES)
+    assert all(told.reaches(name, "check") for name in NAMES)
+    assert not any(told.fleet.events(name, "fault") for name in NAMES)
+
+
+def test_a_gateway_restarted_alone_serves_by_the_table_kept_on_disk(told):
+    fleet = told.fleet
+    fleet.stop("gc")
+    fleet.stop("ga")
+    fleet.stop("gd")
+    told.start("gc")
+    fleet.up("gc")
+    answer = fleet.wait(fleet.ask("gc", fleet.homed("order", "b1"), "t1"))
+    assert answer.status == OK and fleet.came("t1")
+
+
+def test_a_gateway_restarted_with_an_old_table_on_disk_takes_the_newer_one(told):
+    fleet = told.fleet
+    fleet.stop("gc")
+    fleet.write_table()
+    fleet.up("ga", "gd")
+    told.start("gc")
+    fleet.up("gc")
+    assert told.reaches("gc", "order")
+
+
+def test_a_table_is_told_on_when_its_source_is_killed_while_it_tells(told):
+    fleet = told.fleet
+    fleet.write_table()
+    fleet.until(lambda: "1.2" in (held(fleet, "gc"), held(fleet, "gd")))
+    fleet.stop("ga", signal.SIGKILL)
+    fleet.up("gc", "gd")
+    told.start("ga")
+    fleet.up("ga")
+    assert all(told.reaches(name, "order") for name in NAMES)
+
+
+def held(fleet, name):
+    return fleet.cell_status(name).get("version")
+
+
+def test_a_kept_table_that_is_torn_is_set_aside_and_the_gateway_asks_others(told):
+    fleet = told.fleet
+    fleet.stop("gc")
+    kept = fleet.folder / "gc.kept"
+    kept.write_bytes(kept.read_bytes()[:-3])
+    told.start("gc")
+    fleet.up("gc")
+    assert told.reaches("gc", "order") and list(fleet.folder.glob("gc.kept.broken-*"))
