Cells under one parent, at the operators' address, and with two tables of one version

Need: what is said of `--processes`, of a reload, of the operators' questions and of contradicting tables had no test of its own.

Two processes of one parent are entries each; a wrong `cells` line at a reload is refused and both serve on; every path of the operators' address answers for a gateway of cells; two gateways that start with different tables of one version say so (`sent: ...`) and a newer one ends it.

--- a/tests/cell_fleet.py
+++ b/tests/cell_fleet.py
@@ -56,9 +56,9 @@
                 self.add_host(f"{cell}-h{number}", cell)
             self.list_hosts(cell, [name for name in self.hosts if name.startswith(f"{cell}-h")])
         names = sorted({name for _, entries in cells.values() for name in entries})
-        ports = free_ports(2 * len(names))
-        self.ports = dict(zip(names, ports[::2], strict=True))  # of clients, by gateway
-        self.entries = dict(zip(names, ports[1::2], strict=True))  # of other gateways
+        wheres = [f"127.0.0.2:{port}" for port in free_ports(2 * len(names))]
+        self.clients = dict(zip(names, wheres[::2], strict=True))  # where clients ask, by gateway
+        self.entries = dict(zip(names, wheres[1::2], strict=True))  # where other gateways do
 
     # Hosts and files
 
@@ -80,7 +80,7 @@
         """A table as text; `cells`: as the fleet's."""
         lines = [f"table {fleet} term {term} number {number or self.number}"]
         for cell, (zone, entries) in (self.cells if cells is None else cells).items():
-            ways = ",".join(f"{name}=127.0.0.2:{self.entries[name]}" for name in entries)
+            ways = ",".join(f"{name}={self.entries[name]}" for name in entries)
             lines.append(
                 f"cell {cell} region {zone[0]} zone {zone} capacity 100 hosts 2 points {cell}:0+32"
                 + (f" entries {ways}" if ways else "")
@@ -115,8 +115,8 @@
         """The configuration of a gateway, as a file."""
         lines = [
             f"name {name}",
-            f"listen kserve 127.0.0.2:{self.ports[name]}",
-            f"listen peers 127.0.0.2:{self.entries[name]}",
+            f"listen kserve {self.clients[name]}",
+            f"listen peers {self.entries[name]}",
             f"listen operator unix:{self.folder}/{name}.op",
             f"cells north file {table or self.table} look 5ms region {zone[0]} zone {zone}"
             + (f" kept {kept}" if kept else ""),
@@ -129,12 +129,12 @@
         file.write_text("\n".join(lines) + f"\n{more}")
         return file
 
-    def start(self, name, zone, **told):
-        """A gateway as a process; `up` waits for it."""
+    def start(self, name, zone, words=(), **told):
+        """A gateway as a process, with further words on its command line; `up` waits for it."""
         file = self.configure(name, zone, **told)
         errors = open(self.folder / f"{name}.log", "ab")
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", "gaproute", "serve", str(file), "--seed", "5"], stderr=errors
+            [sys.executable, "-m", "gaproute", "serve", str(file), "--seed", "5", *words], stderr=errors
         )
         errors.close()
 
@@ -158,12 +158,12 @@
 
     # Calls
 
-    def ask(self, name, model, call="t", fields="", ports=None):
-        """A client's call; a promise of the answer, or of None where none came. `ports`: of others than of
-        clients."""
+    def ask(self, name, model, call="t", fields="", wheres=None):
+        """A client's call; a promise of the answer, or of None where none came. `wheres`: addresses
+        other than the clients'."""
         body = json.dumps({"id": call, "inputs": []}).encode()
         head = f"POST /v2/models/{model}/infer HTTP/1.1\r\nHost: g\r\n{fields}Content-Length: {len(body)}\r\n"
-        return self.exchange(f"127.0.0.2:{(ports or self.ports)[name]}", f"{head}\r\n".encode() + body)
+        return self.exchange((wheres or self.clients)[name], f"{head}\r\n".encode() + body)
 
     def exchange(self, where, data):
         """One request's answer, as a promise."""
@@ -174,15 +174,17 @@
 
     def cell_status(self, name):
         """What a gateway tells of its cells; {} where it does not answer."""
-        return self.status(name).get("cells", {})
+        return (self.status(name) or {}).get("cells", {})
 
     def status(self, name):
-        """What a gateway tells of itself; {} where it does not answer."""
-        came = self.exchange(
-            f"unix:{self.folder}/{name}.op", b"GET /status HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n"
-        )
-        answer = self.wait(came)
-        return json.loads(answer.body) if answer is not None else {}
+        """What a gateway tells of itself; None where it does not answer."""
+        return self.operator(name, "status")
+
+    def operator(self, name, path):
+        """What the operators' address tells; None where nobody answers."""
+        head = f"GET /{path} HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n"
+        answer = self.wait(self.exchange(f"unix:{self.folder}/{name}.op", head.encode()))
+        return json.loads(answer.body) if answer is not None else None
 
     def came(self, call):
         """Hosts that a call reached, in order of the hosts."""
--- a/tests/test_cells_forwarded.py
+++ b/tests/test_cells_forwarded.py
@@ -48,10 +48,10 @@
     fleet.up("ga")
     sent = "Gaproute-Forwarded: 1 a1\r\n"
 
-    def end(trouble, model, fields=sent, ports=fleet.entries):
+    def end(trouble, model, fields=sent, wheres=fleet.entries):
         for name in ("a1-h0", "a1-h1"):
             fleet.hosts[name].machine.troubles = {trouble: {"share": 1}}
-        answer = fleet.wait(fleet.ask("ga", model, f"{trouble} {model}", fields, ports))
+        answer = fleet.wait(fleet.ask("ga", model, f"{trouble} {model}", fields, wheres))
         return answer.status, answer.headers[b"gaproute-outcome"]
 
     order, check = fleet.homed("order", "a1"), fleet.homed("check", "a1")
@@ -59,7 +59,7 @@
     assert end("fail", check) == (503, b"declined")  # it may have run
     assert end("refuse", order) == (429, b"declined")
     assert end("refuse", check) == (429, b"declined")
-    assert end("refuse", check, ports=fleet.ports) == (
+    assert end("refuse", check, wheres=fleet.clients) == (
         503,
         b"declined",
     )  # a client that says so chooses nothing
--- a/tests/test_cells_processes.py
+++ b/tests/test_cells_processes.py
@@ -1,5 +1,7 @@
 """Cells by several processes of the program: calls find their copies through the entry gateways."""
 
+import signal
+
 from cell_fleet import models
 
 TWO = {"a1": ("a1", ("ga", "gb")), "b1": ("b1", ("gc", "gd"))}
@@ -34,3 +36,42 @@
             assert fleet.wait(fleet.ask(name, model, f"{name} {model}")).status == 200
         hosts = {host for name in ("ga", "gb") for host in fleet.came(f"{name} {model}")}
         assert len(hosts) == 1 and hosts.pop().startswith("b1-")
+
+
+def test_processes_of_one_parent_are_entries_each_and_a_wrong_configuration_changes_nothing(cells):
+    fleet = cells({"a1": ("a1", ("ga",)), "b1": ("b1", ("gc-0", "gc-1"))})
+    peers = f"unix:{fleet.folder}/gc.peers"
+    fleet.entries |= {"gc": peers, "gc-0": f"{peers}.0", "gc-1": f"{peers}.1"}
+    fleet.clients["gc"] = fleet.clients["gc-0"]
+    fleet.write_table()
+    fleet.start("ga", "a1")
+    fleet.start("gc", "b1", words=("--processes", "2"))
+    fleet.up("ga")
+    fleet.until(lambda: len(fleet.events("gc", "cell table")) == 2)
+    far = [model for model in models("order") if fleet.home(model) == "b1"]
+    for model in far:
+        assert fleet.wait(fleet.ask("ga", model, model)).status == 200
+        assert fleet.came(model)[0].startswith("b1-")
+    file = fleet.folder / "gc.conf"
+    file.write_text(file.read_text().replace("zone b1", "zone"))
+    fleet.processes["gc"].send_signal(signal.SIGHUP)
+    fleet.until(lambda: fleet.events("gc", "configuration refused"))
+    assert fleet.wait(fleet.ask("ga", far[0], "t2")).status == 200
+    assert fleet.wait(fleet.ask("gc", fleet.homed("order", "a1"), "t3")).status == 200
+    assert fleet.came("t3")[0].startswith("a1-")
+
+
+def test_an_operators_every_question_has_an_answer(cells):
+    fleet = cells({"a1": ("a1", ("ga",)), "b1": ("b1", ())})
+    fleet.write_table()
+    fleet.start("ga", "a1")
+    fleet.up("ga")
+    assert fleet.wait(fleet.ask("ga", fleet.homed("check", "a1"), "t1")).status == 200
+    told = {
+        path: fleet.operator("ga", path)
+        for path in ("status", "hosts", "knows", "peers", "permits", "events")
+    }
+    assert [host["name"] for host in told["hosts"]] == ["a1-h0", "a1-h1"]
+    assert told["knows"][0]["worker"] == fleet.came("t1")[0]
+    assert any(event["what"] == "cell table" and event["version"] == "1.1" for event in told["events"])
+    assert told["status"]["ready"] and told["permits"] is None and told["peers"] == []
--- a/tests/test_cells_table_told.py
+++ b/tests/test_cells_table_told.py
@@ -23,7 +23,7 @@
 
     def start(self, name):
         fleet = self.fleet
-        peers = [f"peer {other} 127.0.0.2:{fleet.entries[other]}" for other in NAMES if other != name]
+        peers = [f"peer {other} {fleet.entries[other]}" for other in NAMES if other != name]
         table = fleet.table if name == "ga" else fleet.folder / "none"
         fleet.start(name, ZONES[name], table=table, kept=fleet.folder / f"{name}.kept", more="\n".join(peers))
 
@@ -93,3 +93,23 @@
     told.start("gc")
     fleet.up("gc")
     assert told.reaches("gc", "order") and list(fleet.folder.glob("gc.kept.broken-*"))
+
+
+def test_two_tables_of_one_version_are_told_apart_and_a_newer_one_ends_it(cells):
+    fleet = cells(CELLS)
+    fleet.write_table()
+    other = fleet.folder / "other.table"
+    fleet.replace(other, fleet.table_text(CELLS | {"b1": ("b1", ("gc",))}))
+    for name, table in (("ga", fleet.table), ("gc", other)):
+        peer = {"ga": "gc", "gc": "ga"}[name]
+        fleet.start(name, ZONES[name], table=table, more=f"peer {peer} {fleet.entries[peer]}")
+    fleet.up("ga", "gc")
+    fleet.until(lambda: any("sent" in reason for name in ("ga", "gc") for reason in refused(fleet, name)))
+    for name in ("ga", "gc"):
+        assert fleet.wait(fleet.ask(name, fleet.homed("order", "b1"), name)).status == OK
+    fleet.write_table()
+    fleet.up("ga", "gc")
+
+
+def refused(fleet, name):
+    return fleet.cell_status(name)["refused"]
