Cells: a cell that is ill is tried by any call where no pure one comes

Need: trials were pure calls alone, so a fleet without any, or a cell whose functions have none, kept a cell out for good once it was ill.

After ten seconds past a rest any call may be the trial. The test of homes that are well again assumed that no trial goes at 600 s; it now has one out there, so that it still shows what it did.

--- a/gaproute/decisions/cells/choice.py
+++ b/gaproute/decisions/cells/choice.py
@@ -51,7 +51,7 @@
         return 2 * barred > len(others) > 0
 
     def cells(self, now, function, may_try=True):
-        """Yields each `Choice` for a call of the function, in turn. `may_try`: the call may be a trial."""
+        """Yields each `Choice` for a call of the function, in turn. `may_try`: a trial gladly."""
         regional, count = self.placement(now, function)
         region = self.place.region if regional else None
         homes = self.homes.order(function, count, region)[:count]
@@ -70,8 +70,8 @@
         """One of the homes that may be sent to, drawn by load; a trial goes before; None: all are ill."""
         if self.health.ill:
             permits = [(name, self.health.permit(now, name, function)) for name in homes]
-            for name, permit in permits if may_try else ():
-                if permit is Permit.TRIAL:
+            for name, permit in permits:
+                if permit is Permit.TRIAL and (may_try or self.health.waits_for_trial(now, name)):
                     return Choice(name, True)
             homes = [name for name, permit in permits if permit is Permit.YES]
         if not homes:
--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -25,6 +25,7 @@
 
 FIRST_REST, LONGEST_REST = SECOND, 30 * SECOND  # before trials of an ill place
 REST_CHANCE = 0.25  # of a rest, added by chance: gateways do not all try at one moment
+PURE_WAIT = 10 * SECOND  # after a rest for a pure call to be the trial; then any call is
 TRIAL_TIME = 5 * SECOND  # after which a trial without any answer has failed
 SILENT_PARTS = 2  # ways into a cell, cells of a zone, zones of a region: one alone may be slow work
 OUTCOME_LIFE = 5 * SECOND  # older outcomes say nothing of now
@@ -88,6 +89,10 @@
         """Whether the cell or what it lies in is ill and not yet healed."""
         return bool(self.ill) and name in self.cells and bool(self._illnesses(name))
 
+    def waits_for_trial(self, now, name):
+        """Whether no pure call came to be the trial of a place that has rested."""
+        return all(now >= ill.until + PURE_WAIT for ill in self._illnesses(name))
+
     def tried(self, now, name):
         """A trial goes to the cell; one that went before had no answer."""
         self._trial_failed(now, name)
