--- /dev/null
+++ b/tests/test_cells_plays.py
@@ -0,0 +1,76 @@
+"""Short plays of a fleet of cells by fixed seeds, with bounds on what is counted. The long ones are in
+`benchmarks/scale/cells`, their tables in `docs/measured/scale/cells`."""
+
+from benchmarks.fleet.clock import SECOND
+from benchmarks.scale.cells import baselines, evenness, failures, meetings, moves
+from benchmarks.scale.cells.fleet import Shape
+from benchmarks.scale.costs import cells as costs
+
+
+def test_calls_of_rare_functions_meet_at_one_copy():
+    """Called once a minute in a fleet of 16,000 gateways, which each see it about never."""
+    shape = Shape(30, 10, 16_000, entries=4)
+    for old_share, least in ((0.0, 0.95), (0.1, 0.90)):
+        found = meetings.play(shape, 600, 180 * SECOND, 240, 150, old_share, 20.0, seed=4)
+        assert found["calls that keep-alive allowed"] > 500
+        assert found["share that found a standing copy"] >= least, found
+        assert not found["calls that failed"]
+
+
+def test_cells_are_evenly_loaded():
+    shape = Shape(98, 51, 16_000, entries=0)
+    found = evenness.play(shape, 13, 50, 25, seed=4)
+    assert found["most loaded over mean"] <= 1.25, found
+    assert found["share of calls placed within the region"] > 0.3
+
+
+def test_moves_are_near_the_ideal():
+    found = moves.play("multi-probe", 100, 20_000)
+    assert all(figure <= 1.25 for what, figure in found.items() if what.startswith("moved")), found
+
+
+def failure(kind):
+    return failures.play(kind, 4, rate=150.0, spans=(40, 40, 40), functions=600)
+
+
+def test_a_lost_cell_moves_its_calls_alone():
+    """Loads after the loss, and again after the cell is back cold, are at most doubled."""
+    found = failure("cell gone")
+    quiet = found["before"]["loads a second"]
+    for part in ("failed, first 10 s", "failed, then", "back, first 10 s", "back, then"):
+        assert found[part]["loads a second"] <= 2 * quiet + 1, found
+        assert found[part]["outside"]["delivered"] >= 0.98, found
+    assert found["breaches"] == 0
+
+
+def test_a_zone_cut_off_serves_its_own_clients():
+    found = failure("zone silent")
+    assert found["failed, then"]["inside"]["delivered"] >= 0.85, found
+    assert found["failed, then"]["outside"]["delivered"] >= 0.98, found
+    assert found["back, then"]["inside"]["delivered"] >= 0.99, found
+
+
+def test_a_region_alone_goes_on_and_its_return_is_no_wave():
+    found = failure("region alone")
+    assert found["failed, then"]["inside"]["delivered"] >= 0.85, found
+    assert found["failed, then"]["outside"]["delivered"] >= 0.95, found
+    lost = found["failed, first 10 s"]["loads a second"]
+    for part in ("back, first 10 s", "back, then"):
+        assert found[part]["loads a second"] <= lost, found
+        assert found[part]["inside"]["delivered"] >= 0.99, found
+
+
+def test_cells_load_less_than_the_other_ways():
+    ways = {
+        way: baselines.play(way, 4, rate=150.0, seconds=30, warm_up=15, functions=2_000)
+        for way in baselines.WAYS
+    }
+    loads = {way: found["loads a second"] for way, found in ways.items()}
+    assert loads["cells"] <= min(loads.values()), loads
+    assert ways["cells"]["p99 wait ms"] <= 1.1 * ways["every host known"]["p99 wait ms"], ways
+
+
+def test_a_first_call_and_a_changed_line_cost_less_than_a_millisecond_each():
+    """The least of several tries: other work runs beside the tests."""
+    assert min(costs.first_call(500, seed, 2_000) for seed in (1, 2)) <= 1000
+    assert min(costs.changed_line(490, seed, 2_000) for seed in (1, 2)) <= 1000
