--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -28,8 +28,9 @@
 PURE_WAIT = 10 * SECOND  # after a rest for a pure call to be the trial; then any call is
 TRIAL_TIME = 5 * SECOND  # after which a trial without any answer has failed
 SILENT_PARTS = 2  # ways into a cell, cells of a zone, zones of a region: one alone may be slow work
-OUTCOME_LIFE = 5 * SECOND  # older outcomes say nothing of now
+OUTCOME_LIFE = 30 * SECOND  # older outcomes say nothing of now; a gateway calls most cells twice in 5 s
 MOST = 0.5  # of the last outcomes: more of them refusals make a cell ill
+LEAST_OUTCOMES = 4  # by which refusals are judged
 SLOW = 4.0  # times slower than usual at which a cell is ill
 SHORTEST_RETURN, LONGEST_RETURN = 5 * SECOND, 60 * SECOND  # over which functions come back
 RETURN_CHANCE = 0.1  # of the return, by which gateways differ for one function
@@ -179,9 +180,9 @@
 
     def _judge_cell(self, now, name, record):
         """Refusals and slowness, by the last outcomes."""
-        refusals = sum(refused for at, refused in record.outcomes if now - at < OUTCOME_LIFE)
+        refused = [refused for at, refused in record.outcomes if now - at < OUTCOME_LIFE]
         paces = [pace for at, pace in record.paces if now - at < OUTCOME_LIFE]
-        if refusals > MOST * OUTCOMES:
+        if len(refused) >= LEAST_OUTCOMES and sum(refused) > MOST * len(refused):
             illness = Illness.REFUSING
         elif len(paces) == OUTCOMES and median(paces) > SLOW:
             illness = Illness.SLOW
