Dissemination: amid the parts of a whole document the same source is asked again

After a lost part another source was asked, which gave another version from the beginning; and the time allowed for one part ran on over all parts.

Each part has its own time, 3 s where it was 2, and a source that gave parts is asked three times more before another.

--- a/gaproute/shared/dissemination/assembly.py
+++ b/gaproute/shared/dissemination/assembly.py
@@ -29,6 +29,11 @@
         self.data += part.data
         return True
 
+    @property
+    def begun(self) -> bool:
+        """Whether parts came, and not yet all."""
+        return bool(self.data)
+
     @property
     def complete(self) -> bool:
         """Whether the last part came."""
--- a/gaproute/shared/dissemination/bounds.py
+++ b/gaproute/shared/dissemination/bounds.py
@@ -12,9 +12,10 @@
 # Fetching
 NEAR = 4  # versions behind, up to which changes are asked for by datagram
 REPLY_TIME = 300 * MILLISECOND  # for a datagram that was asked for: the longest round trip and a half
-EXCHANGE_TIME = 2 * SECOND  # for one exchange
+EXCHANGE_TIME = 3 * SECOND  # for one exchange: a lost segment or two
 REST = 250 * MILLISECOND  # after an exchange that failed
 CHANGES_TRIES = 4  # failures after which the whole document is asked for
+PART_TRIES = 3  # further ones of a source that gave parts of a whole document
 TRIES = 8  # for one fetch; the next announcement begins another
 SOURCES = 4  # further peers remembered that hold the newer version
 LONGEST_WAIT = 5 * SECOND  # that a source may put a fetch off at once
--- a/gaproute/shared/dissemination/disseminator.py
+++ b/gaproute/shared/dissemination/disseminator.py
@@ -70,7 +70,7 @@
             for peer in self.view.draw(1):
                 sends += self.telling.announce(now, peer)
         if self.fetching.due is not None and now >= self.fetching.due:
-            if self.fetching.late(now, self.document.version):
+            if self.fetching.late(now, self.document.version, self.assembly.begun):
                 sends += self._ask(now)
         return sends
 
@@ -177,7 +177,7 @@
         elif isinstance(answer, Busy):
             fetching.wait(now, answer.wait)
             return []
-        fetching.failed(now)
+        fetching.failed(now, amid_parts=self.assembly.begun)
         return []
 
     def _take_part(self, now, part):
@@ -185,6 +185,7 @@
             self.assembly.clear()
             self.fetching.failed(now)
             return []
+        self.fetching.part_came(now)
         if not self.assembly.complete:
             return self._ask(now)
         assembly, data = self.assembly, bytes(self.assembly.data)
--- a/gaproute/shared/dissemination/fetching.py
+++ b/gaproute/shared/dissemination/fetching.py
@@ -14,6 +14,7 @@
     LOG_CHANGES,
     LONGEST_WAIT,
     NEAR,
+    PART_TRIES,
     REPLY_TIME,
     REST,
     SOURCES,
@@ -79,18 +80,29 @@
         else:
             self.waiting, self.deadline = True, now + min(max(BUSY_REST, span), LONGEST_WAIT)
 
-    def failed(self, now, pause=REST):
-        """The question came to nothing: the next source is asked after a pause."""
+    def part_came(self, now):
+        """The source gave a part of the whole document: it is asked for the next."""
+        self.tries = 0
+        self._open(now, by_exchange=True)
+
+    def failed(self, now, pause=REST, amid_parts=False):
+        """The question came to nothing: the next source is asked after a pause.
+
+        Amid the parts of a whole document the same source is asked a few times more: another one most
+        likely gives them of another version, from the beginning.
+        """
         self.tries += 1
         if self.tries >= TRIES:
             self._end()
+        elif amid_parts and self.tries <= PART_TRIES:
+            self.waiting, self.deadline = True, now + pause
         else:
             self._next_source(now, pause)
 
-    def late(self, now, held):
+    def late(self, now, held, amid_parts=False):
         """The deadline passed. Returns whether to ask the source now."""
         if not self.waiting:
-            self.failed(now, 0)
+            self.failed(now, 0, amid_parts)
             if self.source is None:
                 return False
         self._open(now, self.tries > 2 or not self.is_near(held))
--- /dev/null
+++ b/tests/test_dissemination_asking.py
@@ -0,0 +1,210 @@
+"""What a gateway refuses, takes and asks for: one or a few gateways, message by message."""
+
+import pytest
+from dissemination_mesh import FLEET, Mesh, StubDocument, Version, change_from, digest_of
+
+from gaproute.shared.dissemination import Change, DocumentError, Peer, bounds
+from gaproute.shared.dissemination.assembly import Assembly
+from gaproute.shared.dissemination.bounds import SECOND
+from gaproute.shared.dissemination.copy import Copy
+from gaproute.shared.dissemination.messages import NOTHING, Announcement, Busy, Part, Pull, Push
+
+HELD, NEXT = Version(1, 1), Version(1, 2)
+
+
+# What is refused
+
+
+def test_what_is_lower_of_another_fleet_contradicting_or_no_message_is_refused_and_counted():
+    mesh = Mesh(2)
+    mesh.publish(0)
+    mesh.settle(5)
+    node, peer, held = mesh.nodes[0], mesh.peers[1], Version(1, 2)
+    for message, reason in (
+        (Push(FLEET, (Change(NOTHING, Version(1, 0), 0, b""),)), "lower version"),
+        (Push(FLEET, (Change(Version(1, 1), held, 99, b""),)), "contradiction"),
+        (Announcement(FLEET, held, 99), "contradiction"),
+        (Announcement("south", Version(9, 9), 0), "other fleet"),
+        (Push("south", (Change(held, Version(1, 3), 0, b""),)), "other fleet"),
+        (None, "not understood"),
+        (Pull(FLEET, held), "not understood"),
+    ):
+        before = node.refused[reason]
+        assert node.hear(mesh.now, peer, message) == []
+        assert node.refused[reason] == before + 1 and node.document.version == held
+    assert node.answer(mesh.now, Pull("south", held)) is None and node.answer(mesh.now, b"") is None
+    mesh.check()
+
+
+def test_a_change_that_does_not_lead_where_it_says_is_refused_and_the_whole_is_fetched():
+    mesh = Mesh(2)
+    mesh.publish(0)
+    mesh.flight.clear()
+    wrong = Change(Version(1, 1), Version(1, 2), 1234, b"")
+    sends = mesh.nodes[1].hear(mesh.now, mesh.peers[0], Push(FLEET, (wrong,)))
+    assert mesh.nodes[1].refused["digest"] == 1 and sends[0].message.whole
+    mesh.send(1, sends)
+    mesh.settle()
+    assert mesh.versions() == [Version(1, 2)] * 2 and not mesh.nodes[1].copy.needs_whole
+
+
+def test_two_contradicting_writers_are_told_and_a_higher_version_mends_it():
+    mesh = Mesh(3)
+    mesh.nodes[1].document.version = Version(1, 5)
+    mesh.nodes[1].document.digest = digest_of(Version(1, 5), salt=7)
+    mesh.nodes[0].document.version = Version(1, 5)
+    mesh.nodes[0].document.digest = mesh.nodes[2].document.digest = digest_of(Version(1, 5))
+    mesh.nodes[2].document.version = Version(1, 5)
+    mesh.settle(5)
+    assert mesh.nodes[0].refused["contradiction"] and mesh.nodes[1].refused["contradiction"]
+    mesh.publish(0)
+    mesh.settle(5)
+    assert len({(node.document.version, node.document.digest) for node in mesh.nodes}) == 1
+
+
+def test_a_publisher_that_is_not_at_the_base_is_told():
+    mesh = Mesh(1)
+    for change in (change_from(Version(1, 0)), Change(Version(1, 1), Version(1, 1), 0, b"")):
+        with pytest.raises(DocumentError):
+            mesh.nodes[0].publish(mesh.now, change)
+    with pytest.raises(DocumentError):
+        mesh.nodes[0].publish_whole(mesh.now, Version(1, 1), 0, b"")
+    assert mesh.versions() == [Version(1, 1)]
+
+
+def test_strangers_and_absurd_versions_cost_a_bounded_number_of_messages():
+    mesh = Mesh(2)
+    node, sent, read = mesh.nodes[0], 0, 0
+    for number in range(20_000):
+        mesh.now += SECOND // 2_000
+        name = f"stranger{number}"
+        if not node.admits(mesh.now, name):
+            continue
+        read += 1
+        absurd = Announcement(FLEET, Version(1 << 60, number), number)
+        sent += len(node.hear(mesh.now, Peer(name, "127.0.0.1:1"), absurd))
+        if mesh.now >= node.due:
+            sent += len(node.tick(mesh.now))
+        mesh.check()
+    assert read <= 11 * bounds.STRANGER_MESSAGES + 100
+    assert node.telling.bytes <= 11 * bounds.MESSAGE_RATE + bounds.MESSAGE_BURST
+    assert node.refused["flood"] >= 18_000
+    mesh.publish(1)
+    mesh.settle(10)
+    assert mesh.versions() == [Version(1, 2)] * 2
+
+
+# Taking, in detail
+
+
+def chain(count, base=HELD):
+    """So many changes that follow one another."""
+    found = []
+    for _ in range(count):
+        found.append(change_from(found[-1].version if found else base))
+    return tuple(found)
+
+
+def test_changes_of_which_the_first_are_held_are_taken_from_there_on():
+    copy, changes = Copy(StubDocument(Version(1, 1))), chain(4)
+    assert copy.take(changes[:2]) == changes[:2]
+    assert copy.take(changes) == changes[2:] and copy.document.version == Version(1, 5)
+    assert copy.take(changes) == () and copy.take(chain(1, Version(1, 9))) == ()
+    assert not copy.refused and not copy.needs_whole
+
+
+def test_a_whole_document_that_is_not_above_what_is_held_is_refused():
+    document = StubDocument(Version(1, 5))
+    copy = Copy(document)
+    for version in (Version(1, 5), Version(1, 4), Version(0, 9)):
+        with pytest.raises(DocumentError, match="not above"):
+            copy.replace(version, digest_of(version), document.data)
+    copy.replace(Version(2, 0), digest_of(Version(2, 0)), document.data)
+    assert document.version == Version(2, 0)
+
+
+def part(place, data=b"abcd", size=10, version=NEXT, digest=5):
+    return Part(FLEET, version, digest, size, place, data)
+
+
+def test_parts_are_taken_in_order_and_never_beyond_the_size():
+    assembly = Assembly()
+    assert not assembly.take(part(4))
+    assert assembly.take(part(0)) and not assembly.complete
+    assert not assembly.take(part(0)) and not assembly.take(part(8))
+    assert assembly.take(part(4)) and not assembly.take(part(8))  # four bytes where two are left
+    assert assembly.take(part(8, b"ij")) and assembly.complete and assembly.data == b"abcdabcdij"
+    assert assembly.take(part(0, version=Version(1, 3))) and len(assembly.data) == 4
+    assert not assembly.take(part(4, digest=6, version=Version(1, 3)))
+    assert not assembly.take(part(0, size=0)) and not assembly.take(part(0, b""))
+    assert not assembly.take(part(0, size=bounds.MAX_WHOLE + 1))
+
+
+# Asking, in detail
+
+
+def test_one_that_is_a_little_behind_answers_every_announcement_of_the_newer_version():
+    mesh = Mesh(4)
+    node, newer = mesh.nodes[0], Announcement(FLEET, Version(1, 2), digest_of(Version(1, 2)))
+    for peer in mesh.peers[1:]:
+        (send,) = node.hear(mesh.now, peer, newer)
+        assert send == (peer, Announcement(FLEET, Version(1, 1), digest_of(Version(1, 1))))
+
+
+def test_a_pull_that_failed_is_asked_again_of_another_after_a_pause():
+    mesh = Mesh(3)
+    node, far = mesh.nodes[0], Announcement(FLEET, Version(1, 90), 0)
+    (pull,) = node.hear(mesh.now, mesh.peers[1], far)
+    assert pull.to == mesh.peers[1] and pull.message.whole
+    assert node.hear(mesh.now, mesh.peers[2], far) == []
+    assert node.pulled(mesh.now, mesh.peers[1], None) == []
+    assert node.fetching.due == mesh.now + bounds.REST
+    (again,) = [send for send in node.tick(node.fetching.due) if isinstance(send.message, Pull)]
+    assert again.to == mesh.peers[2]
+    assert node.pulled(mesh.now, mesh.peers[1], Busy(FLEET, 0)) == []  # too late: another was asked
+    assert node.fetching.source == mesh.peers[2] and not node.fetching.waiting
+
+
+def test_who_is_busy_is_left_for_another_and_asked_again_when_there_is_none():
+    mesh = Mesh(3)
+    node, far = mesh.nodes[0], Announcement(FLEET, Version(1, 90), 0)
+    node.hear(mesh.now, mesh.peers[1], far)
+    node.pulled(mesh.now, mesh.peers[1], Busy(FLEET, 3 * SECOND))
+    assert node.fetching.due == mesh.now + 3 * SECOND and node.fetching.source == mesh.peers[1]
+    (pull,) = [send for send in node.tick(node.fetching.due) if isinstance(send.message, Pull)]
+    assert pull.to == mesh.peers[1]
+    node.hear(mesh.now, mesh.peers[2], far)
+    node.pulled(mesh.now, mesh.peers[1], Busy(FLEET, 1 << 62))
+    assert node.fetching.source == mesh.peers[2] and node.fetching.due == mesh.now + bounds.BUSY_REST
+    assert node.fetching.tries == 0
+
+
+def test_amid_the_parts_the_same_source_is_asked_again_and_each_part_has_its_time():
+    mesh = Mesh(3, versions=[Version(1, 1), Version(1, 90), Version(1, 90)], whole_bytes=30_000)
+    node, source = mesh.nodes[0], mesh.peers[1]
+    (pull,) = node.hear(mesh.now, source, Announcement(FLEET, Version(1, 90), digest_of(Version(1, 90))))
+    node.hear(mesh.now, mesh.peers[2], Announcement(FLEET, Version(1, 90), digest_of(Version(1, 90))))
+    for _ in range(3):  # of four parts; after each one the next answer is lost once
+        mesh.now += bounds.EXCHANGE_TIME - 1
+        (pull,) = node.pulled(mesh.now, source, mesh.nodes[1].answer(mesh.now, pull.message))
+        assert node.fetching.due == mesh.now + bounds.EXCHANGE_TIME
+        node.pulled(mesh.now, source, None)
+        mesh.now = node.fetching.due
+        (pull,) = [send for send in node.tick(mesh.now) if isinstance(send.message, Pull)]
+        assert pull.to == source and pull.message.place == len(node.assembly.data) > 0
+    node.pulled(mesh.now, source, mesh.nodes[1].answer(mesh.now, pull.message))
+    assert node.document.version == Version(1, 90)
+
+
+def test_a_source_that_fails_amid_the_parts_for_good_is_left():
+    mesh = Mesh(3, versions=[Version(1, 1), Version(1, 90), Version(1, 90)], whole_bytes=30_000)
+    node, source = mesh.nodes[0], mesh.peers[1]
+    (pull,) = node.hear(mesh.now, source, Announcement(FLEET, Version(1, 90), digest_of(Version(1, 90))))
+    node.hear(mesh.now, mesh.peers[2], Announcement(FLEET, Version(1, 90), digest_of(Version(1, 90))))
+    node.pulled(mesh.now, source, mesh.nodes[1].answer(mesh.now, pull.message))
+    asked = []
+    for _ in range(bounds.PART_TRIES + 1):
+        node.pulled(mesh.now, node.fetching.source, None)
+        mesh.now = node.fetching.due
+        asked += [send.to for send in node.tick(mesh.now) if isinstance(send.message, Pull)]
+    assert asked == [source] * bounds.PART_TRIES + [mesh.peers[2]]
