--- a/gaproute/decisions/cells/choice.py
+++ b/gaproute/decisions/cells/choice.py
@@ -51,7 +51,7 @@
         return 2 * barred > len(others) > 0
 
     def cells(self, now, function, may_try=True):
-        """Yields each `Choice` for a call of the function, in turn. `may_try`: the call may be a trial."""
+        """Yields each `Choice` for a call of the function, in turn. `may_try`: a trial gladly."""
         regional, count = self.placement(now, function)
         region = self.place.region if regional else None
         homes = self.homes.order(function, count, region)[:count]
@@ -63,19 +63,28 @@
         yield from self._next(now, function, region, given)
         if regional:
             yield from self._next(now, function, None, given)
+        if not given:
+            yield from self._returning(function, region)
 
     def _first(self, now, function, homes, may_try):
         """One of the homes that may be sent to, drawn by load; a trial goes before; None: all are ill."""
         if self.health.ill:
             permits = [(name, self.health.permit(now, name, function)) for name in homes]
-            for name, permit in permits if may_try else ():
-                if permit is Permit.TRIAL:
+            for name, permit in permits:
+                if permit is Permit.TRIAL and (may_try or self.health.waits_for_trial(now, name)):
                     return Choice(name, True)
             homes = [name for name, permit in permits if permit is Permit.YES]
         if not homes:
             return None
         return Choice(self.loads.draw(now, homes, self.capacities, self.chance))
 
+    def _returning(self, function, region):
+        """Where nothing else is left: the first home that is well again, before the function's turn."""
+        for name in self.homes.order(function, len(self.capacities), region):
+            if name in self.health.cells and not self.health.barred(name):
+                yield Choice(name)
+                return
+
     def _next(self, now, function, region, given):
         """The cells of the order that may be sent to, but for those already given."""
         count, place = 4, 0
--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -25,6 +25,7 @@
 
 FIRST_REST, LONGEST_REST = SECOND, 30 * SECOND  # before trials of an ill place
 REST_CHANCE = 0.25  # of a rest, added by chance: gateways do not all try at one moment
+PURE_WAIT = 10 * SECOND  # after a rest for a pure call to be the trial; then any call is
 TRIAL_TIME = 5 * SECOND  # after which a trial without any answer has failed
 SILENT_PARTS = 2  # ways into a cell, cells of a zone, zones of a region: one alone may be slow work
 OUTCOME_LIFE = 5 * SECOND  # older outcomes say nothing of now
@@ -56,7 +57,9 @@
             self.ill = {place: ill for place, ill in self.ill.items() if place in places}
 
     def permit(self, now, name, function):
-        """Whether the function's call may go to the cell."""
+        """Whether the function's call may go to the cell; not where a newer table lacks it."""
+        if name not in self.cells:
+            return Permit.NO
         permit = Permit.YES
         for place in _places(self.cells[name]) if self.ill else ():
             ill = self.ill.get(place)
@@ -86,6 +89,10 @@
         """Whether the cell or what it lies in is ill and not yet healed."""
         return bool(self.ill) and name in self.cells and bool(self._illnesses(name))
 
+    def waits_for_trial(self, now, name):
+        """Whether no pure call came to be the trial of a place that has rested."""
+        return all(now >= ill.until + PURE_WAIT for ill in self._illnesses(name))
+
     def tried(self, now, name):
         """A trial goes to the cell; one that went before had no answer."""
         self._trial_failed(now, name)
@@ -187,22 +194,25 @@
     def _judge_around(self, now, cell):
         """The zone and the region of a cell with an overdue call."""
         zone = self._known_cells(Area.ZONE, cell.zone)
-        if self._silent_cells(zone) < SILENT_PARTS:
+        if self._silent_cells(zone, self._last_heard(zone)) < SILENT_PARTS:
             return
         self._fell(now, (Area.ZONE, cell.zone), Illness.SILENT)
-        zones = {}
-        for other in self._known_cells(Area.REGION, cell.region):
+        region, zones = self._known_cells(Area.REGION, cell.region), {}
+        for other in region:
             zones.setdefault(other.zone, []).append(other)
-        if sum(self._silent_cells(cells) >= SILENT_PARTS for cells in zones.values()) >= SILENT_PARTS:
+        heard = self._last_heard(region)
+        if sum(self._silent_cells(cells, heard) >= SILENT_PARTS for cells in zones.values()) >= SILENT_PARTS:
             self._fell(now, (Area.REGION, cell.region), Illness.SILENT)
 
     def _known_cells(self, area, name):
         """The cells of a place of which anything was heard or is overdue."""
         return [self.cells[each] for each in self.records if getattr(self.cells[each], area.value) == name]
 
-    def _silent_cells(self, cells):
-        """How many of the cells have calls overdue that were sent after the last sign of life of any."""
-        heard = max(self.records[cell.name].heard for cell in cells)
+    def _last_heard(self, cells):
+        return max(self.records[cell.name].heard for cell in cells)
+
+    def _silent_cells(self, cells, heard):
+        """How many of the cells have calls overdue that were sent after that last sign of life."""
         return sum(any(sent > heard for sent in self.records[cell.name].overdue.values()) for cell in cells)
 
 
