Peers: a holder that trims its cells is refused as the disseminated document

Gateways may now hold fewer entries of each cell than the table names. What is served to others, and its digest, is of whole rows, so a trimmed table would contradict all others. The carrier has a holder of its own that does not trim; whoever wants less trims what `on_table` tells.

--- a/gaproute/peers/tables/document.py
+++ b/gaproute/peers/tables/document.py
@@ -9,9 +9,15 @@
 
 
 class TableDocument:
-    """Keeps the holder's table; nothing else may change that."""
+    """Keeps the holder's table; nothing else may change that.
+
+    The holder must not trim: others are served from it, and all digests are of whole rows. Whoever wants less
+    takes it from the tables that it is told.
+    """
 
     def __init__(self, holder: TableHolder):
+        if holder.trim is not None:
+            raise ValueError("a holder that trims has no whole rows to serve")
         self.holder = holder
         self.fleet = holder.fleet
         self.digest = 0
--- a/tests/test_tables_encoding.py
+++ b/tests/test_tables_encoding.py
@@ -100,6 +100,11 @@
     assert document(None).version == NOTHING
 
 
+def test_a_holder_that_trims_is_refused():
+    with pytest.raises(ValueError, match="trims"):
+        TableDocument(TableHolder(FLEET, lambda cell: replace(cell, entries=())))
+
+
 def test_a_change_of_one_cell_is_small():
     assert len(encoding.encode_change(replace(CHANGE, removed=()))) < 200
 
