--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -42,8 +42,8 @@
         self.seed, self.table, self.timer = seed, None, None
 
     def listen(self, others, ready):
-        """Take calls that other gateways forward, and the table that they tell, at the address of the
-        peers."""
+        """Take calls that other gateways forward, and the table that they tell, at the address of the peers.
+        Returns the front of those calls."""
         giver = others.giver
         front = EntryFront(self.loop, giver.server, self.core, self.charter, ready, self._report)
         giver.calls = front.handle
@@ -59,6 +59,7 @@
             path=line.kept,
         )
         self.table = Table(self.loop, line, self.record, carrier, self._adopted)
+        return front
 
     def start(self):
         """Read the table and the lists, and go on looking."""
--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -37,7 +37,6 @@
         self.bad = 0  # of the results
         self.slow, self.slow_until = 1.0, -1  # the pace at the last answer
         self.report, self.reported, self.memory = None, -LOAD_LIFE, None
-        self.tally, self.tally_until = None, 0  # see `queued`
         self.credit, self.credited = 0.0, 0  # chance of a relay to it while cold; when last raised
         self.full_until = -1  # it turned a task away; nothing more until then
         self.renew(row)
@@ -57,7 +56,7 @@
         self.told = {}  # worker: when others saw a copy there; not yet considered
         self.times = deque(maxlen=KEPT)  # answer times where a copy stood
         self.ordered, self.since = False, 0  # an order is open; when the last one went
-        self.ranks, self.order, self.ranked_for = {}, [], -1  # worker: its rank; the workers by rank
+        self.ranks, self.order, self.ranked_for = {}, [], -1  # worker: its rank; the first workers by rank
         self.used, self.rests_until = 0, -1
         self.answered = -1  # when a copy of it was last seen anywhere
 
@@ -66,17 +65,15 @@
     """What the relays of one task prove so far."""
 
     def __init__(self):
-        self.out = {}  # relay: (worker, sent)
+        self.out, self.ended = {}, []  # relay: (worker, sent); those ended of which each may have run
         self.first = None  # (worker, sent) of the first relay that may have run or may yet
         self.failed = []  # workers that failed it
         self.relays = 0
 
     def settle(self, relay, result):
         worker, sent = self.out.pop(relay)
-        if result in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
-            if self.first == (worker, sent):  # proven not to have run: it binds the task no longer
-                self.first = min(self.out.values(), key=lambda o: o[1], default=None)
-        elif self.first is None or sent < self.first[1]:
-            self.first = (worker, sent)
+        if result not in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
+            self.ended.append((worker, sent))  # what is proven not to have run binds the task no longer
+        self.first = min([*self.ended, *self.out.values()], key=lambda each: each[1], default=None)
         if result is not Result.MISS:
             self.failed.append(worker)
--- a/gaproute/decisions/route/score.py
+++ b/gaproute/decisions/route/score.py
@@ -12,38 +12,36 @@
 PRIOR = 2.0  # points for the stable hash's first choice: a third of a copy's, which is kept
 PRIOR_HOT = 3.3  # the same for a hot function, kept loaded by others: warm with a free lane still wins
 PRIOR_FALL = 0.85  # of PRIOR, from each choice to the next: gateways agree on where to spill, ten deep
+DEEPER = 4  # times as many workers are ranked where those ranked so far did not settle a choice
 OTHERS = 0.45  # of a step of it, for first choices that count alike but are other gateways' own
 SHUN = 12.0  # points lost by a worker sure to fail: twice a fresh copy, so it ranks even suspects
 NIL = 1e-9  # points below which two sums of the same terms may differ by rounding alone
 
 
 class Score(Allowed):
-    def choose(self, now, task, trail):
-        track, function = self.tracks[task.track], self.function(task.function, task.lanes)
-        if trail.relays >= self.terms.relay_limit:
-            return None
-        resting = now < function.rests_until and not trail.failed
-        # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
-        able = self.fleet
-        if trail.first is not None or trail.out or now < self.all_warm_at:
-            holding = {worker.id for worker, _ in trail.out.values()}
-            able = [
-                worker
-                for worker in self.fleet
-                if worker.id not in holding
-                and (now >= worker.warm_at or worker.credit > 0)
-                and self.allowed(worker, track, trail, now)
-            ]
+    def able(self, now, task, trail, function, resting):
+        """The workers that may get the task now; all of the fleet where nothing speaks against any."""
+        track, able = self.tracks[task.track], self.fleet
+        if trail.relays or now < self.all_warm_at:
+            held = [worker for worker, _ in trail.out.values()]
+            able = [each for each in able if each not in held and self.allowed(each, track, trail, now)]
+            # A cold worker gets no more than its credit (see `spread_credit`): it must not be pushed over.
+            able = [worker for worker in able if now >= worker.warm_at or worker.credit > 0]
         if trail.failed:
             able = [worker for worker in able if worker not in trail.failed] or able
             # What a full worker turned away goes to a copy that stands: one more load would feed the jam.
             able = [worker for worker in able if self.warmth(function, worker, now) > 0] or able
         if resting:
             able = [each for each in able if now >= each.full_until and self.warmth(function, each, now) > 0]
+        return able
+
+    def choose(self, now, task, trail):
+        function = self.function(task.function, task.lanes)
+        resting = now < function.rests_until and not trail.failed
+        able = self.able(now, task, trail, function, resting)
         if not able:
             return None
         capacity = self.capacity if able is self.fleet else sum([worker.capacity for worker in able])
-        ranks, usual_memory = self.ranks(task.function, function), None
         lanes = max(task.lanes, ROOM) * len(able) / capacity
         breadth = self.breadth(task.function)
         heat, width = min(1.0, breadth), max(1, int(WIDE * breadth))
@@ -54,8 +52,8 @@
         for zone, until in self.silent.items():
             if now < until or trail.failed:
                 doubts.update({worker.id: 1.0 for worker in able if worker.zone == zone})
-        best, scored = -LONG, []
-        for worker, warmth, most in self.contenders(now, function, able, prior, width):
+        best, scored, usual_memory = -LONG, [], None
+        for worker, warmth, rank, most in self.contenders(now, task.function, function, able, prior, width):
             # The order is such that none after this one can score more than `most` and an empty queue allow.
             if most + self.near - queue_weight / (lanes * self.strongest) < best - NIL:
                 break
@@ -65,16 +63,15 @@
                 memories = [worker.memory for worker in self.fleet if worker.memory is not None]
                 usual_memory = sum(memories) / len(memories) if memories else 0.0
             warmth /= pace
+            fall = PRIOR_FALL ** (rank // width or OTHERS * (rank != self.own % width))
             score = (
                 worth * warmth
                 - queue_weight * (self.queued(worker, task.lanes, now) + 1) / (lanes * strength)
                 - MEMORY * (usual_memory if worker.memory is None else worker.memory)
-                + prior
-                * PRIOR_FALL ** ((rank := ranks[worker.id]) // width or OTHERS * (rank != self.own % width))
-                * (1 - warmth)
+                + prior * fall * (1 - warmth)
                 + (self.near if worker.zone == self.zone else 0.0)
+                - SHUN * doubts.get(worker.id, 0.0)
             )
-            score -= SHUN * doubts.get(worker.id, 0.0)
             scored.append((-score, worker.place))
             if now >= worker.warm_at:  # a cold one may yet be passed over
                 best = max(best, score)
@@ -93,22 +90,24 @@
             return worker if now >= worker.full_until else None
         return self.choose(now, task, trail)  # all were cold and passed over: those not asked so far
 
-    def contenders(self, now, function, able, prior, width):
-        """The able workers as (worker, warmth, most): those believed warm, then the others by rank.
+    def contenders(self, now, name, function, able, prior, width):
+        """The able workers as (worker, warmth, rank, most): those believed warm, then the others by rank.
 
         `most` is a bound on the score of this one and all that follow, but for the cost of a queue: no warm
         one is told it, and of the others the prior is all that they can have. It spares scoring those that
         cannot win, which in a large fleet are nearly all; the choice stays as if all were scored.
         """
-        every, warm = able is self.fleet, set()
-        members = None if every else {worker.id for worker in able}
-        for name in function.seen:
-            worker = self.workers[name]
-            if worker.active if every else name in members:
-                warmth = self.warmth(function, worker, now)
-                if warmth > 0:
-                    warm.add(name)
-                    yield worker, warmth, LONG
-        for rank, worker in enumerate(function.order):
-            if worker.id not in warm and (every or worker.id in members):
-                yield worker, 0.0, prior * PRIOR_FALL ** (rank // width)
+        ranks = self.ranks(name, function)
+        done = set() if able is self.fleet else set(self.fleet).difference(able)
+        for seen in function.seen:
+            worker = self.workers[seen]
+            if worker not in done and (warmth := self.warmth(function, worker, now)) > 0:
+                if seen not in ranks:
+                    ranks = self.ranks(name, function, len(self.fleet))
+                done.add(worker)
+                yield worker, warmth, ranks[seen], LONG
+        for rank in range(len(self.fleet)):
+            if rank == len(function.order):
+                self.ranks(name, function, DEEPER * rank)
+            if (worker := function.order[rank]) not in done:
+                yield worker, 0.0, rank, prior * PRIOR_FALL ** (rank // width)
--- a/gaproute/decisions/route/tidy.py
+++ b/gaproute/decisions/route/tidy.py
@@ -29,10 +29,7 @@
             if now - tidied >= TIDY:
                 tidied = now
                 self.forget()
-                self.functions = {
-                    name: function
-                    for name, function in self.functions.items()
-                    if function.ordered or now - function.used <= 4 * self.keep_alive
-                }
+                known, since = self.functions.items(), now - 4 * self.keep_alive
+                self.functions = {name: of for name, of in known if of.ordered or of.used >= since}
             rest = PROBE_EVERY // max(1, len(self.fleet)) if self.sharing.may() else PAUSE
             now, _ = yield Wait(now + (rest if self.probing else TIDY))
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -268,14 +268,24 @@
         self.leave(self.place[fd], owner.counted)
         owner.lost()
 
-    def close(self, owner, all_of_them=False):
-        """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`."""
-        self.look(self.loop.lobby.poll(0, LOBBY), self.loop.now())
+    def close(self, owner, all_of_them=False, first_by=None):
+        """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`.
+
+        `first_by`: those that have brought no request yet stay parked, until that time at the latest.
+        """
+        now = self.loop.now()
+        while events := self.loop.lobby.poll(0, LOBBY):  # each is told once: no more than are parked
+            self.look(events, now)
         self.loop.waiting = True
         for listener in [
             listener for listener, whose in self.arriving.items() if whose is self.owners[owner]
         ]:
             del self.arriving[listener]
         for fd, state in enumerate(self.state):
-            if self.owner[fd] == owner and (state == PARKED or state == QUEUED and all_of_them):
+            if self.owner[fd] != owner or state == NONE or state == QUEUED and not all_of_them:
+                continue
+            if first_by is not None and not self.tasks[fd]:
+                self.due[fd] = min(self.due[fd], first_by)
+                self._enter(fd)
+            else:
                 self._drop(fd)
