A newer table of the file is told as what differs from the one held

Need: a whole table empties the log of changes, and a gateway one version behind then asked two others that had no change to push: it and the one that is not its source announced to each other without end until their budgets of bytes were spent, and the pull that would have mended it found no room. The announcing without end is still there for gateways that all hold the newer version as a whole.

--- a/gaproute/appliance/cell_table.py
+++ b/gaproute/appliance/cell_table.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 from gaproute.conf.cell_files import read_table
+from gaproute.decisions.cells.change import TableChange
 from gaproute.decisions.cells.errors import OtherFleet, StaleVersion, TableError
 from gaproute.discovery.listing import FileWatch
 from gaproute.shared.dissemination import DocumentError
@@ -17,6 +18,13 @@
 WRONG_FILE = "wrong file"
 
 
+def change_between(before, after):
+    """The change that leads from one table to the other."""
+    rows = tuple(cell for cell in after.cells if before.by_name.get(cell.name) != cell)
+    removed = tuple(name for name in before.by_name if name not in after.by_name)
+    return TableChange(after.fleet, before.version, after.version, rows, removed)
+
+
 class Table:
     """`adopted(table)` for each newer one, wherever it came from. `carrier`: what tells it to other gateways
     and hears it from them."""
@@ -49,10 +57,18 @@
             return
         try:
             self._check(table)
-            self.carrier.publish(table)
+            self._publish(held, table)
         except (TableError, DocumentError) as wrong:
             self._refuse(REASONS.get(type(wrong), WRONG_FILE), [wrong])
 
+    def _publish(self, held, table):
+        """Tell what differs; the whole where that is most of it, or nothing is held."""
+        change = None if held is None else change_between(held, table)
+        if change is not None and len(change.rows) + len(change.removed) <= len(held.cells) // 2:
+            self.carrier.publish_change(change)
+        else:
+            self.carrier.publish(table)
+
     def _check(self, table):
         held = self.held
         if table.fleet != self.line.fleet:
