--- a/gaproute/peers/tables/carrier.py
+++ b/gaproute/peers/tables/carrier.py
@@ -142,8 +142,9 @@
         table = self.holder.table
         if table is None or table.version <= self.told:
             return
+        if self.told == NOTHING:  # later tables are looked at by the timer: it costs a millisecond
+            self._list()
         self.told = table.version
-        self._list()
         for callback in self.callbacks:
             callback(table)
 
