--- /dev/null
+++ b/gaproute/appliance/cells.py
@@ -0,0 +1,171 @@
+"""The cells of a running gateway: its table, the host lists that it wants by that table, and its part in
+forwarding. Parts wired, nothing decided."""
+
+from gaproute.appliance.cell_lists import CellLists
+from gaproute.appliance.cell_table import Table
+from gaproute.core.cellular import CellularCore
+from gaproute.decisions.cells.cellular import CellularGateway
+from gaproute.decisions.cells.place import Place
+from gaproute.decisions.chance import Chance
+from gaproute.decisions.links.pooling import Pooling
+from gaproute.decisions.route import Gateway
+from gaproute.discovery.listing import Listing
+from gaproute.fronts.kserve.entry import EntryFront
+from gaproute.hosts.entries import CellHosts, Entries
+from gaproute.peers.tables import TableCarrier
+from gaproute.shared.dissemination import Peer
+
+CARRIER_SEED = 6  # the chance that draws whom to tell is another than those of other parts
+WRONG_LIST = "wrong host list"
+
+
+class Cells:
+    """The parts that a gateway in a fleet of cells has in place of a whole fleet's: `gateway`, `hosts`,
+    `core`. `enlisted(rows)` is called with all hosts known each time that they change, before the
+    decisions."""
+
+    def __init__(self, loop, charter, record, seed, reach, run, enlisted):
+        self.loop, self.charter, self.line = loop, charter, charter.cells
+        self.record, self.enlisted = record, enlisted
+        place = Place(charter.name, self.line.region, self.line.zone)
+        self.gateway = CellularGateway(seed, charter.terms, loop.now(), place)
+        self.hosts = CellHosts(loop, Pooling(), reach, charter.name)
+        self.entries = Entries(loop, reach, charter.name)
+        self.core = CellularCore(loop, self.gateway, charter.terms, self.hosts, record, run, self.entries)
+        # What gateways of one fleet tell each other of hosts is not told of cells: this one knows of none.
+        self.unused = Gateway(seed, charter.terms, loop.now())
+        self.listing = Listing(loop, sizes=charter.sizes_told)
+        self.lists = CellLists(loop, charter.cell_hosts, self._listed, self._list_refused)
+        self.look_every = charter.cell_hosts.look
+        self.told = {}  # cell: the host lines that the decisions were told last
+        self.lists_refused = 0
+        self.seed, self.table, self.timer = seed, None, None
+
+    def listen(self, others, ready):
+        """Take calls that other gateways forward, and the table that they tell, at the address of the peers.
+        Returns the front of those calls."""
+        giver = others.giver
+        front = EntryFront(self.loop, giver.server, self.core, self.charter, ready, self._report)
+        giver.calls = front.handle
+        line = self.line
+        carrier = TableCarrier(
+            self.loop,
+            self.charter.name,
+            line.fleet,
+            others.gossip,
+            giver,
+            Chance(self.seed + CARRIER_SEED),
+            self.record,
+            path=line.kept,
+        )
+        self.table = Table(self.loop, line, self.record, carrier, self._adopted)
+        return front
+
+    def start(self):
+        """Read the table and the lists, and go on looking."""
+        self.table.start()
+        self._look()
+
+    def peers(self, peers):
+        """The other gateways of the configuration, {name: address}."""
+        self.table.carrier.peers(tuple(Peer(name, where) for name, where in peers.items()))
+
+    def read(self):
+        """Read all files at once."""
+        self.table.read()
+        self.lists.read()
+
+    def _adopted(self, table):
+        """A newer table has come."""
+        now = self.loop.now()
+        self.gateway.adopt(now, table)
+        self.entries.adopt(table)
+        self.record.event("info", "cell table", version=str(table.version), cells=len(table.cells))
+        self._want()
+        self.core.begin_housekeeping(now)
+
+    # The host lists
+
+    def _list_refused(self, cell, mistakes):
+        self.lists_refused += 1
+        for mistake in mistakes:
+            self.record.event("error", "host list refused", cell=cell, mistake=str(mistake))
+
+    def _look(self):
+        """The decisions want other cells now and then, by what is called."""
+        self.timer = self.loop.after(self.look_every, self._look)
+        self._want()
+
+    def _want(self):
+        table = self.table.held
+        if table is None:
+            return
+        zones = {name: table.by_name[name].zone for name in self.gateway.wanted()}
+        if zones != self.lists.zones:
+            self.lists.want(zones)
+        if self.gateway.single is None:
+            known = self.gateway.local.gateways
+            if any(cell not in known for cell in self.told):  # let go and wanted again meanwhile
+                self.told = {cell: lines for cell, lines in self.told.items() if cell in known}
+                self._listed(self.lists.good)
+
+    def _listed(self, lists):
+        """All lists in force. The host connections come first: the decisions may wish for a new host at
+        once."""
+        rows = self._rows(lists)
+        self.enlisted([row for of_cell in rows.values() for row in of_cell])
+        before, self.told = self.told, dict(lists)
+        for cell, of_cell in rows.items():
+            if before.get(cell) != lists[cell]:
+                self.core.cell_listed(cell, [row.listed for row in of_cell])
+
+    def _rows(self, lists):
+        """{cell: rows}; a host whose line names no zone stands in that of its cell."""
+        lines = [
+            line.model_copy(update={"zone": self.lists.zones[cell]})
+            for cell, of_cell in lists.items()
+            for line in of_cell
+        ]
+        rows = iter(self.listing.rows(lines))
+        return {cell: [next(rows) for _ in of_cell] for cell, of_cell in lists.items()}
+
+    # What others ask
+
+    def _report(self, cell):
+        return self.gateway.local.report(self.loop.now(), cell)
+
+    def gateways(self):
+        """The decisions of each cell known."""
+        single = self.gateway.single
+        return [single] if single is not None else list(self.gateway.local.gateways.values())
+
+    def leads_on(self):
+        """Whether calls can be forwarded to another gateway."""
+        table = self.table.held
+        return table is not None and any(self.gateway.entries.order(cell) for cell in table.cells)
+
+    def status(self):
+        """What an operator is told."""
+        table = self.table.held
+        return {
+            "version": str(table.version) if table else None,
+            "cells": len(table.cells) if table else 0,
+            "known": sorted(self.lists.good),
+            "forwarded_in": self.core.forwarded_in,
+            "forwarded_out": self.core.forwarded_out,
+            "refused": self.table.refusals()
+            | ({WRONG_LIST: self.lists_refused} if self.lists_refused else {}),
+        }
+
+    def stop(self):
+        """Look at no file any more, and neither tell nor hear of tables."""
+        self.lists.close()
+        if self.table is not None:
+            self.table.stop()
+        if self.timer is not None:
+            self.timer.cancel()
+
+    def close(self):
+        """End all connections to entry gateways; those to hosts are the appliance's."""
+        self.stop()
+        self.entries.close()
--- a/gaproute/conf/charter.py
+++ b/gaproute/conf/charter.py
@@ -23,6 +23,8 @@
         self.listens = [(line.kind, line.where) for line in all_of("listen")]
         self.hosts = all_of("host")
         self.hosts_file = next(iter(all_of("hosts-file")), None)
+        self.cells = next(iter(all_of("cells")), None)
+        self.cell_hosts = next(iter(all_of("cell-hosts")), None)
         self.tracks = all_of("track")
         self.models = {line.name: line for line in all_of("model")}
         self.tenants = {line.name: place for place, line in enumerate(all_of("tenant"))}
@@ -62,7 +64,7 @@
             probe_price=0.0,
             peer_price=0.0,
             peers_allowed=False,  # they tell each other more, by their own way
-            gateways=1,
+            gateways=self.cells.gateways if self.cells else 1,
             cancel_allowed=relays.cancel,
             twins_allowed=relays.twins,
             relay_limit=relays.limit,
@@ -85,6 +87,8 @@
         ]
         if self.memory is not None:
             self.memory = f"{self.memory}.{number}"
+        if self.cells is not None and self.cells.kept is not None:
+            self.cells = self.cells.model_copy(update={"kept": f"{self.cells.kept}.{number}"})
         if peers and not self.peers_file:
             self.peers = self.peers + [
                 PeerLine(name=f"{base}-{other}", where=_seated(peers[0], other))
--- /dev/null
+++ b/tests/test_cells_processes.py
@@ -0,0 +1,77 @@
+"""Cells by several processes of the program: calls find their copies through the entry gateways."""
+
+import signal
+
+from cell_fleet import models
+
+TWO = {"a1": ("a1", ("ga", "gb")), "b1": ("b1", ("gc", "gd"))}
+
+
+def test_a_call_homed_in_another_cell_reaches_its_copy_through_the_entry_gateway(cells):
+    fleet = cells(TWO)
+    fleet.write_table()
+    for name, zone in (("ga", "a1"), ("gc", "b1"), ("gd", "b1")):
+        fleet.start(name, zone)
+    fleet.up("ga", "gc", "gd")
+    near, far = fleet.homed("check", "a1"), fleet.homed("check", "b1")
+    answer = fleet.wait(fleet.ask("ga", near, "t1"))
+    assert answer.status == 200 and fleet.came("t1")[0].startswith("a1-")
+    answer = fleet.wait(fleet.ask("ga", far, "t2"))
+    assert answer.status == 200 and [host[:2] for host in fleet.came("t2")] == ["b1"]
+    assert answer.headers[b"gaproute-outcome"] == b"delivered"
+    assert fleet.cell_status("ga")["forwarded_out"] == 1
+    told = [fleet.cell_status(name) for name in ("gc", "gd")]
+    assert sum(each["forwarded_in"] for each in told) == 1
+    assert all(each["known"] == ["b1"] and each["cells"] == 2 for each in told)
+
+
+def test_gateways_that_never_heard_of_each_other_find_the_same_copy(cells):
+    fleet = cells(TWO)
+    fleet.write_table()
+    for name, zone in (("ga", "a1"), ("gb", "a1"), ("gc", "b1"), ("gd", "b1")):
+        fleet.start(name, zone)
+    fleet.up("ga", "gb", "gc", "gd")
+    for model in (model for model in models("check") if fleet.home(model) == "b1"):
+        for name in ("ga", "gb"):
+            assert fleet.wait(fleet.ask(name, model, f"{name} {model}")).status == 200
+        hosts = {host for name in ("ga", "gb") for host in fleet.came(f"{name} {model}")}
+        assert len(hosts) == 1 and hosts.pop().startswith("b1-")
+
+
+def test_processes_of_one_parent_are_entries_each_and_a_wrong_configuration_changes_nothing(cells):
+    fleet = cells({"a1": ("a1", ("ga",)), "b1": ("b1", ("gc-0", "gc-1"))})
+    peers = f"unix:{fleet.folder}/gc.peers"
+    fleet.entries |= {"gc": peers, "gc-0": f"{peers}.0", "gc-1": f"{peers}.1"}
+    fleet.clients["gc"] = fleet.clients["gc-0"]
+    fleet.write_table()
+    fleet.start("ga", "a1")
+    fleet.start("gc", "b1", words=("--processes", "2"))
+    fleet.up("ga")
+    fleet.until(lambda: len(fleet.events("gc", "cell table")) == 2)
+    far = [model for model in models("order") if fleet.home(model) == "b1"]
+    for model in far:
+        assert fleet.wait(fleet.ask("ga", model, model)).status == 200
+        assert fleet.came(model)[0].startswith("b1-")
+    file = fleet.folder / "gc.conf"
+    file.write_text(file.read_text().replace("zone b1", "zone"))
+    fleet.processes["gc"].send_signal(signal.SIGHUP)
+    fleet.until(lambda: fleet.events("gc", "configuration refused"))
+    assert fleet.wait(fleet.ask("ga", far[0], "t2")).status == 200
+    assert fleet.wait(fleet.ask("gc", fleet.homed("order", "a1"), "t3")).status == 200
+    assert fleet.came("t3")[0].startswith("a1-")
+
+
+def test_an_operators_every_question_has_an_answer(cells):
+    fleet = cells({"a1": ("a1", ("ga",)), "b1": ("b1", ())})
+    fleet.write_table()
+    fleet.start("ga", "a1")
+    fleet.up("ga")
+    assert fleet.wait(fleet.ask("ga", fleet.homed("check", "a1"), "t1")).status == 200
+    told = {
+        path: fleet.operator("ga", path)
+        for path in ("status", "hosts", "knows", "peers", "permits", "events")
+    }
+    assert [host["name"] for host in told["hosts"]] == ["a1-h0", "a1-h1"]
+    assert told["knows"][0]["worker"] == fleet.came("t1")[0]
+    assert any(event["what"] == "cell table" and event["version"] == "1.1" for event in told["events"])
+    assert told["status"]["ready"] and told["permits"] is None and told["peers"] == []
