Dissemination: an announcement that is answered once is not answered without end

Cause: a gateway a little behind answers each announcement of the newer version with its own; a peer that took that version as a whole holds no change to push and answers with an announcement again.

Change: each peer is asked by an announcement once in a fetch (Fetching.knows, Disseminator._behind). A test holds it, which fails without the change.

--- a/gaproute/shared/dissemination/disseminator.py
+++ b/gaproute/shared/dissemination/disseminator.py
@@ -125,10 +125,12 @@
         return self.telling.push(now, sender, changes) if changes else self.telling.announce(now, sender)
 
     def _behind(self, now, sender, version):
-        held = self.document.version
+        held, known = self.document.version, self.fetching.knows(sender)
         if self.fetching.heard(now, sender, version, held):
             return self._ask(now)
-        if self.fetching.is_near(held):  # its push may come where the source's was lost
+        # Its push may come where the source's was lost. Asked once: who holds no changes to push announces
+        # again, and two that answer each other's announcements would never end.
+        if not known and self.fetching.is_near(held):
             return self.telling.announce(now, sender)
         return []
 
--- a/gaproute/shared/dissemination/fetching.py
+++ b/gaproute/shared/dissemination/fetching.py
@@ -62,6 +62,10 @@
             del self.others[next(iter(self.others))]
         return False
 
+    def knows(self, peer):
+        """Whether the peer announced a newer version since this fetch began."""
+        return self.source is not None and (peer.name == self.source.name or peer.name in self.others)
+
     def progress(self, now, held):
         """Something was taken. Returns whether to ask the source on."""
         if self.source is None:
--- a/tests/test_dissemination_asking.py
+++ b/tests/test_dissemination_asking.py
@@ -151,6 +151,17 @@
         assert send == (peer, Announcement(FLEET, Version(1, 1), digest_of(Version(1, 1))))
 
 
+def test_who_announces_again_instead_of_pushing_is_not_answered_without_end():
+    mesh = Mesh(3)
+    node, newer = mesh.nodes[0], Announcement(FLEET, Version(1, 2), digest_of(Version(1, 2)))
+    assert node.hear(mesh.now, mesh.peers[1], newer)
+    assert node.hear(mesh.now, mesh.peers[2], newer)
+    assert node.hear(mesh.now, mesh.peers[2], newer) == []
+    (pull,) = node.hear(mesh.now, mesh.peers[1], newer)  # the source holds no changes: by an exchange
+    assert isinstance(pull.message, Pull)
+    assert node.hear(mesh.now, mesh.peers[1], newer) == []
+
+
 def test_a_pull_that_failed_is_asked_again_of_another_after_a_pause():
     mesh = Mesh(3)
     node, far = mesh.nodes[0], Announcement(FLEET, Version(1, 90), 0)
