http1: the server split into limits, rendering, deadlines, connection and server

Need: http1/server.py had grown to 422 lines with five jobs.

Change: code moved, none changed in what it does. `limits.py` holds Limits, `rendering.py` an answer's bytes, `deadlines.py` the one timer of a connection, `connection.py` ServerLink, `server.py` Server. The public face of gaproute.http1 stays; benchmarks import `render` from there. test_stopping reads and patches QUIET where it now lives, with nothing else of it changed; server.py doesn't re-export it, so that a patch of the old name fails instead of having no effect.

Measured: test_http1, test_lobby, test_stopping, test_gateway, test_leaving, test_parent, test_load and test_node: 220 passed before, 220 passed after, one run each. The changed benchmarks were imported, not run.

--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -22,8 +22,7 @@
 
 from rows import write
 
-from gaproute.http1 import Limits, Reader, Server
-from gaproute.http1.server import render
+from gaproute.http1 import Limits, Reader, Server, render
 from gaproute.load import Crowd, read_load
 from gaproute.loop import Listener, Loop, Promise, Stream
 from gaproute.loop.loop import READ
--- a/benchmarks/scale/costs/connections.py
+++ b/benchmarks/scale/costs/connections.py
@@ -11,7 +11,7 @@
 from gaproute.hosts import kserve
 from gaproute.hosts.fleet import Hosts
 from gaproute.hosts.rows import Row
-from gaproute.http1.server import render
+from gaproute.http1 import render
 from gaproute.interface import Listed, State
 from gaproute.loop import Loop, Promise
 
--- a/benchmarks/scale/costs/consensus.py
+++ b/benchmarks/scale/costs/consensus.py
@@ -7,7 +7,7 @@
 from benchmarks.scale.meters import CPU_TIME, MILLISECONDS
 from gaproute.driver.plan import Plan
 from gaproute.driver.world import World
-from gaproute.http1.server import render
+from gaproute.http1 import render
 from gaproute.peers.keepers import wire
 from gaproute.peers.keepers.carrier import TARGET
 from gaproute.shared.keepers import Keeper
--- a/benchmarks/scale/costs/learning.py
+++ b/benchmarks/scale/costs/learning.py
@@ -6,7 +6,7 @@
 from benchmarks.scale.meters import CPU_TIME, MILLISECONDS, once
 from gaproute.decisions.told.lore import Lore
 from gaproute.decisions.told.roll import Roll
-from gaproute.http1.server import render
+from gaproute.http1 import render
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
 from gaproute.peers import Giver, Learner, wire
--- a/gaproute/http1/server.py
+++ b/gaproute/http1/server.py
@@ -1,65 +1,13 @@
-"""The server side of HTTP/1.1: whole requests in, answers out in the order of the requests.
-
-A client that closes its side has left: HTTP/1.1 cannot tell a half-closed client from a gone one before
-bytes are written to it, and a task that nobody waits for must end at once. What is answered then is still
-written, so that one that only closed half gets a clear answer.
-"""
+"""The server side of HTTP/1.1: listens, wakes and parks connections, hands whole requests to a handler."""
 
 import socket
 from collections import deque
-from typing import NamedTuple
 
-from gaproute.http1.message import Fault, Reader
+from gaproute.http1.connection import ServerLink
+from gaproute.http1.deadlines import SWEEP
+from gaproute.http1.limits import LIMITS
 from gaproute.lobby import Lot
-from gaproute.loop import Listener, Stream
-from gaproute.loop.streams import HIGH
-
-SECOND = 1_000_000_000
-QUIET = SECOND  # after its last answer until a connection is parked: a busy one stays as it is
-SWEEP = SECOND // 4  # between looks for quiet ones: one wake-up for all of them, not one each
-REASONS = {
-    100: "Continue",
-    200: "OK",
-    204: "No Content",
-    400: "Bad Request",
-    404: "Not Found",
-    405: "Method Not Allowed",
-    408: "Request Timeout",
-    409: "Conflict",
-    413: "Content Too Large",
-    414: "URI Too Long",
-    429: "Too Many Requests",
-    431: "Request Header Fields Too Large",
-    500: "Internal Server Error",
-    501: "Not Implemented",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-
-
-class Limits(NamedTuple):
-    """What one client may take up."""
-
-    head: int = 32768
-    body: int = 16 << 20
-    pipelined: int = 16  # requests of one connection held at once; more are left unread
-    read_time: int = 20 * SECOND  # for one request to come in whole
-    idle_time: int = 75 * SECOND  # between requests
-    connections: int = 10_000
-    spread: float = 0.0  # of the idle time, added by chance
-    buffered: int = 256 << 20  # bytes of all requests that have not come in whole
-
-
-LIMITS = Limits()
-
-
-def render(status, headers, body, close):
-    """An answer's bytes; `headers` are (name, value) pairs of bytes."""
-    lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Other").encode())]
-    lines += [b"%s: %s\r\n" % pair for pair in headers]
-    lines.append(b"Content-Length: %d\r\n%s\r\n" % (len(body), b"Connection: close\r\n" if close else b""))
-    return b"".join(lines) + body
+from gaproute.loop import Listener
 
 
 class Server:
@@ -105,6 +53,7 @@
         self.lot.park(sock.detach(), self.number, self.idle_end(now), place, 0, False)
 
     def idle_end(self, now):
+        """When a connection that is idle from `now` on is closed."""
         return self.lot.admission.idle_end(now, self.limits.idle_time, self.limits.spread)
 
     def woken(self, fd, data, place, tasks):
@@ -116,6 +65,7 @@
         link.bytes(data)
 
     def rest(self, link):
+        """Queues a quiet connection for parking at its deadline."""
         self.resting.append((link.due, link))
         if self.sweep is None:
             self.sweep = self.loop.after(SWEEP, self._sweep)
@@ -177,6 +127,7 @@
             link.stop()
 
     def close(self):
+        """Stops and ends every connection at once, without waiting for answers still owed."""
         self.stop()
         self.lot.close(self.number, True)
         if self.sweep is not None:
@@ -187,236 +138,3 @@
             else:
                 link.stream.abort()
             link.gone()
-
-
-class ServerLink:
-    """A connection at work, from its first byte until it has been quiet for a while."""
-
-    __slots__ = (
-        "server",
-        "stream",
-        "reader",
-        "queue",
-        "timer",
-        "due",
-        "closing",
-        "ended",
-        "place",
-        "tasks",
-        "idle_end",
-        "weight",
-        "resting",
-    )
-
-    def __init__(self, server, sock, place, tasks):
-        self.server, self.place, self.tasks, self.idle_end = server, place, tasks, None
-        self.resting = False  # in the server's line of those that may soon be parked
-        self.weight = 0  # bytes held of a request that has not come in whole
-        # After a stop of the process, requests count from when they may have come, not from when they are
-        # read.
-        loop = server.loop
-        self.reader = Reader(True, lambda: loop.now() - loop.behind, server.limits.head, server.limits.body)
-        self.queue = []  # [request, rendered answer or None], in the order of the requests
-        self.closing = self.ended = False
-        self.stream = Stream(server.loop, sock, self.bytes, self._end)
-        self.stream.on_half, self.stream.on_room = self._half, self._room
-        self.timer = self.due = None
-
-    def bytes(self, data):
-        if self.closing:
-            return
-        try:
-            requests = self.reader.feed(data)
-        except Fault as fault:
-            self._refuse(fault)
-            return
-        for request in requests:
-            self._take(request)
-        self._weigh(self.reader.size if self.reader.midway else 0)
-        if self.reader.wants_continue:
-            self.reader.wants_continue = False
-            if not self.queue:  # one that pipelines behind an answer still owed waits for it anyway
-                self.stream.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if self.stream.open:
-            self._time()
-            if self._crowded():
-                self.stream.pause()
-
-    def _weigh(self, weight):
-        server = self.server
-        server.buffered += weight - self.weight
-        self.weight = weight
-        if server.buffered > server.limits.buffered:
-            server.lighten()
-
-    def _crowded(self):
-        """Whether nothing more is read: enough is in hand, or the client does not take its answers."""
-        return len(self.queue) >= self.server.limits.pipelined or self.stream.waiting >= HIGH
-
-    def _room(self):
-        if not self.stream.reading and not self._crowded() and not self.ended:
-            self.stream.resume()
-        self._time()
-
-    def _time(self):
-        """When the request that is coming in or the client that takes no bytes is at its end, or the quiet
-        connection is parked; none while an answer is owed. One timer, moved only when it fires: it is nearly
-        always moved before.
-        """
-        limits, reader = self.server.limits, self.reader
-        if reader.midway:
-            self.due = reader.message.arrived + limits.read_time
-            if self.server.last_request is not None:
-                self.due = min(self.due, self.server.last_request)
-        elif self.stream.waiting:
-            self.due = self.server.loop.now() + limits.read_time
-        elif not self.queue and not self.closing:
-            now = self.server.loop.now()
-            if limits.idle_time > 2 * QUIET:
-                if not self.resting or now + QUIET - self.due > SWEEP:
-                    self.idle_end, self.due, self.resting = self.server.idle_end(now), now + QUIET, True
-                    self.server.rest(self)
-                return
-            self.idle_end = self.server.idle_end(now)
-            self.due = min(now + QUIET, self.idle_end)
-        else:
-            self.due = None
-        self.resting = False
-        if self.due is not None and (self.timer is None or self.timer.when > self.due):
-            self._arm()
-
-    def _arm(self):
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = self.server.loop.at(self.due, self._overtime)
-
-    def _overtime(self):
-        self.timer = None
-        if self.due is None or self.resting:
-            return
-        if self.due > self.server.loop.now():
-            self._arm()
-        elif self.stream.waiting:
-            self.stream.abort()
-            self._end(None)
-        elif not self.reader.midway:
-            self.park()
-        elif self.queue:
-            self.closing = True  # the answers still owed go out first
-        else:
-            self._refuse(Fault(408, "the request did not come in whole in time"))
-
-    def park(self):
-        server = self.server
-        if server.loop.now() >= self.idle_end or not self.stream.open or server.stopping:
-            self._shut()
-            return
-        self._untime()
-        server.links.discard(self)
-        server.parked += 1
-        server.lot.park(self.stream.release(), server.number, self.idle_end, self.place, self.tasks, True)
-
-    def shed(self):
-        self._weigh(0)
-        self._refuse(Fault(408, "too much is coming in, and this request takes longest"))
-
-    def _refuse(self, fault):
-        """Answers what cannot be read and closes; what was whole before it is answered first."""
-        self.server.faults += 1
-        for request in self.reader.done:
-            self._take(request)
-        self.reader.done = []
-        headers, body = self.server.explain(fault)
-        self.closing = True
-        self.queue.append([None, render(fault.status, headers, body, True)])
-        self._write()
-
-    def _take(self, request):
-        request.link = self
-        if self.closing or self.server.loop.behind and self.stream.ended():
-            return  # one that came and left while this process stood still is not taken
-        self.tasks += 1
-        if (
-            not request.keep_alive
-            or self.server.counted
-            and self.server.lot.admission.says_close(self.server.lot.held)
-        ):
-            self.closing = True
-        self.queue.append([request, None])
-        self.server.handle(request)
-
-    def answer(self, request, status, headers, body):
-        place = next((place for place, entry in enumerate(self.queue) if entry[0] is request), None)
-        if place is None:
-            return
-        entry = self.queue[place]
-        if entry[1] is not None:
-            raise RuntimeError("a second answer to one request")
-        request.left = None
-        last = place == len(self.queue) - 1 and (self.closing or self.server.stopping) or self.ended
-        if last:
-            self.closing = True  # told with the answer: nothing more is taken
-        entry[1] = render(status, headers, body, last)
-        self._write()
-
-    def _write(self):
-        wrote = False
-        while self.queue and self.queue[0][1] is not None:
-            wrote = True
-            self.stream.write(self.queue.pop(0)[1])
-        if not self.queue and (self.closing or self.ended or self.server.stopping):
-            self._shut()
-        elif wrote and self.stream.open:
-            self._room()
-
-    def stop(self):
-        """Closes a quiet connection; one on which a request lies unread or is coming in is answered first.
-
-        With grace a quiet one is closed when it would be parked: the next request of a busy client, on its
-        way already, is answered and the close told with that answer.
-        """
-        if self.reader.midway:
-            self._time()
-        elif self.server.last_request is None and not self.queue and self.stream.quiet():
-            self._shut()
-
-    def _half(self):
-        """The client closed its side: the tasks it waits for end now, with answers for one half closed."""
-        self.ended = True
-        self._leave()
-        if not self.queue:
-            self._shut()
-
-    def _end(self, error):
-        self.ended = True
-        self._leave()
-        self.gone()
-
-    def _leave(self):
-        self._untime()
-        for request, answer in list(self.queue):
-            if answer is None and request.left is not None:
-                left, request.left = request.left, None
-                left()
-
-    def _untime(self):
-        self.due, self.resting = None, False
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-    def _shut(self):
-        self._untime()
-        self.closing = True
-        self.stream.close(lambda error: self._lose())  # until its descriptor is given back it counts
-
-    def gone(self):
-        self._untime()
-        self._lose()
-
-    def _lose(self):
-        if self in self.server.links:
-            self._weigh(0)
-            self.server.links.discard(self)
-            self.server.lot.leave(self.place, self.server.counted)
-            self.server.check_emptied()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -8,7 +8,7 @@
 from helpers import MILLI, SECOND
 
 from gaproute.appliance.gateway import LAST_REQUEST, LAST_WORDS
-from gaproute.http1.server import QUIET
+from gaproute.http1.deadlines import QUIET
 from gaproute.loop.streams import FAREWELL
 
 BODY = b'{"id": "t", "inputs": []}'
@@ -111,7 +111,7 @@
 
 
 def test_a_request_that_lies_unread_on_a_kept_connection_is_served(rig, clients, monkeypatch):
-    monkeypatch.setattr("gaproute.http1.server.QUIET", 10 * SECOND)  # it is not parked meanwhile
+    monkeypatch.setattr("gaproute.http1.deadlines.QUIET", 10 * SECOND)  # it is not parked meanwhile
     made = rig(hosts=1)
     client = clients(made)
     asked_and_answered(made, client)
