lobby: the lot split into parking, connections by address, descriptors and admission

Change: code moved, none changed in what it does. `parking.py` holds the arrays by descriptor and the calendar as the lot's base class, `addresses.py` the counts of connections by address, `descriptors.py` the process's limit; `lot.py` keeps admission, waking and closing. The counts are the one part that is an object of its own: an arrival and an end are a method call more each. `lot.addresses` reads from it as before. test_lobby imports EXPIRES from where it now lives, with nothing else of it changed.

The cost of the added method call was not measured. benchmarks/connections.py and storm.py were imported, not run.

--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -15,7 +15,7 @@
 from gaproute.hosts.fleet import Hosts, Reach
 from gaproute.interface import State
 from gaproute.lobby import Lot
-from gaproute.lobby.lot import descriptors
+from gaproute.lobby.descriptors import descriptors
 from gaproute.loop import Loop
 from gaproute.loop.loop import READ
 from gaproute.loop.streams import address
--- a/gaproute/appliance/operator.py
+++ b/gaproute/appliance/operator.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from gaproute.http1 import Server
-from gaproute.lobby.lot import descriptors
+from gaproute.lobby.descriptors import descriptors
 from gaproute.shared.permits.errands import read_order
 
 MILLI = 1_000_000
--- a/gaproute/lobby/lot.py
+++ b/gaproute/lobby/lot.py
@@ -1,19 +1,13 @@
-"""The lot: a parked connection is a descriptor and a few numbers in arrays.
+"""Admission to a loop: accepts connections, wakes parked ones that speak, and makes room for new ones.
 
-Parked descriptors are watched by an epoll of their own inside the loop's, each until its first event. So a
-district that speaks at once is one event to the loop: tasks in hand and their timers go first, and what waits
-is served by the decisions on admission in what time they leave. A request counts from when it was seen to
-wait.
-
-An entry of the arrays belongs to the descriptor's present life alone: what is queued or due under its number
-is looked at only where the state says so.
+Parked descriptors are watched by an epoll of their own inside the loop's, each until its first event. So
+many connections that speak at once are one event to the loop: tasks in hand and their timers go first, and
+what waits is served by the decisions on admission in what time they leave. A request counts from when it was
+seen to wait.
 """
 
 import os
-import resource
-from array import array
 from collections import deque
-from select import EPOLLIN, EPOLLONESHOT
 
 from gaproute.decisions.admission.admission import (
     ARRIVING,
@@ -25,49 +19,35 @@
     Admission,
 )
 from gaproute.decisions.chance import Chance
-from gaproute.lobby.calendar import Calendar
+from gaproute.lobby.descriptors import descriptors
+from gaproute.lobby.parking import NONE, ONCE, PARKED, QUEUED, Parking
 from gaproute.loop.loop import LOBBY
 
 CHUNK = 65536  # bytes read from one that wakes
-EXPIRES = 256  # idle ends looked at in one turn: after a stop they must not all fall into one
 WAITED = 5_000_000  # ns of waiting at admission that count: less is within any turn
-ONCE = EPOLLIN | EPOLLONESHOT
-NONE, PARKED, QUEUED = 0, 1, 2
-
 
-def descriptors():
-    """The process's limit on open descriptors."""
-    return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
+class Lot(Parking):
+    """The parked connections of a loop and the lines at admission; one for a loop.
 
-class Lot:
-    """One for a loop. An owner has `woken(fd, data, address, tasks)` and `admits(sock, address)`."""
+    An owner has `woken(fd, data, address, tasks)` and `admits(sock, address)`.
+    """
 
     def __init__(self, loop, admission=None):
-        self.loop, self.admission = loop, admission or Admission(1 << 30, 1 << 30, descriptors(), Chance(1))
-        self.state, self.owner = array("b"), array("h")
-        self.due, self.since, self.slot = array("q"), array("q"), array("q")
-        self.tasks, self.place = array("H"), array("i")
-        self.owners = []  # by number
+        super().__init__(loop)
+        self.admission = admission or Admission(1 << 30, 1 << 30, descriptors(), Chance(1))
         self.known, self.fresh = deque(), deque()  # (descriptor, when seen)
         self.arriving = {}  # listener: its owner
-        self.calendar, self.timer = Calendar(), None
-        self.addresses, self.free = {}, []  # address: its place below
-        self.counts, self.names = array("i"), []
-        self.held = self.parked = 0  # clients' connections in all; those parked
-        self.displaced = self.turned_away = self.expired = 0
+        self.displaced = self.turned_away = 0
         loop.patient = self
 
     @classmethod
     def of(cls, loop):
+        """The loop's lot, made where it has none."""
         return loop.patient or cls(loop)
 
     # Coming
 
-    def open(self, owner):
-        self.owners.append(owner)
-        return len(self.owners) - 1
-
     def arrive(self, listener, owner):
         """The listener has connections to accept."""
         self.arriving[listener] = owner
@@ -94,36 +74,15 @@
     def admit(self, address, counted):
         """The place of an arrival's address, or None where it is turned away. `counted`: whether it takes of
         the clients' share of connections; operators and peers do not."""
-        place = self.addresses.get(address)
         if counted:
-            said = self.admission.admit(self.held, self.counts[place] if place is not None else 0, True)
+            said = self.admission.admit(self.held, self.address_counts.count(address), True)
             if said is DISPLACE and not self._displace():
                 said = TURN_AWAY
             if said is TURN_AWAY:
                 self.turned_away += 1
                 return None
-            place = self.addresses.get(address)  # the displaced one may have been its last
             self.held += 1
-        if place is None:
-            if self.free:
-                place = self.free.pop()
-                self.names[place] = address
-            else:
-                place = len(self.names)
-                self.names.append(address)
-                self.counts.append(0)
-            self.addresses[address] = place
-        self.counts[place] += 1
-        return place
-
-    def leave(self, place, counted):
-        """A connection of that address is closed."""
-        self.held -= counted
-        self.counts[place] -= 1
-        if not self.counts[place]:
-            del self.addresses[self.names[place]]
-            self.names[place] = None
-            self.free.append(place)
+        return self.address_counts.enter(address)
 
     def _victim(self):
         return self.admission.victim(self.loop.now(), self._idle())
@@ -164,54 +123,6 @@
         self._drop(fd)
         return True
 
-    # Parking
-
-    def park(self, fd, owner, due, place, tasks, listed):
-        """`owner`: its number; `listed`: whether the descriptor was parked before in this life."""
-        if fd >= len(self.state):
-            more = fd + 1024 - len(self.state)
-            for column in (self.state, self.owner, self.due, self.since, self.slot, self.tasks, self.place):
-                column.frombytes(bytes(more * column.itemsize))
-        self.state[fd], self.owner[fd], self.due[fd] = PARKED, owner, due
-        self.since[fd], self.tasks[fd], self.place[fd] = self.loop.now(), min(tasks, 65535), place
-        self.parked += 1
-        self._enter(fd)
-        if listed:
-            self.loop.lobby.modify(fd, ONCE)
-        else:
-            self.loop.lobby.register(fd, ONCE)
-
-    def _enter(self, fd):
-        """Into the calendar, where no entry of the descriptor comes up by its end."""
-        due = self.due[fd]
-        if not self.slot[fd] or self.slot[fd] > self.calendar.slot(due):
-            self.slot[fd] = self.calendar.add(fd, due)
-            self._arm()
-
-    def _arm(self):
-        due = self.calendar.next()
-        if due is not None and (self.timer is None or self.timer.call is None or self.timer.when > due):
-            if self.timer is not None:
-                self.timer.cancel()
-            # What is due already has its turn in the next turn of the loop, not in this one again.
-            self.timer = self.loop.at(max(due, self.loop.now() + 1), self._tick)
-
-    def _tick(self):
-        self.timer = None
-        now = self.loop.now()
-        for fd, slot in self.calendar.take(now, EXPIRES):
-            if self.slot[fd] != slot:
-                continue  # another entry speaks for this descriptor
-            self.slot[fd] = 0
-            if self.state[fd] != PARKED:
-                continue  # it is at work; when it is parked again it is entered again
-            if self.due[fd] > now:
-                self.slot[fd] = self.calendar.add(fd, self.due[fd])
-            else:
-                self.expired += 1
-                self._drop(fd)
-        self._arm()
-
     # Waking
 
     def look(self, events, seen):
@@ -260,14 +171,6 @@
 
     # Leaving
 
-    def _drop(self, fd):
-        self.state[fd] = NONE
-        self.parked -= 1
-        owner = self.owners[self.owner[fd]]
-        os.close(fd)
-        self.leave(self.place[fd], owner.counted)
-        owner.lost()
-
     def close(self, owner, all_of_them=False, first_by=None):
         """Closes what the owner has parked; those that have spoken and wait only with `all_of_them`.
 
--- a/gaproute/node/process.py
+++ b/gaproute/node/process.py
@@ -14,7 +14,7 @@
 from gaproute.fronts.jsonrpc.front import Front
 from gaproute.hosts.jsonlines.fleet import Hosts
 from gaproute.lobby import Lot
-from gaproute.lobby.lot import descriptors
+from gaproute.lobby.descriptors import descriptors
 from gaproute.loop import Loop
 from gaproute.loop.connecting import short
 from gaproute.loop.datagrams import Datagrams
--- a/tests/test_lobby.py
+++ b/tests/test_lobby.py
@@ -29,7 +29,7 @@
 from gaproute.http1 import Limits, Server
 from gaproute.lobby import Calendar, Lot, lot
 from gaproute.lobby.calendar import WIDTH
-from gaproute.lobby.lot import EXPIRES
+from gaproute.lobby.parking import EXPIRES
 from gaproute.loop import Loop
 from gaproute.loop.streams import address
 
