Cells: an entry that answers for other cells proves its cell silent with two calls

Its entries answered for another cell of the zone, so none was ever in doubt, calls kept to the one entry, and two ways never came together.

Where the entry has answered for others since, each overdue call counts as a way of its own.

--- a/gaproute/decisions/cells/tasks.py
+++ b/gaproute/decisions/cells/tasks.py
@@ -113,9 +113,12 @@
         if outcome is not None:
             journey.settle(outcome)
         for cell, worker, sent in journey.overdue():
-            self.health.overdue(journey.now, cell, sent, worker)
+            way = worker
             if cell not in self.local.gateways:
                 self.entries.silent(journey.now, worker, sent)
+                if self.entries.heard.get(worker, -1) >= sent:  # it answers for others: the cell is silent
+                    way = f"{worker} at {sent}"
+            self.health.overdue(journey.now, cell, sent, way)
         return journey.now, outcome
 
     def _due(self, journey):
--- a/tests/test_cells_cellular.py
+++ b/tests/test_cells_cellular.py
@@ -1,5 +1,6 @@
 """The gateway of many cells: one cell is as no cells; what goes on to the next cell, and what never does."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -309,6 +310,26 @@
     assert wishes[0].forwarded.cell != "cell7"
 
 
+def test_an_entry_that_answers_for_another_cell_proves_with_two_calls_that_the_cell_is_silent():
+    """Else a gateway would go on by that one entry, as nothing speaks against it."""
+    rows = cells(26)
+    both = rows[7].entries
+    rows[20] = replace(rows[20], entries=both)  # cells 7 and 20 lie in one zone
+    made = fleet()
+    made.adopt(0, table(rows, number=2))
+    for turn, name in enumerate(functions(made, ("cell7",), 2)):
+        now = 10 * turn * SECOND
+        assert not made.health.barred("cell7")
+        drive = Drive(made, task(f"t{turn}", name, time_left=8 * SECOND), now)
+        entry = drive.sent[0]
+        for number, other in enumerate(functions(made, ("cell20",), 3)):
+            beside = Drive(made, task(f"u{turn}.{number}", other), now + SECOND)
+            if beside.sent[0] == entry:
+                beside.hears(now + 2 * SECOND, face.Result.OK)
+        drive.late(now + 4 * SECOND)
+    assert made.health.barred("cell7") and not made.entries.doubts
+
+
 def test_the_table_changes_under_tasks_in_hand():
     made = fleet()
     drive = Drive(made, task("t", function_of(made, "cell7")))
