--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -25,7 +25,7 @@
 
 FIRST_REST, LONGEST_REST = SECOND, 30 * SECOND  # before trials of an ill place
 REST_CHANCE = 0.25  # of a rest, added by chance: gateways do not all try at one moment
-PURE_WAIT = 10 * SECOND  # after a rest for a pure call to be the trial; then any call is
+PURE_WAIT = 120 * SECOND  # after a rest for a pure call to be the trial; then any call is, and may be lost
 TRIAL_TIME = 5 * SECOND  # after which a trial without any answer has failed
 SILENT_PARTS = 2  # ways into a cell, cells of a zone, zones of a region: one alone may be slow work
 OUTCOME_LIFE = 30 * SECOND  # older outcomes say nothing of now; a gateway calls most cells twice in 5 s
--- a/tests/test_cells_cellular.py
+++ b/tests/test_cells_cellular.py
@@ -10,6 +10,7 @@
 from gaproute import interface as face
 from gaproute.decisions.cells.cellular import CellularGateway
 from gaproute.decisions.cells.entries import MAX_HOPS, Forward, Forwarded
+from gaproute.decisions.cells.health import PURE_WAIT
 from gaproute.decisions.cells.place import Place
 from gaproute.decisions.cells.tasks import CELLS_TRIED
 from gaproute.decisions.route import Gateway
@@ -264,9 +265,10 @@
     drive = Drive(made, task("t", name, EFFECTFUL), now=2 * SECOND)
     assert drive.wishes[0].forwarded.cell != "cell7"
     # But where no pure call comes for long, any call is better than none: the cell would stay out for good.
-    drive = Drive(made, task("u", name, EFFECTFUL), now=20 * SECOND)
+    late = 2 * SECOND + PURE_WAIT
+    drive = Drive(made, task("u", name, EFFECTFUL), now=late)
     assert drive.wishes[0].forwarded.cell == "cell7"
-    drive = Drive(made, task("v", name, EFFECTFUL), now=20 * SECOND)
+    drive = Drive(made, task("v", name, EFFECTFUL), now=late)
     assert drive.wishes[0].forwarded.cell != "cell7"
 
 
