--- a/tests/test_cells_cellular.py
+++ b/tests/test_cells_cellular.py
@@ -1,5 +1,6 @@
 """The gateway of many cells: one cell is as no cells; what goes on to the next cell, and what never does."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -9,6 +10,7 @@
 from gaproute import interface as face
 from gaproute.decisions.cells.cellular import CellularGateway
 from gaproute.decisions.cells.entries import MAX_HOPS, Forward, Forwarded
+from gaproute.decisions.cells.health import PURE_WAIT
 from gaproute.decisions.cells.place import Place
 from gaproute.decisions.cells.tasks import CELLS_TRIED
 from gaproute.decisions.route import Gateway
@@ -183,6 +185,16 @@
     assert isinstance(next(serve), face.Decline)
 
 
+def test_an_entry_that_found_its_cell_ill_declines_at_once_but_for_the_trial():
+    made = fleet()
+    made.health.unreachable(0, "cell0")
+    assert isinstance(next(made.serve(0, task("t"), Forwarded("cell0", 1))), face.Decline)
+    effectful = made.serve(2 * SECOND, task("e", track=EFFECTFUL), Forwarded("cell0", 1))
+    assert isinstance(next(effectful), face.Decline)
+    assert next(made.serve(2 * SECOND, task("u"), Forwarded("cell0", 1))).worker.startswith("cell0-")
+    assert isinstance(next(made.serve(2 * SECOND, task("v"), Forwarded("cell0", 1))), face.Decline)
+
+
 def test_an_entry_that_knows_the_cell_no_more_forwards_once():
     made = fleet()
     wish = next(made.serve(0, task("t"), Forwarded("cell7", 1)))
@@ -253,9 +265,10 @@
     drive = Drive(made, task("t", name, EFFECTFUL), now=2 * SECOND)
     assert drive.wishes[0].forwarded.cell != "cell7"
     # But where no pure call comes for long, any call is better than none: the cell would stay out for good.
-    drive = Drive(made, task("u", name, EFFECTFUL), now=20 * SECOND)
+    late = 2 * SECOND + PURE_WAIT
+    drive = Drive(made, task("u", name, EFFECTFUL), now=late)
     assert drive.wishes[0].forwarded.cell == "cell7"
-    drive = Drive(made, task("v", name, EFFECTFUL), now=20 * SECOND)
+    drive = Drive(made, task("v", name, EFFECTFUL), now=late)
     assert drive.wishes[0].forwarded.cell != "cell7"
 
 
@@ -309,6 +322,26 @@
     assert wishes[0].forwarded.cell != "cell7"
 
 
+def test_an_entry_that_answers_for_another_cell_proves_with_two_calls_that_the_cell_is_silent():
+    """Else a gateway would go on by that one entry, as nothing speaks against it."""
+    rows = cells(26)
+    both = rows[7].entries
+    rows[20] = replace(rows[20], entries=both)  # cells 7 and 20 lie in one zone
+    made = fleet()
+    made.adopt(0, table(rows, number=2))
+    for turn, name in enumerate(functions(made, ("cell7",), 2)):
+        now = 10 * turn * SECOND
+        assert not made.health.barred("cell7")
+        drive = Drive(made, task(f"t{turn}", name, time_left=8 * SECOND), now)
+        entry = drive.sent[0]
+        for number, other in enumerate(functions(made, ("cell20",), 3)):
+            beside = Drive(made, task(f"u{turn}.{number}", other), now + SECOND)
+            if beside.sent[0] == entry:
+                beside.hears(now + 2 * SECOND, face.Result.OK)
+        drive.late(now + 4 * SECOND)
+    assert made.health.barred("cell7") and not made.entries.doubts
+
+
 def test_the_table_changes_under_tasks_in_hand():
     made = fleet()
     drive = Drive(made, task("t", function_of(made, "cell7")))
