--- a/benchmarks/scale/arithmetic.py
+++ b/benchmarks/scale/arithmetic.py
@@ -64,6 +64,11 @@
     round_to_all = predicted("gossip-round-seconds-by-gateways", size.GATEWAYS, folder)
     listed = predicted("host-list-change-cpu-by-hosts", HOSTS, folder)
     decided = predicted("decisions-changed-line-by-hosts", HOSTS, folder)
+    parts = [
+        predicted(name, size.GATEWAYS, folder)
+        for name in ("gossip-bytes-by-gateways", "membership-bytes-by-members", "dissemination-day-sent")
+    ]
+    sent = sum(part.value for part in parts) / KB
     days = MINUTE * size.GATEWAYS / size.DAY
     deliveries = size.CHANGES_A_SECOND * size.GATEWAYS
     return rows_of(
@@ -90,6 +95,12 @@
                 "6 x changes x assumed bytes",
                 f"{number(6 * size.CHANGES_A_SECOND * CHANGE_BYTES)} bytes a second a gateway",
             ),
+            Derived(
+                "sent for control by a gateway: gossip, membership and table together",
+                "sum of fits",
+                f"{number(sent)} of {number(size.CONTROL_BYTES)} KB a second",
+                "; ".join(part.source for part in parts),
+            ),
             Derived("a restart", "a day / restarts", f"one each {number(size.DAY / size.RESTARTS)} s"),
             Derived(
                 "a machine's death",
--- a/benchmarks/scale/costs/cells.py
+++ b/benchmarks/scale/costs/cells.py
@@ -18,6 +18,7 @@
 from gaproute.decisions.cells.table import Version
 
 HOSTS = 51  # in a cell
+TIMED = "processor time of the process, medians within a play; 16,000 gateways, 32 entries a cell"
 SECOND = 1_000_000_000
 CELLS = (100, 250, 500, 1_000, 2_450)
 GATEWAYS = (1_000, 4_000, 8_000, 16_000)
@@ -141,6 +142,7 @@
         "cells of 51 hosts",
         CELLS,
         first_call,
+        TIMED,
     ),
     "cells-changed-line": lambda: measure(
         "cells-changed-line",
@@ -149,6 +151,7 @@
         "cells of 51 hosts",
         CELLS,
         changed_line,
+        TIMED,
     ),
     "cells-memory": lambda: measure(
         "cells-memory",
@@ -157,7 +160,6 @@
         "gateways in the fleet",
         GATEWAYS,
         memory,
-        "490 cells of 51 hosts, 32 entries at most, 390,000 functions by Zipf's law",
-        plays=2,
+        "490 cells of 51 hosts, 32 entries at most, 390,000 functions by Zipf's law; growth of a process",
     ),
 }
--- a/benchmarks/scale/measurement.py
+++ b/benchmarks/scale/measurement.py
@@ -8,7 +8,7 @@
 MEASURED = Path(__file__).parents[2] / "docs" / "measured" / "scale"
 LEAST_SIZES = 4
 PLAYS = 3
-UNITS = ("ms", "ms/s", "s", "bytes", "bytes/s", "MB", "messages/s", "entries", "loads/s", "share")
+UNITS = ("us", "ms", "ms/s", "s", "bytes", "bytes/s", "MB", "messages/s", "entries", "loads/s", "share")
 
 
 class MeasurementError(ValueError):
--- a/benchmarks/scale/roles.py
+++ b/benchmarks/scale/roles.py
@@ -35,11 +35,13 @@
 DEMAND_LIFE = 120  # seconds that a told demand counts
 MEMBERS_CAP = 4_096  # gateways that membership holds
 LEASES = 100  # held by them at a time
+CELLS_OF_FLEET = 490  # at 256 hosts each
+MS_TO_US = 1_000
 
 CONNECTIONS = size.HOSTS_AT_20  # kept to hosts, were each host reached by each gateway itself
 PROBES_A_SECOND = HOSTS / 0.7  # of each host every 700 ms, as where reports come by probe only
 
-PATH, CONTROL, RAFT = "gateway, path of requests", "gateway, control part", "Raft group"
+PATH, CONTROL, CELLS, RAFT = "path", "control", "cells", "raft"
 WHOLE_LIST = "every gateway holds the whole list"
 
 ROWS = (
@@ -211,7 +213,7 @@
     ),
     Row(
         "operator-hosts-table",
-        "operator's address",
+        "operator",
         "the table of hosts",
         "hosts-table-bytes-by-hosts",
         HOSTS,
@@ -220,6 +222,94 @@
         "MB",
         "told whole",
     ),
+    Row(
+        "cells-first-call",
+        CELLS,
+        "first call of an unseen function",
+        "cells-first-call",
+        CELLS_OF_FLEET,
+        1,
+        MS_TO_US,
+        "us",
+        "multi-probe consistent hashing over cells",
+    ),
+    Row(
+        "cells-changed-line",
+        CELLS,
+        "one changed row of the table",
+        "cells-changed-line",
+        CELLS_OF_FLEET,
+        1,
+        MS_TO_US,
+        "us",
+        "the ring's points of one cell put in anew",
+    ),
+    Row(
+        "cells-changes",
+        CELLS,
+        "the day's changes, were each a row of the table",
+        "cells-changed-line",
+        CELLS_OF_FLEET,
+        size.CHANGES_A_SECOND / MS_TO_US,
+        size.CONTROL_MS,
+        "ms a second",
+        "the ring's points of one cell put in anew",
+    ),
+    Row(
+        "cells-memory",
+        CELLS,
+        "memory of the decisions with the cells known",
+        "cells-memory",
+        size.GATEWAYS,
+        1,
+        size.CONTROL_MEMORY,
+        "MB",
+        "512 hosts in view, entries of the other cells",
+    ),
+    Row(
+        "cells-bytes",
+        CELLS,
+        "bytes sent for the table at the day's changes",
+        "dissemination-day-sent",
+        size.GATEWAYS,
+        BYTES_TO_KB,
+        size.CONTROL_BYTES,
+        "KB a second",
+        "pushed on, and versions exchanged each second",
+    ),
+    Row(
+        "cells-told",
+        CELLS,
+        "a change at all gateways, 5% of messages lost",
+        "dissemination-loss5-all",
+        size.GATEWAYS,
+        1,
+        1_000 * size.CHANGE_WITHIN,
+        "ms",
+        "pushed on, and versions exchanged each second",
+    ),
+    Row(
+        "cells-start",
+        CELLS,
+        "the whole table at a start, within a minute",
+        "dissemination-newcomer-received",
+        size.GATEWAYS,
+        BYTES_TO_KB / 60,
+        size.CONTROL_BYTES,
+        "KB a second",
+        "parts of 8 KB from one source",
+    ),
+    Row(
+        "cells-healing",
+        CELLS,
+        "greatest second of a gateway after an hour cut off",
+        "dissemination-heal-greatest-second",
+        size.GATEWAYS,
+        BYTES_TO_KB,
+        size.CONTROL_BYTES,
+        "KB a second",
+        "a burst of two whole tables",
+    ),
     Row(
         "raft-leader-cpu",
         RAFT,
