--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -100,7 +100,7 @@
     kind, page = next((kind, page) for kind, page in altered(copy.read_text()) if kind == "budget")
     copy.write_text(page)
     status, told = command("check", "--page", str(copy))
-    assert status == 1 and "table budget: the page shows" in told
+    assert status == 1 and "table budget cells: the page shows" in told
     assert command("page", "--page", str(copy))[0] == 0
     assert copy.read_text() == PAGE.read_text()
 
--- a/tests/test_scale_measurements.py
+++ b/tests/test_scale_measurements.py
@@ -80,7 +80,7 @@
 
 def test_an_unknown_unit_is_refused(tmp_path):
     odd = measure("odd", "", "furlongs", "things", SIZES, lambda size, seed: size)
-    with pytest.raises(MeasurementError, match="'furlongs' is none of ms, "):
+    with pytest.raises(MeasurementError, match="'furlongs' is none of us, ms, "):
         odd.save(tmp_path)
     assert not list(tmp_path.iterdir())
 
