Hollow gateways: the control parts alone, many in one process on a simulated clock

Need: what control costs at 16,000 gateways has to be known from the product's code, without 16,000 machines.

--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -32,7 +32,8 @@
 
 def fits():
     """Prints each kept measurement's fit."""
-    for path in sorted(MEASURED.glob("*.json")):
+    kept_paths = [path for path in MEASURED.glob("*.json") if not path.name.startswith("ladder-")]
+    for path in sorted(kept_paths):
         kept = Measurement.load(path.stem)
         found = fit(kept)
         print(f"{kept.name}: {found.formula} {kept.unit}, {found.form}, residual {found.residual:.1%}")
--- /dev/null
+++ b/benchmarks/scale/children.py
@@ -0,0 +1,10 @@
+"""How a module of the program becomes a child that never outlives this process."""
+
+import os
+import sys
+
+
+def command(words):
+    """The command for `words`, a module and its arguments: the kernel ends it when this process ends."""
+    bind = ("-m", "gaproute.rig.child", "--parent-death", "--parent", str(os.getpid()), "--")
+    return [sys.executable, *bind, *map(str, words)]
--- /dev/null
+++ b/gaproute/hollow/hosts.py
@@ -0,0 +1,51 @@
+"""The host list as a part: the watched file, its rows, and the decisions' state that is fed with them."""
+
+from gaproute.decisions.route.tidy import TIDY
+from gaproute.discovery.listing import FileWatch, Listing
+from gaproute.hollow.parts import Part
+
+
+class Hosts(Part):
+    """The decisions' own `gateway` (`gaproute.decisions.route`), fed the list and driven by no task."""
+
+    def __init__(self, surroundings, parts):
+        self.loop, self.charter = surroundings.loop, surroundings.charter
+        self.listing = Listing(self.loop, surroundings.wall, self.charter.sizes_told)
+        self.gateway = self.charter.decisions(surroundings.seed, self.charter.terms, self.loop.now())
+        self.due = self.loop.now() + TIDY
+        self.rows, self.watch, self.followers = {}, None, []
+        self.lists = self.refused = 0
+
+    def start(self):
+        """Reads the list and watches it."""
+        source = self.charter.hosts_file
+        self.watch = FileWatch(self.loop, source.path, source.look, self._told, self._refused)
+
+    def tick(self, now):
+        """Forgets hosts that left the list, as the decisions' own housekeeping does."""
+        self.due = now + TIDY
+        self.gateway.forget()
+
+    def _told(self, lines):
+        rows = self.listing.rows(lines)
+        self.rows = {row.listed.worker: row.listed for row in rows}
+        self.gateway.listed(self.loop.now(), [row.listed for row in rows], True)
+        self.lists += 1
+        for follower in self.followers:
+            follower({name: listed.started for name, listed in self.rows.items()})
+
+    def _refused(self, mistakes):
+        self.refused += len(mistakes)
+
+    def counters(self):
+        """`entries`: hosts of the list, and workers that the decisions still hold."""
+        return {
+            "entries": len(self.rows) + len(self.gateway.workers),
+            "lists": self.lists,
+            "refused": self.refused,
+        }
+
+    def close(self):
+        """Watches no more."""
+        if self.watch is not None:
+            self.watch.close()
--- /dev/null
+++ b/gaproute/hollow/membership.py
@@ -0,0 +1,56 @@
+"""Membership as a part: the product's gossip on the datagrams that the surroundings open."""
+
+from gaproute.hollow.parts import DATAGRAM_HEADERS, Part
+from gaproute.peers import Gossip
+
+
+class Membership(Part):
+    """Which gateways are up. The `gossip` also carries other parts' datagrams; they are not counted here."""
+
+    def __init__(self, surroundings, parts):
+        self.carried = self.carried_bytes = 0
+        self.gossip = Gossip(
+            surroundings.loop,
+            surroundings.name,
+            surroundings.address,
+            surroundings.chance(2),
+            surroundings.record,
+            surroundings.open_datagrams,
+            surroundings.wall,
+        )
+
+    @property
+    def members(self):
+        """The membership's decisions."""
+        return self.gossip.members
+
+    def post(self, where, kind, data):
+        """Sends another part's datagram and returns its bytes with headers."""
+        before = self.gossip.bytes
+        self.gossip.post(where, kind, data)
+        spent = self.gossip.bytes - before
+        self.carried += 1
+        self.carried_bytes += spent
+        return spent + DATAGRAM_HEADERS
+
+    def listed(self, gateways):
+        """Configured members are never forgotten."""
+        self.gossip.listed(gateways)
+
+    def counters(self):
+        """`entries`: members held; `refused`: claims of strangers beyond the bound, and senseless ones."""
+        gossip, members = self.gossip, self.gossip.members
+        messages = gossip.sent - self.carried
+        return {
+            "messages": messages,
+            "bytes": gossip.bytes - self.carried_bytes + messages * DATAGRAM_HEADERS,
+            "entries": len(members.members),
+            "news": len(members.table.fresh),
+            "refused": members.refused,
+            "flood": gossip.flood,
+            "suspicions": members.suspicions,
+        }
+
+    def close(self):
+        """Closes the socket."""
+        self.gossip.close()
--- a/gaproute/peers/gossip.py
+++ b/gaproute/peers/gossip.py
@@ -50,10 +50,13 @@
 
 
 class Gossip:
-    def __init__(self, loop, name, where, chance, record):
+    """`datagrams(loop, where, heard)` makes the socket, `wall` tells ns since 1970: a simulation hands in its
+    own."""
+
+    def __init__(self, loop, name, where, chance, record, datagrams=Datagrams, wall=time.time_ns):
         self.loop, self.record = loop, record
-        self.members = Members(name, where, chance, loop.now(), time.time_ns() // 1_000_000)
-        self.datagrams = Datagrams(loop, at(where), self._heard)
+        self.members = Members(name, where, chance, loop.now(), wall() // 1_000_000)
+        self.datagrams = datagrams(loop, at(where), self._heard)
         self.sent = self.bytes = self.strange = self.flood = 0
         self.read, self.second = 0, 0  # datagrams read in this second
         self.carried = {}  # number of a kind: who takes it
--- a/gaproute/peers/keepers/seat.py
+++ b/gaproute/peers/keepers/seat.py
@@ -16,11 +16,13 @@
 class Seat:
     """`keepers`: names; `peers`: {name: address} of all gateways that may ask; `record.event(level, what,
     ...)`. With a `disk` (an opened `ledger.votes.Votes`) and its own name among the keepers it keeps as
-    well."""
+    well. `carrier`: makes what carries the messages; a simulation hands in its own."""
 
-    def __init__(self, loop, name, keepers, peers, record, chance, disk=None, base=0, machine=None):
+    def __init__(
+        self, loop, name, keepers, peers, record, chance, disk=None, base=0, machine=None, carrier=Carrier
+    ):
         self.loop, self.name, self.record = loop, name, record
-        self.carrier = Carrier(loop, name, peers, self.take)
+        self.carrier = carrier(loop, name, peers, self.take)
         self.holder = Holder(name, keepers, chance, loop.now())
         self.keeper = None
         if disk is not None and name in keepers:
