--- a/benchmarks/scale/rung.py
+++ b/benchmarks/scale/rung.py
@@ -4,7 +4,8 @@
 Memory: the process's resident memory less what it had before the fleet was made, divided by the gateways.
 It holds each gateway's decisions, tables, sockets' stand-ins and what is under way on the network; it lacks
 what a process has once (interpreter, modules), and names and addresses of the configuration are shared by all
-gateways. CPU: of the process in the calm span, the simulation's own cost in it.
+gateways. CPU: of the process in the calm span, the simulation's own cost in it. The calm span begins when
+each gateway has had the time to tell each other one its demand.
 """
 
 import argparse
@@ -19,8 +20,10 @@
 from gaproute.shared.membership import ALIVE, DEAD
 
 SECOND = 1_000_000_000
-SETTLE, CALM = 15, 10  # simulated seconds before the counting, and of it
-LONG = 120  # simulated seconds until which something is waited for
+SETTLE = 16  # simulated seconds before the counting, and
+ROUND = 1 / 20  # so much more for each gateway: until each has told each its demand
+CALM = 15  # simulated seconds of the counting: one renewal of each lease
+LONG = 60  # simulated seconds until which something is waited for
 SLICE = 1  # simulated seconds between two looks at the limits
 SEEDS = 5  # that a newcomer knows
 
@@ -39,7 +42,7 @@
         makers = {name: PARTS[name] for name in self.parts}
         self.fleet = Fleet(self.size, self.seed, makers, self.hosts)
         try:
-            self.run(SETTLE)
+            self.run(SETTLE + ROUND * self.size)
             self.calm()
             for part, measures in (
                 ("hosts", (self.change,)),
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,112 @@
+"""Hollow gateways on the simulated clock: deaths, newcomers, partitions, strangers, further parts."""
+
+import pytest
+
+from benchmarks.scale import faults
+from gaproute.hollow import PARTS, Part
+from gaproute.hollow.simulation import Fleet
+from gaproute.shared.membership import ALIVE, DEAD, table
+from gaproute.shared.membership.invariants import check
+
+MEMBERSHIP = {"membership": PARTS["membership"]}
+SECOND = 1_000_000_000
+
+
+def members(fleet):
+    return {name: gateway.parts["membership"].members for name, gateway in fleet.gateways.items()}
+
+
+def test_a_death_among_hundreds_is_known_to_all_within_bounds():
+    fleet = Fleet(200, 1, MEMBERSHIP)
+    fleet.run(3)
+    fleet.kill("gateway-77")
+    tables = [held.members["gateway-77"] for held in members(fleet).values()]
+    known = fleet.until(lambda: all(member.state >= DEAD for member in tables), 60)
+    assert known is not None and known < 40
+    assert sum(held.suspicions for held in members(fleet).values()) < 20
+    assert not [breach for held in members(fleet).values() for breach in check(held, True)]
+    fleet.close()
+
+
+def test_a_newcomer_is_known_to_all_and_knows_all():
+    fleet = Fleet(120, 2, MEMBERSHIP)
+    fleet.run(3)
+    comer = fleet.newcomer(2).parts["membership"].members
+    assert fleet.until(lambda: len(comer.table.alive) == 120, 20) is not None
+    assert fleet.until(
+        lambda: all(comer.name in held.members or held is comer for held in members(fleet).values()), 20
+    )
+    fleet.close()
+
+
+def test_strangers_beyond_the_bound_are_refused_and_counted(monkeypatch):
+    monkeypatch.setattr(table, "MEMBERS", 30)
+    fleet = Fleet(60, 3, MEMBERSHIP, seeds=4)
+    fleet.run(30)
+    tables = members(fleet)
+    assert max(len(held.members) for held in tables.values()) == 30
+    assert sum(held.refused for held in tables.values()) > 30 * 60
+    seeds = [tables[row.name] for row in fleet.rows[:4]]
+    alone = [name for name, held in tables.items() if held.up() == 1]
+    assert len(alone) == 1  # whom no seed has room for gets no answer, and holds all that it knows dead
+    assert not any(name in seed.members for name in alone for seed in seeds)
+    fleet.close()
+
+
+def test_parted_regions_hold_each_other_dead_and_heal():
+    fleet = Fleet(50, 4, MEMBERSHIP)
+    fleet.run(3)
+    region = fleet.network.region
+    fleet.network.blocked = lambda sender, receiver: region(sender) != region(receiver)
+    fleet.run(90)
+    for name, held in members(fleet).items():
+        dead = {other for other, member in held.members.items() if member.state >= DEAD}
+        assert dead == {other for other in held.members if region(other) != region(name)}
+    fleet.network.blocked = None
+    healed = fleet.until(
+        lambda: all(
+            member.state == ALIVE for held in members(fleet).values() for member in held.members.values()
+        ),
+        60,
+    )
+    assert healed is not None
+    fleet.close()
+
+
+class Ticker(Part):
+    """A further part, that counts what it is given."""
+
+    def __init__(self, surroundings, parts):
+        self.ticks, self.others, self.due, self.closed = 0, 0, surroundings.loop.now(), False
+
+    def tick(self, now):
+        self.ticks += 1
+        self.due = now + SECOND
+
+    def listed(self, gateways):
+        self.others = len(gateways)
+
+    def counters(self):
+        return {"messages": self.ticks}
+
+    def close(self):
+        self.closed = True
+
+
+def test_a_further_part_is_plugged_in_beside_the_others():
+    fleet = Fleet(5, 1, MEMBERSHIP | {"ticker": Ticker})
+    fleet.run(10)
+    assert 5 * 9 <= fleet.totals()["ticker.messages"] <= 5 * 10
+    part = fleet.gateways["gateway-3"].parts["ticker"]
+    assert part.others == 4
+    fleet.kill("gateway-3")
+    assert part.closed and part.ticks and "ticker.messages" in fleet.gone
+    fleet.close()
+
+
+@pytest.mark.parametrize("name", ("late_source", "differing_lists"))
+def test_a_scenario_of_the_lists_ends_with_all_alike(name):
+    figures = faults.SCENARIOS[name](8, 1)
+    assert figures["breaches"] == [] and figures["held_dead"] == 0
+    assert figures["leases_ended"] == 0
+    assert figures.get("alike_s", 0) is not None and figures.get("all_know_s", 0) is not None
--- /dev/null
+++ b/tests/test_hollow_ladder.py
@@ -0,0 +1,93 @@
+"""The ladder of rungs: its predictions, its limits, what it leaves when it is killed."""
+
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from benchmarks.scale import ladder
+from benchmarks.scale.limits import Limits, Stopped
+from benchmarks.scale.prediction import errors, predict
+
+ROOT = Path(__file__).parents[1]
+
+
+def test_a_prediction_is_made_from_three_smaller_rungs_and_its_error_is_told():
+    rungs = [(size, {"entries": 2.0 * size, "bytes": 300.0}) for size in (10, 20, 40)]
+    assert predict(rungs[:2], 40) == {}
+    predicted = predict(rungs, 80)
+    assert predicted["entries"]["value"] == pytest.approx(160)
+    assert predicted["bytes"]["value"] == pytest.approx(300)
+    assert errors(predicted, {"entries": 200, "bytes": 300, "more": 1}) == {"entries": -20.0, "bytes": 0.0}
+
+
+def test_a_figure_that_was_never_reached_is_not_fitted():
+    rungs = [(size, {"known_s": None if size == 40 else 5.0}) for size in (10, 20, 40, 80)]
+    assert predict(rungs, 160)["known_s"]["value"] == pytest.approx(5)
+    assert errors(predict(rungs, 160), {"known_s": None}) == {}
+
+
+@pytest.mark.parametrize(
+    "limits, memory, processes, why",
+    (
+        (Limits(100, 60), 101, 1, "memory: 101 MB in use"),
+        (Limits(100, 60, 300), 5, 301, "processes: 301"),
+        (Limits(100, -1), 5, 1, "time: "),
+    ),
+)
+def test_a_limit_that_is_reached_is_named(limits, memory, processes, why):
+    with pytest.raises(Stopped, match=why):
+        limits.check(memory, processes)
+
+
+def test_a_rung_that_reaches_its_limit_stops_the_ladder(capsys):
+    told = type("Told", (), {"rungs": "12,24", "seed": 1, "parts": "membership", "hosts": 5})
+    kept = []
+    ladder.climb(told, Limits(1, 60), lambda rungs, stopped: kept.append((len(rungs), stopped)))
+    assert len(kept) == 1 and kept[0][0] == 1
+    assert kept[0][1].startswith("at 12 gateways: memory: ")
+    assert "12 gateways, stopped: memory" in capsys.readouterr().out
+
+
+def children(pid):
+    return [int(child) for child in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
+
+
+def gone(pid):
+    try:
+        return Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] == "Z"
+    except OSError:
+        return True
+
+
+def wait_for(holds, seconds=15):
+    end = time.monotonic() + seconds
+    while not holds() and time.monotonic() < end:
+        time.sleep(0.05)
+    return holds()
+
+
+KEPT_ELSEWHERE = """\
+import pathlib, sys
+from benchmarks.scale import ladder
+ladder.MEASURED = pathlib.Path(sys.argv.pop(1))
+ladder.main()
+"""
+
+
+def test_a_killed_ladder_leaves_no_process(tmp_path):
+    words = [sys.executable, "-c", KEPT_ELSEWHERE, tmp_path, "--rungs", "400", "--seconds", "60"]
+    started = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.DEVNULL)
+    try:
+        assert wait_for(lambda: children(started.pid))
+        (rung,) = children(started.pid)
+        time.sleep(1)  # until it has asked the kernel to end with its parent
+        assert not gone(rung)
+    finally:
+        started.send_signal(signal.SIGKILL)
+        started.wait()
+    assert wait_for(lambda: gone(rung))
+    assert list(tmp_path.iterdir()) == []
