Hollow gateways on loopback beside real ones; a ladder in real time that says when it is void

Need: the simulated clock says nothing of sockets, and hollow gateways have to be seen beside the program itself.

`python -m gaproute.hollow` runs tens of gateways in a process with the product's datagrams, its keepers' carrier and its giver; benchmarks/scale/loopback climbs rungs of them beside 10 processes of `gaproute serve`, three of them keepers.

--- a/benchmarks/scale/rung.py
+++ b/benchmarks/scale/rung.py
@@ -51,6 +51,7 @@
                 if part in self.parts:
                     for measure in measures:
                         measure()
+            self.end()
         finally:
             self.figures["run_cpu_s"] = round(time.process_time() - began, 1)
             self.figures["simulated_s"] = round(self.fleet.loop.time / SECOND, 2)
@@ -95,11 +96,22 @@
         figures["busiest_bytes_per_s"] = max(sent) / CALM
         figures["cpu_percent"] = 100 * spent / CALM / self.size
         gc.collect()
-        figures["memory_mb"] = (resident() - self.empty) / MEGABYTE / self.size
+        figures["memory_mb"] = self.memory()
         for name in ("membership.refused", "leases.held", "leases.refused", "demand.tellers"):
             if name in totals:
                 figures[name.replace(".", "_")] = totals[name] / self.size
 
+    def end(self):
+        """State when all is over: pages of warm copies gather for longer than the calm span."""
+        gc.collect()
+        self.figures["memory_end_mb"] = self.memory()
+        if "demand" in self.parts:
+            self.figures["demand_entries_end"] = self.fleet.totals()["demand.entries"] / self.size
+
+    def memory(self):
+        """MB a gateway."""
+        return (resident() - self.empty) / MEGABYTE / self.size
+
     def each(self):
         """{gateway: {"part.counter": value}}"""
         return {
--- /dev/null
+++ b/gaproute/hollow/exchange.py
@@ -0,0 +1,31 @@
+"""The address at which other gateways ask, as a part: the product's giver, and keepers' messages."""
+
+from gaproute.appliance.others import ASKED
+from gaproute.decisions.told.roll import Roll
+from gaproute.hollow.parts import Part
+from gaproute.loop.streams import address
+from gaproute.peers import Giver
+from gaproute.peers.keepers.carrier import TARGET
+
+
+class Exchange(Part):
+    """Needs the parts `hosts` and `leases`, and a loop with real sockets."""
+
+    def __init__(self, surroundings, parts):
+        tracks = [line.name for line in surroundings.charter.tracks]
+        where = address(surroundings.address)
+        self.giver = Giver(surroundings.loop, where, parts["hosts"].gateway, Roll(), tracks, ASKED)
+        self.carrier = parts["leases"].seat.carrier
+        self.giver.also[TARGET] = self.handle
+
+    def handle(self, server, request):
+        """A batch of a keeper's messages came."""
+        self.carrier.handle(server, request)
+
+    def counters(self):
+        """What was told to others that ask, and how often they were put off."""
+        return {"told": self.giver.told, "put_off": self.giver.put_off}
+
+    def close(self):
+        """Listens no more."""
+        self.giver.close()
