--- a/benchmarks/scale/rung.py
+++ b/benchmarks/scale/rung.py
@@ -42,7 +42,7 @@
         makers = {name: PARTS[name] for name in self.parts}
         self.fleet = Fleet(self.size, self.seed, makers, self.hosts)
         try:
-            self.run(SETTLE + ROUND * self.size)
+            self.run(SETTLE + (ROUND * self.size if "demand" in self.parts else 0))
             self.calm()
             for part, measures in (
                 ("hosts", (self.change,)),
