--- a/benchmarks/scale/__main__.py
+++ b/benchmarks/scale/__main__.py
@@ -52,8 +52,7 @@
 
 def fits():
     """Prints each kept measurement's fit."""
-    kept_paths = [path for path in MEASURED.glob("*.json") if not path.name.startswith("ladder-")]
-    for path in sorted(kept_paths):
+    for path in sorted(MEASURED.glob("*.json")):
         kept = Measurement.load(path.stem)
         found = fit(kept)
         print(f"{kept.name}: {found.formula} {kept.unit}, {found.form}, residual {found.residual:.1%}")
--- a/benchmarks/scale/faults.py
+++ b/benchmarks/scale/faults.py
@@ -1,14 +1,14 @@
 """Faults at scale on the simulated clock: `python -m benchmarks.scale.faults [NAME ...] [--size N]`.
 
 Each scenario is a function of (size, seed) that gives figures by name. What has ended is kept in
-docs/measured/scale/ladder-faults.json by scenario and size; what was played before stays.
+docs/measured/scale/ladders/ladder-faults.json by scenario and size; what was played before stays.
 """
 
 import argparse
 import json
 import time
 
-from benchmarks.scale.measurement import MEASURED
+from benchmarks.scale.measurement import LADDERS
 from benchmarks.scale.watched import CHEAP, Watched
 from gaproute.hollow import PARTS
 from gaproute.hollow.simulation import Fleet, GatewayLoop, GatewayRow
@@ -19,7 +19,7 @@
 from gaproute.shared.membership.invariants import check
 from gaproute.shared.membership.table import MEMBERS
 
-FILE = MEASURED / "ladder-faults.json"
+FILE = LADDERS / "ladder-faults.json"
 SECOND = 1_000_000_000
 PING_EVERY = SECOND // 500  # between two strangers' pings: a quarter of what counts as a flood
 ZONES = 13
@@ -220,7 +220,7 @@
         figures["run_cpu_s"] = round(time.process_time() - began, 1)
         kept = json.loads(FILE.read_text()) if FILE.exists() else {}
         kept.setdefault(name, {})[f"{told.size} gateways, seed {told.seed}"] = figures
-        MEASURED.mkdir(parents=True, exist_ok=True)
+        LADDERS.mkdir(parents=True, exist_ok=True)
         FILE.write_text(json.dumps(kept, indent=1) + "\n")
         print(name, told.size, json.dumps(figures), flush=True)
 
--- a/benchmarks/scale/ladder.py
+++ b/benchmarks/scale/ladder.py
@@ -5,7 +5,7 @@
 
 Each rung runs in a process of its own, which ends with this one whatever ends it, and leaves nothing
 behind. The ladder stops by itself at half of the machine's memory, or when its time is over, and says where
-and why. What has ended is kept in docs/measured/scale/ladder-NAME.json after each rung.
+and why. What has ended is kept in docs/measured/scale/ladders/ladder-NAME.json after each rung.
 """
 
 import argparse
@@ -18,7 +18,7 @@
 
 from benchmarks.scale.children import command
 from benchmarks.scale.limits import MEGABYTE, Limits, machine_memory
-from benchmarks.scale.measurement import MEASURED
+from benchmarks.scale.measurement import LADDERS
 from benchmarks.scale.prediction import errors, predict
 from gaproute.hollow import PARTS
 
@@ -115,8 +115,8 @@
             "rungs": rungs,
             "stopped": stopped,
         }
-        MEASURED.mkdir(parents=True, exist_ok=True)
-        (MEASURED / f"ladder-{told.name}.json").write_text(json.dumps(content, indent=1) + "\n")
+        LADDERS.mkdir(parents=True, exist_ok=True)
+        (LADDERS / f"ladder-{told.name}.json").write_text(json.dumps(content, indent=1) + "\n")
 
     climb(told, limits, keep)
 
--- a/benchmarks/scale/loopback.py
+++ b/benchmarks/scale/loopback.py
@@ -6,7 +6,7 @@
 process, which all know one another by one peers file. A rung is void where the parent or a process of hollow
 gateways ran late, or where the middle gateway waited for a core (bounds below): it measured the machine then.
 The ladder stops at the limits of `limits.py` and at a void rung, as a larger one cannot keep time either.
-What has ended is kept in docs/measured/scale/ladder-loopback.json.
+What has ended is kept in docs/measured/scale/ladders/ladder-loopback.json.
 """
 
 import argparse
@@ -19,7 +19,7 @@
 from benchmarks.scale.crew import Crew
 from benchmarks.scale.ladder import show
 from benchmarks.scale.limits import MEGABYTE, Limits, Stopped, machine_memory
-from benchmarks.scale.measurement import MEASURED
+from benchmarks.scale.measurement import LADDERS
 from benchmarks.scale.prediction import errors, predict
 from gaproute.rig.lateness import WAITED
 
@@ -191,8 +191,8 @@
             "rungs": rungs,
             "stopped": stopped,
         }
-        MEASURED.mkdir(parents=True, exist_ok=True)
-        (MEASURED / f"ladder-{told.name}.json").write_text(json.dumps(content, indent=1) + "\n")
+        LADDERS.mkdir(parents=True, exist_ok=True)
+        (LADDERS / f"ladder-{told.name}.json").write_text(json.dumps(content, indent=1) + "\n")
 
     climb(told, limits, keep)
     sys.stdout.flush()
--- a/tests/test_hollow_ladder.py
+++ b/tests/test_hollow_ladder.py
@@ -73,7 +73,7 @@
 KEPT_ELSEWHERE = """\
 import pathlib, sys
 from benchmarks.scale import ladder
-ladder.MEASURED = pathlib.Path(sys.argv.pop(1))
+ladder.LADDERS = pathlib.Path(sys.argv.pop(1))
 ladder.main()
 """
 
