--- a/benchmarks/campaigns.py
+++ b/benchmarks/campaigns.py
@@ -4,8 +4,8 @@
     python benchmarks/campaigns.py [--seeds 12] [--hunt 0] [--only faults,beside,plans,ends]
                                    [--processes 4] [--out docs/measured]
 
-`faults`: each case of gaproute/driver/campaigns_cases.py with each seed; `used` is what rollouts had of the
-lanes that production and the floors left at hosts that were up, from 5 s on; `last sent`: the latest that a
+`faults`: each case of gaproute/simulation/campaigns_cases.py with each seed; `used` is what rollouts had of
+the lanes that production and the floors left at hosts that were up, from 5 s on; `last sent`: the latest that a
 rollout went to a host after production had taken all its lent room there. `beside`: the same production with
 and without campaigns, by lanes of each host that are never lent. `plans`: greedy and HiGHS on a forecast that
 is off, each by what it brings under the truth, beside HiGHS given the truth. `ends`: the end told after the
@@ -25,11 +25,11 @@
 
 from rows import table, write
 
-from gaproute.driver.campaigns import play
-from gaproute.driver.campaigns_cases import CASES
 from gaproute.rollouts.campaign import Host
 from gaproute.rollouts.forecast import COURSE, SLOT, End, Forecast
 from gaproute.rollouts.plan import Problem, Want, greedy, worth, wrong
+from gaproute.simulation.campaigns import play
+from gaproute.simulation.campaigns_cases import CASES
 
 SECOND = 1_000_000_000
 FLOORS = (1, 2, 3)
--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -14,9 +14,9 @@
 from collections import Counter
 from multiprocessing import Pool
 
-from gaproute.driver.rounds import KINDS, SECOND, play
-from gaproute.driver.rounds_baselines import Groups, One, best, of
 from gaproute.maintenance import floor
+from gaproute.simulation.rounds import KINDS, SECOND, play
+from gaproute.simulation.rounds_baselines import Groups, One, best, of
 
 MADE = {"in steps": None, "one at a time": One, "fixed groups": Groups}
 LOAD = 3 * SECOND  # of a copy in the mean
--- a/benchmarks/scale/costs/consensus.py
+++ b/benchmarks/scale/costs/consensus.py
@@ -5,13 +5,13 @@
 
 from benchmarks.scale.deferred import deferred
 from benchmarks.scale.meters import CPU_TIME, MILLISECONDS
-from gaproute.driver.plan import Plan
-from gaproute.driver.world import World
 from gaproute.http1 import render
 from gaproute.peers.keepers import wire
 from gaproute.peers.keepers.carrier import TARGET
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.permits import Holder, Permits
+from gaproute.simulation.plan import Plan
+from gaproute.simulation.world import World
 
 SECOND = 1_000_000_000
 HOLDERS = (4, 16, 64, 256)
@@ -22,7 +22,7 @@
 FOUNDED = 5  # s until the group has a leader
 PLAYED = 20  # s that are measured: each lease is renewed twice
 SIMULATED = (
-    f"a group of {len(GROUP)} simulated by gaproute/driver without faults; "
+    f"a group of {len(GROUP)} simulated by gaproute/simulation without faults; "
     "leases of 20 s, renewed each 10 s, at spread times; disks in memory"
 )
 POSTED = "each message counted as a POST and its answer of their own, HTTP heads in, TCP's not"
--- a/gaproute/hollow/simulation/fleet.py
+++ b/gaproute/hollow/simulation/fleet.py
@@ -6,12 +6,12 @@
 
 from gaproute.conf import read_charter
 from gaproute.decisions.chance import Chance
-from gaproute.driver.disk import Disk
 from gaproute.hollow.gateway import PARTS, HollowGateway
 from gaproute.hollow.parts import Surroundings
 from gaproute.hollow.simulation.lists import HostLists, MemoryFile
 from gaproute.hollow.simulation.loop import GatewayLoop, SimulatedLoop
 from gaproute.hollow.simulation.network import Network, SimulatedCarrier, SimulatedDatagrams
+from gaproute.simulation.disk import Disk
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 BORN = 1_790_000_000 * SECOND  # of the simulated clock, in ns since 1970
--- a/gaproute/driver/__init__.py
+++ b/gaproute/simulation/__init__.py
@@ -5,15 +5,15 @@
 the same run, with the same digest of events.
 """
 
-from gaproute.driver.chance import Chance
-from gaproute.driver.checks import Breach, Checks
-from gaproute.driver.clock import Clock
-from gaproute.driver.disk import Crash, Disk
-from gaproute.driver.load import Load
-from gaproute.driver.net import Net
-from gaproute.driver.plan import Fault, Plan, draw
-from gaproute.driver.shrink import shrink
-from gaproute.driver.world import World
+from gaproute.simulation.chance import Chance
+from gaproute.simulation.checks import Breach, Checks
+from gaproute.simulation.clock import Clock
+from gaproute.simulation.disk import Crash, Disk
+from gaproute.simulation.load import Load
+from gaproute.simulation.net import Net
+from gaproute.simulation.plan import Fault, Plan, draw
+from gaproute.simulation.shrink import shrink
+from gaproute.simulation.world import World
 
 __all__ = [
     "Breach",
--- a/gaproute/driver/campaigns.py
+++ b/gaproute/simulation/campaigns.py
@@ -5,16 +5,16 @@
 fails; `figures()` says what was used, how production fared and what was delivered.
 """
 
-from gaproute.driver.campaigns_checks import checks
-from gaproute.driver.campaigns_gateway import Gateway
-from gaproute.driver.campaigns_host import Truth
-from gaproute.driver.chance import Chance
-from gaproute.driver.checks import Breach
-from gaproute.driver.plan import Plan
-from gaproute.driver.world import World
 from gaproute.rollouts.campaign import SECOND, WAY, Campaign, Host, check, floors, lendable
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.permits import Permits
+from gaproute.simulation.campaigns_checks import checks
+from gaproute.simulation.campaigns_gateway import Gateway
+from gaproute.simulation.campaigns_host import Truth
+from gaproute.simulation.chance import Chance
+from gaproute.simulation.checks import Breach
+from gaproute.simulation.plan import Plan
+from gaproute.simulation.world import World
 
 MILLI = 1_000_000
 
--- a/gaproute/driver/campaigns_cases.py
+++ b/gaproute/simulation/campaigns_cases.py
@@ -2,9 +2,9 @@
 
 from typing import NamedTuple
 
-from gaproute.driver.campaigns_gateway import Gateway
-from gaproute.driver.plan import Fault
-from gaproute.driver.world import START
+from gaproute.simulation.campaigns_gateway import Gateway
+from gaproute.simulation.plan import Fault
+from gaproute.simulation.world import START
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
--- a/gaproute/driver/campaigns_checks.py
+++ b/gaproute/simulation/campaigns_checks.py
@@ -1,12 +1,12 @@
 """What must hold of campaigns, by the truth at hosts and by each gateway's own state, at every step of a
 run."""
 
-from gaproute.driver.checks import Checks
-from gaproute.driver.keepchecks import Told
 from gaproute.rollouts.campaign import SECOND
 from gaproute.rollouts.invariants import check_floor, check_groups, check_loads, check_spend
 from gaproute.rollouts.spend import pool
 from gaproute.shared.permits.invariants import check_holder
+from gaproute.simulation.checks import Checks
+from gaproute.simulation.keepchecks import Told
 
 STOP = SECOND // 5  # from when production wants a host's room until no gateway sends rollouts there
 DEEP = 12  # steps between the dear checks: a permit lasts seconds
--- a/gaproute/driver/campaigns_gateway.py
+++ b/gaproute/simulation/campaigns_gateway.py
@@ -1,9 +1,8 @@
-"""A gateway of the campaigns' driver: its holder, its spending, its versions and groups, and production's
+"""A gateway of the simulated campaigns: its holder, its spending, its versions and groups, and production's
 tasks."""
 
 from collections import deque
 
-from gaproute.driver.campaigns_planner import Planner
 from gaproute.rollouts.exchange import exchange
 from gaproute.rollouts.groups import Groups
 from gaproute.rollouts.invariants import check_sent
@@ -13,6 +12,7 @@
 from gaproute.rollouts.weights import Weights
 from gaproute.shared.permits import Holder
 from gaproute.shared.weak import Weak, Word
+from gaproute.simulation.campaigns_planner import Planner
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
--- a/gaproute/driver/campaigns_host.py
+++ b/gaproute/simulation/campaigns_host.py
@@ -1,4 +1,4 @@
-"""A host of the campaigns' driver: lanes, copies, production that waits. It is the truth that is judged."""
+"""A host of the simulated campaigns: lanes, copies, production that waits. It is the truth that is judged."""
 
 import heapq
 
--- a/gaproute/driver/campaigns_planner.py
+++ b/gaproute/simulation/campaigns_planner.py
@@ -1,4 +1,4 @@
-"""The part of a gateway of the driver that plans, while it holds the planner's permit."""
+"""The part of a simulated gateway that plans, while it holds the planner's permit."""
 
 from gaproute.rollouts.deal import deal, paces
 from gaproute.rollouts.forecast import Forecast
--- a/gaproute/driver/faults.py
+++ b/gaproute/simulation/faults.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
-from gaproute.driver.disk import FAILING, FULL, READONLY
-from gaproute.driver.plan import LEADER
+from gaproute.simulation.disk import FAILING, FULL, READONLY
+from gaproute.simulation.plan import LEADER
 
 START = 4  # as in world.py: START events
 ERRORS = {"full": FULL, "read-only": READONLY, "failing": FAILING}
--- a/gaproute/driver/keepchecks.py
+++ b/gaproute/simulation/keepchecks.py
@@ -2,10 +2,10 @@
 
 from itertools import pairwise
 
-from gaproute.driver.plan import MEMORY
 from gaproute.shared.keepers.invariants import History, check_all
 from gaproute.shared.keepers.messages import Ack, Append, Install, Reply, Vote
 from gaproute.shared.keepers.records import Voted, decode
+from gaproute.simulation.plan import MEMORY
 
 
 class Told:
--- a/gaproute/driver/keepers.py
+++ b/gaproute/simulation/keepers.py
@@ -7,16 +7,16 @@
 a holder is cut off.
 """
 
-from gaproute.driver.chance import Chance
-from gaproute.driver.checks import Breach, Checks
-from gaproute.driver.keepchecks import Held, Remembered, Told, agreed, came_right
-from gaproute.driver.load import Load
-from gaproute.driver.plan import MEMORY, Fault, Plan, draw
-from gaproute.driver.world import World
 from gaproute.shared.keepers import Keeper, log
 from gaproute.shared.keepers import keeper as module
 from gaproute.shared.permits import Holder, Permits
 from gaproute.shared.permits.commands import BOUND
+from gaproute.simulation.chance import Chance
+from gaproute.simulation.checks import Breach, Checks
+from gaproute.simulation.keepchecks import Held, Remembered, Told, agreed, came_right
+from gaproute.simulation.load import Load
+from gaproute.simulation.plan import MEMORY, Fault, Plan, draw
+from gaproute.simulation.world import World
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 # Of a permit, the longest too. common: a run sees many end; forgotten: longer than a founding takes.
--- a/gaproute/driver/plan.py
+++ b/gaproute/simulation/plan.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from gaproute.driver.chance import Chance
+from gaproute.simulation.chance import Chance
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 RATE = 100  # millionths that a clock may go wrong: what NTP-less quartz is built to
--- a/gaproute/driver/rounds.py
+++ b/gaproute/simulation/rounds.py
@@ -3,18 +3,18 @@
 `Play(seed, kind)` draws a fleet, rounds and what befalls them; `play(seed, kind)` runs them to their end.
 """
 
-from gaproute.driver.chance import Chance
-from gaproute.driver.checks import Breach, Checks
-from gaproute.driver.keepchecks import Held
-from gaproute.driver.plan import Fault, Plan, draw
-from gaproute.driver.rounds_actors import SPAN, Crew, Gateway, Host, Scheduler
-from gaproute.driver.rounds_truth import Judge
-from gaproute.driver.world import World
 from gaproute.maintenance import Host as Listed
 from gaproute.maintenance import Round
 from gaproute.shared.keepers import Keeper
 from gaproute.shared.permits import Permits
 from gaproute.shared.permits.commands import BOUND
+from gaproute.simulation.chance import Chance
+from gaproute.simulation.checks import Breach, Checks
+from gaproute.simulation.keepchecks import Held
+from gaproute.simulation.plan import Fault, Plan, draw
+from gaproute.simulation.rounds_actors import SPAN, Crew, Gateway, Host, Scheduler
+from gaproute.simulation.rounds_truth import Judge
+from gaproute.simulation.world import World
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 END = 100 * SECOND  # of the faults
--- a/gaproute/driver/rounds_baselines.py
+++ b/gaproute/simulation/rounds_baselines.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from gaproute.driver.rounds import Play
-from gaproute.driver.rounds_actors import Scheduler
 from gaproute.maintenance import Running, schedule
+from gaproute.simulation.rounds import Play
+from gaproute.simulation.rounds_actors import Scheduler
 
 
 class One(Running):
--- a/gaproute/driver/shrink.py
+++ b/gaproute/simulation/shrink.py
@@ -1,6 +1,6 @@
 """Makes a failing plan small: takes faults out while it still fails by the same name."""
 
-from gaproute.driver.plan import Plan
+from gaproute.simulation.plan import Plan
 
 MOST = 400  # plays at most; each costs what the run costs
 
--- a/gaproute/driver/world.py
+++ b/gaproute/simulation/world.py
@@ -13,13 +13,13 @@
 
 import xxhash
 
-from gaproute.driver import faults
-from gaproute.driver.chance import Chance, Narrow
-from gaproute.driver.checks import Breach, Checks
-from gaproute.driver.clock import Clock
-from gaproute.driver.disk import Crash, Disk
-from gaproute.driver.net import Net
-from gaproute.driver.seat import Seat
+from gaproute.simulation import faults
+from gaproute.simulation.chance import Chance, Narrow
+from gaproute.simulation.checks import Breach, Checks
+from gaproute.simulation.clock import Clock
+from gaproute.simulation.disk import Crash, Disk
+from gaproute.simulation.net import Net
+from gaproute.simulation.seat import Seat
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LAST = 60  # events told with a breach
--- a/tests/keepers_net.py
+++ b/tests/keepers_net.py
@@ -1,4 +1,4 @@
-"""Keepers and holders on a net and a clock of the test's own; random faults are for `gaproute/driver`."""
+"""Keepers and holders on a net and a clock of the test's own; random faults are for `gaproute/simulation`."""
 
 import heapq
 import random
--- a/tests/test_maintenance_driven.py
+++ b/tests/test_maintenance_driven.py
@@ -5,12 +5,12 @@
 import msgspec
 import pytest
 
-from gaproute.driver import rounds
-from gaproute.driver.rounds import KINDS, play
-from gaproute.driver.rounds_baselines import One, of
 from gaproute.maintenance import drained, floor, schedule, warm
 from gaproute.maintenance.invariants import check_given
 from gaproute.maintenance.round import Running
+from gaproute.simulation import rounds
+from gaproute.simulation.rounds import KINDS, play
+from gaproute.simulation.rounds_baselines import One, of
 
 
 def verdict(seed, kind, **told):
--- a/tests/test_rollouts_driver.py
+++ b/tests/test_rollouts_simulation.py
@@ -3,15 +3,15 @@
 
 import pytest
 
-from gaproute.driver import campaigns, campaigns_gateway
-from gaproute.driver.campaigns import play
-from gaproute.driver.campaigns_cases import CASES, SECOND
 from gaproute.rollouts import invariants, spend
 from gaproute.rollouts.campaign import lendable
 from gaproute.rollouts.loads import Loads
 from gaproute.rollouts.spend import Spend
 from gaproute.rollouts.weights import Weights
 from gaproute.shared.permits import machine
+from gaproute.simulation import campaigns, campaigns_gateway
+from gaproute.simulation.campaigns import play
+from gaproute.simulation.campaigns_cases import CASES, SECOND
 
 USED = {"plain": 0.8, "two campaigns": 0.8, "liars": 0.5, "noise": 0.4, "slow store": 0.5}  # else 0.5
 
--- a/tests/test_driver_world.py
+++ b/tests/test_simulation_world.py
@@ -1,9 +1,10 @@
-"""The driver: the same run from the same seed, faults that do what they say, a planted fault found and made
-small."""
+"""The simulation: the same run from the same seed, faults that do what they say, a planted fault found and
+made small."""
 
 import pytest
 
-from gaproute.driver import (
+from gaproute.shared.keepers import Lost
+from gaproute.simulation import (
     Breach,
     Chance,
     Checks,
@@ -18,9 +19,8 @@
     draw,
     shrink,
 )
-from gaproute.driver.checks import Grows
-from gaproute.driver.plan import kept
-from gaproute.shared.keepers import Lost
+from gaproute.simulation.checks import Grows
+from gaproute.simulation.plan import kept
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from gaproute.driver import Chance, Disk
 from gaproute.ledger import Votes
 from gaproute.ledger import votes as module
 from gaproute.ledger.records import Bad, packed, parsed, whole
 from gaproute.shared.keepers import Lost
 from gaproute.shared.keepers.store import Store
+from gaproute.simulation import Chance, Disk
 
 
 @pytest.fixture
