--- a/benchmarks/campaigns.py
+++ b/benchmarks/campaigns.py
@@ -5,12 +5,12 @@
                                    [--processes 4] [--out docs/measured]
 
 `faults`: each case of gaproute/simulation/campaigns_cases.py with each seed; `used` is what rollouts had of
-the lanes that production and the floors left at hosts that were up, from 5 s on; `last sent`: the latest that a
-rollout went to a host after production had taken all its lent room there. `beside`: the same production with
-and without campaigns, by lanes of each host that are never lent. `plans`: greedy and HiGHS on a forecast that
-is off, each by what it brings under the truth, beside HiGHS given the truth. `ends`: the end told after the
-first tenth. `--hunt N`: N seeds more of every case, only for breaches. The median of the seeds; in brackets
-the least and the most.
+the lanes that production and the floors left at hosts that were up, from 5 s on; `last sent`: the latest
+that a rollout went to a host after production had taken all its lent room there. `beside`: the same
+production with and without campaigns, by lanes of each host that are never lent. `plans`: greedy and HiGHS
+on a forecast that is off, each by what it brings under the truth, beside HiGHS given the truth. `ends`: the
+end told after the first tenth. `--hunt N`: N seeds more of every case, only for breaches. The median of the
+seeds; in brackets the least and the most.
 """
 
 import argparse
