--- a/benchmarks/scale/tables.py
+++ b/benchmarks/scale/tables.py
@@ -3,7 +3,7 @@
 import fnmatch
 from pathlib import Path
 
-from benchmarks.scale import arithmetic, cold_start, machines, roles, size
+from benchmarks.scale import arithmetic, cold_start, ladder_table, machines, roles, size
 from benchmarks.scale.budget import judged
 from benchmarks.scale.fit import WIDE_STRETCH, fit
 from benchmarks.scale.measurement import Measurement
@@ -130,4 +130,5 @@
     "assumptions": arithmetic.assumptions,
     "cold-start": cold_start.cold_start,
     "machines": machines.machines,
+    "ladder": ladder_table.ladder,
 }
