Hollow gateways that go by cells: table carrier, cellular decisions, gossip within the cell

Hollow gateways held the whole host list and spoke with the whole fleet. The product has cells since; nothing played their carrier and decisions together with membership and demand.

gaproute/hollow/cells/ has the parts: the product's TableCarrier on the membership's simulated datagrams and on simulated pulls, answered by the product's own handler; a CellularGateway fed the host lists of the cells that it wants; membership and gossip of demand among the gateways of one cell. Once a second the way of one call is sought through the table, to a known cell or an entry that runs; no task is served.

--- /dev/null
+++ b/gaproute/hollow/cells/surroundings.py
@@ -0,0 +1,30 @@
+"""What a gateway of a fleet of cells stands on beside what every hollow gateway does."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from gaproute.decisions.cells.place import Place
+from gaproute.hollow.parts import Surroundings
+from gaproute.ledger.tables import StoredTable
+from gaproute.shared.dissemination import Peer
+
+
+@dataclass(kw_only=True)
+class CellSurroundings(Surroundings):
+    """`seeds`: configured peers outside the own cell; `kept`: the table on the gateway's disk, None for none.
+
+    `open_giver(address)` and `open_puller(loop, name)` make what answers and what asks for whole tables;
+    `host_rows(cell)` tells a cell's host list; `reach(entry, cell)`: whether that entry gateway is there and
+    knows the cell; `shared_tables`: tables by version and digest for those that share them.
+    """
+
+    place: Place
+    fleet_name: str
+    seeds: tuple[Peer, ...]
+    kept: StoredTable | None
+    open_giver: Callable
+    open_puller: Callable
+    host_rows: Callable
+    reach: Callable
+    shared_tables: dict[Any, Any]
