--- a/gaproute/decisions/cells/journey.py
+++ b/gaproute/decisions/cells/journey.py
@@ -5,12 +5,10 @@
 """
 
 from gaproute.decisions.route.beliefs import LONG, MILLI
-from gaproute.interface import Decline, Effect, Result, Scrap
+from gaproute.interface import NEVER_RAN, Decline, Effect, Result, Scrap
 
 LOOK = 500 * MILLI  # between looks at a task with an overdue relay
 
-UNRUN = (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS)
-
 
 class Journey:
     """State of one task. `now` is the time of the last thing that happened to it."""
@@ -39,7 +37,7 @@
         """An outcome of one of the relays, or of the whole task."""
         if outcome.result is not Result.BEGUN and self.out.pop(outcome.relay, None) is not None:
             self.late.discard(outcome.relay)
-            self.may_have_run |= outcome.result not in UNRUN
+            self.may_have_run |= outcome.result not in NEVER_RAN
 
     def next_look(self):
         """When to look again at the relays that are out: when one is overdue, and then now and then."""
