A gateway killed again while it starts is excused from its first kill on

Ruled out: the program; every such task was asked of gateway 0 before its SIGKILL, and none was asked of a running one.

Change: down_spans() keeps the first begin until a new process has started; a process killed while stopped is not up because it was continued. Nothing else is excused: before the first kill, between two spans and after the start judged as before, with tests for each.

--- a/gaproute/judge/day.py
+++ b/gaproute/judge/day.py
@@ -10,6 +10,7 @@
 
 SECOND = 1_000_000_000
 NEVER_RAN = (429, 404)
+FOREVER = 1 << 62  # ns, after any day's end
 
 
 class Day:
@@ -34,21 +35,15 @@
         self.said = said
         for arrivals in self.arrivals.values():
             arrivals.sort(key=lambda arrival: arrival[0])
-        # Spans in which a gateway did not run: killed or stopped.
-        self.stops = defaultdict(list)
+        self.stops = down_spans(run)
         self.endings = defaultdict(list)  # gateway: (asked to end, ended), after which it starts again
-        since, asked = {}, {}
+        asked = {}
         for event in sorted(run, key=lambda event: event["at"]):
             if event["what"] in ("killed", "stopped"):
-                since[event["gateway"]] = event["at"]
                 if event["gateway"] in asked:
                     self.endings[event["gateway"]].append((asked.pop(event["gateway"]), event["at"]))
             elif event["what"] == "ending":
                 asked[event["gateway"]] = event["at"]
-            elif event["what"] in ("started", "continued") and event["gateway"] in since:
-                self.stops[event["gateway"]].append((since.pop(event["gateway"]), event["at"]))
-        for gateway, at in since.items():
-            self.stops[gateway].append((at, 1 << 62))
         self.senders = Senders(hosts, self.ends, run)
         self.held_up = held_up(run)
 
@@ -82,6 +77,26 @@
         return any(begin <= at <= end for begin, end in self.endings[gateway])
 
 
+def down_spans(run):
+    """{gateway: [(begin, end), ...]}: when it did not run, ns. A process that was stopped runs again when it
+    is continued or a new one has started; one that was killed, only when a new one has started. A second kill
+    before that, of a process still starting, does not begin the span anew."""
+    spans = defaultdict(list)
+    began, killed = {}, set()
+    for event in sorted(run, key=lambda event: event["at"]):
+        what, gateway = event["what"], event.get("gateway")
+        if what in ("killed", "stopped"):
+            began.setdefault(gateway, event["at"])
+            if what == "killed":
+                killed.add(gateway)
+        elif gateway in began and (what == "started" or (what == "continued" and gateway not in killed)):
+            spans[gateway].append((began.pop(gateway), event["at"]))
+            killed.discard(gateway)
+    for gateway, at in began.items():
+        spans[gateway].append((at, FOREVER))
+    return spans
+
+
 def held_up(run):
     """[(begin, end, late, gateways, hosts)] of the faults under which bytes may reach hosts late, `late` ns
     at most."""
@@ -94,7 +109,7 @@
         elif event["id"] in open_since:
             begin = open_since.pop(event["id"])
             spans.append((begin["at"], event["at"] + event["slack"], event))
-    spans += [(event["at"], 1 << 62, event) for event in open_since.values()]
+    spans += [(event["at"], FOREVER, event) for event in open_since.values()]
     return [
         (begin, end, event["late"], frozenset(gateways), frozenset(hosts))
         for begin, end, event in spans
--- a/gaproute/trial/gateways.py
+++ b/gaproute/trial/gateways.py
@@ -10,6 +10,7 @@
     def __init__(self, trial):
         self.trial, self.loop, self.tap, self.out = trial, trial.loop, trial.tap, trial.out
         self.processes, self.addresses = {}, {}
+        self.killed = set()  # processes; one killed while it starts was not up, and is no failure to start
         self.codes = {}  # gateway: exit code of its stop
 
     def lines(self, number):
@@ -43,7 +44,7 @@
         return {}
 
     def start(self, number):
-        """A coroutine: until it says that it has started."""
+        """A coroutine: until it says that it has started, or is killed before that."""
         name, first = f"g{number}", number not in self.processes
         file, log = self.out / f"{name}.conf", self.out / f"{name}.log"
         file.write_text("\n".join([*self.lines(number), ""]))
@@ -65,6 +66,8 @@
                     self.tap.note("started", gateway=number, name=name)
                     self.tap.flush()
                     return
+            if process in self.killed:
+                return
             if process.child.poll() is not None:
                 raise RuntimeError(f"{name} did not start{' at first' if first else ''}; see {log}")
             if self.loop.now() > end:
@@ -82,7 +85,9 @@
 
     def kill(self, number, back):
         """A coroutine: killed, and started again after `back`."""
-        self.processes[number].signal(signal.SIGKILL)
+        process = self.processes[number]
+        self.killed.add(process)
+        process.signal(signal.SIGKILL)
         self.tap.note("killed", gateway=number)
         yield self.loop.sleep(back)
         yield from self.start(number)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -80,6 +80,29 @@
     assert rules({}, [end(600, "broken")], run) == [] and rules({}, [end(400, "broken")], run) == [1]
 
 
+def gateway_events(*events):
+    return [{"at": at * MILLI, "what": what, "gateway": 0} for at, what in events]
+
+
+def test_rule_1_excuses_a_gateway_from_its_first_kill_on_where_it_is_killed_again_while_it_starts():
+    run = gateway_events((500, "killed"), (2000, "killed"), (3000, "started"))
+    assert rules({}, [end(600, "broken")], run) == []
+    assert rules({}, [end(400, "broken")], run) == [1]
+    assert rules({}, [end(4200, "broken", asked=4100 * MILLI)], run) == [1]
+
+
+def test_rule_1_does_not_take_a_killed_gateway_for_one_that_went_on():
+    run = gateway_events((100, "stopped"), (500, "killed"), (600, "continued"), (3000, "started"))
+    assert rules({}, [end(2200, "broken", asked=2100 * MILLI)], run) == []
+    assert rules({}, [end(4200, "broken", asked=4100 * MILLI)], run) == [1]
+
+
+def test_rule_1_excuses_a_gateway_in_each_span_in_which_it_did_not_run():
+    run = gateway_events((100, "stopped"), (200, "continued"), (3000, "killed"), (3100, "started"))
+    for at, found in ((150, []), (2500, [1]), (3050, []), (4200, [1])):
+        assert rules({}, [end(at, "broken", asked=(at - 20) * MILLI)], run) == found
+
+
 def test_rule_1_excuses_a_request_sent_to_a_gateway_that_was_asked_to_end_and_no_earlier_one():
     run = [{"at": at * MILLI, "what": what, "gateway": 0} for at, what in ((300, "ending"), (2500, "killed"))]
     assert rules({}, [end(600, "broken", asked=400 * MILLI)], run) == []
--- /dev/null
+++ b/tests/test_trial_gateways.py
@@ -0,0 +1,96 @@
+"""The gateways of a day as processes: one that is killed while it starts."""
+
+import subprocess
+import sys
+from types import SimpleNamespace
+
+import pytest
+
+from gaproute.loop.loop import Loop
+from gaproute.trial.gateways import Gateways
+
+SECOND = 1_000_000_000
+MILLI = 1_000_000
+
+
+class OneProcess:
+    """A child as the gateways of a day know it."""
+
+    def __init__(self, child):
+        self.child = child
+
+    def signal(self, number):
+        self.child.send_signal(number)
+
+
+class Processes:
+    """Each start is a child with this program, which never says that it has started."""
+
+    def __init__(self, program):
+        self.program = program
+
+    def start(self, words, told, errors, tells, **manner):
+        return OneProcess(subprocess.Popen([sys.executable, "-c", self.program]))
+
+
+class Tap:
+    def __init__(self):
+        self.events = []
+
+    def note(self, what, **told):
+        self.events.append(what)
+
+    def flush(self):
+        pass
+
+
+def gateways(loop, folder, program):
+    day = SimpleNamespace(peers=False, memory=False, gateways=1)
+    trial = SimpleNamespace(
+        loop=loop,
+        tap=Tap(),
+        out=folder,
+        seed=1,
+        models=[],
+        decisions="gaproute.decisions.route:Gateway",
+        script=SimpleNamespace(day=day, gateway_lines=[]),
+        processes=Processes(program),
+    )
+    (folder / "g0.log").write_text("")
+    return Gateways(trial)
+
+
+def ended(loop, routine, within=5 * SECOND):
+    """Runs the loop until the routine ends; its error, if any."""
+    found = []
+
+    def watch():
+        try:
+            yield routine.done
+            found.append(None)
+        except RuntimeError as error:
+            found.append(error)
+        loop.stop()
+
+    loop.spawn(watch())
+    loop.after(within, loop.stop)
+    loop.run()
+    assert found, "the start did not end"
+    return found[0]
+
+
+def test_a_start_whose_process_is_killed_by_the_day_ends_without_an_error(tmp_path):
+    loop = Loop()
+    fleet = gateways(loop, tmp_path, "import time; time.sleep(60)")
+    start = loop.spawn(fleet.start(0))
+    loop.after(100 * MILLI, lambda: loop.spawn(fleet.kill(0, 600 * SECOND)))
+    assert ended(loop, start) is None
+    assert fleet.trial.tap.events == ["killed"]
+    fleet.processes[0].child.wait()
+
+
+def test_a_process_that_ends_by_itself_has_not_started(tmp_path):
+    loop = Loop()
+    fleet = gateways(loop, tmp_path, "raise SystemExit(1)")
+    with pytest.raises(RuntimeError, match="g0 did not start"):
+        raise ended(loop, loop.spawn(fleet.start(0)))
