--- a/benchmarks/rig.py
+++ b/benchmarks/cluster.py
@@ -1,11 +1,11 @@
 """200 gateways and 120 hosts as processes, with a wire and faults between them: what a play takes, and what
 holds.
 
-    python benchmarks/rig.py --plays 3 --out DIR [--script fleet-rig] [--direct] [--quiet-wire]
+    python benchmarks/cluster.py --plays 3 --out DIR [--script fleet-cluster] [--direct] [--quiet-wire]
 
-Plays the script at seeds 1, 2, ...; a row for each play, void and failed ones too, as JSON in DIR/rig.json
-and as lines on standard output. `--direct`: without the wire; `--quiet-wire`: through it, without the
-script's faults.
+Plays the script at seeds 1, 2, ...; a row for each play, void and failed ones too, as JSON in
+DIR/cluster.json and as lines on standard output. `--direct`: without the wire; `--quiet-wire`: through it,
+without the script's faults.
 """
 
 import argparse
@@ -15,7 +15,7 @@
 import sys
 from pathlib import Path
 
-from gaproute.rig.script import read_script
+from gaproute.cluster.script import read_script
 
 
 def variant(script, direct, quiet, crowded):
@@ -100,7 +100,7 @@
 
 def main():
     parser = argparse.ArgumentParser()
-    parser.add_argument("--script", default="fleet-rig")
+    parser.add_argument("--script", default="fleet-cluster")
     parser.add_argument("--plays", type=int, default=1)
     parser.add_argument("--first", type=int, default=1, help="the first seed")
     parser.add_argument("--out", type=Path, required=True)
@@ -114,7 +114,7 @@
     rows = []
     for seed in range(told.first, told.first + told.plays):
         rows.append(play(script, seed, told.out / f"seed-{seed}"))
-        (told.out / "rig.json").write_text(json.dumps(rows, indent=1))
+        (told.out / "cluster.json").write_text(json.dumps(rows, indent=1))
         row = rows[-1]
         late = ", ".join(f"{who} {late:.0f}" for who, late in row["late_ms"].items())
         print(
--- a/benchmarks/scale/children.py
+++ b/benchmarks/scale/children.py
@@ -6,5 +6,5 @@
 
 def command(words):
     """The command for `words`, a module and its arguments: the kernel ends it when this process ends."""
-    bind = ("-m", "gaproute.rig.child", "--parent-death", "--parent", str(os.getpid()), "--")
+    bind = ("-m", "gaproute.cluster.child", "--parent-death", "--parent", str(os.getpid()), "--")
     return [sys.executable, *bind, *map(str, words)]
--- a/benchmarks/scale/crew.py
+++ b/benchmarks/scale/crew.py
@@ -14,8 +14,8 @@
 from benchmarks.scale.children import command
 from benchmarks.scale.limits import resident
 from benchmarks.scale.logs import logged
+from gaproute.cluster.lateness import BEAT
 from gaproute.hollow.simulation.lists import HostLists
-from gaproute.rig.lateness import BEAT
 
 KEEPERS = 3
 TICKS = os.sysconf("SC_CLK_TCK")
--- a/benchmarks/scale/loopback.py
+++ b/benchmarks/scale/loopback.py
@@ -21,9 +21,9 @@
 from benchmarks.scale.limits import MEGABYTE, Limits, Stopped, machine_memory
 from benchmarks.scale.measurement import LADDERS
 from benchmarks.scale.prediction import errors, predict
-from gaproute.rig.lateness import WAITED
+from gaproute.cluster.lateness import WAITED
 
-LATE = 150  # ms that a process may be late, as the rig's scripts allow
+LATE = 150  # ms that a process may be late, as the harness's scripts allow
 SETTLE, CALM = 45, 15  # seconds: leases are granted half a minute after the keepers were founded, and
 #                        renewed at half of theirs
 LONG = 90  # seconds until which a change is waited for
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -1,4 +1,4 @@
-"""What the rig's wire costs: CPU a message and a connection, and the time that it adds, with faults and
+"""What the harness's wire costs: CPU a message and a connection, and the time that it adds, with faults and
 without.
 
     python benchmarks/wire.py [--held 5000] [--pairs 24000] [--messages 20000] [--out docs/measured]
@@ -24,10 +24,10 @@
 
 from rows import table, write
 
+from gaproute.cluster.addresses import between
 from gaproute.loop import Listener, Loop, Stream
 from gaproute.loop.datagrams import READS
 from gaproute.loop.loop import READ
-from gaproute.rig.addresses import between
 
 SECOND = 1_000_000_000
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -84,7 +84,7 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         self.wire = subprocess.Popen(
-            [sys.executable, "-m", "gaproute.rig.wire"],
+            [sys.executable, "-m", "gaproute.cluster.wire"],
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
--- a/gaproute/cli/main.py
+++ b/gaproute/cli/main.py
@@ -282,11 +282,11 @@
 @json_option
 def trial(script, seed, decisions, out, plain):
     """Play the scripted day SCRIPT (a name that comes with the program, or a file) on loopback and judge
-    it. A rig's script (docs/rig.md) that could not be measured in time is void: exit 3."""
+    it. A cluster script (docs/cluster.md) that could not be measured in time is void: exit 3."""
     import tempfile
     from pathlib import Path
 
-    from gaproute.rig.script import read_script
+    from gaproute.cluster.script import read_script
 
     try:
         told = read_script(script)
@@ -294,23 +294,23 @@
         click.echo(str(wrong), err=True)
         sys.exit(2)
     out = out or tempfile.mkdtemp(prefix="gaproute-trial-")
-    if told.rig is not None:
-        from gaproute.rig.platform.play import player
-        from gaproute.rig.show import show
+    if told.cluster is not None:
+        from gaproute.cluster.platform.play import player
+        from gaproute.cluster.show import show
 
         Play = player(told)
     else:
         from gaproute.trial.run import Trial as Play
         from gaproute.trial.tables import show
     result = Play(told, out, seed, decisions, None if plain else click.echo).run()
-    if told.rig is None:
+    if told.cluster is None:
         Path(out, "result.json").write_text(json.dumps(result.plain(), indent=1))
     if plain:
         click.echo(json.dumps(result.plain()))
     else:
         show(result, Console(width=80))
         click.echo(f"all of it: {out}")
-    sys.exit(0 if result.well else 3 if told.rig is not None and result.void else 1)
+    sys.exit(0 if result.well else 3 if told.cluster is not None and result.void else 1)
 
 
 @main.command()
--- a/gaproute/rig/child.py
+++ b/gaproute/cluster/child.py
@@ -1,4 +1,4 @@
-"""`python -m gaproute.rig.child [--rate R] [--offset-ms M] [--parent-death] -- MODULE WORDS...`: runs a
+"""`python -m gaproute.cluster.child [--rate R] [--offset-ms M] [--parent-death] -- MODULE WORDS...`: runs a
 module of the program, unchanged, as `python -m MODULE WORDS...` would, on a clock that is wrong, bound to
 its parent's life.
 
--- a/gaproute/rig/crews.py
+++ b/gaproute/cluster/crews.py
@@ -1,5 +1,5 @@
-"""Crews of a rig: they take, keep and give back permits at the operators' addresses, and note what they held
-when, by the machine's one monotonic clock. Stand-ins for whoever does what must not be done twice.
+"""Crews of a cluster: they take, keep and give back permits at the operators' addresses, and note what
+they held when, by the machine's one monotonic clock. Stand-ins for whoever does what must not be done twice.
 
 A gateway numbers its errands from 1 in each of its lives. So a crew that finds its gateway gone takes its
 errand for gone, and never asks the next life for it: the number may be another crew's by then.
@@ -9,9 +9,9 @@
 
 from pydantic import Field
 
+from gaproute.cluster.asking import LOST, SILENT, ask
 from gaproute.conf.lines import Directive, Span
 from gaproute.judge import permits
-from gaproute.rig.asking import LOST, SILENT, ask
 from gaproute.standins.tap import read
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
@@ -46,10 +46,10 @@
 
 
 class Crews:
-    """`rig.script.crews` is the line, None where the day has none."""
+    """`harness.script.crews` is the line, None where the day has none."""
 
-    def __init__(self, rig):
-        self.rig, self.loop, self.line = rig, rig.loop, rig.script.crews
+    def __init__(self, harness):
+        self.harness, self.loop, self.line = harness, harness.loop, harness.script.crews
         self.over = False
 
     def lines(self, number):
@@ -57,9 +57,9 @@
         if self.line is None:
             return []
         names = ",".join(f"g{keeper}" for keeper in range(self.line.keepers))
-        votes = f" votes {self.rig.out}/g{number}.votes" if number < self.line.keepers else ""
+        votes = f" votes {self.harness.out}/g{number}.votes" if number < self.line.keepers else ""
         return [
-            f"listen operator {self.rig.table.operator(number)}",
+            f"listen operator {self.harness.table.operator(number)}",
             f"keepers {names}{votes} longest {self.line.longest}ns",
         ]
 
@@ -71,19 +71,19 @@
         return [self.end(), *fell, *map(self.crew, range(self.line.count))]
 
     def end(self):
-        yield self.loop.sleep(self.rig.script.day.length)
+        yield self.loop.sleep(self.harness.script.day.length)
         self.over = True
-        self.rig.tap.note("crews over")
+        self.harness.tap.note("crews over")
 
     def ask(self, number, order=None):
-        return ask(self.loop, self.rig.table.operator(number), "/permits", order)
+        return ask(self.loop, self.harness.table.operator(number), "/permits", order)
 
     def crew(self, place):
         """A coroutine: one errand after another, each at a gateway that is drawn anew."""
-        random, line, name = self.rig.chance(self.line, f"crew {place}"), self.line, f"crew-{place}"
+        random, line, name = self.harness.chance(self.line, f"crew {place}"), self.line, f"crew-{place}"
         while not self.over:
             yield self.loop.sleep(random.randrange(REST))
-            number = random.randrange(self.rig.script.day.gateways)
+            number = random.randrange(self.harness.script.day.gateways)
             resource = f"r{random.randrange(line.resources)}"
             told = yield self.ask(
                 number, {"take": resource, "span_ms": line.span // MILLI, "for_ms": KEPT // MILLI}
@@ -95,7 +95,7 @@
     def work(self, name, number, errand, resource, random):
         """A coroutine: one errand to its end. A moment in which it may act ends `ms_left` after the question
         was sent, not after the answer came."""
-        note, fence, until = self.rig.tap.note, None, 0
+        note, fence, until = self.harness.tap.note, None, 0
         end = self.loop.now() + KEPT
         while not self.over:
             sent = self.loop.now()
@@ -135,8 +135,8 @@
             for number in range(self.line.keepers):
                 told = yield self.ask(number)
                 if told not in (LOST, SILENT) and told["keeper"]["role"] == "leader":
-                    self.rig.tap.note("strike", kind="kill", gateways=[number], leader=True)
-                    yield from self.rig.gateways.restart(number, "KILL", self.line.back)
+                    self.harness.tap.note("strike", kind="kill", gateways=[number], leader=True)
+                    yield from self.harness.gateways.restart(number, "KILL", self.line.back)
                     return
             yield self.loop.sleep(LOOK)
 
@@ -144,12 +144,12 @@
         """What the verdict has of them: counts, and breaches as text; None where the day has no crews."""
         if self.line is None:
             return None
-        run = read(self.rig.out / "run.tap")
+        run = read(self.harness.out / "run.tap")
         healed, stood = permits.progress(run)
         broken = [f"permits, {breach.check}: {breach.text}" for breach in permits.judge(run) + stood]
         broken += [
             f"{path.stem}: {line.decode()[:300]}"
-            for path in sorted(self.rig.out.glob("g*.log"))
+            for path in sorted(self.harness.out.glob("g*.log"))
             for line in path.read_bytes().split(b"\n")
             if BREACH in line.replace(b" ", b"")
         ]
--- a/gaproute/rig/crowd.py
+++ b/gaproute/cluster/crowd.py
@@ -1,11 +1,11 @@
-"""The rig's clients: several processes that share one load, each with names, chance and a tap of its own."""
+"""The clients: several processes that share one load, each with names, chance and a tap of its own."""
 
 from gaproute.trial.crowd import Crowd
 
 
-class RigCrowd(Crowd):
+class ClusterCrowd(Crowd):
     def start(self):
-        trial, day, count = self.trial, self.trial.script.day, self.trial.script.rig.clients
+        trial, day, count = self.trial, self.trial.script.day, self.trial.script.cluster.clients
         gateways = [trial.gateways.addresses[number] for number in range(day.gateways)]
         self.processes = [
             trial.processes.standin(
--- a/gaproute/rig/gateways.py
+++ b/gaproute/cluster/gateways.py
@@ -1,16 +1,16 @@
-"""The rig's gateways: each with addresses of its own for every other seat, some with a clock that is
+"""The harness's gateways: each with addresses of its own for every other seat, some with a clock that is
 wrong."""
 
 import signal
 
-from gaproute.rig.processes import NEXT, hurry
+from gaproute.cluster.processes import NEXT, hurry
 from gaproute.trial.gateways import Gateways
 from gaproute.trial.processes import MILLI, SECOND
 
 WAY_BACK = 25 * MILLI  # the configuration's own, for an answer's way on a machine that is not crowded
 
 
-class RigGateways(Gateways):
+class ClusterGateways(Gateways):
     """`clocks`: {gateway: (rate, offset in ns)}."""
 
     def __init__(self, trial):
@@ -37,8 +37,8 @@
             *trial.script.gateway_lines,
         ]
         if not any(line.split()[0] == "clients" for line in trial.script.gateway_lines):
-            # the final answer leaves early enough for a machine that is as late as the rig may be
-            lines.append(f"clients way-back {WAY_BACK + trial.script.rig.late}ns")
+            # the final answer leaves early enough for a machine that is as late as the harness may be
+            lines.append(f"clients way-back {WAY_BACK + trial.script.cluster.late}ns")
         if day.peers:
             lines += [f"listen peers {peers}"] + [
                 f"peer g{other} {self.table.peer(number, other)}"
@@ -54,7 +54,7 @@
 
     def start(self, number):
         yield from super().start(number)
-        if self.trial.script.rig.crowded and self.trial.processes.first:
+        if self.trial.script.cluster.crowded and self.trial.processes.first:
             hurry(self.processes[number].child.pid, NEXT)
 
     def waited(self):
--- a/gaproute/rig/rig.py
+++ b/gaproute/cluster/harness.py
@@ -12,17 +12,17 @@
 import time
 import traceback
 
-from gaproute.rig.crews import Crews
-from gaproute.rig.crowd import RigCrowd
-from gaproute.rig.gateways import RigGateways
-from gaproute.rig.lateness import Lateness
-from gaproute.rig.lists import Lists
-from gaproute.rig.processes import Gate, RigProcesses, calm
-from gaproute.rig.seats import RigSeats
-from gaproute.rig.strikes import Strikes
-from gaproute.rig.table import Table
-from gaproute.rig.verdict import Verdict
-from gaproute.rig.wires import Wires
+from gaproute.cluster.crews import Crews
+from gaproute.cluster.crowd import ClusterCrowd
+from gaproute.cluster.gateways import ClusterGateways
+from gaproute.cluster.lateness import Lateness
+from gaproute.cluster.lists import Lists
+from gaproute.cluster.processes import ClusterProcesses, Gate, calm
+from gaproute.cluster.seats import ClusterSeats
+from gaproute.cluster.strikes import Strikes
+from gaproute.cluster.table import Table
+from gaproute.cluster.verdict import Verdict
+from gaproute.cluster.wires import Wires
 from gaproute.standins.tap import read
 from gaproute.trial.processes import MILLI, SECOND, NotReady
 from gaproute.trial.run import Trial
@@ -31,24 +31,24 @@
 BACK = 60 * SECOND  # after the day, for gateways that are being restarted: a fleet's start, at most
 
 
-class Rig(Trial):
+class ClusterHarness(Trial):
     ENDING = 20 * SECOND  # beyond the longest limit, for hundreds of gateways that end at once
 
     def furnish(self):
-        rig, self.faulty, self.voids, self.ready_time = self.script.rig, [], [], None
+        settings, self.faulty, self.voids, self.ready_time = self.script.cluster, [], [], None
         self.begun = self.ended = 0
         self.loop.on_error = self.went_wrong
         (self.out / "day.script").write_text(self.script.text)
         (self.out / "play.json").write_text(json.dumps({"seed": self.seed, "decisions": self.decisions}))
         _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
         resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))  # three descriptors for each child
-        self.gate = Gate(self.loop, rig.batch or os.cpu_count() or 1)
-        self.table = Table(self.script.day, rig.direct)
-        self.processes = RigProcesses(self.loop, self.out)
+        self.gate = Gate(self.loop, settings.batch or os.cpu_count() or 1)
+        self.table = Table(self.script.day, settings.direct)
+        self.processes = ClusterProcesses(self.loop, self.out)
         self.wires = Wires(self.loop, self.processes, self.table, self.seed)
-        self.seats = RigSeats(self, random.Random(self.seed))
+        self.seats = ClusterSeats(self, random.Random(self.seed))
         self.list = Lists(self.loop, self.tap, self.seats, self.table, self.out / "lists")
-        self.gateways, self.crowd = RigGateways(self), RigCrowd(self)
+        self.gateways, self.crowd = ClusterGateways(self), ClusterCrowd(self)
         self.strikes, self.lateness, self.crews = Strikes(self), Lateness(self), Crews(self)
 
     def chance(self, line, part=""):
@@ -57,14 +57,14 @@
 
     def went_wrong(self, error):
         """An error that nobody awaited: a gateway that did not come back is the program's, all else the
-        rig's."""
+        harness's."""
         with open(self.out / "parent.err", "a") as file:
             traceback.print_exception(error, file=file)
         if type(error) is RuntimeError:
             self.faulty.append(str(error))
         else:
             known = isinstance(error, NotReady)
-            self.voids.append(str(error) if known else f"the rig's own error: {error!r}")
+            self.voids.append(str(error) if known else f"the harness's own error: {error!r}")
 
     def hosts_seen(self):
         """What the hosts noted during the day, by run."""
@@ -77,14 +77,14 @@
         return self.gate.through(routine)
 
     def set_up(self):
-        begun, day, rig = self.loop.now(), self.script.day, self.script.rig
+        begun, day, settings = self.loop.now(), self.script.day, self.script.cluster
         yield from self.start_store()
         yield from self.together([self.seats.start(self.seats.new(), True) for _ in range(day.hosts)])
-        if not rig.direct:
+        if not settings.direct:
             seats = dict(self.table.gateway_seat(number) for number in range(day.gateways))
             seats |= dict(map(self.table.host_seat, self.seats.seats.values()))
             seats |= dict(map(self.table.list_seat, range(len(self.table.ways))))
-            yield from self.wires.start(rig.wires, seats)
+            yield from self.wires.start(settings.wires, seats)
         self.list.first()
         self.strikes.clocks()
         self.talk(f"{(self.loop.now() - begun) / SECOND:5.1f} s  hosts are up")
@@ -98,7 +98,7 @@
         script = self.script
         self.loop.spawn(self.lateness.begin())
         self.begun = self.loop.now()
-        if self.script.rig.direct and script.faults:
+        if self.script.cluster.direct and script.faults:
             self.talk("direct: no wire, its faults are left out")
         return [
             *super().begin(),
@@ -120,7 +120,7 @@
 
     def run(self):
         """Plays the day; its `Verdict`, which stands in the folder as well."""
-        bound, begun, end = self.script.rig.bound, time.time(), None
+        bound, begun, end = self.script.cluster.bound, time.time(), None
         signal.setitimer(signal.ITIMER_REAL, bound / SECOND + LAST_RESORT)
         try:
             played = self.loop.spawn(self.play()).done
--- a/gaproute/rig/lateness.py
+++ b/gaproute/cluster/lateness.py
@@ -1,4 +1,5 @@
-"""Whether the rig kept time: a wire, a client or a parent that ran late measured itself, not the program."""
+"""Whether the harness kept time: a wire, a client or a parent that ran late measured itself, not the
+program."""
 
 from statistics import median
 
@@ -12,39 +13,39 @@
 
 
 class Lateness:
-    def __init__(self, rig):
-        self.rig, self.loop, self.parent, self.over = rig, rig.loop, 0, False
+    def __init__(self, harness):
+        self.harness, self.loop, self.parent, self.over = harness, harness.loop, 0, False
         self.waits, self.waited = {}, 0.0
         self.wires = []  # what each wire said at the end, None where it said nothing
 
     def begin(self):
         """A coroutine: watches the parent; what the wires had been late before the day is passed over."""
-        self.rig.wires.say({"say": True})
+        self.harness.wires.say({"say": True})
         due = self.loop.now()
-        self.waits = self.rig.gateways.waited()
+        self.waits = self.harness.gateways.waited()
         while not self.over:
             now = self.loop.now()
             self.parent = max(self.parent, now - due)
             due = now + BEAT
-            self.rig.tap.flush()  # the folder tells of a run that is cut off as well
+            self.harness.tap.flush()  # the folder tells of a run that is cut off as well
             yield self.loop.sleep(BEAT)
 
     def end(self):
         """A coroutine: before the gateways are asked to end."""
-        self.over, self.rig.ended = True, self.loop.now()
+        self.over, self.harness.ended = True, self.loop.now()
         shares = [
             (wait - self.waits[pid][0]) / (now - self.waits[pid][1])
-            for pid, (wait, now) in self.rig.gateways.waited().items()
+            for pid, (wait, now) in self.harness.gateways.waited().items()
             if pid in self.waits
         ]
         self.waited = median(shares) if shares else 0.0
-        self.wires = yield from self.rig.wires.counts()
+        self.wires = yield from self.harness.wires.counts()
 
     def most(self):
         """{who: longest lateness, ms}"""
-        done = [event["late"] for event in self.rig.crowd.events() if event["what"] == "done"]
+        done = [event["late"] for event in self.harness.crowd.events() if event["what"] == "done"]
         hosts = [
-            event["by"] for events in self.rig.hosts_seen() for event in events if event["what"] == "late"
+            event["by"] for events in self.harness.hosts_seen() for event in events if event["what"] == "late"
         ]
         return {
             "parent": self.parent / MILLI,
@@ -55,7 +56,7 @@
 
     def void(self):
         """Why the measurement is void, as text."""
-        rig, allowed = self.rig, self.rig.script.rig.late / MILLI
+        harness, allowed = self.harness, self.harness.script.cluster.late / MILLI
         for who, late in self.most().items():
             most = max(allowed, PARENT) if who == "parent" and allowed else allowed
             if late > most:
@@ -65,7 +66,7 @@
                 f"gateways were ready without a core for {self.waited:.0%} of the day, "
                 f"{WAITED:.0%} are allowed"
             )
-        if sum(event["what"] == "done" for event in rig.crowd.events()) < rig.script.rig.clients:
+        if sum(event["what"] == "done" for event in harness.crowd.events()) < harness.script.cluster.clients:
             yield "clients did not end in time"
         for place, told in enumerate(self.wires):
             if told is None:
@@ -76,9 +77,9 @@
                     for what in ("overrun", "spilt", "errors", "breaches")
                     if told.get(what)
                 )
-        yield from (f"a wire did not follow: {error}" for error in rig.wires.errors[:3])
-        if rig.ready_time is not None and rig.ready_time > rig.script.rig.ready:
+        yield from (f"a wire did not follow: {error}" for error in harness.wires.errors[:3])
+        if harness.ready_time is not None and harness.ready_time > harness.script.cluster.ready:
             yield (
-                f"all were up after {rig.ready_time / 1e9:.0f} s, "
-                f"{rig.script.rig.ready / 1e9:.0f} are allowed"
+                f"all were up after {harness.ready_time / 1e9:.0f} s, "
+                f"{harness.script.cluster.ready / 1e9:.0f} are allowed"
             )
--- a/gaproute/rig/platform/crowd.py
+++ b/gaproute/cluster/platform/crowd.py
@@ -1,4 +1,4 @@
-"""The platform's clients of a rig: several processes that share one load."""
+"""The platform's clients of a harness: several processes that share one load."""
 
 from gaproute.standins.tap import read
 from gaproute.trial.crowd import Crowd
@@ -6,7 +6,7 @@
 
 class NodeCrowd(Crowd):
     def start(self):
-        trial, day, count = self.trial, self.trial.script.day, self.trial.script.rig.clients
+        trial, day, count = self.trial, self.trial.script.day, self.trial.script.cluster.clients
         gateways = [trial.gateways.addresses[number] for number in range(day.gateways)]
         kinds = [{name: kind[name] for name in ("name", "share", "limit", "pure")} for kind in self.kinds()]
         self.processes = [
@@ -35,7 +35,7 @@
         self.begun = [trial.processes.line(process, "clients") for process in self.processes]
 
     def events(self):
-        """As of a rig's other clients: who is done says how late it has run since its first task."""
+        """As of a harness's other clients: who is done says how late it has run since its first task."""
         found = []
         for path in sorted(self.trial.out.glob("clients-*.tap")):
             events = read(path)
--- a/gaproute/rig/platform/gateways.py
+++ b/gaproute/cluster/platform/gateways.py
@@ -1,14 +1,14 @@
-"""The platform's gateways of a rig: `gaproute.node`, each with a file and environment of its own."""
+"""The platform's gateways of a harness: `gaproute.node`, each with a file and environment of its own."""
 
 import json
 
-from gaproute.rig.gateways import RigGateways
-from gaproute.rig.processes import NEXT, hurry
+from gaproute.cluster.gateways import ClusterGateways
+from gaproute.cluster.processes import NEXT, hurry
 from gaproute.standins.platform import charter
 from gaproute.trial.processes import MILLI, READY_TIME, NotReady
 
 
-class NodeGateways(RigGateways):
+class NodeGateways(ClusterGateways):
     def rules(self):
         script = self.trial.script
         copies, life, day = script.copies, script.life, script.day
@@ -62,7 +62,7 @@
             if self.loop.now() > end:
                 raise NotReady(f"{name} was not up in time; see {log}")
             yield self.loop.sleep(20 * MILLI)
-        if trial.script.rig.crowded and trial.processes.first:
+        if trial.script.cluster.crowded and trial.processes.first:
             hurry(process.child.pid, NEXT)
         self.tap.note("started", gateway=number, name=name)
         self.tap.flush()
--- a/gaproute/rig/platform/hosts.py
+++ b/gaproute/cluster/platform/hosts.py
@@ -1,10 +1,10 @@
-"""Hosts of a platform rig: several in one process, each struck and restarted as if it had its own."""
+"""Hosts of a platform harness: several in one process, each struck and restarted as if it had its own."""
 
 import signal
 import time
 
-from gaproute.rig.processes import Gate
-from gaproute.rig.seats import RigSeats
+from gaproute.cluster.processes import Gate
+from gaproute.cluster.seats import ClusterSeats
 
 PER_PROCESS = 40  # hosts in one process: 60 took 0.09 of a core at 500 tasks a second
 
@@ -29,9 +29,9 @@
         self.process.hush()
 
 
-class NodeSeats(RigSeats):
-    def __init__(self, rig, random):
-        super().__init__(rig, random)
+class NodeSeats(ClusterSeats):
+    def __init__(self, harness, random):
+        super().__init__(harness, random)
         self.many, self.gates = [], []  # processes; one answer is awaited at a time of each
         self.down = set()  # names: a crash is told to those alone that are up
 
@@ -52,7 +52,7 @@
                     },
                 )
             )
-            self.gates.append(Gate(self.rig.loop, 1))
+            self.gates.append(Gate(self.harness.loop, 1))
         for process in self.many:
             yield self.processes.line(process, "the hosts' process")
 
--- a/gaproute/rig/platform/lists.py
+++ b/gaproute/cluster/platform/lists.py
@@ -1,25 +1,25 @@
-"""The change log of a platform rig: one process that tells each gateway the addresses by which it alone finds
-the hosts. Has the face of a rig's `Lists`; its troubles are the log's own."""
+"""The change log of a platform cluster: one process that tells each gateway the addresses by which it alone
+finds the hosts. Has the interface of `gaproute.cluster.lists.Lists`; its troubles are the log's own."""
 
-from gaproute.rig.lists import GATHER
+from gaproute.cluster.lists import GATHER
 from gaproute.standins.platform.listing import Listing, member
 
 
 class NodeLists:
-    def __init__(self, rig):
-        self.rig, self.loop, self.table, self.seats = rig, rig.loop, rig.table, rig.seats
+    def __init__(self, harness):
+        self.harness, self.loop, self.table, self.seats = harness, harness.loop, harness.table, harness.seats
         self.late, self.asked, self.told = 0, False, {}
         self.listing, self.process = Listing(), None
 
     def furnish(self):
         """A coroutine: the log's process, which listens for each gateway apart."""
         gateways = range(self.table.day.gateways)
-        self.process = self.rig.processes.standin(
+        self.process = self.harness.processes.standin(
             "platform-log",
             "log",
-            {"gateways": ["127.0.0.1:0"] * len(gateways), "tap": str(self.rig.out / "log.tap")},
+            {"gateways": ["127.0.0.1:0"] * len(gateways), "tap": str(self.harness.out / "log.tap")},
         )
-        self.table.ways = (yield self.rig.processes.line(self.process, "the change log"))["addresses"]
+        self.table.ways = (yield self.harness.processes.line(self.process, "the change log"))["addresses"]
 
     def row(self, seat):
         """As the log's event has it, with an address for each gateway; None before it was ever up."""
@@ -76,9 +76,11 @@
     def cut(self, line):
         """A coroutine: beside a `fault` that keeps back what the log tells gateways, the log is told whom.
         Both draw the same ends, by the line's own chance."""
-        random, names = self.rig.chance(line), []
+        random, names = self.harness.chance(line), []
         yield self.loop.sleep(line.at)
-        ends = [set(self.rig.wires.ends(self.rig, text, random)[1]) for text in (line.source, line.to)]
+        ends = [
+            set(self.harness.wires.ends(self.harness, text, random)[1]) for text in (line.source, line.to)
+        ]
         for number in range(self.table.day.gateways):
             ours, theirs = f"g{number}", f"l{number}"
             if any(ours in one and theirs in other for one, other in (ends, ends[::-1])):
@@ -94,6 +96,6 @@
         yield self.loop.sleep(line.at)
         told = {"trouble": "late", "by": line.back} if line.kind == "late" else {"trouble": "silent"}
         self.process.say(told | {"gateways": numbers})
-        self.rig.tap.note("list", kind=line.kind, gateways=numbers, lasts=line.lasts)
+        self.harness.tap.note("list", kind=line.kind, gateways=numbers, lasts=line.lasts)
         yield self.loop.sleep(line.lasts)
         self.process.say(told | {"gateways": numbers, "on": False})
--- a/gaproute/rig/platform/play.py
+++ b/gaproute/cluster/platform/play.py
@@ -1,17 +1,18 @@
-"""Plays a rig's script with the platform's gateways (`rig kind platform`): same faults, strikes and rules."""
+"""Plays a cluster script with the platform's gateways (`cluster kind platform`): same faults, strikes and
+rules."""
 
 import random
 
-from gaproute.rig.platform.crowd import NodeCrowd
-from gaproute.rig.platform.gateways import NodeGateways
-from gaproute.rig.platform.hosts import NodeSeats
-from gaproute.rig.platform.lists import NodeLists
-from gaproute.rig.rig import Rig
-from gaproute.rig.strikes import Strikes
+from gaproute.cluster.harness import ClusterHarness
+from gaproute.cluster.platform.crowd import NodeCrowd
+from gaproute.cluster.platform.gateways import NodeGateways
+from gaproute.cluster.platform.hosts import NodeSeats
+from gaproute.cluster.platform.lists import NodeLists
+from gaproute.cluster.strikes import Strikes
 from gaproute.standins.tap import read
 
 
-class NodeRig(Rig):
+class NodeHarness(ClusterHarness):
     def furnish(self):
         super().furnish()
         for number, model in enumerate(self.models, 1):
@@ -74,5 +75,5 @@
 
 
 def player(script):
-    """The class that plays this rig's script."""
-    return NodeRig if script.rig.kind == "platform" else Rig
+    """The class that plays this cluster's script."""
+    return NodeHarness if script.cluster.kind == "platform" else ClusterHarness
--- a/gaproute/rig/platform/words.py
+++ b/gaproute/cluster/platform/words.py
@@ -1,6 +1,6 @@
-"""What a rig's script cannot have because of the gateways' kind."""
+"""What a cluster script cannot have because of the gateways' kind."""
 
-from gaproute.rig import sets
+from gaproute.cluster import sets
 
 SETS = {"fault": ("source", "to"), "strike": ("on",), "list": ("on",)}
 
@@ -15,11 +15,11 @@
 
 
 def wrong(kind, word, line):
-    """As text. `kind`: of the `rig` line."""
+    """As text. `kind`: of the `cluster` line."""
     words = list(named(word, line))
     if kind != "platform":
         if "lists" in words:
-            yield "lists are of rig kind platform; others read a file"
+            yield "lists are of cluster kind platform; others read a file"
         return
     if word == "crews":
         yield "permits are off on the platform's sockets"
--- a/gaproute/rig/processes.py
+++ b/gaproute/cluster/processes.py
@@ -1,4 +1,4 @@
-"""The children of a rig: none outlives the parent, also where that is killed; the rig's own go first.
+"""The children of a harness: none outlives the parent, also where that is killed; the harness's own go first.
 
 A wire, a client, a host or a parent that waits for a core measures itself: with 340 processes on 8 cores a
 wire that used 6% of a core waited for one half of the time, whatever its nice value. So all but the gateways
@@ -32,14 +32,15 @@
     os.sched_setscheduler(0, os.SCHED_OTHER, os.sched_param(0))
 
 
-class RigProcesses(Processes):
+class ClusterProcesses(Processes):
     # As a service manager starts them. Linux shares cores among sessions first: in one, 200 gateways would
     # have as much as a single process of somebody else's.
     APART = True
 
     def __init__(self, loop, out):
         super().__init__(loop, out)
-        # Whether the rig's own are woken at once. What they start must be able to give that up as it starts.
+        # Whether the harness's own are woken at once. What they start must be able to give that up as it
+        # starts.
         self.first = shutil.which("chrt") is not None and hurry(0)
 
     def command(self, words, rate=1.0, offset=0, environment=None):
@@ -53,10 +54,19 @@
             manner = ["nice", "-n", str(NICE)]
         if environment:
             manner = ["env", *(f"{name}={value}" for name, value in environment.items()), *manner]
-        return [*manner, sys.executable, "-m", "gaproute.rig.child", "--parent-death", *clock, "--", *words]
+        return [
+            *manner,
+            sys.executable,
+            "-m",
+            "gaproute.cluster.child",
+            "--parent-death",
+            *clock,
+            "--",
+            *words,
+        ]
 
     def line(self, process, name="a stand-in"):
-        """As a trial's; who is ready is the rig's own, and hurries from then on."""
+        """As a trial's; who is ready is the harness's own, and hurries from then on."""
         promise = super().line(process, name)
         promise.then(lambda promise: self.first and hurry(process.child.pid))
         return promise
--- a/gaproute/rig/script.py
+++ b/gaproute/cluster/script.py
@@ -1,22 +1,22 @@
-"""Scripts of rigs: a trial's lines, and lines for the wire, the processes and each gateway's host list.
+"""Scripts of clusters: a trial's lines, and lines for the wire, the processes and each gateway's host list.
 
-Any of `rig`, `fault`, `strike` and `list` makes a script a rig's. All mistakes are told at once.
+Any of `cluster`, `fault`, `strike` and `list` makes a script a cluster's. All mistakes are told at once.
 """
 
 from typing import ClassVar, Literal
 
 from pydantic import Field
 
+from gaproute.cluster import crews, sets
+from gaproute.cluster.platform import words
 from gaproute.conf.lines import Directive, Mistake, Span, Yes
-from gaproute.rig import crews, sets
-from gaproute.rig.platform import words
 from gaproute.trial import script as trial
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 
 
-class RigLine(Directive):
-    example: ClassVar = "rig wires 4 clients 4 batch 8 ready 60s late 100ms bound 5m"
+class ClusterLine(Directive):
+    example: ClassVar = "cluster wires 4 clients 4 batch 8 ready 60s late 100ms bound 5m"
     once: ClassVar = True
     kind: Literal["appliance", "platform"] = "appliance"  # `gaproute serve` or `gaproute.node`
     wires: int = Field(1, ge=1, le=16)  # processes that share the wire
@@ -71,7 +71,13 @@
     back: Span = SECOND  # how late; of no use where they are deaf
 
 
-WORDS = {"rig": RigLine, "fault": FaultLine, "strike": StrikeLine, "list": ListLine, "crews": crews.CrewsLine}
+WORDS = {
+    "cluster": ClusterLine,
+    "fault": FaultLine,
+    "strike": StrikeLine,
+    "list": ListLine,
+    "crews": crews.CrewsLine,
+}
 SETS = {"fault": ("source", "to"), "strike": ("on",), "list": ("on",)}
 
 
@@ -89,7 +95,7 @@
     if word == "crews":
         yield from crews.wrong(line, day)
     kind = getattr(line, "kind", "")
-    if word not in ("rig", "crews") and kind != "clock" and line.at >= day.length:
+    if word not in ("cluster", "crews") and kind != "clock" and line.at >= day.length:
         yield f"it begins after the day, which is {day.length / SECOND:g} s long"
     if word == "fault" and kind == "delay" and not (line.delay or line.jitter or line.bytes):
         yield "a delay names delay, jitter or bytes"
@@ -105,7 +111,7 @@
 
 def check(file, found):
     day = next((line for word, line in found if word == "day"), trial.DayLine())
-    kind = next((line.kind for word, line in found if word == "rig"), "appliance")
+    kind = next((line.kind for word, line in found if word == "cluster"), "appliance")
     return [
         Mistake(file, line.line, f"{word}: {text}", f"right would be: {line.example}")
         for word, line in found
@@ -115,11 +121,11 @@
 
 
 def read_script(name):
-    """A trial's or a rig's script, by its name or its path; a rig's has `rig`, `faults`, `strikes` and
-    `lists`, a trial's `rig` is None. Errors: `Mistakes`."""
+    """A trial's or a cluster's script, by its name or its path; a cluster's has `cluster`, `faults`,
+    `strikes` and `lists`, a trial's `cluster` is None. Errors: `Mistakes`."""
     script, found = trial.read_script(name, WORDS, check)
     lines = {kind: [line for word, line in found if word == kind] for kind in WORDS}
-    script.rig = next(iter(lines["rig"]), None) or (RigLine() if any(lines.values()) else None)
+    script.cluster = next(iter(lines["cluster"]), None) or (ClusterLine() if any(lines.values()) else None)
     script.faults, script.strikes, script.lists = lines["fault"], lines["strike"], lines["list"]
     script.crews = next(iter(lines["crews"]), None)
     return script
--- a/gaproute/rig/show.py
+++ b/gaproute/cluster/show.py
@@ -1,4 +1,4 @@
-"""A rig's verdict for a person, 80 columns wide."""
+"""A cluster's verdict for a person, 80 columns wide."""
 
 from gaproute.trial import tables
 
--- a/gaproute/rig/strikes.py
+++ b/gaproute/cluster/strikes.py
@@ -2,49 +2,53 @@
 
 import os
 
-from gaproute.rig import sets
+from gaproute.cluster import sets
 from gaproute.trial.processes import SECOND
 
 
 class Strikes:
-    def __init__(self, rig):
-        self.rig, self.loop, self.gateways = rig, rig.loop, rig.gateways
+    def __init__(self, harness):
+        self.harness, self.loop, self.gateways = harness, harness.loop, harness.gateways
 
     def numbers(self, line):
         """The gateways that a line is about, drawn by its own chance: the same whatever else happens."""
         names = sets.names(
-            sets.parse(line.on), self.rig.table.all(self.rig.seats.seats.values()), self.rig.chance(line)
+            sets.parse(line.on),
+            self.harness.table.all(self.harness.seats.seats.values()),
+            self.harness.chance(line),
         )
         return [int(name[1:]) for name in names if name.startswith("g")]
 
     def clocks(self):
         """Before the gateways start."""
-        for line in self.rig.script.strikes:
+        for line in self.harness.script.strikes:
             if line.kind == "clock":
                 numbers = self.numbers(line)
                 self.gateways.clocks |= dict.fromkeys(numbers, (line.rate, line.offset))
-                self.rig.tap.note("strike", kind="clock", gateways=numbers, rate=line.rate, ahead=line.offset)
+                self.harness.tap.note(
+                    "strike", kind="clock", gateways=numbers, rate=line.rate, ahead=line.offset
+                )
 
     def strike(self, line):
         """A coroutine: one `strike` line from its time to its end."""
         yield self.loop.sleep(line.at)
         numbers = self.numbers(line)
-        self.rig.talk(f"{line.at / SECOND:5.1f} s  {line.kind} {len(numbers)} gateways")
-        self.rig.tap.note("strike", kind=line.kind, gateways=numbers, lasts=line.lasts)
+        self.harness.talk(f"{line.at / SECOND:5.1f} s  {line.kind} {len(numbers)} gateways")
+        self.harness.tap.note("strike", kind=line.kind, gateways=numbers, lasts=line.lasts)
         if line.kind == "stop":
-            yield from self.rig.together([self.gateways.stall(number, line.lasts) for number in numbers])
+            yield from self.harness.together([self.gateways.stall(number, line.lasts) for number in numbers])
         elif line.kind == "starve" and line.core:
             yield from self.crowd(numbers, line.lasts)
         elif line.kind == "starve":
             until = self.loop.now() + line.lasts
-            yield from self.rig.together(
+            yield from self.harness.together(
                 [self.gateways.starve(number, until, line.duty) for number in numbers]
             )
         else:
             kind = "KILL" if line.kind == "kill" else line.signal
             batch = line.batch or len(numbers)
             for place in range(0, len(numbers), batch):
-                yield from self.rig.together(
+                yield from self.harness.together(
                     [
                         self.gateways.restart(number, kind, line.back)
                         for number in numbers[place : place + batch]
@@ -55,17 +59,17 @@
         """A coroutine: all of them on the last core, beside a process that never rests. Judged as if they
         stood still: they do, again and again."""
         cores = sorted(os.sched_getaffinity(0))
-        spinner = self.rig.processes.start(["gaproute.rig.spin"], None, "spin.err", tells=False)
+        spinner = self.harness.processes.start(["gaproute.cluster.spin"], None, "spin.err", tells=False)
         struck = [(number, self.gateways.processes[number].child) for number in numbers]
         for number, _ in struck:
-            self.rig.tap.note("stopped", gateway=number)
+            self.harness.tap.note("stopped", gateway=number)
         for child in [spinner.child, *(child for _, child in struck)]:
             pin(child, cores[-1:])
         yield self.loop.sleep(span)
         spinner.child.kill()
         for number, child in struck:
             pin(child, cores)
-            self.rig.tap.note("continued", gateway=number)
+            self.harness.tap.note("continued", gateway=number)
 
 
 def pin(child, cores):
--- a/gaproute/rig/table.py
+++ b/gaproute/cluster/table.py
@@ -4,12 +4,12 @@
 import os
 import socket
 
-from gaproute.rig.addresses import LOWEST, between
+from gaproute.cluster.addresses import LOWEST, between
 
 # seats from which gateways, hosts and the platform's change log, a seat for each gateway, are counted
 GATEWAYS, HOSTS, LISTS = LOWEST, LOWEST + 1000, LOWEST + 3000
 LOWEST_PORT, PORTS = 20000, 11000  # below those that the kernel gives out by itself (32768 on)
-APART = 4  # ports that one rig takes: wire, clients, peers, operators
+APART = 4  # ports that one harness takes: wire, clients, peers, operators
 
 
 def free_port():
@@ -26,7 +26,7 @@
         except OSError:
             continue
         return port
-    raise OSError("no free ports for a rig")
+    raise OSError("no free ports for a harness")
 
 
 class Table:
--- a/gaproute/rig/verdict.py
+++ b/gaproute/cluster/verdict.py
@@ -1,25 +1,25 @@
-"""What a played rig is worth: `well`, `failed` (the program broke a rule or ended wrongly) or `void`."""
+"""What a played cluster is worth: `well`, `failed` (the program broke a rule or ended wrongly) or `void`."""
 
 from gaproute.trial.result import Result
 
 
 class Verdict(Result):
-    """A trial's result, and whether the rig that found it kept time. `end`: what ended it early, if
+    """A trial's result, and whether the harness that found it kept time. `end`: what ended it early, if
     anything."""
 
-    def __init__(self, rig, end, took):
-        self.rig, self.end, self.took = rig, end, took
+    def __init__(self, harness, end, took):
+        self.harness, self.end, self.took = harness, end, took
         self.whole = end is None
-        self.late = rig.lateness.most()
-        self.void = rig.voids + (list(rig.lateness.void()) if self.whole else [])
-        self.faulty = list(rig.faulty)
+        self.late = harness.lateness.most()
+        self.void = harness.voids + (list(harness.lateness.void()) if self.whole else [])
+        self.faulty = list(harness.faulty)
         if self.whole:
-            super().__init__(rig)
+            super().__init__(harness)
             self.faulty += [
                 f"g{number} ended with {code}" for number, code in self.codes.items() if code != 0
             ]
             self.faulty += [f"rule {broken.rule}: {broken.text}" for broken in self.broken[:20]]
-            self.permits = rig.crews.judged()
+            self.permits = harness.crews.judged()
             self.faulty += self.permits["broken"][:20] if self.permits else []
             self.void += ["no task came to an end"] * (not self.ends)
 
@@ -32,18 +32,19 @@
         return self.verdict == "well"
 
     def plain(self):
-        rig = self.rig
+        harness = self.harness
         told = {
             "verdict": self.verdict,
             "void": self.void,
             "faulty": self.faulty,
-            "seed": rig.seed,
-            "decisions": rig.decisions,
-            "again": f"gaproute trial {rig.out / 'day.script'} --seed {rig.seed} --decisions {rig.decisions}",
+            "seed": harness.seed,
+            "decisions": harness.decisions,
+            "again": f"gaproute trial {harness.out / 'day.script'} --seed {harness.seed}"
+            f" --decisions {harness.decisions}",
             "took_s": round(self.took, 1),
-            "ready_s": None if rig.ready_time is None else round(rig.ready_time / 1e9, 1),
+            "ready_s": None if harness.ready_time is None else round(harness.ready_time / 1e9, 1),
             "late_ms": self.late,
-            "gateways_waited": rig.lateness.waited,
-            "wires": rig.lateness.wires,
+            "gateways_waited": harness.lateness.waited,
+            "wires": harness.lateness.wires,
         }
         return told | (super().plain() | {"permits": self.permits} if self.whole else {})
--- a/gaproute/rig/wire/__main__.py
+++ b/gaproute/cluster/wire/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m gaproute.rig.wire`: told by lines of JSON on stdin, says lines of JSON on stdout; ends with
+"""`python -m gaproute.cluster.wire`: told by lines of JSON on stdin, says lines of JSON on stdout; ends with
 stdin.
 
 First line: {"tcp": port, "udp": port, "seats": {"16": {"name": ..., "kind": "gateway|host|list", "zone":
@@ -16,14 +16,14 @@
 import socket
 import sys
 
+from gaproute.cluster.wire.datagrams import Datagrams
+from gaproute.cluster.wire.invariants import breaches
+from gaproute.cluster.wire.lateness import Lateness
+from gaproute.cluster.wire.streams import Streams
+from gaproute.cluster.wire.weather import Weather
 from gaproute.decisions.chance import Chance
 from gaproute.loop import Loop
 from gaproute.loop.loop import READ
-from gaproute.rig.wire.datagrams import Datagrams
-from gaproute.rig.wire.invariants import breaches
-from gaproute.rig.wire.lateness import Lateness
-from gaproute.rig.wire.streams import Streams
-from gaproute.rig.wire.weather import Weather
 
 BACKLOG = 4096  # connections that the kernel opens before the wire takes them
 
--- a/gaproute/rig/wire/ends.py
+++ b/gaproute/cluster/wire/ends.py
@@ -10,8 +10,8 @@
 import struct
 from collections import deque
 
+from gaproute.cluster.wire.weather import HELD
 from gaproute.loop.loop import GONE, READ, WRITE
-from gaproute.rig.wire.weather import HELD
 
 CHUNK = 65536  # bytes read in one call
 HIGH, LOW = 1 << 18, 1 << 16  # bytes under way in one direction: reading stops above, goes on below
--- a/gaproute/rig/wire/gate.py
+++ b/gaproute/cluster/wire/gate.py
@@ -11,7 +11,7 @@
 import socket
 import struct
 
-from gaproute.rig.addresses import HIGHEST, LOWEST, SEAT_BITS
+from gaproute.cluster.addresses import HIGHEST, LOWEST, SEAT_BITS
 
 ATTACH = 26  # SO_ATTACH_FILTER of Linux
 LONGEST = 4096  # instructions that the kernel takes (BPF_MAXINSNS)
--- a/gaproute/rig/wire/refusals.py
+++ b/gaproute/cluster/wire/refusals.py
@@ -10,11 +10,11 @@
 import socket
 import struct
 
+from gaproute.cluster.addresses import pair
+from gaproute.cluster.wire import gate
+from gaproute.cluster.wire.datagrams import PKTINFO
+from gaproute.cluster.wire.weather import HELD
 from gaproute.loop.loop import READ
-from gaproute.rig.addresses import pair
-from gaproute.rig.wire import gate
-from gaproute.rig.wire.datagrams import PKTINFO
-from gaproute.rig.wire.weather import HELD
 
 READS = 64  # packets taken in one turn
 FLAGS, PORT = 33, 22  # in a packet without IP options, as loopback's are: TCP's flags and port called
--- a/gaproute/rig/wire/streams.py
+++ b/gaproute/cluster/wire/streams.py
@@ -10,13 +10,13 @@
 import select
 import socket
 
+from gaproute.cluster.addresses import between, of
+from gaproute.cluster.wire import gate
+from gaproute.cluster.wire.ends import AT_ONCE, End
+from gaproute.cluster.wire.refusals import Refusals
+from gaproute.cluster.wire.weather import HELD
 from gaproute.loop import Listener, connect
 from gaproute.loop.streams import address
-from gaproute.rig.addresses import between, of
-from gaproute.rig.wire import gate
-from gaproute.rig.wire.ends import AT_ONCE, End
-from gaproute.rig.wire.refusals import Refusals
-from gaproute.rig.wire.weather import HELD
 
 WITHIN = 130_000_000_000  # ns: as long as Linux tries to connect; then the caller's end is reset
 GIVEN_UP = select.EPOLLRDHUP  # and errors, which epoll always tells
--- a/gaproute/rig/wire/weather.py
+++ b/gaproute/cluster/wire/weather.py
@@ -4,8 +4,8 @@
 of traffic, made of the seed, so that it does not matter which of several wires serves a pair.
 """
 
-from gaproute.rig.addresses import HIGHEST, LOWEST, SEAT_BITS
-from gaproute.rig.wire.faults import MILLI, fault, seat
+from gaproute.cluster.addresses import HIGHEST, LOWEST, SEAT_BITS
+from gaproute.cluster.wire.faults import MILLI, fault, seat
 
 SECOND = 1000 * MILLI
 AGAIN = 200 * MILLI  # TCP's least time before it sends lost bytes again
--- a/gaproute/rig/wires.py
+++ b/gaproute/cluster/wires.py
@@ -3,8 +3,8 @@
 import json
 import os
 
+from gaproute.cluster import sets
 from gaproute.loop.loop import GONE, READ
-from gaproute.rig import sets
 from gaproute.trial.processes import MILLI, SECOND, NotReady
 
 ANSWER = 5 * SECOND  # for a wire to say its counts: one that takes longer ran late anyway
@@ -28,7 +28,7 @@
                 "seed": self.seed,
                 "tap": None,
             }
-            wire = self.processes.start(["gaproute.rig.wire"], told, f"wire-{place}.err")
+            wire = self.processes.start(["gaproute.cluster.wire"], told, f"wire-{place}.err")
             self.wires.append(wire)
             self.told.append([])
         for wire, told in zip(self.wires, self.told, strict=True):
@@ -38,7 +38,7 @@
             self.listen(wire, told)
 
     def listen(self, wire, told):
-        """What it says from now on is kept; what it could not follow is an error of the rig."""
+        """What it says from now on is kept; what it could not follow is an error of the harness."""
         fd, rest = wire.child.stdout.fileno(), bytearray()
 
         def heard(events):
@@ -73,10 +73,10 @@
             yield self.loop.sleep(10 * MILLI)
         return [told[-1] if len(told) > had else None for told, had in zip(self.told, before, strict=True)]
 
-    def fault(self, rig, line, random):
+    def fault(self, harness, line, random):
         """A coroutine: one `fault` line from its time to its end."""
         yield self.loop.sleep(line.at)
-        ends = [self.ends(rig, text, random) for text in (line.source, line.to)]
+        ends = [self.ends(harness, text, random) for text in (line.source, line.to)]
         on = {
             "kind": line.kind,
             "from": ends[0][0],
@@ -90,24 +90,24 @@
         }
         self.numbers += 1
         name = f"f{self.numbers}"
-        rig.talk(f"{line.at / SECOND:5.1f} s  {line.kind} on the wire")
+        harness.talk(f"{line.at / SECOND:5.1f} s  {line.kind} on the wire")
         self.say({"fault": name, "on": on})
         span, slack = late(line)
         note = {"id": name, "kind": line.kind, "late": span, "slack": slack}
         if line.what != "datagrams":
             note |= ways(line, ends[0][1], ends[1][1])
-        rig.tap.note("fault", on=True, **note)
+        harness.tap.note("fault", on=True, **note)
         yield self.loop.sleep(line.lasts)
         self.say({"fault": name, "off": True})
-        rig.tap.note("fault", on=False, **note)
+        harness.tap.note("fault", on=False, **note)
 
-    def ends(self, rig, text, random):
+    def ends(self, harness, text, random):
         """(words for the wire, names of seats now). Words that the wire knows cover hosts that come later."""
-        parts, seats = sets.parse(text), rig.table.all(rig.seats.seats.values())
+        parts, seats = sets.parse(text), harness.table.all(harness.seats.seats.values())
         names = sets.names(parts, seats, random)
         if any(part.no or part.share < 1 for part in parts):
             return names, names
-        return [word for part in parts for word in rig.table.words(part.what, seats)], names
+        return [word for part in parts for word in harness.table.words(part.what, seats)], names
 
 
 def late(line):
--- a/gaproute/judge/rules.py
+++ b/gaproute/judge/rules.py
@@ -33,7 +33,7 @@
     order_free: float = 6
     order_share: float = 0.3
     order_window: int = 10 * SECOND
-    transit: int = TRANSIT  # a rig adds what it may itself be late
+    transit: int = TRANSIT  # a harness adds what it may itself be late
 
 
 def judge(facts, hosts, clients, run):
--- a/gaproute/rig/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Rigs of the platform's gateways, `gaproute.node`, their hosts, change log and clients (`play.NodeRig`)."""
--- a/gaproute/rig/wire/__init__.py
+++ /dev/null
@@ -1,5 +0,0 @@
-"""The wire between the rig's processes: streams and datagrams of any pair of seats, and faults on their way.
-
-Face: the process `python -m gaproute.rig.wire` (`__main__.py`: what it reads and says); `weather.py` decides
-without I/O, `faults.py` says what each fault does and how it differs from a real network's.
-"""
--- a/gaproute/standins/beat.py
+++ b/gaproute/standins/beat.py
@@ -1,6 +1,7 @@
 """The beat of a stand-in process: its tap written out, and said where the process itself ran late.
 
-A late stand-in is a late rig: what gateways did meanwhile is not judged by it (`what` is "late", `by` in ns).
+A late stand-in is a late harness: what gateways did meanwhile is not judged by it (`what` is "late", `by`
+in ns).
 """
 
 MILLI = 1_000_000
--- a/gaproute/standins/platform/charter.py
+++ b/gaproute/standins/platform/charter.py
@@ -1,5 +1,5 @@
 """What a gateway of the platform is told at its start: a settings object with sane rules, its JSON file, its
-environment. No sockets; a rig writes the file and starts the command."""
+environment. No sockets; a harness writes the file and starts the command."""
 
 import json
 import sys
--- a/gaproute/standins/platform/host.py
+++ b/gaproute/standins/platform/host.py
@@ -2,8 +2,8 @@
 
 Beside the troubles of `machine` it knows: shut (closes connections once they have been answered on), red
 (says so when probed), drain (takes no load orders), vanish (reads and says nothing, closes nothing).
-A line {"type":"whose","gateway":NAME} first on a connection says who speaks: a rig that stands between may
-write it, as no line of the protocol tells a host which gateway ordered a load.
+A line {"type":"whose","gateway":NAME} first on a connection says who speaks: a cluster harness
+that stands between may write it, as no line of the protocol tells a host which gateway ordered a load.
 """
 
 import base64
--- a/gaproute/trial/result.py
+++ b/gaproute/trial/result.py
@@ -18,8 +18,8 @@
         self.clients, self.run = trial.crowd.events(), read(out / "run.tap")
         store = read(out / "store.tap")
         copies = script.copies
-        # a rig may itself be late by so much before its measurement is void
-        transit = TRANSIT + (script.rig.late if script.rig else 0)
+        # a harness may itself be late by so much before its measurement is void
+        transit = TRANSIT + (script.cluster.late if script.cluster else 0)
         facts = Facts(
             {line.name: line.effect for line in script.tracks},
             {line.name: line.group for line in script.tracks},
--- a/tests/test_rig_child.py
+++ b/tests/test_cluster_child.py
@@ -1,4 +1,4 @@
-"""The starter of the rig's processes: a wrong clock under an unchanged program, and no life after the
+"""The starter of the harness's processes: a wrong clock under an unchanged program, and no life after the
 parent's.
 """
 
@@ -9,7 +9,7 @@
 
 import pytest
 
-from gaproute.rig.child import die_with, set_clocks, wrong
+from gaproute.cluster.child import die_with, set_clocks, wrong
 
 ASK = """
 import time
@@ -23,7 +23,7 @@
 def run(tmp_path, *options, text=ASK):
     (tmp_path / "asked_module.py").write_text(text)
     here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
-    words = [sys.executable, "-m", "gaproute.rig.child", *options, "--", "asked_module", "--word"]
+    words = [sys.executable, "-m", "gaproute.cluster.child", *options, "--", "asked_module", "--word"]
     done = subprocess.run(
         words,
         env={**os.environ, "PYTHONPATH": f"{tmp_path}:{here}"},
@@ -85,7 +85,8 @@
     (tmp_path / "asked_module.py").write_text("print('up', flush=True)\nimport signal\nsignal.pause()")
     parent = """
 import os, subprocess, sys
-subprocess.Popen([sys.executable, "-m", "gaproute.rig.child", "--parent-death", "--parent", str(os.getpid()),
+subprocess.Popen([sys.executable, "-m", "gaproute.cluster.child", "--parent-death",
+                  "--parent", str(os.getpid()),
                   "--", "asked_module"]).wait()
 """
     here = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
--- a/tests/test_rig_permits.py
+++ b/tests/test_cluster_permits.py
@@ -4,19 +4,19 @@
 import subprocess
 
 import pytest
-from test_rig_play import PLAYS, command
+from test_cluster_play import PLAYS, command
 
+from gaproute.cluster.script import read_script
 from gaproute.conf import Mistakes
 from gaproute.judge import permits
 from gaproute.judge.permits import SECOND
-from gaproute.rig.script import read_script
 from gaproute.standins.tap import read
 
 
 def test_permits_keep_their_word_while_keepers_die_stand_still_and_do_not_hear_each_other(tmp_path):
     """Also where the machine is too busy for the other measurements (void): permits bear lateness."""
     for turn in range(PLAYS):
-        words = command("permits-rig", tmp_path / str(turn), "--seed", "3")
+        words = command("permits-cluster", tmp_path / str(turn), "--seed", "3")
         done = subprocess.run(words, capture_output=True, timeout=90)
         verdict = json.loads(done.stdout)
         assert verdict["permits"]["broken"] == []
--- a/tests/test_rig_platform.py
+++ b/tests/test_cluster_platform.py
@@ -1,19 +1,19 @@
-"""The rig with the platform's gateways: a day through the wire, and the parts that stand between."""
+"""The harness with the platform's gateways: a day through the wire, and the parts that stand between."""
 
 import json
 import socket
 import subprocess
 
 import pytest
-from test_rig_play import PLAYS, command
-from test_rig_wire import Party
+from test_cluster_play import PLAYS, command
+from test_cluster_wire import Party
 
+from gaproute.cluster.harness import ClusterHarness
+from gaproute.cluster.platform.play import NodeHarness, player
+from gaproute.cluster.script import read_script
 from gaproute.conf import Mistakes
 from gaproute.judge import Facts, judge
 from gaproute.loop import Loop
-from gaproute.rig.platform.play import NodeRig, player
-from gaproute.rig.rig import Rig
-from gaproute.rig.script import read_script
 from gaproute.standins.platform.listing import Listing, member
 from gaproute.standins.platform.log import Log
 from gaproute.standins.platform.spread import Spread
@@ -31,7 +31,9 @@
     them by is played again, as one with a fault is."""
     for turn in range(PLAYS):
         out = tmp_path_factory.mktemp("platform") / str(turn)
-        done = subprocess.run(command("platform-rig", out, "--seed", "6"), capture_output=True, timeout=90)
+        done = subprocess.run(
+            command("platform-cluster", out, "--seed", "6"), capture_output=True, timeout=90
+        )
         verdict = json.loads(done.stdout)
         if not verdict["faulty"] and len(orders_at_hosts(out)) >= FEWEST_ORDERS:
             break
@@ -71,7 +73,7 @@
     events = read(out / f"host-{host}.1.tap")
     task = next(each for each in events if each["what"] == "task" and each["id"] in gateway)
     forged = task | {"at": drained["at"] + SECOND}
-    script = read_script("platform-rig")
+    script = read_script("platform-cluster")
     facts = Facts(
         {line.name: line.effect for line in script.tracks},
         {line.name: line.group for line in script.tracks},
@@ -136,12 +138,15 @@
 
 
 def test_the_kind_chooses_who_plays_and_what_it_cannot_have_is_named(tmp_path):
-    assert player(read_script("platform-rig")) is NodeRig and player(read_script("small-rig")) is Rig
+    assert (
+        player(read_script("platform-cluster")) is NodeHarness
+        and player(read_script("small-cluster")) is ClusterHarness
+    )
     fleet = read_script("fleet-platform")
-    assert player(fleet) is NodeRig and fleet.day.gateways == 200 and fleet.day.hosts == 120
+    assert player(fleet) is NodeHarness and fleet.day.gateways == 200 and fleet.day.hosts == 120
     path = tmp_path / "x.script"
     path.write_text(
-        "rig kind platform\nday gateways 3 peers yes\ntrack a pure contract 1s limit 2s\n"
+        "cluster kind platform\nday gateways 3 peers yes\ntrack a pure contract 1s limit 2s\n"
         "traffic a\ncrews keepers 3\nfault lose at 1s for 1s from lists to g0\n"
     )
     with pytest.raises(Mistakes) as wrong:
--- a/tests/test_rig_play.py
+++ b/tests/test_cluster_play.py
@@ -1,5 +1,5 @@
-"""Small rigs, played by processes: rules kept through the wire, a broken one found, a late rig void, and
-nothing left of a rig whose parent was killed."""
+"""Small clusters, played by processes: rules kept through the wire, a broken one found, a late harness void,
+and nothing left of a harness whose parent was killed."""
 
 import json
 import os
@@ -12,11 +12,11 @@
 
 import pytest
 
+from gaproute.cluster.lists import Lists
+from gaproute.cluster.processes import Gate
+from gaproute.cluster.script import read_script
+from gaproute.cluster.table import Table
 from gaproute.loop import Loop
-from gaproute.rig.lists import Lists
-from gaproute.rig.processes import Gate
-from gaproute.rig.script import read_script
-from gaproute.rig.table import Table
 from gaproute.standins.tap import Tap, read
 from gaproute.trial.seats import Seats
 
@@ -42,25 +42,25 @@
 
 
 def test_the_rules_are_kept_while_the_wire_and_the_processes_fail_and_the_folder_tells_all(tmp_path):
-    code, verdict = play(tmp_path, "small-rig", "--seed", "3")
+    code, verdict = play(tmp_path, "small-cluster", "--seed", "3")
     assert verdict["faulty"] == [] and verdict["void"] == [] and code == 0 and verdict["verdict"] == "well"
     assert verdict["relays"] > 200 and verdict["wires"][0]["bytes"] > 100_000
     assert verdict["wires"][0]["weather"]["lost"] > 0 and verdict["wires"][0]["weather"]["held"] > 0
     out = max(tmp_path.iterdir())
     assert json.loads((out / "play.json").read_text())["seed"] == 3 and verdict["seed"] == 3
-    assert read_script(str(out / "day.script")).text == read_script("small-rig").text
+    assert read_script(str(out / "day.script")).text == read_script("small-cluster").text
     noted = {event["what"] for event in read(out / "run.tap")}
     assert {"fault", "strike", "list", "trouble", "told", "killed", "stopped", "continued", "begun"} <= noted
 
 
 @pytest.mark.parametrize("rule, rogue", [(2, "RepeatsEverything"), (3, "IgnoresDrains")])
 def test_a_module_that_breaks_a_rule_is_caught_through_the_wire(tmp_path, rule, rogue):
-    code, verdict = play(tmp_path, "small-rig", "--decisions", f"gaproute.standins.rogues:{rogue}")
+    code, verdict = play(tmp_path, "small-cluster", "--decisions", f"gaproute.standins.rogues:{rogue}")
     # what it breaks is broken on a late machine as well; that nothing else is, a void play does not tell
     assert code in (1, 3) and rule in {broken["rule"] for broken in verdict["broken"]}
 
 
-TINY = """rig late {late} bound 60s
+TINY = """cluster late {late} bound 60s
 day length {length}s rate 20 hosts 1 gateways 2 models 2 halls 1 peers yes
 track a pure contract 1s limit 2s
 traffic a work 5ms
@@ -99,18 +99,20 @@
 def test_a_rig_whose_parent_is_killed_leaves_no_process_also_none_that_stands_still(tmp_path):
     script, out = tmp_path / "tiny.script", tmp_path / "out"
     script.write_text(TINY.format(late="1s", length=40))
-    rig = subprocess.Popen(command(script, out), stdout=subprocess.DEVNULL)
+    harness = subprocess.Popen(command(script, out), stdout=subprocess.DEVNULL)
     try:
         end = time.monotonic() + 30
         while not (out / "run.tap").exists() or b'"stopped"' not in (out / "run.tap").read_bytes():
-            assert time.monotonic() < end and rig.poll() is None
+            assert time.monotonic() < end and harness.poll() is None
             time.sleep(0.05)
-        left = children(rig.pid)
+        left = children(harness.pid)
         kinds = b" ".join(left.values())
-        assert len(left) >= 6 and b"gaproute.rig.wire" in kinds and b"serve" in kinds and b"clients" in kinds
+        assert (
+            len(left) >= 6 and b"gaproute.cluster.wire" in kinds and b"serve" in kinds and b"clients" in kinds
+        )
     finally:
-        os.kill(rig.pid, signal.SIGKILL)
-        rig.wait()
+        os.kill(harness.pid, signal.SIGKILL)
+        harness.wait()
     end = time.monotonic() + 5
     while any(map(lives, left)):
         assert time.monotonic() < end, [left[pid] for pid in left if lives(pid)]
@@ -140,7 +142,7 @@
 
 def test_a_late_list_never_undoes_a_newer_one_and_each_gateway_has_its_own_addresses(tmp_path):
     loop = Loop()
-    script = read_script("small-rig")
+    script = read_script("small-cluster")
     table, tap = Table(script.day, False), Tap(str(tmp_path / "run.tap"), loop.clock)
     seats = Seats(script, 1, None, [], random.Random(1))
     seat = seats.new()
--- a/tests/test_rig_script.py
+++ b/tests/test_cluster_script.py
@@ -1,4 +1,4 @@
-"""A rig's script: its sets of seats, and every mistake in one go; what its faults mean for the judge."""
+"""A cluster script: its sets of seats, and every mistake in one go; what its faults mean for the judge."""
 
 import random
 
@@ -6,12 +6,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from gaproute.cluster import sets
+from gaproute.cluster.script import read_script
+from gaproute.cluster.table import Table
+from gaproute.cluster.wires import late, ways
 from gaproute.conf import Mistakes
 from gaproute.judge import Facts, judge
-from gaproute.rig import sets
-from gaproute.rig.script import read_script
-from gaproute.rig.table import Table
-from gaproute.rig.wires import late, ways
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 SEATS = [(f"g{number}", "gateway", f"hall-{number % 2}") for number in range(10)] + [
@@ -44,7 +44,7 @@
 
 
 def test_a_zone_is_one_word_on_the_wire_and_one_without_hosts_names_none(tmp_path):
-    table = Table(script(tmp_path, "rig wires 1").day, False)
+    table = Table(script(tmp_path, "cluster wires 1").day, False)
     assert table.words("gateways/hall-1", SEATS) == ["zone:gateway/hall-1"]
     assert table.words("g1", SEATS) == ["g1"]
     assert table.words("zone:hall-0", SEATS) == ["zone:gateway/hall-0", "zone:host/hall-0"]
@@ -59,7 +59,7 @@
 
 def test_every_mistake_is_told_at_once_with_its_line(tmp_path):
     wrong = [
-        "rig wires 0",
+        "cluster wires 0",
         "fault cut at 9s for 1s",
         "fault delay at 1s for 1s",
         "fault lose at 1s for 1s to nobody",
@@ -80,9 +80,11 @@
 
 
 def test_the_scripts_that_come_with_the_program_can_be_read_and_tell_trials_from_rigs(tmp_path):
-    assert read_script("small-rig").rig.wires == 1 and read_script("fleet-rig").day.gateways == 200
-    assert read_script("short-day").rig is None
-    assert script(tmp_path, "strike kill on g0 at 1s").rig is not None
+    assert (
+        read_script("small-cluster").cluster.wires == 1 and read_script("fleet-cluster").day.gateways == 200
+    )
+    assert read_script("short-day").cluster is None
+    assert script(tmp_path, "strike kill on g0 at 1s").cluster is not None
 
 
 FACTS = Facts({"p": "pure"}, {"p": "all"}, {"p": 0}, {"h": ("z", "r")})
--- a/tests/test_rig_weather.py
+++ b/tests/test_cluster_weather.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from gaproute.cluster import addresses
+from gaproute.cluster.wire.faults import MILLI
+from gaproute.cluster.wire.invariants import weather as breaches
+from gaproute.cluster.wire.weather import AGAIN, HELD, QUEUE, SECOND, Weather
 from gaproute.decisions.chance import Chance
-from gaproute.rig import addresses
-from gaproute.rig.wire.faults import MILLI
-from gaproute.rig.wire.invariants import weather as breaches
-from gaproute.rig.wire.weather import AGAIN, HELD, QUEUE, SECOND, Weather
 
 A, B, C, H = 16, 17, 18, 40
 SEATS = {
--- a/tests/test_rig_wire.py
+++ b/tests/test_cluster_wire.py
@@ -1,7 +1,7 @@
 """The wire on loopback: bytes, ends, resets and datagrams of seats through one listener, and faults on
 their way.
 
-All in one process on a clock that leaps, but for the last ones, which start the wire as the rig does.
+All in one process on a clock that leaps, but for the last ones, which start the wire as the harness does.
 """
 
 import gc
@@ -14,14 +14,14 @@
 
 import pytest
 
+from gaproute.cluster.addresses import between, of
+from gaproute.cluster.wire.__main__ import Wire
+from gaproute.cluster.wire.ends import CHUNK, HIGH, End
+from gaproute.cluster.wire.faults import MILLI
+from gaproute.cluster.wire.invariants import breaches
+from gaproute.cluster.wire.lateness import Lateness
+from gaproute.cluster.wire.streams import Relay
 from gaproute.loop import Loop, Stepped
-from gaproute.rig.addresses import between, of
-from gaproute.rig.wire.__main__ import Wire
-from gaproute.rig.wire.ends import CHUNK, HIGH, End
-from gaproute.rig.wire.faults import MILLI
-from gaproute.rig.wire.invariants import breaches
-from gaproute.rig.wire.lateness import Lateness
-from gaproute.rig.wire.streams import Relay
 
 A, H, DEAD, NOBODY = 16, 17, 18, 19
 
@@ -501,7 +501,10 @@
 
 def start():
     return subprocess.Popen(
-        [sys.executable, "-m", "gaproute.rig.wire"], stdin=subprocess.PIPE, text=True, stdout=subprocess.PIPE
+        [sys.executable, "-m", "gaproute.cluster.wire"],
+        stdin=subprocess.PIPE,
+        text=True,
+        stdout=subprocess.PIPE,
     )
 
 
--- a/tests/test_standins_platform.py
+++ b/tests/test_standins_platform.py
@@ -1,4 +1,5 @@
-"""The platform's stand-in host on one loop, spoken to by lines; the file that a rig writes for a gateway."""
+"""The platform's stand-in host on one loop, spoken to by lines; the file that a cluster harness writes for a
+gateway."""
 
 import json
 
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -12,8 +12,8 @@
 import pytest
 from helpers import SECOND
 
+from gaproute.cluster.script import read_script
 from gaproute.loop.streams import address
-from gaproute.rig.script import read_script
 from gaproute.standins.rogues import ROGUES
 from gaproute.trial.daybook import script_of
 
