The command line in four modules: a configuration, a running gateway, plays, what they share

Commands about a configuration file are in serving.py, those that ask a running gateway in asking.py, those that play in playing.py; main.py lists them.

--- /dev/null
+++ b/gaproute/cli/serving.py
@@ -0,0 +1,120 @@
+"""Commands about a configuration file: run a gateway by it, check it, move it to another deployment."""
+
+import gc
+import socket
+import sys
+
+import click
+
+from gaproute.cli.common import refuse
+from gaproute.conf import Mistakes, move, read_charter, read_hosts, read_peers, read_text, write_whole
+from gaproute.conf.cell_files import check_cells
+
+
+def charter_of(file, whole=False):
+    """The configuration of a file, or exit 2. `whole`: the files of its cells are read as well; a gateway
+    starts without them and waits."""
+    try:
+        charter = read_charter(file)
+        if charter.hosts_file is not None:
+            read_hosts(charter.hosts_file.path)
+        if charter.peers_file is not None:
+            read_peers(charter.peers_file.path)
+        if whole and charter.cells is not None:
+            check_cells(charter)
+        return charter
+    except Mistakes as wrong:
+        refuse(wrong, "nothing of it is used")
+
+
+@click.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--seed", type=int, help="Seed of the decisions' chance; drawn at start where not given.")
+@click.option("--processes", type=click.IntRange(1, 64), help="So many gateways behind the same addresses.")
+@click.option("--seat", type=(int, int), hidden=True)
+@click.option("--inherited", multiple=True, hidden=True)
+@click.option("--life", type=int, hidden=True)
+@click.option("--ready", type=int, hidden=True)
+def serve(file, seed, processes, seat, inherited, life, ready):
+    """Run a gateway by the configuration FILE until SIGTERM; with --processes several, under one parent that
+    starts a dead one again and, at SIGHUP, rolls a new configuration through them."""
+    charter = charter_of(file)
+    if processes is not None:
+        from gaproute.appliance.parent import Parent
+
+        runs = Parent(file, charter, processes, seed)
+    else:
+        from gaproute.appliance import Appliance
+
+        sockets = {}
+        for each in inherited:
+            fd, _, where = each.partition("=")
+            sockets[where] = socket.socket(fileno=int(fd))
+        if seat is not None:
+            charter.seat(*seat)
+        runs = Appliance(charter, seed=seed, inherited=sockets)
+        runs.heed_signals()
+    try:
+        runs.start()
+    except OSError as fault:
+        click.echo(f"cannot listen: {fault}", err=True)
+        sys.exit(3)
+    if life is not None:
+        runs.under(life, ready)
+    gc.collect()
+    gc.freeze()  # what stands for good is not looked through again and again: pauses of 20 ms and more
+    gc.set_threshold(10_000, 50, 100)  # a task leaves no cycles behind
+    runs.run()
+
+
+@click.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+def check(file):
+    """Check the configuration FILE and the files that it names; every mistake in one go."""
+    charter = charter_of(file, whole=True)
+    click.echo(
+        f"{file}: well: {len(charter.tracks)} tracks, {len(charter.models)} models, "
+        f"{len(charter.hosts) or 'listed'} hosts"
+    )
+
+
+@click.command()
+@click.argument("old", type=click.Path(dir_okay=False))
+@click.argument("new", type=click.Path(dir_okay=False))
+@click.option(
+    "--shape",
+    required=True,
+    type=click.Path(dir_okay=False),
+    help="What the new deployment states, as lines of a configuration.",
+)
+@click.option("--dry-run", is_flag=True, help="Print the result; write nothing.")
+@click.option("--replace", is_flag=True, help="Write NEW even where such a file stands.")
+def migrate(old, new, shape, dry_run, replace):
+    """Write NEW, the counterpart of the configuration OLD for a deployment of another shape, and tell each
+    line that could not be carried over. Exits 0 with all carried over, 1 with lines left behind, 2 where it
+    is refused."""
+    try:
+        texts = [read_text(file) for file in (old, shape)]
+        text, left = move(old, texts[0], shape, texts[1], new)
+    except Mistakes as wrong:
+        refuse(wrong, "nothing is written")
+    if dry_run:
+        click.echo(text, nl=False)
+    else:
+        try:
+            write_whole(new, text, replace, kept=(old, shape))
+        except FileExistsError:
+            click.echo(
+                f"{new}: stands already; name another file or say --replace; nothing is written", err=True
+            )
+            sys.exit(2)
+        except OSError as fault:
+            click.echo(
+                f"{new}: {fault.strerror}; name a file that can be written; nothing is written", err=True
+            )
+            sys.exit(2)
+    for each in left:
+        click.echo(str(each), err=True)
+    done = "nothing is written" if dry_run else f"written: {new}"
+    click.echo(f"{len(left)} left behind; {done}", err=True)
+    sys.exit(1 if left else 0)
--- a/tests/test_parent.py
+++ b/tests/test_parent.py
@@ -13,7 +13,7 @@
 import pytest
 from helpers import CHARTER, SECOND
 
-from gaproute.cli.main import ask
+from gaproute.cli.asking import ask
 from gaproute.conf import read_charter
 from gaproute.decisions.admission.restarts import APART, FIRST, MOST, SPREAD, WELL, Restarts
 from gaproute.decisions.chance import Chance
