--- a/benchmarks/connections.py
+++ b/benchmarks/connections.py
@@ -156,7 +156,7 @@
     def open_all():
         for number in range(count):
             low = number % 100 + 1
-            from gaproute.load.crowd import Member
+            from gaproute.load.member import Member
 
             member = Member(crowd, f"127.1.0.{low}", line)
             crowd.members.append(member)
--- a/gaproute/load/crowd.py
+++ b/gaproute/load/crowd.py
@@ -1,5 +1,4 @@
-"""Plays a load on the loop: a crowd of connections, each a stream and, while it waits for an answer, a
-reader.
+"""Plays a load on the loop: a crowd of connections (`member.py`), opened, asked and lost by script.
 
 Latency counts from when a task was meant to start, not from when a connection was free for it: a stall of the
 other side is not hidden by the waiting of this one.
@@ -8,7 +7,8 @@
 import random
 from collections import Counter, deque
 
-from gaproute.http1 import Fault, Reader
+from gaproute.load.member import Member
+from gaproute.load.requests import Requests
 from gaproute.load.results import Tally
 from gaproute.loop import Stream, connect
 from gaproute.loop.streams import address
@@ -16,75 +16,6 @@
 MILLI, SECOND = 1_000_000, 1_000_000_000
 OPENING = 200  # connects on their way at once: the other side's accept queue holds the rest
 CONNECT_TIME = 5 * SECOND
-HEAD, ANSWER = 65536, 64 << 20
-
-
-class Member:
-    """One held connection. `owed`: when each task that is asked was meant to start. Without a traffic it is
-    silent."""
-
-    __slots__ = ("crowd", "stream", "reader", "owed", "traffic", "source", "place", "storm")
-
-    def __init__(self, crowd, source, traffic):
-        self.crowd, self.source, self.traffic = crowd, source, traffic
-        self.stream = self.reader = None
-        self.owed = None
-        self.place = -1  # among the idle ones of its traffic
-        self.storm = False
-
-    def opened(self, sock):
-        self.stream = Stream(self.crowd.loop, sock, self.came, self.ended)
-
-    def ask(self, meant, count):
-        line = self.traffic
-        if self.reader is None:
-            self.reader = Reader(False, self.crowd.loop.clock, HEAD, ANSWER)
-        self.owed = deque((meant,) * count)
-        self.stream.write(self.crowd.request(line) * count)
-        self.crowd.asked(self, meant + line.patience)
-
-    def came(self, data):
-        if self.reader is None:
-            self.crowd.counts["strays"] += 1
-            self.lose()
-            return
-        try:
-            answers = self.reader.feed(data)
-        except Fault:
-            self.lose("broken")
-            return
-        for answer in answers:
-            if not self.owed:
-                self.crowd.counts["strays"] += 1
-                continue
-            outcome = answer.headers.get(b"gaproute-outcome", b"").decode() or (
-                "delivered" if answer.status == 200 else str(answer.status)
-            )
-            self.crowd.over(self, self.owed.popleft(), outcome)
-            if not answer.keep_alive:
-                self.lose()
-                return
-        if not self.owed and not self.reader.midway:
-            self.reader = self.owed = None
-            self.crowd.free(self)
-
-    def ended(self, error):
-        self.crowd.counts["closed by the server" if error is None else "reset by the server"] += 1
-        self.stream = None
-        self.lose("broken")
-
-    def lose(self, outcome="broken"):
-        """Ends the connection, to be opened again; what it still owes ends so."""
-        self.drop(outcome)
-        self.crowd.lost(self)
-
-    def drop(self, outcome):
-        owed, self.owed, self.reader = self.owed or (), None, None
-        stream, self.stream = self.stream, None
-        if stream is not None:
-            stream.abort()
-        for meant in owed:
-            self.crowd.over(self, meant, outcome)
 
 
 class Crowd:
@@ -100,25 +31,10 @@
         self.begun = self.end = None
         self.settled = False
         self.deadlines = {line.name: deque() for line in load.traffic}  # (when, member, what it owed)
-        self.bodies = {}
+        self.requests = Requests(self.chance)
 
     # One task
 
-    def request(self, line):
-        path = self.chance.choice(line.path)
-        made = self.bodies.get((line.name, path))
-        if made is None:
-            body = b"x" * line.body
-            if line.body >= 60:
-                frame = b'{"inputs": [{"name": "in", "shape": [1], "datatype": "BYTES", "data": ["%s"]}]}'
-                body = frame % (b"x" * max(0, line.body - len(frame) + 2))
-            lines = f"{line.method} {path} HTTP/1.1\r\nHost: gaproute\r\n"
-            if line.method == "POST":
-                lines += f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n"
-            made = lines.encode() + b"\r\n" + (body if line.method == "POST" else b"")
-            self.bodies[line.name, path] = made
-        return made
-
     def asked(self, member, due):
         self.counts["asked"] += member.traffic.pipeline
         self.deadlines[member.traffic.name].append((due, member, member.owed))
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -106,7 +106,7 @@
     def paths(seed):
         load = read_load("l", "target 127.0.0.1:1\ntraffic a rate 1 path /x,/y,/z")
         crowd = Crowd(answers.loop, load, seed)
-        return [crowd.request(load.traffic[0]) for _ in range(20)]
+        return [crowd.requests.of(load.traffic[0]) for _ in range(20)]
 
     assert paths(3) == paths(3) != paths(4)
 
