--- a/gaproute/decisions/route/beliefs.py
+++ b/gaproute/decisions/route/beliefs.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from gaproute.interface import Result, State
+from gaproute.interface import NEVER_RAN, Result, State
 
 MILLI, SECOND = 1_000_000, 1_000_000_000
 LONG = 1 << 62  # a time that never comes
@@ -72,7 +72,7 @@
 
     def settle(self, relay, result):
         worker, sent = self.out.pop(relay)
-        if result not in (Result.FULL, Result.CONNECT_FAILED, Result.MOOT, Result.MISS):
+        if result not in NEVER_RAN:
             self.ended.append((worker, sent))  # what is proven not to have run binds the task no longer
         self.first = min([*self.ended, *self.out.values()], key=lambda each: each[1], default=None)
         if result is not Result.MISS:
