--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -3,6 +3,7 @@
 
 from gaproute.appliance.cell_lists import CellLists
 from gaproute.appliance.cell_table import Table
+from gaproute.appliance.followed_lists import FollowedLists
 from gaproute.core.cellular import CellularCore
 from gaproute.decisions.cells.cellular import CellularGateway
 from gaproute.decisions.cells.place import Place
@@ -16,7 +17,9 @@
 from gaproute.shared.dissemination import Peer
 
 CARRIER_SEED = 6  # the chance that draws whom to tell is another than those of other parts
+SOURCES_SEED = 8  # and this one the order of sources and the waits between tries
 WRONG_LIST = "wrong host list"
+WRONG_MEMBER = "wrong host of a source"
 
 
 class Cells:
@@ -35,10 +38,10 @@
         # What gateways of one fleet tell each other of hosts is not told of cells: this one knows of none.
         self.unused = Gateway(seed, charter.terms, loop.now())
         self.listing = Listing(loop, sizes=charter.sizes_told)
-        self.lists = CellLists(loop, charter.cell_hosts, self._listed, self._list_refused)
+        self.lists = self._lists(charter.cell_hosts, seed)
         self.look_every = charter.cell_hosts.look
         self.told = {}  # cell: the host lines that the decisions were told last
-        self.lists_refused = 0
+        self.lists_refused = self.members_refused = 0
         self.seed, self.table, self.timer = seed, None, None
 
     def listen(self, others, ready):
@@ -86,6 +89,31 @@
 
     # The host lists
 
+    def _lists(self, line, seed):
+        """The host lists, from files or from sources."""
+        if line.folder is not None:
+            return CellLists(self.loop, line, self._listed, self._list_refused)
+        return FollowedLists(
+            self.loop,
+            self.line.fleet,
+            line,
+            self._listed,
+            self._members_refused,
+            self._source_trouble,
+            Chance(seed + SOURCES_SEED),
+        )
+
+    def _members_refused(self, cell, count, members):
+        self.members_refused += count
+        for host, reason in members:
+            self.record.event("error", "cell host refused", cell=cell, host=host, mistake=reason)
+
+    def _source_trouble(self, cell, why):
+        if why is None:
+            self.record.event("info", "cell source back", cell=cell)
+        else:
+            self.record.event("error", "cell source lost", cell=cell, fault=why)
+
     def _list_refused(self, cell, mistakes):
         self.lists_refused += 1
         for mistake in mistakes:
@@ -154,8 +182,9 @@
             "forwarded_in": self.core.forwarded_in,
             "forwarded_out": self.core.forwarded_out,
             "refused": self.table.refusals()
-            | ({WRONG_LIST: self.lists_refused} if self.lists_refused else {}),
-        }
+            | ({WRONG_LIST: self.lists_refused} if self.lists_refused else {})
+            | ({WRONG_MEMBER: self.members_refused} if self.members_refused else {}),
+        } | ({"sources": self.lists.status()} if self.charter.cell_hosts.sources else {})
 
     def stop(self):
         """Look at no file any more, and neither tell nor hear of tables."""
--- a/gaproute/conf/cell_files.py
+++ b/gaproute/conf/cell_files.py
@@ -74,7 +74,7 @@
     line, folder = charter.cells, charter.cell_hosts.folder
     table = read_table(line.file)
     mistakes, lists, paths = list(_place_mistakes(charter.file, line, table)), {}, {}
-    for cell in table.cells:
+    for cell in table.cells if folder is not None else ():
         paths[cell.name] = path_of(folder, cell.name)
         if not os.path.exists(paths[cell.name]):
             continue  # only the gateways that know a cell need its list
--- a/gaproute/conf/lines.py
+++ b/gaproute/conf/lines.py
@@ -85,6 +85,11 @@
     once: ClassVar[bool] = False
     line: int = 0
 
+    @classmethod
+    def places_of(cls, words):
+        """The fields that these words of a line give by place."""
+        return cls.places
+
 
 def read_lines(file, text, kinds, most_mistakes=None):
     """`kinds`: {word: Directive class}. Returns [(word, directive)], [Mistake], {word: its first line}.
@@ -125,7 +130,7 @@
 
 def _read(kind, words, number):
     """[what is wrong], directive or None."""
-    places = kind.places
+    places = kind.places_of(words)
     if len(words) < len(places):
         return [f"{' '.join(place.upper() for place in places[len(words) :])} is missing"], None
     given = dict(zip(places, words[: len(places)], strict=True))
@@ -134,7 +139,7 @@
     names = {
         field.alias or name.replace("_", "-"): field.alias or name
         for name, field in kind.model_fields.items()
-        if name not in places and name != "line"
+        if name not in kind.places and name != "line"
     }
     for place in range(0, len(rest), 2):
         key = rest[place]
--- a/gaproute/conf/words/fleet.py
+++ b/gaproute/conf/words/fleet.py
@@ -10,6 +10,13 @@
 from gaproute.shared.keepers.messages import KEEPERS
 from gaproute.shared.permits.commands import LONGEST, SHORTEST
 
+FROM = "from"  # what sources of host lists are named after, in place of a folder
+MAX_SOURCES = 16  # of host lists
+
+
+def _split(value):
+    return tuple(value.split(",")) if isinstance(value, str) else value
+
 
 class Word(Directive):
     places: ClassVar = ("name",)
@@ -60,11 +67,29 @@
 
 class CellHosts(Directive):
     places: ClassVar = ("folder",)
-    example: ClassVar = "cell-hosts /etc/gaproute/cells look 50ms"
+    example: ClassVar = "cell-hosts /etc/gaproute/cells look 50ms, or: cell-hosts from 10.0.0.1:7000"
     once: ClassVar = True
-    folder: str
+    folder: str | None = None
+    sources: Annotated[tuple[Address, ...], BeforeValidator(_split)] = Field((), alias=FROM)
     look: Span = Field(50_000_000, ge=1_000_000, le=400_000_000)
 
+    @classmethod
+    def places_of(cls, words):
+        """Sources stand in place of a folder."""
+        return () if words[:1] == [FROM] else cls.places
+
+    @model_validator(mode="after")
+    def fits(self):
+        if self.folder is not None and self.sources:
+            raise ValueError("a folder and sources, keep one of the two")
+        if len(set(self.sources)) < len(self.sources):
+            raise ValueError("a source is named twice")
+        if len(self.sources) > MAX_SOURCES:
+            raise ValueError(f"{MAX_SOURCES} sources at most")
+        if any(where.endswith(":0") for where in self.sources):
+            raise ValueError("a source has a port")
+        return self
+
 
 class PeerLine(Directive):
     places: ClassVar = ("name", "where")
@@ -94,7 +119,7 @@
     once: ClassVar = True
     names: Annotated[
         tuple[Name, ...],
-        BeforeValidator(lambda value: tuple(value.split(",")) if isinstance(value, str) else value),
+        BeforeValidator(_split),
     ]
     votes: str | None = None  # what this keeper must not forget; others need none
     longest: Span = Field(LONGEST, ge=SHORTEST, le=LONGEST)  # of a permit
--- a/gaproute/discovery/changelog/events.py
+++ b/gaproute/discovery/changelog/events.py
@@ -35,6 +35,11 @@
     id: str
 
 
+class Standing(msgspec.Struct):
+    id: str
+    phase: Any = None
+
+
 class Fleet(msgspec.Struct):
     members: list[msgspec.Raw]  # each is read by itself: a wrong one must not spoil the others
     complete: bool = False
@@ -60,6 +65,18 @@
 _event = msgspec.json.Decoder(Event, strict=False).decode
 _member = msgspec.json.Decoder(Member, strict=False).decode
 _name = msgspec.json.Decoder(Name).decode
+_standing = msgspec.json.Decoder(Standing).decode
+
+
+def read_member(raw):
+    """A member of a list. Errors: ValueError, RecursionError."""
+    return _member(raw)
+
+
+def member_standing(raw):
+    """(name, phase) of a member that may not be readable otherwise. Errors: ValueError, RecursionError."""
+    standing = _standing(raw)
+    return standing.id, standing.phase
 
 
 def _plain(raw):
@@ -77,7 +94,8 @@
     what has not: an answer without an end must neither fill the memory nor pass for a sign of life.
     """
 
-    def __init__(self):
+    def __init__(self, longest=EVENT):
+        self.longest = longest  # bytes of one event
         self.parser = httptools.HttpResponseParser(self)
         self.rest, self.data = bytearray(), bytearray()
         self.whole = self.size = 0
@@ -126,7 +144,7 @@
             raise Broken(str(cause if isinstance(cause, Broken) else fault)) from None
         if self.whole != before:
             self.size = 0
-        if self.size > EVENT:
+        if self.size > self.longest:
             raise Broken("an event is too long")
         events, self.events = self.events, []
         return events
--- a/gaproute/discovery/changelog/follow.py
+++ b/gaproute/discovery/changelog/follow.py
@@ -2,7 +2,7 @@
 
 from functools import partial
 
-from gaproute.discovery.changelog.events import Broken, Reader
+from gaproute.discovery.changelog.events import EVENT, Broken, Reader
 from gaproute.loop import Stream, connect
 from gaproute.loop.streams import address
 
@@ -23,11 +23,15 @@
     the one had under its number. A log that begins anew with less is not noticed.
     """
 
+    path = b"/changes"
+    first_pause, longest_pause = FIRST, LONGEST  # ns between tries
+    longest_event = EVENT  # bytes
+
     def __init__(self, loop, where, last, told, chance, known=()):
         self.loop, self.told, self.last, self.chance = loop, told, last, chance
         self.where = self.text = None
         self.stream = self.connecting = self.timer = self.reader = None
-        self.pause, self.asked, self.gap = FIRST, 0, None
+        self.pause, self.asked, self.gap = self.first_pause, 0, None
         self.lists, self.fresh, self.anew = {}, False, 0
         self.fault = ""  # why it was asked again, the last time
         for event in known:
@@ -40,7 +44,7 @@
         """From now on the log is at that address; its numbers go on."""
         if where != self.text:
             self.text, self.where = where, address(where)
-            self.pause = FIRST
+            self.pause = self.first_pause
             self.ask()
 
     def ask(self):
@@ -57,11 +61,11 @@
         if error is not None:
             self.again(error)
             return
-        self.reader, self.fresh = Reader(), True
+        self.reader, self.fresh = Reader(self.longest_event), True
         self.stream = Stream(self.loop, sock, self.bytes, lambda error: self.again(error or "closed"))
         self.stream.write(
-            b"GET /changes HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
-            b"Last-Event-ID: %d\r\n\r\n" % (self.text.encode(), self.last)
+            b"GET %b HTTP/1.1\r\nHost: %b\r\nAccept: text/event-stream\r\n"
+            b"Last-Event-ID: %d\r\n\r\n" % (self.path, self.text.encode(), self.last)
         )
 
     def bytes(self, data):
@@ -74,24 +78,42 @@
         if reader.whole != before:
             self.heard = self.since = self.loop.now()
             if self.heard >= self.began + LONGEST:
-                self.pause = FIRST  # it has lasted; a head alone tells nothing
+                self.lasted()
         for event in events:
             first, self.fresh = self.fresh, False
-            if event is None or (event.seq > self.last + 1 and not event.fleet.complete):
-                if self.gap != self.last:
-                    self.gap = self.last  # missing, or cannot be read: asked for once, then done without
-                    self.again(f"something is missing after {self.last}")
+            if event is None or not self.follows_on(event):
+                if self.missing():
                     return
                 if event is None:
                     continue
             elif event.seq <= self.last:
-                if not (first and event.fleet.complete and self.lists.get(event.seq) != event.fleet.mark()):
+                if not (first and self.begins_anew(event)):
                     continue  # written twice
                 self.anew += 1
-            self.last, self.pause = event.seq, FIRST
+            self.last, self.pause = event.seq, self.first_pause
             self.note(event)
             self.loop.guard(self.told, event)
 
+    def lasted(self):
+        """The connection has been alive for a while; a head alone would tell nothing."""
+        self.pause = self.first_pause
+
+    def follows_on(self, event):
+        """Whether nothing is missing before the event."""
+        return event.fleet.complete or event.seq <= self.last + 1
+
+    def missing(self):
+        """An event is missing, or cannot be read: asked for once, then done without. Whether it is asked."""
+        if self.gap == self.last:
+            return False
+        self.gap = self.last
+        self.again(f"something is missing after {self.last}")
+        return True
+
+    def begins_anew(self, event):
+        """Whether the log has begun anew with this event, the first on a connection and of a number had."""
+        return event.fleet.complete and self.lists.get(event.seq) != event.fleet.mark()
+
     def note(self, event):
         if event.fleet.complete:
             self.lists[event.seq] = event.fleet.mark()
@@ -112,7 +134,7 @@
         self.cut()
         self.fault = str(why)
         wait = self.pause // 2 + self.pause * self.chance.below(1024) // 2048
-        self.pause = min(2 * self.pause, LONGEST)
+        self.pause = min(2 * self.pause, self.longest_pause)
         self.timer = self.loop.after(wait, self.ask)
 
     def cut(self):
--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -11,6 +11,30 @@
 STATES = {state.value: state for state in State}
 
 
+MAX_NUMBERED = 4096  # names numbered, above which those that no line has any more are forgotten
+
+
+class Numbers:
+    """Numbers names in the order in which they are first named; no number is given twice."""
+
+    def __init__(self):
+        self.of, self.next = {}, 0
+
+    def number(self, name):
+        """The name's number."""
+        number = self.of.get(name)
+        if number is None:
+            number = self.of[name] = self.next
+            self.next += 1
+        return number
+
+    def keep(self, names):
+        """Above the bound, forget all others."""
+        if len(self.of) > MAX_NUMBERED:
+            named = set(names)
+            self.of = {name: number for name, number in self.of.items() if name in named}
+
+
 class Listing:
     """Turns host lines into rows. Zones and racks are numbered in the order in which they are first named.
 
@@ -20,18 +44,19 @@
 
     def __init__(self, loop, wall=time.time_ns, sizes=True):
         self.loop, self.wall, self.sizes = loop, wall, sizes
-        self.zones, self.racks, self.starts = {}, {}, {}
+        self.zones, self.racks, self.starts = Numbers(), Numbers(), {}
 
     def rows(self, lines):
         """Of a whole list."""
         rows = [self.row(line) for line in lines]
         named = {line.name for line in lines}
         self.starts = {name: start for name, start in self.starts.items() if name in named}
+        self.zones.keep(line.zone for line in lines)
+        self.racks.keep(line.rack for line in lines)
         return rows
 
     def row(self, line):
-        zone = self.zones.setdefault(line.zone, len(self.zones))
-        rack = self.racks.setdefault(line.rack, len(self.racks))
+        zone, rack = self.zones.number(line.zone), self.racks.number(line.rack)
         capacity = line.capacity if self.sizes else 1.0
         listed = Listed(line.name, zone, rack, STATES[line.state], capacity, self.started(line))
         return Row(listed, line.where)
