Tests of cells' host lists followed from sources: one loop, and processes

Sources that die, come back in other numbers, are late, silent, torn, hostile or of another fleet; hosts that move between cells; cells let go and needed again; bounds on cells, hosts, lines logged and tries.

--- a/gaproute/appliance/followed_lists.py
+++ b/gaproute/appliance/followed_lists.py
@@ -117,7 +117,7 @@
             fresh = [Refused(*each) for each in followed.clashes.items() if each not in before.items()]
             if fresh:
                 self.refused(cell, len(fresh), followed.allowed(fresh))
-        good = {cell: list(lines.values()) for cell, lines in self.held.items()}
+        good = {cell: list(lines.values()) for cell, lines in self.held.items() if lines or cell in self.good}
         if good != self.good:
             self.good = good
             self.told(good)
--- a/gaproute/discovery/changelog/cell.py
+++ b/gaproute/discovery/changelog/cell.py
@@ -2,7 +2,8 @@
 
 The log is that of a whole fleet (`follow`), at a path of its own: `/changes/FLEET/CELL`. Sources are tried in
 turn, in an order drawn by chance, so that gateways spread over them. The first whole list of a connection is
-the list as it stands; what is missing or cannot be read is mended by asking for a whole list.
+the list as it stands; what is missing or cannot be read is mended by asking for a whole list. A source whose
+connection broke is asked for what follows, but for a whole list where it was not there at all meanwhile.
 """
 
 from urllib.parse import quote
@@ -13,6 +14,7 @@
 FIRST_PAUSE = SECOND  # ns before it is asked again: half of it at least, so that a source that dies or comes
 #                       back meets its gateways over half a second
 LONGEST_PAUSE = 8 * SECOND  # ns between tries while no source answers
+GONE = (ConnectionRefusedError, FileNotFoundError)  # the source has ended: it may begin in other numbers
 LONGEST_EVENT = 1 << 20  # bytes: 1 KiB for each of the most hosts
 
 
@@ -44,6 +46,11 @@
         self.failing = False
         super().__init__(loop, self.sources[0], 0, told, chance)
 
+    def connected(self, number, sock, error):
+        if isinstance(error, GONE):
+            self._forget()
+        super().connected(number, sock, error)
+
     def again(self, why):
         """Asks once more in a moment, the next source where there are several."""
         if not self.failing:
--- /dev/null
+++ b/tests/followed_cells.py
@@ -0,0 +1,91 @@
+"""Cells' host lists followed from stand-in sources on one loop, with the time held by the test."""
+
+from types import SimpleNamespace
+
+from scripted import MILLI, SECOND, Handed
+
+from gaproute.appliance.followed_lists import FollowedLists
+from gaproute.conf.words.fleet import CellHosts
+from gaproute.decisions.chance import Chance
+from gaproute.loop import Loop
+from gaproute.standins.cell_source import CellSource
+from gaproute.standins.platform.listing import member
+
+PORTS = {name: port for port, name in enumerate("uvwxyz", 1)}
+ZONES = {"a1": "a", "b1": "b"}
+
+
+def host(name, state="active", zone="", **told):
+    """A member of a log."""
+    return member(name, f"127.0.0.1:{PORTS[name[0]]}", state, zone, **told)
+
+
+def hosts(names, **told):
+    """Members of a log."""
+    return [host(name, **told) for name in names]
+
+
+class FollowedCells:
+    """Lists as they were told, refused and in trouble. `told`: {cell: {host: state}}."""
+
+    def __init__(self, sources=1, zones=ZONES, wheres=None, seed=1):
+        self.clock = Handed()
+        self.loop = Loop(self.clock)
+        self.sources = [CellSource(self.loop, "north") for _ in range(0 if wheres else sources)]
+        self.told, self.tellings, self.refused, self.count, self.troubles = {}, 0, [], 0, []
+        wheres = wheres or [source.address for source in self.sources]
+        line = CellHosts(**{"from": ",".join(wheres)}, look=50 * MILLI)
+        self.lists = FollowedLists(
+            self.loop, "north", line, self._told, self._refused, self._trouble, Chance(seed)
+        )
+        self.zones = zones
+
+    def _told(self, lists):
+        self.tellings += 1
+        self.told = {cell: {line.name: line.state for line in lines} for cell, lines in lists.items()}
+
+    def _refused(self, cell, count, members):
+        self.count += count
+        self.refused += [SimpleNamespace(cell=cell, host=host, reason=why) for host, why in members]
+
+    def _trouble(self, cell, why):
+        self.troubles.append((cell, why))
+
+    def begin(self, **lists):
+        """All sources tell these lists, and the cells of the zones are wanted."""
+        for source in self.sources:
+            for cell, members in lists.items():
+                source.tell(cell, *members)
+        self.lists.want(self.zones)
+        self.until(lambda: all(cell in self.told for cell in lists))
+
+    def names(self, cell):
+        """Names of the cell's hosts in force."""
+        return "".join(sorted(self.told.get(cell, {})))
+
+    def passes(self, span, step=10 * MILLI):
+        """So much of the held time goes by, in small steps with turns in between."""
+        end = self.clock.now + span
+        while self.clock.now < end:
+            self.clock.now = min(end, self.clock.now + step)
+            for _ in range(6):
+                self.loop.soon(lambda: None)
+                self.loop.turn()
+
+    def until(self, condition, within=30 * SECOND):
+        """Time goes by until the condition holds."""
+        end = self.clock.now + within
+        while not condition():
+            assert self.clock.now < end, "waited too long"
+            self.passes(5 * MILLI, 5 * MILLI)
+
+    def follower(self, cell):
+        """Who follows the cell."""
+        return self.lists.followed[cell].follower
+
+    def close(self):
+        """Ends all."""
+        self.lists.close()
+        for source in self.sources:
+            source.close()
+        self.loop.close()
