--- a/tests/test_cells_conf.py
+++ b/tests/test_cells_conf.py
@@ -50,6 +50,18 @@
         (("cells north region r zone z", LISTS), "f:11: cells: file: Field required"),
         (("cells north file t look 1h region r zone z", LISTS), "f:11: cells: look:"),
         (("cells north file t region r", LISTS), "f:11: cells: zone: Field required"),
+        ((CELLS, "cell-hosts"), "f:12: cell-hosts: FOLDER is missing"),
+        ((CELLS, "cell-hosts from"), "f:12: cell-hosts: from has no value"),
+        ((CELLS, "cell-hosts from nowhere"), "f:12: cell-hosts: from.0: an address is HOST:PORT"),
+        ((CELLS, "cell-hosts from 10.0.0.1:7,"), "f:12: cell-hosts: from.1: an address is HOST:PORT"),
+        ((CELLS, "cell-hosts from 10.0.0.1:7,10.0.0.1:7"), "f:12: cell-hosts: line: a source is named twice"),
+        ((CELLS, "cell-hosts from 10.0.0.1:0"), "f:12: cell-hosts: line: a source has a port"),
+        ((CELLS, "cell-hosts lists from 10.0.0.1:7"), "f:12: cell-hosts: line: a folder and sources"),
+        ((CELLS, "cell-hosts from 10.0.0.1:7 folder x"), "f:12: cell-hosts: unknown keyword 'folder'"),
+        (
+            (CELLS, "cell-hosts from " + ",".join(f"10.0.0.1:{port}" for port in range(1, 18))),
+            "f:12: cell-hosts: line: 16 sources at most",
+        ),
     ],
 )
 def test_lines_that_are_wrong_or_contradict_each_other_are_named(lines, mistake):
@@ -57,6 +69,13 @@
     assert any(mistake in text for text in said), said
 
 
+def test_sources_stand_in_place_of_a_folder():
+    sources = "cell-hosts from 10.0.0.1:7000,unix:/run/lists look 20ms"
+    line = read_charter("f", f"{CHARTER}{CELLS}\n{sources}\n{PEERS}\n").cell_hosts
+    assert line.sources == ("10.0.0.1:7000", "unix:/run/lists") and line.folder is None
+    assert line.look == 20_000_000
+
+
 def test_cells_without_a_name_are_refused():
     charter = CHARTER.replace("name g\n", "")
     assert "cells without a name line" in told(read_charter, "f", f"{charter}{CELLS}\n{LISTS}\n{PEERS}\n")[0]
@@ -141,14 +160,15 @@
     assert told(read_cell_hosts, str(path))[0].startswith(f"{path}:{MAX_HOSTS + 1}: ")
 
 
-def check(folder, lists, table=TABLE, place="region west zone west-a"):
-    """Exit code and words of `gaproute check`."""
+def check(folder, lists, table=TABLE, place="region west zone west-a", source=None):
+    """Exit code and words of `gaproute check`. `source`: in place of the folder."""
     (folder / "lists").mkdir()
     (folder / "t").write_text(table)
     for cell, text in lists.items():
         (folder / "lists" / f"{cell}.hosts").write_text(text)
     file = folder / "g.conf"
-    file.write_text(f"{CHARTER}cells north file {folder}/t {place}\ncell-hosts {folder}/lists\n{PEERS}\n")
+    where = f"{folder}/lists" if source is None else f"from {source}"
+    file.write_text(f"{CHARTER}cells north file {folder}/t {place}\ncell-hosts {where}\n{PEERS}\n")
     ran = CliRunner().invoke(main, ["check", str(file)])
     return ran.exit_code, ran.output.replace(f"{folder}/", "")
 
@@ -158,6 +178,12 @@
     assert check(tmp_path, lists)[0] == 0
 
 
+@pytest.mark.parametrize("source, code", [("127.0.0.1:7000", 0), ("localhost:7000", 2)])
+def test_check_reads_no_lists_where_sources_tell_them(tmp_path, source, code):
+    ended, said = check(tmp_path, {"a1": "no host list\n"}, source=source)
+    assert ended == code and len(said.splitlines()) == (1 if code == 0 else 2)
+
+
 @pytest.mark.parametrize(
     "told, mistake",
     [
--- /dev/null
+++ b/tests/test_cells_members.py
@@ -0,0 +1,82 @@
+"""Which hosts of cells are in force, whatever logs tell in whatever order."""
+
+import json
+
+from followed_cells import PORTS
+from hypothesis import given, settings
+from hypothesis import strategies as some
+
+from gaproute.discovery.cell_members import CellMembers, in_force
+from gaproute.discovery.changelog.events import Reader
+from gaproute.standins.cell_source import HEAD
+from gaproute.standins.platform.listing import member
+
+ZONES = {"a1": "a", "a2": "a", "b1": "b"}
+CHANGES = some.tuples(
+    some.sampled_from(sorted(ZONES)),
+    some.booleans(),  # a whole list
+    some.lists(
+        some.tuples(
+            some.sampled_from(sorted(PORTS)),
+            some.integers(1, 4),
+            some.sampled_from(("active", "draining", "gone")),
+            some.sampled_from(("", "", "a", "b")),
+        ),
+        max_size=4,
+    ),
+)
+
+
+def fleet(complete, rows):
+    """A list of an event as it is read from a connection."""
+    members = [member(name, f"127.0.0.1:{port}", state, zone) for name, port, state, zone in rows]
+    told = {"seq": 1, "fleet": {"complete": complete, "members": members}}
+    reader = Reader()
+    return reader.feed(HEAD + b"data: %b\n\n" % json.dumps(told).encode())[0].fleet
+
+
+@settings(max_examples=300)
+@given(some.lists(CHANGES, max_size=12))
+def test_no_name_and_no_address_is_in_force_twice_and_no_drain_is_lost(changes):
+    cells, held = {cell: CellMembers() for cell in ZONES}, {}
+    for cell, complete, rows in changes:
+        before = held
+        cells[cell].take(fleet(complete, rows))
+        held, refused = in_force({name: each.offered for name, each in cells.items()}, held, ZONES)
+        lines = [line for of_cell in held.values() for line in of_cell.values()]
+        assert len({line.name for line in lines}) == len({line.where for line in lines}) == len(lines)
+        assert all(line.zone in ("", ZONES[name]) for name in held for line in held[name].values())
+        last = {name: (state, zone) for name, _, state, zone in rows}  # the last of each counts
+        for name, (state, _) in last.items():
+            if name in before.get(cell, {}):
+                assert state == "active" or name not in held[cell] or held[cell][name].state == state
+        for name, each in cells.items():
+            assert set(held[name]) <= set(each.offered)
+            missing = set(each.offered) - set(held[name])
+            assert missing <= set(refused.get(name, {}))
+
+
+@settings(max_examples=200)
+@given(some.lists(CHANGES, max_size=6))
+def test_what_is_in_force_stays_while_nothing_is_told(changes):
+    cells, held = {cell: CellMembers() for cell in ZONES}, {}
+    for cell, complete, rows in changes:
+        cells[cell].take(fleet(complete, rows))
+        offered = {name: each.offered for name, each in cells.items()}
+        held, _ = in_force(offered, held, ZONES)
+        again, _ = in_force(offered, held, ZONES)
+        assert {name: list(lines.items()) for name, lines in again.items()} == {
+            name: list(lines.items()) for name, lines in held.items()
+        }
+
+
+def test_an_address_goes_to_another_host_of_the_cell_once_it_is_let_go():
+    cell = CellMembers()
+    cell.take(fleet(True, [("u", 1, "active", ""), ("v", 2, "active", "")]))
+    held, _ = in_force({"a1": cell.offered}, {}, ZONES)
+    cell.take(fleet(False, [("w", 1, "active", "")]))
+    held, refused = in_force({"a1": cell.offered}, held, ZONES)
+    assert set(held["a1"]) == {"u", "v"} and list(refused["a1"]) == ["w"]
+    cell.take(fleet(False, [("u", 1, "gone", "")]))
+    held, refused = in_force({"a1": cell.offered}, held, ZONES)
+    assert set(held["a1"]) == {"v", "w"} and refused == {}
