--- /dev/null
+++ b/benchmarks/scale/costs/cell_hosts.py
@@ -0,0 +1,173 @@
+"""The host lists of the cells that a gateway knows, from files and from a source: changes and memory."""
+
+import os
+import tempfile
+import time
+from pathlib import Path
+
+from benchmarks.scale.costs import change_log
+from benchmarks.scale.measurement import measure
+from benchmarks.scale.meters import CPU_TIME, MILLISECONDS, TRACED, held_bytes
+from gaproute.appliance import Appliance
+from gaproute.conf import read_charter
+from gaproute.discovery.changelog.events import Reader
+from gaproute.record.logs import logger
+from gaproute.standins.platform.listing import Listing, member
+
+PARAMETER = "hosts of a cell"
+SIZES = (32, 64, 128, 256, 400)  # hosts in each cell
+KNOWN = 5  # cells
+TOLD = 100  # hosts of a cell by the table: five cells are within the view's bound
+CHANGES = 20  # that one play follows
+TEXT = """name g
+listen kserve 127.0.0.1:0
+listen peers 127.0.0.1:0
+cells north file {folder}/table look 50ms region r zone z
+cell-hosts {lists}
+track t pure contract 1s limit 2s
+model m track t lanes 4 load 20ms
+"""
+FOLLOWED = (
+    f"mean of {CHANGES} changes, {KNOWN} cells known, until the decisions are told; no function is known"
+)
+
+
+def names(cells):
+    """Names of cells."""
+    return [f"c{number}" for number in range(cells)]
+
+
+def members(place, hosts, seed, state="active"):
+    """The hosts of one cell as a log tells them."""
+    return [
+        member(
+            f"{place}-host-{number:04}", f"10.{seed}.{place}.{number % 250 + 1}:{9_000 + number}", state, ""
+        )
+        for number in range(hosts)
+    ]
+
+
+def lines(place, hosts, seed, state="active"):
+    """The hosts of one cell as a file names them; the first in that state."""
+    named = members(place, hosts, seed)
+    states = [state] + ["active"] * (hosts - 1)
+    return "".join(
+        f"host {told['id']} {told['host_port']} rack r{told['cell']} capacity 4 state {each}\n"
+        for told, each in zip(named, states, strict=True)
+    )
+
+
+def table(cells):
+    """A table of cells of one zone, all of which name the gateway as an entry."""
+    rows = [
+        f"cell {name} region r zone z capacity 1 hosts {TOLD} points {name}:0+32 entries g=127.0.0.1:1"
+        for name in names(cells)
+    ]
+    return "\n".join(["table north term 1 number 1", *rows, "end", ""])
+
+
+class KnownCells:
+    """A gateway that knows five cells of so many hosts, by files or, with `followed`, by their logs."""
+
+    def __init__(self, hosts, seed, followed):
+        self.hosts, self.seed = hosts, seed
+        self.folder = tempfile.TemporaryDirectory(prefix="cell-hosts-")
+        self.path = Path(self.folder.name)
+        (self.path / "table").write_text(table(KNOWN))
+        lists = f"from {change_log.NOWHERE}" if followed else self.folder.name
+        if not followed:
+            for place, cell in enumerate(names(KNOWN)):
+                (self.path / f"{cell}.hosts").write_text(lines(place, hosts, seed))
+        text = TEXT.format(folder=self.folder.name, lists=lists)
+        self.appliance = Appliance(read_charter("g", text), seed=seed, log=logger(open(os.devnull, "w")))
+        self.appliance.start()
+        self.lists = self.appliance.cells.lists
+        self.logs = [Listing() for _ in range(KNOWN)]
+        if followed:
+            for place in range(KNOWN):
+                self._begin(place)
+        assert len(self.appliance.rows) == KNOWN * hosts, len(self.appliance.rows)
+
+    def _begin(self, place):
+        """The whole list of one cell, as though a connection brought it."""
+        follower = self.lists.followed[names(KNOWN)[place]].follower
+        follower.cut()
+        follower.reader, follower.fresh = Reader(), True
+        event = self.logs[place].change(*members(place, self.hosts, self.seed))
+        self.feed(place, change_log.HEAD + change_log.sent(event))
+
+    def feed(self, place, data):
+        """Hands over bytes of one cell's log and puts in force what they tell."""
+        self.lists.followed[names(KNOWN)[place]].follower.bytes(data)
+        if self.lists.timer is not None:
+            self.lists.timer.cancel()
+        self.lists._take_in()
+
+    def state(self):
+        """Of the first cell's first host, as the gateway has it."""
+        return self.appliance.rows["0-host-0000"].listed.state.value
+
+    def close(self):
+        """Ends the gateway."""
+        self.appliance.close()
+        self.appliance.loop.close()
+        self.folder.cleanup()
+
+
+def change_cpu(hosts, seed, followed):
+    """Milliseconds of CPU of one changed host in one of five cells."""
+    known, spent = KnownCells(int(hosts), seed, followed), 0.0
+    for number in range(CHANGES):
+        state = ("draining", "active")[number % 2]
+        data = change_log.sent(known.logs[0].change(members(0, 1, seed, state)[0]))
+        if not followed:
+            (known.path / "c0.hosts").write_text(lines(0, int(hosts), seed, state))
+        begun = time.process_time()
+        if followed:
+            known.feed(0, data)
+        else:
+            known.lists.watches["c0"].look()
+        spent += time.process_time() - begun
+        assert known.state() == state
+    known.close()
+    return spent / CHANGES * MILLISECONDS
+
+
+def followed_memory(hosts, seed):
+    """Bytes that a known cell adds: of the lists, the connections' table and the decisions."""
+    KnownCells(1, seed, True).close()  # what is made once
+    kept = []
+    held = held_bytes(lambda: kept.append(KnownCells(int(hosts), seed, True)))
+    kept.pop().close()
+    return held / KNOWN
+
+
+MEASUREMENTS = {
+    "cell-files-change-cpu-by-hosts": lambda: measure(
+        "cell-files-change-cpu-by-hosts",
+        "CPU to take in a cell's host file of which one line changed",
+        "ms",
+        PARAMETER,
+        SIZES,
+        lambda hosts, seed: change_cpu(hosts, seed, False),
+        f"{FOLLOWED}. {CPU_TIME}",
+    ),
+    "cell-follow-change-cpu-by-hosts": lambda: measure(
+        "cell-follow-change-cpu-by-hosts",
+        "CPU to take in one changed host of a followed cell",
+        "ms",
+        PARAMETER,
+        SIZES,
+        lambda hosts, seed: change_cpu(hosts, seed, True),
+        f"{FOLLOWED}; sockets are not in. {CPU_TIME}",
+    ),
+    "cell-follow-memory-by-hosts": lambda: measure(
+        "cell-follow-memory-by-hosts",
+        "memory that a followed cell adds to a gateway",
+        "bytes",
+        PARAMETER,
+        SIZES,
+        followed_memory,
+        f"a fifth of a gateway that knows {KNOWN} cells, no call served. {TRACED}",
+    ),
+}
--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -2,6 +2,7 @@
 forwarding. Parts wired, nothing decided."""
 
 from gaproute.appliance.cell_lists import CellLists
+from gaproute.appliance.cell_rows import CellRows
 from gaproute.appliance.cell_table import Table
 from gaproute.appliance.followed_lists import FollowedLists
 from gaproute.core.cellular import CellularCore
@@ -10,7 +11,6 @@
 from gaproute.decisions.chance import Chance
 from gaproute.decisions.links.pooling import Pooling
 from gaproute.decisions.route import Gateway
-from gaproute.discovery.listing import Listing
 from gaproute.fronts.kserve.entry import EntryFront
 from gaproute.hosts.entries import CellHosts, Entries
 from gaproute.peers.tables import TableCarrier
@@ -37,7 +37,7 @@
         self.core = CellularCore(loop, self.gateway, charter.terms, self.hosts, record, run, self.entries)
         # What gateways of one fleet tell each other of hosts is not told of cells: this one knows of none.
         self.unused = Gateway(seed, charter.terms, loop.now())
-        self.listing = Listing(loop, sizes=charter.sizes_told)
+        self.rows = CellRows(loop, charter.sizes_told)
         self.lists = self._lists(charter.cell_hosts, seed)
         self.look_every = charter.cell_hosts.look
         self.told = {}  # cell: the host lines that the decisions were told last
@@ -140,23 +140,13 @@
     def _listed(self, lists):
         """All lists in force. The host connections come first: the decisions may wish for a new host at
         once."""
-        rows = self._rows(lists)
+        rows = self.rows.of(lists, self.lists.zones)
         self.enlisted([row for of_cell in rows.values() for row in of_cell])
         before, self.told = self.told, dict(lists)
         for cell, of_cell in rows.items():
             if before.get(cell) != lists[cell]:
                 self.core.cell_listed(cell, [row.listed for row in of_cell])
 
-    def _rows(self, lists):
-        """{cell: rows}; a host whose line names no zone stands in that of its cell."""
-        lines = [
-            line.model_copy(update={"zone": self.lists.zones[cell]})
-            for cell, of_cell in lists.items()
-            for line in of_cell
-        ]
-        rows = iter(self.listing.rows(lines))
-        return {cell: [next(rows) for _ in of_cell] for cell, of_cell in lists.items()}
-
     # What others ask
 
     def _report(self, cell):
--- a/gaproute/discovery/listing.py
+++ b/gaproute/discovery/listing.py
@@ -48,15 +48,19 @@
 
     def rows(self, lines):
         """Of a whole list."""
-        rows = [self.row(line) for line in lines]
+        rows = [self.row(line, line.zone) for line in lines]
+        self.forget_others(lines)
+        return rows
+
+    def forget_others(self, lines):
+        """Keep of hosts and racks only what these lines name."""
         named = {line.name for line in lines}
         self.starts = {name: start for name, start in self.starts.items() if name in named}
-        self.zones.keep(line.zone for line in lines)
         self.racks.keep(line.rack for line in lines)
-        return rows
 
-    def row(self, line):
-        zone, rack = self.zones.number(line.zone), self.racks.number(line.rack)
+    def row(self, line, zone):
+        """Of one line, whose host stands in that zone."""
+        zone, rack = self.zones.number(zone), self.racks.number(line.rack)
         capacity = line.capacity if self.sizes else 1.0
         listed = Listed(line.name, zone, rack, STATES[line.state], capacity, self.started(line))
         return Row(listed, line.where)
--- a/gaproute/standins/cell_source.py
+++ b/gaproute/standins/cell_source.py
@@ -57,17 +57,18 @@
 
 
 class CellSource:
-    """Serves the logs of the fleet's cells. `begin`: the number before the first of each log."""
+    """Serves the logs of the fleet's cells. `begin`: the number before the first of each log; `comment`: ns
+    between signs of life."""
 
-    def __init__(self, loop, fleet, where="127.0.0.1:0", begin=0):
-        self.loop, self.fleet, self.begin = loop, fleet, begin
+    def __init__(self, loop, fleet, where="127.0.0.1:0", begin=0, comment=COMMENT):
+        self.loop, self.fleet, self.begin, self.comment = loop, fleet, begin, comment
         self.logs, self.streams = {}, {}  # by cell; {stream: its cell}
         self.asked = Counter()  # cell: how often
         self.asked_from = []  # (cell, number) of each request, in order
         self.trouble, self.delay = None, 0
         self.listener = Listener(loop, address(where), self._accept)
         self.address = self.listener.address
-        self.timer = loop.after(COMMENT, self._comment)
+        self.timer = loop.after(comment, self._comment)
 
     def tell(self, cell, *members):
         """The cell's first list, or the next change of it."""
@@ -134,7 +135,7 @@
             stream.write(told)
 
     def _comment(self):
-        self.timer = self.loop.after(COMMENT, self._comment)
+        self.timer = self.loop.after(self.comment, self._comment)
         if self.trouble is not Trouble.SILENT:
             for stream, cell in self.streams.items():
                 if cell is not None:
