After a stop, followed lists are read before the calls that came meanwhile

As the watched files are: a gateway that was stopped would else send calls to hosts that were told draining while it stood. The test in one loop fails without the call on a late turn.

--- a/gaproute/appliance/followed_lists.py
+++ b/gaproute/appliance/followed_lists.py
@@ -53,6 +53,7 @@
         self.zones, self.good = {}, {}  # by cell; the lists in force
         self.followed, self.held = {}, {}  # by cell; {host: line} in force
         self.timer, self.due = None, False
+        loop.on_late.append(self._late)
 
     def want(self, zones):
         """Have the lists of these cells and no others; `zones`: {cell: its zone}."""
@@ -104,6 +105,14 @@
             self.timer = self.loop.after(self.pace, self._take_in)
             self._settle()
 
+    def _late(self):
+        """After a stop, news that waits comes before the calls that came meanwhile."""
+        for each in list(self.followed.values()):
+            each.follower.look()
+        if self.due:
+            self.timer.cancel()
+            self._take_in()
+
     def _settle(self):
         """Put in force what goes together."""
         offered = {
@@ -139,6 +148,8 @@
 
     def close(self):
         """Follow nothing any more."""
+        if self._late in self.loop.on_late:
+            self.loop.on_late.remove(self._late)
         for each in self.followed.values():
             each.follower.close()
         if self.timer is not None:
--- a/gaproute/discovery/changelog/cell.py
+++ b/gaproute/discovery/changelog/cell.py
@@ -51,6 +51,11 @@
             self._forget()
         super().connected(number, sock, error)
 
+    def look(self):
+        """Read what waits of the log."""
+        if self.stream is not None:
+            self.stream.look()
+
     def again(self, why):
         """Asks once more in a moment, the next source where there are several."""
         if not self.failing:
--- a/gaproute/loop/streams.py
+++ b/gaproute/loop/streams.py
@@ -101,6 +101,11 @@
         else:
             self._half()
 
+    def look(self):
+        """Read what waits before the loop comes to it."""
+        if self.open and self.reading:
+            self._read()
+
     def _half(self):
         """The other side sends no more; what lies unread of a paused stream is not read any more."""
         if self.on_half is None:
--- a/tests/test_cells_followed.py
+++ b/tests/test_cells_followed.py
@@ -1,6 +1,7 @@
 """Host lists of cells followed from sources: which cells, in what bounds, what a source's faults leave."""
 
 import json
+import socket
 
 import pytest
 from followed_cells import MILLI, SECOND, FollowedCells, host, hosts
@@ -146,6 +147,23 @@
     assert made.names("a1") == "wx" and made.refused[0].reason == "a whole list without hosts"
 
 
+def test_after_a_stop_news_of_hosts_comes_before_the_calls_that_came_meanwhile(followed):
+    made = followed(zones={"a1": "a"})
+    made.begin(a1=hosts("wx"))
+    near, far = socket.socketpair()
+    near.setblocking(False)
+    told, seen = made.told, []
+    stream = Stream(made.loop, near, lambda data: seen.append(made.told["a1"]["w"]), lambda error: None)
+    far.send(b"a call")
+    made.sources[0].tell("a1", host("w", "draining"))
+    assert made.told is told  # neither has been read yet
+    made.clock.now += 3 * SECOND
+    made.until(lambda: seen)
+    assert seen == ["draining"]
+    stream.abort()
+    far.close()
+
+
 # Sources that fail
 
 
--- a/tests/test_cells_sources.py
+++ b/tests/test_cells_sources.py
@@ -97,6 +97,21 @@
     assert fleet.cell_status("ga")["sources"]["failing"] == []  # it is late, not silent
 
 
+def test_a_gateway_that_was_stopped_hears_the_news_before_the_calls_that_came_meanwhile(followed):
+    fleet = followed(SHARED)
+    fleet.serving("ga")
+    assert fleet.wait(fleet.ask("ga", "check-0", "before")).status == 200
+    process = fleet.processes["ga"]
+    process.send_signal(signal.SIGSTOP)
+    answers = [fleet.ask("ga", f"check-{number}", f"t{number}") for number in range(20)]
+    fleet.sources[0].tell("a1", fleet.member("a1-h0", "draining"))
+    fleet.rest(GRACE + 200 * MILLI)
+    resumed = fleet.loop.now()
+    process.send_signal(signal.SIGCONT)
+    assert {fleet.wait(answer).status for answer in answers} == {200}
+    assert fleet.attempts("a1-h0", resumed) == [] and len(fleet.attempts("a1-h1", resumed)) >= 20
+
+
 def test_two_gateways_that_hear_different_lists(followed):
     fleet = followed(SHARED, sources=2)
     fleet.sources_of = {"ga": [fleet.sources[0].address], "gb": [fleet.sources[1].address]}
