--- a/benchmarks/scale/row_sizes.py
+++ b/benchmarks/scale/row_sizes.py
@@ -13,6 +13,9 @@
 MEMBERS_CAP = 4_096  # gateways that membership holds
 LEASES = 100  # held by them at a time
 CELLS_OF_FLEET = 490  # at 256 hosts each
+HOSTS_OF_CELL = 256
+CELLS_KNOWN = 5  # by a gateway; as each names fewer hosts than these by its table, more than a view holds
+KNOWN_CHANGES_A_SECOND = size.CHANGES_A_SECOND * CELLS_KNOWN / CELLS_OF_FLEET  # of hosts of cells known
 MS_TO_US = 1_000
 
 CONNECTIONS = size.HOSTS_AT_20  # kept to hosts, were each host reached by each gateway itself
--- a/tests/test_cells_followed.py
+++ b/tests/test_cells_followed.py
@@ -232,6 +232,16 @@
     made.until(lambda: made.names("a1") == "wx", 15 * SECOND)
 
 
+def test_a_source_of_another_fleet_tells_nothing(followed):
+    made = followed(zones={"a1": "a"})
+    made.sources[0].fleet = "south"
+    made.sources[0].tell("a1", *hosts("wx"))
+    made.lists.want(made.zones)
+    made.passes(10 * SECOND)
+    assert made.told == {} and made.lists.status()["failing"] == ["a1"]
+    assert len(made.troubles) == 1 and made.troubles[0][1].endswith("status 404")
+
+
 def test_gateways_of_one_seed_each_spread_over_sources_and_over_time(followed):
     asked, waits = [0, 0, 0], []
     for seed in range(30):
--- a/tests/test_scale_costs.py
+++ b/tests/test_scale_costs.py
@@ -1,8 +1,12 @@
 """Costs by size at their smallest: every measurement plays, and counted costs grow no steeper than stated."""
 
+from functools import partial
+
 import pytest
 
 from benchmarks.scale.costs import (
+    cell_hosts,
+    cell_hosts_rest,
     change_log,
     connections,
     consensus,
@@ -47,6 +51,8 @@
     "knows-table-bytes-by-functions": (status.knows_bytes, 16, 64, 140),
     "log-start-bytes-by-hosts": (status.log_bytes, 16, 64, 200),
     "consensus-log-memory-by-entries": (consensus_state.log_memory, 32, 128, 500),
+    "cell-follow-memory-by-hosts": (cell_hosts.followed_memory, 16, 32, 6_000),
+    "cell-follow-rest-bytes-by-cells": (cell_hosts_rest.followed_rest_bytes, 1, 4, 110),
 }
 # name: (play, smallest size); each asserts itself what it counts
 TIMED = {
@@ -66,6 +72,10 @@
     "learning-learner-cpu-by-facts": (learning.learner_cpu, 256),
     "status-cpu-by-hosts": (status.status_cpu, 16),
     "consensus-replay-cpu-by-entries": (consensus_state.replay_cpu, 32),
+    "cell-files-change-cpu-by-hosts": (partial(cell_hosts.change_cpu, followed=False), 32),
+    "cell-follow-change-cpu-by-hosts": (partial(cell_hosts.change_cpu, followed=True), 32),
+    "cell-files-rest-cpu-by-cells": (partial(cell_hosts_rest.files_rest_cpu, seconds=0.2), 1),
+    "cell-follow-rest-cpu-by-cells": (partial(cell_hosts_rest.followed_rest_cpu, seconds=0.2), 1),
 }
 MODULES = (
     host_list,
@@ -78,6 +88,8 @@
     connections,
     learning,
     status,
+    cell_hosts,
+    cell_hosts_rest,
 )
 
 
