--- a/gaproute/appliance/followed_lists.py
+++ b/gaproute/appliance/followed_lists.py
@@ -8,7 +8,8 @@
 from functools import partial
 
 from gaproute.decisions.cells.bounds import MAX_HOSTS
-from gaproute.discovery.cell_members import CellMembers, Refused, in_force
+from gaproute.discovery.cell_members import CellMembers, Refused
+from gaproute.discovery.cells_in_force import CellsInForce
 from gaproute.discovery.changelog.cell import CellFollower, path_of
 
 MAX_CELLS = 64  # followed at once; a view of 512 hosts has fewer, unless its cells are tiny
@@ -51,7 +52,7 @@
         self.loop, self.fleet, self.sources, self.pace = loop, fleet, line.sources, line.look
         self.told, self.refused, self.trouble, self.chance = told, refused, trouble, chance
         self.zones, self.good = {}, {}  # by cell; the lists in force
-        self.followed, self.held = {}, {}  # by cell; {host: line} in force
+        self.followed, self.force = {}, CellsInForce()  # by cell
         self.timer, self.due = None, False
         loop.on_late.append(self._late)
 
@@ -61,7 +62,6 @@
         chosen = list(zones)[:MAX_CELLS]
         for cell in [cell for cell in self.followed if cell not in chosen]:
             self.followed.pop(cell).follower.close()
-            self.held.pop(cell, None)
         for cell in chosen:
             if cell not in self.followed:
                 self._follow(cell)
@@ -118,18 +118,26 @@
         offered = {
             cell: each.members.offered
             for cell, each in self.followed.items()
-            if each.members.offered or cell in self.held
+            if each.members.offered or cell in self.force.lists
         }
-        self.held, clashes = in_force(offered, self.held, self.zones)
+        before = self.force.lists
+        self.force.settle(offered, self.zones)
+        self._tell_clashes()
+        good = {
+            cell: self.good[cell] if cell in self.good and before.get(cell) is lines else list(lines.values())
+            for cell, lines in self.force.lists.items()
+            if lines or cell in self.good
+        }
+        if good != self.good:
+            self.good = good
+            self.told(good)
+
+    def _tell_clashes(self):
         for cell, followed in self.followed.items():
-            before, followed.clashes = followed.clashes, clashes.get(cell, {})
+            before, followed.clashes = followed.clashes, self.force.refused.get(cell, {})
             fresh = [Refused(*each) for each in followed.clashes.items() if each not in before.items()]
             if fresh:
                 self.refused(cell, len(fresh), followed.allowed(fresh))
-        good = {cell: list(lines.values()) for cell, lines in self.held.items() if lines or cell in self.good}
-        if good != self.good:
-            self.good = good
-            self.told(good)
 
     def _trouble(self, cell, why):
         followed = self.followed.get(cell)
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -120,10 +120,10 @@
         """All hosts known: to the connections and the log."""
         before, self.rows = self.rows, {row.listed.worker: row for row in rows}
         self.hosts.listed(rows, True)
-        for name in sorted(before.keys() | self.rows.keys()):
-            old, new = (table.get(name) for table in (before, self.rows))
-            if old != new:
-                self.record.event("info", "host", name=name, state=new.listed.state.value if new else "gone")
+        changed = [name for name, row in self.rows.items() if before.get(name) != row]
+        for name in sorted(changed + [name for name in before if name not in self.rows]):
+            new = self.rows.get(name)
+            self.record.event("info", "host", name=name, state=new.listed.state.value if new else "gone")
 
     def list_refused(self, mistakes):
         for mistake in mistakes:
--- a/gaproute/discovery/cell_members.py
+++ b/gaproute/discovery/cell_members.py
@@ -1,8 +1,7 @@
-"""The hosts of cells as change logs tell them: each member is judged by itself; never touches a socket.
+"""The hosts of a cell as a change log tells them: each member is judged by itself; never touches a socket.
 
-Invariants: the hosts in force never name a host or an address twice, nor does a host come into force in
-another zone than its cell's. A member that is refused leaves its host as it was, but a host in force that is
-told draining is draining, whatever else is wrong with what was told.
+A member that is refused leaves its host as it was; but a host that is told draining is draining, whatever
+else is wrong with what was told.
 """
 
 import math
@@ -57,7 +56,7 @@
                 refused.append(Refused(name[:MAX_TEXT], _reason(wrong)))
                 known = after.get(name) or before.get(name)
                 if known is not None:
-                    after[name] = _in_state(known, "draining") if phase == DRAINING else known
+                    after[name] = in_state(known, "draining") if phase == DRAINING else known
         self.offered = after
         return refused
 
@@ -85,61 +84,6 @@
     return str(wrong)[:MAX_TEXT]
 
 
-def _in_state(line, state):
+def in_state(line, state):
+    """The line with that state."""
     return line if line.state == state else line.model_copy(update={"state": state})
-
-
-def in_force(offered, held, zones):
-    """({cell: {host: line}}, {cell: {host: why it is refused}}): what is offered without what clashes.
-
-    `held`: what was in force until now. Its hosts come first, so that one stays in the cell that it is in
-    until that cell lets go of it.
-    """
-    chosen, refused, owners = {cell: {} for cell in offered}, {}, {}
-    for cell, line, stays in _ordered(offered, held):
-        reason = _owned(cell, line, owners) or _misplaced(line, zones[cell])
-        if reason is not None:
-            refused.setdefault(cell, {})[line.name] = reason
-            line = stays
-            if line is None or _owned(cell, line, owners) is not None:
-                continue
-        chosen[cell][line.name] = line
-        owners[line.name] = owners[line.where] = cell, line.name
-    lists = {
-        cell: {name: chosen[cell][name] for name in lines if name in chosen[cell]}
-        for cell, lines in offered.items()
-    }
-    return lists, refused
-
-
-def _ordered(offered, held):
-    """(cell, line, what stays of it where it is refused): first hosts that are where they were, then those in
-    force that changed, then others."""
-    same, changed, fresh = [], [], []
-    for cell, lines in offered.items():
-        before = held.get(cell, {})
-        for name, line in lines.items():
-            old = before.get(name)
-            if old is None:
-                fresh.append((cell, line, None))
-            elif (old.where, old.zone) == (line.where, line.zone):
-                same.append((cell, line, line))
-            else:
-                stays = old if line.state == "active" else _in_state(old, line.state)
-                changed.append((cell, line, stays))
-    return same + changed + fresh
-
-
-def _owned(cell, line, owners):
-    """Why the line cannot stand beside those that are in force, or None."""
-    for what in (line.name, line.where):
-        owner = owners.get(what)
-        if owner is not None and owner != (cell, line.name):
-            return f"{what} is host {owner[1]} of cell {owner[0]}"
-    return None
-
-
-def _misplaced(line, zone):
-    if line.zone in ("", zone):
-        return None
-    return f"it stands in zone {line.zone}, its cell in {zone}"
--- a/tests/test_cells_members.py
+++ b/tests/test_cells_members.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
-from gaproute.discovery.cell_members import CellMembers, in_force
+from gaproute.discovery.cell_members import CellMembers
+from gaproute.discovery.cells_in_force import CellsInForce
 from gaproute.discovery.changelog.events import Reader
 from gaproute.standins.cell_source import HEAD
 from gaproute.standins.platform.listing import member
@@ -38,11 +39,14 @@
 @settings(max_examples=150)
 @given(some.lists(CHANGES, max_size=12))
 def test_no_name_and_no_address_is_in_force_twice_and_no_drain_is_lost(changes):
-    cells, held = {cell: CellMembers() for cell in ZONES}, {}
+    cells, force, anew = {cell: CellMembers() for cell in ZONES}, CellsInForce(), CellsInForce()
     for cell, complete, rows in changes:
-        before = held
+        before = force.lists
         cells[cell].take(fleet(complete, rows))
-        held, refused = in_force({name: each.offered for name, each in cells.items()}, held, ZONES)
+        force.settle({name: each.offered for name, each in cells.items()}, ZONES)
+        anew.settle({name: dict(each.offered) for name, each in cells.items()}, ZONES)
+        assert (force.lists, force.refused) == (anew.lists, anew.refused)  # every cell gone through again
+        held, refused = force.lists, force.refused
         lines = [line for of_cell in held.values() for line in of_cell.values()]
         assert len({line.name for line in lines}) == len({line.where for line in lines}) == len(lines)
         assert all(line.zone in ("", ZONES[name]) for name in held for line in held[name].values())
@@ -59,24 +63,22 @@
 @settings(max_examples=80)
 @given(some.lists(CHANGES, max_size=6))
 def test_what_is_in_force_stays_while_nothing_is_told(changes):
-    cells, held = {cell: CellMembers() for cell in ZONES}, {}
+    cells, force = {cell: CellMembers() for cell in ZONES}, CellsInForce()
     for cell, complete, rows in changes:
         cells[cell].take(fleet(complete, rows))
-        offered = {name: each.offered for name, each in cells.items()}
-        held, _ = in_force(offered, held, ZONES)
-        again, _ = in_force(offered, held, ZONES)
-        assert {name: list(lines.items()) for name, lines in again.items()} == {
-            name: list(lines.items()) for name, lines in held.items()
-        }
+        force.settle({name: each.offered for name, each in cells.items()}, ZONES)
+        held = {name: list(lines.items()) for name, lines in force.lists.items()}
+        force.settle({name: dict(each.offered) for name, each in cells.items()}, ZONES)
+        assert {name: list(lines.items()) for name, lines in force.lists.items()} == held
 
 
 def test_an_address_goes_to_another_host_of_the_cell_once_it_is_let_go():
-    cell = CellMembers()
+    cell, force = CellMembers(), CellsInForce()
     cell.take(fleet(True, [("u", 1, "active", ""), ("v", 2, "active", "")]))
-    held, _ = in_force({"a1": cell.offered}, {}, ZONES)
+    force.settle({"a1": cell.offered}, ZONES)
     cell.take(fleet(False, [("w", 1, "active", "")]))
-    held, refused = in_force({"a1": cell.offered}, held, ZONES)
-    assert set(held["a1"]) == {"u", "v"} and list(refused["a1"]) == ["w"]
+    force.settle({"a1": cell.offered}, ZONES)
+    assert set(force.lists["a1"]) == {"u", "v"} and list(force.refused["a1"]) == ["w"]
     cell.take(fleet(False, [("u", 1, "gone", "")]))
-    held, refused = in_force({"a1": cell.offered}, held, ZONES)
-    assert set(held["a1"]) == {"v", "w"} and refused == {}
+    force.settle({"a1": cell.offered}, ZONES)
+    assert set(force.lists["a1"]) == {"v", "w"} and force.refused == {}
