A gateway that stops goes on reading its host lists until it ends

Cause: the stop closed the watch of the host list (and of cells' lists), while requests on connections accepted before are served for 1.5 s and more; a host told draining in that time got them past its grace. Both tests fail without the change: all four requests went to the drained host.

--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -177,8 +177,7 @@
         } | ({"sources": self.lists.status()} if self.charter.cell_hosts.sources else {})
 
     def stop(self):
-        """Look at no file any more, and neither tell nor hear of tables."""
-        self.lists.close()
+        """Neither tell nor hear of tables any more, nor follow the lists of other cells than now."""
         if self.table is not None:
             self.table.stop()
         if self.timer is not None:
@@ -187,4 +186,5 @@
     def close(self):
         """End all connections to entry gateways; those to hosts are the appliance's."""
         self.stop()
+        self.lists.close()
         self.entries.close()
--- a/gaproute/appliance/gateway.py
+++ b/gaproute/appliance/gateway.py
@@ -145,7 +145,7 @@
 
     def stop(self):
         """Accepts nothing new, lets what is held and what comes in on connections accepted before come to its
-        final answer, then ends the loop."""
+        final answer, then ends the loop. Host lists are followed to the end: a host may drain meanwhile."""
         if self.stopping:
             return
         self.stopping = True
@@ -156,8 +156,6 @@
             if front not in self.client_fronts:
                 front.stop()
         self.others.stop()
-        if self.watch is not None:
-            self.watch.close()
         if self.cells is not None:
             self.cells.stop()
         self.core.emptied = self._emptied
--- a/tests/test_cells_sources.py
+++ b/tests/test_cells_sources.py
@@ -2,12 +2,14 @@
 leave in force, and that no attempt reaches a host past the grace after it was told draining or gone."""
 
 import signal
+import socket
 from functools import partial
 
 import pytest
 from followed_fleet import GRACE, FollowedFleet
 from helpers import MILLI, SECOND, makers
 
+from gaproute.loop.streams import address
 from gaproute.standins.cell_source import CellSource, Trouble
 
 PAIR = {"a1": ("a1", ("ga",)), "b1": ("b1", ("gb",))}
@@ -112,6 +114,25 @@
     assert fleet.attempts("a1-h0", resumed) == [] and len(fleet.attempts("a1-h1", resumed)) >= 20
 
 
+def test_a_gateway_that_stops_still_hears_that_a_host_drains(followed):
+    fleet = followed(SHARED)
+    fleet.serving("ga")
+    assert fleet.wait(fleet.ask("ga", "check-0", "t1")).status == 200
+    drained = fleet.came("t1")[0]
+    held = fleet.status("ga")["clients"]["connections"]
+    with socket.create_connection(address(fleet.clients["ga"])[1]) as client:
+        client.settimeout(5)
+        fleet.until(lambda: fleet.status("ga")["clients"]["connections"] > held)
+        fleet.processes["ga"].send_signal(signal.SIGTERM)
+        fleet.until(lambda: fleet.events("ga", "stopping"))
+        fleet.sources[0].tell("a1", fleet.member(drained, "draining"))
+        fleet.rest(GRACE)
+        client.sendall(b"POST /v2/models/check-0/infer HTTP/1.1\r\nHost: g\r\nContent-Length: 2\r\n\r\n{}")
+        fleet.until(lambda: fleet.processes["ga"].poll() is not None)
+        assert client.recv(65536).startswith(b"HTTP/1.1 200 ")
+    assert len(fleet.attempts(drained)) == 1
+
+
 def test_two_gateways_that_hear_different_lists(followed):
     fleet = followed(SHARED, sources=2)
     fleet.sources_of = {"ga": [fleet.sources[0].address], "gb": [fleet.sources[1].address]}
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -59,6 +59,11 @@
     return made.loop.now() - began
 
 
+def tasks(tap):
+    """How many requests a host got."""
+    return sum(event["what"] == "task" for event in tap.events)
+
+
 def asked_and_answered(made, client):
     client.sendall(ASK)
     made.until(lambda: made.seen("task", id="t"))
@@ -180,3 +185,20 @@
     assert statuses(rest_of(client)) == [status]
     for fd in (life, ready, *([parent] if others else [])):
         os.close(fd)
+
+
+def test_a_host_told_draining_after_the_stop_gets_no_more_requests(rig, clients):
+    made = rig(hosts=2)
+    kept = [clients(made) for _ in range(4)]
+    asked_and_answered(made, clients(made))
+    [drained] = [place for place, tap in enumerate(made.taps) if tasks(tap)]
+    made.gate.stop()
+    lines = made.list.read_text().splitlines()
+    lines[drained] += " state draining"
+    made.relist(*lines)
+    made.rest(100 * MILLI)
+    for client in kept:
+        client.sendall(ASK)
+    run_out(made)
+    assert all(statuses(rest_of(client)) == [200] for client in kept)
+    assert [tasks(tap) for tap in made.taps] == ([1, 4] if drained == 0 else [4, 1])
