--- a/tests/test_cells_members.py
+++ b/tests/test_cells_members.py
@@ -6,9 +6,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as some
 
+from gaproute.appliance.cell_rows import CellRows
+from gaproute.conf.words.fleet import HostLine
 from gaproute.discovery.cell_members import CellMembers
 from gaproute.discovery.cells_in_force import CellsInForce
 from gaproute.discovery.changelog.events import Reader
+from gaproute.discovery.listing import MAX_NUMBERED, Listing
+from gaproute.loop import Loop
 from gaproute.standins.cell_source import HEAD
 from gaproute.standins.platform.listing import member
 
@@ -82,3 +86,33 @@
     cell.take(fleet(False, [("u", 1, "gone", "")]))
     force.settle({"a1": cell.offered}, ZONES)
     assert set(force.lists["a1"]) == {"v", "w"} and force.refused == {}
+
+
+# Lines as rows
+
+
+def line(name, port, **told):
+    """A line of a host list."""
+    return HostLine(name=name, where=f"127.0.0.1:{port}", **told)
+
+
+def test_only_lines_that_changed_are_made_rows_anew():
+    rows = CellRows(Loop(), True)
+    lists = {"a1": [line("u", 1), line("v", 2)], "b1": [line("w", 3)]}
+    before = rows.of(lists, ZONES)
+    lists = {"a1": [line("u", 1), line("v", 2, state="draining")], "b1": lists["b1"]}
+    after = rows.of(lists, ZONES)
+    assert after["b1"] is before["b1"] and after["a1"][0] is before["a1"][0]
+    assert [row.listed.state.value for row in after["a1"]] == ["active", "draining"]
+    moved = rows.of(lists, ZONES | {"b1": "a"})  # a newer table has the cell in another zone
+    assert moved["b1"][0].listed.zone == before["a1"][0].listed.zone != before["b1"][0].listed.zone
+    assert rows.of({"b1": lists["b1"]}, ZONES) == {"b1": before["b1"]} and list(rows.made) == ["b1"]
+
+
+def test_racks_that_no_host_has_any_more_are_forgotten_and_no_number_is_given_twice():
+    listing, given = Listing(Loop()), set()
+    for number in range(3 * MAX_NUMBERED):
+        stays, comes = listing.rows([line("u", 1, rack="old"), line("v", 2, rack=f"r{number}")])
+        assert stays.listed.cell == 0 and comes.listed.cell not in given
+        given.add(comes.listed.cell)
+        assert len(listing.racks.of) <= MAX_NUMBERED + 1
