--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,7 @@
 
 import pytest
 from cell_fleet import CellFleet
+from followed_cells import FollowedCells
 from helpers import CHARTER, Rig, makers
 from hypothesis import settings
 from scripted import Gate
@@ -50,3 +51,9 @@
 def cells(tmp_path):
     """Makes fleets of cells, whose gateways are processes (`cell_fleet`), and ends them after the test."""
     yield from makers(partial(CellFleet, tmp_path))
+
+
+@pytest.fixture
+def followed_cells():
+    """Makes host lists that follow stand-in sources (`followed_cells`), and ends them after the test."""
+    yield from makers(FollowedCells)
--- a/tests/followed_cells.py
+++ b/tests/followed_cells.py
@@ -1,5 +1,6 @@
 """Cells' host lists followed from stand-in sources on one loop, with the time held by the test."""
 
+import json
 from types import SimpleNamespace
 
 from scripted import MILLI, SECOND, Handed
@@ -25,6 +26,12 @@
     return [host(name, **told) for name in names]
 
 
+def event(seq, members, complete=True):
+    """An event's bytes."""
+    told = {"seq": seq, "fleet": {"revision": seq, "complete": complete, "members": members}}
+    return b"data: %b\n\n" % json.dumps(told).encode()
+
+
 class FollowedCells:
     """Lists as they were told, refused and in trouble. `told`: {cell: {host: state}}."""
 
