An entry that does not know the cell says so, and the next entry is asked

Cause: an entry without a table, without the cell in its table, or that was the last hop declined as "nobody", "no cell" or "the cell is not known here", all answered 429; the forwarding gateway took 429 and 404 alike as the cell's refusal, so the call left the cell within the spill budget, eight such answers made a well cell ill as refusing, and the client got no advice (Decline(0, ...)).

Change: such declines are `CellUnknown`; the entry front answers them 404 where no relay may have run (429 stays: the cell refused). 404 leads to the next entry of the same cell; the entry is passed over for that cell alone (1 to 30 s). It tells health nothing of the cell; a cell none of whose entries knows it has no way in (unreachable) and its calls move on without the spill budget. An entry that sees no host of the cell, or cannot lead on, says the same. All declines carry the track's advice, as route.Gateway's do. Forwarded answers tell by the ORCA header's `copy` what the call found at the host, where the host told; the forwarding gateway reads it from entries of its table alone, so loads no longer count as usual times.

--- a/benchmarks/scale/cells/node.py
+++ b/benchmarks/scale/cells/node.py
@@ -1,14 +1,15 @@
 """One gateway of a play: drives its decisions and carries out their wishes on the play's net."""
 
 from gaproute import interface as face
-from gaproute.decisions.cells.entries import Forward
+from gaproute.decisions.cells.entries import CellUnknown, Forward
 
 
 class Held:
     """A task in hand."""
 
-    def __init__(self, task, serve, finish, end):
+    def __init__(self, task, serve, finish, end, forwarded):
         self.task, self.serve, self.finish, self.end = task, serve, finish, end
+        self.forwarded = forwarded  # what another gateway told that sent it; None: a client did
         self.relays, self.out, self.wait = 0, {}, 0
 
 
@@ -22,7 +23,7 @@
     def take(self, task, finish, forwarded=None):
         """A task from a client, or from another gateway; `finish(ending, outcome, end)` once."""
         now = self.world.clock.now
-        held = Held(task, self._serve(now, task, forwarded), finish, now + task.time_left)
+        held = Held(task, self._serve(now, task, forwarded), finish, now + task.time_left, forwarded)
         self.held[task.id] = held
         self.world.clock.at(held.end, self._time_up, held)
         self._advance(held, None)
@@ -69,6 +70,8 @@
                         self.world.clock.at(
                             self.world.clock.now, self.answered, held, relay, face.Result.CANCELLED
                         )
+                case CellUnknown(_, why) if held.forwarded is not None:
+                    self._end(held, "unknown", why)
                 case face.Decline(_, why):
                     self._end(held, "declined", why)
                 case face.Scrap():
--- a/benchmarks/scale/cells/world.py
+++ b/benchmarks/scale/cells/world.py
@@ -161,7 +161,11 @@
             return
 
         def finish(ending, why, found):
-            results = {"delivered": face.Result.OK, "declined": face.Result.FULL}
+            results = {
+                "delivered": face.Result.OK,
+                "declined": face.Result.FULL,
+                "unknown": face.Result.MISS,
+            }
             report = entry.gateway.local.report(self.clock.now, wish.forwarded.cell)
             answer(results.get(ending, face.Result.ERROR), found, report)
 
--- a/gaproute/core/cellular.py
+++ b/gaproute/core/cellular.py
@@ -1,7 +1,7 @@
 """The core of a gateway in a fleet of cells: it forwards calls to other gateways and takes theirs."""
 
 from gaproute.core.core import Core
-from gaproute.decisions.cells.entries import Forward
+from gaproute.decisions.cells.entries import CellUnknown, Forward
 
 
 class CellularCore(Core):
@@ -27,6 +27,11 @@
         else:
             super().send(key, number, wish, now)
 
+    def refuse(self, key, wish):
+        """Carry out a decline; its final tells where this gateway did not know the cell."""
+        self.held[key].cell_unknown = isinstance(wish, CellUnknown)
+        super().refuse(key, wish)
+
     def cell_listed(self, cell, rows):
         """The whole host list of a cell."""
         now = self.loop.now()
--- a/gaproute/core/core.py
+++ b/gaproute/core/core.py
@@ -88,6 +88,7 @@
         if heard.result not in face.NEVER_RAN:
             held.ran = True
         if heard.result is face.Result.OK and held.finish is not None:
+            held.found = heard.found
             self._final(held, Ending.DELIVERED, heard.answer, 0, "")
         self.record.outcome(worker, held.track, heard.result, now - sent)
         if held.step is not None:
--- a/gaproute/core/drive.py
+++ b/gaproute/core/drive.py
@@ -51,6 +51,10 @@
         """Carry out a relay; who knows several kinds of them tells them apart here."""
         self.relay(key, number, wish.worker, wish.until, now)
 
+    def refuse(self, key, wish):
+        """Carry out a decline; who knows several kinds of them tells them apart here."""
+        self.decline(key, wish.stay_away, wish.why)
+
     def departed(self, now, key):
         """The client left: the generator is told, and nothing more is owed."""
         if key in self.tasks:
@@ -97,8 +101,8 @@
                     self.order(worker, function, copies)
                 case face.Probe(worker):
                     self.probe(worker)
-                case face.Decline(stay_away, why):
-                    self.decline(key, stay_away, why)
+                case face.Decline():
+                    self.refuse(key, wish)
                 case face.Scrap():
                     self.scrap(key)
                 case face.Listen():
--- a/gaproute/core/final.py
+++ b/gaproute/core/final.py
@@ -24,7 +24,10 @@
         if now > held.limit:
             self.record.fault(f"answered {(now - held.limit) // MILLI} ms after the limit", held.id)
         never_ran = not held.ran and not any(hold.begun for _, _, hold in held.out.values())
-        self.loop.soon(finish, Final(ending, answer, stay_away, held.id, held.relays, reason, never_ran))
+        final = Final(
+            ending, answer, stay_away, held.id, held.relays, reason, never_ran, held.cell_unknown, held.found
+        )
+        self.loop.soon(finish, final)
         self._over(held)
 
     def _time_up(self, key):
--- a/gaproute/core/held.py
+++ b/gaproute/core/held.py
@@ -19,12 +19,17 @@
 class Held:
     """A task in hand: until its final answer is given and the last of its relays is accounted for."""
 
-    __slots__ = ("id", "call", "track", "finish", "taken", "out", "relays", "end", "limit", "step", "ran")
+    __slots__ = ("id", "call", "track", "finish", "taken", "out", "relays", "end", "limit", "step", "ran") + (
+        "cell_unknown",
+        "found",
+    )
 
     def __init__(self, name, call, track, finish, taken):
         self.id, self.call, self.track, self.finish, self.taken = name, call, track, finish, taken
         self.out = {}  # relay: (worker, when sent, the hosts' hold of it)
         self.relays = 0
         self.ran = False  # a relay that ended may have run
+        self.cell_unknown = False  # it was declined as this gateway does not know its cell
+        self.found = face.Found.UNTOLD  # what the relay that delivered it found
         self.end = None  # timer at the client's limit
         self.step = None  # call(what, told) where the task is followed in the log
--- a/gaproute/decisions/cells/cellular.py
+++ b/gaproute/decisions/cells/cellular.py
@@ -116,9 +116,15 @@
 
     def serve(self, now: int, task: Task, forwarded: Forwarded | None = None):
         """One task, from acceptance to its one final answer; `forwarded` where another gateway sent it."""
-        if self.single is not None:
-            return self.single.serve(now, task)
-        return self.travel(Journey(now, task, self.terms, forwarded.hops if forwarded else 0), forwarded)
+        if self.single is None:
+            return self.travel(Journey(now, task, self.terms, forwarded), forwarded)
+        if forwarded is not None and not self._leads_into(forwarded.cell):
+            return self.decline_unknown(Journey(now, task, self.terms, forwarded))
+        return self.single.serve(now, task)
+
+    def _leads_into(self, cell):
+        """Whether, with one cell at most, that is the cell and a host of it is known."""
+        return self.table is not None and cell in self.table.by_name and bool(self.single.fleet)
 
     def heard(self, now: int, outcome: Outcome):
         """Book one relay's outcome, whether or not its task is still held."""
--- a/gaproute/decisions/cells/entries.py
+++ b/gaproute/decisions/cells/entries.py
@@ -2,7 +2,8 @@
 
 The order of a cell's entries is this gateway's own (rendezvous hashing of its name and the entry's), so that
 the gateways of a fleet spread over the entries, and one gateway keeps to one entry of each cell: few
-connections, and they are in use. An entry that cannot be reached or is silent is passed over for a while.
+connections, and they are in use. An entry that cannot be reached or is silent is passed over for a while; one
+that does not know a cell is passed over for that cell.
 
 Invariants: a task goes to an entry at most once; a call is forwarded `MAX_HOPS` times at most.
 """
@@ -13,7 +14,7 @@
 from xxhash import xxh3_64_intdigest
 
 from gaproute.decisions.cells.table import Cell
-from gaproute.interface import Relay
+from gaproute.interface import Decline, Relay
 
 SECOND = 1_000_000_000
 
@@ -60,9 +61,13 @@
         return wish
 
 
+class CellUnknown(Decline):
+    """A decline by a gateway that has no way into the cell: nothing ran, and another entry may know more."""
+
+
 @dataclass(slots=True)
 class Doubt:
-    """An entry that failed: passed over until then."""
+    """An entry that failed, or does not know a cell: passed over until then."""
 
     until: int
     span: int
@@ -74,12 +79,14 @@
     def __init__(self, own_name):
         self.own_name = own_name
         self.doubts = {}  # entry: Doubt
+        self.lacking = {}  # (entry, cell that it does not know): Doubt
         self.heard = {}  # entry: when it last answered
         self.orders = {}  # cell: (its row, entries in order)
 
     def adopt(self, table):
         """Forget what the table has no more."""
         self.orders = {name: held for name, held in self.orders.items() if name in table.by_name}
+        self.lacking = {key: doubt for key, doubt in self.lacking.items() if _named(table, *key)}
         if len(self.doubts) + len(self.heard) > KEPT_PER_CELL * len(table.cells):
             named = {entry.name for cell in table.cells for entry in cell.entries}
             self.doubts = {name: doubt for name, doubt in self.doubts.items() if name in named}
@@ -96,8 +103,7 @@
     def pick(self, now, cell, tried=()):
         """The entry to use, or None: all are in doubt or were tried."""
         for entry in self.order(cell):
-            doubt = self.doubts.get(entry.name)
-            if entry.name not in tried and (doubt is None or now >= doubt.until):
+            if entry.name not in tried and self._usable(now, entry.name, cell.name):
                 return entry
         return None
 
@@ -107,19 +113,41 @@
 
     def failed(self, now, name):
         """The entry could not be reached, broke off, or is silent."""
-        doubt = self.doubts.get(name)
-        if doubt is None:
-            self.doubts[name] = Doubt(now + FIRST_DOUBT, FIRST_DOUBT)
-        elif now >= doubt.until:
-            span = min(2 * doubt.span, LONGEST_DOUBT)
-            self.doubts[name] = Doubt(now + span, span)
+        _doubt(self.doubts, name, now)
+
+    def unknowing(self, now, name, cell):
+        """The entry is well, but does not know the cell of that name."""
+        self.answered(now, name)
+        _doubt(self.lacking, (name, cell), now)
 
     def silent(self, now, name, sent):
         """A call sent then has no answer yet, or none came in time: proof if it answered no other since."""
         if self.heard.get(name, -1) < sent:
             self.failed(now, name)
 
-    def answered(self, now, name):
-        """The entry is well."""
+    def answered(self, now, name, cell=None):
+        """The entry is well; `cell`: one that it thereby showed to know."""
         self.heard[name] = now
         self.doubts.pop(name, None)
+        self.lacking.pop((name, cell), None)
+
+    def _usable(self, now, name, cell):
+        """Whether nothing speaks against the entry as a way into the cell."""
+        doubts = self.doubts.get(name), self.lacking.get((name, cell))
+        return all(doubt is None or now >= doubt.until for doubt in doubts)
+
+
+def _doubt(doubts, key, now):
+    """Pass over what the key names, for longer each time."""
+    doubt = doubts.get(key)
+    if doubt is None:
+        doubts[key] = Doubt(now + FIRST_DOUBT, FIRST_DOUBT)
+    elif now >= doubt.until:
+        span = min(2 * doubt.span, LONGEST_DOUBT)
+        doubts[key] = Doubt(now + span, span)
+
+
+def _named(table, name, cell):
+    """Whether the table names the gateway as an entry of the cell."""
+    row = table.by_name.get(cell)
+    return row is not None and any(entry.name == name for entry in row.entries)
--- a/gaproute/decisions/cells/journey.py
+++ b/gaproute/decisions/cells/journey.py
@@ -13,8 +13,9 @@
 class Journey:
     """State of one task. `now` is the time of the last thing that happened to it."""
 
-    def __init__(self, now, task, terms, hops):
-        self.task, self.now, self.hops = task, now, hops
+    def __init__(self, now, task, terms, forwarded=None):
+        self.task, self.now = task, now
+        self.hops = forwarded.hops if forwarded is not None else 0
         self.track = terms.tracks[task.track]
         self.end = now + task.time_left
         self.relay_limit = terms.relay_limit
--- a/gaproute/decisions/cells/remote.py
+++ b/gaproute/decisions/cells/remote.py
@@ -1,13 +1,13 @@
 """A task's way into a cell that this gateway knows by its entry gateways alone.
 
 The entry decides within the cell, with the retries that its rules allow, so little is left to do here:
-another entry where one cannot be reached; a refusal means that the cell refused, and the caller goes on to
-the next cell. What may have run is not repeated unless it is pure.
+another entry where one cannot be reached or does not know the cell (MISS); a refusal (FULL) means that the
+cell refused, and the caller goes on to the next cell. What may have run is not repeated unless it is pure.
 """
 
-from gaproute.decisions.cells.entries import MAX_HOPS, Forward, Forwarded
+from gaproute.decisions.cells.entries import MAX_HOPS, CellUnknown, Forward, Forwarded
 from gaproute.decisions.route.task import ANSWER_BY
-from gaproute.interface import Cancel, Decline, Effect, Result, Wait
+from gaproute.interface import Cancel, Effect, Result, Wait
 
 ENTRIES_TRIED = 2  # of one cell, for one task
 
@@ -18,7 +18,7 @@
     """Yields wishes as `route.Gateway.serve` does; ends without a final wish when the task is over."""
     end, tried = journey.end - ANSWER_BY, set()
     if journey.hops >= MAX_HOPS:
-        yield Decline(0, "the cell is not known here")
+        yield CellUnknown(journey.advice, "cell not known")
         return
     while len(tried) < ENTRIES_TRIED and journey.now < end:
         entry = entries.pick(journey.now, cell, tried)
@@ -29,14 +29,15 @@
         outcome = yield from _await(journey, relay, end, cell, health, cancel_allowed)
         if outcome is None:
             return
-        if outcome.result in (Result.FULL, Result.MISS):
-            yield Decline(0, "refused")
+        if outcome.result is Result.FULL:
+            yield journey.ending("refused")
             return
         if health.barred(cell.name) or journey.may_have_run and journey.track.effect is not Effect.PURE:
             break
     if entries.all_in_doubt(journey.now, cell):
         health.unreachable(journey.now, cell.name)
-    yield journey.ending("unreachable")
+    ending = journey.ending("unreachable")
+    yield ending if journey.may_have_run or journey.out else CellUnknown(*ending)
 
 
 def _await(journey, relay, end, cell, health, cancel_allowed):
--- a/gaproute/decisions/cells/tasks.py
+++ b/gaproute/decisions/cells/tasks.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from gaproute.decisions.cells.choice import Choice
+from gaproute.decisions.cells.entries import CellUnknown
 from gaproute.decisions.cells.illness import Permit
 from gaproute.decisions.cells.remote import serve_remote
 from gaproute.decisions.route import Gateway
@@ -36,7 +37,7 @@
 
     def travel(self, journey, forwarded):
         """One task, from acceptance to its one final answer."""
-        ending = Decline(0, "no cell")
+        ending = self._no_choice(journey, forwarded)
         for choice in self._choices(journey, forwarded):
             ending = yield from self._in_cell(journey, choice)
             if ending is None or isinstance(ending, Scrap):
@@ -46,6 +47,16 @@
         if ending is not None:
             yield ending
 
+    def decline_unknown(self, journey):
+        """A task that was forwarded here for a cell which this gateway does not know."""
+        yield CellUnknown(journey.advice, "cell not known")
+
+    def _no_choice(self, journey, forwarded):
+        """The ending where there is no cell that the task may go to."""
+        if forwarded is not None and forwarded.cell not in self.table.by_name:
+            return CellUnknown(journey.advice, "cell not known")
+        return Decline(journey.advice, "no cell")
+
     def _choices(self, journey, forwarded):
         """The cells for a task, in turn. A forwarded one has no choice: its first gateway made it."""
         function = journey.task.function
@@ -90,7 +101,7 @@
             inner = gateway.serve(journey.now, journey.rest() if journey.relays else journey.task)
         else:
             self.health.unreachable(journey.now, name)
-            return Decline(journey.advice, "no host")
+            return CellUnknown(journey.advice, "no host")
         ending = yield from self._drive(journey, name, inner, gateway)
         if gateway is not None and isinstance(ending, Decline) and ending.why in ("nobody", "full"):
             self.health.outcome(journey.now, name, Result.FULL)
@@ -152,7 +163,7 @@
         pace = outcome.took / max(1.0, self.demand.usual(hand.function)) if standing else None
         if hand.gateway is None:
             self._book_entry(now, outcome, hand)
-        if hand.gateway is None or outcome.result is not Result.FULL:  # a full host is no full cell
+        if _tells_of_cell(outcome.result, hand):
             self.health.outcome(now, hand.cell, outcome.result, pace)
         if hand.own and outcome.result is Result.OK and outcome.found in (Found.WARM, Found.UNTOLD):
             self.demand.took(hand.function, outcome.took)
@@ -163,8 +174,10 @@
             self.entries.failed(now, outcome.worker)
         elif outcome.result is Result.TIMEOUT:
             self.entries.silent(now, outcome.worker, hand.sent)
+        elif outcome.result is Result.MISS:
+            self.entries.unknowing(now, outcome.worker, hand.cell)
         elif outcome.result not in (Result.MOOT, Result.CANCELLED):
-            self.entries.answered(now, outcome.worker)
+            self.entries.answered(now, outcome.worker, hand.cell)
 
     def _book_load(self, now, outcome, name):
         cell = self.table.by_name.get(name)
@@ -174,3 +187,9 @@
             self.loads.heard(now, name, self.local.load(now, name) / cell.capacity)
         elif outcome.report is not None and outcome.report.in_hand is not None:
             self.loads.heard(now, name, outcome.report.in_hand / cell.capacity)
+
+
+def _tells_of_cell(result, hand):
+    """Whether a relay's result says something of its cell: a full host is no full cell, and an entry that
+    does not know the cell says nothing of it."""
+    return result is not (Result.MISS if hand.gateway is None else Result.FULL)
--- a/gaproute/fronts/kserve/entry.py
+++ b/gaproute/fronts/kserve/entry.py
@@ -1,16 +1,18 @@
 """The front at which other gateways forward calls to this one: the clients' form at the address of its peers.
 
-It answers them as a client's, but that it tells the cell's load, and that a declined call that provably never
-ran is answered 429 in place of 503: by the proof table of the hosts (`gaproute.hosts.proof`) 429 alone proves
-that. Any other declined call stays 503 and scrapped stays 504, which prove nothing.
+It answers them as a client's, but that it tells the cell's load and what the call found at the host, and that
+a declined call that provably never ran is answered 404 where this gateway does not know the cell, else 429,
+in place of 503: by the proof table of the hosts (`gaproute.hosts.proof`) these two alone prove that. Any
+other declined call stays 503 and scrapped stays 504, which prove nothing.
 """
 
 import msgspec
 
 from gaproute.fronts.kserve.front import Front
 from gaproute.hosts import forwarded, orca
+from gaproute.interface import Found
 
-NEVER_RAN = 429
+NEVER_RAN, NOT_KNOWN_HERE = 429, 404
 
 
 class EntryFront(Front):
@@ -30,22 +32,24 @@
         call = super().call(request, model, version)
         return call._replace(forwarded=forwarded.read(request.headers))
 
-    def answer(self, request, status, fields, body):
+    def answer(self, request, final, status, fields, body):
         """The one answer to a request."""
         told = forwarded.read(request.headers)
         if told is not None:
-            fields = (*fields, *self._load(told.cell))
-        super().answer(request, status, fields, body)
+            fields = (*fields, *self._metrics(told.cell, final.found))
+        super().answer(request, final, status, fields, body)
 
-    def decline_status(self, request, never_ran):
+    def decline_status(self, request, final):
         """The status of a declined call."""
-        if never_ran and forwarded.read(request.headers) is not None:
-            return NEVER_RAN
-        return super().decline_status(request, never_ran)
-
-    def _load(self, cell):
-        report = self.report(cell)
-        if report is None or report.in_hand is None:
-            return ()
-        figures = {"named_metrics": {"in_hand": report.in_hand}}
-        return ((orca.HEADER, b"JSON " + msgspec.json.encode(figures)),)
+        if not final.never_ran or forwarded.read(request.headers) is None:
+            return super().decline_status(request, final)
+        return NOT_KNOWN_HERE if final.cell_unknown else NEVER_RAN
+
+    def _metrics(self, cell, found):
+        """The header that tells the cell's load and what the call found, as far as they are known."""
+        report, named = self.report(cell), {}
+        if report is not None and report.in_hand is not None:
+            named["in_hand"] = report.in_hand
+        if found is not Found.UNTOLD:
+            named["copy"] = found.value
+        return ((orca.HEADER, b"JSON " + msgspec.json.encode({"named_metrics": named})),) if named else ()
--- a/gaproute/fronts/kserve/front.py
+++ b/gaproute/fronts/kserve/front.py
@@ -187,23 +187,24 @@
             tenant=headers.get(b"gaproute-tenant", b""),
         )
 
-    def answer(self, request, status, fields, body):
+    def answer(self, request, final, status, fields, body):
         """The one answer to a request."""
         self.server.answer(request, status, fields, body)
 
-    def decline_status(self, request, never_ran):
-        """The status of a declined call; `never_ran`: it provably did not run."""
+    def decline_status(self, request, final):
+        """The status of a declined call."""
         return STATUS[Ending.DECLINED]
 
-    def decline(self, request, stay_away, text, task=b"", never_ran=False):
-        fields = [
+    def decline(self, request, final):
+        """The answer to a declined call."""
+        fields = (
             JSON,
             (b"Gaproute-Outcome", b"declined"),
-            (b"Retry-After", b"%d" % -(-stay_away // SECOND)),
-            (b"Gaproute-Retry-After-Ms", b"%d" % -(-stay_away // MILLI)),
-        ]
-        fields += [(b"Gaproute-Task", task)] if task else []
-        self.answer(request, self.decline_status(request, never_ran), fields, error(text))
+            (b"Retry-After", b"%d" % -(-final.stay_away // SECOND)),
+            (b"Gaproute-Retry-After-Ms", b"%d" % -(-final.stay_away // MILLI)),
+            (b"Gaproute-Task", final.task.encode()),
+        )
+        self.answer(request, final, self.decline_status(request, final), fields, error(final.reason))
 
     def final(self, request, final):
         task = final.task.encode()
@@ -211,6 +212,7 @@
             answer = final.answer
             self.answer(
                 request,
+                final,
                 answer.status,
                 answer.fields
                 + (
@@ -221,10 +223,11 @@
                 answer.body,
             )
         elif final.ending is Ending.DECLINED:
-            self.decline(request, final.stay_away, final.reason, task, final.never_ran)
+            self.decline(request, final)
         else:
             self.answer(
                 request,
+                final,
                 STATUS[final.ending],
                 (
                     JSON,
--- a/gaproute/interface/call.py
+++ b/gaproute/interface/call.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gaproute.interface.outcomes import Found
+
 
 class Call(NamedTuple):
     """A task's content. The body and the fields pass through as they came."""
@@ -46,3 +48,5 @@
     relays: int  # relays that were started for it
     reason: str  # a few words for a person
     never_ran: bool = False  # every relay that was started provably did not run
+    cell_unknown: bool = False  # with DECLINED: the call was forwarded here for a cell not known here
+    found: Found = Found.UNTOLD  # with DELIVERED: what the relay found at the host
--- /dev/null
+++ b/tests/test_cells_entries.py
@@ -0,0 +1,187 @@
+"""What an entry gateway answers to a call for a cell that it does not know, and what the gateway that
+forwarded it makes of each answer: decisions alone."""
+
+from dataclasses import replace
+
+import pytest
+from cells_tables import cell, cells, table
+from helpers import TERMS, Drive, row, task
+
+from gaproute import interface as face
+from gaproute.decisions.cells.cellular import CellularGateway
+from gaproute.decisions.cells.entries import MAX_HOPS, CellUnknown, Entries, Forwarded
+from gaproute.decisions.cells.place import Place
+
+MILLI, SECOND = 1_000_000, 1_000_000_000
+PURE, RECEIPTED, EFFECTFUL = 0, 1, 2
+ADVICE = min(TERMS.advice_limit, TERMS.tracks[0].contract_time)
+
+
+def bare():
+    """A gateway of zone 0 without a table."""
+    return CellularGateway(7, TERMS._replace(twins_allowed=False), 0, Place("gateway1", "region0", "zone0"))
+
+
+def fleet(count=26, entries=2):
+    """The same, with a table of several cells; it knows the hosts of one."""
+    made = bare()
+    made.adopt(0, table(cells(count, entries=entries)))
+    made.listed(0, [row(f"cell0-{host}") for host in "abc"], True, "cell0")
+    return made
+
+
+def homed(made, name, number=1):
+    """Functions whose first home is the cell."""
+    found = (f"f{place}" for place in range(100_000) if made.homes.first(f"f{place}") == name)
+    return [next(found) for _ in range(number)]
+
+
+def forwarded(made, name, hops=1, asked=None):
+    """The first wish for a task that was forwarded here for the cell."""
+    return next(made.serve(0, asked or task("t"), Forwarded(name, hops)))
+
+
+# The entry
+
+
+def test_an_entry_without_a_table_does_not_know_the_cell():
+    assert forwarded(bare(), "cell0") == CellUnknown(ADVICE, "cell not known")
+
+
+def test_an_entry_of_another_single_cell_does_not_know_the_cell():
+    made = bare()
+    made.adopt(0, table([cell("only")]))
+    assert isinstance(forwarded(made, "only"), CellUnknown)  # its host list has not come
+    made.listed(0, [row("a")], True, "only")
+    assert isinstance(forwarded(made, "cell7"), CellUnknown)
+    assert forwarded(made, "only").worker == "a"
+
+
+def test_an_entry_says_whether_it_does_not_know_the_cell_or_refuses():
+    made = fleet()
+    assert isinstance(forwarded(made, "nowhere"), CellUnknown)
+    assert isinstance(forwarded(made, "cell7", MAX_HOPS), CellUnknown)
+    made.health.unreachable(0, "cell0")
+    refused = forwarded(made, "cell0")
+    assert isinstance(refused, face.Decline) and not isinstance(refused, CellUnknown)
+    made.listed(0, [], True, "cell0")
+    made.health.ill.clear()
+    assert isinstance(forwarded(made, "cell0"), CellUnknown)  # no host to send it to
+
+
+@pytest.mark.parametrize(
+    ("track", "result", "unknown"),
+    [
+        (PURE, face.Result.CONNECT_FAILED, True),
+        (EFFECTFUL, face.Result.MISS, True),
+        (
+            PURE,
+            face.Result.RESET,
+            False,
+        ),  # it may have run, and that must not look like a proof that it did not
+        (PURE, face.Result.FULL, False),
+    ],
+)
+def test_an_entry_that_cannot_lead_on_does_not_know_the_cell_where_nothing_ran(track, result, unknown):
+    made = fleet()
+    serve = made.serve(0, task("t", track=track), Forwarded("cell7", 1))
+    wish, relays = next(serve), 0
+    while isinstance(wish, face.Relay):
+        serve.send(relays)
+        outcome = face.Outcome("t", relays, wish.worker, result, MILLI, False, face.Found.UNTOLD, None, None)
+        made.heard(MILLI, outcome)
+        wish, relays = serve.send((MILLI, outcome)), relays + 1
+    assert isinstance(wish, CellUnknown) == unknown and wish.stay_away == ADVICE
+
+
+# The gateway that forwards
+
+
+@pytest.mark.parametrize("track", [PURE, RECEIPTED, EFFECTFUL])
+def test_where_an_entry_does_not_know_the_cell_the_next_one_of_the_cell_is_asked(track):
+    made = fleet()
+    drive = Drive(made, task("t", homed(made, "cell7")[0], track))
+    drive.hears(10 * MILLI, face.Result.MISS)
+    assert drive.wishes[0].forwarded.cell == "cell7" and len(set(drive.sent)) == 2
+    drive.hears(20 * MILLI, face.Result.OK, 1)
+    assert drive.ended and not made.health.barred("cell7")
+
+
+def test_an_entry_that_does_not_know_a_cell_is_passed_over_for_that_cell_alone():
+    made, rows = fleet(), cells(26)
+    rows[20] = replace(rows[20], entries=rows[7].entries)  # the same gateways lead into both
+    made.adopt(0, table(rows, number=2))
+    name, again = homed(made, "cell7", 2)
+    drive = Drive(made, task("t", name))
+    drive.hears(10 * MILLI, face.Result.MISS)
+    ignorant, other = drive.sent
+    drive.hears(20 * MILLI, face.Result.OK, 1)
+    assert Drive(made, task("u", again), now=30 * MILLI).sent == [other]
+    assert made.entries.pick(30 * MILLI, rows[20]) == made.entries.order(rows[20])[0]
+    late = Drive(made, task("v", again), now=2 * SECOND)
+    assert late.sent == [made.entries.order(rows[7])[0].name]
+    if late.sent == [ignorant]:
+        late.hears(2 * SECOND, face.Result.OK)
+        assert not made.entries.lacking
+
+
+def test_a_cell_that_no_entry_knows_has_no_way_in_and_its_calls_move_at_once():
+    made = fleet()
+    made.spill.left = 0  # nothing may move that was refused for load
+    name = homed(made, "cell7")[0]
+    drive = Drive(made, task("t", name, EFFECTFUL))
+    for relay in range(2):
+        drive.hears(10 * MILLI, face.Result.MISS, relay)
+    assert drive.wishes[0].forwarded.cell == made.homes.order(name, 2)[1]
+    assert made.health.barred("cell7") and not made.health.records  # no way in; nothing was heard of it
+
+
+def test_entries_that_do_not_know_the_cell_are_no_refusals_of_it():
+    made = fleet(entries=4)
+    for number, name in enumerate(homed(made, "cell7", 12)):
+        now = number * 100 * SECOND
+        drive = Drive(made, task(f"t{number}", name), now)
+        drive.hears(now, face.Result.MISS)
+        drive.hears(now, face.Result.OK, 1)
+        assert not made.health.barred("cell7")
+
+
+def test_what_is_remembered_of_entries_that_do_not_know_cells_is_bounded_by_the_table():
+    ways, rows = Entries("gateway1"), cells(3)
+    for each in rows:
+        ways.unknowing(0, each.entries[0].name, each.name)
+        ways.unknowing(0, "another", each.name)
+    ways.adopt(table(rows[:2]))
+    assert set(ways.lacking) == {(each.entries[0].name, each.name) for each in rows[:2]}
+
+
+@pytest.mark.parametrize("result", [face.Result.FULL, face.Result.MISS, face.Result.CONNECT_FAILED])
+def test_a_call_that_all_cells_refused_ends_with_the_advice_of_its_track(result):
+    made, relay = fleet(), 0
+    drive = Drive(made, task("t", homed(made, "cell7")[0], EFFECTFUL))
+    while not drive.ended:
+        drive.hears(10 * MILLI, result, relay)
+        relay += 1
+    (ending,) = drive.wishes
+    assert isinstance(ending, face.Decline) and ending.stay_away == ADVICE > 0
+
+
+def test_a_call_that_no_cell_may_take_ends_with_the_advice_of_its_track():
+    made = fleet(count=2)
+    for name in ("cell0", "cell1"):
+        made.health.unreachable(0, name)
+    assert Drive(made, task("t", track=EFFECTFUL)).wishes == [face.Decline(ADVICE, "no cell")]
+
+
+def test_loads_of_forwarded_calls_are_no_usual_answer_times():
+    """A cell that loads is not taken for a slow one once its entries tell what calls found there."""
+    made = fleet()
+    name = homed(made, "cell7")[0]
+    for number in range(20):
+        drive = Drive(made, task(f"t{number}", name), number * SECOND)
+        drive.hears(number * SECOND, face.Result.OK, found=face.Found.WARM, took=50 * MILLI)
+    usual = made.demand.usual(name)
+    for number in range(20, 40):
+        drive = Drive(made, task(f"t{number}", name), number * SECOND)
+        drive.hears(number * SECOND, face.Result.OK, found=face.Found.BEGAN_LOAD, took=2 * SECOND)
+    assert made.demand.usual(name) == usual and not made.health.barred("cell7")
