A deduplicated call whose forwarding broke off goes to another entry of its cell

Cause: what may have run was scrapped unless pure, though hosts would drop the repeat of a deduplicated call. They would not have known it either: each entry sent it to hosts under an id of its own.

Change: the first gateway's id goes on as `Gaproute-Task` to the hosts, by whichever gateways the call comes (believed at the peers' address and of forwarded calls alone; malformed: the entry's own id). A call whose group is all hosts is sent to one more entry of the same cell when the connection to the first broke off, and only if all its time lies within the window of the first sending, less 100 ms of transit: the first entry, or one it forwarded the call to, may still be at it, and every sending by any of them then falls within the window. It is never declined after that, nor leaves its cell. Left out: groups of a zone (tables that differ may have the cell in two zones) and of a rack (a cell has several).

--- a/gaproute/decisions/cells/journey.py
+++ b/gaproute/decisions/cells/journey.py
@@ -20,7 +20,7 @@
         self.end = now + task.time_left
         self.relay_limit = terms.relay_limit
         self.advice = min(terms.advice_limit, self.track.contract_time)
-        self.relays = 0
+        self.relays, self.first_sent = 0, None
         self.out = {}  # relay: (cell, worker, sent, due)
         self.late = set()  # relays that were found overdue
         self.may_have_run = False
@@ -32,6 +32,8 @@
     def sent(self, relay, cell, worker, due):
         """A relay has gone out."""
         self.relays += 1
+        if self.first_sent is None:
+            self.first_sent = self.now
         self.out[relay] = cell, worker, self.now, due
 
     def settle(self, outcome):
--- a/gaproute/decisions/cells/remote.py
+++ b/gaproute/decisions/cells/remote.py
@@ -2,16 +2,23 @@
 
 The entry decides within the cell, with the retries that its rules allow, so little is left to do here:
 another entry where one cannot be reached or does not know the cell (MISS); a refusal (FULL) means that the
-cell refused, and the caller goes on to the next cell. What may have run is not repeated unless it is pure.
+cell refused, and the caller goes on to the next cell.
+
+What may have run is not repeated unless it is pure, or deduplicated among all hosts and sure to be dropped:
+then it goes to one more entry of the cell where the connection to the first broke off. The first entry, and
+one that it forwarded the call to, may still be sending it to hosts; so its whole time must lie within the
+window of the first sending, whoever sends it. Groups of a zone or a rack are left out: a cell has several
+racks, and tables that differ may have it in two zones.
 """
 
 from gaproute.decisions.cells.entries import MAX_HOPS, CellUnknown, Forward, Forwarded
 from gaproute.decisions.route.task import ANSWER_BY
-from gaproute.interface import Cancel, Effect, Result, Wait
+from gaproute.interface import Cancel, Effect, Group, Result, Wait
 
 ENTRIES_TRIED = 2  # of one cell, for one task
 
-SECOND = 1_000_000_000
+MILLI, SECOND = 1_000_000, 1_000_000_000
+TRANSIT = 100 * MILLI  # between two gateways: by so much an entry's end may be later than the one it was told
 
 
 def serve_remote(journey, cell, entries, health, cancel_allowed):
@@ -32,7 +39,7 @@
         if outcome.result is Result.FULL:
             yield journey.ending("refused")
             return
-        if health.barred(cell.name) or journey.may_have_run and journey.track.effect is not Effect.PURE:
+        if health.barred(cell.name) or not _may_repeat(journey, outcome.result):
             break
     if entries.all_in_doubt(journey.now, cell):
         health.unreachable(journey.now, cell.name)
@@ -40,6 +47,16 @@
     yield ending if journey.may_have_run or journey.out else CellUnknown(*ending)
 
 
+def _may_repeat(journey, result):
+    """Whether the task may go to another entry of the cell after this result."""
+    track = journey.track
+    if not journey.may_have_run or track.effect is Effect.PURE:
+        return True
+    dropped = track.effect is Effect.RECEIPTED and track.group is Group.ALL
+    forgotten = journey.first_sent + track.repeat_window
+    return dropped and result is Result.RESET and journey.end + TRANSIT <= forgotten
+
+
 def _await(journey, relay, end, cell, health, cancel_allowed):
     """The relay's outcome, or None where the task is over.
 
--- a/gaproute/fronts/kserve/entry.py
+++ b/gaproute/fronts/kserve/entry.py
@@ -30,7 +30,10 @@
     def call(self, request, model, version):
         """A request as a call."""
         call = super().call(request, model, version)
-        return call._replace(forwarded=forwarded.read(request.headers))
+        told = forwarded.read(request.headers)
+        if told is None:
+            return call
+        return call._replace(forwarded=told, origin=forwarded.origin(request.headers))
 
     def answer(self, request, final, status, fields, body):
         """The one answer to a request."""
--- a/gaproute/hosts/forwarded.py
+++ b/gaproute/hosts/forwarded.py
@@ -3,14 +3,19 @@
 `Gaproute-Forwarded: HOPS CELL` says how often the call has been forwarded, this time included, and the cell
 that its first gateway chose, percent-encoded. What is malformed is ignored: the call is then a client's own.
 More hops than a gateway may make count as the most, so that such a call is not forwarded again.
+
+`Gaproute-Task` is the first gateway's id of the call, as hosts are told it: an entry passes it on to them, so
+that they know a repeat that comes by another entry.
 """
 
+import re
 from urllib.parse import quote, unquote
 
 from gaproute.decisions.cells.bounds import MAX_NAME
 from gaproute.decisions.cells.entries import MAX_HOPS, Forwarded
 
 HEADER = b"gaproute-forwarded"
+ORIGIN_HEADER, ORIGIN = b"gaproute-task", re.compile(rb"[!-~]{1,256}")
 LONGEST = 3 + 12 * MAX_NAME  # bytes: each character takes 12 at most when it is percent-encoded
 
 
@@ -34,3 +39,9 @@
     if not 0 < len(name) <= MAX_NAME or not name.isprintable():
         return None
     return Forwarded(name, min(int(hops), MAX_HOPS))
+
+
+def origin(headers):
+    """The first gateway's id of a forwarded call; "" where that is not told, or malformed."""
+    value = headers.get(ORIGIN_HEADER, b"")
+    return value.decode("ascii") if ORIGIN.fullmatch(value) else ""
--- a/gaproute/hosts/kserve.py
+++ b/gaproute/hosts/kserve.py
@@ -27,8 +27,9 @@
 
 
 def infer(call, task, host):
-    """The client's body and fields as they came; `Gaproute-Task` is the mark by which a repeat is known."""
-    fields = call.fields + ((b"Gaproute-Task", task.encode()), orca.ASK)
+    """The client's body and fields as they came; `Gaproute-Task` is the mark by which a repeat is known: the
+    same by whichever gateways a call comes."""
+    fields = call.fields + ((b"Gaproute-Task", (call.origin or task).encode()), orca.ASK)
     return _request(b"POST", path(call.function) + b"/infer", host, fields, call.body)
 
 
--- a/gaproute/interface/call.py
+++ b/gaproute/interface/call.py
@@ -17,6 +17,7 @@
     track: str = ""  # the track's name, where hosts are told it
     receipt: str = ""  # by which hosts know a repeat, where clients send one
     tenant: bytes = b""  # as the client named it, where other gateways are told it
+    origin: str = ""  # the id by which the first gateway sent it, where another one forwarded it
     forwarded: tuple | None = None  # (cell, hops) as `decisions.cells` has it, where another gateway sent it
 
     @property
--- a/tests/cell_fleet.py
+++ b/tests/cell_fleet.py
@@ -20,7 +20,12 @@
 from gaproute.standins.tap import Tap
 
 MODELS = 24  # of each track
-KINDS = {"check": "pure", "order": "effectful"}
+KINDS = {
+    "check": "pure",
+    "order": "effectful",
+    "plan": "receipted remembers 6s",
+    "rack-plan": "receipted group rack remembers 6s",
+}
 WORK, START = 5 * MILLI, 10 * MILLI  # of a call; of a load, after its fetch
 
 
--- a/tests/test_cells_forwarded.py
+++ b/tests/test_cells_forwarded.py
@@ -162,3 +162,40 @@
     assert answer.status == 200 and b'"copy":2' in answer.headers[b"endpoint-load-metrics"]
     answer = fleet.wait(fleet.ask("ga", model, "client"))
     assert answer.status == 200 and b"endpoint-load-metrics" not in answer.headers
+
+
+@pytest.mark.parametrize(
+    ("mark", "told"),
+    [
+        (b"ga-17-1", "ga-17-1"),
+        (b"", ""),
+        (b"a b", ""),
+        (b"\xff", ""),
+        (b"x" * 256, "x" * 256),
+        (b"x" * 257, ""),
+    ],
+)
+def test_the_mark_of_a_forwarded_call_is_passed_on_or_ignored_where_it_is_malformed(mark, told):
+    assert forwarded.origin({b"gaproute-task": mark}) == told
+
+
+def test_only_a_gateway_names_the_mark_of_a_call(cells):
+    fleet = cells(CELLS)
+    fleet.write_table()
+    fleet.start("ga", "a1")
+    fleet.up("ga")
+    model = fleet.homed("check", "a1")
+    mark = "Gaproute-Task: other-1\r\n"
+    for call, fields, wheres in (
+        ("client", FORWARDED.format("a1") + mark, fleet.clients),
+        ("peer", mark, fleet.entries),
+        ("forwarded", FORWARDED.format("a1") + mark, fleet.entries),
+    ):
+        assert fleet.wait(fleet.ask("ga", model, call, fields, wheres)).status == 200
+        marks = {
+            event["mark"]
+            for tap in fleet.taps.values()
+            for event in tap.events
+            if event["what"] == "task" and event["id"] == call
+        }
+        assert (marks == {"other-1"}) == (call == "forwarded") and len(marks) == 1
