Two gateways that forward calls to each other, to be measured

Cause: what forwarding costs a gateway and a call was not measured (docs/cells.md, "What is not there").

--- a/benchmarks/scale/cells/__main__.py
+++ b/benchmarks/scale/cells/__main__.py
@@ -7,7 +7,7 @@
 import sys
 from functools import partial
 
-from benchmarks.scale.cells import baselines, evenness, failures, meetings, moves
+from benchmarks.scale.cells import baselines, borne, evenness, failures, meetings, moves
 from benchmarks.scale.cells.fleet import Shape
 from benchmarks.scale.measurement import MEASURED
 
@@ -64,6 +64,13 @@
             yield f"{way}, seed {seed}", partial(baselines.play, way, seed)
 
 
+def borne_plays():
+    """Forwarding as fast as it goes, and the same without, in turn: the machine's drift strikes both."""
+    for seed in (1, 2, 3):
+        for kind in ("both", "unforwarded"):
+            yield f"{kind}, seed {seed}", partial(borne.play, kind, seed)
+
+
 TABLES = {
     "meetings": meetings_plays,
     "evenness": evenness_plays,
@@ -71,6 +78,7 @@
     "failures": failures_plays,
     "alone": alone_plays,
     "baselines": baselines_plays,
+    "borne": borne_plays,
 }
 
 
