Stalls of a gateway of some milliseconds are no slow cell

Cause: a cell was slow by the median of its last eight answers over four times the usual, whatever that is in absolute terms. Forwarded answers count there as well since they tell what they found.

Change: paces are taken of 25 ms at least, so that a slow cell answers in over 100 ms.

--- a/gaproute/decisions/cells/tasks.py
+++ b/gaproute/decisions/cells/tasks.py
@@ -13,10 +13,11 @@
 from gaproute.decisions.route import Gateway
 from gaproute.interface import Decline, Effect, Found, Relay, Result, Scrap, Wait
 
-SECOND = 1_000_000_000
+MILLI, SECOND = 1_000_000, 1_000_000_000
 
 CELLS_TRIED = 3  # for one task: what three cells refused, a fourth would refuse as well
 PATIENCE = 4  # usual answer times before a call is overdue,
+LEAST_USUAL = 25 * MILLI  # usual answer time by which paces are taken: stalls of a gateway are no slow cell
 LOAD_PATIENCE = 2  # and usual load times
 FIRST_LOAD = SECOND  # load time where none is told
 PROVEN_UNABLE = ("nobody", "unreachable", "no host")  # why a cell declined other than for its load
@@ -160,7 +161,7 @@
 
     def _book(self, now, outcome, hand):
         standing = outcome.result is Result.OK and outcome.found is Found.WARM
-        pace = outcome.took / max(1.0, self.demand.usual(hand.function)) if standing else None
+        pace = outcome.took / max(LEAST_USUAL, self.demand.usual(hand.function)) if standing else None
         if hand.gateway is None:
             self._book_entry(now, outcome, hand)
         if _tells_of_cell(outcome.result, hand):
--- /dev/null
+++ b/tests/test_cells_repeats.py
@@ -0,0 +1,60 @@
+"""Deduplicated calls whose forwarding broke off: sent to another entry only within their window."""
+
+import pytest
+from cells_tables import cells, table
+from helpers import TERMS, Drive, task
+
+from gaproute import interface as face
+from gaproute.decisions.cells.cellular import CellularGateway
+from gaproute.decisions.cells.place import Place
+from gaproute.decisions.cells.remote import TRANSIT
+
+MILLI = 1_000_000
+RECEIPTED = 1
+LIMIT = TERMS.tracks[RECEIPTED].repeat_window - TRANSIT
+
+
+def broken_off(result=face.Result.RESET, time_left=LIMIT, **told):
+    """A deduplicated call whose first relay to an entry ended so; `told`: what differs in its track."""
+    tracks = list(TERMS.tracks)
+    tracks[RECEIPTED] = tracks[RECEIPTED]._replace(**told)
+    terms = TERMS._replace(twins_allowed=False, tracks=tuple(tracks))
+    made = CellularGateway(7, terms, 0, Place("gateway1", "region0", "zone0"))
+    made.adopt(0, table(cells(26)))
+    name = next(name for name in map("f{}".format, range(1_000)) if made.homes.first(name) == "cell7")
+    asked = task("t", name, RECEIPTED, time_left=time_left)
+    drive = Drive(made, asked)
+    drive.hears(10 * MILLI, result)
+    return drive
+
+
+def test_a_deduplicated_call_goes_to_another_entry_of_the_cell_where_its_whole_time_lies_in_the_window():
+    drive = broken_off()
+    assert drive.wishes[0].forwarded.cell == "cell7" and len(set(drive.sent)) == 2
+    drive.hears(20 * MILLI, face.Result.OK, 1)
+    assert drive.ended
+
+
+@pytest.mark.parametrize(
+    "result", [face.Result.FULL, face.Result.MISS, face.Result.CONNECT_FAILED, face.Result.RESET]
+)
+def test_a_deduplicated_call_that_broke_off_stays_in_its_cell_and_is_never_declined(result):
+    drive = broken_off()
+    assert [type(wish) for wish in drive.hears(20 * MILLI, result, 1)] == [face.Scrap]
+    assert drive.ended and len(drive.sent) == 2
+
+
+@pytest.mark.parametrize(
+    "told",
+    [
+        {"time_left": LIMIT + 1},  # an entry might send it when the first run is forgotten
+        {"group": face.Group.ZONE},
+        {"group": face.Group.CELL},
+        {"result": face.Result.ERROR},  # the entry answered: it tried again itself as far as that is allowed
+        {"result": face.Result.TIMEOUT},
+        {"effect": face.Effect.EFFECTFUL},
+    ],
+)
+def test_else_a_call_that_broke_off_is_not_sent_again(told):
+    drive = broken_off(**told)
+    assert [type(wish) for wish in drive.wishes] == [face.Scrap] and len(drive.sent) == 1
