--- a/benchmarks/scale/cells/borne.py
+++ b/benchmarks/scale/cells/borne.py
@@ -23,6 +23,7 @@
             cell: round(run.calls / run.cpu[cell] * 1_000) for cell in CELLS if cell in KINDS[kind]
         },
         "CPU, ms a second": {cell: round(run.cpu[cell]) for cell in CELLS},
+        "forwarded a second": run.forwarded,
         "calls that failed": run.failed,
         "p50 ms": round(run.p50, 1),
         "p99 ms": round(run.p99, 1),
--- a/benchmarks/scale/forwarding.py
+++ b/benchmarks/scale/forwarding.py
@@ -31,6 +31,7 @@
 
     calls: int  # a second, of each gateway that had clients
     failed: int  # calls that were not answered 200
+    forwarded: int  # relays to entry gateways a second, of each gateway that had clients
     cpu: dict[str, float]  # gateway: ms of processor time a second
     p50: float  # ms, of all calls
     p99: float
@@ -69,6 +70,7 @@
     def play(self, homes: dict[str, str], rate: float, seconds: float, seed: int) -> Run:
         """Calls to the gateways of some cells, {cell: home of the functions called}, so many a second each;
         rate 0: as fast as they are answered."""
+        out = sum(self._forwarded_out(cell) for cell in homes)
         before = {cell: _cpu_ns(gateway.pid) for cell, gateway in self.gateways.items()}
         asked = {
             f"127.0.0.1:{self.clients[cell]}": self._take(cell, home, rate, seconds)
@@ -79,8 +81,19 @@
             cell: (_cpu_ns(gateway.pid) - before[cell]) / 1e6 / told["seconds"]
             for cell, gateway in self.gateways.items()
         }
-        calls = round(told["calls"] / told["seconds"] / len(homes))
-        return Run(calls, told["failed"], cpu, told["p50_ms"], told["p99_ms"])
+        each = told["seconds"] * len(homes)
+        forwarded = round((sum(self._forwarded_out(cell) for cell in homes) - out) / each)
+        return Run(
+            round(told["calls"] / each), told["failed"], forwarded, cpu, told["p50_ms"], told["p99_ms"]
+        )
+
+    def _forwarded_out(self, cell):
+        """Relays to entry gateways so far."""
+        with socket.socket(socket.AF_UNIX) as operator:
+            operator.connect(str(self.path / f"{cell}.op"))
+            operator.sendall(b"GET /status HTTP/1.1\r\nHost: g\r\nConnection: close\r\n\r\n")
+            answer = b"".join(iter(lambda: operator.recv(65536), b""))
+        return json.loads(answer.partition(b"\r\n\r\n")[2])["cells"]["forwarded_out"]
 
     def _take(self, cell, home, rate, seconds):
         """Functions for one play, none more often than allowed."""
@@ -109,6 +122,7 @@
             f"name {cell}",
             f"listen kserve 127.0.0.1:{self.clients[cell]}",
             f"listen peers 127.0.0.1:{self.peers[cell]}",
+            f"listen operator unix:{self.path}/{cell}.op",
             f"cells north file {self.path}/cells.table look 400ms region r zone {cell}",
             f"cell-hosts {self.path} look 400ms",
             "track a pure contract 2s limit 5s",
