Merge forwarded calls: entries that do not know a cell, advice, found copies, cost

An entry without the cell or a table answers 404, and the next entry is asked (was taken for a full cell); declines carry the track's advice; forwarded answers tell what they found; a deduplicated call whose forwarding broke off goes to another entry under the same mark, within its window.

--- a/gaproute/decisions/cells/journey.py
+++ b/gaproute/decisions/cells/journey.py
@@ -13,13 +13,14 @@
 class Journey:
     """State of one task. `now` is the time of the last thing that happened to it."""
 
-    def __init__(self, now, task, terms, hops):
-        self.task, self.now, self.hops = task, now, hops
+    def __init__(self, now, task, terms, forwarded=None):
+        self.task, self.now = task, now
+        self.hops = forwarded.hops if forwarded is not None else 0
         self.track = terms.tracks[task.track]
         self.end = now + task.time_left
         self.relay_limit = terms.relay_limit
         self.advice = min(terms.advice_limit, self.track.contract_time)
-        self.relays = 0
+        self.relays, self.first_sent = 0, None
         self.out = {}  # relay: (cell, worker, sent, due)
         self.late = set()  # relays that were found overdue
         self.may_have_run = False
@@ -31,6 +32,8 @@
     def sent(self, relay, cell, worker, due):
         """A relay has gone out."""
         self.relays += 1
+        if self.first_sent is None:
+            self.first_sent = self.now
         self.out[relay] = cell, worker, self.now, due
 
     def settle(self, outcome):
--- a/gaproute/interface/call.py
+++ b/gaproute/interface/call.py
@@ -3,6 +3,8 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gaproute.interface.outcomes import Found
+
 
 class Call(NamedTuple):
     """A task's content. The body and the fields pass through as they came."""
@@ -15,6 +17,7 @@
     track: str = ""  # the track's name, where hosts are told it
     receipt: str = ""  # by which hosts know a repeat, where clients send one
     tenant: bytes = b""  # as the client named it, where other gateways are told it
+    origin: str = ""  # the id by which the first gateway sent it, where another one forwarded it
     forwarded: tuple | None = None  # (cell, hops) as `decisions.cells` has it, where another gateway sent it
 
     @property
@@ -46,3 +49,5 @@
     relays: int  # relays that were started for it
     reason: str  # a few words for a person
     never_ran: bool = False  # every relay that was started provably did not run
+    cell_unknown: bool = False  # with DECLINED: the call was forwarded here for a cell not known here
+    found: Found = Found.UNTOLD  # with DELIVERED: what the relay found at the host
--- a/tests/cell_fleet.py
+++ b/tests/cell_fleet.py
@@ -20,7 +20,12 @@
 from gaproute.standins.tap import Tap
 
 MODELS = 24  # of each track
-KINDS = {"check": "pure", "order": "effectful"}
+KINDS = {
+    "check": "pure",
+    "order": "effectful",
+    "plan": "receipted remembers 6s",
+    "rack-plan": "receipted group rack remembers 6s",
+}
 WORK, START = 5 * MILLI, 10 * MILLI  # of a call; of a load, after its fetch
 
 
@@ -51,6 +56,7 @@
         self.store = Store(self.loop, address("127.0.0.1:0"), 200.0, 100, 0.0, Tap(None, self.loop.clock))
         self.hosts, self.taps, self.processes = {}, {}, {}
         self.number = 0  # of the table's version
+        self.servers = []  # further ones of the test
         for cell in cells:
             for number in range(hosts):
                 self.add_host(f"{cell}-h{number}", cell)
@@ -158,6 +164,10 @@
 
     # Calls
 
+    def close_also(self, server):
+        """A server of the test's own, which ends with the fleet."""
+        self.servers.append(server)
+
     def ask(self, name, model, call="t", fields="", wheres=None):
         """A client's call; a promise of the answer, or of None where none came. `wheres`: addresses
         other than the clients'."""
@@ -230,7 +240,7 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
-        for host in self.hosts.values():
-            host.server.close()
+        for server in [host.server for host in self.hosts.values()] + self.servers:
+            server.close()
         self.store.server.close()
         self.loop.close()
