A gateway that is cut off finds out by three overdue calls, and keeps work from what is suspected

Plays now give both counts.

Change: - Overdue calls to three zones, with nothing heard from any other zone since, show that the own zone is cut off; three zones of other regions, with nothing heard from any of those, that the own region is.

--- a/benchmarks/scale/cells/__main__.py
+++ b/benchmarks/scale/cells/__main__.py
@@ -46,7 +46,7 @@
 
 def failures_plays():
     """Each kind of failure for a minute."""
-    for seed in (1, 2):
+    for seed in (1, 2, 3):
         for kind in failures.KINDS:
             yield f"{kind}, seed {seed}", partial(failures.play, kind, seed)
 
--- a/benchmarks/scale/cells/evenness.py
+++ b/benchmarks/scale/cells/evenness.py
@@ -59,7 +59,9 @@
             demand = Demand(0, Scope(shape.gateways, regional, KEEP_ALIVE))
             chance = Chance(chance_seed + number)
             loads = draw() if draw else Loads()
-            self.each.append(Chooser(stands, homes, demand, loads, Health(stands.name, chance), chance))
+            self.each.append(
+                Chooser(stands, homes, demand, loads, Health(stands.name, chance, stands), chance)
+            )
             self.each[-1].health.adopt(made)
 
 
--- a/benchmarks/scale/cells/failures.py
+++ b/benchmarks/scale/cells/failures.py
@@ -135,15 +135,17 @@
     popularity = Popularity(functions, EXPONENT, random)
     nodes = list(world.nodes.values())
     failure = failure_of(kind, world)
-    sides = Counter()  # (second, side of the caller, ending)
+    ended, begun = Counter(), Counter()  # (second, side of the caller, ending), by when the call did
 
     def call():
         node = random.choice(nodes)
         if node.up:
             side = "inside" if node.zone in failure.zones else "outside"
+            second = world.clock.now // SECOND
 
             def done(ending, found):
-                sides[world.clock.now // SECOND, side, ending] += 1
+                ended[world.clock.now // SECOND, side, ending] += 1
+                begun[second, side, ending] += 1
 
             track = PURE if random.random() < PURE_SHARE else EFFECTFUL
             world.call(node, popularity.draw(), track, done=done)
@@ -161,21 +163,21 @@
         "back, first 10 s": (quiet + failed, quiet + failed + 10),
         "back, then": (quiet + failed + 10, quiet + failed + after),
     }
-    result = {name: part(world, sides, *span) for name, span in parts.items()}
+    result = {name: part(world, ended, begun, *span) for name, span in parts.items()}
     result["breaches"] = len(world.breaches)
     return result
 
 
-def part(world, sides, begin, end):
-    """Figures of one part of a play."""
+def part(world, ended, begun, begin, end):
+    """Figures of one part of a play. A call that is lost ends `CALL_TIME` after it began at the latest."""
     seconds = [world.by_second.get(second, {}) for second in range(begin, end)]
 
     def rate(what):
         return round(sum(each.get(what, 0) for each in seconds) / len(seconds), 2)
 
-    def share(side):
+    def share(calls, side):
         counts = {
-            ending: sum(sides[second, side, ending] for second in range(begin, end))
+            ending: sum(calls[second, side, ending] for second in range(begin, end))
             for ending in ("delivered", "declined", "scrapped")
         }
         total = sum(counts.values())
@@ -186,6 +188,8 @@
         "loads a second": rate("loads"),
         "most loads in a second": max((each.get("loads", 0) for each in seconds), default=0),
         "cold answers a second": rate("cold"),
-        "outside": share("outside"),
-        "inside": share("inside"),
+        "outside": share(ended, "outside"),
+        "inside": share(ended, "inside"),
+        "outside, of the calls begun": share(begun, "outside"),
+        "inside, of the calls begun": share(begun, "inside"),
     }
--- a/benchmarks/scale/cells/meetings.py
+++ b/benchmarks/scale/cells/meetings.py
@@ -65,7 +65,7 @@
         key = stands.region, which
         if key not in self.choosers:
             homes = Homes(self.tables[which], regions=(stands.region,))
-            health = Health(stands.name, Chance(1))
+            health = Health(stands.name, Chance(1), stands)
             health.adopt(self.tables[which])
             self.choosers[key] = Chooser(stands, homes, None, Loads(), health, Chance(len(self.choosers)))
         return self.choosers[key]
--- a/gaproute/decisions/cells/cellular.py
+++ b/gaproute/decisions/cells/cellular.py
@@ -40,7 +40,8 @@
         self.chance = Chance(seed ^ CHANCE_SALT)
         self.view = View(now, place) if place else None
         self.demand = Demand(now, Scope(terms.gateways, terms.gateways, max(1, terms.keep_alive)))
-        self.health, self.loads, self.spill = Health(self.entries.own_name, self.chance), Loads(), Spill()
+        self.health = Health(self.entries.own_name, self.chance, place)
+        self.loads, self.spill = Loads(), Spill()
         self.homes = self.chooser = None
 
     def __getattr__(self, name):
--- a/gaproute/decisions/cells/choice.py
+++ b/gaproute/decisions/cells/choice.py
@@ -1,10 +1,11 @@
 """Which cell a call goes to, and which after that.
 
 The function's homes come first, one of them drawn by load; then the next cells in its order, for calls that
-provably did not run there. An ill home is passed over, but for its one trial.
+provably did not run there. An ill home is passed over, but for its one trial; a suspected one by calls that
+must not run twice, unless nothing else is left.
 
 Invariants: a cell is given at most once for a call; a trial goes to a function's own home only; with no
-illness the first cell is one of the homes.
+illness and no suspicion the first cell is one of the homes.
 """
 
 from typing import NamedTuple
@@ -51,7 +52,7 @@
         return 2 * barred > len(others) > 0
 
     def cells(self, now, function, may_try=True):
-        """Yields each `Choice` for a call of the function, in turn. `may_try`: a trial gladly."""
+        """Yields each `Choice` for a call of the function, in turn. `may_try`: it may be sent again."""
         regional, count = self.placement(now, function)
         region = self.place.region if regional else None
         homes = self.homes.order(function, count, region)[:count]
@@ -60,16 +61,16 @@
         if first is not None:
             given.add(first.cell)
             yield first
-        yield from self._next(now, function, region, given)
+        yield from self._next(now, function, region, given, may_try)
         if regional:
-            yield from self._next(now, function, None, given)
+            yield from self._next(now, function, None, given, may_try)
         if not given:
             yield from self._returning(function, region)
 
     def _first(self, now, function, homes, may_try):
         """One of the homes that may be sent to, drawn by load; a trial goes before; None: all are ill."""
-        if self.health.ill:
-            permits = [(name, self.health.permit(now, name, function)) for name in homes]
+        if not self.health.all_well():
+            permits = [(name, self.health.permit(now, name, function, may_try)) for name in homes]
             for name, permit in permits:
                 if permit is Permit.TRIAL and (may_try or self.health.waits_for_trial(now, name)):
                     return Choice(name, True)
@@ -85,13 +86,13 @@
                 yield Choice(name)
                 return
 
-    def _next(self, now, function, region, given):
+    def _next(self, now, function, region, given, may_try):
         """The cells of the order that may be sent to, but for those already given."""
         count, place = 4, 0
         while True:
             order = self.homes.order(function, count, region)
             for name in order[place:]:
-                if name not in given and self.health.permit(now, name, function) is Permit.YES:
+                if name not in given and self.health.permit(now, name, function, may_try) is Permit.YES:
                     given.add(name)
                     yield Choice(name)
             if len(order) < count:
--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -2,9 +2,8 @@
 
 A cell is ill when none of its ways in can be reached, when calls by two ways are overdue and nothing was
 heard from it since, when it refuses most calls, or when it answers from standing copies far slower than is
-usual. Overdue calls to two cells of a zone, with nothing heard from the zone since, make the zone ill, and
-two such zones of a region the region: else each of their cells would cost calls of its own. Errors are no
-proof: a function may fail everywhere.
+usual. Zones, regions and all that lies outside the own zone or region are ill when they are silent
+(`silence`). Errors are no proof: a function may fail everywhere.
 
 An ill place gets one trial at a time, each after a longer rest. Once a trial succeeds its functions come back
 one by one over a while, in an order that all gateways nearly share, so that the copies lost meanwhile are
@@ -19,6 +18,8 @@
 from xxhash import xxh3_64_intdigest
 
 from gaproute.decisions.cells.illness import OUTCOMES, Area, Ill, Illness, Permit, Record
+from gaproute.decisions.cells.place import Place
+from gaproute.decisions.cells.silence import SILENT_PARTS, Silence
 from gaproute.interface import Result
 
 SECOND = 1_000_000_000
@@ -27,7 +28,6 @@
 REST_CHANCE = 0.25  # of a rest, added by chance: gateways do not all try at one moment
 PURE_WAIT = 120 * SECOND  # after a rest for a pure call to be the trial; then any call is, and may be lost
 TRIAL_TIME = 5 * SECOND  # after which a trial without any answer has failed
-SILENT_PARTS = 2  # ways into a cell, cells of a zone, zones of a region: one alone may be slow work
 OUTCOME_LIFE = 30 * SECOND  # older outcomes say nothing of now; a gateway calls most cells twice in 5 s
 MOST = 0.5  # of the last outcomes: more of them refusals make a cell ill
 LEAST_OUTCOMES = 4  # by which refusals are judged
@@ -43,8 +43,9 @@
 class Health:
     """Regions, zones and cells that are ill; places are named (area, name)."""
 
-    def __init__(self, own_name, chance):
+    def __init__(self, own_name, chance, own_place: Place | None = None):
         self.own_name, self.chance = own_name, chance
+        self.silence = Silence(own_place)
         self.cells = {}  # name: Cell, of the table
         self.records = {}  # cell: Record
         self.ill = {}  # place: Ill
@@ -52,17 +53,21 @@
     def adopt(self, table):
         """Go by a newer table; what it has no more is forgotten."""
         self.cells = table.by_name
+        self.silence.adopt(table.by_name)
         self.records = {name: record for name, record in self.records.items() if name in self.cells}
         if self.ill:
-            places = {place for cell in table.cells for place in _places(cell)}
+            places = {place for cell in table.cells for place in self.silence.places(cell)}
             self.ill = {place: ill for place, ill in self.ill.items() if place in places}
 
-    def permit(self, now, name, function):
-        """Whether the function's call may go to the cell; not where a newer table lacks it."""
-        if name not in self.cells:
+    def permit(self, now, name, function, may_try=True):
+        """Whether the function's call may go to the cell; not where a newer table lacks it.
+
+        `may_try`: the call may be sent again elsewhere; others pass over places that are suspected.
+        """
+        if name not in self.cells or not may_try and self.silence.suspects(now, self.cells[name]):
             return Permit.NO
         permit = Permit.YES
-        for place in _places(self.cells[name]) if self.ill else ():
+        for place in self.silence.places(self.cells[name]) if self.ill else ():
             ill = self.ill.get(place)
             if ill is None:
                 continue
@@ -76,10 +81,15 @@
                 return Permit.NO
         return permit
 
+    def all_well(self):
+        """Whether every call may go everywhere."""
+        return not self.ill and not self.silence.suspected
+
     def region_open(self, now, name, function):
         """Whether the region is well, or well again and the function's turn to return there has come."""
-        ill = self.ill.get((Area.REGION, name))
-        return ill is None or ill.healed is not None and self._returned(now, ill, function)
+        places = (Area.REGION, name), *self.silence.outside_by_region(name)
+        illnesses = [self.ill[place] for place in places if place in self.ill]
+        return all(ill.healed is not None and self._returned(now, ill, function) for ill in illnesses)
 
     def is_ill(self, area, name):
         """Whether a place is ill and not yet healed."""
@@ -114,10 +124,12 @@
         if sent <= record.heard:
             return
         record.overdue[way] = sent
+        self.silence.overdue(now, self.cells[name], sent)
         self._trial_failed(now, name)
         if len(record.overdue) >= SILENT_PARTS:
             self._fell(now, (Area.CELL, name), Illness.SILENT)
-        self._judge_around(now, self.cells[name])
+        for place in self.silence.silent_around(self.cells[name], self.records):
+            self._fell(now, place, Illness.SILENT)
 
     def outcome(self, now, name, result, pace=None):
         """A call's outcome. `pace`: its time over the usual of its function, where a copy stood."""
@@ -126,6 +138,7 @@
         record = self.records.setdefault(name, Record())
         if result in ANSWERS or result in REFUSALS:
             record.heard = now
+            self.silence.heard(now, self.cells[name])
             record.overdue.clear()
         if result in ANSWERS:
             self._answered(now, name)
@@ -139,7 +152,7 @@
 
     def _illnesses(self, name):
         """Of the cell and of what it lies in, those not healed."""
-        found = [self.ill.get(place) for place in _places(self.cells[name])]
+        found = [self.ill.get(place) for place in self.silence.places(self.cells[name])]
         return [ill for ill in found if ill is not None and ill.healed is None]
 
     def _trial_failed(self, now, name):
@@ -192,34 +205,6 @@
         record.paces.clear()
         self._fell(now, (Area.CELL, name), illness)
 
-    def _judge_around(self, now, cell):
-        """The zone and the region of a cell with an overdue call."""
-        zone = self._known_cells(Area.ZONE, cell.zone)
-        if self._silent_cells(zone, self._last_heard(zone)) < SILENT_PARTS:
-            return
-        self._fell(now, (Area.ZONE, cell.zone), Illness.SILENT)
-        region, zones = self._known_cells(Area.REGION, cell.region), {}
-        for other in region:
-            zones.setdefault(other.zone, []).append(other)
-        heard = self._last_heard(region)
-        if sum(self._silent_cells(cells, heard) >= SILENT_PARTS for cells in zones.values()) >= SILENT_PARTS:
-            self._fell(now, (Area.REGION, cell.region), Illness.SILENT)
-
-    def _known_cells(self, area, name):
-        """The cells of a place of which anything was heard or is overdue."""
-        return [self.cells[each] for each in self.records if getattr(self.cells[each], area.value) == name]
-
-    def _last_heard(self, cells):
-        return max(self.records[cell.name].heard for cell in cells)
-
-    def _silent_cells(self, cells, heard):
-        """How many of the cells have calls overdue that were sent after that last sign of life."""
-        return sum(any(sent > heard for sent in self.records[cell.name].overdue.values()) for cell in cells)
-
 
 def _may_try(now, ill):
     return now >= ill.until and (ill.trial is None or now - ill.trial >= TRIAL_TIME)
-
-
-def _places(cell):
-    return (Area.REGION, cell.region), (Area.ZONE, cell.zone), (Area.CELL, cell.name)
--- a/gaproute/decisions/cells/illness.py
+++ b/gaproute/decisions/cells/illness.py
@@ -25,11 +25,13 @@
 
 
 class Area(Enum):
-    """The kinds of places, by the field of `Cell` that names them."""
+    """The kinds of places: by the field of `Cell` that names them, and all that lies outside the own one."""
 
     REGION = "region"
     ZONE = "zone"
     CELL = "name"
+    OTHER_ZONES = "other zones"  # named by the gateway's own zone
+    OTHER_REGIONS = "other regions"  # named by its own region
 
 
 @dataclass(slots=True)
@@ -53,3 +55,7 @@
     overdue: dict[str, int] = field(default_factory=dict)  # host or entry: when the call overdue was sent
     outcomes: deque = field(default_factory=lambda: deque(maxlen=OUTCOMES))  # (time, whether a refusal)
     paces: deque = field(default_factory=lambda: deque(maxlen=OUTCOMES))  # (time, took over usual)
+
+    def awaited_since(self, heard: int) -> bool:
+        """Whether a call is overdue that was sent after that sign of life."""
+        return any(sent > heard for sent in self.overdue.values())
--- a/tests/test_cells_plays.py
+++ b/tests/test_cells_plays.py
@@ -51,16 +51,20 @@
 
 
 def test_a_zone_cut_off_serves_its_own_clients():
+    """It was 0.871 inside and 0.986 outside while each gateway proved each other zone by itself."""
     found = failure("zone silent")
-    assert found["failed, then"]["inside"]["delivered"] >= 0.85, found
-    assert found["failed, then"]["outside"]["delivered"] >= 0.98, found
+    assert found["failed, then"]["inside"]["delivered"] >= 0.98, found
+    assert found["failed, then"]["outside"]["delivered"] >= 0.99, found
+    assert found["breaches"] == 0
     assert found["back, then"]["inside"]["delivered"] >= 0.99, found
 
 
 def test_a_region_alone_goes_on_and_its_return_is_no_wave():
+    """It was 0.867 inside and 0.966 outside while each gateway proved most other regions by itself."""
     found = failure("region alone")
-    assert found["failed, then"]["inside"]["delivered"] >= 0.85, found
-    assert found["failed, then"]["outside"]["delivered"] >= 0.95, found
+    assert found["failed, then"]["inside"]["delivered"] >= 0.98, found
+    assert found["failed, then"]["outside"]["delivered"] >= 0.975, found
+    assert found["breaches"] == 0
     lost = found["failed, first 10 s"]["loads a second"]
     for part in ("back, first 10 s", "back, then"):
         assert found[part]["loads a second"] <= lost, found
--- /dev/null
+++ b/tests/test_cells_suspicion.py
@@ -0,0 +1,150 @@
+"""A call that is overdue: what must not run twice keeps away from there, pure work goes on elsewhere."""
+
+from dataclasses import replace
+
+import pytest
+from cells_tables import cells, table
+from helpers import TERMS, Drive, row, task
+
+from gaproute import interface as face
+from gaproute.decisions.cells.cellular import CellularGateway
+from gaproute.decisions.cells.health import SECOND, Health
+from gaproute.decisions.cells.illness import Area, Permit
+from gaproute.decisions.cells.place import Place
+from gaproute.decisions.cells.silence import SUSPICION
+from gaproute.decisions.chance import Chance
+from gaproute.interface import Result
+
+OWN = Place("gateway0", "region0", "zone0")
+NOW = 10 * SECOND
+LONG = 30 * SECOND  # that a call may take
+PURE, RECEIPTED, EFFECTFUL = 0, 1, 2  # places of the tracks
+
+
+def overdue(*names, heard=None):
+    """Health in zone 0 with a call overdue to each of the cells; `heard`: a cell that answered before."""
+    health = Health("gateway0", Chance(5), OWN)
+    health.adopt(table(cells(65)))
+    if heard is not None:
+        health.outcome(NOW - SECOND, heard, Result.OK)
+    for name in names:
+        health.overdue(NOW, name, NOW - 2 * SECOND, "way")
+    return health
+
+
+def suspected(health, name, function="f"):
+    """Whether calls that must not run twice pass the cell over, and others do not."""
+    assert health.permit(NOW, name, function) is Permit.YES
+    return health.permit(NOW, name, function, may_try=False) is Permit.NO
+
+
+def test_one_overdue_call_makes_its_zone_and_all_outside_suspected():
+    health = overdue("cell1")
+    assert all(suspected(health, f"cell{number}") for number in range(65) if number % 13)
+    assert not any(suspected(health, f"cell{number}") for number in range(0, 65, 13))
+
+
+def test_what_was_heard_since_from_another_zone_leaves_the_one_suspected():
+    health = overdue("cell1")
+    health.outcome(NOW, "cell2", Result.OK)
+    assert suspected(health, "cell1") and suspected(health, "cell14")
+    assert not suspected(health, "cell2") and not suspected(health, "cell3")
+    health.outcome(NOW, "cell14", Result.ERROR)
+    assert health.all_well()
+
+
+def test_what_was_heard_before_it_was_overdue_leaves_nothing_suspected():
+    health = overdue("cell1", heard="cell14")
+    assert health.all_well()
+
+
+def test_a_suspicion_ends_by_itself():
+    health = overdue("cell1")
+    assert health.permit(NOW + SUSPICION - 1, "cell1", "f", may_try=False) is Permit.NO
+    assert health.permit(NOW + SUSPICION, "cell1", "f", may_try=False) is Permit.YES
+
+
+def test_suspicions_go_with_the_table():
+    health = overdue("cell1")
+    health.adopt(table(cells(65)[::13], number=2))
+    assert health.all_well()
+
+
+def gateway():
+    """A gateway of zone 0 that knows the hosts of cell 0."""
+    made = CellularGateway(7, TERMS._replace(twins_allowed=False), 0, OWN)
+    made.adopt(0, table(cells(26)))
+    made.listed(0, [row(f"cell0-{host}") for host in "abc"], True, "cell0")
+    return made
+
+
+def functions(gateway, wanted, number):
+    """Functions whose first home is one of the cells wanted."""
+    found = (f"f{place}" for place in range(100_000) if gateway.homes.first(f"f{place}") in wanted)
+    return [next(found) for _ in range(number)]
+
+
+def test_what_must_not_run_twice_stays_in_the_own_zone_while_all_else_is_suspected():
+    made = gateway()
+    first, *rest = functions(made, ("cell7",), 4)
+    waiting = Drive(made, task("t", first, EFFECTFUL))
+    assert waiting.wishes[0].forwarded.cell == "cell7"
+    waiting.late(4 * SECOND)
+    for number, function in enumerate(rest):
+        drive = Drive(made, task(f"u{number}", function, EFFECTFUL), now=4 * SECOND)
+        assert drive.sent[0].startswith("cell0-") or drive.wishes[0].forwarded.cell == "cell13"
+    proof = Drive(made, task("v", rest[0], PURE), now=4 * SECOND)
+    assert proof.wishes[0].forwarded.cell == "cell7"
+
+
+def test_where_all_is_suspected_the_home_is_used():
+    made = gateway()
+    for zone in range(13):
+        made.health.overdue(SECOND, f"cell{zone}", 0, "way")
+    made.health.ill.clear()
+    (function,) = functions(made, ("cell7",), 1)
+    drive = Drive(made, task("t", function, EFFECTFUL), now=SECOND)
+    assert drive.wishes[0].forwarded.cell == "cell7"
+
+
+def test_pure_work_that_is_overdue_at_a_silent_entry_goes_to_the_other_entry():
+    made = gateway()
+    (function,) = functions(made, ("cell7",), 1)
+    drive = Drive(made, task("t", function, PURE, LONG))
+    assert drive.late(4 * SECOND)[0] == face.Cancel(0)
+    wish = drive.hears(4 * SECOND, face.Result.CANCELLED)[0]
+    assert wish.forwarded.cell == "cell7" and drive.sent[1] != drive.sent[0]
+    assert drive.late(8 * SECOND)[0] == face.Cancel(1)  # and so proves by itself that the cell is silent
+    assert made.health.is_ill(Area.CELL, "cell7")
+    assert drive.hears(8 * SECOND, face.Result.CANCELLED, 1)[0].forwarded.cell != "cell7"
+
+
+def test_pure_work_waits_where_its_entry_answers_others():
+    made = gateway()
+    first, second = functions(made, ("cell7",), 2)
+    drive, beside = (Drive(made, task(name, name, PURE, LONG)) for name in (first, second))
+    beside.hears(3 * SECOND, face.Result.OK)
+    assert face.Cancel(0) not in drive.late(4 * SECOND)
+
+
+@pytest.mark.parametrize("track", [RECEIPTED, EFFECTFUL])
+def test_what_may_have_run_waits_at_a_silent_entry(track):
+    made = gateway()
+    (function,) = functions(made, ("cell7",), 1)
+    drive = Drive(made, task("t", function, track, LONG))
+    drive.late(4 * SECOND)
+    assert len(drive.sent) == 1 and face.Cancel(0) not in drive.wishes
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_the_other_entry_is_one_of_the_newest_table(gone):
+    made = gateway()
+    (function,) = functions(made, ("cell7",), 1)
+    drive = Drive(made, task("t", function, PURE, LONG))
+    drive.late(4 * SECOND)
+    rows = cells(26)
+    rows[7] = replace(rows[7], entries=rows[8].entries)
+    made.adopt(4 * SECOND, table(rows[:7] + rows[8:] if gone else rows, number=2))
+    wish = drive.hears(4 * SECOND, face.Result.CANCELLED)[0]
+    assert (wish.forwarded.cell != "cell7") is gone
+    assert (wish.worker, wish.address) in made.table.by_name[wish.forwarded.cell].entries
