Overdue pure calls wait where they are again until their cell is found ill

A function that takes longer than a patience would then never end at a gateway with few calls: each of its calls is taken back at 2.4 s, proves the cell silent by two entries and is taken back in the next cell too; its usual time is never learnt.

--- a/gaproute/decisions/cells/entries.py
+++ b/gaproute/decisions/cells/entries.py
@@ -96,15 +96,11 @@
     def pick(self, now, cell, tried=()):
         """The entry to use, or None: all are in doubt or were tried."""
         for entry in self.order(cell):
-            if entry.name not in tried and not self.in_doubt(now, entry.name):
+            doubt = self.doubts.get(entry.name)
+            if entry.name not in tried and (doubt is None or now >= doubt.until):
                 return entry
         return None
 
-    def in_doubt(self, now, name):
-        """Whether the entry is passed over for now."""
-        doubt = self.doubts.get(name)
-        return doubt is not None and now < doubt.until
-
     def all_in_doubt(self, now, cell):
         """Whether no entry of the cell can be used for now."""
         return self.pick(now, cell) is None
--- a/gaproute/decisions/cells/remote.py
+++ b/gaproute/decisions/cells/remote.py
@@ -26,7 +26,7 @@
             break
         tried.add(entry.name)
         relay = yield Forward(entry, end, Forwarded(cell.name, journey.hops + 1))
-        outcome = yield from _await(journey, relay, end, cell, entries, health, cancel_allowed)
+        outcome = yield from _await(journey, relay, end, cell, health, cancel_allowed)
         if outcome is None:
             return
         if outcome.result in (Result.FULL, Result.MISS):
@@ -34,21 +34,17 @@
             return
         if health.barred(cell.name) or journey.may_have_run and journey.track.effect is not Effect.PURE:
             break
-        if cell.name not in health.cells:
-            break
-        cell = health.cells[cell.name]  # a newer table may name other entries
     if entries.all_in_doubt(journey.now, cell):
         health.unreachable(journey.now, cell.name)
     yield journey.ending("unreachable")
 
 
-def _await(journey, relay, end, cell, entries, health, cancel_allowed):
+def _await(journey, relay, end, cell, health, cancel_allowed):
     """The relay's outcome, or None where the task is over.
 
-    A pure task that waits for a cell found ill meanwhile, or is overdue at an entry that is silent, is taken
-    back to go on elsewhere.
+    A pure task that waits for a cell found ill meanwhile is taken back, to go on elsewhere.
     """
-    cancelled, worker = False, journey.out[relay][1]
+    cancelled = False
     while True:
         now, outcome = yield Wait(end if journey.now < end else journey.now + SECOND)
         if outcome is not None and outcome.result is Result.BEGUN:
@@ -60,8 +56,7 @@
             return None
         if outcome is not None:
             return outcome
-        silent = health.barred(cell.name) or relay in journey.late and entries.in_doubt(now, worker)
-        given_up = now >= end or silent and journey.track.effect is Effect.PURE
+        given_up = now >= end or health.barred(cell.name) and journey.track.effect is Effect.PURE
         if given_up and cancel_allowed and not cancelled:
             cancelled = True
             yield Cancel(relay)
