--- a/gaproute/hollow/membership.py
+++ b/gaproute/hollow/membership.py
@@ -17,6 +17,7 @@
             surroundings.record,
             surroundings.open_datagrams,
             surroundings.wall,
+            surroundings.control,
         )
 
     @property
--- a/gaproute/peers/tables/document.py
+++ b/gaproute/peers/tables/document.py
@@ -40,7 +40,6 @@
             told = encoding.decode_change(self.fleet, change.base, change.version, change.data)
             table = changed(held, told)
             self._take(table, encoding.digest_after(self.digest, held, told), change.digest)
-            self.history.rows_changed(held, told.version, told.rows, told.removed)
         except TableError as fault:
             raise DocumentError("invalid change") from fault
 
@@ -48,7 +47,7 @@
         """Take a whole table. Errors: DocumentError."""
         try:
             table = encoding.decode_table(self.fleet, version, data)
-            self._take_all(table, digest)
+            self._take(table, encoding.cells_digest(table.cells), digest)
         except TableError as fault:
             raise DocumentError("invalid table") from fault
 
@@ -64,7 +63,7 @@
             raise DocumentError("a difference without a table")
         try:
             table = difference.apply_difference(held, change.version, change.data)
-            self._take_all(table, change.digest)
+            self._take(table, encoding.cells_digest(table.cells), change.digest)
         except TableError as fault:
             raise DocumentError("invalid difference") from fault
 
@@ -72,20 +71,16 @@
         """The whole table, encoded."""
         return encoding.encode_table(self.holder.table)
 
-    def _take_all(self, table: CellTable, told):
-        """Take a table of which any row may be new."""
-        before = self.holder.table
-        self._take(table, encoding.cells_digest(table.cells), told)
-        if self.history is None:
-            self.history = RowHistory(table.version)
-        else:
-            self.history.changed(before, table)
-
     def _take(self, table: CellTable, digest, told):
         if digest != told:
             raise DocumentError("digest")
+        before = self.holder.table
         self.holder.take(table)
         self.digest = digest
+        if before is None:
+            self.history = RowHistory(table.version)
+        else:
+            self.history.changed(before, table)
 
 
 def encoded_change(document: TableDocument, change: TableChange) -> Change:
--- a/gaproute/shared/control_budget.py
+++ b/gaproute/shared/control_budget.py
@@ -27,7 +27,7 @@
 
 
 RESERVED = {
-    ControlPart.MEMBERSHIP: 700,  # a probe, the answers to a few, and what joins them
+    ControlPart.MEMBERSHIP: 600,  # a probe and a few answers, one of them with news unasked
     ControlPart.TABLE: 1_440,  # a change pushed to four peers, and an announcement
 }
 MOST = {ControlPart.SERVING: 1_500}  # that a part may send in any second
@@ -87,6 +87,10 @@
         most = MOST.get(part)
         return room if most is None else min(room, most - self.windows[part].spent(now))
 
+    def within_reserved(self, now: int, part: ControlPart, amount: int) -> bool:
+        """Whether the part may send so many bytes of what is reserved for it."""
+        return self.windows[part].spent(now) + amount <= self._reserved(now, part)
+
     def wait(self, now: int, part: ControlPart, amount: int) -> int:
         """Nanoseconds until it is worth asking again; 0 where there is room for so many bytes."""
         if self.room(now, part) >= amount:
--- a/gaproute/shared/dissemination/fetching.py
+++ b/gaproute/shared/dissemination/fetching.py
@@ -36,6 +36,7 @@
         self.by_exchange = self.waiting = False  # waiting: told to, no question is open
         self.deadline, self.tries = 0, 0
         self.failed_pulls = 0  # of this fetch, by exchange
+        self.had_parts = False  # in this fetch: sources are busy, rather than datagrams lost
         self.asked = 0  # when the latest question was asked
 
     @property
@@ -96,7 +97,7 @@
 
     def part_came(self, now):
         """The source gave a part: it is asked for the next one a little later."""
-        self.tries = self.failed_pulls = 0
+        self.tries, self.failed_pulls, self.had_parts = 0, 0, True
         self._pause(now, max(MILLISECOND, self.asked + PART_INTERVAL - now))
 
     def failed(self, now, pause=REST, amid_parts=False):
@@ -120,7 +121,8 @@
             self.failed(now, 0, amid_parts)
             if self.source is None:
                 return False
-        self._open(now, amid_parts or self.tries > 2 and self.is_near(held))
+        lossy = self.tries > 2 and self.is_near(held) and not self.had_parts
+        self._open(now, amid_parts or lossy)
         return True
 
     def is_near(self, held, most=NEAR):
@@ -145,4 +147,5 @@
 
     def _end(self):
         self.source, self.tries, self.failed_pulls, self.target = None, 0, 0, NOTHING
+        self.had_parts = False
         self.others.clear()
--- a/gaproute/shared/dissemination/serving.py
+++ b/gaproute/shared/dissemination/serving.py
@@ -55,8 +55,8 @@
         self.bytes = self.busy = 0
 
     def invites(self, now, name):
-        """Whether to tell that gateway, which is behind, to ask here: one at a time. Where there is no room in
-        this second, some is kept free, so that it is told when it comes again."""
+        """Whether to tell that gateway, which is behind, to ask here: one at a time. Where there is no room
+        in this second, some is kept free, so that it is told when it comes again."""
         invited = name != self.guest and now < self.invited_until
         if invited or now < self.occupied_until or self.budget.wait(now, 1):
             return False
--- a/gaproute/shared/membership/telling.py
+++ b/gaproute/shared/membership/telling.py
@@ -48,6 +48,7 @@
 class Teller:
     def __init__(self, name, where):
         self.name, self.where, self.turn = name, where, 0
+        self.fill = FILL
 
     def message(self, table, incarnation, kind, number, target="", first=None):
         """A message with as much news as it holds: `first`, what its receiver must refute, then what is new,
@@ -65,7 +66,7 @@
         most = table.scale(TOLD)
         for name in chosen:
             table.fresh.told(name, most)
-        left -= BYTES - FILL
+        left -= BYTES - self.fill
         names = table.every.names
         for _ in range(min(len(names), FILL // 20)):
             member = table.members[names[self.turn % len(names)]]
