Askers that are refused again and again keep nobody from being served

Refusals beyond their reserve count no longer against answers, and whoever was refused asks by a datagram first.

--- a/gaproute/shared/control_budget.py
+++ b/gaproute/shared/control_budget.py
@@ -4,8 +4,8 @@
 sent is kept free from all others, so that a change of the table goes out at once, and tables are served while
 changes come. The gossip of demand reserves nothing and takes what is left.
 
-Invariants: what is allowed by `room` never brings a second above `LIMIT`; memory is bounded by the messages
-of one second.
+Invariants: what is allowed by `room` never brings a second above `LIMIT`, but for refusals beyond those
+reserved; memory is bounded by the messages of one second.
 """
 
 from collections import deque
@@ -83,7 +83,10 @@
         room = LIMIT
         for other, window in self.windows.items():
             spent = window.spent(now)
-            room -= spent if other == part else max(spent, self._reserved(now, other))
+            if other == ControlPart.REFUSALS:
+                room -= self._reserved(now, other)  # those beyond it must not keep all from being served
+            else:
+                room -= spent if other == part else max(spent, self._reserved(now, other))
         most = MOST.get(part)
         return room if most is None else min(room, most - self.windows[part].spent(now))
 
--- a/gaproute/shared/dissemination/fetching.py
+++ b/gaproute/shared/dissemination/fetching.py
@@ -36,7 +36,7 @@
         self.by_exchange = self.waiting = False  # waiting: told to, no question is open
         self.deadline, self.tries = 0, 0
         self.failed_pulls = 0  # of this fetch, by exchange
-        self.had_parts = False  # in this fetch: sources are busy, rather than datagrams lost
+        self.sources_busy = False  # in this fetch, rather than datagrams lost
         self.asked = 0  # when the latest question was asked
 
     @property
@@ -89,6 +89,7 @@
 
     def wait(self, now, span, amid_parts=False):
         """The source is busy: ask another one soon, or the same when it has time."""
+        self.sources_busy = True
         if self.others and not amid_parts:
             self._next_source(now, BUSY_REST)
         else:
@@ -97,7 +98,7 @@
 
     def part_came(self, now):
         """The source gave a part: it is asked for the next one a little later."""
-        self.tries, self.failed_pulls, self.had_parts = 0, 0, True
+        self.tries, self.failed_pulls, self.sources_busy = 0, 0, True
         self._pause(now, max(MILLISECOND, self.asked + PART_INTERVAL - now))
 
     def failed(self, now, pause=REST, amid_parts=False):
@@ -121,7 +122,7 @@
             self.failed(now, 0, amid_parts)
             if self.source is None:
                 return False
-        lossy = self.tries > 2 and self.is_near(held) and not self.had_parts
+        lossy = self.tries > 2 and self.is_near(held) and not self.sources_busy
         self._open(now, amid_parts or lossy)
         return True
 
@@ -147,5 +148,5 @@
 
     def _end(self):
         self.source, self.tries, self.failed_pulls, self.target = None, 0, 0, NOTHING
-        self.had_parts = False
+        self.sources_busy = False
         self.others.clear()
