--- a/gaproute/shared/dissemination/messages.py
+++ b/gaproute/shared/dissemination/messages.py
@@ -109,6 +109,8 @@
 def size(message) -> int:
     """Bytes that the sender puts on the wire, headers included: each side of an exchange has half of its
     headers."""
+    if isinstance(message, Busy):
+        return EXCHANGE_HEADERS // 2 + len(message.fleet) + VERSION_BYTES
     body = ENVELOPE + len(message.fleet) + VERSION_BYTES
     if isinstance(message, Pull):
         return EXCHANGE_HEADERS // 2 + body
@@ -116,6 +118,6 @@
         body += changes_size(message.changes)
     elif isinstance(message, Part):
         body += len(message.data)
-    if isinstance(message, (Changes, Part, Busy)):
+    if isinstance(message, (Changes, Part)):
         return EXCHANGE_HEADERS // 2 + body
     return DATAGRAM_HEADERS + body
--- a/gaproute/shared/dissemination/serving.py
+++ b/gaproute/shared/dissemination/serving.py
@@ -28,7 +28,7 @@
 
 SERVING = ControlPart.SERVING
 PART_COST = MOST[SERVING]  # of a part of `PART_BYTES`, with its headers
-REFUSAL_COST = 450
+REFUSAL_COST = 540  # and a half: askers that were not invited, or come for the next part too soon
 
 
 @dataclass(frozen=True)
