--- a/benchmarks/scale/costs/dissemination.py
+++ b/benchmarks/scale/costs/dissemination.py
@@ -18,17 +18,17 @@
 }
 TRAFFIC = {
     "messages": ("messages that a gateway sends, the mean of all", "messages/s"),
-    "sent": ("bytes that a gateway sends with headers, the mean of all", "B/s"),
-    "busiest": ("bytes that the busiest gateway sends and receives with headers", "B/s"),
+    "sent": ("bytes that a gateway sends with headers, the mean of all", "bytes/s"),
+    "busiest": ("bytes that the busiest gateway sends and receives with headers", "bytes/s"),
 }
 SECONDS = {
-    "greatest_second": ("greatest bytes that any gateway sent and received within any second", "B"),
-    "sent_second": ("greatest bytes that any gateway sent within any second", "B"),
-    "received_second": ("greatest bytes that any gateway received within any second", "B"),
+    "greatest_second": ("greatest bytes that any gateway sent and received within any second", "bytes"),
+    "sent_second": ("greatest bytes that any gateway sent within any second", "bytes"),
+    "received_second": ("greatest bytes that any gateway received within any second", "bytes"),
 }
 RECOVERY = {
     "seconds": ("until all that were behind hold the newest version", "s"),
-    "received": ("bytes that one that was behind received meanwhile, the mean", "B"),
+    "received": ("bytes that one that was behind received meanwhile, the mean", "bytes"),
     "others_ms": ("longest that a change published meanwhile took to all others", "ms"),
 }
 
