--- a/benchmarks/scale/fleet_net.py
+++ b/benchmarks/scale/fleet_net.py
@@ -9,10 +9,10 @@
 from array import array
 from collections import defaultdict
 
+from benchmarks.scale.greatest_second import GreatestSecond
 from benchmarks.scale.stub_document import StubDocument, change_from
 from gaproute.decisions.cells.table import Version
 from gaproute.decisions.chance import Chance
-from gaproute.shared.control_budget import SecondWindow
 from gaproute.shared.dissemination import Candidates, Disseminator, Peer
 from gaproute.shared.dissemination.bounds import EXCHANGE_TIME, LOG_CHANGES, MILLISECOND, SECOND
 from gaproute.shared.dissemination.messages import Busy, Pull, size
@@ -25,19 +25,6 @@
 SEGMENT = 1_400
 
 
-class GreatestSecond:
-    """The most bytes that one gateway had in any second, not in full seconds of the clock alone."""
-
-    def __init__(self):
-        self.windows, self.greatest = defaultdict(SecondWindow), 0
-
-    def count(self, now, index, amount):
-        """So many bytes of that gateway now."""
-        window = self.windows[index]
-        window.add(now, amount)
-        self.greatest = max(self.greatest, window.spent(now))
-
-
 class Node:
     """One gateway: its place in the fleet, its disseminator, when its timer is due."""
 
--- a/gaproute/shared/dissemination/copy.py
+++ b/gaproute/shared/dissemination/copy.py
@@ -8,7 +8,7 @@
 from gaproute.shared.dissemination.bounds import REASONS
 from gaproute.shared.dissemination.changelog import Changelog
 from gaproute.shared.dissemination.document import Document, DocumentError
-from gaproute.shared.dissemination.messages import Change
+from gaproute.shared.dissemination.messages import NOTHING, Change
 
 
 class Copy:
@@ -61,6 +61,18 @@
         self.needs_whole = False
         self.log.clear()  # older gateways cannot read a difference
 
+    def take_assembled(self, assembly):
+        """Take what came part by part. Errors: DocumentError."""
+        data = bytes(assembly.data)
+        if assembly.base == NOTHING:
+            self.replace(assembly.version, assembly.digest, data)
+            return
+        try:
+            self.apply_difference(Change(assembly.base, assembly.version, assembly.digest, data))
+        except DocumentError:
+            self.needs_whole = True
+            raise
+
     def refuse(self, reason: str):
         """Count a refusal; reasons come from the code alone, the bound is a safeguard."""
         if reason not in self.refused and len(self.refused) >= REASONS - 1:
--- a/gaproute/shared/dissemination/disseminator.py
+++ b/gaproute/shared/dissemination/disseminator.py
@@ -197,7 +197,7 @@
         if not self.assembly.complete:
             return []
         try:
-            self._take_assembled()
+            self.copy.take_assembled(self.assembly)
         except DocumentError as reason:
             self.copy.refuse(str(reason))
             self.fetching.failed(now)
@@ -209,18 +209,6 @@
         # One is told at once: this gateway serves one after the other, and may be a little behind again.
         return [send for peer in self.view.draw(1) for send in self.telling.announce(now, peer)]
 
-    def _take_assembled(self):
-        assembly, data = self.assembly, bytes(self.assembly.data)
-        version, digest = assembly.version, assembly.digest
-        if assembly.base == NOTHING:
-            self.copy.replace(version, digest, data)
-            return
-        try:
-            self.copy.apply_difference(Change(assembly.base, version, digest, data))
-        except DocumentError:
-            self.copy.needs_whole = True
-            raise
-
     # Taking
 
     def _taken(self, now, sender, changes):
