--- a/benchmarks/scale/arithmetic.py
+++ b/benchmarks/scale/arithmetic.py
@@ -98,7 +98,7 @@
             Derived(
                 "sent for control by a gateway: gossip, membership and table together",
                 "sum of fits",
-                f"{number(sent)} of {number(size.CONTROL_BYTES)} KB a second; with cells gossip takes less",
+                f"{number(sent)} of {number(size.CONTROL_BYTES)} KB a second",
                 "; ".join(part.source for part in parts),
             ),
             Derived("a restart", "a day / restarts", f"one each {number(size.DAY / size.RESTARTS)} s"),
--- a/gaproute/appliance/cells.py
+++ b/gaproute/appliance/cells.py
@@ -60,7 +60,6 @@
             Chance(self.seed + CARRIER_SEED),
             self.record,
             path=line.kept,
-            control=others.control,
         )
         self.table = Table(self.loop, line, self.record, carrier, self._adopted)
         return front
--- a/gaproute/appliance/others.py
+++ b/gaproute/appliance/others.py
@@ -16,7 +16,6 @@
 from gaproute.peers.keepers.carrier import TARGET
 from gaproute.peers.keepers.wire import LONGEST
 from gaproute.peers.weak import Carrier
-from gaproute.shared.control_budget import ControlBudget
 
 # Of those that ask at a gateway that takes part in the strong word: batches are long, and every gateway of
 # a large fleet may hold a connection to each keeper.
@@ -39,7 +38,6 @@
         self.cells = cells
         self.loop, self.charter, self.gateway, self.record, self.seed = loop, charter, gateway, record, seed
         self.giver = self.learner = self.gossip = self.weak = self.keeper = self.watch = self.strong = None
-        self.control = None if charter.cells is None else ControlBudget()
         self.roll, self.lore = Roll(), Lore()
         self.tracks = [line.name for line in charter.tracks]
         self.chance = Chance(seed + 1)
@@ -53,12 +51,7 @@
         self.giver = Giver(self.loop, address(where), self.gateway, self.roll, self.tracks, limits)
         try:
             self.gossip = Gossip(
-                self.loop,
-                self.charter.name,
-                self.giver.address,
-                Chance(self.seed + 2),
-                self.record,
-                control=self.control,
+                self.loop, self.charter.name, self.giver.address, Chance(self.seed + 2), self.record
             )
             if line is not None:
                 self.strong = Strong(self.loop, self.charter.name, line, self.record, Chance(self.seed + 5))
@@ -68,7 +61,7 @@
             raise
         if self.charter.weak_word:
             self.weak = Carrier(
-                self.loop, self.charter.name, self.gossip, self.gateway, Chance(self.seed + 4), self.control
+                self.loop, self.charter.name, self.gossip, self.gateway, Chance(self.seed + 4)
             )
         return self.giver
 
--- a/gaproute/hollow/cells/surroundings.py
+++ b/gaproute/hollow/cells/surroundings.py
@@ -1,13 +1,12 @@
 """What a gateway of a fleet of cells stands on beside what every hollow gateway does."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from gaproute.decisions.cells.place import Place
 from gaproute.hollow.parts import Surroundings
 from gaproute.ledger.tables import StoredTable
-from gaproute.shared.control_budget import ControlBudget
 from gaproute.shared.dissemination import Peer
 
 
@@ -29,4 +28,3 @@
     host_rows: Callable
     reach: Callable
     shared_tables: dict[Any, Any]
-    control: ControlBudget = field(default_factory=ControlBudget)
--- a/gaproute/hollow/cells/tables.py
+++ b/gaproute/hollow/cells/tables.py
@@ -31,7 +31,6 @@
             self.giver,
             surroundings.chance(6),
             surroundings.record,
-            control=surroundings.control,
         )
         self.puller = self.carrier.puller = surroundings.open_puller(surroundings.loop, surroundings.name)
 
@@ -78,9 +77,5 @@
         carrier = self.carrier
         document = SharedTableDocument(carrier.holder, surroundings.shared_tables)
         carrier.disseminator = Disseminator(
-            surroundings.name,
-            document,
-            surroundings.chance(6),
-            surroundings.loop.now(),
-            surroundings.control,
+            surroundings.name, document, surroundings.chance(6), surroundings.loop.now()
         )
--- a/gaproute/hollow/demand.py
+++ b/gaproute/hollow/demand.py
@@ -32,12 +32,7 @@
         self.loop, self.chance = surroundings.loop, surroundings.chance(7)
         self.posts, self.hosts = CountedPosts(parts["membership"]), parts["hosts"]
         self.carrier = Carrier(
-            self.loop,
-            surroundings.name,
-            self.posts,
-            self.hosts.gateway,
-            surroundings.chance(4),
-            surroundings.control,
+            self.loop, surroundings.name, self.posts, self.hosts.gateway, surroundings.chance(4)
         )
         self.hosts.followers.append(self.carrier.listed)
         self.busy = ()
--- a/gaproute/hollow/membership.py
+++ b/gaproute/hollow/membership.py
@@ -17,7 +17,6 @@
             surroundings.record,
             surroundings.open_datagrams,
             surroundings.wall,
-            surroundings.control,
         )
 
     @property
--- a/gaproute/hollow/parts.py
+++ b/gaproute/hollow/parts.py
@@ -7,7 +7,6 @@
 
 from gaproute.conf import Charter
 from gaproute.decisions.chance import Chance
-from gaproute.shared.control_budget import ControlBudget
 
 DATAGRAM_HEADERS = 28  # bytes of IPv4 and UDP around each datagram
 
@@ -29,7 +28,7 @@
 
     `charter` holds the checked configuration, shared by all gateways of a process; `open_datagrams(loop,
     where, heard)` and `open_carrier(loop, name, peers, take)` make what sends and receives; `wall` tells ns
-    since 1970; `open_votes` makes a keeper's disk; `control`: the budget that the parts share, None for none.
+    since 1970; `open_votes` makes a keeper's disk.
     """
 
     loop: Any
@@ -42,7 +41,6 @@
     open_votes: Callable
     wall: Callable[[], int]
     record: EventCounter = field(default_factory=EventCounter)
-    control: ControlBudget | None = None
 
     def chance(self, number: int) -> Chance:
         """Seeded chance of its own for the part `number`."""
--- a/gaproute/peers/gossip.py
+++ b/gaproute/peers/gossip.py
@@ -7,13 +7,10 @@
 
 from gaproute.loop.datagrams import Datagrams
 from gaproute.peers import word_pb2
-from gaproute.shared.control_budget import ControlBudget, ControlPart
 from gaproute.shared.membership import STATES, Members, News, Word
-from gaproute.shared.membership.telling import FILL
 
 SECOND = 1_000_000_000
 VERSION = 1
-DATAGRAM_HEADERS = 28  # bytes of IPv4 and UDP
 KINDS = ("", "ping", "ack", "ask", "pull", "part")  # a version that lacks one passes it over
 CARRIED = {"weak": 6, "table": 7}  # other parts' words by the same datagrams: the number of their kind
 MOST = 2000  # datagrams read in a second: 20 times what comes at 1,000 gateways. In a flood it
@@ -54,20 +51,10 @@
 
 class Gossip:
     """`datagrams(loop, where, heard)` makes the socket, `wall` tells ns since 1970: a simulation hands in its
-    own; `control`: what all control parts may send together, None where nothing bounds them."""
-
-    def __init__(
-        self,
-        loop,
-        name,
-        where,
-        chance,
-        record,
-        datagrams=Datagrams,
-        wall=time.time_ns,
-        control: ControlBudget | None = None,
-    ):
-        self.loop, self.record, self.control = loop, record, control
+    own."""
+
+    def __init__(self, loop, name, where, chance, record, datagrams=Datagrams, wall=time.time_ns):
+        self.loop, self.record = loop, record
         self.members = Members(name, where, chance, loop.now(), wall() // 1_000_000)
         self.datagrams = datagrams(loop, at(where), self._heard)
         self.sent = self.bytes = self.strange = self.flood = 0
@@ -89,7 +76,6 @@
 
     def _tick(self):
         self.timer = None
-        self._bound()
         self._send(self.members.tick(self.loop.now()))
         self._note()
         self._again()
@@ -110,29 +96,17 @@
         if word is None:
             self.strange += 1
             return
-        self._bound()
         self._send(self.members.hear(now, word))
         self._note()
         self._again()
 
-    def _bound(self):
-        """Nothing is told unasked in a second in which much was sent already."""
-        if self.control is not None:
-            spare = self.control.within_reserved(self.loop.now(), ControlPart.MEMBERSHIP, FILL)
-            self.members.teller.fill = FILL if spare else 0
-
     def _send(self, words):
         for where, word in words:
             data = encode(word)
             self.sent += 1
             self.bytes += len(data)
-            self._spend(ControlPart.MEMBERSHIP, data)
             self.datagrams.send(data, at(where))
 
-    def _spend(self, part, data):
-        if self.control is not None:
-            self.control.spend(self.loop.now(), part, len(data) + DATAGRAM_HEADERS)
-
     def carry(self, kind, heard):
         """`heard(sender's name, data)` for each word of that kind; see CARRIED."""
         self.carried[CARRIED[kind]] = heard
@@ -148,8 +122,6 @@
         data = made.SerializeToString()
         self.sent += 1
         self.bytes += len(data)
-        if kind == "weak":  # messages of tables are charged where they are decided
-            self._spend(ControlPart.DEMAND, data)
         self.datagrams.send(data, at(where))
 
     def _note(self):
--- a/gaproute/peers/tables/carrier.py
+++ b/gaproute/peers/tables/carrier.py
@@ -24,14 +24,13 @@
 
 class TableCarrier:
     """`gossip` and `giver` are the gateway's membership and peers' address; `path`: the file that keeps the
-    table, None for none. `record` takes events for operators; `control`: the budget shared with other control
-    parts, its own where none is given."""
+    table, None for none. `record` takes events for operators."""
 
-    def __init__(self, loop, name, fleet, gossip, giver, chance, record, cell="", path=None, control=None):
+    def __init__(self, loop, name, fleet, gossip, giver, chance, record, cell="", path=None):
         self.loop, self.gossip, self.giver, self.record = loop, gossip, giver, record
         self.name, self.cell, self.where = name, cell, giver.address
         self.holder = TableHolder(fleet)
-        self.disseminator = Disseminator(name, TableDocument(self.holder), chance, loop.now(), control)
+        self.disseminator = Disseminator(name, TableDocument(self.holder), chance, loop.now())
         self.configured = ()
         self.callbacks = []
         self.puller = Puller(loop)
--- a/gaproute/peers/tables/document.py
+++ b/gaproute/peers/tables/document.py
@@ -3,8 +3,7 @@
 from gaproute.decisions.cells.change import TableChange, TableHolder, changed
 from gaproute.decisions.cells.errors import TableError
 from gaproute.decisions.cells.table import CellTable, Version
-from gaproute.peers.tables import difference, encoding
-from gaproute.peers.tables.history import RowHistory
+from gaproute.peers.tables import encoding
 from gaproute.shared.dissemination import Change, DocumentError
 from gaproute.shared.dissemination.messages import NOTHING
 
@@ -21,10 +20,9 @@
             raise ValueError("a holder that trims has no whole rows to serve")
         self.holder = holder
         self.fleet = holder.fleet
-        self.digest, self.history = 0, None
+        self.digest = 0
         if holder.table is not None:
             self.digest = encoding.cells_digest(holder.table.cells)
-            self.history = RowHistory(holder.table.version)
 
     @property
     def version(self) -> Version:
@@ -51,22 +49,6 @@
         except TableError as fault:
             raise DocumentError("invalid table") from fault
 
-    def difference(self, base: Version) -> bytes | None:
-        """What leads from version `base` to that held, None where it is not known."""
-        found = None if self.history is None else self.history.since(base)
-        return None if found is None else difference.encode_difference(self.holder.table, *found)
-
-    def apply_difference(self, change: Change):
-        """Take the difference from the version held. Errors: DocumentError."""
-        held = self.holder.table
-        if held is None:
-            raise DocumentError("a difference without a table")
-        try:
-            table = difference.apply_difference(held, change.version, change.data)
-            self._take(table, encoding.cells_digest(table.cells), change.digest)
-        except TableError as fault:
-            raise DocumentError("invalid difference") from fault
-
     def whole(self) -> bytes:
         """The whole table, encoded."""
         return encoding.encode_table(self.holder.table)
@@ -74,13 +56,8 @@
     def _take(self, table: CellTable, digest, told):
         if digest != told:
             raise DocumentError("digest")
-        before = self.holder.table
         self.holder.take(table)
         self.digest = digest
-        if before is None:
-            self.history = RowHistory(table.version)
-        else:
-            self.history.changed(before, table)
 
 
 def encoded_change(document: TableDocument, change: TableChange) -> Change:
--- a/gaproute/peers/tables/encoding.py
+++ b/gaproute/peers/tables/encoding.py
@@ -43,14 +43,12 @@
 _decode_change = msgspec.msgpack.Decoder(ChangeBody).decode
 
 
-def row_of(cell: Cell) -> Row:
-    """A cell as it is encoded."""
+def _row(cell):
     points, entries = [tuple(points) for points in cell.points], [tuple(entry) for entry in cell.entries]
     return Row(cell.name, cell.region, cell.zone, float(cell.capacity), cell.hosts, points, entries)
 
 
-def cell_of(row: Row) -> Cell:
-    """A cell as it was decoded, not yet checked."""
+def _cell(row):
     points = tuple(Points(*points) for points in row.points)
     entries = tuple(Entry(*entry) for entry in row.entries)
     return Cell(row.name, row.region, row.zone, row.capacity, row.hosts, points, entries)
@@ -58,7 +56,7 @@
 
 def cells_digest(cells: Iterable[Cell]) -> int:
     """The digest of these rows, whatever their order."""
-    return sum(xxh3_64_intdigest(_encode(row_of(cell))) for cell in cells) % MODULUS
+    return sum(xxh3_64_intdigest(_encode(_row(cell))) for cell in cells) % MODULUS
 
 
 def digest_after(digest: int, before: CellTable, change: TableChange) -> int:
@@ -70,7 +68,7 @@
 
 def encode_table(table: CellTable) -> bytes:
     """The rows of a table."""
-    return zlib.compress(_encode([row_of(cell) for cell in table.cells]))
+    return zlib.compress(_encode([_row(cell) for cell in table.cells]))
 
 
 def decode_table(fleet: str, version: Version, data: bytes) -> CellTable:
@@ -83,12 +81,12 @@
         rows = _decode_rows(plain)
     except (zlib.error, msgspec.DecodeError, RecursionError) as fault:
         raise TableError(f"the table cannot be read: {fault}") from None
-    return validate(fleet, version, map(cell_of, rows))
+    return validate(fleet, version, map(_cell, rows))
 
 
 def encode_change(change: TableChange) -> bytes:
     """What a change does, without its versions."""
-    return _encode(ChangeBody([row_of(cell) for cell in change.rows], list(change.removed)))
+    return _encode(ChangeBody([_row(cell) for cell in change.rows], list(change.removed)))
 
 
 def decode_change(fleet: str, base: Version, version: Version, data: bytes) -> TableChange:
@@ -99,4 +97,4 @@
         raise TableError(f"the change cannot be read: {fault}") from None
     if len(body.rows) > MAX_CELLS or len(body.removed) > MAX_CELLS:
         raise TableError(f"a change of more than {MAX_CELLS} cells")
-    return TableChange(fleet, base, version, tuple(map(cell_of, body.rows)), tuple(body.removed))
+    return TableChange(fleet, base, version, tuple(map(_cell, body.rows)), tuple(body.removed))
--- a/gaproute/peers/tables/wire.py
+++ b/gaproute/peers/tables/wire.py
@@ -7,9 +7,8 @@
 
 from gaproute.decisions.cells.bounds import MAX_NAME
 from gaproute.decisions.cells.table import Version
-from gaproute.shared.dissemination.bounds import ANSWER_BYTES, MAX_WHOLE, PUSH_BYTES
+from gaproute.shared.dissemination.bounds import ANSWER_BYTES, MAX_WHOLE, PART_BYTES, PUSH_BYTES
 from gaproute.shared.dissemination.messages import (
-    NOTHING,
     Announcement,
     Busy,
     Change,
@@ -20,7 +19,7 @@
 )
 
 LONGEST_DATAGRAM = PUSH_BYTES + 500
-LONGEST_ANSWER = ANSWER_BYTES + 2_000
+LONGEST_ANSWER = max(ANSWER_BYTES, PART_BYTES) + 2_000
 LARGEST = (1 << 63) - 1
 
 Text = Annotated[str, Meta(min_length=1, max_length=MAX_NAME)]
@@ -74,29 +73,10 @@
     wait: Annotated[int, Meta(ge=0, le=LARGEST)]
 
 
-class _DifferencePull(_Message, tag=7):
-    """Apart from `_Pull`, which older gateways read: they refuse this one, and are asked for the whole."""
-
-    held: WireVersion
-    wanted: WireVersion
-    place: Place
-
-
-class _DifferencePart(_Message, tag=8):
-    """Given to those alone that asked by `_DifferencePull`."""
-
-    base: WireVersion
-    version: WireVersion
-    digest: int
-    size: Place
-    place: Place
-    data: bytes
-
-
 _encode = msgspec.msgpack.Encoder().encode
 _datagram = msgspec.msgpack.Decoder(_Announcement | _Push).decode
-_pull = msgspec.msgpack.Decoder(_Pull | _DifferencePull).decode
-_answer = msgspec.msgpack.Decoder(_Changes | _Part | _Busy | _DifferencePart).decode
+_pull = msgspec.msgpack.Decoder(_Pull).decode
+_answer = msgspec.msgpack.Decoder(_Changes | _Part | _Busy).decode
 
 
 def pack_datagram(message: Announcement | Push, where: str) -> bytes:
@@ -118,8 +98,6 @@
 
 def pack_pull(pull: Pull) -> bytes:
     """Bytes of a pull."""
-    if pull.difference:
-        return _encode(_DifferencePull(pull.fleet, pull.held, pull.wanted, pull.place))
     return _encode(_Pull(pull.fleet, pull.held, pull.whole, pull.wanted, pull.place))
 
 
@@ -128,10 +106,7 @@
     told = _read(_pull, data, LONGEST_DATAGRAM)
     if told is None:
         return None
-    held, wanted = Version(*told.held), Version(*told.wanted)
-    if isinstance(told, _DifferencePull):
-        return Pull(told.fleet, held, False, wanted, told.place, True)
-    return Pull(told.fleet, held, told.whole, wanted, told.place)
+    return Pull(told.fleet, Version(*told.held), told.whole, Version(*told.wanted), told.place)
 
 
 def pack_answer(answer: Changes | Part | Busy) -> bytes:
@@ -139,10 +114,8 @@
     if isinstance(answer, Changes):
         return _encode(_Changes(answer.fleet, _packed(answer.changes)))
     if isinstance(answer, Part):
-        body = answer.version, answer.digest, answer.size, answer.place, answer.data
-        if answer.base == NOTHING:
-            return _encode(_Part(answer.fleet, *body))
-        return _encode(_DifferencePart(answer.fleet, answer.base, *body))
+        head = answer.fleet, answer.version, answer.digest, answer.size, answer.place
+        return _encode(_Part(*head, answer.data))
     return _encode(_Busy(answer.fleet, answer.wait))
 
 
@@ -154,9 +127,6 @@
     if isinstance(told, _Part):
         version = Version(*told.version)
         return Part(told.fleet, version, told.digest, told.size, told.place, told.data)
-    if isinstance(told, _DifferencePart):
-        version, base = Version(*told.version), Version(*told.base)
-        return Part(told.fleet, version, told.digest, told.size, told.place, told.data, base)
     return None if told is None else Busy(told.fleet, told.wait)
 
 
--- a/gaproute/peers/weak/carrier.py
+++ b/gaproute/peers/weak/carrier.py
@@ -11,14 +11,12 @@
 
 
 class Carrier:
-    """`gateway`: the decisions' state, whose `workers` hold tasks in hand and whose `known` tells copies;
-    `control`: the budget shared with other control parts, None where there is none."""
+    """`gateway`: the decisions' state, whose `workers` hold tasks in hand and whose `known` tells copies."""
 
-    def __init__(self, loop, name, gossip, gateway, chance, control=None):
+    def __init__(self, loop, name, gossip, gateway, chance):
         self.loop, self.gossip, self.gateway = loop, gossip, gateway
         now = loop.now()
         self.weak = Weak(name, gossip.members.incarnation, chance, now)
-        self.weak.told.control = control
         self.hands = {}  # host: tasks in hand as told last
         self.looked, self.listed_at, self.mark = now - LOOK, now - LISTED, now
         gossip.carry("weak", self._heard)
--- a/gaproute/shared/dissemination/assembly.py
+++ b/gaproute/shared/dissemination/assembly.py
@@ -1,4 +1,4 @@
-"""A whole document, or a difference, that comes part by part."""
+"""A whole document that comes part by part."""
 
 from gaproute.shared.dissemination.bounds import MAX_WHOLE
 from gaproute.shared.dissemination.messages import NOTHING
@@ -12,18 +12,18 @@
 
     def clear(self):
         """Forget what came."""
-        self.version, self.digest, self.size, self.base = NOTHING, 0, 0, NOTHING
+        self.version, self.digest, self.size = NOTHING, 0, 0
         self.data = bytearray()
 
     def take(self, part) -> bool:
         """Whether the part was the next one."""
         if not 0 < part.size <= MAX_WHOLE or not part.data:
             return False
-        if _document(part) != _document(self):
+        if (part.version, part.digest, part.size) != (self.version, self.digest, self.size):
             if part.place != 0:
                 return False
             self.clear()
-            self.version, self.digest, self.size, self.base = _document(part)
+            self.version, self.digest, self.size = part.version, part.digest, part.size
         if part.place != len(self.data) or part.place + len(part.data) > self.size:
             return False
         self.data += part.data
@@ -38,8 +38,3 @@
     def complete(self) -> bool:
         """Whether the last part came."""
         return 0 < self.size == len(self.data)
-
-
-def _document(part):
-    """What all parts of one document, or of one difference, have in common."""
-    return part.version, part.digest, part.size, part.base
--- a/gaproute/shared/dissemination/bounds.py
+++ b/gaproute/shared/dissemination/bounds.py
@@ -14,33 +14,27 @@
 REPLY_TIME = 300 * MILLISECOND  # for a datagram that was asked for: the longest round trip and a half
 EXCHANGE_TIME = 3 * SECOND  # for one exchange: a lost segment or two
 REST = 250 * MILLISECOND  # after an exchange that failed
-PACED_TRIES = 4  # failed exchanges after which one asks as older gateways do
-PUSH_INTERVAL = 500 * MILLISECOND  # between two pushes that are asked for
+CHANGES_TRIES = 4  # failures after which the whole document is asked for
 PART_TRIES = 3  # further ones of a source that gave parts of a whole document
 TRIES = 8  # for one fetch; the next announcement begins another
 SOURCES = 4  # further peers remembered that hold the newer version
 LONGEST_WAIT = 5 * SECOND  # that a source may put a fetch off at once
-BUSY_REST = SECOND  # before another source is asked where one was busy
-PART_INTERVAL = 1_100 * MILLISECOND  # between two parts that are asked for: one in any second
+BUSY_REST = 500 * MILLISECOND  # before another source is asked where one was busy
 MAX_WHOLE = 4 << 20  # of a whole document, encoded
 
 # Serving
 LOG_CHANGES = 64  # changes kept for those a little behind: two minutes at 46,000 a day
 LOG_BYTES = 64 << 10
-ANSWER_BYTES = OLDER_PART_BYTES = 8 << 10  # in one answer to an older gateway
-PART_BYTES = 1 << 10  # of a whole document or of a difference in one answer
-SPARE_PARTS = 3  # that are given again to one whose answers were lost
-LEAST_PART = 256  # of one: for less, the asker is told to come again
-BUSY_WAIT = SECOND  # for which it is sent away at least
-INVITATION = 600 * MILLISECOND  # that whoever was told to ask is waited for
+ANSWER_BYTES = 8 << 10  # of changes in one answer to a pull
+PART_BYTES = 8 << 10  # of a whole document in one answer
 SNAPSHOTS = 2  # whole documents held for those that fetch them in parts
 SNAPSHOT_TIME = 30 * SECOND  # that one is given to further askers
 
-# Budgets over a longer time; what is sent in one second is bounded by `gaproute.shared.control_budget`
+# Budgets: 4 KB/s hold both
 MESSAGE_RATE = 2_000  # a second, for datagrams and pulls
 MESSAGE_BURST = 8_000
-SERVE_RATE = 1_500  # a second, for answers to pulls
-SERVE_BURST = 1_500  # one part: one asker is served after the other
+SERVE_RATE = 2_000  # a second, for answers to pulls
+SERVE_BURST = 48_000  # two whole tables of 490 cells: holders double each time in a part cut off for long
 
 # Views
 VIEW_NEIGHBOURS = 24  # gateways of the own cell
--- a/gaproute/shared/dissemination/budget.py
+++ b/gaproute/shared/dissemination/budget.py
@@ -18,10 +18,13 @@
         self.tokens -= tokens
         return True
 
-    def spend(self, now: int, tokens: int):
-        """Take them whether or not they are there: they are paid off later."""
+    def borrow(self, now: int, tokens: int) -> bool:
+        """Like `take`, but more than the burst may be taken where that is there: it is paid off later."""
         self._fill(now)
+        if self.tokens < min(tokens, self.burst):
+            return False
         self.tokens -= tokens
+        return True
 
     def wait(self, now: int, tokens: int) -> int:
         """Nanoseconds until there is room for them."""
--- a/gaproute/shared/dissemination/copy.py
+++ b/gaproute/shared/dissemination/copy.py
@@ -8,7 +8,7 @@
 from gaproute.shared.dissemination.bounds import REASONS
 from gaproute.shared.dissemination.changelog import Changelog
 from gaproute.shared.dissemination.document import Document, DocumentError
-from gaproute.shared.dissemination.messages import NOTHING, Change
+from gaproute.shared.dissemination.messages import Change
 
 
 class Copy:
@@ -26,7 +26,6 @@
             raise DocumentError("not from the version held")
         self.document.apply(change)
         self.log.append(change)
-        self.needs_whole = False  # its digest tells that all the rest is as it should be
 
     def take(self, changes: tuple[Change, ...]) -> tuple[Change, ...]:
         """Apply the changes that follow what is held; returns those."""
@@ -53,26 +52,6 @@
         self.log.clear()
         self.needs_whole = False
 
-    def apply_difference(self, change: Change):
-        """Take the difference from the version held. Errors: DocumentError."""
-        if change.base != self.document.version or change.version <= change.base:
-            raise DocumentError("not from the version held")
-        self.document.apply_difference(change)
-        self.needs_whole = False
-        self.log.clear()  # older gateways cannot read a difference
-
-    def take_assembled(self, assembly):
-        """Take what came part by part. Errors: DocumentError."""
-        data = bytes(assembly.data)
-        if assembly.base == NOTHING:
-            self.replace(assembly.version, assembly.digest, data)
-            return
-        try:
-            self.apply_difference(Change(assembly.base, assembly.version, assembly.digest, data))
-        except DocumentError:
-            self.needs_whole = True
-            raise
-
     def refuse(self, reason: str):
         """Count a refusal; reasons come from the code alone, the bound is a safeguard."""
         if reason not in self.refused and len(self.refused) >= REASONS - 1:
--- a/gaproute/shared/dissemination/disseminator.py
+++ b/gaproute/shared/dissemination/disseminator.py
@@ -6,7 +6,6 @@
 
 from collections import Counter
 
-from gaproute.shared.control_budget import ControlBudget
 from gaproute.shared.dissemination.assembly import Assembly
 from gaproute.shared.dissemination.bounds import (
     ANNOUNCE_INTERVAL,
@@ -19,7 +18,6 @@
 from gaproute.shared.dissemination.fetching import Fetching
 from gaproute.shared.dissemination.intake import Intake
 from gaproute.shared.dissemination.messages import (
-    NOTHING,
     Announcement,
     Busy,
     Change,
@@ -39,17 +37,15 @@
 class Disseminator:
     """`tick` at the time `due`, `hear` for each datagram, `answer` for each pull, `pulled` for each answer.
 
-    All but `answer` return what to send. `document` may be changed by nobody else; `control` is the budget
-    that it shares with the gateway's other control parts.
+    All but `answer` return what to send. `document` may be changed by nobody else.
     """
 
-    def __init__(self, name: str, document: Document, chance, now: int, control: ControlBudget | None = None):
-        control = ControlBudget() if control is None else control
+    def __init__(self, name: str, document: Document, chance, now: int):
         self.document, self.chance = document, chance
         self.view, self.intake = View(name, chance), Intake(now)
-        self.telling = Telling(document, self.view, now, control)
+        self.telling = Telling(document, self.view, now)
         self.copy, self.sightings = Copy(document), Sightings()
-        self.serving = Serving(document, self.copy.log, now, control)
+        self.serving = Serving(document, self.copy.log, now)
         self.fetching, self.assembly = Fetching(self.copy), Assembly()
         self.next_announcement = now + chance.below(ANNOUNCE_INTERVAL)
         self.eager_until = now
@@ -126,17 +122,15 @@
         if message.version > held:
             return self._behind(now, sender, message.version)
         changes = self.copy.log.since(message.version, PUSH_BYTES)
-        if changes:
-            return self.telling.push(now, sender, changes)
-        return self.telling.announce(now, sender) if self.serving.invites(now, sender.name) else []
+        return self.telling.push(now, sender, changes) if changes else self.telling.announce(now, sender)
 
-    def _behind(self, now, sender, version, invited=True):
+    def _behind(self, now, sender, version):
         held, known = self.document.version, self.fetching.knows(sender)
-        if self.fetching.heard(now, sender, version, held, invited):
+        if self.fetching.heard(now, sender, version, held):
             return self._ask(now)
         # Its push may come where the source's was lost. Asked once: who holds no changes to push announces
         # again, and two that answer each other's announcements would never end.
-        if not known and self.fetching.is_near(held, most=1):
+        if not known and self.fetching.is_near(held):
             return self.telling.announce(now, sender)
         return []
 
@@ -147,7 +141,7 @@
         taken = self.copy.take(changes)
         sends = self._taken(now, sender.name, taken) if taken else []
         if changes[-1].version > self.document.version:
-            sends += self._behind(now, sender, changes[-1].version, invited=False)
+            sends += self._behind(now, sender, changes[-1].version)
         return sends
 
     def _note_old(self, change):
@@ -183,7 +177,7 @@
         elif isinstance(answer, Part):
             return self._take_part(now, answer)
         elif isinstance(answer, Busy):
-            fetching.wait(now, answer.wait, amid_parts=self.assembly.begun)
+            fetching.wait(now, answer.wait)
             return []
         fetching.failed(now, amid_parts=self.assembly.begun)
         return []
@@ -195,29 +189,24 @@
             return []
         self.fetching.part_came(now)
         if not self.assembly.complete:
-            return []
+            return self._ask(now)
+        assembly, data = self.assembly, bytes(self.assembly.data)
+        version, digest = assembly.version, assembly.digest
+        assembly.clear()
         try:
-            self.copy.take_assembled(self.assembly)
+            self.copy.replace(version, digest, data)
         except DocumentError as reason:
             self.copy.refuse(str(reason))
             self.fetching.failed(now)
             return []
-        finally:
-            self.assembly.clear()
-        if self.fetching.progress(now, self.document.version):
-            return []
-        # One is told at once: this gateway serves one after the other, and may be a little behind again.
-        return [send for peer in self.view.draw(1) for send in self.telling.announce(now, peer)]
+        return self._taken(now, "", ())
 
     # Taking
 
     def _taken(self, now, sender, changes):
         """A newer version is held: fetch on where there is more, and tell others."""
-        if self.fetching.progress(now, self.document.version):
-            return []  # others hold more: to announce this would have each of them push the same
-        return self._spread(
-            now, changes[-1:], sender
-        )  # of those caught up with, others hold all but the last
+        sends = self._ask(now) if self.fetching.progress(now, self.document.version) else []
+        return sends + self._spread(now, changes, sender)
 
     def _spread(self, now, changes, but=""):
         """Tell a few peers of the version just taken, and announce it more often for a while."""
@@ -229,14 +218,9 @@
         """The open question, to the source."""
         fetching, source = self.fetching, self.fetching.source
         if not fetching.by_exchange:
-            if self.copy.needs_whole:  # a push would bring the change that does not fit
-                return self.telling.send(now, source, Announcement(self.document.fleet, NOTHING, 0))
             return self.telling.announce(now, source)
         assembly, held = self.assembly, self.document.version
-        begun = assembly.version, len(assembly.data)
-        if fetching.as_older:
-            pull = Pull(self.document.fleet, held, True, *begun)
-        else:
-            known = NOTHING if fetching.wants_whole(held) else held
-            pull = Pull(self.document.fleet, known, False, *begun, difference=True)
+        pull = Pull(
+            self.document.fleet, held, fetching.wants_whole(held), assembly.version, len(assembly.data)
+        )
         return self.telling.send(now, source, pull)
--- a/gaproute/shared/dissemination/document.py
+++ b/gaproute/shared/dissemination/document.py
@@ -26,11 +26,5 @@
     def replace(self, version: Version, digest: int, data: bytes):
         """Take a whole document of a higher version. Errors: DocumentError."""
 
-    def difference(self, base: Version) -> bytes | None:
-        """What leads from version `base` to that held, encoded; None where it is not known."""
-
-    def apply_difference(self, change: Change):
-        """Take a difference whose base is held. Errors: DocumentError."""
-
     def whole(self) -> bytes:
         """The whole document, encoded; at most `MAX_WHOLE` bytes."""
--- a/gaproute/shared/dissemination/fetching.py
+++ b/gaproute/shared/dissemination/fetching.py
@@ -1,8 +1,7 @@
 """How a gateway that is behind gets what it lacks: whom it asks, how, and when it asks another.
 
-One fetch at a time. It announces its own version to whoever announced the newer one. That one pushes the
-changes where they are few; else it announces again once it has time, and is asked by exchanges, one part
-after the other at a pace.
+One fetch at a time. A little behind, it announces its own version to whoever announced the newer one, which
+then pushes the changes; further behind, or where that fails, it pulls by exchanges.
 
 Invariants: at most one exchange is open; at most `SOURCES` others are remembered; each fetch ends after
 `TRIES` failures, and an answer that brings nothing is a failure.
@@ -10,14 +9,12 @@
 
 from gaproute.shared.dissemination.bounds import (
     BUSY_REST,
+    CHANGES_TRIES,
     EXCHANGE_TIME,
+    LOG_CHANGES,
     LONGEST_WAIT,
-    MILLISECOND,
     NEAR,
-    PACED_TRIES,
-    PART_INTERVAL,
     PART_TRIES,
-    PUSH_INTERVAL,
     REPLY_TIME,
     REST,
     SOURCES,
@@ -35,9 +32,6 @@
         self.others = {}  # name: peer, of further ones that hold the target or nearly so
         self.by_exchange = self.waiting = False  # waiting: told to, no question is open
         self.deadline, self.tries = 0, 0
-        self.failed_pulls = 0  # of this fetch, by exchange
-        self.sources_busy = False  # in this fetch, rather than datagrams lost
-        self.asked = 0  # when the latest question was asked
 
     @property
     def due(self):
@@ -45,26 +39,22 @@
         return None if self.source is None else self.deadline
 
     def wants_whole(self, held):
-        """Whether to ask for the whole document: a difference does not do, or did not."""
-        return self.copy.needs_whole or held == NOTHING
-
-    @property
-    def as_older(self):
-        """Whether to ask as older gateways do: whoever was asked may be such a one."""
-        return self.failed_pulls >= PACED_TRIES
+        """Whether to ask for the whole document: what others' logs hold does not do, or did not."""
+        if self.copy.needs_whole or held == NOTHING or self.tries >= CHANGES_TRIES:
+            return True
+        return held.term == self.target.term and self.target.number - held.number > LOG_CHANGES
 
-    def heard(self, now, peer, version, held, invited=True):
-        """A peer holds a version above that held; `invited`: it announced that. Returns whether to ask the
-        source now."""
+    def heard(self, now, peer, version, held):
+        """A peer announced a version above that held. Returns whether to ask the source now."""
         self.target = max(self.target, version)
         if self.source is None:
             self.tries, self.source = 0, peer
-            self._open(now, by_exchange=False)
+            self._open(now, not self.is_near(held))
             return True
         if peer.name == self.source.name:
-            if self.by_exchange or self.waiting or not invited:
+            if self.by_exchange or self.waiting:
                 return False
-            self._open(now, by_exchange=True)  # it did not push what was asked for, and has time
+            self._open(now, by_exchange=True)  # it could not push what was asked for
             return True
         self.others.pop(peer.name, None)
         self.others[peer.name] = peer  # the latest are the likeliest to have time
@@ -77,29 +67,27 @@
         return self.source is not None and (peer.name == self.source.name or peer.name in self.others)
 
     def progress(self, now, held):
-        """Something was taken. Returns whether more is lacking: the source is asked on a little later."""
+        """Something was taken. Returns whether to ask the source on."""
         if self.source is None:
             return False
         if held >= self.target:
             self._end()
             return False
         self.tries = 0
-        self._pause(now, PUSH_INTERVAL)
+        self._open(now, not self.is_near(held))
         return True
 
-    def wait(self, now, span, amid_parts=False):
+    def wait(self, now, span):
         """The source is busy: ask another one soon, or the same when it has time."""
-        self.sources_busy = True
-        if self.others and not amid_parts:
+        if self.others:
             self._next_source(now, BUSY_REST)
         else:
-            least = MILLISECOND if amid_parts else BUSY_REST
-            self._pause(now, min(max(least, span), LONGEST_WAIT))
+            self.waiting, self.deadline = True, now + min(max(BUSY_REST, span), LONGEST_WAIT)
 
     def part_came(self, now):
-        """The source gave a part: it is asked for the next one a little later."""
-        self.tries, self.failed_pulls, self.sources_busy = 0, 0, True
-        self._pause(now, max(MILLISECOND, self.asked + PART_INTERVAL - now))
+        """The source gave a part of the whole document: it is asked for the next."""
+        self.tries = 0
+        self._open(now, by_exchange=True)
 
     def failed(self, now, pause=REST, amid_parts=False):
         """The question came to nothing: the next source is asked after a pause.
@@ -107,12 +95,11 @@
         Amid the parts of a whole document the same source is asked a few times more: another one most
         likely gives them of another version, from the beginning.
         """
-        self.failed_pulls += self.by_exchange and not self.waiting
         self.tries += 1
         if self.tries >= TRIES:
             self._end()
         elif amid_parts and self.tries <= PART_TRIES:
-            self._pause(now, pause)
+            self.waiting, self.deadline = True, now + pause
         else:
             self._next_source(now, pause)
 
@@ -122,13 +109,12 @@
             self.failed(now, 0, amid_parts)
             if self.source is None:
                 return False
-        lossy = self.tries > 2 and self.is_near(held) and not self.sources_busy
-        self._open(now, amid_parts or lossy)
+        self._open(now, self.tries > 2 or not self.is_near(held))
         return True
 
-    def is_near(self, held, most=NEAR):
-        """Whether a datagram can hold what is lacking: `most` changes."""
-        few = held.term == self.target.term and self.target.number - held.number <= most
+    def is_near(self, held):
+        """Whether a datagram can hold what is lacking."""
+        few = held.term == self.target.term and self.target.number - held.number <= NEAR
         return few and not self.copy.needs_whole
 
     def _next_source(self, now, pause):
@@ -137,16 +123,12 @@
             _, following = self.others.popitem()
             self.others = {self.source.name: self.source, **self.others}
             self.source = following
-        self._pause(now, pause)
-
-    def _pause(self, now, span):
-        self.waiting, self.deadline = True, now + span
+        self.waiting, self.deadline = True, now + pause
 
     def _open(self, now, by_exchange):
-        self.by_exchange, self.waiting, self.asked = by_exchange, False, now
+        self.by_exchange, self.waiting = by_exchange, False
         self.deadline = now + (EXCHANGE_TIME if by_exchange else REPLY_TIME)
 
     def _end(self):
-        self.source, self.tries, self.failed_pulls, self.target = None, 0, 0, NOTHING
-        self.sources_busy = False
+        self.source, self.tries, self.target = None, 0, NOTHING
         self.others.clear()
--- a/gaproute/shared/dissemination/messages.py
+++ b/gaproute/shared/dissemination/messages.py
@@ -49,11 +49,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Pull:
-    """By an exchange: the `difference` from version `held` at a pace, or the whole document where that is
-    `NOTHING` or the difference is not known.
+    """By an exchange: the changes that follow version `held`, or the `whole` document.
 
-    `place` goes on in that of version `wanted`. Without `difference` it is the pull of older gateways: the
-    changes that follow `held`, or the `whole`, in large parts.
+    `place` goes on in the whole document of `wanted`.
     """
 
     fleet: str
@@ -61,7 +59,6 @@
     whole: bool = False
     wanted: Version = NOTHING
     place: int = 0
-    difference: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,8 +71,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Part:
-    """Answer to a pull: `data` from `place` on, of the `size` bytes of the whole document, or of the
-    difference from version `base` where that is not `NOTHING`."""
+    """Answer to a pull: `data` from `place` on, of the `size` bytes of the whole document."""
 
     fleet: str
     version: Version
@@ -83,7 +79,6 @@
     size: int
     place: int
     data: bytes
-    base: Version = NOTHING
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,17 +102,12 @@
 
 
 def size(message) -> int:
-    """Bytes that the sender puts on the wire, headers included: each side of an exchange has half of its
-    headers."""
-    if isinstance(message, Busy):
-        return EXCHANGE_HEADERS // 2 + len(message.fleet) + VERSION_BYTES
+    """Bytes on the wire, headers included; exchanges are charged to the pull."""
     body = ENVELOPE + len(message.fleet) + VERSION_BYTES
     if isinstance(message, Pull):
-        return EXCHANGE_HEADERS // 2 + body
+        return EXCHANGE_HEADERS + body
     if isinstance(message, (Push, Changes)):
         body += changes_size(message.changes)
     elif isinstance(message, Part):
         body += len(message.data)
-    if isinstance(message, (Changes, Part)):
-        return EXCHANGE_HEADERS // 2 + body
     return DATAGRAM_HEADERS + body
--- a/gaproute/shared/dissemination/telling.py
+++ b/gaproute/shared/dissemination/telling.py
@@ -1,18 +1,16 @@
 """What goes out: messages within a budget of bytes a second. What finds no room is dropped and counted; the
 announcements of anti-entropy mend it."""
 
-from gaproute.shared.control_budget import ControlPart
 from gaproute.shared.dissemination.bounds import FANOUT, MESSAGE_BURST, MESSAGE_RATE, PUSH_BYTES
 from gaproute.shared.dissemination.budget import Budget
 from gaproute.shared.dissemination.messages import Announcement, Push, Send, changes_size, size
 
 
 class Telling:
-    """Each method returns the messages to send: none where the budget is spent. `control`: what all parts may
-    send."""
+    """Each method returns the messages to send: none where the budget is spent."""
 
-    def __init__(self, document, view, now, control):
-        self.document, self.view, self.control = document, view, control
+    def __init__(self, document, view, now):
+        self.document, self.view = document, view
         self.budget = Budget(MESSAGE_RATE, MESSAGE_BURST, now)
         self.sent = self.bytes = self.held_back = 0
 
@@ -36,10 +34,9 @@
     def send(self, now, peer, message):
         """Any message, within the budget."""
         cost = size(message)
-        if self.control.room(now, ControlPart.TABLE) < cost or not self.budget.take(now, cost):
+        if not self.budget.take(now, cost):
             self.held_back += 1
             return []
-        self.control.spend(now, ControlPart.TABLE, cost)
         self.sent += 1
         self.bytes += cost
         return [Send(peer, message)]
--- a/gaproute/shared/membership/telling.py
+++ b/gaproute/shared/membership/telling.py
@@ -48,7 +48,6 @@
 class Teller:
     def __init__(self, name, where):
         self.name, self.where, self.turn = name, where, 0
-        self.fill = FILL
 
     def message(self, table, incarnation, kind, number, target="", first=None):
         """A message with as much news as it holds: `first`, what its receiver must refute, then what is new,
@@ -66,7 +65,7 @@
         most = table.scale(TOLD)
         for name in chosen:
             table.fresh.told(name, most)
-        left -= BYTES - self.fill
+        left -= BYTES - FILL
         names = table.every.names
         for _ in range(min(len(names), FILL // 20)):
             member = table.members[names[self.turn % len(names)]]
--- a/gaproute/shared/weak/told.py
+++ b/gaproute/shared/weak/told.py
@@ -4,7 +4,6 @@
 fleet a round takes longer, and a reader holds a sample of the tellers by which it scales.
 """
 
-from gaproute.shared.control_budget import ControlPart
 from gaproute.shared.weak.facts import DEMAND, HANDS, ROOM, SECOND, SLOTS, WARM, Word, size
 
 RATE = 3_000  # bytes a second, headers included: under 4 kB with bursts and membership's beside it
@@ -22,7 +21,6 @@
         self.next, self.slow = now, now
         self.turn = self.slot = 0
         self.sent = self.bytes = 0
-        self.control = None  # the budget shared with other control parts, where there is one
 
     def listed(self, names):
         self.names = list(names)
@@ -36,22 +34,6 @@
         if name is None:
             self.next = now + EACH
             return []
-        before = self.slow, self.turn, self.slot
-        word = Word(incarnation, self._pages(now, own))
-        spent = size(word)
-        wait = 0 if self.control is None else self.control.wait(now, ControlPart.DEMAND, spent)
-        if wait:
-            self.round.append(name)
-            self.slow, self.turn, self.slot = before
-            self.next = now + wait
-            return []
-        self.sent += 1
-        self.bytes += spent
-        self.next = now + max(EACH // len(self.names), spent * SECOND // RATE)
-        return [(name, word)]
-
-    def _pages(self, now, own):
-        """The tasks in hand, and now and then another page."""
         pages = [own.page(now, HANDS)]
         if now >= self.slow:
             self.slow = now + SLOW
@@ -62,7 +44,12 @@
             page = own.page(now, kind, self.slot if kind == WARM else 0)
             if page.entries or page.rest:
                 pages.append(page)
-        return tuple(pages)
+        word = Word(incarnation, tuple(pages))
+        spent = size(word)
+        self.sent += 1
+        self.bytes += spent
+        self.next = now + max(EACH // len(self.names), spent * SECOND // RATE)
+        return [(name, word)]
 
     def _peer(self):
         for _ in range(2):
