--- a/benchmarks/scale/ladder.py
+++ b/benchmarks/scale/ladder.py
@@ -1,7 +1,7 @@
 """The scale run: rungs of ever more hollow gateways, each predicted from the smaller ones before it runs.
 
     python -m benchmarks.scale.ladder [--rungs 60,125,250,1000,4000,16000] [--seconds 1200] [--memory MB]
-        [--parts membership,hosts,demand,leases] [--name simulated] [--seed 1]
+        [--parts membership,hosts,demand,leases] [--cells N] [--name simulated] [--seed 1]
 
 Each rung runs in a process of its own, which ends with this one whatever ends it, and leaves nothing
 behind. The ladder stops by itself at half of the machine's memory, or when its time is over, and says where
@@ -10,35 +10,26 @@
 
 import argparse
 import json
-import os
 import subprocess
-import sys
 import time
-from datetime import UTC, datetime
 
+from benchmarks.scale import climbing
 from benchmarks.scale.children import command
-from benchmarks.scale.limits import MEGABYTE, Limits, machine_memory
 from benchmarks.scale.measurement import LADDERS
-from benchmarks.scale.prediction import errors, predict
-from gaproute.hollow import PARTS
+from benchmarks.scale.rung import add_arguments, hosts
+from gaproute.hollow.cells import CELL_PARTS
 
 RUNGS = "60,125,250,1000,4000,16000"
 
 
 def play(size, told, limits):
-    """What the rung's process printed: {"figures", "stopped"}."""
+    """What the rung's process printed."""
     left = limits.seconds - (time.monotonic() - limits.began)
-    words = [
-        "benchmarks.scale.rung",
-        size,
-        "--seed",
-        told.seed,
-        "--memory",
-        limits.memory,
-        "--seconds",
-        max(0, left),
-    ]
-    words += ["--parts", told.parts, "--hosts", told.hosts]
+    words = ["benchmarks.scale.rung", size, "--seed", told.seed, "--parts", told.parts]
+    words += ["--memory", limits.memory, "--seconds", max(0, left)]
+    for option in ("hosts", "cells"):
+        if getattr(told, option) is not None:
+            words += [f"--{option}", getattr(told, option)]
     made = subprocess.Popen(command(words), stdout=subprocess.PIPE, text=True)
     try:
         printed, _ = made.communicate()
@@ -47,78 +38,35 @@
             made.kill()
             made.wait()
     if made.returncode:
-        return {"figures": {}, "stopped": f"the rung's process ended with {made.returncode}"}
-    return json.loads(printed.splitlines()[-1])
+        return climbing.Played({}, f"the rung's process ended with {made.returncode}")
+    found = json.loads(printed.splitlines()[-1])
+    return climbing.Played(found["figures"], found["stopped"])
 
 
 def climb(told, limits, keep):
     """Plays rung after rung; `keep(rungs, stopped)` after each."""
-    rungs, measured = [], []
-    for size in map(int, told.rungs.split(",")):
-        predicted = predict(measured, size)
-        found = play(size, told, limits)
-        figures, stopped = found["figures"], found["stopped"]
-        rungs.append(
-            {
-                "size": size,
-                "predicted": predicted,
-                "measured": figures,
-                "error_percent": errors(predicted, figures),
-                "stopped": stopped,
-            }
-        )
-        keep(rungs, f"at {size} gateways: {stopped}" if stopped else "")
-        show(rungs[-1])
-        if stopped:
-            return
-        measured.append((size, figures))
+    climbing.climb(climbing.sizes(told), lambda size: play(size, told, limits), keep)
 
 
-def show(rung):
-    """Prints a rung as lines."""
-    print(f"\n{rung['size']} gateways" + (f", stopped: {rung['stopped']}" if rung["stopped"] else ""))
-    for name, value in rung["measured"].items():
-        predicted = rung["predicted"].get(name)
-        more = ""
-        if predicted is not None:
-            more = f"   predicted {predicted['value']:.4g} ({predicted['formula']})"
-            if name in rung["error_percent"]:
-                more += f", error {rung['error_percent'][name]:+.1f}%"
-        print(f"  {name:<28} {'never' if value is None else format(value, '.4g')}{more}")
-    sys.stdout.flush()
+def conditions(told):
+    """What was played."""
+    return {
+        "clock": "simulated",
+        "seed": told.seed,
+        "parts": list(CELL_PARTS) if told.cells else told.parts.split(","),
+        "hosts": hosts(told),
+        "cells": told.cells,
+    }
 
 
 def main():
     """The command line."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale.ladder", description=__doc__)
-    parser.add_argument("--rungs", default=RUNGS, help="sizes, the smallest first")
-    parser.add_argument("--seconds", type=float, default=1200, help="of the whole ladder")
-    parser.add_argument("--memory", type=float, help="MB; half of the machine's by default")
-    parser.add_argument("--parts", default=",".join(PARTS))
-    parser.add_argument("--hosts", type=int, default=240)
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--name", default="simulated", help="of the file that keeps the rungs")
+    climbing.add_arguments(parser, RUNGS, 1200, "simulated")
+    add_arguments(parser)
     told = parser.parse_args()
-    memory = told.memory or machine_memory("MemTotal") / MEGABYTE / 2
-    limits = Limits(memory, told.seconds)
-
-    def keep(rungs, stopped):
-        content = {
-            "clock": "simulated",
-            "began": datetime.now(UTC).isoformat(timespec="seconds"),
-            "seed": told.seed,
-            "parts": told.parts.split(","),
-            "hosts": told.hosts,
-            "cores": os.cpu_count(),
-            "load_average": os.getloadavg(),
-            "limits": {"memory_mb": round(memory), "seconds": told.seconds},
-            "rungs": rungs,
-            "stopped": stopped,
-        }
-        LADDERS.mkdir(parents=True, exist_ok=True)
-        (LADDERS / f"ladder-{told.name}.json").write_text(json.dumps(content, indent=1) + "\n")
-
-    climb(told, limits, keep)
+    limits = climbing.limits(told)
+    climb(told, limits, climbing.keeper(LADDERS, told.name, limits, conditions(told)))
 
 
 if __name__ == "__main__":
--- a/benchmarks/scale/ladder_table.py
+++ b/benchmarks/scale/ladder_table.py
@@ -1,4 +1,4 @@
-"""A ladder's rungs as a table: what was measured at each, and how far off the last prediction was."""
+"""A ladder's rungs as a table: what was measured at each, and how far off the predictions were."""
 
 import json
 from pathlib import Path
@@ -17,16 +17,42 @@
     ("newcomer_known_s", "a newcomer known to all, s"),
     ("restart_known_s", "a restart known to all, s"),
 )
+CELL_FIGURES = (
+    ("membership_bytes_per_s", "bytes a second: membership"),
+    ("tables_bytes_per_s", "bytes a second: the table, no change"),
+    ("day_tables_bytes_per_s", "bytes a second: the table, changes of a day"),
+    ("demand_bytes_per_s", "bytes a second: gossip of demand"),
+    ("bytes_per_s", "bytes a second in all, no change"),
+    ("day_bytes_per_s", "bytes a second in all, changes of a day"),
+    ("day_busiest_bytes_per_s", "the same of the busiest gateway"),
+    ("membership_messages_per_s", "messages a second: membership"),
+    ("tables_messages_per_s", "messages a second: the table, no change"),
+    ("demand_messages_per_s", "messages a second: gossip of demand"),
+    ("cpu_percent", "CPU, % of a core, no change"),
+    ("day_cpu_percent", "CPU, % of a core, changes of a day"),
+    ("memory_mb", "memory, MB"),
+    ("membership_entries", "entries of membership"),
+    ("tables_entries", "entries of the table's carrier"),
+    ("hosts_entries", "entries of hosts"),
+    ("demand_entries", "entries of the gossip of demand"),
+    ("change_known_s", "a changed row held by all gateways, s"),
+    ("death_known_s", "a death known in its cell, s"),
+    ("newcomer_table_s", "a newcomer has the table, s"),
+    ("newcomer_hosts_s", "a newcomer has its hosts, s"),
+    ("newcomer_known_s", "a newcomer known in its cell, s"),
+)
+FLAT_FROM = 1_000  # gateways from which on a gateway's costs are not to grow
 
 
 def ladder(words: list[str], folder: Path) -> list[str]:
     """`NAME`: the ladder kept under that name. Errors: OSError, KeyError where it is not kept or not one."""
     (name,) = words
-    rungs = json.loads((folder / "ladders" / f"ladder-{name}.json").read_text())["rungs"]
-    whole = [rung for rung in rungs if rung["measured"] and not rung["stopped"]]
+    kept = json.loads((folder / "ladders" / f"ladder-{name}.json").read_text())
+    whole = [rung for rung in kept["rungs"] if rung["measured"] and not rung["stopped"]]
+    if kept.get("cells"):
+        return _with_cells(whole)
     head = ["figure", *(number(rung["size"]) for rung in whole), "predicted for the last", "error"]
-    rows = [_row(key, meaning, whole) for key, meaning in FIGURES if _known(key, whole)]
-    return table(head, rows)
+    return table(head, [_row(key, meaning, whole) for key, meaning in FIGURES if _known(key, whole)])
 
 
 def _known(key, rungs):
@@ -43,3 +69,30 @@
         "-" if predicted is None else number(predicted["value"]),
         "-" if error is None else f"{error:+.0f}%",
     ]
+
+
+def _with_cells(rungs):
+    """Each rung's prediction stands beside what was measured."""
+    head = ["figure", *(number(rung["size"]) for rung in rungs), f"{number(FLAT_FROM)} to the last"]
+    rows = [
+        [meaning, *(_beside(rung, key) for rung in rungs), grown(key, rungs)]
+        for key, meaning in CELL_FIGURES
+        if _known(key, rungs)
+    ]
+    return table(head, rows)
+
+
+def _beside(rung, key):
+    """What was measured, and in brackets what was predicted."""
+    shown, predicted = number(rung["measured"][key]), rung["predicted"].get(key)
+    if predicted is None:
+        return shown
+    error = rung["error_percent"].get(key)
+    return f"{shown} ({number(predicted['value'])}" + (")" if error is None else f", {error:+.0f}%)")
+
+
+def grown(key: str, rungs) -> str:
+    """By how much the last rung's figure differs from that at `FLAT_FROM` gateways."""
+    values = {rung["size"]: rung["measured"][key] for rung in rungs}
+    first, last = values.get(FLAT_FROM), values[max(values)]
+    return f"{100 * (last - first) / first:+.1f}%" if first and max(values) > FLAT_FROM else "-"
--- a/benchmarks/scale/loopback.py
+++ b/benchmarks/scale/loopback.py
@@ -10,17 +10,12 @@
 """
 
 import argparse
-import json
-import os
-import sys
 import time
-from datetime import UTC, datetime
 
+from benchmarks.scale import climbing
 from benchmarks.scale.crew import Crew
-from benchmarks.scale.ladder import show
-from benchmarks.scale.limits import MEGABYTE, Limits, Stopped, machine_memory
+from benchmarks.scale.limits import MEGABYTE, Stopped
 from benchmarks.scale.measurement import LADDERS
-from benchmarks.scale.prediction import errors, predict
 from gaproute.rig.lateness import WAITED
 
 LATE = 150  # ms that a process may be late, as the rig's scripts allow
@@ -132,70 +127,34 @@
         self.figures["back_known_real_s"] = real and real - began
 
 
-def climb(told, limits, keep):
-    """Plays rung after rung until one is stopped or void."""
-    rungs, measured = [], []
-    for size in map(int, told.rungs.split(",")):
-        predicted, rung, stopped = predict(measured, size), LoopbackRung(size, told, limits), ""
-        try:
-            rung.play()
-        except Stopped as reason:
-            stopped = str(reason)
-        if rung.void:
-            stopped = "void: " + "; ".join(rung.void)
-        found = errors(predicted, rung.figures)
-        rungs.append(
-            {
-                "size": size,
-                "real": told.real,
-                "processes": told.real + len(rung.crew.hollow_ranges()),
-                "predicted": predicted,
-                "measured": rung.figures,
-                "error_percent": found,
-                "void": rung.void,
-                "stopped": stopped,
-            }
-        )
-        keep(rungs, f"at {size} gateways: {stopped}" if stopped else "")
-        show(rungs[-1])
-        if stopped:
-            return
-        measured.append((size, rung.figures))
+def play(size, told, limits):
+    """One rung."""
+    rung, stopped = LoopbackRung(size, told, limits), ""
+    try:
+        rung.play()
+    except Stopped as reason:
+        stopped = str(reason)
+    if rung.void:
+        stopped = "void: " + "; ".join(rung.void)
+    processes = told.real + len(rung.crew.hollow_ranges())
+    more = {"real": told.real, "processes": processes, "void": rung.void}
+    return climbing.Played(rung.figures, stopped, more)
 
 
 def main():
     """The command line."""
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale.loopback", description=__doc__)
-    parser.add_argument("--rungs", default="60,125,250,1000", help="sizes, the smallest first")
+    climbing.add_arguments(parser, "60,125,250,1000", 900, "loopback")
     parser.add_argument("--real", type=int, default=10, help="processes of `gaproute serve`, 3 at least")
     parser.add_argument("--each", type=int, default=20, help="hollow gateways to a process")
     parser.add_argument(
         "--hosts", type=int, default=60, help="all gateways of a process parse a list at once"
     )
-    parser.add_argument("--seconds", type=float, default=900)
-    parser.add_argument("--memory", type=float, help="MB; half of the machine's by default")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--name", default="loopback", help="of the file that keeps the rungs")
     told = parser.parse_args()
-    memory = told.memory or machine_memory("MemTotal") / MEGABYTE / 2
-    limits = Limits(memory, told.seconds)
-
-    def keep(rungs, stopped):
-        content = {
-            "clock": "real",
-            "began": datetime.now(UTC).isoformat(timespec="seconds"),
-            "seed": told.seed,
-            "cores": os.cpu_count(),
-            "load_average": os.getloadavg(),
-            "limits": {"memory_mb": round(memory), "seconds": told.seconds, "late_ms": LATE},
-            "rungs": rungs,
-            "stopped": stopped,
-        }
-        LADDERS.mkdir(parents=True, exist_ok=True)
-        (LADDERS / f"ladder-{told.name}.json").write_text(json.dumps(content, indent=1) + "\n")
-
-    climb(told, limits, keep)
-    sys.stdout.flush()
+    limits, conditions = climbing.limits(told), {"clock": "real", "seed": told.seed}
+    keep = climbing.keeper(LADDERS, told.name, limits, conditions, late_ms=LATE)
+    climbing.climb(climbing.sizes(told), lambda size: play(size, told, limits), keep)
 
 
 if __name__ == "__main__":
--- a/gaproute/hollow/simulation/fleet.py
+++ b/gaproute/hollow/simulation/fleet.py
@@ -115,13 +115,13 @@
         """Plays so many simulated seconds."""
         self.loop.run(round(seconds * SECOND))
 
-    def until(self, holds, longest):
-        """Simulated seconds until `holds()`, at a step's precision; None: not within `longest`."""
+    def until(self, holds, longest, step=STEP):
+        """Simulated seconds until `holds()`, at the precision of `step` ns; None: not within `longest`."""
         began = self.loop.time
         while not holds():
             if self.loop.time - began >= longest * SECOND:
                 return None
-            self.loop.run(STEP)
+            self.loop.run(step)
         return (self.loop.time - began) / SECOND
 
     # Counts
--- a/tests/test_hollow_ladder.py
+++ b/tests/test_hollow_ladder.py
@@ -1,14 +1,17 @@
 """The ladder of rungs: its predictions, its limits, what it leaves when it is killed."""
 
+import json
 import signal
 import subprocess
 import sys
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
-from benchmarks.scale import ladder
+from benchmarks.scale import climbing, ladder
+from benchmarks.scale.ladder_table import ladder as ladder_table
 from benchmarks.scale.limits import Limits, Stopped
 from benchmarks.scale.prediction import errors, predict
 
@@ -44,7 +47,7 @@
 
 
 def test_a_rung_that_reaches_its_limit_stops_the_ladder(capsys):
-    told = type("Told", (), {"rungs": "12,24", "seed": 1, "parts": "membership", "hosts": 5})
+    told = type("Told", (), {"rungs": "12,24", "seed": 1, "parts": "membership", "hosts": 5, "cells": None})
     kept = []
     ladder.climb(told, Limits(1, 60), lambda rungs, stopped: kept.append((len(rungs), stopped)))
     assert len(kept) == 1 and kept[0][0] == 1
@@ -52,6 +55,28 @@
     assert "12 gateways, stopped: memory" in capsys.readouterr().out
 
 
+def test_a_ladder_keeps_all_rungs_so_far_with_its_conditions(tmp_path):
+    told = SimpleNamespace(seed=2, parts="membership", hosts=None, cells=3)
+    keep = climbing.keeper(tmp_path, "made", Limits(100, 60), ladder.conditions(told))
+    played = {9: climbing.Played({"known_s": 1.5}), 18: climbing.Played({}, "time: over", {"void": [1]})}
+    climbing.climb([9, 18, 27], played.get, keep)
+    kept = json.loads((tmp_path / "ladder-made.json").read_text())
+    assert [rung["size"] for rung in kept["rungs"]] == [9, 18]
+    assert kept["rungs"][0]["measured"] == {"known_s": 1.5} and kept["rungs"][1]["void"] == [1]
+    assert kept["stopped"] == "at 18 gateways: time: over"
+    assert (kept["cells"], kept["hosts"], kept["seed"]) == (3, 256, 2)
+    assert kept["limits"] == {"memory_mb": 100, "seconds": 60}
+
+
+def test_a_table_of_cells_has_predictions_beside_results(tmp_path):
+    bytes_by_size = {250: 100, 500: 110, 1_000: 120, 4_000: 132}
+    keep = climbing.keeper(tmp_path / "ladders", "made", Limits(100, 60), {"cells": 3})
+    play = lambda size: climbing.Played({"bytes_per_s": bytes_by_size[size]})  # noqa: E731
+    climbing.climb(bytes_by_size, play, keep)
+    _, _, row = ladder_table(["made"], tmp_path)
+    assert row == "| bytes a second in all, no change | 100 | 110 | 120 | 132 (144, +9%) | +10.0% |"
+
+
 def children(pid):
     return [int(child) for child in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
 
