Hollow cells: gateways with the table alone share the peers that a table names

Cause: at 4,000 gateways the start's first second took 9.9 s of CPU, at 16,000 75.6 s. By profile: every gateway with the table alone made the same candidates of all cells' entries (quadratic in the fleet), and the collector searched the whole process again and again.

Change: TableCarrier.candidates can be overridden; SharedTableCarrier makes those of a table once. The rung disables the collector until all have started, then freezes what stands. Gateways in full, whose cost is measured, are as before.

--- a/benchmarks/scale/cell_rung.py
+++ b/benchmarks/scale/cell_rung.py
@@ -40,17 +40,25 @@
 
     def measure(self):
         """Takes all figures. Errors: Stopped."""
-        self.run(SETTLE)
+        self.settle()
         self.figures["full_gateways"] = len(self.fleet.fully())
-        gc.collect()
-        gc.freeze()  # a gateway's calls are not to pay for a search through the memory of all others
         self.rest()
         self.day()
         self.memory()
         self.change()
         self.death()
         self.newcomer()
-        gc.unfreeze()
+
+    def settle(self):
+        """The start; what stands after it is no more searched for garbage, lest a gateway's calls pay for the
+        memory of all others."""
+        gc.disable()
+        try:
+            self.run(SETTLE)
+        finally:
+            gc.enable()
+        gc.collect()
+        gc.freeze()
 
     # Spans
 
@@ -103,7 +111,7 @@
         """Of gateways in full, and of the process."""
         fleet = self.fleet
         shared = (fleet, fleet.loop, fleet.network, fleet.plan, fleet.plan.host_rows, fleet.rows)
-        shared += (fleet.shared_tables, fleet.kept, *fleet.charters)
+        shared += (fleet.shared_tables, fleet.shared_candidates, fleet.kept, *fleet.charters)
         held = [held_bytes(gateway, shared) / MEGABYTE for gateway in fleet.fully()[:WEIGHED]]
         self.figures["memory_mb"], self.figures["memory_most_mb"] = sum(held) / len(held), max(held)
         gc.collect()
--- a/gaproute/hollow/cells/fleet.py
+++ b/gaproute/hollow/cells/fleet.py
@@ -69,7 +69,7 @@
         table = self.plan.table()
         digest, data = encoding.cells_digest(table.cells), encoding.encode_table(table)
         self.kept = StoredTable(FLEET, *table.version, digest, data)
-        self.shared_tables = {}
+        self.shared_tables, self.shared_candidates = {}, {}
 
     def start(self, row, known=None, kept=True):
         """Starts a gateway. `known`: those that it is configured with, its cell's by default; `kept`: whether
@@ -96,6 +96,7 @@
             host_rows=self.plan.host_rows,
             reach=self.reach,
             shared_tables=self.shared_tables,
+            shared_candidates=self.shared_candidates,
         )
         gateway = HollowGateway(surroundings, self.makers if full else TABLE_PARTS)
         self.gateways[row.name] = gateway
--- a/gaproute/hollow/cells/shared.py
+++ b/gaproute/hollow/cells/shared.py
@@ -1,6 +1,10 @@
-"""A table document whose tables, which never change, are shared by the gateways of a process."""
+"""What gateways of a process share of tables, which never change: the tables, and the peers they name."""
 
+from dataclasses import replace
+
+from gaproute.peers.tables import TableCarrier
 from gaproute.peers.tables.document import TableDocument
+from gaproute.shared.dissemination.cell_peers import candidates
 
 
 class SharedTableDocument(TableDocument):
@@ -30,3 +34,23 @@
 
     def _note(self):
         self.tables[self.version, self.digest] = self.holder.table
+
+
+class SharedTableCarrier(TableCarrier):
+    """`named`: {(version, digest): candidates that the table names}, of all gateways that share them."""
+
+    def __init__(self, named, *surroundings):
+        super().__init__(*surroundings)
+        self.named = named
+
+    def candidates(self, near):
+        """As of `TableCarrier`."""
+        table, document = self.holder.table, self.disseminator.document
+        if table is None or self.cell:
+            return super().candidates(near)
+        key = document.version, document.digest
+        if key not in self.named:
+            self.named[key] = candidates(table, self.cell, (), ())
+        named = self.named[key]
+        gateways = max(1, len(near)) * named.gateways
+        return replace(named, neighbours=near, configured=self.configured, gateways=gateways)
--- a/gaproute/hollow/cells/surroundings.py
+++ b/gaproute/hollow/cells/surroundings.py
@@ -16,7 +16,8 @@
 
     `open_giver(address)` and `open_puller(loop, name)` make what answers and what asks for whole tables;
     `host_rows(cell)` tells a cell's host list; `reach(entry, cell)`: whether that entry gateway is there and
-    knows the cell; `shared_tables`: tables by version and digest for those that share them.
+    knows the cell; `shared_tables`, `shared_candidates`: tables, and the peers that they name, by version and
+    digest for those that share them.
     """
 
     place: Place
@@ -28,3 +29,4 @@
     host_rows: Callable
     reach: Callable
     shared_tables: dict[Any, Any]
+    shared_candidates: dict[Any, Any]
--- a/gaproute/hollow/cells/tables.py
+++ b/gaproute/hollow/cells/tables.py
@@ -1,7 +1,7 @@
 """The cell table's carrier as a part: the product's class, on the membership's datagrams and on pulls."""
 
 from gaproute.decisions.cells.table import Version
-from gaproute.hollow.cells.shared import SharedTableDocument
+from gaproute.hollow.cells.shared import SharedTableCarrier, SharedTableDocument
 from gaproute.hollow.demand import CountedPosts
 from gaproute.hollow.parts import Part
 from gaproute.peers.tables import TableCarrier
@@ -23,7 +23,7 @@
         self.surroundings = surroundings
         self.posts = TablePosts(parts["membership"])
         self.giver = surroundings.open_giver(surroundings.address)
-        self.carrier = TableCarrier(
+        self.carrier = self.made(
             surroundings.loop,
             surroundings.name,
             surroundings.fleet_name,
@@ -34,6 +34,10 @@
         )
         self.puller = self.carrier.puller = surroundings.open_puller(surroundings.loop, surroundings.name)
 
+    def made(self, *told):
+        """The table's carrier."""
+        return TableCarrier(*told)
+
     def start(self):
         """Takes the table of the own disk, then listens and tells."""
         kept = self.surroundings.kept
@@ -72,6 +76,10 @@
 class SharedTables(Tables):
     """Reads each version of the table once for all gateways of the process that share it."""
 
+    def made(self, *told):
+        """The table's carrier."""
+        return SharedTableCarrier(self.surroundings.shared_candidates, *told)
+
     def __init__(self, surroundings, parts):
         super().__init__(surroundings, parts)
         carrier = self.carrier
--- a/gaproute/peers/tables/carrier.py
+++ b/gaproute/peers/tables/carrier.py
@@ -15,6 +15,7 @@
 from gaproute.shared.dissemination.cell_peers import candidates
 from gaproute.shared.dissemination.messages import NOTHING, Pull
 from gaproute.shared.dissemination.sightings import Standing
+from gaproute.shared.dissemination.view import Candidates
 
 KIND = "table"
 LEAST_TURN = SECOND // 200  # between two turns of the timer
@@ -157,7 +158,11 @@
         listed_from = near, self.configured, self.holder.table
         if listed_from != self.listed_from:
             self.listed_from = listed_from
-            self.disseminator.listed(candidates(self.holder.table, self.cell, near, self.configured))
+            self.disseminator.listed(self.candidates(near))
+
+    def candidates(self, near: tuple[Peer, ...]) -> Candidates:
+        """Whom to speak with, by the table held; `near`: members that are up."""
+        return candidates(self.holder.table, self.cell, near, self.configured)
 
     def _note_refusals(self):
         for reason in self.disseminator.refused:
--- a/tests/test_cell_rung.py
+++ b/tests/test_cell_rung.py
@@ -1,5 +1,7 @@
 """A rung of gateways that go by cells, tiny: which figures it takes, and of which gateways."""
 
+import gc
+import json
 import sys
 from types import SimpleNamespace
 
@@ -8,8 +10,10 @@
 from benchmarks.scale import cell_rung, rung
 from benchmarks.scale.base_rung import Growth
 from benchmarks.scale.cell_rung import CellRung
+from benchmarks.scale.costs import cell_ladder
 from benchmarks.scale.held import held_bytes
 from benchmarks.scale.limits import Limits, Stopped
+from benchmarks.scale.measurement import Measurement
 from benchmarks.scale.plain_rung import PlainRung
 
 SIZE, FULL, HOSTS = 66, 1, 4
@@ -27,6 +31,7 @@
         made.play()
         yield made
         made.fleet.close()
+        gc.unfreeze()
 
 
 def test_only_gateways_played_in_full_are_counted(played):
@@ -102,3 +107,18 @@
     for holder in (lambda: data, Holder(data).__init__, [data].append):
         assert 100_000 < held_bytes(holder) < 101_000
     assert held_bytes(Holder) == held_bytes(sys) == 0
+
+
+def test_measurements_are_taken_from_the_ladders_of_all_seeds(tmp_path):
+    for seed, sizes in ((1, (125, 250, 1_000)), (2, (250,))):
+        rungs = [{"size": size, "measured": {"day_cpu_percent": 0.5 * seed}} for size in sizes]
+        rungs.append({"size": 4_000, "measured": {"simulated_s": 1.0}})  # stopped before it was measured
+        (tmp_path / f"ladder-cells-{seed}.json").write_text(json.dumps({"seed": seed, "rungs": rungs}))
+    made = cell_ladder.taken("cells-ladder-cpu", tmp_path)
+    assert [(point.size, point.plays) for point in made.points] == [(250, [5, 10]), (1_000, [5])]
+    assert "seeds 1, 2" in made.conditions
+
+
+@pytest.mark.parametrize("name", cell_ladder.TAKEN)
+def test_the_kept_measurements_are_those_of_the_kept_ladders(name):
+    assert Measurement.load(name).points == cell_ladder.taken(name).points
