Faults in a fleet of cells: a zone gone, regions parted, slow gateways, lists that differ

Need: the fault scenarios played plain fleets of 250 alone; at 1,000 they cost 4 s of CPU a simulated second.

Change: cell_faults.py has four scenarios on a CellFleet with three cells in full, for the command of faults.py. Watched looks at the gateways that gateways() names; CellFleet takes a lag and the list that a gateway reads. Existing scenarios are as they were.

The scenarios at 1,000 are not played yet.

--- a/benchmarks/scale/faults.py
+++ b/benchmarks/scale/faults.py
@@ -8,6 +8,7 @@
 import json
 import time
 
+from benchmarks.scale import cell_faults
 from benchmarks.scale.measurement import LADDERS
 from benchmarks.scale.watched import CHEAP, Watched
 from gaproute.hollow import PARTS
@@ -203,6 +204,7 @@
         late_source,
         differing_lists,
         strangers_beyond_bound,
+        *cell_faults.SCENARIOS,
     )
 }
 
--- a/benchmarks/scale/watched.py
+++ b/benchmarks/scale/watched.py
@@ -14,11 +14,16 @@
 
 
 class Watched:
-    """`told`: as of `Fleet`."""
+    """`told`: as of `Fleet`. `COUNTED`: counters that each scenario tells the sums of."""
+
+    COUNTED = ("membership.suspicions", "membership.refused", "demand.refused", "leases.ended")
 
     def __init__(self, size, seed, makers=PARTS, **told):
         self.size, self.fleet = size, Fleet(size, seed, makers, HOSTS, **told)
-        self.past = {}  # name: bytes sent in lives that ended
+
+    def gateways(self):
+        """Those whose costs and members are looked at, by name."""
+        return self.fleet.gateways
 
     @property
     def now(self):
@@ -31,7 +36,7 @@
 
     def members(self):
         """{name: the gateway's membership}"""
-        return {name: gateway.parts["membership"].members for name, gateway in self.fleet.gateways.items()}
+        return {name: gateway.parts["membership"].members for name, gateway in self.gateways().items()}
 
     def healing(self, figures, **conditions):
         """Plays until all conditions hold. The seconds until each, and the first bytes, become figures."""
@@ -45,7 +50,7 @@
             if spent == FIRST:
                 after = self.sent()
                 sent = sum(after.values()) - sum(before.values())
-                figures["healing_bytes_per_s"] = round(sent / FIRST / len(self.fleet.gateways), 1)
+                figures["healing_bytes_per_s"] = round(sent / FIRST / len(self.gateways()), 1)
                 figures["healing_busiest_bytes_per_s"] = self.busiest(before, FIRST)
             for name in [name for name, holds in waiting.items() if holds()]:
                 del waiting[name]
@@ -56,7 +61,7 @@
     def sent(self):
         """{name: bytes sent by all parts}, of gateways that run; what has ended counts under its own name."""
         found = {"": sum(value for name, value in self.fleet.gone.items() if name.endswith(".bytes"))}
-        for name, gateway in self.fleet.gateways.items():
+        for name, gateway in self.gateways().items():
             found[name] = sum(counters.get("bytes", 0) for counters in gateway.counters().values())
         return found
 
@@ -64,7 +69,7 @@
         """Plays the span; bytes that a gateway sent in a second of it."""
         before = sum(self.sent().values())
         self.fleet.run(span)
-        return round((sum(self.sent().values()) - before) / span / len(self.fleet.gateways), 1)
+        return round((sum(self.sent().values()) - before) / span / len(self.gateways()), 1)
 
     def busiest(self, before, span):
         """Bytes a second of the gateway that sent most since `before`."""
@@ -73,9 +78,9 @@
 
     def entries(self):
         """Entries of state that a gateway holds."""
-        totals = self.fleet.totals(self.fleet.gateways.values())
+        totals = self.fleet.totals(self.gateways().values())
         found = sum(value for name, value in totals.items() if name.endswith(".entries"))
-        return round(found / len(self.fleet.gateways), 1)
+        return round(found / len(self.gateways()), 1)
 
     def leases_held(self):
         """The share of the gateways that run whose lease stands."""
@@ -128,7 +133,7 @@
     def ended(self, figures):
         """The figures, with what any scenario counts; ends the fleet."""
         totals = self.fleet.totals()
-        for name in ("membership.suspicions", "membership.refused", "demand.refused", "leases.ended"):
+        for name in self.COUNTED:
             figures.setdefault(name.replace(".", "_"), totals[name])
         figures["breaches"] = [
             breach for members in self.members().values() for breach in check(members, True)
--- a/gaproute/hollow/cells/fleet.py
+++ b/gaproute/hollow/cells/fleet.py
@@ -59,12 +59,14 @@
 
 class CellFleet(Fleet):
     """`full`: so many cells have gateways with the parts of `makers`, the others such with the table alone;
-    None: all. `hosts`: of a cell."""
+    None: all. `hosts`: of a cell. `lag`: as of `Fleet`. `rows_for(plan, name, cell)`: the host list of a
+    cell that the gateway reads, by default that of the plan."""
 
-    def __init__(self, size, seed=1, hosts=HOSTS, full=None, makers=CELL_PARTS):
-        super().__init__(size, seed, makers, hosts=1)
+    def __init__(self, size, seed=1, hosts=HOSTS, full=None, makers=CELL_PARTS, lag=None, rows_for=None):
+        super().__init__(size, seed, makers, hosts=1, lag=lag)
         self.plan = CellPlan(self.rows, hosts)
         self.full = self.plan.cells if full is None else min(full, self.plan.cells)
+        self.rows_for = rows_for or (lambda plan, name, cell: plan.host_rows(cell))
         self.network = CellNetwork(self.loop, self.plan)
         table = self.plan.table()
         digest, data = encoding.cells_digest(table.cells), encoding.encode_table(table)
@@ -78,7 +80,7 @@
             return self.gateways[row.name]
         full = self.plan.cell_of(row.name) < self.full
         surroundings = CellSurroundings(
-            loop=MeteredLoop(self.loop),
+            loop=MeteredLoop(self.loop, self.lag(row.name)),
             name=row.name,
             address=row.where,
             charter=self.charters[0],
@@ -93,7 +95,7 @@
             kept=self.kept if kept else None,
             open_giver=partial(SimulatedGiver, self.network, row.name),
             open_puller=partial(SimulatedPuller, self.network),
-            host_rows=self.plan.host_rows,
+            host_rows=partial(self.rows_for, self.plan, row.name),
             reach=self.reach,
             shared_tables=self.shared_tables,
             shared_candidates=self.shared_candidates,
