--- a/benchmarks/scale/measurement.py
+++ b/benchmarks/scale/measurement.py
@@ -9,7 +9,20 @@
 LADDERS = MEASURED / "ladders"  # runs of whole fleets, which are no costs by size
 LEAST_SIZES = 4
 PLAYS = 3
-UNITS = ("us", "ms", "ms/s", "s", "bytes", "bytes/s", "MB", "messages/s", "entries", "loads/s", "share")
+UNITS = (
+    "us",
+    "ms",
+    "ms/s",
+    "s",
+    "bytes",
+    "bytes/s",
+    "MB",
+    "messages/s",
+    "calls/s",
+    "entries",
+    "loads/s",
+    "share",
+)
 
 
 class MeasurementError(ValueError):
--- a/gaproute/hollow/cells/fleet.py
+++ b/gaproute/hollow/cells/fleet.py
@@ -60,12 +60,23 @@
 class CellFleet(Fleet):
     """`full`: so many cells have gateways with the parts of `makers`, the others such with the table alone;
     None: all. `hosts`: of a cell. `lag`: as of `Fleet`. `rows_for(plan, name, cell)`: the host list of a
-    cell that the gateway reads, by default that of the plan."""
-
-    def __init__(self, size, seed=1, hosts=HOSTS, full=None, makers=CELL_PARTS, lag=None, rows_for=None):
+    cell that the gateway reads, by default that of the plan. `make_loop`: makes each gateway's loop."""
+
+    def __init__(
+        self,
+        size,
+        seed=1,
+        hosts=HOSTS,
+        full=None,
+        makers=CELL_PARTS,
+        lag=None,
+        rows_for=None,
+        make_loop=MeteredLoop,
+    ):
         super().__init__(size, seed, makers, hosts=1, lag=lag)
         self.plan = CellPlan(self.rows, hosts)
         self.full = self.plan.cells if full is None else min(full, self.plan.cells)
+        self.make_loop = make_loop
         self.rows_for = rows_for or (lambda plan, name, cell: plan.host_rows(cell))
         self.network = CellNetwork(self.loop, self.plan)
         table = self.plan.table()
@@ -80,7 +91,7 @@
             return self.gateways[row.name]
         full = self.plan.cell_of(row.name) < self.full
         surroundings = CellSurroundings(
-            loop=MeteredLoop(self.loop, self.lag(row.name)),
+            loop=self.make_loop(self.loop, self.lag(row.name)),
             name=row.name,
             address=row.where,
             charter=self.charters[0],
--- a/tests/test_cell_rung.py
+++ b/tests/test_cell_rung.py
@@ -10,7 +10,7 @@
 from benchmarks.scale import cell_rung, rung
 from benchmarks.scale.base_rung import Growth
 from benchmarks.scale.cell_rung import CellRung
-from benchmarks.scale.costs import cell_ladder
+from benchmarks.scale.costs import cell_calls, cell_ladder
 from benchmarks.scale.held import held_bytes
 from benchmarks.scale.limits import Limits, Stopped
 from benchmarks.scale.measurement import Measurement
@@ -122,3 +122,11 @@
 @pytest.mark.parametrize("name", cell_ladder.TAKEN)
 def test_the_kept_measurements_are_those_of_the_kept_ladders(name):
     assert Measurement.load(name).points == cell_ladder.taken(name).points
+
+
+def test_calls_of_functions_are_counted_alike_in_each_play(monkeypatch):
+    monkeypatch.setattr(cell_calls, "SETTLE", 1.2)
+    monkeypatch.setattr(cell_calls, "CHANGES", 1)
+    first, second = (cell_calls.calls(33, 1, hosts=4) for _ in range(2))
+    assert first == second > 1_000
+    assert sys.getprofile() is None
