--- a/benchmarks/scale/base_rung.py
+++ b/benchmarks/scale/base_rung.py
@@ -1,5 +1,6 @@
 """What a rung of any fleet on the simulated clock has: limits, time, counts a gateway and second."""
 
+import gc
 import time
 
 from benchmarks.scale.limits import MEGABYTE, Limits, resident
@@ -42,6 +43,17 @@
 
     # Time
 
+    def settle(self, seconds):
+        """The start; what stands after it is no more searched for garbage, lest a gateway's calls pay for the
+        memory of all others."""
+        gc.disable()
+        try:
+            self.run(seconds)
+        finally:
+            gc.enable()
+        gc.collect()
+        gc.freeze()
+
     def run(self, seconds):
         """Plays so long, with a look at the limits in each slice."""
         end = self.fleet.loop.time + round(seconds * SECOND)
--- a/benchmarks/scale/cell_rung.py
+++ b/benchmarks/scale/cell_rung.py
@@ -40,7 +40,7 @@
 
     def measure(self):
         """Takes all figures. Errors: Stopped."""
-        self.settle()
+        self.settle(SETTLE)
         self.figures["full_gateways"] = len(self.fleet.fully())
         self.rest()
         self.day()
@@ -49,17 +49,6 @@
         self.death()
         self.newcomer()
 
-    def settle(self):
-        """The start; what stands after it is no more searched for garbage, lest a gateway's calls pay for the
-        memory of all others."""
-        gc.disable()
-        try:
-            self.run(SETTLE)
-        finally:
-            gc.enable()
-        gc.collect()
-        gc.freeze()
-
     # Spans
 
     def rest(self):
--- a/benchmarks/scale/costs/cell_ladder.py
+++ b/benchmarks/scale/costs/cell_ladder.py
@@ -24,7 +24,6 @@
     "cells-ladder-bytes": Taken(
         "day_bytes_per_s", "bytes that all control parts send with headers", "bytes/s"
     ),
-    "cells-ladder-cpu": Taken("day_cpu_percent", "CPU of all control parts' calls", "ms/s", 10),
     "cells-ladder-memory": Taken("memory_mb", "memory of all control parts' objects", "MB"),
     "cells-ladder-change": Taken("change_known_s", "until all gateways hold a changed row", "ms", 1_000),
     "cells-ladder-death": Taken("death_known_s", "until the own cell holds a gateway dead", "s"),
--- a/benchmarks/scale/plain_rung.py
+++ b/benchmarks/scale/plain_rung.py
@@ -3,7 +3,8 @@
 Memory: the process's resident memory less what it had before the fleet was made, divided by the gateways.
 It holds each gateway's decisions, tables, sockets' stand-ins and what is under way on the network; it lacks
 what a process has once (interpreter, modules), and names and addresses of the configuration are shared by all
-gateways. CPU: of the process in the calm span, the simulation's own cost in it. The calm span begins when
+gateways. CPU: of the process in the calm span, the simulation's own cost in it, garbage collections of what
+stood before it not. The calm span begins when
 each gateway has had the time to tell each other one its demand.
 """
 
@@ -34,7 +35,7 @@
 
     def measure(self):
         """Takes all figures. Errors: Stopped."""
-        self.run(SETTLE + (ROUND * self.size if "demand" in self.parts else 0))
+        self.settle(SETTLE + (ROUND * self.size if "demand" in self.parts else 0))
         self.calm()
         if "hosts" in self.parts:
             self.change()
--- a/benchmarks/scale/rows_cells.py
+++ b/benchmarks/scale/rows_cells.py
@@ -108,7 +108,7 @@
         "cells-all-cpu",
         CELLS,
         "CPU of all control parts at the day's changes",
-        "cells-ladder-cpu",
+        "cells-cpu-day",
         size.GATEWAYS,
         1,
         size.CONTROL_MS,
