--- a/benchmarks/scale/base_rung.py
+++ b/benchmarks/scale/base_rung.py
@@ -34,26 +34,17 @@
         """Errors: Stopped."""
         began = time.process_time()
         self.fleet = self.made()
+        gc.disable()  # a collection would search the memory of all gateways, in a call of any one
         try:
             self.measure()
         finally:
+            gc.enable()
             self.figures["run_cpu_s"] = round(time.process_time() - began, 1)
             self.figures["simulated_s"] = round(self.fleet.loop.time / SECOND, 2)
             self.figures["events"] = self.fleet.loop.done
 
     # Time
 
-    def settle(self, seconds):
-        """The start; what stands after it is no more searched for garbage, lest a gateway's calls pay for the
-        memory of all others."""
-        gc.disable()
-        try:
-            self.run(seconds)
-        finally:
-            gc.enable()
-        gc.collect()
-        gc.freeze()
-
     def run(self, seconds):
         """Plays so long, with a look at the limits in each slice."""
         end = self.fleet.loop.time + round(seconds * SECOND)
@@ -82,6 +73,7 @@
 
     def resident(self):
         """MB of the process a gateway, less what it had before the fleet was made."""
+        gc.collect()
         return (resident() - self.empty) / MEGABYTE / self.size
 
     def each(self):
--- a/benchmarks/scale/cell_rung.py
+++ b/benchmarks/scale/cell_rung.py
@@ -4,14 +4,12 @@
 Figures are of the gateways played in full; those of the others begin with `table_only`.
 
 - CPU: of the gateway's own calls, by the loop that each has (`MeteredLoop`); reading what the net brings is
-  in it, the simulation's own cost is not.
+  in it, the simulation's own cost and garbage collections are not.
 - Memory: of a gateway's own objects (`held.py`); the process's resident memory beside it, all gateways in it.
 - Rest: nothing happens. Day: a row of the table changes as often as the configuration does on a day.
 - Times: until a change is held by all gateways of the fleet; a death, a newcomer: by the own cell.
 """
 
-import gc
-
 from benchmarks.scale.base_rung import CALM, SECOND, BaseRung, Growth
 from benchmarks.scale.held import held_bytes
 from benchmarks.scale.limits import MEGABYTE
@@ -40,7 +38,7 @@
 
     def measure(self):
         """Takes all figures. Errors: Stopped."""
-        self.settle(SETTLE)
+        self.run(SETTLE)
         self.figures["full_gateways"] = len(self.fleet.fully())
         self.rest()
         self.day()
@@ -103,7 +101,6 @@
         shared += (fleet.shared_tables, fleet.shared_candidates, fleet.kept, *fleet.charters)
         held = [held_bytes(gateway, shared) / MEGABYTE for gateway in fleet.fully()[:WEIGHED]]
         self.figures["memory_mb"], self.figures["memory_most_mb"] = sum(held) / len(held), max(held)
-        gc.collect()
         self.figures["resident_mb"] = self.resident()
 
     def publish(self):
--- a/benchmarks/scale/climbing.py
+++ b/benchmarks/scale/climbing.py
@@ -22,9 +22,11 @@
     more: dict[str, Any] = field(default_factory=dict)
 
 
-def climb(sizes: Iterable[int], play: Callable[[int], Played], keep: Callable):
-    """Plays rung after rung until one stops early; `keep(rungs, stopped)` after each."""
-    rungs, measured = [], []
+def climb(sizes: Iterable[int], play: Callable[[int], Played], keep: Callable, rungs=()):
+    """Plays rung after rung until one stops early; `keep(rungs, stopped)` after each. `rungs`: played before,
+    smaller than all of `sizes`."""
+    rungs = list(rungs)
+    measured = [(rung["size"], rung["measured"]) for rung in rungs]
     for size in sizes:
         predicted = predict(measured, size)
         played = play(size)
@@ -72,6 +74,12 @@
     return map(int, told.rungs.split(","))
 
 
+def whole_rungs(folder: Path, name: str):
+    """The rungs of a kept ladder that ended by themselves."""
+    kept = json.loads((folder / f"ladder-{name}.json").read_text())
+    return [rung for rung in kept["rungs"] if not rung["stopped"]]
+
+
 def limits(told):
     """The limits, from now on."""
     return Limits(told.memory or machine_memory("MemTotal") / MEGABYTE / 2, told.seconds)
--- a/benchmarks/scale/ladder.py
+++ b/benchmarks/scale/ladder.py
@@ -1,7 +1,7 @@
 """The scale run: rungs of ever more hollow gateways, each predicted from the smaller ones before it runs.
 
     python -m benchmarks.scale.ladder [--rungs 60,125,250,1000,4000,16000] [--seconds 1200] [--memory MB]
-        [--parts membership,hosts,demand,leases] [--cells N] [--name simulated] [--seed 1]
+        [--parts membership,hosts,demand,leases] [--cells N] [--name simulated] [--seed 1] [--after NAME]
 
 Each rung runs in a process of its own, which ends with this one whatever ends it, and leaves nothing
 behind. The ladder stops by itself at half of the machine's memory, or when its time is over, and says where
@@ -43,9 +43,9 @@
     return climbing.Played(found["figures"], found["stopped"])
 
 
-def climb(told, limits, keep):
-    """Plays rung after rung; `keep(rungs, stopped)` after each."""
-    climbing.climb(climbing.sizes(told), lambda size: play(size, told, limits), keep)
+def climb(told, limits, keep, rungs=()):
+    """Plays rung after rung, after `rungs`; `keep(rungs, stopped)` after each."""
+    climbing.climb(climbing.sizes(told), lambda size: play(size, told, limits), keep, rungs)
 
 
 def conditions(told):
@@ -64,9 +64,11 @@
     parser = argparse.ArgumentParser(prog="python -m benchmarks.scale.ladder", description=__doc__)
     climbing.add_arguments(parser, RUNGS, 1200, "simulated")
     add_arguments(parser)
+    parser.add_argument("--after", help="the name of a kept ladder, whose rungs are not played again")
     told = parser.parse_args()
     limits = climbing.limits(told)
-    climb(told, limits, climbing.keeper(LADDERS, told.name, limits, conditions(told)))
+    rungs = climbing.whole_rungs(LADDERS, told.after) if told.after else ()
+    climb(told, limits, climbing.keeper(LADDERS, told.name, limits, conditions(told)), rungs)
 
 
 if __name__ == "__main__":
--- a/benchmarks/scale/plain_rung.py
+++ b/benchmarks/scale/plain_rung.py
@@ -3,12 +3,10 @@
 Memory: the process's resident memory less what it had before the fleet was made, divided by the gateways.
 It holds each gateway's decisions, tables, sockets' stand-ins and what is under way on the network; it lacks
 what a process has once (interpreter, modules), and names and addresses of the configuration are shared by all
-gateways. CPU: of the process in the calm span, the simulation's own cost in it, garbage collections of what
-stood before it not. The calm span begins when
-each gateway has had the time to tell each other one its demand.
+gateways. CPU: of the process in the calm span, the simulation's own cost in it, garbage collections not. The
+calm span begins when each gateway has had the time to tell each other one its demand.
 """
 
-import gc
 import time
 
 from benchmarks.scale.base_rung import CALM, BaseRung, Growth
@@ -35,7 +33,7 @@
 
     def measure(self):
         """Takes all figures. Errors: Stopped."""
-        self.settle(SETTLE + (ROUND * self.size if "demand" in self.parts else 0))
+        self.run(SETTLE + (ROUND * self.size if "demand" in self.parts else 0))
         self.calm()
         if "hosts" in self.parts:
             self.change()
@@ -58,7 +56,6 @@
             figures |= growth.rates((part,))
         figures["bytes_per_s"], figures["busiest_bytes_per_s"] = growth.bytes()
         figures["cpu_percent"] = 100 * spent / CALM / self.size
-        gc.collect()
         figures["memory_mb"] = self.resident()
         for name in ("membership.refused", "leases.held", "leases.refused", "demand.tellers"):
             if name in totals:
@@ -66,7 +63,6 @@
 
     def end(self):
         """State when all is over: pages of warm copies gather for longer than the calm span."""
-        gc.collect()
         self.figures["memory_end_mb"] = self.resident()
         if "demand" in self.parts:
             self.figures["demand_entries_end"] = self.fleet.totals()["demand.entries"] / self.size
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -76,6 +76,11 @@
     assert made == text
 
 
+def test_the_page_of_hollow_gateways_agrees_with_the_ladders():
+    text = (PAGE.parent / "hollow.md").read_text()
+    assert rewritten(text) == (text, [])
+
+
 def test_the_page_has_each_kind_of_table_and_linked_figures():
     text = PAGE.read_text()
     assert {found["kind"] for found in BEGIN.finditer(text)} == set(TABLES)
--- a/tests/test_cell_rung.py
+++ b/tests/test_cell_rung.py
@@ -1,6 +1,5 @@
 """A rung of gateways that go by cells, tiny: which figures it takes, and of which gateways."""
 
-import gc
 import json
 import sys
 from types import SimpleNamespace
@@ -31,7 +30,6 @@
         made.play()
         yield made
         made.fleet.close()
-        gc.unfreeze()
 
 
 def test_only_gateways_played_in_full_are_counted(played):
--- a/tests/test_hollow_ladder.py
+++ b/tests/test_hollow_ladder.py
@@ -68,6 +68,17 @@
     assert kept["limits"] == {"memory_mb": 100, "seconds": 60}
 
 
+def test_a_ladder_goes_on_after_the_whole_rungs_of_a_kept_one(tmp_path):
+    keep = climbing.keeper(tmp_path, "made", Limits(100, 60), {})
+    played = {size: climbing.Played({"entries": 2.0 * size}) for size in (10, 20, 40, 160)}
+    climbing.climb([10, 20, 40, 80], (played | {80: climbing.Played({}, "time: over")}).get, keep)
+    rungs = climbing.whole_rungs(tmp_path, "made")
+    climbing.climb([160], played.get, keep, rungs)
+    kept = json.loads((tmp_path / "ladder-made.json").read_text())
+    assert [rung["size"] for rung in kept["rungs"]] == [10, 20, 40, 160] and kept["stopped"] == ""
+    assert kept["rungs"][3]["predicted"]["entries"]["value"] == pytest.approx(320)
+
+
 def test_a_table_of_cells_has_predictions_beside_results(tmp_path):
     bytes_by_size = {250: 100, 500: 110, 1_000: 120, 4_000: 132}
     keep = climbing.keeper(tmp_path / "ladders", "made", Limits(100, 60), {"cells": 3})
