--- a/benchmarks/scale/ladder_table.py
+++ b/benchmarks/scale/ladder_table.py
@@ -17,7 +17,7 @@
     ("newcomer_known_s", "a newcomer known to all, s"),
     ("restart_known_s", "a restart known to all, s"),
 )
-CELL_FIGURES = (
+CELL_FIGURES = (  # CPU is measured apart, by costs/cell_work.py
     ("membership_bytes_per_s", "bytes a second: membership"),
     ("tables_bytes_per_s", "bytes a second: the table, no change"),
     ("day_tables_bytes_per_s", "bytes a second: the table, changes of a day"),
@@ -28,8 +28,6 @@
     ("membership_messages_per_s", "messages a second: membership"),
     ("tables_messages_per_s", "messages a second: the table, no change"),
     ("demand_messages_per_s", "messages a second: gossip of demand"),
-    ("cpu_percent", "CPU, % of a core, no change"),
-    ("day_cpu_percent", "CPU, % of a core, changes of a day"),
     ("memory_mb", "memory, MB"),
     ("membership_entries", "entries of membership"),
     ("tables_entries", "entries of the table's carrier"),
