Hollow cells: CPU and calls by the fleet's size, single plays kept beside the ladder

The figures were first kept as measurements with rows in the budget. A kept measurement has three plays at least (test_kept_measurements_are_registered_and_whole), these have one: so they stand beside the ladder, in its table, and are no rows of the budget.

--- a/benchmarks/scale/costs/cell_work.py
+++ b/benchmarks/scale/cell_work.py
@@ -1,18 +1,20 @@
 """The work of a gateway of cells by the fleet's size: CPU time, and calls of functions, which no noise of the
 machine changes. Garbage collections are left out of both: they would search the memory of all gateways."""
 
+import argparse
 import gc
+import json
 import sys
-from dataclasses import dataclass
-from functools import cache
+from dataclasses import asdict, dataclass
 
-from benchmarks.scale.measurement import Measurement, measure
+from benchmarks.scale.measurement import LADDERS
 from benchmarks.scale.size import CHANGES_A_SECOND
 from gaproute.hollow.cells import CellFleet
 from gaproute.hollow.cells.fleet import MeteredLoop
 from gaproute.hollow.cells.plan import HOSTS
 
-SIZES = (250, 1_000, 4_000, 16_000)
+FILE = "cells-work.json"
+CONDITIONS = "one cell in full, no garbage collections, calls counted in every second gateway"
 FULL = 1  # cells in full
 SETTLE = 8  # simulated seconds: the peers are listed anew 5 s after the start
 CHANGES = 3  # of the table while calls are counted
@@ -54,7 +56,6 @@
     day_calls: float
 
 
-@cache
 def work(size, seed, hosts=HOSTS) -> Work:
     """Plays a fleet. Calls are counted in every second gateway, lest the counting fall on the CPU time."""
     gc.collect()
@@ -86,17 +87,19 @@
     return spent / MILLI / seconds / (len(loops) - counted), calls / seconds / counted
 
 
-def measured(name, meaning, unit, figure) -> Measurement:
-    """One play of one seed: of the calls, another gives the same count."""
-    conditions = "one cell in full, no garbage collections, calls counted in every second gateway"
-    play = lambda size, seed: getattr(work(size, seed), figure)  # noqa: E731
-    return measure(name, meaning, unit, "gateways in the fleet", SIZES, play, conditions, plays=1)
+def main():
+    """Plays all sizes once, and keeps them."""
+    parser = argparse.ArgumentParser(prog="python -m benchmarks.scale.cell_work", description=__doc__)
+    parser.add_argument("--rungs", default="250,1000,4000,16000", help="sizes")
+    parser.add_argument("--seed", type=int, default=1)
+    told = parser.parse_args()
+    rungs = []
+    for size in map(int, told.rungs.split(",")):
+        rungs.append({"size": size, **asdict(work(size, told.seed))})
+        print(json.dumps(rungs[-1]), flush=True)
+    kept = {"clock": "simulated", "seed": told.seed, "conditions": CONDITIONS, "rungs": rungs}
+    (LADDERS / FILE).write_text(json.dumps(kept, indent=1) + "\n")
 
 
-FIGURES = {
-    "cells-cpu-rest": ("CPU of all control parts, no change", "ms/s", "rest_cpu"),
-    "cells-cpu-day": ("CPU of all control parts, at the day's changes", "ms/s", "day_cpu"),
-    "cells-calls-rest": ("calls of functions in all control parts, no change", "calls/s", "rest_calls"),
-    "cells-calls-day": ("calls of functions in all control parts, day's changes", "calls/s", "day_calls"),
-}
-MEASUREMENTS = {name: lambda name=name: measured(name, *FIGURES[name]) for name in FIGURES}
+if __name__ == "__main__":
+    main()
--- a/benchmarks/scale/ladder_table.py
+++ b/benchmarks/scale/ladder_table.py
@@ -3,6 +3,7 @@
 import json
 from pathlib import Path
 
+from benchmarks.scale.cell_work import FILE as WORK
 from benchmarks.scale.text import number, table
 
 FIGURES = (
@@ -17,7 +18,7 @@
     ("newcomer_known_s", "a newcomer known to all, s"),
     ("restart_known_s", "a restart known to all, s"),
 )
-CELL_FIGURES = (  # CPU is measured apart, by costs/cell_work.py
+CELL_FIGURES = (  # CPU is measured apart: WORK_FIGURES
     ("membership_bytes_per_s", "bytes a second: membership"),
     ("tables_bytes_per_s", "bytes a second: the table, no change"),
     ("day_tables_bytes_per_s", "bytes a second: the table, changes of a day"),
@@ -39,6 +40,12 @@
     ("newcomer_hosts_s", "a newcomer has its hosts, s"),
     ("newcomer_known_s", "a newcomer known in its cell, s"),
 )
+WORK_FIGURES = (
+    ("rest_cpu", "CPU, ms a second, no change"),
+    ("day_cpu", "CPU, ms a second, changes of a day"),
+    ("rest_calls", "calls of functions a second, no change"),
+    ("day_calls", "calls of functions a second, changes of a day"),
+)
 FLAT_FROM = 1_000  # gateways from which on a gateway's costs are not to grow
 
 
@@ -48,7 +55,7 @@
     kept = json.loads((folder / "ladders" / f"ladder-{name}.json").read_text())
     whole = [rung for rung in kept["rungs"] if rung["measured"] and not rung["stopped"]]
     if kept.get("cells"):
-        return _with_cells(whole)
+        return _with_cells(whole, folder / "ladders" / WORK)
     head = ["figure", *(number(rung["size"]) for rung in whole), "predicted for the last", "error"]
     return table(head, [_row(key, meaning, whole) for key, meaning in FIGURES if _known(key, whole)])
 
@@ -69,15 +76,24 @@
     ]
 
 
-def _with_cells(rungs):
+def _with_cells(rungs, work):
     """Each rung's prediction stands beside what was measured."""
-    head = ["figure", *(number(rung["size"]) for rung in rungs), f"{number(FLAT_FROM)} to the last"]
+    sizes = [rung["size"] for rung in rungs]
     rows = [
-        [meaning, *(_beside(rung, key) for rung in rungs), grown(key, rungs)]
+        [meaning, *(_beside(rung, key) for rung in rungs), grown(_values(key, rungs))]
         for key, meaning in CELL_FIGURES
         if _known(key, rungs)
     ]
-    return table(head, rows)
+    played = json.loads(work.read_text())["rungs"] if work.exists() else []
+    for key, meaning in WORK_FIGURES if played else ():
+        values = {rung["size"]: rung[key] for rung in played}
+        shown = (number(values[size]) if size in values else "-" for size in sizes)
+        rows.append([meaning, *shown, grown(values)])
+    return table(["figure", *map(number, sizes), f"{number(FLAT_FROM)} to the last"], rows)
+
+
+def _values(key, rungs):
+    return {rung["size"]: rung["measured"][key] for rung in rungs}
 
 
 def _beside(rung, key):
@@ -89,8 +105,7 @@
     return f"{shown} ({number(predicted['value'])}" + (")" if error is None else f", {error:+.0f}%)")
 
 
-def grown(key: str, rungs) -> str:
-    """By how much the last rung's figure differs from that at `FLAT_FROM` gateways."""
-    values = {rung["size"]: rung["measured"][key] for rung in rungs}
+def grown(values: dict[int, float]) -> str:
+    """By how much the figure at the largest size differs from that at `FLAT_FROM` gateways."""
     first, last = values.get(FLAT_FROM), values[max(values)]
     return f"{100 * (last - first) / first:+.1f}%" if first and max(values) > FLAT_FROM else "-"
--- a/tests/test_cell_rung.py
+++ b/tests/test_cell_rung.py
@@ -1,18 +1,15 @@
 """A rung of gateways that go by cells, tiny: which figures it takes, and of which gateways."""
 
-import json
 import sys
 from types import SimpleNamespace
 
 import pytest
 
-from benchmarks.scale import cell_rung, rung
+from benchmarks.scale import cell_rung, cell_work, rung
 from benchmarks.scale.base_rung import Growth
 from benchmarks.scale.cell_rung import CellRung
-from benchmarks.scale.costs import cell_ladder, cell_work
 from benchmarks.scale.held import held_bytes
 from benchmarks.scale.limits import Limits, Stopped
-from benchmarks.scale.measurement import Measurement
 from benchmarks.scale.plain_rung import PlainRung
 
 SIZE, FULL, HOSTS = 66, 1, 4
@@ -107,25 +104,10 @@
     assert held_bytes(Holder) == held_bytes(sys) == 0
 
 
-def test_measurements_are_taken_from_the_ladders_of_all_seeds(tmp_path):
-    for seed, sizes in ((1, (125, 250, 1_000)), (2, (250,))):
-        rungs = [{"size": size, "measured": {"change_known_s": 0.5 * seed}} for size in sizes]
-        rungs.append({"size": 4_000, "measured": {"simulated_s": 1.0}})  # stopped before it was measured
-        (tmp_path / f"ladder-cells-{seed}.json").write_text(json.dumps({"seed": seed, "rungs": rungs}))
-    made = cell_ladder.taken("cells-ladder-change", tmp_path)
-    assert [(point.size, point.plays) for point in made.points] == [(250, [500, 1_000]), (1_000, [500])]
-    assert "seeds 1, 2" in made.conditions
-
-
-@pytest.mark.parametrize("name", cell_ladder.TAKEN)
-def test_the_kept_measurements_are_those_of_the_kept_ladders(name):
-    assert Measurement.load(name).points == cell_ladder.taken(name).points
-
-
 def test_calls_of_functions_are_counted_alike_in_each_play(monkeypatch):
     monkeypatch.setattr(cell_work, "SETTLE", 1.2)
     monkeypatch.setattr(cell_work, "CHANGES", 1)
-    first, second = (cell_work.work.__wrapped__(33, 1, hosts=4) for _ in range(2))
+    first, second = (cell_work.work(33, 1, hosts=4) for _ in range(2))
     assert (first.rest_calls, first.day_calls) == (second.rest_calls, second.day_calls)
     assert 1_000 < first.rest_calls < first.day_calls
     assert 0 < first.rest_cpu < 100 and 0 < first.day_cpu < 100
