--- a/benchmarks/scale/ladder_table.py
+++ b/benchmarks/scale/ladder_table.py
@@ -1,8 +1,9 @@
-"""A ladder's rungs as a table: what was measured at each, and how far off the last prediction was."""
+"""A ladder's rungs as a table: what was measured at each, and how far off the predictions were."""
 
 import json
 from pathlib import Path
 
+from benchmarks.scale.cell_work import FILE as WORK
 from benchmarks.scale.text import number, table
 
 FIGURES = (
@@ -17,16 +18,46 @@
     ("newcomer_known_s", "a newcomer known to all, s"),
     ("restart_known_s", "a restart known to all, s"),
 )
+CELL_FIGURES = (  # CPU is measured apart: WORK_FIGURES
+    ("membership_bytes_per_s", "bytes a second: membership"),
+    ("tables_bytes_per_s", "bytes a second: the table, no change"),
+    ("day_tables_bytes_per_s", "bytes a second: the table, changes of a day"),
+    ("demand_bytes_per_s", "bytes a second: gossip of demand"),
+    ("bytes_per_s", "bytes a second in all, no change"),
+    ("day_bytes_per_s", "bytes a second in all, changes of a day"),
+    ("day_busiest_bytes_per_s", "the same of the busiest gateway"),
+    ("membership_messages_per_s", "messages a second: membership"),
+    ("tables_messages_per_s", "messages a second: the table, no change"),
+    ("demand_messages_per_s", "messages a second: gossip of demand"),
+    ("memory_mb", "memory, MB"),
+    ("membership_entries", "entries of membership"),
+    ("tables_entries", "entries of the table's carrier"),
+    ("hosts_entries", "entries of hosts"),
+    ("demand_entries", "entries of the gossip of demand"),
+    ("change_known_s", "a changed row held by all gateways, s"),
+    ("death_known_s", "a death known in its cell, s"),
+    ("newcomer_table_s", "a newcomer has the table, s"),
+    ("newcomer_hosts_s", "a newcomer has its hosts, s"),
+    ("newcomer_known_s", "a newcomer known in its cell, s"),
+)
+WORK_FIGURES = (
+    ("rest_cpu", "CPU, ms a second, no change"),
+    ("day_cpu", "CPU, ms a second, changes of a day"),
+    ("rest_calls", "calls of functions a second, no change"),
+    ("day_calls", "calls of functions a second, changes of a day"),
+)
+FLAT_FROM = 1_000  # gateways from which on a gateway's costs are not to grow
 
 
 def ladder(words: list[str], folder: Path) -> list[str]:
     """`NAME`: the ladder kept under that name. Errors: OSError, KeyError where it is not kept or not one."""
     (name,) = words
-    rungs = json.loads((folder / "ladders" / f"ladder-{name}.json").read_text())["rungs"]
-    whole = [rung for rung in rungs if rung["measured"] and not rung["stopped"]]
+    kept = json.loads((folder / "ladders" / f"ladder-{name}.json").read_text())
+    whole = [rung for rung in kept["rungs"] if rung["measured"] and not rung["stopped"]]
+    if kept.get("cells"):
+        return _with_cells(whole, folder / "ladders" / WORK)
     head = ["figure", *(number(rung["size"]) for rung in whole), "predicted for the last", "error"]
-    rows = [_row(key, meaning, whole) for key, meaning in FIGURES if _known(key, whole)]
-    return table(head, rows)
+    return table(head, [_row(key, meaning, whole) for key, meaning in FIGURES if _known(key, whole)])
 
 
 def _known(key, rungs):
@@ -43,3 +74,38 @@
         "-" if predicted is None else number(predicted["value"]),
         "-" if error is None else f"{error:+.0f}%",
     ]
+
+
+def _with_cells(rungs, work):
+    """Each rung's prediction stands beside what was measured."""
+    sizes = [rung["size"] for rung in rungs]
+    rows = [
+        [meaning, *(_beside(rung, key) for rung in rungs), grown(_values(key, rungs))]
+        for key, meaning in CELL_FIGURES
+        if _known(key, rungs)
+    ]
+    played = json.loads(work.read_text())["rungs"] if work.exists() else []
+    for key, meaning in WORK_FIGURES if played else ():
+        values = {rung["size"]: rung[key] for rung in played}
+        shown = (number(values[size]) if size in values else "-" for size in sizes)
+        rows.append([meaning, *shown, grown(values)])
+    return table(["figure", *map(number, sizes), f"{number(FLAT_FROM)} to the last"], rows)
+
+
+def _values(key, rungs):
+    return {rung["size"]: rung["measured"][key] for rung in rungs}
+
+
+def _beside(rung, key):
+    """What was measured, and in brackets what was predicted."""
+    shown, predicted = number(rung["measured"][key]), rung["predicted"].get(key)
+    if predicted is None:
+        return shown
+    error = rung["error_percent"].get(key)
+    return f"{shown} ({number(predicted['value'])}" + (")" if error is None else f", {error:+.0f}%)")
+
+
+def grown(values: dict[int, float]) -> str:
+    """By how much the figure at the largest size differs from that at `FLAT_FROM` gateways."""
+    first, last = values.get(FLAT_FROM), values[max(values)]
+    return f"{100 * (last - first) / first:+.1f}%" if first and max(values) > FLAT_FROM else "-"
