Where every cell left is slow, a call goes to the first of them instead of being declined

Cause: choice._returning() ended with cells that are well again; a slow cell was passed over like a silent one. Ruled out: silent, refusing and unreachable cells, which stay barred.

Change: _last_resort() takes the first slow cell after those that are well again.

--- a/gaproute/decisions/cells/choice.py
+++ b/gaproute/decisions/cells/choice.py
@@ -65,7 +65,7 @@
         if regional:
             yield from self._next(now, function, None, given, may_try)
         if not given:
-            yield from self._returning(function, region)
+            yield from self._last_resort(function, region)
 
     def _first(self, now, function, homes, may_try):
         """One of the homes that may be sent to, drawn by load; a trial goes before; None: all are ill."""
@@ -79,12 +79,15 @@
             return None
         return Choice(self.loads.draw(now, homes, self.capacities, self.chance))
 
-    def _returning(self, function, region):
-        """Where nothing else is left: the first home that is well again, before the function's turn."""
-        for name in self.homes.order(function, len(self.capacities), region):
-            if name in self.health.cells and not self.health.barred(name):
-                yield Choice(name)
-                return
+    def _last_resort(self, function, region):
+        """Where nothing else is left: the first home that is well again, before the function's turn, or else
+        the first that is slow: a late answer is better than none."""
+        order = self.homes.order(function, len(self.capacities), region)
+        known = [name for name in order if name in self.health.cells]
+        usable = [name for name in known if not self.health.barred(name)]
+        usable += [name for name in known if self.health.only_slow(name)]
+        if usable:
+            yield Choice(usable[0])
 
     def _next(self, now, function, region, given, may_try):
         """The cells of the order that may be sent to, but for those already given."""
--- a/gaproute/decisions/cells/health.py
+++ b/gaproute/decisions/cells/health.py
@@ -100,6 +100,11 @@
         """Whether the cell or what it lies in is ill and not yet healed."""
         return bool(self.ill) and name in self.cells and bool(self._illnesses(name))
 
+    def only_slow(self, name):
+        """Whether the cell answers, though slowly, and what it lies in is well."""
+        illnesses = self._illnesses(name) if name in self.cells else []
+        return bool(illnesses) and all(ill.illness is Illness.SLOW for ill in illnesses)
+
     def waits_for_trial(self, now, name):
         """Whether no pure call came to be the trial of a place that has rested."""
         return all(now >= ill.until + PURE_WAIT for ill in self._illnesses(name))
--- a/gaproute/decisions/cells/remote.py
+++ b/gaproute/decisions/cells/remote.py
@@ -60,7 +60,8 @@
 def _await(journey, relay, end, cell, health, cancel_allowed):
     """The relay's outcome, or None where the task is over.
 
-    A pure task that waits for a cell found ill meanwhile is taken back, to go on elsewhere.
+    A pure task that waits for a cell found ill meanwhile is taken back, to go on elsewhere, unless the cell
+    is slow alone: it has waited there for a part of the answer's time.
     """
     cancelled = False
     while True:
@@ -74,7 +75,7 @@
             return None
         if outcome is not None:
             return outcome
-        given_up = now >= end or health.barred(cell.name) and journey.track.effect is Effect.PURE
+        given_up = now >= end or _is_lost(cell, health) and journey.track.effect is Effect.PURE
         if given_up and cancel_allowed and not cancelled:
             cancelled = True
             yield Cancel(relay)
@@ -83,6 +84,11 @@
             return None
 
 
+def _is_lost(cell, health):
+    """Whether no answer is to be awaited from the cell."""
+    return health.barred(cell.name) and not health.only_slow(cell.name)
+
+
 def _await_end(now, outcome):
     """A stream that has begun has no deadline here."""
     while outcome is None or not outcome.ended:
