Costs of a first call and a changed line are counted in instructions, not in CPU time

Cause: processor time of a shared core is up to twice as much for the same work; the bound of 1,000 us measured the machine.

Change: the test counts bytecode instructions (meters.instructions), the same on every run: 49,457 of 60,000 allowed for a changed line, 7,657 of 10,000 for a first call, where a millisecond of a quiet machine would allow 86,000 and 45,000, so the bounds are tighter than before. Work in C is not seen; CPU time stays in the measurements, whose functions take the meter now.

--- a/benchmarks/scale/costs/cells.py
+++ b/benchmarks/scale/costs/cells.py
@@ -5,12 +5,12 @@
 import os
 from dataclasses import replace
 from random import Random
-from time import process_time_ns
 
 from benchmarks.scale.cells.evenness import KEEP_ALIVE, Popularity
 from benchmarks.scale.cells.fleet import Shape, place, table
 from benchmarks.scale.cells.world import CALL_TIME, terms
 from benchmarks.scale.measurement import measure
+from benchmarks.scale.meters import processor_us
 from gaproute import interface as face
 from gaproute.decisions.cells.cellular import CellularGateway
 from gaproute.decisions.cells.change import TableChange, TableHolder
@@ -60,20 +60,20 @@
     serving.close()
 
 
-def first_call(cells, seed, gateways=16_000):
-    """Median CPU time of 200 first calls in a known cell, plus that of as many that are forwarded, us."""
+def first_call(cells, seed, gateways=16_000, meter=processor_us):
+    """Median cost of 200 first calls in a known cell, plus that of as many that are forwarded; CPU time in us
+    by default."""
     gateway, _ = made(int(cells), gateways)
     own, spans = gateway.wanted()[0], {"known": [], "forwarded": []}
     for number in range(200):
         for kind, forwarded in (("known", Forwarded(own, 1)), ("forwarded", None)):
-            begun = process_time_ns()
-            next(gateway.serve(0, task(f"{kind}{number}", f"{kind}{seed}-{number}"), forwarded))
-            spans[kind].append(process_time_ns() - begun)
-    return sum(sorted(each)[len(each) // 2] for each in spans.values()) / 1000
+            serving = gateway.serve(0, task(f"{kind}{number}", f"{kind}{seed}-{number}"), forwarded)
+            spans[kind].append(meter(lambda serving=serving: next(serving)))
+    return sum(sorted(each)[len(each) // 2] for each in spans.values())
 
 
-def changed_line(cells, seed, gateways=16_000):
-    """Median CPU time of taking a change that moves one cell's ring points, us."""
+def changed_line(cells, seed, gateways=16_000, meter=processor_us):
+    """Median cost of taking a change that moves one cell's ring points; CPU time in us by default."""
     gateway, holder = made(int(cells), gateways)
     spans, random = [], Random(seed)
     for number in range(2, 32):
@@ -82,11 +82,13 @@
         shorter = cell.points[0]._replace(count=max(1, cell.points[0].count - 1))
         row = replace(cell, points=(shorter,), capacity=cell.capacity + 1)
         change = TableChange(held.fleet, held.version, Version(1, number), (row,))
-        begun = process_time_ns()
-        holder.change(change)
-        gateway.adopt(0, holder.table)
-        spans.append(process_time_ns() - begun)
-    return sorted(spans)[len(spans) // 2] / 1000
+        spans.append(meter(lambda change=change: _take(gateway, holder, change)))
+    return sorted(spans)[len(spans) // 2]
+
+
+def _take(gateway, holder, change):
+    holder.change(change)
+    gateway.adopt(0, holder.table)
 
 
 def resident():
--- a/benchmarks/scale/meters.py
+++ b/benchmarks/scale/meters.py
@@ -1,6 +1,7 @@
 """How a cost is metered: processor time of a call, bytes that objects hold, headers of what is sent."""
 
 import gc
+import sys
 import time
 import tracemalloc
 
@@ -30,6 +31,34 @@
     return time.process_time() - begun
 
 
+def processor_us(call):
+    """Processor time of `call()` alone, microseconds."""
+    begun = time.process_time_ns()
+    call()
+    return (time.process_time_ns() - begun) / 1_000
+
+
+def instructions(call):
+    """Bytecode instructions that `call()` executes: the same whatever else the machine does. Work within
+    functions written in C is not seen, but for the instructions that lead to it."""
+    count = 0
+
+    def trace(frame, event, arg):
+        nonlocal count
+        frame.f_trace_opcodes, frame.f_trace_lines = True, False
+        if event == "opcode":
+            count += 1
+        return trace
+
+    before = sys.gettrace()
+    sys.settrace(trace)
+    try:
+        call()
+    finally:
+        sys.settrace(before)
+    return count
+
+
 def held_bytes(build):
     """Bytes of Python's objects that stand because of `build()`, whose result is kept meanwhile."""
     gc.collect()
--- a/tests/test_cells_homes.py
+++ b/tests/test_cells_homes.py
@@ -145,10 +145,13 @@
 
 
 def test_a_first_call_costs_the_same_at_any_number_of_cells():
-    costs = {}
-    for count in (100, 500, 4000):
-        homes, names = Homes(table(cells(count))), iter(FUNCTIONS)
-        costs[count] = cpu(lambda h=homes, n=names: [h.order(next(n), 2) for _ in range(50)], 20) / 50
+    """The sizes are timed in turn, so that other work on the machine strikes all of them."""
+    played = {count: (Homes(table(cells(count))), iter(FUNCTIONS)) for count in (100, 500, 4000)}
+    costs = dict.fromkeys(played, MILLI)
+    for _ in range(20):
+        for count, (homes, names) in played.items():
+            spent = cpu(lambda h=homes, n=names: [h.order(next(n), 2) for _ in range(50)], 1) / 50
+            costs[count] = min(costs[count], spent)
     assert max(costs.values()) <= MILLI / 4
     assert costs[500] <= 1.5 * costs[100] and costs[4000] <= 4 * costs[100]
 
--- a/tests/test_cells_plays.py
+++ b/tests/test_cells_plays.py
@@ -5,6 +5,7 @@
 from benchmarks.scale.cells import baselines, evenness, failures, meetings, moves
 from benchmarks.scale.cells.fleet import Shape
 from benchmarks.scale.costs import cells as costs
+from benchmarks.scale.meters import instructions
 
 
 def test_calls_of_rare_functions_meet_at_one_copy():
@@ -81,7 +82,9 @@
     assert ways["cells"]["p99 wait ms"] <= 1.1 * ways["every host known"]["p99 wait ms"], ways
 
 
-def test_a_first_call_and_a_changed_line_cost_less_than_a_millisecond_each():
-    """The least of several tries: other work runs beside the tests."""
-    assert min(costs.first_call(500, seed, 2_000) for seed in (1, 2)) <= 1000
-    assert min(costs.changed_line(490, seed, 2_000) for seed in (1, 2)) <= 1000
+def test_a_first_call_and_a_changed_line_cost_what_a_millisecond_allows():
+    """Counted in instructions, which other work on the machine does not change. On a quiet machine a first
+    call takes 0.17 ms and 7,657 of them, a changed line 0.58 ms and 49,457: a millisecond is 45,000 and
+    86,000."""
+    assert max(costs.first_call(500, seed, 2_000, instructions) for seed in (1, 2)) <= 10_000
+    assert max(costs.changed_line(490, seed, 2_000, instructions) for seed in (1, 2)) <= 60_000
