--- a/benchmarks/scale/forwarding.py
+++ b/benchmarks/scale/forwarding.py
@@ -17,6 +17,7 @@
 from gaproute.conf.cell_files import read_table
 from gaproute.decisions.cells.homes import Homes
 
+ADDRESS = "127.0.0.2"  # of gateways: nobody connects from there, so that a port found free stays free
 RELAY = Path(__file__).parents[1] / "relay.py"  # which has the hosts
 CELLS = ("a1", "b1")  # in one region, a zone each
 HOSTS = 51  # of each cell
@@ -73,7 +74,7 @@
         out = sum(self._forwarded_out(cell) for cell in homes)
         before = {cell: _cpu_ns(gateway.pid) for cell, gateway in self.gateways.items()}
         asked = {
-            f"127.0.0.1:{self.clients[cell]}": self._take(cell, home, rate, seconds)
+            f"{ADDRESS}:{self.clients[cell]}": self._take(cell, home, rate, seconds)
             for cell, home in homes.items()
         }
         told = forwarding_clients.run(asked, rate, seconds, seed)
@@ -110,7 +111,7 @@
         for place, cell in enumerate(CELLS):
             lines.append(
                 f"cell {cell} region r zone {cell} capacity 100 hosts {HOSTS_TOLD} points {cell}:0+32"
-                f" entries {cell}=127.0.0.1:{self.peers[cell]}"
+                f" entries {cell}={ADDRESS}:{self.peers[cell]}"
             )
             hosts = self.hosts[place * HOSTS : (place + 1) * HOSTS]
             listed = [f"host {cell}-{number} {where}" for number, where in enumerate(hosts)]
@@ -120,8 +121,8 @@
     def _gateway(self, cell, seed):
         lines = [
             f"name {cell}",
-            f"listen kserve 127.0.0.1:{self.clients[cell]}",
-            f"listen peers 127.0.0.1:{self.peers[cell]}",
+            f"listen kserve {ADDRESS}:{self.clients[cell]}",
+            f"listen peers {ADDRESS}:{self.peers[cell]}",
             f"listen operator unix:{self.path}/{cell}.op",
             f"cells north file {self.path}/cells.table look 400ms region r zone {cell}",
             f"cell-hosts {self.path} look 400ms",
@@ -161,7 +162,7 @@
 def _free_ports(count):
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
-        each.bind(("127.0.0.1", 0))
+        each.bind((ADDRESS, 0))
     ports = [each.getsockname()[1] for each in sockets]
     for each in sockets:
         each.close()
