A kill or a stop of a gateway is noted before it is carried out

Cause: gateways.py of the trial, and restart() of the cluster harness, sent the signal first and noted it after, so a client could see the end of its connection before the span in which the gateway is excused began. Ruled out: the double kill mended before; here each gateway was up.

Change: the note comes first. test_a_strike_is_noted_before_clients_can_see_it fails without it for both kinds.

--- a/gaproute/cluster/gateways.py
+++ b/gaproute/cluster/gateways.py
@@ -79,16 +79,18 @@
             return
         self.busy.add(number)
         process = self.processes[number]
-        if kind == "TERM":
+        if kind == "KILL":
+            self.tap.note("killed", gateway=number)
+            process.signal(signal.SIGKILL)
+        else:
             self.tap.note("ending", gateway=number)
-        process.signal(signal.SIGKILL if kind == "KILL" else signal.SIGTERM)
-        if kind == "TERM":
+            process.signal(signal.SIGTERM)
             yield from self.trial.processes.rest([process], self.trial.longest + 3 * SECOND)
             code = process.child.poll()
             if code != 0:
                 self.trial.faulty.append(f"g{number} ended with {code} after a SIGTERM")
                 process.signal(signal.SIGKILL)
-        self.tap.note("killed", gateway=number)
+            self.tap.note("killed", gateway=number)
         yield self.loop.sleep(back)
         yield from self.trial.starting(self.start(number))
         self.busy.discard(number)
--- a/gaproute/trial/gateways.py
+++ b/gaproute/trial/gateways.py
@@ -77,8 +77,8 @@
     def stall(self, number, span):
         """A coroutine: stopped for so long."""
         process = self.processes[number]
+        self.tap.note("stopped", gateway=number)  # first: clients may see it before this goes on
         process.signal(signal.SIGSTOP)
-        self.tap.note("stopped", gateway=number)
         yield self.loop.sleep(span)
         process.signal(signal.SIGCONT)
         self.tap.note("continued", gateway=number)
@@ -87,8 +87,8 @@
         """A coroutine: killed, and started again after `back`."""
         process = self.processes[number]
         self.killed.add(process)
-        process.signal(signal.SIGKILL)
         self.tap.note("killed", gateway=number)
+        process.signal(signal.SIGKILL)
         yield self.loop.sleep(back)
         yield from self.start(number)
 
--- a/tests/test_trial_gateways.py
+++ b/tests/test_trial_gateways.py
@@ -1,5 +1,6 @@
 """The gateways of a day as processes: one that is killed while it starts."""
 
+import signal
 import subprocess
 import sys
 from types import SimpleNamespace
@@ -23,6 +24,13 @@
         self.child.send_signal(number)
 
 
+class Struck:
+    """A process of which only its signals are of interest."""
+
+    def __init__(self, signal):
+        self.signal = signal
+
+
 class Processes:
     """Each start is a child with this program, which never says that it has started."""
 
@@ -89,6 +97,18 @@
     fleet.processes[0].child.wait()
 
 
+@pytest.mark.parametrize(
+    "strike, note, number", [("kill", "killed", signal.SIGKILL), ("stall", "stopped", signal.SIGSTOP)]
+)
+def test_a_strike_is_noted_before_clients_can_see_it(tmp_path, strike, note, number):
+    """A client whose connection ends by a kill that is noted later would be judged as lost by the gateway."""
+    fleet = gateways(Loop(), tmp_path, "")
+    noted = {}
+    fleet.processes[0] = Struck(lambda sent: noted.setdefault(sent, list(fleet.tap.events)))
+    next(getattr(fleet, strike)(0, SECOND))
+    assert noted == {number: [note]}
+
+
 def test_a_process_that_ends_by_itself_has_not_started(tmp_path):
     loop = Loop()
     fleet = gateways(loop, tmp_path, "raise SystemExit(1)")
