Read over: logic that stood twice, and a name that the rename had missed

- What a process of clients is told stood in the trial, the cluster harness and its platform kind: Crowd.told and ClusterCrowd.told_to serve all three.
- held_bytes stood in meters.py and plays.py, free_ports in the tests' fleet and a benchmark.
- _last_resort looked at every cell of the order twice where the first usable one ends the search.
- Script had an attribute `harness` where `cluster` was meant; nothing had read it yet.

No behaviour changes.

--- a/benchmarks/scale/costs/decisions.py
+++ b/benchmarks/scale/costs/decisions.py
@@ -3,7 +3,8 @@
 from functools import partial
 
 from benchmarks.scale.gateways import CAPACITY, MEGABYTE, REPORT, SECOND, TERMS, Caller, row, rows
-from benchmarks.scale.plays import CPU, MEMORY, cpu_ms, grown, held_bytes
+from benchmarks.scale.meters import held_bytes
+from benchmarks.scale.plays import CPU, MEMORY, cpu_ms, grown
 from gaproute.decisions.route import Gateway
 from gaproute.interface import Wait
 
--- a/benchmarks/scale/forwarding.py
+++ b/benchmarks/scale/forwarding.py
@@ -56,7 +56,7 @@
     def _start(self, seed):
         command = [sys.executable, str(RELAY), "hosts", str(HOSTS * len(CELLS))]
         self.hosts = json.loads(self._started(command, stdout=subprocess.PIPE).stdout.readline())
-        ports = _free_ports(2 * len(CELLS))
+        ports = free_ports(2 * len(CELLS))
         self.clients = dict(zip(CELLS, ports[::2], strict=True))
         self.peers = dict(zip(CELLS, ports[1::2], strict=True))
         self._write_cells()
@@ -159,7 +159,8 @@
     raise RuntimeError(f"a gateway ended as it started: {''.join(told[-5:])}")
 
 
-def _free_ports(count):
+def free_ports(count):
+    """So many ports of `ADDRESS` that nothing listens on."""
     sockets = [socket.socket() for _ in range(count)]
     for each in sockets:
         each.bind((ADDRESS, 0))
--- a/benchmarks/scale/plays.py
+++ b/benchmarks/scale/plays.py
@@ -2,7 +2,6 @@
 
 import gc
 import time
-import tracemalloc
 from collections.abc import Callable
 
 from benchmarks.scale.measurement import LEAST_SIZES, PLAYS, Measurement, Point
@@ -20,21 +19,6 @@
     return (time.process_time_ns() - begun) / 1e6 / repeats
 
 
-def held_bytes(make: Callable[[], object]) -> int:
-    """Bytes that what `make` returns, and what it changed, still hold when it is done."""
-    gc.collect()
-    tracemalloc.start()
-    try:
-        before = tracemalloc.get_traced_memory()[0]
-        kept = make()
-        gc.collect()
-        held = tracemalloc.get_traced_memory()[0] - before
-        del kept
-        return held
-    finally:
-        tracemalloc.stop()
-
-
 def grown(name, meaning, unit, parameter, sizes, play, conditions) -> Measurement:
     """Calls `play(size, seed)` for each size and seed, up to the size at which a play takes `LONG_PLAY`.
 
--- a/gaproute/cluster/crowd.py
+++ b/gaproute/cluster/crowd.py
@@ -4,28 +4,23 @@
 
 
 class ClusterCrowd(Crowd):
+    """The clients of appliances."""
+
+    KIND = "clients"  # of the stand-ins
+
+    def told_to(self, place, count):
+        """What the process at that place is told, of so many."""
+        seed = self.trial.seed * 100 + place
+        told = self.told(f"clients-{place}", self.kinds(), seed, count)
+        return told | {"habits": told["habits"] | self.own_habits(place)}
+
+    def own_habits(self, place):
+        """The habits in which the process at that place differs from all others."""
+        return {"prefix": f"c{place}-"}
+
     def start(self):
-        trial, day, count = self.trial, self.trial.script.day, self.trial.script.cluster.clients
-        gateways = [trial.gateways.addresses[number] for number in range(day.gateways)]
+        count, processes = self.trial.script.cluster.clients, self.trial.processes
         self.processes = [
-            trial.processes.standin(
-                "clients",
-                f"clients-{place}",
-                {
-                    "gateways": gateways,
-                    "kinds": self.kinds(),
-                    "habits": {
-                        "rate": day.rate / count,
-                        "patience": [0.6, 1.0],
-                        "retries": day.retries,
-                        "impatient": day.impatient,
-                        "zipf": day.zipf,
-                        "prefix": f"c{place}-",
-                    },
-                    "seed": trial.seed * 100 + place,
-                    "length": day.length,
-                    "tap": str(trial.out / f"clients-{place}.tap"),
-                },
-            )
+            processes.standin(self.KIND, f"clients-{place}", self.told_to(place, count))
             for place in range(count)
         ]
--- a/gaproute/cluster/platform/crowd.py
+++ b/gaproute/cluster/platform/crowd.py
@@ -1,38 +1,32 @@
 """The platform's clients of a harness: several processes that share one load."""
 
+from gaproute.cluster.crowd import ClusterCrowd
 from gaproute.standins.tap import read
-from gaproute.trial.crowd import Crowd
 
+KNOWN_OF_KINDS = ("name", "share", "limit", "pure")
+
+
+class NodeCrowd(ClusterCrowd):
+    """The clients of the platform's gateways."""
+
+    KIND = "platform-clients"
+
+    def kinds(self):
+        """As the platform's clients know them."""
+        return [{name: kind[name] for name in KNOWN_OF_KINDS} for kind in super().kinds()]
+
+    def told_to(self, place, count):
+        """As of other clients, and the models, of which all kinds draw."""
+        return super().told_to(place, count) | {"models": self.trial.models}
+
+    def own_habits(self, place):
+        """None."""
+        return {}
 
-class NodeCrowd(Crowd):
     def start(self):
-        trial, day, count = self.trial, self.trial.script.day, self.trial.script.cluster.clients
-        gateways = [trial.gateways.addresses[number] for number in range(day.gateways)]
-        kinds = [{name: kind[name] for name in ("name", "share", "limit", "pure")} for kind in self.kinds()]
-        self.processes = [
-            trial.processes.standin(
-                "platform-clients",
-                f"clients-{place}",
-                {
-                    "gateways": gateways,
-                    "models": trial.models,
-                    "kinds": kinds,
-                    "habits": {
-                        "rate": day.rate / count,
-                        "patience": [0.6, 1.0],
-                        "retries": day.retries,
-                        "impatient": day.impatient,
-                        "zipf": day.zipf,
-                    },
-                    "seed": trial.seed * 100 + place,
-                    "length": day.length,
-                    "tap": str(trial.out / f"clients-{place}.tap"),
-                },
-            )
-            for place in range(count)
-        ]
+        super().start()
         # they say when their first task comes
-        self.begun = [trial.processes.line(process, "clients") for process in self.processes]
+        self.begun = [self.trial.processes.line(process, "clients") for process in self.processes]
 
     def events(self):
         """As of a harness's other clients: who is done says how late it has run since its first task."""
--- a/gaproute/decisions/cells/choice.py
+++ b/gaproute/decisions/cells/choice.py
@@ -82,12 +82,17 @@
     def _last_resort(self, function, region):
         """Where nothing else is left: the first home that is well again, before the function's turn, or else
         the first that is slow: a late answer is better than none."""
-        order = self.homes.order(function, len(self.capacities), region)
-        known = [name for name in order if name in self.health.cells]
-        usable = [name for name in known if not self.health.barred(name)]
-        usable += [name for name in known if self.health.only_slow(name)]
-        if usable:
-            yield Choice(usable[0])
+        slow = None
+        for name in self.homes.order(function, len(self.capacities), region):
+            if name not in self.health.cells:
+                continue
+            if not self.health.barred(name):
+                yield Choice(name)
+                return
+            if slow is None and self.health.only_slow(name):
+                slow = name
+        if slow is not None:
+            yield Choice(slow)
 
     def _next(self, now, function, region, given, may_try):
         """The cells of the order that may be sent to, but for those already given."""
--- a/gaproute/trial/crowd.py
+++ b/gaproute/trial/crowd.py
@@ -24,29 +24,27 @@
             for line in script.traffic
         ]
 
-    def start(self):
+    def told(self, name, kinds, seed, processes=1):
+        """What one of so many processes of clients is told."""
         trial, day = self.trial, self.trial.script.day
-        addresses = trial.gateways.addresses
-        self.processes = [
-            trial.processes.standin(
-                "clients",
-                "clients",
-                {
-                    "gateways": [addresses[number] for number in sorted(addresses)],
-                    "kinds": self.kinds(),
-                    "habits": {
-                        "rate": day.rate,
-                        "patience": [0.6, 1.0],
-                        "retries": day.retries,
-                        "impatient": day.impatient,
-                        "zipf": day.zipf,
-                    },
-                    "seed": trial.seed,
-                    "length": day.length,
-                    "tap": str(trial.out / "clients.tap"),
-                },
-            )
-        ]
+        return {
+            "gateways": [trial.gateways.addresses[number] for number in range(day.gateways)],
+            "kinds": kinds,
+            "habits": {
+                "rate": day.rate / processes,
+                "patience": [0.6, 1.0],
+                "retries": day.retries,
+                "impatient": day.impatient,
+                "zipf": day.zipf,
+            },
+            "seed": seed,
+            "length": day.length,
+            "tap": str(trial.out / f"{name}.tap"),
+        }
+
+    def start(self):
+        told = self.told("clients", self.kinds(), self.trial.seed)
+        self.processes = [self.trial.processes.standin("clients", "clients", told)]
 
     def say(self, told):
         for process in self.processes:
--- a/gaproute/trial/script.py
+++ b/gaproute/trial/script.py
@@ -104,7 +104,7 @@
 
 class Script:
     def __init__(self, text, found):
-        self.text, self.harness = text, None
+        self.text, self.cluster = text, None
 
         def all_of(word):
             return [directive for name, directive in found if name == word]
--- a/tests/cell_fleet.py
+++ b/tests/cell_fleet.py
@@ -4,12 +4,12 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 
 from helpers import MILLI, SECOND, ListTap
 
+from benchmarks.scale.forwarding import free_ports
 from gaproute.conf.cell_files import read_table
 from gaproute.decisions.cells.homes import Homes
 from gaproute.http1 import Exchange
@@ -34,17 +34,6 @@
     return [f"{track}-{number}" for number in range(MODELS)]
 
 
-def free_ports(count):
-    """So many ports of 127.0.0.2 that nothing listens on; nobody connects from there."""
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.2", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 class CellFleet:
     """`cells`: {cell: (zone, its entry gateways)}, where region R has the zones R1, R2 and so on."""
 
--- a/tests/test_scale_measurements.py
+++ b/tests/test_scale_measurements.py
@@ -10,7 +10,8 @@
 from benchmarks.scale.fit import fit
 from benchmarks.scale.gateways import Caller, CallError, row, rows
 from benchmarks.scale.measurement import UNITS, Measurement, MeasurementError, Point, measure
-from benchmarks.scale.plays import cpu_ms, grown, held_bytes
+from benchmarks.scale.meters import held_bytes
+from benchmarks.scale.plays import cpu_ms, grown
 from gaproute.decisions.route import measures
 
 SIZES = (100, 400, 1_600, 6_400, 25_600)
