--- a/review/standins.py
+++ b/review/standins.py
@@ -230,7 +230,7 @@
             self.record.note("command", host=self.name, type=kind, req=request)
         if not self.hangs and kind != "halt":
             task = asyncio.ensure_future(self._answer(command, writer))
-            task.add_done_callback(lambda done: done.exception())
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())
 
     async def _answer(self, command: JsonObject, writer: asyncio.StreamWriter) -> None:
         kind, request = command["type"], str(command["req"])
@@ -281,9 +281,12 @@
         self.writer: asyncio.StreamWriter | None = None
         self.task: asyncio.Task[None] | None = None
 
-    async def open(self, port: int) -> "Connection":
-        """Connects."""
-        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 20)
+    async def open(self, port: int, sock: socket.socket | None = None) -> "Connection":
+        """Connects; `sock`: a socket that connects already."""
+        if sock is not None:
+            self.reader, self.writer = await asyncio.open_connection(sock=sock, limit=1 << 20)
+        else:
+            self.reader, self.writer = await asyncio.open_connection("127.0.0.1", port, limit=1 << 20)
         self.task = asyncio.ensure_future(self._read())
         return self
 
